--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/beacon/News.java
@@ -0,0 +1,192 @@
+package org.woadvale.foundation.beacon;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+
+import org.woadvale.foundation.keeper.Env;
+import org.woadvale.foundation.lantern.Schedule;
+import org.woadvale.foundation.lantern.Shard;
+import org.woadvale.foundation.watch.Asks;
+import org.woadvale.foundation.watch.Core;
+import org.woadvale.foundation.watch.Places;
+import org.woadvale.foundation.watch.Seat;
+import org.woadvale.foundation.watch.ServiceView;
+
+import reactor.core.publisher.Mono;
+
+/** A node's views of services, each with the proven age of its confirmation: design 7. */
+public final class News {
+    public static final Duration FRESH = Duration.ofSeconds(2);
+    private static final Duration PERIOD = Duration.ofMillis(250);
+    private static final Duration INTEREST = Duration.ofSeconds(5);
+    private static final Duration HOME_ASK = Duration.ofMillis(300);
+    private static final Duration DISTRUST = Duration.ofSeconds(1);
+
+    private static final class Followed {
+        ServiceView view;
+        boolean any;
+        Duration confirmed = Duration.ZERO;
+        Duration wantedUntil = Duration.ZERO;
+        boolean always;
+        Duration directUntil = Duration.ZERO;
+
+        Followed(String service) {
+            view = ServiceView.blank(service);
+        }
+    }
+
+    private final Env env;
+    private final Core core;
+    private final String hall;
+    private final Shard shard = new Shard();
+    private final Map<String, Followed> all = new HashMap<>();
+    private final List<BiConsumer<String, ServiceView>> listeners = new ArrayList<>();
+    private Schedule polling = () -> { };
+
+    public News(Env env, Core core, String hall) {
+        this.env = env;
+        this.core = core;
+        this.hall = hall;
+    }
+
+    public void start() {
+        List.of(Places.LAYOUT, Places.INTAKES, Places.STORES).forEach(this::always);
+        poll();
+        polling = env.schedules().every(PERIOD, this::poll);
+    }
+
+    public void stop() {
+        polling.cancel();
+    }
+
+    public void onView(BiConsumer<String, ServiceView> l) {
+        listeners.add(l);
+    }
+
+    public void always(String service) {
+        shard.run(() -> all.computeIfAbsent(service, Followed::new).always = true);
+    }
+
+    /** The view if its age is proven to be under the limit; empty otherwise. Wants the service from now on. */
+    public Optional<ServiceView> fresh(String service) {
+        return shard.get(() -> {
+            Followed f = want(service);
+            boolean ok = f.any && age(f).compareTo(FRESH) < 0;
+            return ok ? Optional.of(f.view) : Optional.empty();
+        });
+    }
+
+    /** Whatever is known, however old; only for guesses that are checked elsewhere. */
+    public ServiceView latest(String service) {
+        return shard.get(() -> want(service).view);
+    }
+
+    private Followed want(String service) {
+        Followed f = all.computeIfAbsent(service, Followed::new);
+        f.wantedUntil = now().plus(INTEREST);
+        return f;
+    }
+
+    private Duration now() {
+        return env.times().mono();
+    }
+
+    private Duration age(Followed f) {
+        return now().minus(f.confirmed);
+    }
+
+    private Optional<String> home(String service) {
+        Map<String, Seat> seats = new HashMap<>(seats(Places.INTAKES));
+        seats.putAll(seats(Places.STORES));
+        return Places.draw("home/" + service,
+            seats.entrySet().stream().filter(e -> e.getValue().hall().equals(hall)).map(Map.Entry::getKey).toList());
+    }
+
+    private Map<String, Seat> seats(String role) {
+        return Optional.ofNullable(all.get(role)).map(f -> f.view.seats()).orElse(Map.of());
+    }
+
+    private void poll() {
+        Map<String, Map<String, Long>> byHome = new HashMap<>();
+        Map<String, Map<String, Long>> byPart = new HashMap<>();
+        shard.run(() -> {
+            all.values().removeIf(f -> !f.always && now().compareTo(f.wantedUntil) > 0);
+            all.forEach((s, f) -> {
+                Optional<String> home = home(s);
+                boolean direct = home.isEmpty() || home.get().equals(env.self()) || now().compareTo(f.directUntil) < 0;
+                (direct ? byPart.computeIfAbsent(Places.controlPart(s), k -> new HashMap<>())
+                    : byHome.computeIfAbsent(home.get(), k -> new HashMap<>())).put(s, f.any ? f.view.version() : -1L);
+            });
+        });
+        byPart.forEach((part, known) -> {
+            Duration sent = now();
+            core.once(part, new Asks.NewsAsk(known), Asks.NewsReply.class)
+                .subscribe(r -> took(r, sent), e -> { });
+        });
+        byHome.forEach((home, known) -> {
+            Duration sent = now();
+            env.beam().ask(home, new Asks.NewsAsk(known), Asks.NewsReply.class, HOME_ASK).subscribe(r -> {
+                took(r, sent);
+                distrust(known, r);
+            }, e -> distrust(known, new Asks.NewsReply(List.of(), Map.of())));
+        });
+    }
+
+    /** A home that does not serve, or serves old news, is passed over for a while. */
+    private void distrust(Map<String, Long> asked, Asks.NewsReply r) {
+        shard.run(() -> asked.keySet().forEach(s -> {
+            Duration age = r.ages().getOrDefault(s, FRESH);
+            Optional.ofNullable(all.get(s)).ifPresent(f -> {
+                if (age.compareTo(FRESH.dividedBy(2)) > 0) {
+                    f.directUntil = now().plus(DISTRUST);
+                }
+            });
+        }));
+    }
+
+    private void took(Asks.NewsReply r, Duration sent) {
+        Map<String, ServiceView> views = new HashMap<>();
+        r.views().forEach(v -> views.put(v.service(), v));
+        List<ServiceView> changed = new ArrayList<>();
+        shard.run(() -> r.ages().forEach((s, age) -> Optional.ofNullable(all.get(s)).ifPresent(f -> {
+            ServiceView v = views.getOrDefault(s, f.view);
+            if (f.any && v.version() < f.view.version()) {
+                return;
+            }
+            if (!f.any && !views.containsKey(s)) {
+                return;
+            }
+            if (!f.any || v.version() > f.view.version()) {
+                f.view = v;
+                f.any = true;
+                changed.add(v);
+            }
+            Duration at = sent.minus(age);
+            f.confirmed = at.compareTo(f.confirmed) > 0 ? at : f.confirmed;
+        })));
+        changed.forEach(v -> listeners.forEach(l -> l.accept(v.service(), v)));
+    }
+
+    /** As a home node: what is held, with its age; what is not held yet is followed from now on. */
+    public Mono<Asks.NewsReply> asked(Asks.NewsAsk ask) {
+        return Mono.fromSupplier(() -> shard.get(() -> {
+            List<ServiceView> views = new ArrayList<>();
+            Map<String, Duration> ages = new HashMap<>();
+            ask.known().forEach((s, version) -> {
+                Followed f = want(s);
+                if (f.any && age(f).compareTo(FRESH) < 0) {
+                    ages.put(s, age(f));
+                    if (f.view.version() != version) {
+                        views.add(f.view);
+                    }
+                }
+            });
+            return new Asks.NewsReply(views, ages);
+        }));
+    }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/beam/Beam.java
@@ -0,0 +1,16 @@
+package org.woadvale.foundation.beam;
+
+import java.time.Duration;
+
+import reactor.core.publisher.Mono;
+
+/** Asks neighbours; a node's name is its internal address "ip:port": design 3.1. */
+public interface Beam {
+    String self();
+
+    /**
+     * Fails with UNREACHABLE (never sent), UNKNOWN_OUTCOME (sent, no answer in time),
+     * or with the neighbour's own fault.
+     */
+    <T> Mono<T> ask(String to, Object body, Class<T> answer, Duration limit);
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/beam/Codec.java
@@ -0,0 +1,78 @@
+package org.woadvale.foundation.beam;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+
+import com.esotericsoftware.kryo.Kryo;
+import com.esotericsoftware.kryo.KryoException;
+import com.esotericsoftware.kryo.io.Input;
+import com.esotericsoftware.kryo.io.Output;
+import com.esotericsoftware.kryo.serializers.ImmutableCollectionsSerializers;
+
+/** Kryo with required registration and fixed numbers: no class name ever comes off the wire. design 3.2 */
+public final class Codec {
+    /** Range of inner protocol versions that this build speaks. */
+    public static final int OLDEST = 1;
+    public static final int NEWEST = 1;
+    public static final int MAX_FRAME = 24 << 20;
+
+    private final Map<Integer, List<Class<?>>> types;
+    private final ThreadLocal<Kryo> kryos = ThreadLocal.withInitial(this::make);
+
+    /** Types by their first number; each program's own types have a range to themselves. */
+    public Codec(Map<Integer, List<Class<?>>> types) {
+        this.types = Map.copyOf(types);
+    }
+
+    private Kryo make() {
+        Kryo k = new Kryo();
+        k.setRegistrationRequired(true);
+        k.setReferences(false);
+        k.register(byte[].class, 20);
+        k.register(ArrayList.class, 21);
+        k.register(HashMap.class, 22);
+        k.register(TreeMap.class, 23);
+        k.register(Duration.class, 24);
+        k.register(Instant.class, 25);
+        k.register(Optional.class, 26);
+        k.register(Frame.class, 27);
+        k.register(Frame.Kind.class, 28);
+        k.register(Frame.Refusal.class, 29);
+        k.register(java.util.LinkedHashMap.class, 30);
+        k.register(java.util.TreeSet.class, 31);
+        ImmutableCollectionsSerializers.registerSerializers(k);
+        types.forEach((first, list) -> {
+            for (int i = 0; i < list.size(); i++) {
+                k.register(list.get(i), first + i);
+            }
+        });
+        return k;
+    }
+
+    public byte[] write(Object o) {
+        Output out = new Output(512, MAX_FRAME);
+        kryos.get().writeClassAndObject(out, o);
+        return out.toBytes();
+    }
+
+    public <T> T read(byte[] bytes, Class<T> type) throws Fault {
+        try {
+            Object o = kryos.get().readClassAndObject(new Input(bytes));
+            if (!type.isInstance(o)) {
+                throw new Fault(ErrorKind.BAD_REQUEST, "Expected " + type.getSimpleName() + " in a frame.");
+            }
+            return type.cast(o);
+        } catch (KryoException | IllegalArgumentException | IndexOutOfBoundsException | NegativeArraySizeException e) {
+            throw new Fault(ErrorKind.BAD_REQUEST, "Unreadable frame: " + e.getClass().getSimpleName() + ".");
+        }
+    }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/beam/TcpBeam.java
@@ -0,0 +1,116 @@
+package org.woadvale.foundation.beam;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.woadvale.foundation.lantern.Component;
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.foundation.lantern.Schedules;
+
+import reactor.core.publisher.Mono;
+import reactor.netty.Connection;
+import reactor.netty.DisposableServer;
+import reactor.netty.tcp.TcpClient;
+import reactor.netty.tcp.TcpServer;
+
+/** Frames over Reactor Netty TCP: one stream to each neighbour we ask. */
+public final class TcpBeam implements Beam, Component {
+    private static final Logger LOG = LogManager.getLogger("beam");
+    private static final Duration CONNECT = Duration.ofMillis(500);
+
+    private final String self;
+    private final Codec codec;
+    private final Router router;
+    private final Schedules schedules;
+    private final Map<String, Mono<WireStream>> streams = new ConcurrentHashMap<>();
+    private final Map<WireStream, Boolean> incoming = new ConcurrentHashMap<>();
+    private final AtomicLong framesSent = new AtomicLong();
+    private DisposableServer server;
+
+    public TcpBeam(String self, Codec codec, Router router, Schedules schedules) {
+        this.self = self;
+        this.codec = codec;
+        this.router = router;
+        this.schedules = schedules;
+    }
+
+    @Override
+    public String name() {
+        return "beam";
+    }
+
+    @Override
+    public String self() {
+        return self;
+    }
+
+    public long framesSent() {
+        return framesSent.get();
+    }
+
+    @Override
+    public void start() throws Fault {
+        int colon = self.lastIndexOf(':');
+        String ip = self.substring(0, colon);
+        int port = Integer.parseInt(self.substring(colon + 1));
+        try {
+            server = TcpServer.create().host(ip).port(port).doOnConnection(this::accept).bindNow(Duration.ofSeconds(5));
+        } catch (RuntimeException e) {
+            throw new Fault(ErrorKind.UNAVAILABLE, "Cannot listen on " + self + ": " + e.getMessage());
+        }
+    }
+
+    private void accept(Connection c) {
+        WireStream s = new WireStream(c, self, codec, router, schedules, framesSent);
+        incoming.put(s, Boolean.TRUE);
+        c.onDispose(() -> incoming.remove(s));
+        s.open();
+    }
+
+    @Override
+    public <T> Mono<T> ask(String to, Object body, Class<T> answer, Duration limit) {
+        Mono<Object> got = self.equals(to) ? local(body, limit)
+            : streams.computeIfAbsent(to, this::connect).flatMap(s -> s.ask(body, limit));
+        return got.flatMap(o -> answer.isInstance(o) ? Mono.just(answer.cast(o))
+            : Mono.error(new Fault(ErrorKind.INTERNAL, "Unexpected answer " + o.getClass().getSimpleName() + ".")));
+    }
+
+    private Mono<Object> local(Object body, Duration limit) {
+        return org.woadvale.foundation.lantern.Pauses.limit(schedules, Mono.<Object>from(router.handle(self, body)),
+            limit, new Fault(ErrorKind.UNKNOWN_OUTCOME, "No answer in time."));
+    }
+
+    private Mono<WireStream> connect(String to) {
+        int colon = to.lastIndexOf(':');
+        return TcpClient.create().host(to.substring(0, colon)).port(Integer.parseInt(to.substring(colon + 1)))
+            .option(io.netty.channel.ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT.toMillis())
+            .connect()
+            .map(c -> {
+                WireStream s = new WireStream(c, self, codec, router, schedules, framesSent);
+                c.onDispose(() -> {
+                    streams.remove(to);
+                    s.lost();
+                });
+                s.open();
+                return s;
+            })
+            .onErrorMap(e -> new Fault(ErrorKind.UNREACHABLE, "No stream to " + to + "."))
+            .doOnError(e -> schedules.after(Duration.ofMillis(100), () -> streams.remove(to)))
+            .cast(WireStream.class)
+            .cache();
+    }
+
+    @Override
+    public void stop() {
+        incoming.keySet().forEach(WireStream::close);
+        streams.values().forEach(m -> m.subscribe(WireStream::close, e -> { }));
+        if (server != null) {
+            server.disposeNow(Duration.ofSeconds(2));
+        }
+    }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/beam/WireStream.java
@@ -0,0 +1,144 @@
+package org.woadvale.foundation.beam;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.foundation.lantern.Schedules;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+import reactor.netty.Connection;
+
+/** One TCP stream: handshake first, frames after; anything else closes it with a log line. design 3.3 */
+final class WireStream {
+    private static final Logger LOG = LogManager.getLogger("beam");
+    private static final int MAGIC = 0x574F4144;
+    private static final Duration HANDSHAKE = Duration.ofSeconds(2);
+
+    private enum State { GREETING, OPEN, CLOSED }
+
+    private final Connection connection;
+    private final String self;
+    private final Codec codec;
+    private final Router router;
+    private final Schedules schedules;
+    private final AtomicLong framesSent;
+    private final Exchange exchange;
+    private final Sinks.One<Boolean> greeted = Sinks.one();
+    private volatile State state = State.GREETING;
+    private volatile String neighbour = "?";
+
+    WireStream(Connection connection, String self, Codec codec, Router router, Schedules schedules,
+               AtomicLong framesSent) {
+        this.connection = connection;
+        this.self = self;
+        this.codec = codec;
+        this.router = router;
+        this.schedules = schedules;
+        this.framesSent = framesSent;
+        this.exchange = new Exchange(schedules);
+    }
+
+    void open() {
+        connection.addHandlerLast("length", new LengthFieldBasedFrameDecoder(Codec.MAX_FRAME, 0, 4, 0, 4));
+        connection.addHandlerLast("prepend", new LengthFieldPrepender(4));
+        connection.addHandlerLast("frames", new SimpleChannelInboundHandler<ByteBuf>() {
+            @Override
+            protected void channelRead0(ChannelHandlerContext ctx, ByteBuf in) {
+                byte[] bytes = new byte[in.readableBytes()];
+                in.readBytes(bytes);
+                received(bytes);
+            }
+
+            @Override
+            public void exceptionCaught(ChannelHandlerContext ctx, Throwable e) {
+                refuse("bad frame: " + e.getClass().getSimpleName());
+            }
+        });
+        connection.channel().config().setAutoRead(true);
+        byte[] name = self.getBytes(StandardCharsets.UTF_8);
+        ByteBuf hello = Unpooled.buffer();
+        hello.writeInt(MAGIC).writeShort(Codec.OLDEST).writeShort(Codec.NEWEST).writeBytes(name);
+        connection.channel().writeAndFlush(hello);
+        schedules.after(HANDSHAKE, () -> {
+            if (state == State.GREETING) {
+                refuse("no handshake in time");
+            }
+        });
+    }
+
+    private void received(byte[] bytes) {
+        if (state == State.GREETING) {
+            greet(Unpooled.wrappedBuffer(bytes));
+        } else if (state == State.OPEN) {
+            try {
+                take(codec.read(bytes, Frame.class));
+            } catch (Fault e) {
+                refuse(e.getMessage());
+            }
+        }
+    }
+
+    private void greet(ByteBuf in) {
+        if (in.readableBytes() < 8 || in.readInt() != MAGIC) {
+            refuse("foreign handshake");
+            return;
+        }
+        int oldest = in.readShort();
+        int newest = in.readShort();
+        if (oldest > Codec.NEWEST || newest < Codec.OLDEST) {
+            refuse("versions " + oldest + ".." + newest + " do not meet ours " + Codec.OLDEST + ".." + Codec.NEWEST);
+            return;
+        }
+        neighbour = in.toString(StandardCharsets.UTF_8);
+        state = State.OPEN;
+        greeted.tryEmitValue(Boolean.TRUE);
+    }
+
+    private void take(Frame f) {
+        if (f.kind() == Frame.Kind.ASK) {
+            schedules.soon(() -> Exchange.serve(router, neighbour, f).subscribe(this::send));
+        } else {
+            schedules.soon(() -> exchange.answered(f));
+        }
+    }
+
+    Mono<Object> ask(Object body, Duration limit) {
+        return greeted.asMono().then(exchange.ask(body, limit, this::send));
+    }
+
+    private void send(Frame f) {
+        framesSent.incrementAndGet();
+        connection.channel().writeAndFlush(Unpooled.wrappedBuffer(codec.write(f)));
+    }
+
+    private void refuse(String why) {
+        if (state != State.CLOSED) {
+            LOG.warn("beam: closed the stream from {}: {}.", connection.channel().remoteAddress(), why);
+            close();
+        }
+    }
+
+    void close() {
+        state = State.CLOSED;
+        lost();
+        connection.dispose();
+    }
+
+    void lost() {
+        state = State.CLOSED;
+        greeted.tryEmitError(new Fault(ErrorKind.UNREACHABLE, "The stream closed before the handshake."));
+        exchange.lost();
+    }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/chart/Boot.java
@@ -0,0 +1,77 @@
+package org.woadvale.foundation.chart;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+
+import jakarta.validation.constraints.Max;
+import jakarta.validation.constraints.Min;
+import jakarta.validation.constraints.NotNull;
+import jakarta.validation.constraints.Pattern;
+import jakarta.validation.constraints.Size;
+
+/** What a process learns of its place: design 10.1. */
+public record Boot(
+        @NotNull @Pattern(regexp = ADDRESS) String address,
+        @NotNull @Pattern(regexp = ADDRESS) String http,
+        @NotNull @Pattern(regexp = "[a-z0-9-]{1,32}") String hall,
+        @NotNull @Size(min = 1, max = 3) List<@NotNull @Pattern(regexp = ADDRESS) String> seeds,
+        Set<@NotNull @Pattern(regexp = "intake|store") String> roles,
+        String data,
+        @Min(0) @Max(64) int ringFiles,
+        @Min(0) @Max(256) int ringFileMb,
+        @Pattern(regexp = "([0-9a-f]{64})?") String operatorKeySha256,
+        boolean join) {
+
+    static final String ADDRESS = "[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}";
+    private static final int USUAL_FILES = 16;
+    private static final int USUAL_MB = 16;
+
+    public Boot {
+        roles = roles == null ? Set.of() : Set.copyOf(roles);
+        data = data == null ? "" : data;
+        ringFiles = ringFiles == 0 ? USUAL_FILES : ringFiles;
+        ringFileMb = ringFileMb == 0 ? USUAL_MB : ringFileMb;
+        operatorKeySha256 = operatorKeySha256 == null ? "" : operatorKeySha256;
+    }
+
+    public static Boot read(String file) throws Fault {
+        try {
+            return checked(Charts.read(Files.readAllBytes(Path.of(file)), Boot.class, ErrorKind.BAD_REQUEST));
+        } catch (IOException e) {
+            throw new Fault(ErrorKind.BAD_REQUEST, "Cannot read the boot file " + file + ".");
+        } catch (Fault e) {
+            String where = e.details().isEmpty() ? e.getMessage() : e.details().get(0);
+            throw new Fault(ErrorKind.BAD_REQUEST, "The boot file " + file + " is invalid at " + where + ".");
+        }
+    }
+
+    static Boot checked(Boot b) throws Fault {
+        List<String> faults = new java.util.ArrayList<>(Charts.faults(b));
+        if (faults.isEmpty() && b.ringFiles() < 4) {
+            faults.add("ringFiles: must be at least 4");
+        }
+        if (faults.isEmpty() && b.roles().contains("store") && b.data().isEmpty()) {
+            faults.add("data: a store needs a data folder");
+        }
+        if (!faults.isEmpty()) {
+            throw new Fault(ErrorKind.BAD_REQUEST, "invalid", faults);
+        }
+        return b;
+    }
+
+    /** With the flags that the command line gave; an empty flag changes nothing. */
+    public Boot with(String flagAddress, String flagHttp, String flagHall, String flagData) throws Fault {
+        return checked(new Boot(or(flagAddress, address), or(flagHttp, http), or(flagHall, hall), seeds, roles,
+            or(flagData, data), ringFiles, ringFileMb, operatorKeySha256, join));
+    }
+
+    private static String or(String flag, String given) {
+        return flag.isEmpty() ? given : flag;
+    }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/chart/Charts.java
@@ -0,0 +1,124 @@
+package org.woadvale.foundation.chart;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.hibernate.validator.messageinterpolation.ParameterMessageInterpolator;
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonMappingException;
+import com.fasterxml.jackson.databind.MapperFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+
+import jakarta.validation.Validation;
+import jakarta.validation.Validator;
+
+/** Reading and checking of JSON that people write: design 6.1. */
+public final class Charts {
+    public static final ObjectMapper JSON = JsonMapper.builder()
+        .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+        .enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
+        .enable(MapperFeature.ACCEPT_CASE_INSENSITIVE_ENUMS)
+        .build();
+    private static final Validator VALIDATOR = Validation.byDefaultProvider().configure()
+        .messageInterpolator(new ParameterMessageInterpolator()).buildValidatorFactory().getValidator();
+
+    private Charts() { }
+
+    public static Layout layout(byte[] json) throws Fault {
+        Layout l = read(json, Layout.class, ErrorKind.INVALID_LAYOUT);
+        List<String> faults = new ArrayList<>(faults(l));
+        if (faults.isEmpty()) {
+            faults.addAll(crossFaults(l));
+        }
+        if (!faults.isEmpty()) {
+            throw new Fault(ErrorKind.INVALID_LAYOUT, "The layout has " + faults.size() + " faults.", faults);
+        }
+        return l;
+    }
+
+    public static <T> T read(byte[] json, Class<T> type, ErrorKind kind) throws Fault {
+        try {
+            T t = JSON.readValue(json, type);
+            if (t == null) {
+                throw new Fault(kind, "The JSON document is empty.");
+            }
+            return t;
+        } catch (JsonMappingException e) {
+            StringBuilder path = new StringBuilder();
+            e.getPath().forEach(r -> path.append(path.length() == 0 ? "" : ".")
+                .append(r.getFieldName() == null ? "[" + r.getIndex() + "]" : r.getFieldName()));
+            throw new Fault(kind, "The document does not fit.", List.of(path + ": " + e.getOriginalMessage()));
+        } catch (IOException e) {
+            String line = String.valueOf(e.getMessage()).lines().findFirst().orElse("");
+            throw new Fault(kind, "The document is not JSON.", List.of(line));
+        }
+    }
+
+    /** Every fault of the annotations, by path. */
+    public static List<String> faults(Object o) {
+        return VALIDATOR.validate(o).stream().map(v -> v.getPropertyPath() + ": " + v.getMessage()).sorted().toList();
+    }
+
+    private static List<String> crossFaults(Layout l) {
+        List<String> out = new ArrayList<>();
+        l.services().forEach((n, s) -> {
+            boolean endpoint = s.kind() == Layout.Kind.ENDPOINT;
+            if (endpoint && s.address().isEmpty()) {
+                out.add("services." + n + ".address: an endpoint needs one");
+            }
+            if (endpoint && s.ratePerS() < 1) {
+                out.add("services." + n + ".ratePerS: an endpoint needs a rate of at least 1");
+            }
+            if (!endpoint && !s.address().isEmpty()) {
+                out.add("services." + n + ".address: processors are listed by the platform");
+            }
+        });
+        l.lanes().forEach((n, lane) -> {
+            if (!l.services().containsKey(lane.service())) {
+                out.add("lanes." + n + ".service: no service " + lane.service());
+            }
+            if (lane.attemptMs() > lane.timeLimitMs()) {
+                out.add("lanes." + n + ".attemptMs: longer than timeLimitMs");
+            }
+        });
+        Set<String> hashes = new HashSet<>();
+        l.keys().forEach((n, k) -> {
+            if (k.role() == Layout.Role.CALLER && !l.tenants().containsKey(k.tenant())) {
+                out.add("keys." + n + ".tenant: no tenant " + k.tenant());
+            }
+            if (k.role() == Layout.Role.PROCESSOR && !l.services().containsKey(k.service())) {
+                out.add("keys." + n + ".service: no service " + k.service());
+            }
+            if (!hashes.add(k.sha256())) {
+                out.add("keys." + n + ".sha256: used by two keys");
+            }
+        });
+        return out;
+    }
+
+    public static byte[] write(Object o) {
+        try {
+            return JSON.writeValueAsBytes(o);
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
+    public static String sha256(String secret) {
+        try {
+            byte[] d = java.security.MessageDigest.getInstance("SHA-256")
+                .digest(secret.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+            return java.util.HexFormat.of().formatHex(d);
+        } catch (java.security.NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/chart/Layout.java
@@ -0,0 +1,92 @@
+package org.woadvale.foundation.chart;
+
+import java.time.Duration;
+import java.util.Map;
+
+import com.fasterxml.jackson.annotation.JsonIgnore;
+import com.fasterxml.jackson.annotation.JsonProperty;
+
+import jakarta.validation.Valid;
+import jakarta.validation.constraints.DecimalMax;
+import jakarta.validation.constraints.DecimalMin;
+import jakarta.validation.constraints.Max;
+import jakarta.validation.constraints.Min;
+import jakarta.validation.constraints.NotNull;
+import jakarta.validation.constraints.Pattern;
+import jakarta.validation.constraints.Size;
+
+/** The operator's whole layout: design 6.1. */
+public record Layout(
+        @NotNull @Size(max = 1000) Map<@Pattern(regexp = NAME) String, @NotNull @Valid Tenant> tenants,
+        @NotNull @Size(max = 1000) Map<@Pattern(regexp = NAME) String, @NotNull @Valid Service> services,
+        @NotNull @Size(max = 1000) Map<@Pattern(regexp = NAME) String, @NotNull @Valid Lane> lanes,
+        @NotNull @Size(max = 10000) Map<@Pattern(regexp = NAME) String, @NotNull @Valid Key> keys) {
+
+    static final String NAME = "[a-z0-9][a-z0-9_-]{0,62}";
+
+    public Layout {
+        tenants = orEmpty(tenants);
+        services = orEmpty(services);
+        lanes = orEmpty(lanes);
+        keys = orEmpty(keys);
+    }
+
+    private static <V> Map<String, V> orEmpty(Map<String, V> m) {
+        return m == null ? Map.of() : java.util.Collections.unmodifiableMap(new java.util.TreeMap<>(m));
+    }
+
+    /** How many messages a tenant may hand in each second, and how large a burst. */
+    public record Tenant(@JsonProperty(required = true) @DecimalMin("0.1") @DecimalMax("100000") double ratePerS,
+                         @JsonProperty(required = true) @Min(1) @Max(1000000) int burstSize) { }
+
+    public enum Kind { PROCESSORS, ENDPOINT }
+
+    /** A processor group, or one outside endpoint with its stated rate. */
+    public record Service(@NotNull Kind kind,
+                          @Pattern(regexp = "(http://[0-9.]+:[0-9]{1,5}(/[A-Za-z0-9/_.-]*)?)?") String address,
+                          @DecimalMin("0") @DecimalMax("100000") double ratePerS) {
+        public Service {
+            address = address == null ? "" : address;
+        }
+    }
+
+    public enum Ordering { NONE, KEY }
+
+    /** Leads one kind of message to a service. */
+    public record Lane(@NotNull @Pattern(regexp = NAME) String service, @NotNull Ordering ordering,
+                       @JsonProperty(required = true) @Min(1000) @Max(604800000) long timeLimitMs,
+                       @JsonProperty(required = true) @Min(1) @Max(100) int attempts,
+                       @Min(0) @Max(600000) long attemptMs) {
+        private static final long USUAL_ATTEMPT_MS = 5000;
+
+        public Lane {
+            attemptMs = attemptMs == 0 ? USUAL_ATTEMPT_MS : attemptMs;
+            ordering = ordering == null ? Ordering.NONE : ordering;
+        }
+
+        @JsonIgnore
+        public Duration timeLimit() {
+            return Duration.ofMillis(timeLimitMs);
+        }
+
+        @JsonIgnore
+        public Duration attemptLimit() {
+            return Duration.ofMillis(attemptMs);
+        }
+    }
+
+    public enum Role { CALLER, PROCESSOR }
+
+    /** A key is known by the SHA-256 of its secret only. */
+    public record Key(@NotNull Role role, String tenant, String service,
+                      @NotNull @Pattern(regexp = "[0-9a-f]{64}") String sha256) {
+        public Key {
+            tenant = tenant == null ? "" : tenant;
+            service = service == null ? "" : service;
+        }
+    }
+
+    public static Layout empty() {
+        return new Layout(Map.of(), Map.of(), Map.of(), Map.of());
+    }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/gate/Answer.java
@@ -0,0 +1,43 @@
+package org.woadvale.foundation.gate;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.woadvale.foundation.chart.Charts;
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+
+/** An HTTP answer, free of any HTTP library so that the simulator sees what a caller sees. */
+public record Answer(int status, Map<String, String> headers, byte[] body) {
+    public static Answer json(int status, Object body) {
+        return new Answer(status, Map.of("Content-Type", "application/json"), Charts.write(body));
+    }
+
+    public Answer with(String header, String value) {
+        Map<String, String> h = new LinkedHashMap<>(headers);
+        h.put(header, value);
+        return new Answer(status, h, body);
+    }
+
+    /** The table from kind to answer is ErrorKind itself. */
+    public static Answer of(Fault f) {
+        Map<String, Object> body = new LinkedHashMap<>();
+        body.put("kind", f.kind().word());
+        body.put("message", String.valueOf(f.getMessage()));
+        body.put("details", f.details());
+        Answer a = json(f.kind().status(), body);
+        return retryAfter(f).map(s -> a.with("Retry-After", s)).orElse(a);
+    }
+
+    private static Optional<String> retryAfter(Fault f) {
+        if (!f.kind().retryable()) {
+            return Optional.empty();
+        }
+        if (f.kind() == ErrorKind.THROTTLED && !f.details().isEmpty()) {
+            return Optional.of(f.details().get(0));
+        }
+        return Optional.of("1");
+    }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/gate/Gate.java
@@ -0,0 +1,112 @@
+package org.woadvale.foundation.gate;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.Function;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.woadvale.foundation.lantern.Component;
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** HTTP/1.1 by Reactor Netty in front of one function from request to answer. */
+public final class Gate implements Component {
+    private static final Logger LOG = LogManager.getLogger("gate");
+    private static final int MAX_HEADER = 8 << 10;
+    private final String address;
+    private final int maxBody;
+    private final Function<Request, Mono<Answer>> app;
+    private DisposableServer server;
+
+    public Gate(String address, int maxBody, Function<Request, Mono<Answer>> app) {
+        this.address = address;
+        this.maxBody = maxBody;
+        this.app = app;
+    }
+
+    @Override
+    public String name() {
+        return "gate";
+    }
+
+    @Override
+    public void start() throws Fault {
+        int colon = address.lastIndexOf(':');
+        try {
+            server = HttpServer.create().host(address.substring(0, colon))
+                .port(Integer.parseInt(address.substring(colon + 1)))
+                .httpRequestDecoder(s -> s.maxHeaderSize(MAX_HEADER).maxInitialLineLength(MAX_HEADER))
+                .idleTimeout(Duration.ofSeconds(60))
+                .handle(this::serve).bindNow(Duration.ofSeconds(5));
+        } catch (RuntimeException e) {
+            throw new Fault(ErrorKind.UNAVAILABLE, "Cannot listen for HTTP on " + address + ": " + e.getMessage());
+        }
+    }
+
+    private Mono<Void> serve(HttpServerRequest in, HttpServerResponse out) {
+        return body(in)
+            .flatMap(b -> app.apply(new Request(in.method().name(), in.uri(), headers(in), b)))
+            .switchIfEmpty(Mono.error(new Fault(ErrorKind.INTERNAL, "No answer was made.")))
+            .onErrorResume(e -> {
+                Fault f = Fault.of(e);
+                LOG.log(f.kind().level(), "gate: {} {} ended as {}: {}", in.method(), in.uri(), f.kind().word(),
+                    f.getMessage());
+                return Mono.just(Answer.of(f));
+            })
+            .flatMap(a -> {
+                out.status(a.status());
+                a.headers().forEach(out::header);
+                out.header("Content-Length", Integer.toString(a.body().length));
+                return out.send(Mono.just(Unpooled.wrappedBuffer(a.body()))).then();
+            });
+    }
+
+    private Mono<byte[]> body(HttpServerRequest in) {
+        long declared = in.requestHeaders().getInt("content-length", 0);
+        if (declared > maxBody) {
+            return Mono.error(tooLarge());
+        }
+        return in.receive().map(Gate::bytes).reduceWith(() -> new byte[0], (a, b) -> {
+            if (a.length + b.length > maxBody) {
+                throw reactor.core.Exceptions.propagate(tooLarge());
+            }
+            byte[] all = java.util.Arrays.copyOf(a, a.length + b.length);
+            System.arraycopy(b, 0, all, a.length, b.length);
+            return all;
+        }).onErrorMap(reactor.core.Exceptions::unwrap);
+    }
+
+    private Fault tooLarge() {
+        return new Fault(ErrorKind.TOO_LARGE, "The body is over " + maxBody + " bytes.");
+    }
+
+    private static byte[] bytes(ByteBuf b) {
+        byte[] out = new byte[b.readableBytes()];
+        b.readBytes(out);
+        return out;
+    }
+
+    private static Map<String, String> headers(HttpServerRequest in) {
+        Map<String, String> out = new HashMap<>();
+        in.requestHeaders().forEach(e -> out.put(e.getKey().toLowerCase(Locale.ROOT), e.getValue()));
+        return out;
+    }
+
+    @Override
+    public void stop() {
+        if (server != null) {
+            server.disposeNow(Duration.ofSeconds(3));
+        }
+    }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/helm/BootOptions.java
@@ -0,0 +1,35 @@
+package org.woadvale.foundation.helm;
+
+import org.woadvale.foundation.chart.Boot;
+import org.woadvale.foundation.lantern.Fault;
+
+import com.github.rvesse.airline.annotations.Option;
+
+/** The flags that both programs share. */
+public class BootOptions {
+    @Option(name = "--boot", title = "FILE", description = "Boot file (JSON)")
+    private String boot = "boot.json";
+
+    @Option(name = "--address", title = "IP:PORT", description = "Internal address, instead of the boot file's")
+    private String address = "";
+
+    @Option(name = "--http", title = "IP:PORT", description = "HTTP address, instead of the boot file's")
+    private String http = "";
+
+    @Option(name = "--hall", title = "NAME", description = "Hall of this machine, instead of the boot file's")
+    private String hall = "";
+
+    @Option(name = "--data", title = "FOLDER", description = "Data folder, instead of the boot file's")
+    private String data = "";
+
+    @Option(name = {"-h", "--help"}, description = "Shows this help")
+    private boolean help;
+
+    public Boot boot() throws Fault {
+        return Boot.read(boot).with(address, http, hall, data);
+    }
+
+    public boolean help() {
+        return help;
+    }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/helm/Program.java
@@ -0,0 +1,132 @@
+package org.woadvale.foundation.helm;
+
+import java.util.concurrent.CountDownLatch;
+import java.util.function.Supplier;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.woadvale.foundation.chart.Boot;
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.foundation.lantern.RealSchedules;
+import org.woadvale.foundation.lantern.Supervisor;
+
+import com.github.rvesse.airline.SingleCommand;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import com.github.rvesse.airline.help.Help;
+
+/** The command line of a daemon: run, check-boot, --help, --version. design 10.1 */
+public final class Program {
+    public static final String VERSION = "0.1.0";
+    private static final Logger LOG = LogManager.getLogger("helm");
+    private static final int THREADS = 4;
+
+    /** Builds the supervisor tree of the program. */
+    @FunctionalInterface
+    public interface Tree {
+        Supervisor grow(Boot boot, RealSchedules schedules, Runnable onGivenUp) throws Fault;
+    }
+
+    /** Refuses a boot file that this program cannot use. */
+    @FunctionalInterface
+    public interface Check {
+        void check(Boot boot) throws Fault;
+    }
+
+    private final String name;
+    private final Check check;
+    private final Tree tree;
+    private final Supplier<Runnable> onStop;
+
+    public Program(String name, Check check, Tree tree, Supplier<Runnable> onStop) {
+        this.name = name;
+        this.check = check;
+        this.tree = tree;
+        this.onStop = onStop;
+    }
+
+    public int main(String[] args) {
+        String verb = args.length == 0 ? "--help" : args[0];
+        String[] rest = args.length == 0 ? args : java.util.Arrays.copyOfRange(args, 1, args.length);
+        try {
+            switch (verb) {
+                case "run":
+                    return run(options(rest));
+                case "check-boot":
+                    check.check(options(rest).boot());
+                    System.out.println("The boot file is valid.");
+                    return 0;
+                case "--version":
+                    System.out.println(name + " " + VERSION);
+                    return 0;
+                case "--help", "-h", "help":
+                    usage();
+                    return args.length == 0 ? 2 : 0;
+                default:
+                    throw new Fault(ErrorKind.BAD_REQUEST, "There is no command " + verb + "; see " + name + " --help.");
+            }
+        } catch (Fault e) {
+            System.err.println(name + ": " + e.getMessage()
+                + (e.details().isEmpty() ? "" : " " + String.join("; ", e.details())));
+            return 2;
+        }
+    }
+
+    private void usage() throws Fault {
+        System.out.println(name + " run --boot FILE [flags]    runs the program");
+        System.out.println(name + " check-boot --boot FILE     checks a boot file and stops");
+        System.out.println(name + " --version | --help");
+        try {
+            Help.help(SingleCommand.singleCommand(RunCommand.class).getCommandMetadata(), System.out);
+        } catch (java.io.IOException e) {
+            throw new Fault(ErrorKind.INTERNAL, "The help could not be printed.");
+        }
+    }
+
+    private BootOptions options(String[] args) throws Fault {
+        try {
+            return SingleCommand.singleCommand(RunCommand.class).parse(args);
+        } catch (ParseException e) {
+            throw new Fault(ErrorKind.BAD_REQUEST, e.getMessage());
+        }
+    }
+
+    private int run(BootOptions o) throws Fault {
+        if (o.help()) {
+            usage();
+            return 0;
+        }
+        Boot boot = o.boot();
+        check.check(boot);
+        RealSchedules schedules = new RealSchedules(THREADS);
+        CountDownLatch end = new CountDownLatch(1);
+        boolean[] failed = {false};
+        Supervisor root = tree.grow(boot, schedules, () -> {
+            failed[0] = true;
+            end.countDown();
+        });
+        CountDownLatch stopped = new CountDownLatch(1);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            end.countDown();
+            try {
+                stopped.await(10, java.util.concurrent.TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            LogManager.shutdown();
+        }));
+        try {
+            root.start();
+            LOG.info("helm: {} {} runs at {}, HTTP at {}.", name, VERSION, boot.address(), boot.http());
+            end.await();
+            onStop.get().run();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            root.stop();
+            schedules.close();
+            stopped.countDown();
+        }
+        return failed[0] ? 1 : 0;
+    }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/keeper/Ballot.java
@@ -0,0 +1,121 @@
+package org.woadvale.foundation.keeper;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.TreeMap;
+
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+
+/** Standing, and voting for others: design 5.3. */
+final class Ballot {
+    private final Replica r;
+    private Duration standAt = Duration.ZERO;
+    private Map<String, String> votes = new TreeMap<>();
+
+    Ballot(Replica r) {
+        this.r = r;
+    }
+
+    void look() {
+        if (r.now().compareTo(r.claimHeard) < 0 || !r.groups.latest().containsKey(r.env.self())) {
+            standAt = Duration.ZERO;
+        } else if (standAt.isZero()) {
+            standAt = r.now().plus(patience());
+        } else if (r.now().compareTo(standAt) >= 0) {
+            stand(false);
+        }
+    }
+
+    /** The first of the wanted list stands first; the others leave it time: owners spread by placement. */
+    private Duration patience() {
+        Duration spread = r.env.pace().spread();
+        long jitter = Math.floorMod(r.env.random().getAsLong(), spread.toNanos());
+        boolean first = !r.wanted.isEmpty() && r.wanted.get(0).equals(r.env.self());
+        return first ? Duration.ofNanos(jitter / 8) : spread.dividedBy(2).plusNanos(jitter);
+    }
+
+    /** A dry round first, so that a replica nobody would elect does not raise the term. */
+    void stand(boolean handedOver) {
+        standAt = Duration.ZERO;
+        r.become(Phase.STANDING, "the part is vacant");
+        r.owner = "";
+        round(r.term + 1, true, handedOver);
+    }
+
+    private void round(long term, boolean dry, boolean handedOver) {
+        votes = new TreeMap<>(Map.of(r.env.self(), r.identity));
+        Messages.VoteAsk ask = new Messages.VoteAsk(r.part, term, r.ledger.lastIndex(), r.ledger.lastTerm(), dry,
+            handedOver);
+        for (String n : r.neighbours()) {
+            r.shard.leave(() -> r.env.beam().ask(n, ask, Messages.VoteReply.class, r.env.pace().ask())
+                .subscribe(v -> r.shard.run(() -> answered(n, ask, v)), e -> { }));
+        }
+        r.env.schedules().after(r.env.pace().ask(), () -> r.shard.run(() -> {
+            if (r.phase == Phase.STANDING && (dry ? r.term + 1 : r.term) == term) {
+                r.become(Phase.FOLLOWING, "no majority in time");
+            }
+        }));
+    }
+
+    private void answered(String from, Messages.VoteAsk ask, Messages.VoteReply v) {
+        r.adopt(v.term(), "a neighbour is ahead");
+        long expected = ask.dry() ? r.term + 1 : r.term;
+        if (r.phase != Phase.STANDING || ask.term() != expected || !v.granted()) {
+            return;
+        }
+        votes.put(from, v.identity());
+        if (!r.groups.majority(votes)) {
+            return;
+        }
+        if (ask.dry()) {
+            r.term = ask.term();
+            r.votedFor = r.env.self();
+            long term = r.term;
+            r.store.vote(() -> {
+                if (r.phase == Phase.STANDING && r.term == term) {
+                    round(term, false, ask.handedOver());
+                }
+            });
+        } else {
+            r.become(Phase.OWNING, "elected");
+            r.owner = r.env.self();
+            r.owning.begun();
+        }
+    }
+
+    Mono<Object> asked(String from, Messages.VoteAsk a) {
+        boolean claimRuns = r.now().compareTo(r.claimHeard) < 0 || (r.phase == Phase.OWNING && r.owning.claimRuns());
+        boolean complete = a.lastTerm() > r.ledger.lastTerm()
+            || (a.lastTerm() == r.ledger.lastTerm() && a.lastIndex() >= r.ledger.lastIndex());
+        boolean free = a.term() > r.term || (a.term() == r.term && (r.votedFor.equals(from)));
+        if (!r.sworn || (claimRuns && !a.handedOver()) || !complete || !free) {
+            return Mono.just(new Messages.VoteReply(r.term, false, r.identity));
+        }
+        if (a.dry()) {
+            return Mono.just(new Messages.VoteReply(r.term, true, r.identity));
+        }
+        if (a.term() > r.term) {
+            r.term = a.term();
+            r.owner = "";
+            r.votedFor = from;
+            if (r.phase == Phase.OWNING || r.phase == Phase.STANDING) {
+                r.become(Phase.FOLLOWING, "voted for " + from);
+            }
+        }
+        standAt = r.now().plus(r.env.pace().claim());
+        long term = r.term;
+        Sinks.One<Object> out = Sinks.one();
+        r.store.vote(() -> r.shard.leave(() -> out.tryEmitValue(new Messages.VoteReply(term, true, r.identity))));
+        return out.asMono();
+    }
+
+    /** The owner has given up its claim in our favour. */
+    Mono<Object> told(String from, Messages.Stand s) {
+        boolean ready = r.phase == Phase.FOLLOWING && r.sworn && s.term() == r.term && from.equals(r.owner);
+        if (ready) {
+            stand(true);
+        }
+        return Mono.just(new Messages.Ok(ready));
+    }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/keeper/Following.java
@@ -0,0 +1,95 @@
+package org.woadvale.foundation.keeper;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+
+/** Taking changes and views from the owner: design 5.4. */
+final class Following {
+    private final Replica r;
+
+    Following(Replica r) {
+        this.r = r;
+    }
+
+    private Messages.AppendReply reply(boolean ok, long match) {
+        return new Messages.AppendReply(r.term, ok, match, r.identity);
+    }
+
+    private boolean heard(String from, long term) {
+        if (term < r.term) {
+            return false;
+        }
+        if (term > r.term) {
+            r.adopt(term, "a new owner");
+        }
+        if (r.phase == Phase.STANDING) {
+            r.become(Phase.FOLLOWING, "another was elected");
+        }
+        r.owner = from;
+        r.claimHeard = r.now().plus(r.env.pace().claim());
+        return true;
+    }
+
+    Mono<Object> append(String from, Messages.AppendAsk a) {
+        if (!heard(from, a.term())) {
+            return Mono.just(reply(false, 0));
+        }
+        if (a.prevIndex() > r.ledger.lastIndex()) {
+            return Mono.just(reply(false, r.ledger.lastIndex()));
+        }
+        if (r.ledger.holds(a.prevIndex()) && r.ledger.termAt(a.prevIndex()) != a.prevTerm()) {
+            return Mono.just(reply(false, Math.max(r.progress.commit(), a.prevIndex() - 1)));
+        }
+        long index = a.prevIndex();
+        List<LogItem> fresh = new ArrayList<>();
+        for (LogItem item : a.items()) {
+            index++;
+            if (index <= r.ledger.baseIndex()) {
+                continue;
+            }
+            if (fresh.isEmpty() && index <= r.ledger.lastIndex()) {
+                if (r.ledger.termAt(index) == item.term()) {
+                    continue;
+                }
+                r.store.cutFrom(index);
+            }
+            fresh.add(item);
+        }
+        long match = a.prevIndex() + a.items().size();
+        Sinks.One<Object> out = Sinks.one();
+        if (fresh.isEmpty()) {
+            r.progress.commitTo(Math.min(a.commit(), Math.min(match, r.ledger.lastIndex())));
+            return Mono.just(reply(true, Math.min(match, r.store.synced())));
+        }
+        long term = r.term;
+        r.store.append(fresh, () -> {
+            boolean still = r.term == term;
+            Messages.AppendReply answer = reply(still, still ? Math.min(match, r.store.synced()) : 0);
+            r.shard.leave(() -> out.tryEmitValue(answer));
+        });
+        r.progress.commitTo(Math.min(a.commit(), Math.min(match, r.ledger.lastIndex())));
+        return out.asMono();
+    }
+
+    Mono<Object> view(String from, Messages.ViewPush p) {
+        if (!heard(from, p.term())) {
+            return Mono.just(reply(false, 0));
+        }
+        long index = p.base().index();
+        if (index <= r.progress.applied()) {
+            return Mono.just(reply(true, Math.min(r.progress.applied(), r.store.synced())));
+        }
+        Replica.LOG.info("keeper: {} at {} takes a view up to {} from {}.", r.part, r.env.self(), index, from);
+        Sinks.One<Object> out = Sinks.one();
+        long term = r.term;
+        r.store.install(p.base(), () -> {
+            Messages.AppendReply answer = reply(r.term == term, r.term == term ? index : 0);
+            r.shard.leave(() -> out.tryEmitValue(answer));
+        });
+        r.founding.considerOath();
+        return out.asMono();
+    }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/keeper/Machine.java
@@ -0,0 +1,11 @@
+package org.woadvale.foundation.keeper;
+
+/** The state machine of a part; must be deterministic. */
+public interface Machine {
+    /** Called once for each committed command, in order, inside the part's shard. */
+    Object apply(long index, Object command);
+
+    byte[] view();
+
+    void restore(byte[] view);
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/keeper/Messages.java
@@ -0,0 +1,40 @@
+package org.woadvale.foundation.keeper;
+
+import java.util.List;
+import java.util.Map;
+
+/** What replicas of one part say to each other. */
+public final class Messages {
+    private Messages() { }
+
+    public record VoteAsk(String part, long term, long lastIndex, long lastTerm, boolean dry, boolean handedOver) { }
+
+    public record VoteReply(long term, boolean granted, String identity) { }
+
+    public record AppendAsk(String part, long term, long prevIndex, long prevTerm, List<LogItem> items, long commit) { }
+
+    public record AppendReply(long term, boolean ok, long match, String identity) { }
+
+    public record ViewPush(String part, long term, Base base) { }
+
+    public record BlankAsk(String part) { }
+
+    public record BlankReply(boolean blank, String identity) { }
+
+    /** Accepted only by the very identity that reported blank: design 5.5. */
+    public record Found(String part, String identity, Map<String, String> group) { }
+
+    public record Stand(String part, long term) { }
+
+    public record Ok(boolean ok) { }
+
+    /** All that a part needs to go on from: replaces every earlier record. */
+    public record Base(String identity, long term, String votedFor, boolean sworn, long index, long indexTerm,
+                       Map<String, String> group, byte[] machine, List<LogItem> tail) { }
+
+    public static List<Class<?>> types() {
+        return List.of(VoteAsk.class, VoteReply.class, AppendAsk.class, AppendReply.class, ViewPush.class,
+            BlankAsk.class, BlankReply.class, Found.class, Stand.class, Ok.class, Base.class,
+            LogItem.class, LogItem.Kind.class);
+    }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/keeper/Owning.java
@@ -0,0 +1,170 @@
+package org.woadvale.foundation.keeper;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/** Replicating, counting commits and holding the claim: design 5.1. */
+final class Owning {
+    private final Replica r;
+    private final Map<String, Follower> followers = new TreeMap<>();
+    private long firstOwn;
+    private boolean relinquished;
+
+    Owning(Replica r) {
+        this.r = r;
+    }
+
+    void begun() {
+        followers.clear();
+        relinquished = false;
+        firstOwn = r.ledger.lastIndex() + 1;
+        if (r.groups.changing()) {
+            append(new LogItem(r.term, LogItem.Kind.NOTHING, new byte[0]));
+        } else {
+            append(new LogItem(r.term, LogItem.Kind.GROUP, r.env.codec().write(r.groups.committed())));
+        }
+    }
+
+    void ended() {
+        followers.clear();
+    }
+
+    boolean mayAct() {
+        return claimRuns() && r.progress.commit() >= firstOwn;
+    }
+
+    boolean claimRuns() {
+        return !relinquished && r.now().compareTo(claimEnd()) < 0;
+    }
+
+    /** Counted from the sending of the latest renewal that a majority has confirmed. */
+    private Duration claimEnd() {
+        List<Duration> sent = new ArrayList<>(followers.values().stream().map(f -> f.confirmed).toList());
+        sent.add(r.now());
+        sent.sort(Comparator.reverseOrder());
+        for (Duration t : sent) {
+            Map<String, String> agreeing = new TreeMap<>(Map.of(r.env.self(), r.identity));
+            followers.forEach((n, f) -> {
+                if (f.confirmed.compareTo(t) >= 0 && !f.confirmed.isZero()) {
+                    agreeing.put(n, f.identity);
+                }
+            });
+            if (r.groups.majority(agreeing)) {
+                return t.plus(r.env.pace().ownClaim());
+            }
+        }
+        return Duration.ZERO;
+    }
+
+    void append(LogItem item) {
+        r.store.append(List.of(item), this::count);
+        followers().forEach(n -> followers.computeIfAbsent(n, k -> new Follower(r, this, k)).send(false));
+    }
+
+    /** The group and those that are to join it. */
+    private Set<String> followers() {
+        Set<String> all = new TreeSet<>(r.neighbours());
+        r.wanted.stream().filter(w -> !w.equals(r.env.self())).forEach(all::add);
+        return all;
+    }
+
+    /** Committed is what a majority has synced, from the first entry of the own term on. */
+    void count() {
+        if (r.phase != Phase.OWNING) {
+            return;
+        }
+        List<Long> matches = new ArrayList<>(followers.values().stream().map(f -> f.match).toList());
+        matches.add(r.store.synced());
+        matches.sort(Comparator.reverseOrder());
+        for (long m : matches) {
+            Map<String, String> agreeing = new TreeMap<>();
+            if (r.store.synced() >= m) {
+                agreeing.put(r.env.self(), r.identity);
+            }
+            followers.forEach((n, f) -> {
+                if (f.match >= m) {
+                    agreeing.put(n, f.identity);
+                }
+            });
+            if (m >= firstOwn && r.groups.majority(agreeing)) {
+                r.progress.commitTo(m);
+                return;
+            }
+        }
+    }
+
+    void look() {
+        Set<String> now = followers();
+        followers.keySet().retainAll(now);
+        now.forEach(n -> followers.computeIfAbsent(n, k -> new Follower(r, this, k)).send(true));
+        if (!r.groups.latest().containsKey(r.env.self()) && !r.groups.changing()) {
+            r.become(Phase.FOLLOWING, "no longer seated");
+        } else if (r.now().compareTo(claimEnd().plus(r.env.pace().claim())) > 0
+                && r.now().compareTo(begunAt().plus(r.env.pace().claim())) > 0) {
+            r.become(Phase.FOLLOWING, "the claim lapsed");
+        } else if (mayAct() && !r.groups.changing()) {
+            reseat();
+        }
+    }
+
+    private Duration begunAt() {
+        return followers.values().stream().map(f -> f.since).min(Comparator.naturalOrder()).orElse(Duration.ZERO);
+    }
+
+    /** One change at a time: a lost disk's new identity, or a wanted member for one not wanted. design 5.6 */
+    private void reseat() {
+        Map<String, String> seats = r.groups.committed();
+        for (Map.Entry<String, Follower> e : followers.entrySet()) {
+            Follower f = e.getValue();
+            boolean caughtUp = !f.identity.isEmpty() && f.match + 64 >= r.progress.commit() && f.match > 0;
+            if (!caughtUp || f.identity.equals(seats.get(e.getKey()))) {
+                continue;
+            }
+            Map<String, String> next = new TreeMap<>(seats);
+            if (!seats.containsKey(e.getKey())) {
+                Optional<String> leaving = seats.keySet().stream().filter(s -> !r.wanted.contains(s)).findFirst();
+                if (leaving.isEmpty()) {
+                    continue;
+                }
+                next.remove(leaving.get());
+            }
+            next.put(e.getKey(), f.identity);
+            Replica.LOG.info("keeper: {} seats {} in its group.", r.part, e.getKey());
+            append(new LogItem(r.term, LogItem.Kind.GROUP, r.env.codec().write(next)));
+            return;
+        }
+    }
+
+    Optional<String> heir() {
+        return followers.entrySet().stream()
+            .filter(e -> e.getValue().identity.equals(r.groups.committed().get(e.getKey())))
+            .filter(e -> e.getValue().match >= r.ledger.lastIndex())
+            .map(Map.Entry::getKey)
+            .min(Comparator.comparingInt(n -> r.wanted.contains(n) ? r.wanted.indexOf(n) : Integer.MAX_VALUE));
+    }
+
+    /** The claim is given up first; only then may the heir stand. */
+    boolean handOver(String to) {
+        Follower f = followers.get(to);
+        if (f == null || f.match < r.ledger.lastIndex() || !mayAct() || r.groups.changing()) {
+            return false;
+        }
+        relinquished = true;
+        long term = r.term;
+        r.shard.leave(() -> r.env.beam().ask(to, new Messages.Stand(r.part, term), Messages.Ok.class,
+            r.env.pace().ask()).subscribe(ok -> { }, e -> { }));
+        r.env.schedules().after(r.env.pace().ask(), () -> r.shard.run(() -> {
+            if (r.phase == Phase.OWNING && r.term == term) {
+                r.become(Phase.FOLLOWING, "handed over");
+            }
+        }));
+        return true;
+    }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/keeper/Pace.java
@@ -0,0 +1,16 @@
+package org.woadvale.foundation.keeper;
+
+import java.time.Duration;
+
+/** The times of the engine; one set for the whole fleet. */
+public record Pace(Duration claim, Duration renew, Duration look, Duration ask, Duration spread) {
+    public static Pace usual() {
+        return new Pace(Duration.ofMillis(2000), Duration.ofMillis(500), Duration.ofMillis(50),
+            Duration.ofMillis(700), Duration.ofMillis(300));
+    }
+
+    /** The owner stops a little before the voters do, for clocks that do not run alike. */
+    public Duration ownClaim() {
+        return claim.minus(claim.dividedBy(20));
+    }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/keeper/Progress.java
@@ -0,0 +1,85 @@
+package org.woadvale.foundation.keeper;
+
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+
+/** What is committed and applied, and who waits for it. */
+final class Progress {
+    private record Waiting(long term, Sinks.One<Object> sink) { }
+
+    private final Replica r;
+    private final TreeMap<Long, Waiting> waiting = new TreeMap<>();
+    private long commit;
+    private long applied;
+
+    Progress(Replica r) {
+        this.r = r;
+    }
+
+    long commit() {
+        return commit;
+    }
+
+    long applied() {
+        return applied;
+    }
+
+    Mono<Object> expect(long index, long term) {
+        Sinks.One<Object> sink = Sinks.one();
+        waiting.put(index, new Waiting(term, sink));
+        return sink.asMono();
+    }
+
+    void restored(long index) {
+        commit = Math.max(commit, index);
+        applied = index;
+    }
+
+    void commitTo(long index) {
+        if (index <= commit) {
+            return;
+        }
+        commit = index;
+        while (applied < commit) {
+            applied++;
+            apply(r.ledger.get(applied));
+        }
+        r.groups.committedTo(commit);
+        r.founding.considerOath();
+    }
+
+    private void apply(LogItem item) {
+        Object result = "";
+        if (item.kind() == LogItem.Kind.COMMAND) {
+            try {
+                result = r.machine.apply(applied, r.env.codec().read(item.bytes(), Object.class));
+            } catch (Fault e) {
+                result = e;
+            }
+        }
+        Object answer = result;
+        Optional.ofNullable(waiting.remove(applied)).ifPresent(w -> {
+            if (w.term() == item.term()) {
+                r.shard.leave(() -> w.sink().tryEmitValue(answer));
+            } else {
+                r.shard.leave(() -> w.sink().tryEmitError(unknown()));
+            }
+        });
+    }
+
+    /** The claim is gone: what waits may still be committed by the next owner, or not. */
+    void forsake() {
+        waiting.values().forEach(w -> r.shard.leave(() -> w.sink().tryEmitError(unknown())));
+        waiting.clear();
+    }
+
+    private Fault unknown() {
+        return new Fault(ErrorKind.UNKNOWN_OUTCOME, "The part " + r.part + " changed its owner before the commit was known.");
+    }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/keeper/Store.java
@@ -0,0 +1,178 @@
+package org.woadvale.foundation.keeper;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.foundation.logbook.Entry;
+
+/** What a replica writes to the logbook and reads back from it: design 5.4. */
+final class Store {
+    private static final long LARGE = 4L << 20;
+    private static final int MANY = 8192;
+    private final Replica r;
+    private long synced;
+
+    Store(Replica r) {
+        this.r = r;
+    }
+
+    long synced() {
+        return synced;
+    }
+
+    void recover(List<Entry> entries) throws Fault {
+        if (entries.isEmpty()) {
+            r.identity = Long.toHexString(r.env.random().getAsLong());
+            giveBase();
+            return;
+        }
+        for (Entry e : entries) {
+            switch (e.kind()) {
+                case BASE -> load(r.env.codec().read(e.bytes(), Messages.Base.class));
+                case VOTE -> {
+                    r.term = e.term();
+                    r.votedFor = r.env.codec().read(e.bytes(), String.class);
+                }
+                default -> replay(e);
+            }
+        }
+        synced = r.ledger.lastIndex();
+        if (r.sworn) {
+            r.become(Phase.FOLLOWING, "recovered");
+        }
+    }
+
+    private void load(Messages.Base b) {
+        r.identity = b.identity();
+        r.term = b.term();
+        r.votedFor = b.votedFor();
+        r.sworn = b.sworn();
+        r.ledger.reset(b.index(), b.indexTerm(), List.of());
+        r.groups.reset(b.group());
+        if (b.machine().length > 0) {
+            r.machine.restore(b.machine());
+        }
+        r.progress.restored(b.index());
+        long i = b.index();
+        for (LogItem item : b.tail()) {
+            i++;
+            enter(i, item);
+        }
+    }
+
+    private void replay(Entry e) throws Fault {
+        r.ledger.cutFrom(e.index());
+        r.groups.cutFrom(e.index());
+        r.term = Math.max(r.term, e.term());
+        enter(e.index(), r.env.codec().read(e.bytes(), LogItem.class));
+    }
+
+    private void enter(long index, LogItem item) {
+        r.ledger.append(item);
+        if (item.kind() == LogItem.Kind.GROUP) {
+            r.groups.appended(index, seats(item));
+        }
+    }
+
+    Map<String, String> seats(LogItem item) {
+        try {
+            Map<String, String> out = new TreeMap<>();
+            r.env.codec().read(item.bytes(), Map.class).forEach((k, v) -> out.put((String) k, (String) v));
+            return out;
+        } catch (Fault e) {
+            throw new IllegalStateException("unreadable group entry", e);
+        }
+    }
+
+    /** Adds to the memory log and to the disk; then runs once synced, unless the entry was cut since. */
+    void append(List<LogItem> items, Runnable then) {
+        long first = r.ledger.lastIndex() + 1;
+        List<Entry> out = new java.util.ArrayList<>();
+        for (LogItem item : items) {
+            long index = r.ledger.lastIndex() + 1;
+            enter(index, item);
+            out.add(new Entry(r.part, Entry.Kind.ENTRY, index, item.term(), r.env.codec().write(item)));
+        }
+        long last = r.ledger.lastIndex();
+        long lastTerm = r.ledger.lastTerm();
+        if (last < first) {
+            then.run();
+            return;
+        }
+        r.env.logbook().append(out, () -> r.shard.run(() -> {
+            if (r.phase != Phase.STOPPED) {
+                if (r.ledger.holds(last) && r.ledger.termAt(last) == lastTerm) {
+                    synced = Math.max(synced, last);
+                }
+                then.run();
+            }
+        }));
+    }
+
+    void cutFrom(long index) {
+        r.ledger.cutFrom(index);
+        r.groups.cutFrom(index);
+        synced = Math.min(synced, index - 1);
+    }
+
+    void vote(Runnable then) {
+        r.env.logbook().append(List.of(new Entry(r.part, Entry.Kind.VOTE, 0, r.term,
+            r.env.codec().write(r.votedFor))), () -> r.shard.run(() -> {
+                if (r.phase != Phase.STOPPED) {
+                    then.run();
+                }
+            }));
+    }
+
+    Messages.Base base() {
+        long upTo = r.progress.applied();
+        List<LogItem> tail = r.ledger.tail();
+        int skip = (int) (upTo - r.ledger.baseIndex());
+        return new Messages.Base(r.identity, r.term, r.votedFor, r.sworn, upTo, r.ledger.termAt(upTo),
+            r.groups.committed(), r.machine.view(), List.copyOf(tail.subList(skip, tail.size())));
+    }
+
+    /** A new base makes every earlier record of the part needless. */
+    void giveBase() {
+        giveBase(() -> { });
+    }
+
+    void giveBase(Runnable then) {
+        if (r.phase == Phase.STOPPED) {
+            return;
+        }
+        Messages.Base b = base();
+        r.ledger.forgetTo(b.index());
+        long last = r.ledger.lastIndex();
+        long lastTerm = r.ledger.lastTerm();
+        r.env.logbook().append(List.of(new Entry(r.part, Entry.Kind.BASE, b.index(), b.term(),
+            r.env.codec().write(b))), () -> r.shard.run(() -> {
+                if (r.phase != Phase.STOPPED) {
+                    if (r.ledger.holds(last) && r.ledger.termAt(last) == lastTerm) {
+                        synced = Math.max(synced, last);
+                    }
+                    then.run();
+                }
+            }));
+    }
+
+    /** Replaces all we have by the owner's view. */
+    void install(Messages.Base b, Runnable then) {
+        r.ledger.reset(b.index(), b.indexTerm(), List.of());
+        r.groups.reset(b.group());
+        r.machine.restore(b.machine());
+        r.progress.restored(b.index());
+        synced = Math.min(synced, b.index());
+        giveBase(then);
+    }
+
+    void compactIfLarge() {
+        if (r.ledger.bytes() > LARGE || r.ledger.lastIndex() - r.ledger.baseIndex() > MANY) {
+            if (r.progress.applied() > r.ledger.baseIndex()) {
+                giveBase();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/lantern/Component.java
@@ -0,0 +1,15 @@
+package org.woadvale.foundation.lantern;
+
+/** A long-lived thing in the supervisor tree. */
+public interface Component {
+    String name();
+
+    void start() throws Fault;
+
+    void stop();
+
+    /** False when the component has died and should be started again. */
+    default boolean alive() {
+        return true;
+    }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/lantern/Pauses.java
@@ -0,0 +1,32 @@
+package org.woadvale.foundation.lantern;
+
+import java.time.Duration;
+
+import reactor.core.Disposable;
+import reactor.core.publisher.Mono;
+
+/** Time limits on the process's own schedules, so that a fake clock rules them too. */
+public final class Pauses {
+    private Pauses() { }
+
+    /** Fails with the fault after the limit, unless the work has ended. */
+    public static <T> Mono<T> limit(Schedules sch, Mono<T> work,
+                                                           Duration limit, Fault fault) {
+        return Mono.create(sink -> {
+            Schedule s = sch.after(limit, () -> sink.error(fault));
+            Disposable d = work.doFinally(x -> s.cancel())
+                .subscribe(sink::success, sink::error, sink::success);
+            sink.onCancel(() -> {
+                s.cancel();
+                d.dispose();
+            });
+        });
+    }
+
+    public static Mono<Boolean> pause(Schedules sch, Duration d) {
+        return Mono.create(sink -> {
+            Schedule s = sch.after(d, () -> sink.success(Boolean.TRUE));
+            sink.onCancel(s::cancel);
+        });
+    }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/lantern/RealSchedules.java
@@ -0,0 +1,74 @@
+package org.woadvale.foundation.lantern;
+
+import java.time.Duration;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/** Several threads for work, one for the disk. */
+public final class RealSchedules implements Schedules {
+    private static final Logger LOG = LogManager.getLogger("lantern");
+    private final ScheduledThreadPoolExecutor pool;
+    private final ExecutorService disk;
+
+    public RealSchedules(int threads) {
+        pool = new ScheduledThreadPoolExecutor(threads, r -> daemon(r, "work"));
+        pool.setRemoveOnCancelPolicy(true);
+        disk = Executors.newSingleThreadExecutor(r -> daemon(r, "disk"));
+    }
+
+    private static Thread daemon(Runnable r, String name) {
+        Thread t = new Thread(r, name);
+        t.setDaemon(true);
+        return t;
+    }
+
+    @Override
+    public Schedule after(Duration delay, Runnable task) {
+        try {
+            ScheduledFuture<?> f = pool.schedule(guarded(task), Math.max(0, delay.toNanos()), TimeUnit.NANOSECONDS);
+            return () -> f.cancel(false);
+        } catch (RejectedExecutionException e) {
+            return () -> { };
+        }
+    }
+
+    @Override
+    public void soon(Runnable task) {
+        try {
+            pool.execute(guarded(task));
+        } catch (RejectedExecutionException e) {
+            LOG.debug("lantern: dropped a task after the stop.");
+        }
+    }
+
+    @Override
+    public void onDisk(Runnable task) {
+        try {
+            disk.execute(guarded(task));
+        } catch (RejectedExecutionException e) {
+            LOG.debug("lantern: dropped a disk task after the stop.");
+        }
+    }
+
+    private static Runnable guarded(Runnable task) {
+        return () -> {
+            try {
+                task.run();
+            } catch (RuntimeException e) {
+                LOG.error("lantern: task failed.", e);
+            }
+        };
+    }
+
+    public void close() {
+        pool.shutdownNow();
+        disk.shutdown();
+    }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/lantern/RealTimes.java
@@ -0,0 +1,19 @@
+package org.woadvale.foundation.lantern;
+
+import java.time.Duration;
+import java.time.Instant;
+
+/** The machine's clocks. */
+public final class RealTimes implements Times {
+    private final long start = System.nanoTime();
+
+    @Override
+    public Duration mono() {
+        return Duration.ofNanos(System.nanoTime() - start);
+    }
+
+    @Override
+    public Instant wall() {
+        return Instant.now();
+    }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/lantern/Repeating.java
@@ -0,0 +1,50 @@
+package org.woadvale.foundation.lantern;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/** A task that sets itself again after each run, whatever the run threw. */
+final class Repeating implements Schedule {
+    private static final Logger LOG = LogManager.getLogger("lantern");
+    private final Schedules schedules;
+    private final Duration period;
+    private final Runnable task;
+    private Optional<Schedule> next = Optional.empty();
+    private boolean cancelled;
+
+    Repeating(Schedules schedules, Duration period, Runnable task) {
+        this.schedules = schedules;
+        this.period = period;
+        this.task = task;
+    }
+
+    synchronized Repeating begin() {
+        if (!cancelled) {
+            next = Optional.of(schedules.after(period, this::run));
+        }
+        return this;
+    }
+
+    private void run() {
+        synchronized (this) {
+            if (cancelled) {
+                return;
+            }
+        }
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            LOG.error("Repeated task failed.", e);
+        }
+        begin();
+    }
+
+    @Override
+    public synchronized void cancel() {
+        cancelled = true;
+        next.ifPresent(Schedule::cancel);
+    }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/lantern/Schedules.java
@@ -0,0 +1,19 @@
+package org.woadvale.foundation.lantern;
+
+import java.time.Duration;
+
+/** Seam for everything that happens later: design 2.1. */
+public interface Schedules {
+    Schedule after(Duration delay, Runnable task);
+
+    /** As soon as a thread is free. */
+    void soon(Runnable task);
+
+    /** For tasks that block on a disk; never on an event loop. */
+    void onDisk(Runnable task);
+
+    /** Repeats until cancelled; the next run is set after the former one ended. */
+    default Schedule every(Duration period, Runnable task) {
+        return new Repeating(this, period, task).begin();
+    }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/lantern/Shard.java
@@ -0,0 +1,45 @@
+package org.woadvale.foundation.lantern;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Supplier;
+
+/** A piece of state under its own lock; what leaves the shard runs after unlocking: design 2.3. */
+public final class Shard {
+    private final ReentrantLock lock = new ReentrantLock();
+    private final Deque<Runnable> leaving = new ArrayDeque<>();
+
+    public void run(Runnable body) {
+        get(() -> {
+            body.run();
+            return Boolean.TRUE;
+        });
+    }
+
+    public <T> T get(Supplier<T> body) {
+        lock.lock();
+        try {
+            return body.get();
+        } finally {
+            if (lock.getHoldCount() > 1 || leaving.isEmpty()) {
+                lock.unlock();
+            } else {
+                Runnable[] out = leaving.toArray(Runnable[]::new);
+                leaving.clear();
+                lock.unlock();
+                for (Runnable r : out) {
+                    r.run();
+                }
+            }
+        }
+    }
+
+    /** Call only while inside; the task runs once the lock is free. */
+    public void leave(Runnable task) {
+        if (!lock.isHeldByCurrentThread()) {
+            throw new IllegalStateException("leave outside of the shard");
+        }
+        leaving.add(task);
+    }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/lantern/Stage.java
@@ -0,0 +1,75 @@
+package org.woadvale.foundation.lantern;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
+
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+
+/** One stage of a request's way: a bounded queue before a bounded number of running works. */
+public final class Stage<I, O> {
+    private record Waiting<I, O>(I in, Sinks.One<O> out) { }
+
+    private final Shard shard = new Shard();
+    private final Deque<Waiting<I, O>> queue = new ArrayDeque<>();
+    private final String name;
+    private final int depth;
+    private final int width;
+    private final Function<I, Mono<O>> work;
+    private final AtomicLong refused = new AtomicLong();
+    private int running;
+
+    public Stage(String name, int depth, int width, Function<I, Mono<O>> work) {
+        this.name = name;
+        this.depth = depth;
+        this.width = width;
+        this.work = work;
+    }
+
+    /** A full queue is a definite refusal, never silent growth. */
+    public Mono<O> submit(I in) {
+        return Mono.defer(() -> {
+            Sinks.One<O> out = Sinks.one();
+            boolean taken = shard.get(() -> {
+                if (running >= width && queue.size() >= depth) {
+                    return false;
+                }
+                queue.add(new Waiting<>(in, out));
+                pump();
+                return true;
+            });
+            if (!taken) {
+                refused.incrementAndGet();
+                return Mono.error(new Fault(ErrorKind.QUEUE_FULL, "The stage " + name + " is full."));
+            }
+            return out.asMono();
+        });
+    }
+
+    private void pump() {
+        while (running < width && !queue.isEmpty()) {
+            Waiting<I, O> w = queue.poll();
+            running++;
+            shard.leave(() -> begin(w));
+        }
+    }
+
+    private void begin(Waiting<I, O> w) {
+        Mono.defer(() -> work.apply(w.in()))
+            .doFinally(s -> shard.run(() -> {
+                running--;
+                pump();
+            }))
+            .subscribe(v -> w.out().tryEmitValue(v), e -> w.out().tryEmitError(e), () -> w.out().tryEmitEmpty());
+    }
+
+    public int waiting() {
+        return shard.get(queue::size);
+    }
+
+    public long refused() {
+        return refused.get();
+    }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/lantern/Times.java
@@ -0,0 +1,13 @@
+package org.woadvale.foundation.lantern;
+
+import java.time.Duration;
+import java.time.Instant;
+
+/** The two clocks of a process: design 2.1. */
+public interface Times {
+    /** Time since an arbitrary start; never goes back; used for every claim and age. */
+    Duration mono();
+
+    /** Calendar time; used only for due times and records shown to people. */
+    Instant wall();
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/logbook/Logbook.java
@@ -0,0 +1,25 @@
+package org.woadvale.foundation.logbook;
+
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** Synced records of every part of this process. */
+public interface Logbook {
+    /** What each part wrote, from its last base on. */
+    Map<String, List<Entry>> recovered();
+
+    /** Done runs after the records are synced; never if the disk fails. */
+    void append(List<Entry> entries, Runnable done);
+
+    /** A part that holds back the oldest file is asked for a new base. */
+    void onPressure(String part, Runnable giveBase);
+
+    /** True when only room for outcomes is left. */
+    boolean nearlyFull();
+
+    /** Called once when the disk fails; the process must stop. */
+    void onFailure(Consumer<String> why);
+
+    long syncs();
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/logbook/NoLogbook.java
@@ -0,0 +1,38 @@
+package org.woadvale.foundation.logbook;
+
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** For processes without a disk: nothing may be written. */
+public final class NoLogbook implements Logbook {
+    @Override
+    public Map<String, List<Entry>> recovered() {
+        return Map.of();
+    }
+
+    @Override
+    public void append(List<Entry> entries, Runnable done) {
+        throw new IllegalStateException("this process has no disk");
+    }
+
+    @Override
+    public void onPressure(String part, Runnable giveBase) {
+        throw new IllegalStateException("this process has no disk");
+    }
+
+    @Override
+    public boolean nearlyFull() {
+        return false;
+    }
+
+    @Override
+    public void onFailure(Consumer<String> why) {
+        // nothing can fail
+    }
+
+    @Override
+    public long syncs() {
+        return 0;
+    }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/logbook/RecordForm.java
@@ -0,0 +1,88 @@
+package org.woadvale.foundation.logbook;
+
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.zip.CRC32C;
+
+/** The bytes of a record: length, checksum, segment number, batch number, body. design 4.2 */
+final class RecordForm {
+    static final int HEAD = 4 + 4;
+    /** Format of this build's records; readers accept every format up to it. */
+    static final byte FORMAT = 1;
+    private static final byte ROLL = 9;
+
+    record Found(long segment, long batch, int next, Optional<Entry> entry) {
+        boolean roll() {
+            return entry.isEmpty();
+        }
+    }
+
+    private RecordForm() { }
+
+    static byte[] roll(long segment, long batch) {
+        return seal(ByteBuffer.allocate(HEAD + 18).position(HEAD).put(FORMAT).putLong(segment).putLong(batch).put(ROLL));
+    }
+
+    static byte[] write(long segment, long batch, Entry e) {
+        byte[] part = e.part().getBytes(StandardCharsets.UTF_8);
+        ByteBuffer b = ByteBuffer.allocate(size(e)).position(HEAD).put(FORMAT).putLong(segment).putLong(batch)
+            .put((byte) e.kind().ordinal()).putShort((short) part.length).put(part)
+            .putLong(e.index()).putLong(e.term()).putInt(e.bytes().length).put(e.bytes());
+        return seal(b);
+    }
+
+    static int size(Entry e) {
+        return HEAD + 18 + 2 + e.part().getBytes(StandardCharsets.UTF_8).length + 20 + e.bytes().length;
+    }
+
+    private static byte[] seal(ByteBuffer b) {
+        CRC32C crc = new CRC32C();
+        crc.update(b.array(), HEAD, b.capacity() - HEAD);
+        b.putInt(0, b.capacity()).putInt(4, (int) crc.getValue());
+        return b.array();
+    }
+
+    /** Empty where no whole, sound record stands at the place. */
+    static Optional<Found> read(byte[] all, int at) {
+        if (at + HEAD + 18 > all.length) {
+            return Optional.empty();
+        }
+        ByteBuffer b = ByteBuffer.wrap(all);
+        int len = b.getInt(at);
+        if (len < HEAD + 18 || len > all.length - at) {
+            return Optional.empty();
+        }
+        CRC32C crc = new CRC32C();
+        crc.update(all, at + HEAD, len - HEAD);
+        if ((int) crc.getValue() != b.getInt(at + 4)) {
+            return Optional.empty();
+        }
+        try {
+            return body(b.position(at + HEAD), at + len);
+        } catch (BufferUnderflowException e) {
+            return Optional.empty();
+        }
+    }
+
+    private static Optional<Found> body(ByteBuffer b, int next) {
+        if (b.get() > FORMAT) {
+            return Optional.empty();
+        }
+        long segment = b.getLong();
+        long batch = b.getLong();
+        byte kind = b.get();
+        if (kind == ROLL) {
+            return Optional.of(new Found(segment, batch, next, Optional.empty()));
+        }
+        byte[] part = new byte[b.getShort()];
+        b.get(part);
+        long index = b.getLong();
+        long term = b.getLong();
+        byte[] bytes = new byte[b.getInt()];
+        b.get(bytes);
+        return Optional.of(new Found(segment, batch, next, Optional.of(
+            new Entry(new String(part, StandardCharsets.UTF_8), Entry.Kind.values()[kind], index, term, bytes))));
+    }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/logbook/Recovery.java
@@ -0,0 +1,118 @@
+package org.woadvale.foundation.logbook;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Reads a ring back. Torn tails are cut; damage before the tail condemns the folder: design 4.3. */
+final class Recovery {
+    /** The folder cannot be trusted; its parts must be treated as lost. */
+    static final class Damaged extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        Damaged(String why) {
+            super(why, null, false, false);
+        }
+    }
+
+    final Map<String, List<Entry>> parts = new LinkedHashMap<>();
+    /** Segment of the oldest record still needed by each part. */
+    final Map<String, Long> needs = new LinkedHashMap<>();
+    long segment;
+    int pos;
+    long batch;
+
+    static Recovery run(List<byte[]> files) throws Damaged {
+        Recovery r = new Recovery();
+        long newest = -1;
+        long oldest = Long.MAX_VALUE;
+        int n = files.size();
+        for (int i = 0; i < n; i++) {
+            Optional<RecordForm.Found> first = RecordForm.read(files.get(i), 0);
+            if (first.isPresent()) {
+                long s = first.get().segment();
+                if (s % n != i) {
+                    throw new Damaged("file " + i + " holds segment " + s);
+                }
+                newest = Math.max(newest, s);
+                oldest = Math.min(oldest, s);
+            }
+        }
+        if (newest < 0) {
+            for (int i = 1; i < n; i++) {
+                mustBeUnused(files.get(i), i);
+            }
+            r.checkTail(files.get(0), 0, 0);
+            return r;
+        }
+        for (long s = oldest; s <= newest; s++) {
+            r.segment(files.get((int) (s % n)), s, s == newest);
+        }
+        if (newest - oldest + 1 < n) {
+            r.checkTail(files.get((int) ((newest + 1) % n)), newest + 1, 0);
+        }
+        return r;
+    }
+
+    private static void mustBeUnused(byte[] file, int i) throws Damaged {
+        for (byte b : file) {
+            if (b != 0) {
+                throw new Damaged("file " + i + " is unreadable");
+            }
+        }
+    }
+
+    private void segment(byte[] file, long s, boolean last) throws Damaged {
+        int at = 0;
+        while (true) {
+            Optional<RecordForm.Found> f = RecordForm.read(file, at);
+            if (f.isEmpty() || f.get().segment() != s) {
+                if (!last) {
+                    throw new Damaged("segment " + s + " breaks off at " + at);
+                }
+                checkTail(file, s, at);
+                segment = s;
+                pos = at;
+                return;
+            }
+            batch = f.get().batch();
+            at = f.get().next();
+            if (f.get().roll()) {
+                if (last) {
+                    segment = s + 1;
+                    pos = 0;
+                }
+                return;
+            }
+            take(f.get().entry().orElseThrow(), s);
+        }
+    }
+
+    private void take(Entry e, long s) {
+        if (e.kind() == Entry.Kind.BASE) {
+            parts.put(e.part(), new ArrayList<>());
+            needs.put(e.part(), s);
+        }
+        parts.computeIfAbsent(e.part(), p -> new ArrayList<>()).add(e);
+        needs.putIfAbsent(e.part(), s);
+    }
+
+    /** A sound record of a later batch beyond the break proves that synced bytes were lost. */
+    private void checkTail(byte[] file, long s, int from) throws Damaged {
+        for (int at = from; at + RecordForm.HEAD + 18 <= file.length; at++) {
+            if (file[at + RecordForm.HEAD] < 1 || segmentAt(file, at) != s) {
+                continue;
+            }
+            Optional<RecordForm.Found> f = RecordForm.read(file, at);
+            if (f.isPresent() && f.get().batch() > batch + 1) {
+                throw new Damaged("segment " + s + " is damaged at " + from + ", before synced records");
+            }
+        }
+    }
+
+    private static long segmentAt(byte[] file, int at) {
+        return java.nio.ByteBuffer.wrap(file).getLong(at + RecordForm.HEAD + 1);
+    }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/logbook/RingLogbook.java
@@ -0,0 +1,219 @@
+package org.woadvale.foundation.logbook;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.foundation.lantern.Schedules;
+
+/** One ring of preallocated files; one sync serves everything that waited: design 4. */
+public final class RingLogbook implements Logbook {
+    private static final Logger LOG = LogManager.getLogger("logbook");
+
+    private record Job(List<Entry> entries, Runnable done) { }
+
+    private final Schedules schedules;
+    private final int size;
+    private final List<Disk.Leaf> leaves = new ArrayList<>();
+    private final Map<String, List<Entry>> recovered;
+    private final Map<String, Long> needs = new HashMap<>();
+    private final Map<String, Runnable> pressure = new ConcurrentHashMap<>();
+    private List<Job> waiting = new ArrayList<>();
+    private Consumer<String> failure = why -> { };
+    private long segment;
+    private int pos;
+    private long batch;
+    private boolean flushing;
+    private boolean failed;
+    private long syncs;
+    private volatile boolean nearlyFull;
+
+    private RingLogbook(Disk disk, Schedules schedules, int files, int size) throws IOException {
+        this.schedules = schedules;
+        this.size = size;
+        List<byte[]> bytes = openAll(disk, files);
+        Recovery r;
+        try {
+            r = Recovery.run(bytes);
+        } catch (Recovery.Damaged e) {
+            LOG.error("logbook: the folder is damaged ({}); set aside, starting blank.", e.getMessage());
+            disk.setAside();
+            openAll(disk, files);
+            r = new Recovery();
+        }
+        recovered = r.parts;
+        needs.putAll(r.needs);
+        segment = r.segment;
+        pos = r.pos;
+        batch = r.batch;
+        leaves.get(file()).write(pos, new byte[size - pos]);
+        leaves.get(file()).sync();
+    }
+
+    private List<byte[]> openAll(Disk disk, int files) throws IOException {
+        leaves.clear();
+        boolean torn = !disk.list().isEmpty() && disk.list().stream().filter(f -> f.startsWith("ring-")).count() < files;
+        List<byte[]> bytes = new ArrayList<>();
+        for (int i = 0; i < files; i++) {
+            Disk.Leaf leaf = disk.open(String.format("ring-%02d", i), size);
+            leaves.add(leaf);
+            bytes.add(leaf.read());
+        }
+        if (torn) {
+            LOG.warn("logbook: some ring files were missing and were made anew.");
+        }
+        return bytes;
+    }
+
+    public static RingLogbook open(Disk disk, Schedules schedules, int files, int size) throws Fault {
+        try {
+            return new RingLogbook(disk, schedules, files, size);
+        } catch (IOException e) {
+            throw new Fault(ErrorKind.UNAVAILABLE, "Cannot open the data folder: " + e.getMessage());
+        }
+    }
+
+    private int file() {
+        return (int) (segment % leaves.size());
+    }
+
+    @Override
+    public Map<String, List<Entry>> recovered() {
+        return recovered;
+    }
+
+    @Override
+    public synchronized void append(List<Entry> entries, Runnable done) {
+        if (failed) {
+            return;
+        }
+        waiting.add(new Job(entries, done));
+        if (!flushing) {
+            flushing = true;
+            schedules.onDisk(this::flush);
+        }
+    }
+
+    private void flush() {
+        List<Job> jobs;
+        synchronized (this) {
+            jobs = waiting;
+            waiting = new ArrayList<>();
+        }
+        try {
+            write(jobs);
+        } catch (IOException e) {
+            fail(e.getMessage());
+            return;
+        }
+        jobs.forEach(j -> schedules.soon(j.done()));
+        synchronized (this) {
+            if (waiting.isEmpty()) {
+                flushing = false;
+            } else {
+                schedules.onDisk(this::flush);
+            }
+        }
+        relieve();
+    }
+
+    private synchronized void fail(String why) {
+        failed = true;
+        LOG.error("logbook: the disk failed: {}.", why);
+        failure.accept(why);
+    }
+
+    private void write(List<Job> jobs) throws IOException {
+        batch++;
+        boolean any = false;
+        for (Job j : jobs) {
+            for (Entry e : j.entries()) {
+                put(e);
+                any = true;
+            }
+        }
+        if (any) {
+            leaves.get(file()).sync();
+            syncs++;
+        }
+    }
+
+    private void put(Entry e) throws IOException {
+        int need = RecordForm.size(e);
+        int rollSize = RecordForm.HEAD + 18;
+        if (need + rollSize > size) {
+            throw new IOException("a record of " + need + " bytes is larger than a ring file");
+        }
+        if (pos + need + rollSize > size) {
+            leaves.get(file()).write(pos, RecordForm.roll(segment, batch));
+            leaves.get(file()).sync();
+            syncs++;
+            segment++;
+            pos = 0;
+            if (segment - oldestNeeded() >= leaves.size()) {
+                throw new IOException("the ring is full");
+            }
+        }
+        leaves.get(file()).write(pos, RecordForm.write(segment, batch, e));
+        pos += need;
+        synchronized (needs) {
+            if (e.kind() == Entry.Kind.BASE) {
+                needs.put(e.part(), segment);
+            } else {
+                needs.putIfAbsent(e.part(), segment);
+            }
+        }
+    }
+
+    private long oldestNeeded() {
+        synchronized (needs) {
+            return needs.values().stream().mapToLong(Long::longValue).min().orElse(segment);
+        }
+    }
+
+    /** Asks the parts that hold back the oldest files for new bases. */
+    private void relieve() {
+        long used = segment - oldestNeeded() + 1;
+        nearlyFull = used >= leaves.size() - Math.max(1, leaves.size() / 8);
+        if (used > leaves.size() / 2) {
+            long oldest = oldestNeeded();
+            List<String> holding = new ArrayList<>();
+            synchronized (needs) {
+                needs.forEach((p, s) -> {
+                    if (s <= oldest + 1) {
+                        holding.add(p);
+                    }
+                });
+            }
+            holding.forEach(p -> schedules.soon(pressure.getOrDefault(p, () -> { })));
+        }
+    }
+
+    @Override
+    public void onPressure(String part, Runnable giveBase) {
+        pressure.put(part, giveBase);
+    }
+
+    @Override
+    public boolean nearlyFull() {
+        return nearlyFull;
+    }
+
+    @Override
+    public synchronized void onFailure(Consumer<String> why) {
+        failure = why;
+    }
+
+    @Override
+    public long syncs() {
+        return syncs;
+    }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/tide/Bucket.java
@@ -0,0 +1,60 @@
+package org.woadvale.foundation.tide;
+
+import java.time.Duration;
+
+/** A plain token bucket on a given clock; the base of every other bucket here. design 8.1 */
+public final class Bucket {
+    private Allowance allowance;
+    private double level;
+    private Duration filled;
+
+    public Bucket(Allowance allowance, double level, Duration from) {
+        this.allowance = allowance;
+        this.level = Math.min(level, allowance.burst());
+        this.filled = from;
+    }
+
+    public static Bucket full(Allowance a, Duration now) {
+        return new Bucket(a, a.burst(), now);
+    }
+
+    public void change(Allowance a) {
+        allowance = a;
+        level = Math.min(level, a.burst());
+    }
+
+    /** Fills up to the burst less what is out; a time before the start of filling adds nothing. */
+    public void fill(Duration now, double outstanding) {
+        if (now.compareTo(filled) > 0) {
+            level += now.minus(filled).toNanos() / 1e9 * allowance.ratePerS();
+            filled = now;
+        }
+        level = Math.max(0, Math.min(level, allowance.burst() - outstanding));
+    }
+
+    public boolean take(double n) {
+        if (level + 1e-9 < n) {
+            return false;
+        }
+        level -= n;
+        return true;
+    }
+
+    public void giveBack(double n) {
+        level += n;
+    }
+
+    public double level() {
+        return level;
+    }
+
+    public Allowance allowance() {
+        return allowance;
+    }
+
+    /** How long until so many tokens are there, if nobody else takes any. */
+    public Duration until(double n) {
+        double missing = Math.max(0, n - level);
+        return Duration.ofNanos((long) (missing / allowance.ratePerS() * 1e9));
+    }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/tide/Holders.java
@@ -0,0 +1,175 @@
+package org.woadvale.foundation.tide;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.woadvale.foundation.beacon.News;
+import org.woadvale.foundation.keeper.Env;
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.foundation.lantern.Schedule;
+import org.woadvale.foundation.lantern.Shard;
+import org.woadvale.foundation.watch.Asks;
+import org.woadvale.foundation.watch.Core;
+import org.woadvale.foundation.watch.Places;
+
+import reactor.core.publisher.Mono;
+
+/** The admission node: holds the aggregate buckets that the ring draws to it, each by claim and term. design 8.4 */
+public final class Holders {
+    private static final Logger LOG = LogManager.getLogger("tide");
+    private static final Duration SETTLED = Duration.ofSeconds(3);
+
+    private static final class Held {
+        Holding holding;
+        Duration claimEnd;
+        Duration strangerSince = Duration.ZERO;
+        boolean releasing;
+    }
+
+    private final Env env;
+    private final Core core;
+    private final News news;
+    private final Function<String, Optional<Allowance>> allowances;
+    private final Supplier<Set<String>> buckets;
+    private final Shard shard = new Shard();
+    private final Map<String, Held> held = new HashMap<>();
+    private final Set<String> asking = new TreeSet<>();
+    private Schedule looking = () -> { };
+    private boolean draining;
+    private long granted;
+    private long asks;
+
+    public Holders(Env env, Core core, News news, Function<String, Optional<Allowance>> allowances,
+                   Supplier<Set<String>> buckets) {
+        this.env = env;
+        this.core = core;
+        this.news = news;
+        this.allowances = allowances;
+        this.buckets = buckets;
+    }
+
+    public void start() {
+        looking = env.schedules().every(Duration.ofMillis(200), this::look);
+    }
+
+    public void stop() {
+        looking.cancel();
+    }
+
+    private Duration now() {
+        return env.times().mono();
+    }
+
+    private void look() {
+        Set<String> ring = news.latest(Places.INTAKES).seats().keySet();
+        for (String b : buckets.get()) {
+            boolean mine = Places.draw(b, ring).filter(env.self()::equals).isPresent();
+            shard.run(() -> consider(b, mine));
+        }
+        shard.run(() -> List.copyOf(held.keySet()).stream().filter(b -> !buckets.get().contains(b)).forEach(this::release));
+    }
+
+    private void consider(String b, boolean mine) {
+        Optional<Held> h = Optional.ofNullable(held.get(b));
+        if (h.isPresent()) {
+            Held x = h.get();
+            x.strangerSince = mine ? Duration.ZERO : x.strangerSince.isZero() ? now() : x.strangerSince;
+            if (draining || (!mine && now().minus(x.strangerSince).compareTo(SETTLED) > 0)) {
+                release(b);
+            } else {
+                ask(b, x.holding.term());
+            }
+        } else if (mine && !draining) {
+            ask(b, 0);
+        }
+    }
+
+    private void ask(String b, long term) {
+        if (!asking.add(b)) {
+            return;
+        }
+        Duration sent = now();
+        shard.leave(() -> core.ask(Places.controlPart(b), new Asks.DutyAsk(b, env.self(), term), Asks.DutyReply.class)
+            .doFinally(s -> env.schedules().after(Duration.ofMillis(250), () -> shard.run(() -> asking.remove(b))))
+            .subscribe(r -> shard.run(() -> answered(b, r, sent)), e -> { }));
+    }
+
+    private void answered(String b, Asks.DutyReply r, Duration sent) {
+        if (!r.yours() || draining) {
+            held.remove(b);
+            return;
+        }
+        Duration end = sent.plus(env.pace().ownClaim());
+        Held h = held.get(b);
+        if (h == null || h.holding.term() != r.duty().term()) {
+            Optional<Allowance> a = allowances.apply(b);
+            if (a.isEmpty()) {
+                return;
+            }
+            h = new Held();
+            h.holding = new Holding(r.duty().term(), r.duty().level(), a.get(), now());
+            held.put(b, h);
+            LOG.info("tide: holds {} in term {}.", b, r.duty().term());
+        }
+        h.claimEnd = end;
+    }
+
+    /** The old holder stops first; then the level goes to the core for the next one. */
+    private void release(String b) {
+        Held h = held.remove(b);
+        if (h == null || h.claimEnd.compareTo(now()) <= 0) {
+            return;
+        }
+        Asks.DutyRelease r = new Asks.DutyRelease(b, env.self(), h.holding.term(), h.holding.level(now()));
+        LOG.info("tide: gives up {} with level {}.", b, r.level());
+        shard.leave(() -> core.ask(Places.controlPart(b), r, Asks.Done.class).subscribe(d -> { }, e -> { }));
+    }
+
+    public void drain() {
+        shard.run(() -> {
+            draining = true;
+            List.copyOf(held.keySet()).forEach(this::release);
+        });
+    }
+
+    public Mono<Passes.PassReply> asked(String asker, Passes.PassAsk a) {
+        Optional<Allowance> allowance = allowances.apply(a.bucket());
+        return Mono.defer(() -> shard.get(() -> {
+            Held h = held.get(a.bucket());
+            if (h == null || now().compareTo(h.claimEnd) >= 0) {
+                return Mono.error(new Fault(ErrorKind.NOT_OWNER, "This node does not hold " + a.bucket() + "."));
+            }
+            if (allowance.isEmpty()) {
+                return Mono.error(new Fault(ErrorKind.STALE_VIEW, "The layout here is not proven fresh."));
+            }
+            h.holding.change(allowance.get(), now());
+            Passes.PassReply r = h.holding.ask(asker, a, now());
+            asks++;
+            granted += r.granted();
+            return Mono.just(r);
+        }));
+    }
+
+    public List<String> holds() {
+        return shard.get(() -> new ArrayList<>(held.keySet()));
+    }
+
+    public long asks() {
+        return shard.get(() -> asks);
+    }
+
+    public long granted() {
+        return shard.get(() -> granted);
+    }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/tide/Holding.java
@@ -0,0 +1,115 @@
+package org.woadvale.foundation.tide;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/** The aggregate bucket of one duty term: design 8.2. */
+public final class Holding {
+    private static final Duration ACTIVE = Duration.ofSeconds(3);
+
+    private static final class Grant {
+        final String asker;
+        final long id;
+        final int granted;
+        final Duration until;
+        int spent;
+        boolean closed;
+
+        Grant(String asker, long id, int granted, Duration until) {
+            this.asker = asker;
+            this.id = id;
+            this.granted = granted;
+            this.until = until;
+        }
+
+        int out() {
+            return closed ? 0 : granted - spent;
+        }
+    }
+
+    private final long term;
+    private final Bucket bucket;
+    private final Map<String, Grant> byId = new HashMap<>();
+    private final Deque<Grant> byEnd = new ArrayDeque<>();
+    private final Map<String, Duration> askers = new HashMap<>();
+    private int outstanding;
+
+    /** A first term starts full; a later one at the level handed over, and fills once old passes are dead. */
+    public Holding(long term, double handedLevel, Allowance a, Duration now) {
+        this.term = term;
+        boolean first = term <= 1;
+        Duration from = first ? now : now.plus(Passes.LIFE).plus(Passes.MARGIN);
+        this.bucket = new Bucket(a, first ? a.burst() : Math.max(0, handedLevel), from);
+    }
+
+    public long term() {
+        return term;
+    }
+
+    public double level(Duration now) {
+        settle(now);
+        return bucket.level();
+    }
+
+    public int outstanding() {
+        return outstanding;
+    }
+
+    public int active() {
+        return Math.max(1, askers.size());
+    }
+
+    public void change(Allowance a, Duration now) {
+        settle(now);
+        bucket.change(a);
+    }
+
+    private void settle(Duration now) {
+        while (!byEnd.isEmpty() && byEnd.peek().until.compareTo(now) <= 0) {
+            Grant g = byEnd.poll();
+            outstanding -= g.out();
+            byId.remove(g.asker + "/" + g.id);
+        }
+        askers.values().removeIf(t -> now.minus(t).compareTo(ACTIVE) > 0);
+        bucket.fill(now, outstanding);
+    }
+
+    private void report(String asker, Passes.Report r) {
+        Optional.ofNullable(byId.get(asker + "/" + r.grant())).filter(g -> !g.closed).ifPresent(g -> {
+            int before = g.out();
+            g.spent = Math.max(g.spent, Math.min(r.spent(), g.granted));
+            if (r.closed()) {
+                bucket.giveBack(g.granted - g.spent);
+                g.closed = true;
+            }
+            outstanding += g.out() - before;
+        });
+    }
+
+    /** Idempotent by asker and grant id; never grants more than the aggregate holds. */
+    public Passes.PassReply ask(String asker, Passes.PassAsk a, Duration now) {
+        settle(now);
+        askers.put(asker, now);
+        a.reports().forEach(r -> report(asker, r));
+        bucket.fill(now, outstanding);
+        Grant known = byId.get(asker + "/" + a.grant());
+        if (known != null) {
+            return new Passes.PassReply(a.grant(), known.granted, Duration.ZERO, term);
+        }
+        int batch = (int) Math.max(1, bucket.allowance().ratePerS() / active());
+        int want = Math.max(batch, a.least());
+        int n = (int) Math.min(want, Math.floor(bucket.level() + 1e-9));
+        if (n <= 0 || !bucket.take(n)) {
+            return new Passes.PassReply(a.grant(), 0, bucket.until(1), term);
+        }
+        Grant g = new Grant(asker, a.grant(), n, now.plus(Passes.LIFE).plus(Passes.MARGIN));
+        byId.put(asker + "/" + a.grant(), g);
+        byEnd.add(g);
+        outstanding += n;
+        return new Passes.PassReply(a.grant(), n, Duration.ZERO, term);
+    }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/tide/Passes.java
@@ -0,0 +1,26 @@
+package org.woadvale.foundation.tide;
+
+import java.time.Duration;
+import java.util.List;
+
+/** What purses and holders say to each other: design 8.3. */
+public final class Passes {
+    /** Tokens die this long after they were asked for, by the asker's clock. */
+    public static final Duration LIFE = Duration.ofSeconds(1);
+    /** The holder counts them for longer, for clocks that do not run alike. */
+    public static final Duration MARGIN = Duration.ofMillis(100);
+
+    private Passes() { }
+
+    /** Spent so far of a grant, and whether the rest is given back for good. */
+    public record Report(long grant, int spent, boolean closed) { }
+
+    public record PassAsk(String bucket, long grant, int least, List<Report> reports) { }
+
+    /** Granted may be zero; then retry tells when to come back. */
+    public record PassReply(long grant, int granted, Duration retry, long term) { }
+
+    public static List<Class<?>> types() {
+        return List.of(Report.class, PassAsk.class, PassReply.class);
+    }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/tide/Purses.java
@@ -0,0 +1,195 @@
+package org.woadvale.foundation.tide;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.woadvale.foundation.beacon.News;
+import org.woadvale.foundation.keeper.Env;
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.foundation.lantern.Schedule;
+import org.woadvale.foundation.lantern.Shard;
+import org.woadvale.foundation.watch.Places;
+
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+
+/** All local buckets of a node: asks ahead, and lets a few wait shortly on an empty one. design 8.3 */
+public final class Purses {
+    public static final Duration WAIT = Duration.ofMillis(250);
+    private static final Duration SEEN = Duration.ofSeconds(2);
+    private static final Duration ASK = Duration.ofMillis(200);
+    private static final Duration AGAIN = Duration.ofMillis(30);
+    private static final int MAX_WAITING = 256;
+
+    private record Waiting(Sinks.One<Purse.Pass> sink, Duration until) { }
+
+    private static final class Local {
+        final Purse purse = new Purse();
+        final Deque<Waiting> waiting = new ArrayDeque<>();
+        Duration seen = Duration.ZERO;
+        Duration notBefore = Duration.ZERO;
+        Duration retry = WAIT;
+        boolean asking;
+        long pending;
+        Duration pendingSince = Duration.ZERO;
+    }
+
+    /** Counts for the measurements: drawn at once, after a wait, or not at all. */
+    public record Counts(long atOnce, long waited, long throttled, long asks) { }
+
+    private final Env env;
+    private final News news;
+    private final Shard shard = new Shard();
+    private final Map<String, Local> all = new HashMap<>();
+    private Schedule looking = () -> { };
+    private long nextGrant;
+    private long atOnce;
+    private long waited;
+    private long throttled;
+    private long asks;
+
+    public Purses(Env env, News news) {
+        this.env = env;
+        this.news = news;
+        this.nextGrant = env.random().getAsLong() >>> 8;
+    }
+
+    public void start() {
+        looking = env.schedules().every(Duration.ofMillis(25), this::look);
+    }
+
+    public void stop() {
+        looking.cancel();
+    }
+
+    private Duration now() {
+        return env.times().mono();
+    }
+
+    /** At once where the purse holds one; else a bounded, short wait for the refill in flight. */
+    public Mono<Purse.Pass> take(String bucket) {
+        return Mono.defer(() -> shard.get(() -> {
+            Local l = all.computeIfAbsent(bucket, b -> new Local());
+            l.seen = now();
+            Optional<Purse.Pass> p = l.waiting.isEmpty() ? l.purse.take(now()) : Optional.empty();
+            if (p.isPresent()) {
+                atOnce++;
+                refill(bucket, l);
+                return Mono.just(p.get());
+            }
+            boolean hopeless = l.retry.compareTo(WAIT) > 0 && l.notBefore.compareTo(now()) > 0;
+            if (l.waiting.size() >= MAX_WAITING || hopeless) {
+                throttled++;
+                return Mono.error(throttled(l));
+            }
+            Waiting w = new Waiting(Sinks.one(), now().plus(WAIT));
+            l.waiting.add(w);
+            refill(bucket, l);
+            return w.sink().asMono();
+        }));
+    }
+
+    /** Without any wait; for the leaving direction, where the next look tries again. */
+    public Optional<Purse.Pass> tryTake(String bucket) {
+        return shard.get(() -> {
+            Local l = all.computeIfAbsent(bucket, b -> new Local());
+            l.seen = now();
+            Optional<Purse.Pass> p = l.purse.take(now());
+            p.ifPresent(x -> atOnce++);
+            refill(bucket, l);
+            return p;
+        });
+    }
+
+    public boolean alive(Purse.Pass p) {
+        return now().compareTo(p.until()) < 0;
+    }
+
+    public void putBack(String bucket, Purse.Pass p) {
+        shard.run(() -> Optional.ofNullable(all.get(bucket)).ifPresent(l -> l.purse.putBack(p)));
+    }
+
+    public void settle(String bucket, Purse.Pass p) {
+        shard.run(() -> Optional.ofNullable(all.get(bucket)).ifPresent(l -> l.purse.settle(p)));
+    }
+
+    private Fault throttled(Local l) {
+        long s = Math.max(1, (l.retry.toMillis() + 999) / 1000);
+        return new Fault(ErrorKind.THROTTLED, "The allowance is spent for now.", List.of(Long.toString(s)));
+    }
+
+    private void look() {
+        shard.run(() -> all.forEach((b, l) -> {
+            serve(l);
+            while (!l.waiting.isEmpty() && now().compareTo(l.waiting.peek().until()) >= 0) {
+                Waiting w = l.waiting.poll();
+                throttled++;
+                Fault f = throttled(l);
+                shard.leave(() -> w.sink().tryEmitError(f));
+            }
+            if (now().minus(l.seen).compareTo(SEEN) < 0) {
+                refill(b, l);
+            }
+        }));
+    }
+
+    private void serve(Local l) {
+        while (!l.waiting.isEmpty()) {
+            Optional<Purse.Pass> p = l.purse.take(now());
+            if (p.isEmpty()) {
+                return;
+            }
+            Waiting w = l.waiting.poll();
+            waited++;
+            shard.leave(() -> w.sink().tryEmitValue(p.get()));
+        }
+    }
+
+    private void refill(String bucket, Local l) {
+        boolean need = !l.waiting.isEmpty() || (l.purse.low(now()) && !(l.purse.tiny() && l.purse.left(now()) > 0));
+        if (!need || l.asking || now().compareTo(l.notBefore) < 0) {
+            return;
+        }
+        Optional<String> holder = Optional.of(news.latest(bucket).duty().holder()).filter(h -> !h.isEmpty());
+        if (holder.isEmpty()) {
+            l.notBefore = now().plus(AGAIN);
+            return;
+        }
+        if (l.pending == 0 || now().minus(l.pendingSince).compareTo(Passes.LIFE.dividedBy(2)) > 0) {
+            l.pending = ++nextGrant;
+            l.pendingSince = now();
+        }
+        l.asking = true;
+        asks++;
+        Duration since = l.pendingSince;
+        Passes.PassAsk ask = new Passes.PassAsk(bucket, l.pending, l.waiting.size(), l.purse.reports(now()));
+        shard.leave(() -> env.beam().ask(holder.get(), ask, Passes.PassReply.class, ASK)
+            .subscribe(r -> shard.run(() -> granted(bucket, l, r, since)), e -> shard.run(() -> {
+                l.asking = false;
+                l.notBefore = now().plus(AGAIN);
+            })));
+    }
+
+    private void granted(String bucket, Local l, Passes.PassReply r, Duration asked) {
+        l.asking = false;
+        l.pending = 0;
+        l.purse.granted(r.grant(), r.granted(), asked, now());
+        l.retry = r.granted() > 0 ? AGAIN : r.retry();
+        if (r.granted() == 0) {
+            Duration pause = r.retry().compareTo(WAIT) > 0 ? WAIT : r.retry();
+            l.notBefore = now().plus(pause.compareTo(AGAIN) < 0 ? AGAIN : pause);
+        }
+        serve(l);
+        refill(bucket, l);
+    }
+
+    public Counts counts() {
+        return shard.get(() -> new Counts(atOnce, waited, throttled, asks));
+    }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/watch/Asks.java
@@ -0,0 +1,59 @@
+package org.woadvale.foundation.watch;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+
+/** What processes ask the core, and home nodes: design 6.3 and 7. */
+public final class Asks {
+    private Asks() { }
+
+    public record ClaimAsk(String service, String node, Seat seat) { }
+
+    public record LeaveAsk(String service, String node) { }
+
+    /** Renews when term is the present one; otherwise stands for the vacant duty. */
+    public record DutyAsk(String service, String node, long term) { }
+
+    public record DutyReply(boolean yours, Duty duty) { }
+
+    public record DutyRelease(String service, String node, long term, double level) { }
+
+    public record Done(boolean ok) { }
+
+    /** Versions known by the asker; -1 for none. */
+    public record NewsAsk(Map<String, Long> known) { }
+
+    /** Views that differ, and for each service served the age of its confirmation. */
+    public record NewsReply(List<ServiceView> views, Map<String, Duration> ages) { }
+
+    public record CoreAsk(boolean any) { }
+
+    public record CoreReply(List<String> lighthouses) { }
+
+    // commands in the logs of control parts
+    public record PutSeat(String service, String node, Seat seat) { }
+
+    public record DropSeat(String service, String node, String incarnation) { }
+
+    public record PutProcessor(String service, String id, Processor processor) { }
+
+    public record DropProcessor(String service, String id) { }
+
+    public record TakeDuty(String service, String node, long expectedTerm) { }
+
+    public record ReleaseDuty(String service, String node, long term, double level) { }
+
+    public record Place(Map<String, List<String>> placement, long expectedVersion) { }
+
+    public record PutLayout(String requestId, long base, byte[] layout, String author) { }
+
+    public record LayoutTaken(long version, boolean repeated) { }
+
+    public static List<Class<?>> types() {
+        return List.of(ClaimAsk.class, LeaveAsk.class, DutyAsk.class, DutyReply.class, DutyRelease.class, Done.class,
+            NewsAsk.class, NewsReply.class, CoreAsk.class, CoreReply.class, PutSeat.class, DropSeat.class,
+            PutProcessor.class, DropProcessor.class, TakeDuty.class, ReleaseDuty.class, Place.class, PutLayout.class,
+            LayoutTaken.class, Seat.class, Processor.class, Duty.class, ServiceView.class);
+    }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/watch/Core.java
@@ -0,0 +1,99 @@
+package org.woadvale.foundation.watch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
+import org.woadvale.foundation.beam.Beam;
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+
+import reactor.core.publisher.Mono;
+
+/** A process's way to the owners of the control parts; every ask is idempotent. */
+public final class Core {
+    private static final int TRIES = 5;
+    private static final Duration EACH = Duration.ofMillis(700);
+    private final Beam beam;
+    private final LongSupplier random;
+    private final List<String> seeds;
+    private final Consumer<List<String>> remember;
+    private final Map<String, String> owners = new ConcurrentHashMap<>();
+    private volatile List<String> lighthouses;
+
+    public Core(Beam beam, LongSupplier random, List<String> seeds, List<String> known, Consumer<List<String>> remember) {
+        this.beam = beam;
+        this.random = random;
+        this.seeds = List.copyOf(seeds);
+        this.remember = remember;
+        this.lighthouses = known.isEmpty() ? List.copyOf(seeds) : List.copyOf(known);
+    }
+
+    public List<String> lighthouses() {
+        return lighthouses;
+    }
+
+    /** Any process answers who the lighthouses are; so the seeds may be down later. */
+    public void learn() {
+        List<String> from = new ArrayList<>(new TreeSet<>(lighthouses));
+        from.addAll(seeds);
+        String n = from.get((int) Math.floorMod(random.getAsLong(), (long) from.size()));
+        if (n.equals(beam.self())) {
+            return;
+        }
+        beam.ask(n, new Asks.CoreAsk(true), Asks.CoreReply.class, EACH).subscribe(r -> {
+            if (!r.lighthouses().isEmpty() && !r.lighthouses().equals(lighthouses)) {
+                lighthouses = List.copyOf(r.lighthouses());
+                remember.accept(lighthouses);
+            }
+        }, e -> { });
+    }
+
+    public String guess(String part) {
+        List<String> all = lighthouses;
+        return owners.getOrDefault(part, all.get((int) Math.floorMod(random.getAsLong(), (long) all.size())));
+    }
+
+    public <T> Mono<T> ask(String part, Object body, Class<T> type) {
+        return attempt(part, body, type, guess(part), TRIES);
+    }
+
+    private <T> Mono<T> attempt(String part, Object body, Class<T> type, String to, int left) {
+        return beam.ask(to, body, type, EACH)
+            .doOnNext(t -> owners.put(part, to))
+            .onErrorResume(e -> {
+                Fault f = Fault.of(e);
+                owners.remove(part, to);
+                boolean again = f.kind() == ErrorKind.NOT_OWNER || f.kind() == ErrorKind.UNREACHABLE
+                    || f.kind() == ErrorKind.UNKNOWN_OUTCOME || f.kind() == ErrorKind.STOPPING;
+                if (!again || left <= 1) {
+                    return Mono.error(f);
+                }
+                String next = f.kind() == ErrorKind.NOT_OWNER && !f.details().isEmpty() ? f.details().get(0) : other(to);
+                return attempt(part, body, type, next, left - 1);
+            });
+    }
+
+    private String other(String not) {
+        List<String> rest = new ArrayList<>(lighthouses);
+        rest.remove(not);
+        return rest.isEmpty() ? not : rest.get((int) Math.floorMod(random.getAsLong(), (long) rest.size()));
+    }
+
+    /** One try without following hints; for news, which tries again soon anyway. */
+    public <T> Mono<T> once(String part, Object body, Class<T> type) {
+        String to = guess(part);
+        return beam.ask(to, body, type, EACH).doOnNext(t -> owners.put(part, to)).doOnError(e -> {
+            owners.remove(part, to);
+            Fault f = Fault.of(e);
+            if (f.kind() == ErrorKind.NOT_OWNER && !f.details().isEmpty()) {
+                owners.put(part, f.details().get(0));
+            }
+        });
+    }
+}
--- /dev/null
+++ b/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/LampNode.java
@@ -0,0 +1,186 @@
+package org.woadvale.lighthouse.lamp;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+
+import org.woadvale.foundation.beam.Router;
+import org.woadvale.foundation.keeper.Env;
+import org.woadvale.foundation.keeper.Messages;
+import org.woadvale.foundation.keeper.Phase;
+import org.woadvale.foundation.keeper.Replica;
+import org.woadvale.foundation.lantern.Component;
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.foundation.lantern.Schedule;
+import org.woadvale.foundation.watch.Asks;
+import org.woadvale.foundation.watch.Core;
+import org.woadvale.foundation.watch.Places;
+import org.woadvale.foundation.watch.ServiceView;
+
+import reactor.core.publisher.Mono;
+
+/** A lighthouse: one replica of every control part, and what it answers as their owner. */
+public final class LampNode implements Component {
+    private record Part(Replica replica, LampMachine machine, Claims claims) { }
+
+    private final Env env;
+    private final Core core;
+    private final Map<String, Part> parts = new LinkedHashMap<>();
+    private final Placing placing = new Placing();
+    private Schedule looking = () -> { };
+    private Schedule learning = () -> { };
+    private volatile boolean draining;
+
+    /** A lighthouse that joins a running core is seated by the owners once {@code wantedCore} names it. */
+    public LampNode(Env env, Core core, List<String> wantedCore) {
+        this.env = env;
+        this.core = core;
+        for (String p : Places.controlParts()) {
+            LampMachine m = new LampMachine(env.codec());
+            Replica r = new Replica(p, turned(wantedCore, p), m, env);
+            parts.put(p, new Part(r, m, new Claims(r, m, env)));
+        }
+    }
+
+    /** Each part has another first lighthouse, so owners are spread. */
+    static List<String> turned(List<String> core, String part) {
+        List<String> sorted = new ArrayList<>(new TreeSet<>(core));
+        java.util.Collections.rotate(sorted, Integer.parseInt(part.substring(1)));
+        return sorted;
+    }
+
+    @Override
+    public String name() {
+        return "lamp";
+    }
+
+    public void route(Router router) {
+        router.on(Messages.VoteAsk.class, (f, a) -> part(a.part()).flatMap(p -> p.replica().handle(f, a)))
+            .on(Messages.AppendAsk.class, (f, a) -> part(a.part()).flatMap(p -> p.replica().handle(f, a)))
+            .on(Messages.ViewPush.class, (f, a) -> part(a.part()).flatMap(p -> p.replica().handle(f, a)))
+            .on(Messages.Stand.class, (f, a) -> part(a.part()).flatMap(p -> p.replica().handle(f, a)))
+            .on(Messages.BlankAsk.class, (f, a) -> part(a.part()).flatMap(p -> p.replica().handle(f, a)))
+            .on(Messages.Found.class, (f, a) -> part(a.part()).flatMap(p -> p.replica().handle(f, a)))
+            .on(Asks.ClaimAsk.class, (f, a) -> of(a.service()).flatMap(p -> p.claims().claim(a)))
+            .on(Asks.LeaveAsk.class, (f, a) -> of(a.service()).flatMap(p -> p.claims().leave(a)))
+            .on(Asks.DutyAsk.class, (f, a) -> of(a.service()).flatMap(p -> p.claims().duty(a)))
+            .on(Asks.DutyRelease.class, (f, a) -> of(a.service()).flatMap(p -> p.claims().release(a)))
+            .on(Asks.NewsAsk.class, (f, a) -> news(a))
+            .on(Asks.CoreAsk.class, (f, a) -> Mono.just(new Asks.CoreReply(lighthouses())))
+            .on(Asks.PutProcessor.class, (f, a) -> change(a.service(), a))
+            .on(Asks.DropProcessor.class, (f, a) -> change(a.service(), a));
+    }
+
+    private Mono<Part> part(String id) {
+        return Mono.justOrEmpty(parts.get(id))
+            .switchIfEmpty(Mono.error(new Fault(ErrorKind.NOT_FOUND, "No control part " + id + ".")));
+    }
+
+    private Mono<Part> of(String service) {
+        return part(Places.controlPart(service));
+    }
+
+    private Mono<Asks.Done> change(String service, Object command) {
+        return of(service).flatMap(p -> p.replica().propose(command, Asks.Done.class));
+    }
+
+    /** Every service asked for is of one part; the age is nothing, since the claim was checked just now. */
+    private Mono<Asks.NewsReply> news(Asks.NewsAsk ask) {
+        String id = Places.controlPart(ask.known().keySet().stream().findFirst().orElse(Places.LAYOUT));
+        return part(id).flatMap(p -> p.replica().read(i -> {
+            List<ServiceView> views = new ArrayList<>();
+            Map<String, Duration> ages = new HashMap<>();
+            ask.known().forEach((s, version) -> {
+                if (Places.controlPart(s).equals(id)) {
+                    ServiceView v = p.machine().service(s);
+                    ages.put(s, Duration.ZERO);
+                    if (v.version() != version) {
+                        views.add(v);
+                    }
+                }
+            });
+            return new Asks.NewsReply(views, ages);
+        }));
+    }
+
+    public List<String> lighthouses() {
+        TreeSet<String> all = new TreeSet<>();
+        parts.values().forEach(p -> all.addAll(p.replica().group().keySet()));
+        return all.isEmpty() ? core.lighthouses() : new ArrayList<>(all);
+    }
+
+    @Override
+    public void start() throws Fault {
+        for (Map.Entry<String, Part> e : parts.entrySet()) {
+            e.getValue().replica().start(env.logbook().recovered().getOrDefault(e.getKey(), List.of()));
+        }
+        looking = env.schedules().every(Duration.ofMillis(250), this::look);
+        learning = env.schedules().every(Duration.ofSeconds(2), core::learn);
+    }
+
+    private void look() {
+        parts.values().forEach(p -> p.claims().reap());
+        Part stores = parts.get(Places.controlPart(Places.STORES));
+        if (stores.replica().phase() == Phase.OWNING && stores.replica().mayAct()) {
+            ServiceView v = stores.replica().look(i -> stores.machine().service(Places.STORES));
+            Map<String, List<String>> next = placing.next(v, env.times().mono());
+            if (!next.equals(v.placement())) {
+                stores.replica().propose(new Asks.Place(next, v.version()), Asks.Done.class)
+                    .subscribe(d -> { }, e -> { });
+            }
+        }
+        if (draining) {
+            handOver();
+        }
+    }
+
+    /** Owners hand over before they stop. */
+    public boolean drain() {
+        draining = true;
+        handOver();
+        return drained();
+    }
+
+    public boolean drained() {
+        return parts.values().stream().noneMatch(p -> p.replica().phase() == Phase.OWNING);
+    }
+
+    private void handOver() {
+        parts.values().forEach(p -> p.replica().heir().ifPresent(p.replica()::handOver));
+    }
+
+    @Override
+    public void stop() {
+        looking.cancel();
+        learning.cancel();
+        parts.values().forEach(p -> p.replica().stop());
+    }
+
+    public boolean ready() {
+        return parts.values().stream().allMatch(p -> p.replica().owner().isPresent());
+    }
+
+    public Core core() {
+        return core;
+    }
+
+    public Replica replica(String part) {
+        return parts.get(part).replica();
+    }
+
+    public LampMachine machine(String part) {
+        return parts.get(part).machine();
+    }
+
+    public Map<String, Object> status() {
+        Map<String, Object> out = new LinkedHashMap<>();
+        parts.forEach((id, p) -> out.put(id, Map.of("phase", p.replica().phase(), "term", p.replica().term(),
+            "owner", p.replica().owner().orElse(""), "group", p.replica().group().keySet())));
+        return out;
+    }
+}
--- /dev/null
+++ b/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/Operators.java
@@ -0,0 +1,180 @@
+package org.woadvale.lighthouse.lamp;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+
+import org.woadvale.foundation.chart.Charts;
+import org.woadvale.foundation.gate.Answer;
+import org.woadvale.foundation.gate.Request;
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.foundation.watch.Asks;
+import org.woadvale.foundation.watch.Places;
+import org.woadvale.foundation.watch.Processor;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+import reactor.core.publisher.Mono;
+
+/** HTTP for operators and the platform, on any lighthouse; each request finds its owner. design 6.4 */
+public final class Operators {
+    public static final int MAX_LAYOUT = 1 << 20;
+
+    /** Carried from the asked lighthouse to the owner of part 0. */
+    public record LayoutPut(Asks.PutLayout put) { }
+
+    public record LayoutGet(long version) { }
+
+    public record LayoutIs(long version, String author, byte[] layout) { }
+
+    public record HistoryGet(int most) { }
+
+    public record History(List<Long> versions, List<String> requests, List<String> authors) { }
+
+    public record ProcessorsGet(String service) { }
+
+    public record Processors(Map<String, Processor> processors) { }
+
+    public static List<Class<?>> types() {
+        return List.of(LampMachine.State.class, LayoutLog.Step.class, LayoutPut.class, LayoutGet.class,
+            LayoutIs.class, HistoryGet.class, History.class, ProcessorsGet.class, Processors.class);
+    }
+
+    private final LampNode node;
+    private final String operatorKeySha256;
+
+    public Operators(LampNode node, String operatorKeySha256) {
+        this.node = node;
+        this.operatorKeySha256 = operatorKeySha256;
+    }
+
+    public void route(org.woadvale.foundation.beam.Router router) {
+        LampMachine m = node.machine("c0");
+        router.on(LayoutPut.class, (f, a) -> node.replica("c0").propose(a.put(), Asks.LayoutTaken.class))
+            .on(LayoutGet.class, (f, a) -> node.replica("c0").read(i -> m.layouts().steps())
+                .flatMap(steps -> pick(steps, a.version())))
+            .on(HistoryGet.class, (f, a) -> node.replica("c0").read(i -> m.layouts().steps()).map(s -> new History(
+                s.stream().map(LayoutLog.Step::version).toList(), s.stream().map(LayoutLog.Step::requestId).toList(),
+                s.stream().map(LayoutLog.Step::author).toList())))
+            .on(ProcessorsGet.class, (f, a) -> node.replica(Places.controlPart(a.service()))
+                .read(i -> new Processors(node.machine(Places.controlPart(a.service())).service(a.service())
+                    .processors())));
+    }
+
+    private static Mono<LayoutIs> pick(List<LayoutLog.Step> steps, long version) {
+        if (steps.isEmpty() && version <= 0) {
+            return Mono.just(new LayoutIs(0, "", Charts.write(org.woadvale.foundation.chart.Layout.empty())));
+        }
+        return Mono.justOrEmpty(steps.stream()
+            .filter(s -> version < 0 ? s == steps.get(steps.size() - 1) : s.version() == version).findFirst()
+            .map(s -> new LayoutIs(s.version(), s.author(), s.layout())))
+            .switchIfEmpty(Mono.error(new Fault(ErrorKind.NOT_FOUND, "The version " + version + " is not kept.")));
+    }
+
+    public Mono<Answer> answer(Request q) {
+        return Mono.defer(() -> route(q)).onErrorResume(e -> Mono.just(Answer.of(softened(Fault.of(e)))));
+    }
+
+    /** Where the owner was not found nothing was written; where it was lost midway nobody knows yet. */
+    private static Fault softened(Fault f) {
+        return f.kind() == ErrorKind.NOT_OWNER || f.kind() == ErrorKind.UNREACHABLE
+            ? new Fault(ErrorKind.UNAVAILABLE, "No owner of the part could be reached.") : f;
+    }
+
+    private Mono<Answer> route(Request q) {
+        List<String> s = q.segments();
+        String op = q.method() + " " + String.join("/", s.subList(0, Math.min(2, s.size())));
+        if (op.equals("GET v1/liveness")) {
+            return Mono.just(Answer.json(200, Map.of("alive", true)));
+        } else if (op.equals("GET v1/readiness")) {
+            return Mono.just(Answer.json(node.ready() ? 200 : 503, Map.of("ready", node.ready())));
+        } else if (op.equals("GET v1/status")) {
+            return Mono.just(Answer.json(200, Map.of("parts", node.status(), "lighthouses", node.lighthouses())));
+        }
+        if (!operatorKeySha256.isEmpty()
+                && q.secret().map(Charts::sha256).filter(operatorKeySha256::equals).isEmpty()) {
+            return Mono.error(new Fault(ErrorKind.UNAUTHORISED, "The operator key is missing or wrong."));
+        }
+        return switch (op) {
+            case "PUT v1/layout" -> put(q);
+            case "GET v1/layout" -> s.size() > 2 && s.get(2).equals("history") ? history() : get(s);
+            case "POST v1/drain" -> Mono.just(Answer.json(200, Map.of("drained", node.drain())));
+            case "GET v1/services", "PUT v1/services", "DELETE v1/services" -> processors(q, s);
+            default -> Mono.error(new Fault(ErrorKind.NOT_FOUND, "No such place: " + q.path() + "."));
+        };
+    }
+
+    private Mono<Answer> put(Request q) {
+        try {
+            Charts.layout(q.body());
+        } catch (Fault e) {
+            return Mono.error(e);
+        }
+        Optional<Long> base = q.header("if-match").map(h -> h.replace("\"", "")).filter(h -> h.matches("[0-9]{1,18}"))
+            .map(Long::valueOf);
+        if (base.isEmpty()) {
+            return Mono.error(new Fault(ErrorKind.BAD_REQUEST, "If-Match must carry the base version, a whole number."));
+        }
+        String id = q.header("x-request-id").orElseGet(() -> "auto-" + ThreadLocalRandom.current().nextLong());
+        if (!id.matches("[A-Za-z0-9._-]{1,64}")) {
+            return Mono.error(new Fault(ErrorKind.BAD_REQUEST, "X-Request-Id must be 1 to 64 letters, digits, . _ -"));
+        }
+        Asks.PutLayout put = new Asks.PutLayout(id, base.get(), q.body(), q.header("x-author").orElse(""));
+        return node.core().ask("c0", new LayoutPut(put), Asks.LayoutTaken.class)
+            .map(t -> Answer.json(200, Map.of("version", t.version(), "repeated", t.repeated(), "requestId", id))
+                .with("ETag", "\"" + t.version() + "\""));
+    }
+
+    private Mono<Answer> get(List<String> s) {
+        long version = s.size() > 2 && s.get(2).matches("[0-9]{1,18}") ? Long.parseLong(s.get(2)) : -1;
+        return node.core().ask("c0", new LayoutGet(version), LayoutIs.class)
+            .map(l -> new Answer(200, Map.of("Content-Type", "application/json"), l.layout())
+                .with("ETag", "\"" + l.version() + "\""));
+    }
+
+    private Mono<Answer> history() {
+        return node.core().ask("c0", new HistoryGet(0), History.class).map(h -> {
+            List<Map<String, Object>> rows = new java.util.ArrayList<>();
+            for (int i = 0; i < h.versions().size(); i++) {
+                rows.add(Map.of("version", h.versions().get(i), "requestId", h.requests().get(i),
+                    "author", h.authors().get(i)));
+            }
+            return Answer.json(200, Map.of("versions", rows));
+        });
+    }
+
+    /** /v1/services/{service}/processors[/{id}] */
+    private Mono<Answer> processors(Request q, List<String> s) {
+        boolean list = s.size() == 4 && s.get(3).equals("processors") && q.method().equals("GET");
+        boolean one = s.size() == 5 && s.get(3).equals("processors") && !q.method().equals("GET");
+        if (!list && !one || !s.get(2).matches("[a-z0-9][a-z0-9_-]{0,62}")
+                || one && !s.get(4).matches("[A-Za-z0-9][A-Za-z0-9._-]{0,62}")) {
+            return Mono.error(new Fault(ErrorKind.NOT_FOUND, "No such place: " + q.path() + "."));
+        }
+        String service = Places.processors(s.get(2));
+        String part = Places.controlPart(service);
+        if (list) {
+            return node.core().ask(part, new ProcessorsGet(service), Processors.class)
+                .map(p -> Answer.json(200, p.processors()));
+        }
+        if (q.method().equals("DELETE")) {
+            return node.core().ask(part, new Asks.DropProcessor(service, s.get(4)), Asks.Done.class)
+                .map(d -> Answer.json(200, Map.of("removed", s.get(4))));
+        }
+        try {
+            JsonNode body = Charts.read(q.body(), JsonNode.class, ErrorKind.BAD_REQUEST);
+            String address = body.path("address").asText("");
+            if (!address.matches("(http://[0-9.]+:[0-9]{1,5}(/[A-Za-z0-9/_.-]*)?)?")) {
+                throw new Fault(ErrorKind.BAD_REQUEST, "address must be http://IP:port or empty.");
+            }
+            Processor p = new Processor(address, body.path("leaving").asBoolean(false));
+            return node.core().ask(part, new Asks.PutProcessor(service, s.get(4), p), Asks.Done.class)
+                .map(d -> Answer.json(200, Map.of("id", s.get(4), "address", address, "leaving", p.leaving())));
+        } catch (Fault e) {
+            return Mono.error(e);
+        }
+    }
+}
--- /dev/null
+++ b/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/Placing.java
@@ -0,0 +1,94 @@
+package org.woadvale.lighthouse.lamp;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.woadvale.foundation.watch.Places;
+import org.woadvale.foundation.watch.Seat;
+import org.woadvale.foundation.watch.ServiceView;
+
+/** Draws three stores in different halls for each message part; moves as little as it can. design 6.5 */
+final class Placing {
+    static final int COPIES = 3;
+    /** A store is replaced only after it has been away for so long. */
+    static final Duration GIVEN_UP = Duration.ofSeconds(10);
+
+    private final Map<String, Duration> lastSeen = new HashMap<>();
+    private Duration firstFull = Duration.ZERO;
+
+    /** The placement that should be; the present one where nothing is to be done. */
+    Map<String, List<String>> next(ServiceView v, Duration now) {
+        v.seats().keySet().forEach(n -> lastSeen.put(n, now));
+        Map<String, List<String>> present = v.placement();
+        if (present.isEmpty()) {
+            return first(v.seats(), now);
+        }
+        Map<String, List<String>> out = new TreeMap<>(present);
+        for (String part : Places.messageParts()) {
+            List<String> copies = new ArrayList<>(present.get(part));
+            for (int i = 0; i < copies.size(); i++) {
+                String gone = copies.get(i);
+                lastSeen.putIfAbsent(gone, now);
+                if (now.minus(lastSeen.get(gone)).compareTo(GIVEN_UP) > 0) {
+                    List<String> rest = new ArrayList<>(copies);
+                    rest.remove(gone);
+                    List<String> spare = candidates(v.seats(), rest, out);
+                    if (!spare.isEmpty()) {
+                        copies.set(i, spare.get(0));
+                        out.put(part, List.copyOf(copies));
+                        return out;
+                    }
+                }
+            }
+        }
+        return out;
+    }
+
+    private Map<String, List<String>> first(Map<String, Seat> seats, Duration now) {
+        if (seats.size() < COPIES) {
+            return Map.of();
+        }
+        // design 6.5: wait a moment after the third store, so that a fourth that starts with them gets its share
+        firstFull = firstFull.isZero() ? now : firstFull;
+        if (now.minus(firstFull).compareTo(Duration.ofSeconds(2)) < 0) {
+            return Map.of();
+        }
+        Map<String, List<String>> out = new TreeMap<>();
+        for (String part : Places.messageParts()) {
+            List<String> copies = new ArrayList<>();
+            while (copies.size() < COPIES) {
+                copies.add(candidates(seats, copies, out).get(0));
+            }
+            out.put(part, firstByTurn(copies, out));
+        }
+        return out;
+    }
+
+    /** The first of the list founds and is drawn as owner first: spread that evenly. */
+    private static List<String> firstByTurn(List<String> copies, Map<String, List<String>> out) {
+        Map<String, Integer> firsts = new HashMap<>();
+        out.values().forEach(c -> firsts.merge(c.get(0), 1, Integer::sum));
+        List<String> sorted = new ArrayList<>(copies);
+        sorted.sort(Comparator.<String>comparingInt(n -> firsts.getOrDefault(n, 0)).thenComparing(n -> n));
+        return List.copyOf(sorted);
+    }
+
+    /** Those not yet used, other halls first, then the least loaded. */
+    private static List<String> candidates(Map<String, Seat> seats, List<String> used, Map<String, List<String>> out) {
+        Set<String> halls = new HashSet<>();
+        used.forEach(u -> halls.add(seats.containsKey(u) ? seats.get(u).hall() : "?"));
+        Map<String, Integer> load = new HashMap<>();
+        out.values().forEach(c -> c.forEach(n -> load.merge(n, 1, Integer::sum)));
+        return seats.keySet().stream().filter(n -> !used.contains(n))
+            .sorted(Comparator.<String>comparingInt(n -> halls.contains(seats.get(n).hall()) ? 1 : 0)
+                .thenComparingInt(n -> load.getOrDefault(n, 0)).thenComparing(n -> n))
+            .toList();
+    }
+}
--- /dev/null
+++ b/pilot/src/main/java/org/woadvale/pilot/Layouts.java
@@ -0,0 +1,95 @@
+package org.woadvale.pilot;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.woadvale.foundation.beacon.News;
+import org.woadvale.foundation.chart.Charts;
+import org.woadvale.foundation.chart.Layout;
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.foundation.tide.Allowance;
+import org.woadvale.foundation.watch.Places;
+import org.woadvale.foundation.watch.ServiceView;
+
+/** The layout as this node may use it: only while its age is proven. design 7.2 */
+public final class Layouts {
+    private static final Logger LOG = LogManager.getLogger("beacon");
+    /** A leaving bucket's burst, in seconds of its rate: any 5 s stay within a twentieth of the rate. */
+    private static final double LEAVING_BURST_S = 0.25;
+
+    /** A layout, read once. */
+    public record Known(long version, Layout layout, Map<String, Layout.Key> keysByHash) {
+        public Optional<Layout.Key> key(String secret) {
+            return Optional.ofNullable(keysByHash.get(Charts.sha256(secret)));
+        }
+    }
+
+    private final News news;
+    private volatile Known known = read(0, new byte[0]);
+
+    public Layouts(News news) {
+        this.news = news;
+        news.onView((service, v) -> {
+            if (service.equals(Places.LAYOUT)) {
+                take(v);
+            }
+        });
+    }
+
+    private synchronized Known take(ServiceView v) {
+        if (v.layoutVersion() > known.version()) {
+            known = read(v.layoutVersion(), v.layout());
+            LOG.info("beacon: layout {} applies here.", v.layoutVersion());
+        }
+        return known;
+    }
+
+    private static Known read(long version, byte[] json) {
+        Layout l = Layout.empty();
+        try {
+            l = json.length == 0 ? l : Charts.layout(json);
+        } catch (Fault e) {
+            LOG.error("beacon: layout {} is unreadable here: {}", version, e.details());
+        }
+        Map<String, Layout.Key> keys = new HashMap<>();
+        l.keys().values().forEach(k -> keys.put(k.sha256(), k));
+        return new Known(version, l, keys);
+    }
+
+    public Optional<Known> fresh() {
+        return news.fresh(Places.LAYOUT).map(v -> v.layoutVersion() == known.version() ? known : take(v));
+    }
+
+    public Known require() throws Fault {
+        return fresh().orElseThrow(() ->
+            new Fault(ErrorKind.STALE_VIEW, "This node is not in touch with the core."));
+    }
+
+    /** The allowance behind a bucket's name; empty where the layout has none or is not proven fresh. */
+    public Optional<Allowance> allowance(String bucket) {
+        String name = bucket.substring(bucket.indexOf('/') + 1);
+        return fresh().flatMap(k -> bucket.startsWith("tenant/")
+            ? Optional.ofNullable(k.layout().tenants().get(name)).map(t -> new Allowance(t.ratePerS(), t.burstSize()))
+            : Optional.ofNullable(k.layout().services().get(name)).filter(s -> s.ratePerS() > 0)
+                .map(s -> new Allowance(s.ratePerS(), Math.max(1, s.ratePerS() * LEAVING_BURST_S))));
+    }
+
+    /** Every shared bucket that the latest layout calls for. */
+    public Set<String> buckets() {
+        Set<String> out = new TreeSet<>();
+        Layout l = known.layout();
+        l.tenants().keySet().forEach(t -> out.add(Places.tenantBucket(t)));
+        l.services().forEach((n, s) -> {
+            if (s.ratePerS() > 0) {
+                out.add(Places.endpointBucket(n));
+            }
+        });
+        return out;
+    }
+}
--- /dev/null
+++ b/pilot/src/main/java/org/woadvale/pilot/Pilot.java
@@ -0,0 +1,90 @@
+package org.woadvale.pilot;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.woadvale.foundation.beam.Codec;
+import org.woadvale.foundation.beam.Router;
+import org.woadvale.foundation.beam.TcpBeam;
+import org.woadvale.foundation.chart.Boot;
+import org.woadvale.foundation.gate.Gate;
+import org.woadvale.foundation.helm.KnownFile;
+import org.woadvale.foundation.helm.Program;
+import org.woadvale.foundation.keeper.Env;
+import org.woadvale.foundation.keeper.Pace;
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.foundation.lantern.RealSchedules;
+import org.woadvale.foundation.lantern.RealTimes;
+import org.woadvale.foundation.lantern.Supervisor;
+import org.woadvale.foundation.logbook.FolderDisk;
+import org.woadvale.foundation.logbook.Logbook;
+import org.woadvale.foundation.logbook.NoLogbook;
+import org.woadvale.foundation.logbook.RingLogbook;
+import org.woadvale.foundation.watch.Core;
+import org.woadvale.foundation.watch.Wire;
+import org.woadvale.pilot.berth.Commands;
+import org.woadvale.pilot.gangway.Gangway;
+import org.woadvale.pilot.launch.HttpPost;
+
+/** The data plane program. */
+public final class Pilot {
+    private static final AtomicReference<Runnable> DRAIN = new AtomicReference<>(() -> { });
+
+    private Pilot() { }
+
+    public static void main(String[] args) {
+        System.exit(new Program("pilot", Pilot::check, Pilot::grow, DRAIN::get).main(args));
+    }
+
+    static void check(Boot b) throws Fault {
+        if (b.roles().isEmpty()) {
+            throw new Fault(ErrorKind.BAD_REQUEST, "The boot file is invalid at roles: name intake, store or both.");
+        }
+        if (b.join()) {
+            throw new Fault(ErrorKind.BAD_REQUEST, "The boot file is invalid at join: only lighthouses have it.");
+        }
+    }
+
+    static Supervisor grow(Boot b, RealSchedules schedules, Runnable onGivenUp) throws Fault {
+        Codec codec = Wire.codec(Wire.PILOT, Commands.types());
+        Router router = new Router();
+        TcpBeam beam = new TcpBeam(b.address(), codec, router, schedules);
+        Logbook book = logbook(b, schedules);
+        book.onFailure(why -> onGivenUp.run());
+        SecureRandom random = new SecureRandom();
+        Optional<KnownFile> known = b.data().isEmpty() ? Optional.empty() : Optional.of(new KnownFile(b.data()));
+        Env env = new Env(new RealTimes(), schedules, beam, codec, book, random::nextLong, Pace.usual());
+        Core core = new Core(beam, random::nextLong, b.seeds(), known.map(KnownFile::read).orElse(List.of()),
+            l -> known.ifPresent(k -> k.write(l)));
+        PilotNode node = new PilotNode(env, b, core, new HttpPost());
+        node.route(router);
+        DRAIN.set(() -> drain(node));
+        return new Supervisor("pilot", schedules, onGivenUp).with(beam).with(node)
+            .with(new Gate(b.http(), Gangway.MAX_BODY, node::answer));
+    }
+
+    private static Logbook logbook(Boot b, RealSchedules schedules) throws Fault {
+        if (!b.roles().contains("store")) {
+            return new NoLogbook();
+        }
+        try {
+            return RingLogbook.open(new FolderDisk(Path.of(b.data(), "ring")), schedules, b.ringFiles(),
+                b.ringFileMb() << 20);
+        } catch (IOException e) {
+            throw new Fault(ErrorKind.UNAVAILABLE, "Cannot open the data folder " + b.data() + ": " + e.getMessage());
+        }
+    }
+
+    /** Parts and duties move away before the stop; the wait is bounded. */
+    private static void drain(PilotNode node) {
+        for (int i = 0; i < 30 && !node.drain(); i++) {
+            java.util.concurrent.locks.LockSupport.parkNanos(50_000_000L);
+        }
+        java.util.concurrent.locks.LockSupport.parkNanos(100_000_000L);
+    }
+}
--- /dev/null
+++ b/pilot/src/main/java/org/woadvale/pilot/berth/BerthMachine.java
@@ -0,0 +1,221 @@
+package org.woadvale.pilot.berth;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import org.woadvale.foundation.beam.Codec;
+import org.woadvale.foundation.keeper.Machine;
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+
+/** The messages of one part: design 9. */
+public final class BerthMachine implements Machine {
+    private static final Comparator<Message> BY_DUE =
+        Comparator.comparing(Message::due).thenComparing(Message::seq);
+
+    private final String part;
+    private final Codec codec;
+    private final Map<String, Message> messages = new HashMap<>();
+    private final Map<String, String> byId = new HashMap<>();
+    private final Map<String, TreeMap<Long, String>> order = new HashMap<>();
+    private final Map<String, TreeSet<Message>> startable = new TreeMap<>();
+    private final Map<String, Message> running = new TreeMap<>();
+    private final TreeSet<Message> ended = new TreeSet<>(Comparator.comparing(Message::ended).thenComparing(Message::seq));
+    private long seq;
+    private long liveBytes;
+
+    public BerthMachine(String part, Codec codec) {
+        this.part = part;
+        this.codec = codec;
+    }
+
+    public Optional<Message> get(String handle) {
+        return Optional.ofNullable(messages.get(handle));
+    }
+
+    public long liveBytes() {
+        return liveBytes;
+    }
+
+    public int count() {
+        return messages.size();
+    }
+
+    public List<Message> running() {
+        return List.copyOf(running.values());
+    }
+
+    public Map<String, TreeSet<Message>> startable() {
+        return startable;
+    }
+
+    public List<Message> list(String tenant, MessageState state, int most) {
+        return messages.values().stream().filter(m -> m.tenant().equals(tenant) && m.state() == state)
+            .sorted(Comparator.comparing(Message::seq).reversed()).limit(most).toList();
+    }
+
+    /** When ended messages before a time are to be forgotten: is there any? */
+    public boolean anyEndedBefore(Instant t) {
+        return !ended.isEmpty() && ended.first().ended().isBefore(t);
+    }
+
+    @Override
+    public Object apply(long index, Object c) {
+        if (c instanceof Commands.Accept a) {
+            return accept(a);
+        } else if (c instanceof Commands.Start s) {
+            return start(s);
+        } else if (c instanceof Commands.End e) {
+            return end(e);
+        } else if (c instanceof Commands.Forget f) {
+            return forget(f);
+        }
+        return new Fault(ErrorKind.BAD_REQUEST, "Unknown command " + c.getClass().getSimpleName() + ".");
+    }
+
+    private Object accept(Commands.Accept a) {
+        long n = seq + 1;
+        String handle = part + "-" + n;
+        Message m = new Message(handle, a.tenant(), a.lane(), a.id(), a.orderKey(), a.body(), a.hash(),
+            a.terms(), n, a.at(), a.due(), a.due(), MessageState.WAITING, 0, 0, Message.NO_PROCESSOR, Instant.MAX, "", Instant.MAX);
+        Optional<Message> known = Optional.ofNullable(byId.get(m.idGroup())).map(messages::get);
+        if (known.isPresent()) {
+            Message k = known.get();
+            if (!k.hash().equals(a.hash())) {
+                return new Fault(ErrorKind.CONFLICT, "The message id was used for other content.", List.of(k.handle()));
+            }
+            return new Commands.Accepted(k.handle(), k.state().name(), true);
+        }
+        seq = n;
+        byId.put(m.idGroup(), handle);
+        if (m.ordered()) {
+            order.computeIfAbsent(m.orderGroup(), g -> new TreeMap<>()).put(n, handle);
+        }
+        put(Optional.empty(), m);
+        return new Commands.Accepted(handle, m.state().name(), false);
+    }
+
+    private Object start(Commands.Start s) {
+        Message m = messages.get(s.handle());
+        if (m == null || m.state() != MessageState.WAITING || s.attempt() != m.attempt() + 1 || !first(m)) {
+            return m == null ? new Fault(ErrorKind.NOT_FOUND, "No such message.") : new Commands.Changed(false, m);
+        }
+        Message next = m.to(MessageState.RUNNING, s.attempt(), m.tries() + 1, s.processor(), s.deadline(), m.due(), "",
+            s.at());
+        put(Optional.of(m), next);
+        return new Commands.Changed(true, next);
+    }
+
+    private boolean first(Message m) {
+        return !m.ordered() || order.get(m.orderGroup()).firstKey() == m.seq();
+    }
+
+    private Object end(Commands.End e) {
+        Message m = messages.get(e.handle());
+        if (m == null) {
+            return new Fault(ErrorKind.NOT_FOUND, "No such message.");
+        }
+        boolean present = m.state() == MessageState.RUNNING && m.attempt() == e.attempt();
+        boolean lateSuccess = e.ending() == Commands.Ending.DONE && !m.state().ended() && e.attempt() <= m.attempt();
+        boolean overdue = e.attempt() == 0 && m.state() == MessageState.WAITING && e.ending() == Commands.Ending.FAILED;
+        if (!present && !lateSuccess && !overdue) {
+            return new Commands.Changed(false, m);
+        }
+        int tries = e.ending() == Commands.Ending.NOT_SENT ? m.tries() - 1 : m.tries();
+        MessageState to = switch (e.ending()) {
+            case DONE -> MessageState.DONE;
+            case FAILED -> MessageState.FAILED;
+            default -> MessageState.WAITING;
+        };
+        Message next = m.to(to, m.attempt(), tries, m.processor(), Instant.MAX,
+            to == MessageState.WAITING ? e.due() : m.due(), e.proof(), e.at());
+        put(Optional.of(m), next);
+        return new Commands.Changed(true, next);
+    }
+
+    private Object forget(Commands.Forget f) {
+        int n = 0;
+        while (anyEndedBefore(f.endedBefore())) {
+            Message m = ended.pollFirst();
+            messages.remove(m.handle());
+            byId.remove(m.idGroup());
+            n++;
+        }
+        return new Commands.Forgotten(n);
+    }
+
+    /** Keeps every index in step with the one map. */
+    private void put(Optional<Message> before, Message m) {
+        before.ifPresent(b -> {
+            liveBytes -= b.size();
+            running.remove(b.handle());
+            Optional.ofNullable(startable.get(b.lane())).ifPresent(s -> s.remove(b));
+        });
+        messages.put(m.handle(), m);
+        if (m.state().ended()) {
+            ended.add(m);
+            leaveOrder(m);
+            return;
+        }
+        liveBytes += m.size();
+        if (m.state() == MessageState.RUNNING) {
+            running.put(m.handle(), m);
+        } else if (first(m)) {
+            startable.computeIfAbsent(m.lane(), l -> new TreeSet<>(BY_DUE)).add(m);
+        }
+    }
+
+    private void leaveOrder(Message m) {
+        if (!m.ordered()) {
+            return;
+        }
+        TreeMap<Long, String> line = order.get(m.orderGroup());
+        line.remove(m.seq());
+        if (line.isEmpty()) {
+            order.remove(m.orderGroup());
+            return;
+        }
+        Message head = messages.get(line.firstEntry().getValue());
+        if (head.state() == MessageState.WAITING) {
+            startable.computeIfAbsent(head.lane(), l -> new TreeSet<>(BY_DUE)).add(head);
+        }
+    }
+
+    @Override
+    public byte[] view() {
+        return codec.write(new Commands.State(new HashMap<>(messages), seq));
+    }
+
+    @Override
+    public void restore(byte[] view) {
+        try {
+            Commands.State s = codec.read(view, Commands.State.class);
+            List.of(messages, byId, order, startable, running).forEach(Map::clear);
+            ended.clear();
+            seq = s.seq();
+            liveBytes = 0;
+            List<Message> all = new ArrayList<>(s.messages().values());
+            all.sort(Comparator.comparing(Message::seq));
+            all.stream().filter(m -> m.ordered() && !m.state().ended())
+                .forEach(m -> order.computeIfAbsent(m.orderGroup(), g -> new TreeMap<>()).put(m.seq(), m.handle()));
+            all.forEach(m -> {
+                byId.put(m.idGroup(), m.handle());
+                if (m.state().ended()) {
+                    messages.put(m.handle(), m);
+                    ended.add(m);
+                } else {
+                    put(Optional.empty(), m);
+                }
+            });
+        } catch (Fault e) {
+            throw new IllegalStateException("unreadable view", e);
+        }
+    }
+}
--- /dev/null
+++ b/pilot/src/main/java/org/woadvale/pilot/berth/Berths.java
@@ -0,0 +1,183 @@
+package org.woadvale.pilot.berth;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.woadvale.foundation.beacon.News;
+import org.woadvale.foundation.beam.Router;
+import org.woadvale.foundation.keeper.Env;
+import org.woadvale.foundation.keeper.Messages;
+import org.woadvale.foundation.keeper.Phase;
+import org.woadvale.foundation.keeper.Replica;
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.foundation.lantern.Schedule;
+import org.woadvale.foundation.tide.Allowance;
+import org.woadvale.foundation.tide.Bucket;
+import org.woadvale.foundation.watch.Places;
+
+import reactor.core.publisher.Mono;
+
+/** The message parts of a store, opened as the placement says: design 9.1. */
+public final class Berths {
+    private static final Logger LOG = LogManager.getLogger("berth");
+    /** A part with so many live bytes takes no more; its view must fit into a ring file. */
+    private static final long MAX_LIVE = 8L << 20;
+    private static final Duration RETENTION = Duration.ofMinutes(2);
+    private static final int MAX_FORGET_LAG_S = 5;
+
+    /** One part here: its replica, its machine and its own bucket in size units. */
+    public record Berth(String part, Replica replica, BerthMachine machine, Bucket units) { }
+
+    private final Env env;
+    private final News news;
+    private final Map<String, Berth> berths = new ConcurrentHashMap<>();
+    private final Bucket nodeUnits;
+    private final Allowance partAllowance;
+    private Consumer<Berth> onOpen = b -> { };
+    private Schedule looking = () -> { };
+    private boolean draining;
+
+    public Berths(Env env, News news, Allowance node, Allowance part) {
+        this.env = env;
+        this.news = news;
+        this.nodeUnits = Bucket.full(node, env.times().mono());
+        this.partAllowance = part;
+    }
+
+    public void onOpen(Consumer<Berth> c) {
+        onOpen = c;
+    }
+
+    public void route(Router router) {
+        router.on(Messages.VoteAsk.class, (f, a) -> at(a.part()).flatMap(b -> b.replica().handle(f, a)))
+            .on(Messages.AppendAsk.class, (f, a) -> at(a.part()).flatMap(b -> b.replica().handle(f, a)))
+            .on(Messages.ViewPush.class, (f, a) -> at(a.part()).flatMap(b -> b.replica().handle(f, a)))
+            .on(Messages.Stand.class, (f, a) -> at(a.part()).flatMap(b -> b.replica().handle(f, a)))
+            .on(Messages.BlankAsk.class, (f, a) -> at(a.part()).flatMap(b -> b.replica().handle(f, a)))
+            .on(Messages.Found.class, (f, a) -> at(a.part()).flatMap(b -> b.replica().handle(f, a)))
+            .on(Commands.AcceptAsk.class, (f, a) -> at(a.part()).flatMap(b -> accept(b, a.accept())))
+            .on(Commands.StatusAsk.class, (f, a) -> at(a.part()).flatMap(b -> status(b, a)))
+            .on(Commands.ListAsk.class, (f, a) -> at(a.part()).flatMap(b -> b.replica().read(i ->
+                new Commands.Listed(b.machine().list(a.tenant(), MessageState.valueOf(a.state()), a.most())))));
+    }
+
+    public Mono<Berth> at(String part) {
+        return Mono.justOrEmpty(berths.get(part))
+            .switchIfEmpty(Mono.error(new Fault(ErrorKind.NOT_OWNER, "The part " + part + " is not here.")));
+    }
+
+    /** Node and part buckets in size units first, then the commit. All refusals here are definite. */
+    private Mono<Commands.Accepted> accept(Berth b, Commands.Accept a) {
+        int units = Math.max(1, (a.body().length + 1023) / 1024);
+        boolean room = b.replica().look(i -> b.machine().liveBytes()) < MAX_LIVE && !env.logbook().nearlyFull();
+        if (!b.replica().mayAct()) {
+            return b.replica().read(i -> new Commands.Accepted("", "", false));
+        }
+        if (!room) {
+            return Mono.error(new Fault(ErrorKind.QUEUE_FULL, "The part " + b.part() + " has no room."));
+        }
+        if (!spend(b, units)) {
+            return Mono.error(new Fault(ErrorKind.THROTTLED, "The store is at its limit.", List.of("1")));
+        }
+        return b.replica().propose(a, Commands.Accepted.class);
+    }
+
+    /** Draws size units of the node and of the part, or of neither. */
+    public boolean spend(Berth b, int units) {
+        synchronized (nodeUnits) {
+            Duration now = env.times().mono();
+            nodeUnits.fill(now, 0);
+            b.units().fill(now, 0);
+            if (nodeUnits.level() < units || !b.units().take(units)) {
+                return false;
+            }
+            return nodeUnits.take(units);
+        }
+    }
+
+    private Mono<Message> status(Berth b, Commands.StatusAsk a) {
+        return b.replica().read(i -> b.machine().get(a.handle()).filter(m -> m.tenant().equals(a.tenant())))
+            .flatMap(o -> o.map(Mono::just).orElseGet(() -> Mono.error(
+                new Fault(ErrorKind.NOT_FOUND, "No such message is known; it may have been forgotten after its end."))));
+    }
+
+    public void start() throws Fault {
+        for (String part : env.logbook().recovered().keySet()) {
+            if (part.startsWith("m")) {
+                open(part, List.of());
+            }
+        }
+        looking = env.schedules().every(Duration.ofMillis(200), this::look);
+    }
+
+    private void open(String part, List<String> wanted) throws Fault {
+        BerthMachine m = new BerthMachine(part, env.codec());
+        Replica r = new Replica(part, wanted, m, env);
+        r.start(env.logbook().recovered().getOrDefault(part, List.of()));
+        Berth b = new Berth(part, r, m, Bucket.full(partAllowance, env.times().mono()));
+        berths.put(part, b);
+        onOpen.accept(b);
+    }
+
+    private void look() {
+        Map<String, List<String>> placement = new HashMap<>(news.latest(Places.STORES).placement());
+        placement.forEach((part, copies) -> {
+            Optional<Berth> b = Optional.ofNullable(berths.get(part));
+            if (b.isPresent()) {
+                b.get().replica().want(copies);
+            } else if (copies.contains(env.self())) {
+                try {
+                    open(part, copies);
+                } catch (Fault e) {
+                    LOG.error("berth: the part {} did not open: {}", part, e.getMessage());
+                }
+            }
+        });
+        berths.values().forEach(b -> {
+            forget(b);
+            spread(b, placement.getOrDefault(b.part(), List.of()));
+        });
+    }
+
+    private void forget(Berth b) {
+        var limit = env.times().wall().minus(RETENTION);
+        if (b.replica().mayAct() && b.replica().look(i -> b.machine().anyEndedBefore(limit.minusSeconds(MAX_FORGET_LAG_S)))) {
+            b.replica().propose(new Commands.Forget(limit), Commands.Forgotten.class).subscribe(f -> { }, e -> { });
+        }
+    }
+
+    /** The first of the placement owns once it is up to date; a draining node gives all away. */
+    private void spread(Berth b, List<String> copies) {
+        if (b.replica().phase() != Phase.OWNING) {
+            return;
+        }
+        b.replica().heir().filter(h -> draining || (!copies.isEmpty() && h.equals(copies.get(0)))).ifPresent(h -> {
+            if (b.replica().handOver(h)) {
+                LOG.info("berth: hands {} over to {}.", b.part(), h);
+            }
+        });
+    }
+
+    public boolean drain() {
+        draining = true;
+        berths.values().forEach(b -> spread(b, List.of()));
+        return berths.values().stream().noneMatch(b -> b.replica().phase() == Phase.OWNING);
+    }
+
+    public Map<String, Berth> all() {
+        return berths;
+    }
+
+    public void stop() {
+        looking.cancel();
+        berths.values().forEach(b -> b.replica().stop());
+    }
+}
--- /dev/null
+++ b/pilot/src/main/java/org/woadvale/pilot/berth/Commands.java
@@ -0,0 +1,52 @@
+package org.woadvale.pilot.berth;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+
+/** What is written in the logs of message parts, and asked between pilots. */
+public final class Commands {
+    private Commands() { }
+
+    public enum Ending { DONE, FAILED, RETRY, NOT_SENT }
+
+    public record Accept(String tenant, String lane, String id, String orderKey, byte[] body, String hash, LaneTerms terms,
+                         Instant due, Instant at) { }
+
+    public record Start(String handle, int attempt, String processor, Instant deadline, Instant at) { }
+
+    /** Attempt zero ends a message that does not run: its time is over. */
+    public record End(String handle, int attempt, Ending ending, String proof, Instant due, Instant at) { }
+
+    public record Forget(Instant endedBefore) { }
+
+    public record Accepted(String handle, String state, boolean repeated) { }
+
+    public record Changed(boolean done, Message message) { }
+
+    public record Forgotten(int count) { }
+
+    // asks between pilots
+    public record AcceptAsk(String part, Accept accept) { }
+
+    public record StatusAsk(String part, String handle, String tenant) { }
+
+    public record ListAsk(String part, String tenant, String state, int most) { }
+
+    public record Listed(List<Message> messages) { }
+
+    public record FetchAsk(String part, String service, String processor, int most) { }
+
+    public record Fetched(List<Message> messages) { }
+
+    /** Also how a deposed owner gives an answer to the new one. */
+    public record OutcomeAsk(String part, End end, String processor, String service) { }
+
+    public record State(Map<String, Message> messages, long seq) { }
+
+    public static List<Class<?>> types() {
+        return List.of(Ending.class, Accept.class, Start.class, End.class, Forget.class, Accepted.class, Changed.class,
+            Forgotten.class, AcceptAsk.class, StatusAsk.class, ListAsk.class, Listed.class, FetchAsk.class,
+            Fetched.class, OutcomeAsk.class, State.class, Message.class, MessageState.class, LaneTerms.class);
+    }
+}
--- /dev/null
+++ b/pilot/src/main/java/org/woadvale/pilot/berth/Message.java
@@ -0,0 +1,37 @@
+package org.woadvale.pilot.berth;
+
+import java.time.Instant;
+
+/** One message as its part knows it. Ended ones keep no body. */
+public record Message(String handle, String tenant, String lane, String id, String orderKey, byte[] body, String hash,
+                      LaneTerms terms, long seq, Instant accepted, Instant from, Instant due, MessageState state, int attempt, int tries,
+                      String processor, Instant deadline, String proof, Instant ended) {
+
+    public static final String NO_PROCESSOR = "";
+
+    /** The one function for every change of state. */
+    Message to(MessageState next, int newAttempt, int newTries, String newProcessor, Instant newDeadline,
+               Instant newDue, String newProof, Instant at) {
+        if (!state.next().contains(next)) {
+            throw new IllegalStateException(handle + ": " + state + " to " + next);
+        }
+        return new Message(handle, tenant, lane, id, orderKey, next.ended() ? new byte[0] : body, hash, terms, seq, accepted, from,
+            newDue, next, newAttempt, newTries, newProcessor, newDeadline, newProof, next.ended() ? at : Instant.MAX);
+    }
+
+    public boolean ordered() {
+        return !orderKey.isEmpty();
+    }
+
+    String orderGroup() {
+        return tenant + "\n" + lane + "\n" + orderKey;
+    }
+
+    String idGroup() {
+        return tenant + "\n" + lane + "\n" + id;
+    }
+
+    public int size() {
+        return body.length + 200;
+    }
+}
--- /dev/null
+++ b/pilot/src/main/java/org/woadvale/pilot/berth/MessageState.java
@@ -0,0 +1,24 @@
+package org.woadvale.pilot.berth;
+
+import java.util.EnumSet;
+import java.util.Set;
+
+/** Ready is a waiting message that is due and first of its key; it is shown, not stored. design 9.2 */
+public enum MessageState {
+    WAITING,
+    RUNNING,
+    DONE,
+    FAILED;
+
+    public Set<MessageState> next() {
+        return switch (this) {
+            case WAITING -> EnumSet.of(RUNNING, FAILED, DONE);
+            case RUNNING -> EnumSet.of(WAITING, DONE, FAILED);
+            default -> EnumSet.noneOf(MessageState.class);
+        };
+    }
+
+    public boolean ended() {
+        return this == DONE || this == FAILED;
+    }
+}
--- /dev/null
+++ b/pilot/src/main/java/org/woadvale/pilot/gangway/FetchIn.java
@@ -0,0 +1,16 @@
+package org.woadvale.pilot.gangway;
+
+import jakarta.validation.constraints.Max;
+import jakarta.validation.constraints.Min;
+import jakarta.validation.constraints.NotNull;
+import jakarta.validation.constraints.Pattern;
+
+/** What a processor asks for. */
+public record FetchIn(@NotNull @Pattern(regexp = ID) String processor, @Min(0) @Max(10000) long waitMs,
+                      @Min(0) @Max(32) int most) {
+    static final String ID = "[A-Za-z0-9][A-Za-z0-9._-]{0,62}";
+
+    public FetchIn {
+        most = most == 0 ? 1 : most;
+    }
+}
--- /dev/null
+++ b/pilot/src/main/java/org/woadvale/pilot/gangway/Gangway.java
@@ -0,0 +1,208 @@
+package org.woadvale.pilot.gangway;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.Supplier;
+
+import org.woadvale.foundation.chart.Layout;
+import org.woadvale.foundation.gate.Answer;
+import org.woadvale.foundation.gate.Request;
+import org.woadvale.foundation.keeper.Env;
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.foundation.lantern.Pauses;
+import org.woadvale.foundation.tide.Purses;
+import org.woadvale.foundation.watch.Places;
+import org.woadvale.pilot.Layouts;
+import org.woadvale.pilot.berth.Commands;
+import org.woadvale.pilot.berth.Message;
+import org.woadvale.pilot.berth.MessageState;
+import org.woadvale.pilot.launch.Courier;
+
+import com.fasterxml.jackson.databind.util.RawValue;
+
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/** HTTP of an intake: hand-ins, status, fetches and outcomes. design 9.6 */
+public final class Gangway {
+    public static final int MAX_BODY = Intake.MAX_BODY;
+    private static final Duration LIMIT = Duration.ofSeconds(3);
+    private static final Duration OWNER_HINTS = Duration.ofMillis(200);
+    private static final Duration POLL = Duration.ofMillis(100);
+    private static final String HANDLE = "m[0-9]{1,3}-[0-9]{1,18}";
+
+    private final Env env;
+    private final Doors doors;
+    private final Courier courier;
+    private final Intake intake;
+    private final Supplier<Map<String, Object>> status;
+    private final Supplier<Boolean> ready;
+    private final Supplier<Boolean> drain;
+
+    public Gangway(Env env, Layouts layouts, Purses purses, Courier courier, Supplier<Map<String, Object>> status,
+                   Supplier<Boolean> ready, Supplier<Boolean> drain) {
+        this.env = env;
+        this.doors = new Doors(layouts);
+        this.courier = courier;
+        this.intake = new Intake(env, doors, purses, courier);
+        this.status = status;
+        this.ready = ready;
+        this.drain = drain;
+    }
+
+    public Mono<Answer> answer(Request q) {
+        return Mono.defer(() -> {
+            try {
+                return route(q);
+            } catch (Fault e) {
+                return Mono.error(e);
+            }
+        }).onErrorResume(e -> Mono.just(Answer.of(Fault.of(e))));
+    }
+
+    private Mono<Answer> route(Request q) throws Fault {
+        List<String> s = q.segments();
+        String op = q.method() + " " + String.join("/", s.subList(0, Math.min(2, s.size()))) + " " + s.size();
+        switch (op) {
+            case "GET v1/liveness 2":
+                return Mono.just(Answer.json(200, Map.of("alive", true)));
+            case "GET v1/readiness 2":
+                return Mono.just(Answer.json(ready.get() ? 200 : 503, Map.of("ready", ready.get())));
+            case "GET v1/status 2":
+                return Mono.just(Answer.json(200, status.get()));
+            case "POST v1/drain 2":
+                return Mono.just(Answer.json(200, Map.of("drained", drain.get())));
+            case "POST v1/lanes 4":
+                if (s.get(3).equals("messages")) {
+                    return intake.handIn(q, s.get(2));
+                }
+                break;
+            case "GET v1/messages 3":
+                return show(q, s.get(2));
+            case "GET v1/messages 2":
+                return list(q);
+            case "POST v1/services 4":
+                if (s.get(3).equals("fetch")) {
+                    return fetch(q, s.get(2));
+                }
+                break;
+            case "POST v1/messages 4":
+                if (s.get(3).equals("outcome")) {
+                    return outcome(q, s.get(2));
+                }
+                break;
+            default:
+        }
+        throw new Fault(ErrorKind.NOT_FOUND, "No such place: " + q.method() + " " + q.path() + ".");
+    }
+
+    private static String partOf(String handle) throws Fault {
+        if (!handle.matches(HANDLE)) {
+            throw new Fault(ErrorKind.NOT_FOUND, "No such message.");
+        }
+        return handle.substring(0, handle.indexOf('-'));
+    }
+
+    private Mono<Answer> show(Request q, String handle) throws Fault {
+        Layout.Key key = doors.key(q, Layout.Role.CALLER);
+        String part = partOf(handle);
+        return courier.ask(part, t -> new Commands.StatusAsk(part, handle, key.tenant()), Message.class, LIMIT)
+            .map(m -> Answer.json(200, shown(m)));
+    }
+
+    private Map<String, Object> shown(Message m) {
+        Map<String, Object> b = new LinkedHashMap<>();
+        boolean due = !m.due().isAfter(env.times().wall());
+        b.put("handle", m.handle());
+        b.put("id", m.id());
+        b.put("lane", m.lane());
+        b.put("state", m.state() == MessageState.WAITING && due ? "ready" : m.state().name().toLowerCase(Locale.ROOT));
+        b.put("attempts", m.attempt());
+        b.put("processor", m.processor());
+        b.put(m.state() == MessageState.DONE ? "proof" : "note", m.proof());
+        b.put("accepted", m.accepted().toString());
+        return b;
+    }
+
+    /** Messages of the key's tenant in one state, newest first: failed ones unless told otherwise. */
+    private Mono<Answer> list(Request q) throws Fault {
+        Layout.Key key = doors.key(q, Layout.Role.CALLER);
+        String state = q.path().matches(".*[?&]state=[a-z]+.*")
+            ? q.path().replaceAll(".*[?&]state=([a-z]+).*", "$1").toUpperCase(Locale.ROOT) : "FAILED";
+        if (java.util.Arrays.stream(MessageState.values()).noneMatch(x -> x.name().equals(state))) {
+            throw new Fault(ErrorKind.BAD_REQUEST, "state must be waiting, running, done or failed.");
+        }
+        return Flux.fromIterable(Places.messageParts())
+            .flatMap(p -> courier.ask(p, t -> new Commands.ListAsk(p, key.tenant(), state, 100),
+                Commands.Listed.class, LIMIT))
+            .collectList().map(lists -> {
+                List<Map<String, Object>> rows = new ArrayList<>();
+                lists.forEach(l -> l.messages().forEach(m -> rows.add(shown(m))));
+                return Answer.json(200, Map.of("messages", rows));
+            });
+    }
+
+    private Mono<Answer> fetch(Request q, String service) throws Fault {
+        processorKey(q, service);
+        FetchIn in = doors.body(q, FetchIn.class);
+        int first = (int) Math.floorMod(env.random().getAsLong(), (long) Places.MESSAGE_PARTS);
+        return fetch(q, service, in, env.times().mono().plus(Duration.ofMillis(in.waitMs())), first);
+    }
+
+    private void processorKey(Request q, String service) throws Fault {
+        if (!doors.key(q, Layout.Role.PROCESSOR).service().equals(service)) {
+            throw new Fault(ErrorKind.FORBIDDEN, "This key is for another service.");
+        }
+    }
+
+    /** Part by part; the key is checked again before every round, so a withdrawn one gets nothing. */
+    private Mono<Answer> fetch(Request q, String service, FetchIn in, Duration until, int first) {
+        return Mono.defer(() -> {
+            try {
+                processorKey(q, service);
+            } catch (Fault e) {
+                return Mono.error(e);
+            }
+            return Flux.range(0, Places.MESSAGE_PARTS).map(i -> "m" + (first + i) % Places.MESSAGE_PARTS)
+                .concatMap(p -> courier.ask(p, t -> new Commands.FetchAsk(p, service, in.processor(), in.most()),
+                    Commands.Fetched.class, OWNER_HINTS)
+                    .onErrorResume(e -> Fault.of(e).kind() == ErrorKind.FORBIDDEN ? Mono.error(e) : Mono.empty()), 1)
+                .filter(f -> !f.messages().isEmpty()).next()
+                .map(f -> Answer.json(200, Map.of("messages", f.messages().stream().map(Gangway::handed).toList())))
+                .switchIfEmpty(Mono.defer(() -> env.times().mono().compareTo(until) >= 0
+                    ? Mono.just(Answer.json(200, Map.of("messages", List.of())))
+                    : Pauses.pause(env.schedules(), POLL).then(fetch(q, service, in, until, first + 1))));
+        });
+    }
+
+    private static Map<String, Object> handed(Message m) {
+        return Map.of("messageId", m.handle(), "attempt", m.attempt(), "callerId", m.id(), "tenant", m.tenant(),
+            "lane", m.lane(), "orderingKey", m.orderKey(), "deadline", m.deadline().toString(),
+            "body", new RawValue(new String(m.body(), java.nio.charset.StandardCharsets.UTF_8)));
+    }
+
+    private Mono<Answer> outcome(Request q, String handle) throws Fault {
+        Layout.Key key = doors.key(q, Layout.Role.PROCESSOR);
+        OutcomeIn in = doors.body(q, OutcomeIn.class);
+        if (in.outcome().equals("done") && in.receipt().isBlank()) {
+            throw new Fault(ErrorKind.BAD_REQUEST, "Done needs a receipt.");
+        }
+        String part = partOf(handle);
+        var now = env.times().wall();
+        Commands.Ending ending = switch (in.outcome()) {
+            case "done" -> Commands.Ending.DONE;
+            case "failed" -> Commands.Ending.FAILED;
+            default -> Commands.Ending.RETRY;
+        };
+        Commands.End end = new Commands.End(handle, in.attempt(), ending, in.receipt(), now.plusMillis(500), now);
+        return courier.ask(part, t -> new Commands.OutcomeAsk(part, end, in.processor(), key.service()),
+            Commands.Changed.class, LIMIT)
+            .map(c -> Answer.json(200, Map.of("recorded", c.done(), "state",
+                c.message().state().name().toLowerCase(Locale.ROOT))));
+    }
+}
--- /dev/null
+++ b/pilot/src/main/java/org/woadvale/pilot/gangway/Intake.java
@@ -0,0 +1,139 @@
+package org.woadvale.pilot.gangway;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+import org.woadvale.foundation.chart.Charts;
+import org.woadvale.foundation.chart.Layout;
+import org.woadvale.foundation.gate.Answer;
+import org.woadvale.foundation.gate.Request;
+import org.woadvale.foundation.keeper.Env;
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.foundation.lantern.Stage;
+import org.woadvale.foundation.tide.Purse;
+import org.woadvale.foundation.tide.Purses;
+import org.woadvale.foundation.watch.Places;
+import org.woadvale.pilot.berth.Commands;
+import org.woadvale.pilot.berth.LaneTerms;
+import org.woadvale.pilot.launch.Courier;
+
+import reactor.core.publisher.Mono;
+
+/** A hand-in's way: checked, then a pass, then the store; three stages with bounded queues. design 9.6 */
+final class Intake {
+    static final int MAX_BODY = 16 << 10;
+    private static final Duration LIMIT = Duration.ofMillis(4000);
+    private static final int DEPTH = 1024;
+    private static final int WIDTH = 256;
+
+    private record Checked(Request q, String tenant, String lane, HandIn in, String hash) { }
+
+    private record Admitted(Checked c, Purse.Pass pass) { }
+
+    private final Env env;
+    private final Doors doors;
+    private final Purses purses;
+    private final Courier courier;
+    private final Stage<Checked, Admitted> passing;
+    private final Stage<Admitted, Answer> handingOver;
+
+    Intake(Env env, Doors doors, Purses purses, Courier courier) {
+        this.env = env;
+        this.doors = doors;
+        this.purses = purses;
+        this.courier = courier;
+        this.passing = new Stage<>("passes", DEPTH, WIDTH * 4, this::pass);
+        this.handingOver = new Stage<>("hand-over", DEPTH, WIDTH, this::handOver);
+    }
+
+    Mono<Answer> handIn(Request q, String lane) {
+        try {
+            return passing.submit(check(q, lane)).flatMap(a -> handingOver.submit(a)
+                .doOnError(e -> {
+                    if (Fault.of(e).kind() == ErrorKind.QUEUE_FULL) {
+                        putBack(a);
+                    }
+                }));
+        } catch (Fault e) {
+            return Mono.error(e);
+        }
+    }
+
+    private Checked check(Request q, String lane) throws Fault {
+        Layout.Key key = doors.key(q, Layout.Role.CALLER);
+        Layout.Lane l = doors.lane(lane);
+        HandIn in = doors.body(q, HandIn.class);
+        if (l.ordering() == Layout.Ordering.KEY && in.orderingKey().isEmpty()) {
+            throw new Fault(ErrorKind.BAD_REQUEST, "The lane " + lane + " needs an orderingKey.");
+        }
+        if (l.ordering() == Layout.Ordering.NONE && !in.orderingKey().isEmpty()) {
+            throw new Fault(ErrorKind.BAD_REQUEST, "The lane " + lane + " has no ordering; leave out orderingKey.");
+        }
+        String hash = Charts.sha256(in.orderingKey() + "\n" + in.delayMs() + "\n" + in.body());
+        return new Checked(q, key.tenant(), lane, in, hash);
+    }
+
+    private Mono<Admitted> pass(Checked c) {
+        return purses.take(Places.tenantBucket(c.tenant())).map(p -> new Admitted(c, p));
+    }
+
+    private String bucket(Admitted a) {
+        return Places.tenantBucket(a.c().tenant());
+    }
+
+    private void putBack(Admitted a) {
+        purses.putBack(bucket(a), a.pass());
+    }
+
+    /** Key, lane and pass are looked at once more, right before the hand-over. */
+    private Mono<Answer> handOver(Admitted a) {
+        Checked c = a.c();
+        Layout.Lane lane;
+        try {
+            doors.key(c.q(), Layout.Role.CALLER);
+            lane = doors.lane(c.lane());
+            if (!purses.alive(a.pass())) {
+                throw new Fault(ErrorKind.THROTTLED, "The pass died while waiting.");
+            }
+        } catch (Fault e) {
+            putBack(a);
+            return Mono.error(e);
+        }
+        String by = c.in().orderingKey().isEmpty() ? c.in().id() : c.in().orderingKey();
+        String part = Places.messagePart(c.lane(), by);
+        Instant now = env.times().wall();
+        Commands.Accept accept = new Commands.Accept(c.tenant(), c.lane(), c.in().id(), c.in().orderingKey(),
+            Charts.write(c.in().body()), c.hash(), LaneTerms.of(lane), now.plusMillis(c.in().delayMs()), now);
+        return courier.ask(part, turn -> new Commands.AcceptAsk(part, accept), Commands.Accepted.class, LIMIT)
+            .doOnNext(x -> settle(a, x))
+            .doOnError(e -> {
+                if (Fault.of(e).kind().definite()) {
+                    putBack(a);
+                } else {
+                    purses.settle(bucket(a), a.pass());
+                }
+            })
+            .map(x -> accepted(c, x));
+    }
+
+    /** A repeated hand-in was accepted before and has paid then. */
+    private void settle(Admitted a, Commands.Accepted x) {
+        if (x.repeated()) {
+            putBack(a);
+        } else {
+            purses.settle(bucket(a), a.pass());
+        }
+    }
+
+    private static Answer accepted(Checked c, Commands.Accepted x) {
+        Map<String, Object> body = new LinkedHashMap<>();
+        body.put("accepted", true);
+        body.put("handle", x.handle());
+        body.put("id", c.in().id());
+        body.put("repeated", x.repeated());
+        return Answer.json(202, body);
+    }
+}
