--- /dev/null
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Launcher.java
@@ -0,0 +1,241 @@
+package org.woadvale.pilot.launch;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.woadvale.foundation.chart.Layout;
+import org.woadvale.foundation.lantern.Schedule;
+import org.woadvale.foundation.tide.Allowance;
+import org.woadvale.foundation.tide.Bucket;
+import org.woadvale.foundation.watch.Places;
+import org.woadvale.foundation.watch.Processor;
+import org.woadvale.pilot.berth.Berths.Berth;
+import org.woadvale.pilot.berth.Commands;
+import org.woadvale.pilot.berth.LaneTerms;
+import org.woadvale.pilot.berth.Message;
+
+import reactor.core.publisher.Mono;
+
+/** Lets the messages of one part out, while this node owns it: design 9.3. */
+public final class Launcher {
+    private static final Duration LOOK = Duration.ofMillis(20);
+    private static final int LOOK_AHEAD = 64;
+    private static final Duration FIRST_BACKOFF = Duration.ofMillis(250);
+    private static final Duration LONGEST_BACKOFF = Duration.ofSeconds(20);
+    /** Retries of a lane in a part: a flood that cannot succeed spends only these. */
+    private static final Allowance RETRIES = new Allowance(5, 10);
+
+    private final Kit kit;
+    private final Berth berth;
+    private final Set<String> busy = ConcurrentHashMap.newKeySet();
+    private final Map<String, Bucket> retries = new HashMap<>();
+    private Schedule looking = () -> { };
+    private int turn;
+
+    public Launcher(Kit kit, Berth berth) {
+        this.kit = kit;
+        this.berth = berth;
+    }
+
+    public void start() {
+        looking = kit.env().schedules().every(LOOK, this::look);
+    }
+
+    public void stop() {
+        looking.cancel();
+    }
+
+    Kit kit() {
+        return kit;
+    }
+
+    String part() {
+        return berth.part();
+    }
+
+    boolean owns() {
+        return berth.replica().mayAct();
+    }
+
+    private Instant wall() {
+        return kit.env().times().wall();
+    }
+
+    private Layout layout() {
+        return kit.layouts().fresh().map(k -> k.layout()).orElse(Layout.empty());
+    }
+
+    LaneTerms terms(Message m) {
+        return Optional.ofNullable(layout().lanes().get(m.lane())).map(LaneTerms::of).orElse(m.terms());
+    }
+
+    /** Counted from when the message was due first: a delay asked for does not eat it up. */
+    Instant timeIsUp(Message m) {
+        return m.from().plusMillis(terms(m).timeLimitMs());
+    }
+
+    boolean triesLeft(Message m) {
+        return m.tries() < terms(m).attempts();
+    }
+
+    Duration backoff(int tries) {
+        Duration d = FIRST_BACKOFF.multipliedBy(1L << Math.min(10, Math.max(0, tries - 1)));
+        d = d.compareTo(LONGEST_BACKOFF) > 0 ? LONGEST_BACKOFF : d;
+        return d.dividedBy(2).plusNanos(Math.floorMod(kit.env().random().getAsLong(), d.toNanos()));
+    }
+
+    /** Where the processor of an attempt can be asked; empty once the platform no longer lists it. */
+    Optional<String> addressOf(Message m) {
+        Optional<Layout.Service> s = Optional.ofNullable(layout().services().get(terms(m).service()));
+        if (s.isPresent() && s.get().kind() == Layout.Kind.ENDPOINT) {
+            return Optional.of(s.get().address());
+        }
+        return kit.news().fresh(Places.processors(terms(m).service()))
+            .map(v -> Optional.ofNullable(v.processors().get(m.processor())).map(Processor::address))
+            .orElse(Optional.of(""));
+    }
+
+    /** Asking an outside endpoint counts as one of its requests, so it spends a leaving pass. */
+    boolean mayInquire(Message m) {
+        String service = terms(m).service();
+        return !paced(service) || kit.purses().tryTake(Places.endpointBucket(service)).map(p -> {
+            kit.purses().settle(Places.endpointBucket(service), p);
+            return true;
+        }).orElse(false);
+    }
+
+    boolean paced(String service) {
+        return Optional.ofNullable(layout().services().get(service)).filter(s -> s.ratePerS() > 0).isPresent();
+    }
+
+    private void look() {
+        if (!owns() || kit.layouts().fresh().isEmpty()) {
+            return;
+        }
+        adoptRunning();
+        Map<String, List<Message>> byLane = due();
+        List<String> lanes = new ArrayList<>(byLane.keySet());
+        turn++;
+        for (int i = 0; i < lanes.size(); i++) {
+            String lane = lanes.get((i + turn) % lanes.size());
+            for (Message m : byTurns(byLane.get(lane))) {
+                if (!begin(m)) {
+                    break;
+                }
+            }
+        }
+    }
+
+    /** Running here by the log, but not by us: the owner changed, so the outcome is unclear. */
+    private void adoptRunning() {
+        for (Message m : berth.replica().look(i -> berth.machine().running())) {
+            if (busy.add(m.handle())) {
+                new Run(this, m, new Targets.Target("", m.processor(), "")).inquire()
+                    .doFinally(s -> busy.remove(m.handle())).subscribe(x -> { }, e -> { });
+            }
+        }
+    }
+
+    private Map<String, List<Message>> due() {
+        Instant now = wall();
+        return berth.replica().look(i -> {
+            Map<String, List<Message>> out = new TreeMap<>();
+            berth.machine().startable().forEach((lane, set) -> {
+                List<Message> list = set.stream().limit(LOOK_AHEAD).filter(m -> !m.due().isAfter(now))
+                    .filter(m -> !busy.contains(m.handle())).toList();
+                if (!list.isEmpty()) {
+                    out.put(lane, list);
+                }
+            });
+            return out;
+        });
+    }
+
+    /** One of each tenant in turn. */
+    private static List<Message> byTurns(List<Message> all) {
+        Map<String, List<Message>> byTenant = new LinkedHashMap<>();
+        all.forEach(m -> byTenant.computeIfAbsent(m.tenant(), t -> new ArrayList<>()).add(m));
+        List<Message> out = new ArrayList<>();
+        for (int i = 0; out.size() < all.size(); i++) {
+            for (List<Message> l : byTenant.values()) {
+                if (i < l.size()) {
+                    out.add(l.get(i));
+                }
+            }
+        }
+        return out;
+    }
+
+    /** False when the lane can send nothing more now. */
+    private boolean begin(Message m) {
+        if (wall().isAfter(timeIsUp(m))) {
+            expire(m);
+            return true;
+        }
+        Optional<Targets.Target> t = kit.targets().draw(Drawing.targets(this, terms(m).service()));
+        if (t.isEmpty()) {
+            return false;
+        }
+        if (m.tries() > 0 && !retryAllowed(m.lane())) {
+            kit.targets().unused(t.get());
+            return true;
+        }
+        Optional<Ticket> ticket = Ticket.draw(this, berth, m, t.get());
+        if (ticket.isEmpty()) {
+            kit.targets().unused(t.get());
+            return false;
+        }
+        busy.add(m.handle());
+        launch(m, ticket.get(), t.get()).doFinally(s -> busy.remove(m.handle())).subscribe(x -> { }, e -> { });
+        return true;
+    }
+
+    private synchronized boolean retryAllowed(String lane) {
+        Bucket b = retries.computeIfAbsent(lane, k -> Bucket.full(RETRIES, kit.env().times().mono()));
+        b.fill(kit.env().times().mono(), 0);
+        return b.take(1);
+    }
+
+    private void expire(Message m) {
+        if (busy.add(m.handle())) {
+            kit.recorder().record(part(), new Commands.End(m.handle(), 0, Commands.Ending.FAILED, "time limit reached",
+                wall(), wall()), "").doFinally(s -> busy.remove(m.handle())).subscribe(x -> { }, e -> { });
+        }
+    }
+
+    /** The attempt is committed before anything is sent; then all is checked again. */
+    private Mono<Boolean> launch(Message m, Ticket ticket, Targets.Target t) {
+        Commands.Start start = new Commands.Start(m.handle(), m.attempt() + 1, t.id(),
+            wall().plusMillis(terms(m).attemptMs()), wall());
+        return berth.replica().propose(start, Commands.Changed.class)
+            .doOnError(e -> {
+                ticket.putBack();
+                kit.targets().unused(t);
+            })
+            .flatMap(c -> {
+                Run run = new Run(this, c.message(), t);
+                if (!c.done()) {
+                    ticket.putBack();
+                    kit.targets().unused(t);
+                    return Mono.just(false);
+                }
+                boolean still = Drawing.targets(this, terms(m).service()).contains(t);
+                if (!owns() || !still || !ticket.alive()) {
+                    ticket.putBack();
+                    kit.targets().unused(t);
+                    return run.end(Commands.Ending.NOT_SENT, "not sent", wall());
+                }
+                ticket.settle();
+                return run.push();
+            });
+    }
+}
--- /dev/null
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Launches.java
@@ -0,0 +1,132 @@
+package org.woadvale.pilot.launch;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.woadvale.foundation.beam.Router;
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.foundation.watch.Places;
+import org.woadvale.foundation.watch.Processor;
+import org.woadvale.pilot.berth.Berths.Berth;
+import org.woadvale.pilot.berth.Commands;
+import org.woadvale.pilot.berth.LaneTerms;
+import org.woadvale.pilot.berth.Message;
+
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/** All launchers of a store, and the fetching side of delivery: design 9.3 and 9.4. */
+public final class Launches {
+    private static final int SCAN = 64;
+    private final Kit kit;
+    private final Map<String, Launcher> launchers = new ConcurrentHashMap<>();
+
+    public Launches(Kit kit) {
+        this.kit = kit;
+    }
+
+    public void opened(Berth b) {
+        Launcher l = new Launcher(kit, b);
+        launchers.put(b.part(), l);
+        l.start();
+    }
+
+    public void stop() {
+        launchers.values().forEach(Launcher::stop);
+    }
+
+    public void route(Router router) {
+        router.on(Commands.FetchAsk.class, (f, a) -> kit.berths().at(a.part()).flatMap(b -> fetch(b, a)))
+            .on(Commands.OutcomeAsk.class, (f, a) -> kit.berths().at(a.part())
+                .flatMap(b -> outcome(b, a)));
+    }
+
+    /** A processor speaks only for its own service and its own attempts; an empty service is one of us. */
+    private Mono<Commands.Changed> outcome(Berth b, Commands.OutcomeAsk a) {
+        return b.replica().read(i -> b.machine().get(a.end().handle())).flatMap(m -> {
+            if (m.isPresent() && !a.service().isEmpty() && (!terms(m.get()).service().equals(a.service())
+                    || a.end().attempt() == m.get().attempt() && !a.processor().equals(m.get().processor()))) {
+                return Mono.error(new Fault(ErrorKind.FORBIDDEN, "This attempt was not given to " + a.processor() + "."));
+            }
+            if (a.end().ending() == Commands.Ending.RETRY && m.isPresent() && !a.service().isEmpty()
+                    && m.get().tries() >= terms(m.get()).attempts()) {
+                Commands.End e = a.end();
+                return b.replica().propose(new Commands.End(e.handle(), e.attempt(), Commands.Ending.FAILED,
+                    "attempts used up", e.due(), e.at()), Commands.Changed.class);
+            }
+            return b.replica().propose(a.end(), Commands.Changed.class);
+        });
+    }
+
+    private Mono<Commands.Fetched> fetch(Berth b, Commands.FetchAsk a) {
+        return b.replica().read(i -> i).flatMap(i -> {
+            if (!mayReceive(a)) {
+                return Mono.error(new Fault(ErrorKind.FORBIDDEN,
+                    "The processor " + a.processor() + " is not listed, is leaving, or the list is not proven fresh."));
+            }
+            return Flux.fromIterable(candidates(b, a.service())).take(a.most())
+                .concatMap(m -> start(b, m, a)).collectList().map(Commands.Fetched::new);
+        });
+    }
+
+    private boolean mayReceive(Commands.FetchAsk a) {
+        Optional<Processor> p = kit.news().fresh(Places.processors(a.service()))
+            .map(v -> v.processors().get(a.processor()));
+        return p.isPresent() && !p.get().leaving() && p.get().address().isEmpty();
+    }
+
+    private List<Message> candidates(Berth b, String service) {
+        var now = kit.env().times().wall();
+        List<Message> out = new ArrayList<>();
+        b.replica().look(i -> {
+            b.machine().startable().values().forEach(set -> set.stream().limit(SCAN)
+                .filter(m -> !m.due().isAfter(now) && terms(m).service().equals(service)).forEach(out::add));
+            return out;
+        });
+        out.sort(Comparator.comparing(Message::due).thenComparing(Message::seq));
+        return out;
+    }
+
+    private LaneTerms terms(Message m) {
+        return kit.layouts().fresh().flatMap(k -> Optional.ofNullable(k.layout().lanes().get(m.lane())))
+            .map(LaneTerms::of).orElse(m.terms());
+    }
+
+    /** The attempt is committed before the answer; all is checked again at hand-out. */
+    private Mono<Message> start(Berth b, Message m, Commands.FetchAsk a) {
+        var now = kit.env().times().wall();
+        if (now.isAfter(m.from().plusMillis(terms(m).timeLimitMs())) || kit.layouts().fresh().isEmpty()) {
+            return Mono.empty();
+        }
+        boolean paced = kit.layouts().fresh().flatMap(k -> Optional.ofNullable(k.layout().services().get(a.service())))
+            .filter(s -> s.ratePerS() > 0).isPresent();
+        Optional<Ticket> ticket = Ticket.draw(kit, b, m, a.service(), paced);
+        if (ticket.isEmpty()) {
+            return Mono.empty();
+        }
+        Commands.Start s = new Commands.Start(m.handle(), m.attempt() + 1, a.processor(),
+            now.plusMillis(terms(m).attemptMs()), now);
+        return b.replica().propose(s, Commands.Changed.class)
+            .doOnError(e -> ticket.get().putBack())
+            .onErrorResume(e -> Mono.empty())
+            .flatMap(c -> {
+                if (!c.done()) {
+                    ticket.get().putBack();
+                    return Mono.empty();
+                }
+                if (!mayReceive(a) || !b.replica().mayAct() || !ticket.get().alive()) {
+                    ticket.get().putBack();
+                    Commands.End e = new Commands.End(m.handle(), m.attempt() + 1, Commands.Ending.NOT_SENT, "not sent",
+                        now, now);
+                    return kit.recorder().record(b.part(), e, a.processor()).then(Mono.<Message>empty());
+                }
+                ticket.get().settle();
+                return Mono.just(c.message());
+            });
+    }
+}
--- /dev/null
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Run.java
@@ -0,0 +1,132 @@
+package org.woadvale.pilot.launch;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.woadvale.foundation.chart.Charts;
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.pilot.berth.Commands;
+import org.woadvale.pilot.berth.Message;
+
+import com.fasterxml.jackson.databind.util.RawValue;
+
+import reactor.core.publisher.Mono;
+
+/** One attempt at one message, from its committed start to its committed end: design 9.3. */
+final class Run {
+    private static final Logger LOG = LogManager.getLogger("launch");
+    private static final Duration ASK_AGAIN = Duration.ofMillis(500);
+    private static final Duration ASK_LIMIT = Duration.ofSeconds(2);
+
+    private final Launcher l;
+    private final Message m;
+    private final Targets.Target target;
+
+    Run(Launcher l, Message started, Targets.Target target) {
+        this.l = l;
+        this.m = started;
+        this.target = target;
+    }
+
+    private Instant wall() {
+        return l.kit().env().times().wall();
+    }
+
+    /** The body that a back end receives. */
+    static byte[] body(Message m) {
+        Map<String, Object> b = new LinkedHashMap<>();
+        b.put("messageId", m.handle());
+        b.put("attempt", m.attempt());
+        b.put("callerId", m.id());
+        b.put("tenant", m.tenant());
+        b.put("lane", m.lane());
+        b.put("orderingKey", m.orderKey());
+        b.put("body", new RawValue(new String(m.body(), java.nio.charset.StandardCharsets.UTF_8)));
+        return Charts.write(b);
+    }
+
+    /** Everything was checked right before; from here on the work may happen. */
+    Mono<Boolean> push() {
+        Duration begun = l.kit().env().times().mono();
+        Duration limit = Duration.between(wall(), m.deadline());
+        return l.kit().post().send("POST", target.address() + "/messages", body(m), limit)
+            .map(r -> Verdict.ofPush(r, m.handle(), m.attempt()))
+            .onErrorResume(e -> Mono.just(verdict(Fault.of(e))))
+            .flatMap(v -> {
+                boolean answered = v.kind() != Verdict.Kind.UNCLEAR && v.kind() != Verdict.Kind.NOT_KNOWN;
+                l.kit().targets().ended(target, answered && v.kind() != Verdict.Kind.LATER,
+                    l.kit().env().times().mono().minus(begun));
+                return settle(v);
+            });
+    }
+
+    /** Nothing was sent where no stream could be made: the message may be tried elsewhere. */
+    private static Verdict verdict(Fault f) {
+        return f.kind() == ErrorKind.UNREACHABLE ? new Verdict(Verdict.Kind.NOT_KNOWN, "unreachable")
+            : new Verdict(Verdict.Kind.UNCLEAR, String.valueOf(f.getMessage()));
+    }
+
+    private Mono<Boolean> settle(Verdict v) {
+        return switch (v.kind()) {
+            case DONE -> end(Commands.Ending.DONE, v.word(), wall());
+            case REFUSED -> end(Commands.Ending.FAILED, v.word(), wall());
+            case LATER -> l.triesLeft(m) ? end(Commands.Ending.RETRY, v.word(), wall().plus(l.backoff(m.tries())))
+                : end(Commands.Ending.FAILED, "attempts used up; last: " + v.word(), wall());
+            case NOT_KNOWN -> end(Commands.Ending.NOT_SENT, v.word(), wall().plus(l.backoff(1)));
+            case UNCLEAR, RUNNING -> inquireLater();
+        };
+    }
+
+    Mono<Boolean> end(Commands.Ending ending, String word, Instant due) {
+        Commands.End e = new Commands.End(m.handle(), m.attempt(), ending, word, due, wall());
+        return l.kit().recorder().record(l.part(), e, m.processor());
+    }
+
+    private Mono<Boolean> inquireLater() {
+        return org.woadvale.foundation.lantern.Pauses.pause(l.kit().env().schedules(), ASK_AGAIN)
+            .then(Mono.defer(this::inquire));
+    }
+
+    /** Never run again while the processor may still know: ask it by message id. */
+    Mono<Boolean> inquire() {
+        if (!l.owns()) {
+            return Mono.just(false);
+        }
+        boolean late = wall().isAfter(m.deadline());
+        if (wall().isAfter(l.timeIsUp(m))) {
+            return end(Commands.Ending.FAILED, "time limit reached while the outcome was unclear", wall());
+        }
+        Optional<String> address = l.addressOf(m);
+        if (address.isEmpty() && late) {
+            LOG.warn("launch: the processor of {} is gone; it runs again.", m.handle());
+            return retry("the processor is gone");
+        }
+        if (address.isEmpty() || address.get().isEmpty()) {
+            return late ? retry("no outcome before the deadline") : inquireLater();
+        }
+        if (!l.mayInquire(m)) {
+            return inquireLater();
+        }
+        return l.kit().post().send("GET", address.get() + "/runs/" + m.handle(), new byte[0], ASK_LIMIT)
+            .map(r -> Verdict.ofInquiry(r, m.handle()))
+            .onErrorResume(e -> Mono.just(new Verdict(Verdict.Kind.UNCLEAR, "no answer")))
+            .flatMap(v -> {
+                if (v.kind() == Verdict.Kind.NOT_KNOWN) {
+                    // a push still under way may arrive until the deadline: design 9.3
+                    return late ? retry(v.word()) : inquireLater();
+                }
+                return settle(v);
+            });
+    }
+
+    private Mono<Boolean> retry(String word) {
+        return l.triesLeft(m) ? end(Commands.Ending.RETRY, word, wall().plus(l.backoff(1)))
+            : end(Commands.Ending.FAILED, "attempts used up; last: " + word, wall());
+    }
+}
--- /dev/null
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Ticket.java
@@ -0,0 +1,53 @@
+package org.woadvale.pilot.launch;
+
+import java.util.Optional;
+
+import org.woadvale.foundation.tide.Purse;
+import org.woadvale.foundation.tide.Purses;
+import org.woadvale.foundation.watch.Places;
+import org.woadvale.pilot.berth.Berths.Berth;
+import org.woadvale.pilot.berth.Message;
+
+/** What a delivery spends: read units of the store, and a leaving pass where the service is paced. */
+final class Ticket {
+    private static final int READ_UNIT = 4096;
+    private final Purses purses;
+    private final String bucket;
+    private final Optional<Purse.Pass> pass;
+
+    private Ticket(Purses purses, String bucket, Optional<Purse.Pass> pass) {
+        this.purses = purses;
+        this.bucket = bucket;
+        this.pass = pass;
+    }
+
+    static Optional<Ticket> draw(Launcher l, Berth berth, Message m, Targets.Target t) {
+        return draw(l.kit(), berth, m, l.terms(m).service(), l.paced(l.terms(m).service()));
+    }
+
+    static Optional<Ticket> draw(Kit kit, Berth berth, Message m, String service, boolean paced) {
+        String bucket = Places.endpointBucket(service);
+        Optional<Purse.Pass> pass = paced ? kit.purses().tryTake(bucket) : Optional.empty();
+        if (paced && pass.isEmpty()) {
+            return Optional.empty();
+        }
+        Ticket ticket = new Ticket(kit.purses(), bucket, pass);
+        if (!kit.berths().spend(berth, (m.body().length + READ_UNIT - 1) / READ_UNIT)) {
+            ticket.putBack();
+            return Optional.empty();
+        }
+        return Optional.of(ticket);
+    }
+
+    boolean alive() {
+        return pass.map(purses::alive).orElse(true);
+    }
+
+    void settle() {
+        pass.ifPresent(p -> purses.settle(bucket, p));
+    }
+
+    void putBack() {
+        pass.ifPresent(p -> purses.putBack(bucket, p));
+    }
+}
--- /dev/null
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Verdict.java
@@ -0,0 +1,61 @@
+package org.woadvale.pilot.launch;
+
+import org.woadvale.foundation.chart.Charts;
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/** What a back end's answer means. Only an echo with a receipt is proof: design 9.3. */
+public record Verdict(Kind kind, String word) {
+    public enum Kind { DONE, REFUSED, LATER, UNCLEAR, RUNNING, NOT_KNOWN }
+
+    public static Verdict ofPush(Post.Reply r, String handle, int attempt) {
+        if (r.status() == 200) {
+            return proof(r, handle, attempt);
+        }
+        if (r.status() == 429 || r.status() == 408 || r.status() >= 500) {
+            return new Verdict(Kind.LATER, "answer " + r.status());
+        }
+        return r.status() >= 400 ? new Verdict(Kind.REFUSED, "answer " + r.status())
+            : new Verdict(Kind.UNCLEAR, "answer " + r.status());
+    }
+
+    private static Verdict proof(Post.Reply r, String handle, int attempt) {
+        JsonNode n = json(r.body());
+        String receipt = n.path("receipt").asText("");
+        boolean echo = n.path("messageId").asText("").equals(handle) && n.path("attempt").asInt(-1) == attempt;
+        return echo && !receipt.isEmpty() && receipt.length() <= 256 ? new Verdict(Kind.DONE, receipt)
+            : new Verdict(Kind.UNCLEAR, "an answer without proof");
+    }
+
+    /** The answer to the question what became of a message. */
+    public static Verdict ofInquiry(Post.Reply r, String handle) {
+        JsonNode n = json(r.body());
+        String state = n.path("state").asText("");
+        String receipt = n.path("receipt").asText("");
+        if (r.status() == 404 || state.equals("unknown")) {
+            return new Verdict(Kind.NOT_KNOWN, "not known to the processor");
+        }
+        if (r.status() == 200 && n.path("messageId").asText("").equals(handle)) {
+            if (state.equals("done") && !receipt.isEmpty()) {
+                return new Verdict(Kind.DONE, receipt);
+            }
+            if (state.equals("refused")) {
+                return new Verdict(Kind.REFUSED, "refused by the processor");
+            }
+            if (state.equals("running")) {
+                return new Verdict(Kind.RUNNING, "still running");
+            }
+        }
+        return new Verdict(Kind.UNCLEAR, "answer " + r.status());
+    }
+
+    private static JsonNode json(byte[] body) {
+        try {
+            return Charts.read(body, JsonNode.class, ErrorKind.BAD_REQUEST);
+        } catch (Fault e) {
+            return com.fasterxml.jackson.databind.node.MissingNode.getInstance();
+        }
+    }
+}
--- /dev/null
+++ b/trials/src/main/java/org/woadvale/trials/buoy/Backend.java
@@ -0,0 +1,121 @@
+package org.woadvale.trials.buoy;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.LongSupplier;
+
+import org.woadvale.foundation.chart.Charts;
+import org.woadvale.foundation.gate.Answer;
+import org.woadvale.foundation.gate.Request;
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.foundation.lantern.Pauses;
+import org.woadvale.foundation.lantern.Schedules;
+import org.woadvale.foundation.lantern.Times;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+import reactor.core.publisher.Mono;
+
+/** Stand-in for a processor or an outside endpoint; remembers what it did, unless told to forget. */
+public final class Backend {
+    /** How it behaves from now on. */
+    public record Manner(Duration work, double refuse, double later, double loseAnswer) {
+        public static Manner good() {
+            return new Manner(Duration.ofMillis(5), 0, 0, 0);
+        }
+    }
+
+    private record Done(int attempt, String receipt) { }
+
+    private final String id;
+    private final String service;
+    private final boolean paced;
+    private final Sightings s;
+    private final Times times;
+    private final Schedules schedules;
+    private final LongSupplier random;
+    private final Map<String, Done> done = new HashMap<>();
+    private final Map<String, Integer> running = new HashMap<>();
+    private Manner manner = Manner.good();
+
+    public Backend(String id, String service, boolean paced, Sightings s, Times times, Schedules schedules,
+                   LongSupplier random) {
+        this.id = id;
+        this.service = service;
+        this.paced = paced;
+        this.s = s;
+        this.times = times;
+        this.schedules = schedules;
+        this.random = random;
+    }
+
+    public synchronized void behave(Manner m) {
+        manner = m;
+    }
+
+    private boolean luck(double p) {
+        return Math.floorMod(random.getAsLong(), 10000L) < p * 10000;
+    }
+
+    public Mono<Answer> answer(Request q) {
+        return Mono.defer(() -> {
+            if (paced) {
+                s.saw(s.endpoints, new Sightings.RequestAtEndpoint(service, times.mono()));
+            }
+            try {
+                return q.method().equals("POST") ? work(Charts.read(q.body(), JsonNode.class, ErrorKind.BAD_REQUEST))
+                    : Mono.just(told(q.segments().get(q.segments().size() - 1)));
+            } catch (Fault e) {
+                return Mono.just(Answer.of(e));
+            }
+        });
+    }
+
+    private synchronized Mono<Answer> work(JsonNode m) {
+        String handle = m.path("messageId").asText();
+        int attempt = m.path("attempt").asInt();
+        Manner now = manner;
+        if (luck(now.later())) {
+            return Mono.just(Answer.json(503, Map.of("error", "later")));
+        }
+        s.saw(s.ran, new Sightings.Ran(handle, m.path("callerId").asText(), m.path("tenant").asText(),
+            m.path("lane").asText(), m.path("orderingKey").asText(), attempt, id, service, times.mono()));
+        running.merge(handle, 1, Integer::sum);
+        return Pauses.pause(schedules, now.work()).flatMap(x -> worked(handle, attempt, now));
+    }
+
+    private synchronized Mono<Answer> worked(String handle, int attempt, Manner now) {
+        running.merge(handle, -1, (a, b) -> a + b == 0 ? null : a + b);
+        if (luck(now.refuse())) {
+            s.saw(s.answered, new Sightings.Answered(handle, attempt, id, times.mono(), false, ""));
+            return Mono.just(Answer.json(422, Map.of("error", "refused")));
+        }
+        String receipt = id + ":" + handle + ":" + attempt;
+        done.put(handle, new Done(attempt, receipt));
+        s.saw(s.answered, new Sightings.Answered(handle, attempt, id, times.mono(), true, receipt));
+        if (luck(now.loseAnswer())) {
+            return Mono.error(new Fault(ErrorKind.UNKNOWN_OUTCOME, "the answer is lost"));
+        }
+        return Mono.just(Answer.json(200, shown(handle, "done", attempt, receipt)));
+    }
+
+    private static Map<String, Object> shown(String handle, String state, int attempt, String receipt) {
+        Map<String, Object> b = new LinkedHashMap<>();
+        b.put("messageId", handle);
+        b.put("state", state);
+        b.put("attempt", attempt);
+        b.put("receipt", receipt);
+        return b;
+    }
+
+    private synchronized Answer told(String handle) {
+        if (done.containsKey(handle)) {
+            return Answer.json(200, shown(handle, "done", done.get(handle).attempt(), done.get(handle).receipt()));
+        }
+        return running.containsKey(handle) ? Answer.json(200, shown(handle, "running", 0, ""))
+            : Answer.json(404, shown(handle, "unknown", 0, ""));
+    }
+}
--- /dev/null
+++ b/trials/src/main/java/org/woadvale/trials/buoy/Scenery.java
@@ -0,0 +1,65 @@
+package org.woadvale.trials.buoy;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.woadvale.foundation.chart.Charts;
+import org.woadvale.foundation.chart.Layout;
+
+/** The layout that the stand-ins play with: two processor groups, paced endpoints, eight tenants. */
+public record Scenery(int tenants, int endpoints, double ratePerS, int burst, double endpointRate) {
+    public static final String GROUP = "reserve";
+    public static final String ORDERED_GROUP = "ledger";
+
+    public static String callerKey(int tenant) {
+        return "caller-secret-" + tenant;
+    }
+
+    public static String tenant(int i) {
+        return "tenant" + i;
+    }
+
+    public static String endpoint(int i) {
+        return "registry" + i;
+    }
+
+    /** Plain, ordered, and one lane to each endpoint. */
+    public List<String> lanes() {
+        List<String> out = new ArrayList<>(List.of("hold", "accept"));
+        for (int i = 0; i < endpoints; i++) {
+            out.add("check" + i);
+        }
+        return out;
+    }
+
+    public Layout layout(java.util.function.IntFunction<String> endpointAddress) {
+        Map<String, Layout.Tenant> t = new TreeMap<>();
+        Map<String, Layout.Key> k = new TreeMap<>();
+        for (int i = 0; i < tenants; i++) {
+            t.put(tenant(i), new Layout.Tenant(ratePerS, burst));
+            k.put("key" + i, new Layout.Key(Layout.Role.CALLER, tenant(i), "", Charts.sha256(callerKey(i))));
+        }
+        Map<String, Layout.Service> s = new TreeMap<>();
+        s.put(GROUP, new Layout.Service(Layout.Kind.PROCESSORS, "", 0));
+        s.put(ORDERED_GROUP, new Layout.Service(Layout.Kind.PROCESSORS, "", 0));
+        Map<String, Layout.Lane> l = new TreeMap<>();
+        l.put("hold", new Layout.Lane(GROUP, Layout.Ordering.NONE, 60000, 8, 3000));
+        l.put("accept", new Layout.Lane(ORDERED_GROUP, Layout.Ordering.KEY, 60000, 8, 3000));
+        for (int i = 0; i < endpoints; i++) {
+            s.put(endpoint(i), new Layout.Service(Layout.Kind.ENDPOINT, endpointAddress.apply(i), endpointRate));
+            l.put("check" + i, new Layout.Lane(endpoint(i), Layout.Ordering.NONE, 60000, 8, 3000));
+        }
+        return new Layout(t, s, l, k);
+    }
+
+    public void allow(Sightings s) {
+        for (int i = 0; i < tenants; i++) {
+            s.allowances.put(tenant(i), new double[] {ratePerS, burst});
+        }
+        for (int i = 0; i < endpoints; i++) {
+            s.rates.put(endpoint(i), endpointRate);
+        }
+    }
+}
--- /dev/null
+++ b/trials/src/main/java/org/woadvale/trials/harbour/Client.java
@@ -0,0 +1,41 @@
+package org.woadvale.trials.harbour;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import org.woadvale.foundation.chart.Charts;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/** The stand-in's HTTP client: the JDK's own, so that no code is shared with the tested programs. */
+public final class Client {
+    public record Got(int status, JsonNode json, Map<String, java.util.List<String>> headers, byte[] body) { }
+
+    private final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
+        .connectTimeout(Duration.ofSeconds(1)).build();
+
+    public CompletableFuture<Got> send(String method, String address, String path, String key, byte[] body,
+                                       Map<String, String> headers) {
+        HttpRequest.Builder b = HttpRequest.newBuilder(URI.create("http://" + address + path))
+            .timeout(Duration.ofSeconds(8)).method(method, HttpRequest.BodyPublishers.ofByteArray(body));
+        headers.forEach(b::header);
+        if (!key.isEmpty()) {
+            b.header("Authorization", "Bearer " + key);
+        }
+        return http.sendAsync(b.build(), HttpResponse.BodyHandlers.ofByteArray())
+            .thenApply(r -> new Got(r.statusCode(), json(r.body()), r.headers().map(), r.body()));
+    }
+
+    private static JsonNode json(byte[] body) {
+        try {
+            return Charts.JSON.readTree(body);
+        } catch (java.io.IOException e) {
+            return com.fasterxml.jackson.databind.node.MissingNode.getInstance();
+        }
+    }
+}
--- /dev/null
+++ b/trials/src/main/java/org/woadvale/trials/harbour/Harbour.java
@@ -0,0 +1,102 @@
+package org.woadvale.trials.harbour;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.trials.buoy.NeverList;
+import org.woadvale.trials.buoy.Scenery;
+
+/** A real fleet on one machine from one command: design 12.2. */
+public final class Harbour {
+    private static final int TENANTS = 8;
+
+    private Harbour() { }
+
+    public static void main(String[] args) throws IOException, Fault {
+        if (args.length == 0 || args[0].equals("--help")) {
+            System.out.println("harbour smoke [SHAPE]            starts a fleet, hands in, checks, stops");
+            System.out.println("harbour load SHAPE SECONDS RATE  mixed traffic, then the never-list and the counts");
+            System.out.println("harbour drill NAME [SHAPE]       traffic with a failure; NAME is one of " + Drills.names());
+            System.out.println("harbour up [SHAPE]               starts a fleet with stand-ins and leaves it running");
+            System.out.println("SHAPE is small, lankavidya or rotterdam.");
+            System.exit(args.length == 0 ? 2 : 0);
+        }
+        boolean drill = args[0].equals("drill");
+        Shape shape = Shape.of(args.length > (drill ? 2 : 1) ? args[drill ? 2 : 1] : "small");
+        Path root = Files.createTempDirectory("harbour");
+        System.out.println("Data and logs: " + root);
+        boolean ok;
+        try (Fleet fleet = new Fleet(shape, root)) {
+            Scenery scenery = new Scenery(TENANTS, shape.endpoints, 45, 60, 26);
+            try (Town town = new Town(fleet, shape, scenery)) {
+                Duration up = begin(fleet, town);
+                System.out.println("Serving after " + up.toMillis() + " ms.");
+                Load load = new Load(town, fleet, 1);
+                switch (args[0]) {
+                    case "smoke" -> load.run(Duration.ofSeconds(3), 50);
+                    case "load" -> load.run(Duration.ofSeconds(Long.parseLong(args[2])), Integer.parseInt(args[3]));
+                    case "drill" -> Drills.run(args[1], fleet, town, load);
+                    case "up" -> stay(fleet);
+                    default -> throw new IllegalArgumentException("no command " + args[0] + "; see --help");
+                }
+                ok = report(fleet, town, load);
+            }
+        }
+        System.out.println(ok ? "PASS" : "FAIL");
+        System.exit(ok ? 0 : 1);
+    }
+
+    static Duration begin(Fleet fleet, Town town) throws IOException {
+        Duration begun = town.times.mono();
+        fleet.startAll();
+        town.putLayout(town.layout(), 0, "first");
+        town.listProcessors();
+        town.await("readiness", Duration.ofSeconds(40), () -> fleet.intakes.stream().allMatch(town::ready));
+        return town.times.mono().minus(begun);
+    }
+
+    private static void stay(Fleet fleet) {
+        fleet.all().forEach(v -> System.out.println(v.name + " internal " + v.address + " http " + v.http));
+        System.out.println("Caller keys: " + Scenery.callerKey(0) + " .. " + Scenery.callerKey(TENANTS - 1)
+            + ". Press Enter to stop.");
+        try {
+            System.in.read();
+        } catch (IOException e) {
+            System.out.println("No input: stopping.");
+        }
+    }
+
+    static boolean report(Fleet fleet, Town town, Load load) {
+        boolean settled = load.settle(Duration.ofSeconds(90));
+        System.out.println("Hand-ins by answer: " + load.kinds());
+        System.out.println("Accepted by state:  " + load.states() + (settled ? "" : " NOT ALL ENDED"));
+        List<String> bad = new NeverList(town.seen).violations();
+        bad.stream().limit(20).forEach(b -> System.out.println("NEVER: " + b));
+        System.out.println("Violations: " + bad.size());
+        counts(fleet, town);
+        return settled && bad.isEmpty() && !load.states().isEmpty();
+    }
+
+    private static void counts(Fleet fleet, Town town) {
+        long[] sum = new long[5];
+        for (Vessel v : fleet.all()) {
+            try {
+                var g = town.client.send("GET", v.http, "/v1/status", "", new byte[0], Map.of()).join();
+                sum[0] += g.json().path("syncs").asLong();
+                sum[1] += g.json().path("passes").path("atOnce").asLong();
+                sum[2] += g.json().path("passes").path("waited").asLong();
+                sum[3] += g.json().path("passes").path("throttled").asLong();
+                sum[4] += g.json().path("passes").path("asks").asLong();
+            } catch (java.util.concurrent.CompletionException e) {
+                System.out.println(v.name + " does not answer.");
+            }
+        }
+        System.out.println("Store syncs " + sum[0] + "; passes at once " + sum[1] + ", after a wait " + sum[2]
+            + ", throttled " + sum[3] + "; batch requests " + sum[4] + ".");
+    }
+}
--- /dev/null
+++ b/trials/src/main/java/org/woadvale/trials/harbour/Load.java
@@ -0,0 +1,140 @@
+package org.woadvale.trials.harbour;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.woadvale.foundation.chart.Charts;
+import org.woadvale.trials.buoy.Scenery;
+import org.woadvale.trials.buoy.Sightings;
+
+/** Callers: mixed traffic over all intakes at a steady rate, then the question what became of it. */
+public final class Load {
+    private final Town town;
+    private final Fleet fleet;
+    private final Random random;
+    private final AtomicLong ids = new AtomicLong();
+    private final Map<String, Integer> owners = new ConcurrentHashMap<>();
+    private final ConcurrentLinkedQueue<CompletableFuture<?>> open = new ConcurrentLinkedQueue<>();
+    private final Map<String, AtomicLong> kinds = new ConcurrentHashMap<>();
+
+    public Load(Town town, Fleet fleet, long seed) {
+        this.town = town;
+        this.fleet = fleet;
+        this.random = new Random(seed);
+    }
+
+    public void run(Duration howLong, int perSecond) {
+        Duration begun = town.times.mono();
+        long sent = 0;
+        while (town.times.mono().minus(begun).compareTo(howLong) < 0) {
+            long due = town.times.mono().minus(begun).toNanos() * perSecond / 1_000_000_000L;
+            while (sent < due) {
+                one(random.nextInt(town.scenery.tenants()));
+                sent++;
+            }
+            Town.sleep(5);
+        }
+    }
+
+    /** A hand-in of a mixed kind at an intake that is up. */
+    public CompletableFuture<Sightings.HandedIn> one(int tenant) {
+        List<String> lanes = town.scenery.lanes();
+        String lane = random.nextInt(3) == 0 ? "accept" : lanes.get(random.nextInt(lanes.size()));
+        Map<String, Object> body = new LinkedHashMap<>();
+        String id = "c" + ids.incrementAndGet();
+        body.put("id", id);
+        String order = lane.equals("accept") ? "applicant" + random.nextInt(60) : "";
+        if (!order.isEmpty()) {
+            body.put("orderingKey", order);
+        }
+        body.put("delayMs", random.nextInt(10) == 0 ? 500 + random.nextInt(1500) : 0);
+        body.put("body", Map.of("text", "x".repeat(200 + random.nextInt(1000))));
+        return handIn(tenant, id, lane, order, Charts.write(body), 3);
+    }
+
+    private CompletableFuture<Sightings.HandedIn> handIn(int tenant, String id, String lane, String order, byte[] body,
+                                                         int tries) {
+        Vessel v = fleet.intakes.get(random.nextInt(fleet.intakes.size()));
+        Duration sent = town.times.mono();
+        CompletableFuture<Sightings.HandedIn> f = town.client.send("POST", v.http, "/v1/lanes/" + lane + "/messages",
+            Scenery.callerKey(tenant), body, Map.of()).handle((g, e) -> {
+                Sightings.Said said = e != null || g.status() >= 500 && !Set.of(503).contains(g.status())
+                    ? Sightings.Said.UNKNOWN : g.status() == 202 ? Sightings.Said.ACCEPTED : Sightings.Said.REFUSED;
+                String kind = e != null ? "no answer" : g.status() == 202 ? "accepted" : g.json().path("kind").asText();
+                kinds.computeIfAbsent(kind, k -> new AtomicLong()).incrementAndGet();
+                String handle = said == Sightings.Said.ACCEPTED ? g.json().path("handle").asText() : "";
+                Sightings.HandedIn h = new Sightings.HandedIn(Scenery.tenant(tenant), id, lane, order,
+                    Scenery.callerKey(tenant), sent, town.times.mono(), said, kind, handle,
+                    said == Sightings.Said.ACCEPTED && g.json().path("repeated").asBoolean());
+                town.seen.saw(town.seen.handedIn, h);
+                if (said == Sightings.Said.ACCEPTED) {
+                    owners.put(handle, tenant);
+                }
+                return h;
+            }).thenCompose(h -> h.said() == Sightings.Said.UNKNOWN && tries > 0
+                ? handIn(tenant, id, lane, order, body, tries - 1) : CompletableFuture.completedFuture(h));
+        open.add(f);
+        return f;
+    }
+
+    /** Asks for every accepted message until all have ended. */
+    public boolean settle(Duration limit) {
+        open.forEach(f -> f.exceptionally(e -> null).join());
+        open.clear();
+        Set<String> left = ConcurrentHashMap.newKeySet();
+        left.addAll(owners.keySet());
+        Duration until = town.times.mono().plus(limit);
+        while (!left.isEmpty() && town.times.mono().compareTo(until) < 0) {
+            int n = 0;
+            java.util.ArrayList<CompletableFuture<?>> wave = new java.util.ArrayList<>();
+            for (String h : left) {
+                if (n++ >= 200) {
+                    break;
+                }
+                wave.add(ask(h, left));
+            }
+            wave.forEach(CompletableFuture::join);
+        }
+        return left.isEmpty();
+    }
+
+    private CompletableFuture<?> ask(String handle, Set<String> left) {
+        Vessel v = fleet.intakes.get(random.nextInt(fleet.intakes.size()));
+        return town.client.send("GET", v.http, "/v1/messages/" + handle, Scenery.callerKey(owners.get(handle)),
+            new byte[0], Map.of()).handle((g, e) -> {
+                if (e == null && g.status() == 200) {
+                    String state = g.json().path("state").asText();
+                    town.seen.saw(town.seen.shown, new Sightings.Shown(handle, state, g.json().path("proof").asText(""),
+                        town.times.mono()));
+                    if (state.equals("done") || state.equals("failed")) {
+                        left.remove(handle);
+                    }
+                }
+                return true;
+            });
+    }
+
+    public Map<String, Long> kinds() {
+        Map<String, Long> out = new TreeMap<>();
+        kinds.forEach((k, v) -> out.put(k, v.get()));
+        return out;
+    }
+
+    public Map<String, Long> states() {
+        Map<String, String> last = new HashMap<>();
+        town.seen.copy(town.seen.shown).forEach(s -> last.put(s.handle(), s.state()));
+        Map<String, Long> out = new TreeMap<>();
+        last.values().forEach(s -> out.merge(s, 1L, Long::sum));
+        return out;
+    }
+}
--- /dev/null
+++ b/trials/src/main/java/org/woadvale/trials/harbour/Shape.java
@@ -0,0 +1,31 @@
+package org.woadvale.trials.harbour;
+
+import java.util.Arrays;
+
+/** Sizes of fleets: design 12.2. */
+public enum Shape {
+    SMALL(2, 3, 3, 3, 4, 2),
+    LANKAVIDYA(8, 3, 3, 3, 20, 12),
+    ROTTERDAM(7, 4, 3, 4, 12, 12);
+
+    final int intakes;
+    final int stores;
+    final int lighthouses;
+    final int halls;
+    final int processors;
+    final int endpoints;
+
+    Shape(int intakes, int stores, int lighthouses, int halls, int processors, int endpoints) {
+        this.intakes = intakes;
+        this.stores = stores;
+        this.lighthouses = lighthouses;
+        this.halls = halls;
+        this.processors = processors;
+        this.endpoints = endpoints;
+    }
+
+    static Shape of(String name) {
+        return Arrays.stream(values()).filter(s -> s.name().equalsIgnoreCase(name)).findFirst()
+            .orElseThrow(() -> new IllegalArgumentException("no shape " + name + "; try small, lankavidya, rotterdam"));
+    }
+}
--- /dev/null
+++ b/trials/src/main/java/org/woadvale/trials/harbour/Town.java
@@ -0,0 +1,137 @@
+package org.woadvale.trials.harbour;
+
+import java.io.IOException;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletionException;
+import java.util.function.BooleanSupplier;
+
+import org.woadvale.foundation.chart.Charts;
+import org.woadvale.foundation.chart.Layout;
+import org.woadvale.foundation.gate.Gate;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.foundation.lantern.RealSchedules;
+import org.woadvale.foundation.lantern.RealTimes;
+import org.woadvale.foundation.lantern.Times;
+import org.woadvale.trials.buoy.Backend;
+import org.woadvale.trials.buoy.Scenery;
+import org.woadvale.trials.buoy.Sightings;
+
+/** The stand-ins around a real fleet: back ends, platform and head office. */
+public final class Town implements AutoCloseable {
+    public final Sightings seen = new Sightings();
+    public final Times times = new RealTimes();
+    public final Client client = new Client();
+    public final Scenery scenery;
+    public final Map<String, Backend> backends = new LinkedHashMap<>();
+    private final Map<String, String> addresses = new LinkedHashMap<>();
+    private final RealSchedules schedules = new RealSchedules(4);
+    private final List<Gate> gates = new ArrayList<>();
+    private final Fleet fleet;
+
+    public Town(Fleet fleet, Shape shape, Scenery scenery) throws IOException, Fault {
+        this.fleet = fleet;
+        this.scenery = scenery;
+        scenery.allow(seen);
+        for (int i = 0; i < shape.processors; i++) {
+            backend("p" + i, i % 2 == 0 ? Scenery.GROUP : Scenery.ORDERED_GROUP, false);
+        }
+        for (int i = 0; i < shape.endpoints; i++) {
+            backend(Scenery.endpoint(i), Scenery.endpoint(i), true);
+        }
+    }
+
+    private void backend(String id, String service, boolean paced) throws IOException, Fault {
+        Backend b = new Backend(id, service, paced, seen, times, schedules, new SecureRandom()::nextLong);
+        String address = Fleet.free();
+        Gate g = new Gate(address, 64 << 10, b::answer);
+        g.start();
+        gates.add(g);
+        backends.put(id, b);
+        addresses.put(id, address);
+    }
+
+    /** Asks lighthouses in turn until one gives a clear answer. */
+    public Client.Got operate(String method, String path, byte[] body, Map<String, String> headers) {
+        for (int i = 0; i < 60; i++) {
+            Vessel v = fleet.lighthouses.get(i % fleet.lighthouses.size());
+            try {
+                Client.Got g = client.send(method, v.http, path, "", body, headers).join();
+                if (g.status() < 500) {
+                    return g;
+                }
+            } catch (CompletionException e) {
+                // the next one is asked
+            }
+            sleep(200);
+        }
+        throw new IllegalStateException("no lighthouse answered " + method + " " + path);
+    }
+
+    public long putLayout(Layout l, long base, String requestId) {
+        byte[] json = Charts.write(l);
+        Client.Got g = operate("PUT", "/v1/layout", json, Map.of("If-Match", Long.toString(base), "X-Request-Id", requestId));
+        boolean taken = g.status() == 200;
+        long version = taken ? g.json().path("version").asLong() : -1;
+        seen.saw(seen.layouts, new Sightings.LayoutSaid(requestId, version, taken, true, times.mono(),
+            Charts.sha256(new String(json, java.nio.charset.StandardCharsets.UTF_8))));
+        if (!taken) {
+            throw new IllegalStateException("layout refused: " + new String(g.body(), java.nio.charset.StandardCharsets.UTF_8));
+        }
+        return version;
+    }
+
+    public Layout layout() {
+        return scenery.layout(i -> "http://" + addresses.get(Scenery.endpoint(i)));
+    }
+
+    public void listProcessors() {
+        backends.keySet().stream().filter(id -> id.startsWith("p")).forEach(id -> list(id, false));
+    }
+
+    public void list(String id, boolean leaving) {
+        int n = Integer.parseInt(id.substring(1));
+        String service = n % 2 == 0 ? Scenery.GROUP : Scenery.ORDERED_GROUP;
+        Client.Got g = operate("PUT", "/v1/services/" + service + "/processors/" + id,
+            Charts.write(Map.of("address", "http://" + addresses.get(id), "leaving", leaving)), Map.of());
+        if (g.status() != 200) {
+            throw new IllegalStateException("processor refused: " + g.status());
+        }
+        if (leaving) {
+            seen.saw(seen.leaving, new Sightings.MarkedLeaving(id, times.mono()));
+        }
+    }
+
+    public boolean ready(Vessel v) {
+        try {
+            return client.send("GET", v.http, "/v1/readiness", "", new byte[0], Map.of()).join().status() == 200;
+        } catch (CompletionException e) {
+            return false;
+        }
+    }
+
+    public Duration await(String what, Duration limit, BooleanSupplier until) {
+        Duration begun = times.mono();
+        while (!until.getAsBoolean()) {
+            if (times.mono().minus(begun).compareTo(limit) > 0) {
+                throw new IllegalStateException("waited in vain for " + what);
+            }
+            sleep(50);
+        }
+        return times.mono().minus(begun);
+    }
+
+    static void sleep(long ms) {
+        java.util.concurrent.locks.LockSupport.parkNanos(ms * 1_000_000L);
+    }
+
+    @Override
+    public void close() {
+        gates.forEach(Gate::stop);
+        schedules.close();
+    }
+}
--- /dev/null
+++ b/trials/src/main/java/org/woadvale/trials/harbour/Vessel.java
@@ -0,0 +1,103 @@
+package org.woadvale.trials.harbour;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.woadvale.foundation.chart.Charts;
+
+/** One real process of the fleet; only the fleet launcher starts processes. */
+public final class Vessel {
+    public final String name;
+    public final String address;
+    public final String http;
+    private final String mainClass;
+    private final Path folder;
+    private final Path bootFile;
+    private Optional<Process> process = Optional.empty();
+
+    public Vessel(String name, String mainClass, Path root, String address, String http, String hall,
+                  List<String> seeds, List<String> roles, boolean disk, boolean join) throws IOException {
+        this.name = name;
+        this.mainClass = mainClass;
+        this.address = address;
+        this.http = http;
+        this.folder = Files.createDirectories(root.resolve(name));
+        this.bootFile = folder.resolve("boot.json");
+        Map<String, Object> boot = new LinkedHashMap<>();
+        boot.put("address", address);
+        boot.put("http", http);
+        boot.put("hall", hall);
+        boot.put("seeds", seeds);
+        boot.put("roles", roles);
+        boot.put("data", disk ? folder.resolve("data").toString() : "");
+        boot.put("ringFiles", 8);
+        boot.put("ringFileMb", roles.contains("store") ? 16 : 4);
+        boot.put("join", join);
+        Files.write(bootFile, Charts.write(boot));
+    }
+
+    public void start() throws IOException {
+        List<String> cmd = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-Xmx192m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto",
+            "-cp", System.getProperty("java.class.path"), mainClass, "run", "--boot", bootFile.toString()));
+        ProcessBuilder b = new ProcessBuilder(cmd).redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("log").toFile()));
+        process = Optional.of(b.start());
+    }
+
+    public boolean alive() {
+        return process.map(Process::isAlive).orElse(false);
+    }
+
+    /** Like a loss of power of the process: no orderly stop. */
+    public void kill() {
+        process.ifPresent(p -> {
+            p.destroyForcibly();
+            waitFor(p);
+        });
+    }
+
+    /** SIGTERM: the program drains first. */
+    public void stop() {
+        process.ifPresent(p -> {
+            p.destroy();
+            waitFor(p);
+        });
+    }
+
+    private static void waitFor(Process p) {
+        try {
+            if (!p.waitFor(15, java.util.concurrent.TimeUnit.SECONDS)) {
+                p.destroyForcibly();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    public void signal(String sig) throws IOException {
+        if (alive()) {
+            Process k = new ProcessBuilder("kill", "-" + sig, Long.toString(process.orElseThrow().pid())).start();
+            waitFor(k);
+        }
+    }
+
+    /** As if the disk was lost. */
+    public void loseDisk() throws IOException {
+        try (var walk = Files.walk(folder.resolve("data"))) {
+            for (Path p : walk.sorted(java.util.Comparator.reverseOrder()).toList()) {
+                Files.delete(p);
+            }
+        }
+    }
+
+    public Path log() {
+        return folder.resolve("log");
+    }
+}
