--- /dev/null
+++ b/trials/src/main/java/org/woadvale/trials/squall/Head.java
@@ -0,0 +1,134 @@
+package org.woadvale.trials.squall;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.woadvale.foundation.chart.Charts;
+import org.woadvale.foundation.chart.Layout;
+import org.woadvale.foundation.gate.Answer;
+import org.woadvale.foundation.gate.Request;
+import org.woadvale.trials.buoy.Scenery;
+import org.woadvale.trials.buoy.Sightings;
+
+/** The head office: changes layouts, races itself, sends bad ones, withdraws keys; and looks at the effect. */
+final class Head {
+    private static final Duration PROBE_FOR = Duration.ofSeconds(7);
+    private final Voyage v;
+    private final World w;
+    private int n;
+
+    Head(Voyage v) {
+        this.v = v;
+        this.w = v.w;
+    }
+
+    private Layout withLane(Layout l, String lane) {
+        Map<String, Layout.Lane> lanes = new TreeMap<>(l.lanes());
+        lanes.put(lane, new Layout.Lane(Scenery.GROUP, Layout.Ordering.NONE, 30000, 5, 3000));
+        return new Layout(l.tenants(), l.services(), lanes, l.keys());
+    }
+
+    private static Layout withoutLane(Layout l, String lane) {
+        Map<String, Layout.Lane> lanes = new TreeMap<>(l.lanes());
+        lanes.remove(lane);
+        return new Layout(l.tenants(), l.services(), lanes, l.keys());
+    }
+
+    /** Adds a lane, or takes the last added one away; then every intake must follow within 3 s. */
+    void change() {
+        Optional<String> extra = v.layout.lanes().keySet().stream().filter(x -> x.startsWith("extra")).findFirst();
+        boolean remove = extra.isPresent() && n % 2 == 1;
+        String lane = remove ? extra.get() : "extra" + n;
+        Layout next = remove ? withoutLane(v.layout, lane) : withLane(v.layout, lane);
+        v.put(next, v.version, "change" + n++, a -> {
+            if (a.status() == 200) {
+                long version = v.version;
+                w.intakes.forEach(i -> probe(i, lane, !remove, version, w.sim.now(), w.sim.now().plus(PROBE_FOR)));
+            }
+        });
+    }
+
+    /** Hands in on the lane until it is certain that the intake follows; a newer layout ends the probe. */
+    private void probe(String intake, String lane, boolean wanted, long version, Duration acknowledged, Duration until) {
+        if (w.sim.now().compareTo(until) > 0 || v.version != version) {
+            return;
+        }
+        Duration sent = w.sim.now();
+        byte[] body = Charts.write(Map.of("id", "probe" + n + "-" + sent.toNanos(), "delayMs", 0, "body", Map.of()));
+        Request q = new Request("POST", "/v1/lanes/" + lane + "/messages",
+            Map.of("authorization", "Bearer " + Scenery.callerKey(2)), body);
+        w.request(intake, q, Duration.ofSeconds(5), a -> {
+            String kind = a.map(x -> Voyage.json(x).path("kind").asText("")).orElse("");
+            boolean ignored = wanted ? kind.equals("unknown_lane") : a.isPresent() && a.get().status() == 202;
+            if (ignored && v.version == version) {
+                w.seen.saw(w.seen.ignored, new Sightings.LayoutNeeded(lane + " at " + intake, acknowledged, sent));
+            }
+        });
+        w.sim.after(Duration.ofMillis(400), () -> probe(intake, lane, wanted, version, acknowledged, until));
+    }
+
+    /** Two operators, one base: at most one is taken. */
+    void race() {
+        long base = v.version;
+        v.put(withLane(v.layout, "race" + n), base, "race-a" + n, a -> { });
+        v.put(withLane(v.layout, "other" + n), base, "race-b" + n, a -> { });
+        n++;
+    }
+
+    void bad() {
+        Map<String, Layout.Lane> lanes = new HashMap<>(v.layout.lanes());
+        lanes.put("broken", new Layout.Lane("nowhere", Layout.Ordering.NONE, 30000, 5, 3000));
+        v.put(new Layout(v.layout.tenants(), v.layout.services(), lanes, v.layout.keys()), v.version, "bad" + n++, a -> { });
+    }
+
+    /** The last tenant's key goes, and is tried on every intake long after; later it comes back under a new secret. */
+    void withdraw() {
+        String secret = "short-lived-" + n;
+        Map<String, Layout.Key> with = new TreeMap<>(v.layout.keys());
+        with.put("short", new Layout.Key(Layout.Role.CALLER, Scenery.tenant(2), "", Charts.sha256(secret)));
+        String id = "key" + n++;
+        v.put(new Layout(v.layout.tenants(), v.layout.services(), v.layout.lanes(), with), v.version, id, a -> {
+            if (a.status() == 200) {
+                w.sim.after(Duration.ofSeconds(2), () -> drop(secret, id));
+                w.intakes.forEach(i -> use(i, secret, w.sim.now().plus(Duration.ofSeconds(14))));
+            }
+        });
+    }
+
+    private void drop(String secret, String id) {
+        Map<String, Layout.Key> without = new TreeMap<>(v.layout.keys());
+        without.remove("short");
+        v.put(new Layout(v.layout.tenants(), v.layout.services(), v.layout.lanes(), without), v.version, id + "-drop", a -> {
+            if (a.status() == 200) {
+                w.seen.saw(w.seen.keys, new Sightings.KeyWithdrawn(secret, w.sim.now()));
+            }
+        });
+    }
+
+    private void use(String intake, String secret, Duration until) {
+        if (w.sim.now().compareTo(until) > 0) {
+            return;
+        }
+        Duration sent = w.sim.now();
+        String id = "k" + secret + sent.toNanos();
+        Request q = new Request("POST", "/v1/lanes/hold/messages", Map.of("authorization", "Bearer " + secret),
+            Charts.write(Map.of("id", id, "delayMs", 0, "body", Map.of())));
+        w.request(intake, q, Duration.ofSeconds(5), a -> saw(a, secret, id, sent));
+        w.sim.after(Duration.ofMillis(500), () -> use(intake, secret, until));
+    }
+
+    private void saw(Optional<Answer> a, String secret, String id, Duration sent) {
+        boolean ok = a.isPresent() && a.get().status() == 202;
+        Sightings.Said said = ok ? Sightings.Said.ACCEPTED : a.isEmpty() || a.get().status() >= 500
+            && a.get().status() != 503 ? Sightings.Said.UNKNOWN : Sightings.Said.REFUSED;
+        String handle = ok ? Voyage.json(a.get()).path("handle").asText() : "";
+        w.seen.saw(w.seen.handedIn, new Sightings.HandedIn(Scenery.tenant(2), id, "hold", "", secret, sent, w.sim.now(),
+            said, "", handle, false));
+        if (ok) {
+            v.follow(handle, 2);
+        }
+    }
+}
--- /dev/null
+++ b/trials/src/main/java/org/woadvale/trials/squall/Host.java
@@ -0,0 +1,103 @@
+package org.woadvale.trials.squall;
+
+import java.time.Duration;
+import java.time.Instant;
+
+import org.woadvale.foundation.beam.Router;
+import org.woadvale.foundation.lantern.Schedule;
+import org.woadvale.foundation.lantern.Schedules;
+import org.woadvale.foundation.lantern.Times;
+
+/** One machine: its clocks run a little off, it can be killed, paused, and lose its power. */
+public final class Host implements Times, Schedules {
+    private static final Instant EPOCH = Instant.parse("2030-01-01T00:00:00Z");
+    final String address;
+    final Sim sim;
+    final SimDisk disk;
+    private final double pace;
+    private Router router = new Router();
+    private boolean alive;
+    private long life;
+    private Duration pausedUntil = Duration.ZERO;
+    private Duration started = Duration.ZERO;
+
+    Host(String address, Sim sim) {
+        this.address = address;
+        this.sim = sim;
+        this.disk = new SimDisk(sim);
+        this.pace = 1 + (sim.random().nextDouble() - 0.5) * 0.01;
+    }
+
+    void boot(Router r) {
+        router = r;
+        alive = true;
+        started = sim.now();
+        pausedUntil = Duration.ZERO;
+    }
+
+    /** The process is gone; what it had planned never happens. */
+    void kill() {
+        alive = false;
+        life++;
+    }
+
+    void powerLoss() {
+        kill();
+        disk.powerLoss();
+    }
+
+    void pause(Duration d) {
+        pausedUntil = sim.now().plus(d);
+    }
+
+    boolean alive() {
+        return alive;
+    }
+
+    long life() {
+        return life;
+    }
+
+    Router router() {
+        return router;
+    }
+
+    @Override
+    public Duration mono() {
+        return Duration.ofNanos((long) (sim.now().minus(started).toNanos() * pace));
+    }
+
+    @Override
+    public Instant wall() {
+        return EPOCH.plus(sim.now());
+    }
+
+    private void guarded(long bornIn, boolean[] cancelled, Runnable task) {
+        if (life != bornIn || cancelled[0]) {
+            return;
+        }
+        if (sim.now().compareTo(pausedUntil) < 0) {
+            sim.at(pausedUntil, () -> guarded(bornIn, cancelled, task));
+            return;
+        }
+        task.run();
+    }
+
+    @Override
+    public Schedule after(Duration delay, Runnable task) {
+        boolean[] cancelled = {false};
+        long bornIn = life;
+        sim.after(Duration.ofNanos((long) (delay.toNanos() / pace)), () -> guarded(bornIn, cancelled, task));
+        return () -> cancelled[0] = true;
+    }
+
+    @Override
+    public void soon(Runnable task) {
+        after(sim.between(1, 50), task);
+    }
+
+    @Override
+    public void onDisk(Runnable task) {
+        after(sim.between(500, 4000), task);
+    }
+}
--- /dev/null
+++ b/trials/src/main/java/org/woadvale/trials/squall/Sim.java
@@ -0,0 +1,75 @@
+package org.woadvale.trials.squall;
+
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.PriorityQueue;
+import java.util.Random;
+
+/** The fake clock and everything that is to happen on it: design 12.1. */
+public final class Sim {
+    private record Event(Duration at, long seq, Runnable task) { }
+
+    private final PriorityQueue<Event> events =
+        new PriorityQueue<>(Comparator.comparing(Event::at).thenComparingLong(Event::seq));
+    private final Random random;
+    private Duration now = Duration.ofSeconds(1000);
+    private long seq;
+    private long ran;
+
+    public Sim(long seed) {
+        random = new Random(seed);
+    }
+
+    public Duration now() {
+        return now;
+    }
+
+    public Random random() {
+        return random;
+    }
+
+    public boolean luck(double p) {
+        return random.nextDouble() < p;
+    }
+
+    /** A time between two bounds. */
+    public Duration between(long fromMicros, long toMicros) {
+        return Duration.ofNanos((fromMicros + (long) (random.nextDouble() * (toMicros - fromMicros))) * 1000);
+    }
+
+    public void at(Duration when, Runnable task) {
+        events.add(new Event(when.compareTo(now) < 0 ? now : when, seq++, task));
+    }
+
+    public void after(Duration delay, Runnable task) {
+        at(now.plus(delay), task);
+    }
+
+    /** Runs everything that happens within the given time. */
+    public void run(Duration howLong) {
+        Duration end = now.plus(howLong);
+        while (!events.isEmpty() && events.peek().at().compareTo(end) <= 0) {
+            Event e = events.poll();
+            now = e.at();
+            ran++;
+            e.task().run();
+        }
+        now = end;
+    }
+
+    /** Runs until the condition holds, looked at each 100 ms; false if it does not within the limit. */
+    public boolean runUntil(java.util.function.BooleanSupplier condition, Duration limit) {
+        Duration end = now.plus(limit);
+        while (!condition.getAsBoolean()) {
+            if (now.compareTo(end) >= 0) {
+                return false;
+            }
+            run(Duration.ofMillis(100));
+        }
+        return true;
+    }
+
+    public long ran() {
+        return ran;
+    }
+}
--- /dev/null
+++ b/trials/src/main/java/org/woadvale/trials/squall/SimNet.java
@@ -0,0 +1,150 @@
+package org.woadvale.trials.squall;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.woadvale.foundation.beam.Beam;
+import org.woadvale.foundation.beam.Codec;
+import org.woadvale.foundation.beam.Exchange;
+import org.woadvale.foundation.beam.Frame;
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.foundation.lantern.Schedule;
+
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+
+/** A network that delays, loses, doubles, and can be cut in one direction. */
+public final class SimNet {
+    private final Sim sim;
+    private final Map<String, Host> hosts = new HashMap<>();
+    private final Set<String> cuts = new HashSet<>();
+    private double loss;
+    private double twice;
+    private long frames;
+
+    public SimNet(Sim sim) {
+        this.sim = sim;
+    }
+
+    void add(Host h) {
+        hosts.put(h.address, h);
+    }
+
+    public void weather(double newLoss, double newTwice) {
+        loss = newLoss;
+        twice = newTwice;
+    }
+
+    public void cutOneWay(String from, String to) {
+        cuts.add(from + ">" + to);
+    }
+
+    public void cutOff(String who) {
+        hosts.keySet().stream().filter(h -> !h.equals(who)).forEach(h -> {
+            cutOneWay(who, h);
+            cutOneWay(h, who);
+        });
+    }
+
+    public void heal() {
+        cuts.clear();
+    }
+
+    public boolean reaches(String from, String to) {
+        return !cuts.contains(from + ">" + to);
+    }
+
+    public long frames() {
+        return frames;
+    }
+
+    Duration delay() {
+        return sim.luck(0.01) ? sim.between(5_000, 60_000) : sim.between(100, 1500);
+    }
+
+    private boolean lost(String from, String to) {
+        return !reaches(from, to) || sim.luck(loss);
+    }
+
+    Beam beam(Host self, Codec codec) {
+        return new SimBeam(self, codec);
+    }
+
+    private final class SimBeam implements Beam {
+        private final Host self;
+        private final Codec codec;
+
+        SimBeam(Host self, Codec codec) {
+            this.self = self;
+            this.codec = codec;
+        }
+
+        @Override
+        public String self() {
+            return self.address;
+        }
+
+        @Override
+        public <T> Mono<T> ask(String to, Object body, Class<T> answer, Duration limit) {
+            return Mono.defer(() -> {
+                Sinks.One<Frame> sink = Sinks.one();
+                Schedule late = self.after(limit,
+                    () -> sink.tryEmitError(new Fault(ErrorKind.UNKNOWN_OUTCOME, "No answer in time.")));
+                byte[] bytes = codec.write(new Frame(1, Frame.Kind.ASK, body));
+                long life = self.life();
+                deliver(to, bytes, sink, life);
+                if (sim.luck(twice)) {
+                    deliver(to, bytes, sink, life);
+                }
+                return sink.asMono().doFinally(s -> late.cancel());
+            }).flatMap(f -> f.kind() == Frame.Kind.REFUSAL ? Mono.<T>error(fault((Frame.Refusal) f.body()))
+                : Mono.just(answer.cast(f.body())));
+        }
+
+        private Fault fault(Frame.Refusal r) {
+            return new Fault(ErrorKind.valueOf(r.kind()), r.message(), r.details());
+        }
+
+        private void deliver(String to, byte[] bytes, Sinks.One<Frame> sink, long life) {
+            frames++;
+            Optional<Host> target = Optional.ofNullable(hosts.get(to));
+            if (!to.equals(self.address) && lost(self.address, to)) {
+                return;
+            }
+            sim.after(delay(), () -> {
+                if (target.isEmpty() || !target.get().alive()) {
+                    back(life, () -> sink.tryEmitError(new Fault(ErrorKind.UNREACHABLE, "No stream to " + to + ".")));
+                    return;
+                }
+                target.get().soon(() -> Exchange.serve(target.get().router(), self.address, read(bytes))
+                    .subscribe(f -> reply(target.get(), f, sink, life)));
+            });
+        }
+
+        private Frame read(byte[] bytes) {
+            try {
+                return codec.read(bytes, Frame.class);
+            } catch (Fault e) {
+                throw new IllegalStateException(e);
+            }
+        }
+
+        private void reply(Host from, Frame f, Sinks.One<Frame> sink, long life) {
+            byte[] bytes = codec.write(f);
+            if (from.alive() && (from == self || !lost(from.address, self.address))) {
+                sim.after(delay(), () -> back(life, () -> sink.tryEmitValue(read(bytes))));
+            }
+        }
+
+        private void back(long life, Runnable r) {
+            if (self.life() == life && self.alive()) {
+                self.soon(r);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/trials/src/main/java/org/woadvale/trials/squall/SimPost.java
@@ -0,0 +1,115 @@
+package org.woadvale.trials.squall;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.woadvale.foundation.gate.Request;
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.foundation.lantern.Schedule;
+import org.woadvale.foundation.lantern.Schedules;
+import org.woadvale.foundation.lantern.Times;
+import org.woadvale.pilot.launch.Post;
+import org.woadvale.trials.buoy.Backend;
+
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+
+/** The way from stores to back ends; back ends live outside of every host. */
+public final class SimPost {
+    /** The outside's clock: true time. */
+    public interface Outside extends Times, Schedules { }
+
+    private final World w;
+    private final Set<String> down = new HashSet<>();
+    private double answerLoss;
+
+    SimPost(World w) {
+        this.w = w;
+    }
+
+    public void down(String backend, boolean isDown) {
+        if (isDown) {
+            down.add(backend);
+        } else {
+            down.remove(backend);
+        }
+    }
+
+    public void answerLoss(double p) {
+        answerLoss = p;
+    }
+
+    Outside clock() {
+        return new Outside() {
+            @Override
+            public Duration mono() {
+                return w.sim.now();
+            }
+
+            @Override
+            public Instant wall() {
+                return Instant.EPOCH.plus(w.sim.now());
+            }
+
+            @Override
+            public Schedule after(Duration delay, Runnable task) {
+                boolean[] cancelled = {false};
+                w.sim.after(delay, () -> {
+                    if (!cancelled[0]) {
+                        task.run();
+                    }
+                });
+                return () -> cancelled[0] = true;
+            }
+
+            @Override
+            public void soon(Runnable task) {
+                w.sim.after(Duration.ZERO, task);
+            }
+
+            @Override
+            public void onDisk(Runnable task) {
+                w.sim.after(Duration.ZERO, task);
+            }
+        };
+    }
+
+    Post from(Host h) {
+        return (method, url, body, limit) -> Mono.defer(() -> {
+            Sinks.One<Post.Reply> sink = Sinks.one();
+            h.after(limit, () -> sink.tryEmitError(new Fault(ErrorKind.UNKNOWN_OUTCOME, "no answer in time")));
+            String rest = url.substring("http://".length());
+            String id = name(rest.substring(0, rest.indexOf('/')));
+            Optional<Backend> b = Optional.ofNullable(w.backends.get(id));
+            w.sim.after(w.net.delay(), () -> {
+                if (b.isEmpty() || down.contains(id)) {
+                    h.soon(() -> sink.tryEmitError(new Fault(ErrorKind.UNREACHABLE, "refused")));
+                    return;
+                }
+                b.get().answer(new Request(method, rest.substring(rest.indexOf('/')), Map.of(), body))
+                    .subscribe(a -> {
+                        if (!w.sim.luck(answerLoss) && !down.contains(id)) {
+                            w.sim.after(w.net.delay(), () -> h.soon(
+                                () -> sink.tryEmitValue(new Post.Reply(a.status(), a.body()))));
+                        }
+                    }, e -> { });
+            });
+            return sink.asMono();
+        });
+    }
+
+    /** Back ends are addressed by number, as the layout's rules want. */
+    public String address(String backend) {
+        return "127.0.0.1:" + (10000 + java.util.List.copyOf(w.backends.keySet()).indexOf(backend));
+    }
+
+    private String name(String address) {
+        int n = Integer.parseInt(address.substring(address.indexOf(':') + 1)) - 10000;
+        return w.backends.keySet().stream().skip(n).findFirst().orElse("");
+    }
+}
--- /dev/null
+++ b/trials/src/main/java/org/woadvale/trials/squall/World.java
@@ -0,0 +1,183 @@
+package org.woadvale.trials.squall;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.woadvale.foundation.beam.Beam;
+import org.woadvale.foundation.beam.Codec;
+import org.woadvale.foundation.beam.Router;
+import org.woadvale.foundation.chart.Boot;
+import org.woadvale.foundation.gate.Answer;
+import org.woadvale.foundation.gate.Request;
+import org.woadvale.foundation.keeper.Env;
+import org.woadvale.foundation.keeper.Pace;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.foundation.logbook.Logbook;
+import org.woadvale.foundation.logbook.NoLogbook;
+import org.woadvale.foundation.logbook.RingLogbook;
+import org.woadvale.foundation.watch.Core;
+import org.woadvale.foundation.watch.Wire;
+import org.woadvale.lighthouse.lamp.LampNode;
+import org.woadvale.lighthouse.lamp.Operators;
+import org.woadvale.pilot.PilotNode;
+import org.woadvale.pilot.berth.Commands;
+import org.woadvale.trials.buoy.Backend;
+import org.woadvale.trials.buoy.Scenery;
+import org.woadvale.trials.buoy.Sightings;
+
+import reactor.core.publisher.Mono;
+
+/** A whole fleet of the shipped nodes on fakes: design 12.1. */
+public final class World {
+    private static final int RING_FILES = 8;
+    private static final int RING_BYTES = 512 << 10;
+
+    public final Sim sim;
+    public final SimNet net;
+    public final Sightings seen = new Sightings();
+    public final Scenery scenery;
+    public final List<String> lighthouses = new ArrayList<>();
+    public final List<String> stores = new ArrayList<>();
+    public final List<String> intakes = new ArrayList<>();
+    public final Map<String, Backend> backends = new LinkedHashMap<>();
+    public final SimPost post;
+    private final Map<String, Host> hosts = new LinkedHashMap<>();
+    private final Map<String, LampNode> lamps = new HashMap<>();
+    private final Map<String, Operators> operators = new HashMap<>();
+    private final Map<String, PilotNode> pilots = new HashMap<>();
+    private final Map<String, String> halls = new HashMap<>();
+
+    public World(long seed, int intakeCount, int storeCount, Scenery scenery) throws Fault {
+        this.sim = new Sim(seed);
+        this.net = new SimNet(sim);
+        this.post = new SimPost(this);
+        this.scenery = scenery;
+        scenery.allow(seen);
+        for (int i = 0; i < 3; i++) {
+            lighthouses.add(host("10.0.0." + (i + 1) + ":1", i));
+        }
+        for (int i = 0; i < storeCount; i++) {
+            stores.add(host("10.0.1." + (i + 1) + ":1", i));
+        }
+        for (int i = 0; i < intakeCount; i++) {
+            intakes.add(host("10.0.2." + (i + 1) + ":1", i));
+        }
+        for (String h : List.copyOf(hosts.keySet())) {
+            start(h);
+        }
+    }
+
+    private String host(String address, int hall) {
+        Host h = new Host(address, sim);
+        hosts.put(address, h);
+        net.add(h);
+        halls.put(address, "hall" + hall % 3);
+        return address;
+    }
+
+    /** A machine that was not there before. */
+    public String newStore() throws Fault {
+        String a = host("10.0.1." + (stores.size() + 1) + ":1", stores.size());
+        stores.add(a);
+        start(a);
+        return a;
+    }
+
+    public Host host(String address) {
+        return hosts.get(address);
+    }
+
+    public Backend addBackend(String id, String service, boolean paced) {
+        Backend b = new Backend(id, service, paced, seen, post.clock(), post.clock(), sim.random()::nextLong);
+        backends.put(id, b);
+        return b;
+    }
+
+    public void start(String address) throws Fault {
+        Host h = hosts.get(address);
+        boolean lamp = lighthouses.contains(address);
+        boolean store = stores.contains(address);
+        Router router = new Router();
+        Codec codec = lamp ? Wire.codec(Wire.LIGHTHOUSE, Operators.types()) : Wire.codec(Wire.PILOT, Commands.types());
+        h.boot(router);
+        Beam beam = net.beam(h, codec);
+        Logbook book = lamp || store ? RingLogbook.open(h.disk, h, RING_FILES, RING_BYTES) : new NoLogbook();
+        book.onFailure(why -> h.kill());
+        Env env = new Env(h, h, beam, codec, book, sim.random()::nextLong, Pace.usual());
+        Core core = new Core(beam, sim.random()::nextLong, lighthouses, List.of(), l -> { });
+        if (lamp) {
+            LampNode n = new LampNode(env, core, lighthouses);
+            n.route(router);
+            Operators o = new Operators(n, "");
+            o.route(router);
+            lamps.put(address, n);
+            operators.put(address, o);
+            n.start();
+        } else {
+            Boot boot = new Boot(address, address, halls.get(address), lighthouses, Set.of(store ? "store" : "intake"),
+                store ? "x" : "", RING_FILES, 1, "", false);
+            PilotNode n = new PilotNode(env, boot, core, post.from(h));
+            n.route(router);
+            pilots.put(address, n);
+            n.start();
+        }
+    }
+
+    public void kill(String address) {
+        hosts.get(address).kill();
+    }
+
+    public void restart(String address) throws Fault {
+        if (!hosts.get(address).alive()) {
+            start(address);
+        }
+    }
+
+    public PilotNode pilot(String address) {
+        return pilots.get(address);
+    }
+
+    public LampNode lamp(String address) {
+        return lamps.get(address);
+    }
+
+    public List<String> all() {
+        return List.copyOf(hosts.keySet());
+    }
+
+    /** A request from outside to one node; no answer at all if the node dies or stays away. */
+    public void request(String to, Request q, Duration limit, java.util.function.Consumer<Optional<Answer>> then) {
+        Host h = hosts.get(to);
+        boolean[] over = {false};
+        sim.after(limit, () -> {
+            if (!over[0]) {
+                over[0] = true;
+                then.accept(Optional.empty());
+            }
+        });
+        sim.after(net.delay(), () -> {
+            if (!h.alive()) {
+                return;
+            }
+            h.soon(() -> {
+                Mono<Answer> m = lighthouses.contains(to) ? operators.get(to).answer(q) : pilots.get(to).answer(q);
+                m.subscribe(a -> sim.after(net.delay(), () -> {
+                    if (!over[0]) {
+                        over[0] = true;
+                        then.accept(Optional.of(a));
+                    }
+                }));
+            });
+        });
+    }
+
+    public boolean ready() {
+        return intakes.stream().allMatch(i -> hosts.get(i).alive() && pilots.get(i).ready());
+    }
+}
