Do not take a stale processor list for a processor that is gone

Cause: an unclear attempt whose node could not prove its views fresh read 'no address', the same answer as 'no longer listed' and as 'fetches by itself', and ran again. Ruled out: lost votes and double owners (no other line of the never-list failed). Whereabouts now has four values; only a fresh view can say gone. Failing seeds 21, 28, 37 stay in StormTest.

--- a/pilot/src/main/java/org/woadvale/pilot/launch/Drawing.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Drawing.java
@@ -9,6 +9,8 @@
 
 /** Who may receive work of a service now, by views of proven age: design 7.2. */
 final class Drawing {
+    static final String ENDPOINT = "endpoint";
+
     private Drawing() { }
 
     static List<Targets.Target> targets(Launcher l, String service) {
@@ -17,7 +19,7 @@
             return List.of();
         }
         if (s.get().kind() == Layout.Kind.ENDPOINT) {
-            return List.of(new Targets.Target(service, "endpoint", s.get().address()));
+            return List.of(new Targets.Target(service, ENDPOINT, s.get().address()));
         }
         List<Targets.Target> out = new ArrayList<>();
         l.kit().news().fresh(Places.processors(service)).ifPresent(v -> v.processors().forEach((id, p) -> {
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Launcher.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Launcher.java
@@ -93,15 +93,28 @@
         return d.dividedBy(2).plusNanos(Math.floorMod(kit.env().random().getAsLong(), d.toNanos()));
     }
 
-    /** Where the processor of an attempt can be asked; empty once the platform no longer lists it. */
-    Optional<String> addressOf(Message m) {
-        Optional<Layout.Service> s = Optional.ofNullable(layout().services().get(terms(m).service()));
+    /** Only views of proven age may say that a processor is gone. */
+    Whereabouts whereabouts(Message m) {
+        Optional<Layout> l = kit.layouts().fresh().map(k -> k.layout());
+        if (l.isEmpty()) {
+            return Whereabouts.of(Whereabouts.Kind.NOT_KNOWN_NOW);
+        }
+        String service = terms(m).service();
+        Optional<Layout.Service> s = Optional.ofNullable(l.get().services().get(service));
         if (s.isPresent() && s.get().kind() == Layout.Kind.ENDPOINT) {
-            return Optional.of(s.get().address());
+            return Whereabouts.at(s.get().address());
+        }
+        if (s.isEmpty() && m.processor().equals(Drawing.ENDPOINT)) {
+            return Whereabouts.of(Whereabouts.Kind.GONE);
         }
-        return kit.news().fresh(Places.processors(terms(m).service()))
-            .map(v -> Optional.ofNullable(v.processors().get(m.processor())).map(Processor::address))
-            .orElse(Optional.of(""));
+        return kit.news().fresh(Places.processors(service))
+            .map(v -> Optional.ofNullable(v.processors().get(m.processor())).map(Launcher::whereabouts)
+                .orElse(Whereabouts.of(Whereabouts.Kind.GONE)))
+            .orElse(Whereabouts.of(Whereabouts.Kind.NOT_KNOWN_NOW));
+    }
+
+    private static Whereabouts whereabouts(Processor p) {
+        return p.address().isEmpty() ? Whereabouts.of(Whereabouts.Kind.FETCHES) : Whereabouts.at(p.address());
     }
 
     /** Asking an outside endpoint counts as one of its requests, so it spends a leaving pass. */
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Run.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Run.java
@@ -4,7 +4,6 @@
 import java.time.Instant;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.Optional;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -102,18 +101,18 @@
         if (wall().isAfter(l.timeIsUp(m))) {
             return end(Commands.Ending.FAILED, "time limit reached while the outcome was unclear", wall());
         }
-        Optional<String> address = l.addressOf(m);
-        if (address.isEmpty() && late) {
+        Whereabouts where = l.whereabouts(m);
+        if (late && where.kind() == Whereabouts.Kind.GONE) {
             LOG.warn("launch: the processor of {} is gone; it runs again.", m.handle());
             return retry("the processor is gone");
         }
-        if (address.isEmpty() || address.get().isEmpty()) {
-            return late ? retry("no outcome before the deadline") : inquireLater();
+        if (late && where.kind() == Whereabouts.Kind.FETCHES) {
+            return retry("no outcome before the deadline");
         }
-        if (!l.mayInquire(m)) {
+        if (where.kind() != Whereabouts.Kind.AT || !l.mayInquire(m)) {
             return inquireLater();
         }
-        return l.kit().post().send("GET", address.get() + "/runs/" + m.handle(), new byte[0], ASK_LIMIT)
+        return l.kit().post().send("GET", where.address() + "/runs/" + m.handle(), new byte[0], ASK_LIMIT)
             .map(r -> Verdict.ofInquiry(r, m.handle()))
             .onErrorResume(e -> Mono.just(new Verdict(Verdict.Kind.UNCLEAR, "no answer")))
             .flatMap(v -> {
--- /dev/null
+++ b/trials/src/test/java/org/woadvale/trials/squall/StormTest.java
@@ -0,0 +1,21 @@
+package org.woadvale.trials.squall;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.woadvale.foundation.lantern.Fault;
+
+/** A fixed small set of storms; every seed that ever failed stays here, with its cause. */
+class StormTest {
+    /** 21, 28, 37: an unclear attempt ran again because a stale view was taken for "the processor is gone". */
+    @ParameterizedTest
+    @ValueSource(longs = {6, 7, 9, 21, 28, 37})
+    void nothingThatMustNeverHappenHappens(long seed) throws Fault {
+        Storm s = new Storm(seed);
+        List<String> bad = s.run();
+        assertEquals(List.of(), bad, () -> "blows: " + s.log());
+    }
+}
