Stop refusing rightful traffic: small first grants, prompt spent reports, holder at once

Cause (callers at 3/4 of their allowance, 8 intakes, fake clock): 3.7 % throttled, all in the first two seconds. The first asker counted as the only active one and got a second of the whole rate; spent passes counted as out until the next ask; a holder not yet known was looked up at the next poll. Ruled out: waiting queue size, part and store units. Now a newcomer's grants start at what waits and double, spent passes are told within 0.1 s, an unknown holder is asked for at once, batches of one only on demand.

--- a/foundation/src/main/java/org/woadvale/foundation/beacon/News.java
+++ b/foundation/src/main/java/org/woadvale/foundation/beacon/News.java
@@ -33,6 +33,7 @@
         Duration confirmed = Duration.ZERO;
         Duration wantedUntil = Duration.ZERO;
         boolean always;
+        boolean hurried;
         Duration directUntil = Duration.ZERO;
 
         Followed(String service) {
@@ -86,6 +87,23 @@
         return shard.get(() -> want(service).view);
     }
 
+    /** Asks the core for one service at once, when waiting for the next poll would refuse somebody. */
+    public void hurry(String service) {
+        Map<String, Long> known = shard.get(() -> {
+            Followed f = want(service);
+            if (f.hurried && f.any) {
+                return Map.<String, Long>of();
+            }
+            f.hurried = true;
+            return Map.of(service, f.any ? f.view.version() : -1L);
+        });
+        if (!known.isEmpty()) {
+            Duration sent = now();
+            core.ask(Places.controlPart(service), new Asks.NewsAsk(known), Asks.NewsReply.class)
+                .subscribe(r -> took(r, sent), e -> { });
+        }
+    }
+
     private Followed want(String service) {
         Followed f = all.computeIfAbsent(service, Followed::new);
         f.wantedUntil = now().plus(INTEREST);
--- a/foundation/src/main/java/org/woadvale/foundation/tide/Holding.java
+++ b/foundation/src/main/java/org/woadvale/foundation/tide/Holding.java
@@ -9,6 +9,7 @@
 
 /** The aggregate bucket of one duty term: design 8.2. */
 public final class Holding {
+    private static final int MOST = 1 << 20;
     private static final Duration ACTIVE = Duration.ofSeconds(3);
 
     private static final class Grant {
@@ -31,11 +32,14 @@
         }
     }
 
+    /** A node that asked lately; its first grants are small and double, so that one cannot empty the bucket. */
+    private record Asker(Duration last, int most) { }
+
     private final long term;
     private final Bucket bucket;
     private final Map<String, Grant> byId = new HashMap<>();
     private final Deque<Grant> byEnd = new ArrayDeque<>();
-    private final Map<String, Duration> askers = new HashMap<>();
+    private final Map<String, Asker> askers = new HashMap<>();
     private int outstanding;
 
     /** A first term starts full; a later one at the level handed over, and fills once old passes are dead. */
@@ -74,7 +78,7 @@
             outstanding -= g.out();
             byId.remove(g.asker + "/" + g.id);
         }
-        askers.values().removeIf(t -> now.minus(t).compareTo(ACTIVE) > 0);
+        askers.values().removeIf(x -> now.minus(x.last()).compareTo(ACTIVE) > 0);
         bucket.fill(now, outstanding);
     }
 
@@ -93,15 +97,19 @@
     /** Idempotent by asker and grant id; never grants more than the aggregate holds. */
     public Passes.PassReply ask(String asker, Passes.PassAsk a, Duration now) {
         settle(now);
-        askers.put(asker, now);
         a.reports().forEach(r -> report(asker, r));
         bucket.fill(now, outstanding);
         Grant known = byId.get(asker + "/" + a.grant());
         if (known != null) {
             return new Passes.PassReply(a.grant(), known.granted, Duration.ZERO, term);
         }
+        if (a.grant() == Passes.NO_GRANT) {
+            return new Passes.PassReply(a.grant(), 0, Duration.ZERO, term);
+        }
+        int most = Optional.ofNullable(askers.get(asker)).map(Asker::most).orElse(1);
+        askers.put(asker, new Asker(now, Math.min(most * 2, MOST)));
         int batch = (int) Math.max(1, bucket.allowance().ratePerS() / active());
-        int want = Math.max(batch, a.least());
+        int want = Math.max(Math.min(batch, most), a.least());
         int n = (int) Math.min(want, Math.floor(bucket.level() + 1e-9));
         if (n <= 0 || !bucket.take(n)) {
             return new Passes.PassReply(a.grant(), 0, bucket.until(1), term);
--- a/foundation/src/main/java/org/woadvale/foundation/tide/Passes.java
+++ b/foundation/src/main/java/org/woadvale/foundation/tide/Passes.java
@@ -10,6 +10,9 @@
     /** The holder counts them for longer, for clocks that do not run alike. */
     public static final Duration MARGIN = Duration.ofMillis(100);
 
+    /** An ask that only reports. */
+    public static final long NO_GRANT = 0;
+
     private Passes() { }
 
     /** Spent so far of a grant, and whether the rest is given back for good. */
--- a/foundation/src/main/java/org/woadvale/foundation/tide/Purse.java
+++ b/foundation/src/main/java/org/woadvale/foundation/tide/Purse.java
@@ -84,6 +84,11 @@
         return left == 0 || (lastBatch >= 2 && left * 2 <= lastBatch);
     }
 
+    /** Something was spent that the holder still counts as out. */
+    public boolean hasNews() {
+        return lots.stream().anyMatch(l -> !l.told && l.settled > 0);
+    }
+
     public boolean tiny() {
         return lastBatch < 2;
     }
--- a/foundation/src/main/java/org/woadvale/foundation/tide/Purses.java
+++ b/foundation/src/main/java/org/woadvale/foundation/tide/Purses.java
@@ -25,6 +25,7 @@
     private static final Duration SEEN = Duration.ofSeconds(2);
     private static final Duration ASK = Duration.ofMillis(200);
     private static final Duration AGAIN = Duration.ofMillis(30);
+    private static final Duration TELL = Duration.ofMillis(100);
     private static final int MAX_WAITING = 256;
 
     private record Waiting(Sinks.One<Purse.Pass> sink, Duration until) { }
@@ -36,6 +37,9 @@
         Duration notBefore = Duration.ZERO;
         Duration retry = WAIT;
         boolean asking;
+        /** Somebody wanted a pass and did not wait for it. */
+        boolean missed;
+        Duration told = Duration.ZERO;
         long pending;
         Duration pendingSince = Duration.ZERO;
     }
@@ -102,6 +106,7 @@
             l.seen = now();
             Optional<Purse.Pass> p = l.purse.take(now());
             p.ifPresent(x -> atOnce++);
+            l.missed = p.isEmpty();
             refill(bucket, l);
             return p;
         });
@@ -135,6 +140,7 @@
             }
             if (now().minus(l.seen).compareTo(SEEN) < 0) {
                 refill(b, l);
+                report(b, l);
             }
         }));
     }
@@ -152,13 +158,14 @@
     }
 
     private void refill(String bucket, Local l) {
-        boolean need = !l.waiting.isEmpty() || (l.purse.low(now()) && !(l.purse.tiny() && l.purse.left(now()) > 0));
+        boolean need = !l.waiting.isEmpty() || l.missed || (l.purse.low(now()) && !l.purse.tiny());
         if (!need || l.asking || now().compareTo(l.notBefore) < 0) {
             return;
         }
         Optional<String> holder = Optional.of(news.latest(bucket).duty().holder()).filter(h -> !h.isEmpty());
         if (holder.isEmpty()) {
             l.notBefore = now().plus(AGAIN);
+            shard.leave(() -> news.hurry(bucket));
             return;
         }
         if (l.pending == 0 || now().minus(l.pendingSince).compareTo(Passes.LIFE.dividedBy(2)) > 0) {
@@ -166,9 +173,11 @@
             l.pendingSince = now();
         }
         l.asking = true;
+        l.told = now();
         asks++;
         Duration since = l.pendingSince;
-        Passes.PassAsk ask = new Passes.PassAsk(bucket, l.pending, l.waiting.size(), l.purse.reports(now()));
+        Passes.PassAsk ask = new Passes.PassAsk(bucket, l.pending, Math.max(l.waiting.size(), l.missed ? 1 : 0),
+            l.purse.reports(now()));
         shard.leave(() -> env.beam().ask(holder.get(), ask, Passes.PassReply.class, ASK)
             .subscribe(r -> shard.run(() -> granted(bucket, l, r, since)), e -> shard.run(() -> {
                 l.asking = false;
@@ -176,8 +185,21 @@
             })));
     }
 
+    /** What is spent is told soon: the holder fills only what is not out. */
+    private void report(String bucket, Local l) {
+        Optional<String> holder = Optional.of(news.latest(bucket).duty().holder()).filter(h -> !h.isEmpty());
+        if (l.asking || holder.isEmpty() || !l.purse.hasNews() || now().minus(l.told).compareTo(TELL) < 0) {
+            return;
+        }
+        l.told = now();
+        asks++;
+        Passes.PassAsk ask = new Passes.PassAsk(bucket, Passes.NO_GRANT, 0, l.purse.reports(now()));
+        shard.leave(() -> env.beam().ask(holder.get(), ask, Passes.PassReply.class, ASK).subscribe(r -> { }, e -> { }));
+    }
+
     private void granted(String bucket, Local l, Passes.PassReply r, Duration asked) {
         l.asking = false;
+        l.missed = false;
         l.pending = 0;
         l.purse.granted(r.grant(), r.granted(), asked, now());
         l.retry = r.granted() > 0 ? AGAIN : r.retry();
