A draining replica is no heir: no more handing back and forth

Cause: a drained store gave its parts away, and the new owner, seeing the first of the placement up to date, gave them back at the next look. Replies now say whether the replica is willing. Lighthouses now spread owners the same way after a return.

--- a/foundation/src/main/java/org/woadvale/foundation/keeper/Follower.java
+++ b/foundation/src/main/java/org/woadvale/foundation/keeper/Follower.java
@@ -7,6 +7,7 @@
 final class Follower {
     final Duration since;
     String identity = "";
+    boolean willing;
     long match;
     /** When the latest confirmed renewal was sent, by the owner's clock. */
     Duration confirmed = Duration.ZERO;
@@ -77,6 +78,7 @@
             identity = a.identity();
             match = 0;
         }
+        willing = a.willing();
         confirmed = at.compareTo(confirmed) > 0 ? at : confirmed;
         if (a.ok()) {
             match = Math.max(match, a.match());
--- a/foundation/src/main/java/org/woadvale/foundation/keeper/Following.java
+++ b/foundation/src/main/java/org/woadvale/foundation/keeper/Following.java
@@ -15,7 +15,7 @@
     }
 
     private Messages.AppendReply reply(boolean ok, long match) {
-        return new Messages.AppendReply(r.term, ok, match, r.identity);
+        return new Messages.AppendReply(r.term, ok, match, r.identity, r.willing);
     }
 
     private boolean heard(String from, long term) {
--- a/foundation/src/main/java/org/woadvale/foundation/keeper/Messages.java
+++ b/foundation/src/main/java/org/woadvale/foundation/keeper/Messages.java
@@ -13,7 +13,7 @@
 
     public record AppendAsk(String part, long term, long prevIndex, long prevTerm, List<LogItem> items, long commit) { }
 
-    public record AppendReply(long term, boolean ok, long match, String identity) { }
+    public record AppendReply(long term, boolean ok, long match, String identity, boolean willing) { }
 
     public record ViewPush(String part, long term, Base base) { }
 
--- a/foundation/src/main/java/org/woadvale/foundation/keeper/Owning.java
+++ b/foundation/src/main/java/org/woadvale/foundation/keeper/Owning.java
@@ -145,7 +145,7 @@
     Optional<String> heir() {
         return followers.entrySet().stream()
             .filter(e -> e.getValue().identity.equals(r.groups.committed().get(e.getKey())))
-            .filter(e -> e.getValue().match >= r.ledger.lastIndex())
+            .filter(e -> e.getValue().willing && e.getValue().match >= r.ledger.lastIndex())
             .map(Map.Entry::getKey)
             .min(Comparator.comparingInt(n -> r.wanted.contains(n) ? r.wanted.indexOf(n) : Integer.MAX_VALUE));
     }
--- a/foundation/src/main/java/org/woadvale/foundation/keeper/Replica.java
+++ b/foundation/src/main/java/org/woadvale/foundation/keeper/Replica.java
@@ -40,6 +40,8 @@
     String identity = "";
     boolean sworn;
     String owner = "";
+    /** A draining replica follows and votes, but is no heir. */
+    boolean willing = true;
     /** Until when, by our clock, the present owner's claim may run. */
     Duration claimHeard;
     List<String> wanted;
@@ -188,6 +190,10 @@
         })).flatMap(o -> result.isInstance(o) ? Mono.just(result.cast(o)) : Mono.error((Throwable) o));
     }
 
+    public void unwilling() {
+        shard.run(() -> willing = false);
+    }
+
     /** Gives the part to another replica that is up to date; used by drains and by spreading. */
     public boolean handOver(String to) {
         return shard.get(() -> phase == Phase.OWNING && owning.handOver(to));
--- a/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/LampNode.java
+++ b/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/LampNode.java
@@ -136,12 +136,26 @@
         }
         if (draining) {
             handOver();
+        } else {
+            spread();
+        }
+    }
+
+    /** The first lighthouse of a part's list owns it once it is back and up to date; one move at a look. */
+    private void spread() {
+        for (Map.Entry<String, Part> e : parts.entrySet()) {
+            Replica r = e.getValue().replica();
+            String first = turned(lighthouses(), e.getKey()).get(0);
+            if (r.heir().filter(first::equals).isPresent() && r.handOver(first)) {
+                return;
+            }
         }
     }
 
     /** Owners hand over before they stop. */
     public boolean drain() {
         draining = true;
+        parts.values().forEach(p -> p.replica().unwilling());
         handOver();
         return drained();
     }
--- a/pilot/src/main/java/org/woadvale/pilot/berth/Berths.java
+++ b/pilot/src/main/java/org/woadvale/pilot/berth/Berths.java
@@ -169,6 +169,7 @@
 
     public boolean drain() {
         draining = true;
+        berths.values().forEach(b -> b.replica().unwilling());
         berths.values().forEach(b -> spread(b, List.of()));
         return berths.values().stream().noneMatch(b -> b.replica().phase() == Phase.OWNING);
     }
