Replace a lost lighthouse by operator's call, a lost store by placement; tests of repair

PUT /v1/core exchanges one lighthouse at a time through each part's own log; a joining lighthouse founds nothing. Tests: a fourth store takes a lost one's place and a second loss is survived; a short absence moves nothing; a lighthouse is replaced and a second one lost; owners are spread again after a rolling restart. A store is ready only once every part it has knows its owner.

--- a/foundation/src/main/java/org/woadvale/foundation/watch/Asks.java
+++ b/foundation/src/main/java/org/woadvale/foundation/watch/Asks.java
@@ -50,10 +50,13 @@
 
     public record LayoutTaken(long version, boolean repeated) { }
 
+    /** One lighthouse for another: the whole list as it should be. */
+    public record PutCore(List<String> lighthouses) { }
+
     public static List<Class<?>> types() {
         return List.of(ClaimAsk.class, LeaveAsk.class, DutyAsk.class, DutyReply.class, DutyRelease.class, Done.class,
             NewsAsk.class, NewsReply.class, CoreAsk.class, CoreReply.class, PutSeat.class, DropSeat.class,
             PutProcessor.class, DropProcessor.class, TakeDuty.class, ReleaseDuty.class, Place.class, PutLayout.class,
-            LayoutTaken.class, Seat.class, Processor.class, Duty.class, ServiceView.class);
+            LayoutTaken.class, Seat.class, Processor.class, Duty.class, ServiceView.class, PutCore.class);
     }
 }
--- a/foundation/src/main/java/org/woadvale/foundation/watch/Places.java
+++ b/foundation/src/main/java/org/woadvale/foundation/watch/Places.java
@@ -8,6 +8,8 @@
 /** Names of services and parts, and the draws by hash that everyone makes alike: design 6.2. */
 public final class Places {
     public static final String LAYOUT = "layout";
+    /** Who the lighthouses should be; kept with the layout. */
+    public static final String CORE = "core";
     public static final String INTAKES = "role/intake";
     public static final String STORES = "role/store";
     public static final int CONTROL_PARTS = 8;
@@ -28,7 +30,7 @@
     }
 
     public static String controlPart(String service) {
-        return service.equals(LAYOUT) ? "c0" : "c" + (1 + Math.floorMod(mix(service.hashCode()), CONTROL_PARTS));
+        return service.equals(LAYOUT) || service.equals(CORE) ? "c0" : "c" + (1 + Math.floorMod(mix(service.hashCode()), CONTROL_PARTS));
     }
 
     public static List<String> controlParts() {
--- a/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/LampMachine.java
+++ b/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/LampMachine.java
@@ -73,6 +73,11 @@
             return new Asks.Done(false);
         } else if (c instanceof Asks.Place p) {
             return place(index, p);
+        } else if (c instanceof Asks.PutCore p) {
+            ServiceView v = service(Places.CORE);
+            services.put(Places.CORE, new ServiceView(Places.CORE, index, v.seats(), v.processors(), v.duty(),
+                Map.of(Places.CORE, p.lighthouses()), v.layout(), v.layoutVersion()));
+            return new Asks.Done(true);
         } else if (c instanceof Asks.PutLayout p) {
             return putLayout(index, p);
         }
--- a/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/LampNode.java
+++ b/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/LampNode.java
@@ -72,6 +72,7 @@
             .on(Asks.DutyRelease.class, (f, a) -> of(a.service()).flatMap(p -> p.claims().release(a)))
             .on(Asks.NewsAsk.class, (f, a) -> news(a))
             .on(Asks.CoreAsk.class, (f, a) -> Mono.just(new Asks.CoreReply(lighthouses())))
+            .on(Asks.PutCore.class, (f, a) -> change(Places.CORE, a))
             .on(Asks.PutProcessor.class, (f, a) -> change(a.service(), a))
             .on(Asks.DropProcessor.class, (f, a) -> change(a.service(), a));
     }
@@ -123,7 +124,18 @@
         learning = env.schedules().every(Duration.ofSeconds(2), core::learn);
     }
 
+    /** Who the lighthouses should be, as far as part c0 is known here. */
+    private void follow() {
+        Part c0 = parts.get(Places.controlPart(Places.CORE));
+        List<String> wanted = c0.replica().look(i -> c0.machine().service(Places.CORE)).placement()
+            .getOrDefault(Places.CORE, List.of());
+        if (!wanted.isEmpty()) {
+            parts.forEach((id, p) -> p.replica().want(turned(wanted, id)));
+        }
+    }
+
     private void look() {
+        follow();
         parts.values().forEach(p -> p.claims().reap());
         Part stores = parts.get(Places.controlPart(Places.STORES));
         if (stores.replica().phase() == Phase.OWNING && stores.replica().mayAct()) {
--- a/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/Operators.java
+++ b/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/Operators.java
@@ -15,8 +15,6 @@
 import org.woadvale.foundation.watch.Places;
 import org.woadvale.foundation.watch.Processor;
 
-import com.fasterxml.jackson.databind.JsonNode;
-
 import reactor.core.publisher.Mono;
 
 /** HTTP for operators and the platform, on any lighthouse; each request finds its owner. design 6.4 */
@@ -45,10 +43,12 @@
 
     private final LampNode node;
     private final String operatorKeySha256;
+    private final Platform platform;
 
     public Operators(LampNode node, String operatorKeySha256) {
         this.node = node;
         this.operatorKeySha256 = operatorKeySha256;
+        this.platform = new Platform(node);
     }
 
     public void route(org.woadvale.foundation.beam.Router router) {
@@ -102,7 +102,8 @@
             case "PUT v1/layout" -> put(q);
             case "GET v1/layout" -> s.size() > 2 && s.get(2).equals("history") ? history() : get(s);
             case "POST v1/drain" -> Mono.just(Answer.json(200, Map.of("drained", node.drain())));
-            case "GET v1/services", "PUT v1/services", "DELETE v1/services" -> processors(q, s);
+            case "GET v1/services", "PUT v1/services", "DELETE v1/services" -> platform.processors(q, s);
+            case "PUT v1/core" -> platform.core(q);
             default -> Mono.error(new Fault(ErrorKind.NOT_FOUND, "No such place: " + q.path() + "."));
         };
     }
@@ -145,36 +146,4 @@
             return Answer.json(200, Map.of("versions", rows));
         });
     }
-
-    /** /v1/services/{service}/processors[/{id}] */
-    private Mono<Answer> processors(Request q, List<String> s) {
-        boolean list = s.size() == 4 && s.get(3).equals("processors") && q.method().equals("GET");
-        boolean one = s.size() == 5 && s.get(3).equals("processors") && !q.method().equals("GET");
-        if (!list && !one || !s.get(2).matches("[a-z0-9][a-z0-9_-]{0,62}")
-                || one && !s.get(4).matches("[A-Za-z0-9][A-Za-z0-9._-]{0,62}")) {
-            return Mono.error(new Fault(ErrorKind.NOT_FOUND, "No such place: " + q.path() + "."));
-        }
-        String service = Places.processors(s.get(2));
-        String part = Places.controlPart(service);
-        if (list) {
-            return node.core().ask(part, new ProcessorsGet(service), Processors.class)
-                .map(p -> Answer.json(200, p.processors()));
-        }
-        if (q.method().equals("DELETE")) {
-            return node.core().ask(part, new Asks.DropProcessor(service, s.get(4)), Asks.Done.class)
-                .map(d -> Answer.json(200, Map.of("removed", s.get(4))));
-        }
-        try {
-            JsonNode body = Charts.read(q.body(), JsonNode.class, ErrorKind.BAD_REQUEST);
-            String address = body.path("address").asText("");
-            if (!address.matches("(http://[0-9.]+:[0-9]{1,5}(/[A-Za-z0-9/_.-]*)?)?")) {
-                throw new Fault(ErrorKind.BAD_REQUEST, "address must be http://IP:port or empty.");
-            }
-            Processor p = new Processor(address, body.path("leaving").asBoolean(false));
-            return node.core().ask(part, new Asks.PutProcessor(service, s.get(4), p), Asks.Done.class)
-                .map(d -> Answer.json(200, Map.of("id", s.get(4), "address", address, "leaving", p.leaving())));
-        } catch (Fault e) {
-            return Mono.error(e);
-        }
-    }
 }
--- /dev/null
+++ b/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/Platform.java
@@ -0,0 +1,82 @@
+package org.woadvale.lighthouse.lamp;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+
+import org.woadvale.foundation.chart.Charts;
+import org.woadvale.foundation.gate.Answer;
+import org.woadvale.foundation.gate.Request;
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.foundation.watch.Asks;
+import org.woadvale.foundation.watch.Places;
+import org.woadvale.foundation.watch.Processor;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+import reactor.core.publisher.Mono;
+
+/** HTTP for the platform: processor lists, leaving marks, and who the lighthouses are. design 6.4 */
+final class Platform {
+    private static final String ADDRESS = "[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}";
+    private final LampNode node;
+
+    Platform(LampNode node) {
+        this.node = node;
+    }
+
+    /** PUT /v1/core with {"lighthouses": [...]}: one may be exchanged at a time. design 6.6 */
+    Mono<Answer> core(Request q) {
+        try {
+            List<String> wanted = new ArrayList<>();
+            Charts.read(q.body(), JsonNode.class, ErrorKind.BAD_REQUEST).path("lighthouses")
+                .forEach(n -> wanted.add(n.asText()));
+            if (wanted.size() != 3 || !wanted.stream().allMatch(a -> a.matches(ADDRESS))
+                    || new HashSet<>(wanted).size() != 3) {
+                throw new Fault(ErrorKind.BAD_REQUEST, "lighthouses must be three different internal addresses.");
+            }
+            if (wanted.stream().filter(node.lighthouses()::contains).count() < 2) {
+                throw new Fault(ErrorKind.CONFLICT, "Only one lighthouse may be exchanged at a time; the present ones are "
+                    + String.join(", ", node.lighthouses()) + ".");
+            }
+            return node.core().ask(Places.controlPart(Places.CORE), new Asks.PutCore(wanted), Asks.Done.class)
+                .map(d -> Answer.json(200, Map.of("lighthouses", wanted)));
+        } catch (Fault e) {
+            return Mono.error(e);
+        }
+    }
+
+    /** /v1/services/{service}/processors[/{id}] */
+    Mono<Answer> processors(Request q, List<String> s) {
+        boolean list = s.size() == 4 && s.get(3).equals("processors") && q.method().equals("GET");
+        boolean one = s.size() == 5 && s.get(3).equals("processors") && !q.method().equals("GET");
+        if (!list && !one || !s.get(2).matches("[a-z0-9][a-z0-9_-]{0,62}")
+                || one && !s.get(4).matches("[A-Za-z0-9][A-Za-z0-9._-]{0,62}")) {
+            return Mono.error(new Fault(ErrorKind.NOT_FOUND, "No such place: " + q.path() + "."));
+        }
+        String service = Places.processors(s.get(2));
+        String part = Places.controlPart(service);
+        if (list) {
+            return node.core().ask(part, new Operators.ProcessorsGet(service), Operators.Processors.class)
+                .map(p -> Answer.json(200, p.processors()));
+        }
+        if (q.method().equals("DELETE")) {
+            return node.core().ask(part, new Asks.DropProcessor(service, s.get(4)), Asks.Done.class)
+                .map(d -> Answer.json(200, Map.of("removed", s.get(4))));
+        }
+        try {
+            JsonNode body = Charts.read(q.body(), JsonNode.class, ErrorKind.BAD_REQUEST);
+            String address = body.path("address").asText("");
+            if (!address.matches("(http://[0-9.]+:[0-9]{1,5}(/[A-Za-z0-9/_.-]*)?)?")) {
+                throw new Fault(ErrorKind.BAD_REQUEST, "address must be http://IP:port or empty.");
+            }
+            Processor p = new Processor(address, body.path("leaving").asBoolean(false));
+            return node.core().ask(part, new Asks.PutProcessor(service, s.get(4), p), Asks.Done.class)
+                .map(d -> Answer.json(200, Map.of("id", s.get(4), "address", address, "leaving", p.leaving())));
+        } catch (Fault e) {
+            return Mono.error(e);
+        }
+    }
+}
--- a/pilot/src/main/java/org/woadvale/pilot/PilotNode.java
+++ b/pilot/src/main/java/org/woadvale/pilot/PilotNode.java
@@ -4,6 +4,8 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
 
 import org.woadvale.foundation.beacon.News;
 import org.woadvale.foundation.beam.Router;
@@ -127,7 +129,20 @@
     }
 
     public boolean ready() {
-        return !draining && layouts.fresh().isPresent() && !news.latest(Places.STORES).placement().isEmpty();
+        return !draining && layouts.fresh().isPresent() && !news.latest(Places.STORES).placement().isEmpty()
+            && berths.map(b -> b.all().values().stream().allMatch(x -> x.replica().owner().isPresent())).orElse(true);
+    }
+
+    /** The group of each message part here. */
+    public Map<String, Set<String>> groups() {
+        Map<String, Set<String>> out = new TreeMap<>();
+        berths.ifPresent(b -> b.all().forEach((id, x) -> out.put(id, x.replica().group().keySet())));
+        return out;
+    }
+
+    /** How many message parts this node owns now. */
+    public long owned() {
+        return berths.map(b -> b.all().values().stream().filter(x -> x.replica().mayAct()).count()).orElse(0L);
     }
 
     public Purses.Counts passes() {
@@ -153,6 +168,7 @@
                 "messages", x.replica().look(i -> x.machine().count()),
                 "liveBytes", x.replica().look(i -> x.machine().liveBytes()), "group", x.replica().group().keySet())));
             out.put("parts", parts);
+            out.put("owned", owned());
             out.put("syncs", env.logbook().syncs());
         });
         return out;
--- a/trials/src/main/java/org/woadvale/trials/squall/Voyage.java
+++ b/trials/src/main/java/org/woadvale/trials/squall/Voyage.java
@@ -106,7 +106,7 @@
                 Charts.sha256(new String(x.body(), java.nio.charset.StandardCharsets.UTF_8)), asked))));
     }
 
-    private void operate(Request q, Consumer<Answer> then) {
+    void operate(Request q, Consumer<Answer> then) {
         w.request(anyLighthouse(), q, Duration.ofSeconds(4), a -> {
             if (a.isPresent() && a.get().status() < 500) {
                 then.accept(a.get());
--- a/trials/src/main/java/org/woadvale/trials/squall/World.java
+++ b/trials/src/main/java/org/woadvale/trials/squall/World.java
@@ -50,6 +50,7 @@
     public final Map<String, Backend> backends = new LinkedHashMap<>();
     public final SimPost post;
     private final int ringBytes;
+    private final List<String> seeds;
     private final Map<String, Host> hosts = new LinkedHashMap<>();
     private final Map<String, LampNode> lamps = new HashMap<>();
     private final Map<String, Operators> operators = new HashMap<>();
@@ -66,6 +67,7 @@
         for (int i = 0; i < 3; i++) {
             lighthouses.add(host("10.0.0." + (i + 1) + ":1", i));
         }
+        seeds = List.copyOf(lighthouses);
         for (int i = 0; i < storeCount; i++) {
             stores.add(host("10.0.1." + (i + 1) + ":1", i));
         }
@@ -85,6 +87,14 @@
         return address;
     }
 
+    /** A lighthouse that joins a running core. */
+    public String newLighthouse() throws Fault {
+        String a = host("10.0.0." + (lighthouses.size() + 1) + ":1", lighthouses.size());
+        lighthouses.add(a);
+        start(a);
+        return a;
+    }
+
     /** A machine that was not there before. */
     public String newStore() throws Fault {
         String a = host("10.0.1." + (stores.size() + 1) + ":1", stores.size());
@@ -114,9 +124,9 @@
         Logbook book = lamp || store ? RingLogbook.open(h.disk, h, RING_FILES, ringBytes) : new NoLogbook();
         book.onFailure(why -> h.kill());
         Env env = new Env(h, h, beam, codec, book, sim.random()::nextLong, Pace.usual());
-        Core core = new Core(beam, sim.random()::nextLong, lighthouses, List.of(), l -> { });
+        Core core = new Core(beam, sim.random()::nextLong, seeds, List.of(), l -> { });
         if (lamp) {
-            LampNode n = new LampNode(env, core, lighthouses);
+            LampNode n = new LampNode(env, core, seeds.contains(address) ? seeds : List.of());
             n.route(router);
             Operators o = new Operators(n, "");
             o.route(router);
@@ -124,7 +134,7 @@
             operators.put(address, o);
             n.start();
         } else {
-            Boot boot = new Boot(address, address, halls.get(address), lighthouses, Set.of(store ? "store" : "intake"),
+            Boot boot = new Boot(address, address, halls.get(address), seeds, Set.of(store ? "store" : "intake"),
                 store ? "x" : "", RING_FILES, 1, "", false);
             PilotNode n = new PilotNode(env, boot, core, post.from(h));
             n.route(router);
--- /dev/null
+++ b/trials/src/test/java/org/woadvale/trials/squall/RepairTest.java
@@ -0,0 +1,111 @@
+package org.woadvale.trials.squall;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.junit.jupiter.api.Test;
+import org.woadvale.foundation.chart.Charts;
+import org.woadvale.foundation.gate.Request;
+import org.woadvale.foundation.lantern.Fault;
+
+/** What is lost for good is replaced, with traffic going on. */
+class RepairTest {
+    private static void ended(Voyage v) {
+        assertTrue(v.settle(Duration.ofSeconds(120)), "open: " + v.firstOpen());
+        assertEquals(List.of(), v.violations());
+    }
+
+    private static boolean allParts(Voyage v, String store, boolean seated) {
+        return v.w.stores.stream().filter(s -> v.w.host(s).alive()).findFirst().stream().allMatch(s ->
+            v.w.pilot(s).groups().values().stream().allMatch(g -> g.contains(store) == seated));
+    }
+
+    @Test
+    void fourthStoreTakesThePlaceOfALostOne() throws Fault {
+        Voyage v = new Voyage(3, 3, 3, 4).embark();
+        v.traffic(20);
+        v.w.sim.run(Duration.ofSeconds(5));
+        String lost = v.w.stores.get(0);
+        v.w.kill(lost);
+        String spare = v.w.newStore();
+        assertTrue(v.w.sim.runUntil(() -> v.w.pilot(spare).groups().size() == 8
+            && allParts(v, lost, false), Duration.ofSeconds(60)), "the spare is not seated everywhere");
+        v.w.kill(v.w.stores.get(1));
+        v.w.sim.run(Duration.ofSeconds(8));
+        long before = v.kinds().getOrDefault("accepted", 0L);
+        v.w.sim.run(Duration.ofSeconds(5));
+        assertTrue(v.kinds().get("accepted") > before + 50, "service goes on after a second loss");
+        ended(v);
+    }
+
+    @Test
+    void shortAbsenceOfAStoreMovesNothing() throws Fault {
+        Voyage v = new Voyage(4, 3, 4, 4).embark();
+        v.traffic(20);
+        v.w.sim.run(Duration.ofSeconds(5));
+        Map<String, ?> before = v.w.pilot(v.w.stores.get(1)).groups();
+        v.w.kill(v.w.stores.get(0));
+        v.w.sim.run(Duration.ofSeconds(6));
+        v.w.restart(v.w.stores.get(0));
+        v.w.sim.run(Duration.ofSeconds(10));
+        assertEquals(before, v.w.pilot(v.w.stores.get(1)).groups());
+        ended(v);
+    }
+
+    @Test
+    void lostLighthouseIsReplacedByAnother() throws Fault {
+        Voyage v = new Voyage(5, 3, 3, 4).embark();
+        v.traffic(20);
+        v.w.kill(v.w.lighthouses.get(0));
+        String spare = v.w.newLighthouse();
+        List<String> wanted = List.of(v.w.lighthouses.get(1), v.w.lighthouses.get(2), spare);
+        AtomicInteger status = new AtomicInteger();
+        v.operate(new Request("PUT", "/v1/core", Map.of(), Charts.write(Map.of("lighthouses", wanted))),
+            a -> status.set(a.status()));
+        assertTrue(v.w.sim.runUntil(() -> status.get() == 200 && v.w.lamp(spare).lighthouses().equals(
+            wanted.stream().sorted().toList()), Duration.ofSeconds(60)), "not seated: " + v.w.lamp(spare).lighthouses());
+        v.w.kill(v.w.lighthouses.get(1));
+        v.w.sim.run(Duration.ofSeconds(8));
+        AtomicInteger taken = new AtomicInteger();
+        v.put(v.layout, v.version, "after", a -> taken.set(a.status()));
+        assertTrue(v.w.sim.runUntil(() -> taken.get() == 200, Duration.ofSeconds(20)), "answer " + taken.get());
+        ended(v);
+    }
+
+    @Test
+    void twoLighthousesAtOnceAreRefused() throws Fault {
+        Voyage v = new Voyage(6, 3, 3, 4).embark();
+        AtomicInteger status = new AtomicInteger();
+        v.operate(new Request("PUT", "/v1/core", Map.of(), Charts.write(Map.of("lighthouses",
+            List.of(v.w.lighthouses.get(0), "10.9.9.1:1", "10.9.9.2:1")))), a -> status.set(a.status()));
+        v.w.sim.run(Duration.ofSeconds(2));
+        assertEquals(409, status.get());
+    }
+
+    @Test
+    void ownersSpreadAgainAfterARollingRestart() throws Fault {
+        Voyage v = new Voyage(7, 3, 3, 4).embark();
+        v.traffic(20);
+        for (String s : v.w.stores) {
+            v.w.pilot(s).drain();
+            v.w.sim.run(Duration.ofSeconds(1));
+            assertTrue(v.w.pilot(s).drain(), "drained within a second");
+            v.w.kill(s);
+            v.w.sim.run(Duration.ofSeconds(2));
+            v.w.restart(s);
+            v.w.sim.run(Duration.ofSeconds(6));
+        }
+        for (String s : v.w.stores) {
+            long owned = v.w.pilot(s).owned();
+            assertTrue(owned >= 2 && owned <= 3, s + " owns " + owned + " of 8 parts");
+        }
+        assertFalse(v.kinds().containsKey("unavailable"), v.kinds().toString());
+        ended(v);
+    }
+}
