tender: executable runbooks, each run on a real fleet in a test

Seven runbooks ship: put a layout, withdraw a key, rolling restart, replace a store or a lighthouse, drain a processor, check after an outage. FleetTest runs them all on real processes under traffic, with a store and a lighthouse killed before and everything killed after; the never-list stays empty. Found on the way: values were not filled into pointers (test added); ports handed out by the fleet could be taken by outgoing streams before their process started (now from below the kernel's range, each given once).

--- a/pilot/src/main/java/org/woadvale/pilot/PilotNode.java
+++ b/pilot/src/main/java/org/woadvale/pilot/PilotNode.java
@@ -140,6 +140,15 @@
         return out;
     }
 
+    /** True once this store counts in every part that the placement gives it. */
+    private boolean seated() {
+        Map<String, Set<String>> groups = groups();
+        java.util.List<String> mine = news.latest(Places.STORES).placement().entrySet().stream()
+            .filter(e -> e.getValue().contains(env.self())).map(Map.Entry::getKey).toList();
+        return !mine.isEmpty() && mine.stream()
+            .allMatch(p -> groups.getOrDefault(p, Set.of()).contains(env.self()));
+    }
+
     /** How many message parts this node owns now. */
     public long owned() {
         return berths.map(b -> b.all().values().stream().filter(x -> x.replica().mayAct()).count()).orElse(0L);
@@ -169,6 +178,7 @@
                 "liveBytes", x.replica().look(i -> x.machine().liveBytes()), "group", x.replica().group().keySet())));
             out.put("parts", parts);
             out.put("owned", owned());
+            out.put("seated", seated());
             out.put("syncs", env.logbook().syncs());
         });
         return out;
--- /dev/null
+++ b/tender/src/main/java/org/woadvale/tender/Commands.java
@@ -0,0 +1,159 @@
+package org.woadvale.tender;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+
+/** list, check and run. */
+final class Commands {
+    private Commands() { }
+
+    interface Command {
+        int go(Consumer<String> out) throws Fault;
+    }
+
+    @com.github.rvesse.airline.annotations.Command(name = "list", description = "Lists the shipped runbooks")
+    public static final class ListBooks implements Command {
+        @Override
+        public int go(Consumer<String> out) throws Fault {
+            for (String n : Books.SHIPPED) {
+                Runbook b = Books.load(n);
+                out.accept(n + ": " + b.purpose() + " Needs: " + new TreeMap<>(b.needs()));
+            }
+            return 0;
+        }
+    }
+
+    @com.github.rvesse.airline.annotations.Command(name = "check", description = "Checks a runbook")
+    public static final class Check implements Command {
+        @Required
+        @Arguments(description = "A shipped runbook's name, or a file")
+        private String book;
+
+        @Override
+        public int go(Consumer<String> out) throws Fault {
+            out.accept(Books.load(book).name() + ": " + Books.load(book).steps().size() + " steps, valid.");
+            return 0;
+        }
+    }
+
+    @com.github.rvesse.airline.annotations.Command(name = "run", description = "Runs a runbook")
+    public static final class Run implements Command {
+        @Required
+        @Arguments(description = "A shipped runbook's name, or a file")
+        private String book;
+
+        @Option(name = "--set", title = "NAME=VALUE", description = "A value; @FILE takes a file's content")
+        private List<String> set = new ArrayList<>();
+
+        @Option(name = "--dry-run", description = "Checks what must hold and shows the steps, changes nothing")
+        private boolean dry;
+
+        @Option(name = "--yes", description = "Takes every step by hand as done")
+        private boolean yes;
+
+        @Option(name = "--record", title = "FILE", description = "Appends what was done to a file")
+        private String record = "";
+
+        @Option(name = "--operator-key", title = "SECRET", description = "Operator key, if the core asks for one")
+        private String key = "";
+
+        @Override
+        public int go(Consumer<String> out) throws Fault {
+            Runner r = new Runner(new Http()::send, new Terminal(out, yes), key, dry);
+            boolean ok = r.run(Books.load(book), values());
+            if (!record.isEmpty()) {
+                try {
+                    List<String> lines = new ArrayList<>(List.of("# " + Instant.now() + " " + book));
+                    lines.addAll(r.record());
+                    Files.write(Path.of(record), lines, java.nio.file.StandardOpenOption.CREATE,
+                        java.nio.file.StandardOpenOption.APPEND);
+                } catch (IOException e) {
+                    throw new Fault(ErrorKind.UNAVAILABLE, "The record was not written: " + e.getMessage());
+                }
+            }
+            return ok ? 0 : 1;
+        }
+
+        private Map<String, String> values() throws Fault {
+            Map<String, String> out = new HashMap<>();
+            for (String s : set) {
+                int i = s.indexOf('=');
+                if (i < 1) {
+                    throw new Fault(ErrorKind.BAD_REQUEST, "--set takes NAME=VALUE, not " + s + ".");
+                }
+                String v = s.substring(i + 1);
+                try {
+                    out.put(s.substring(0, i), v.startsWith("@") ? Files.readString(Path.of(v.substring(1))) : v);
+                } catch (IOException e) {
+                    throw new Fault(ErrorKind.BAD_REQUEST, "Cannot read " + v.substring(1) + ".");
+                }
+            }
+            return out;
+        }
+    }
+
+    /** The real wire. */
+    private static final class Http {
+        private final HttpClient client = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(2)).build();
+
+        Wire.Got send(String method, String url, Map<String, String> headers, byte[] body) throws IOException {
+            try {
+                HttpRequest.Builder b = HttpRequest.newBuilder(URI.create(url)).timeout(Duration.ofSeconds(8))
+                    .method(method, HttpRequest.BodyPublishers.ofByteArray(body));
+                headers.forEach(b::header);
+                HttpResponse<byte[]> r = client.send(b.build(), HttpResponse.BodyHandlers.ofByteArray());
+                Map<String, String> h = new HashMap<>();
+                r.headers().map().forEach((k, v) -> h.put(k.toLowerCase(java.util.Locale.ROOT), v.get(0)));
+                return new Wire.Got(r.statusCode(), h, r.body());
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                throw new IOException("interrupted");
+            } catch (IllegalArgumentException e) {
+                throw new IOException(e.getMessage());
+            }
+        }
+    }
+
+    private record Terminal(Consumer<String> out, boolean yes) implements Hands {
+        @Override
+        public boolean done(String what) {
+            out.accept("BY HAND: " + what + (yes ? "" : "  [press Enter when done, n to stop]"));
+            return yes || !"n".equals(new java.util.Scanner(System.in).nextLine().trim());
+        }
+
+        @Override
+        public void say(String line) {
+            out.accept(line);
+        }
+
+        @Override
+        public Duration now() {
+            return Duration.ofNanos(System.nanoTime());
+        }
+
+        @Override
+        public void rest(Duration d) {
+            java.util.concurrent.locks.LockSupport.parkNanos(d.toNanos());
+        }
+    }
+}
--- /dev/null
+++ b/tender/src/main/java/org/woadvale/tender/Hands.java
@@ -0,0 +1,15 @@
+package org.woadvale.tender;
+
+import java.time.Duration;
+
+/** Seam to the person at the terminal and to time. */
+interface Hands {
+    /** False: the person says no, and the run stops. */
+    boolean done(String what);
+
+    void say(String line);
+
+    Duration now();
+
+    void rest(Duration d);
+}
--- a/tender/src/main/java/org/woadvale/tender/Tender.java
+++ b/tender/src/main/java/org/woadvale/tender/Tender.java
@@ -1,11 +1,35 @@
 package org.woadvale.tender;
 
-/** The operator's tool. */
+import com.github.rvesse.airline.annotations.Cli;
+import com.github.rvesse.airline.help.Help;
+import com.github.rvesse.airline.parser.errors.ParseException;
+
+import org.woadvale.foundation.lantern.Fault;
+
+/** The operator's tool: runbooks that can be executed. It starts no process. */
+@Cli(name = "tender", description = "Lists, checks and runs runbooks", defaultCommand = Help.class,
+    commands = {Commands.ListBooks.class, Commands.Check.class, Commands.Run.class, Help.class})
 public final class Tender {
     private Tender() { }
 
     public static void main(String[] args) {
-        System.err.println("tender: no runbooks yet");
-        System.exit(2);
+        System.exit(main(args, System.out::println));
+    }
+
+    static int main(String[] args, java.util.function.Consumer<String> out) {
+        try {
+            Object c = new com.github.rvesse.airline.Cli<Object>(Tender.class).parse(args);
+            if (c instanceof Commands.Command x) {
+                return x.go(out);
+            }
+            ((Runnable) c).run();
+            return 0;
+        } catch (ParseException e) {
+            out.accept("tender: " + e.getMessage());
+        } catch (Fault e) {
+            out.accept("tender: " + e.getMessage());
+            e.details().forEach(d -> out.accept("  " + d));
+        }
+        return 2;
     }
 }
--- /dev/null
+++ b/tender/src/main/java/org/woadvale/tender/Values.java
@@ -0,0 +1,34 @@
+package org.woadvale.tender;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** The values of one run: given ones and kept ones. */
+final class Values {
+    static final Pattern USE = Pattern.compile("\\$\\{([a-zA-Z][a-zA-Z0-9]*)}");
+    private final Map<String, String> values;
+
+    Values(Map<String, String> given) {
+        values = new HashMap<>(given);
+    }
+
+    void put(String name, String value) {
+        values.put(name, value);
+    }
+
+    String get(String name) {
+        return values.getOrDefault(name, "");
+    }
+
+    Values with(String name, String value) {
+        Values v = new Values(values);
+        v.put(name, value);
+        return v;
+    }
+
+    String fill(String text) {
+        return USE.matcher(text).replaceAll(m -> Matcher.quoteReplacement(get(m.group(1))));
+    }
+}
--- /dev/null
+++ b/tender/src/test/java/org/woadvale/tender/TenderTest.java
@@ -0,0 +1,162 @@
+package org.woadvale.tender;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.woadvale.foundation.lantern.Fault;
+
+class TenderTest {
+    /** A scripted core: answers by method and path, notes what it was asked; its clock moves only by resting. */
+    private static final class Script implements Wire, Hands {
+        final Map<String, List<Got>> answers = new HashMap<>();
+        final List<String> asked = new ArrayList<>();
+        final List<String> bodies = new ArrayList<>();
+        final List<String> said = new ArrayList<>();
+        boolean willing = true;
+        Duration now = Duration.ZERO;
+
+        Script on(String what, int status, String body) {
+            answers.computeIfAbsent(what, k -> new ArrayList<>()).add(
+                new Got(status, Map.of("etag", "\"4\""), body.getBytes(StandardCharsets.UTF_8)));
+            return this;
+        }
+
+        @Override
+        public Got send(String method, String url, Map<String, String> headers, byte[] body) throws IOException {
+            String what = method + " " + url;
+            asked.add(what + (headers.containsKey("If-Match") ? " base " + headers.get("If-Match") : ""));
+            bodies.add(new String(body, StandardCharsets.UTF_8));
+            List<Got> left = answers.getOrDefault(what, List.of());
+            if (left.isEmpty()) {
+                throw new IOException("connection refused");
+            }
+            return left.size() > 1 ? left.remove(0) : left.get(0);
+        }
+
+        @Override
+        public boolean done(String what) {
+            return willing;
+        }
+
+        @Override
+        public void say(String line) {
+            said.add(line);
+        }
+
+        @Override
+        public Duration now() {
+            return now;
+        }
+
+        @Override
+        public void rest(Duration d) {
+            now = now.plus(d);
+        }
+
+        boolean run(String book, boolean dry, Map<String, String> values) throws Fault {
+            return new Runner(this, this, "", dry).run(Books.load(book), values);
+        }
+    }
+
+    private static final Map<String, String> KEY = Map.of("lighthouse", "http://l", "intake", "http://i", "key", "old",
+        "request", "r1");
+    private static final String LAYOUT = "{\"keys\":{\"old\":{},\"new\":{}},\"lanes\":{}}";
+
+    @ParameterizedTest
+    @ValueSource(strings = {"put-layout", "withdraw-key", "rolling-restart", "replace-store", "replace-lighthouse",
+        "drain-processor", "check-after-outage"})
+    void everyShippedRunbookIsValidAndAsksForWhatItNeeds(String name) throws Fault {
+        assertEquals(name, Books.load(name).name());
+        Script s = new Script();
+        assertFalse(s.run(name, true, Map.of()));
+        assertTrue(s.said.get(0).startsWith("STOP: missing values"), s.said.toString());
+        assertEquals(List.of(), s.asked);
+    }
+
+    @Test
+    void withdrawnKeyLeavesTheRestAsItWas() throws Fault {
+        Script s = new Script().on("GET http://l/v1/layout", 200, LAYOUT).on("PUT http://l/v1/layout", 200, "{\"version\":5}")
+            .on("GET http://i/v1/status", 200, "{\"layout\":4}").on("GET http://i/v1/status", 200, "{\"layout\":5}");
+        assertTrue(s.run("withdraw-key", false, KEY), s.said.toString());
+        assertTrue(s.asked.contains("PUT http://l/v1/layout base \"4\""), s.asked.toString());
+        assertEquals("{\"keys\":{\"new\":{}},\"lanes\":{}}", s.bodies.get(1));
+    }
+
+    @Test
+    void lostRaceStopsTheRunAndSaysWhy() throws Fault {
+        Script s = new Script().on("GET http://l/v1/layout", 200, LAYOUT)
+            .on("PUT http://l/v1/layout", 412, "{\"kind\":\"stale_base\"}");
+        assertFalse(s.run("withdraw-key", false, KEY));
+        assertTrue(s.said.get(s.said.size() - 1).contains("stale_base"), s.said.toString());
+        assertEquals(2, s.asked.size(), "nothing may follow the failed step");
+    }
+
+    @Test
+    void dryRunChangesNothing() throws Fault {
+        Script s = new Script().on("GET http://l/v1/layout", 200, LAYOUT);
+        assertTrue(s.run("withdraw-key", true, KEY));
+        assertEquals(List.of("GET http://l/v1/layout"), s.asked);
+    }
+
+    @Test
+    void valuesAreFilledIntoPointersToo() throws Fault {
+        Script s = new Script().on("GET http://l/v1/services/s/processors", 200, "{\"p1\":{\"address\":\"http://p\"}}")
+            .on("PUT http://l/v1/services/s/processors/p1", 200, "{}").on("DELETE http://l/v1/services/s/processors/p1", 200, "{}");
+        assertTrue(s.run("drain-processor", false, Map.of("lighthouse", "http://l", "service", "s", "processor", "p1",
+            "address", "http://p")), s.said.toString());
+    }
+
+    @Test
+    void waitHasADeadline() throws Fault {
+        Script s = new Script().on("GET http://l/v1/layout", 200, LAYOUT).on("PUT http://l/v1/layout", 200, "{\"version\":5}")
+            .on("GET http://i/v1/status", 200, "{\"layout\":4}");
+        assertFalse(s.run("withdraw-key", false, KEY));
+        assertTrue(s.said.get(s.said.size() - 1).contains("not within 5000 ms"), s.said.toString());
+    }
+
+    @Test
+    void rollingRestartFinishesOneNodeBeforeTheNext() throws Fault {
+        Script s = new Script();
+        for (String n : List.of("http://a", "http://b")) {
+            s.on("GET " + n + "/v1/readiness", 200, "{}").on("POST " + n + "/v1/drain", 200, "{\"drained\":false}")
+                .on("POST " + n + "/v1/drain", 200, "{\"drained\":true}");
+        }
+        assertTrue(s.run("rolling-restart", false, Map.of("nodes", "http://a,http://b")), s.said.toString());
+        assertEquals(List.of("GET http://a/v1/readiness", "POST http://a/v1/drain", "POST http://a/v1/drain",
+            "GET http://a/v1/readiness", "GET http://b/v1/readiness", "POST http://b/v1/drain",
+            "POST http://b/v1/drain", "GET http://b/v1/readiness"), s.asked);
+        Script refusing = new Script().on("GET http://a/v1/readiness", 200, "{}")
+            .on("POST http://a/v1/drain", 200, "{\"drained\":true}");
+        refusing.willing = false;
+        assertFalse(refusing.run("rolling-restart", false, Map.of("nodes", "http://a,http://b")));
+    }
+
+    @Test
+    void badRunbookFilesAreRefusedWithEveryFault(@TempDir Path dir) throws IOException {
+        Path p = dir.resolve("b.json");
+        Files.writeString(p, """
+            {"name":"b","purpose":"p","steps":[{"title":"${nowhere}","kind":"ASK"},{"title":"t","kind":"REMOVE"}]}""");
+        Fault f = assertThrows(Fault.class, () -> Books.load(p.toString()));
+        assertEquals(3, f.details().size(), f.details().toString());
+        List<String> out = new ArrayList<>();
+        assertEquals(2, Tender.main(new String[] {"check", p.toString()}, out::add));
+        assertEquals(0, Tender.main(new String[] {"list"}, out::add));
+        assertEquals(2, Tender.main(new String[] {"run", "nothing-such"}, out::add));
+    }
+}
--- a/trials/src/main/java/org/woadvale/trials/harbour/Fleet.java
+++ b/trials/src/main/java/org/woadvale/trials/harbour/Fleet.java
@@ -5,8 +5,11 @@
 import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.stream.Stream;
 
 import org.woadvale.lighthouse.Lighthouse;
@@ -14,6 +17,9 @@
 
 /** A whole fleet of real processes on loopback. */
 public final class Fleet implements AutoCloseable {
+    private static final int LOWEST = 15000;
+    private static final int HIGHEST = 32000;
+    private static final Set<Integer> GIVEN = new HashSet<>();
     public final List<Vessel> lighthouses = new ArrayList<>();
     public final List<Vessel> intakes = new ArrayList<>();
     public final List<Vessel> stores = new ArrayList<>();
@@ -48,11 +54,22 @@
             role.equals("store"), false);
     }
 
-    /** An ephemeral port that was free a moment ago. */
-    static String free() throws IOException {
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return "127.0.0.1:" + s.getLocalPort();
+    /**
+     * A free port that no one else was given, below the range from which the kernel takes ports for outgoing
+     * streams: one of those may otherwise sit on it before its process starts.
+     */
+    public static synchronized String free() throws IOException {
+        for (int i = 0; i < 1000; i++) {
+            int port = LOWEST + ThreadLocalRandom.current().nextInt(HIGHEST - LOWEST);
+            if (GIVEN.add(port)) {
+                try (ServerSocket s = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                    return "127.0.0.1:" + s.getLocalPort();
+                } catch (java.net.BindException e) {
+                    // taken by somebody else: another one
+                }
+            }
         }
+        throw new IOException("no free port");
     }
 
     public List<Vessel> all() {
--- /dev/null
+++ b/trials/src/test/java/org/woadvale/tender/FleetTest.java
@@ -0,0 +1,196 @@
+package org.woadvale.tender;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.stream.Collectors;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.woadvale.foundation.chart.Charts;
+import org.woadvale.foundation.chart.Layout;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.lighthouse.Lighthouse;
+import org.woadvale.trials.buoy.NeverList;
+import org.woadvale.trials.buoy.Scenery;
+import org.woadvale.trials.buoy.Sightings;
+import org.woadvale.trials.harbour.Fleet;
+import org.woadvale.trials.harbour.Load;
+import org.woadvale.trials.harbour.Shape;
+import org.woadvale.trials.harbour.Town;
+import org.woadvale.trials.harbour.Vessel;
+
+/** One day of a real fleet of processes, run by the shipped runbooks, under traffic. Waits only on conditions. */
+class FleetTest {
+    private static final Duration LONG = Duration.ofSeconds(60);
+
+    /** The person of the runbooks: here the fleet launcher. */
+    private final class Crew implements Hands {
+        @Override
+        public boolean done(String what) {
+            said.add(what);
+            try {
+                byHand.run(what);
+            } catch (IOException e) {
+                return false;
+            }
+            return true;
+        }
+
+        @Override
+        public void say(String line) {
+            said.add(line);
+        }
+
+        @Override
+        public Duration now() {
+            return town.times.mono();
+        }
+
+        @Override
+        public void rest(Duration d) {
+            java.util.concurrent.locks.LockSupport.parkNanos(d.toNanos());
+        }
+    }
+
+    private interface ByHand {
+        void run(String what) throws IOException;
+    }
+
+    private final List<String> said = new ArrayList<>();
+    private ByHand byHand = what -> { };
+    private Fleet fleet;
+    private Town town;
+    private Load load;
+
+    private Wire.Got send(String method, String url, Map<String, String> headers, byte[] body) throws IOException {
+        try {
+            String rest = url.substring("http://".length());
+            int slash = rest.indexOf('/');
+            var g = town.client.send(method, rest.substring(0, slash), rest.substring(slash), "", body, headers).join();
+            Map<String, String> h = new HashMap<>();
+            g.headers().forEach((k, v) -> h.put(k.toLowerCase(java.util.Locale.ROOT), v.get(0)));
+            return new Wire.Got(g.status(), h, g.body());
+        } catch (CompletionException e) {
+            throw new IOException(String.valueOf(e.getCause()));
+        }
+    }
+
+    private void run(String book, Map<String, String> values) throws Fault {
+        said.clear();
+        assertTrue(new Runner(this::send, new Crew(), "", false).run(Books.load(book), values),
+            () -> book + ": " + String.join("\n", said));
+    }
+
+    private static String http(Vessel v) {
+        return "http://" + v.http;
+    }
+
+    private static String list(List<Vessel> vs) {
+        return vs.stream().map(FleetTest::http).collect(Collectors.joining(","));
+    }
+
+    private void accepted(String when) {
+        town.await("a hand-in " + when, LONG, () -> load.one(0).join().said() == Sightings.Said.ACCEPTED);
+    }
+
+    @Test
+    void oneDay(@TempDir Path root) throws Exception {
+        fleet = new Fleet(Shape.SMALL, root);
+        try (Fleet f = fleet; Town t = new Town(f, Shape.SMALL, new Scenery(8, 2, 45, 60, 26))) {
+            town = t;
+            load = new Load(t, f, 5);
+            f.startAll();
+            t.putLayout(t.layout(), 0, "first");
+            t.listProcessors();
+            t.await("readiness", LONG, () -> f.all().stream().allMatch(t::ready));
+            accepted("after the start");
+            CompletableFuture<Void> traffic = CompletableFuture.runAsync(() -> load.run(Duration.ofSeconds(12), 40));
+            f.stores.get(0).kill();
+            accepted("with a store killed");
+            f.lighthouses.get(0).kill();
+            accepted("with a lighthouse killed as well");
+            f.stores.get(0).start();
+            f.lighthouses.get(0).start();
+            t.await("return", LONG, () -> f.all().stream().allMatch(t::ready));
+            changeLayouts();
+            roll();
+            replaceLighthouse(root);
+            replaceStore();
+            traffic.join();
+            f.killAll();
+            for (Vessel v : f.all()) {
+                v.start();
+            }
+            run("check-after-outage", Map.of("lighthouses", list(f.lighthouses), "stores", list(f.stores),
+                "intakes", list(f.intakes)));
+            accepted("after the outage");
+            assertTrue(load.settle(Duration.ofSeconds(120)), "not every accepted message has ended: " + load.states());
+            List<String> bad = new NeverList(t.seen).violations();
+            assertEquals(List.of(), bad);
+            assertTrue(load.states().getOrDefault("done", 0L) > 100, load.states().toString());
+        }
+    }
+
+    private void changeLayouts() throws Exception {
+        Map<String, Layout.Lane> lanes = new TreeMap<>(town.layout().lanes());
+        lanes.put("extra", lanes.get("hold"));
+        Map<String, Layout.Key> keys = new TreeMap<>(town.layout().keys());
+        keys.put("guest", new Layout.Key(Layout.Role.CALLER, Scenery.tenant(0), "", Charts.sha256("guest-secret")));
+        Layout next = new Layout(town.layout().tenants(), town.layout().services(), lanes, keys);
+        String l = http(fleet.lighthouses.get(1));
+        String i = http(fleet.intakes.get(0));
+        run("put-layout", Map.of("lighthouse", l, "intake", i, "request", "day-1",
+            "layout", new String(Charts.write(next), StandardCharsets.UTF_8)));
+        run("withdraw-key", Map.of("lighthouse", l, "intake", i, "request", "day-2", "key", "guest"));
+        var refused = town.client.send("POST", fleet.intakes.get(0).http, "/v1/lanes/hold/messages", "guest-secret",
+            Charts.write(Map.of("id", "x", "body", Map.of())), Map.of()).join();
+        assertEquals(401, refused.status());
+        String address = Charts.JSON.readTree(send("GET", l + "/v1/services/reserve/processors", Map.of(), new byte[0])
+            .body()).at("/p0/address").asText();
+        run("drain-processor", Map.of("lighthouse", l, "service", "reserve", "processor", "p0", "address", address));
+    }
+
+    private void roll() throws Fault {
+        byHand = what -> {
+            Vessel v = fleet.all().stream().filter(x -> what.endsWith(x.http)).findFirst().orElseThrow();
+            v.stop();
+            v.start();
+        };
+        run("rolling-restart", Map.of("nodes", list(List.of(fleet.stores.get(1), fleet.intakes.get(1)))));
+    }
+
+    private void replaceLighthouse(Path root) throws Exception {
+        List<String> seeds = fleet.lighthouses.stream().map(v -> v.address).toList();
+        fleet.lighthouses.get(2).kill();
+        String address = Fleet.free();
+        Vessel fresh = new Vessel("lighthouse3", Lighthouse.class.getName(), root, address, Fleet.free(), "hall2",
+            seeds, List.of(), true, true);
+        byHand = what -> fresh.start();
+        run("replace-lighthouse", Map.of("lighthouse", http(fleet.lighthouses.get(0)), "newLighthouse", http(fresh),
+            "first", seeds.get(0), "second", seeds.get(1), "third", address));
+        fleet.lighthouses.set(2, fresh);
+        accepted("with a new lighthouse");
+    }
+
+    private void replaceStore() throws Exception {
+        fleet.stores.get(2).kill();
+        Vessel fresh = fleet.pilot("store3", "hall2", "store");
+        byHand = what -> fresh.start();
+        run("replace-store", Map.of("lighthouse", http(fleet.lighthouses.get(0)), "store", http(fresh)));
+        fleet.stores.set(2, fresh);
+        accepted("with a new store");
+    }
+}
