Fairness: waiting messages by tenant, first place in turn, retries by tenant

Cause: one line by due time and a look-ahead of 64 let one tenant's backlog hide the others; the same tenant came first at each look; one retry bucket a lane was spent by whoever fails most.

--- a/pilot/src/main/java/org/woadvale/pilot/berth/BerthMachine.java
+++ b/pilot/src/main/java/org/woadvale/pilot/berth/BerthMachine.java
@@ -17,9 +17,6 @@
 
 /** The messages of one part: design 9. */
 public final class BerthMachine implements Machine {
-    private static final Comparator<Message> BY_DUE =
-        Comparator.comparing(Message::due).thenComparing(Message::seq);
-
     private static final int ENDED_WEIGHT = 400;
 
     private final String part;
@@ -27,7 +24,7 @@
     private final Map<String, Message> messages = new HashMap<>();
     private final Map<String, String> byId = new HashMap<>();
     private final Map<String, TreeMap<Long, String>> order = new HashMap<>();
-    private final Map<String, TreeSet<Message>> startable = new TreeMap<>();
+    private final Startable startable = new Startable();
     private final Map<String, Message> running = new TreeMap<>();
     private final TreeSet<Message> ended = new TreeSet<>(Comparator.comparing(Message::ended).thenComparing(Message::seq));
     private long seq;
@@ -59,7 +56,7 @@
         return List.copyOf(running.values());
     }
 
-    public Map<String, TreeSet<Message>> startable() {
+    public Startable startable() {
         return startable;
     }
 
@@ -163,7 +160,7 @@
         before.ifPresent(b -> {
             liveBytes -= b.size();
             running.remove(b.handle());
-            Optional.ofNullable(startable.get(b.lane())).ifPresent(s -> s.remove(b));
+            startable.remove(b);
         });
         messages.put(m.handle(), m);
         if (m.state().ended()) {
@@ -175,7 +172,7 @@
         if (m.state() == MessageState.RUNNING) {
             running.put(m.handle(), m);
         } else if (first(m)) {
-            startable.computeIfAbsent(m.lane(), l -> new TreeSet<>(BY_DUE)).add(m);
+            startable.add(m);
         }
     }
 
@@ -191,7 +188,7 @@
         }
         Message head = messages.get(line.firstEntry().getValue());
         if (head.state() == MessageState.WAITING) {
-            startable.computeIfAbsent(head.lane(), l -> new TreeSet<>(BY_DUE)).add(head);
+            startable.add(head);
         }
     }
 
@@ -204,7 +201,8 @@
     public void restore(byte[] view) {
         try {
             Commands.State s = codec.read(view, Commands.State.class);
-            List.of(messages, byId, order, startable, running).forEach(Map::clear);
+            List.of(messages, byId, order, running).forEach(Map::clear);
+            startable.clear();
             ended.clear();
             seq = s.seq();
             liveBytes = 0;
--- /dev/null
+++ b/pilot/src/main/java/org/woadvale/pilot/berth/Startable.java
@@ -0,0 +1,62 @@
+package org.woadvale.pilot.berth;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+
+/** Waiting messages that are first of their key: by lane, then tenant, then due time. design 9.4 */
+public final class Startable {
+    private static final Comparator<Message> BY_DUE = Comparator.comparing(Message::due).thenComparing(Message::seq);
+    private final Map<String, Map<String, TreeSet<Message>>> lanes = new TreeMap<>();
+
+    void add(Message m) {
+        lanes.computeIfAbsent(m.lane(), l -> new TreeMap<>())
+            .computeIfAbsent(m.tenant(), t -> new TreeSet<>(BY_DUE)).add(m);
+    }
+
+    void remove(Message m) {
+        Map<String, TreeSet<Message>> tenants = lanes.getOrDefault(m.lane(), Map.of());
+        TreeSet<Message> line = tenants.getOrDefault(m.tenant(), new TreeSet<>(BY_DUE));
+        line.remove(m);
+        if (line.isEmpty() && !tenants.isEmpty()) {
+            tenants.remove(m.tenant());
+        }
+        if (tenants.isEmpty()) {
+            lanes.remove(m.lane());
+        }
+    }
+
+    void clear() {
+        lanes.clear();
+    }
+
+    public List<String> lanes() {
+        return List.copyOf(lanes.keySet());
+    }
+
+    /** The due ones of a lane, one of each tenant in turn: a long line of one tenant hides nobody's. */
+    public List<Message> due(String lane, Instant now, int most, int turn, Predicate<Message> wanted) {
+        List<List<Message>> lines = new ArrayList<>();
+        Map<String, TreeSet<Message>> tenants = lanes.getOrDefault(lane, Map.of());
+        int each = Math.max(1, most / Math.max(1, tenants.size()));
+        tenants.values().forEach(line -> lines.add(line.stream().takeWhile(m -> !m.due().isAfter(now)).filter(wanted)
+            .limit(each).toList()));
+        // the first place goes round, for when there is room for one only
+        Collections.rotate(lines, turn);
+        List<Message> out = new ArrayList<>();
+        for (int i = 0; i < each; i++) {
+            for (List<Message> l : lines) {
+                if (i < l.size()) {
+                    out.add(l.get(i));
+                }
+            }
+        }
+        return out;
+    }
+}
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Drawing.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Drawing.java
@@ -1,14 +1,11 @@
 package org.woadvale.pilot.launch;
 
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 
 import org.woadvale.foundation.chart.Layout;
 import org.woadvale.foundation.watch.Places;
-import org.woadvale.pilot.berth.Message;
 
 /** Who may receive work of a service now, by views of proven age: design 7.2. */
 final class Drawing {
@@ -32,19 +29,4 @@
         }));
         return out;
     }
-
-    /** One of each tenant in turn. */
-    static List<Message> byTurns(List<Message> all) {
-        Map<String, List<Message>> byTenant = new LinkedHashMap<>();
-        all.forEach(m -> byTenant.computeIfAbsent(m.tenant(), t -> new ArrayList<>()).add(m));
-        List<Message> out = new ArrayList<>();
-        for (int i = 0; out.size() < all.size(); i++) {
-            for (List<Message> l : byTenant.values()) {
-                if (i < l.size()) {
-                    out.add(l.get(i));
-                }
-            }
-        }
-        return out;
-    }
 }
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Launcher.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Launcher.java
@@ -21,6 +21,7 @@
 import org.woadvale.pilot.berth.Commands;
 import org.woadvale.pilot.berth.LaneTerms;
 import org.woadvale.pilot.berth.Message;
+import org.woadvale.pilot.berth.Startable;
 
 import reactor.core.publisher.Mono;
 
@@ -30,7 +31,7 @@
     private static final int LOOK_AHEAD = 64;
     private static final Duration FIRST_BACKOFF = Duration.ofMillis(250);
     private static final Duration LONGEST_BACKOFF = Duration.ofSeconds(20);
-    /** Retries of a lane in a part: a flood that cannot succeed spends only these. */
+    /** Retries of a tenant on a lane in a part: a flood that cannot succeed spends only these. */
     private static final Allowance RETRIES = new Allowance(5, 10);
 
     private final Kit kit;
@@ -139,7 +140,7 @@
         turn++;
         for (int i = 0; i < lanes.size(); i++) {
             String lane = lanes.get((i + turn) % lanes.size());
-            for (Message m : Drawing.byTurns(byLane.get(lane))) {
+            for (Message m : byLane.get(lane)) {
                 if (!begin(m)) {
                     break;
                 }
@@ -161,9 +162,9 @@
         Instant now = wall();
         return berth.replica().look(i -> {
             Map<String, List<Message>> out = new TreeMap<>();
-            berth.machine().startable().forEach((lane, set) -> {
-                List<Message> list = set.stream().limit(LOOK_AHEAD).filter(m -> !m.due().isAfter(now))
-                    .filter(m -> !busy.contains(m.handle())).toList();
+            Startable s = berth.machine().startable();
+            s.lanes().forEach(lane -> {
+                List<Message> list = s.due(lane, now, LOOK_AHEAD, turn, m -> !busy.contains(m.handle()));
                 if (!list.isEmpty()) {
                     out.put(lane, list);
                 }
@@ -182,7 +183,7 @@
         if (t.isEmpty()) {
             return false;
         }
-        if (m.tries() > 0 && !retryAllowed(m.lane())) {
+        if (m.tries() > 0 && !retryAllowed(m.lane() + "/" + m.tenant())) {
             kit.targets().unused(t.get());
             return true;
         }
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Launches.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Launches.java
@@ -1,11 +1,11 @@
 package org.woadvale.pilot.launch;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.woadvale.foundation.beam.Router;
 import org.woadvale.foundation.lantern.ErrorKind;
@@ -24,6 +24,7 @@
 public final class Launches {
     private static final int SCAN = 64;
     private final Kit kit;
+    private final AtomicInteger turns = new AtomicInteger();
     private final Map<String, Launcher> launchers = new ConcurrentHashMap<>();
 
     public Launches(Kit kit) {
@@ -81,14 +82,14 @@
     }
 
     private List<Message> candidates(Berth b, String service) {
+        int turn = turns.incrementAndGet();
         var now = kit.env().times().wall();
         List<Message> out = new ArrayList<>();
         b.replica().look(i -> {
-            b.machine().startable().values().forEach(set -> set.stream().limit(SCAN)
-                .filter(m -> !m.due().isAfter(now) && terms(m).service().equals(service)).forEach(out::add));
+            b.machine().startable().lanes().forEach(lane -> out.addAll(b.machine().startable().due(lane, now, SCAN, turn,
+                m -> terms(m).service().equals(service))));
             return out;
         });
-        out.sort(Comparator.comparing(Message::due).thenComparing(Message::seq));
         return out;
     }
 
--- a/trials/src/main/java/org/woadvale/trials/buoy/Backend.java
+++ b/trials/src/main/java/org/woadvale/trials/buoy/Backend.java
@@ -21,8 +21,16 @@
 
 /** Stand-in for a processor or an outside endpoint; remembers what it did, unless told to forget. */
 public final class Backend {
-    /** How it behaves from now on. */
-    public record Manner(Duration work, double refuse, double later, double loseAnswer) {
+    /** How it behaves from now on; a victim's name makes the failures that tenant's own. */
+    public record Manner(Duration work, double refuse, double later, double loseAnswer, String victim) {
+        public Manner(Duration work, double refuse, double later, double loseAnswer) {
+            this(work, refuse, later, loseAnswer, "");
+        }
+
+        Manner towards(String tenant) {
+            return victim.isEmpty() || victim.equals(tenant) ? this : new Manner(work, 0, 0, 0);
+        }
+
         public static Manner good() {
             return new Manner(Duration.ofMillis(5), 0, 0, 0);
         }
@@ -77,7 +85,7 @@
     private synchronized Mono<Answer> work(JsonNode m) {
         String handle = m.path("messageId").asText();
         int attempt = m.path("attempt").asInt();
-        Manner now = manner;
+        Manner now = manner.towards(m.path("tenant").asText());
         if (luck(now.later())) {
             return Mono.just(Answer.json(503, Map.of("error", "later")));
         }
--- a/trials/src/main/java/org/woadvale/trials/squall/Voyage.java
+++ b/trials/src/main/java/org/woadvale/trials/squall/Voyage.java
@@ -160,6 +160,12 @@
         handIn(tenant, id, lane, order, Charts.write(body), w.intakes, 5);
     }
 
+    /** A message of the lane without ordering. */
+    public void plain(int tenant) {
+        String id = "c" + ids++;
+        handIn(tenant, id, "hold", "", Charts.write(Map.of("id", id, "delayMs", 0, "body", Map.of("n", 1))), w.intakes, 5);
+    }
+
     /** A caller asks again with the same id while the outcome is unknown. */
     public void handIn(int tenant, String id, String lane, String order, byte[] body, List<String> at, int tries) {
         Duration sent = w.sim.now();
--- /dev/null
+++ b/trials/src/test/java/org/woadvale/trials/squall/FairnessTest.java
@@ -0,0 +1,35 @@
+package org.woadvale.trials.squall;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.trials.buoy.Backend;
+import org.woadvale.trials.buoy.Scenery;
+
+/** One tenant's excess is its own trouble; fake-clock delays. */
+class FairnessTest {
+    private static void served(Fairness.Others o, Duration p95) {
+        assertEquals(List.of(), o.violations());
+        assertEquals(1.0, o.acceptedShare());
+        assertTrue(o.p95().compareTo(p95) < 0, "others' p95 delay " + o.p95());
+    }
+
+    /** Before, with one line by due time: 7.2 s. */
+    @Test
+    void slowProcessorsAreSharedFairly() throws Fault {
+        served(Fairness.run(1, 120, new Backend.Manner(Duration.ofSeconds(2), 0, 0, 0), Duration.ZERO),
+            Duration.ofMillis(5000));
+    }
+
+    /** Before, with retries of a whole lane in one bucket: 31.7 s. */
+    @Test
+    void jobsThatCannotSucceedDoNotStarveOthers() throws Fault {
+        served(Fairness.run(1, 120, new Backend.Manner(Duration.ofMillis(300), 0.1, 0.85, 0, Scenery.tenant(0)),
+            Duration.ZERO), Duration.ofMillis(5000));
+    }
+}
