--- a/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/Claims.java
+++ b/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/Claims.java
@@ -96,11 +96,9 @@
                 return replica.mayAct() ? Mono.just(new Asks.DutyReply(true, d))
                     : Mono.just(new Asks.DutyReply(false, d));
             }
-            if (!d.vacant() && !lapsed(key) && !d.holder().equals(a.node())) {
-                return Mono.just(new Asks.DutyReply(false, d));
-            }
-            if (d.holder().equals(a.node()) && !lapsed(key)) {
-                // a restarted holder: its own former passes must die first
+            // design 8.4: a holder that knows of no term has restarted, so nobody grants in its old term any more
+            boolean restarted = d.holder().equals(a.node()) && a.term() == 0;
+            if (!d.vacant() && !restarted && !lapsed(key)) {
                 return Mono.just(new Asks.DutyReply(false, d));
             }
             return replica.propose(new Asks.TakeDuty(a.service(), a.node(), d.term()), Asks.DutyReply.class)
--- a/trials/src/main/java/org/woadvale/trials/squall/Measure.java
+++ b/trials/src/main/java/org/woadvale/trials/squall/Measure.java
@@ -61,6 +61,28 @@
             worstShare(v.w.seen), bad);
     }
 
+    /** Power lost everywhere, all started again at once: time until a hand-in of the given tenant is accepted. */
+    public static Duration outage(long seed, int intakes, int stores, Scenery scenery) throws Fault {
+        Voyage v = new Voyage(seed, intakes, stores, 4, scenery, World.LARGE_RING).embark();
+        v.traffic(60);
+        v.w.sim.run(Duration.ofSeconds(5));
+        v.calm();
+        v.w.all().forEach(h -> v.w.host(h).powerLoss());
+        v.w.sim.run(Duration.ofSeconds(1));
+        for (String h : v.w.all()) {
+            v.w.restart(h);
+        }
+        Duration begun = v.w.sim.now();
+        Voyage.require(v.w.sim.runUntil(() -> {
+            v.plain(0);
+            return v.w.seen.handedIn.stream().anyMatch(h -> h.said() == Sightings.Said.ACCEPTED
+                && h.sent().compareTo(begun) > 0);
+        }, Duration.ofSeconds(30)), "no service after the outage");
+        Duration took = v.w.sim.now().minus(begun);
+        Voyage.require(v.settle(Duration.ofSeconds(120)) && v.violations().isEmpty(), "lost after the outage");
+        return took;
+    }
+
     private static long syncs(Voyage v) {
         return v.w.stores.stream().mapToLong(s -> v.w.host(s).disk.syncs()).sum();
     }
@@ -92,6 +114,14 @@
         System.out.println("|---|---|---|---|---|---|---|---|---|---|---|");
         Duration length = Duration.ofSeconds(30);
         Scenery eight = new Scenery(8, 12, 45, 60, 26);
+        if (args.length > 0 && args[0].equals("outage")) {
+            List<Long> ms = new ArrayList<>();
+            for (long seed = 1; seed <= 10; seed++) {
+                ms.add(outage(seed, 8, 3, eight).toMillis());
+            }
+            System.out.println("First acceptance after the restart, ms on the fake clock, ten seeds: " + ms);
+            return;
+        }
         for (long seed = 1; seed <= 3; seed++) {
             row("lankavidya seed " + seed, steady(seed, 8, 3, eight, 270, length, v -> { }));
         }
--- a/trials/src/test/java/org/woadvale/trials/squall/RepairTest.java
+++ b/trials/src/test/java/org/woadvale/trials/squall/RepairTest.java
@@ -78,6 +78,13 @@
         ended(v);
     }
 
+    /** Before, when restarted holders of buckets waited for their own claims to lapse: 5.6 to 6.2 s. */
+    @Test
+    void fullOutageIsOverWithinItsBudget() throws Fault {
+        Duration took = Measure.outage(1, 8, 3, new org.woadvale.trials.buoy.Scenery(8, 4, 45, 60, 26));
+        assertTrue(took.compareTo(Duration.ofMillis(5000)) < 0, "first acceptance after " + took);
+    }
+
     @Test
     void twoLighthousesAtOnceAreRefused() throws Fault {
         Voyage v = new Voyage(6, 3, 3, 4).embark();
