--- /dev/null
+++ b/foundation/src/test/java/org/woadvale/foundation/logbook/RecordFormTest.java
@@ -0,0 +1,36 @@
+package org.woadvale.foundation.logbook;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HexFormat;
+
+import org.junit.jupiter.api.Test;
+
+/** Bytes that older builds wrote must stay readable. */
+class RecordFormTest {
+    private static final byte[] FORMAT_1 = HexFormat.of().parseHex("00000035733c1d7301000000000000000300000000000000090100"
+        + "026d310000000000000005000000000000000200000003010203");
+
+    @Test
+    void recordsOfTheFirstFormatAreRead() {
+        RecordForm.Found f = RecordForm.read(FORMAT_1, 0).orElseThrow();
+        assertEquals(3, f.segment());
+        assertEquals(9, f.batch());
+        Entry e = f.entry().orElseThrow();
+        assertEquals("m1", e.part());
+        assertEquals(5, e.index());
+        assertEquals(2, e.term());
+        assertArrayEquals(new byte[] {1, 2, 3}, e.bytes());
+    }
+
+    @Test
+    void anyFlippedBitIsSeen() {
+        for (int bit = 0; bit < FORMAT_1.length * 8; bit++) {
+            byte[] bad = FORMAT_1.clone();
+            bad[bit / 8] ^= (byte) (1 << bit % 8);
+            assertTrue(RecordForm.read(bad, 0).isEmpty(), "bit " + bit);
+        }
+    }
+}
--- a/pilot/src/main/java/org/woadvale/pilot/PilotNode.java
+++ b/pilot/src/main/java/org/woadvale/pilot/PilotNode.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -143,7 +144,7 @@
     /** True once this store counts in every part that the placement gives it. */
     private boolean seated() {
         Map<String, Set<String>> groups = groups();
-        java.util.List<String> mine = news.latest(Places.STORES).placement().entrySet().stream()
+        List<String> mine = news.latest(Places.STORES).placement().entrySet().stream()
             .filter(e -> e.getValue().contains(env.self())).map(Map.Entry::getKey).toList();
         return !mine.isEmpty() && mine.stream()
             .allMatch(p -> groups.getOrDefault(p, Set.of()).contains(env.self()));
@@ -154,6 +155,11 @@
         return berths.map(b -> b.all().values().stream().filter(x -> x.replica().mayAct()).count()).orElse(0L);
     }
 
+    /** The shared buckets that this node holds. */
+    public List<String> holds() {
+        return holders.map(Holders::holds).orElse(List.of());
+    }
+
     public Purses.Counts passes() {
         return purses.counts();
     }
--- /dev/null
+++ b/trials/src/test/java/org/woadvale/trials/keeper/OldBytesTest.java
@@ -0,0 +1,47 @@
+package org.woadvale.trials.keeper;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.time.Instant;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+import org.woadvale.foundation.beam.Codec;
+import org.woadvale.foundation.keeper.LogItem;
+import org.woadvale.foundation.keeper.Messages;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.foundation.watch.Wire;
+import org.woadvale.pilot.berth.Commands;
+import org.woadvale.pilot.berth.LaneTerms;
+
+/** What the first version wrote into logs: a changed type or number shows here before it eats a disk. */
+class OldBytesTest {
+    private static final Codec CODEC = Wire.codec(Wire.PILOT, Commands.types());
+
+    private static <T> T read(String hex, Class<T> type) throws Fault {
+        return CODEC.read(HexFormat.of().parseHex(hex), type);
+    }
+
+    @Test
+    void commandsOfTheFirstVersionAreRead() throws Fault {
+        Commands.Accept a = read("9303010b00030102010a0082688269826c826f827401e807068273d00f", Commands.Accept.class);
+        assertEquals("t l i o h", String.join(" ", a.tenant(), a.lane(), a.id(), a.orderKey(), a.hash()));
+        assertEquals(new LaneTerms("s", 1000, 3, 500), a.terms());
+        assertEquals(Instant.ofEpochSecond(10), a.due());
+        assertEquals(Instant.ofEpochSecond(11), a.at());
+        assertEquals(new Commands.End("m0-1", 2, Commands.Ending.DONE, "r", Instant.ofEpochSecond(10),
+            Instant.ofEpochSecond(11)), read("9503010b0004010a00016d302db18272", Commands.End.class));
+    }
+
+    @Test
+    void logItemsAndBasesOfTheFirstVersionAreRead() throws Fault {
+        LogItem i = read("710209010e", LogItem.class);
+        assertEquals(7, i.term());
+        assertEquals(LogItem.Kind.COMMAND, i.kind());
+        Messages.Base b = read("7019020003613ab103827869e40a040204010b01068276", Messages.Base.class);
+        assertEquals(Map.of("a:1", "x"), b.group());
+        assertEquals(List.of(5L, 2L, 3L), List.of(b.index(), b.indexTerm(), b.term()));
+    }
+}
--- /dev/null
+++ b/trials/src/test/java/org/woadvale/trials/squall/BadInputTest.java
@@ -0,0 +1,117 @@
+package org.woadvale.trials.squall;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+import org.woadvale.foundation.gate.Answer;
+import org.woadvale.foundation.gate.Request;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.trials.buoy.Scenery;
+
+/** Bad input gets a definite kind, and nothing is stored. */
+class BadInputTest {
+    private final Voyage v;
+
+    BadInputTest() throws Fault {
+        v = new Voyage(1, 2, 3, 2).embark();
+        v.w.sim.run(Duration.ofSeconds(3));
+    }
+
+    private Answer ask(String to, String method, String path, String key, String body, Map<String, String> more) {
+        Map<String, String> headers = new java.util.HashMap<>(more);
+        headers.put("authorization", "Bearer " + key);
+        List<Answer> got = new ArrayList<>();
+        v.w.request(to, new Request(method, path, headers, body.getBytes(StandardCharsets.UTF_8)), Duration.ofSeconds(6),
+            a -> got.add(a.orElseThrow()));
+        v.w.sim.run(Duration.ofSeconds(7));
+        return got.get(0);
+    }
+
+    private String kind(String method, String path, String key, String body) {
+        Answer a = ask(v.w.intakes.get(0), method, path, key, body, Map.of());
+        return a.status() + " " + Voyage.json(a).path("kind").asText();
+    }
+
+    private long stored() {
+        Answer a = ask(v.w.intakes.get(1), "GET", "/v1/messages?state=done", Scenery.callerKey(0), "", Map.of());
+        return Voyage.json(a).path("messages").size();
+    }
+
+    @Test
+    void handInsThatCannotBeTakenAreRefusedDefinitely() {
+        String key = Scenery.callerKey(0);
+        String good = "{\"id\":\"a\",\"body\":{}}";
+        String hold = "/v1/lanes/hold/messages";
+        assertEquals("400 bad_request", kind("POST", hold, key, "{\"id\":"));
+        assertEquals("400 bad_request", kind("POST", hold, key, "{\"id\":\"a b\",\"body\":{}}"));
+        assertEquals("400 bad_request", kind("POST", hold, key, "{\"id\":\"a\"}"));
+        assertEquals("400 bad_request", kind("POST", hold, key, "{\"id\":\"a\",\"body\":{},\"delayMs\":-1}"));
+        assertEquals("400 bad_request", kind("POST", hold, key, "{\"id\":\"a\",\"body\":{},\"more\":1}"));
+        assertEquals("400 bad_request", kind("POST", hold, key, "{\"id\":\"a\",\"body\":{},\"orderingKey\":\"k\"}"));
+        assertEquals("400 bad_request", kind("POST", "/v1/lanes/accept/messages", key, good));
+        assertEquals("404 unknown_lane", kind("POST", "/v1/lanes/none/messages", key, good));
+        assertEquals("401 unauthorised", kind("POST", hold, "wrong", good));
+        assertEquals("403 forbidden", kind("POST", "/v1/services/reserve/fetch", key, "{\"processor\":\"p\"}"));
+        assertEquals("404 not_found", kind("GET", "/v1/messages/m0-99", key, ""));
+        assertEquals("404 not_found", kind("GET", "/v1/messages/..%2f", key, ""));
+        assertEquals("404 not_found", kind("DELETE", hold, key, ""));
+        assertEquals(0, stored());
+        assertEquals("202 ", kind("POST", hold, key, good));
+        assertEquals(1, stored());
+        assertEquals("202 ", kind("POST", hold, key, good));
+        assertEquals("409 conflict", kind("POST", hold, key, "{\"id\":\"a\",\"body\":{\"other\":1}}"));
+        assertEquals(1, stored());
+    }
+
+    @Test
+    void othersMessagesAreNotShown() {
+        Answer a = ask(v.w.intakes.get(0), "POST", "/v1/lanes/hold/messages", Scenery.callerKey(0),
+            "{\"id\":\"a\",\"body\":{}}", Map.of());
+        String handle = Voyage.json(a).path("handle").asText();
+        assertEquals("200 ", kind("GET", "/v1/messages/" + handle, Scenery.callerKey(0), ""));
+        assertEquals("404 not_found", kind("GET", "/v1/messages/" + handle, Scenery.callerKey(1), ""));
+    }
+
+    @Test
+    void overTheAllowanceIsThrottledWithATimeToComeBack() {
+        List<Answer> all = new ArrayList<>();
+        for (int i = 0; i < 120; i++) {
+            v.w.request(v.w.intakes.get(i % 2), new Request("POST", "/v1/lanes/hold/messages",
+                Map.of("authorization", "Bearer " + Scenery.callerKey(1)),
+                ("{\"id\":\"n" + i + "\",\"body\":{}}").getBytes(StandardCharsets.UTF_8)), Duration.ofSeconds(6),
+                a -> all.add(a.orElseThrow()));
+        }
+        v.w.sim.run(Duration.ofSeconds(7));
+        List<Answer> refused = all.stream().filter(a -> a.status() == 429).toList();
+        assertTrue(refused.size() > 50, "refused " + refused.size());
+        assertTrue(refused.stream().allMatch(a -> Integer.parseInt(a.headers().get("Retry-After")) >= 1));
+        assertTrue(all.stream().filter(a -> a.status() == 202).count() <= 30 + 20, "burst and a second of the rate");
+    }
+
+    @Test
+    void layoutsThatCannotBeTakenChangeNothing() {
+        String l = v.w.lighthouses.get(1);
+        Map<String, String> base = Map.of("if-match", "1", "x-request-id", "bad");
+        Answer a = ask(l, "PUT", "/v1/layout", "", "{\"lanes\":{\"x\":{\"service\":\"no\",\"ordering\":\"none\"," 
+            + "\"timeLimitMs\":5000,\"attempts\":1}},\"tenants\":{\"T!\":{\"ratePerS\":1,\"burstSize\":1}}}", base);
+        assertEquals(422, a.status());
+        Answer stale = ask(l, "PUT", "/v1/layout", "", "{}", Map.of("if-match", "0", "x-request-id", "stale"));
+        assertEquals(412, stale.status());
+        assertEquals("1", Voyage.json(stale).path("details").path(0).asText(), "the present version is named");
+        assertEquals(400, ask(l, "PUT", "/v1/layout", "", "{}", Map.of()).status());
+        assertEquals("\"1\"", ask(l, "GET", "/v1/layout", "", "", Map.of()).headers().get("ETag"));
+        Answer first = ask(l, "PUT", "/v1/layout", "", "{}", Map.of("if-match", "1", "x-request-id", "good"));
+        Answer again = ask(v.w.lighthouses.get(2), "PUT", "/v1/layout", "", "{}",
+            Map.of("if-match", "1", "x-request-id", "good"));
+        assertEquals(2, Voyage.json(first).path("version").asInt());
+        assertEquals(2, Voyage.json(again).path("version").asInt());
+        assertTrue(Voyage.json(again).path("repeated").asBoolean());
+    }
+}
