--- a/foundation/src/main/java/org/woadvale/foundation/chart/Boot.java
+++ b/foundation/src/main/java/org/woadvale/foundation/chart/Boot.java
@@ -17,18 +17,20 @@
 
 /** What a process learns of its place: design 10.1. */
 public record Boot(
-        @NotNull @Pattern(regexp = ADDRESS) String address,
-        @NotNull @Pattern(regexp = ADDRESS) String http,
-        @NotNull @Pattern(regexp = "[a-z0-9-]{1,32}") String hall,
-        @NotNull @Size(min = 1, max = 3) List<@NotNull @Pattern(regexp = ADDRESS) String> seeds,
-        Set<@NotNull @Pattern(regexp = "intake|store") String> roles,
+        @NotNull @Pattern(regexp = ADDRESS, message = "must be IP:port") String address,
+        @NotNull @Pattern(regexp = ADDRESS, message = "must be IP:port") String http,
+        @NotNull @Pattern(regexp = "[a-z0-9-]{1,32}", message = "must be 1 to 32 small letters, digits or -") String hall,
+        @NotNull @Size(min = 1, max = 3) List<@NotNull @Pattern(regexp = ADDRESS, message = "must be IP:port") String> seeds,
+        Set<@NotNull @Pattern(regexp = "intake|store", message = "must be intake or store") String> roles,
         String data,
         @Min(0) @Max(64) int ringFiles,
         @Min(0) @Max(256) int ringFileMb,
         @Pattern(regexp = "([0-9a-f]{64})?") String operatorKeySha256,
         boolean join) {
 
-    static final String ADDRESS = "[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}";
+    private static final String OCTET = "(25[0-5]|2[0-4][0-9]|1?[0-9]{1,2})";
+    private static final String PORT = "(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}|[1-5]?[0-9]{1,4})";
+    static final String ADDRESS = OCTET + "(\\." + OCTET + "){3}:" + PORT;
     private static final int USUAL_FILES = 16;
     private static final int USUAL_MB = 16;
 
@@ -46,7 +48,8 @@
         } catch (IOException e) {
             throw new Fault(ErrorKind.BAD_REQUEST, "Cannot read the boot file " + file + ".");
         } catch (Fault e) {
-            String where = e.details().isEmpty() ? e.getMessage() : e.details().get(0);
+            String where = e.details().isEmpty() ? e.getMessage() : e.details().get(0).replace(".<list element>", "")
+                .replace(".<iterable element>", "");
             throw new Fault(ErrorKind.BAD_REQUEST, "The boot file " + file + " is invalid at " + where + ".");
         }
     }
--- a/foundation/src/main/java/org/woadvale/foundation/logbook/RingLogbook.java
+++ b/foundation/src/main/java/org/woadvale/foundation/logbook/RingLogbook.java
@@ -33,7 +33,7 @@
     private long batch;
     private boolean flushing;
     private boolean failed;
-    private long syncs;
+    private volatile long syncs;
     private volatile boolean nearlyFull;
 
     private RingLogbook(Disk disk, Schedules schedules, int files, int size) throws IOException {
--- a/foundation/src/test/java/org/woadvale/foundation/chart/ChartsTest.java
+++ b/foundation/src/test/java/org/woadvale/foundation/chart/ChartsTest.java
@@ -53,6 +53,10 @@
             {"address":"nowhere","http":"127.0.0.1:1","hall":"h","seeds":["127.0.0.1:2"]}""");
         String m = assertThrows(Fault.class, () -> Boot.read(p.toString())).getMessage();
         assertTrue(m.contains("invalid at address: "), m);
+        assertTrue(m.contains("must be IP:port"), m);
+        Files.writeString(p, """
+            {"address":"127.0.0.1:70000","http":"127.0.0.1:1","hall":"h","seeds":["127.0.0.1:2"]}""");
+        assertTrue(assertThrows(Fault.class, () -> Boot.read(p.toString())).getMessage().contains("at address: "));
         Files.writeString(p, """
             {"address":"127.0.0.1:3","http":"127.0.0.1:1","hall":"h","seeds":["127.0.0.1:2"],"roles":["store"]}""");
         String m2 = assertThrows(Fault.class, () -> Boot.read(p.toString())).getMessage();
--- a/pilot/src/main/java/org/woadvale/pilot/berth/Berths.java
+++ b/pilot/src/main/java/org/woadvale/pilot/berth/Berths.java
@@ -1,6 +1,7 @@
 package org.woadvale.pilot.berth;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -88,7 +89,14 @@
         if (!spend(b, units)) {
             return Mono.error(new Fault(ErrorKind.THROTTLED, "The store is at its limit.", List.of("1")));
         }
-        return b.replica().propose(a, Commands.Accepted.class);
+        return b.replica().propose(stamped(a), Commands.Accepted.class);
+    }
+
+    /** Times are the owner's: the intake's calendar clock may be off. design 9.1 */
+    private Commands.Accept stamped(Commands.Accept a) {
+        Instant now = env.times().wall();
+        return new Commands.Accept(a.tenant(), a.lane(), a.id(), a.orderKey(), a.body(), a.hash(), a.terms(),
+            now.plus(Duration.between(a.at(), a.due())), now);
     }
 
     /** Draws size units of the node and of the part, or of neither. */
--- a/tender/src/test/java/org/woadvale/tender/TenderTest.java
+++ b/tender/src/test/java/org/woadvale/tender/TenderTest.java
@@ -107,6 +107,15 @@
         assertEquals(2, s.asked.size(), "nothing may follow the failed step");
     }
 
+    @Test
+    void actionThatIsToComeBackLaterIsAskedAgain() throws Fault {
+        Script s = new Script().on("GET http://l/v1/layout", 200, LAYOUT).on("PUT http://l/v1/layout", 503, "{}")
+            .on("PUT http://l/v1/layout", 504, "{}").on("PUT http://l/v1/layout", 200, "{\"version\":5}")
+            .on("GET http://i/v1/status", 200, "{\"layout\":5}");
+        assertTrue(s.run("withdraw-key", false, KEY), s.said.toString());
+        assertEquals(3, s.asked.stream().filter(a -> a.startsWith("PUT")).count());
+    }
+
     @Test
     void dryRunChangesNothing() throws Fault {
         Script s = new Script().on("GET http://l/v1/layout", 200, LAYOUT);
--- a/trials/src/main/java/org/woadvale/trials/squall/Voyage.java
+++ b/trials/src/main/java/org/woadvale/trials/squall/Voyage.java
@@ -33,6 +33,7 @@
     private boolean trafficOn;
     public Layout layout;
     public long version;
+    long puts;
 
     public Voyage(long seed, int intakes, int stores, int processors) throws Fault {
         this(seed, intakes, stores, processors, new Scenery(3, 2, 20, 30, 26), World.SMALL_RING);
@@ -75,6 +76,7 @@
     /** Repeats with the same request id until the answer is definite. */
     public void put(Layout l, long base, String id, Consumer<Answer> then) {
         byte[] json = Charts.write(l);
+        puts++;
         Request q = new Request("PUT", "/v1/layout", Map.of("if-match", Long.toString(base), "x-request-id", id), json);
         operate(q, a -> {
             boolean taken = a.status() == 200;
