Operators' requests wait up to 2.5 s for a part without an owner: a clear yes or no

Seen in the fleet test: a change right after the loss of a lighthouse got 503 at once. Requests are idempotent, so the asked lighthouse repeats them; an unknown one gets its definite answer by the same request id.

--- a/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/LampMachine.java
+++ b/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/LampMachine.java
@@ -34,7 +34,7 @@
     }
 
     public Map<String, ServiceView> services() {
-        return Map.copyOf(services);
+        return new TreeMap<>(services);
     }
 
     public LayoutLog layouts() {
--- a/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/LampNode.java
+++ b/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/LampNode.java
@@ -16,6 +16,7 @@
 import org.woadvale.foundation.lantern.Component;
 import org.woadvale.foundation.lantern.ErrorKind;
 import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.foundation.lantern.Pauses;
 import org.woadvale.foundation.lantern.Schedule;
 import org.woadvale.foundation.watch.Asks;
 import org.woadvale.foundation.watch.Core;
@@ -28,6 +29,9 @@
 public final class LampNode implements Component {
     private record Part(Replica replica, LampMachine machine, Claims claims) { }
 
+    private static final Duration PATIENCE = Duration.ofMillis(2500);
+    private static final Duration AGAIN = Duration.ofMillis(150);
+
     private final Env env;
     private final Core core;
     private final Map<String, Part> parts = new LinkedHashMap<>();
@@ -191,8 +195,30 @@
         return parts.values().stream().allMatch(p -> p.replica().owner().isPresent());
     }
 
-    public Core core() {
-        return core;
+    /**
+     * An operator's ask: waits out a part that has no owner just now. Every such ask may be repeated, so one that
+     * was left unknown is asked again for its definite answer. design 6.4
+     */
+    <T> Mono<T> ask(String part, Object body, Class<T> type) {
+        return ask(part, body, type, env.times().mono().plus(PATIENCE), false);
+    }
+
+    private <T> Mono<T> ask(String part, Object body, Class<T> type, Duration until, boolean unknown) {
+        return core.ask(part, body, type).onErrorResume(e -> {
+            Fault f = Fault.of(e);
+            boolean nowUnknown = unknown || f.kind() == ErrorKind.UNKNOWN_OUTCOME;
+            boolean again = f.kind() == ErrorKind.NOT_OWNER || f.kind() == ErrorKind.UNREACHABLE
+                || f.kind() == ErrorKind.STOPPING || f.kind() == ErrorKind.UNKNOWN_OUTCOME;
+            if (!again) {
+                return Mono.error(f);
+            }
+            if (env.times().mono().compareTo(until) >= 0) {
+                return Mono.error(nowUnknown ? new Fault(ErrorKind.UNKNOWN_OUTCOME,
+                    "It is not known whether this was taken; ask again with the same request id.") : f);
+            }
+            return Pauses.pause(env.schedules(), AGAIN)
+                .then(Mono.defer(() -> ask(part, body, type, until, nowUnknown)));
+        });
     }
 
     public Replica replica(String part) {
--- a/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/Operators.java
+++ b/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/Operators.java
@@ -124,20 +124,20 @@
             return Mono.error(new Fault(ErrorKind.BAD_REQUEST, "X-Request-Id must be 1 to 64 letters, digits, . _ -"));
         }
         Asks.PutLayout put = new Asks.PutLayout(id, base.get(), q.body(), q.header("x-author").orElse(""));
-        return node.core().ask("c0", new LayoutPut(put), Asks.LayoutTaken.class)
+        return node.ask("c0", new LayoutPut(put), Asks.LayoutTaken.class)
             .map(t -> Answer.json(200, Map.of("version", t.version(), "repeated", t.repeated(), "requestId", id))
                 .with("ETag", "\"" + t.version() + "\""));
     }
 
     private Mono<Answer> get(List<String> s) {
         long version = s.size() > 2 && s.get(2).matches("[0-9]{1,18}") ? Long.parseLong(s.get(2)) : -1;
-        return node.core().ask("c0", new LayoutGet(version), LayoutIs.class)
+        return node.ask("c0", new LayoutGet(version), LayoutIs.class)
             .map(l -> new Answer(200, Map.of("Content-Type", "application/json"), l.layout())
                 .with("ETag", "\"" + l.version() + "\""));
     }
 
     private Mono<Answer> history() {
-        return node.core().ask("c0", new HistoryGet(0), History.class).map(h -> {
+        return node.ask("c0", new HistoryGet(0), History.class).map(h -> {
             List<Map<String, Object>> rows = new java.util.ArrayList<>();
             for (int i = 0; i < h.versions().size(); i++) {
                 rows.add(Map.of("version", h.versions().get(i), "requestId", h.requests().get(i),
--- a/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/Platform.java
+++ b/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/Platform.java
@@ -41,7 +41,7 @@
                 throw new Fault(ErrorKind.CONFLICT, "Only one lighthouse may be exchanged at a time; the present ones are "
                     + String.join(", ", node.lighthouses()) + ".");
             }
-            return node.core().ask(Places.controlPart(Places.CORE), new Asks.PutCore(wanted), Asks.Done.class)
+            return node.ask(Places.controlPart(Places.CORE), new Asks.PutCore(wanted), Asks.Done.class)
                 .map(d -> Answer.json(200, Map.of("lighthouses", wanted)));
         } catch (Fault e) {
             return Mono.error(e);
@@ -59,11 +59,11 @@
         String service = Places.processors(s.get(2));
         String part = Places.controlPart(service);
         if (list) {
-            return node.core().ask(part, new Operators.ProcessorsGet(service), Operators.Processors.class)
+            return node.ask(part, new Operators.ProcessorsGet(service), Operators.Processors.class)
                 .map(p -> Answer.json(200, p.processors()));
         }
         if (q.method().equals("DELETE")) {
-            return node.core().ask(part, new Asks.DropProcessor(service, s.get(4)), Asks.Done.class)
+            return node.ask(part, new Asks.DropProcessor(service, s.get(4)), Asks.Done.class)
                 .map(d -> Answer.json(200, Map.of("removed", s.get(4))));
         }
         try {
@@ -73,7 +73,7 @@
                 throw new Fault(ErrorKind.BAD_REQUEST, "address must be http://IP:port or empty.");
             }
             Processor p = new Processor(address, body.path("leaving").asBoolean(false));
-            return node.core().ask(part, new Asks.PutProcessor(service, s.get(4), p), Asks.Done.class)
+            return node.ask(part, new Asks.PutProcessor(service, s.get(4), p), Asks.Done.class)
                 .map(d -> Answer.json(200, Map.of("id", s.get(4), "address", address, "leaving", p.leaving())));
         } catch (Fault e) {
             return Mono.error(e);
--- a/trials/src/test/java/org/woadvale/trials/squall/RepairTest.java
+++ b/trials/src/test/java/org/woadvale/trials/squall/RepairTest.java
@@ -78,6 +78,19 @@
         ended(v);
     }
 
+    /** Before: 503 at once, and the operator had to come back. */
+    @Test
+    void layoutPutRightAfterTheLossOfItsOwnerGetsAClearYes() throws Fault {
+        Voyage v = new Voyage(8, 3, 3, 4).embark();
+        v.w.kill(v.w.lighthouses.get(0));
+        List<Integer> answers = new java.util.ArrayList<>();
+        byte[] json = Charts.write(v.layout);
+        v.w.request(v.w.lighthouses.get(1), new Request("PUT", "/v1/layout", Map.of("if-match", "1", "x-request-id", "now"),
+            json), Duration.ofSeconds(5), a -> answers.add(a.map(x -> x.status()).orElse(0)));
+        v.w.sim.run(Duration.ofSeconds(6));
+        assertEquals(List.of(200), answers);
+    }
+
     /** Before, when restarted holders of buckets waited for their own claims to lapse: 5.6 to 6.2 s. */
     @Test
     void fullOutageIsOverWithinItsBudget() throws Fault {
