--- a/pilot/src/main/java/org/woadvale/pilot/PilotNode.java
+++ b/pilot/src/main/java/org/woadvale/pilot/PilotNode.java
@@ -155,6 +155,11 @@
         return berths.map(b -> b.all().values().stream().filter(x -> x.replica().mayAct()).count()).orElse(0L);
     }
 
+    /** The term of a message part as known here; zero where it is not. */
+    public long term(String part) {
+        return berths.map(b -> b.all().get(part)).map(x -> x.replica().term()).orElse(0L);
+    }
+
     /** The shared buckets that this node holds. */
     public List<String> holds() {
         return holders.map(Holders::holds).orElse(List.of());
--- /dev/null
+++ b/trials/src/main/java/org/woadvale/trials/squall/Spread.java
@@ -0,0 +1,60 @@
+package org.woadvale.trials.squall;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.woadvale.foundation.keeper.Phase;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.foundation.watch.Places;
+import org.woadvale.trials.buoy.Scenery;
+
+/** How evenly owners and holders lie over the nodes, and how often parts change hands; on the fake clock. */
+public final class Spread {
+    private Spread() { }
+
+    public static void main(String[] args) throws Fault {
+        System.out.println("| fleet | when | message parts owned by each store | control parts by each lighthouse "
+            + "| buckets by each intake | message part terms in all |");
+        System.out.println("|---|---|---|---|---|---|");
+        for (int[] shape : new int[][] {{8, 3}, {7, 4}}) {
+            Voyage v = new Voyage(1, shape[0], shape[1], 4, new Scenery(8, 12, 45, 60, 26), World.SMALL_RING).embark();
+            String name = shape[0] + "+" + shape[1] + "+3";
+            v.w.sim.run(Duration.ofSeconds(10));
+            row(v, name, "10 s after the start");
+            v.w.kill(v.w.stores.get(0));
+            v.w.kill(v.w.lighthouses.get(0));
+            v.w.kill(v.w.intakes.get(0));
+            v.w.sim.run(Duration.ofSeconds(8));
+            row(v, name, "first of each kind killed 8 s ago");
+            for (String h : v.w.all()) {
+                v.w.restart(h);
+            }
+            v.w.sim.run(Duration.ofSeconds(15));
+            row(v, name, "back since 15 s");
+            v.w.sim.run(Duration.ofSeconds(60));
+            row(v, name, "a minute later");
+        }
+    }
+
+    private static void row(Voyage v, String name, String when) {
+        List<Long> stores = new ArrayList<>();
+        List<Long> lamps = new ArrayList<>();
+        List<Integer> holders = new ArrayList<>();
+        long terms = 0;
+        for (String s : v.w.stores) {
+            stores.add(v.w.host(s).alive() ? v.w.pilot(s).owned() : 0);
+        }
+        for (String l : v.w.lighthouses) {
+            lamps.add(v.w.host(l).alive() ? Places.controlParts().stream()
+                .filter(p -> v.w.lamp(l).replica(p).phase() == Phase.OWNING).count() : 0);
+        }
+        for (String i : v.w.intakes) {
+            holders.add(v.w.host(i).alive() ? v.w.pilot(i).holds().size() : 0);
+        }
+        for (String p : Places.messageParts()) {
+            terms += v.w.stores.stream().filter(s -> v.w.host(s).alive()).mapToLong(s -> v.w.pilot(s).term(p)).max().orElse(0);
+        }
+        System.out.println("| " + name + " | " + when + " | " + stores + " | " + lamps + " | " + holders + " | " + terms + " |");
+    }
+}
