Supervisor: a dead listener is noticed, and each restart is tried before it counts again

Seen on reading: no component ever reported itself dead, and a component that waited for its restart was counted dead again at each look, so five looks meant giving up after one try. Listeners now report; pending restarts are left alone.

--- a/foundation/src/main/java/org/woadvale/foundation/beam/TcpBeam.java
+++ b/foundation/src/main/java/org/woadvale/foundation/beam/TcpBeam.java
@@ -105,6 +105,11 @@
             .cache();
     }
 
+    @Override
+    public boolean alive() {
+        return server == null || !server.isDisposed();
+    }
+
     @Override
     public void stop() {
         incoming.keySet().forEach(WireStream::close);
--- a/foundation/src/main/java/org/woadvale/foundation/gate/Gate.java
+++ b/foundation/src/main/java/org/woadvale/foundation/gate/Gate.java
@@ -103,6 +103,11 @@
         return out;
     }
 
+    @Override
+    public boolean alive() {
+        return server == null || !server.isDisposed();
+    }
+
     @Override
     public void stop() {
         if (server != null) {
--- a/foundation/src/main/java/org/woadvale/foundation/lantern/Supervisor.java
+++ b/foundation/src/main/java/org/woadvale/foundation/lantern/Supervisor.java
@@ -3,8 +3,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -20,6 +22,7 @@
     private final Runnable onGivenUp;
     private final List<Component> children = new ArrayList<>();
     private final Map<Component, Integer> restarts = new HashMap<>();
+    private final Set<Component> pending = new HashSet<>();
     private Schedule looking = () -> { };
     private boolean running;
     private boolean givenUp;
@@ -52,7 +55,7 @@
 
     private synchronized void look() {
         for (Component c : children) {
-            if (running && !givenUp && !c.alive()) {
+            if (running && !givenUp && !c.alive() && !pending.contains(c)) {
                 restart(c);
             }
         }
@@ -67,10 +70,12 @@
             return;
         }
         LOG.warn("lantern: {} died, starting it again.", c.name());
+        pending.add(c);
         schedules.after(LOOK.multipliedBy(1L << n), () -> startAgain(c));
     }
 
     private synchronized void startAgain(Component c) {
+        pending.remove(c);
         if (!running || c.alive()) {
             return;
         }
