Fleet test: a replacement process belongs to the fleet before it is started

Seen: a run that failed in the middle of a replacement left the new lighthouse running. It is now among the processes that are ended whatever happens; none left after the run.

--- a/trials/src/test/java/org/woadvale/tender/FleetTest.java
+++ b/trials/src/test/java/org/woadvale/tender/FleetTest.java
@@ -178,19 +178,19 @@
         String address = Fleet.free();
         Vessel fresh = new Vessel("lighthouse3", Lighthouse.class.getName(), root, address, Fleet.free(), "hall2",
             seeds, List.of(), true, true);
+        fleet.lighthouses.set(2, fresh);
         byHand = what -> fresh.start();
         run("replace-lighthouse", Map.of("lighthouse", http(fleet.lighthouses.get(0)), "newLighthouse", http(fresh),
             "first", seeds.get(0), "second", seeds.get(1), "third", address));
-        fleet.lighthouses.set(2, fresh);
         accepted("with a new lighthouse");
     }
 
     private void replaceStore() throws Exception {
         fleet.stores.get(2).kill();
         Vessel fresh = fleet.pilot("store3", "hall2", "store");
+        fleet.stores.set(2, fresh);
         byHand = what -> fresh.start();
         run("replace-store", Map.of("lighthouse", http(fleet.lighthouses.get(0)), "store", http(fresh)));
-        fleet.stores.set(2, fresh);
         accepted("with a new store");
     }
 }
