Records carry their count; a newer disk format is refused, not set aside

Cause: stored and sent records were positional by component name, so no field could ever be added without making old folders unreadable; and a record of a newer format counted as damage, so that a rollback would have set the whole folder aside and started blank. Ruled out: Kryo's CompatibleFieldSerializer (does not serve records); new types for each added field (a second Message type and its translation at every use). Before: aNewerFormatIsNotTakenForDamage and twoBuildsReadEachOther fail (damage, unreadable frame). After: both pass; the bytes of the first build in OldBytesTest and RecordFormTest are still read. Conclusion: inner version 2, disk format 2 reading 1. Version 1 is not spoken: the first build's fleet is stopped and started once. Rolling is possible from here on.

--- a/foundation/src/main/java/org/woadvale/foundation/beam/Codec.java
+++ b/foundation/src/main/java/org/woadvale/foundation/beam/Codec.java
@@ -21,19 +21,20 @@
 /** Kryo with required registration and fixed numbers: no class name ever comes off the wire. design 3.2 */
 public final class Codec {
     /** Range of inner protocol versions that this build speaks. */
-    public static final int OLDEST = 1;
-    public static final int NEWEST = 1;
+    public static final int OLDEST = 2;
+    public static final int NEWEST = 2;
     public static final int MAX_FRAME = 24 << 20;
 
     private final Map<Integer, List<Class<?>>> types;
-    private final ThreadLocal<Kryo> kryos = ThreadLocal.withInitial(this::make);
+    private final ThreadLocal<Kryo> kryos = ThreadLocal.withInitial(() -> make(false));
+    private final ThreadLocal<Kryo> firstFormat = ThreadLocal.withInitial(() -> make(true));
 
     /** Types by their first number; each program's own types have a range to themselves. */
     public Codec(Map<Integer, List<Class<?>>> types) {
         this.types = Map.copyOf(types);
     }
 
-    private Kryo make() {
+    private Kryo make(boolean first) {
         Kryo k = new Kryo();
         k.setRegistrationRequired(true);
         k.setReferences(false);
@@ -44,20 +45,28 @@
         k.register(Duration.class, 24);
         k.register(Instant.class, 25);
         k.register(Optional.class, 26);
-        k.register(Frame.class, 27);
+        register(k, Frame.class, 27, first);
         k.register(Frame.Kind.class, 28);
-        k.register(Frame.Refusal.class, 29);
+        register(k, Frame.Refusal.class, 29, first);
         k.register(java.util.LinkedHashMap.class, 30);
         k.register(java.util.TreeSet.class, 31);
         ImmutableCollectionsSerializers.registerSerializers(k);
-        types.forEach((first, list) -> {
+        types.forEach((from, list) -> {
             for (int i = 0; i < list.size(); i++) {
-                k.register(list.get(i), first + i);
+                register(k, list.get(i), from + i, first);
             }
         });
         return k;
     }
 
+    private static void register(Kryo k, Class<?> type, int id, boolean first) {
+        if (type.isRecord()) {
+            k.register(type, new RecordBytes(type, first), id);
+        } else {
+            k.register(type, id);
+        }
+    }
+
     public byte[] write(Object o) {
         Output out = new Output(512, MAX_FRAME);
         kryos.get().writeClassAndObject(out, o);
@@ -65,8 +74,21 @@
     }
 
     public <T> T read(byte[] bytes, Class<T> type) throws Fault {
+        return read(kryos.get(), bytes, type);
+    }
+
+    /** What a build of the first format stored, said again in the present one. design 3.4 */
+    public byte[] lift(byte[] firstFormatBytes) throws Fault {
+        return firstFormatBytes.length == 0 ? firstFormatBytes : write(readFirst(firstFormatBytes, Object.class));
+    }
+
+    public <T> T readFirst(byte[] firstFormatBytes, Class<T> type) throws Fault {
+        return read(firstFormat.get(), firstFormatBytes, type);
+    }
+
+    private static <T> T read(Kryo kryo, byte[] bytes, Class<T> type) throws Fault {
         try {
-            Object o = kryos.get().readClassAndObject(new Input(bytes));
+            Object o = kryo.readClassAndObject(new Input(bytes));
             if (!type.isInstance(o)) {
                 throw new Fault(ErrorKind.BAD_REQUEST, "Expected " + type.getSimpleName() + " in a frame.");
             }
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/beam/RecordBytes.java
@@ -0,0 +1,98 @@
+package org.woadvale.foundation.beam;
+
+import java.lang.reflect.Constructor;
+import java.lang.reflect.RecordComponent;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import com.esotericsoftware.kryo.Kryo;
+import com.esotericsoftware.kryo.KryoException;
+import com.esotericsoftware.kryo.Serializer;
+import com.esotericsoftware.kryo.io.Input;
+import com.esotericsoftware.kryo.io.Output;
+
+/** A record with the count of its components: older readers drop what they do not know, newer ones fill in. design 3.4 */
+final class RecordBytes extends Serializer<Object> {
+    private static final Map<Class<?>, Object> NOTHING = Map.of(String.class, "", int.class, 0, long.class, 0L,
+        boolean.class, false, double.class, 0.0, byte[].class, new byte[0], List.class, List.of(), Map.class, Map.of(),
+        Duration.class, Duration.ZERO, Instant.class, Instant.EPOCH);
+    private final Class<?> type;
+    private final RecordComponent[] parts;
+    private final Constructor<?> maker;
+    private final boolean firstFormat;
+
+    /** The first format had no count: its components stood in the order of their names. */
+    RecordBytes(Class<?> type, boolean firstFormat) {
+        this.type = type;
+        this.parts = type.getRecordComponents();
+        this.firstFormat = firstFormat;
+        try {
+            this.maker = type.getDeclaredConstructor(Arrays.stream(parts).map(RecordComponent::getType)
+                .toArray(Class[]::new));
+            maker.setAccessible(true);
+            Arrays.stream(parts).forEach(p -> p.getAccessor().setAccessible(true));
+        } catch (ReflectiveOperationException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @Override
+    public void write(Kryo k, Output out, Object o) {
+        if (firstFormat) {
+            throw new IllegalStateException("the first format is only read");
+        }
+        out.writeVarInt(parts.length, true);
+        try {
+            for (RecordComponent p : parts) {
+                k.writeClassAndObject(out, p.getAccessor().invoke(o));
+            }
+        } catch (ReflectiveOperationException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @Override
+    public Object read(Kryo k, Input in, Class<? extends Object> wanted) {
+        Object[] args = Arrays.stream(parts).map(p -> nothing(p.getType())).toArray();
+        if (firstFormat) {
+            readFirst(k, in, args);
+        } else {
+            int n = in.readVarInt(true);
+            for (int i = 0; i < n; i++) {
+                Object o = k.readClassAndObject(in);
+                if (i < args.length) {
+                    args[i] = o;
+                }
+            }
+        }
+        try {
+            return maker.newInstance(args);
+        } catch (ReflectiveOperationException e) {
+            throw new KryoException("no " + type.getSimpleName() + " can be made of this", e);
+        }
+    }
+
+    private void readFirst(Kryo k, Input in, Object[] args) {
+        int[] order = java.util.stream.IntStream.range(0, parts.length).boxed()
+            .filter(i -> !parts[i].isAnnotationPresent(Since.class))
+            .sorted(Comparator.comparing(i -> parts[i].getName())).mapToInt(Integer::intValue).toArray();
+        for (int i : order) {
+            Class<?> c = parts[i].getType();
+            args[i] = c.isPrimitive() ? k.readObject(in, c)
+                : k.isFinal(c) ? k.readObjectOrNull(in, c) : k.readClassAndObject(in);
+        }
+    }
+
+    /** What a component is that the writer did not know yet. */
+    private static Object nothing(Class<?> c) {
+        if (c.isEnum()) {
+            return c.getEnumConstants()[0];
+        }
+        return Optional.ofNullable(NOTHING.get(c)).orElse(Optional.empty());
+    }
+}
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/beam/Since.java
@@ -0,0 +1,13 @@
+package org.woadvale.foundation.beam;
+
+import java.lang.annotation.ElementType;
+import java.lang.annotation.Retention;
+import java.lang.annotation.RetentionPolicy;
+import java.lang.annotation.Target;
+
+/** The format of stored and sent records that first had this component; always the last ones of a record. design 3.4 */
+@Retention(RetentionPolicy.RUNTIME)
+@Target(ElementType.RECORD_COMPONENT)
+public @interface Since {
+    int value();
+}
--- a/foundation/src/main/java/org/woadvale/foundation/keeper/Store.java
+++ b/foundation/src/main/java/org/woadvale/foundation/keeper/Store.java
@@ -28,7 +28,8 @@
             giveBase();
             return;
         }
-        for (Entry e : entries) {
+        for (Entry stored : entries) {
+            Entry e = Older.lifted(stored, r.env.codec());
             switch (e.kind()) {
                 case BASE -> load(r.env.codec().read(e.bytes(), Messages.Base.class));
                 case VOTE -> {
--- a/foundation/src/main/java/org/woadvale/foundation/logbook/RecordForm.java
+++ b/foundation/src/main/java/org/woadvale/foundation/logbook/RecordForm.java
@@ -10,9 +10,18 @@
 final class RecordForm {
     static final int HEAD = 4 + 4;
     /** Format of this build's records; readers accept every format up to it. */
-    static final byte FORMAT = 1;
+    static final byte FORMAT = Entry.FORMAT;
     private static final byte ROLL = 9;
 
+    /** A sound record that this build cannot read: nothing may be cut or set aside for it. */
+    static final class Newer extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        Newer(int format) {
+            super("written by a newer build: format " + format + ", this one reads up to " + FORMAT, null, false, false);
+        }
+    }
+
     record Found(long segment, long batch, int next, Optional<Entry> entry) {
         boolean roll() {
             return entry.isEmpty();
@@ -45,7 +54,7 @@
     }
 
     /** Empty where no whole, sound record stands at the place. */
-    static Optional<Found> read(byte[] all, int at) {
+    static Optional<Found> read(byte[] all, int at) throws Newer {
         if (at + HEAD + 18 > all.length) {
             return Optional.empty();
         }
@@ -59,6 +68,10 @@
         if ((int) crc.getValue() != b.getInt(at + 4)) {
             return Optional.empty();
         }
+        byte format = b.get(at + HEAD);
+        if (format > FORMAT) {
+            throw new Newer(format);
+        }
         try {
             return body(b.position(at + HEAD), at + len);
         } catch (BufferUnderflowException e) {
@@ -67,9 +80,7 @@
     }
 
     private static Optional<Found> body(ByteBuffer b, int next) {
-        if (b.get() > FORMAT) {
-            return Optional.empty();
-        }
+        byte format = b.get();
         long segment = b.getLong();
         long batch = b.getLong();
         byte kind = b.get();
@@ -83,6 +94,6 @@
         byte[] bytes = new byte[b.getInt()];
         b.get(bytes);
         return Optional.of(new Found(segment, batch, next, Optional.of(
-            new Entry(new String(part, StandardCharsets.UTF_8), Entry.Kind.values()[kind], index, term, bytes))));
+            new Entry(new String(part, StandardCharsets.UTF_8), Entry.Kind.values()[kind], index, term, bytes, format))));
     }
 }
--- a/foundation/src/main/java/org/woadvale/foundation/logbook/Recovery.java
+++ b/foundation/src/main/java/org/woadvale/foundation/logbook/Recovery.java
@@ -24,7 +24,7 @@
     int pos;
     long batch;
 
-    static Recovery run(List<byte[]> files) throws Damaged {
+    static Recovery run(List<byte[]> files) throws Damaged, RecordForm.Newer {
         Recovery r = new Recovery();
         long newest = -1;
         long oldest = Long.MAX_VALUE;
@@ -64,7 +64,7 @@
         }
     }
 
-    private void segment(byte[] file, long s, boolean last) throws Damaged {
+    private void segment(byte[] file, long s, boolean last) throws Damaged, RecordForm.Newer {
         int at = 0;
         while (true) {
             Optional<RecordForm.Found> f = RecordForm.read(file, at);
@@ -100,7 +100,7 @@
     }
 
     /** A sound record of a later batch beyond the break proves that synced bytes were lost. */
-    private void checkTail(byte[] file, long s, int from) throws Damaged {
+    private void checkTail(byte[] file, long s, int from) throws Damaged, RecordForm.Newer {
         for (int at = from; at + RecordForm.HEAD + 18 <= file.length; at++) {
             if (file[at + RecordForm.HEAD] < 1 || segmentAt(file, at) != s) {
                 continue;
--- a/foundation/src/main/java/org/woadvale/foundation/logbook/RingLogbook.java
+++ b/foundation/src/main/java/org/woadvale/foundation/logbook/RingLogbook.java
@@ -36,7 +36,7 @@
     private volatile long syncs;
     private volatile boolean nearlyFull;
 
-    private RingLogbook(Disk disk, Schedules schedules, int files, int size) throws IOException {
+    private RingLogbook(Disk disk, Schedules schedules, int files, int size) throws IOException, RecordForm.Newer {
         this.schedules = schedules;
         this.size = size;
         List<byte[]> bytes = openAll(disk, files);
@@ -76,6 +76,8 @@
     public static RingLogbook open(Disk disk, Schedules schedules, int files, int size) throws Fault {
         try {
             return new RingLogbook(disk, schedules, files, size);
+        } catch (RecordForm.Newer e) {
+            throw new Fault(ErrorKind.UNAVAILABLE, "The data folder was " + e.getMessage() + ".");
         } catch (IOException e) {
             throw new Fault(ErrorKind.UNAVAILABLE, "Cannot open the data folder: " + e.getMessage());
         }
--- a/foundation/src/test/java/org/woadvale/foundation/logbook/RecordFormTest.java
+++ b/foundation/src/test/java/org/woadvale/foundation/logbook/RecordFormTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.HexFormat;
@@ -14,23 +15,36 @@
         + "026d310000000000000005000000000000000200000003010203");
 
     @Test
-    void recordsOfTheFirstFormatAreRead() {
+    void recordsOfTheFirstFormatAreRead() throws RecordForm.Newer {
         RecordForm.Found f = RecordForm.read(FORMAT_1, 0).orElseThrow();
         assertEquals(3, f.segment());
         assertEquals(9, f.batch());
         Entry e = f.entry().orElseThrow();
         assertEquals("m1", e.part());
+        assertEquals(1, e.format());
         assertEquals(5, e.index());
         assertEquals(2, e.term());
         assertArrayEquals(new byte[] {1, 2, 3}, e.bytes());
     }
 
     @Test
-    void anyFlippedBitIsSeen() {
+    void anyFlippedBitIsSeen() throws RecordForm.Newer {
         for (int bit = 0; bit < FORMAT_1.length * 8; bit++) {
             byte[] bad = FORMAT_1.clone();
             bad[bit / 8] ^= (byte) (1 << bit % 8);
             assertTrue(RecordForm.read(bad, 0).isEmpty(), "bit " + bit);
         }
     }
+
+    /** Before: taken for damage, and the whole folder was set aside. */
+    @Test
+    void aNewerFormatIsNotTakenForDamage() {
+        byte[] newer = FORMAT_1.clone();
+        newer[RecordForm.HEAD] = RecordForm.FORMAT + 1;
+        java.util.zip.CRC32C crc = new java.util.zip.CRC32C();
+        crc.update(newer, RecordForm.HEAD, newer.length - RecordForm.HEAD);
+        java.nio.ByteBuffer.wrap(newer).putInt(4, (int) crc.getValue());
+        assertEquals("written by a newer build: format 3, this one reads up to 2",
+            assertThrows(RecordForm.Newer.class, () -> RecordForm.read(newer, 0)).getMessage());
+    }
 }
--- a/trials/src/test/java/org/woadvale/trials/keeper/OldBytesTest.java
+++ b/trials/src/test/java/org/woadvale/trials/keeper/OldBytesTest.java
@@ -21,7 +21,7 @@
     private static final Codec CODEC = Wire.codec(Wire.PILOT, Commands.types());
 
     private static <T> T read(String hex, Class<T> type) throws Fault {
-        return CODEC.read(HexFormat.of().parseHex(hex), type);
+        return CODEC.readFirst(HexFormat.of().parseHex(hex), type);
     }
 
     @Test
@@ -44,4 +44,19 @@
         assertEquals(Map.of("a:1", "x"), b.group());
         assertEquals(List.of(5L, 2L, 3L), List.of(b.index(), b.indexTerm(), b.term()));
     }
+
+    /** One build knows a component more than the other; either reads what the other wrote. */
+    private record Short(String a, int b) { }
+
+    private record Long_(String a, int b, @org.woadvale.foundation.beam.Since(3) List<String> c,
+                         @org.woadvale.foundation.beam.Since(3) boolean d) { }
+
+    @Test
+    void twoBuildsReadEachOther() throws Fault {
+        Codec older = new Codec(Map.of(100, List.of(Short.class, Messages.Ok.class)));
+        Codec newer = new Codec(Map.of(100, List.of(Long_.class, Messages.Ok.class)));
+        assertEquals(new Long_("x", 7, List.of(), false), newer.read(older.write(new Short("x", 7)), Long_.class));
+        assertEquals(new Short("x", 7),
+            older.read(newer.write(new Long_("x", 7, List.of("more"), true)), Short.class));
+    }
 }
