A hand-in or fetch held up in a stream is not taken late

Cause: a stalled TCP stream delivers frames long after the asker gave up; key, lane and pass had been checked only before sending, and tries went on for 4 s without looking at key and lane again. Ruled out: closing streams after a lost answer (the other side's buffers are still read); calendar clocks. The pass, key and lane are looked at before every try.

--- a/foundation/src/main/java/org/woadvale/foundation/beam/WireStream.java
+++ b/foundation/src/main/java/org/woadvale/foundation/beam/WireStream.java
@@ -8,6 +8,7 @@
 import org.apache.logging.log4j.Logger;
 import org.woadvale.foundation.lantern.ErrorKind;
 import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.foundation.lantern.Pauses;
 import org.woadvale.foundation.lantern.Schedules;
 
 import io.netty.buffer.ByteBuf;
@@ -115,7 +116,8 @@
     }
 
     Mono<Object> ask(Object body, Duration limit) {
-        return greeted.asMono().then(exchange.ask(body, limit, this::send));
+        Fault notSent = new Fault(ErrorKind.UNREACHABLE, "The handshake took too long.");
+        return Pauses.limit(schedules, greeted.asMono(), limit, notSent).then(exchange.ask(body, limit, this::send));
     }
 
     private void send(Frame f) {
--- a/foundation/src/main/java/org/woadvale/foundation/lantern/ErrorKind.java
+++ b/foundation/src/main/java/org/woadvale/foundation/lantern/ErrorKind.java
@@ -19,6 +19,7 @@
     STALE_VIEW(503, true, true, Level.WARN),
     NOT_OWNER(503, true, true, Level.DEBUG),
     UNAVAILABLE(503, true, true, Level.WARN),
+    EXPIRED(503, true, true, Level.INFO),
     STOPPING(503, true, true, Level.INFO),
     UNREACHABLE(503, true, true, Level.WARN),
     UNKNOWN_OUTCOME(504, false, true, Level.WARN);
--- a/foundation/src/test/java/org/woadvale/foundation/lantern/ErrorKindTest.java
+++ b/foundation/src/test/java/org/woadvale/foundation/lantern/ErrorKindTest.java
@@ -25,6 +25,7 @@
         stale_view 503 definite retryable
         not_owner 503 definite retryable
         unavailable 503 definite retryable
+        expired 503 definite retryable
         stopping 503 definite retryable
         unreachable 503 definite retryable
         unknown_outcome 504 unknown retryable""";
--- a/pilot/src/main/java/org/woadvale/pilot/berth/Berths.java
+++ b/pilot/src/main/java/org/woadvale/pilot/berth/Berths.java
@@ -45,12 +45,14 @@
     private Consumer<Berth> onOpen = b -> { };
     private Schedule looking = () -> { };
     private boolean draining;
+    private final String life;
 
     public Berths(Env env, News news, Allowance node, Allowance part) {
         this.env = env;
         this.news = news;
         this.nodeUnits = Bucket.full(node, env.times().mono());
         this.partAllowance = part;
+        this.life = Long.toHexString(env.random().getAsLong());
     }
 
     public void onOpen(Consumer<Berth> c) {
@@ -64,7 +66,9 @@
             .on(Messages.Stand.class, (f, a) -> at(a.part()).flatMap(b -> b.replica().handle(f, a)))
             .on(Messages.BlankAsk.class, (f, a) -> at(a.part()).flatMap(b -> b.replica().handle(f, a)))
             .on(Messages.Found.class, (f, a) -> at(a.part()).flatMap(b -> b.replica().handle(f, a)))
-            .on(Commands.AcceptAsk.class, (f, a) -> at(a.part()).flatMap(b -> accept(b, a.accept())))
+            .on(Commands.AcceptAsk.class, (f, a) -> at(a.part()).flatMap(b -> timely(a.until())
+                .then(Mono.defer(() -> accept(b, a.accept())))))
+            .on(Commands.ClockAsk.class, (f, a) -> Mono.just(new Commands.Clock(life, env.times().mono())))
             .on(Commands.StatusAsk.class, (f, a) -> at(a.part()).flatMap(b -> status(b, a)))
             .on(Commands.ListAsk.class, (f, a) -> at(a.part()).flatMap(b -> b.replica().read(i ->
                 new Commands.Listed(b.machine().list(a.tenant(), MessageState.valueOf(a.state()), a.most())))));
@@ -75,6 +79,12 @@
             .switchIfEmpty(Mono.error(new Fault(ErrorKind.NOT_OWNER, "The part " + part + " is not here.")));
     }
 
+    /** What was held up on its way past its time is refused: its pass, key and lane have not been looked at since. */
+    public Mono<Object> timely(Commands.Until u) {
+        return Mono.defer(() -> u.life().equals(life) && env.times().mono().compareTo(u.by()) < 0 ? Mono.empty()
+            : Mono.error(new Fault(ErrorKind.EXPIRED, "This came too late to be taken.")));
+    }
+
     /** Node and part buckets in size units first, then the commit. All refusals here are definite. */
     private Mono<Commands.Accepted> accept(Berth b, Commands.Accept a) {
         int units = Math.max(1, (a.body().length + 1023) / 1024);
--- a/pilot/src/main/java/org/woadvale/pilot/berth/Commands.java
+++ b/pilot/src/main/java/org/woadvale/pilot/berth/Commands.java
@@ -1,5 +1,6 @@
 package org.woadvale.pilot.berth;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
@@ -27,7 +28,14 @@
     public record Forgotten(int count) { }
 
     // asks between pilots
-    public record AcceptAsk(String part, Accept accept) { }
+    /** By the clock of the asked process in this life of it: what comes later is refused. design 9.7 */
+    public record Until(String life, Duration by) { }
+
+    public record ClockAsk(boolean any) { }
+
+    public record Clock(String life, Duration at) { }
+
+    public record AcceptAsk(String part, Accept accept, Until until) { }
 
     public record StatusAsk(String part, String handle, String tenant) { }
 
@@ -35,7 +43,7 @@
 
     public record Listed(List<Message> messages) { }
 
-    public record FetchAsk(String part, String service, String processor, int most) { }
+    public record FetchAsk(String part, String service, String processor, int most, Until until) { }
 
     public record Fetched(List<Message> messages) { }
 
@@ -47,6 +55,7 @@
     public static List<Class<?>> types() {
         return List.of(Ending.class, Accept.class, Start.class, End.class, Forget.class, Accepted.class, Changed.class,
             Forgotten.class, AcceptAsk.class, StatusAsk.class, ListAsk.class, Listed.class, FetchAsk.class,
-            Fetched.class, OutcomeAsk.class, State.class, Message.class, MessageState.class, LaneTerms.class);
+            Fetched.class, OutcomeAsk.class, State.class, Message.class, MessageState.class, LaneTerms.class,
+            Until.class, ClockAsk.class, Clock.class);
     }
 }
--- a/pilot/src/main/java/org/woadvale/pilot/gangway/Intake.java
+++ b/pilot/src/main/java/org/woadvale/pilot/gangway/Intake.java
@@ -90,36 +90,42 @@
         purses.putBack(bucket(a), a.pass());
     }
 
-    /** Key, lane and pass are looked at once more, right before the hand-over. */
+    /** Key, lane and pass are looked at once more, right before each hand-over: design 9.7. */
     private Mono<Answer> handOver(Admitted a) {
-        Checked c = a.c();
-        Layout.Lane lane;
-        try {
-            doors.key(c.q(), Layout.Role.CALLER);
-            lane = doors.lane(c.lane());
-            if (!purses.alive(a.pass())) {
-                throw new Fault(ErrorKind.THROTTLED, "The pass died while waiting.");
-            }
-        } catch (Fault e) {
-            putBack(a);
-            return Mono.error(e);
+        return attempt(a, env.times().mono().plus(LIMIT), false).map(x -> accepted(a.c(), x));
+    }
+
+    private Layout.Lane lookAgain(Admitted a) throws Fault {
+        doors.key(a.c().q(), Layout.Role.CALLER);
+        Layout.Lane lane = doors.lane(a.c().lane());
+        if (!purses.alive(a.pass())) {
+            throw new Fault(ErrorKind.THROTTLED, "The pass died while waiting.");
         }
-        String by = c.in().orderingKey().isEmpty() ? c.in().id() : c.in().orderingKey();
-        String part = Places.messagePart(c.lane(), by);
+        return lane;
+    }
+
+    private Commands.Accept accept(Checked c, Layout.Lane lane) {
         Instant now = env.times().wall();
-        Commands.Accept accept = new Commands.Accept(c.tenant(), c.lane(), c.in().id(), c.in().orderingKey(),
+        return new Commands.Accept(c.tenant(), c.lane(), c.in().id(), c.in().orderingKey(),
             Charts.write(c.in().body()), c.hash(), LaneTerms.of(lane), now.plusMillis(c.in().delayMs()), now);
-        Commands.AcceptAsk ask = new Commands.AcceptAsk(part, accept);
-        return attempt(a, ask, env.times().mono().plus(LIMIT), false).map(x -> accepted(c, x));
     }
 
     /**
      * A pass covers an acceptance only while it lives: what is not decided by then is asked again, with the same
-     * message id, under a new pass. design 8.5
+     * message id, under a new pass and by the layout of that time. design 8.5
      */
-    private Mono<Commands.Accepted> attempt(Admitted a, Commands.AcceptAsk ask, Duration until, boolean unknown) {
+    private Mono<Commands.Accepted> attempt(Admitted a, Duration until, boolean unknown) {
+        Commands.Accept accept;
+        try {
+            accept = accept(a.c(), lookAgain(a));
+        } catch (Fault e) {
+            putBack(a);
+            return Mono.error(settled(e, unknown));
+        }
+        String by = accept.orderKey().isEmpty() ? accept.id() : accept.orderKey();
+        String part = Places.messagePart(accept.lane(), by);
         Duration life = a.pass().until().minus(env.times().mono());
-        return courier.ask(ask.part(), turn -> ask, Commands.Accepted.class, life)
+        return courier.timely(part, u -> new Commands.AcceptAsk(part, accept, u), Commands.Accepted.class, life)
             .doOnNext(x -> settle(a, x))
             .onErrorResume(e -> {
                 Fault f = Fault.of(e);
@@ -131,8 +137,8 @@
                 }
                 boolean again = (nowUnknown || f.kind() == ErrorKind.UNAVAILABLE)
                     && !purses.alive(a.pass()) && env.times().mono().compareTo(until) < 0;
-                return again
-                    ? Pauses.pause(env.schedules(), PAUSE).then(pass(a.c())).flatMap(next -> attempt(next, ask, until, nowUnknown)).onErrorMap(x -> settled(x, nowUnknown))
+                return again ? Pauses.pause(env.schedules(), PAUSE).then(pass(a.c()))
+                    .flatMap(next -> attempt(next, until, nowUnknown)).onErrorMap(x -> settled(x, nowUnknown))
                     : Mono.error(settled(f, nowUnknown));
             });
     }
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Courier.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Courier.java
@@ -13,6 +13,7 @@
 import org.woadvale.foundation.lantern.Fault;
 import org.woadvale.foundation.lantern.Pauses;
 import org.woadvale.foundation.watch.Places;
+import org.woadvale.pilot.berth.Commands;
 
 import reactor.core.publisher.Mono;
 
@@ -23,10 +24,12 @@
     private final Env env;
     private final News news;
     private final Map<String, String> owners = new ConcurrentHashMap<>();
+    private final Clocks clocks;
 
     public Courier(Env env, News news) {
         this.env = env;
         this.news = news;
+        this.clocks = new Clocks(env);
     }
 
     private String guess(String part, int turn) {
@@ -41,24 +44,39 @@
     /**
      * Goes on until the limit. The answer is definite only if no try before it was left unknown.
      */
-    public <T> Mono<T> ask(String part, Function<Integer, Object> body, Class<T> type, Duration limit) {
-        return attempt(part, body, type, env.times().mono().plus(limit), 0, false, "");
+    public <T> Mono<T> ask(String part, Object body, Class<T> type, Duration limit) {
+        return attempt(part, to -> Mono.just(body), type, env.times().mono().plus(limit), 0, false, "");
     }
 
-    private <T> Mono<T> attempt(String part, Function<Integer, Object> body, Class<T> type, Duration until, int turn,
+    /** The same, but nothing that is held up on its way beyond the limit is taken then: design 9.7. */
+    public <T> Mono<T> timely(String part, Function<Commands.Until, Object> body, Class<T> type, Duration limit) {
+        Duration until = env.times().mono().plus(limit);
+        return attempt(part, to -> clocks.until(to, until, EACH).map(body).onErrorMap(Courier::notSent), type, until, 0,
+            false, "");
+    }
+
+    /** The question for the clock was left without an answer; of the ask itself nothing was sent. */
+    private static Fault notSent(Throwable e) {
+        Fault f = Fault.of(e);
+        return f.kind().definite() ? f : new Fault(ErrorKind.UNREACHABLE, f.getMessage());
+    }
+
+    private <T> Mono<T> attempt(String part, Function<String, Mono<Object>> body, Class<T> type, Duration until, int turn,
                                 boolean unknown, String hint) {
         String to = hint.isEmpty() ? guess(part, turn) : hint;
         if (to.isEmpty()) {
             return Mono.error(new Fault(ErrorKind.UNAVAILABLE, "No store is placed for the part " + part + "."));
         }
-        return env.beam().ask(to, body.apply(turn), type, EACH)
+        return body.apply(to).flatMap(b -> env.beam().ask(to, b, type, EACH))
             .doOnNext(t -> owners.put(part, to))
             .onErrorResume(e -> {
                 Fault f = Fault.of(e);
                 owners.remove(part, to);
+                clocks.forget(to);
                 boolean nowUnknown = unknown || !f.kind().definite();
                 boolean again = f.kind() == ErrorKind.NOT_OWNER || f.kind() == ErrorKind.UNREACHABLE
-                    || f.kind() == ErrorKind.UNKNOWN_OUTCOME || f.kind() == ErrorKind.STOPPING;
+                    || f.kind() == ErrorKind.UNKNOWN_OUTCOME || f.kind() == ErrorKind.STOPPING
+                    || f.kind() == ErrorKind.EXPIRED;
                 if (!again || env.times().mono().compareTo(until) >= 0) {
                     return Mono.error(settled(f, nowUnknown));
                 }
@@ -74,7 +92,7 @@
             return new Fault(ErrorKind.UNKNOWN_OUTCOME, "It is not known whether this was taken; ask with the same id.");
         }
         return last.kind() == ErrorKind.NOT_OWNER || last.kind() == ErrorKind.UNREACHABLE
-            || last.kind() == ErrorKind.STOPPING
+            || last.kind() == ErrorKind.STOPPING || last.kind() == ErrorKind.EXPIRED
             ? new Fault(ErrorKind.UNAVAILABLE, "The store of this message has no owner now.") : last;
     }
 }
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Launches.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Launches.java
@@ -42,7 +42,7 @@
     }
 
     public void route(Router router) {
-        router.on(Commands.FetchAsk.class, (f, a) -> kit.berths().at(a.part()).flatMap(b -> fetch(b, a)))
+        router.on(Commands.FetchAsk.class, (f, a) -> kit.berths().at(a.part()).flatMap(b -> kit.berths().timely(a.until()).then(Mono.defer(() -> fetch(b, a)))))
             .on(Commands.OutcomeAsk.class, (f, a) -> kit.berths().at(a.part())
                 .flatMap(b -> outcome(b, a)));
     }
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Recorder.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Recorder.java
@@ -31,7 +31,7 @@
 
     private Mono<Boolean> record(String part, Commands.End end, String processor, Duration until) {
         Commands.OutcomeAsk ask = new Commands.OutcomeAsk(part, end, processor, "");
-        return courier.ask(part, turn -> ask, Commands.Changed.class, EACH).map(Commands.Changed::done)
+        return courier.ask(part, ask, Commands.Changed.class, EACH).map(Commands.Changed::done)
             .onErrorResume(e -> {
                 Fault f = Fault.of(e);
                 if (f.kind() == ErrorKind.NOT_FOUND) {
--- /dev/null
+++ b/trials/src/test/java/org/woadvale/trials/squall/Naive.java
@@ -0,0 +1,63 @@
+package org.woadvale.trials.squall;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Function;
+
+import org.woadvale.foundation.beam.Beam;
+import org.woadvale.pilot.berth.Commands;
+
+import reactor.core.publisher.Mono;
+
+/** Stand-ins that leave out one mechanism each; every never-line has a scenario that breaks with one. design 12.3 */
+final class Naive {
+    private Naive() { }
+
+    /** A beam that changes what is asked. */
+    static Beam asking(Beam b, Function<Object, Object> change) {
+        return new Beam() {
+            @Override
+            public String self() {
+                return b.self();
+            }
+
+            @Override
+            public <T> Mono<T> ask(String to, Object body, Class<T> answer, Duration limit) {
+                return b.ask(to, change.apply(body), answer, limit);
+            }
+        };
+    }
+
+    /** Hand-ins without a time by which they must have come; the store's life is learned once and for all. */
+    static Seams timelessHandIns() {
+        return Seams.none().withBeam((a, b) -> {
+            Map<String, Object> clocks = new HashMap<>();
+            Beam stretched = asking(b, o -> o instanceof Commands.AcceptAsk x
+                ? new Commands.AcceptAsk(x.part(), x.accept(), new Commands.Until(x.until().life(), Duration.ofDays(1))) : o);
+            return remembering(stretched, Commands.ClockAsk.class, clocks);
+        });
+    }
+
+    /** A beam that gives the last answer of a neighbour again instead of asking. */
+    private static Beam remembering(Beam b, Class<?> ask, Map<String, Object> known) {
+        return new Beam() {
+            @Override
+            public String self() {
+                return b.self();
+            }
+
+            @Override
+            public <T> Mono<T> ask(String to, Object body, Class<T> answer, Duration limit) {
+                if (ask.isInstance(body) && known.containsKey(to)) {
+                    return Mono.just(answer.cast(known.get(to)));
+                }
+                return b.ask(to, body, answer, limit).doOnNext(x -> {
+                    if (ask.isInstance(body)) {
+                        known.put(to, x);
+                    }
+                });
+            }
+        };
+    }
+}
