The last look at claim, list and pass is taken when the back end's stream is open

Cause: up to 256 requests waited up to 2 s in the client's pool, and any connect up to 1 s, after claim, processor list, leaving mark and pass had been looked at; the pass was told as spent before the wait, so the holder had filled again when the burst left. Change: Post takes the last look as part of the call; HttpPost asks it once the stream is open. Slip makes a request either sent or never; a pass is spent at that moment. Inquiries alike. Ruled out: a smaller pool or a count before the pass (a slow connect still lies between look and sending).

--- a/pilot/src/main/java/org/woadvale/pilot/launch/HttpPost.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/HttpPost.java
@@ -21,18 +21,24 @@
             .pendingAcquireMaxCount(256).pendingAcquireTimeout(Duration.ofSeconds(2)).build())
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1000).disableRetry(true);
 
+    /** Whatever waited for a stream is looked at again once it has one. */
     @Override
-    public Mono<Reply> send(String method, String url, byte[] body, Duration limit) {
-        return client.headers(h -> h.set("Content-Type", "application/json")).responseTimeout(limit)
-            .request(HttpMethod.valueOf(method)).uri(url).send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(body)))
+    public Mono<Reply> send(Call c) {
+        return client.headers(h -> h.set("Content-Type", "application/json")).responseTimeout(c.limit())
+            .request(HttpMethod.valueOf(c.method())).uri(c.url())
+            .send((q, out) -> c.still().getAsBoolean() ? out.send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(c.body())))
+                : Mono.error(new Fault(ErrorKind.UNREACHABLE, "It may not be sent any more.")))
             .responseSingle((r, bytes) -> bytes.asByteArray().defaultIfEmpty(new byte[0])
                 .filter(b -> b.length <= MAX_ANSWER).defaultIfEmpty(new byte[0])
                 .map(b -> new Reply(r.status().code(), b)))
-            .timeout(limit.plusMillis(200))
+            .timeout(c.limit().plusMillis(200))
             .onErrorMap(HttpPost::fault);
     }
 
     private static Throwable fault(Throwable e) {
+        if (e instanceof Fault) {
+            return e;
+        }
         boolean never = e instanceof ConnectException || e instanceof ConnectTimeoutException
             || e.getCause() instanceof ConnectException || e.getClass().getSimpleName().startsWith("PoolAcquire");
         return new Fault(never ? ErrorKind.UNREACHABLE : ErrorKind.UNKNOWN_OUTCOME,
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Launcher.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Launcher.java
@@ -118,12 +118,8 @@
     }
 
     /** Asking an outside endpoint counts as one of its requests, so it spends a leaving pass. */
-    boolean mayInquire(Message m) {
-        String service = terms(m).service();
-        return !paced(service) || kit.purses().tryTake(Places.endpointBucket(service)).map(p -> {
-            kit.purses().settle(Places.endpointBucket(service), p);
-            return true;
-        }).orElse(false);
+    Optional<Ticket> mayInquire(Message m) {
+        return Ticket.draw(kit, terms(m).service(), paced(terms(m).service()));
     }
 
     boolean paced(String service) {
@@ -226,14 +222,7 @@
                     kit.targets().unused(t);
                     return Mono.just(false);
                 }
-                boolean still = Drawing.targets(this, terms(m).service()).contains(t);
-                if (!owns() || !still || !ticket.alive()) {
-                    ticket.putBack();
-                    kit.targets().unused(t);
-                    return run.end(Commands.Ending.NOT_SENT, "not sent", wall());
-                }
-                ticket.settle();
-                return run.push();
+                return run.push(ticket);
             });
     }
 }
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Launches.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Launches.java
@@ -120,13 +120,12 @@
                     ticket.get().putBack();
                     return Mono.empty();
                 }
-                if (!mayReceive(a) || !b.replica().mayAct() || !ticket.get().alive()) {
+                if (!mayReceive(a) || !b.replica().mayAct() || !ticket.get().spend()) {
                     ticket.get().putBack();
                     Commands.End e = new Commands.End(m.handle(), m.attempt() + 1, Commands.Ending.NOT_SENT, "not sent",
                         now, now);
                     return kit.recorder().record(b.part(), e, a.processor()).then(Mono.<Message>empty());
                 }
-                ticket.get().settle();
                 return Mono.just(c.message());
             });
     }
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Post.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Post.java
@@ -1,6 +1,7 @@
 package org.woadvale.pilot.launch;
 
 import java.time.Duration;
+import java.util.function.BooleanSupplier;
 
 import reactor.core.publisher.Mono;
 
@@ -9,5 +10,8 @@
 public interface Post {
     record Reply(int status, byte[] body) { }
 
-    Mono<Reply> send(String method, String url, byte[] body, Duration limit);
+    /** Whether it may still be sent is asked once the stream is open, right before the first byte. design 9.3 */
+    record Call(String method, String url, byte[] body, Duration limit, BooleanSupplier still) { }
+
+    Mono<Reply> send(Call call);
 }
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Run.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Run.java
@@ -4,12 +4,11 @@
 import java.time.Instant;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.woadvale.foundation.chart.Charts;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
 import org.woadvale.pilot.berth.Commands;
 import org.woadvale.pilot.berth.Message;
 
@@ -50,27 +49,28 @@
         return Charts.write(b);
     }
 
-    /** Everything was checked right before; from here on the work may happen. */
-    Mono<Boolean> push() {
+    /** Claim, list and pass are looked at when the stream is open; only then the work may happen. */
+    Mono<Boolean> push(Ticket ticket) {
         Duration begun = l.kit().env().times().mono();
         Duration limit = Duration.between(wall(), m.deadline());
-        return l.kit().post().send("POST", target.address() + "/messages", body(m), limit)
+        Slip slip = new Slip();
+        return l.kit().post().send(new Post.Call("POST", target.address() + "/messages", body(m), limit,
+                () -> slip.leave(() -> l.owns() && Drawing.targets(l, l.terms(m).service()).contains(target)
+                    && ticket.spend())))
             .map(r -> Verdict.ofPush(r, m.handle(), m.attempt()))
-            .onErrorResume(e -> Mono.just(verdict(Fault.of(e))))
+            .onErrorResume(e -> Mono.just(new Verdict(Verdict.Kind.UNCLEAR, String.valueOf(e.getMessage()))))
             .flatMap(v -> {
                 boolean answered = v.kind() != Verdict.Kind.UNCLEAR && v.kind() != Verdict.Kind.NOT_KNOWN;
                 l.kit().targets().ended(target, answered && v.kind() != Verdict.Kind.LATER,
                     l.kit().env().times().mono().minus(begun));
+                if (slip.close()) {
+                    ticket.putBack();
+                    return settle(new Verdict(Verdict.Kind.NOT_KNOWN, "not sent: " + v.word()));
+                }
                 return settle(v);
             });
     }
 
-    /** Nothing was sent where no stream could be made: the message may be tried elsewhere. */
-    private static Verdict verdict(Fault f) {
-        return f.kind() == ErrorKind.UNREACHABLE ? new Verdict(Verdict.Kind.NOT_KNOWN, "unreachable")
-            : new Verdict(Verdict.Kind.UNCLEAR, String.valueOf(f.getMessage()));
-    }
-
     private Mono<Boolean> settle(Verdict v) {
         return switch (v.kind()) {
             case DONE -> end(Commands.Ending.DONE, v.word(), wall());
@@ -109,10 +109,12 @@
         if (late && where.kind() == Whereabouts.Kind.FETCHES) {
             return retry("no outcome before the deadline");
         }
-        if (where.kind() != Whereabouts.Kind.AT || !l.mayInquire(m)) {
+        Optional<Ticket> ticket = where.kind() == Whereabouts.Kind.AT ? l.mayInquire(m) : Optional.empty();
+        if (ticket.isEmpty()) {
             return inquireLater();
         }
-        return l.kit().post().send("GET", where.address() + "/runs/" + m.handle(), new byte[0], ASK_LIMIT)
+        return l.kit().post().send(new Post.Call("GET", where.address() + "/runs/" + m.handle(), new byte[0], ASK_LIMIT,
+            () -> l.owns() && ticket.get().spend()))
             .map(r -> Verdict.ofInquiry(r, m.handle()))
             .onErrorResume(e -> Mono.just(new Verdict(Verdict.Kind.UNCLEAR, "no answer")))
             .flatMap(v -> {
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Ticket.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Ticket.java
@@ -26,12 +26,11 @@
     }
 
     static Optional<Ticket> draw(Kit kit, Berth berth, Message m, String service, boolean paced) {
-        String bucket = Places.endpointBucket(service);
-        Optional<Purse.Pass> pass = paced ? kit.purses().tryTake(bucket) : Optional.empty();
-        if (paced && pass.isEmpty()) {
-            return Optional.empty();
+        Optional<Ticket> t = draw(kit, service, paced);
+        if (t.isEmpty()) {
+            return t;
         }
-        Ticket ticket = new Ticket(kit.purses(), bucket, pass);
+        Ticket ticket = t.get();
         if (!kit.berths().spend(berth, (m.body().length + READ_UNIT - 1) / READ_UNIT)) {
             ticket.putBack();
             return Optional.empty();
@@ -39,12 +38,23 @@
         return Optional.of(ticket);
     }
 
+    static Optional<Ticket> draw(Kit kit, String service, boolean paced) {
+        String bucket = Places.endpointBucket(service);
+        Optional<Purse.Pass> pass = paced ? kit.purses().tryTake(bucket) : Optional.empty();
+        return paced && pass.isEmpty() ? Optional.empty() : Optional.of(new Ticket(kit.purses(), bucket, pass));
+    }
+
     boolean alive() {
         return pass.map(purses::alive).orElse(true);
     }
 
-    void settle() {
-        pass.ifPresent(p -> purses.settle(bucket, p));
+    /** Spent only while it lives, and told as spent only then: what is out never exceeds the bucket. design 8.2 */
+    boolean spend() {
+        boolean alive = alive();
+        if (alive) {
+            pass.ifPresent(p -> purses.settle(bucket, p));
+        }
+        return alive;
     }
 
     void putBack() {
--- a/trials/src/main/java/org/woadvale/trials/squall/Callers.java
+++ b/trials/src/main/java/org/woadvale/trials/squall/Callers.java
@@ -76,6 +76,13 @@
         handIn(tenant, id, "hold", "", Charts.write(Map.of("id", id, "delayMs", 0, "body", Map.of("n", 1))), intakes, 5);
     }
 
+    /** A message for an outside endpoint. */
+    public void check(int endpoint) {
+        String id = "c" + ids++;
+        handIn((int) (ids % w.scenery.tenants()), id, "check" + endpoint, "",
+            Charts.write(Map.of("id", id, "delayMs", 0, "body", Map.of("n", 1))), w.intakes, 5);
+    }
+
     /** Messages whose hand-in was never answered, but whose run was seen. */
     public void followWhatRan() {
         w.seen.copy(w.seen.ran).forEach(r -> follow(r.handle(), Integer.parseInt(r.tenant().substring("tenant".length()))));
--- a/trials/src/main/java/org/woadvale/trials/squall/SimPost.java
+++ b/trials/src/main/java/org/woadvale/trials/squall/SimPost.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
@@ -26,6 +27,7 @@
 
     private final World w;
     private final Set<String> down = new HashSet<>();
+    private final Map<String, Duration> slowStreams = new HashMap<>();
     private double answerLoss;
 
     SimPost(World w) {
@@ -80,29 +82,40 @@
     }
 
     Post from(Host h) {
-        return (method, url, body, limit) -> Mono.defer(() -> {
+        return call -> Mono.defer(() -> {
             Sinks.One<Post.Reply> sink = Sinks.one();
-            h.after(limit, () -> sink.tryEmitError(new Fault(ErrorKind.UNKNOWN_OUTCOME, "no answer in time")));
-            String rest = url.substring("http://".length());
+            h.after(call.limit(), () -> sink.tryEmitError(new Fault(ErrorKind.UNKNOWN_OUTCOME, "no answer in time")));
+            String rest = call.url().substring("http://".length());
             String id = name(rest.substring(0, rest.indexOf('/')));
             Optional<Backend> b = Optional.ofNullable(w.backends.get(id));
-            w.sim.after(w.net.delay(), () -> {
-                if (b.isEmpty() || down.contains(id)) {
-                    h.soon(() -> sink.tryEmitError(new Fault(ErrorKind.UNREACHABLE, "refused")));
+            w.sim.after(w.net.delay().plus(slowStreams.getOrDefault(id, Duration.ZERO)), () -> h.soon(() -> {
+                if (b.isEmpty() || down.contains(id) || !call.still().getAsBoolean()) {
+                    sink.tryEmitError(new Fault(ErrorKind.UNREACHABLE, "refused"));
                     return;
                 }
-                b.get().answer(new Request(method, rest.substring(rest.indexOf('/')), Map.of(), body))
-                    .subscribe(a -> {
-                        if (!w.sim.luck(answerLoss) && !down.contains(id)) {
-                            w.sim.after(w.net.delay(), () -> h.soon(
-                                () -> sink.tryEmitValue(new Post.Reply(a.status(), a.body()))));
-                        }
-                    }, e -> { });
-            });
+                w.sim.after(w.net.delay(), () -> arrive(h, id, new Request(call.method(),
+                    rest.substring(rest.indexOf('/')), Map.of(), call.body()), sink));
+            }));
             return sink.asMono();
         });
     }
 
+    private void arrive(Host h, String id, Request q, Sinks.One<Post.Reply> sink) {
+        if (down.contains(id)) {
+            return;
+        }
+        w.backends.get(id).answer(q).subscribe(a -> {
+            if (!w.sim.luck(answerLoss) && !down.contains(id)) {
+                w.sim.after(w.net.delay(), () -> h.soon(() -> sink.tryEmitValue(new Post.Reply(a.status(), a.body()))));
+            }
+        }, e -> { });
+    }
+
+    /** How long it takes until a stream to a back end is open. */
+    public void slowStreams(String backend, Duration d) {
+        slowStreams.put(backend, d);
+    }
+
     /** Back ends are addressed by number, as the layout's rules want. */
     public String address(String backend) {
         return "127.0.0.1:" + (10000 + java.util.List.copyOf(w.backends.keySet()).indexOf(backend));
--- /dev/null
+++ b/trials/src/test/java/org/woadvale/trials/squall/LastLookTest.java
@@ -0,0 +1,92 @@
+package org.woadvale.trials.squall;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.junit.jupiter.api.Test;
+import org.woadvale.foundation.gate.Answer;
+import org.woadvale.foundation.gate.Gate;
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.pilot.launch.HttpPost;
+import org.woadvale.pilot.launch.Post;
+import org.woadvale.trials.buoy.NeverList;
+import org.woadvale.trials.buoy.Scenery;
+import org.woadvale.trials.harbour.Fleet;
+
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+
+/** Nothing waits between the last look and the sending. */
+class LastLookTest {
+    /** Streams to an endpoint open after anything up to 3 s, all at once in the end. */
+    private static List<String> brokenBySlowStreams(long seed, Seams seams) throws Fault {
+        Voyage v = new Voyage(seed, 3, 3, 4, new Scenery(3, 1, 60, 60, 26), World.LARGE_RING, seams).embark();
+        for (int ms = 0; ms < 14000; ms += 20) {
+            v.w.sim.after(Duration.ofMillis(ms), () -> v.check(0));
+        }
+        String e = Scenery.endpoint(0);
+        for (int ms = 0; ms < 3000; ms += 50) {
+            Duration left = Duration.ofMillis(3000 - ms);
+            v.w.sim.after(Duration.ofMillis(7000 + ms), () -> v.w.post.slowStreams(e, left));
+        }
+        v.w.sim.after(Duration.ofMillis(10000), () -> v.w.post.slowStreams(e, Duration.ZERO));
+        v.w.sim.run(Duration.ofSeconds(14));
+        assertTrue(v.settle(Duration.ofSeconds(180)), "open: " + v.firstOpen());
+        return new NeverList(v.w.seen).broken();
+    }
+
+    @Test
+    void endpointKeepsItsRateWhenStreamsOpenSlowly() throws Fault {
+        for (long seed = 1; seed <= 2; seed++) {
+            assertEquals(List.of(), brokenBySlowStreams(seed, Seams.none()));
+        }
+    }
+
+    @Test
+    void lookingOnlyBeforeTheStreamIsOpenBreaksTheRate() throws Fault {
+        assertEquals(List.of("06"), brokenBySlowStreams(1, Naive.lookFirstSendLater()));
+    }
+
+    /** The real client: 64 streams are busy, 16 requests wait; while they wait, the look turns to no. */
+    @Test
+    void whatWaitsForAStreamIsLookedAtAgain() throws Exception {
+        AtomicInteger arrived = new AtomicInteger();
+        CountDownLatch full = new CountDownLatch(64);
+        Sinks.One<Answer> answer = Sinks.one();
+        String address = Fleet.free();
+        Gate g = new Gate(address, 1 << 16, q -> {
+            arrived.incrementAndGet();
+            full.countDown();
+            return answer.asMono();
+        });
+        g.start();
+        try {
+            AtomicBoolean may = new AtomicBoolean(true);
+            HttpPost post = new HttpPost();
+            List<Mono<ErrorKind>> all = new ArrayList<>();
+            for (int i = 0; i < 80; i++) {
+                all.add(post.send(new Post.Call("POST", "http://" + address + "/messages", new byte[] {'{', '}'},
+                    Duration.ofSeconds(20), may::get)).map(r -> ErrorKind.CONFLICT)
+                    .onErrorResume(e -> Mono.just(Fault.of(e).kind())).cache());
+            }
+            all.forEach(Mono::subscribe);
+            assertTrue(full.await(30, TimeUnit.SECONDS), "64 must arrive, " + arrived.get() + " did");
+            may.set(false);
+            answer.tryEmitValue(Answer.json(200, java.util.Map.of()));
+            List<ErrorKind> kinds = all.stream().map(Mono::block).toList();
+            assertEquals(64, arrived.get());
+            assertEquals(16, kinds.stream().filter(ErrorKind.UNREACHABLE::equals).count(), kinds.toString());
+        } finally {
+            g.stop();
+        }
+    }
+}
--- a/trials/src/test/java/org/woadvale/trials/squall/Naive.java
+++ b/trials/src/test/java/org/woadvale/trials/squall/Naive.java
@@ -7,6 +7,7 @@
 
 import org.woadvale.foundation.beam.Beam;
 import org.woadvale.pilot.berth.Commands;
+import org.woadvale.pilot.launch.Post;
 
 import reactor.core.publisher.Mono;
 
@@ -29,6 +30,14 @@
         };
     }
 
+    /** Everything is looked at once; what then waits for its stream is sent whatever has become of it. */
+    static Seams lookFirstSendLater() {
+        return Seams.none().withPost((a, p) -> c -> Mono.defer(() -> {
+            boolean go = c.still().getAsBoolean();
+            return p.send(new Post.Call(c.method(), c.url(), c.body(), c.limit(), () -> go));
+        }));
+    }
+
     /** Hand-ins without a time by which they must have come; the store's life is learned once and for all. */
     static Seams timelessHandIns() {
         return Seams.none().withBeam((a, b) -> {
