What may have been done is not run again: where it went, 5xx, fetch ids, ifUnclear

Cause: an attempt remembered only its processor's id, so a successor at another address was asked and its 404 led to a second run; 500, 502, 504 and 408 counted as 'later'; an attempt of a vanished or silent fetching processor ran again at its deadline; an answer to a fetch that got lost had the same end. Change: the attempt's address is stored; only 429 and 503 mean 'not done'; 404 to the question is a promise (410 where it cannot be given); lanes have ifUnclear (fail by default); a fetch has an id and can be asked again; an ordered message is not ended unproven while its processor is listed. Ruled out: asking whoever has the id now; ending ordered messages by time limit whatever their processor does (the next of the key could start while the earlier one runs).

--- a/foundation/src/main/java/org/woadvale/foundation/chart/Layout.java
+++ b/foundation/src/main/java/org/woadvale/foundation/chart/Layout.java
@@ -52,16 +52,20 @@
 
     public enum Ordering { NONE, KEY }
 
+    /** What becomes of a message when nobody can say whether its run was done: design 9.3. */
+    public enum IfUnclear { FAIL, RERUN }
+
     /** Leads one kind of message to a service. */
     public record Lane(@NotNull @Pattern(regexp = NAME) String service, @NotNull Ordering ordering,
                        @JsonProperty(required = true) @Min(1000) @Max(604800000) long timeLimitMs,
                        @JsonProperty(required = true) @Min(1) @Max(100) int attempts,
-                       @Min(0) @Max(600000) long attemptMs) {
+                       @Min(0) @Max(600000) long attemptMs, IfUnclear ifUnclear) {
         private static final long USUAL_ATTEMPT_MS = 5000;
 
         public Lane {
             attemptMs = attemptMs == 0 ? USUAL_ATTEMPT_MS : attemptMs;
             ordering = ordering == null ? Ordering.NONE : ordering;
+            ifUnclear = ifUnclear == null ? IfUnclear.FAIL : ifUnclear;
         }
 
         @JsonIgnore
--- a/pilot/src/main/java/org/woadvale/pilot/berth/BerthMachine.java
+++ b/pilot/src/main/java/org/woadvale/pilot/berth/BerthMachine.java
@@ -18,6 +18,7 @@
 /** The messages of one part: design 9. */
 public final class BerthMachine implements Machine {
     private static final int ENDED_WEIGHT = 400;
+    private static final int MOST_UNCLEAR = 1000;
 
     private final String part;
     private final Codec codec;
@@ -27,6 +28,7 @@
     private final Startable startable = new Startable();
     private final Map<String, Message> running = new TreeMap<>();
     private final TreeSet<Message> ended = new TreeSet<>(Comparator.comparing(Message::ended).thenComparing(Message::seq));
+    private final TreeSet<Message> unclear = new TreeSet<>(Comparator.comparing(Message::ended).thenComparing(Message::seq));
     private long seq;
     private long liveBytes;
 
@@ -45,7 +47,7 @@
 
     /** About what a view of the part weighs, ended messages included. */
     public long weight() {
-        return liveBytes + ended.size() * (long) ENDED_WEIGHT;
+        return liveBytes + (ended.size() + unclear.size()) * (long) ENDED_WEIGHT;
     }
 
     public int count() {
@@ -66,8 +68,12 @@
     }
 
     /** When ended messages before a time are to be forgotten: is there any? */
-    public boolean anyEndedBefore(Instant t) {
-        return !ended.isEmpty() && ended.first().ended().isBefore(t);
+    public boolean anyEndedBefore(Instant t, Instant unclearBefore) {
+        return before(ended, t) || before(unclear, unclearBefore) || unclear.size() > MOST_UNCLEAR;
+    }
+
+    private static boolean before(TreeSet<Message> line, Instant t) {
+        return !line.isEmpty() && line.first().ended().isBefore(t);
     }
 
     @Override
@@ -88,7 +94,7 @@
         long n = seq + 1;
         String handle = part + "-" + n;
         Message m = new Message(handle, a.tenant(), a.lane(), a.id(), a.orderKey(), a.body(), a.hash(),
-            a.terms(), n, a.at(), a.due(), a.due(), MessageState.WAITING, 0, 0, Message.NO_PROCESSOR, Instant.MAX, "", Instant.MAX);
+            a.terms(), n, a.at(), a.due(), a.due(), MessageState.WAITING, 0, 0, Message.NO_PROCESSOR, Instant.MAX, "", Instant.MAX, "");
         Optional<Message> known = Optional.ofNullable(byId.get(m.idGroup())).map(messages::get);
         if (known.isPresent()) {
             Message k = known.get();
@@ -112,7 +118,7 @@
             return m == null ? new Fault(ErrorKind.NOT_FOUND, "No such message.") : new Commands.Changed(false, m);
         }
         Message next = m.to(MessageState.RUNNING, s.attempt(), m.tries() + 1, s.processor(), s.deadline(), m.due(), "",
-            s.at());
+            s.at(), s.where());
         put(Optional.of(m), next);
         return new Commands.Changed(true, next);
     }
@@ -139,22 +145,33 @@
             default -> MessageState.WAITING;
         };
         Message next = m.to(to, m.attempt(), tries, m.processor(), Instant.MAX,
-            to == MessageState.WAITING ? e.due() : m.due(), e.proof(), e.at());
+            to == MessageState.WAITING ? e.due() : m.due(), e.proof(), e.at(), m.where());
         put(Optional.of(m), next);
         return new Commands.Changed(true, next);
     }
 
     private Object forget(Commands.Forget f) {
         int n = 0;
-        while (anyEndedBefore(f.endedBefore())) {
-            Message m = ended.pollFirst();
-            messages.remove(m.handle());
-            byId.remove(m.idGroup());
+        while (before(ended, f.endedBefore())) {
+            drop(ended.pollFirst());
+            n++;
+        }
+        while (before(unclear, f.unclearBefore()) || unclear.size() > MOST_UNCLEAR) {
+            drop(unclear.pollFirst());
             n++;
         }
         return new Commands.Forgotten(n);
     }
 
+    private void drop(Message m) {
+        messages.remove(m.handle());
+        byId.remove(m.idGroup());
+    }
+
+    private void keepEnded(Message m) {
+        (m.unclear() ? unclear : ended).add(m);
+    }
+
     /** Keeps every index in step with the one map. */
     private void put(Optional<Message> before, Message m) {
         before.ifPresent(b -> {
@@ -164,7 +181,7 @@
         });
         messages.put(m.handle(), m);
         if (m.state().ended()) {
-            ended.add(m);
+            keepEnded(m);
             leaveOrder(m);
             return;
         }
@@ -204,6 +221,7 @@
             List.of(messages, byId, order, running).forEach(Map::clear);
             startable.clear();
             ended.clear();
+            unclear.clear();
             seq = s.seq();
             liveBytes = 0;
             List<Message> all = new ArrayList<>(s.messages().values());
@@ -214,7 +232,7 @@
                 byId.put(m.idGroup(), m.handle());
                 if (m.state().ended()) {
                     messages.put(m.handle(), m);
-                    ended.add(m);
+                    keepEnded(m);
                 } else {
                     put(Optional.empty(), m);
                 }
--- a/pilot/src/main/java/org/woadvale/pilot/berth/Berths.java
+++ b/pilot/src/main/java/org/woadvale/pilot/berth/Berths.java
@@ -32,6 +32,7 @@
     /** A part takes no more beyond this; and its view, with room for the log's tail, must fit into a ring file. */
     private static final long MAX_WEIGHT = 8L << 20;
     private static final Duration RETENTION = Duration.ofMinutes(2);
+    private static final Duration UNCLEAR_RETENTION = Duration.ofDays(1);
     private static final int MAX_FORGET_LAG_S = 5;
 
     /** One part here: its replica, its machine and its own bucket in size units. */
@@ -168,8 +169,10 @@
 
     private void forget(Berth b) {
         var limit = env.times().wall().minus(RETENTION);
-        if (b.replica().mayAct() && b.replica().look(i -> b.machine().anyEndedBefore(limit.minusSeconds(MAX_FORGET_LAG_S)))) {
-            b.replica().propose(new Commands.Forget(limit), Commands.Forgotten.class).subscribe(f -> { }, e -> { });
+        var unclear = env.times().wall().minus(UNCLEAR_RETENTION);
+        if (b.replica().mayAct() && b.replica().look(i -> b.machine().anyEndedBefore(
+                limit.minusSeconds(MAX_FORGET_LAG_S), unclear.minusSeconds(MAX_FORGET_LAG_S)))) {
+            b.replica().propose(new Commands.Forget(limit, unclear), Commands.Forgotten.class).subscribe(f -> { }, e -> { });
         }
     }
 
--- a/pilot/src/main/java/org/woadvale/pilot/berth/Commands.java
+++ b/pilot/src/main/java/org/woadvale/pilot/berth/Commands.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 
+import org.woadvale.foundation.beam.Since;
+
 /** What is written in the logs of message parts, and asked between pilots. */
 public final class Commands {
     private Commands() { }
@@ -14,12 +16,15 @@
     public record Accept(String tenant, String lane, String id, String orderKey, byte[] body, String hash, LaneTerms terms,
                          Instant due, Instant at) { }
 
-    public record Start(String handle, int attempt, String processor, Instant deadline, Instant at) { }
+    /** Where it went: the address that it is pushed to, or the id of the fetch. */
+    public record Start(String handle, int attempt, String processor, Instant deadline, Instant at,
+                        @Since(2) String where) { }
 
     /** Attempt zero ends a message that does not run: its time is over. */
     public record End(String handle, int attempt, Ending ending, String proof, Instant due, Instant at) { }
 
-    public record Forget(Instant endedBefore) { }
+    /** Ends that nobody could prove are kept longer, for those who must find out: design 9.3. */
+    public record Forget(Instant endedBefore, @Since(2) Instant unclearBefore) { }
 
     public record Accepted(String handle, String state, boolean repeated) { }
 
@@ -43,7 +48,8 @@
 
     public record Listed(List<Message> messages) { }
 
-    public record FetchAsk(String part, String service, String processor, int most, Until until) { }
+    public record FetchAsk(String part, String service, String processor, int most, Until until, String fetch,
+                           boolean again) { }
 
     public record Fetched(List<Message> messages) { }
 
--- a/pilot/src/main/java/org/woadvale/pilot/gangway/Gangway.java
+++ b/pilot/src/main/java/org/woadvale/pilot/gangway/Gangway.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Supplier;
 
 import org.woadvale.foundation.chart.Layout;
@@ -31,7 +32,8 @@
 /** HTTP of an intake: hand-ins, status, fetches and outcomes. design 9.6 */
 public final class Gangway {
     public static final int MAX_BODY = Intake.MAX_BODY;
-    private static final Duration LIMIT = Duration.ofSeconds(3);
+    /** With a view of up to 2 s and the last try's own limit still within 5 s of a key's withdrawal. */
+    private static final Duration LIMIT = Duration.ofSeconds(2);
     private static final Duration OWNER_HINTS = Duration.ofMillis(200);
     private static final Duration POLL = Duration.ofMillis(100);
     private static final String HANDLE = "m[0-9]{1,3}-[0-9]{1,18}";
@@ -135,8 +137,8 @@
     /** Messages of the key's tenant in one state, newest first: failed ones unless told otherwise. */
     private Mono<Answer> list(Request q) throws Fault {
         Layout.Key key = doors.key(q, Layout.Role.CALLER);
-        String state = q.path().matches(".*[?&]state=[a-z]+.*")
-            ? q.path().replaceAll(".*[?&]state=([a-z]+).*", "$1").toUpperCase(Locale.ROOT) : "FAILED";
+        String state = query(q, "state").orElse("failed").toUpperCase(Locale.ROOT);
+        String reason = query(q, "reason").orElse("");
         if (java.util.Arrays.stream(MessageState.values()).noneMatch(x -> x.name().equals(state))) {
             throw new Fault(ErrorKind.BAD_REQUEST, "state must be waiting, running, done or failed.");
         }
@@ -145,16 +147,36 @@
                 Commands.Listed.class, LIMIT))
             .collectList().map(lists -> {
                 List<Map<String, Object>> rows = new ArrayList<>();
-                lists.forEach(l -> l.messages().forEach(m -> rows.add(shown(m))));
+                lists.forEach(l -> l.messages().stream().filter(m -> m.proof().startsWith(reason))
+                    .forEach(m -> rows.add(shown(m))));
                 return Answer.json(200, Map.of("messages", rows));
             });
     }
 
+    private static Optional<String> query(Request q, String name) {
+        return java.util.regex.Pattern.compile("[?&]" + name + "=([a-z]+)").matcher(q.path()).results()
+            .map(r -> r.group(1)).findFirst();
+    }
+
     private Mono<Answer> fetch(Request q, String service) throws Fault {
         processorKey(q, service);
         FetchIn in = doors.body(q, FetchIn.class);
         int first = (int) Math.floorMod(env.random().getAsLong(), (long) Places.MESSAGE_PARTS);
-        return fetch(q, service, in, env.times().mono().plus(Duration.ofMillis(in.waitMs())), first);
+        Mono<Answer> fresh = Mono.defer(() ->
+            fetch(q, service, in, env.times().mono().plus(Duration.ofMillis(in.waitMs())), first));
+        return in.again() && !in.fetch().isEmpty() ? Flux.fromIterable(Places.messageParts())
+            .concatMap(p -> fetch(p, service, in, true)).concatMapIterable(Commands.Fetched::messages).collectList()
+            .flatMap(got -> got.isEmpty() ? fresh : Mono.just(handed(got))) : fresh;
+    }
+
+    private Mono<Commands.Fetched> fetch(String part, String service, FetchIn in, boolean again) {
+        return courier.timely(part, u -> new Commands.FetchAsk(part, service, in.processor(), in.most(), u, in.fetch(),
+            again), Commands.Fetched.class, OWNER_HINTS)
+            .onErrorResume(e -> Fault.of(e).kind() == ErrorKind.FORBIDDEN ? Mono.error(e) : Mono.empty());
+    }
+
+    private static Answer handed(List<Message> messages) {
+        return Answer.json(200, Map.of("messages", messages.stream().map(Gangway::handed).toList()));
     }
 
     private void processorKey(Request q, String service) throws Fault {
@@ -172,11 +194,8 @@
                 return Mono.error(e);
             }
             return Flux.range(0, Places.MESSAGE_PARTS).map(i -> "m" + (first + i) % Places.MESSAGE_PARTS)
-                .concatMap(p -> courier.timely(p, u -> new Commands.FetchAsk(p, service, in.processor(), in.most(), u),
-                    Commands.Fetched.class, OWNER_HINTS)
-                    .onErrorResume(e -> Fault.of(e).kind() == ErrorKind.FORBIDDEN ? Mono.error(e) : Mono.empty()), 1)
-                .filter(f -> !f.messages().isEmpty()).next()
-                .map(f -> Answer.json(200, Map.of("messages", f.messages().stream().map(Gangway::handed).toList())))
+                .concatMap(p -> fetch(p, service, in, false), 1)
+                .filter(f -> !f.messages().isEmpty()).next().map(f -> handed(f.messages()))
                 .switchIfEmpty(Mono.defer(() -> env.times().mono().compareTo(until) >= 0
                     ? Mono.just(Answer.json(200, Map.of("messages", List.of())))
                     : Pauses.pause(env.schedules(), POLL).then(fetch(q, service, in, until, first + 1))));
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Launcher.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Launcher.java
@@ -16,7 +16,6 @@
 import org.woadvale.foundation.tide.Allowance;
 import org.woadvale.foundation.tide.Bucket;
 import org.woadvale.foundation.watch.Places;
-import org.woadvale.foundation.watch.Processor;
 import org.woadvale.pilot.berth.Berths.Berth;
 import org.woadvale.pilot.berth.Commands;
 import org.woadvale.pilot.berth.LaneTerms;
@@ -102,21 +101,17 @@
         String service = terms(m).service();
         Optional<Layout.Service> s = Optional.ofNullable(l.get().services().get(service));
         if (s.isPresent() && s.get().kind() == Layout.Kind.ENDPOINT) {
-            return Whereabouts.at(s.get().address());
+            return Whereabouts.listed(m, s.get().address());
         }
         if (s.isEmpty() && m.processor().equals(Drawing.ENDPOINT)) {
-            return Whereabouts.of(Whereabouts.Kind.GONE);
+            return Whereabouts.gone(m);
         }
         return kit.news().fresh(Places.processors(service))
-            .map(v -> Optional.ofNullable(v.processors().get(m.processor())).map(Launcher::whereabouts)
-                .orElse(Whereabouts.of(Whereabouts.Kind.GONE)))
+            .map(v -> Optional.ofNullable(v.processors().get(m.processor())).map(p -> Whereabouts.listed(m, p.address()))
+                .orElse(Whereabouts.gone(m)))
             .orElse(Whereabouts.of(Whereabouts.Kind.NOT_KNOWN_NOW));
     }
 
-    private static Whereabouts whereabouts(Processor p) {
-        return p.address().isEmpty() ? Whereabouts.of(Whereabouts.Kind.FETCHES) : Whereabouts.at(p.address());
-    }
-
     /** Asking an outside endpoint counts as one of its requests, so it spends a leaving pass. */
     Optional<Ticket> mayInquire(Message m) {
         return Ticket.draw(kit, terms(m).service(), paced(terms(m).service()));
@@ -209,7 +204,7 @@
     /** The attempt is committed before anything is sent; then all is checked again. */
     private Mono<Boolean> launch(Message m, Ticket ticket, Targets.Target t) {
         Commands.Start start = new Commands.Start(m.handle(), m.attempt() + 1, t.id(),
-            wall().plusMillis(terms(m).attemptMs()), wall());
+            wall().plusMillis(terms(m).attemptMs()), wall(), t.address());
         return berth.replica().propose(start, Commands.Changed.class)
             .doOnError(e -> {
                 ticket.putBack();
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Launches.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Launches.java
@@ -70,11 +70,21 @@
                 return Mono.error(new Fault(ErrorKind.FORBIDDEN,
                     "The processor " + a.processor() + " is not listed, is leaving, or the list is not proven fresh."));
             }
+            if (a.again()) {
+                return Mono.just(new Commands.Fetched(handedBefore(b, a)));
+            }
             return Flux.fromIterable(candidates(b, a.service())).take(a.most())
                 .concatMap(m -> start(b, m, a)).collectList().map(Commands.Fetched::new);
         });
     }
 
+    /** What this very fetch was given, for a processor that did not get the answer: the same attempts. */
+    private List<Message> handedBefore(Berth b, Commands.FetchAsk a) {
+        var now = kit.env().times().wall();
+        return b.replica().look(i -> b.machine().running().stream().filter(m -> m.processor().equals(a.processor())
+            && m.where().equals(Whereabouts.FETCHED + a.fetch()) && m.deadline().isAfter(now)).toList());
+    }
+
     private boolean mayReceive(Commands.FetchAsk a) {
         Optional<Processor> p = kit.news().fresh(Places.processors(a.service()))
             .map(v -> v.processors().get(a.processor()));
@@ -111,7 +121,8 @@
             return Mono.empty();
         }
         Commands.Start s = new Commands.Start(m.handle(), m.attempt() + 1, a.processor(),
-            now.plusMillis(terms(m).attemptMs()), now);
+            now.plusMillis(terms(m).attemptMs()), now,
+            Whereabouts.FETCHED + a.fetch());
         return b.replica().propose(s, Commands.Changed.class)
             .doOnError(e -> ticket.get().putBack())
             .onErrorResume(e -> Mono.empty())
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Run.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Run.java
@@ -98,23 +98,22 @@
             return Mono.just(false);
         }
         boolean late = wall().isAfter(m.deadline());
-        if (wall().isAfter(l.timeIsUp(m))) {
-            return end(Commands.Ending.FAILED, "time limit reached while the outcome was unclear", wall());
-        }
         Whereabouts where = l.whereabouts(m);
         if (late && where.kind() == Whereabouts.Kind.GONE) {
-            LOG.warn("launch: the processor of {} is gone; it runs again.", m.handle());
-            return retry("the processor is gone");
+            return unclear("the processor is gone");
+        }
+        if (late && where.kind() == Whereabouts.Kind.FETCHES && l.terms(m).rerun()) {
+            return unclear("no outcome before the deadline");
         }
-        if (late && where.kind() == Whereabouts.Kind.FETCHES) {
-            return retry("no outcome before the deadline");
+        if (wall().isAfter(l.timeIsUp(m)) && mayEndUnproven(where)) {
+            return end(Commands.Ending.FAILED, Message.UNCLEAR + "time limit reached", wall());
         }
-        Optional<Ticket> ticket = where.kind() == Whereabouts.Kind.AT ? l.mayInquire(m) : Optional.empty();
+        Optional<Ticket> ticket = where.canBeAsked() ? l.mayInquire(m) : Optional.empty();
         if (ticket.isEmpty()) {
             return inquireLater();
         }
-        return l.kit().post().send(new Post.Call("GET", where.address() + "/runs/" + m.handle(), new byte[0], ASK_LIMIT,
-            () -> l.owns() && ticket.get().spend()))
+        return l.kit().post().send(new Post.Call("GET", where.address() + "/runs/" + m.handle() + "?attempt=" + m.attempt(),
+            new byte[0], ASK_LIMIT, () -> l.owns() && ticket.get().spend()))
             .map(r -> Verdict.ofInquiry(r, m.handle()))
             .onErrorResume(e -> Mono.just(new Verdict(Verdict.Kind.UNCLEAR, "no answer")))
             .flatMap(v -> {
@@ -126,6 +125,17 @@
             });
     }
 
+    /** The next of a key must not start while a listed processor may still run this one: design 9.3. */
+    private boolean mayEndUnproven(Whereabouts where) {
+        return !m.ordered() || where.kind() == Whereabouts.Kind.FETCHES || where.kind() == Whereabouts.Kind.GONE;
+    }
+
+    /** Nobody can say any more whether it was done: the lane's operator has said what then. */
+    private Mono<Boolean> unclear(String why) {
+        LOG.warn("launch: it stays unclear whether {} was done: {}.", m.handle(), why);
+        return l.terms(m).rerun() ? retry(why) : end(Commands.Ending.FAILED, Message.UNCLEAR + why, wall());
+    }
+
     private Mono<Boolean> retry(String word) {
         return l.triesLeft(m) ? end(Commands.Ending.RETRY, word, wall().plus(l.backoff(1)))
             : end(Commands.Ending.FAILED, "attempts used up; last: " + word, wall());
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Verdict.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Verdict.java
@@ -10,14 +10,15 @@
 public record Verdict(Kind kind, String word) {
     public enum Kind { DONE, REFUSED, LATER, UNCLEAR, RUNNING, NOT_KNOWN }
 
+    /** Only 429 and 503 say that nothing was done; other 5xx and 408 may come after the work. */
     public static Verdict ofPush(Post.Reply r, String handle, int attempt) {
         if (r.status() == 200) {
             return proof(r, handle, attempt);
         }
-        if (r.status() == 429 || r.status() == 408 || r.status() >= 500) {
+        if (r.status() == 429 || r.status() == 503) {
             return new Verdict(Kind.LATER, "answer " + r.status());
         }
-        return r.status() >= 400 ? new Verdict(Kind.REFUSED, "answer " + r.status())
+        return r.status() >= 400 && r.status() < 500 && r.status() != 408 ? new Verdict(Kind.REFUSED, "answer " + r.status())
             : new Verdict(Kind.UNCLEAR, "answer " + r.status());
     }
 
--- a/trials/src/main/java/org/woadvale/trials/buoy/Backend.java
+++ b/trials/src/main/java/org/woadvale/trials/buoy/Backend.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.LongSupplier;
 
 import org.woadvale.foundation.chart.Charts;
@@ -22,9 +24,10 @@
 /** Stand-in for a processor or an outside endpoint; remembers what it did, unless told to forget. */
 public final class Backend {
     /** How it behaves from now on; a victim's name makes the failures that tenant's own. */
-    public record Manner(Duration work, double refuse, double later, double loseAnswer, String victim) {
+    public record Manner(Duration work, double refuse, double later, double loseAnswer, double breakAnswer,
+                         String victim) {
         public Manner(Duration work, double refuse, double later, double loseAnswer) {
-            this(work, refuse, later, loseAnswer, "");
+            this(work, refuse, later, loseAnswer, 0, "");
         }
 
         Manner towards(String tenant) {
@@ -47,7 +50,11 @@
     private final LongSupplier random;
     private final Map<String, Done> done = new HashMap<>();
     private final Map<String, Integer> running = new HashMap<>();
+    /** Attempts that it said it does not know: they must not begin later. */
+    private final Set<String> fenced = new HashSet<>();
     private Manner manner = Manner.good();
+    private boolean forgetful;
+    private int life;
 
     public Backend(String id, String service, boolean paced, Sightings s, Times times, Schedules schedules,
                    LongSupplier random) {
@@ -60,10 +67,32 @@
         this.random = random;
     }
 
+    public String service() {
+        return service;
+    }
+
+    public boolean paced() {
+        return paced;
+    }
+
     public synchronized void behave(Manner m) {
         manner = m;
     }
 
+    /** The process dies with all it was doing, and comes back without memory of what it did before. */
+    public synchronized void crash() {
+        life++;
+        running.forEach((handle, n) -> {
+            for (int i = 0; i < n; i++) {
+                s.saw(s.died, new Sightings.Died(handle, times.mono()));
+            }
+        });
+        running.clear();
+        done.clear();
+        fenced.clear();
+        forgetful = true;
+    }
+
     private boolean luck(double p) {
         return Math.floorMod(random.getAsLong(), 10000L) < p * 10000;
     }
@@ -75,7 +104,7 @@
             }
             try {
                 return q.method().equals("POST") ? work(Charts.read(q.body(), JsonNode.class, ErrorKind.BAD_REQUEST))
-                    : Mono.just(told(q.segments().get(q.segments().size() - 1)));
+                    : Mono.just(told(q.segments().get(q.segments().size() - 1), q.path().replaceAll(".*attempt=", "")));
             } catch (Fault e) {
                 return Mono.just(Answer.of(e));
             }
@@ -86,17 +115,21 @@
         String handle = m.path("messageId").asText();
         int attempt = m.path("attempt").asInt();
         Manner now = manner.towards(m.path("tenant").asText());
-        if (luck(now.later())) {
+        if (luck(now.later()) || fenced.contains(handle + "/" + attempt)) {
             s.saw(s.turnedAway, new Sightings.TurnedAway(handle, attempt, times.mono()));
             return Mono.just(Answer.json(503, Map.of("error", "later")));
         }
         s.saw(s.ran, new Sightings.Ran(handle, m.path("callerId").asText(), m.path("tenant").asText(),
             m.path("lane").asText(), m.path("orderingKey").asText(), attempt, id, service, times.mono()));
         running.merge(handle, 1, Integer::sum);
-        return Pauses.pause(schedules, now.work()).flatMap(x -> worked(handle, attempt, now));
+        int begunIn = life;
+        return Pauses.pause(schedules, now.work()).flatMap(x -> worked(handle, attempt, now, begunIn));
     }
 
-    private synchronized Mono<Answer> worked(String handle, int attempt, Manner now) {
+    private synchronized Mono<Answer> worked(String handle, int attempt, Manner now, int begunIn) {
+        if (begunIn != life) {
+            return Mono.error(new Fault(ErrorKind.UNKNOWN_OUTCOME, "the processor died"));
+        }
         running.merge(handle, -1, (a, b) -> a + b == 0 ? null : a + b);
         if (luck(now.refuse())) {
             s.saw(s.answered, new Sightings.Answered(handle, attempt, id, times.mono(), false, ""));
@@ -108,6 +141,9 @@
         if (luck(now.loseAnswer())) {
             return Mono.error(new Fault(ErrorKind.UNKNOWN_OUTCOME, "the answer is lost"));
         }
+        if (luck(now.breakAnswer())) {
+            return Mono.just(Answer.json(luck(0.5) ? 500 : 502, Map.of("error", "something broke after the work")));
+        }
         return Mono.just(Answer.json(200, shown(handle, "done", attempt, receipt)));
     }
 
@@ -120,11 +156,18 @@
         return b;
     }
 
-    private synchronized Answer told(String handle) {
+    /** "Not known" is a promise that this attempt does not begin later; one without memory cannot give it. */
+    private synchronized Answer told(String handle, String attempt) {
         if (done.containsKey(handle)) {
             return Answer.json(200, shown(handle, "done", done.get(handle).attempt(), done.get(handle).receipt()));
         }
-        return running.containsKey(handle) ? Answer.json(200, shown(handle, "running", 0, ""))
-            : Answer.json(404, shown(handle, "unknown", 0, ""));
+        if (running.containsKey(handle)) {
+            return Answer.json(200, shown(handle, "running", 0, ""));
+        }
+        if (forgetful) {
+            return Answer.json(410, shown(handle, "unsure", 0, ""));
+        }
+        fenced.add(handle + "/" + attempt);
+        return Answer.json(404, shown(handle, "unknown", 0, ""));
     }
 }
--- a/trials/src/main/java/org/woadvale/trials/buoy/Scenery.java
+++ b/trials/src/main/java/org/woadvale/trials/buoy/Scenery.java
@@ -20,6 +20,10 @@
         return "caller-secret-" + tenant;
     }
 
+    public static String fetchKey(String group) {
+        return "fetch-secret-" + group;
+    }
+
     public static String tenant(int i) {
         return "tenant" + i;
     }
@@ -47,12 +51,15 @@
         Map<String, Layout.Service> s = new TreeMap<>();
         s.put(GROUP, new Layout.Service(Layout.Kind.PROCESSORS, "", 0));
         s.put(ORDERED_GROUP, new Layout.Service(Layout.Kind.PROCESSORS, "", 0));
+        for (String group : List.of(GROUP, ORDERED_GROUP)) {
+            k.put("fetch-" + group, new Layout.Key(Layout.Role.PROCESSOR, "", group, Charts.sha256(fetchKey(group))));
+        }
         Map<String, Layout.Lane> l = new TreeMap<>();
-        l.put("hold", new Layout.Lane(GROUP, Layout.Ordering.NONE, TIME_LIMIT_MS, ATTEMPTS, 3000));
-        l.put("accept", new Layout.Lane(ORDERED_GROUP, Layout.Ordering.KEY, TIME_LIMIT_MS, ATTEMPTS, 3000));
+        l.put("hold", new Layout.Lane(GROUP, Layout.Ordering.NONE, TIME_LIMIT_MS, ATTEMPTS, 3000, Layout.IfUnclear.FAIL));
+        l.put("accept", new Layout.Lane(ORDERED_GROUP, Layout.Ordering.KEY, TIME_LIMIT_MS, ATTEMPTS, 3000, Layout.IfUnclear.FAIL));
         for (int i = 0; i < endpoints; i++) {
             s.put(endpoint(i), new Layout.Service(Layout.Kind.ENDPOINT, endpointAddress.apply(i), endpointRate));
-            l.put("check" + i, new Layout.Lane(endpoint(i), Layout.Ordering.NONE, TIME_LIMIT_MS, ATTEMPTS, 3000));
+            l.put("check" + i, new Layout.Lane(endpoint(i), Layout.Ordering.NONE, TIME_LIMIT_MS, ATTEMPTS, 3000, Layout.IfUnclear.FAIL));
         }
         return new Layout(t, s, l, k);
     }
--- a/trials/src/main/java/org/woadvale/trials/squall/Fairness.java
+++ b/trials/src/main/java/org/woadvale/trials/squall/Fairness.java
@@ -82,7 +82,7 @@
         System.out.println("|---|---|---|---|---|---|---|");
         Backend.Manner good = Backend.Manner.good();
         Backend.Manner slow = new Backend.Manner(Duration.ofSeconds(2), 0, 0, 0);
-        Backend.Manner poison = new Backend.Manner(Duration.ofMillis(300), 0.1, 0.85, 0, Scenery.tenant(0));
+        Backend.Manner poison = new Backend.Manner(Duration.ofMillis(300), 0.1, 0.85, 0, 0, Scenery.tenant(0));
         row("calm", run(1, 4, good, Duration.ZERO));
         row("one tenant at 30 times", run(1, 120, good, Duration.ZERO));
         row("the same, slow processors", run(1, 120, slow, Duration.ZERO));
--- /dev/null
+++ b/trials/src/main/java/org/woadvale/trials/squall/Fetcher.java
@@ -0,0 +1,113 @@
+package org.woadvale.trials.squall;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.woadvale.foundation.chart.Charts;
+import org.woadvale.foundation.gate.Request;
+import org.woadvale.trials.buoy.Scenery;
+import org.woadvale.trials.buoy.Sightings;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/** Stand-in for a processor that fetches: asks again under the same fetch id, repeats each outcome until confirmed. */
+public final class Fetcher {
+    private static final Duration AGAIN = Duration.ofMillis(200);
+    private final World w;
+    private final String id;
+    private final String service;
+    private final Set<String> mine = new HashSet<>();
+    private Duration work = Duration.ofMillis(20);
+    private double loseAnswer;
+    private int life;
+    private int fetches;
+
+    Fetcher(World w, String id, String service) {
+        this.w = w;
+        this.id = id;
+        this.service = service;
+    }
+
+    public void behave(Duration newWork, double newLoseAnswer) {
+        work = newWork;
+        loseAnswer = newLoseAnswer;
+    }
+
+    /** The process dies; what it was doing is not done. */
+    public void crash() {
+        life++;
+        mine.forEach(h -> w.seen.saw(w.seen.died, new Sightings.Died(h, w.sim.now())));
+        mine.clear();
+    }
+
+    public Fetcher start() {
+        fetches++;
+        ask(id + "-" + life + "-" + fetches, false, life);
+        return this;
+    }
+
+    private String any() {
+        return w.intakes.get(w.sim.random().nextInt(w.intakes.size()));
+    }
+
+    private Request post(String path, Map<String, Object> body) {
+        return new Request("POST", path, Map.of("authorization", "Bearer " + Scenery.fetchKey(service)), Charts.write(body));
+    }
+
+    private void ask(String fetch, boolean again, int bornIn) {
+        if (life != bornIn) {
+            return;
+        }
+        Request q = post("/v1/services/" + service + "/fetch",
+            Map.of("processor", id, "waitMs", 500, "most", 2, "fetch", fetch, "again", again));
+        w.request(any(), q, Duration.ofSeconds(3), a -> {
+            if (life != bornIn) {
+                return;
+            }
+            if (a.isEmpty() || a.get().status() >= 500 || w.sim.luck(loseAnswer)) {
+                w.sim.after(AGAIN, () -> ask(fetch, true, bornIn));
+                return;
+            }
+            JsonNode got = Callers.json(a.get()).path("messages");
+            got.forEach(m -> run(m, bornIn));
+            w.sim.after(got.size() == 0 ? AGAIN : work, () -> {
+                if (life == bornIn) {
+                    start();
+                }
+            });
+        });
+    }
+
+    private void run(JsonNode m, int bornIn) {
+        String handle = m.path("messageId").asText();
+        int attempt = m.path("attempt").asInt();
+        w.seen.saw(w.seen.ran, new Sightings.Ran(handle, m.path("callerId").asText(), m.path("tenant").asText(),
+            m.path("lane").asText(), m.path("orderingKey").asText(), attempt, id, service, w.sim.now()));
+        mine.add(handle);
+        w.sim.after(work, () -> {
+            if (life == bornIn) {
+                String receipt = id + ":" + handle + ":" + attempt;
+                mine.remove(handle);
+                w.seen.saw(w.seen.answered, new Sightings.Answered(handle, attempt, id, w.sim.now(), true, receipt));
+                report(handle, attempt, receipt, bornIn);
+            }
+        });
+    }
+
+    private void report(String handle, int attempt, String receipt, int bornIn) {
+        if (life != bornIn) {
+            return;
+        }
+        Request q = post("/v1/messages/" + handle + "/outcome",
+            Map.of("processor", id, "attempt", attempt, "outcome", "done", "receipt", receipt));
+        w.request(any(), q, Duration.ofSeconds(4), a -> {
+            boolean clear = a.isPresent() && List.of(200, 403, 404).contains(a.get().status());
+            if (!clear) {
+                w.sim.after(AGAIN, () -> report(handle, attempt, receipt, bornIn));
+            }
+        });
+    }
+}
--- a/trials/src/main/java/org/woadvale/trials/squall/Head.java
+++ b/trials/src/main/java/org/woadvale/trials/squall/Head.java
@@ -27,7 +27,7 @@
 
     private Layout withLane(Layout l, String lane) {
         Map<String, Layout.Lane> lanes = new TreeMap<>(l.lanes());
-        lanes.put(lane, new Layout.Lane(Scenery.GROUP, Layout.Ordering.NONE, 30000, 5, 3000));
+        lanes.put(lane, new Layout.Lane(Scenery.GROUP, Layout.Ordering.NONE, 30000, 5, 3000, Layout.IfUnclear.FAIL));
         return new Layout(l.tenants(), l.services(), lanes, l.keys());
     }
 
@@ -83,7 +83,7 @@
 
     void bad() {
         Map<String, Layout.Lane> lanes = new HashMap<>(v.layout.lanes());
-        lanes.put("broken", new Layout.Lane("nowhere", Layout.Ordering.NONE, 30000, 5, 3000));
+        lanes.put("broken", new Layout.Lane("nowhere", Layout.Ordering.NONE, 30000, 5, 3000, Layout.IfUnclear.FAIL));
         v.put(new Layout(v.layout.tenants(), v.layout.services(), lanes, v.layout.keys()), v.version, "bad" + n++, a -> { });
     }
 
--- a/trials/src/main/java/org/woadvale/trials/squall/SimPost.java
+++ b/trials/src/main/java/org/woadvale/trials/squall/SimPost.java
@@ -28,6 +28,9 @@
     private final World w;
     private final Set<String> down = new HashSet<>();
     private final Map<String, Duration> slowStreams = new HashMap<>();
+    private final Map<String, String> names = new HashMap<>();
+    private final Map<String, String> addresses = new HashMap<>();
+    private final Map<String, Backend> at = new HashMap<>();
     private double answerLoss;
 
     SimPost(World w) {
@@ -86,31 +89,42 @@
             Sinks.One<Post.Reply> sink = Sinks.one();
             h.after(call.limit(), () -> sink.tryEmitError(new Fault(ErrorKind.UNKNOWN_OUTCOME, "no answer in time")));
             String rest = call.url().substring("http://".length());
-            String id = name(rest.substring(0, rest.indexOf('/')));
-            Optional<Backend> b = Optional.ofNullable(w.backends.get(id));
+            String address = rest.substring(0, rest.indexOf('/'));
+            String id = names.getOrDefault(address, "");
+            Optional<Backend> b = Optional.ofNullable(at.get(address));
             w.sim.after(w.net.delay().plus(slowStreams.getOrDefault(id, Duration.ZERO)), () -> h.soon(() -> {
                 if (b.isEmpty() || down.contains(id) || !call.still().getAsBoolean()) {
                     sink.tryEmitError(new Fault(ErrorKind.UNREACHABLE, "refused"));
                     return;
                 }
-                w.sim.after(w.net.delay(), () -> arrive(h, id, new Request(call.method(),
+                w.sim.after(w.net.delay(), () -> arrive(h, id, b.get(), new Request(call.method(),
                     rest.substring(rest.indexOf('/')), Map.of(), call.body()), sink));
             }));
             return sink.asMono();
         });
     }
 
-    private void arrive(Host h, String id, Request q, Sinks.One<Post.Reply> sink) {
+    private void arrive(Host h, String id, Backend b, Request q, Sinks.One<Post.Reply> sink) {
         if (down.contains(id)) {
             return;
         }
-        w.backends.get(id).answer(q).subscribe(a -> {
+        b.answer(q).subscribe(a -> {
             if (!w.sim.luck(answerLoss) && !down.contains(id)) {
                 w.sim.after(w.net.delay(), () -> h.soon(() -> sink.tryEmitValue(new Post.Reply(a.status(), a.body()))));
             }
         }, e -> { });
     }
 
+    /** A back end at an address of its own; a successor under the same id has another one. */
+    void place(String id, Backend b) {
+        String old = addresses.getOrDefault(id, "");
+        at.remove(old);
+        String address = "127.0.0.1:" + (10000 + names.size());
+        names.put(address, id);
+        addresses.put(id, address);
+        at.put(address, b);
+    }
+
     /** How long it takes until a stream to a back end is open. */
     public void slowStreams(String backend, Duration d) {
         slowStreams.put(backend, d);
@@ -118,11 +132,6 @@
 
     /** Back ends are addressed by number, as the layout's rules want. */
     public String address(String backend) {
-        return "127.0.0.1:" + (10000 + java.util.List.copyOf(w.backends.keySet()).indexOf(backend));
-    }
-
-    private String name(String address) {
-        int n = Integer.parseInt(address.substring(address.indexOf(':') + 1)) - 10000;
-        return w.backends.keySet().stream().skip(n).findFirst().orElse("");
+        return addresses.get(backend);
     }
 }
--- a/trials/src/main/java/org/woadvale/trials/squall/Voyage.java
+++ b/trials/src/main/java/org/woadvale/trials/squall/Voyage.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 
 import org.woadvale.foundation.chart.Charts;
@@ -16,6 +17,7 @@
 
 /** Platform and head office of a simulated fleet, and its callers. */
 public final class Voyage extends Callers {
+    private final Map<String, Fetcher> fetchers = new TreeMap<>();
     public Layout layout;
     public long version;
     long puts;
@@ -53,6 +55,16 @@
         return this;
     }
 
+    public Fetcher fetcher(String id) {
+        return fetchers.get(id);
+    }
+
+    /** The platform takes a processor off the list: it is gone. */
+    public void unlist(String processor) {
+        String service = service(Integer.parseInt(processor.substring(1)));
+        operate(new Request("DELETE", "/v1/services/" + service + "/processors/" + processor, Map.of(), new byte[0]), a -> { });
+    }
+
     public static void require(boolean ok, String why) {
         if (!ok) {
             throw new IllegalStateException(why);
@@ -108,10 +120,15 @@
         });
     }
 
+    /** Those whose name begins with f fetch; the others have an address. */
     public void list(String processor, boolean leaving) {
         String service = service(Integer.parseInt(processor.substring(1)));
+        boolean fetches = processor.startsWith("f");
+        if (fetches) {
+            fetchers.computeIfAbsent(processor, p -> new Fetcher(w, p, service).start());
+        }
         operate(new Request("PUT", "/v1/services/" + service + "/processors/" + processor, Map.of(),
-            Charts.write(Map.of("address", "http://" + w.post.address(processor), "leaving", leaving))), a -> {
+            Charts.write(Map.of("address", fetches ? "" : "http://" + w.post.address(processor), "leaving", leaving))), a -> {
                 if (leaving) {
                     w.seen.saw(w.seen.leaving, new Sightings.MarkedLeaving(processor, w.sim.now()));
                 }
--- a/trials/src/main/java/org/woadvale/trials/squall/World.java
+++ b/trials/src/main/java/org/woadvale/trials/squall/World.java
@@ -113,9 +113,17 @@
     public Backend addBackend(String id, String service, boolean paced) {
         Backend b = new Backend(id, service, paced, seen, post.clock(), post.clock(), sim.random()::nextLong);
         backends.put(id, b);
+        post.place(id, b);
         return b;
     }
 
+    /** The process of a back end is gone; another takes its id, at another address and without its memory. */
+    public Backend replaceBackend(String id) {
+        Backend old = backends.get(id);
+        old.crash();
+        return addBackend(id, old.service(), old.paced());
+    }
+
     public void start(String address) throws Fault {
         Host h = hosts.get(address);
         boolean lamp = lighthouses.contains(address);
--- a/trials/src/test/java/org/woadvale/trials/keeper/OldBytesTest.java
+++ b/trials/src/test/java/org/woadvale/trials/keeper/OldBytesTest.java
@@ -28,7 +28,7 @@
     void commandsOfTheFirstVersionAreRead() throws Fault {
         Commands.Accept a = read("9303010b00030102010a0082688269826c826f827401e807068273d00f", Commands.Accept.class);
         assertEquals("t l i o h", String.join(" ", a.tenant(), a.lane(), a.id(), a.orderKey(), a.hash()));
-        assertEquals(new LaneTerms("s", 1000, 3, 500), a.terms());
+        assertEquals(new LaneTerms("s", 1000, 3, 500, false), a.terms());
         assertEquals(Instant.ofEpochSecond(10), a.due());
         assertEquals(Instant.ofEpochSecond(11), a.at());
         assertEquals(new Commands.End("m0-1", 2, Commands.Ending.DONE, "r", Instant.ofEpochSecond(10),
--- a/trials/src/test/java/org/woadvale/trials/squall/BadInputTest.java
+++ b/trials/src/test/java/org/woadvale/trials/squall/BadInputTest.java
@@ -102,6 +102,10 @@
         Answer a = ask(l, "PUT", "/v1/layout", "", "{\"lanes\":{\"x\":{\"service\":\"no\",\"ordering\":\"none\"," 
             + "\"timeLimitMs\":5000,\"attempts\":1}},\"tenants\":{\"T!\":{\"ratePerS\":1,\"burstSize\":1}}}", base);
         assertEquals(422, a.status());
+        Answer unclear = ask(l, "PUT", "/v1/layout", "", "{\"services\":{\"s\":{\"kind\":\"processors\"}},\"lanes\":{\"x\":"
+            + "{\"service\":\"s\",\"timeLimitMs\":5000,\"attempts\":1,\"ifUnclear\":\"perhaps\"}}}", base);
+        assertEquals("422 lanes.x.ifUnclear", unclear.status() + " "
+            + Voyage.json(unclear).path("details").path(0).asText().replaceAll(":.*", ""));
         Answer stale = ask(l, "PUT", "/v1/layout", "", "{}", Map.of("if-match", "0", "x-request-id", "stale"));
         assertEquals(412, stale.status());
         assertEquals("1", Voyage.json(stale).path("details").path(0).asText(), "the present version is named");
--- a/trials/src/test/java/org/woadvale/trials/squall/FairnessTest.java
+++ b/trials/src/test/java/org/woadvale/trials/squall/FairnessTest.java
@@ -29,7 +29,7 @@
     /** Before, with retries of a whole lane in one bucket: 31.7 s. */
     @Test
     void jobsThatCannotSucceedDoNotStarveOthers() throws Fault {
-        served(Fairness.run(1, 120, new Backend.Manner(Duration.ofMillis(300), 0.1, 0.85, 0, Scenery.tenant(0)),
+        served(Fairness.run(1, 120, new Backend.Manner(Duration.ofMillis(300), 0.1, 0.85, 0, 0, Scenery.tenant(0)),
             Duration.ZERO), Duration.ofMillis(5000));
     }
 }
--- a/trials/src/test/java/org/woadvale/trials/squall/Naive.java
+++ b/trials/src/test/java/org/woadvale/trials/squall/Naive.java
@@ -38,6 +38,12 @@
         }));
     }
 
+    /** Any 5xx is taken for "later". */
+    static Seams anyErrorIsLater() {
+        return Seams.none().withPost((a, p) -> c -> p.send(c)
+            .map(r -> r.status() >= 500 ? new Post.Reply(503, r.body()) : r));
+    }
+
     /** Hand-ins without a time by which they must have come; the store's life is learned once and for all. */
     static Seams timelessHandIns() {
         return Seams.none().withBeam((a, b) -> {
