An endpoint's bucket goes by its address; two services may not share one

Cause: buckets of outside endpoints went by the service's name. Two services with one address got its rate twice; a renamed service had two buckets while some nodes were out of touch. Ruled out: a shared bucket for services that name the same address (whose rate would it be?). Also: nodes validated the taken layout again, so a stricter build would have dropped the fleet's layout.

--- a/foundation/src/main/java/org/woadvale/foundation/chart/Charts.java
+++ b/foundation/src/main/java/org/woadvale/foundation/chart/Charts.java
@@ -2,8 +2,11 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import org.hibernate.validator.messageinterpolation.ParameterMessageInterpolator;
@@ -44,6 +47,15 @@
         return l;
     }
 
+    /** A layout that was taken: it is used as it is, whatever this build would say of it, or knows of it. */
+    public static Layout taken(byte[] json) throws Fault {
+        try {
+            return JSON.readerFor(Layout.class).without(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES).readValue(json);
+        } catch (IOException e) {
+            throw new Fault(ErrorKind.INVALID_LAYOUT, "The taken layout cannot be read: " + e.getMessage());
+        }
+    }
+
     public static <T> T read(byte[] json, Class<T> type, ErrorKind kind) throws Fault {
         try {
             T t = JSON.readValue(json, type);
@@ -69,7 +81,12 @@
 
     private static List<String> crossFaults(Layout l) {
         List<String> out = new ArrayList<>();
+        Map<String, String> addresses = new HashMap<>();
         l.services().forEach((n, s) -> {
+            if (!s.address().isEmpty()) {
+                Optional.ofNullable(addresses.putIfAbsent(s.address().replaceAll("/+$", ""), n)).ifPresent(other ->
+                    out.add("services." + n + ".address: is " + other + "'s too; it would get both rates"));
+            }
             boolean endpoint = s.kind() == Layout.Kind.ENDPOINT;
             if (endpoint && s.address().isEmpty()) {
                 out.add("services." + n + ".address: an endpoint needs one");
--- a/foundation/src/main/java/org/woadvale/foundation/watch/Places.java
+++ b/foundation/src/main/java/org/woadvale/foundation/watch/Places.java
@@ -21,8 +21,9 @@
         return "tenant/" + tenant;
     }
 
-    public static String endpointBucket(String service) {
-        return "endpoint/" + service;
+    /** The bucket of an outside endpoint goes by its address, whatever the service is called. design 8.6 */
+    public static String endpointBucket(String address) {
+        return "endpoint/" + address.replaceAll("/+$", "");
     }
 
     public static String processors(String service) {
--- a/foundation/src/test/java/org/woadvale/foundation/chart/ChartsTest.java
+++ b/foundation/src/test/java/org/woadvale/foundation/chart/ChartsTest.java
@@ -39,6 +39,17 @@
             "lanes.l.attemptMs: longer than timeLimitMs", "keys.k.tenant: no tenant nobody"), f);
     }
 
+    /** Before: taken, and the endpoint got both rates. A layout that was taken before is used all the same. */
+    @Test
+    void twoServicesWithOneAddressAreAFault() throws Fault {
+        String json = """
+            {"services":{"a":{"kind":"endpoint","address":"http://10.0.0.1:80/x","ratePerS":26},
+                         "b":{"kind":"endpoint","address":"http://10.0.0.1:80/x/","ratePerS":26}},"later":1}""";
+        assertEquals(List.of("services.b.address: is a's too; it would get both rates"),
+            faults(json.replace(",\"later\":1", "")));
+        assertEquals(2, Charts.taken(json.getBytes(java.nio.charset.StandardCharsets.UTF_8)).services().size());
+    }
+
     @Test
     void unknownFieldsAndBrokenJsonAreFaults() {
         assertTrue(faults("{\"tenant\":{}}").get(0).startsWith("tenant: "));
--- a/pilot/src/main/java/org/woadvale/pilot/Layouts.java
+++ b/pilot/src/main/java/org/woadvale/pilot/Layouts.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeSet;
+import java.util.TreeMap;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -24,7 +24,8 @@
     private static final double LEAVING_BURST_S = 0.25;
 
     /** A layout, read once. */
-    public record Known(long version, Layout layout, Map<String, Layout.Key> keysByHash) {
+    public record Known(long version, Layout layout, Map<String, Layout.Key> keysByHash,
+                        Map<String, Allowance> allowances) {
         public Optional<Layout.Key> key(String secret) {
             return Optional.ofNullable(keysByHash.get(Charts.sha256(secret)));
         }
@@ -53,13 +54,17 @@
     private static Known read(long version, byte[] json) {
         Layout l = Layout.empty();
         try {
-            l = json.length == 0 ? l : Charts.layout(json);
+            l = json.length == 0 ? l : Charts.taken(json);
         } catch (Fault e) {
             LOG.error("beacon: layout {} is unreadable here: {}", version, e.details());
         }
         Map<String, Layout.Key> keys = new HashMap<>();
         l.keys().values().forEach(k -> keys.put(k.sha256(), k));
-        return new Known(version, l, keys);
+        Map<String, Allowance> allowances = new TreeMap<>();
+        l.tenants().forEach((n, t) -> allowances.put(Places.tenantBucket(n), new Allowance(t.ratePerS(), t.burstSize())));
+        l.services().forEach((n, x) -> leaving(n, x).ifPresent(b ->
+            allowances.put(b, new Allowance(x.ratePerS(), Math.max(1, x.ratePerS() * LEAVING_BURST_S)))));
+        return new Known(version, l, keys, allowances);
     }
 
     public Optional<Known> fresh() {
@@ -71,25 +76,24 @@
             new Fault(ErrorKind.STALE_VIEW, "This node is not in touch with the core."));
     }
 
+    /** The bucket that paces a service; empty where it is not paced. */
+    private static Optional<String> leaving(String name, Layout.Service s) {
+        return s.ratePerS() <= 0 ? Optional.empty()
+            : Optional.of(s.kind() == Layout.Kind.ENDPOINT ? Places.endpointBucket(s.address()) : "fetch/" + name);
+    }
+
+    /** The same by the layout that is proven fresh; all empty where none is. */
+    public Optional<Optional<String>> leavingBucket(String service) {
+        return fresh().map(k -> Optional.ofNullable(k.layout().services().get(service)).flatMap(s -> leaving(service, s)));
+    }
+
     /** The allowance behind a bucket's name; empty where the layout has none or is not proven fresh. */
     public Optional<Allowance> allowance(String bucket) {
-        String name = bucket.substring(bucket.indexOf('/') + 1);
-        return fresh().flatMap(k -> bucket.startsWith("tenant/")
-            ? Optional.ofNullable(k.layout().tenants().get(name)).map(t -> new Allowance(t.ratePerS(), t.burstSize()))
-            : Optional.ofNullable(k.layout().services().get(name)).filter(s -> s.ratePerS() > 0)
-                .map(s -> new Allowance(s.ratePerS(), Math.max(1, s.ratePerS() * LEAVING_BURST_S))));
+        return fresh().flatMap(k -> Optional.ofNullable(k.allowances().get(bucket)));
     }
 
     /** Every shared bucket that the latest layout calls for. */
     public Set<String> buckets() {
-        Set<String> out = new TreeSet<>();
-        Layout l = known.layout();
-        l.tenants().keySet().forEach(t -> out.add(Places.tenantBucket(t)));
-        l.services().forEach((n, s) -> {
-            if (s.ratePerS() > 0) {
-                out.add(Places.endpointBucket(n));
-            }
-        });
-        return out;
+        return known.allowances().keySet();
     }
 }
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Launcher.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Launcher.java
@@ -114,11 +114,7 @@
 
     /** Asking an outside endpoint counts as one of its requests, so it spends a leaving pass. */
     Optional<Ticket> mayInquire(Message m) {
-        return Ticket.draw(kit, terms(m).service(), paced(terms(m).service()));
-    }
-
-    boolean paced(String service) {
-        return Optional.ofNullable(layout().services().get(service)).filter(s -> s.ratePerS() > 0).isPresent();
+        return Ticket.draw(kit, terms(m).service());
     }
 
     private void look() {
@@ -178,7 +174,7 @@
             kit.targets().unused(t.get());
             return true;
         }
-        Optional<Ticket> ticket = Ticket.draw(this, berth, m, t.get());
+        Optional<Ticket> ticket = Ticket.draw(kit, berth, m, terms(m).service());
         if (ticket.isEmpty()) {
             kit.targets().unused(t.get());
             return false;
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Launches.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Launches.java
@@ -114,9 +114,7 @@
         if (now.isAfter(m.from().plusMillis(terms(m).timeLimitMs())) || kit.layouts().fresh().isEmpty()) {
             return Mono.empty();
         }
-        boolean paced = kit.layouts().fresh().flatMap(k -> Optional.ofNullable(k.layout().services().get(a.service())))
-            .filter(s -> s.ratePerS() > 0).isPresent();
-        Optional<Ticket> ticket = Ticket.draw(kit, b, m, a.service(), paced);
+        Optional<Ticket> ticket = Ticket.draw(kit, b, m, a.service());
         if (ticket.isEmpty()) {
             return Mono.empty();
         }
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Ticket.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Ticket.java
@@ -4,7 +4,6 @@
 
 import org.woadvale.foundation.tide.Purse;
 import org.woadvale.foundation.tide.Purses;
-import org.woadvale.foundation.watch.Places;
 import org.woadvale.pilot.berth.Berths.Berth;
 import org.woadvale.pilot.berth.Message;
 
@@ -21,12 +20,8 @@
         this.pass = pass;
     }
 
-    static Optional<Ticket> draw(Launcher l, Berth berth, Message m, Targets.Target t) {
-        return draw(l.kit(), berth, m, l.terms(m).service(), l.paced(l.terms(m).service()));
-    }
-
-    static Optional<Ticket> draw(Kit kit, Berth berth, Message m, String service, boolean paced) {
-        Optional<Ticket> t = draw(kit, service, paced);
+    static Optional<Ticket> draw(Kit kit, Berth berth, Message m, String service) {
+        Optional<Ticket> t = draw(kit, service);
         if (t.isEmpty()) {
             return t;
         }
@@ -38,10 +33,13 @@
         return Optional.of(ticket);
     }
 
-    static Optional<Ticket> draw(Kit kit, String service, boolean paced) {
-        String bucket = Places.endpointBucket(service);
-        Optional<Purse.Pass> pass = paced ? kit.purses().tryTake(bucket) : Optional.empty();
-        return paced && pass.isEmpty() ? Optional.empty() : Optional.of(new Ticket(kit.purses(), bucket, pass));
+    /** None where the pass is missing, or where it is not known whether one is needed. */
+    static Optional<Ticket> draw(Kit kit, String service) {
+        return kit.layouts().leavingBucket(service).flatMap(bucket -> {
+            Optional<Purse.Pass> pass = bucket.flatMap(kit.purses()::tryTake);
+            return bucket.isPresent() && pass.isEmpty() ? Optional.empty()
+                : Optional.of(new Ticket(kit.purses(), bucket.orElse(""), pass));
+        });
     }
 
     boolean alive() {
--- a/trials/src/main/java/org/woadvale/trials/squall/SimNet.java
+++ b/trials/src/main/java/org/woadvale/trials/squall/SimNet.java
@@ -49,10 +49,7 @@
     }
 
     public void cutOff(String who) {
-        hosts.keySet().stream().filter(h -> !h.equals(who)).forEach(h -> {
-            cutOneWay(who, h);
-            cutOneWay(h, who);
-        });
+        hosts.keySet().stream().filter(h -> !h.equals(who)).forEach(h -> cut(who, h));
     }
 
     /** Frames between two neighbours wait until all is healed, as in a stream that TCP keeps alive. */
@@ -61,6 +58,16 @@
         stalled.putIfAbsent(other + ">" + one, new ArrayList<>());
     }
 
+    public void cut(String one, String other) {
+        cutOneWay(one, other);
+        cutOneWay(other, one);
+    }
+
+    public void join(String one, String other) {
+        cuts.remove(one + ">" + other);
+        cuts.remove(other + ">" + one);
+    }
+
     public void heal() {
         cuts.clear();
         List<Runnable> late = stalled.values().stream().flatMap(List::stream).toList();
--- a/trials/src/main/java/org/woadvale/trials/squall/World.java
+++ b/trials/src/main/java/org/woadvale/trials/squall/World.java
@@ -166,6 +166,15 @@
         }
     }
 
+    /** A restart within an event of the simulator. */
+    void begin(String address) {
+        try {
+            restart(address);
+        } catch (Fault e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     public PilotNode pilot(String address) {
         return pilots.get(address);
     }
