Request ids outlive the layouts they named; history bounded by a ring file

Cause: a request id was remembered only as long as its layout (256 changes); then its repeat was answered stale_base after a yes. 256 layouts of up to 1 MB were kept, more than any view or ring file holds. Also: the first view after a start comes from the core, so that a restarted node cannot go back a version by a home that is behind.

--- a/foundation/src/main/java/org/woadvale/foundation/beacon/News.java
+++ b/foundation/src/main/java/org/woadvale/foundation/beacon/News.java
@@ -137,7 +137,8 @@
             all.values().removeIf(f -> !f.always && now().compareTo(f.wantedUntil) > 0);
             all.forEach((s, f) -> {
                 Optional<String> home = home(s);
-                boolean direct = home.isEmpty() || home.get().equals(env.self()) || now().compareTo(f.directUntil) < 0;
+                // the first view after a start comes from the core: a home may know less than we knew before. design 7.1
+                boolean direct = !f.any || home.isEmpty() || home.get().equals(env.self()) || now().compareTo(f.directUntil) < 0;
                 (direct ? byPart.computeIfAbsent(Places.controlPart(s), k -> new HashMap<>())
                     : byHome.computeIfAbsent(home.get(), k -> new HashMap<>())).put(s, f.any ? f.view.version() : -1L);
             });
--- a/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/LampMachine.java
+++ b/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/LampMachine.java
@@ -7,6 +7,7 @@
 import java.util.TreeMap;
 
 import org.woadvale.foundation.beam.Codec;
+import org.woadvale.foundation.beam.Since;
 import org.woadvale.foundation.keeper.Machine;
 import org.woadvale.foundation.lantern.ErrorKind;
 import org.woadvale.foundation.lantern.Fault;
@@ -20,14 +21,17 @@
 /** The state of one control part: services by name, and in part 0 the layout. design 6 */
 public final class LampMachine implements Machine {
     /** All of the machine, for views. */
-    public record State(Map<String, ServiceView> services, List<LayoutLog.Step> steps) { }
+    public record State(Map<String, ServiceView> services, List<LayoutLog.Step> steps,
+                        @Since(2) List<LayoutLog.Known> known) { }
 
     private final Codec codec;
     private final Map<String, ServiceView> services = new TreeMap<>();
-    private final LayoutLog layouts = new LayoutLog();
+    private final LayoutLog layouts;
 
-    public LampMachine(Codec codec) {
+    /** The history of layouts has so many bytes at the most: a whole view must fit into a ring file. */
+    public LampMachine(Codec codec, int historyBytes) {
         this.codec = codec;
+        this.layouts = new LayoutLog(historyBytes);
     }
 
     public ServiceView service(String name) {
@@ -147,7 +151,7 @@
 
     @Override
     public byte[] view() {
-        return codec.write(new State(new HashMap<>(services), layouts.steps()));
+        return codec.write(new State(new HashMap<>(services), layouts.steps(), layouts.known()));
     }
 
     @Override
@@ -156,7 +160,7 @@
             State s = codec.read(view, State.class);
             services.clear();
             services.putAll(s.services());
-            layouts.restore(s.steps());
+            layouts.restore(s.steps(), s.known());
         } catch (Fault e) {
             throw new IllegalStateException("unreadable view", e);
         }
--- a/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/LampNode.java
+++ b/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/LampNode.java
@@ -29,6 +29,7 @@
 public final class LampNode implements Component {
     private record Part(Replica replica, LampMachine machine, Claims claims) { }
 
+    private static final int HISTORY = 4 << 20;
     private static final Duration PATIENCE = Duration.ofMillis(2500);
     private static final Duration AGAIN = Duration.ofMillis(150);
 
@@ -45,7 +46,7 @@
         this.env = env;
         this.core = core;
         for (String p : Places.controlParts()) {
-            LampMachine m = new LampMachine(env.codec());
+            LampMachine m = new LampMachine(env.codec(), Math.min(HISTORY, env.logbook().largest() / 4));
             Replica r = new Replica(p, turned(wantedCore, p), m, env);
             parts.put(p, new Part(r, m, new Claims(r, m, env)));
         }
--- a/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/LayoutLog.java
+++ b/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/LayoutLog.java
@@ -1,21 +1,36 @@
 package org.woadvale.lighthouse.lamp;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Arrays;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 
+import org.woadvale.foundation.chart.Charts;
 import org.woadvale.foundation.lantern.ErrorKind;
 import org.woadvale.foundation.lantern.Fault;
 import org.woadvale.foundation.watch.Asks;
 
-/** Versions of the layout in order; a repeated request id gets the answer it had. design 6.4 */
+/** Versions of the layout in order; a repeated request id gets the answer it had. Both are bounded. design 6.4 */
 public final class LayoutLog {
-    private static final int KEPT = 256;
+    static final int MOST_STEPS = 256;
+    static final int MOST_KNOWN = 4096;
 
     /** One taken layout. */
     public record Step(long version, String requestId, String author, byte[] layout) { }
 
+    /** What a request id was used for. */
+    public record Known(String requestId, long version, String digest) { }
+
+    private final int mostBytes;
     private final List<Step> steps = new ArrayList<>();
+    private final Map<String, Known> known = new LinkedHashMap<>();
+    private long bytes;
+
+    LayoutLog(int mostBytes) {
+        this.mostBytes = mostBytes;
+    }
 
     public long version() {
         return steps.isEmpty() ? 0 : steps.get(steps.size() - 1).version();
@@ -25,26 +40,54 @@
         return new ArrayList<>(steps);
     }
 
-    void restore(List<Step> from) {
+    List<Known> known() {
+        return new ArrayList<>(known.values());
+    }
+
+    /** An older build's view has the steps only. */
+    void restore(List<Step> from, List<Known> ids) {
         steps.clear();
-        steps.addAll(from);
+        known.clear();
+        bytes = 0;
+        ids.forEach(this::remember);
+        from.forEach(s -> {
+            add(s);
+            remember(new Known(s.requestId(), s.version(), digest(s.layout())));
+        });
+    }
+
+    private static String digest(byte[] layout) {
+        return Charts.sha256(new String(layout, StandardCharsets.UTF_8));
+    }
+
+    private void remember(Known k) {
+        known.put(k.requestId(), k);
+        if (known.size() > MOST_KNOWN) {
+            known.remove(known.keySet().iterator().next());
+        }
+    }
+
+    private void add(Step s) {
+        steps.add(s);
+        bytes += s.layout().length;
+        while (steps.size() > 1 && (steps.size() > MOST_STEPS || bytes > mostBytes)) {
+            bytes -= steps.remove(0).layout().length;
+        }
     }
 
     Object put(Asks.PutLayout p) {
-        for (Step s : steps) {
-            if (s.requestId().equals(p.requestId())) {
-                return Arrays.equals(s.layout(), p.layout()) ? new Asks.LayoutTaken(s.version(), true)
-                    : new Fault(ErrorKind.CONFLICT, "This request id was used for another layout.");
-            }
+        String digest = digest(p.layout());
+        Optional<Known> before = Optional.ofNullable(known.get(p.requestId()));
+        if (before.isPresent()) {
+            return before.get().digest().equals(digest) ? new Asks.LayoutTaken(before.get().version(), true)
+                : new Fault(ErrorKind.CONFLICT, "This request id was used for another layout.");
         }
         if (p.base() != version()) {
             return new Fault(ErrorKind.STALE_BASE, "The base version " + p.base() + " is not the present one, "
                 + version() + ".", List.of(Long.toString(version())));
         }
-        steps.add(new Step(version() + 1, p.requestId(), p.author(), p.layout()));
-        while (steps.size() > KEPT) {
-            steps.remove(0);
-        }
+        add(new Step(version() + 1, p.requestId(), p.author(), p.layout()));
+        remember(new Known(p.requestId(), version(), digest));
         return new Asks.LayoutTaken(version(), false);
     }
 }
--- a/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/Operators.java
+++ b/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/Operators.java
@@ -39,7 +39,8 @@
 
     public static List<Class<?>> types() {
         return List.of(LampMachine.State.class, LayoutLog.Step.class, LayoutPut.class, LayoutGet.class,
-            LayoutIs.class, HistoryGet.class, History.class, ProcessorsGet.class, Processors.class);
+            LayoutIs.class, HistoryGet.class, History.class, ProcessorsGet.class, Processors.class,
+            LayoutLog.Known.class);
     }
 
     private final LampNode node;
--- a/trials/src/main/java/org/woadvale/trials/squall/Host.java
+++ b/trials/src/main/java/org/woadvale/trials/squall/Host.java
@@ -60,6 +60,10 @@
         return !calendarOff.isZero();
     }
 
+    boolean paused() {
+        return sim.now().compareTo(pausedUntil) < 0;
+    }
+
     boolean alive() {
         return alive;
     }
--- a/trials/src/main/java/org/woadvale/trials/squall/World.java
+++ b/trials/src/main/java/org/woadvale/trials/squall/World.java
@@ -37,6 +37,7 @@
 /** A whole fleet of the shipped nodes on fakes: design 12.1. */
 public final class World {
     private static final int RING_FILES = 8;
+    private static final Duration CONNECT = Duration.ofSeconds(1);
     /** Small, so that storms meet the ring's end too. */
     static final int SMALL_RING = 512 << 10;
     static final int LARGE_RING = 4 << 20;
@@ -199,6 +200,13 @@
         });
         sim.after(net.delay(), () -> {
             if (!h.alive()) {
+                // nobody takes the stream: the client's connect times out
+                sim.after(CONNECT, () -> {
+                    if (!over[0]) {
+                        over[0] = true;
+                        then.accept(Optional.empty());
+                    }
+                });
                 return;
             }
             h.soon(() -> {
@@ -218,6 +226,15 @@
         return hosts.values().stream().anyMatch(Host::calendarOff) ? Sightings.UNSEEN : Duration.between(Host.EPOCH, stamp);
     }
 
+    /** What each node that answers says of the layout it uses. */
+    public void seenVersions() {
+        pilots.forEach((a, p) -> {
+            if (hosts.get(a).alive() && !hosts.get(a).paused()) {
+                seen.saw(seen.versions, new Sightings.NodeVersion(a, (Long) p.status().get("layout"), sim.now()));
+            }
+        });
+    }
+
     public boolean ready() {
         return intakes.stream().allMatch(i -> hosts.get(i).alive() && pilots.get(i).ready());
     }
