Real processes: cut links by a relay, a hall off, slow endpoints, a wrapped ring, an older build's folders

Cause: cuts, wrapped rings and a change of build had only been simulated. Change: Relay (a stand-in) holds the bytes between named neighbours; boot field listen lets a process be known by the relay's address. Drills cut-intake, cut-store, cut-lighthouse, hall-off, slow-endpoints, wrap, upgrade. A key is withdrawn while the process is cut off and goes on being used on kept-alive connections. Ruled out: cutting by packet filter (needs rights that a test machine may not give).

--- a/foundation/src/main/java/org/woadvale/foundation/logbook/Logbook.java
+++ b/foundation/src/main/java/org/woadvale/foundation/logbook/Logbook.java
@@ -23,6 +23,9 @@
 
     long syncs();
 
+    /** Since the folder was made; more than there are files once the ring has wrapped. */
+    long filesWritten();
+
     /** The most bytes that one record can have; a part's whole base must fit. */
     int largest();
 }
--- a/foundation/src/main/java/org/woadvale/foundation/logbook/NoLogbook.java
+++ b/foundation/src/main/java/org/woadvale/foundation/logbook/NoLogbook.java
@@ -36,6 +36,11 @@
         return 0;
     }
 
+    @Override
+    public long filesWritten() {
+        return 0;
+    }
+
     @Override
     public int largest() {
         return 0;
--- a/foundation/src/main/java/org/woadvale/foundation/logbook/RingLogbook.java
+++ b/foundation/src/main/java/org/woadvale/foundation/logbook/RingLogbook.java
@@ -219,6 +219,11 @@
         return syncs;
     }
 
+    @Override
+    public synchronized long filesWritten() {
+        return segment + 1;
+    }
+
     @Override
     public int largest() {
         return size - 256;
--- a/pilot/src/main/java/org/woadvale/pilot/PilotNode.java
+++ b/pilot/src/main/java/org/woadvale/pilot/PilotNode.java
@@ -198,6 +198,7 @@
             out.put("owned", owned());
             out.put("seated", seated());
             out.put("syncs", env.logbook().syncs());
+            out.put("ringFilesWritten", env.logbook().filesWritten());
         });
         return out;
     }
--- a/trials/src/main/java/org/woadvale/trials/harbour/Drills.java
+++ b/trials/src/main/java/org/woadvale/trials/harbour/Drills.java
@@ -15,6 +15,11 @@
         void run(Fleet f, Town t, Load l) throws IOException;
     }
 
+    /** What is to be set up before the fleet starts. */
+    interface Before {
+        void run(Fleet f) throws IOException;
+    }
+
     private static final int RATE = 120;
     private static final Map<String, Drill> ALL = new LinkedHashMap<>();
 
@@ -27,6 +32,80 @@
         ALL.put("lose-disk", Drills::loseDisk);
         ALL.put("outage", Drills::outage);
         ALL.put("roll", Drills::roll);
+        ALL.put("cut-intake", (f, t, l) -> cutOff(f.intakes.get(0), f, t, l));
+        ALL.put("cut-store", (f, t, l) -> cutOff(f.stores.get(0), f, t, l));
+        ALL.put("cut-lighthouse", (f, t, l) -> cutOff(f.lighthouses.get(0), f, t, l));
+        ALL.put("hall-off", Drills::hallOff);
+        ALL.put("slow-endpoints", Drills::slowEndpoints);
+        ALL.put("wrap", (f, t, l) -> l.run(Duration.ofSeconds(120), 270));
+        ALL.put("upgrade", Drills::upgrade);
+    }
+
+    private static Relay.Cuts cuts = new Relay.Cuts();
+
+    /** Relays for the cuts, a small ring to wrap, the older build to start with. */
+    static Before before(String name) {
+        return f -> {
+            if (name.startsWith("cut-")) {
+                cuts = f.relayed();
+            } else if (name.equals("wrap")) {
+                for (Vessel v : f.stores) {
+                    v.boot("partMb", 1).boot("ringFileMb", 2);
+                }
+            } else if (name.equals("upgrade")) {
+                f.all().forEach(v -> v.build(System.getProperty("older")));
+            }
+        };
+    }
+
+    /** All links of one process wait for 8 s; a key is withdrawn meanwhile and goes on being used there. */
+    private static void cutOff(Vessel v, Fleet f, Town t, Load l) throws IOException {
+        t.putKey("short-lived", true);
+        CompletableFuture<Void> traffic = traffic(l, 24);
+        Town.sleep(5000);
+        f.all().stream().filter(o -> o != v).forEach(o -> cuts.cut(v.address, o.address));
+        System.out.println("Cut " + v.name + " off.");
+        t.putKey("short-lived", false);
+        for (int i = 0; i < 32; i++) {
+            l.use("short-lived", f.intakes.get(0));
+            Town.sleep(250);
+        }
+        cuts.heal();
+        System.out.println("Healed.");
+        traffic.join();
+    }
+
+    private static void hallOff(Fleet f, Town t, Load l) throws IOException {
+        CompletableFuture<Void> traffic = traffic(l, 24);
+        Town.sleep(5000);
+        java.util.List<Vessel> hall = f.inHall(0, t.shape);
+        hall.forEach(Vessel::kill);
+        System.out.println("Hall 0 is off: " + hall.stream().map(v -> v.name).toList());
+        Town.sleep(7000);
+        for (Vessel v : hall) {
+            v.start();
+        }
+        traffic.join();
+    }
+
+    private static void slowEndpoints(Fleet f, Town t, Load l) {
+        t.backends.forEach((id, b) -> {
+            if (b.paced()) {
+                b.behave(new org.woadvale.trials.buoy.Backend.Manner(Duration.ofMillis(1500), 0, 0, 0.05));
+            }
+        });
+        l.run(Duration.ofSeconds(20), RATE);
+    }
+
+    /** -Dolder=JAR: the older build fills its folders, all stop, this build goes on with them. */
+    private static void upgrade(Fleet f, Town t, Load l) throws IOException {
+        l.run(Duration.ofSeconds(10), RATE);
+        f.killAll();
+        f.all().forEach(v -> v.build(System.getProperty("java.class.path")));
+        f.startAll();
+        t.await("readiness on the older folders", Duration.ofSeconds(60), () -> f.all().stream().allMatch(t::ready));
+        System.out.println("This build goes on with the older one's folders.");
+        l.run(Duration.ofSeconds(10), RATE);
     }
 
     private Drills() { }
--- a/trials/src/main/java/org/woadvale/trials/harbour/Fleet.java
+++ b/trials/src/main/java/org/woadvale/trials/harbour/Fleet.java
@@ -23,6 +23,7 @@
     public final List<Vessel> lighthouses = new ArrayList<>();
     public final List<Vessel> intakes = new ArrayList<>();
     public final List<Vessel> stores = new ArrayList<>();
+    private final List<Relay> relays = new ArrayList<>();
     private final Path root;
     private final List<String> seeds;
 
@@ -72,6 +73,22 @@
         throw new IOException("no free port");
     }
 
+    /** Puts a relay before every process; none may have been started yet. */
+    public Relay.Cuts relayed() throws IOException {
+        Relay.Cuts cuts = new Relay.Cuts();
+        for (Vessel v : all()) {
+            String listen = free();
+            v.boot("listen", listen);
+            relays.add(new Relay(v.address, listen, cuts));
+        }
+        return cuts;
+    }
+
+    public List<Vessel> inHall(int n, Shape shape) {
+        return Stream.of(lighthouses, stores, intakes).flatMap(l -> java.util.stream.IntStream.range(0, l.size())
+            .filter(i -> i % shape.halls == n).mapToObj(l::get)).toList();
+    }
+
     public List<Vessel> all() {
         return Stream.of(lighthouses, stores, intakes).flatMap(List::stream).toList();
     }
@@ -93,5 +110,12 @@
     @Override
     public void close() {
         killAll();
+        for (Relay r : relays) {
+            try {
+                r.close();
+            } catch (IOException e) {
+                System.out.println("A relay did not close: " + e.getMessage());
+            }
+        }
     }
 }
--- a/trials/src/main/java/org/woadvale/trials/harbour/Harbour.java
+++ b/trials/src/main/java/org/woadvale/trials/harbour/Harbour.java
@@ -34,6 +34,9 @@
         try (Fleet fleet = new Fleet(shape, root)) {
             Scenery scenery = new Scenery(TENANTS, shape.endpoints, 45, 60, 26);
             try (Town town = new Town(fleet, shape, scenery)) {
+                if (drill) {
+                    Drills.before(args[1]).run(fleet);
+                }
                 Duration up = begin(fleet, town);
                 System.out.println("Serving after " + up.toMillis() + " ms.");
                 Load load = new Load(town, fleet, 1);
@@ -83,11 +86,12 @@
     }
 
     private static void counts(Fleet fleet, Town town) {
-        long[] sum = new long[5];
+        long[] sum = new long[6];
         for (Vessel v : fleet.all()) {
             try {
                 var g = town.client.send("GET", v.http, "/v1/status", "", new byte[0], Map.of()).join();
                 sum[0] += g.json().path("syncs").asLong();
+                sum[5] = Math.max(sum[5], g.json().path("ringFilesWritten").asLong());
                 sum[1] += g.json().path("passes").path("atOnce").asLong();
                 sum[2] += g.json().path("passes").path("waited").asLong();
                 sum[3] += g.json().path("passes").path("throttled").asLong();
@@ -97,6 +101,6 @@
             }
         }
         System.out.println("Store syncs " + sum[0] + "; passes at once " + sum[1] + ", after a wait " + sum[2]
-            + ", throttled " + sum[3] + "; batch requests " + sum[4] + ".");
+            + ", throttled " + sum[3] + "; batch requests " + sum[4] + "; most ring files written " + sum[5] + ".");
     }
 }
--- a/trials/src/main/java/org/woadvale/trials/harbour/Load.java
+++ b/trials/src/main/java/org/woadvale/trials/harbour/Load.java
@@ -62,19 +62,38 @@
         return handIn(tenant, id, lane, order, Charts.write(body), 3);
     }
 
+    /** One hand-in and one read under a key at one intake, on the client's kept-alive connections. */
+    public void use(String secret, Vessel intake) {
+        String id = "k" + ids.incrementAndGet();
+        byte[] body = Charts.write(Map.of("id", id, "body", Map.of()));
+        open.add(handIn(0, id, "hold", "", body, 0, intake, secret));
+        open.add(town.client.send("GET", intake.http, "/v1/messages?state=failed", secret, new byte[0], Map.of())
+            .handle((g, e) -> {
+                if (e == null && g.status() == 200) {
+                    town.seen.saw(town.seen.served, new Sightings.KeyServed(secret, "read", town.times.mono()));
+                }
+                return true;
+            }));
+    }
+
     private CompletableFuture<Sightings.HandedIn> handIn(int tenant, String id, String lane, String order, byte[] body,
                                                          int tries) {
-        Vessel v = fleet.intakes.get(random.nextInt(fleet.intakes.size()));
+        return handIn(tenant, id, lane, order, body, tries, fleet.intakes.get(random.nextInt(fleet.intakes.size())),
+            Scenery.callerKey(tenant));
+    }
+
+    private CompletableFuture<Sightings.HandedIn> handIn(int tenant, String id, String lane, String order, byte[] body,
+                                                         int tries, Vessel v, String key) {
         Duration sent = town.times.mono();
         CompletableFuture<Sightings.HandedIn> f = town.client.send("POST", v.http, "/v1/lanes/" + lane + "/messages",
-            Scenery.callerKey(tenant), body, Map.of()).handle((g, e) -> {
+            key, body, Map.of()).handle((g, e) -> {
                 Sightings.Said said = e != null || g.status() >= 500 && !Set.of(503).contains(g.status())
                     ? Sightings.Said.UNKNOWN : g.status() == 202 ? Sightings.Said.ACCEPTED : Sightings.Said.REFUSED;
                 String kind = e != null ? "no answer" : g.status() == 202 ? "accepted" : g.json().path("kind").asText();
                 kinds.computeIfAbsent(kind, k -> new AtomicLong()).incrementAndGet();
                 String handle = said == Sightings.Said.ACCEPTED ? g.json().path("handle").asText() : "";
                 Sightings.HandedIn h = new Sightings.HandedIn(Scenery.tenant(tenant), id, lane, order,
-                    Scenery.callerKey(tenant), sent, town.times.mono(), said, kind, handle,
+                    key, sent, town.times.mono(), said, kind, handle,
                     said == Sightings.Said.ACCEPTED && g.json().path("repeated").asBoolean());
                 town.seen.saw(town.seen.handedIn, h);
                 if (said == Sightings.Said.ACCEPTED) {
--- a/trials/src/main/java/org/woadvale/trials/harbour/Town.java
+++ b/trials/src/main/java/org/woadvale/trials/harbour/Town.java
@@ -18,6 +18,7 @@
 import org.woadvale.foundation.lantern.RealTimes;
 import org.woadvale.foundation.lantern.Times;
 import org.woadvale.trials.buoy.Backend;
+import org.woadvale.trials.buoy.Edit;
 import org.woadvale.trials.buoy.Scenery;
 import org.woadvale.trials.buoy.Sightings;
 
@@ -27,15 +28,18 @@
     public final Times times = new RealTimes();
     public final Client client = new Client();
     public final Scenery scenery;
+    public final Shape shape;
     public final Map<String, Backend> backends = new LinkedHashMap<>();
     private final Map<String, String> addresses = new LinkedHashMap<>();
     private final RealSchedules schedules = new RealSchedules(4);
     private final List<Gate> gates = new ArrayList<>();
     private final Fleet fleet;
+    private long present;
 
     public Town(Fleet fleet, Shape shape, Scenery scenery) throws IOException, Fault {
         this.fleet = fleet;
         this.scenery = scenery;
+        this.shape = shape;
         scenery.allow(seen);
         for (int i = 0; i < shape.processors; i++) {
             backend("p" + i, i % 2 == 0 ? Scenery.GROUP : Scenery.ORDERED_GROUP, false);
@@ -74,6 +78,11 @@
 
     public long putLayout(Layout l, long base, String requestId) {
         byte[] json = Charts.write(l);
+        if (!System.getProperty("older", "").isEmpty()) {
+            // the older build does not know this field
+            json = new String(json, java.nio.charset.StandardCharsets.UTF_8).replace(",\"ifUnclear\":\"FAIL\"", "")
+                .getBytes(java.nio.charset.StandardCharsets.UTF_8);
+        }
         Client.Got g = operate("PUT", "/v1/layout", json, Map.of("If-Match", Long.toString(base), "X-Request-Id", requestId));
         boolean taken = g.status() == 200;
         long version = taken ? g.json().path("version").asLong() : -1;
@@ -82,9 +91,23 @@
         if (!taken) {
             throw new IllegalStateException("layout refused: " + new String(g.body(), java.nio.charset.StandardCharsets.UTF_8));
         }
+        present = version;
         return version;
     }
 
+    /** A key of tenant 0 comes or goes; what follows is by the version that results. */
+    public void putKey(String secret, boolean there) {
+        Layout l = Edit.keys(layout(), m -> {
+            if (there) {
+                m.put(secret, new Layout.Key(Layout.Role.CALLER, Scenery.tenant(0), "", Charts.sha256(secret)));
+            }
+        });
+        putLayout(l, present, "key-" + there);
+        if (!there) {
+            seen.saw(seen.keys, new Sightings.KeyWithdrawn(secret, times.mono()));
+        }
+    }
+
     public Layout layout() {
         return scenery.layout(i -> "http://" + addresses.get(Scenery.endpoint(i)));
     }
--- a/trials/src/main/java/org/woadvale/trials/harbour/Vessel.java
+++ b/trials/src/main/java/org/woadvale/trials/harbour/Vessel.java
@@ -20,6 +20,7 @@
     private final Path folder;
     private final Path bootFile;
     private Optional<Process> process = Optional.empty();
+    private String classpath = System.getProperty("java.class.path");
 
     public Vessel(String name, String mainClass, Path root, String address, String http, String hall,
                   List<String> seeds, List<String> roles, boolean disk, boolean join) throws IOException {
@@ -42,10 +43,23 @@
         Files.write(bootFile, Charts.write(boot));
     }
 
+    /** A field of the boot file, from the next start on. */
+    public Vessel boot(String field, Object value) throws IOException {
+        Map<String, Object> boot = new LinkedHashMap<>(Charts.JSON.readerForMapOf(Object.class).readValue(bootFile.toFile()));
+        boot.put(field, value);
+        Files.write(bootFile, Charts.write(boot));
+        return this;
+    }
+
+    /** The build that the next start runs. */
+    public void build(String newClasspath) {
+        classpath = newClasspath;
+    }
+
     public void start() throws IOException {
         List<String> cmd = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
             "-Xmx192m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto",
-            "-cp", System.getProperty("java.class.path"), mainClass, "run", "--boot", bootFile.toString()));
+            "-cp", classpath, mainClass, "run", "--boot", bootFile.toString()));
         ProcessBuilder b = new ProcessBuilder(cmd).redirectErrorStream(true)
             .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("log").toFile()));
         process = Optional.of(b.start());
