--- a/trials/src/main/java/org/woadvale/trials/harbour/Harbour.java
+++ b/trials/src/main/java/org/woadvale/trials/harbour/Harbour.java
@@ -54,6 +54,10 @@
         System.exit(ok ? 0 : 1);
     }
 
+    public static java.util.Set<String> drills() {
+        return Drills.names();
+    }
+
     static Duration begin(Fleet fleet, Town town) throws IOException {
         Duration begun = town.times.mono();
         fleet.startAll();
--- /dev/null
+++ b/trials/src/test/java/org/woadvale/trials/LedgerTest.java
@@ -0,0 +1,75 @@
+package org.woadvale.trials;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.Test;
+import org.woadvale.trials.harbour.Harbour;
+
+/** The ledger of the brief names only what there is. */
+class LedgerTest {
+    private static final Pattern TEST = Pattern.compile("`([A-Z][A-Za-z]*Test)(?:\\.([a-z][A-Za-z]*))?`");
+    private static final Pattern DRILL = Pattern.compile("drills? ((?:[a-z]+(?:-[a-z]+)*(?:, )?)+)");
+
+    private static Map<String, String> tests() throws IOException {
+        try (Stream<Path> s = Files.walk(Path.of(".."))) {
+            Map<String, String> out = new HashMap<>();
+            for (Path p : s.filter(x -> x.toString().contains("src/test/java") && x.toString().endsWith("Test.java")).toList()) {
+                out.put(p.getFileName().toString().replace(".java", ""), Files.readString(p));
+            }
+            return out;
+        }
+    }
+
+    @Test
+    void everyTestNamedExists() throws IOException {
+        Map<String, String> tests = tests();
+        List<String> missing = new ArrayList<>();
+        int named = 0;
+        for (String page : List.of("brief.md", "failures.md")) {
+            Matcher m = TEST.matcher(Files.readString(Path.of("..", "docs", page)));
+            while (m.find()) {
+                named++;
+                String source = tests.getOrDefault(m.group(1), "");
+                if (source.isEmpty() || Optional.ofNullable(m.group(2)).filter(x -> !source.contains("void " + x + "(")).isPresent()) {
+                    missing.add(page + ": " + m.group());
+                }
+            }
+        }
+        assertTrue(named > 60, "only " + named + " found");
+        assertEquals(List.of(), missing);
+    }
+
+    @Test
+    void everyDrillNamedExists() throws IOException {
+        List<String> missing = new ArrayList<>();
+        int named = 0;
+        for (String page : List.of("brief.md", "failures.md")) {
+            Matcher m = DRILL.matcher(Files.readString(Path.of("..", "docs", page)));
+            while (m.find()) {
+                for (String d : m.group(1).split(", ")) {
+                    if (d.contains("-") || d.equals("roll") || d.equals("wrap") || d.equals("outage") || d.equals("upgrade")) {
+                        named++;
+                        if (!Harbour.drills().contains(d)) {
+                            missing.add(d);
+                        }
+                    }
+                }
+            }
+        }
+        assertTrue(named > 8, "only " + named + " found");
+        assertEquals(List.of(), missing);
+    }
+}
--- /dev/null
+++ b/trials/src/test/java/org/woadvale/trials/squall/SeedsTest.java
@@ -0,0 +1,51 @@
+package org.woadvale.trials.squall;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.woadvale.foundation.chart.Charts;
+import org.woadvale.foundation.gate.Request;
+import org.woadvale.foundation.helm.KnownFile;
+import org.woadvale.foundation.lantern.Fault;
+
+/** The seeds are needed at the first start only. */
+class SeedsTest {
+    /** One seed after the other is lost for good and replaced; nobody who runs is told where the new ones are. */
+    @Test
+    void allThreeSeedsMayBeGone() throws Fault {
+        Voyage v = new Voyage(5, 3, 3, 4).embark();
+        v.traffic(20);
+        for (int i = 0; i < 3; i++) {
+            v.w.lose(v.w.lighthouses.get(i));
+            String fresh = v.w.newLighthouse();
+            List<String> wanted = v.w.presentLighthouses();
+            AtomicInteger status = new AtomicInteger();
+            v.operate(new Request("PUT", "/v1/core", Map.of(), Charts.write(Map.of("lighthouses", wanted))),
+                a -> status.set(a.status()));
+            assertTrue(v.w.sim.runUntil(() -> status.get() == 200 && v.w.lamp(fresh).lighthouses().equals(
+                wanted.stream().sorted().toList()), Duration.ofSeconds(60)), "not seated: " + v.w.lamp(fresh).lighthouses());
+            v.w.sim.run(Duration.ofSeconds(10));
+        }
+        new Head(v).change();
+        v.w.sim.run(Duration.ofSeconds(8));
+        assertEquals(2, v.version, "the layout was changed by the new core");
+        v.w.seenVersions();
+        assertEquals(6, v.w.seen.versions.stream().filter(n -> n.version() == 2).count(), "on every pilot");
+        assertTrue(v.settle(Duration.ofSeconds(120)), "open: " + v.firstOpen());
+        assertEquals(List.of(), v.violations());
+    }
+
+    @Test
+    void whatWasLearnedIsKeptInTheDataFolder(@TempDir Path folder) {
+        new KnownFile(folder.toString()).write(List.of("10.0.0.1:1", "10.0.0.2:1"));
+        assertEquals(List.of("10.0.0.1:1", "10.0.0.2:1"), new KnownFile(folder.toString()).read());
+    }
+}
