A Java client for callers, generated from our schema at every build

The stand-ins use it (smoke, FleetTest); LedgerTest keeps its list of kinds equal to the closed one. Ruled out: jsonschema2pojo (models only, no calls); own code.

--- a/trials/src/main/java/org/woadvale/trials/harbour/Harbour.java
+++ b/trials/src/main/java/org/woadvale/trials/harbour/Harbour.java
@@ -41,7 +41,7 @@
                 System.out.println("Serving after " + up.toMillis() + " ms.");
                 Load load = new Load(town, fleet, 1);
                 switch (args[0]) {
-                    case "smoke" -> load.run(Duration.ofSeconds(3), 50);
+                    case "smoke" -> smoke(fleet, town, load);
                     case "load" -> load.run(Duration.ofSeconds(Long.parseLong(args[2])), Integer.parseInt(args[3]));
                     case "drill" -> Drills.run(args[1], fleet, town, load);
                     case "up" -> stay(fleet);
@@ -54,6 +54,19 @@
         System.exit(ok ? 0 : 1);
     }
 
+    private static void smoke(Fleet fleet, Town town, Load load) {
+        Signaller s = new Signaller(fleet.intakes.get(0).http, Scenery.callerKey(0));
+        try {
+            String handle = s.handIn("hold", "smoke");
+            town.await("the end of " + handle, Duration.ofSeconds(20), () -> s.over(handle));
+            System.out.println("By the generated client: " + handle + " is " + s.show(handle).getState() + ", proof "
+                + s.show(handle).getProof() + ".");
+        } catch (org.woadvale.signal.ApiException e) {
+            throw new IllegalStateException("the generated client got " + e.getCode() + " " + e.getResponseBody(), e);
+        }
+        load.run(Duration.ofSeconds(3), 50);
+    }
+
     public static java.util.Set<String> drills() {
         return Drills.names();
     }
--- a/trials/src/test/java/org/woadvale/tender/FleetTest.java
+++ b/trials/src/test/java/org/woadvale/tender/FleetTest.java
@@ -1,6 +1,7 @@
 package org.woadvale.tender;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -28,7 +29,10 @@
 import org.woadvale.trials.buoy.Sightings;
 import org.woadvale.trials.harbour.Fleet;
 import org.woadvale.trials.harbour.Load;
+import org.woadvale.signal.ApiException;
+import org.woadvale.signal.model.Message;
 import org.woadvale.trials.harbour.Shape;
+import org.woadvale.trials.harbour.Signaller;
 import org.woadvale.trials.harbour.Town;
 import org.woadvale.trials.harbour.Vessel;
 
@@ -117,6 +121,7 @@
             t.listProcessors();
             t.await("readiness", LONG, () -> f.all().stream().allMatch(t::ready));
             accepted("after the start");
+            generatedClient();
             CompletableFuture<Void> traffic = CompletableFuture.runAsync(() -> load.run(Duration.ofSeconds(12), 40));
             f.stores.get(0).kill();
             accepted("with a store killed");
@@ -144,6 +149,18 @@
         }
     }
 
+    /** A caller with the client generated from our schema: hands in, sees the proof, is told the kind of a refusal. */
+    private void generatedClient() throws ApiException {
+        Signaller s = new Signaller(fleet.intakes.get(0).http, Scenery.callerKey(1));
+        String handle = s.handIn("hold", "generated");
+        town.await("the end of " + handle, LONG, () -> s.over(handle));
+        assertEquals(Message.StateEnum.DONE, s.show(handle).getState());
+        assertTrue(s.show(handle).getProof().contains(handle), "the receipt names it");
+        ApiException no = assertThrows(ApiException.class, () -> s.handIn("nowhere", "generated"));
+        assertEquals(404, no.getCode());
+        assertTrue(no.getResponseBody().contains("unknown_lane"), no.getResponseBody());
+    }
+
     private void changeLayouts() throws Exception {
         Map<String, Layout.Lane> lanes = new TreeMap<>(town.layout().lanes());
         lanes.put("extra", lanes.get("hold"));
--- a/trials/src/test/java/org/woadvale/trials/LedgerTest.java
+++ b/trials/src/test/java/org/woadvale/trials/LedgerTest.java
@@ -16,6 +16,7 @@
 import java.util.stream.Stream;
 
 import org.junit.jupiter.api.Test;
+import org.woadvale.foundation.lantern.ErrorKind;
 import org.woadvale.trials.harbour.Harbour;
 
 /** The ledger of the brief names only what there is. */
@@ -52,6 +53,15 @@
         assertEquals(List.of(), missing);
     }
 
+    /** The one closed list of kinds, in the schema that clients are made from too. */
+    @Test
+    void schemaListsEveryErrorKind() throws IOException {
+        String schema = Files.readString(Path.of("..", "signal", "src", "main", "openapi", "woadvale.yaml"));
+        Matcher m = Pattern.compile("enum: \\[(bad_request[^\\]]*)\\]").matcher(schema);
+        assertTrue(m.find(), "the kinds must be there");
+        assertEquals(Stream.of(ErrorKind.values()).map(ErrorKind::word).toList(), List.of(m.group(1).split(",\\s*")));
+    }
+
     @Test
     void everyDrillNamedExists() throws IOException {
         List<String> missing = new ArrayList<>();
