Processor keys exchanged, reads and fetches under withdrawn keys; definite answers to processors

Cause: withdrawn keys were watched on hand-ins only; what processors get for unknown or ended things was not tested. Change: stand-ins record every read, fetch and outcome served under a key; a storm's blow exchanges a group's processor key while its processors go on with the old one. A report for an ended message: 200, recorded false, nothing changes; unknown message 404; processor or service not listed 403.

--- a/trials/src/main/java/org/woadvale/trials/squall/Fetcher.java
+++ b/trials/src/main/java/org/woadvale/trials/squall/Fetcher.java
@@ -4,9 +4,11 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import org.woadvale.foundation.chart.Charts;
+import org.woadvale.foundation.gate.Answer;
 import org.woadvale.foundation.gate.Request;
 import org.woadvale.trials.buoy.Scenery;
 import org.woadvale.trials.buoy.Sightings;
@@ -20,6 +22,7 @@
     private final String id;
     private final String service;
     private final Set<String> mine = new HashSet<>();
+    private String secret;
     private Duration work = Duration.ofMillis(20);
     private double loseAnswer;
     private int life;
@@ -29,6 +32,11 @@
         this.w = w;
         this.id = id;
         this.service = service;
+        this.secret = Scenery.fetchKey(service);
+    }
+
+    void use(String group, String newSecret) {
+        secret = group.equals(service) ? newSecret : secret;
     }
 
     public void behave(Duration newWork, double newLoseAnswer) {
@@ -59,7 +67,7 @@
     }
 
     private Request post(String path, Map<String, Object> body) {
-        return new Request("POST", path, Map.of("authorization", "Bearer " + Scenery.fetchKey(service)), Charts.write(body));
+        return new Request("POST", path, Map.of("authorization", "Bearer " + secret), Charts.write(body));
     }
 
     private void ask(String fetch, boolean again, int bornIn) {
@@ -68,7 +76,9 @@
         }
         Request q = post("/v1/services/" + service + "/fetch",
             Map.of("processor", id, "waitMs", 500, "most", 2, "fetch", fetch, "again", again));
+        String used = secret;
         w.request(any(), q, Duration.ofSeconds(3), a -> {
+            served(a, used, "fetch");
             if (life != bornIn) {
                 return;
             }
@@ -86,6 +96,12 @@
         });
     }
 
+    private void served(Optional<Answer> a, String used, String what) {
+        if (a.isPresent() && a.get().status() == 200) {
+            w.seen.saw(w.seen.served, new Sightings.KeyServed(used, what, w.sim.now()));
+        }
+    }
+
     private void run(JsonNode m, int bornIn) {
         String handle = m.path("messageId").asText();
         int attempt = m.path("attempt").asInt();
@@ -108,8 +124,10 @@
         }
         Request q = post("/v1/messages/" + handle + "/outcome",
             Map.of("processor", id, "attempt", attempt, "outcome", "done", "receipt", receipt));
+        String used = secret;
         w.request(any(), q, Duration.ofSeconds(4), a -> {
-            boolean clear = a.isPresent() && List.of(200, 403, 404).contains(a.get().status());
+            served(a, used, "outcome");
+            boolean clear = a.isPresent() && List.of(200, 404).contains(a.get().status());
             if (!clear) {
                 w.sim.after(AGAIN, () -> report(handle, attempt, receipt, bornIn));
             }
--- a/trials/src/main/java/org/woadvale/trials/squall/Head.java
+++ b/trials/src/main/java/org/woadvale/trials/squall/Head.java
@@ -140,6 +140,19 @@
         });
     }
 
+    /** A group's processor key is exchanged; its processors go on with the old one for a while. */
+    void rotate() {
+        String group = w.sim.luck(0.5) ? Scenery.GROUP : Scenery.ORDERED_GROUP;
+        String fresh = "fetch-secret-" + n++;
+        v.put(Edit.keys(v.layout, m -> m.put("fetch-" + group,
+            new Layout.Key(Layout.Role.PROCESSOR, "", group, Charts.sha256(fresh)))), v.version, "rotate" + n, a -> {
+                if (a.status() == 200) {
+                    w.seen.saw(w.seen.keys, new Sightings.KeyWithdrawn(v.fetchSecret(group, fresh), w.sim.now()));
+                    w.sim.after(Duration.ofSeconds(8), () -> v.useFetchSecret(group, fresh));
+                }
+            });
+    }
+
     private void drop(String secret, String id) {
         Map<String, Layout.Key> without = new TreeMap<>(v.layout.keys());
         without.remove("short");
@@ -159,6 +172,9 @@
         Request q = new Request("POST", "/v1/lanes/hold/messages", Map.of("authorization", "Bearer " + secret),
             Charts.write(Map.of("id", id, "delayMs", 0, "body", Map.of())));
         w.request(intake, q, Duration.ofSeconds(5), a -> saw(a, secret, id, sent));
+        w.request(intake, new Request("GET", "/v1/messages?state=failed", Map.of("authorization", "Bearer " + secret),
+            new byte[0]), Duration.ofSeconds(5), a -> a.filter(x -> x.status() == 200).ifPresent(x ->
+                w.seen.saw(w.seen.served, new Sightings.KeyServed(secret, "read", w.sim.now()))));
         w.sim.after(Duration.ofMillis(500), () -> use(intake, secret, until));
     }
 
--- a/trials/src/main/java/org/woadvale/trials/squall/OutsideBlows.java
+++ b/trials/src/main/java/org/woadvale/trials/squall/OutsideBlows.java
@@ -43,6 +43,7 @@
         blows.put("racing layouts", head::race);
         blows.put("bad layout", head::bad);
         blows.put("key withdrawn", head::withdraw);
+        blows.put("processor key exchanged", head::rotate);
         blows.put("allowance changed", head::allowance);
         blows.put("rate changed", head::rate);
         blows.put("time limit changed", head::timeLimit);
--- a/trials/src/main/java/org/woadvale/trials/squall/Voyage.java
+++ b/trials/src/main/java/org/woadvale/trials/squall/Voyage.java
@@ -17,6 +17,7 @@
 
 /** Platform and head office of a simulated fleet, and its callers. */
 public final class Voyage extends Callers {
+    private final Map<String, String> secrets = new TreeMap<>();
     private final Map<String, Fetcher> fetchers = new TreeMap<>();
     public Layout layout;
     public long version;
@@ -60,6 +61,17 @@
         return this;
     }
 
+    /** The secret that the layout had for a group until now; it has another from here on. */
+    String fetchSecret(String group, String next) {
+        String old = secrets.getOrDefault(group, Scenery.fetchKey(group));
+        secrets.put(group, next);
+        return old;
+    }
+
+    void useFetchSecret(String group, String secret) {
+        fetchers.values().forEach(f -> f.use(group, secret));
+    }
+
     public Fetcher fetcher(String id) {
         return fetchers.get(id);
     }
--- a/trials/src/test/java/org/woadvale/trials/squall/BadInputTest.java
+++ b/trials/src/test/java/org/woadvale/trials/squall/BadInputTest.java
@@ -70,6 +70,28 @@
         assertEquals(1, stored());
     }
 
+    /** An unknown processor, service, message; a report for what has ended changes nothing. */
+    @Test
+    void processorsGetDefiniteAnswers() {
+        String key = Scenery.fetchKey(Scenery.GROUP);
+        String fetch = "/v1/services/" + Scenery.GROUP + "/fetch";
+        assertEquals("403 forbidden", kind("POST", fetch, key, "{\"processor\":\"nobody\"}"));
+        assertEquals("403 forbidden", kind("POST", "/v1/services/nowhere/fetch", key, "{\"processor\":\"p0\"}"));
+        assertEquals("400 bad_request", kind("POST", fetch, key, "{\"processor\":\"p0\",\"fetch\":\"a b\"}"));
+        String done = "{\"processor\":\"p0\",\"attempt\":1,\"outcome\":\"done\",\"receipt\":\"r\"}";
+        assertEquals("404 not_found", kind("POST", "/v1/messages/m0-99/outcome", key, done));
+        Answer a = ask(v.w.intakes.get(0), "POST", "/v1/lanes/hold/messages", Scenery.callerKey(0),
+            "{\"id\":\"a\",\"body\":{}}", Map.of());
+        String handle = Voyage.json(a).path("handle").asText();
+        assertEquals("400 bad_request", kind("POST", "/v1/messages/" + handle + "/outcome", key,
+            done.replace("\"r\"", "\"\"")));
+        Answer late = ask(v.w.intakes.get(0), "POST", "/v1/messages/" + handle + "/outcome", key,
+            done.replace("done", "failed"), Map.of());
+        assertEquals("200 false done", late.status() + " " + Voyage.json(late).path("recorded").asBoolean() + " "
+            + Voyage.json(late).path("state").asText());
+        assertEquals("403 forbidden", kind("POST", "/v1/messages/" + handle + "/outcome", key, done.replace("p0", "p9")));
+    }
+
     @Test
     void othersMessagesAreNotShown() {
         Answer a = ask(v.w.intakes.get(0), "POST", "/v1/lanes/hold/messages", Scenery.callerKey(0),
