--- a/pilot/src/main/java/org/woadvale/pilot/PilotNode.java
+++ b/pilot/src/main/java/org/woadvale/pilot/PilotNode.java
@@ -152,6 +152,10 @@
         return mine().stream().filter(p -> !groups.getOrDefault(p, Set.of()).contains(env.self())).toList();
     }
 
+    public int unseatedCount() {
+        return unseated().size();
+    }
+
     /** True once this store counts in every part that the placement gives it. */
     private boolean seated() {
         return !mine().isEmpty() && unseated().isEmpty();
--- a/trials/src/main/java/org/woadvale/trials/squall/Spread.java
+++ b/trials/src/main/java/org/woadvale/trials/squall/Spread.java
@@ -13,7 +13,36 @@
 public final class Spread {
     private Spread() { }
 
+    /** A store is lost for good, a spare is there: how many seats are on their way at once, and until when. */
+    private static void repair() throws Fault {
+        System.out.println("| seed | seats on their way at once, at most | all seated after the loss | accepted meanwhile "
+            + "| refused or unknown meanwhile |");
+        System.out.println("|---|---|---|---|---|");
+        for (long seed = 1; seed <= 5; seed++) {
+            Voyage v = new Voyage(seed, 8, 3, 4, new Scenery(8, 12, 45, 60, 26), World.LARGE_RING).embark();
+            v.traffic(150);
+            v.w.sim.run(Duration.ofSeconds(20));
+            int[] most = {0};
+            v.w.lose(v.w.stores.get(0));
+            String spare = v.w.newStore();
+            Duration from = v.w.sim.now();
+            long accepted = v.kinds().getOrDefault("accepted", 0L);
+            long all = v.kinds().values().stream().mapToLong(Long::longValue).sum();
+            Voyage.require(v.w.sim.runUntil(() -> {
+                most[0] = Math.max(most[0], v.w.pilot(spare).unseatedCount());
+                return v.w.repaired();
+            }, Duration.ofSeconds(120)), "not repaired");
+            long now = v.kinds().getOrDefault("accepted", 0L) - accepted;
+            System.out.println("| " + seed + " | " + most[0] + " | " + v.w.sim.now().minus(from).toMillis() + " ms | " + now + " | "
+                + (v.kinds().values().stream().mapToLong(Long::longValue).sum() - all - now) + " |");
+        }
+    }
+
     public static void main(String[] args) throws Fault {
+        if (args.length > 0 && args[0].equals("repair")) {
+            repair();
+            return;
+        }
         System.out.println("| fleet | when | message parts owned by each store | control parts by each lighthouse "
             + "| buckets by each intake | message part terms in all |");
         System.out.println("|---|---|---|---|---|---|");
