--- a/trials/src/main/java/org/woadvale/trials/harbour/Load.java
+++ b/trials/src/main/java/org/woadvale/trials/harbour/Load.java
@@ -19,6 +19,8 @@
 
 /** Callers: mixed traffic over all intakes at a steady rate, then the question what became of it. */
 public final class Load {
+    private static final Duration ASK_EACH = Duration.ofSeconds(15);
+    private final Set<String> left = ConcurrentHashMap.newKeySet();
     private final Town town;
     private final Fleet fleet;
     private final Random random;
@@ -35,6 +37,7 @@
 
     public void run(Duration howLong, int perSecond) {
         Duration begun = town.times.mono();
+        Duration asked = begun;
         long sent = 0;
         while (town.times.mono().minus(begun).compareTo(howLong) < 0) {
             long due = town.times.mono().minus(begun).toNanos() * perSecond / 1_000_000_000L;
@@ -42,6 +45,11 @@
                 one(random.nextInt(town.scenery.tenants()));
                 sent++;
             }
+            if (town.times.mono().minus(asked).compareTo(ASK_EACH) > 0) {
+                // ended messages are forgotten after two minutes
+                asked = town.times.mono();
+                List.copyOf(left).forEach(this::ask);
+            }
             Town.sleep(5);
         }
     }
@@ -98,6 +106,7 @@
                 town.seen.saw(town.seen.handedIn, h);
                 if (said == Sightings.Said.ACCEPTED) {
                     owners.put(handle, tenant);
+                    left.add(handle);
                 }
                 return h;
             }).thenCompose(h -> h.said() == Sightings.Said.UNKNOWN && tries > 0
@@ -110,8 +119,6 @@
     public boolean settle(Duration limit) {
         open.forEach(f -> f.exceptionally(e -> null).join());
         open.clear();
-        Set<String> left = ConcurrentHashMap.newKeySet();
-        left.addAll(owners.keySet());
         Duration until = town.times.mono().plus(limit);
         while (!left.isEmpty() && town.times.mono().compareTo(until) < 0) {
             int n = 0;
@@ -120,14 +127,14 @@
                 if (n++ >= 200) {
                     break;
                 }
-                wave.add(ask(h, left));
+                wave.add(ask(h));
             }
             wave.forEach(CompletableFuture::join);
         }
         return left.isEmpty();
     }
 
-    private CompletableFuture<?> ask(String handle, Set<String> left) {
+    private CompletableFuture<?> ask(String handle) {
         Vessel v = fleet.intakes.get(random.nextInt(fleet.intakes.size()));
         Duration asked = town.times.mono();
         return town.client.send("GET", v.http, "/v1/messages/" + handle, Scenery.callerKey(owners.get(handle)),
