--- a/foundation/src/main/java/org/woadvale/foundation/chart/Boot.java
+++ b/foundation/src/main/java/org/woadvale/foundation/chart/Boot.java
@@ -30,7 +30,9 @@
         @Pattern(regexp = "([0-9a-f]{64})?") String operatorKeySha256,
         boolean join,
         @Min(0) @Max(16) int partMb,
-        @Pattern(regexp = "(" + ADDRESS + ")?", message = "must be IP:port") String listen) {
+        @Pattern(regexp = "(" + ADDRESS + ")?", message = "must be IP:port") String listen,
+        @Min(0) @Max(3600000) long leaseMs,
+        @Min(0) @Max(604800) int keepEndedS) {
 
     private static final String OCTET = "(25[0-5]|2[0-4][0-9]|1?[0-9]{1,2})";
     private static final String PORT = "(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}|[1-5]?[0-9]{1,4})";
@@ -39,6 +41,8 @@
     private static final int USUAL_MB = 16;
     private static final int USUAL_PART_MB = 8;
     private static final int LOG_MB = 4;
+    private static final long USUAL_LEASE_MS = 3000;
+    private static final int USUAL_KEEP_ENDED_S = 120;
     /** Messages in memory, a view of them being written, and one on its way. */
     private static final double HEAP_PER_MB = 2.5;
 
@@ -50,6 +54,13 @@
         partMb = partMb == 0 ? USUAL_PART_MB : partMb;
         listen = listen == null ? "" : listen;
         operatorKeySha256 = operatorKeySha256 == null ? "" : operatorKeySha256;
+        leaseMs = leaseMs == 0 ? USUAL_LEASE_MS : leaseMs;
+        keepEndedS = keepEndedS == 0 ? USUAL_KEEP_ENDED_S : keepEndedS;
+    }
+
+    public Boot(String address, String http, String hall, List<String> seeds, Set<String> roles, String data, int ringFiles,
+                int ringFileMb, String operatorKeySha256, boolean join, int partMb, String listen) {
+        this(address, http, hall, seeds, roles, data, ringFiles, ringFileMb, operatorKeySha256, join, partMb, listen, 0, 0);
     }
 
     public static Boot read(String file) throws Fault {
@@ -64,7 +75,7 @@
         }
     }
 
-    static Boot checked(Boot b) throws Fault {
+    public static Boot checked(Boot b) throws Fault {
         List<String> faults = new java.util.ArrayList<>(Charts.faults(b));
         if (faults.isEmpty() && b.ringFiles() < 4) {
             faults.add("ringFiles: must be at least 4");
@@ -106,7 +117,8 @@
     /** With the flags that the command line gave; an empty flag changes nothing. */
     public Boot with(String flagAddress, String flagHttp, String flagHall, String flagData) throws Fault {
         return checked(new Boot(or(flagAddress, address), or(flagHttp, http), or(flagHall, hall), seeds, roles,
-            or(flagData, data), ringFiles, ringFileMb, operatorKeySha256, join, partMb, listen));
+            or(flagData, data), ringFiles, ringFileMb, operatorKeySha256, join, partMb, listen, leaseMs,
+            keepEndedS));
     }
 
     private static String or(String flag, String given) {
--- a/foundation/src/main/java/org/woadvale/foundation/chart/Charts.java
+++ b/foundation/src/main/java/org/woadvale/foundation/chart/Charts.java
@@ -98,7 +98,10 @@
                 out.add("services." + n + ".address: processors are listed by the platform");
             }
         });
+        Map<Layout.Door, String> doors = new HashMap<>();
         l.lanes().forEach((n, lane) -> {
+            lane.doors().forEach(d -> Optional.ofNullable(doors.putIfAbsent(d, n)).ifPresent(other ->
+                out.add("lanes." + n + ".doors: " + d.host() + d.prefix() + " is " + other + "'s too")));
             if (!l.services().containsKey(lane.service())) {
                 out.add("lanes." + n + ".service: no service " + lane.service());
             }
--- a/foundation/src/main/java/org/woadvale/foundation/chart/Layout.java
+++ b/foundation/src/main/java/org/woadvale/foundation/chart/Layout.java
@@ -1,6 +1,7 @@
 package org.woadvale.foundation.chart;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 
 import com.fasterxml.jackson.annotation.JsonIgnore;
@@ -39,33 +40,53 @@
     public record Tenant(@JsonProperty(required = true) @DecimalMin("0.1") @DecimalMax("100000") double ratePerS,
                          @JsonProperty(required = true) @Min(1) @Max(1000000) int burstSize) { }
 
-    public enum Kind { PROCESSORS, ENDPOINT }
+    /** Fetchers are on no list: they fetch, and hold what they have got by a lease. design 9.10 */
+    public enum Kind { PROCESSORS, ENDPOINT, FETCHERS }
 
-    /** A processor group, or one outside endpoint with its stated rate. */
+    /**
+     * A processor group, or one outside endpoint with its stated rate. Streams: how many connections one back end
+     * takes from all stores together, 0 where it does not say. Dedupes: a repeat gets the first success again.
+     */
     public record Service(@NotNull Kind kind,
                           @Pattern(regexp = "(http://[0-9.]+:[0-9]{1,5}(/[A-Za-z0-9/_.-]*)?)?") String address,
-                          @DecimalMin("0") @DecimalMax("100000") double ratePerS) {
+                          @DecimalMin("0") @DecimalMax("100000") double ratePerS,
+                          @Min(0) @Max(100000) int streams, boolean dedupes) {
         public Service {
             address = address == null ? "" : address;
         }
+
+        public Service(Kind kind, String address, double ratePerS) {
+            this(kind, address, ratePerS, 0, false);
+        }
     }
 
     public enum Ordering { NONE, KEY }
 
-    /** What becomes of a message when nobody can say whether its run was done: design 9.3. */
-    public enum IfUnclear { FAIL, RERUN }
+    /** What becomes of a message when nobody can say whether its run was done: design 9.3; resend: design 9.11. */
+    public enum IfUnclear { FAIL, RERUN, RESEND }
+
+    /** A host and the beginning of a path by which a lane is addressed, besides its name. design 9.12 */
+    public record Door(@NotNull @Pattern(regexp = "[!-~]{1,255}") String host,
+                       @NotNull @Pattern(regexp = "/[!-~]{0,1023}") String prefix) { }
 
     /** Leads one kind of message to a service. */
     public record Lane(@NotNull @Pattern(regexp = NAME) String service, @NotNull Ordering ordering,
                        @JsonProperty(required = true) @Min(1000) @Max(604800000) long timeLimitMs,
                        @JsonProperty(required = true) @Min(1) @Max(100) int attempts,
-                       @Min(0) @Max(600000) long attemptMs, IfUnclear ifUnclear) {
+                       @Min(0) @Max(600000) long attemptMs, IfUnclear ifUnclear,
+                       @Size(max = 100) List<@NotNull @Valid Door> doors, boolean keyless) {
         private static final long USUAL_ATTEMPT_MS = 5000;
 
         public Lane {
             attemptMs = attemptMs == 0 ? USUAL_ATTEMPT_MS : attemptMs;
             ordering = ordering == null ? Ordering.NONE : ordering;
             ifUnclear = ifUnclear == null ? IfUnclear.FAIL : ifUnclear;
+            doors = doors == null ? List.of() : List.copyOf(doors);
+        }
+
+        public Lane(String service, Ordering ordering, long timeLimitMs, int attempts, long attemptMs,
+                    IfUnclear ifUnclear) {
+            this(service, ordering, timeLimitMs, attempts, attemptMs, ifUnclear, List.of(), false);
         }
 
         @JsonIgnore
--- a/foundation/src/main/java/org/woadvale/foundation/gate/Gate.java
+++ b/foundation/src/main/java/org/woadvale/foundation/gate/Gate.java
@@ -23,7 +23,7 @@
 /** HTTP/1.1 by Reactor Netty in front of one function from request to answer. */
 public final class Gate implements Component {
     private static final Logger LOG = LogManager.getLogger("gate");
-    private static final int MAX_HEADER = 8 << 10;
+    private static final int MAX_HEADER = 16 << 10;
     private final String address;
     private final int maxBody;
     private final Function<Request, Mono<Answer>> app;
--- a/foundation/src/main/java/org/woadvale/foundation/helm/Program.java
+++ b/foundation/src/main/java/org/woadvale/foundation/helm/Program.java
@@ -33,10 +33,17 @@
         void check(Boot boot) throws Fault;
     }
 
+    /** Where the boot values come from; the command line and its file unless told otherwise. */
+    @FunctionalInterface
+    public interface Source {
+        Boot boot(String[] args) throws Fault;
+    }
+
     private final String name;
     private final Check check;
     private final Tree tree;
     private final Supplier<Runnable> onStop;
+    private Source source = args -> options(args).boot();
 
     public Program(String name, Check check, Tree tree, Supplier<Runnable> onStop) {
         this.name = name;
@@ -45,15 +52,21 @@
         this.onStop = onStop;
     }
 
+    /** With boot values from elsewhere. */
+    public Program from(Source other) {
+        source = other;
+        return this;
+    }
+
     public int main(String[] args) {
         String verb = args.length == 0 ? "--help" : args[0];
         String[] rest = args.length == 0 ? args : java.util.Arrays.copyOfRange(args, 1, args.length);
         try {
             switch (verb) {
                 case "run":
-                    return run(options(rest));
+                    return help(rest) ? 0 : run(source.boot(rest));
                 case "check-boot":
-                    check.check(options(rest).boot());
+                    check.check(source.boot(rest));
                     System.out.println("The boot file is valid.");
                     return 0;
                 case "--version":
@@ -91,12 +104,15 @@
         }
     }
 
-    private int run(BootOptions o) throws Fault {
-        if (o.help()) {
+    private boolean help(String[] rest) throws Fault {
+        boolean wanted = java.util.Arrays.stream(rest).anyMatch(a -> a.equals("-h") || a.equals("--help"));
+        if (wanted) {
             usage();
-            return 0;
         }
-        Boot boot = o.boot();
+        return wanted;
+    }
+
+    private int run(Boot boot) throws Fault {
         check.check(boot);
         RealSchedules schedules = new RealSchedules(THREADS);
         CountDownLatch end = new CountDownLatch(1);
--- a/foundation/src/main/java/org/woadvale/foundation/keeper/Older.java
+++ b/foundation/src/main/java/org/woadvale/foundation/keeper/Older.java
@@ -9,10 +9,13 @@
 
 /** What an older build wrote into the ring, in the present format. design 3.4 */
 final class Older {
+    /** Records without the count of their components. */
+    private static final int FIRST = 1;
+
     private Older() { }
 
     static Entry lifted(Entry e, Codec c) throws Fault {
-        if (e.format() == Entry.FORMAT) {
+        if (e.format() > FIRST) {
             return e;
         }
         Object o = c.readFirst(e.bytes(), Object.class);
--- a/foundation/src/main/java/org/woadvale/foundation/logbook/Entry.java
+++ b/foundation/src/main/java/org/woadvale/foundation/logbook/Entry.java
@@ -3,7 +3,7 @@
 /** One record of a part. A BASE replaces everything the part wrote before it. */
 public record Entry(String part, Kind kind, long index, long term, byte[] bytes, byte format) {
     /** The format in which this build writes the bytes. */
-    public static final byte FORMAT = 2;
+    public static final byte FORMAT = 3;
 
     public Entry(String part, Kind kind, long index, long term, byte[] bytes) {
         this(part, kind, index, term, bytes, FORMAT);
--- a/foundation/src/main/java/org/woadvale/foundation/watch/Asks.java
+++ b/foundation/src/main/java/org/woadvale/foundation/watch/Asks.java
@@ -49,13 +49,27 @@
 
     public record Place(Map<String, List<String>> placement, long expectedVersion) { }
 
-    public record PutLayout(String requestId, long base, byte[] layout, String author) { }
+    /** A revision of the operator's own, if not 0, becomes the version; the original is kept and given back. design 6.8 */
+    public record PutLayout(String requestId, long base, byte[] layout, String author, @Since(3) long revision,
+                            @Since(3) byte[] original) {
+        public PutLayout(String requestId, long base, byte[] layout, String author) {
+            this(requestId, base, layout, author, 0, new byte[0]);
+        }
+    }
+
+    /** A whole list at once, from a registry that has them all: design 6.7. */
+    public record PutProcessors(String service, Map<String, Processor> processors, long seen) { }
 
     public record LayoutTaken(long version, boolean repeated) { }
 
     /** One lighthouse for another: the whole list as it should be. */
     public record PutCore(List<String> lighthouses, @Since(2) List<String> instead) { }
 
+    /** Types that came after the first build: numbered after all others. design 3.2 */
+    public static List<Class<?>> later() {
+        return List.of(PutProcessors.class);
+    }
+
     public static List<Class<?>> types() {
         return List.of(ClaimAsk.class, LeaveAsk.class, DutyAsk.class, DutyReply.class, DutyRelease.class, Done.class,
             NewsAsk.class, NewsReply.class, CoreAsk.class, CoreReply.class, PutSeat.class, DropSeat.class,
--- a/foundation/src/main/java/org/woadvale/foundation/watch/Wire.java
+++ b/foundation/src/main/java/org/woadvale/foundation/watch/Wire.java
@@ -21,6 +21,7 @@
         shared.addAll(Messages.types());
         shared.addAll(Asks.types());
         shared.addAll(Passes.types());
+        shared.addAll(Asks.later());
         return new Codec(Map.of(SHARED, shared, ownFirst, own));
     }
 }
--- a/foundation/src/test/java/org/woadvale/foundation/logbook/RecordFormTest.java
+++ b/foundation/src/test/java/org/woadvale/foundation/logbook/RecordFormTest.java
@@ -44,7 +44,7 @@
         java.util.zip.CRC32C crc = new java.util.zip.CRC32C();
         crc.update(newer, RecordForm.HEAD, newer.length - RecordForm.HEAD);
         java.nio.ByteBuffer.wrap(newer).putInt(4, (int) crc.getValue());
-        assertEquals("written by a newer build: format 3, this one reads up to 2",
+        assertEquals("written by a newer build: format 4, this one reads up to 3",
             assertThrows(RecordForm.Newer.class, () -> RecordForm.read(newer, 0)).getMessage());
     }
 }
--- a/lighthouse/src/main/java/org/woadvale/lighthouse/Lighthouse.java
+++ b/lighthouse/src/main/java/org/woadvale/lighthouse/Lighthouse.java
@@ -3,8 +3,11 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.security.SecureRandom;
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.Optional;
+import java.util.function.Function;
 
 import org.woadvale.foundation.beam.Codec;
 import org.woadvale.foundation.beam.Router;
@@ -15,6 +18,7 @@
 import org.woadvale.foundation.helm.Program;
 import org.woadvale.foundation.keeper.Env;
 import org.woadvale.foundation.keeper.Pace;
+import org.woadvale.foundation.lantern.Component;
 import org.woadvale.foundation.lantern.ErrorKind;
 import org.woadvale.foundation.lantern.Fault;
 import org.woadvale.foundation.lantern.RealSchedules;
@@ -26,18 +30,26 @@
 import org.woadvale.foundation.watch.Wire;
 import org.woadvale.lighthouse.lamp.LampNode;
 import org.woadvale.lighthouse.lamp.Operators;
+import org.woadvale.lighthouse.lamp.Registry;
+import org.woadvale.lighthouse.lamp.Roll;
 
 /** The control plane program. */
 public final class Lighthouse {
     private static final AtomicReference<Runnable> DRAIN = new AtomicReference<>(() -> { });
 
+    private static final Duration ROLL = Duration.ofMillis(700);
+
     private Lighthouse() { }
 
     public static void main(String[] args) {
         System.exit(new Program("lighthouse", Lighthouse::check, Lighthouse::grow, DRAIN::get).main(args));
     }
 
-    static void check(Boot b) throws Fault {
+    public static Runnable drain() {
+        return DRAIN.get();
+    }
+
+    public static void check(Boot b) throws Fault {
         if (b.data().isEmpty()) {
             throw new Fault(ErrorKind.BAD_REQUEST, "The boot file is invalid at data: a lighthouse needs a data folder.");
         }
@@ -51,6 +63,13 @@
     }
 
     static Supervisor grow(Boot b, RealSchedules schedules, Runnable onGivenUp) throws Fault {
+        return grow(b, schedules, onGivenUp, Optional.empty(),
+            o -> List.of(new Gate(b.http(), Operators.MAX_LAYOUT, o::answer)));
+    }
+
+    /** The tree with other doors for operators, and with a registry that has the processors. design 1 */
+    public static Supervisor grow(Boot b, RealSchedules schedules, Runnable onGivenUp, Optional<Registry> registry,
+                                  Function<Operators, List<Component>> doors) throws Fault {
         Codec codec = Wire.codec(Wire.LIGHTHOUSE, Operators.types());
         Router router = new Router();
         TcpBeam beam = new TcpBeam(b.address(), b.listenAt(), codec, router, schedules);
@@ -71,8 +90,10 @@
         Operators operators = new Operators(node, b.operatorKeySha256());
         operators.route(router);
         DRAIN.set(() -> drain(node));
-        return new Supervisor("lighthouse", schedules, onGivenUp).with(beam).with(node)
-            .with(new Gate(b.http(), Operators.MAX_LAYOUT, operators::answer));
+        Supervisor tree = new Supervisor("lighthouse", schedules, onGivenUp).with(beam).with(node);
+        registry.ifPresent(r -> tree.with(new Roll(env, node, r, ROLL)));
+        doors.apply(operators).forEach(tree::with);
+        return tree;
     }
 
     private static void drain(LampNode node) {
--- a/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/LampMachine.java
+++ b/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/LampMachine.java
@@ -67,6 +67,8 @@
             Map<String, Processor> m = new HashMap<>(service(d.service()).processors());
             m.remove(d.id());
             return processors(index, d.service(), m, d.seen());
+        } else if (c instanceof Asks.PutProcessors p) {
+            return processors(index, p.service(), new HashMap<>(p.processors()), p.seen());
         } else if (c instanceof Asks.TakeDuty t) {
             return takeDuty(index, t);
         } else if (c instanceof Asks.ReleaseDuty d) {
--- a/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/LampNode.java
+++ b/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/LampNode.java
@@ -81,7 +81,8 @@
             .on(Asks.CoreAsk.class, (f, a) -> Mono.just(new Asks.CoreReply(lighthouses())))
             .on(Asks.PutCore.class, (f, a) -> change(Places.CORE, a))
             .on(Asks.PutProcessor.class, (f, a) -> change(a.service(), a))
-            .on(Asks.DropProcessor.class, (f, a) -> change(a.service(), a));
+            .on(Asks.DropProcessor.class, (f, a) -> change(a.service(), a))
+            .on(Asks.PutProcessors.class, (f, a) -> change(a.service(), a));
     }
 
     private Mono<Part> part(String id) {
--- a/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/LayoutLog.java
+++ b/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/LayoutLog.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.woadvale.foundation.beam.Since;
 import org.woadvale.foundation.chart.Charts;
 import org.woadvale.foundation.lantern.ErrorKind;
 import org.woadvale.foundation.lantern.Fault;
@@ -18,7 +19,7 @@
     static final int MOST_KNOWN = 4096;
 
     /** One taken layout. */
-    public record Step(long version, String requestId, String author, byte[] layout) { }
+    public record Step(long version, String requestId, String author, byte[] layout, @Since(3) byte[] original) { }
 
     /** What a request id was used for. */
     public record Known(String requestId, long version, String digest) { }
@@ -52,12 +53,17 @@
         ids.forEach(this::remember);
         from.forEach(s -> {
             add(s);
-            remember(new Known(s.requestId(), s.version(), digest(s.layout())));
+            remember(new Known(s.requestId(), s.version(), digest(s)));
         });
     }
 
-    private static String digest(byte[] layout) {
-        return Charts.sha256(new String(layout, StandardCharsets.UTF_8));
+    /** What the operator sent: the original where there is one. */
+    private static String digest(byte[] layout, byte[] original) {
+        return Charts.sha256(new String(original.length > 0 ? original : layout, StandardCharsets.UTF_8));
+    }
+
+    private static String digest(Step s) {
+        return digest(s.layout(), s.original());
     }
 
     private void remember(Known k) {
@@ -69,14 +75,18 @@
 
     private void add(Step s) {
         steps.add(s);
-        bytes += s.layout().length;
+        bytes += size(s);
         while (steps.size() > 1 && (steps.size() > MOST_STEPS || bytes > mostBytes)) {
-            bytes -= steps.remove(0).layout().length;
+            bytes -= size(steps.remove(0));
         }
     }
 
+    private static int size(Step s) {
+        return s.layout().length + s.original().length;
+    }
+
     Object put(Asks.PutLayout p) {
-        String digest = digest(p.layout());
+        String digest = digest(p.layout(), p.original());
         Optional<Known> before = Optional.ofNullable(known.get(p.requestId()));
         if (before.isPresent()) {
             return before.get().digest().equals(digest) ? new Asks.LayoutTaken(before.get().version(), true)
@@ -86,7 +96,12 @@
             return new Fault(ErrorKind.STALE_BASE, "The base version " + p.base() + " is not the present one, "
                 + version() + ".", List.of(Long.toString(version())));
         }
-        add(new Step(version() + 1, p.requestId(), p.author(), p.layout()));
+        if (p.revision() != 0 && p.revision() <= version()) {
+            return new Fault(ErrorKind.INVALID_LAYOUT, "The revision " + p.revision() + " is not above the present one, "
+                + version() + ".", List.of("revision: must be above " + version()));
+        }
+        long next = p.revision() == 0 ? version() + 1 : p.revision();
+        add(new Step(next, p.requestId(), p.author(), p.layout(), p.original()));
         remember(new Known(p.requestId(), version(), digest));
         return new Asks.LayoutTaken(version(), false);
     }
--- a/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/Operators.java
+++ b/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/Operators.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 
+import org.woadvale.foundation.beam.Since;
 import org.woadvale.foundation.chart.Charts;
 import org.woadvale.foundation.gate.Answer;
 import org.woadvale.foundation.gate.Request;
@@ -27,7 +28,7 @@
 
     public record LayoutGet(long version) { }
 
-    public record LayoutIs(long version, String author, byte[] layout) { }
+    public record LayoutIs(long version, String author, byte[] layout, @Since(3) byte[] original) { }
 
     public record HistoryGet(int most) { }
 
@@ -70,11 +71,12 @@
 
     private static Mono<LayoutIs> pick(List<LayoutLog.Step> steps, long version) {
         if (steps.isEmpty() && version <= 0) {
-            return Mono.just(new LayoutIs(0, "", Charts.write(org.woadvale.foundation.chart.Layout.empty())));
+            return Mono.just(new LayoutIs(0, "", Charts.write(org.woadvale.foundation.chart.Layout.empty()),
+                new byte[0]));
         }
         return Mono.justOrEmpty(steps.stream()
             .filter(s -> version < 0 ? s == steps.get(steps.size() - 1) : s.version() == version).findFirst()
-            .map(s -> new LayoutIs(s.version(), s.author(), s.layout())))
+            .map(s -> new LayoutIs(s.version(), s.author(), s.layout(), s.original())))
             .switchIfEmpty(Mono.error(new Fault(ErrorKind.NOT_FOUND, "The version " + version + " is not kept.")));
     }
 
@@ -128,14 +130,24 @@
             return Mono.error(new Fault(ErrorKind.BAD_REQUEST, "X-Request-Id must be 1 to 64 letters, digits, . _ -"));
         }
         Asks.PutLayout put = new Asks.PutLayout(id, base.get(), q.body(), q.header("x-author").orElse(""));
-        return node.ask("c0", new LayoutPut(put), Asks.LayoutTaken.class)
+        return put(put)
             .map(t -> Answer.json(200, Map.of("version", t.version(), "repeated", t.repeated(), "requestId", id))
                 .with("ETag", "\"" + t.version() + "\""));
     }
 
+    /** Checked by the caller; the answer is a definite yes or no, or UNKNOWN_OUTCOME. design 6.4 */
+    public Mono<Asks.LayoutTaken> put(Asks.PutLayout p) {
+        return node.ask("c0", new LayoutPut(p), Asks.LayoutTaken.class);
+    }
+
+    /** A kept layout by its version, the newest for -1. */
+    public Mono<LayoutIs> layout(long version) {
+        return node.ask("c0", new LayoutGet(version), LayoutIs.class);
+    }
+
     private Mono<Answer> get(List<String> s) {
         long version = s.size() > 2 && s.get(2).matches("[0-9]{1,18}") ? Long.parseLong(s.get(2)) : -1;
-        return node.ask("c0", new LayoutGet(version), LayoutIs.class)
+        return layout(version)
             .map(l -> new Answer(200, Map.of("Content-Type", "application/json"), l.layout())
                 .with("ETag", "\"" + l.version() + "\""));
     }
--- /dev/null
+++ b/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/Registry.java
@@ -0,0 +1,13 @@
+package org.woadvale.lighthouse.lamp;
+
+import java.util.Map;
+
+import org.woadvale.foundation.watch.Processor;
+
+import reactor.core.publisher.Mono;
+
+/** Seam to whoever knows all processors: whole lists by service and id, or a fault. design 6.7 */
+@FunctionalInterface
+public interface Registry {
+    Mono<Map<String, Map<String, Processor>>> list();
+}
--- a/pilot/src/main/java/org/woadvale/pilot/Layouts.java
+++ b/pilot/src/main/java/org/woadvale/pilot/Layouts.java
@@ -1,5 +1,6 @@
 package org.woadvale.pilot;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -25,10 +26,17 @@
 
     /** A layout, read once. */
     public record Known(long version, Layout layout, Map<String, Layout.Key> keysByHash,
-                        Map<String, Allowance> allowances) {
+                        Map<String, Allowance> allowances, Map<String, TreeMap<String, String>> doors) {
         public Optional<Layout.Key> key(String secret) {
             return Optional.ofNullable(keysByHash.get(Charts.sha256(secret)));
         }
+
+        /** The lane whose door has the host and the longest beginning of the path. design 9.12 */
+        public Optional<String> laneAt(String host, String path) {
+            TreeMap<String, String> byPrefix = doors.getOrDefault(host, new TreeMap<>());
+            return byPrefix.entrySet().stream().filter(e -> path.startsWith(e.getKey()))
+                .max(Comparator.comparingInt(e -> e.getKey().length())).map(Map.Entry::getValue);
+        }
     }
 
     private final News news;
@@ -64,7 +72,10 @@
         l.tenants().forEach((n, t) -> allowances.put(Places.tenantBucket(n), new Allowance(t.ratePerS(), t.burstSize())));
         l.services().forEach((n, x) -> leaving(n, x).ifPresent(b ->
             allowances.put(b, new Allowance(x.ratePerS(), Math.max(1, x.ratePerS() * LEAVING_BURST_S)))));
-        return new Known(version, l, keys, allowances);
+        Map<String, TreeMap<String, String>> doors = new HashMap<>();
+        l.lanes().forEach((n, lane) -> lane.doors().forEach(d ->
+            doors.computeIfAbsent(d.host(), h -> new TreeMap<>()).put(d.prefix(), n)));
+        return new Known(version, l, keys, allowances, doors);
     }
 
     public Optional<Known> fresh() {
--- a/pilot/src/main/java/org/woadvale/pilot/Pilot.java
+++ b/pilot/src/main/java/org/woadvale/pilot/Pilot.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Function;
 
 import org.woadvale.foundation.beam.Codec;
 import org.woadvale.foundation.beam.Router;
@@ -16,6 +17,7 @@
 import org.woadvale.foundation.helm.Program;
 import org.woadvale.foundation.keeper.Env;
 import org.woadvale.foundation.keeper.Pace;
+import org.woadvale.foundation.lantern.Component;
 import org.woadvale.foundation.lantern.ErrorKind;
 import org.woadvale.foundation.lantern.Fault;
 import org.woadvale.foundation.lantern.RealSchedules;
@@ -30,6 +32,8 @@
 import org.woadvale.pilot.berth.Commands;
 import org.woadvale.pilot.gangway.Gangway;
 import org.woadvale.pilot.launch.HttpPost;
+import org.woadvale.pilot.launch.OwnSpeech;
+import org.woadvale.pilot.launch.Speech;
 
 /** The data plane program. */
 public final class Pilot {
@@ -41,7 +45,12 @@
         System.exit(new Program("pilot", Pilot::check, Pilot::grow, DRAIN::get).main(args));
     }
 
-    static void check(Boot b) throws Fault {
+    /** The running node's orderly way out; nothing before it runs. */
+    public static Runnable drain() {
+        return DRAIN.get();
+    }
+
+    public static void check(Boot b) throws Fault {
         if (b.roles().isEmpty()) {
             throw new Fault(ErrorKind.BAD_REQUEST, "The boot file is invalid at roles: name intake, store or both.");
         }
@@ -51,6 +60,13 @@
     }
 
     static Supervisor grow(Boot b, RealSchedules schedules, Runnable onGivenUp) throws Fault {
+        return grow(b, schedules, onGivenUp, new OwnSpeech(),
+            node -> List.of(new Gate(b.http(), Gangway.MAX_BODY, node::answer)));
+    }
+
+    /** The tree with other doors, and another way of speaking to back ends. design 1 */
+    public static Supervisor grow(Boot b, RealSchedules schedules, Runnable onGivenUp, Speech speech,
+                                  Function<PilotNode, List<Component>> doors) throws Fault {
         Codec codec = Wire.codec(Wire.PILOT, Commands.types());
         Router router = new Router();
         TcpBeam beam = new TcpBeam(b.address(), b.listenAt(), codec, router, schedules);
@@ -61,11 +77,12 @@
         Env env = new Env(new RealTimes(), schedules, beam, codec, book, random::nextLong, Pace.usual());
         Core core = new Core(beam, random::nextLong, b.seeds(), known.map(KnownFile::read).orElse(List.of()),
             l -> known.ifPresent(k -> k.write(l)));
-        PilotNode node = new PilotNode(env, b, core, new HttpPost());
+        PilotNode node = new PilotNode(env, b, core, new HttpPost(), speech);
         node.route(router);
         DRAIN.set(() -> drain(node));
-        return new Supervisor("pilot", schedules, onGivenUp).with(beam).with(node)
-            .with(new Gate(b.http(), Gangway.MAX_BODY, node::answer));
+        Supervisor tree = new Supervisor("pilot", schedules, onGivenUp).with(beam).with(node);
+        doors.apply(node).forEach(tree::with);
+        return tree;
     }
 
     private static Logbook logbook(Boot b, RealSchedules schedules) throws Fault {
--- a/pilot/src/main/java/org/woadvale/pilot/PilotNode.java
+++ b/pilot/src/main/java/org/woadvale/pilot/PilotNode.java
@@ -27,12 +27,17 @@
 import org.woadvale.foundation.watch.Places;
 import org.woadvale.foundation.watch.Seat;
 import org.woadvale.pilot.berth.Berths;
+import org.woadvale.pilot.gangway.Fetches;
 import org.woadvale.pilot.gangway.Gangway;
+import org.woadvale.pilot.gangway.Intake;
+import org.woadvale.pilot.gangway.Queries;
 import org.woadvale.pilot.launch.Courier;
 import org.woadvale.pilot.launch.Kit;
 import org.woadvale.pilot.launch.Launches;
+import org.woadvale.pilot.launch.OwnSpeech;
 import org.woadvale.pilot.launch.Post;
 import org.woadvale.pilot.launch.Recorder;
+import org.woadvale.pilot.launch.Speech;
 import org.woadvale.pilot.launch.Targets;
 
 import reactor.core.publisher.Mono;
@@ -52,12 +57,19 @@
     private final Optional<Berths> berths;
     private final Optional<Launches> launches;
     private final Gangway gangway;
+    private final Intake intake;
+    private final Fetches fetches;
+    private final Queries queries;
     private final String incarnation;
     private Schedule claiming = () -> { };
     private Schedule learning = () -> { };
     private volatile boolean draining;
 
     public PilotNode(Env env, Boot boot, Core core, Post post) {
+        this(env, boot, core, post, new OwnSpeech());
+    }
+
+    public PilotNode(Env env, Boot boot, Core core, Post post, Speech speech) {
         this.env = env;
         this.boot = boot;
         this.core = core;
@@ -69,10 +81,14 @@
         this.holders = boot.roles().contains("intake")
             ? Optional.of(new Holders(env, core, news, layouts::allowance, layouts::buckets)) : Optional.empty();
         this.berths = boot.roles().contains("store")
-            ? Optional.of(new Berths(env, news, STORE_UNITS, PART_UNITS, (long) boot.partMb() << 20)) : Optional.empty();
+            ? Optional.of(new Berths(env, news, STORE_UNITS, PART_UNITS, (long) boot.partMb() << 20,
+                Duration.ofSeconds(boot.keepEndedS()))) : Optional.empty();
         this.launches = berths.map(b -> new Launches(new Kit(env, news, layouts, purses, b, new Targets(env), post,
-            new Recorder(env, courier))));
-        this.gangway = new Gangway(env, layouts, purses, courier, this::status, this::ready, this::drain);
+            speech, new Recorder(env, courier), Duration.ofMillis(boot.leaseMs()))));
+        this.intake = new Intake(env, layouts, purses, courier);
+        this.fetches = new Fetches(env, news, layouts, courier, () -> draining);
+        this.queries = new Queries(layouts, courier);
+        this.gangway = new Gangway(env, layouts, intake, queries, courier, this::status, this::ready, this::drain);
     }
 
     @Override
@@ -96,6 +112,7 @@
         if (berths.isPresent()) {
             launches.ifPresent(l -> berths.get().onOpen(l::opened));
             berths.get().start();
+            launches.ifPresent(Launches::start);
         }
         claim();
         claiming = env.schedules().every(env.pace().renew(), this::claim);
@@ -180,6 +197,27 @@
         return purses.counts();
     }
 
+    public Layouts layouts() {
+        return layouts;
+    }
+
+    /** The way in for messages, for other doors than the gangway's. design 9.12 */
+    public Intake intake() {
+        return intake;
+    }
+
+    public Fetches fetches() {
+        return fetches;
+    }
+
+    public Queries queries() {
+        return queries;
+    }
+
+    public boolean draining() {
+        return draining;
+    }
+
     public Mono<Answer> answer(Request q) {
         return gangway.answer(q);
     }
--- a/pilot/src/main/java/org/woadvale/pilot/berth/BerthMachine.java
+++ b/pilot/src/main/java/org/woadvale/pilot/berth/BerthMachine.java
@@ -31,6 +31,7 @@
     private final TreeSet<Message> unclear = new TreeSet<>(Comparator.comparing(Message::ended).thenComparing(Message::seq));
     private long seq;
     private long liveBytes;
+    private long keptBytes;
 
     public BerthMachine(String part, Codec codec) {
         this.part = part;
@@ -47,7 +48,7 @@
 
     /** About what a view of the part weighs, ended messages included. */
     public long weight() {
-        return liveBytes + (ended.size() + unclear.size()) * (long) ENDED_WEIGHT;
+        return liveBytes + keptBytes;
     }
 
     public int count() {
@@ -93,8 +94,7 @@
     private Object accept(Commands.Accept a) {
         long n = seq + 1;
         String handle = part + "-" + n;
-        Message m = new Message(handle, a.tenant(), a.lane(), a.id(), a.orderKey(), a.body(), a.hash(),
-            a.terms(), n, a.at(), a.due(), a.due(), MessageState.WAITING, 0, 0, Message.NO_PROCESSOR, Instant.MAX, "", Instant.MAX, "");
+        Message m = Message.accepted(handle, n, a);
         Optional<Message> known = Optional.ofNullable(byId.get(m.idGroup())).map(messages::get);
         if (known.isPresent()) {
             Message k = known.get();
@@ -133,12 +133,15 @@
             return new Fault(ErrorKind.NOT_FOUND, "No such message.");
         }
         boolean present = m.state() == MessageState.RUNNING && m.attempt() == e.attempt();
-        boolean lateSuccess = e.ending() == Commands.Ending.DONE && !m.state().ended() && e.attempt() <= m.attempt();
+        // of two leases only the later may end a message: design 9.10
+        boolean lateSuccess = e.ending() == Commands.Ending.DONE && !m.state().ended() && e.attempt() <= m.attempt()
+            && (e.attempt() == m.attempt() || !m.leased());
         boolean overdue = e.attempt() == 0 && m.state() == MessageState.WAITING && e.ending() == Commands.Ending.FAILED;
         if (!present && !lateSuccess && !overdue) {
             return new Commands.Changed(false, m);
         }
-        int tries = e.ending() == Commands.Ending.NOT_SENT ? m.tries() - 1 : m.tries();
+        boolean counts = e.ending() != Commands.Ending.NOT_SENT && e.ending() != Commands.Ending.LAPSED;
+        int tries = counts ? m.tries() : m.tries() - 1;
         MessageState to = switch (e.ending()) {
             case DONE -> MessageState.DONE;
             case FAILED -> MessageState.FAILED;
@@ -146,8 +149,9 @@
         };
         Message next = m.to(to, m.attempt(), tries, m.processor(), Instant.MAX,
             to == MessageState.WAITING ? e.due() : m.due(), e.proof(), e.at(), m.where());
-        put(Optional.of(m), next);
-        return new Commands.Changed(true, next);
+        Message noted = e.ending() == Commands.Ending.LAPSED ? next : next.endTaken(e.attempt());
+        put(Optional.of(m), noted);
+        return new Commands.Changed(true, noted);
     }
 
     private Object forget(Commands.Forget f) {
@@ -166,10 +170,12 @@
     private void drop(Message m) {
         messages.remove(m.handle());
         byId.remove(m.idGroup());
+        keptBytes -= ENDED_WEIGHT + m.body().length;
     }
 
     private void keepEnded(Message m) {
         (m.unclear() ? unclear : ended).add(m);
+        keptBytes += ENDED_WEIGHT + m.body().length;
     }
 
     /** Keeps every index in step with the one map. */
@@ -224,6 +230,7 @@
             unclear.clear();
             seq = s.seq();
             liveBytes = 0;
+            keptBytes = 0;
             List<Message> all = new ArrayList<>(s.messages().values());
             all.sort(Comparator.comparing(Message::seq));
             all.stream().filter(m -> m.ordered() && !m.state().ended())
--- a/pilot/src/main/java/org/woadvale/pilot/berth/Berths.java
+++ b/pilot/src/main/java/org/woadvale/pilot/berth/Berths.java
@@ -29,7 +29,6 @@
 /** The message parts of a store, opened as the placement says: design 9.1. */
 public final class Berths {
     private static final Logger LOG = LogManager.getLogger("berth");
-    private static final Duration RETENTION = Duration.ofMinutes(2);
     private static final Duration UNCLEAR_RETENTION = Duration.ofDays(1);
     private static final int MAX_FORGET_LAG_S = 5;
 
@@ -46,9 +45,11 @@
     private Schedule looking = () -> { };
     private boolean draining;
     private final String life;
+    private final Duration retention;
 
     /** A part takes no more beyond its size; and its view, with room for the log's tail, must fit into a ring file. */
-    public Berths(Env env, News news, Allowance node, Allowance part, long partBytes) {
+    public Berths(Env env, News news, Allowance node, Allowance part, long partBytes, Duration retention) {
+        this.retention = retention;
         this.partBytes = partBytes;
         this.env = env;
         this.news = news;
@@ -108,7 +109,7 @@
     private Commands.Accept stamped(Commands.Accept a) {
         Instant now = env.times().wall();
         return new Commands.Accept(a.tenant(), a.lane(), a.id(), a.orderKey(), a.body(), a.hash(), a.terms(),
-            now.plus(Duration.between(a.at(), a.due())), now);
+            now.plus(Duration.between(a.at(), a.due())), now, a.envelope());
     }
 
     /** Draws size units of the node and of the part, or of neither. */
@@ -169,7 +170,7 @@
     }
 
     private void forget(Berth b) {
-        var limit = env.times().wall().minus(RETENTION);
+        var limit = env.times().wall().minus(retention);
         var unclear = env.times().wall().minus(UNCLEAR_RETENTION);
         if (b.replica().mayAct() && b.replica().look(i -> b.machine().anyEndedBefore(
                 limit.minusSeconds(MAX_FORGET_LAG_S), unclear.minusSeconds(MAX_FORGET_LAG_S)))) {
--- a/pilot/src/main/java/org/woadvale/pilot/berth/Commands.java
+++ b/pilot/src/main/java/org/woadvale/pilot/berth/Commands.java
@@ -11,10 +11,16 @@
 public final class Commands {
     private Commands() { }
 
-    public enum Ending { DONE, FAILED, RETRY, NOT_SENT }
+    /** Lapsed: nobody knows, it may run again, and it counts as no attempt. design 9.11 */
+    public enum Ending { DONE, FAILED, RETRY, NOT_SENT, LAPSED }
 
     public record Accept(String tenant, String lane, String id, String orderKey, byte[] body, String hash, LaneTerms terms,
-                         Instant due, Instant at) { }
+                         Instant due, Instant at, @Since(3) Map<String, String> envelope) {
+        public Accept(String tenant, String lane, String id, String orderKey, byte[] body, String hash, LaneTerms terms,
+                      Instant due, Instant at) {
+            this(tenant, lane, id, orderKey, body, hash, terms, due, at, Map.of());
+        }
+    }
 
     /** Where it went: the address that it is pushed to, or the id of the fetch. */
     public record Start(String handle, int attempt, String processor, Instant deadline, Instant at,
@@ -56,12 +62,24 @@
     /** Also how a deposed owner gives an answer to the new one. */
     public record OutcomeAsk(String part, End end, String processor, String service) { }
 
+    /** A fetch that waits at a store for work of a service, from any of the parts owned there. design 9.10 */
+    public record PullAsk(String service, String processor, Until until, long waitMs) { }
+
+    /** One message that was started, or none. */
+    public record Pulled(List<Message> messages) { }
+
+    /** The processor needs longer: the last word of a lease, kept by the owner in memory. design 9.10 */
+    public record LeaseAsk(String part, String handle, int attempt) { }
+
+    /** The end of a lease; said again it has the same answer. */
+    public record LeaseEndAsk(String part, End end) { }
+
     public record State(Map<String, Message> messages, long seq) { }
 
     public static List<Class<?>> types() {
         return List.of(Ending.class, Accept.class, Start.class, End.class, Forget.class, Accepted.class, Changed.class,
             Forgotten.class, AcceptAsk.class, StatusAsk.class, ListAsk.class, Listed.class, FetchAsk.class,
             Fetched.class, OutcomeAsk.class, State.class, Message.class, MessageState.class, LaneTerms.class,
-            Until.class, ClockAsk.class, Clock.class);
+            Until.class, ClockAsk.class, Clock.class, PullAsk.class, Pulled.class, LeaseAsk.class, LeaseEndAsk.class);
     }
 }
--- a/pilot/src/main/java/org/woadvale/pilot/gangway/Doors.java
+++ b/pilot/src/main/java/org/woadvale/pilot/gangway/Doors.java
@@ -32,6 +32,16 @@
         return key.get();
     }
 
+    /** Empty where the lane asks for no key. */
+    Optional<Layout.Key> callerKey(String secret, String lane) throws Fault {
+        Layouts.Known k = layouts.require();
+        Optional<Layout.Key> key = k.key(secret).filter(x -> x.role() == Layout.Role.CALLER);
+        if (key.isEmpty() && !lane(lane).keyless()) {
+            throw new Fault(ErrorKind.UNAUTHORISED, "The key is missing, wrong or withdrawn.");
+        }
+        return key;
+    }
+
     Layout.Lane lane(String name) throws Fault {
         return Optional.ofNullable(layouts.require().layout().lanes().get(name))
             .orElseThrow(() -> new Fault(ErrorKind.UNKNOWN_LANE, "There is no lane " + name + "."));
--- /dev/null
+++ b/pilot/src/main/java/org/woadvale/pilot/gangway/Fetches.java
@@ -0,0 +1,134 @@
+package org.woadvale.pilot.gangway;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
+
+import org.woadvale.foundation.beacon.News;
+import org.woadvale.foundation.chart.Layout;
+import org.woadvale.foundation.keeper.Env;
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.foundation.lantern.Pauses;
+import org.woadvale.foundation.watch.Asks;
+import org.woadvale.foundation.watch.Places;
+import org.woadvale.pilot.Layouts;
+import org.woadvale.pilot.berth.Commands;
+import org.woadvale.pilot.berth.Message;
+import org.woadvale.pilot.launch.Courier;
+
+import reactor.core.publisher.Mono;
+
+/** Fetches by processors that are on no list: work is handed out with a lease. design 9.10 */
+public final class Fetches {
+    private static final Duration LIMIT = Duration.ofSeconds(2);
+    /** A fetch waits at one store for so long, then at the next. */
+    private static final Duration TURN = Duration.ofMillis(300);
+    private static final Duration AGAIN = Duration.ofMillis(100);
+
+    /** What a processor says of its lease: the handle, and the attempt that it has. */
+    public record Lease(String handle, int attempt) {
+        public static Lease of(Message m) {
+            return new Lease(m.handle(), m.attempt());
+        }
+
+        public String word() {
+            return handle + "." + attempt;
+        }
+
+        /** Empty where it was never one of ours. */
+        public static Optional<Lease> read(String word) {
+            return word.matches("m[0-9]{1,4}-[0-9]{1,18}\\.[0-9]{1,9}")
+                ? Optional.of(new Lease(word.substring(0, word.indexOf('.')),
+                    Integer.parseInt(word.substring(word.indexOf('.') + 1)))) : Optional.empty();
+        }
+
+        String part() {
+            return handle.substring(0, handle.indexOf('-'));
+        }
+    }
+
+    private final Env env;
+    private final News news;
+    private final Layouts layouts;
+    private final Courier courier;
+    private final BooleanSupplier draining;
+
+    public Fetches(Env env, News news, Layouts layouts, Courier courier, BooleanSupplier draining) {
+        this.env = env;
+        this.news = news;
+        this.layouts = layouts;
+        this.courier = courier;
+        this.draining = draining;
+    }
+
+    /** One message for the processor, or empty after the wait. What nobody takes any more is given back unrun. */
+    public Mono<Message> fetch(String service, String processor, Duration wait) {
+        return Mono.create(sink -> {
+            AtomicBoolean gone = new AtomicBoolean();
+            sink.onCancel(() -> gone.set(true));
+            Duration until = env.times().mono().plus(wait);
+            turn(service, processor, until, (int) Math.floorMod(env.random().getAsLong(), 1 << 16), gone).subscribe(m -> {
+                if (gone.get()) {
+                    end(Lease.of(m), Commands.Ending.NOT_SENT, "nobody took it").subscribe(x -> { }, e -> { });
+                } else {
+                    sink.success(m);
+                }
+            }, sink::error, sink::success);
+        });
+    }
+
+    private Mono<Message> turn(String service, String processor, Duration until, int n, AtomicBoolean gone) {
+        Duration left = until.minus(env.times().mono());
+        if (left.isNegative() || left.isZero() || gone.get() || draining.getAsBoolean()) {
+            return Mono.empty();
+        }
+        List<String> stores = stores();
+        boolean known = layouts.fresh().map(k -> k.layout().services().get(service))
+            .filter(s -> s.kind() == Layout.Kind.FETCHERS).isPresent();
+        Mono<Message> next = Mono.defer(() -> turn(service, processor, until, n + 1, gone));
+        if (!known || stores.isEmpty()) {
+            return Pauses.pause(env.schedules(), least(left, AGAIN)).then(next);
+        }
+        Duration here = least(left, TURN);
+        return courier.at(stores.get(n % stores.size()), u -> new Commands.PullAsk(service, processor, u, here.toMillis()),
+                Commands.Pulled.class, here)
+            .flatMap(p -> p.messages().isEmpty() ? Mono.<Message>empty() : Mono.just(p.messages().get(0)))
+            .onErrorResume(e -> Pauses.pause(env.schedules(), least(left, AGAIN)).then(Mono.<Message>empty()))
+            .switchIfEmpty(next);
+    }
+
+    private static Duration least(Duration a, Duration b) {
+        return a.compareTo(b) < 0 ? a : b;
+    }
+
+    private List<String> stores() {
+        TreeSet<String> all = new TreeSet<>();
+        news.latest(Places.STORES).placement().values().forEach(all::addAll);
+        all.retainAll(news.latest(Places.STORES).seats().keySet());
+        return new ArrayList<>(all);
+    }
+
+    /** Fails with CONFLICT where the lease is gone. */
+    public Mono<Boolean> extend(Lease l) {
+        return courier.ask(l.part(), new Commands.LeaseAsk(l.part(), l.handle(), l.attempt()), Asks.Done.class, LIMIT)
+            .map(Asks.Done::ok).onErrorMap(Fetches::gone);
+    }
+
+    /** Taken once and for all; the same end said again is taken again. Fails with CONFLICT where the lease is gone. */
+    public Mono<Boolean> end(Lease l, Commands.Ending ending, String word) {
+        Instant now = env.times().wall();
+        Commands.End e = new Commands.End(l.handle(), l.attempt(), ending, word, now, now);
+        return courier.ask(l.part(), new Commands.LeaseEndAsk(l.part(), e), Commands.Changed.class, LIMIT)
+            .map(Commands.Changed::done).onErrorMap(Fetches::gone);
+    }
+
+    private static Throwable gone(Throwable e) {
+        return Fault.of(e).kind() == ErrorKind.NOT_FOUND ? new Fault(ErrorKind.CONFLICT, "The lease is gone.") : e;
+    }
+}
--- a/pilot/src/main/java/org/woadvale/pilot/gangway/Gangway.java
+++ b/pilot/src/main/java/org/woadvale/pilot/gangway/Gangway.java
@@ -16,7 +16,6 @@
 import org.woadvale.foundation.lantern.ErrorKind;
 import org.woadvale.foundation.lantern.Fault;
 import org.woadvale.foundation.lantern.Pauses;
-import org.woadvale.foundation.tide.Purses;
 import org.woadvale.foundation.watch.Places;
 import org.woadvale.pilot.Layouts;
 import org.woadvale.pilot.berth.Commands;
@@ -36,22 +35,23 @@
     private static final Duration LIMIT = Duration.ofSeconds(2);
     private static final Duration OWNER_HINTS = Duration.ofMillis(200);
     private static final Duration POLL = Duration.ofMillis(100);
-    private static final String HANDLE = "m[0-9]{1,3}-[0-9]{1,18}";
 
     private final Env env;
     private final Doors doors;
     private final Courier courier;
     private final Intake intake;
+    private final Queries queries;
     private final Supplier<Map<String, Object>> status;
     private final Supplier<Boolean> ready;
     private final Supplier<Boolean> drain;
 
-    public Gangway(Env env, Layouts layouts, Purses purses, Courier courier, Supplier<Map<String, Object>> status,
+    public Gangway(Env env, Layouts layouts, Intake intake, Queries queries, Courier courier, Supplier<Map<String, Object>> status,
                    Supplier<Boolean> ready, Supplier<Boolean> drain) {
         this.env = env;
         this.doors = new Doors(layouts);
         this.courier = courier;
-        this.intake = new Intake(env, doors, purses, courier);
+        this.intake = intake;
+        this.queries = queries;
         this.status = status;
         this.ready = ready;
         this.drain = drain;
@@ -103,18 +103,8 @@
         throw new Fault(ErrorKind.NOT_FOUND, "No such place: " + q.method() + " " + q.path() + ".");
     }
 
-    private static String partOf(String handle) throws Fault {
-        if (!handle.matches(HANDLE)) {
-            throw new Fault(ErrorKind.NOT_FOUND, "No such message.");
-        }
-        return handle.substring(0, handle.indexOf('-'));
-    }
-
-    private Mono<Answer> show(Request q, String handle) throws Fault {
-        Layout.Key key = doors.key(q, Layout.Role.CALLER);
-        String part = partOf(handle);
-        return courier.ask(part, new Commands.StatusAsk(part, handle, key.tenant()), Message.class, LIMIT)
-            .map(m -> Answer.json(200, shown(m)));
+    private Mono<Answer> show(Request q, String handle) {
+        return queries.message(q.secret().orElse(""), handle).map(m -> Answer.json(200, shown(m)));
     }
 
     private Map<String, Object> shown(Message m) {
@@ -214,7 +204,7 @@
         if (in.outcome().equals("done") && in.receipt().isBlank()) {
             throw new Fault(ErrorKind.BAD_REQUEST, "Done needs a receipt.");
         }
-        String part = partOf(handle);
+        String part = Queries.partOf(handle);
         var now = env.times().wall();
         Commands.Ending ending = switch (in.outcome()) {
             case "done" -> Commands.Ending.DONE;
--- a/pilot/src/main/java/org/woadvale/pilot/gangway/Intake.java
+++ b/pilot/src/main/java/org/woadvale/pilot/gangway/Intake.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 
 import org.woadvale.foundation.chart.Charts;
 import org.woadvale.foundation.chart.Layout;
@@ -14,9 +15,11 @@
 import org.woadvale.foundation.lantern.Fault;
 import org.woadvale.foundation.lantern.Pauses;
 import org.woadvale.foundation.lantern.Stage;
+import org.woadvale.foundation.tide.Passes;
 import org.woadvale.foundation.tide.Purse;
 import org.woadvale.foundation.tide.Purses;
 import org.woadvale.foundation.watch.Places;
+import org.woadvale.pilot.Layouts;
 import org.woadvale.pilot.berth.Commands;
 import org.woadvale.pilot.berth.LaneTerms;
 import org.woadvale.pilot.launch.Courier;
@@ -24,14 +27,14 @@
 import reactor.core.publisher.Mono;
 
 /** A hand-in's way: checked, then a pass, then the store; three stages with bounded queues. design 9.6 */
-final class Intake {
+public final class Intake {
     static final int MAX_BODY = 16 << 10;
     private static final Duration LIMIT = Duration.ofMillis(4000);
     private static final Duration PAUSE = Duration.ofMillis(50);
     private static final int DEPTH = 1024;
     private static final int WIDTH = 256;
 
-    private record Checked(Request q, String tenant, String lane, HandIn in, String hash) { }
+    private record Checked(Offer offer, String tenant, String hash) { }
 
     private record Admitted(Checked c, Purse.Pass pass) { }
 
@@ -40,20 +43,39 @@
     private final Purses purses;
     private final Courier courier;
     private final Stage<Checked, Admitted> passing;
-    private final Stage<Admitted, Answer> handingOver;
+    private final Stage<Admitted, Commands.Accepted> handingOver;
 
-    Intake(Env env, Doors doors, Purses purses, Courier courier) {
+    public Intake(Env env, Layouts layouts, Purses purses, Courier courier) {
         this.env = env;
-        this.doors = doors;
+        this.doors = new Doors(layouts);
         this.purses = purses;
         this.courier = courier;
         this.passing = new Stage<>("passes", DEPTH, WIDTH * 4, this::pass);
         this.handingOver = new Stage<>("hand-over", DEPTH, WIDTH, this::handOver);
     }
 
+    /** The product's own way in: JSON, answered by the handle. */
     Mono<Answer> handIn(Request q, String lane) {
         try {
-            return passing.submit(check(q, lane)).flatMap(a -> handingOver.submit(a)
+            Offer o = offer(q, lane);
+            return take(o).map(x -> accepted(o, x));
+        } catch (Fault e) {
+            return Mono.error(e);
+        }
+    }
+
+    private Offer offer(Request q, String lane) throws Fault {
+        doors.key(q, Layout.Role.CALLER);
+        doors.lane(lane);
+        HandIn in = doors.body(q, HandIn.class);
+        return new Offer(q.secret().orElse(""), lane, in.id(), in.orderingKey(), in.delayMs(), Map.of(),
+            Charts.write(in.body()));
+    }
+
+    /** Accepted, or a fault whose kind says whether it may have been taken. design 9.6 */
+    public Mono<Commands.Accepted> take(Offer o) {
+        try {
+            return passing.submit(check(o)).flatMap(a -> handingOver.submit(a)
                 .doOnError(e -> {
                     if (Fault.of(e).kind() == ErrorKind.QUEUE_FULL) {
                         putBack(a);
@@ -64,22 +86,22 @@
         }
     }
 
-    private Checked check(Request q, String lane) throws Fault {
-        Layout.Key key = doors.key(q, Layout.Role.CALLER);
-        Layout.Lane l = doors.lane(lane);
-        HandIn in = doors.body(q, HandIn.class);
-        if (l.ordering() == Layout.Ordering.KEY && in.orderingKey().isEmpty()) {
-            throw new Fault(ErrorKind.BAD_REQUEST, "The lane " + lane + " needs an orderingKey.");
+    private Checked check(Offer o) throws Fault {
+        Optional<Layout.Key> key = doors.callerKey(o.secret(), o.lane());
+        Layout.Lane l = doors.lane(o.lane());
+        if (l.doors().isEmpty() && l.ordering() == Layout.Ordering.KEY && o.orderKey().isEmpty()) {
+            throw new Fault(ErrorKind.BAD_REQUEST, "The lane " + o.lane() + " needs an orderingKey.");
         }
-        if (l.ordering() == Layout.Ordering.NONE && !in.orderingKey().isEmpty()) {
-            throw new Fault(ErrorKind.BAD_REQUEST, "The lane " + lane + " has no ordering; leave out orderingKey.");
+        if (l.doors().isEmpty() && l.ordering() == Layout.Ordering.NONE && !o.orderKey().isEmpty()) {
+            throw new Fault(ErrorKind.BAD_REQUEST, "The lane " + o.lane() + " has no ordering; leave out orderingKey.");
         }
-        String hash = Charts.sha256(in.orderingKey() + "\n" + in.delayMs() + "\n" + in.body());
-        return new Checked(q, key.tenant(), lane, in, hash);
+        return new Checked(o, key.map(Layout.Key::tenant).orElse(""), o.hash());
     }
 
     private Mono<Admitted> pass(Checked c) {
-        return purses.take(Places.tenantBucket(c.tenant())).map(p -> new Admitted(c, p));
+        return c.tenant().isEmpty() ? Mono.just(new Admitted(c,
+                new Purse.Pass(Passes.NO_GRANT, env.times().mono().plus(Passes.LIFE))))
+            : purses.take(Places.tenantBucket(c.tenant())).map(p -> new Admitted(c, p));
     }
 
     private String bucket(Admitted a) {
@@ -91,13 +113,16 @@
     }
 
     /** Key, lane and pass are looked at once more, right before each hand-over: design 9.7. */
-    private Mono<Answer> handOver(Admitted a) {
-        return attempt(a, env.times().mono().plus(LIMIT), false).map(x -> accepted(a.c(), x));
+    private Mono<Commands.Accepted> handOver(Admitted a) {
+        return attempt(a, env.times().mono().plus(LIMIT), false);
     }
 
     private Layout.Lane lookAgain(Admitted a) throws Fault {
-        doors.key(a.c().q(), Layout.Role.CALLER);
-        Layout.Lane lane = doors.lane(a.c().lane());
+        Layout.Lane lane = doors.lane(a.c().offer().lane());
+        if (!doors.callerKey(a.c().offer().secret(), a.c().offer().lane()).map(Layout.Key::tenant).orElse("")
+                .equals(a.c().tenant())) {
+            throw new Fault(ErrorKind.UNAUTHORISED, "The key is another tenant's by now.");
+        }
         if (!purses.alive(a.pass())) {
             throw new Fault(ErrorKind.THROTTLED, "The pass died while waiting.");
         }
@@ -106,8 +131,9 @@
 
     private Commands.Accept accept(Checked c, Layout.Lane lane) {
         Instant now = env.times().wall();
-        return new Commands.Accept(c.tenant(), c.lane(), c.in().id(), c.in().orderingKey(),
-            Charts.write(c.in().body()), c.hash(), LaneTerms.of(lane), now.plusMillis(c.in().delayMs()), now);
+        Offer o = c.offer();
+        return new Commands.Accept(c.tenant(), o.lane(), o.id(), o.orderKey(), o.body(), c.hash(), LaneTerms.of(lane),
+            now.plusMillis(o.delayMs()), now, o.envelope());
     }
 
     /**
@@ -158,11 +184,11 @@
         }
     }
 
-    private static Answer accepted(Checked c, Commands.Accepted x) {
+    private static Answer accepted(Offer o, Commands.Accepted x) {
         Map<String, Object> body = new LinkedHashMap<>();
         body.put("accepted", true);
         body.put("handle", x.handle());
-        body.put("id", c.in().id());
+        body.put("id", o.id());
         body.put("repeated", x.repeated());
         return Answer.json(202, body);
     }
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Courier.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Courier.java
@@ -55,6 +55,14 @@
             false, "");
     }
 
+    /** One ask to one store, not taken later than the limit; its answer may take as long as the limit. */
+    public <T> Mono<T> at(String store, Function<Commands.Until, Object> body, Class<T> type, Duration limit) {
+        Duration until = env.times().mono().plus(limit);
+        return clocks.until(store, until, EACH).map(body).onErrorMap(Courier::notSent)
+            .flatMap(b -> env.beam().ask(store, b, type, limit.plus(EACH)))
+            .doOnError(e -> clocks.forget(store));
+    }
+
     /** The question for the clock was left without an answer; of the ask itself nothing was sent. */
     private static Fault notSent(Throwable e) {
         Fault f = Fault.of(e);
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Drawing.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Drawing.java
@@ -2,10 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.function.ToIntFunction;
 
 import org.woadvale.foundation.chart.Layout;
 import org.woadvale.foundation.watch.Places;
+import org.woadvale.foundation.watch.Processor;
 
 /** Who may receive work of a service now, by views of proven age: design 7.2. */
 final class Drawing {
@@ -13,6 +16,23 @@
 
     private Drawing() { }
 
+    /**
+     * How much one back end may have in flight from this store: its connections shared out among the stores, and not
+     * much more than its slots. 0 where nothing is said.
+     */
+    static ToIntFunction<Targets.Target> most(Launcher l, String service) {
+        int stores = (int) Math.max(1, l.kit().news().latest(Places.STORES).placement().values().stream()
+            .flatMap(List::stream).distinct().count());
+        int streams = l.kit().layouts().fresh().map(k -> k.layout().services().get(service)).map(Layout.Service::streams)
+            .orElse(0);
+        Map<String, Processor> listed = l.kit().news().latest(Places.processors(service)).processors();
+        return t -> {
+            int bySlots = Optional.ofNullable(listed.get(t.id())).map(p -> (p.slots() * 2 + stores - 1) / stores).orElse(0);
+            int byStreams = streams == 0 ? 0 : Math.max(1, streams / stores);
+            return bySlots == 0 ? byStreams : byStreams == 0 ? bySlots : Math.min(bySlots, byStreams);
+        };
+    }
+
     static List<Targets.Target> targets(Launcher l, String service) {
         Optional<Layout.Service> s = l.kit().layouts().fresh().map(k -> k.layout().services().get(service));
         if (s.isEmpty()) {
@@ -22,6 +42,9 @@
             return List.of(new Targets.Target(service, ENDPOINT, s.get().address()));
         }
         List<Targets.Target> out = new ArrayList<>();
+        if (s.get().kind() == Layout.Kind.FETCHERS) {
+            return out;
+        }
         l.kit().news().fresh(Places.processors(service)).ifPresent(v -> v.processors().forEach((id, p) -> {
             if (!p.leaving() && !p.address().isEmpty()) {
                 out.add(new Targets.Target(service + "/" + id, id, p.address()));
--- a/pilot/src/main/java/org/woadvale/pilot/launch/HttpPost.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/HttpPost.java
@@ -1,7 +1,14 @@
 package org.woadvale.pilot.launch;
 
 import java.net.ConnectException;
+import java.net.SocketAddress;
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 import org.woadvale.foundation.lantern.ErrorKind;
 import org.woadvale.foundation.lantern.Fault;
@@ -11,31 +18,63 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.handler.codec.http.HttpMethod;
 import reactor.core.publisher.Mono;
+import reactor.netty.Connection;
 import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.client.HttpClientResponse;
 import reactor.netty.resources.ConnectionProvider;
 
 /** HTTP/1.1 to back ends by Reactor Netty; it never sends a request twice by itself. */
 public final class HttpPost implements Post {
     private static final int MAX_ANSWER = 64 << 10;
+    /** How long a stream may rest, unless the back end says less. */
+    private static final Duration REST = Duration.ofSeconds(20);
+    private static final Pattern KEEP_ALIVE = Pattern.compile("timeout=([0-9]{1,6})");
+
+    private final Map<SocketAddress, Duration> rests = new ConcurrentHashMap<>();
     private final HttpClient client = HttpClient.create(ConnectionProvider.builder("launch").maxConnections(64)
-            .pendingAcquireMaxCount(256).pendingAcquireTimeout(Duration.ofSeconds(2)).build())
+            .pendingAcquireMaxCount(256).pendingAcquireTimeout(Duration.ofSeconds(2)).lifo()
+            .evictionPredicate((c, meta) -> !c.channel().isActive()
+                || meta.idleTime() > rests.getOrDefault(c.channel().remoteAddress(), REST).toMillis()).build())
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1000).disableRetry(true);
 
     /** Whatever waited for a stream is looked at again once it has one. */
     @Override
     public Mono<Reply> send(Call c) {
-        return client.headers(h -> h.set("Content-Type", "application/json")).responseTimeout(c.limit())
+        return client.headers(h -> c.headers().forEach(h::set)).responseTimeout(c.limit())
             .request(HttpMethod.valueOf(c.method())).uri(c.url())
             .send((q, out) -> c.still().getAsBoolean() ? out.send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(c.body())))
                 : Mono.error(new Fault(ErrorKind.UNREACHABLE, "It may not be sent any more.")))
-            .responseSingle((r, bytes) -> bytes.asByteArray().defaultIfEmpty(new byte[0])
+            .responseConnection((r, stream) -> stream.inbound().receive().aggregate().asByteArray()
+                .defaultIfEmpty(new byte[0])
                 .filter(b -> b.length <= MAX_ANSWER).defaultIfEmpty(new byte[0])
-                .map(b -> new Reply(r.status().code(), b)))
+                .map(b -> reply(c, r, stream, b)))
+            .next()
             .timeout(c.limit().plusMillis(200))
             .onErrorMap(HttpPost::fault);
     }
 
-    private static Throwable fault(Throwable e) {
+    /** An answer to another request shows that the stream is out of step: nothing more is sent on it. */
+    private Reply reply(Call c, HttpClientResponse r, Connection stream, byte[] body) {
+        Map<String, String> headers = new HashMap<>();
+        r.responseHeaders().forEach(e -> headers.put(e.getKey().toLowerCase(Locale.ROOT), e.getValue()));
+        boolean ours = c.echo().entrySet().stream()
+            .allMatch(e -> headers.getOrDefault(e.getKey(), e.getValue()).equals(e.getValue()));
+        if (!ours) {
+            stream.channel().close();
+            throw reactor.core.Exceptions.propagate(new Fault(ErrorKind.UNKNOWN_OUTCOME,
+                "The answer is to another request."));
+        }
+        Matcher m = KEEP_ALIVE.matcher(headers.getOrDefault("keep-alive", ""));
+        if (m.find()) {
+            // a margin, so that a stream is not used while the other side closes it
+            long ms = Long.parseLong(m.group(1)) * 1000;
+            rests.put(stream.channel().remoteAddress(), Duration.ofMillis(Math.max(ms / 2, ms - 1000)));
+        }
+        return new Reply(r.status().code(), headers, body);
+    }
+
+    private static Throwable fault(Throwable thrown) {
+        Throwable e = reactor.core.Exceptions.unwrap(thrown);
         if (e instanceof Fault) {
             return e;
         }
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Launcher.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Launcher.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 import org.woadvale.foundation.chart.Layout;
-import org.woadvale.foundation.lantern.Schedule;
 import org.woadvale.foundation.tide.Allowance;
 import org.woadvale.foundation.tide.Bucket;
 import org.woadvale.foundation.watch.Places;
@@ -26,8 +25,8 @@
 
 /** Lets the messages of one part out, while this node owns it: design 9.3. */
 public final class Launcher {
-    private static final Duration LOOK = Duration.ofMillis(20);
     private static final int LOOK_AHEAD = 64;
+    private static final Duration SHORTLY = Duration.ofMillis(20);
     private static final Duration FIRST_BACKOFF = Duration.ofMillis(250);
     private static final Duration LONGEST_BACKOFF = Duration.ofSeconds(20);
     /** Retries of a tenant on a lane in a part: a flood that cannot succeed spends only these. */
@@ -37,20 +36,17 @@
     private final Berth berth;
     private final Set<String> busy = ConcurrentHashMap.newKeySet();
     private final Map<String, Bucket> retries = new HashMap<>();
-    private Schedule looking = () -> { };
+    private final Leases leases;
     private int turn;
 
     public Launcher(Kit kit, Berth berth) {
         this.kit = kit;
         this.berth = berth;
+        this.leases = new Leases(kit, berth, this);
     }
 
-    public void start() {
-        looking = kit.env().schedules().every(LOOK, this::look);
-    }
-
-    public void stop() {
-        looking.cancel();
+    Leases leases() {
+        return leases;
     }
 
     Kit kit() {
@@ -86,6 +82,19 @@
         return m.tries() < terms(m).attempts();
     }
 
+    boolean resends(Message m) {
+        return terms(m).resend() && !kit.speech().inquires();
+    }
+
+    boolean dedupes(Message m) {
+        return Optional.ofNullable(layout().services().get(terms(m).service())).map(Layout.Service::dedupes).orElse(false);
+    }
+
+    /** What was not run is tried elsewhere soon; a little apart, so that not all come at once. */
+    Duration shortly() {
+        return SHORTLY.plusNanos(Math.floorMod(kit.env().random().getAsLong(), SHORTLY.toNanos()));
+    }
+
     Duration backoff(int tries) {
         Duration d = FIRST_BACKOFF.multipliedBy(1L << Math.min(10, Math.max(0, tries - 1)));
         d = d.compareTo(LONGEST_BACKOFF) > 0 ? LONGEST_BACKOFF : d;
@@ -117,8 +126,13 @@
         return Ticket.draw(kit, terms(m).service());
     }
 
-    private void look() {
-        if (!owns() || kit.layouts().fresh().isEmpty()) {
+    /** Called by the store's one schedule. */
+    void look() {
+        if (!owns()) {
+            leases.clear();
+            return;
+        }
+        if (kit.layouts().fresh().isEmpty()) {
             return;
         }
         adoptRunning();
@@ -138,8 +152,10 @@
     /** Running here by the log, but not by us: the owner changed, so the outcome is unclear. */
     private void adoptRunning() {
         for (Message m : berth.replica().look(i -> berth.machine().running())) {
-            if (busy.add(m.handle())) {
-                new Run(this, m, new Targets.Target("", m.processor(), "")).inquire()
+            if (m.leased()) {
+                leases.look(m);
+            } else if (busy.add(m.handle())) {
+                new Run(this, m, new Targets.Target("", m.processor(), "")).adopted()
                     .doFinally(s -> busy.remove(m.handle())).subscribe(x -> { }, e -> { });
             }
         }
@@ -166,7 +182,8 @@
             expire(m);
             return true;
         }
-        Optional<Targets.Target> t = kit.targets().draw(Drawing.targets(this, terms(m).service()));
+        Optional<Targets.Target> t = kit.targets().draw(Drawing.targets(this, terms(m).service()),
+            Drawing.most(this, terms(m).service()));
         if (t.isEmpty()) {
             return false;
         }
@@ -184,7 +201,7 @@
         return true;
     }
 
-    private synchronized boolean retryAllowed(String lane) {
+    synchronized boolean retryAllowed(String lane) {
         Bucket b = retries.computeIfAbsent(lane, k -> Bucket.full(RETRIES, kit.env().times().mono()));
         b.fill(kit.env().times().mono(), 0);
         return b.take(1);
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Launches.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Launches.java
@@ -1,5 +1,6 @@
 package org.woadvale.pilot.launch;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -10,6 +11,7 @@
 import org.woadvale.foundation.beam.Router;
 import org.woadvale.foundation.lantern.ErrorKind;
 import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.foundation.lantern.Schedule;
 import org.woadvale.foundation.watch.Places;
 import org.woadvale.foundation.watch.Processor;
 import org.woadvale.pilot.berth.Berths.Berth;
@@ -24,24 +26,35 @@
 public final class Launches {
     private static final int SCAN = 64;
     private final Kit kit;
+    private static final Duration LOOK = Duration.ofMillis(20);
+    private final Moorings moorings;
+    private Schedule looking = () -> { };
     private final AtomicInteger turns = new AtomicInteger();
     private final Map<String, Launcher> launchers = new ConcurrentHashMap<>();
 
     public Launches(Kit kit) {
         this.kit = kit;
+        this.moorings = new Moorings(kit, launchers);
     }
 
     public void opened(Berth b) {
         Launcher l = new Launcher(kit, b);
         launchers.put(b.part(), l);
-        l.start();
+    }
+
+    public void start() {
+        looking = kit.env().schedules().every(LOOK, () -> {
+            moorings.look();
+            launchers.values().forEach(Launcher::look);
+        });
     }
 
     public void stop() {
-        launchers.values().forEach(Launcher::stop);
+        looking.cancel();
     }
 
     public void route(Router router) {
+        moorings.route(router);
         router.on(Commands.FetchAsk.class, (f, a) -> kit.berths().at(a.part()).flatMap(b -> kit.berths().timely(a.until()).then(Mono.defer(() -> fetch(b, a)))))
             .on(Commands.OutcomeAsk.class, (f, a) -> kit.berths().at(a.part())
                 .flatMap(b -> outcome(b, a)));
--- /dev/null
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/OwnSpeech.java
@@ -0,0 +1,42 @@
+package org.woadvale.pilot.launch;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+
+import org.woadvale.foundation.chart.Charts;
+import org.woadvale.pilot.berth.Message;
+
+import com.fasterxml.jackson.databind.util.RawValue;
+
+/** The product's own way: JSON with message id and attempt, answered by an echo with a receipt. design 9.3 */
+public final class OwnSpeech implements Speech {
+    @Override
+    public Post.Call push(Message m, Targets.Target to, Duration limit, BooleanSupplier still) {
+        return new Post.Call("POST", to.address() + "/messages", body(m), limit, still);
+    }
+
+    @Override
+    public Verdict read(Message m, Post.Reply r) {
+        return Verdict.ofPush(r, m.handle(), m.attempt());
+    }
+
+    @Override
+    public boolean inquires() {
+        return true;
+    }
+
+    private static byte[] body(Message m) {
+        Map<String, Object> b = new LinkedHashMap<>();
+        b.put("messageId", m.handle());
+        b.put("attempt", m.attempt());
+        b.put("callerId", m.id());
+        b.put("tenant", m.tenant());
+        b.put("lane", m.lane());
+        b.put("orderingKey", m.orderKey());
+        b.put("body", new RawValue(new String(m.body(), StandardCharsets.UTF_8)));
+        return Charts.write(b);
+    }
+}
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Run.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Run.java
@@ -2,18 +2,13 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.LinkedHashMap;
-import java.util.Map;
 import java.util.Optional;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.woadvale.foundation.chart.Charts;
 import org.woadvale.pilot.berth.Commands;
 import org.woadvale.pilot.berth.Message;
 
-import com.fasterxml.jackson.databind.util.RawValue;
-
 import reactor.core.publisher.Mono;
 
 /** One attempt at one message, from its committed start to its committed end: design 9.3. */
@@ -21,6 +16,8 @@
     private static final Logger LOG = LogManager.getLogger("launch");
     private static final Duration ASK_AGAIN = Duration.ofMillis(500);
     private static final Duration ASK_LIMIT = Duration.ofSeconds(2);
+    private static final Duration AFTER_DEADLINE = Duration.ofMillis(250);
+    private static final Duration ADOPTED = Duration.ofMillis(300);
 
     private final Launcher l;
     private final Message m;
@@ -36,19 +33,6 @@
         return l.kit().env().times().wall();
     }
 
-    /** The body that a back end receives. */
-    static byte[] body(Message m) {
-        Map<String, Object> b = new LinkedHashMap<>();
-        b.put("messageId", m.handle());
-        b.put("attempt", m.attempt());
-        b.put("callerId", m.id());
-        b.put("tenant", m.tenant());
-        b.put("lane", m.lane());
-        b.put("orderingKey", m.orderKey());
-        b.put("body", new RawValue(new String(m.body(), java.nio.charset.StandardCharsets.UTF_8)));
-        return Charts.write(b);
-    }
-
     /** Claim, list and pass are looked at when the stream is open; only then the work may happen. */
     Mono<Boolean> push(Ticket ticket) {
         Duration begun = l.kit().env().times().mono();
@@ -57,10 +41,10 @@
         Duration most = Duration.ofMillis(l.terms(m).attemptMs());
         Duration limit = left.isNegative() ? Duration.ofMillis(1) : left.compareTo(most) > 0 ? most : left;
         Slip slip = new Slip();
-        return l.kit().post().send(new Post.Call("POST", target.address() + "/messages", body(m), limit,
+        return l.kit().post().send(l.kit().speech().push(m, target, limit,
                 () -> slip.leave(() -> l.owns() && Drawing.targets(l, l.terms(m).service()).contains(target)
                     && ticket.spend())))
-            .map(r -> Verdict.ofPush(r, m.handle(), m.attempt()))
+            .map(r -> l.kit().speech().read(m, r))
             .onErrorResume(e -> Mono.just(new Verdict(Verdict.Kind.UNCLEAR, String.valueOf(e.getMessage()))))
             .flatMap(v -> {
                 boolean answered = v.kind() != Verdict.Kind.UNCLEAR && v.kind() != Verdict.Kind.NOT_KNOWN;
@@ -68,7 +52,7 @@
                     l.kit().env().times().mono().minus(begun));
                 if (slip.close()) {
                     ticket.putBack();
-                    return settle(new Verdict(Verdict.Kind.NOT_KNOWN, "not sent: " + v.word()));
+                    return end(Commands.Ending.NOT_SENT, "not sent: " + v.word(), wall().plus(l.shortly()));
                 }
                 return settle(v);
             });
@@ -81,7 +65,7 @@
             case LATER -> l.triesLeft(m) ? end(Commands.Ending.RETRY, v.word(), wall().plus(l.backoff(m.tries())))
                 : end(Commands.Ending.FAILED, "attempts used up; last: " + v.word(), wall());
             case NOT_KNOWN -> end(Commands.Ending.NOT_SENT, v.word(), wall().plus(l.backoff(1)));
-            case UNCLEAR, RUNNING -> inquireLater();
+            case UNCLEAR, RUNNING -> l.resends(m) ? resend(v.word()) : inquireLater();
         };
     }
 
@@ -90,6 +74,22 @@
         return l.kit().recorder().record(l.part(), e, m.processor());
     }
 
+    /**
+     * No back end can be asked: it is sent again once the attempt can do nothing more, or at once to a service that
+     * gives a repeat its first success again. design 9.11
+     */
+    Mono<Boolean> resend(String why) {
+        Duration wait = l.dedupes(m) ? l.shortly() : Duration.between(wall(), m.deadline()).plus(AFTER_DEADLINE);
+        return org.woadvale.foundation.lantern.Pauses.pause(l.kit().env().schedules(), wait.isNegative() ? Duration.ZERO : wait)
+            .then(Mono.defer(() -> end(Commands.Ending.LAPSED, "sent again: " + why, wall().plus(l.shortly()))));
+    }
+
+    /** Running by the log, but begun by an earlier owner, which may still hand over the answer that it got. */
+    Mono<Boolean> adopted() {
+        return l.resends(m) ? org.woadvale.foundation.lantern.Pauses.pause(l.kit().env().schedules(), ADOPTED)
+            .then(Mono.defer(() -> resend("the owner changed"))) : inquire();
+    }
+
     private Mono<Boolean> inquireLater() {
         return org.woadvale.foundation.lantern.Pauses.pause(l.kit().env().schedules(), ASK_AGAIN)
             .then(Mono.defer(this::inquire));
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Targets.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Targets.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.ToIntFunction;
 
 import org.woadvale.foundation.keeper.Env;
 import org.woadvale.foundation.lantern.Shard;
@@ -15,7 +16,7 @@
     private static final int MAX_IN_FLIGHT = 16;
     private static final int FAILING = 3;
     private static final Duration FIRST_PAUSE = Duration.ofMillis(250);
-    private static final Duration LONGEST_PAUSE = Duration.ofSeconds(4);
+    private static final Duration LONGEST_PAUSE = Duration.ofSeconds(1);
 
     /** One back end that may get work. */
     public record Target(String key, String id, String address) { }
@@ -40,9 +41,9 @@
     }
 
     /** The least busy of those that may be tried now; its place in flight is taken. */
-    public Optional<Target> draw(List<Target> from) {
+    public Optional<Target> draw(List<Target> from, ToIntFunction<Target> most) {
         return shard.get(() -> {
-            Optional<Target> t = from.stream().filter(x -> open(of(x)))
+            Optional<Target> t = from.stream().filter(x -> open(of(x), most.applyAsInt(x)))
                 .min(Comparator.comparingDouble(x -> (of(x).inFlight + 1) * (1 + of(x).slowMs)));
             t.ifPresent(x -> of(x).inFlight++);
             return t;
@@ -53,9 +54,9 @@
         return all.computeIfAbsent(t.key(), k -> new Liveness());
     }
 
-    private boolean open(Liveness l) {
+    private boolean open(Liveness l, int most) {
         boolean failing = l.failures >= FAILING;
-        return l.inFlight < (failing ? 1 : MAX_IN_FLIGHT) && now().compareTo(l.notBefore) >= 0;
+        return l.inFlight < (failing ? 1 : most == 0 ? MAX_IN_FLIGHT : most) && now().compareTo(l.notBefore) >= 0;
     }
 
     public void ended(Target t, boolean answered, Duration took) {
