--- a/foundation/src/main/java/org/woadvale/foundation/chart/Boot.java
+++ b/foundation/src/main/java/org/woadvale/foundation/chart/Boot.java
@@ -32,7 +32,8 @@
         @Min(0) @Max(16) int partMb,
         @Pattern(regexp = "(" + ADDRESS + ")?", message = "must be IP:port") String listen,
         @Min(0) @Max(3600000) long leaseMs,
-        @Min(0) @Max(604800) int keepEndedS) {
+        @Min(0) @Max(604800) int keepEndedS,
+        @Min(0) @Max(60000) long lingerMs) {
 
     private static final String OCTET = "(25[0-5]|2[0-4][0-9]|1?[0-9]{1,2})";
     private static final String PORT = "(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}|[1-5]?[0-9]{1,4})";
@@ -60,7 +61,8 @@
 
     public Boot(String address, String http, String hall, List<String> seeds, Set<String> roles, String data, int ringFiles,
                 int ringFileMb, String operatorKeySha256, boolean join, int partMb, String listen) {
-        this(address, http, hall, seeds, roles, data, ringFiles, ringFileMb, operatorKeySha256, join, partMb, listen, 0, 0);
+        this(address, http, hall, seeds, roles, data, ringFiles, ringFileMb, operatorKeySha256, join, partMb, listen, 0, 0,
+            0);
     }
 
     public static Boot read(String file) throws Fault {
@@ -118,7 +120,7 @@
     public Boot with(String flagAddress, String flagHttp, String flagHall, String flagData) throws Fault {
         return checked(new Boot(or(flagAddress, address), or(flagHttp, http), or(flagHall, hall), seeds, roles,
             or(flagData, data), ringFiles, ringFileMb, operatorKeySha256, join, partMb, listen, leaseMs,
-            keepEndedS));
+            keepEndedS, lingerMs));
     }
 
     private static String or(String flag, String given) {
--- a/foundation/src/main/java/org/woadvale/foundation/gate/Gate.java
+++ b/foundation/src/main/java/org/woadvale/foundation/gate/Gate.java
@@ -14,6 +14,9 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
@@ -27,6 +30,8 @@
     private final String address;
     private final int maxBody;
     private final Function<Request, Mono<Answer>> app;
+    private final ChannelGroup streams = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private volatile boolean closing;
     private DisposableServer server;
 
     public Gate(String address, int maxBody, Function<Request, Mono<Answer>> app) {
@@ -47,7 +52,7 @@
             server = HttpServer.create().host(address.substring(0, colon))
                 .port(Integer.parseInt(address.substring(colon + 1)))
                 .httpRequestDecoder(s -> s.maxHeaderSize(MAX_HEADER).maxInitialLineLength(MAX_HEADER))
-                .idleTimeout(Duration.ofSeconds(60))
+                .idleTimeout(Duration.ofSeconds(60)).channelGroup(streams)
                 .handle(this::serve).bindNow(Duration.ofSeconds(5));
         } catch (RuntimeException e) {
             throw new Fault(ErrorKind.UNAVAILABLE, "Cannot listen for HTTP on " + address + ": " + e.getMessage());
@@ -68,6 +73,9 @@
                 out.status(a.status());
                 a.headers().forEach(out::header);
                 out.header("Content-Length", Integer.toString(a.body().length));
+                if (closing) {
+                    out.header("Connection", "close");
+                }
                 return out.send(Mono.just(Unpooled.wrappedBuffer(a.body()))).then();
             });
     }
@@ -103,15 +111,22 @@
         return out;
     }
 
+    /** From now on every answer is the last of its stream: callers go elsewhere. design 10.2 */
+    public void closeSoon() {
+        closing = true;
+    }
+
     @Override
     public boolean alive() {
         return server == null || !server.isDisposed();
     }
 
+    /** New streams are not taken any more; open requests get their answers first, for a bounded time. */
     @Override
     public void stop() {
+        closing = true;
         if (server != null) {
-            server.disposeNow(Duration.ofSeconds(3));
+            server.disposeNow(Duration.ofSeconds(2));
         }
     }
 }
--- a/foundation/src/main/java/org/woadvale/foundation/keeper/Messages.java
+++ b/foundation/src/main/java/org/woadvale/foundation/keeper/Messages.java
@@ -2,6 +2,11 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
+
+import org.woadvale.foundation.beam.Router;
+
+import reactor.core.publisher.Mono;
 
 /** What replicas of one part say to each other. */
 public final class Messages {
@@ -32,6 +37,16 @@
     public record Base(String identity, long term, String votedFor, boolean sworn, long index, long indexTerm,
                        Map<String, String> group, byte[] machine, List<LogItem> tail) { }
 
+    /** Every ask of replicas goes to the replica of its part here. */
+    public static Router route(Router router, Function<String, Mono<Replica>> at) {
+        return router.on(VoteAsk.class, (f, a) -> at.apply(a.part()).flatMap(r -> r.handle(f, a)))
+            .on(AppendAsk.class, (f, a) -> at.apply(a.part()).flatMap(r -> r.handle(f, a)))
+            .on(ViewPush.class, (f, a) -> at.apply(a.part()).flatMap(r -> r.handle(f, a)))
+            .on(Stand.class, (f, a) -> at.apply(a.part()).flatMap(r -> r.handle(f, a)))
+            .on(BlankAsk.class, (f, a) -> at.apply(a.part()).flatMap(r -> r.handle(f, a)))
+            .on(Found.class, (f, a) -> at.apply(a.part()).flatMap(r -> r.handle(f, a)));
+    }
+
     public static List<Class<?>> types() {
         return List.of(VoteAsk.class, VoteReply.class, AppendAsk.class, AppendReply.class, ViewPush.class,
             BlankAsk.class, BlankReply.class, Found.class, Stand.class, Ok.class, Base.class,
--- a/foundation/src/main/java/org/woadvale/foundation/watch/Core.java
+++ b/foundation/src/main/java/org/woadvale/foundation/watch/Core.java
@@ -21,7 +21,7 @@
     private static final Duration EACH = Duration.ofMillis(700);
     private final Beam beam;
     private final LongSupplier random;
-    private final List<String> seeds;
+    private volatile List<String> seeds;
     private final Consumer<List<String>> remember;
     private final Map<String, String> owners = new ConcurrentHashMap<>();
     private volatile List<String> lighthouses;
@@ -38,6 +38,11 @@
         return lighthouses;
     }
 
+    /** The boot values changed while we run. */
+    public void reseed(List<String> other) {
+        seeds = List.copyOf(other);
+    }
+
     /** Any process answers who the lighthouses are; so the seeds may be down later. */
     public void learn() {
         List<String> from = new ArrayList<>(new TreeSet<>(lighthouses));
--- a/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/LampNode.java
+++ b/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/LampNode.java
@@ -67,12 +67,7 @@
     }
 
     public void route(Router router) {
-        router.on(Messages.VoteAsk.class, (f, a) -> part(a.part()).flatMap(p -> p.replica().handle(f, a)))
-            .on(Messages.AppendAsk.class, (f, a) -> part(a.part()).flatMap(p -> p.replica().handle(f, a)))
-            .on(Messages.ViewPush.class, (f, a) -> part(a.part()).flatMap(p -> p.replica().handle(f, a)))
-            .on(Messages.Stand.class, (f, a) -> part(a.part()).flatMap(p -> p.replica().handle(f, a)))
-            .on(Messages.BlankAsk.class, (f, a) -> part(a.part()).flatMap(p -> p.replica().handle(f, a)))
-            .on(Messages.Found.class, (f, a) -> part(a.part()).flatMap(p -> p.replica().handle(f, a)))
+        Messages.route(router, id -> part(id).map(Part::replica))
             .on(Asks.ClaimAsk.class, (f, a) -> of(a.service()).flatMap(p -> p.claims().claim(a)))
             .on(Asks.LeaveAsk.class, (f, a) -> of(a.service()).flatMap(p -> p.claims().leave(a)))
             .on(Asks.DutyAsk.class, (f, a) -> of(a.service()).flatMap(p -> p.claims().duty(a)))
@@ -85,6 +80,11 @@
             .on(Asks.PutProcessors.class, (f, a) -> change(a.service(), a));
     }
 
+    /** The boot values changed while we run. */
+    public void reseed(List<String> seeds) {
+        core.reseed(seeds);
+    }
+
     private Mono<Part> part(String id) {
         return Mono.justOrEmpty(parts.get(id))
             .switchIfEmpty(Mono.error(new Fault(ErrorKind.NOT_FOUND, "No control part " + id + ".")));
--- a/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/Operators.java
+++ b/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/Operators.java
@@ -135,6 +135,10 @@
                 .with("ETag", "\"" + t.version() + "\""));
     }
 
+    public LampNode node() {
+        return node;
+    }
+
     /** Checked by the caller; the answer is a definite yes or no, or UNKNOWN_OUTCOME. design 6.4 */
     public Mono<Asks.LayoutTaken> put(Asks.PutLayout p) {
         return node.ask("c0", new LayoutPut(p), Asks.LayoutTaken.class);
--- a/pilot/src/main/java/org/woadvale/pilot/Pilot.java
+++ b/pilot/src/main/java/org/woadvale/pilot/Pilot.java
@@ -3,9 +3,11 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.security.SecureRandom;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 
 import org.woadvale.foundation.beam.Codec;
@@ -39,6 +41,10 @@
 public final class Pilot {
     private static final AtomicReference<Runnable> DRAIN = new AtomicReference<>(() -> { });
 
+    private static final Duration MOVES = Duration.ofMillis(1500);
+    private static final Duration RUNS = Duration.ofMillis(2000);
+    private static final Duration STEP = Duration.ofMillis(50);
+
     private Pilot() { }
 
     public static void main(String[] args) {
@@ -79,9 +85,10 @@
             l -> known.ifPresent(k -> k.write(l)));
         PilotNode node = new PilotNode(env, b, core, new HttpPost(), speech);
         node.route(router);
-        DRAIN.set(() -> drain(node));
         Supervisor tree = new Supervisor("pilot", schedules, onGivenUp).with(beam).with(node);
-        doors.apply(node).forEach(tree::with);
+        List<Component> gates = doors.apply(node);
+        gates.forEach(tree::with);
+        DRAIN.set(() -> drain(node, gates, Duration.ofMillis(b.lingerMs())));
         return tree;
     }
 
@@ -97,11 +104,21 @@
         }
     }
 
-    /** Parts and duties move away before the stop; the wait is bounded. */
-    private static void drain(PilotNode node) {
-        for (int i = 0; i < 30 && !node.drain(); i++) {
-            java.util.concurrent.locks.LockSupport.parkNanos(50_000_000L);
+    /** Parts and duties move away before the stop, and what is under way ends; each wait is bounded. design 10.2 */
+    private static void drain(PilotNode node, List<Component> gates, Duration linger) {
+        gates.stream().filter(Gate.class::isInstance).forEach(g -> ((Gate) g).closeSoon());
+        await(MOVES, node::drain);
+        await(RUNS, node::idle);
+        pause(linger.isZero() ? Duration.ofMillis(100) : linger);
+    }
+
+    private static void await(Duration most, BooleanSupplier done) {
+        for (long left = most.toMillis(); left > 0 && !done.getAsBoolean(); left -= STEP.toMillis()) {
+            pause(STEP);
         }
-        java.util.concurrent.locks.LockSupport.parkNanos(100_000_000L);
+    }
+
+    private static void pause(Duration d) {
+        java.util.concurrent.locks.LockSupport.parkNanos(d.toNanos());
     }
 }
--- a/pilot/src/main/java/org/woadvale/pilot/PilotNode.java
+++ b/pilot/src/main/java/org/woadvale/pilot/PilotNode.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
 
 import org.woadvale.foundation.beacon.News;
 import org.woadvale.foundation.beam.Router;
@@ -56,6 +55,7 @@
     private final Optional<Holders> holders;
     private final Optional<Berths> berths;
     private final Optional<Launches> launches;
+    private final StoreSeats seats;
     private final Gangway gangway;
     private final Intake intake;
     private final Fetches fetches;
@@ -83,6 +83,7 @@
         this.berths = boot.roles().contains("store")
             ? Optional.of(new Berths(env, news, STORE_UNITS, PART_UNITS, (long) boot.partMb() << 20,
                 Duration.ofSeconds(boot.keepEndedS()))) : Optional.empty();
+        this.seats = new StoreSeats(env, news, berths);
         this.launches = berths.map(b -> new Launches(new Kit(env, news, layouts, purses, b, new Targets(env), post,
             speech, new Recorder(env, courier), Duration.ofMillis(boot.leaseMs()))));
         this.intake = new Intake(env, layouts, purses, courier);
@@ -124,7 +125,7 @@
         if (draining) {
             return;
         }
-        Seat seat = new Seat(boot.hall(), boot.http(), incarnation, unseated());
+        Seat seat = new Seat(boot.hall(), boot.http(), incarnation, seats.unseated());
         boot.roles().forEach(role -> {
             String service = "role/" + role;
             core.ask(Places.controlPart(service), new Asks.ClaimAsk(service, env.self(), seat), Asks.Done.class)
@@ -146,46 +147,37 @@
         return berths.map(Berths::drain).orElse(true);
     }
 
-    public boolean ready() {
-        return !draining && layouts.fresh().isPresent() && !news.latest(Places.STORES).placement().isEmpty()
-            && berths.map(b -> b.all().values().stream().allMatch(x -> x.replica().owner().isPresent())).orElse(true);
+    /** No delivery that was begun here is still without its end. */
+    public boolean idle() {
+        return launches.map(Launches::idle).orElse(true);
     }
 
-    /** The group of each message part here. */
-    public Map<String, Set<String>> groups() {
-        Map<String, Set<String>> out = new TreeMap<>();
-        berths.ifPresent(b -> b.all().forEach((id, x) -> out.put(id, x.replica().group().keySet())));
-        return out;
+    /** The boot values changed while we run. */
+    public void reseed(List<String> seeds) {
+        core.reseed(seeds);
     }
 
-    private List<String> mine() {
-        return berths.isEmpty() ? List.of() : news.latest(Places.STORES).placement().entrySet().stream()
-            .filter(e -> e.getValue().contains(env.self())).map(Map.Entry::getKey).sorted().toList();
+    public boolean ready() {
+        return !draining && layouts.fresh().isPresent() && !news.latest(Places.STORES).placement().isEmpty()
+            && berths.map(b -> b.all().values().stream().allMatch(x -> x.replica().owner().isPresent())).orElse(true);
     }
 
-    /** The parts that the placement gives to this store, and in which it does not count yet. */
-    private List<String> unseated() {
-        Map<String, Set<String>> groups = groups();
-        return mine().stream().filter(p -> !groups.getOrDefault(p, Set.of()).contains(env.self())).toList();
+    public Map<String, Set<String>> groups() {
+        return seats.groups();
     }
 
     public int unseatedCount() {
-        return unseated().size();
-    }
-
-    /** True once this store counts in every part that the placement gives it. */
-    private boolean seated() {
-        return !mine().isEmpty() && unseated().isEmpty();
+        return seats.unseated().size();
     }
 
     /** How many message parts this node owns now. */
     public long owned() {
-        return berths.map(b -> b.all().values().stream().filter(x -> x.replica().mayAct()).count()).orElse(0L);
+        return seats.owned();
     }
 
     /** The term of a message part as known here; zero where it is not. */
     public long term(String part) {
-        return berths.map(b -> b.all().get(part)).map(x -> x.replica().term()).orElse(0L);
+        return seats.term(part);
     }
 
     /** The shared buckets that this node holds. */
@@ -231,17 +223,7 @@
         out.put("layout", layouts.fresh().map(Layouts.Known::version).orElse(-1L));
         out.put("passes", purses.counts());
         holders.ifPresent(h -> out.put("holds", Map.of("buckets", h.holds(), "asks", h.asks(), "granted", h.granted())));
-        berths.ifPresent(b -> {
-            Map<String, Object> parts = new LinkedHashMap<>();
-            b.all().forEach((id, x) -> parts.put(id, Map.of("phase", x.replica().phase(), "term", x.replica().term(),
-                "messages", x.replica().look(i -> x.machine().count()),
-                "liveBytes", x.replica().look(i -> x.machine().liveBytes()), "group", x.replica().group().keySet())));
-            out.put("parts", parts);
-            out.put("owned", owned());
-            out.put("seated", seated());
-            out.put("syncs", env.logbook().syncs());
-            out.put("ringFilesWritten", env.logbook().filesWritten());
-        });
+        seats.status(out);
         return out;
     }
 
--- a/pilot/src/main/java/org/woadvale/pilot/berth/BerthMachine.java
+++ b/pilot/src/main/java/org/woadvale/pilot/berth/BerthMachine.java
@@ -226,8 +226,7 @@
             Commands.State s = codec.read(view, Commands.State.class);
             List.of(messages, byId, order, running).forEach(Map::clear);
             startable.clear();
-            ended.clear();
-            unclear.clear();
+            List.of(ended, unclear).forEach(TreeSet::clear);
             seq = s.seq();
             liveBytes = 0;
             keptBytes = 0;
--- a/pilot/src/main/java/org/woadvale/pilot/berth/Berths.java
+++ b/pilot/src/main/java/org/woadvale/pilot/berth/Berths.java
@@ -63,12 +63,7 @@
     }
 
     public void route(Router router) {
-        router.on(Messages.VoteAsk.class, (f, a) -> at(a.part()).flatMap(b -> b.replica().handle(f, a)))
-            .on(Messages.AppendAsk.class, (f, a) -> at(a.part()).flatMap(b -> b.replica().handle(f, a)))
-            .on(Messages.ViewPush.class, (f, a) -> at(a.part()).flatMap(b -> b.replica().handle(f, a)))
-            .on(Messages.Stand.class, (f, a) -> at(a.part()).flatMap(b -> b.replica().handle(f, a)))
-            .on(Messages.BlankAsk.class, (f, a) -> at(a.part()).flatMap(b -> b.replica().handle(f, a)))
-            .on(Messages.Found.class, (f, a) -> at(a.part()).flatMap(b -> b.replica().handle(f, a)))
+        Messages.route(router, part -> at(part).map(Berth::replica))
             .on(Commands.AcceptAsk.class, (f, a) -> at(a.part()).flatMap(b -> timely(a.until())
                 .then(Mono.defer(() -> accept(b, a.accept())))))
             .on(Commands.ClockAsk.class, (f, a) -> Mono.just(new Commands.Clock(life, env.times().mono())))
--- a/pilot/src/main/java/org/woadvale/pilot/gangway/Fetches.java
+++ b/pilot/src/main/java/org/woadvale/pilot/gangway/Fetches.java
@@ -73,7 +73,8 @@
             AtomicBoolean gone = new AtomicBoolean();
             sink.onCancel(() -> gone.set(true));
             Duration until = env.times().mono().plus(wait);
-            turn(service, processor, until, (int) Math.floorMod(env.random().getAsLong(), 1 << 16), gone).subscribe(m -> {
+            int first = (int) Math.floorMod(env.random().getAsLong(), 1 << 16);
+            turn(service, processor, until, first, first, gone).subscribe(m -> {
                 if (gone.get()) {
                     end(Lease.of(m), Commands.Ending.NOT_SENT, "nobody took it").subscribe(x -> { }, e -> { });
                 } else {
@@ -83,15 +84,17 @@
         });
     }
 
-    private Mono<Message> turn(String service, String processor, Duration until, int n, AtomicBoolean gone) {
+    private Mono<Message> turn(String service, String processor, Duration until, int first, int n,
+                               AtomicBoolean gone) {
         Duration left = until.minus(env.times().mono());
-        if (left.isNegative() || left.isZero() || gone.get() || draining.getAsBoolean()) {
+        // a draining intake lets nobody wait for longer than one turn
+        if (left.isNegative() || left.isZero() || gone.get() || n != first && draining.getAsBoolean()) {
             return Mono.empty();
         }
         List<String> stores = stores();
         boolean known = layouts.fresh().map(k -> k.layout().services().get(service))
             .filter(s -> s.kind() == Layout.Kind.FETCHERS).isPresent();
-        Mono<Message> next = Mono.defer(() -> turn(service, processor, until, n + 1, gone));
+        Mono<Message> next = Mono.defer(() -> turn(service, processor, until, first, n + 1, gone));
         if (!known || stores.isEmpty()) {
             return Pauses.pause(env.schedules(), least(left, AGAIN)).then(next);
         }
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Launcher.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Launcher.java
@@ -49,6 +49,10 @@
         return leases;
     }
 
+    boolean idle() {
+        return busy.isEmpty();
+    }
+
     Kit kit() {
         return kit;
     }
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Launches.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Launches.java
@@ -49,6 +49,10 @@
         });
     }
 
+    public boolean idle() {
+        return launchers.values().stream().allMatch(Launcher::idle);
+    }
+
     public void stop() {
         looking.cancel();
     }
