A 202 without a handle is no acceptance to the stand-in's callers, and is told

Not found: where the 202 without a handle came from. Ruled out by reading only: Gate and Reactor Netty write head and body of such an answer at once; Intake has no 202 without a handle, BerthMachine makes none, an empty stage ends as 500. Change: such a 202 counts as unknown, is asked again with the same id, and is told with status, headers and body; FleetTest and the drills fail for it, so a fault of the product stays red. A 200 that is not about the message asked for shows nothing. What has not ended is named with its last answer. GateTest: every answer declares its length. Conclusion: the stand-in was wrong to take it; the product is neither convicted nor cleared. No product code changed.

--- a/foundation/src/test/java/org/woadvale/foundation/gate/GateTest.java
+++ b/foundation/src/test/java/org/woadvale/foundation/gate/GateTest.java
@@ -56,4 +56,32 @@
             gate.stop();
         }
     }
+
+    /** By its declared length a caller can tell an answer that was cut off; that goes for each kind of answer. */
+    @Test
+    void everyAnswerDeclaresItsLength() throws Exception {
+        String address;
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            address = "127.0.0.1:" + s.getLocalPort();
+        }
+        Gate gate = new Gate(address, 100, q -> switch (q.body().length) {
+            case 1 -> Mono.just(Answer.json(202, "taken"));
+            case 2 -> Mono.error(new Fault(ErrorKind.UNKNOWN_OUTCOME, "not known"));
+            case 3 -> throw new IllegalStateException("thrown");
+            default -> Mono.empty();
+        });
+        gate.start();
+        try {
+            int[] statuses = {500, 202, 504, 500, 500, 413};
+            int[] lengths = {0, 1, 2, 3, 4, 101};
+            for (int i = 0; i < lengths.length; i++) {
+                HttpResponse<String> r = post(address, lengths[i], true);
+                assertEquals(statuses[i], r.statusCode(), "for " + lengths[i]);
+                assertEquals(r.body().length(), r.headers().firstValueAsLong("Content-Length").orElse(-1));
+                assertTrue(r.body().length() > 0, "for " + lengths[i]);
+            }
+        } finally {
+            gate.stop();
+        }
+    }
 }
--- a/trials/src/main/java/org/woadvale/trials/harbour/Client.java
+++ b/trials/src/main/java/org/woadvale/trials/harbour/Client.java
@@ -14,7 +14,16 @@
 
 /** The stand-in's HTTP client: the JDK's own, so that no code is shared with the tested programs. */
 public final class Client {
-    public record Got(int status, JsonNode json, Map<String, java.util.List<String>> headers, byte[] body) { }
+    public record Got(int status, JsonNode json, Map<String, java.util.List<String>> headers, byte[] body) {
+        private static final int MOST_TOLD = 500;
+
+        /** For people who look for the cause: status, headers and the beginning of the body. */
+        String told() {
+            String text = new String(body, java.nio.charset.StandardCharsets.UTF_8);
+            return status + " " + headers + " " + body.length + " bytes: "
+                + text.substring(0, Math.min(MOST_TOLD, text.length()));
+        }
+    }
 
     private final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
         .connectTimeout(Duration.ofSeconds(1)).build();
--- a/trials/src/main/java/org/woadvale/trials/harbour/Harbour.java
+++ b/trials/src/main/java/org/woadvale/trials/harbour/Harbour.java
@@ -94,12 +94,13 @@
     static boolean report(Fleet fleet, Town town, Load load) {
         boolean settled = load.settle(Duration.ofSeconds(90));
         System.out.println("Hand-ins by answer: " + load.kinds());
+        load.broken().stream().limit(20).forEach(b -> System.out.println("BROKEN ANSWER: " + b));
         System.out.println("Accepted by state:  " + load.states() + (settled ? "" : " NOT ALL ENDED"));
         List<String> bad = new NeverList(town.seen).violations();
         bad.stream().limit(20).forEach(b -> System.out.println("NEVER: " + b));
         System.out.println("Violations: " + bad.size());
         counts(fleet, town);
-        return settled && bad.isEmpty() && !load.states().isEmpty();
+        return settled && bad.isEmpty() && load.broken().isEmpty() && !load.states().isEmpty();
     }
 
     private static void counts(Fleet fleet, Town town) {
--- a/trials/src/main/java/org/woadvale/trials/harbour/Load.java
+++ b/trials/src/main/java/org/woadvale/trials/harbour/Load.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -20,7 +19,9 @@
 /** Callers: mixed traffic over all intakes at a steady rate, then the question what became of it. */
 public final class Load {
     private static final Duration ASK_EACH = Duration.ofSeconds(15);
-    private final Set<String> left = ConcurrentHashMap.newKeySet();
+    /** Accepted messages that were not yet shown as ended, with the last answer about each. */
+    private final Map<String, String> left = new ConcurrentHashMap<>();
+    private final ConcurrentLinkedQueue<String> broken = new ConcurrentLinkedQueue<>();
     private final Town town;
     private final Fleet fleet;
     private final Random random;
@@ -48,7 +49,7 @@
             if (town.times.mono().minus(asked).compareTo(ASK_EACH) > 0) {
                 // ended messages are forgotten after two minutes
                 asked = town.times.mono();
-                List.copyOf(left).forEach(this::ask);
+                List.copyOf(left.keySet()).forEach(this::ask);
             }
             Town.sleep(5);
         }
@@ -95,18 +96,17 @@
         Duration sent = town.times.mono();
         CompletableFuture<Sightings.HandedIn> f = town.client.send("POST", v.http, "/v1/lanes/" + lane + "/messages",
             key, body, Map.of()).handle((g, e) -> {
-                Sightings.Said said = e != null || g.status() >= 500 && !Set.of(503).contains(g.status())
-                    ? Sightings.Said.UNKNOWN : g.status() == 202 ? Sightings.Said.ACCEPTED : Sightings.Said.REFUSED;
-                String kind = e != null ? "no answer" : g.status() == 202 ? "accepted" : g.json().path("kind").asText();
-                kinds.computeIfAbsent(kind, k -> new AtomicLong()).incrementAndGet();
-                String handle = said == Sightings.Said.ACCEPTED ? g.json().path("handle").asText() : "";
+                Taking t = e == null ? Taking.of(g) : Taking.NONE;
+                kinds.computeIfAbsent(t.kind(), k -> new AtomicLong()).incrementAndGet();
+                if (t.broken()) {
+                    broken.add(id + ": " + g.told());
+                }
                 Sightings.HandedIn h = new Sightings.HandedIn(Scenery.tenant(tenant), id, lane, order,
-                    key, sent, town.times.mono(), said, kind, handle,
-                    said == Sightings.Said.ACCEPTED && g.json().path("repeated").asBoolean());
+                    key, sent, town.times.mono(), t.said(), t.kind(), t.handle(), t.repeated());
                 town.seen.saw(town.seen.handedIn, h);
-                if (said == Sightings.Said.ACCEPTED) {
-                    owners.put(handle, tenant);
-                    left.add(handle);
+                if (t.said() == Sightings.Said.ACCEPTED) {
+                    owners.put(t.handle(), tenant);
+                    left.put(t.handle(), "not asked yet");
                 }
                 return h;
             }).thenCompose(h -> h.said() == Sightings.Said.UNKNOWN && tries > 0
@@ -123,7 +123,7 @@
         while (!left.isEmpty() && town.times.mono().compareTo(until) < 0) {
             int n = 0;
             java.util.ArrayList<CompletableFuture<?>> wave = new java.util.ArrayList<>();
-            for (String h : left) {
+            for (String h : left.keySet()) {
                 if (n++ >= 200) {
                     break;
                 }
@@ -139,7 +139,8 @@
         Duration asked = town.times.mono();
         return town.client.send("GET", v.http, "/v1/messages/" + handle, Scenery.callerKey(owners.get(handle)),
             new byte[0], Map.of()).handle((g, e) -> {
-                if (e == null && g.status() == 200) {
+                left.computeIfPresent(handle, (h, before) -> e == null ? g.told() : "no answer: " + e);
+                if (e == null && g.status() == 200 && g.json().path("handle").asText().equals(handle)) {
                     Sightings.Shown shown = Sightings.Shown.read(handle, g.json(), asked, town.times.mono(), town::trueTime);
                     town.seen.saw(town.seen.shown, shown);
                     if (shown.over()) {
@@ -150,6 +151,16 @@
             });
     }
 
+    /** Accepted messages that were never shown as ended, with the last answer about each. */
+    public Map<String, String> unended() {
+        return new TreeMap<>(left);
+    }
+
+    /** Answers that say accepted but not what: docs/api.md promises a handle with every 202. */
+    public List<String> broken() {
+        return List.copyOf(broken);
+    }
+
     public Map<String, Long> kinds() {
         Map<String, Long> out = new TreeMap<>();
         kinds.forEach((k, v) -> out.put(k, v.get()));
--- a/trials/src/test/java/org/woadvale/tender/FleetTest.java
+++ b/trials/src/test/java/org/woadvale/tender/FleetTest.java
@@ -142,7 +142,9 @@
             run("check-after-outage", Map.of("lighthouses", list(f.lighthouses), "stores", list(f.stores),
                 "intakes", list(f.intakes)));
             accepted("after the outage");
-            assertTrue(load.settle(Duration.ofSeconds(120)), "not every accepted message has ended: " + load.states());
+            boolean settled = load.settle(Duration.ofSeconds(120));
+            assertEquals(List.of(), load.broken(), "every 202 carries a handle");
+            assertTrue(settled, () -> "not every accepted message has ended: " + load.states() + " " + load.unended());
             List<String> bad = new NeverList(t.seen).violations();
             assertEquals(List.of(), bad);
             assertTrue(load.states().getOrDefault("done", 0L) > 100, load.states().toString());
--- /dev/null
+++ b/trials/src/test/java/org/woadvale/trials/harbour/CutAnswersTest.java
@@ -0,0 +1,159 @@
+package org.woadvale.trials.harbour;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.woadvale.pilot.Pilot;
+import org.woadvale.trials.buoy.NeverList;
+import org.woadvale.trials.buoy.Scenery;
+import org.woadvale.trials.buoy.Sightings;
+
+/** What callers make of answers that are cut off or say too little; the intake is a bare socket. */
+class CutAnswersTest {
+    private static final String TAKEN = "{\"accepted\":true,\"handle\":\"m1-1\",\"id\":\"c1\",\"repeated\":true}";
+
+    /** Answers each request on a stream of its own, then closes it, in the end or before. */
+    private static final class BareIntake implements AutoCloseable {
+        private final ServerSocket socket = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        private final ConcurrentLinkedQueue<String> asked = new ConcurrentLinkedQueue<>();
+        private final Function<String, byte[]> answers;
+
+        BareIntake(Function<String, byte[]> answers) throws IOException {
+            this.answers = answers;
+            Thread t = new Thread(this::serve, "bare-intake");
+            t.setDaemon(true);
+            t.start();
+        }
+
+        String address() {
+            return "127.0.0.1:" + socket.getLocalPort();
+        }
+
+        private void serve() {
+            while (!socket.isClosed()) {
+                try (Socket s = socket.accept()) {
+                    String line = request(s.getInputStream());
+                    asked.add(line);
+                    s.getOutputStream().write(answers.apply(line));
+                } catch (IOException e) {
+                    // closed by the caller, or in the end by the test
+                }
+            }
+        }
+
+        /** Reads head and body; the first line without the version. */
+        private static String request(InputStream in) throws IOException {
+            StringBuilder head = new StringBuilder();
+            while (head.indexOf("\r\n\r\n") < 0) {
+                int b = in.read();
+                if (b < 0) {
+                    throw new IOException("no whole request");
+                }
+                head.append((char) b);
+            }
+            int length = head.toString().lines().map(l -> l.toLowerCase(java.util.Locale.ROOT))
+                .filter(l -> l.startsWith("content-length:")).map(l -> Integer.parseInt(l.substring(15).trim()))
+                .findFirst().orElse(0);
+            in.readNBytes(length);
+            return head.substring(0, head.indexOf(" HTTP/"));
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    /** As the gate answers: the length is declared. */
+    private static byte[] answer(String status, String body) {
+        return ("HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\nContent-Length: " + body.length()
+            + "\r\n\r\n" + body).getBytes(StandardCharsets.UTF_8);
+    }
+
+    @Test
+    void anAnswerThatEndsEarlyIsNoAnswerWhereverItEnds() throws IOException {
+        byte[] whole = answer("202 Accepted", TAKEN);
+        Client client = new Client();
+        try (BareIntake b = new BareIntake(line -> Arrays.copyOf(whole, Integer.parseInt(line.substring(6))))) {
+            for (int i = 0; i < whole.length; i++) {
+                String path = "/" + i;
+                assertThrows(CompletionException.class, () -> client.send("POST", b.address(), path, "", new byte[3],
+                    Map.of()).join(), "cut after " + i + " of " + whole.length);
+            }
+            Client.Got g = client.send("POST", b.address(), "/" + whole.length, "", new byte[3], Map.of()).join();
+            assertEquals("m1-1", g.json().path("handle").asText());
+        }
+    }
+
+    /** The repeat is answered in full; what is asked of no handle is answered with a list, as by an intake. */
+    private static byte[] day(String first, String line, long handIns) {
+        if (line.startsWith("POST")) {
+            return answer("202 Accepted", handIns == 1 ? first : TAKEN);
+        }
+        return answer("200 OK", line.equals("GET /v1/messages/m1-1")
+            ? "{\"handle\":\"m1-1\",\"state\":\"failed\",\"note\":\"refused\",\"lane\":\"hold\"}" : "{\"messages\":[]}");
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "{}", "{\"accepted\":true}",
+        "{\"accepted\":true,\"handle\":\"\"}", "{\"handle\":null}", "{\"accepted\":tr"})
+    void acceptedWithoutAHandleIsAskedAgainAndTold(String first, @TempDir Path root) throws Exception {
+        AtomicLong handIns = new AtomicLong();
+        try (BareIntake b = new BareIntake(l -> day(first, l, l.startsWith("POST") ? handIns.incrementAndGet() : 0));
+             Fleet f = new Fleet(Shape.SMALL, root);
+             Town t = new Town(f, Shape.SMALL, new Scenery(8, 2, 45, 60, 26))) {
+            f.intakes.clear();
+            f.intakes.add(new Vessel("bare", Pilot.class.getName(), root, Fleet.free(), b.address(), "hall0", List.of(),
+                List.of("intake"), false, false));
+            Load load = new Load(t, f, 5);
+            Sightings.HandedIn h = load.one(0).join();
+            assertTrue(load.settle(Duration.ofSeconds(3)), () -> load.states() + " " + load.unended());
+            assertEquals(Map.of("failed", 1L), load.states());
+            assertEquals(Sightings.Said.ACCEPTED, h.said());
+            assertEquals("m1-1", h.handle());
+            assertEquals(2, handIns.get());
+            assertEquals(1, load.broken().size(), load.broken().toString());
+            assertTrue(load.broken().get(0).endsWith(" " + first.length() + " bytes: " + first), load.broken().get(0));
+            assertTrue(b.asked.stream().noneMatch("GET /v1/messages/"::equals), b.asked.toString());
+            assertTrue(new NeverList(t.seen).violations().stream().noneMatch(v -> v.contains("never shown")));
+        }
+    }
+
+    @Test
+    void anAnswerAboutSomethingElseShowsNothingOfTheMessage(@TempDir Path root) throws Exception {
+        try (BareIntake b = new BareIntake(l -> l.startsWith("POST") ? answer("202 Accepted", TAKEN)
+                : answer("200 OK", "{\"messages\":[]}"));
+             Fleet f = new Fleet(Shape.SMALL, root);
+             Town t = new Town(f, Shape.SMALL, new Scenery(8, 2, 45, 60, 26))) {
+            f.intakes.clear();
+            f.intakes.add(new Vessel("bare", Pilot.class.getName(), root, Fleet.free(), b.address(), "hall0", List.of(),
+                List.of("intake"), false, false));
+            Load load = new Load(t, f, 5);
+            load.one(0).join();
+            assertEquals(false, load.settle(Duration.ofMillis(300)));
+            assertEquals(Map.of(), load.states());
+            assertTrue(load.unended().get("m1-1").startsWith("200 "), load.unended().toString());
+        }
+    }
+}
