--- a/foundation/src/main/java/org/woadvale/foundation/keeper/Pace.java
+++ b/foundation/src/main/java/org/woadvale/foundation/keeper/Pace.java
@@ -9,7 +9,10 @@
             Duration.ofMillis(700), Duration.ofMillis(300));
     }
 
-    /** For control parts: the next owner must confirm news before the views in the fleet are too old to use. */
+    /**
+     * For parts. Control parts: the next owner must confirm news before the views in the fleet are too old to use.
+     * Message parts: what is ordered waits for the next owner. design 5.3
+     */
     public static Pace core() {
         return new Pace(Duration.ofMillis(1200), Duration.ofMillis(300), Duration.ofMillis(50),
             Duration.ofMillis(500), Duration.ofMillis(200));
--- a/foundation/src/main/java/org/woadvale/foundation/tide/Holders.java
+++ b/foundation/src/main/java/org/woadvale/foundation/tide/Holders.java
@@ -15,6 +15,7 @@
 import org.apache.logging.log4j.Logger;
 import org.woadvale.foundation.beacon.News;
 import org.woadvale.foundation.keeper.Env;
+import org.woadvale.foundation.keeper.Pace;
 import org.woadvale.foundation.lantern.ErrorKind;
 import org.woadvale.foundation.lantern.Fault;
 import org.woadvale.foundation.lantern.Schedule;
@@ -121,7 +122,7 @@
             held.remove(b);
             return;
         }
-        Duration end = sent.plus(env.pace().ownClaim());
+        Duration end = sent.plus(Pace.usual().ownClaim());
         Held h = held.get(b);
         if (h == null || h.holding.term() != r.duty().term()) {
             Optional<Allowance> a = allowances.apply(b);
--- a/foundation/src/main/java/org/woadvale/foundation/tide/Holding.java
+++ b/foundation/src/main/java/org/woadvale/foundation/tide/Holding.java
@@ -128,7 +128,9 @@
         }
         int most = Optional.ofNullable(askers.get(asker)).map(Asker::most).orElse(1);
         askers.put(asker, new Asker(now, Math.min(most * 2, MOST)));
-        int batch = (int) Math.max(1, bucket.allowance().ratePerS() / active());
+        // not more than half of the bucket is lent ahead of need: what is out is missing where it is wanted. design 8.3
+        Allowance mine = bucket.allowance();
+        int batch = (int) Math.max(1, Math.min(mine.ratePerS(), mine.burst() / 2.0) / active());
         int want = Math.max(Math.min(batch, most), a.least());
         int n = (int) Math.min(want, Math.floor(bucket.level() + 1e-9));
         if (n <= 0 || !bucket.take(n)) {
--- a/pilot/src/main/java/org/woadvale/pilot/Layouts.java
+++ b/pilot/src/main/java/org/woadvale/pilot/Layouts.java
@@ -21,8 +21,8 @@
 /** The layout as this node may use it: only while its age is proven. design 7.2 */
 public final class Layouts {
     private static final Logger LOG = LogManager.getLogger("beacon");
-    /** A leaving bucket's burst, in seconds of its rate: any 5 s stay within a twentieth of the rate. */
-    private static final double LEAVING_BURST_S = 0.25;
+    /** A leaving bucket's burst, in seconds of its rate: any 5 s stay within a tenth of the rate. design 8.3 */
+    private static final double LEAVING_BURST_S = 0.4;
 
     /** A layout, read once. */
     public record Known(long version, Layout layout, Map<String, Layout.Key> keysByHash,
--- a/pilot/src/main/java/org/woadvale/pilot/Pilot.java
+++ b/pilot/src/main/java/org/woadvale/pilot/Pilot.java
@@ -80,7 +80,8 @@
         book.onFailure(why -> onGivenUp.run());
         SecureRandom random = new SecureRandom();
         Optional<KnownFile> known = b.data().isEmpty() ? Optional.empty() : Optional.of(new KnownFile(b.data()));
-        Env env = new Env(new RealTimes(), schedules, beam, codec, book, random::nextLong, Pace.usual());
+        Env env = new Env(new RealTimes(), schedules, beam, codec, book, random::nextLong,
+            b.roles().contains("store") ? Pace.core() : Pace.usual());
         Core core = new Core(beam, random::nextLong, b.seeds(), known.map(KnownFile::read).orElse(List.of()),
             l -> known.ifPresent(k -> k.write(l)));
         PilotNode node = new PilotNode(env, b, core, new HttpPost(), speech);
--- a/pilot/src/main/java/org/woadvale/pilot/PilotNode.java
+++ b/pilot/src/main/java/org/woadvale/pilot/PilotNode.java
@@ -13,6 +13,7 @@
 import org.woadvale.foundation.gate.Answer;
 import org.woadvale.foundation.gate.Request;
 import org.woadvale.foundation.keeper.Env;
+import org.woadvale.foundation.keeper.Pace;
 import org.woadvale.foundation.keeper.Phase;
 import org.woadvale.foundation.lantern.Component;
 import org.woadvale.foundation.lantern.Fault;
@@ -77,7 +78,7 @@
         this.news = new News(env, core, boot.hall());
         this.layouts = new Layouts(news);
         this.purses = new Purses(env, news);
-        Courier courier = new Courier(env, news);
+        Courier courier = new Courier(env, news, boot.hall());
         this.holders = boot.roles().contains("intake")
             ? Optional.of(new Holders(env, core, news, layouts::allowance, layouts::buckets)) : Optional.empty();
         this.berths = boot.roles().contains("store")
@@ -85,9 +86,9 @@
                 Duration.ofSeconds(boot.keepEndedS()))) : Optional.empty();
         this.seats = new StoreSeats(env, news, berths);
         this.launches = berths.map(b -> new Launches(new Kit(env, news, layouts, purses, b, new Targets(env), post,
-            speech, new Recorder(env, courier), Duration.ofMillis(boot.leaseMs()))));
+            speech, new Recorder(env, courier), Duration.ofMillis(boot.leaseMs()), boot.hall())));
         this.intake = new Intake(env, layouts, purses, courier);
-        this.fetches = new Fetches(env, news, layouts, courier, () -> draining);
+        this.fetches = new Fetches(env, news, layouts, courier, boot.hall(), () -> draining);
         this.queries = new Queries(layouts, courier);
         this.gangway = new Gangway(env, layouts, intake, queries, courier, this::status, this::ready, this::drain);
     }
@@ -116,7 +117,7 @@
             launches.ifPresent(Launches::start);
         }
         claim();
-        claiming = env.schedules().every(env.pace().renew(), this::claim);
+        claiming = env.schedules().every(Pace.usual().renew(), this::claim);
         learning = env.schedules().every(Duration.ofSeconds(2), core::learn);
     }
 
--- a/pilot/src/main/java/org/woadvale/pilot/gangway/Fetches.java
+++ b/pilot/src/main/java/org/woadvale/pilot/gangway/Fetches.java
@@ -28,7 +28,9 @@
 public final class Fetches {
     private static final Duration LIMIT = Duration.ofSeconds(2);
     /** A fetch waits at one store for so long, then at the next. */
-    private static final Duration TURN = Duration.ofMillis(300);
+    private static final Duration TURN = Duration.ofMillis(100);
+    /** At a store of its own hall. */
+    private static final Duration NEAR = Duration.ofMillis(300);
     private static final Duration AGAIN = Duration.ofMillis(100);
 
     /** What a processor says of its lease: the handle, and the attempt that it has. */
@@ -57,9 +59,11 @@
     private final News news;
     private final Layouts layouts;
     private final Courier courier;
+    private final String hall;
     private final BooleanSupplier draining;
 
-    public Fetches(Env env, News news, Layouts layouts, Courier courier, BooleanSupplier draining) {
+    public Fetches(Env env, News news, Layouts layouts, Courier courier, String hall, BooleanSupplier draining) {
+        this.hall = hall;
         this.env = env;
         this.news = news;
         this.layouts = layouts;
@@ -98,8 +102,9 @@
         if (!known || stores.isEmpty()) {
             return Pauses.pause(env.schedules(), least(left, AGAIN)).then(next);
         }
-        Duration here = least(left, TURN);
-        return courier.at(stores.get(n % stores.size()), u -> new Commands.PullAsk(service, processor, u, here.toMillis()),
+        String store = stores.get((n - first) % stores.size());
+        Duration here = least(left, near(store) ? NEAR : TURN);
+        return courier.at(store, u -> new Commands.PullAsk(service, processor, u, here.toMillis(), hall),
                 Commands.Pulled.class, here)
             .flatMap(p -> p.messages().isEmpty() ? Mono.<Message>empty() : Mono.just(p.messages().get(0)))
             .onErrorResume(e -> Pauses.pause(env.schedules(), least(left, AGAIN)).then(Mono.<Message>empty()))
@@ -110,11 +115,19 @@
         return a.compareTo(b) < 0 ? a : b;
     }
 
+    private boolean near(String store) {
+        return Optional.ofNullable(news.latest(Places.STORES).seats().get(store)).filter(s -> s.hall().equals(hall))
+            .isPresent();
+    }
+
+    /** Those of our own hall first. */
     private List<String> stores() {
         TreeSet<String> all = new TreeSet<>();
         news.latest(Places.STORES).placement().values().forEach(all::addAll);
         all.retainAll(news.latest(Places.STORES).seats().keySet());
-        return new ArrayList<>(all);
+        List<String> out = new ArrayList<>(all);
+        out.sort(java.util.Comparator.comparing(s -> !near(s)));
+        return out;
     }
 
     /** Fails with CONFLICT where the lease is gone. */
--- a/pilot/src/main/java/org/woadvale/pilot/gangway/Intake.java
+++ b/pilot/src/main/java/org/woadvale/pilot/gangway/Intake.java
@@ -31,12 +31,14 @@
     static final int MAX_BODY = 16 << 10;
     private static final Duration LIMIT = Duration.ofMillis(4000);
     private static final Duration PAUSE = Duration.ofMillis(50);
+    /** Where another part may take it, no owner is waited for. */
+    private static final Duration SHORT = Duration.ofMillis(100);
     private static final int DEPTH = 1024;
     private static final int WIDTH = 256;
 
-    private record Checked(Offer offer, String tenant, String hash) { }
+    private record Checked(Offer offer, String tenant, String hash, boolean free) { }
 
-    private record Admitted(Checked c, Purse.Pass pass) { }
+    private record Admitted(Checked c, Purse.Pass pass, String part) { }
 
     private final Env env;
     private final Doors doors;
@@ -95,13 +97,27 @@
         if (l.doors().isEmpty() && l.ordering() == Layout.Ordering.NONE && !o.orderKey().isEmpty()) {
             throw new Fault(ErrorKind.BAD_REQUEST, "The lane " + o.lane() + " has no ordering; leave out orderingKey.");
         }
-        return new Checked(o, key.map(Layout.Key::tenant).orElse(""), o.hash());
+        return new Checked(o, key.map(Layout.Key::tenant).orElse(""), o.hash(), !l.doors().isEmpty());
     }
 
     private Mono<Admitted> pass(Checked c) {
+        return pass(c, part(c));
+    }
+
+    private Mono<Admitted> pass(Checked c, String part) {
         return c.tenant().isEmpty() ? Mono.just(new Admitted(c,
-                new Purse.Pass(Passes.NO_GRANT, env.times().mono().plus(Passes.LIFE))))
-            : purses.take(Places.tenantBucket(c.tenant())).map(p -> new Admitted(c, p));
+                new Purse.Pass(Passes.NO_GRANT, env.times().mono().plus(Passes.LIFE)), part))
+            : purses.take(Places.tenantBucket(c.tenant())).map(p -> new Admitted(c, p, part));
+    }
+
+    /**
+     * By the ordering key, or by the id, which every repeat has. Where a repeat is never handed in anew (lanes with
+     * doors) any part does: one whose owner is near and in touch. design 9.13
+     */
+    private String part(Checked c) {
+        Offer o = c.offer();
+        return o.orderKey().isEmpty() && c.free() ? courier.anyPart(o.id())
+            : Places.messagePart(o.lane(), o.orderKey().isEmpty() ? o.id() : o.orderKey());
     }
 
     private String bucket(Admitted a) {
@@ -148,10 +164,10 @@
             putBack(a);
             return Mono.error(settled(e, unknown));
         }
-        String by = accept.orderKey().isEmpty() ? accept.id() : accept.orderKey();
-        String part = Places.messagePart(accept.lane(), by);
+        String part = a.part();
         Duration life = a.pass().until().minus(env.times().mono());
-        return courier.timely(part, u -> new Commands.AcceptAsk(part, accept, u), Commands.Accepted.class, life)
+        return courier.timely(part, u -> new Commands.AcceptAsk(part, accept, u), Commands.Accepted.class,
+                a.c().free() && accept.orderKey().isEmpty() ? SHORT : life)
             .doOnNext(x -> settle(a, x))
             .onErrorResume(e -> {
                 Fault f = Fault.of(e);
@@ -161,14 +177,25 @@
                 } else {
                     purses.settle(bucket(a), a.pass());
                 }
+                Optional<String> other = nowUnknown ? Optional.empty() : elsewhere(a, f);
+                if (other.isPresent()) {
+                    return pass(a.c(), other.get()).flatMap(next -> attempt(next, until, false));
+                }
                 boolean again = (nowUnknown || f.kind() == ErrorKind.UNAVAILABLE)
                     && !purses.alive(a.pass()) && env.times().mono().compareTo(until) < 0;
-                return again ? Pauses.pause(env.schedules(), PAUSE).then(pass(a.c()))
+                return again ? Pauses.pause(env.schedules(), PAUSE).then(pass(a.c(), a.part()))
                     .flatMap(next -> attempt(next, until, nowUnknown)).onErrorMap(x -> settled(x, nowUnknown))
                     : Mono.error(settled(f, nowUnknown));
             });
     }
 
+    /** It was certainly not taken there, so another part may take it. */
+    private Optional<String> elsewhere(Admitted a, Fault f) {
+        return Optional.of(a).filter(x -> x.c().free() && x.c().offer().orderKey().isEmpty()
+                && f.kind() == ErrorKind.UNAVAILABLE).map(x -> courier.anyPart(x.c().offer().id()))
+            .filter(p -> !p.equals(a.part()));
+    }
+
     /** A definite refusal now says nothing of an earlier unknown try. */
     private static Throwable settled(Throwable e, boolean unknown) {
         return unknown && Fault.of(e).kind().definite()
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Courier.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Courier.java
@@ -13,6 +13,7 @@
 import org.woadvale.foundation.lantern.Fault;
 import org.woadvale.foundation.lantern.Pauses;
 import org.woadvale.foundation.watch.Places;
+import org.woadvale.foundation.watch.Seat;
 import org.woadvale.pilot.berth.Commands;
 
 import reactor.core.publisher.Mono;
@@ -20,18 +21,47 @@
 /** Finds the owner of a message part among its stores and asks it. */
 public final class Courier {
     private static final Duration EACH = Duration.ofMillis(800);
+    private static final Duration TROUBLE = Duration.ofMillis(1500);
     private static final Duration PAUSE = Duration.ofMillis(60);
     private final Env env;
     private final News news;
     private final Map<String, String> owners = new ConcurrentHashMap<>();
+    private final String hall;
+    /** Until when a part whose owner did not answer is passed over. */
+    private final Map<String, Duration> troubles = new ConcurrentHashMap<>();
     private final Clocks clocks;
 
-    public Courier(Env env, News news) {
+    public Courier(Env env, News news, String hall) {
+        this.hall = hall;
         this.env = env;
         this.news = news;
         this.clocks = new Clocks(env);
     }
 
+    /**
+     * A part for what any part may hold: among those whose owner is in touch, rather one of our own hall; drawn by the
+     * given id. design 9.13
+     */
+    public String anyPart(String id) {
+        Map<String, List<String>> placement = news.latest(Places.STORES).placement();
+        Map<String, Seat> seats = news.latest(Places.STORES).seats();
+        List<String> sound = new ArrayList<>();
+        List<String> near = new ArrayList<>();
+        placement.forEach((part, copies) -> {
+            String owner = owners.getOrDefault(part, copies.isEmpty() ? "" : copies.get(0));
+            boolean troubled = env.times().mono().compareTo(troubles.getOrDefault(part, Duration.ZERO)) < 0;
+            if (!troubled && seats.containsKey(owner)) {
+                sound.add(part);
+                if (seats.get(owner).hall().equals(hall)) {
+                    near.add(part);
+                }
+            }
+        });
+        List<String> from = near.isEmpty() ? sound : near;
+        return from.isEmpty() ? Places.messagePart("", id)
+            : Places.draw(id, from).orElse(Places.messagePart("", id));
+    }
+
     private String guess(String part, int turn) {
         List<String> copies = new ArrayList<>(news.latest(Places.STORES).placement().getOrDefault(part, List.of()));
         String known = owners.getOrDefault(part, "");
@@ -76,11 +106,17 @@
             return Mono.error(new Fault(ErrorKind.UNAVAILABLE, "No store is placed for the part " + part + "."));
         }
         return body.apply(to).flatMap(b -> env.beam().ask(to, b, type, EACH))
-            .doOnNext(t -> owners.put(part, to))
+            .doOnNext(t -> {
+                owners.put(part, to);
+                troubles.remove(part);
+            })
             .onErrorResume(e -> {
                 Fault f = Fault.of(e);
                 owners.remove(part, to);
                 clocks.forget(to);
+                if (f.kind() != ErrorKind.NOT_OWNER || f.details().isEmpty()) {
+                    troubles.put(part, env.times().mono().plus(TROUBLE));
+                }
                 boolean nowUnknown = unknown || !f.kind().definite();
                 boolean again = f.kind() == ErrorKind.NOT_OWNER || f.kind() == ErrorKind.UNREACHABLE
                     || f.kind() == ErrorKind.UNKNOWN_OUTCOME || f.kind() == ErrorKind.STOPPING
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Drawing.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Drawing.java
@@ -39,7 +39,7 @@
             return List.of();
         }
         if (s.get().kind() == Layout.Kind.ENDPOINT) {
-            return List.of(new Targets.Target(service, ENDPOINT, s.get().address()));
+            return List.of(new Targets.Target(service, ENDPOINT, s.get().address(), true));
         }
         List<Targets.Target> out = new ArrayList<>();
         if (s.get().kind() == Layout.Kind.FETCHERS) {
@@ -47,7 +47,8 @@
         }
         l.kit().news().fresh(Places.processors(service)).ifPresent(v -> v.processors().forEach((id, p) -> {
             if (!p.leaving() && !p.address().isEmpty()) {
-                out.add(new Targets.Target(service + "/" + id, id, p.address()));
+                out.add(new Targets.Target(service + "/" + id, id, p.address(), p.hall().isEmpty()
+                    || p.hall().equals(l.kit().hall())));
             }
         }));
         return out;
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Kit.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Kit.java
@@ -10,4 +10,4 @@
 
 /** What every launcher of a store shares; lease is how long a leased message rests after its last word. */
 public record Kit(Env env, News news, Layouts layouts, Purses purses, Berths berths, Targets targets, Post post,
-                  Speech speech, Recorder recorder, Duration lease) { }
+                  Speech speech, Recorder recorder, Duration lease, String hall) { }
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Launcher.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Launcher.java
@@ -27,7 +27,7 @@
 public final class Launcher {
     private static final int LOOK_AHEAD = 64;
     private static final Duration SHORTLY = Duration.ofMillis(20);
-    private static final Duration FIRST_BACKOFF = Duration.ofMillis(250);
+    private static final Duration FIRST_BACKOFF = Duration.ofMillis(50);
     private static final Duration LONGEST_BACKOFF = Duration.ofSeconds(20);
     /** Retries of a tenant on a lane in a part: a flood that cannot succeed spends only these. */
     private static final Allowance RETRIES = new Allowance(5, 10);
@@ -100,7 +100,7 @@
     }
 
     Duration backoff(int tries) {
-        Duration d = FIRST_BACKOFF.multipliedBy(1L << Math.min(10, Math.max(0, tries - 1)));
+        Duration d = FIRST_BACKOFF.multipliedBy(1L << 2 * Math.min(5, Math.max(0, tries - 1)));
         d = d.compareTo(LONGEST_BACKOFF) > 0 ? LONGEST_BACKOFF : d;
         return d.dividedBy(2).plusNanos(Math.floorMod(kit.env().random().getAsLong(), d.toNanos()));
     }
@@ -159,7 +159,7 @@
             if (m.leased()) {
                 leases.look(m);
             } else if (busy.add(m.handle())) {
-                new Run(this, m, new Targets.Target("", m.processor(), "")).adopted()
+                new Run(this, m, new Targets.Target("", m.processor(), "", true)).adopted()
                     .doFinally(s -> busy.remove(m.handle())).subscribe(x -> { }, e -> { });
             }
         }
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Moorings.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Moorings.java
@@ -81,8 +81,12 @@
         services.forEach(this::serve);
     }
 
+    /** Those of our own hall first: bytes between halls are dear. */
     private synchronized Optional<Moored> take(String service) {
-        return Optional.ofNullable(waiting.get(service)).map(Deque::poll);
+        Deque<Moored> line = waiting.getOrDefault(service, new ArrayDeque<>());
+        Optional<Moored> near = line.stream().filter(m -> m.ask().hall().equals(kit.hall())).findFirst();
+        near.ifPresent(line::remove);
+        return near.or(() -> Optional.ofNullable(line.poll()));
     }
 
     private synchronized void putBack(Moored m) {
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Targets.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Targets.java
@@ -15,11 +15,13 @@
 public final class Targets {
     private static final int MAX_IN_FLIGHT = 16;
     private static final int FAILING = 3;
+    /** Work goes to another hall only where that pays: bytes between halls are dear. */
+    private static final double FAR = 2;
     private static final Duration FIRST_PAUSE = Duration.ofMillis(250);
     private static final Duration LONGEST_PAUSE = Duration.ofSeconds(1);
 
     /** One back end that may get work. */
-    public record Target(String key, String id, String address) { }
+    public record Target(String key, String id, String address, boolean near) { }
 
     private static final class Liveness {
         int inFlight;
@@ -44,7 +46,7 @@
     public Optional<Target> draw(List<Target> from, ToIntFunction<Target> most) {
         return shard.get(() -> {
             Optional<Target> t = from.stream().filter(x -> open(of(x), most.applyAsInt(x)))
-                .min(Comparator.comparingDouble(x -> (of(x).inFlight + 1) * (1 + of(x).slowMs)));
+                .min(Comparator.comparingDouble(x -> (of(x).inFlight + 1) * (1 + of(x).slowMs) * (x.near() ? 1 : FAR)));
             t.ifPresent(x -> of(x).inFlight++);
             return t;
         });
--- a/trials/src/main/java/org/woadvale/trials/squall/World.java
+++ b/trials/src/main/java/org/woadvale/trials/squall/World.java
@@ -118,7 +118,7 @@
             : new NoLogbook();
         book.onFailure(why -> h.kill());
         Env env = new Env(seams.times().apply(address, h), h, beam, codec, book, sim.random()::nextLong,
-            seams.pace().apply(lamp ? Pace.core() : Pace.usual()));
+            seams.pace().apply(lamp || store ? Pace.core() : Pace.usual()));
         Core core = new Core(beam, sim.random()::nextLong, seeds, List.of(), l -> { });
         if (lamp) {
             LampNode n = new LampNode(env, core, seeds.contains(address) ? seeds : List.of());
