The ring is opened piece by piece and written batch by batch

Cause: opening held every ring file whole in the heap (96 MB for twelve of 8 MB), a new file was one buffer of its size, the tail was zeroed with one write, and the runtime keeps, for each thread, a buffer outside the heap as large as the largest that was written. Each record was a write of its own. Ruled out: mapping the files (resident too; a failing disk ends the process by a signal); one reused file buffer (8 MB for good, to look at a few KB). Conclusion: recovery reads through a window of 64 KB or one record, one file after the other; what is read, cut, condemned and refused is as before. The simulated disk now loses sectors of 512 bytes each by itself, so that one large write is no kinder than many small ones were. RingBytesTest counts.

--- a/foundation/src/main/java/org/woadvale/foundation/logbook/Disk.java
+++ b/foundation/src/main/java/org/woadvale/foundation/logbook/Disk.java
@@ -5,16 +5,24 @@
 
 /** Seam to the data folder; bytes last only once synced. */
 public interface Disk {
+    /** No caller needs more at once than this, or than one record. */
+    int CHUNK = 64 << 10;
+
     interface Leaf {
-        void write(long pos, byte[] bytes) throws IOException;
+        int size() throws IOException;
+
+        /** Writes the first so many of the bytes. */
+        void write(long pos, byte[] bytes, int length) throws IOException;
 
-        byte[] read() throws IOException;
+        /** Fills the first so many of the bytes; what lies beyond the end of the file is zero. */
+        void read(long pos, byte[] into, int length) throws IOException;
 
         void sync() throws IOException;
     }
 
     List<String> list() throws IOException;
 
+    /** A file of at least this size; a new one is all zeros. */
     Leaf open(String name, int size) throws IOException;
 
     /** Takes everything out of the way; a damaged folder is kept aside where the disk can. */
--- a/foundation/src/main/java/org/woadvale/foundation/logbook/FolderDisk.java
+++ b/foundation/src/main/java/org/woadvale/foundation/logbook/FolderDisk.java
@@ -6,6 +6,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.util.Arrays;
 import java.util.List;
 import java.util.stream.Stream;
 
@@ -31,7 +32,11 @@
         boolean made = !Files.exists(p);
         FileChannel ch = FileChannel.open(p, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE);
         if (made || ch.size() < size) {
-            ch.write(ByteBuffer.allocate(size), 0);
+            Leaf blank = new ChannelLeaf(ch);
+            byte[] zeros = new byte[CHUNK];
+            for (int at = 0; at < size; at += CHUNK) {
+                blank.write(at, zeros, Math.min(CHUNK, size - at));
+            }
             ch.force(true);
             syncFolder();
         }
@@ -54,28 +59,30 @@
         syncFolder();
     }
 
+    /** Small pieces only: the runtime keeps a buffer outside the heap as large as the largest for each thread. */
     private record ChannelLeaf(FileChannel ch) implements Leaf {
         @Override
-        public void write(long pos, byte[] bytes) throws IOException {
-            ByteBuffer b = ByteBuffer.wrap(bytes);
-            long at = pos;
-            while (b.hasRemaining()) {
-                at += ch.write(b, at);
+        public int size() throws IOException {
+            return (int) ch.size();
+        }
+
+        @Override
+        public void write(long pos, byte[] bytes, int length) throws IOException {
+            for (int at = 0; at < length;) {
+                at += ch.write(ByteBuffer.wrap(bytes, at, Math.min(CHUNK, length - at)), pos + at);
             }
         }
 
         @Override
-        public byte[] read() throws IOException {
-            ByteBuffer b = ByteBuffer.allocate((int) ch.size());
-            int at = 0;
-            while (b.hasRemaining()) {
-                int n = ch.read(b, at);
+        public void read(long pos, byte[] into, int length) throws IOException {
+            for (int at = 0; at < length;) {
+                int n = ch.read(ByteBuffer.wrap(into, at, Math.min(CHUNK, length - at)), pos + at);
                 if (n < 0) {
-                    break;
+                    Arrays.fill(into, at, length, (byte) 0);
+                    return;
                 }
                 at += n;
             }
-            return b.array();
         }
 
         @Override
--- a/foundation/src/main/java/org/woadvale/foundation/logbook/RecordForm.java
+++ b/foundation/src/main/java/org/woadvale/foundation/logbook/RecordForm.java
@@ -1,5 +1,6 @@
 package org.woadvale.foundation.logbook;
 
+import java.io.IOException;
 import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -31,49 +32,51 @@
     private RecordForm() { }
 
     static byte[] roll(long segment, long batch) {
-        return seal(ByteBuffer.allocate(HEAD + 18).position(HEAD).put(FORMAT).putLong(segment).putLong(batch).put(ROLL));
+        return seal(ByteBuffer.allocate(HEAD + 18).position(HEAD).put(FORMAT).putLong(segment).putLong(batch).put(ROLL),
+            new byte[0]);
     }
 
-    static byte[] write(long segment, long batch, Entry e) {
+    /** All of the record but its bytes, which follow: a large base is not copied once more. */
+    static byte[] head(long segment, long batch, Entry e) {
         byte[] part = e.part().getBytes(StandardCharsets.UTF_8);
-        ByteBuffer b = ByteBuffer.allocate(size(e)).position(HEAD).put(FORMAT).putLong(segment).putLong(batch)
+        return seal(ByteBuffer.allocate(size(e) - e.bytes().length).position(HEAD).put(FORMAT).putLong(segment).putLong(batch)
             .put((byte) e.kind().ordinal()).putShort((short) part.length).put(part)
-            .putLong(e.index()).putLong(e.term()).putInt(e.bytes().length).put(e.bytes());
-        return seal(b);
+            .putLong(e.index()).putLong(e.term()).putInt(e.bytes().length), e.bytes());
     }
 
     static int size(Entry e) {
         return HEAD + 18 + 2 + e.part().getBytes(StandardCharsets.UTF_8).length + 20 + e.bytes().length;
     }
 
-    private static byte[] seal(ByteBuffer b) {
+    private static byte[] seal(ByteBuffer b, byte[] follow) {
         CRC32C crc = new CRC32C();
         crc.update(b.array(), HEAD, b.capacity() - HEAD);
-        b.putInt(0, b.capacity()).putInt(4, (int) crc.getValue());
+        crc.update(follow);
+        b.putInt(0, b.capacity() + follow.length).putInt(4, (int) crc.getValue());
         return b.array();
     }
 
     /** Empty where no whole, sound record stands at the place. */
-    static Optional<Found> read(byte[] all, int at) throws Newer {
-        if (at + HEAD + 18 > all.length) {
+    static Optional<Found> read(Window file, int at) throws Newer, IOException {
+        if (at + HEAD + 18 > file.size()) {
             return Optional.empty();
         }
-        ByteBuffer b = ByteBuffer.wrap(all);
-        int len = b.getInt(at);
-        if (len < HEAD + 18 || len > all.length - at) {
+        int len = file.look(at, HEAD).getInt();
+        if (len < HEAD + 18 || len > file.size() - at) {
             return Optional.empty();
         }
+        ByteBuffer b = file.look(at, len);
         CRC32C crc = new CRC32C();
-        crc.update(all, at + HEAD, len - HEAD);
-        if ((int) crc.getValue() != b.getInt(at + 4)) {
+        crc.update(b.slice(HEAD, len - HEAD));
+        if ((int) crc.getValue() != b.getInt(4)) {
             return Optional.empty();
         }
-        byte format = b.get(at + HEAD);
+        byte format = b.get(HEAD);
         if (format > FORMAT) {
             throw new Newer(format);
         }
         try {
-            return body(b.position(at + HEAD), at + len);
+            return body(b.position(HEAD), at + len);
         } catch (BufferUnderflowException e) {
             return Optional.empty();
         }
--- a/foundation/src/main/java/org/woadvale/foundation/logbook/Recovery.java
+++ b/foundation/src/main/java/org/woadvale/foundation/logbook/Recovery.java
@@ -1,12 +1,13 @@
 package org.woadvale.foundation.logbook;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
-/** Reads a ring back. Torn tails are cut; damage before the tail condemns the folder: design 4.3. */
+/** Reads a ring back, piece by piece. Torn tails are cut; damage before the tail condemns the folder: design 4.3. */
 final class Recovery {
     /** The folder cannot be trusted; its parts must be treated as lost. */
     static final class Damaged extends Exception {
@@ -24,13 +25,13 @@
     int pos;
     long batch;
 
-    static Recovery run(List<byte[]> files) throws Damaged, RecordForm.Newer {
+    static Recovery run(List<Disk.Leaf> files) throws Damaged, RecordForm.Newer, IOException {
         Recovery r = new Recovery();
         long newest = -1;
         long oldest = Long.MAX_VALUE;
         int n = files.size();
         for (int i = 0; i < n; i++) {
-            Optional<RecordForm.Found> first = RecordForm.read(files.get(i), 0);
+            Optional<RecordForm.Found> first = RecordForm.read(new Window(files.get(i)), 0);
             if (first.isPresent()) {
                 long s = first.get().segment();
                 if (s % n != i) {
@@ -42,29 +43,27 @@
         }
         if (newest < 0) {
             for (int i = 1; i < n; i++) {
-                mustBeUnused(files.get(i), i);
+                mustBeUnused(new Window(files.get(i)), i);
             }
-            r.checkTail(files.get(0), 0, 0);
+            r.checkTail(new Window(files.get(0)), 0, 0);
             return r;
         }
         for (long s = oldest; s <= newest; s++) {
-            r.segment(files.get((int) (s % n)), s, s == newest);
+            r.segment(new Window(files.get((int) (s % n))), s, s == newest);
         }
         if (newest - oldest + 1 < n) {
-            r.checkTail(files.get((int) ((newest + 1) % n)), newest + 1, 0);
+            r.checkTail(new Window(files.get((int) ((newest + 1) % n))), newest + 1, 0);
         }
         return r;
     }
 
-    private static void mustBeUnused(byte[] file, int i) throws Damaged {
-        for (byte b : file) {
-            if (b != 0) {
-                throw new Damaged("file " + i + " is unreadable");
-            }
+    private static void mustBeUnused(Window file, int i) throws Damaged, IOException {
+        if (!file.zero(0, file.size())) {
+            throw new Damaged("file " + i + " is unreadable");
         }
     }
 
-    private void segment(byte[] file, long s, boolean last) throws Damaged, RecordForm.Newer {
+    private void segment(Window file, long s, boolean last) throws Damaged, RecordForm.Newer, IOException {
         int at = 0;
         while (true) {
             Optional<RecordForm.Found> f = RecordForm.read(file, at);
@@ -100,9 +99,9 @@
     }
 
     /** A sound record of a later batch beyond the break proves that synced bytes were lost. */
-    private void checkTail(byte[] file, long s, int from) throws Damaged, RecordForm.Newer {
-        for (int at = from; at + RecordForm.HEAD + 18 <= file.length; at++) {
-            if (file[at + RecordForm.HEAD] < 1 || segmentAt(file, at) != s) {
+    private void checkTail(Window file, long s, int from) throws Damaged, RecordForm.Newer, IOException {
+        for (int at = from; at + RecordForm.HEAD + 18 <= file.size(); at++) {
+            if (file.at(at + RecordForm.HEAD) < 1 || file.look(at + RecordForm.HEAD + 1, 8).getLong() != s) {
                 continue;
             }
             Optional<RecordForm.Found> f = RecordForm.read(file, at);
@@ -111,8 +110,4 @@
             }
         }
     }
-
-    private static long segmentAt(byte[] file, int at) {
-        return java.nio.ByteBuffer.wrap(file).getLong(at + RecordForm.HEAD + 1);
-    }
 }
--- a/foundation/src/main/java/org/woadvale/foundation/logbook/RingLogbook.java
+++ b/foundation/src/main/java/org/woadvale/foundation/logbook/RingLogbook.java
@@ -30,6 +30,7 @@
     private final Map<String, Long> needs = new HashMap<>();
     /** In which segment a part was asked for a base that has not been written yet. */
     private final Map<String, Long> asked = new HashMap<>();
+    private final Gather gather = new Gather();
     private final Map<String, Runnable> pressure = new ConcurrentHashMap<>();
     private List<Job> waiting = new ArrayList<>();
     private Consumer<String> failure = why -> { };
@@ -44,10 +45,10 @@
     private RingLogbook(Disk disk, Schedules schedules, int files, int size) throws IOException, RecordForm.Newer {
         this.schedules = schedules;
         this.size = size;
-        List<byte[]> bytes = openAll(disk, files);
+        openAll(disk, files);
         Recovery r;
         try {
-            r = Recovery.run(bytes);
+            r = Recovery.run(leaves);
         } catch (Recovery.Damaged e) {
             LOG.error("logbook: the folder is damaged ({}); set aside, starting blank.", e.getMessage());
             disk.setAside();
@@ -59,23 +60,19 @@
         segment = r.segment;
         pos = r.pos;
         batch = r.batch;
-        leaves.get(file()).write(pos, new byte[size - pos]);
+        new Window(leaves.get(file())).blank(pos);
         leaves.get(file()).sync();
     }
 
-    private List<byte[]> openAll(Disk disk, int files) throws IOException {
+    private void openAll(Disk disk, int files) throws IOException {
         leaves.clear();
         boolean torn = !disk.list().isEmpty() && disk.list().stream().filter(f -> f.startsWith("ring-")).count() < files;
-        List<byte[]> bytes = new ArrayList<>();
         for (int i = 0; i < files; i++) {
-            Disk.Leaf leaf = disk.open(String.format("ring-%02d", i), size);
-            leaves.add(leaf);
-            bytes.add(leaf.read());
+            leaves.add(disk.open(String.format("ring-%02d", i), size));
         }
         if (torn) {
             LOG.warn("logbook: some ring files were missing and were made anew.");
         }
-        return bytes;
     }
 
     public static RingLogbook open(Disk disk, Schedules schedules, int files, int size) throws Fault {
@@ -148,6 +145,7 @@
             }
         }
         if (any) {
+            gather.flush(leaves.get(file()), pos);
             leaves.get(file()).sync();
             syncs++;
         }
@@ -160,7 +158,8 @@
             throw new IOException("a record of " + need + " bytes is larger than a ring file");
         }
         if (pos + need + rollSize > size) {
-            leaves.get(file()).write(pos, RecordForm.roll(segment, batch));
+            gather.add(leaves.get(file()), pos, RecordForm.roll(segment, batch));
+            gather.flush(leaves.get(file()), pos + rollSize);
             leaves.get(file()).sync();
             syncs++;
             segment++;
@@ -169,7 +168,9 @@
                 throw new IOException("the ring is full");
             }
         }
-        leaves.get(file()).write(pos, RecordForm.write(segment, batch, e));
+        byte[] head = RecordForm.head(segment, batch, e);
+        gather.add(leaves.get(file()), pos, head);
+        gather.add(leaves.get(file()), pos + head.length, e.bytes());
         pos += need;
         synchronized (needs) {
             if (e.kind() == Entry.Kind.BASE) {
--- /dev/null
+++ b/foundation/src/main/java/org/woadvale/foundation/logbook/Window.java
@@ -0,0 +1,60 @@
+package org.woadvale.foundation.logbook;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+
+/** A moving piece of one file: recovery holds no more than the record it looks at. design 4.3 */
+final class Window {
+    private final Disk.Leaf leaf;
+    private final int size;
+    private byte[] bytes = new byte[Disk.CHUNK];
+    private int from;
+    private int held;
+
+    Window(Disk.Leaf leaf) throws IOException {
+        this.leaf = leaf;
+        this.size = leaf.size();
+    }
+
+    int size() {
+        return size;
+    }
+
+    /** The next so many bytes at a place; good until the next look. */
+    ByteBuffer look(int at, int length) throws IOException {
+        if (at < from || at + length > from + held) {
+            if (length > bytes.length) {
+                bytes = new byte[length];
+            }
+            held = Math.min(bytes.length, size - at);
+            leaf.read(at, bytes, held);
+            from = at;
+        }
+        return ByteBuffer.wrap(bytes, at - from, length).slice();
+    }
+
+    byte at(int pos) throws IOException {
+        return pos >= from && pos < from + held ? bytes[pos - from] : look(pos, 1).get();
+    }
+
+    boolean zero(int start, int end) throws IOException {
+        for (int i = start; i < end; i++) {
+            if (at(i) != 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** No leftover may ever be read as a record: design 4.3. What is zero already costs no write. */
+    void blank(int start) throws IOException {
+        byte[] zeros = new byte[Disk.CHUNK];
+        for (int at = start; at < size; at += Disk.CHUNK) {
+            int end = Math.min(at + Disk.CHUNK, size);
+            if (!zero(at, end)) {
+                leaf.write(at, zeros, end - at);
+            }
+        }
+        held = 0;
+    }
+}
--- a/foundation/src/test/java/org/woadvale/foundation/logbook/RecordFormTest.java
+++ b/foundation/src/test/java/org/woadvale/foundation/logbook/RecordFormTest.java
@@ -5,7 +5,9 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.util.HexFormat;
+import java.util.Optional;
 
 import org.junit.jupiter.api.Test;
 
@@ -14,9 +16,29 @@
     private static final byte[] FORMAT_1 = HexFormat.of().parseHex("00000035733c1d7301000000000000000300000000000000090100"
         + "026d310000000000000005000000000000000200000003010203");
 
+    private static Optional<RecordForm.Found> read(byte[] file) throws RecordForm.Newer, IOException {
+        return RecordForm.read(new Window(new Disk.Leaf() {
+            @Override
+            public int size() {
+                return file.length;
+            }
+
+            @Override
+            public void write(long pos, byte[] bytes, int length) { }
+
+            @Override
+            public void read(long pos, byte[] into, int length) {
+                System.arraycopy(file, (int) pos, into, 0, length);
+            }
+
+            @Override
+            public void sync() { }
+        }), 0);
+    }
+
     @Test
-    void recordsOfTheFirstFormatAreRead() throws RecordForm.Newer {
-        RecordForm.Found f = RecordForm.read(FORMAT_1, 0).orElseThrow();
+    void recordsOfTheFirstFormatAreRead() throws RecordForm.Newer, IOException {
+        RecordForm.Found f = read(FORMAT_1).orElseThrow();
         assertEquals(3, f.segment());
         assertEquals(9, f.batch());
         Entry e = f.entry().orElseThrow();
@@ -28,11 +50,11 @@
     }
 
     @Test
-    void anyFlippedBitIsSeen() throws RecordForm.Newer {
+    void anyFlippedBitIsSeen() throws RecordForm.Newer, IOException {
         for (int bit = 0; bit < FORMAT_1.length * 8; bit++) {
             byte[] bad = FORMAT_1.clone();
             bad[bit / 8] ^= (byte) (1 << bit % 8);
-            assertTrue(RecordForm.read(bad, 0).isEmpty(), "bit " + bit);
+            assertTrue(read(bad).isEmpty(), "bit " + bit);
         }
     }
 
@@ -45,6 +67,6 @@
         crc.update(newer, RecordForm.HEAD, newer.length - RecordForm.HEAD);
         java.nio.ByteBuffer.wrap(newer).putInt(4, (int) crc.getValue());
         assertEquals("written by a newer build: format 4, this one reads up to 3",
-            assertThrows(RecordForm.Newer.class, () -> RecordForm.read(newer, 0)).getMessage());
+            assertThrows(RecordForm.Newer.class, () -> read(newer)).getMessage());
     }
 }
--- a/trials/src/main/java/org/woadvale/trials/squall/Naive.java
+++ b/trials/src/main/java/org/woadvale/trials/squall/Naive.java
@@ -59,13 +59,18 @@
                 Leaf l = d.open(name, size);
                 return new Leaf() {
                     @Override
-                    public void write(long pos, byte[] bytes) throws java.io.IOException {
-                        l.write(pos, bytes);
+                    public int size() throws java.io.IOException {
+                        return l.size();
                     }
 
                     @Override
-                    public byte[] read() throws java.io.IOException {
-                        return l.read();
+                    public void write(long pos, byte[] bytes, int length) throws java.io.IOException {
+                        l.write(pos, bytes, length);
+                    }
+
+                    @Override
+                    public void read(long pos, byte[] into, int length) throws java.io.IOException {
+                        l.read(pos, into, length);
                     }
 
                     @Override
--- a/trials/src/main/java/org/woadvale/trials/squall/SimDisk.java
+++ b/trials/src/main/java/org/woadvale/trials/squall/SimDisk.java
@@ -1,15 +1,29 @@
 package org.woadvale.trials.squall;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
 import org.woadvale.foundation.logbook.Disk;
 
-/** A disk that forgets unsynced writes when the power goes: each may be kept, torn or lost. */
+/** A disk that forgets unsynced writes when the power goes: each sector may be kept, torn or lost. */
 public final class SimDisk implements Disk {
-    private record Write(long pos, byte[] bytes) { }
+    private static final int SECTOR = 512;
+
+    private record Write(int pos, byte[] bytes) {
+        /** The sectors reach the platter each by itself. */
+        List<Write> sectors() {
+            List<Write> out = new ArrayList<>();
+            for (int at = 0; at < bytes.length;) {
+                int end = Math.min(bytes.length, ((pos + at) / SECTOR + 1) * SECTOR - pos);
+                out.add(new Write(pos + at, Arrays.copyOfRange(bytes, at, end)));
+                at = end;
+            }
+            return out;
+        }
+    }
 
     private static final class Platter {
         byte[] synced;
@@ -19,8 +33,8 @@
             synced = new byte[size];
         }
 
-        static void put(byte[] onto, Write w, int length) {
-            System.arraycopy(w.bytes(), 0, onto, (int) w.pos(), length);
+        void keep(Write w, int length) {
+            System.arraycopy(w.bytes(), 0, synced, w.pos(), length);
         }
     }
 
@@ -46,21 +60,31 @@
         Platter p = files.computeIfAbsent(name, n -> new Platter(size));
         return new Leaf() {
             @Override
-            public void write(long pos, byte[] bytes) {
-                p.loose.add(new Write(pos, bytes.clone()));
+            public int size() {
+                return p.synced.length;
+            }
+
+            @Override
+            public void write(long pos, byte[] bytes, int length) {
+                p.loose.add(new Write((int) pos, Arrays.copyOf(bytes, length)));
             }
 
             @Override
-            public byte[] read() {
-                byte[] all = p.synced.clone();
-                p.loose.forEach(w -> Platter.put(all, w, w.bytes().length));
-                return all;
+            public void read(long pos, byte[] into, int length) {
+                System.arraycopy(p.synced, (int) pos, into, 0, length);
+                p.loose.forEach(w -> {
+                    int start = Math.max((int) pos, w.pos());
+                    int end = Math.min((int) pos + length, w.pos() + w.bytes().length);
+                    if (start < end) {
+                        System.arraycopy(w.bytes(), start - w.pos(), into, start - (int) pos, end - start);
+                    }
+                });
             }
 
             @Override
             public void sync() {
                 syncs++;
-                p.loose.forEach(w -> Platter.put(p.synced, w, w.bytes().length));
+                p.loose.forEach(w -> p.keep(w, w.bytes().length));
                 p.loose.clear();
             }
         };
@@ -83,10 +107,10 @@
 
     public void powerLoss() {
         files.values().forEach(p -> {
-            p.loose.forEach(w -> {
+            p.loose.stream().flatMap(w -> w.sectors().stream()).forEach(w -> {
                 int fate = sim.random().nextInt(3);
                 int keep = fate == 0 ? 0 : fate == 1 ? w.bytes().length : sim.random().nextInt(w.bytes().length + 1);
-                Platter.put(p.synced, w, keep);
+                p.keep(w, keep);
             });
             p.loose.clear();
         });
--- /dev/null
+++ b/trials/src/test/java/org/woadvale/trials/keeper/RingBytesTest.java
@@ -0,0 +1,152 @@
+package org.woadvale.trials.keeper;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+import org.woadvale.foundation.beam.Router;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.foundation.logbook.Disk;
+import org.woadvale.foundation.logbook.Entry;
+import org.woadvale.foundation.logbook.RingLogbook;
+import org.woadvale.trials.squall.Harness;
+import org.woadvale.trials.squall.Sim;
+import org.woadvale.trials.squall.SimNet;
+
+/** How many bytes the ring asks of the disk at once, and in how many calls. */
+class RingBytesTest {
+    private static final int FILES = 12;
+    private static final int SIZE = 8 << 20;
+    private static final int RECORD = 200_000;
+
+    /** Counts what passes through. */
+    private static final class Counting implements Disk {
+        private final Disk disk;
+        private final List<Integer> reads = new ArrayList<>();
+        private final List<Integer> writes = new ArrayList<>();
+        private final Set<byte[]> buffers = java.util.Collections.newSetFromMap(new java.util.IdentityHashMap<>());
+        private final List<String> order = new ArrayList<>();
+
+        Counting(Disk disk) {
+            this.disk = disk;
+        }
+
+        @Override
+        public List<String> list() throws IOException {
+            return disk.list();
+        }
+
+        @Override
+        public Leaf open(String name, int size) throws IOException {
+            Leaf leaf = disk.open(name, size);
+            return new Leaf() {
+                @Override
+                public int size() throws IOException {
+                    return leaf.size();
+                }
+
+                @Override
+                public void write(long pos, byte[] bytes, int length) throws IOException {
+                    writes.add(length);
+                    leaf.write(pos, bytes, length);
+                }
+
+                @Override
+                public void read(long pos, byte[] into, int length) throws IOException {
+                    reads.add(length);
+                    buffers.add(into);
+                    order.add(name);
+                    leaf.read(pos, into, length);
+                }
+
+                @Override
+                public void sync() throws IOException {
+                    leaf.sync();
+                }
+            };
+        }
+
+        @Override
+        public void setAside() throws IOException {
+            disk.setAside();
+        }
+
+        int largestRead() {
+            return reads.stream().mapToInt(Integer::intValue).max().orElse(0);
+        }
+    }
+
+    private final Sim sim = new Sim(21);
+    private final Harness h = new Harness("a:1", sim, new SimNet(sim));
+    private Counting disk;
+
+    private RingLogbook open() throws Fault {
+        h.boot(new Router());
+        disk = new Counting(h.disk());
+        return RingLogbook.open(disk, h.host(), FILES, SIZE);
+    }
+
+    private static Entry entry(long index, Entry.Kind kind, int size) {
+        return new Entry("m1", kind, index, 1, new byte[size]);
+    }
+
+    /** Before: all twelve files stood in the heap at once, 96 MB for a state of a few. */
+    @Test
+    void aWrappedRingIsOpenedPieceByPiece() throws Fault {
+        RingLogbook b = open();
+        List<String> failed = new ArrayList<>();
+        b.onFailure(failed::add);
+        long last = 0;
+        while (b.filesWritten() <= FILES + 2) {
+            last++;
+            b.append(List.of(entry(last, last % 20 == 0 ? Entry.Kind.BASE : Entry.Kind.ENTRY, RECORD)), () -> { });
+            sim.run(Duration.ofMillis(20));
+        }
+        assertEquals(List.of(), failed);
+        h.powerLoss();
+        List<Entry> found = open().recovered().get("m1");
+        assertEquals(last, found.get(found.size() - 1).index());
+        assertEquals(Entry.Kind.BASE, found.get(0).kind());
+        assertTrue(disk.largestRead() < RECORD + 100, "at most one record is read at once, read " + disk.largestRead());
+        assertTrue(disk.buffers.stream().mapToInt(x -> x.length).max().orElse(0) < RECORD + 100);
+        // the first record of each file, each file in the order of its segment, the tail
+        Set<String> names = new LinkedHashSet<>(disk.order);
+        assertEquals(FILES, names.size());
+        int turns = 1;
+        for (int i = 1; i < disk.order.size(); i++) {
+            turns += disk.order.get(i).equals(disk.order.get(i - 1)) ? 0 : 1;
+        }
+        assertTrue(turns <= 2 * FILES + 2, "one file after the other, not back and forth: " + turns + " turns");
+    }
+
+    @Test
+    void anUnusedRingCostsSmallReadsAndNoWrites() throws Fault {
+        open();
+        assertTrue(disk.largestRead() <= Disk.CHUNK);
+        assertEquals(List.of(), disk.writes);
+    }
+
+    /** Before: one write for each record. */
+    @Test
+    void aBatchIsWrittenTogether() throws Fault {
+        RingLogbook b = open();
+        List<Entry> batch = new ArrayList<>();
+        for (int i = 1; i <= 40; i++) {
+            batch.add(entry(i, Entry.Kind.ENTRY, 1000));
+        }
+        b.append(batch, () -> { });
+        sim.run(Duration.ofMillis(20));
+        assertEquals(1, disk.writes.size());
+        b.append(List.of(entry(41, Entry.Kind.ENTRY, 300_000), entry(42, Entry.Kind.ENTRY, 10)), () -> { });
+        sim.run(Duration.ofMillis(20));
+        h.kill();
+        assertEquals(42, open().recovered().get("m1").size());
+    }
+}
