A handle or lease of a part that does not exist is unknown, not 'later'

Cause: handle and lease were checked by form only, so the asker looked for the owner of a part without a place. Before: GET /-/message/m999-1 and an end under lease m999-1.1 were answered 503, and a processor repeats an end for ever. After: 404 and 409.

--- a/pilot/src/main/java/org/woadvale/pilot/gangway/Fetches.java
+++ b/pilot/src/main/java/org/woadvale/pilot/gangway/Fetches.java
@@ -43,9 +43,11 @@
 
         /** Empty where it was never one of ours. */
         public static Optional<Lease> read(String word) {
-            return word.matches("m[0-9]{1,4}-[0-9]{1,18}\\.[0-9]{1,9}")
-                ? Optional.of(new Lease(word.substring(0, word.indexOf('.')),
-                    Integer.parseInt(word.substring(word.indexOf('.') + 1)))) : Optional.empty();
+            if (!word.matches("m[0-9]{1,4}-[0-9]{1,18}\\.[0-9]{1,9}")) {
+                return Optional.empty();
+            }
+            Lease l = new Lease(word.substring(0, word.indexOf('.')), Integer.parseInt(word.substring(word.indexOf('.') + 1)));
+            return Optional.of(l).filter(x -> Places.messageParts().contains(x.part()));
         }
 
         String part() {
@@ -88,7 +90,7 @@
                                AtomicBoolean gone) {
         Duration left = until.minus(env.times().mono());
         // a draining intake lets nobody wait for longer than one turn
-        if (left.isNegative() || left.isZero() || gone.get() || n != first && draining.getAsBoolean()) {
+        if (left.toMillis() < 1 || gone.get() || n != first && draining.getAsBoolean()) {
             return Mono.empty();
         }
         List<String> stores = stores();
--- a/pilot/src/main/java/org/woadvale/pilot/gangway/Queries.java
+++ b/pilot/src/main/java/org/woadvale/pilot/gangway/Queries.java
@@ -5,6 +5,7 @@
 import org.woadvale.foundation.chart.Layout;
 import org.woadvale.foundation.lantern.ErrorKind;
 import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.foundation.watch.Places;
 import org.woadvale.pilot.Layouts;
 import org.woadvale.pilot.berth.Commands;
 import org.woadvale.pilot.berth.Message;
@@ -25,10 +26,11 @@
     }
 
     static String partOf(String handle) throws Fault {
-        if (!handle.matches(HANDLE)) {
+        String part = handle.replaceAll("-.*", "");
+        if (!handle.matches(HANDLE) || !Places.messageParts().contains(part)) {
             throw new Fault(ErrorKind.NOT_FOUND, "No such message.");
         }
-        return handle.substring(0, handle.indexOf('-'));
+        return part;
     }
 
     /** The message, if it is of the secret's tenant; NOT_FOUND else, the same as for one that never was. */
