Fleet behind the platform's doors on fakes; leases, moorings, resending, lists

Roads runs the shipped nodes with the real adapter (PlatformDoors) on the simulator; Roster is the list with lag, pages and rate limit; Shore scripts clients, processors and operator.

--- /dev/null
+++ b/trials/src/main/java/org/woadvale/trials/buoy/Papers.java
@@ -0,0 +1,90 @@
+package org.woadvale.trials.buoy;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.woadvale.foundation.chart.Charts;
+
+/** A configuration as the platform's operator writes it. docs/platform.md 3 */
+public record Papers(long configRevision, List<Route> routes, List<Service> services, List<Tenant> tenants) {
+    public record Route(String name, String host, String pathPrefix, String service, long timeoutMs, int maxAttempts,
+                        boolean inOrder, double retentionS, boolean keyless) { }
+
+    public record Service(String name, double ratePerS, int maxConnections, boolean selfDedup, boolean pullMode,
+                          Optional<String> fixedEndpoint) { }
+
+    public record Tenant(String name, List<String> accessKeys, double ratePerS, double burstSize) { }
+
+    public Papers with(long revision) {
+        return new Papers(revision, routes, services, tenants);
+    }
+
+    public Papers routes(List<Route> other) {
+        return new Papers(configRevision, List.copyOf(other), services, tenants);
+    }
+
+    public Papers tenants(List<Tenant> other) {
+        return new Papers(configRevision, routes, services, List.copyOf(other));
+    }
+
+    /** The route whose host is the one and whose prefix is the longest that begins the path. */
+    public Optional<Route> route(String host, String path) {
+        return routes.stream().filter(r -> r.host().equals(host) && path.startsWith(r.pathPrefix()))
+            .max(java.util.Comparator.comparingInt(r -> r.pathPrefix().length()));
+    }
+
+    public Optional<Tenant> tenant(String key) {
+        return tenants.stream().filter(t -> t.accessKeys().contains(key)).findFirst();
+    }
+
+    public String text() {
+        Map<String, Object> out = new LinkedHashMap<>();
+        out.put("configRevision", configRevision);
+        List<Object> r = new ArrayList<>();
+        routes.forEach(x -> r.add(fields(x)));
+        List<Object> s = new ArrayList<>();
+        services.forEach(x -> s.add(fields(x)));
+        out.put("routes", r);
+        out.put("services", s);
+        out.put("limits", Map.of("maxBodyBytes", 262144));
+        out.put("tenants", tenants.stream().map(t -> Map.of("name", t.name(), "accessKeys", t.accessKeys(), "priority", 1,
+            "ratePerS", t.ratePerS(), "burstSize", t.burstSize())).toList());
+        return new String(Charts.write(out), java.nio.charset.StandardCharsets.UTF_8);
+    }
+
+    private static Map<String, Object> fields(Route r) {
+        Map<String, Object> f = new LinkedHashMap<>();
+        f.put("name", r.name());
+        f.put("host", r.host());
+        f.put("pathPrefix", r.pathPrefix());
+        f.put("routeClass", "deferred");
+        f.put("timeoutMs", r.timeoutMs());
+        f.put("targetLatencyMs", 100);
+        f.put("priority", 1);
+        f.put("service", r.service());
+        f.put("maxAttempts", r.maxAttempts());
+        f.put("inOrder", r.inOrder());
+        f.put("retentionS", r.retentionS());
+        f.put("callbackUri", false);
+        f.put("startTargetMs", 800);
+        f.put("keyless", r.keyless());
+        return f;
+    }
+
+    private static Map<String, Object> fields(Service s) {
+        Map<String, Object> f = new LinkedHashMap<>();
+        f.put("name", s.name());
+        f.put("healthPath", "/health");
+        f.put("maxConnections", s.maxConnections());
+        f.put("protocol", "h1");
+        f.put("tlsMode", false);
+        f.put("ratePerS", s.ratePerS());
+        f.put("selfDedup", s.selfDedup());
+        f.put("pullMode", s.pullMode());
+        f.put("fixedEndpoint", s.fixedEndpoint().orElse(null));
+        return f;
+    }
+}
--- a/trials/src/main/java/org/woadvale/trials/squall/Machines.java
+++ b/trials/src/main/java/org/woadvale/trials/squall/Machines.java
@@ -8,12 +8,20 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 
+import org.woadvale.foundation.gate.Answer;
 import org.woadvale.trials.buoy.Sightings;
 
+import reactor.core.publisher.Mono;
+
 /** The machines of a simulated fleet, whatever runs on them. */
 public class Machines {
+    private static final Duration CONNECT = Duration.ofSeconds(1);
     public final Sim sim;
     public final SimNet net;
     public final List<String> lighthouses = new ArrayList<>();
@@ -72,6 +80,26 @@
         return List.copyOf(hosts.keySet());
     }
 
+    /** A request from outside to one machine; no answer at all if it dies or stays away. */
+    void reach(String to, Supplier<Mono<Answer>> door, Duration limit, Consumer<Optional<Answer>> then) {
+        Host h = hosts.get(to);
+        AtomicBoolean over = new AtomicBoolean();
+        Consumer<Optional<Answer>> once = a -> {
+            if (over.compareAndSet(false, true)) {
+                then.accept(a);
+            }
+        };
+        sim.after(limit, () -> once.accept(Optional.empty()));
+        sim.after(net.delay(), () -> {
+            if (!h.alive()) {
+                // nobody takes the stream: the client's connect times out
+                sim.after(CONNECT, () -> once.accept(Optional.empty()));
+                return;
+            }
+            h.soon(() -> door.get().subscribe(a -> sim.after(net.delay(), () -> once.accept(Optional.of(a)))));
+        });
+    }
+
     /** What a host's calendar showed, in the simulator's time; nothing can be told once calendars differ. */
     Duration trueTime(Instant stamp) {
         return hosts.values().stream().anyMatch(Host::calendarOff) ? Sightings.UNSEEN : Duration.between(Host.EPOCH, stamp);
--- /dev/null
+++ b/trials/src/main/java/org/woadvale/trials/squall/Quays.java
@@ -0,0 +1,102 @@
+package org.woadvale.trials.squall;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.BiConsumer;
+import java.util.function.Function;
+
+import org.woadvale.foundation.gate.Answer;
+import org.woadvale.foundation.gate.Request;
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.pilot.launch.Post;
+
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+
+/** Addresses at which processors take work, and the way there from the stores. */
+public final class Quays {
+    private final Roads roads;
+    private final Map<String, Function<Request, Mono<Answer>>> at = new HashMap<>();
+    private final Set<String> silent = new HashSet<>();
+    private BiConsumer<Request, Answer> onRead = (q, a) -> { };
+    private double answerLoss;
+
+    Quays(Roads roads) {
+        this.roads = roads;
+    }
+
+    /** Whoever was at the address before is there no more. */
+    public void place(String address, Function<Request, Mono<Answer>> processor) {
+        at.put(address, processor);
+    }
+
+    public void leave(String address) {
+        at.remove(address);
+    }
+
+    /** Takes requests and gives no answer. */
+    public void silent(String address, boolean is) {
+        if (is) {
+            silent.add(address);
+        } else {
+            silent.remove(address);
+        }
+    }
+
+    public void answerLoss(double p) {
+        answerLoss = p;
+    }
+
+    /** Told when a sender has read an answer. */
+    public void onRead(BiConsumer<Request, Answer> c) {
+        onRead = c;
+    }
+
+    Post from(Host h) {
+        return call -> Mono.defer(() -> {
+            Sinks.One<Post.Reply> sink = Sinks.one();
+            h.after(call.limit(), () -> sink.tryEmitError(new Fault(ErrorKind.UNKNOWN_OUTCOME, "no answer in time")));
+            String rest = call.url().substring("http://".length());
+            String address = rest.substring(0, rest.indexOf('/'));
+            Request q = new Request(call.method(), rest.substring(rest.indexOf('/')), lower(call.headers()), call.body());
+            roads.sim.after(roads.net.delay(), () -> h.soon(() -> {
+                if (!at.containsKey(address) || !call.still().getAsBoolean()) {
+                    sink.tryEmitError(new Fault(ErrorKind.UNREACHABLE, "refused"));
+                    return;
+                }
+                roads.sim.after(roads.net.delay(), () -> arrive(h, address, q, sink));
+            }));
+            return sink.asMono();
+        });
+    }
+
+    private static Map<String, String> lower(Map<String, String> headers) {
+        Map<String, String> out = new TreeMap<>();
+        headers.forEach((k, v) -> out.put(k.toLowerCase(Locale.ROOT), v));
+        return out;
+    }
+
+    private void arrive(Host h, String address, Request q, Sinks.One<Post.Reply> sink) {
+        Optional<Function<Request, Mono<Answer>>> p = Optional.ofNullable(at.get(address));
+        if (p.isEmpty()) {
+            h.soon(() -> sink.tryEmitError(new Fault(ErrorKind.UNKNOWN_OUTCOME, "reset")));
+            return;
+        }
+        p.get().apply(q).subscribe(a -> {
+            if (!silent.contains(address) && !roads.sim.luck(answerLoss)) {
+                roads.sim.after(roads.net.delay(), () -> h.soon(() -> {
+                    if (sink.tryEmitValue(new Post.Reply(a.status(), lower(a.headers()), a.body())) == Sinks.EmitResult.OK) {
+                        onRead.accept(q, a);
+                    }
+                }));
+            }
+        }, e -> { });
+    }
+}
--- /dev/null
+++ b/trials/src/main/java/org/woadvale/trials/squall/Roads.java
@@ -0,0 +1,159 @@
+package org.woadvale.trials.squall;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+import org.woadvale.foundation.beam.Beam;
+import org.woadvale.foundation.beam.Codec;
+import org.woadvale.foundation.beam.Router;
+import org.woadvale.foundation.chart.Boot;
+import org.woadvale.foundation.gate.Answer;
+import org.woadvale.foundation.gate.Request;
+import org.woadvale.foundation.keeper.Env;
+import org.woadvale.foundation.keeper.Pace;
+import org.woadvale.foundation.keeper.Phase;
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.foundation.logbook.Logbook;
+import org.woadvale.foundation.logbook.NoLogbook;
+import org.woadvale.foundation.logbook.RingLogbook;
+import org.woadvale.foundation.watch.Core;
+import org.woadvale.foundation.watch.Wire;
+import org.woadvale.lighthouse.lamp.LampNode;
+import org.woadvale.lighthouse.lamp.Operators;
+import org.woadvale.lighthouse.lamp.Roll;
+import org.woadvale.pilot.PilotNode;
+import org.woadvale.pilot.berth.Commands;
+import org.woadvale.platform.PlatformDoors;
+
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+
+/** The shipped nodes behind the platform's doors, on fakes; what is outside of them is the test's. design 12.1 */
+public final class Roads extends Machines {
+    /** How long a leased message rests after its last word; told to the nodes as their boot value. */
+    public static final Duration LEASE = Duration.ofMillis(3000);
+    private static final int RING_FILES = 8;
+    private static final int KEEP_ENDED_S = 130;
+    private static final int HALLS = 3;
+    private static final Duration ROLL = Duration.ofMillis(700);
+
+    public final Quays quays = new Quays(this);
+    private final List<String> seeds;
+    private final Map<String, LampNode> lamps = new HashMap<>();
+    private final Map<String, PilotNode> pilots = new HashMap<>();
+    private final Map<String, Function<Request, Mono<Answer>>> doors = new HashMap<>();
+    private final Seams seams;
+    private Function<String, Mono<byte[]>> pages = path -> Mono.error(new Fault(ErrorKind.UNAVAILABLE, "no list yet"));
+
+    public Roads(long seed, int fronts, int storeCount, Seams seams) throws Fault {
+        super(new Sim(seed), HALLS);
+        this.seams = seams;
+        for (int i = 0; i < 3; i++) {
+            lighthouses.add(host("10.0.0." + (i + 1) + ":1", i));
+        }
+        seeds = List.copyOf(lighthouses);
+        for (int i = 0; i < storeCount; i++) {
+            stores.add(host("10.0.1." + (i + 1) + ":1", i));
+        }
+        for (int i = 0; i < fronts; i++) {
+            intakes.add(host("10.0.2." + (i + 1) + ":1", i));
+        }
+        for (String h : List.copyOf(hosts.keySet())) {
+            start(h);
+        }
+    }
+
+    /** The list of processors, page by page. */
+    public void list(Function<String, Mono<byte[]>> byPath) {
+        pages = byPath;
+    }
+
+    private Function<String, Mono<byte[]>> pagesFor(Host h) {
+        return path -> Mono.defer(() -> {
+            Sinks.One<byte[]> sink = Sinks.one();
+            sim.after(net.delay(), () -> pages.apply(path).subscribe(
+                b -> sim.after(net.delay(), () -> h.soon(() -> sink.tryEmitValue(b))),
+                e -> sim.after(net.delay(), () -> h.soon(() -> sink.tryEmitError(e)))));
+            return sink.asMono();
+        });
+    }
+
+    public void start(String address) throws Fault {
+        Host h = hosts.get(address);
+        boolean lamp = lighthouses.contains(address);
+        boolean store = stores.contains(address);
+        Router router = new Router();
+        Codec codec = lamp ? Wire.codec(Wire.LIGHTHOUSE, Operators.types()) : Wire.codec(Wire.PILOT, Commands.types());
+        h.boot(router);
+        Beam beam = seams.beam().apply(address, net.beam(h, codec));
+        Logbook book = lamp || store ? RingLogbook.open(seams.disk().apply(address, h.disk), h, RING_FILES, World.LARGE_RING)
+            : new NoLogbook();
+        book.onFailure(why -> h.kill());
+        Env env = new Env(seams.times().apply(address, h), h, beam, codec, book, sim.random()::nextLong,
+            seams.pace().apply(lamp ? Pace.core() : Pace.usual()));
+        Core core = new Core(beam, sim.random()::nextLong, seeds, List.of(), l -> { });
+        if (lamp) {
+            LampNode n = new LampNode(env, core, seeds);
+            n.route(router);
+            Operators o = new Operators(n, "");
+            o.route(router);
+            lamps.put(address, n);
+            doors.put(address, PlatformDoors.control(o));
+            n.start();
+            new Roll(env, n, PlatformDoors.registry(pagesFor(h)), ROLL).start();
+        } else {
+            Boot boot = new Boot(address, address, hall(address), seeds, Set.of(store ? "store" : "intake"),
+                store ? "x" : "", RING_FILES, 1, "", false, 8, "", LEASE.toMillis(), KEEP_ENDED_S, 0);
+            PilotNode n = new PilotNode(env, boot, core, seams.post().apply(address, quays.from(h)), PlatformDoors.speech());
+            n.route(router);
+            pilots.put(address, n);
+            doors.put(address, PlatformDoors.front(n));
+            n.start();
+        }
+    }
+
+    public void restart(String address) throws Fault {
+        if (!lost.contains(address) && !hosts.get(address).alive()) {
+            start(address);
+        }
+    }
+
+    public PilotNode pilot(String address) {
+        return pilots.get(address);
+    }
+
+    public LampNode lamp(String address) {
+        return lamps.get(address);
+    }
+
+    /** A request of a client, a fetching processor or the operator to one node. */
+    public void request(String to, Request q, Duration limit, Consumer<Optional<Answer>> then) {
+        reach(to, () -> doors.get(to).apply(q), limit, then);
+    }
+
+    /** The same, waited for: nobody else waits meanwhile. */
+    public Optional<Answer> ask(String to, Request q, Duration limit) {
+        java.util.concurrent.atomic.AtomicReference<Optional<Answer>> out = new java.util.concurrent.atomic.AtomicReference<>();
+        request(to, q, limit, out::set);
+        sim.runUntil(() -> out.get() != null, limit.plusSeconds(1));
+        return out.get();
+    }
+
+    /** The store that owns a message part now; empty where none does. */
+    public Optional<String> owner(String part) {
+        return stores.stream().filter(s -> host(s).alive()
+            && pilots.get(s).status().get("parts") instanceof Map<?, ?> parts && parts.get(part) instanceof Map<?, ?> p
+            && p.get("phase") == Phase.OWNING).findFirst();
+    }
+
+    public boolean ready() {
+        return intakes.stream().allMatch(i -> hosts.get(i).alive() && pilots.get(i).ready());
+    }
+}
--- a/trials/src/main/java/org/woadvale/trials/squall/World.java
+++ b/trials/src/main/java/org/woadvale/trials/squall/World.java
@@ -32,12 +32,9 @@
 import org.woadvale.trials.buoy.Scenery;
 import org.woadvale.trials.buoy.Sightings;
 
-import reactor.core.publisher.Mono;
-
 /** A whole fleet of the shipped nodes on fakes: design 12.1. */
 public final class World extends Machines {
     private static final int RING_FILES = 8;
-    private static final Duration CONNECT = Duration.ofSeconds(1);
     /** Small, so that storms meet the ring's end too. */
     static final int SMALL_RING = 512 << 10;
     static final int LARGE_RING = 4 << 20;
@@ -163,35 +160,7 @@
 
     /** A request from outside to one node; no answer at all if the node dies or stays away. */
     public void request(String to, Request q, Duration limit, java.util.function.Consumer<Optional<Answer>> then) {
-        Host h = hosts.get(to);
-        boolean[] over = {false};
-        sim.after(limit, () -> {
-            if (!over[0]) {
-                over[0] = true;
-                then.accept(Optional.empty());
-            }
-        });
-        sim.after(net.delay(), () -> {
-            if (!h.alive()) {
-                // nobody takes the stream: the client's connect times out
-                sim.after(CONNECT, () -> {
-                    if (!over[0]) {
-                        over[0] = true;
-                        then.accept(Optional.empty());
-                    }
-                });
-                return;
-            }
-            h.soon(() -> {
-                Mono<Answer> m = lighthouses.contains(to) ? operators.get(to).answer(q) : pilots.get(to).answer(q);
-                m.subscribe(a -> sim.after(net.delay(), () -> {
-                    if (!over[0]) {
-                        over[0] = true;
-                        then.accept(Optional.of(a));
-                    }
-                }));
-            });
-        });
+        reach(to, () -> lighthouses.contains(to) ? operators.get(to).answer(q) : pilots.get(to).answer(q), limit, then);
     }
 
     /** What each node that answers says of the layout it uses. */
--- /dev/null
+++ b/trials/src/test/java/org/woadvale/trials/squall/MooringsTest.java
@@ -0,0 +1,97 @@
+package org.woadvale.trials.squall;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+import org.woadvale.foundation.gate.Answer;
+import org.woadvale.foundation.gate.Request;
+import org.woadvale.foundation.lantern.Fault;
+
+/** Fetches wait at one store at a time: design 9.10. */
+class MooringsTest {
+    private static Request pull(String instance, long waitMs) {
+        return new Request("POST", "/-/pull/desk", Map.of("x-instance-id", instance, "x-poll-wait-ms", Long.toString(waitMs)),
+            new byte[0]);
+    }
+
+    private static List<Answer> waiting(Shore s, int n, long waitMs) {
+        List<Answer> out = new ArrayList<>();
+        for (int i = 0; i < n; i++) {
+            s.r.request(s.r.intakes.get(i % s.r.intakes.size()), pull("i-" + i, waitMs), Duration.ofSeconds(30),
+                a -> a.ifPresent(out::add));
+        }
+        return out;
+    }
+
+    @Test
+    void fetchWithoutWorkIsEmptyAfterItsWait() throws Fault {
+        Shore s = new Shore(1, 2);
+        Duration asked = s.r.sim.now();
+        assertEquals(204, s.pull("i-1", 1000).status());
+        long took = s.r.sim.now().minus(asked).toMillis();
+        assertTrue(took >= 900 && took < 2000, "took " + took + " ms");
+        Answer none = s.front("POST", "/-/pull/nobody", Map.of("x-instance-id", "i-1", "x-poll-wait-ms", "300"), "");
+        assertEquals("204 ", none.status() + " " + new String(none.body()));
+        assertEquals(400, s.front("POST", "/-/pull/desk", Map.of("x-poll-wait-ms", "300"), "").status());
+    }
+
+    /** Work that becomes due meets a waiting fetch at once, wherever the two are. */
+    @Test
+    void waitingFetchGetsWhatBecomesDue() throws Fault {
+        Shore s = new Shore(2, 3);
+        List<Answer> out = waiting(s, 6, 10_000);
+        s.run(1000);
+        Duration sent = s.r.sim.now();
+        s.accepted("/pull/x", "b", Map.of());
+        assertTrue(s.r.sim.runUntil(() -> !out.isEmpty(), Duration.ofSeconds(2)), "nobody got it");
+        assertTrue(s.r.sim.now().minus(sent).toMillis() < 700, "after " + s.r.sim.now().minus(sent));
+    }
+
+    @Test
+    void oneMessageGoesToOneFetchOnly() throws Fault {
+        for (long seed = 3; seed < 6; seed++) {
+            Shore s = new Shore(seed, 3);
+            List<Answer> out = waiting(s, 30, 2500);
+            for (int i = 0; i < 12; i++) {
+                s.accepted("/pull/" + i, "b" + i, Map.of());
+            }
+            s.run(2600);
+            HashSet<String> ids = new HashSet<>();
+            List<Answer> jobs = out.stream().filter(a -> a.status() == 200).toList();
+            jobs.forEach(a -> ids.add(a.headers().get("X-Attempt-Id")));
+            assertEquals(12, jobs.size());
+            assertEquals(12, ids.size(), "each once");
+        }
+    }
+
+    @Test
+    void delayIsKept() throws Fault {
+        Shore s = new Shore(6, 1);
+        Duration sent = s.r.sim.now();
+        s.accepted("/pull/x", "late", Map.of("x-delay-ms", "1500"));
+        Answer a = s.pull("i-1", 8000);
+        long after = s.r.sim.now().minus(sent).toMillis();
+        assertEquals("late", new String(a.body()));
+        assertTrue(after >= 1400 && after < 2600, "after " + after + " ms");
+    }
+
+    /** The asking intake dies: its fetch is gone, and what it may have been promised comes again after the lease. */
+    @Test
+    void fetchOfADeadIntakeLosesNothing() throws Fault {
+        Shore s = new Shore(7, 2);
+        List<Answer> out = new ArrayList<>();
+        s.accepted("/pull/x", "kept", Map.of("x-delay-ms", "600"));
+        s.r.request(s.r.intakes.get(1), pull("i-1", 8000), Duration.ofSeconds(30), a -> a.ifPresent(out::add));
+        s.run(400);
+        s.r.kill(s.r.intakes.get(1));
+        assertEquals("kept", new String(s.pull("i-2", 15_000).body()));
+        assertTrue(out.isEmpty());
+    }
+}
--- /dev/null
+++ b/trials/src/test/java/org/woadvale/trials/squall/Shore.java
@@ -0,0 +1,149 @@
+package org.woadvale.trials.squall;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.woadvale.foundation.gate.Answer;
+import org.woadvale.foundation.gate.Request;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.trials.buoy.Papers;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+import reactor.core.publisher.Mono;
+
+/** Scripted clients, processors and operator around a small fleet behind the platform's doors. */
+final class Shore {
+    static final String HOST = "lode.example";
+    static final String KEY = "key-of-a";
+    static final Duration SOON = Duration.ofSeconds(3);
+
+    /** What a scripted processor was sent. */
+    record Got(Request q, Duration at) { }
+
+    final Roads r;
+    final Roster roster;
+    final List<Got> got = new ArrayList<>();
+    Papers papers = Shore.plain();
+    private int ids;
+
+    Shore(long seed, int fronts) throws Fault {
+        r = new Roads(seed, fronts, 3, Seams.none());
+        roster = new Roster(r.sim, Duration.ofMillis(800), 44);
+        r.list(roster::page);
+        assertEquals(200, put(papers, 0, 0).status());
+        assertTrue(r.sim.runUntil(r::ready, Duration.ofSeconds(40)), "the fleet did not get ready");
+    }
+
+    static Papers plain() {
+        List<Papers.Route> routes = List.of(route("r-pull", "/pull/", "desk", false), route("r-push", "/push/", "book", false),
+            route("r-order", "/order/", "book", true), route("r-dedup", "/dedup/", "same", true),
+            route("r-fixed", "/fixed/", "far", false), route("r-pull-order", "/turn/", "desk", true));
+        List<Papers.Service> services = List.of(service("desk", true, false, Optional.empty()),
+            service("book", false, false, Optional.empty()), service("same", false, true, Optional.empty()),
+            new Papers.Service("far", 20, 35, true, false, Optional.of("172.20.0.3:8748")));
+        return new Papers(3, routes, services, List.of(new Papers.Tenant("tenant-a", List.of(KEY), 200, 200),
+            new Papers.Tenant("tenant-b", List.of("key-of-b"), 200, 200)));
+    }
+
+    static Papers.Route route(String name, String prefix, String service, boolean inOrder) {
+        return new Papers.Route(name, HOST, prefix, service, 1500, 3, inOrder, 90, false);
+    }
+
+    private static Papers.Service service(String name, boolean pull, boolean dedup, Optional<String> at) {
+        return new Papers.Service(name, 0, 100, dedup, pull, at);
+    }
+
+    Answer put(Papers p, long base, int lighthouse) {
+        return put(p.text(), base, lighthouse);
+    }
+
+    Answer put(String text, long base, int lighthouse) {
+        for (int i = 0; i < 20; i++) {
+            Optional<Answer> a = r.ask(r.lighthouses.get((lighthouse + i) % 3), new Request("PUT", "/-/configuration",
+                Map.of("if-match", Long.toString(base)), text.getBytes(StandardCharsets.UTF_8)), Duration.ofSeconds(4));
+            if (a.isPresent() && a.get().status() < 500) {
+                return a.get();
+            }
+        }
+        throw new AssertionError("the configuration got no clear answer");
+    }
+
+    /** A processor at an address, on the list, whose answers are the script's. */
+    void processor(String id, String service, String address, java.util.function.Function<Request, Mono<Answer>> script) {
+        r.quays.place(address, q -> {
+            got.add(new Got(q, r.sim.now()));
+            return script.apply(q);
+        });
+        roster.put(id, service, address, 4, "ready");
+        r.sim.run(SOON);
+    }
+
+    static Answer done(Request q) {
+        return new Answer(200, Map.of("X-Attempt-Id", q.headers().getOrDefault("x-attempt-id", ""), "X-Server-Seal",
+            "seal-" + q.headers().getOrDefault("x-attempt-id", "")), new byte[0]);
+    }
+
+    static Answer answer(Request q, int status) {
+        return new Answer(status, Map.of("X-Attempt-Id", q.headers().getOrDefault("x-attempt-id", "")), new byte[0]);
+    }
+
+    Answer send(String path, String body, Map<String, String> more) {
+        Map<String, String> h = new LinkedHashMap<>(Map.of("host", HOST, "authorization", "Token " + KEY));
+        h.put("x-attempt-id", "a" + ids++);
+        h.putAll(more);
+        return front("POST", path, h, body);
+    }
+
+    /** The handle of an accepted message. */
+    String accepted(String path, String body, Map<String, String> more) {
+        Answer a = send(path, body, more);
+        assertEquals(202, a.status());
+        return a.headers().get("X-Message-Ref");
+    }
+
+    Answer front(String method, String path, Map<String, String> headers, String body) {
+        return r.ask(r.intakes.get(0), new Request(method, path, headers, body.getBytes(StandardCharsets.UTF_8)),
+            Duration.ofSeconds(25)).orElseThrow();
+    }
+
+    Answer pull(String instance, long waitMs) {
+        return front("POST", "/-/pull/desk", Map.of("x-instance-id", instance, "x-poll-wait-ms", Long.toString(waitMs)), "");
+    }
+
+    int extend(Answer pulled) {
+        return front("POST", "/-/job-extend/" + pulled.headers().get("X-Attempt-Id"),
+            Map.of("x-lease-id", pulled.headers().get("X-Lease-Id")), "").status();
+    }
+
+    int end(Answer pulled, int outcome) {
+        Map<String, String> h = new LinkedHashMap<>(Map.of("x-lease-id", pulled.headers().get("X-Lease-Id"),
+            "x-job-outcome", Integer.toString(outcome)));
+        if (outcome == 200) {
+            h.put("x-server-seal", "seal-" + pulled.headers().get("X-Lease-Id"));
+        }
+        return front("POST", "/-/job-end/" + pulled.headers().get("X-Attempt-Id"), h, "").status();
+    }
+
+    JsonNode state(String handle) {
+        Answer a = front("GET", "/-/message/" + handle, Map.of("host", HOST, "authorization", "Token " + KEY), "");
+        assertEquals(200, a.status());
+        return Callers.json(a);
+    }
+
+    Answer bytes(String handle) {
+        return front("GET", "/-/message-body/" + handle, Map.of("host", HOST, "authorization", "Token " + KEY), "");
+    }
+
+    void run(long ms) {
+        r.sim.run(Duration.ofMillis(ms));
+    }
+}
