A store that just became owner acknowledges nothing that it has not written

Cause: Berths.accept asked mayAct twice, once itself and once within read. A store that won the part in between answered Accepted with an empty handle, and nothing was written: a 202 for a message that does not exist. Before: the read's own mapper made the answer. After: the read only waits for the owner, and accept looks again. Not brought about in a run on purpose; the race follows from the code.

--- a/pilot/src/main/java/org/woadvale/pilot/berth/Berths.java
+++ b/pilot/src/main/java/org/woadvale/pilot/berth/Berths.java
@@ -89,7 +89,8 @@
         boolean room = b.replica().look(i -> b.machine().weight()) < Math.min(partBytes, env.logbook().largest() / 2)
             && !env.logbook().nearlyFull();
         if (!b.replica().mayAct()) {
-            return b.replica().read(i -> new Commands.Accepted("", "", false));
+            // it may own the part a moment later: then all of this is looked at again
+            return b.replica().read(i -> i).flatMap(i -> accept(b, a));
         }
         if (!room) {
             return Mono.error(new Fault(ErrorKind.QUEUE_FULL, "The part " + b.part() + " has no room."));
