--- a/foundation/src/main/java/org/woadvale/foundation/tide/Purses.java
+++ b/foundation/src/main/java/org/woadvale/foundation/tide/Purses.java
@@ -76,8 +76,8 @@
         return env.times().mono();
     }
 
-    /** At once where the purse holds one; else a bounded, short wait for the refill in flight. */
-    public Mono<Purse.Pass> take(String bucket) {
+    /** At once where the purse holds one; else a short wait for the refill in flight, bounded by the given one and by WAIT. */
+    public Mono<Purse.Pass> take(String bucket, Duration wait) {
         return Mono.defer(() -> shard.get(() -> {
             Local l = all.computeIfAbsent(bucket, b -> new Local());
             l.seen = now();
@@ -92,7 +92,7 @@
                 throttled++;
                 return Mono.error(throttled(l));
             }
-            Waiting w = new Waiting(Sinks.one(), now().plus(WAIT));
+            Waiting w = new Waiting(Sinks.one(), now().plus(wait.compareTo(WAIT) < 0 ? wait : WAIT));
             l.waiting.add(w);
             refill(bucket, l);
             return w.sink().asMono();
--- a/pilot/src/main/java/org/woadvale/pilot/gangway/Intake.java
+++ b/pilot/src/main/java/org/woadvale/pilot/gangway/Intake.java
@@ -33,6 +33,7 @@
     private static final Duration PAUSE = Duration.ofMillis(50);
     /** Where another part may take it, no owner is waited for. */
     private static final Duration SHORT = Duration.ofMillis(100);
+    private static final Duration HOPELESS = Duration.ofMillis(15);
     private static final int DEPTH = 1024;
     private static final int WIDTH = 256;
 
@@ -71,7 +72,7 @@
         doors.lane(lane);
         HandIn in = doors.body(q, HandIn.class);
         return new Offer(q.secret().orElse(""), lane, in.id(), in.orderingKey(), in.delayMs(), Map.of(),
-            Charts.write(in.body()));
+            Charts.write(in.body()), LIMIT);
     }
 
     /** Accepted, or a fault whose kind says whether it may have been taken. design 9.6 */
@@ -107,7 +108,7 @@
     private Mono<Admitted> pass(Checked c, String part) {
         return c.tenant().isEmpty() ? Mono.just(new Admitted(c,
                 new Purse.Pass(Passes.NO_GRANT, env.times().mono().plus(Passes.LIFE)), part))
-            : purses.take(Places.tenantBucket(c.tenant())).map(p -> new Admitted(c, p, part));
+            : purses.take(Places.tenantBucket(c.tenant()), c.offer().patience().dividedBy(16)).map(p -> new Admitted(c, p, part));
     }
 
     /**
@@ -130,7 +131,13 @@
 
     /** Key, lane and pass are looked at once more, right before each hand-over: design 9.7. */
     private Mono<Commands.Accepted> handOver(Admitted a) {
-        return attempt(a, env.times().mono().plus(LIMIT), false);
+        return attempt(a, env.times().mono().plus(givenUp(a.c().offer())), false);
+    }
+
+    /** What is not decided by half of the caller's patience is answered then, while there is time to come back. */
+    private static Duration givenUp(Offer o) {
+        Duration half = o.patience().dividedBy(2);
+        return o.patience().compareTo(LIMIT) >= 0 ? LIMIT : half;
     }
 
     private Layout.Lane lookAgain(Admitted a) throws Fault {
@@ -167,7 +174,7 @@
         String part = a.part();
         Duration life = a.pass().until().minus(env.times().mono());
         return courier.timely(part, u -> new Commands.AcceptAsk(part, accept, u), Commands.Accepted.class,
-                a.c().free() && accept.orderKey().isEmpty() ? SHORT : life)
+                waits(a, life))
             .doOnNext(x -> settle(a, x))
             .onErrorResume(e -> {
                 Fault f = Fault.of(e);
@@ -181,7 +188,7 @@
                 if (other.isPresent()) {
                     return pass(a.c(), other.get()).flatMap(next -> attempt(next, until, false));
                 }
-                boolean again = (nowUnknown || f.kind() == ErrorKind.UNAVAILABLE)
+                boolean again = (nowUnknown || f.kind() == ErrorKind.UNAVAILABLE && !a.c().free())
                     && !purses.alive(a.pass()) && env.times().mono().compareTo(until) < 0;
                 return again ? Pauses.pause(env.schedules(), PAUSE).then(pass(a.c(), a.part()))
                     .flatMap(next -> attempt(next, until, nowUnknown)).onErrorMap(x -> settled(x, nowUnknown))
@@ -189,6 +196,11 @@
             });
     }
 
+    /** A part that may change hands in order is waited for shortly; one that is in trouble is not. design 9.13 */
+    private Duration waits(Admitted a, Duration life) {
+        return !a.c().free() ? life : courier.troubled(a.part()) ? HOPELESS : SHORT;
+    }
+
     /** It was certainly not taken there, so another part may take it. */
     private Optional<String> elsewhere(Admitted a, Fault f) {
         return Optional.of(a).filter(x -> x.c().free() && x.c().offer().orderKey().isEmpty()
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Courier.java
+++ b/pilot/src/main/java/org/woadvale/pilot/launch/Courier.java
@@ -20,15 +20,13 @@
 
 /** Finds the owner of a message part among its stores and asks it. */
 public final class Courier {
-    private static final Duration EACH = Duration.ofMillis(800);
-    private static final Duration TROUBLE = Duration.ofMillis(1500);
-    private static final Duration PAUSE = Duration.ofMillis(60);
+    private static final Duration EACH = Duration.ofMillis(400);
+    private static final Duration PAUSE = Duration.ofMillis(20);
     private final Env env;
     private final News news;
     private final Map<String, String> owners = new ConcurrentHashMap<>();
     private final String hall;
-    /** Until when a part whose owner did not answer is passed over. */
-    private final Map<String, Duration> troubles = new ConcurrentHashMap<>();
+    private final StoreHealth health;
     private final Clocks clocks;
 
     public Courier(Env env, News news, String hall) {
@@ -36,6 +34,7 @@
         this.env = env;
         this.news = news;
         this.clocks = new Clocks(env);
+        this.health = new StoreHealth(env);
     }
 
     /**
@@ -49,8 +48,7 @@
         List<String> near = new ArrayList<>();
         placement.forEach((part, copies) -> {
             String owner = owners.getOrDefault(part, copies.isEmpty() ? "" : copies.get(0));
-            boolean troubled = env.times().mono().compareTo(troubles.getOrDefault(part, Duration.ZERO)) < 0;
-            if (!troubled && seats.containsKey(owner)) {
+            if (!health.troubled(part) && !health.silent(owner) && seats.containsKey(owner)) {
                 sound.add(part);
                 if (seats.get(owner).hall().equals(hall)) {
                     near.add(part);
@@ -62,13 +60,16 @@
             : Places.draw(id, from).orElse(Places.messagePart("", id));
     }
 
+    /** The known owner first, then the copies in turn; those that do not answer only if there are no others. */
     private String guess(String part, int turn) {
-        List<String> copies = new ArrayList<>(news.latest(Places.STORES).placement().getOrDefault(part, List.of()));
+        List<String> all = news.latest(Places.STORES).placement().getOrDefault(part, List.of());
+        List<String> copies = all.stream().filter(c -> !health.ailing(c)).toList();
         String known = owners.getOrDefault(part, "");
-        if (turn == 0 && !known.isEmpty()) {
+        if (turn == 0 && !known.isEmpty() && !health.ailing(known)) {
             return known;
         }
-        return copies.isEmpty() ? "" : copies.get(turn % copies.size());
+        List<String> from = copies.isEmpty() ? all : copies;
+        return from.isEmpty() ? "" : from.get(turn % from.size());
     }
 
     /**
@@ -78,6 +79,11 @@
         return attempt(part, to -> Mono.just(body), type, env.times().mono().plus(limit), 0, false, "");
     }
 
+    /** Whether asks of the part failed lately: whoever comes now need not wait long to know. */
+    public boolean troubled(String part) {
+        return health.troubled(part);
+    }
+
     /** The same, but nothing that is held up on its way beyond the limit is taken then: design 9.7. */
     public <T> Mono<T> timely(String part, Function<Commands.Until, Object> body, Class<T> type, Duration limit) {
         Duration until = env.times().mono().plus(limit);
@@ -105,18 +111,16 @@
         if (to.isEmpty()) {
             return Mono.error(new Fault(ErrorKind.UNAVAILABLE, "No store is placed for the part " + part + "."));
         }
-        return body.apply(to).flatMap(b -> env.beam().ask(to, b, type, EACH))
+        return body.apply(to).flatMap(b -> health.watched(to, env.beam().ask(to, b, type, EACH)))
             .doOnNext(t -> {
                 owners.put(part, to);
-                troubles.remove(part);
+                health.well(part, to);
             })
             .onErrorResume(e -> {
                 Fault f = Fault.of(e);
                 owners.remove(part, to);
                 clocks.forget(to);
-                if (f.kind() != ErrorKind.NOT_OWNER || f.details().isEmpty()) {
-                    troubles.put(part, env.times().mono().plus(TROUBLE));
-                }
+                health.failed(part, to, f);
                 boolean nowUnknown = unknown || !f.kind().definite();
                 boolean again = f.kind() == ErrorKind.NOT_OWNER || f.kind() == ErrorKind.UNREACHABLE
                     || f.kind() == ErrorKind.UNKNOWN_OUTCOME || f.kind() == ErrorKind.STOPPING
