Hollow fleets: what control costs against sizes, by one command with fits and plots

Cause: the fleet that is coming (6,700 nodes) cannot be started here, and one point says nothing about it. A largest run is held against its forecast. Bad sizes, unknown mechanisms and fleets over half of the memory are refused with one sentence and code 2 before anything starts.

--- /dev/null
+++ b/trials/src/main/java/org/woadvale/trials/hollow/Backlog.java
@@ -0,0 +1,70 @@
+package org.woadvale.trials.hollow;
+
+import java.lang.management.ManagementFactory;
+import java.time.Instant;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.woadvale.foundation.beam.Codec;
+import org.woadvale.foundation.watch.Wire;
+import org.woadvale.pilot.berth.BerthMachine;
+import org.woadvale.pilot.berth.Commands;
+import org.woadvale.pilot.berth.LaneTerms;
+
+/** Messages that wait in one part, 1,250 bytes each: heap, and what taking them and making a view of them costs. design 9.8 */
+final class Backlog implements Mechanism {
+    private static final int BODY = 1250;
+    private static final long A_MESSAGE = 6000;
+    /** A part of 16 MB: design 9.8. */
+    private static final int MOST = 12_000;
+
+    @Override
+    public String counts() {
+        return "messages waiting in a part";
+    }
+
+    @Override
+    public List<Integer> sizes() {
+        return List.of(1500, 3000, 6000, 12000);
+    }
+
+    @Override
+    public int most() {
+        return MOST;
+    }
+
+    @Override
+    public long needs(int size) {
+        return (64 << 20) + size * A_MESSAGE;
+    }
+
+    private static double cpuMs() {
+        return ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime() / 1e6;
+    }
+
+    @Override
+    public Map<String, Double> measure(int size) {
+        Codec codec = Wire.codec(Wire.PILOT, Commands.types());
+        long before = Heap.used();
+        BerthMachine m = new BerthMachine("m0", codec);
+        double from = cpuMs();
+        for (int i = 1; i <= size; i++) {
+            m.apply(i, new Commands.Accept("tenant" + i % 8, "hold", "id" + i, "", new byte[BODY], "h".repeat(64),
+                new LaneTerms("reserve", 60000, 8, 3000, false), Instant.EPOCH, Instant.EPOCH));
+        }
+        double taken = cpuMs() - from;
+        Map<String, Double> out = new LinkedHashMap<>();
+        out.put("heap of a part KB", (Heap.used() - before) / 1024.0);
+        from = cpuMs();
+        byte[] view = m.view();
+        double made = cpuMs() - from;
+        from = cpuMs();
+        new BerthMachine("m0", codec).restore(view);
+        out.put("view KB", view.length / 1024.0);
+        out.put("processor ms to take all", taken);
+        out.put("processor ms to make a view", made);
+        out.put("processor ms to read a view", cpuMs() - from);
+        return out;
+    }
+}
--- /dev/null
+++ b/trials/src/main/java/org/woadvale/trials/hollow/Count.java
@@ -0,0 +1,24 @@
+package org.woadvale.trials.hollow;
+
+import java.util.Collection;
+
+/** Frames and bytes in both directions, asks answered, processor time in seconds. */
+record Count(double frames, double bytes, double asks, double cpuS) {
+    static final Count NOTHING = new Count(0, 0, 0, 0);
+
+    Count plus(Count o) {
+        return new Count(frames + o.frames, bytes + o.bytes, asks + o.asks, cpuS + o.cpuS);
+    }
+
+    Count minus(Count o) {
+        return plus(o.times(-1));
+    }
+
+    Count times(double f) {
+        return new Count(frames * f, bytes * f, asks * f, cpuS * f);
+    }
+
+    static Count sum(Collection<Count> all) {
+        return all.stream().reduce(NOTHING, Count::plus);
+    }
+}
--- /dev/null
+++ b/trials/src/main/java/org/woadvale/trials/hollow/Events.java
@@ -0,0 +1,65 @@
+package org.woadvale.trials.hollow;
+
+import java.lang.management.ManagementFactory;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.trials.buoy.Scenery;
+import org.woadvale.trials.squall.Voyage;
+
+/**
+ * Whole shipped nodes (8 intakes, 3 stores, 3 lighthouses) under mixed traffic: what one event costs in frames, syncs and
+ * processor time over all of them. The time holds the simulator and the stand-ins too, and no sockets. design 12.1
+ */
+final class Events implements Mechanism {
+    private static final Duration WINDOW = Duration.ofSeconds(20);
+    private static final long NEEDED = 1L << 30;
+    private static final int RING_BYTES = 4 << 20;
+    private static final int MOST = 800;
+
+    @Override
+    public String counts() {
+        return "events handed in /s";
+    }
+
+    @Override
+    public List<Integer> sizes() {
+        return List.of(50, 100, 200, 300);
+    }
+
+    @Override
+    public int most() {
+        return MOST;
+    }
+
+    @Override
+    public long needs(int size) {
+        return NEEDED;
+    }
+
+    @Override
+    public Map<String, Double> measure(int size) throws Fault {
+        Voyage v = new Voyage(1, 8, 3, 12, new Scenery(8, 12, 100, 200, 40), RING_BYTES).embark();
+        v.w.sim.run(Duration.ofSeconds(3));
+        v.traffic(size);
+        v.w.sim.run(Duration.ofSeconds(5));
+        long frames = v.w.net.frames();
+        long accepted = accepted(v);
+        long cpu = ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
+        v.w.sim.run(WINDOW);
+        double s = WINDOW.toSeconds();
+        Map<String, Double> out = new LinkedHashMap<>();
+        out.put("accepted /s", (accepted(v) - accepted) / s);
+        out.put("asks of the fleet /s", (v.w.net.frames() - frames) / s);
+        out.put("processor ms of the fleet /s",
+            (ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime() - cpu) / 1e6 / s);
+        return out;
+    }
+
+    private static long accepted(Voyage v) {
+        return v.kinds().getOrDefault("accepted", 0L);
+    }
+}
--- /dev/null
+++ b/trials/src/main/java/org/woadvale/trials/hollow/Heap.java
@@ -0,0 +1,25 @@
+package org.woadvale.trials.hollow;
+
+import java.lang.management.ManagementFactory;
+
+import com.sun.management.OperatingSystemMXBean;
+
+/** Bytes of heap in use after a collection. */
+final class Heap {
+    private static final int COLLECTIONS = 3;
+
+    private Heap() { }
+
+    static long used() {
+        for (int i = 0; i < COLLECTIONS; i++) {
+            System.gc();
+        }
+        return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
+    }
+
+    /** What a run may take: the heap of this process, and never over half of the machine's memory. */
+    static long allowed() {
+        OperatingSystemMXBean os = (OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean();
+        return Math.min(Runtime.getRuntime().maxMemory(), os.getTotalMemorySize() / 2);
+    }
+}
--- /dev/null
+++ b/trials/src/main/java/org/woadvale/trials/hollow/HollowFleet.java
@@ -0,0 +1,223 @@
+package org.woadvale.trials.hollow;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+
+import org.woadvale.foundation.beam.Beam;
+import org.woadvale.foundation.beam.Codec;
+import org.woadvale.foundation.beam.Router;
+import org.woadvale.foundation.chart.Charts;
+import org.woadvale.foundation.keeper.Env;
+import org.woadvale.foundation.keeper.Pace;
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.foundation.logbook.RingLogbook;
+import org.woadvale.foundation.watch.Asks;
+import org.woadvale.foundation.watch.Core;
+import org.woadvale.foundation.watch.Places;
+import org.woadvale.foundation.watch.Processor;
+import org.woadvale.foundation.watch.Wire;
+import org.woadvale.lighthouse.lamp.LampNode;
+import org.woadvale.lighthouse.lamp.Operators;
+import org.woadvale.pilot.berth.Commands;
+import org.woadvale.trials.buoy.Scenery;
+import org.woadvale.trials.squall.Sim;
+import org.woadvale.trials.squall.SimDisk;
+
+/** Three shipped lighthouses and many hollow nodes in one process, on the fake clock. design 12.1 */
+final class HollowFleet {
+    static final String LIST = Places.processors(Scenery.GROUP);
+    private static final Duration PATIENCE = Duration.ofSeconds(60);
+    private static final Duration REST = Duration.ofSeconds(4);
+    private static final int RING_FILES = 6;
+    private static final int RING_BYTES = 4 << 20;
+    private static final int RATE = 100_000;
+    private static final int AT_ONCE = 100;
+
+    final Sim sim = new Sim(1);
+    private final HollowNet net = new HollowNet(sim);
+    private final Shape shape;
+    private final Codec lampCodec = Wire.codec(Wire.LIGHTHOUSE, Operators.types());
+    private final Codec pilotCodec = Wire.codec(Wire.PILOT, Commands.types());
+    private final List<String> seeds = List.of("10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1");
+    private final Map<String, HollowHost> lamps = new LinkedHashMap<>();
+    private final Map<String, HollowHost> hosts = new LinkedHashMap<>();
+    private final Map<String, HollowNode> nodes = new LinkedHashMap<>();
+    private final Map<String, Integer> places = new LinkedHashMap<>();
+    private final Core operator;
+    private final long heapBefore;
+    private long layout;
+    private long changes;
+
+    /** Serving when it returns: everyone knows everyone and each tenant's bucket is held. */
+    HollowFleet(Shape shape) throws Fault {
+        this.shape = shape;
+        for (String l : seeds) {
+            light(l);
+        }
+        HollowHost desk = new HollowHost("10.0.9.1:1", sim);
+        net.add(desk);
+        operator = new Core(net.beam(desk, lampCodec), sim.random()::nextLong, seeds, List.of(), l -> { });
+        sim.run(REST);
+        change();
+        await(() -> layout == 1, "the layout was not taken");
+        list();
+        heapBefore = Heap.used();
+        for (int i = 0; i < shape.nodes(); i++) {
+            String a = "10." + (1 + i / 62500) + "." + (i / 250 % 250) + "." + (1 + i % 250) + ":7070";
+            places.put(a, i);
+            sim.after(sim.between(0, 400_000), () -> begin(a));
+        }
+        sim.run(Duration.ofMillis(500));
+        await(() -> nodes.values().stream().allMatch(n -> n.members() == shape.nodes() && n.layoutVersion() == layout)
+            && held() == shape.tenants(), "the fleet did not get ready");
+        sim.run(REST);
+        if (shape.drawsPerS() > 0) {
+            nodes.keySet().forEach(this::drawing);
+            sim.run(REST);
+        }
+    }
+
+    private void light(String address) throws Fault {
+        HollowHost h = new HollowHost(address, sim);
+        net.add(h);
+        lamps.put(address, h);
+        Router router = new Router();
+        h.serve(router);
+        Beam beam = net.beam(h, lampCodec);
+        RingLogbook book = RingLogbook.open(new SimDisk(sim), h, RING_FILES, RING_BYTES);
+        book.onFailure(why -> h.kill());
+        Env env = new Env(h, h, beam, lampCodec, book, sim.random()::nextLong, Pace.core());
+        LampNode n = new LampNode(env, new Core(beam, sim.random()::nextLong, seeds, List.of(), l -> { }), seeds);
+        n.route(router);
+        new Operators(n, "").route(router);
+        n.start();
+    }
+
+    private void begin(String address) {
+        int i = places.get(address);
+        HollowHost h = new HollowHost(address, sim);
+        net.add(h);
+        hosts.put(address, h);
+        String role = i % Shape.STORE_EVERY == 0 ? Places.STORES : Places.INTAKES;
+        HollowNode n = new HollowNode(h, net.beam(h, pilotCodec), pilotCodec, sim, "hall" + i % Shape.HALLS, seeds, role);
+        nodes.put(address, n);
+        h.work(() -> n.start(List.of(LIST)));
+    }
+
+    private void drawing(String address) {
+        HollowHost h = hosts.get(address);
+        Duration period = Duration.ofNanos((long) (1e9 / shape.drawsPerS()));
+        h.every(period, () -> nodes.get(address).draw(Places.tenantBucket(Scenery.tenant(
+            sim.random().nextInt(shape.tenants())))));
+    }
+
+    private int held() {
+        return nodes.values().stream().mapToInt(HollowNode::holds).sum();
+    }
+
+    /** One more layout: the same but for the burst of all tenants. Its version is the count of changes that were taken. */
+    void change() {
+        byte[] json = Charts.write(new Scenery(shape.tenants(), 0, RATE, (int) (RATE + changes), 1).layout(i -> ""));
+        Asks.PutLayout put = new Asks.PutLayout("change" + changes++, layout, json, "capacity");
+        operator.ask(Places.controlPart(Places.LAYOUT), new Operators.LayoutPut(put), Asks.LayoutTaken.class)
+            .subscribe(t -> layout = t.version(), e -> { });
+    }
+
+    int layoutBytes() {
+        return nodes.values().iterator().next().latest(Places.LAYOUT).layout().length;
+    }
+
+    private void list() throws Fault {
+        int[] taken = {0};
+        for (int i = 0; i < shape.destinations(); i++) {
+            put(i, false, taken);
+            if (i % AT_ONCE == AT_ONCE - 1) {
+                int upTo = i + 1;
+                await(() -> taken[0] == upTo, "a processor was not listed");
+            }
+        }
+        await(() -> taken[0] == shape.destinations(), "a processor was not listed");
+    }
+
+    private void put(int i, boolean leaving, int[] taken) {
+        Processor p = new Processor("http://10.200." + i / 250 % 250 + "." + i % 250 + ":8080", leaving);
+        operator.ask(Places.controlPart(LIST), new Asks.PutProcessor(LIST, "processor-" + i, p, 0), Asks.Done.class)
+            .subscribe(d -> taken[0]++, e -> { });
+    }
+
+    /** Marks one destination, or takes the mark back; how long until each store that follows the list has the new one. */
+    Duration mark(boolean leaving) throws Fault {
+        Duration from = sim.now();
+        put(0, leaving, new int[1]);
+        await(() -> nodes.values().stream().filter(HollowNode::follows)
+            .allMatch(n -> n.latest(LIST).processors().get("processor-0").leaving() == leaving), "a mark did not arrive");
+        return sim.now().minus(from);
+    }
+
+    /** One change of the layout; how long until every node uses it, in steps of 10 ms. */
+    Duration changeEverywhere() throws Fault {
+        Duration from = sim.now();
+        long before = layout;
+        change();
+        await(() -> layout > before && nodes.values().stream().allMatch(n -> n.layoutVersion() == layout),
+            "a change did not arrive everywhere");
+        return sim.now().minus(from);
+    }
+
+    /** Bytes of heap that came with the nodes: the core and its rings on the simulated disks are not in it. */
+    long heapOfNodes() {
+        return Heap.used() - heapBefore;
+    }
+
+    /** The intake that restarts. */
+    String restarting() {
+        return places.keySet().stream().skip(1).findFirst().orElseThrow();
+    }
+
+    /** An intake is gone until its claim has lapsed, and comes back; how long until every node knows the new one. */
+    Duration restart(Duration away) throws Fault {
+        String a = restarting();
+        nodes.remove(a).stop();
+        hosts.remove(a).kill();
+        sim.run(away);
+        Duration from = sim.now();
+        begin(a);
+        String now = nodes.get(a).incarnation();
+        await(() -> nodes.values().stream().allMatch(n -> n.incarnationOf(Places.INTAKES, a).equals(now)),
+            "a restarted node is not known everywhere");
+        return sim.now().minus(from);
+    }
+
+    /** Ends when the condition holds, looked at each 10 ms. */
+    private void await(BooleanSupplier condition, String why) throws Fault {
+        Duration end = sim.now().plus(PATIENCE);
+        while (!condition.getAsBoolean()) {
+            if (sim.now().compareTo(end) > 0) {
+                throw new Fault(ErrorKind.UNAVAILABLE, why + " within " + PATIENCE.toSeconds() + " s at " + shape + ".");
+            }
+            sim.run(Duration.ofMillis(10));
+        }
+    }
+
+    long draws() {
+        return nodes.values().stream().mapToLong(n -> n.passes().atOnce() + n.passes().waited()).sum();
+    }
+
+    Map<String, Count> lampCounts() {
+        return counts(lamps.values());
+    }
+
+    Map<String, Count> nodeCounts() {
+        return counts(hosts.values());
+    }
+
+    private static Map<String, Count> counts(Collection<HollowHost> from) {
+        return from.stream().collect(Collectors.toMap(h -> h.address, HollowHost::count));
+    }
+}
--- /dev/null
+++ b/trials/src/main/java/org/woadvale/trials/hollow/HollowHost.java
@@ -0,0 +1,111 @@
+package org.woadvale.trials.hollow;
+
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.time.Duration;
+import java.time.Instant;
+
+import org.woadvale.foundation.beam.Router;
+import org.woadvale.foundation.lantern.Schedule;
+import org.woadvale.foundation.lantern.Schedules;
+import org.woadvale.foundation.lantern.Times;
+import org.woadvale.trials.squall.Sim;
+
+/**
+ * One hollow machine on the fake clock: it counts what it sends and gets, and the processor time of all that runs on
+ * it. Design 12.1. The time is the thread's own (ThreadMXBean); asking for it costs about a microsecond a task, which
+ * is not taken off. Sockets cost nothing here: see {@link Wires}.
+ */
+final class HollowHost implements Times, Schedules {
+    private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
+    private static final Instant EPOCH = Instant.parse("2030-01-01T00:00:00Z");
+    private static final Duration DISK = Duration.ofMillis(2);
+
+    final String address;
+    private final Sim sim;
+    private final Duration started;
+    private Router router = new Router();
+    private boolean alive = true;
+    private long frames;
+    private long bytes;
+    private long served;
+    private long cpuNanos;
+
+    HollowHost(String address, Sim sim) {
+        this.address = address;
+        this.sim = sim;
+        this.started = sim.now();
+    }
+
+    void serve(Router r) {
+        router = r;
+    }
+
+    Router router() {
+        return router;
+    }
+
+    boolean alive() {
+        return alive;
+    }
+
+    /** The process is gone; nothing that it had planned happens. */
+    void kill() {
+        alive = false;
+    }
+
+    /** A frame that left or came, with its four bytes of length. design 3.2 */
+    void passed(int frameBytes) {
+        frames++;
+        bytes += frameBytes + Integer.BYTES;
+    }
+
+    void asked() {
+        served++;
+    }
+
+    /** All that was counted since the start: frames and bytes in both directions, asks answered, processor seconds. */
+    Count count() {
+        return new Count(frames, bytes, served, cpuNanos / 1e9);
+    }
+
+    /** Runs as this machine's own work. */
+    void work(Runnable task) {
+        if (alive) {
+            long from = THREADS.getCurrentThreadCpuTime();
+            task.run();
+            cpuNanos += THREADS.getCurrentThreadCpuTime() - from;
+        }
+    }
+
+    @Override
+    public Duration mono() {
+        return sim.now().minus(started);
+    }
+
+    @Override
+    public Instant wall() {
+        return EPOCH.plus(sim.now());
+    }
+
+    @Override
+    public Schedule after(Duration delay, Runnable task) {
+        boolean[] cancelled = {false};
+        sim.after(delay, () -> {
+            if (!cancelled[0]) {
+                work(task);
+            }
+        });
+        return () -> cancelled[0] = true;
+    }
+
+    @Override
+    public void soon(Runnable task) {
+        after(sim.between(1, 50), task);
+    }
+
+    @Override
+    public void onDisk(Runnable task) {
+        after(DISK, task);
+    }
+}
--- /dev/null
+++ b/trials/src/main/java/org/woadvale/trials/hollow/Parts.java
@@ -0,0 +1,117 @@
+package org.woadvale.trials.hollow;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.woadvale.foundation.beam.Codec;
+import org.woadvale.foundation.beam.Router;
+import org.woadvale.foundation.keeper.Env;
+import org.woadvale.foundation.keeper.Messages;
+import org.woadvale.foundation.keeper.Pace;
+import org.woadvale.foundation.keeper.Replica;
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.foundation.logbook.RingLogbook;
+import org.woadvale.foundation.watch.Wire;
+import org.woadvale.pilot.berth.BerthMachine;
+import org.woadvale.pilot.berth.Commands;
+import org.woadvale.trials.squall.Sim;
+import org.woadvale.trials.squall.SimDisk;
+
+import reactor.core.publisher.Mono;
+
+/** Replicas of many message parts on three stores, all at rest: what owning and following a part costs. design 5 */
+final class Parts implements Mechanism {
+    private static final List<String> STORES = List.of("10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1");
+    private static final Duration WINDOW = Duration.ofSeconds(10);
+    private static final Duration START = Duration.ofSeconds(12);
+    private static final int RING_FILES = 6;
+    private static final int RING_BYTES = 8 << 20;
+    private static final long FIXED = 400L << 20;
+    private static final long A_PART = 256 << 10;
+    private static final int MOST = 1000;
+
+    @Override
+    public String counts() {
+        return "parts on three stores";
+    }
+
+    @Override
+    public List<Integer> sizes() {
+        return List.of(8, 16, 32, 64, 128);
+    }
+
+    @Override
+    public int most() {
+        return MOST;
+    }
+
+    @Override
+    public long needs(int size) {
+        return FIXED + size * A_PART;
+    }
+
+    @Override
+    public Map<String, Double> measure(int size) throws Fault {
+        long before = Heap.used();
+        Sim sim = new Sim(1);
+        HollowNet net = new HollowNet(sim);
+        List<HollowHost> hosts = new ArrayList<>();
+        List<Map<String, Replica>> replicas = new ArrayList<>();
+        for (String s : STORES) {
+            HollowHost h = new HollowHost(s, sim);
+            net.add(h);
+            hosts.add(h);
+            replicas.add(store(h, net, sim, size));
+        }
+        sim.run(START);
+        long owned = replicas.stream().flatMap(m -> m.values().stream()).filter(Replica::mayAct).count();
+        if (owned != size) {
+            throw new Fault(ErrorKind.UNAVAILABLE, "Only " + owned + " of " + size + " parts have an owner.");
+        }
+        Count was = Count.sum(hosts.stream().map(HollowHost::count).toList());
+        sim.run(WINDOW);
+        Count mean = Count.sum(hosts.stream().map(HollowHost::count).toList()).minus(was)
+            .times(1.0 / WINDOW.toSeconds() / STORES.size());
+        Map<String, Double> out = new LinkedHashMap<>();
+        out.put("frames of a store /s", mean.frames());
+        out.put("bytes of a store /s", mean.bytes());
+        out.put("processor ms of a store /s", mean.cpuS() * 1000);
+        out.put("heap of a store KB", (Heap.used() - before) / 1024.0 / STORES.size());
+        return out;
+    }
+
+    /** Each part has another first store, so owners are spread. */
+    private static Map<String, Replica> store(HollowHost h, HollowNet net, Sim sim, int parts) throws Fault {
+        Codec codec = Wire.codec(Wire.PILOT, Commands.types());
+        RingLogbook book = RingLogbook.open(new SimDisk(sim), h, RING_FILES, RING_BYTES);
+        Env env = new Env(h, h, net.beam(h, codec), codec, book, sim.random()::nextLong, Pace.usual());
+        Map<String, Replica> mine = new HashMap<>();
+        for (int i = 0; i < parts; i++) {
+            List<String> copies = new ArrayList<>(STORES);
+            Collections.rotate(copies, i);
+            mine.put("m" + i, new Replica("m" + i, copies, new BerthMachine("m" + i, codec), env));
+        }
+        Router r = new Router();
+        r.on(Messages.VoteAsk.class, (f, a) -> at(mine, a.part(), f, a))
+            .on(Messages.AppendAsk.class, (f, a) -> at(mine, a.part(), f, a))
+            .on(Messages.ViewPush.class, (f, a) -> at(mine, a.part(), f, a))
+            .on(Messages.Stand.class, (f, a) -> at(mine, a.part(), f, a))
+            .on(Messages.BlankAsk.class, (f, a) -> at(mine, a.part(), f, a))
+            .on(Messages.Found.class, (f, a) -> at(mine, a.part(), f, a));
+        h.serve(r);
+        for (Replica x : mine.values()) {
+            x.start(List.of());
+        }
+        return mine;
+    }
+
+    private static Mono<Object> at(Map<String, Replica> mine, String part, String from, Object body) {
+        return mine.get(part).handle(from, body);
+    }
+}
--- /dev/null
+++ b/trials/src/main/java/org/woadvale/trials/hollow/Wires.java
@@ -0,0 +1,94 @@
+package org.woadvale.trials.hollow;
+
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.woadvale.foundation.beam.Router;
+import org.woadvale.foundation.beam.TcpBeam;
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.foundation.lantern.RealSchedules;
+import org.woadvale.foundation.watch.Asks;
+import org.woadvale.foundation.watch.Wire;
+
+import com.sun.management.OperatingSystemMXBean;
+
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/**
+ * Claims renewed over the shipped TCP beam on loopback, both ends in this process: what the sockets cost that hollow
+ * machines do not have. Real time; the processor time is the whole process's. design 3
+ */
+final class Wires implements Mechanism {
+    private static final Duration LIMIT = Duration.ofSeconds(10);
+    private static final Duration ALL = Duration.ofSeconds(120);
+    private static final int IN_FLIGHT = 16;
+    private static final int WARM_UP = 20_000;
+    private static final int MOST = 1_000_000;
+
+    @Override
+    public String counts() {
+        return "asks over one stream";
+    }
+
+    @Override
+    public List<Integer> sizes() {
+        return List.of(10_000, 20_000, 40_000, 80_000);
+    }
+
+    @Override
+    public int most() {
+        return MOST;
+    }
+
+    @Override
+    public long needs(int size) {
+        return 128 << 20;
+    }
+
+    private static String free() throws Fault {
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return "127.0.0.1:" + s.getLocalPort();
+        } catch (IOException e) {
+            throw new Fault(ErrorKind.UNAVAILABLE, "No free port on loopback.");
+        }
+    }
+
+    private static double cpuMs() {
+        return ((OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean()).getProcessCpuTime() / 1e6;
+    }
+
+    @Override
+    public Map<String, Double> measure(int size) throws Fault {
+        RealSchedules schedules = new RealSchedules(2);
+        Router router = new Router();
+        router.on(Asks.LeaveAsk.class, (f, a) -> Mono.just(new Asks.Done(true)));
+        TcpBeam here = new TcpBeam(free(), Wire.codec(Wire.PILOT, List.of()), new Router(), schedules);
+        TcpBeam there = new TcpBeam(free(), Wire.codec(Wire.PILOT, List.of()), router, schedules);
+        try {
+            there.start();
+            ask(here, there.self(), WARM_UP);
+            double from = cpuMs();
+            ask(here, there.self(), size);
+            Map<String, Double> out = new LinkedHashMap<>();
+            out.put("processor ms of both ends", cpuMs() - from);
+            return out;
+        } finally {
+            here.stop();
+            there.stop();
+            schedules.close();
+        }
+    }
+
+    private static void ask(TcpBeam from, String to, int n) {
+        Asks.LeaveAsk body = new Asks.LeaveAsk("role/intake", to);
+        Flux.range(0, n).flatMap(i -> from.ask(to, body, Asks.Done.class, LIMIT), IN_FLIGHT).blockLast(ALL);
+    }
+}
--- /dev/null
+++ b/trials/src/test/java/org/woadvale/trials/hollow/CapacityTest.java
@@ -0,0 +1,105 @@
+package org.woadvale.trials.hollow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.woadvale.foundation.lantern.Fault;
+
+/** The line through measured points, the command line's refusals, and that a hollow fleet serves. */
+class CapacityTest {
+    private static final long GB = 1L << 30;
+
+    @Test
+    void theFitFindsALineThatIsThere() {
+        Map<Integer, Double> points = new TreeMap<>();
+        for (int x : new int[] {10, 20, 40, 80}) {
+            points.put(x, 7 + 0.5 * x);
+        }
+        Fit f = Fit.of(points);
+        assertEquals(0.5, f.slope(), 1e-9);
+        assertEquals(7, f.intercept(), 1e-9);
+        assertEquals(1, f.r2(), 1e-9);
+        assertEquals(0, f.spread(), 1e-9);
+        assertEquals(507, f.at(1000), 1e-6);
+    }
+
+    /** Noise of a tenth moves the slope by little, and shows as spread; a curve shows too. */
+    @Test
+    void theFitSaysHowFarPointsLie() {
+        Random random = new Random(5);
+        Map<Integer, Double> noisy = new TreeMap<>();
+        Map<Integer, Double> curved = new TreeMap<>();
+        for (int x : new int[] {10, 20, 40, 80, 160}) {
+            noisy.put(x, 3.0 * x * (0.95 + random.nextDouble() / 10));
+            curved.put(x, 1.0 * x * x);
+        }
+        Fit f = Fit.of(noisy);
+        assertEquals(3, f.slope(), 0.3);
+        assertTrue(f.spread() > 0 && f.spread() < 0.3 && f.r2() > 0.99 && f.error() > 0, f::toString);
+        assertTrue(Fit.of(curved).spread() > 0.5);
+    }
+
+    @Test
+    void noLineGoesThroughThreePoints() {
+        assertThrows(IllegalArgumentException.class, () -> Fit.of(Map.of(1, 1.0, 2, 2.0, 3, 3.0)));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = ';', value = {
+        "--nodes 0,30,60,120; A size is a whole number from 1 to 99999999, not \"0\".",
+        "--nodes 30,60,,120; A size is a whole number from 1 to 99999999, not \"\".",
+        "--nodes 30,60,-1,120; A size is a whole number from 1 to 99999999, not \"-1\".",
+        "--nodes 30,60,60; A line needs 4 different sizes at least, not 2.",
+        "--only tides; There is no mechanism tides",
+        "--sizes 1,2,3,4; Sizes belong to one mechanism",
+        "--only tenants --sizes 8,16,32,1001; 1001 tenants are more than the 1000 that can be run.",
+        "--only tenants --largest 100; The largest run is a number of nodes over zero",
+        "--largest -5; The largest run is a number of nodes over zero",
+        "--nodes 30,60,120,20000; 20000 nodes, 8 tenants need about",
+        "--nodes 30,60,120,240 --largest 20000; 20000 nodes, 8 tenants need about",
+        "--more; Found unexpected parameters"})
+    void badInputIsOneSentenceAndStartsNothing(String line, String sentence, @TempDir Path folder) throws Exception {
+        Path plots = folder.resolve("plots");
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        ByteArrayOutputStream err = new ByteArrayOutputStream();
+        int code = new CapacityCommand(new PrintStream(out, true, StandardCharsets.UTF_8),
+            new PrintStream(err, true, StandardCharsets.UTF_8)).run((line + " --out " + plots).split(" "));
+        String said = err.toString(StandardCharsets.UTF_8);
+        assertEquals(2, code, said);
+        assertTrue(said.startsWith("capacity: " + sentence), said);
+        assertEquals(1, said.strip().lines().count(), said);
+        assertEquals("", out.toString(StandardCharsets.UTF_8));
+        assertFalse(Files.exists(plots));
+    }
+
+    @Test
+    void usualSizesFitIntoTwoGigabytes() throws Fault {
+        for (Mechanism m : Wanted.of(new String[0], 2 * GB).runs().keySet()) {
+            assertTrue(m.sizes().size() >= Fit.FEWEST, m.counts());
+        }
+    }
+
+    /** Everyone knows everyone, the bucket of each tenant is held, and a change reaches all. */
+    @Test
+    void aHollowFleetServes() throws Fault {
+        HollowFleet f = new HollowFleet(new Shape(9, 3, 4, 0));
+        assertTrue(f.changeEverywhere().toMillis() < 2000);
+        assertTrue(f.mark(true).toMillis() < 2000);
+        assertTrue(Count.sum(f.nodeCounts().values()).bytes() > 0);
+    }
+}
