--- a/trials/src/main/java/org/woadvale/trials/hollow/Heap.java
+++ b/trials/src/main/java/org/woadvale/trials/hollow/Heap.java
@@ -6,7 +6,8 @@
 
 /** Bytes of heap in use after a collection. */
 final class Heap {
-    private static final int COLLECTIONS = 3;
+    /** The serial collector leaves some dead objects in place in three of four collections (MarkSweepAlwaysCompactCount). */
+    private static final int COLLECTIONS = 4;
 
     private Heap() { }
 
