The former owner of a part need not wait for its own claim

Ruled out: shorter claims for all (news and paused owners need them). Change: a claim is confirmed only once it is on disk whose it is; that node alone is not waited for.

--- a/foundation/src/main/java/org/woadvale/foundation/keeper/Ballot.java
+++ b/foundation/src/main/java/org/woadvale/foundation/keeper/Ballot.java
@@ -18,7 +18,12 @@
     }
 
     void look() {
-        if (r.now().compareTo(r.claimHeard) < 0 || !r.groups.latest().containsKey(r.env.self())) {
+        if (lastOwner() && r.groups.latest().containsKey(r.env.self())) {
+            standAt = standAt.isZero() ? r.now().plus(patience()) : standAt;
+            if (r.now().compareTo(standAt) >= 0) {
+                stand(false);
+            }
+        } else if (r.now().compareTo(r.claimHeard) < 0 || !r.groups.latest().containsKey(r.env.self())) {
             standAt = Duration.ZERO;
         } else if (standAt.isZero()) {
             standAt = r.now().plus(patience());
@@ -27,6 +32,14 @@
         }
     }
 
+    /**
+     * Started again, and nobody else can hold a claim that was confirmed here: it was ours, and ended with our former
+     * life. design 5.3
+     */
+    private boolean lastOwner() {
+        return r.term > 0 && r.votedFor.equals(r.env.self()) && r.owner.isEmpty();
+    }
+
     /** The first of the wanted list stands first; the others leave it time: owners spread by placement. */
     private Duration patience() {
         Duration spread = r.env.pace().spread();
@@ -86,10 +99,12 @@
 
     Mono<Object> asked(String from, Messages.VoteAsk a) {
         boolean claimRuns = r.now().compareTo(r.claimHeard) < 0 || (r.phase == Phase.OWNING && r.owning.claimRuns());
+        // whoever held the claim and stands now has given it up, or lost it with its former life
+        boolean itsOwn = from.equals(r.votedFor) && r.phase != Phase.OWNING;
         boolean complete = a.lastTerm() > r.ledger.lastTerm()
             || (a.lastTerm() == r.ledger.lastTerm() && a.lastIndex() >= r.ledger.lastIndex());
         boolean free = a.term() > r.term || (a.term() == r.term && (r.votedFor.equals(from)));
-        if (!r.sworn || (claimRuns && !a.handedOver()) || !complete || !free) {
+        if (!r.sworn || (claimRuns && !a.handedOver() && !itsOwn) || !complete || !free) {
             return Mono.just(new Messages.VoteReply(r.term, false, r.identity));
         }
         if (a.dry()) {
--- a/foundation/src/main/java/org/woadvale/foundation/keeper/Following.java
+++ b/foundation/src/main/java/org/woadvale/foundation/keeper/Following.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
@@ -9,6 +10,7 @@
 /** Taking changes and views from the owner: design 5.4. */
 final class Following {
     private final Replica r;
+    private Optional<Sinks.One<Object>> noting = Optional.empty();
 
     Following(Replica r) {
         this.r = r;
@@ -28,12 +30,33 @@
         if (r.phase == Phase.STANDING) {
             r.become(Phase.FOLLOWING, "another was elected");
         }
+        if (!r.votedFor.equals(from)) {
+            r.votedFor = from;
+            noting = Optional.of(Sinks.one());
+            Sinks.One<Object> noted = noting.get();
+            r.store.vote(() -> r.shard.leave(() -> noted.tryEmitValue(Boolean.TRUE)));
+        }
         r.owner = from;
         r.claimHeard = r.now().plus(r.env.pace().claim());
         return true;
     }
 
+    /** A claim is confirmed only once it is on disk whose it is: after a restart nobody else's may run. design 5.3 */
+    private Mono<Object> noted(Mono<Object> reply) {
+        Optional<Sinks.One<Object>> n = noting;
+        noting = Optional.empty();
+        return n.map(s -> s.asMono().then(reply)).orElse(reply);
+    }
+
     Mono<Object> append(String from, Messages.AppendAsk a) {
+        return noted(take(from, a));
+    }
+
+    Mono<Object> view(String from, Messages.ViewPush p) {
+        return noted(take(from, p));
+    }
+
+    private Mono<Object> take(String from, Messages.AppendAsk a) {
         if (!heard(from, a.term())) {
             return Mono.just(reply(false, 0));
         }
@@ -74,7 +97,7 @@
         return out.asMono();
     }
 
-    Mono<Object> view(String from, Messages.ViewPush p) {
+    private Mono<Object> take(String from, Messages.ViewPush p) {
         if (!heard(from, p.term())) {
             return Mono.just(reply(false, 0));
         }
--- a/foundation/src/main/java/org/woadvale/foundation/keeper/Store.java
+++ b/foundation/src/main/java/org/woadvale/foundation/keeper/Store.java
@@ -66,7 +66,11 @@
     private void replay(Entry e) throws Fault {
         r.ledger.cutFrom(e.index());
         r.groups.cutFrom(e.index());
-        r.term = Math.max(r.term, e.term());
+        if (e.term() > r.term) {
+            // a build that did not note its owners: nobody is known to hold a claim of this term. design 5.3
+            r.term = e.term();
+            r.votedFor = "";
+        }
         enter(e.index(), r.env.codec().read(e.bytes(), LogItem.class));
     }
 
