--- a/trials/src/main/java/org/woadvale/trials/squall/SimNet.java
+++ b/trials/src/main/java/org/woadvale/trials/squall/SimNet.java
@@ -22,6 +22,11 @@
 
 /** A network that delays, loses, doubles, and can be cut in one direction. */
 public final class SimNet {
+    /** Sees each frame that is sent, with the size of its bytes. */
+    public interface Eye {
+        void sent(String from, String to, Frame f, int bytes);
+    }
+
     private final Sim sim;
     private final Map<String, Host> hosts = new HashMap<>();
     private final Set<String> cuts = new HashSet<>();
@@ -30,6 +35,7 @@
     private double loss;
     private double twice;
     private long frames;
+    private Eye eye = (from, to, f, bytes) -> { };
 
     public SimNet(Sim sim) {
         this.sim = sim;
@@ -88,6 +94,10 @@
         return !cuts.contains(from + ">" + to);
     }
 
+    public void watch(Eye e) {
+        eye = e;
+    }
+
     public long frames() {
         return frames;
     }
@@ -124,7 +134,9 @@
                 Sinks.One<Frame> sink = Sinks.one();
                 Schedule late = self.after(limit,
                     () -> sink.tryEmitError(new Fault(ErrorKind.UNKNOWN_OUTCOME, "No answer in time.")));
-                byte[] bytes = codec.write(new Frame(1, Frame.Kind.ASK, body));
+                Frame ask = new Frame(1, Frame.Kind.ASK, body);
+                byte[] bytes = codec.write(ask);
+                eye.sent(self.address, to, ask, bytes.length);
                 long life = self.life();
                 deliver(to, bytes, sink, life);
                 if (sim.luck(twice)) {
@@ -165,6 +177,7 @@
 
         private void reply(Host from, Frame f, Sinks.One<Frame> sink, long life) {
             byte[] bytes = codec.write(f);
+            eye.sent(from.address, self.address, f, bytes.length);
             if (from.alive() && (from == self || !lost(from.address, self.address))) {
                 travel(from.address, self.address, () -> back(life, () -> sink.tryEmitValue(read(bytes))));
             }
