--- a/foundation/src/main/java/org/woadvale/foundation/beacon/News.java
+++ b/foundation/src/main/java/org/woadvale/foundation/beacon/News.java
@@ -122,7 +122,7 @@
     private Optional<String> home(String service) {
         Map<String, Seat> seats = new HashMap<>(seats(Places.INTAKES));
         seats.putAll(seats(Places.STORES));
-        return Places.draw("home/" + service,
+        return Places.draw("home/" + Places.controlPart(service),
             seats.entrySet().stream().filter(e -> e.getValue().hall().equals(hall)).map(Map.Entry::getKey).toList());
     }
 
