--- a/foundation/src/main/java/org/woadvale/foundation/chart/Charts.java
+++ b/foundation/src/main/java/org/woadvale/foundation/chart/Charts.java
@@ -64,16 +64,24 @@
             }
             return t;
         } catch (JsonMappingException e) {
-            StringBuilder path = new StringBuilder();
-            e.getPath().forEach(r -> path.append(path.length() == 0 ? "" : ".")
-                .append(r.getFieldName() == null ? "[" + r.getIndex() + "]" : r.getFieldName()));
-            throw new Fault(kind, "The document does not fit.", List.of(path + ": " + e.getOriginalMessage()));
+            throw new Fault(kind, "The document does not fit.", List.of(fault(e)));
         } catch (IOException e) {
-            String line = String.valueOf(e.getMessage()).lines().findFirst().orElse("");
-            throw new Fault(kind, "The document is not JSON.", List.of(line));
+            throw new Fault(kind, "The document is not JSON.", List.of(fault(e)));
         }
     }
 
+    /** Why a document cannot be read: in one line, and by path where there is one. */
+    public static String fault(IOException e) {
+        StringBuilder path = new StringBuilder();
+        String why = String.valueOf(e.getMessage());
+        if (e instanceof JsonMappingException m) {
+            m.getPath().forEach(r -> path.append(r.getFieldName() == null ? "[" + r.getIndex() + "]"
+                : (path.length() == 0 ? "" : ".") + r.getFieldName()));
+            why = String.valueOf(m.getOriginalMessage());
+        }
+        return (path.length() == 0 ? "" : path + ": ") + why.lines().findFirst().orElse("");
+    }
+
     /** Every fault of the annotations, by path. */
     public static List<String> faults(Object o) {
         return VALIDATOR.validate(o).stream().map(v -> v.getPropertyPath() + ": " + v.getMessage()).sorted().toList();
