Tests of revisions, configurations, doors and the client of back ends

LayoutLogTest: own revisions, originals, repeats, races, bounds. ControlTest: the operator through the doors, each invalid kind refused by path, the same after a restart of the core; host and longest prefix; keys. HttpPostTest: the real client against a scripted back end on loopback (Peer): a second answer is never another's, nothing is sent twice, half an answer is none, Keep-Alive.

--- /dev/null
+++ b/lighthouse/src/test/java/org/woadvale/lighthouse/lamp/LayoutLogTest.java
@@ -0,0 +1,97 @@
+package org.woadvale.lighthouse.lamp;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+
+import org.junit.jupiter.api.Test;
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.foundation.watch.Asks;
+
+/** Revisions, originals and repeats: design 6.8 and 6.4. */
+class LayoutLogTest {
+    private final LayoutLog log = new LayoutLog(1 << 20);
+
+    private static byte[] bytes(String s) {
+        return s.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private Object put(String id, long base, long revision, String original) {
+        return log.put(new Asks.PutLayout(id, base, bytes("{}"), "me", revision, bytes(original)));
+    }
+
+    private static ErrorKind kind(Object o) {
+        return ((Fault) o).kind();
+    }
+
+    @Test
+    void ownRevisionIsTheVersionAndRisesInUnevenSteps() {
+        assertEquals(new Asks.LayoutTaken(3, false), put("a", 0, 3, "A"));
+        assertEquals(new Asks.LayoutTaken(17, false), put("b", 3, 17, "B"));
+        assertEquals(17, log.version());
+        assertEquals(new Asks.LayoutTaken(18, false), log.put(new Asks.PutLayout("c", 17, bytes("{}"), "me")));
+    }
+
+    @Test
+    void revisionNotAboveThePresentIsInvalid() {
+        put("a", 0, 5, "A");
+        assertEquals(ErrorKind.INVALID_LAYOUT, kind(put("b", 5, 5, "B")));
+        assertEquals(ErrorKind.INVALID_LAYOUT, kind(put("c", 5, 4, "C")));
+        assertEquals(5, log.version());
+    }
+
+    @Test
+    void ofTwoOnOneBaseTheSecondIsStale() {
+        put("a", 0, 5, "A");
+        assertEquals(new Asks.LayoutTaken(7, false), put("b", 5, 7, "B"));
+        Object lost = put("c", 5, 8, "C");
+        assertEquals(ErrorKind.STALE_BASE, kind(lost));
+        assertTrue(((Fault) lost).details().contains("7"), "the present one is named");
+    }
+
+    @Test
+    void sameTextAgainHasTheSameAnswerEvenLater() {
+        put("a", 0, 5, "A");
+        put("b", 5, 7, "B");
+        assertEquals(new Asks.LayoutTaken(5, true), put("a", 0, 5, "A"));
+        assertEquals(new Asks.LayoutTaken(7, true), put("b", 5, 7, "B"));
+        assertEquals(ErrorKind.CONFLICT, kind(put("a", 0, 5, "other text")));
+    }
+
+    /** Two texts that mean the same layout are two changes. */
+    @Test
+    void repeatsAreToldByTheOriginal() {
+        put("a", 0, 5, "A");
+        assertEquals(ErrorKind.CONFLICT, kind(put("a", 0, 5, "A ")));
+        assertArrayEquals(bytes("A"), log.steps().get(0).original());
+    }
+
+    @Test
+    void restoredLogAnswersAlike() {
+        put("a", 0, 5, "A");
+        put("b", 5, 7, "B");
+        LayoutLog other = new LayoutLog(1 << 20);
+        other.restore(log.steps(), log.known());
+        assertEquals(7, other.version());
+        assertArrayEquals(bytes("B"), other.steps().get(1).original());
+        assertEquals(new Asks.LayoutTaken(5, true), other.put(new Asks.PutLayout("a", 0, bytes("{}"), "me", 5, bytes("A"))));
+    }
+
+    /** Originals count towards the bound, the ids stay. */
+    @Test
+    void boundHoldsWithOriginals() {
+        LayoutLog small = new LayoutLog(1000);
+        long base = 0;
+        for (int i = 1; i <= 20; i++) {
+            small.put(new Asks.PutLayout("id" + i, base, bytes("{}"), "me", i * 3L, bytes("x".repeat(300))));
+            base = i * 3L;
+        }
+        assertEquals(60, small.version());
+        assertTrue(small.steps().size() <= 3, small.steps().size() + " kept");
+        assertEquals(new Asks.LayoutTaken(3, true),
+            small.put(new Asks.PutLayout("id1", 0, bytes("{}"), "me", 3, bytes("x".repeat(300)))));
+    }
+}
--- /dev/null
+++ b/trials/src/test/java/org/woadvale/trials/squall/ControlTest.java
@@ -0,0 +1,157 @@
+package org.woadvale.trials.squall;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.woadvale.foundation.gate.Answer;
+import org.woadvale.foundation.gate.Request;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.trials.buoy.Papers;
+
+/** The operator's configurations through the doors: design 6.8, docs/platform.md 3. */
+class ControlTest {
+    private Shore s;
+
+    @BeforeEach
+    void begin() throws Fault {
+        s = new Shore(21, 2);
+    }
+
+    private Answer get(int lighthouse) {
+        return s.r.ask(s.r.lighthouses.get(lighthouse), new Request("GET", "/-/configuration", Map.of(), new byte[0]),
+            Duration.ofSeconds(4)).orElseThrow();
+    }
+
+    private static Papers.Route route(String name, String prefix) {
+        return Shore.route(name, prefix, "desk", false);
+    }
+
+    private Papers more(long revision, Papers.Route... routes) {
+        List<Papers.Route> all = new ArrayList<>(s.papers.routes());
+        all.addAll(List.of(routes));
+        return s.papers.routes(all).with(revision);
+    }
+
+    @Test
+    void textIsKeptAndReturnedByteForByte() {
+        String odd = s.papers.with(9).text().replace("\"limits\":", "  \"limits\" :\n\t").replace("{\"maxBody", "{\"unk\u00fcnown\":null,\"maxBody");
+        assertEquals(200, s.put(odd, 3, 0).status());
+        for (int l = 0; l < 3; l++) {
+            assertEquals(odd, new String(get(l).body(), java.nio.charset.StandardCharsets.UTF_8));
+        }
+    }
+
+    @Test
+    void sameTextAgainIsYesAtAnyLighthouse() {
+        Papers next = more(9, route("r-new", "/new/"));
+        assertEquals(200, s.put(next, 3, 0).status());
+        assertEquals(200, s.put(more(20, route("r-other", "/other/")), 9, 1).status());
+        for (int l = 0; l < 3; l++) {
+            assertEquals(200, s.put(next, 3, l).status());
+        }
+        assertEquals(412, s.put(more(21, route("r-late", "/late/")), 9, 2).status());
+    }
+
+    /** Refused with every fault, and nothing of it is ever in force; the same after the core was restarted. */
+    @Test
+    void invalidOnesAreRefusedAndNeverInForce() throws Fault {
+        List<String> bad = List.of(
+            s.papers.with(9).text().substring(0, 300),
+            more(9, Shore.route("r-x", "/x/", "nobody", false)).text(),
+            more(9, route("r-x", "/x/"), route("r-y", "/x/")).text(),
+            more(9, new Papers.Route("r-x", Shore.HOST, "/x/", "desk", 0, 3, false, 90, false)).text(),
+            more(3, route("r-x", "/x/")).text(), more(2, route("r-x", "/x/")).text(),
+            more(9, route("r-x", "/x/")).tenants(List.of(new Papers.Tenant("a", List.of(Shore.KEY), 9, 9),
+                new Papers.Tenant("b", List.of(Shore.KEY), 9, 9))).text());
+        refused(bad);
+        s.r.lighthouses.forEach(s.r::kill);
+        s.run(500);
+        for (String l : s.r.lighthouses) {
+            s.r.restart(l);
+        }
+        s.run(5000);
+        refused(bad);
+        assertEquals(404, s.send("/x/1", "b", Map.of()).status());
+        assertEquals(s.papers.text(), new String(get(0).body()));
+    }
+
+    private void refused(List<String> bad) {
+        for (String text : bad) {
+            Answer a = s.put(text, 3, bad.indexOf(text) % 3);
+            assertEquals(400, a.status(), text.substring(0, 80));
+            assertTrue(Callers.json(a).path("details").size() > 0, "a fault by its path: " + new String(a.body()));
+        }
+        assertEquals(400, s.r.ask(s.r.lighthouses.get(0), new Request("PUT", "/-/configuration", Map.of(),
+            s.papers.with(9).text().getBytes()), Duration.ofSeconds(4)).orElseThrow().status());
+    }
+
+    /** Two operators at once on one base, at different lighthouses. */
+    @Test
+    void ofTwoAtOnceOneWins() {
+        for (int round = 0; round < 5; round++) {
+            long base = round == 0 ? 3 : 10L * round;
+            List<Integer> out = new ArrayList<>();
+            List<String> texts = List.of(more(base + 10 - (round == 0 ? 3 : 0), route("r-a" + round, "/a" + round + "/")).text(),
+                more(base + 10 - (round == 0 ? 3 : 0), route("r-b" + round, "/b" + round + "/")).text());
+            for (int i = 0; i < 2; i++) {
+                s.r.request(s.r.lighthouses.get((round + i) % 3), new Request("PUT", "/-/configuration",
+                    Map.of("if-match", Long.toString(base)), texts.get(i).getBytes()), Duration.ofSeconds(5),
+                    a -> out.add(a.map(Answer::status).orElse(0)));
+            }
+            s.r.sim.runUntil(() -> out.size() == 2, Duration.ofSeconds(6));
+            assertEquals(Set.of(200, 412), Set.copyOf(out));
+            assertTrue(texts.contains(new String(get(2).body())));
+        }
+    }
+
+    @Test
+    void routeIsFoundByHostAndTheLongestPrefix() {
+        Papers next = more(9, new Papers.Route("r-long", Shore.HOST, "/push/deep/", "desk", 1500, 3, false, 90, false),
+            new Papers.Route("r-host", "other.example", "/push/", "desk", 1500, 3, false, 90, true));
+        assertEquals(200, s.put(next, 3, 0).status());
+        s.run(3000);
+        s.accepted("/push/deep/1", "deep", Map.of());
+        assertEquals("deep", new String(s.pull("i", 3000).body()));
+        s.accepted("/push/1", "host", Map.of("host", "OTHER.example:80"));
+        Answer keyless = s.pull("i", 3000);
+        assertEquals("host", new String(keyless.body()));
+        s.accepted("/push/2", "flat", Map.of());
+        assertEquals(204, s.pull("i", 1500).status(), "it is for the other service");
+        for (Map<String, String> wrong : List.of(Map.of("host", "nobody.example"), Map.of("host", ""))) {
+            assertEquals(404, s.send("/push/1", "b", wrong).status(), wrong.toString());
+        }
+        assertEquals(404, s.send("/pus", "b", Map.of()).status());
+    }
+
+    @Test
+    void keysRuleTheDoor() {
+        assertEquals(401, s.send("/push/1", "b", Map.of("authorization", "Token wrong")).status());
+        assertEquals(401, s.send("/push/1", "b", Map.of("authorization", "")).status());
+        assertEquals(401, s.send("/push/1", "b", Map.of("authorization", "Bearer " + Shore.KEY)).status());
+        assertEquals(200, s.put(s.papers.with(9).tenants(List.of(new Papers.Tenant("tenant-a", List.of("fresh"), 200, 200))),
+            3, 0).status());
+        s.run(3000);
+        assertEquals(401, s.send("/push/1", "b", Map.of()).status());
+        assertEquals(202, s.send("/push/1", "b", Map.of("authorization", "Token fresh")).status());
+    }
+
+    @Test
+    void badHeadersAreNamed() {
+        assertEquals(400, s.send("/push/1", "b", Map.of("x-delay-ms", "-1")).status());
+        assertEquals(400, s.send("/push/1", "b", Map.of("x-delay-ms", "soon")).status());
+        assertEquals(400, s.send("/push/1", "b", Map.of("x-attempt-id", "")).status());
+        assertEquals(400, s.send("/push/1", "b", Map.of("x-attempt-id", "a b")).status());
+        Optional<Answer> none = s.r.ask(s.r.lighthouses.get(0), new Request("GET", "/-/nothing", Map.of(), new byte[0]),
+            Duration.ofSeconds(4));
+        assertEquals(404, none.orElseThrow().status());
+    }
+}
--- /dev/null
+++ b/trials/src/test/java/org/woadvale/trials/squall/HttpPostTest.java
@@ -0,0 +1,135 @@
+package org.woadvale.trials.squall;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.junit.jupiter.api.Test;
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.pilot.launch.HttpPost;
+import org.woadvale.pilot.launch.Post;
+
+/** The real client against a back end that says odd things: design 9.3, docs/platform.md 5. */
+class HttpPostTest {
+    private static final Duration LIMIT = Duration.ofMillis(1500);
+    private final HttpPost post = new HttpPost();
+
+    private static Post.Call call(Peer p, String id, Duration limit) {
+        return new Post.Call("POST", p.address() + "/x?y=1", Map.of("X-Attempt-Id", id, "Content-Length", "2"),
+            new byte[] {'h', 'i'}, limit, () -> true, Map.of("x-attempt-id", id));
+    }
+
+    private String said(Peer p, String id) {
+        return post.send(call(p, id, LIMIT)).map(r -> r.status() + " " + r.headers().get("x-attempt-id") + " "
+            + new String(r.body())).onErrorResume(e -> reactor.core.publisher.Mono.just(Fault.of(e).kind().name())).block();
+    }
+
+    private static Peer.Said open(String text) {
+        return new Peer.Said(text, false);
+    }
+
+    @Test
+    void answerIsReadWithItsHeaders() throws Exception {
+        try (Peer p = new Peer((c, n, head) -> open(Peer.answer(200, "a" + n, "X-Server-Seal: s\r\n", "ok")))) {
+            assertEquals("200 a1 ok", said(p, "a1"));
+            assertEquals("200 a2 ok", said(p, "a2"));
+            assertEquals(1, p.connections(), "a stream is used again");
+            assertTrue(p.heads.get(0).startsWith("POST /x?y=1 HTTP/1.1"), p.heads.get(0));
+        }
+    }
+
+    /** The second answer comes with the first or while the next request is on its way: it is never that one's. */
+    @Test
+    void lateSecondAnswerIsNeverAnothersAnswer() throws Exception {
+        try (Peer p = new Peer((c, n, head) -> open(c == 1 && n == 1
+                ? Peer.answer(200, "a1", "", "one") + Peer.answer(200, "a1", "", "two")
+                : Peer.answer(200, head.replaceAll("(?is).*x-attempt-id: *(\\S+).*", "$1"), "", "own")))) {
+            assertEquals("200 a1 one", said(p, "a1"));
+            for (int i = 2; i < 8; i++) {
+                String id = "a" + i;
+                String s = said(p, id);
+                assertTrue(s.equals("200 " + id + " own") || s.equals(ErrorKind.UNKNOWN_OUTCOME.name()), id + ": " + s);
+            }
+            assertEquals("200 a9 own", said(p, "a9"));
+        }
+    }
+
+    /** The answer to an earlier request stands where this one's should. */
+    @Test
+    void answerWithAnothersIdIsUnclearAndClosesTheStream() throws Exception {
+        try (Peer p = new Peer((c, n, head) -> open(c == 1 && n == 2 ? Peer.answer(200, "a1", "", "again")
+                : Peer.answer(200, head.replaceAll("(?is).*x-attempt-id: *(\\S+).*", "$1"), "", "own")))) {
+            assertEquals("200 a1 own", said(p, "a1"));
+            assertEquals(ErrorKind.UNKNOWN_OUTCOME.name(), said(p, "a2"));
+            assertEquals("200 a3 own", said(p, "a3"));
+            assertEquals(2, p.connections());
+        }
+    }
+
+    /** Closed without an answer, on a new stream and on a used one: unclear, and not sent again by the client. */
+    @Test
+    void nothingIsSentTwice() throws Exception {
+        AtomicInteger whole = new AtomicInteger();
+        try (Peer p = new Peer((c, n, head) -> {
+            whole.incrementAndGet();
+            return n == 1 && c == 2 ? open(Peer.answer(200, "b", "", "")) : new Peer.Said("", true);
+        })) {
+            assertEquals(ErrorKind.UNKNOWN_OUTCOME.name(), said(p, "a"));
+            assertEquals(1, whole.get());
+            assertEquals("200 b ", said(p, "b"));
+            assertEquals(ErrorKind.UNKNOWN_OUTCOME.name(), said(p, "c"));
+            assertEquals(3, whole.get());
+        }
+    }
+
+    @Test
+    void halfAnAnswerIsNoAnswer() throws Exception {
+        try (Peer p = new Peer((c, n, head) -> new Peer.Said(
+                "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nX-Server-Seal: s\r\nContent-Length: 10\r\n\r\nhalf", true))) {
+            assertEquals(ErrorKind.UNKNOWN_OUTCOME.name(), said(p, "a"));
+        }
+        try (Peer p = new Peer((c, n, head) -> new Peer.Said("HTTP/1.1 200 OK\r\nX-Att", true))) {
+            assertEquals(ErrorKind.UNKNOWN_OUTCOME.name(), said(p, "a"));
+        }
+        try (Peer p = new Peer((c, n, head) -> new Peer.Said("nonsense\r\n\r\n", true))) {
+            assertEquals(ErrorKind.UNKNOWN_OUTCOME.name(), said(p, "a"));
+        }
+    }
+
+    @Test
+    void silenceEndsAtTheLimit() throws Exception {
+        try (Peer p = new Peer((c, n, head) -> open(""))) {
+            long from = System.nanoTime();
+            ErrorKind kind = post.send(call(p, "a", Duration.ofMillis(300))).map(r -> ErrorKind.CONFLICT)
+                .onErrorResume(e -> reactor.core.publisher.Mono.just(Fault.of(e).kind())).block();
+            assertEquals(ErrorKind.UNKNOWN_OUTCOME, kind);
+            assertTrue(System.nanoTime() - from < 5_000_000_000L);
+        }
+    }
+
+    @Test
+    void nobodyThereMeansNothingWasSent() throws Exception {
+        Peer p = new Peer((c, n, head) -> open(""));
+        p.close();
+        assertEquals(ErrorKind.UNREACHABLE.name(), said(p, "a"));
+    }
+
+    /** The back end closes streams that rest for so long; half of that before, another is opened. */
+    @Test
+    void streamRestsNoLongerThanTheBackEndSays() throws Exception {
+        try (Peer p = new Peer((c, n, head) -> open(Peer.answer(200, "a", "Keep-Alive: timeout=0\r\n", "")))) {
+            assertEquals("200 a ", said(p, "a"));
+            long until = System.nanoTime() + 20_000_000L;
+            while (System.nanoTime() < until) {
+                Thread.onSpinWait();
+            }
+            assertEquals("200 a ", said(p, "a"));
+            assertNotEquals(1, p.connections());
+        }
+    }
+}
--- /dev/null
+++ b/trials/src/test/java/org/woadvale/trials/squall/Peer.java
@@ -0,0 +1,106 @@
+package org.woadvale.trials.squall;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+
+/** A back end on loopback that says what its script says, byte for byte. */
+final class Peer implements AutoCloseable {
+    /** What to write after a whole request was read; nothing for an empty text. */
+    interface Script {
+        Said say(int connection, int request, String head);
+    }
+
+    /** Bytes, and whether the connection ends then. */
+    record Said(String text, boolean close) { }
+
+    private final ServerSocket server;
+    private final Script script;
+    final List<String> heads = Collections.synchronizedList(new ArrayList<>());
+    private final List<Socket> sockets = Collections.synchronizedList(new ArrayList<>());
+
+    Peer(Script script) throws IOException {
+        this.script = script;
+        this.server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        Thread t = new Thread(this::accept, "peer");
+        t.setDaemon(true);
+        t.start();
+    }
+
+    String address() {
+        return "http://127.0.0.1:" + server.getLocalPort();
+    }
+
+    int connections() {
+        return sockets.size();
+    }
+
+    static String answer(int status, String id, String more, String body) {
+        return "HTTP/1.1 " + status + " X\r\nX-Attempt-Id: " + id + "\r\n" + more + "Content-Length: " + body.length()
+            + "\r\n\r\n" + body;
+    }
+
+    private void accept() {
+        while (!server.isClosed()) {
+            try {
+                Socket s = server.accept();
+                s.setTcpNoDelay(true);
+                sockets.add(s);
+                int n = sockets.size();
+                Thread t = new Thread(() -> serve(s, n), "peer-" + n);
+                t.setDaemon(true);
+                t.start();
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket s, int connection) {
+        try (s) {
+            InputStream in = s.getInputStream();
+            for (int n = 1; ; n++) {
+                String head = head(in);
+                if (head.isEmpty()) {
+                    return;
+                }
+                in.readNBytes(Integer.parseInt(head.replaceAll("(?is).*content-length: *([0-9]+).*", "$1")));
+                heads.add(head);
+                Said said = script.say(connection, n, head);
+                s.getOutputStream().write(said.text().getBytes(StandardCharsets.ISO_8859_1));
+                s.getOutputStream().flush();
+                if (said.close()) {
+                    return;
+                }
+            }
+        } catch (IOException e) {
+            // the other side has gone
+        }
+    }
+
+    private static String head(InputStream in) throws IOException {
+        StringBuilder b = new StringBuilder();
+        while (b.length() < 4 || !b.substring(b.length() - 4).equals("\r\n\r\n")) {
+            int c = in.read();
+            if (c < 0) {
+                return "";
+            }
+            b.append((char) c);
+        }
+        return b.toString();
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        for (Socket s : List.copyOf(sockets)) {
+            s.close();
+        }
+    }
+}
