Stand-in of the platform around the real adapter, and a check for each rule

Passage: entry with hashed clients and readiness, list with lag, processors by push and pull, operator with races and bad ones. Rules: a check for each rule that reads only what clients, processors and operator saw (Watchbook).

--- /dev/null
+++ b/trials/src/main/java/org/woadvale/trials/buoy/LimitRules.java
@@ -0,0 +1,66 @@
+package org.woadvale.trials.buoy;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+
+/** What may not be exceeded in any window. */
+final class LimitRules {
+    private final Watchbook w;
+
+    LimitRules(Watchbook w) {
+        this.w = w;
+    }
+
+    /** Accepted messages of a tenant: those that got their 202, and those that ran without one. */
+    List<String> quota() {
+        Set<String> ran = new HashSet<>();
+        w.began.forEach(b -> ran.add(b.id()));
+        Map<String, Duration> accepted = new HashMap<>();
+        w.said.stream().filter(a -> a.status() == 202 || ran.contains(a.id())).forEach(a -> accepted.put(a.id(), a.at()));
+        Map<String, List<Duration>> at = new HashMap<>();
+        w.sent.stream().filter(s -> accepted.containsKey(s.id())).forEach(s -> w.papers.stream()
+            .flatMap(p -> p.papers().tenant(s.key()).stream()).map(Papers.Tenant::name).findFirst()
+            .ifPresent(t -> at.computeIfAbsent(t, k -> new ArrayList<>()).add(accepted.get(s.id()))));
+        return excess(at, tenant -> p -> p.tenants().stream().filter(t -> t.name().equals(tenant)).findFirst()
+            .map(t -> (t.ratePerS() * Watchbook.Bounds.WINDOW.toSeconds() + t.burstSize())
+                * (1 + Watchbook.Bounds.QUOTA_OVERRUN) + Watchbook.Bounds.QUOTA_SLACK));
+    }
+
+    List<String> ceiling() {
+        Map<String, List<Duration>> at = new HashMap<>();
+        w.arrived.forEach(a -> at.computeIfAbsent(a.service(), k -> new ArrayList<>()).add(a.at()));
+        return excess(at, service -> p -> p.services().stream().filter(s -> s.name().equals(service) && s.ratePerS() > 0)
+            .findFirst().map(s -> s.ratePerS() * Watchbook.Bounds.WINDOW.toSeconds() * Watchbook.Bounds.CEILING_OVERRUN
+                + Watchbook.Bounds.CEILING_SLACK));
+    }
+
+    private List<String> excess(Map<String, List<Duration>> at, Function<String, Function<Papers, Optional<Double>>> most) {
+        List<String> out = new ArrayList<>();
+        at.forEach((who, times) -> {
+            List<Duration> sorted = times.stream().sorted().toList();
+            int from = 0;
+            for (int i = 0; i < sorted.size(); i++) {
+                while (sorted.get(i).minus(sorted.get(from)).compareTo(Watchbook.Bounds.WINDOW) >= 0) {
+                    from++;
+                }
+                Duration begin = sorted.get(from);
+                Duration end = sorted.get(i);
+                // the highest of all that may have ruled: an older one for a window after it was replaced
+                Optional<Double> limit = w.ruling(begin.minus(Watchbook.Bounds.WINDOW), end).stream()
+                    .flatMap(p -> most.apply(who).apply(p).stream()).max(Double::compareTo);
+                if (limit.isPresent() && i - from + 1 > limit.get()) {
+                    out.add(who + ": " + (i - from + 1) + " in the window up to " + end + ", allowed " + limit.get());
+                    return;
+                }
+            }
+        });
+        return out;
+    }
+}
--- /dev/null
+++ b/trials/src/main/java/org/woadvale/trials/buoy/Rules.java
@@ -0,0 +1,49 @@
+package org.woadvale.trials.buoy;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** One check for each rule of docs/rules.md, on what was seen from outside. Empty answers: nothing was broken. */
+public final class Rules {
+    private final Watchbook w;
+
+    public Rules(Watchbook w) {
+        this.w = w;
+    }
+
+    public Map<String, List<String>> all() {
+        Map<String, List<String>> out = new TreeMap<>();
+        RunRules runs = new RunRules(w);
+        out.put("ORDER", runs.order());
+        out.put("TWICE read", runs.twiceRead());
+        out.put("TWICE leases", runs.twiceLeases());
+        out.put("REFUSED", runs.refused());
+        out.put("UNASKED", runs.unasked());
+        out.put("ROUTE", runs.route());
+        out.put("DRAIN", runs.drain());
+        PaperRules papers = new PaperRules(w);
+        out.put("CONFIG revoked", papers.revoked());
+        out.put("CONFIG ignored", papers.ignored());
+        out.put("CONFIG back", papers.back());
+        out.put("CONFIG taken", papers.taken());
+        out.put("CONFIG read", papers.readBack());
+        LimitRules limits = new LimitRules(w);
+        out.put("QUOTA", limits.quota());
+        out.put("CEILING", limits.ceiling());
+        EndRules ends = new EndRules(w);
+        out.put("LOST", ends.lost());
+        out.put("LOST answers", ends.unanswered());
+        out.put("MIXED", ends.mixed());
+        return out;
+    }
+
+    public List<String> violations() {
+        return all().entrySet().stream().flatMap(e -> e.getValue().stream().map(v -> e.getKey() + ": " + v)).toList();
+    }
+
+    /** The names of the broken rules. */
+    public List<String> broken() {
+        return all().entrySet().stream().filter(e -> !e.getValue().isEmpty()).map(Map.Entry::getKey).toList();
+    }
+}
--- /dev/null
+++ b/trials/src/main/java/org/woadvale/trials/squall/Entry.java
@@ -0,0 +1,47 @@
+package org.woadvale.trials.squall;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.woadvale.foundation.gate.Request;
+
+/** The platform's entry: a hash of the client picks a node of its zone, by what each says of its readiness. */
+final class Entry {
+    private static final Duration PERIOD = Duration.ofSeconds(1);
+    private static final Duration LOOK = Duration.ofMillis(800);
+    private static final int MISSES = 2;
+    private final Roads roads;
+    private final Map<String, Integer> missed = new HashMap<>();
+
+    Entry(Roads roads) {
+        this.roads = roads;
+        look();
+    }
+
+    private void look() {
+        roads.intakes.forEach(n -> roads.request(n, new Request("GET", "/-/readiness", Map.of(), new byte[0]), LOOK,
+            a -> missed.merge(n, 1, (x, y) -> a.isPresent() && a.get().status() == 200 ? 0 : x + 1)));
+        roads.sim.after(PERIOD, this::look);
+    }
+
+    private boolean in(String node) {
+        return missed.getOrDefault(node, 0) < MISSES;
+    }
+
+    /** Fewer than half of a zone's nodes in: all of them; none in: those of other zones. */
+    String forClient(int client, String hall) {
+        List<String> zone = roads.intakes.stream().filter(n -> roads.hall(n).equals(hall)).toList();
+        List<String> in = zone.stream().filter(this::in).toList();
+        List<String> from = in.isEmpty() ? roads.intakes : in.size() * 2 < zone.size() ? zone : in;
+        return from.get(Math.floorMod(Integer.toString(client).hashCode() * 0x9E3779B9 >>> 7, from.size()));
+    }
+
+    String any() {
+        List<String> in = new ArrayList<>(roads.intakes.stream().filter(this::in).toList());
+        List<String> from = in.isEmpty() ? roads.intakes : in;
+        return from.get(roads.sim.random().nextInt(from.size()));
+    }
+}
--- /dev/null
+++ b/trials/src/main/java/org/woadvale/trials/squall/Hand.java
@@ -0,0 +1,125 @@
+package org.woadvale.trials.squall;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+import org.woadvale.foundation.gate.Answer;
+import org.woadvale.foundation.gate.Request;
+import org.woadvale.trials.buoy.Watchbook;
+
+import reactor.core.publisher.Mono;
+
+/** One life of a processor that is pushed to: slots, a short queue, seals. docs/platform.md 5 */
+final class Hand {
+    /** What the processors of a service that dedupes share: successes by id, and who is at work. */
+    static final class Table {
+        private final Map<String, String> seals = new HashMap<>();
+        private final Set<String> running = new HashSet<>();
+    }
+
+    private static final int QUEUE = 8;
+    private final Roads roads;
+    private final Watchbook seen;
+    private final String id;
+    private final String service;
+    private final int slots;
+    private final Table table;
+    private final boolean dedupes;
+    private Habits habits = Habits.good();
+    private int busy;
+    private int runs;
+    private boolean alive = true;
+
+    Hand(Roads roads, Watchbook seen, String id, String service, int slots, Table table, boolean dedupes) {
+        this.roads = roads;
+        this.seen = seen;
+        this.id = id;
+        this.service = service;
+        this.slots = slots;
+        this.table = table;
+        this.dedupes = dedupes;
+    }
+
+    String id() {
+        return id;
+    }
+
+    String service() {
+        return service;
+    }
+
+    void behave(Habits h) {
+        habits = h;
+    }
+
+    /** Everything under way is gone without an answer. */
+    void die() {
+        alive = false;
+    }
+
+    private static String header(Request q, String name) {
+        return q.headers().getOrDefault(name, "");
+    }
+
+    private Answer answer(Request q, int status, boolean notRun) {
+        Answer a = new Answer(status, Map.of("X-Attempt-Id", header(q, "x-attempt-id")), new byte[0]);
+        return notRun ? a.with("X-Not-Executed", "1") : a;
+    }
+
+    Mono<Answer> take(Request q) {
+        String message = header(q, "x-attempt-id");
+        String expected = header(q, "x-expect-instance");
+        boolean other = !expected.isEmpty() && !expected.equals(id);
+        seen.arrived.add(new Watchbook.Arrived(message, service, id, other, roads.sim.now()));
+        if (!alive) {
+            return Mono.never();
+        }
+        if (other) {
+            return Mono.just(answer(q, 421, false));
+        }
+        if (message.isEmpty()) {
+            return Mono.just(answer(q, 400, true));
+        }
+        if (dedupes && table.seals.containsKey(message)) {
+            return Mono.just(answer(q, 200, false).with("X-Server-Seal", table.seals.get(message)));
+        }
+        if (dedupes && table.running.contains(message)) {
+            return Mono.just(answer(q, 409, true));
+        }
+        if (busy >= slots + QUEUE || roads.sim.luck(habits.turnsAway())) {
+            return Mono.just(answer(q, 503, true));
+        }
+        return run(q, message);
+    }
+
+    private Mono<Answer> run(Request q, String message) {
+        Duration began = roads.sim.now();
+        Duration limit = Duration.ofMillis(Long.parseLong(header(q, "x-deadline-ms")));
+        Duration work = habits.work(roads.sim).plusMillis(busy >= slots ? 50 : 0);
+        boolean tooLong = work.compareTo(limit) > 0;
+        int outcome = tooLong ? 504 : habits.outcome(message, roads.sim);
+        String seal = outcome == 200 ? id + "." + runs++ : "";
+        busy++;
+        table.running.add(message);
+        seen.began.add(new Watchbook.Began(message, service, header(q, "x-tenant"), header(q, "x-order-key"), q.method(),
+            q.path(), new String(q.body()), began));
+        return Mono.create(sink -> roads.sim.after(tooLong ? limit : work, () -> {
+            busy--;
+            table.running.remove(message);
+            if (!alive) {
+                return;
+            }
+            if (!seal.isEmpty()) {
+                table.seals.put(message, seal);
+            }
+            seen.ended.add(new Watchbook.Ended(message, outcome, seal, began, roads.sim.now()));
+            if (outcome > 0) {
+                Answer a = answer(q, outcome, false);
+                sink.success(seal.isEmpty() ? a : a.with("X-Server-Seal", seal));
+            }
+        }));
+    }
+}
--- /dev/null
+++ b/trials/src/main/java/org/woadvale/trials/squall/Puller.java
@@ -0,0 +1,139 @@
+package org.woadvale.trials.squall;
+
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+import org.woadvale.foundation.gate.Answer;
+import org.woadvale.foundation.gate.Request;
+import org.woadvale.trials.buoy.Watchbook;
+
+/** One life of a processor that fetches its jobs, a call for each free slot. docs/platform.md 5 */
+final class Puller {
+    private static final Duration WAIT = Duration.ofMillis(1000);
+    private static final Duration CALL = Duration.ofMillis(2500);
+    private static final Duration AGAIN = Duration.ofMillis(200);
+    private final Roads roads;
+    private final Entry entry;
+    private final Watchbook seen;
+    private final String id;
+    private final String service;
+    private Habits habits = Habits.good();
+    private boolean alive = true;
+    private boolean leaving;
+    private int runs;
+
+    Puller(Roads roads, Entry entry, Watchbook seen, String id, String service) {
+        this.roads = roads;
+        this.entry = entry;
+        this.seen = seen;
+        this.id = id;
+        this.service = service;
+    }
+
+    Puller start(int slots) {
+        for (int i = 0; i < slots; i++) {
+            roads.sim.after(roads.sim.between(0, 200_000), this::pull);
+        }
+        return this;
+    }
+
+    void behave(Habits h) {
+        habits = h;
+    }
+
+    void die() {
+        alive = false;
+    }
+
+    /** No new jobs; what it has is ended. */
+    void leave() {
+        leaving = true;
+    }
+
+    private void pull() {
+        if (!alive || leaving) {
+            return;
+        }
+        Request q = new Request("POST", "/-/pull/" + service, Map.of("x-instance-id", id, "x-poll-wait-ms",
+            Long.toString(WAIT.toMillis())), new byte[0]);
+        roads.request(entry.any(), q, CALL, a -> {
+            if (!alive) {
+                return;
+            }
+            if (a.isPresent() && a.get().status() == 200) {
+                work(a.get());
+            } else {
+                roads.sim.after(a.isPresent() && a.get().status() == 204 ? Duration.ofMillis(1) : AGAIN, this::pull);
+            }
+        });
+    }
+
+    private void work(Answer job) {
+        String message = job.headers().get("X-Attempt-Id");
+        Duration began = roads.sim.now();
+        boolean turnedAway = roads.sim.luck(habits.turnsAway());
+        if (turnedAway) {
+            end(job, 503, "");
+            return;
+        }
+        seen.began.add(new Watchbook.Began(message, service, job.headers().getOrDefault("X-Tenant", ""),
+            job.headers().getOrDefault("X-Order-Key", ""), job.headers().get("X-Job-Method"),
+            job.headers().get("X-Job-Target"), new String(job.body()), began));
+        boolean[] over = {false};
+        extendLater(job, over);
+        roads.sim.after(habits.work(roads.sim), () -> {
+            over[0] = true;
+            if (!alive) {
+                return;
+            }
+            int outcome = habits.outcome(message, roads.sim);
+            String seal = outcome == 200 ? id + "." + runs++ : "";
+            seen.ended.add(new Watchbook.Ended(message, outcome, seal, began, roads.sim.now()));
+            if (outcome == 0) {
+                pull();
+            } else {
+                end(job, outcome, seal);
+            }
+        });
+    }
+
+    private static Map<String, String> lease(Answer job) {
+        return new LinkedHashMap<>(Map.of("x-lease-id", job.headers().get("X-Lease-Id")));
+    }
+
+    private void extendLater(Answer job, boolean[] over) {
+        roads.sim.after(Roads.LEASE.dividedBy(3), () -> {
+            if (alive && !over[0]) {
+                roads.request(entry.any(), new Request("POST", "/-/job-extend/" + job.headers().get("X-Attempt-Id"),
+                    lease(job), new byte[0]), CALL, a -> { });
+                extendLater(job, over);
+            }
+        });
+    }
+
+    /** An end without an answer is said again, until it has one. */
+    private void end(Answer job, int outcome, String seal) {
+        if (!alive) {
+            return;
+        }
+        Map<String, String> h = lease(job);
+        h.put("x-job-outcome", Integer.toString(outcome));
+        h.put("x-server-seal", seal);
+        String message = job.headers().get("X-Attempt-Id");
+        roads.request(entry.any(), new Request("POST", "/-/job-end/" + message, h, new byte[0]), CALL, a -> {
+            int status = a.map(Answer::status).orElse(0);
+            if (status == 0 || status >= 500) {
+                roads.sim.after(AGAIN, () -> end(job, outcome, seal));
+                return;
+            }
+            if (status == 200) {
+                seen.endsTaken.add(new Watchbook.EndTaken(message, job.headers().get("X-Lease-Id"), outcome, roads.sim.now()));
+                if (outcome == 200) {
+                    seen.read.add(new Watchbook.Read(message, roads.sim.now()));
+                }
+            }
+            pull();
+        });
+    }
+}
--- /dev/null
+++ b/trials/src/test/java/org/woadvale/trials/squall/PassageTest.java
@@ -0,0 +1,32 @@
+package org.woadvale.trials.squall;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.woadvale.foundation.lantern.Fault;
+
+/** The whole stand-in of the platform around a fleet, without trouble. */
+class PassageTest {
+    @Test
+    void calmDayBreaksNoRuleAndServesAll() throws Fault {
+        Passage p = new Passage(1, 3, 3, Seams.none()).embark();
+        p.traffic(30);
+        p.roads.sim.run(Duration.ofSeconds(6));
+        p.office.change();
+        p.office.bad();
+        p.roads.sim.run(Duration.ofSeconds(6));
+        p.office.race();
+        p.office.keys();
+        p.leave(p.hands.values().iterator().next());
+        p.roads.sim.run(Duration.ofSeconds(8));
+        assertEquals(List.of(), p.end(Duration.ofSeconds(10)));
+        long accepted = p.answers().get(202);
+        assertTrue(accepted > 400, p.answers().toString());
+        long done = p.seen.shown.stream().filter(s -> s.state().equals("completed")).count();
+        assertTrue(done > accepted * 0.9, done + " of " + accepted);
+    }
+}
