--- a/trials/src/main/java/org/woadvale/trials/harbour/Harbour.java
+++ b/trials/src/main/java/org/woadvale/trials/harbour/Harbour.java
@@ -10,6 +10,7 @@
 import org.woadvale.foundation.lantern.Fault;
 import org.woadvale.trials.buoy.NeverList;
 import org.woadvale.trials.buoy.Scenery;
+import org.woadvale.trials.squall.Gale;
 
 /** A real fleet on one machine from one command: design 12.2. */
 public final class Harbour {
@@ -23,9 +24,14 @@
             System.out.println("harbour load SHAPE SECONDS RATE  mixed traffic, then the never-list and the counts");
             System.out.println("harbour drill NAME [SHAPE]       traffic with a failure; NAME is one of " + Drills.names());
             System.out.println("harbour up [SHAPE]               starts a fleet with stand-ins and leaves it running");
+            System.out.println("platform --seeds A..B [SECONDS]  simulated days behind the platform's doors");
             System.out.println("SHAPE is small, lankavidya or rotterdam.");
             System.exit(args.length == 0 ? 2 : 0);
         }
+        if (args[0].equals("platform")) {
+            System.exit(args.length > 2 && args[1].equals("--seeds")
+                && Gale.sweep(args[2], Duration.ofSeconds(args.length > 3 ? Long.parseLong(args[3]) : 40)) ? 0 : 1);
+        }
         boolean drill = args[0].equals("drill");
         Shape shape = Shape.of(args.length > (drill ? 2 : 1) ? args[drill ? 2 : 1] : "small");
         Path root = Files.createTempDirectory("harbour");
--- a/trials/src/main/java/org/woadvale/trials/squall/Entry.java
+++ b/trials/src/main/java/org/woadvale/trials/squall/Entry.java
@@ -1,7 +1,6 @@
 package org.woadvale.trials.squall;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -35,13 +34,17 @@
     String forClient(int client, String hall) {
         List<String> zone = roads.intakes.stream().filter(n -> roads.hall(n).equals(hall)).toList();
         List<String> in = zone.stream().filter(this::in).toList();
-        List<String> from = in.isEmpty() ? roads.intakes : in.size() * 2 < zone.size() ? zone : in;
+        List<String> from = in.isEmpty() ? elsewhere() : in.size() * 2 < zone.size() ? zone : in;
         return from.get(Math.floorMod(Integer.toString(client).hashCode() * 0x9E3779B9 >>> 7, from.size()));
     }
 
     String any() {
-        List<String> in = new ArrayList<>(roads.intakes.stream().filter(this::in).toList());
-        List<String> from = in.isEmpty() ? roads.intakes : in;
+        List<String> from = elsewhere();
         return from.get(roads.sim.random().nextInt(from.size()));
     }
+
+    private List<String> elsewhere() {
+        List<String> in = roads.intakes.stream().filter(this::in).toList();
+        return in.isEmpty() ? roads.intakes : in;
+    }
 }
