--- a/trials/src/main/java/org/woadvale/trials/buoy/PaperRules.java
+++ b/trials/src/main/java/org/woadvale/trials/buoy/PaperRules.java
@@ -23,7 +23,7 @@
     }
 
     private List<Watchbook.Paper> acknowledged() {
-        return w.papers.stream().filter(p -> p.status() == 200)
+        return w.papers.stream().filter(p -> p.status() == 200 && p.valid())
             .sorted(java.util.Comparator.comparingLong(p -> p.papers().configRevision())).toList();
     }
 
