--- a/trials/src/main/java/org/woadvale/trials/buoy/LimitRules.java
+++ b/trials/src/main/java/org/woadvale/trials/buoy/LimitRules.java
@@ -3,11 +3,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Function;
 
 /** What may not be exceeded in any window. */
@@ -18,12 +16,11 @@
         this.w = w;
     }
 
-    /** Accepted messages of a tenant: those that got their 202, and those that ran without one. */
+    /** Accepted messages of a tenant: by their 202, or by their first run where they got none. */
     List<String> quota() {
-        Set<String> ran = new HashSet<>();
-        w.began.forEach(b -> ran.add(b.id()));
         Map<String, Duration> accepted = new HashMap<>();
-        w.said.stream().filter(a -> a.status() == 202 || ran.contains(a.id())).forEach(a -> accepted.put(a.id(), a.at()));
+        w.began.forEach(b -> accepted.merge(b.id(), b.at(), (x, y) -> x.compareTo(y) < 0 ? x : y));
+        w.said.stream().filter(a -> a.status() == 202).forEach(a -> accepted.put(a.id(), a.at()));
         Map<String, List<Duration>> at = new HashMap<>();
         w.sent.stream().filter(s -> accepted.containsKey(s.id())).forEach(s -> w.papers.stream()
             .flatMap(p -> p.papers().tenant(s.key()).stream()).map(Papers.Tenant::name).findFirst()
--- /dev/null
+++ b/trials/src/main/java/org/woadvale/trials/squall/Bare.java
@@ -0,0 +1,140 @@
+package org.woadvale.trials.squall;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+
+import org.woadvale.foundation.beam.Beam;
+import org.woadvale.foundation.lantern.ErrorKind;
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.foundation.watch.Asks;
+import org.woadvale.foundation.watch.ServiceView;
+import org.woadvale.pilot.berth.Commands;
+import org.woadvale.pilot.launch.Post;
+
+import reactor.core.publisher.Mono;
+
+/** Stand-ins behind the platform's doors that leave out one mechanism each. design 12.3 */
+final class Bare {
+    private static final String ID = "X-Attempt-Id";
+    private static final String SEAL = "x-server-seal";
+
+    private Bare() { }
+
+    private static Seams replies(Function<Post.Reply, Post.Reply> f) {
+        return Seams.none().withPost((a, p) -> c -> p.send(c).map(f));
+    }
+
+    private static Post.Reply other(Post.Reply r, int status, String seal) {
+        Map<String, String> h = new HashMap<>(r.headers());
+        h.remove(SEAL);
+        if (!seal.isEmpty()) {
+            h.put(SEAL, seal);
+        }
+        return new Post.Reply(status, h, r.body());
+    }
+
+    /** LOST: the stores' disks say "synced" and have not. */
+    static Seams lyingStores() {
+        return Seams.none().withDisk((a, d) -> a.startsWith("10.0.1.") ? Naive.lyingDisk().disk().apply(a, d) : d);
+    }
+
+    /** TWICE: a success is no proof, every fourth time. */
+    static Seams successIsNoProof() {
+        int[] n = {0};
+        return replies(r -> r.status() == 200 && n[0]++ % 4 == 0 ? other(r, 502, "") : r);
+    }
+
+    /** MIXED: an error is taken for done. */
+    static Seams errorIsSuccess() {
+        return replies(r -> r.status() >= 500 && !r.headers().containsKey("x-not-executed") ? other(r, 200, "surely") : r);
+    }
+
+    /** ORDER: silence is taken for a refusal for good. */
+    static Seams silenceIsRefusal() {
+        return Seams.none().withPost((a, p) -> c -> p.send(c).onErrorResume(e ->
+            Fault.of(e).kind() == ErrorKind.UNKNOWN_OUTCOME ? Mono.just(new Post.Reply(422,
+                Map.of("x-attempt-id", c.headers().getOrDefault(ID, "")), new byte[0])) : Mono.error(e)));
+    }
+
+    /** ROUTE: nobody is told who is expected. */
+    static Seams nobodyIsExpected() {
+        return Seams.none().withPost((a, p) -> c -> {
+            Map<String, String> h = new LinkedHashMap<>(c.headers());
+            h.remove("X-Expect-Instance");
+            return p.send(new Post.Call(c.method(), c.url(), h, c.body(), c.limit(), c.still(), c.echo()));
+        });
+    }
+
+    /** UNASKED: bytes are sent in the wrong order, as a careless client might. */
+    static Seams bytesChange() {
+        return Seams.none().withPost((a, p) -> c -> {
+            byte[] b = c.body().clone();
+            byte first = b[0];
+            b[0] = b[b.length - 1];
+            b[b.length - 1] = first;
+            return p.send(new Post.Call(c.method(), c.url(), c.headers(), b, c.limit(), c.still(), c.echo()));
+        });
+    }
+
+    /** CEILING: looked at once, sent whenever the stream is open. */
+    static Seams lookFirstSendLater() {
+        return Seams.none().withPost((a, p) -> c -> Mono.defer(() -> {
+            boolean go = c.still().getAsBoolean();
+            return p.send(new Post.Call(c.method(), c.url(), c.headers(), c.body(), c.limit(), () -> go, c.echo()));
+        }));
+    }
+
+    /** CONFIG, DRAIN: from a moment on the views that are known are taken for confirmed. */
+    static Seams newsStands(BooleanSupplier frozen) {
+        return Seams.none().withBeam((a, b) -> {
+            Map<String, ServiceView> last = new HashMap<>();
+            return new Beam() {
+                @Override
+                public String self() {
+                    return b.self();
+                }
+
+                @Override
+                public <T> Mono<T> ask(String to, Object body, Class<T> answer, Duration limit) {
+                    if (!(body instanceof Asks.NewsAsk n) || frozen.getAsBoolean() && !last.keySet().containsAll(n.known().keySet())) {
+                        return b.ask(to, body, answer, limit);
+                    }
+                    return frozen.getAsBoolean() ? Mono.just(answer.cast(Naive.anew(n, last)))
+                        : b.ask(to, body, answer, limit).doOnNext(t ->
+                            ((Asks.NewsReply) t).views().forEach(v -> last.put(v.service(), v)));
+                }
+            };
+        });
+    }
+
+    /** TWICE: whoever has a lease of a message, has its present one. */
+    static Seams anyLeaseWillDo() {
+        Map<String, Integer> present = new ConcurrentHashMap<>();
+        return Seams.none().withBeam((a, b) -> new Beam() {
+            @Override
+            public String self() {
+                return b.self();
+            }
+
+            @Override
+            public <T> Mono<T> ask(String to, Object body, Class<T> answer, Duration limit) {
+                if (body instanceof Commands.LeaseEndAsk e) {
+                    Commands.End x = e.end();
+                    Commands.End now = new Commands.End(x.handle(), present.getOrDefault(x.handle(), x.attempt()), x.ending(),
+                        x.proof(), x.due(), x.at());
+                    return b.ask(to, new Commands.LeaseEndAsk(e.part(), now), answer, limit);
+                }
+                return b.ask(to, body, answer, limit).doOnNext(t -> {
+                    if (t instanceof Commands.Pulled p) {
+                        p.messages().forEach(m -> present.put(m.handle(), m.attempt()));
+                    }
+                });
+            }
+        });
+    }
+}
--- a/trials/src/main/java/org/woadvale/trials/squall/Naive.java
+++ b/trials/src/main/java/org/woadvale/trials/squall/Naive.java
@@ -157,7 +157,7 @@
         return Fault.of(e).kind() == ErrorKind.UNKNOWN_OUTCOME || Fault.of(e).kind() == ErrorKind.UNREACHABLE;
     }
 
-    private static Asks.NewsReply anew(Asks.NewsAsk n, Map<String, ServiceView> last) {
+    static Asks.NewsReply anew(Asks.NewsAsk n, Map<String, ServiceView> last) {
         Map<String, Duration> ages = new HashMap<>();
         java.util.List<ServiceView> views = new java.util.ArrayList<>();
         n.known().forEach((s, version) -> java.util.Optional.ofNullable(last.get(s)).ifPresent(v -> {
--- a/trials/src/main/java/org/woadvale/trials/squall/Passage.java
+++ b/trials/src/main/java/org/woadvale/trials/squall/Passage.java
@@ -119,6 +119,14 @@
         roads.sim.after(Duration.ofSeconds(5), () -> hand(h.service(), address));
     }
 
+    /** It is gone without a word, and a processor of another service is at its address. */
+    void moveIn(Hand gone, String service) {
+        gone.die();
+        hands.remove(gone.id());
+        hand(service, addresses.get(gone.id()));
+        roads.sim.after(Duration.ofSeconds(3), () -> roster.drop(gone.id()));
+    }
+
     /** In order: shown as draining, served for a while, and gone. */
     void leave(Hand h) {
         hands.remove(h.id());
--- a/trials/src/main/java/org/woadvale/trials/squall/Puller.java
+++ b/trials/src/main/java/org/woadvale/trials/squall/Puller.java
@@ -21,6 +21,7 @@
     private Habits habits = Habits.good();
     private boolean alive = true;
     private boolean leaving;
+    private boolean mute;
     private int runs;
 
     Puller(Roads roads, Entry entry, Watchbook seen, String id, String service) {
@@ -46,6 +47,11 @@
         alive = false;
     }
 
+    /** Says nothing of its leases while it works. */
+    void mute() {
+        mute = true;
+    }
+
     /** No new jobs; what it has is ended. */
     void leave() {
         leaving = true;
@@ -104,7 +110,7 @@
 
     private void extendLater(Answer job, boolean[] over) {
         roads.sim.after(Roads.LEASE.dividedBy(3), () -> {
-            if (alive && !over[0]) {
+            if (alive && !mute && !over[0]) {
                 roads.request(entry.any(), new Request("POST", "/-/job-extend/" + job.headers().get("X-Attempt-Id"),
                     lease(job), new byte[0]), CALL, a -> { });
                 extendLater(job, over);
--- a/trials/src/main/java/org/woadvale/trials/squall/Quays.java
+++ b/trials/src/main/java/org/woadvale/trials/squall/Quays.java
@@ -26,6 +26,7 @@
     private final Map<String, Function<Request, Mono<Answer>>> at = new HashMap<>();
     private final Set<String> silent = new HashSet<>();
     private BiConsumer<Request, Answer> onRead = (q, a) -> { };
+    private final Map<String, Duration> slowStreams = new HashMap<>();
     private double answerLoss;
 
     Quays(Roads roads) {
@@ -54,6 +55,11 @@
         answerLoss = p;
     }
 
+    /** How long it takes until a stream to an address is open. */
+    public void slowStreams(String address, Duration d) {
+        slowStreams.put(address, d);
+    }
+
     /** Told when a sender has read an answer. */
     public void onRead(BiConsumer<Request, Answer> c) {
         onRead = c;
@@ -66,7 +72,7 @@
             String rest = call.url().substring("http://".length());
             String address = rest.substring(0, rest.indexOf('/'));
             Request q = new Request(call.method(), rest.substring(rest.indexOf('/')), lower(call.headers()), call.body());
-            roads.sim.after(roads.net.delay(), () -> h.soon(() -> {
+            roads.sim.after(roads.net.delay().plus(slowStreams.getOrDefault(address, Duration.ZERO)), () -> h.soon(() -> {
                 if (!at.containsKey(address) || !call.still().getAsBoolean()) {
                     sink.tryEmitError(new Fault(ErrorKind.UNREACHABLE, "refused"));
                     return;
--- /dev/null
+++ b/trials/src/main/java/org/woadvale/trials/squall/Straits.java
@@ -0,0 +1,211 @@
+package org.woadvale.trials.squall;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.trials.buoy.Rules;
+import org.woadvale.trials.buoy.Watchbook;
+
+/** Scenarios that bring about the failure each rule is meant for, as shipped and with one mechanism left out. design 12.3 */
+public final class Straits {
+    interface Scene {
+        void play(Passage p) throws Fault;
+    }
+
+    /** A rule, what brings its break about, and what keeps it. */
+    public static final class Pair {
+        public final String rule;
+        public final String failure;
+        public final String leftOut;
+        private final Scene scene;
+        private final Seams naive;
+
+        Pair(String rule, String failure, String leftOut, Scene scene, Seams naive) {
+            this.rule = rule;
+            this.failure = failure;
+            this.leftOut = leftOut;
+            this.scene = scene;
+            this.naive = naive;
+        }
+
+        private Passage played(long seed, Seams seams) throws Fault {
+            Passage p = new Passage(seed, 3, 3, seams).embark();
+            scene.play(p);
+            p.end(Duration.ofSeconds(10));
+            return p;
+        }
+
+        public List<String> shipped(long seed) throws Fault {
+            return new Rules(played(seed, Seams.none()).seen).violations();
+        }
+
+        public List<String> brokenWithout(long seed) throws Fault {
+            return new Rules(played(seed, naive).seen).broken();
+        }
+
+        @Override
+        public String toString() {
+            return rule;
+        }
+    }
+
+    private Straits() { }
+
+    public static List<Pair> all() {
+        AtomicBoolean frozen = new AtomicBoolean();
+        return List.of(
+            new Pair("LOST", "power lost everywhere", "sync before the answer", Straits::powerLost, Bare.lyingStores()),
+            new Pair("REFUSED", "stores' answers do not come back", "no answer is not a no", Straits::answersDoNotComeBack,
+                Naive.silenceIsNo()),
+            new Pair("ORDER", "processors break off", "silence is not an end", Straits::breakingOff, Bare.silenceIsRefusal()),
+            new Pair("TWICE read", "a good day", "a sealed answer is proof", p -> served(p, 30, 5), Bare.successIsNoProof()),
+            new Pair("TWICE leases", "processors say nothing for longer than a lease", "only the present lease ends it",
+                Straits::muteProcessors, Bare.anyLeaseWillDo()),
+            new Pair("MIXED", "processors fail", "only a seal is proof", Straits::breakingOff, Bare.errorIsSuccess()),
+            new Pair("ROUTE", "another service takes an address", "the expected instance", Straits::reusedAddress,
+                Bare.nobodyIsExpected()),
+            new Pair("UNASKED", "a good day", "bytes go as they came", p -> served(p, 30, 3), Bare.bytesChange()),
+            new Pair("CEILING", "streams to the endpoint open slowly", "the last look when the stream is open",
+                Straits::slowStreams, Bare.lookFirstSendLater()),
+            new Pair("QUOTA", "streams stall under a flood", "a time by which a hand-in must have come", Straits::stalled,
+                Naive.timelessHandIns()),
+            new Pair("CONFIG revoked", "a key is withdrawn", "news of proven age", p -> keyWithdrawn(p, frozen),
+                Bare.newsStands(frozen::get)),
+            new Pair("CONFIG ignored", "a route comes", "news of proven age", p -> routeAdded(p, frozen),
+                Bare.newsStands(frozen::get)),
+            new Pair("DRAIN", "a processor leaves", "news of proven age", p -> processorLeaves(p, frozen),
+                Bare.newsStands(frozen::get)));
+    }
+
+    private static void served(Passage p, double perSecond, int seconds) {
+        p.traffic(perSecond);
+        p.roads.sim.run(Duration.ofSeconds(seconds));
+        p.calm();
+    }
+
+    private static void trouble(Passage p, int seconds) {
+        p.seen.troubles.add(new Watchbook.Trouble("scene", p.roads.sim.now(), p.roads.sim.now().plusSeconds(seconds)));
+    }
+
+    private static void powerLost(Passage p) throws Fault {
+        p.traffic(20);
+        for (int ms = 0; ms < 3000; ms += 50) {
+            int n = ms;
+            p.roads.sim.after(Duration.ofMillis(ms), () -> p.send("/open/later" + n, "key" + n / 50 % 4, "", 20_000, p.entry.any()));
+        }
+        p.roads.sim.run(Duration.ofSeconds(4));
+        p.calm();
+        trouble(p, 12);
+        p.roads.all().forEach(h -> p.roads.host(h).powerLoss());
+        p.roads.sim.run(Duration.ofSeconds(1));
+        for (String h : p.roads.all()) {
+            p.roads.restart(h);
+        }
+        p.roads.sim.run(Duration.ofSeconds(8));
+    }
+
+    private static void answersDoNotComeBack(Passage p) {
+        trouble(p, 12);
+        p.traffic(40);
+        p.roads.stores.forEach(s -> p.roads.net.cutOneWay(s, p.roads.intakes.get(0)));
+        p.roads.sim.run(Duration.ofSeconds(3));
+        p.calm();
+        p.roads.sim.run(Duration.ofSeconds(7));
+        p.roads.net.heal();
+    }
+
+    private static void breakingOff(Passage p) {
+        p.hands.values().forEach(h -> h.behave(new Habits(Duration.ofMillis(50), Duration.ofMillis(400), 0.2, 0.4, 0.1)));
+        served(p, 25, 6);
+        p.roads.sim.run(Duration.ofSeconds(2));
+        p.hands.values().forEach(h -> h.behave(Habits.good()));
+    }
+
+    private static void muteProcessors(Passage p) {
+        p.pullers.values().forEach(x -> {
+            x.mute();
+            x.behave(new Habits(Duration.ofMillis(2500), Duration.ofMillis(6000), 0, 0, 0));
+        });
+        served(p, 10, 4);
+        p.roads.sim.run(Duration.ofSeconds(12));
+        p.pullers.values().forEach(x -> x.behave(Habits.good()));
+    }
+
+    /** Gone without a word, still on the list, and somebody else is there. */
+    private static void reusedAddress(Passage p) {
+        p.traffic(40);
+        p.roads.sim.run(Duration.ofSeconds(1));
+        List<Hand> plain = p.hands.values().stream().filter(h -> h.service().equals("plain")).toList();
+        plain.forEach(h -> p.moveIn(h, "book"));
+        p.roads.sim.run(Duration.ofSeconds(3));
+        p.hand("plain", "10.9.5.1:8080");
+        p.roads.sim.run(Duration.ofSeconds(3));
+        p.calm();
+    }
+
+    private static void slowStreams(Passage p) {
+        String far = "172.20.0.3:8748";
+        for (int ms = 0; ms < 9000; ms += 25) {
+            int n = ms;
+            p.roads.sim.after(Duration.ofMillis(ms), () -> p.send("/check/" + n, "key" + n / 25 % 4, "", 0, p.entry.any()));
+        }
+        for (int ms = 0; ms < 1200; ms += 50) {
+            Duration left = Duration.ofMillis(1200 - ms);
+            p.roads.sim.after(Duration.ofMillis(5000 + ms), () -> p.roads.quays.slowStreams(far, left));
+        }
+        p.roads.sim.after(Duration.ofMillis(6200), () -> p.roads.quays.slowStreams(far, Duration.ZERO));
+        p.roads.sim.run(Duration.ofSeconds(40));
+    }
+
+    private static void stalled(Passage p) {
+        String i = p.roads.intakes.get(0);
+        for (int n = 0; n < 20; n++) {
+            p.send("/open/w" + n, "key1", "", 0, i);
+        }
+        p.roads.sim.run(Duration.ofSeconds(1));
+        trouble(p, 60);
+        p.roads.stores.forEach(s -> p.roads.net.stall(i, s));
+        for (int ms = 0; ms < 50000; ms += 50) {
+            int n = ms;
+            p.roads.sim.after(Duration.ofMillis(ms), () -> p.send("/open/" + n, "key0", "", 0, i));
+        }
+        p.roads.sim.run(Duration.ofSeconds(50));
+        p.roads.net.heal();
+        p.roads.sim.run(Duration.ofSeconds(2));
+    }
+
+    private static void keyWithdrawn(Passage p, AtomicBoolean frozen) {
+        frozen.set(true);
+        for (int i = 0; i < 4; i++) {
+            p.office.keys();
+            p.roads.sim.run(Duration.ofSeconds(1));
+        }
+        p.roads.sim.run(Duration.ofSeconds(6));
+        for (int i = 0; i < 20; i++) {
+            p.send("/open/" + i, "spare" + i % 4, "", 0, p.entry.any());
+        }
+        p.roads.sim.run(Duration.ofSeconds(3));
+        frozen.set(false);
+    }
+
+    private static void routeAdded(Passage p, AtomicBoolean frozen) {
+        frozen.set(true);
+        p.office.change();
+        p.roads.sim.run(Duration.ofSeconds(5));
+        p.roads.intakes.forEach(i -> p.send("/new0/1", "key0", "", 0, i));
+        p.roads.sim.run(Duration.ofSeconds(2));
+        frozen.set(false);
+    }
+
+    private static void processorLeaves(Passage p, AtomicBoolean frozen) {
+        p.traffic(40);
+        p.roads.sim.run(Duration.ofSeconds(1));
+        frozen.set(true);
+        p.leave(p.hands.values().stream().filter(h -> h.service().equals("plain")).findFirst().orElseThrow());
+        p.roads.sim.run(Duration.ofSeconds(6));
+        p.calm();
+        frozen.set(false);
+    }
+}
