A row for each rule: what would break it, what keeps it, which test

docs/rules.md, and RulesTableTest: each test and section named exists, each row is whole, each check has its row. Rows without a test say so.

--- a/trials/src/main/java/org/woadvale/trials/squall/Passage.java
+++ b/trials/src/main/java/org/woadvale/trials/squall/Passage.java
@@ -22,6 +22,7 @@
     private static final Duration LAG = Duration.ofMillis(800);
     private static final double LIST_RATE = 44;
     private static final Duration CLIENT = Duration.ofSeconds(6);
+    private static final String DEADLINE_MS = "1200";
     private static final int CLIENTS = 40;
     private static final double RATE = 25;
 
@@ -179,7 +180,8 @@
     void send(String path, String key, String order, long delayMs, String node) {
         String id = "a" + ids++;
         String body = "body of " + id;
-        Map<String, String> h = new LinkedHashMap<>(Map.of("host", HOST, "x-attempt-id", id, "authorization", "Token " + key));
+        Map<String, String> h = new LinkedHashMap<>(Map.of("host", HOST, "x-attempt-id", id, "authorization", "Token " + key,
+            "x-deadline-ms", DEADLINE_MS));
         if (!order.isEmpty()) {
             h.put("x-order-key", order);
         }
--- /dev/null
+++ b/trials/src/test/java/org/woadvale/trials/RulesTableTest.java
@@ -0,0 +1,92 @@
+package org.woadvale.trials;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.Test;
+import org.woadvale.trials.buoy.Rules;
+import org.woadvale.trials.buoy.Watchbook;
+
+/** docs/rules.md has a row for each rule, and names only tests and sections that there are. */
+class RulesTableTest {
+    private static final Pattern TEST = Pattern.compile("`([A-Z][A-Za-z]*Test)(?:\\.([a-z][A-Za-z0-9]*))?`");
+    private static final Pattern SECTION = Pattern.compile("(?<![.0-9])([0-9]{1,2}\\.[0-9]{1,2})(?![0-9])");
+
+    private static List<String> rows() throws IOException {
+        return Files.readAllLines(Path.of("..", "docs", "rules.md")).stream().filter(l -> l.startsWith("| ")
+            && !l.startsWith("| rule |") && !l.startsWith("| condition |")).toList();
+    }
+
+    private static Map<String, String> tests() throws IOException {
+        try (Stream<Path> s = Files.walk(Path.of(".."))) {
+            Map<String, String> out = new HashMap<>();
+            for (Path p : s.filter(x -> x.toString().contains("src/test/java") && x.toString().endsWith("Test.java")).toList()) {
+                out.put(p.getFileName().toString().replace(".java", ""), Files.readString(p));
+            }
+            return out;
+        }
+    }
+
+    @Test
+    void everyTestNamedExists() throws IOException {
+        Map<String, String> tests = tests();
+        List<String> missing = new ArrayList<>();
+        int named = 0;
+        Matcher m = TEST.matcher(Files.readString(Path.of("..", "docs", "rules.md")));
+        while (m.find()) {
+            named++;
+            String source = tests.getOrDefault(m.group(1), "");
+            if (source.isEmpty() || Optional.ofNullable(m.group(2)).filter(x -> !source.contains("void " + x + "(")).isPresent()) {
+                missing.add(m.group());
+            }
+        }
+        assertTrue(named > 50, "only " + named + " found");
+        assertEquals(List.of(), missing);
+    }
+
+    /** A row has what breaks it, what keeps it, and a test or the admission that there is none. */
+    @Test
+    void everyRowIsWhole() throws IOException {
+        List<String> rows = rows();
+        assertTrue(rows.size() > 30, rows.size() + " rows");
+        for (String r : rows) {
+            String[] cells = r.substring(2).split(" \\| ");
+            assertEquals(4, cells.length, r);
+            assertTrue(TEST.matcher(cells[3]).find() || cells[3].contains("none yet"), r);
+        }
+    }
+
+    @Test
+    void everySectionNamedExists() throws IOException {
+        String design = Files.readString(Path.of("..", "docs", "design.md"));
+        List<String> missing = new ArrayList<>();
+        for (String r : rows()) {
+            Matcher m = SECTION.matcher(r);
+            while (m.find()) {
+                if (!Pattern.compile("(?m)^### " + Pattern.quote(m.group(1)) + "[. ]").matcher(design).find()) {
+                    missing.add(m.group(1));
+                }
+            }
+        }
+        assertEquals(List.of(), missing);
+    }
+
+    @Test
+    void everyCheckHasItsRow() throws IOException {
+        String page = String.join("\n", rows());
+        new Rules(new Watchbook()).all().keySet().forEach(rule ->
+            assertTrue(page.contains("| " + rule.replaceAll(" .*", "")), rule));
+    }
+}
