--- a/foundation/src/main/java/org/woadvale/foundation/logbook/RingLogbook.java
+++ b/foundation/src/main/java/org/woadvale/foundation/logbook/RingLogbook.java
@@ -60,6 +60,10 @@
         segment = r.segment;
         pos = r.pos;
         batch = r.batch;
+        if (segment - oldestNeeded() >= leaves.size()) {
+            // the file that comes next still holds what is needed: nothing may be written over it. design 4.1
+            throw new IOException("the ring is full, and no file can be freed; repair this copy from the others");
+        }
         new Window(leaves.get(file())).blank(pos);
         leaves.get(file()).sync();
     }
--- a/trials/src/test/java/org/woadvale/trials/keeper/LogbookTest.java
+++ b/trials/src/test/java/org/woadvale/trials/keeper/LogbookTest.java
@@ -44,6 +44,23 @@
         return new Entry(part, Entry.Kind.BASE, index, 1, new byte[10]);
     }
 
+    /** It was opened, and the oldest file zeroed though it was needed: every other reopening lost entries. */
+    @Test
+    void fullRingIsNotOpenedOverWhatIsNeeded() throws Fault {
+        RingLogbook b = open(5);
+        boolean[] stopped = {false};
+        b.onFailure(why -> stopped[0] = true);
+        for (long i = 1; !stopped[0] && i < 1000; i++) {
+            b.append(List.of(entry("m1", i, 200)), () -> { });
+            sim.run(Duration.ofMillis(10));
+        }
+        assertTrue(stopped[0], "nobody gives a base, so the ring must fill");
+        for (int i = 0; i < 2; i++) {
+            Fault f = org.junit.jupiter.api.Assertions.assertThrows(Fault.class, this::reopen);
+            assertTrue(f.getMessage().contains("the ring is full"), f.getMessage());
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
     void whatWasConfirmedSurvivesPowerLoss(long seed) throws Fault {
