A request whose chunks cannot be read is no whole body

Cause: when chunks cannot be decoded the server answers 400 and ends the body as if it were whole; what had come of it went on to the application and could be accepted as a message. Before: POST with the chunk size 'zz' reached the doors with an empty body. After: nothing reaches them; 400 and the stream is closed.

--- a/foundation/src/main/java/org/woadvale/foundation/gate/Gate.java
+++ b/foundation/src/main/java/org/woadvale/foundation/gate/Gate.java
@@ -19,6 +19,7 @@
 import io.netty.util.concurrent.GlobalEventExecutor;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
+import reactor.netty.NettyPipeline;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
@@ -53,6 +54,7 @@
                 .port(Integer.parseInt(address.substring(colon + 1)))
                 .httpRequestDecoder(s -> s.maxHeaderSize(MAX_HEADER).maxInitialLineLength(MAX_HEADER))
                 .idleTimeout(Duration.ofSeconds(60)).channelGroup(streams)
+                .doOnChannelInit((o, c, a) -> c.pipeline().addAfter(NettyPipeline.HttpCodec, "broken", new Broken()))
                 .handle(this::serve).bindNow(Duration.ofSeconds(5));
         } catch (RuntimeException e) {
             throw new Fault(ErrorKind.UNAVAILABLE, "Cannot listen for HTTP on " + address + ": " + e.getMessage());
@@ -92,7 +94,8 @@
             byte[] all = java.util.Arrays.copyOf(a, a.length + b.length);
             System.arraycopy(b, 0, all, a.length, b.length);
             return all;
-        }).onErrorMap(reactor.core.Exceptions::unwrap);
+        }).onErrorMap(reactor.core.Exceptions::unwrap).flatMap(b -> Broken.is(in)
+            ? Mono.error(new Fault(ErrorKind.BAD_REQUEST, "The request cannot be read whole.")) : Mono.just(b));
     }
 
     private Fault tooLarge() {
