SIGTERM takes the way out that the platform's programs only made

Cause: Pilot.drain() and Lighthouse.drain() returned the runnable and Platform gave them as one: it was made and never run, so nothing was handed over, nobody lingered, and the tree stopped at once. Ruled out: the linger's length, Gate's closing (neither was ever reached). Before: none of it ran on the platform.

--- a/foundation/src/main/java/org/woadvale/foundation/helm/Program.java
+++ b/foundation/src/main/java/org/woadvale/foundation/helm/Program.java
@@ -58,6 +58,11 @@
         return this;
     }
 
+    /** What is done between SIGTERM and the stop. design 10.2 */
+    public void drain() {
+        onStop.get().run();
+    }
+
     public int main(String[] args) {
         String verb = args.length == 0 ? "--help" : args[0];
         String[] rest = args.length == 0 ? args : java.util.Arrays.copyOfRange(args, 1, args.length);
@@ -135,7 +140,7 @@
             root.start();
             LOG.info("helm: {} {} runs at {}, HTTP at {}.", name, VERSION, boot.address(), boot.http());
             end.await();
-            onStop.get().run();
+            drain();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } finally {
--- a/lighthouse/src/main/java/org/woadvale/lighthouse/Lighthouse.java
+++ b/lighthouse/src/main/java/org/woadvale/lighthouse/Lighthouse.java
@@ -45,8 +45,9 @@
         System.exit(new Program("lighthouse", Lighthouse::check, Lighthouse::grow, DRAIN::get).main(args));
     }
 
-    public static Runnable drain() {
-        return DRAIN.get();
+    /** The running node's orderly way out; nothing before it runs. */
+    public static void drain() {
+        DRAIN.get().run();
     }
 
     public static void check(Boot b) throws Fault {
--- a/pilot/src/main/java/org/woadvale/pilot/Pilot.java
+++ b/pilot/src/main/java/org/woadvale/pilot/Pilot.java
@@ -52,8 +52,8 @@
     }
 
     /** The running node's orderly way out; nothing before it runs. */
-    public static Runnable drain() {
-        return DRAIN.get();
+    public static void drain() {
+        DRAIN.get().run();
     }
 
     public static void check(Boot b) throws Fault {
