--- a/foundation/src/main/java/org/woadvale/foundation/helm/KnownFile.java
+++ b/common/src/main/java/org/woadvale/common/cli/KnownFile.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.helm;
+package org.woadvale.common.cli;
 
 import java.io.IOException;
 import java.nio.file.Files;
--- a/foundation/src/main/java/org/woadvale/foundation/helm/Program.java
+++ b/common/src/main/java/org/woadvale/common/cli/Program.java
@@ -1,15 +1,15 @@
-package org.woadvale.foundation.helm;
+package org.woadvale.common.cli;
 
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Supplier;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.woadvale.foundation.chart.Boot;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.lantern.RealSchedules;
-import org.woadvale.foundation.lantern.Supervisor;
+import org.woadvale.common.config.Settings;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.runtime.SystemTimers;
+import org.woadvale.common.runtime.Supervisor;
 
 import com.github.rvesse.airline.SingleCommand;
 import com.github.rvesse.airline.parser.errors.ParseException;
@@ -24,19 +24,19 @@
     /** Builds the supervisor tree of the program. */
     @FunctionalInterface
     public interface Tree {
-        Supervisor grow(Boot boot, RealSchedules schedules, Runnable onGivenUp) throws Fault;
+        Supervisor grow(Settings boot, SystemTimers schedules, Runnable onGivenUp) throws ServiceException;
     }
 
     /** Refuses a boot file that this program cannot use. */
     @FunctionalInterface
     public interface Check {
-        void check(Boot boot) throws Fault;
+        void check(Settings boot) throws ServiceException;
     }
 
     /** Where the boot values come from; the command line and its file unless told otherwise. */
     @FunctionalInterface
     public interface Source {
-        Boot boot(String[] args) throws Fault;
+        Settings boot(String[] args) throws ServiceException;
     }
 
     private final String name;
@@ -81,35 +81,35 @@
                     usage();
                     return args.length == 0 ? 2 : 0;
                 default:
-                    throw new Fault(ErrorKind.BAD_REQUEST, "There is no command " + verb + "; see " + name + " --help.");
+                    throw new ServiceException(ErrorKind.BAD_REQUEST, "There is no command " + verb + "; see " + name + " --help.");
             }
-        } catch (Fault e) {
+        } catch (ServiceException e) {
             System.err.println(name + ": " + e.getMessage()
                 + (e.details().isEmpty() ? "" : " " + String.join("; ", e.details())));
             return 2;
         }
     }
 
-    private void usage() throws Fault {
+    private void usage() throws ServiceException {
         System.out.println(name + " run --boot FILE [flags]    runs the program");
         System.out.println(name + " check-boot --boot FILE     checks a boot file and stops");
         System.out.println(name + " --version | --help");
         try {
             Help.help(SingleCommand.singleCommand(RunCommand.class).getCommandMetadata(), System.out);
         } catch (java.io.IOException e) {
-            throw new Fault(ErrorKind.INTERNAL, "The help could not be printed.");
+            throw new ServiceException(ErrorKind.INTERNAL, "The help could not be printed.");
         }
     }
 
-    private BootOptions options(String[] args) throws Fault {
+    private SettingsOptions options(String[] args) throws ServiceException {
         try {
             return SingleCommand.singleCommand(RunCommand.class).parse(args);
         } catch (ParseException e) {
-            throw new Fault(ErrorKind.BAD_REQUEST, e.getMessage());
+            throw new ServiceException(ErrorKind.BAD_REQUEST, e.getMessage());
         }
     }
 
-    private boolean help(String[] rest) throws Fault {
+    private boolean help(String[] rest) throws ServiceException {
         boolean wanted = java.util.Arrays.stream(rest).anyMatch(a -> a.equals("-h") || a.equals("--help"));
         if (wanted) {
             usage();
@@ -117,9 +117,9 @@
         return wanted;
     }
 
-    private int run(Boot boot) throws Fault {
+    private int run(Settings boot) throws ServiceException {
         check.check(boot);
-        RealSchedules schedules = new RealSchedules(THREADS);
+        SystemTimers schedules = new SystemTimers(THREADS);
         CountDownLatch end = new CountDownLatch(1);
         boolean[] failed = {false};
         Supervisor root = tree.grow(boot, schedules, () -> {
--- a/foundation/src/main/java/org/woadvale/foundation/helm/BootOptions.java
+++ b/common/src/main/java/org/woadvale/common/cli/SettingsOptions.java
@@ -1,12 +1,12 @@
-package org.woadvale.foundation.helm;
+package org.woadvale.common.cli;
 
-import org.woadvale.foundation.chart.Boot;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.config.Settings;
+import org.woadvale.common.runtime.ServiceException;
 
 import com.github.rvesse.airline.annotations.Option;
 
 /** The flags that both programs share. */
-public class BootOptions {
+public class SettingsOptions {
     @Option(name = "--boot", title = "FILE", description = "Boot file (JSON)")
     private String boot = "boot.json";
 
@@ -25,8 +25,8 @@
     @Option(name = {"-h", "--help"}, description = "Shows this help")
     private boolean help;
 
-    public Boot boot() throws Fault {
-        return Boot.read(boot).with(address, http, hall, data);
+    public Settings boot() throws ServiceException {
+        return Settings.read(boot).with(address, http, hall, data);
     }
 
     public boolean help() {
--- a/foundation/src/main/java/org/woadvale/foundation/chart/Layout.java
+++ b/common/src/main/java/org/woadvale/common/config/Configuration.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.chart;
+package org.woadvale.common.config;
 
 import java.time.Duration;
 import java.util.List;
@@ -17,7 +17,7 @@
 import jakarta.validation.constraints.Size;
 
 /** The operator's whole layout: design 6.1. */
-public record Layout(
+public record Configuration(
         @NotNull @Size(max = 1000) Map<@Pattern(regexp = NAME) String, @NotNull @Valid Tenant> tenants,
         @NotNull @Size(max = 1000) Map<@Pattern(regexp = NAME) String, @NotNull @Valid Service> services,
         @NotNull @Size(max = 1000) Map<@Pattern(regexp = NAME) String, @NotNull @Valid Lane> lanes,
@@ -25,7 +25,7 @@
 
     static final String NAME = "[a-z0-9][a-z0-9_-]{0,62}";
 
-    public Layout {
+    public Configuration {
         tenants = orEmpty(tenants);
         services = orEmpty(services);
         lanes = orEmpty(lanes);
@@ -111,7 +111,7 @@
         }
     }
 
-    public static Layout empty() {
-        return new Layout(Map.of(), Map.of(), Map.of(), Map.of());
+    public static Configuration empty() {
+        return new Configuration(Map.of(), Map.of(), Map.of(), Map.of());
     }
 }
--- a/foundation/src/main/java/org/woadvale/foundation/chart/Charts.java
+++ b/common/src/main/java/org/woadvale/common/config/Configurations.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.chart;
+package org.woadvale.common.config;
 
 import java.io.IOException;
 import java.util.ArrayList;
@@ -10,8 +10,8 @@
 import java.util.Set;
 
 import org.hibernate.validator.messageinterpolation.ParameterMessageInterpolator;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.databind.DeserializationFeature;
@@ -24,7 +24,7 @@
 import jakarta.validation.Validator;
 
 /** Reading and checking of JSON that people write: design 6.1. */
-public final class Charts {
+public final class Configurations {
     public static final ObjectMapper JSON = JsonMapper.builder()
         .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
         .enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
@@ -33,40 +33,40 @@
     private static final Validator VALIDATOR = Validation.byDefaultProvider().configure()
         .messageInterpolator(new ParameterMessageInterpolator()).buildValidatorFactory().getValidator();
 
-    private Charts() { }
+    private Configurations() { }
 
-    public static Layout layout(byte[] json) throws Fault {
-        Layout l = read(json, Layout.class, ErrorKind.INVALID_LAYOUT);
+    public static Configuration layout(byte[] json) throws ServiceException {
+        Configuration l = read(json, Configuration.class, ErrorKind.INVALID_LAYOUT);
         List<String> faults = new ArrayList<>(faults(l));
         if (faults.isEmpty()) {
             faults.addAll(crossFaults(l));
         }
         if (!faults.isEmpty()) {
-            throw new Fault(ErrorKind.INVALID_LAYOUT, "The layout has " + faults.size() + " faults.", faults);
+            throw new ServiceException(ErrorKind.INVALID_LAYOUT, "The layout has " + faults.size() + " faults.", faults);
         }
         return l;
     }
 
     /** A layout that was taken: it is used as it is, whatever this build would say of it, or knows of it. */
-    public static Layout taken(byte[] json) throws Fault {
+    public static Configuration taken(byte[] json) throws ServiceException {
         try {
-            return JSON.readerFor(Layout.class).without(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES).readValue(json);
+            return JSON.readerFor(Configuration.class).without(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES).readValue(json);
         } catch (IOException e) {
-            throw new Fault(ErrorKind.INVALID_LAYOUT, "The taken layout cannot be read: " + e.getMessage());
+            throw new ServiceException(ErrorKind.INVALID_LAYOUT, "The taken layout cannot be read: " + e.getMessage());
         }
     }
 
-    public static <T> T read(byte[] json, Class<T> type, ErrorKind kind) throws Fault {
+    public static <T> T read(byte[] json, Class<T> type, ErrorKind kind) throws ServiceException {
         try {
             T t = JSON.readValue(json, type);
             if (t == null) {
-                throw new Fault(kind, "The JSON document is empty.");
+                throw new ServiceException(kind, "The JSON document is empty.");
             }
             return t;
         } catch (JsonMappingException e) {
-            throw new Fault(kind, "The document does not fit.", List.of(fault(e)));
+            throw new ServiceException(kind, "The document does not fit.", List.of(fault(e)));
         } catch (IOException e) {
-            throw new Fault(kind, "The document is not JSON.", List.of(fault(e)));
+            throw new ServiceException(kind, "The document is not JSON.", List.of(fault(e)));
         }
     }
 
@@ -87,7 +87,7 @@
         return VALIDATOR.validate(o).stream().map(v -> v.getPropertyPath() + ": " + v.getMessage()).sorted().toList();
     }
 
-    private static List<String> crossFaults(Layout l) {
+    private static List<String> crossFaults(Configuration l) {
         List<String> out = new ArrayList<>();
         Map<String, String> addresses = new HashMap<>();
         l.services().forEach((n, s) -> {
@@ -95,7 +95,7 @@
                 Optional.ofNullable(addresses.putIfAbsent(s.address().replaceAll("/+$", ""), n)).ifPresent(other ->
                     out.add("services." + n + ".address: is " + other + "'s too; it would get both rates"));
             }
-            boolean endpoint = s.kind() == Layout.Kind.ENDPOINT;
+            boolean endpoint = s.kind() == Configuration.Kind.ENDPOINT;
             if (endpoint && s.address().isEmpty()) {
                 out.add("services." + n + ".address: an endpoint needs one");
             }
@@ -106,7 +106,7 @@
                 out.add("services." + n + ".address: processors are listed by the platform");
             }
         });
-        Map<Layout.Door, String> doors = new HashMap<>();
+        Map<Configuration.Door, String> doors = new HashMap<>();
         l.lanes().forEach((n, lane) -> {
             lane.doors().forEach(d -> Optional.ofNullable(doors.putIfAbsent(d, n)).ifPresent(other ->
                 out.add("lanes." + n + ".doors: " + d.host() + d.prefix() + " is " + other + "'s too")));
@@ -119,10 +119,10 @@
         });
         Set<String> hashes = new HashSet<>();
         l.keys().forEach((n, k) -> {
-            if (k.role() == Layout.Role.CALLER && !l.tenants().containsKey(k.tenant())) {
+            if (k.role() == Configuration.Role.CALLER && !l.tenants().containsKey(k.tenant())) {
                 out.add("keys." + n + ".tenant: no tenant " + k.tenant());
             }
-            if (k.role() == Layout.Role.PROCESSOR && !l.services().containsKey(k.service())) {
+            if (k.role() == Configuration.Role.PROCESSOR && !l.services().containsKey(k.service())) {
                 out.add("keys." + n + ".service: no service " + k.service());
             }
             if (!hashes.add(k.sha256())) {
--- a/foundation/src/main/java/org/woadvale/foundation/chart/Boot.java
+++ b/common/src/main/java/org/woadvale/common/config/Settings.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.chart;
+package org.woadvale.common.config;
 
 import java.io.IOException;
 import java.nio.file.Files;
@@ -7,9 +7,9 @@
 import java.util.Optional;
 import java.util.Set;
 
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.watch.Places;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.membership.ServiceNames;
 
 import jakarta.validation.constraints.Max;
 import jakarta.validation.constraints.Min;
@@ -18,7 +18,7 @@
 import jakarta.validation.constraints.Size;
 
 /** What a process learns of its place: design 10.1. */
-public record Boot(
+public record Settings(
         @NotNull @Pattern(regexp = ADDRESS, message = "must be IP:port") String address,
         @NotNull @Pattern(regexp = ADDRESS, message = "must be IP:port") String http,
         @NotNull @Pattern(regexp = "[a-z0-9-]{1,32}", message = "must be 1 to 32 small letters, digits or -") String hall,
@@ -47,7 +47,7 @@
     /** Messages in memory, a view of them being written, and one on its way. */
     private static final double HEAP_PER_MB = 2.5;
 
-    public Boot {
+    public Settings {
         roles = roles == null ? Set.of() : Set.copyOf(roles);
         data = data == null ? "" : data;
         ringFiles = ringFiles == 0 ? USUAL_FILES : ringFiles;
@@ -59,26 +59,26 @@
         keepEndedS = keepEndedS == 0 ? USUAL_KEEP_ENDED_S : keepEndedS;
     }
 
-    public Boot(String address, String http, String hall, List<String> seeds, Set<String> roles, String data, int ringFiles,
+    public Settings(String address, String http, String hall, List<String> seeds, Set<String> roles, String data, int ringFiles,
                 int ringFileMb, String operatorKeySha256, boolean join, int partMb, String listen) {
         this(address, http, hall, seeds, roles, data, ringFiles, ringFileMb, operatorKeySha256, join, partMb, listen, 0, 0,
             0);
     }
 
-    public static Boot read(String file) throws Fault {
+    public static Settings read(String file) throws ServiceException {
         try {
-            return checked(Charts.read(Files.readAllBytes(Path.of(file)), Boot.class, ErrorKind.BAD_REQUEST));
+            return checked(Configurations.read(Files.readAllBytes(Path.of(file)), Settings.class, ErrorKind.BAD_REQUEST));
         } catch (IOException e) {
-            throw new Fault(ErrorKind.BAD_REQUEST, "Cannot read the boot file " + file + ".");
-        } catch (Fault e) {
+            throw new ServiceException(ErrorKind.BAD_REQUEST, "Cannot read the boot file " + file + ".");
+        } catch (ServiceException e) {
             String where = e.details().isEmpty() ? e.getMessage() : e.details().get(0).replace(".<list element>", "")
                 .replace(".<iterable element>", "");
-            throw new Fault(ErrorKind.BAD_REQUEST, "The boot file " + file + " is invalid at " + where + ".");
+            throw new ServiceException(ErrorKind.BAD_REQUEST, "The boot file " + file + " is invalid at " + where + ".");
         }
     }
 
-    public static Boot checked(Boot b) throws Fault {
-        List<String> faults = new java.util.ArrayList<>(Charts.faults(b));
+    public static Settings checked(Settings b) throws ServiceException {
+        List<String> faults = new java.util.ArrayList<>(Configurations.faults(b));
         if (faults.isEmpty() && b.ringFiles() < 4) {
             faults.add("ringFiles: must be at least 4");
         }
@@ -89,14 +89,14 @@
             sizes(b, Runtime.getRuntime().maxMemory() >> 20).ifPresent(faults::add);
         }
         if (!faults.isEmpty()) {
-            throw new Fault(ErrorKind.BAD_REQUEST, "invalid", faults);
+            throw new ServiceException(ErrorKind.BAD_REQUEST, "invalid", faults);
         }
         return b;
     }
 
     /** Whole parts must fit into ring files, into the ring twice, and into the heap: design 9.8. */
-    static Optional<String> sizes(Boot b, long heapMb) {
-        int parts = Places.MESSAGE_PARTS;
+    static Optional<String> sizes(Settings b, long heapMb) {
+        int parts = ServiceNames.MESSAGE_PARTS;
         if (b.partMb() * 2 > b.ringFileMb()) {
             return Optional.of("partMb: a part of " + b.partMb() + " MB needs ringFileMb of at least " + 2 * b.partMb());
         }
@@ -117,8 +117,8 @@
     }
 
     /** With the flags that the command line gave; an empty flag changes nothing. */
-    public Boot with(String flagAddress, String flagHttp, String flagHall, String flagData) throws Fault {
-        return checked(new Boot(or(flagAddress, address), or(flagHttp, http), or(flagHall, hall), seeds, roles,
+    public Settings with(String flagAddress, String flagHttp, String flagHall, String flagData) throws ServiceException {
+        return checked(new Settings(or(flagAddress, address), or(flagHttp, http), or(flagHall, hall), seeds, roles,
             or(flagData, data), ringFiles, ringFileMb, operatorKeySha256, join, partMb, listen, leaseMs,
             keepEndedS, lingerMs));
     }
--- a/foundation/src/main/java/org/woadvale/foundation/beacon/News.java
+++ b/common/src/main/java/org/woadvale/common/discovery/ViewSubscriptions.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.beacon;
+package org.woadvale.common.discovery;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -8,19 +8,19 @@
 import java.util.Optional;
 import java.util.function.BiConsumer;
 
-import org.woadvale.foundation.keeper.Env;
-import org.woadvale.foundation.lantern.Schedule;
-import org.woadvale.foundation.lantern.Shard;
-import org.woadvale.foundation.watch.Asks;
-import org.woadvale.foundation.watch.Core;
-import org.woadvale.foundation.watch.Places;
-import org.woadvale.foundation.watch.Seat;
-import org.woadvale.foundation.watch.ServiceView;
+import org.woadvale.common.replication.Env;
+import org.woadvale.common.runtime.TimerHandle;
+import org.woadvale.common.runtime.LockedShard;
+import org.woadvale.common.membership.ControlMessages;
+import org.woadvale.common.membership.CoreClient;
+import org.woadvale.common.membership.ServiceNames;
+import org.woadvale.common.membership.MemberLease;
+import org.woadvale.common.membership.ServiceView;
 
 import reactor.core.publisher.Mono;
 
 /** A node's views of services, each with the proven age of its confirmation: design 7. */
-public final class News {
+public final class ViewSubscriptions {
     public static final Duration FRESH = Duration.ofSeconds(2);
     private static final Duration PERIOD = Duration.ofMillis(250);
     private static final Duration INTEREST = Duration.ofSeconds(5);
@@ -43,21 +43,21 @@
     }
 
     private final Env env;
-    private final Core core;
+    private final CoreClient core;
     private final String hall;
-    private final Shard shard = new Shard();
+    private final LockedShard shard = new LockedShard();
     private final Map<String, Followed> all = new HashMap<>();
     private final List<BiConsumer<String, ServiceView>> listeners = new ArrayList<>();
-    private Schedule polling = () -> { };
+    private TimerHandle polling = () -> { };
 
-    public News(Env env, Core core, String hall) {
+    public ViewSubscriptions(Env env, CoreClient core, String hall) {
         this.env = env;
         this.core = core;
         this.hall = hall;
     }
 
     public void start() {
-        List.of(Places.LAYOUT, Places.INTAKES, Places.STORES).forEach(this::always);
+        List.of(ServiceNames.LAYOUT, ServiceNames.INTAKES, ServiceNames.STORES).forEach(this::always);
         poll();
         polling = env.schedules().every(PERIOD, this::poll);
     }
@@ -88,7 +88,7 @@
         return shard.get(() -> want(service).view);
     }
 
-    /** Asks the core for one service at once, when waiting for the next poll would refuse somebody. */
+    /** ControlMessages the core for one service at once, when waiting for the next poll would refuse somebody. */
     public void hurry(String service) {
         Map<String, Long> known = shard.get(() -> {
             Followed f = want(service);
@@ -100,7 +100,7 @@
         });
         if (!known.isEmpty()) {
             Duration sent = now();
-            core.ask(Places.controlPart(service), new Asks.NewsAsk(known), Asks.NewsReply.class)
+            core.ask(ServiceNames.controlPart(service), new ControlMessages.NewsAsk(known), ControlMessages.NewsReply.class)
                 .subscribe(r -> took(r, sent), e -> { });
         }
     }
@@ -120,13 +120,13 @@
     }
 
     private Optional<String> home(String service) {
-        Map<String, Seat> seats = new HashMap<>(seats(Places.INTAKES));
-        seats.putAll(seats(Places.STORES));
-        return Places.draw("home/" + Places.controlPart(service),
+        Map<String, MemberLease> seats = new HashMap<>(seats(ServiceNames.INTAKES));
+        seats.putAll(seats(ServiceNames.STORES));
+        return ServiceNames.draw("home/" + ServiceNames.controlPart(service),
             seats.entrySet().stream().filter(e -> e.getValue().hall().equals(hall)).map(Map.Entry::getKey).toList());
     }
 
-    private Map<String, Seat> seats(String role) {
+    private Map<String, MemberLease> seats(String role) {
         return Optional.ofNullable(all.get(role)).map(f -> f.view.seats()).orElse(Map.of());
     }
 
@@ -139,26 +139,26 @@
                 Optional<String> home = home(s);
                 // the first view after a start comes from the core: a home may know less than we knew before. design 7.1
                 boolean direct = !f.any || home.isEmpty() || home.get().equals(env.self()) || now().compareTo(f.directUntil) < 0;
-                (direct ? byPart.computeIfAbsent(Places.controlPart(s), k -> new HashMap<>())
+                (direct ? byPart.computeIfAbsent(ServiceNames.controlPart(s), k -> new HashMap<>())
                     : byHome.computeIfAbsent(home.get(), k -> new HashMap<>())).put(s, f.any ? f.view.version() : -1L);
             });
         });
         byPart.forEach((part, known) -> {
             Duration sent = now();
-            core.ask(part, new Asks.NewsAsk(known), Asks.NewsReply.class)
+            core.ask(part, new ControlMessages.NewsAsk(known), ControlMessages.NewsReply.class)
                 .subscribe(r -> took(r, sent), e -> { });
         });
         byHome.forEach((home, known) -> {
             Duration sent = now();
-            env.beam().ask(home, new Asks.NewsAsk(known), Asks.NewsReply.class, HOME_ASK).subscribe(r -> {
+            env.beam().ask(home, new ControlMessages.NewsAsk(known), ControlMessages.NewsReply.class, HOME_ASK).subscribe(r -> {
                 took(r, sent);
                 distrust(known, r);
-            }, e -> distrust(known, new Asks.NewsReply(List.of(), Map.of())));
+            }, e -> distrust(known, new ControlMessages.NewsReply(List.of(), Map.of())));
         });
     }
 
     /** A home that does not serve, or serves old news, is passed over for a while. */
-    private void distrust(Map<String, Long> asked, Asks.NewsReply r) {
+    private void distrust(Map<String, Long> asked, ControlMessages.NewsReply r) {
         shard.run(() -> asked.keySet().forEach(s -> {
             Duration age = r.ages().getOrDefault(s, FRESH);
             Optional.ofNullable(all.get(s)).ifPresent(f -> {
@@ -169,7 +169,7 @@
         }));
     }
 
-    private void took(Asks.NewsReply r, Duration sent) {
+    private void took(ControlMessages.NewsReply r, Duration sent) {
         Map<String, ServiceView> views = new HashMap<>();
         r.views().forEach(v -> views.put(v.service(), v));
         List<ServiceView> changed = new ArrayList<>();
@@ -193,7 +193,7 @@
     }
 
     /** As a home node: what is held, with its age; what is not held yet is followed from now on. */
-    public Mono<Asks.NewsReply> asked(Asks.NewsAsk ask) {
+    public Mono<ControlMessages.NewsReply> asked(ControlMessages.NewsAsk ask) {
         return Mono.fromSupplier(() -> shard.get(() -> {
             List<ServiceView> views = new ArrayList<>();
             Map<String, Duration> ages = new HashMap<>();
@@ -206,7 +206,7 @@
                     }
                 }
             });
-            return new Asks.NewsReply(views, ages);
+            return new ControlMessages.NewsReply(views, ages);
         }));
     }
 }
--- a/foundation/src/main/java/org/woadvale/foundation/gate/Answer.java
+++ b/common/src/main/java/org/woadvale/common/http/Answer.java
@@ -1,18 +1,18 @@
-package org.woadvale.foundation.gate;
+package org.woadvale.common.http;
 
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
-import org.woadvale.foundation.chart.Charts;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.config.Configurations;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
 
 /** An HTTP answer, free of any HTTP library so that the simulator sees what a caller sees. */
 public record Answer(int status, Map<String, String> headers, byte[] body) {
     public static Answer json(int status, Object body) {
-        return new Answer(status, Map.of("Content-Type", "application/json"), Charts.write(body));
+        return new Answer(status, Map.of("Content-Type", "application/json"), Configurations.write(body));
     }
 
     public Answer with(String header, String value) {
@@ -22,7 +22,7 @@
     }
 
     /** The table from kind to answer is ErrorKind itself. */
-    public static Answer of(Fault f) {
+    public static Answer of(ServiceException f) {
         Map<String, Object> body = new LinkedHashMap<>();
         body.put("kind", f.kind().word());
         body.put("message", String.valueOf(f.getMessage()));
@@ -31,7 +31,7 @@
         return retryAfter(f).map(s -> a.with("Retry-After", s)).orElse(a);
     }
 
-    private static Optional<String> retryAfter(Fault f) {
+    private static Optional<String> retryAfter(ServiceException f) {
         if (!f.kind().retryable()) {
             return Optional.empty();
         }
--- a/foundation/src/main/java/org/woadvale/foundation/gate/Gate.java
+++ b/common/src/main/java/org/woadvale/common/http/HttpGateway.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.gate;
+package org.woadvale.common.http;
 
 import java.time.Duration;
 import java.util.HashMap;
@@ -8,9 +8,9 @@
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.woadvale.foundation.lantern.Component;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.runtime.Component;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -25,7 +25,7 @@
 import reactor.netty.http.server.HttpServerResponse;
 
 /** HTTP/1.1 by Reactor Netty in front of one function from request to answer. */
-public final class Gate implements Component {
+public final class HttpGateway implements Component {
     private static final Logger LOG = LogManager.getLogger("gate");
     private static final int MAX_HEADER = 16 << 10;
     private final String address;
@@ -35,7 +35,7 @@
     private volatile boolean closing;
     private DisposableServer server;
 
-    public Gate(String address, int maxBody, Function<Request, Mono<Answer>> app) {
+    public HttpGateway(String address, int maxBody, Function<Request, Mono<Answer>> app) {
         this.address = address;
         this.maxBody = maxBody;
         this.app = app;
@@ -47,26 +47,26 @@
     }
 
     @Override
-    public void start() throws Fault {
+    public void start() throws ServiceException {
         int colon = address.lastIndexOf(':');
         try {
             server = HttpServer.create().host(address.substring(0, colon))
                 .port(Integer.parseInt(address.substring(colon + 1)))
                 .httpRequestDecoder(s -> s.maxHeaderSize(MAX_HEADER).maxInitialLineLength(MAX_HEADER))
                 .idleTimeout(Duration.ofSeconds(60)).channelGroup(streams)
-                .doOnChannelInit((o, c, a) -> c.pipeline().addAfter(NettyPipeline.HttpCodec, "broken", new Broken()))
+                .doOnChannelInit((o, c, a) -> c.pipeline().addAfter(NettyPipeline.HttpCodec, "broken", new MalformedRequest()))
                 .handle(this::serve).bindNow(Duration.ofSeconds(5));
         } catch (RuntimeException e) {
-            throw new Fault(ErrorKind.UNAVAILABLE, "Cannot listen for HTTP on " + address + ": " + e.getMessage());
+            throw new ServiceException(ErrorKind.UNAVAILABLE, "Cannot listen for HTTP on " + address + ": " + e.getMessage());
         }
     }
 
     private Mono<Void> serve(HttpServerRequest in, HttpServerResponse out) {
         return body(in)
             .flatMap(b -> app.apply(new Request(in.method().name(), in.uri(), headers(in), b)))
-            .switchIfEmpty(Mono.error(new Fault(ErrorKind.INTERNAL, "No answer was made.")))
+            .switchIfEmpty(Mono.error(new ServiceException(ErrorKind.INTERNAL, "No answer was made.")))
             .onErrorResume(e -> {
-                Fault f = Fault.of(e);
+                ServiceException f = ServiceException.of(e);
                 LOG.log(f.kind().level(), "gate: {} {} ended as {}: {}", in.method(), in.uri(), f.kind().word(),
                     f.getMessage());
                 return Mono.just(Answer.of(f));
@@ -87,19 +87,19 @@
         if (declared > maxBody) {
             return Mono.error(tooLarge());
         }
-        return in.receive().map(Gate::bytes).reduceWith(() -> new byte[0], (a, b) -> {
+        return in.receive().map(HttpGateway::bytes).reduceWith(() -> new byte[0], (a, b) -> {
             if (a.length + b.length > maxBody) {
                 throw reactor.core.Exceptions.propagate(tooLarge());
             }
             byte[] all = java.util.Arrays.copyOf(a, a.length + b.length);
             System.arraycopy(b, 0, all, a.length, b.length);
             return all;
-        }).onErrorMap(reactor.core.Exceptions::unwrap).flatMap(b -> Broken.is(in)
-            ? Mono.error(new Fault(ErrorKind.BAD_REQUEST, "The request cannot be read whole.")) : Mono.just(b));
+        }).onErrorMap(reactor.core.Exceptions::unwrap).flatMap(b -> MalformedRequest.is(in)
+            ? Mono.error(new ServiceException(ErrorKind.BAD_REQUEST, "The request cannot be read whole.")) : Mono.just(b));
     }
 
-    private Fault tooLarge() {
-        return new Fault(ErrorKind.TOO_LARGE, "The body is over " + maxBody + " bytes.");
+    private ServiceException tooLarge() {
+        return new ServiceException(ErrorKind.TOO_LARGE, "The body is over " + maxBody + " bytes.");
     }
 
     private static byte[] bytes(ByteBuf b) {
--- a/foundation/src/main/java/org/woadvale/foundation/gate/Broken.java
+++ b/common/src/main/java/org/woadvale/common/http/MalformedRequest.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.gate;
+package org.woadvale.common.http;
 
 import java.util.concurrent.atomic.AtomicBoolean;
 
@@ -9,7 +9,7 @@
 import reactor.netty.http.server.HttpServerRequest;
 
 /** Notes on a stream that what came cannot be decoded: the server then ends the body as if it were whole. */
-final class Broken extends ChannelInboundHandlerAdapter {
+final class MalformedRequest extends ChannelInboundHandlerAdapter {
     private static final AttributeKey<Boolean> KEY = AttributeKey.valueOf("woadvale.broken");
 
     static boolean is(HttpServerRequest in) {
--- a/foundation/src/main/java/org/woadvale/foundation/gate/Request.java
+++ b/common/src/main/java/org/woadvale/common/http/Request.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.gate;
+package org.woadvale.common.http;
 
 import java.util.List;
 import java.util.Locale;
--- a/foundation/src/main/java/org/woadvale/foundation/watch/Asks.java
+++ b/common/src/main/java/org/woadvale/common/membership/ControlMessages.java
@@ -1,23 +1,23 @@
-package org.woadvale.foundation.watch;
+package org.woadvale.common.membership;
 
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 
-import org.woadvale.foundation.beam.Since;
+import org.woadvale.common.rpc.Since;
 
 /** What processes ask the core, and home nodes: design 6.3 and 7. */
-public final class Asks {
-    private Asks() { }
+public final class ControlMessages {
+    private ControlMessages() { }
 
-    public record ClaimAsk(String service, String node, Seat seat) { }
+    public record ClaimAsk(String service, String node, MemberLease seat) { }
 
     public record LeaveAsk(String service, String node) { }
 
     /** Renews when term is the present one; otherwise stands for the vacant duty. */
     public record DutyAsk(String service, String node, long term) { }
 
-    public record DutyReply(boolean yours, Duty duty) { }
+    public record DutyReply(boolean yours, LeaderDuty duty) { }
 
     public record DutyRelease(String service, String node, long term, double level) { }
 
@@ -34,7 +34,7 @@
     public record CoreReply(List<String> lighthouses) { }
 
     // commands in the logs of control parts
-    public record PutSeat(String service, String node, Seat seat) { }
+    public record PutSeat(String service, String node, MemberLease seat) { }
 
     public record DropSeat(String service, String node, String incarnation) { }
 
@@ -74,6 +74,6 @@
         return List.of(ClaimAsk.class, LeaveAsk.class, DutyAsk.class, DutyReply.class, DutyRelease.class, Done.class,
             NewsAsk.class, NewsReply.class, CoreAsk.class, CoreReply.class, PutSeat.class, DropSeat.class,
             PutProcessor.class, DropProcessor.class, TakeDuty.class, ReleaseDuty.class, Place.class, PutLayout.class,
-            LayoutTaken.class, Seat.class, Processor.class, Duty.class, ServiceView.class, PutCore.class);
+            LayoutTaken.class, MemberLease.class, Processor.class, LeaderDuty.class, ServiceView.class, PutCore.class);
     }
 }
--- a/foundation/src/main/java/org/woadvale/foundation/watch/Core.java
+++ b/common/src/main/java/org/woadvale/common/membership/CoreClient.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.watch;
+package org.woadvale.common.membership;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -9,24 +9,24 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
-import org.woadvale.foundation.beam.Beam;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.rpc.RpcClient;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
 
 import reactor.core.publisher.Mono;
 
 /** A process's way to the owners of the control parts; every ask is idempotent. */
-public final class Core {
+public final class CoreClient {
     private static final int TRIES = 5;
     private static final Duration EACH = Duration.ofMillis(700);
-    private final Beam beam;
+    private final RpcClient beam;
     private final LongSupplier random;
     private volatile List<String> seeds;
     private final Consumer<List<String>> remember;
     private final Map<String, String> owners = new ConcurrentHashMap<>();
     private volatile List<String> lighthouses;
 
-    public Core(Beam beam, LongSupplier random, List<String> seeds, List<String> known, Consumer<List<String>> remember) {
+    public CoreClient(RpcClient beam, LongSupplier random, List<String> seeds, List<String> known, Consumer<List<String>> remember) {
         this.beam = beam;
         this.random = random;
         this.seeds = List.copyOf(seeds);
@@ -59,7 +59,7 @@
         if (n.equals(beam.self())) {
             return;
         }
-        beam.ask(n, new Asks.CoreAsk(true), Asks.CoreReply.class, EACH).subscribe(r -> {
+        beam.ask(n, new ControlMessages.CoreAsk(true), ControlMessages.CoreReply.class, EACH).subscribe(r -> {
             if (!r.lighthouses().isEmpty() && !r.lighthouses().equals(lighthouses)) {
                 lighthouses = List.copyOf(r.lighthouses());
                 remember.accept(lighthouses);
@@ -80,7 +80,7 @@
         return beam.ask(to, body, type, EACH)
             .doOnNext(t -> owners.put(part, to))
             .onErrorResume(e -> {
-                Fault f = Fault.of(e);
+                ServiceException f = ServiceException.of(e);
                 owners.remove(part, to);
                 boolean again = f.kind() == ErrorKind.NOT_OWNER || f.kind() == ErrorKind.UNREACHABLE
                     || f.kind() == ErrorKind.UNKNOWN_OUTCOME || f.kind() == ErrorKind.STOPPING;
--- a/foundation/src/main/java/org/woadvale/foundation/watch/Processor.java
+++ b/common/src/main/java/org/woadvale/common/membership/Processor.java
@@ -1,6 +1,6 @@
-package org.woadvale.foundation.watch;
+package org.woadvale.common.membership;
 
-import org.woadvale.foundation.beam.Since;
+import org.woadvale.common.rpc.Since;
 
 /**
  * A back end as the platform lists it; without an address it fetches. Slots: how many runs at once, 0 if not said; hall:
--- a/foundation/src/main/java/org/woadvale/foundation/watch/Places.java
+++ b/common/src/main/java/org/woadvale/common/membership/ServiceNames.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.watch;
+package org.woadvale.common.membership;
 
 import java.util.Collection;
 import java.util.Comparator;
@@ -6,7 +6,7 @@
 import java.util.Optional;
 
 /** Names of services and parts, and the draws by hash that everyone makes alike: design 6.2. */
-public final class Places {
+public final class ServiceNames {
     public static final String LAYOUT = "layout";
     /** Who the lighthouses should be; kept with the layout. */
     public static final String CORE = "core";
@@ -15,7 +15,7 @@
     public static final int CONTROL_PARTS = 8;
     public static final int MESSAGE_PARTS = 8;
 
-    private Places() { }
+    private ServiceNames() { }
 
     public static String tenantBucket(String tenant) {
         return "tenant/" + tenant;
--- a/foundation/src/main/java/org/woadvale/foundation/watch/Wire.java
+++ b/common/src/main/java/org/woadvale/common/membership/Wire.java
@@ -1,12 +1,12 @@
-package org.woadvale.foundation.watch;
+package org.woadvale.common.membership;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 
-import org.woadvale.foundation.beam.Codec;
-import org.woadvale.foundation.keeper.Messages;
-import org.woadvale.foundation.tide.Passes;
+import org.woadvale.common.rpc.Codec;
+import org.woadvale.common.replication.Messages;
+import org.woadvale.common.ratelimit.AdmissionTokens;
 
 /** The numbers of the types on inner streams; in each list, only ever add at the end. design 3.2 */
 public final class Wire {
@@ -19,9 +19,9 @@
     public static Codec codec(int ownFirst, List<Class<?>> own) {
         List<Class<?>> shared = new ArrayList<>();
         shared.addAll(Messages.types());
-        shared.addAll(Asks.types());
-        shared.addAll(Passes.types());
-        shared.addAll(Asks.later());
+        shared.addAll(ControlMessages.types());
+        shared.addAll(AdmissionTokens.types());
+        shared.addAll(ControlMessages.later());
         return new Codec(Map.of(SHARED, shared, ownFirst, own));
     }
 }
--- a/foundation/src/main/java/org/woadvale/foundation/tide/Passes.java
+++ b/common/src/main/java/org/woadvale/common/ratelimit/AdmissionTokens.java
@@ -1,10 +1,10 @@
-package org.woadvale.foundation.tide;
+package org.woadvale.common.ratelimit;
 
 import java.time.Duration;
 import java.util.List;
 
 /** What purses and holders say to each other: design 8.3. */
-public final class Passes {
+public final class AdmissionTokens {
     /** Tokens die this long after they were asked for, by the asker's clock. */
     public static final Duration LIFE = Duration.ofSeconds(1);
     /** The holder counts them for longer, for clocks that do not run alike. */
@@ -13,14 +13,14 @@
     /** An ask that only reports. */
     public static final long NO_GRANT = 0;
 
-    private Passes() { }
+    private AdmissionTokens() { }
 
     /** Spent so far of a grant, and whether the rest is given back for good. */
     public record Report(long grant, int spent, boolean closed) { }
 
     public record PassAsk(String bucket, long grant, int least, List<Report> reports) { }
 
-    /** Granted may be zero; then retry tells when to come back. Passes live so long, from when they were asked for. */
+    /** Granted may be zero; then retry tells when to come back. AdmissionTokens live so long, from when they were asked for. */
     public record PassReply(long grant, int granted, Duration retry, long term, Duration life) { }
 
     public static List<Class<?>> types() {
--- a/foundation/src/main/java/org/woadvale/foundation/tide/Holding.java
+++ b/common/src/main/java/org/woadvale/common/ratelimit/AggregateBucket.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.tide;
+package org.woadvale.common.ratelimit;
 
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -8,7 +8,7 @@
 import java.util.Optional;
 
 /** The aggregate bucket of one duty term: design 8.2. */
-public final class Holding {
+public final class AggregateBucket {
     private static final int MOST = 1 << 20;
     private static final Duration ACTIVE = Duration.ofSeconds(3);
 
@@ -49,12 +49,12 @@
      * A first term starts full; a later one at the level handed over. Unless the passes of earlier terms are dead,
      * as many as the bucket holds above that level may still be out. design 8.4
      */
-    public Holding(long term, double handedLevel, boolean clear, Allowance a, Duration now) {
+    public AggregateBucket(long term, double handedLevel, boolean clear, RateLimit a, Duration now) {
         this.term = term;
         boolean first = term <= 1;
         double level = first ? a.burst() : Math.max(0, Math.min(a.burst(), handedLevel));
         this.before = first || clear ? 0 : a.burst() - level;
-        this.beforeUntil = now.plus(Passes.LIFE).plus(Passes.MARGIN);
+        this.beforeUntil = now.plus(AdmissionTokens.LIFE).plus(AdmissionTokens.MARGIN);
         this.bucket = new Bucket(a, level, now);
     }
 
@@ -83,7 +83,7 @@
         return Math.max(1, askers.size());
     }
 
-    public void change(Allowance a, Duration now) {
+    public void change(RateLimit a, Duration now) {
         settle(now);
         bucket.change(a);
     }
@@ -100,7 +100,7 @@
         fill(now);
     }
 
-    private void report(String asker, Passes.Report r) {
+    private void report(String asker, AdmissionTokens.Report r) {
         Optional.ofNullable(byId.get(asker + "/" + r.grant())).filter(g -> !g.closed).ifPresent(g -> {
             int before = g.out();
             g.spent = Math.max(g.spent, Math.min(r.spent(), g.granted));
@@ -113,33 +113,33 @@
     }
 
     /** Idempotent by asker and grant id; never grants more than the aggregate holds, nor for longer than the claim. */
-    public Passes.PassReply ask(String asker, Passes.PassAsk a, Duration claimEnd, Duration now) {
+    public AdmissionTokens.PassReply ask(String asker, AdmissionTokens.PassAsk a, Duration claimEnd, Duration now) {
         settle(now);
         a.reports().forEach(r -> report(asker, r));
         fill(now);
         Duration left = claimEnd.minus(now);
-        Duration life = left.compareTo(Passes.LIFE) < 0 ? left : Passes.LIFE;
+        Duration life = left.compareTo(AdmissionTokens.LIFE) < 0 ? left : AdmissionTokens.LIFE;
         Grant known = byId.get(asker + "/" + a.grant());
         if (known != null) {
-            return new Passes.PassReply(a.grant(), known.granted, Duration.ZERO, term, life);
+            return new AdmissionTokens.PassReply(a.grant(), known.granted, Duration.ZERO, term, life);
         }
-        if (a.grant() == Passes.NO_GRANT) {
-            return new Passes.PassReply(a.grant(), 0, Duration.ZERO, term, life);
+        if (a.grant() == AdmissionTokens.NO_GRANT) {
+            return new AdmissionTokens.PassReply(a.grant(), 0, Duration.ZERO, term, life);
         }
         int most = Optional.ofNullable(askers.get(asker)).map(Asker::most).orElse(1);
         askers.put(asker, new Asker(now, Math.min(most * 2, MOST)));
         // not more than half of the bucket is lent ahead of need: what is out is missing where it is wanted. design 8.3
-        Allowance mine = bucket.allowance();
+        RateLimit mine = bucket.allowance();
         int batch = (int) Math.max(1, Math.min(mine.ratePerS(), mine.burst() / 2.0) / active());
         int want = Math.max(Math.min(batch, most), a.least());
         int n = (int) Math.min(want, Math.floor(bucket.level() + 1e-9));
         if (n <= 0 || !bucket.take(n)) {
-            return new Passes.PassReply(a.grant(), 0, bucket.until(1), term, life);
+            return new AdmissionTokens.PassReply(a.grant(), 0, bucket.until(1), term, life);
         }
-        Grant g = new Grant(asker, a.grant(), n, now.plus(Passes.LIFE).plus(Passes.MARGIN));
+        Grant g = new Grant(asker, a.grant(), n, now.plus(AdmissionTokens.LIFE).plus(AdmissionTokens.MARGIN));
         byId.put(asker + "/" + a.grant(), g);
         byEnd.add(g);
         outstanding += n;
-        return new Passes.PassReply(a.grant(), n, Duration.ZERO, term, life);
+        return new AdmissionTokens.PassReply(a.grant(), n, Duration.ZERO, term, life);
     }
 }
--- a/foundation/src/main/java/org/woadvale/foundation/tide/Bucket.java
+++ b/common/src/main/java/org/woadvale/common/ratelimit/Bucket.java
@@ -1,24 +1,24 @@
-package org.woadvale.foundation.tide;
+package org.woadvale.common.ratelimit;
 
 import java.time.Duration;
 
 /** A plain token bucket on a given clock; the base of every other bucket here. design 8.1 */
 public final class Bucket {
-    private Allowance allowance;
+    private RateLimit allowance;
     private double level;
     private Duration filled;
 
-    public Bucket(Allowance allowance, double level, Duration from) {
+    public Bucket(RateLimit allowance, double level, Duration from) {
         this.allowance = allowance;
         this.level = Math.min(level, allowance.burst());
         this.filled = from;
     }
 
-    public static Bucket full(Allowance a, Duration now) {
+    public static Bucket full(RateLimit a, Duration now) {
         return new Bucket(a, a.burst(), now);
     }
 
-    public void change(Allowance a) {
+    public void change(RateLimit a) {
         allowance = a;
         level = Math.min(level, a.burst());
     }
@@ -48,7 +48,7 @@
         return level;
     }
 
-    public Allowance allowance() {
+    public RateLimit allowance() {
         return allowance;
     }
 
--- a/foundation/src/main/java/org/woadvale/foundation/tide/Purse.java
+++ b/common/src/main/java/org/woadvale/common/ratelimit/LocalBucket.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.tide;
+package org.woadvale.common.ratelimit;
 
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -9,8 +9,8 @@
 import java.util.Optional;
 
 /** The local bucket of one node for one shared bucket: drawn without a call. design 8.3 */
-public final class Purse {
-    private static final Duration GIVE_BACK = Passes.LIFE.multipliedBy(7).dividedBy(10);
+public final class LocalBucket {
+    private static final Duration GIVE_BACK = AdmissionTokens.LIFE.multipliedBy(7).dividedBy(10);
 
     /** One drawn pass; dead after its end. */
     public record Pass(long grant, Duration until) { }
@@ -94,20 +94,20 @@
     }
 
     /** Old lots are closed here first, then reported as given back: they can never be spent in both places. */
-    public List<Passes.Report> reports(Duration now) {
-        List<Passes.Report> out = new ArrayList<>();
+    public List<AdmissionTokens.Report> reports(Duration now) {
+        List<AdmissionTokens.Report> out = new ArrayList<>();
         for (Iterator<Lot> i = lots.iterator(); i.hasNext();) {
             Lot l = i.next();
             if (now.compareTo(l.until) >= 0) {
                 i.remove();
                 continue;
             }
-            boolean old = now.compareTo(l.until.minus(Passes.LIFE).plus(GIVE_BACK)) >= 0;
+            boolean old = now.compareTo(l.until.minus(AdmissionTokens.LIFE).plus(GIVE_BACK)) >= 0;
             if (old || l.settled == l.granted) {
                 l.closed = true;
             }
             if (!l.told || l.closed) {
-                out.add(new Passes.Report(l.grant, l.closed ? l.drawn : l.settled, l.closed));
+                out.add(new AdmissionTokens.Report(l.grant, l.closed ? l.drawn : l.settled, l.closed));
                 l.told = true;
             }
         }
--- a/foundation/src/main/java/org/woadvale/foundation/tide/Purses.java
+++ b/common/src/main/java/org/woadvale/common/ratelimit/LocalBuckets.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.tide;
+package org.woadvale.common.ratelimit;
 
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -8,19 +8,19 @@
 import java.util.Map;
 import java.util.Optional;
 
-import org.woadvale.foundation.beacon.News;
-import org.woadvale.foundation.keeper.Env;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.lantern.Schedule;
-import org.woadvale.foundation.lantern.Shard;
-import org.woadvale.foundation.watch.Places;
+import org.woadvale.common.discovery.ViewSubscriptions;
+import org.woadvale.common.replication.Env;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.runtime.TimerHandle;
+import org.woadvale.common.runtime.LockedShard;
+import org.woadvale.common.membership.ServiceNames;
 
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 
 /** All local buckets of a node: asks ahead, and lets a few wait shortly on an empty one. design 8.3 */
-public final class Purses {
+public final class LocalBuckets {
     public static final Duration WAIT = Duration.ofMillis(250);
     private static final Duration SEEN = Duration.ofSeconds(2);
     private static final Duration ASK = Duration.ofMillis(200);
@@ -28,10 +28,10 @@
     private static final Duration TELL = Duration.ofMillis(100);
     private static final int MAX_WAITING = 256;
 
-    private record Waiting(Sinks.One<Purse.Pass> sink, Duration until) { }
+    private record Waiting(Sinks.One<LocalBucket.Pass> sink, Duration until) { }
 
     private static final class Local {
-        final Purse purse = new Purse();
+        final LocalBucket purse = new LocalBucket();
         final Deque<Waiting> waiting = new ArrayDeque<>();
         Duration seen = Duration.ZERO;
         Duration notBefore = Duration.ZERO;
@@ -48,17 +48,17 @@
     public record Counts(long atOnce, long waited, long throttled, long asks) { }
 
     private final Env env;
-    private final News news;
-    private final Shard shard = new Shard();
+    private final ViewSubscriptions news;
+    private final LockedShard shard = new LockedShard();
     private final Map<String, Local> all = new HashMap<>();
-    private Schedule looking = () -> { };
+    private TimerHandle looking = () -> { };
     private long nextGrant;
     private long atOnce;
     private long waited;
     private long throttled;
     private long asks;
 
-    public Purses(Env env, News news) {
+    public LocalBuckets(Env env, ViewSubscriptions news) {
         this.env = env;
         this.news = news;
         this.nextGrant = env.random().getAsLong() >>> 8;
@@ -77,11 +77,11 @@
     }
 
     /** At once where the purse holds one; else a short wait for the refill in flight, bounded by the given one and by WAIT. */
-    public Mono<Purse.Pass> take(String bucket, Duration wait) {
+    public Mono<LocalBucket.Pass> take(String bucket, Duration wait) {
         return Mono.defer(() -> shard.get(() -> {
             Local l = all.computeIfAbsent(bucket, b -> new Local());
             l.seen = now();
-            Optional<Purse.Pass> p = l.waiting.isEmpty() ? l.purse.take(now()) : Optional.empty();
+            Optional<LocalBucket.Pass> p = l.waiting.isEmpty() ? l.purse.take(now()) : Optional.empty();
             if (p.isPresent()) {
                 atOnce++;
                 refill(bucket, l);
@@ -100,11 +100,11 @@
     }
 
     /** Without any wait; for the leaving direction, where the next look tries again. */
-    public Optional<Purse.Pass> tryTake(String bucket) {
+    public Optional<LocalBucket.Pass> tryTake(String bucket) {
         return shard.get(() -> {
             Local l = all.computeIfAbsent(bucket, b -> new Local());
             l.seen = now();
-            Optional<Purse.Pass> p = l.purse.take(now());
+            Optional<LocalBucket.Pass> p = l.purse.take(now());
             p.ifPresent(x -> atOnce++);
             l.missed = p.isEmpty();
             refill(bucket, l);
@@ -112,21 +112,21 @@
         });
     }
 
-    public boolean alive(Purse.Pass p) {
+    public boolean alive(LocalBucket.Pass p) {
         return now().compareTo(p.until()) < 0;
     }
 
-    public void putBack(String bucket, Purse.Pass p) {
+    public void putBack(String bucket, LocalBucket.Pass p) {
         shard.run(() -> Optional.ofNullable(all.get(bucket)).ifPresent(l -> l.purse.putBack(p)));
     }
 
-    public void settle(String bucket, Purse.Pass p) {
+    public void settle(String bucket, LocalBucket.Pass p) {
         shard.run(() -> Optional.ofNullable(all.get(bucket)).ifPresent(l -> l.purse.settle(p)));
     }
 
-    private Fault throttled(Local l) {
+    private ServiceException throttled(Local l) {
         long s = Math.max(1, (l.retry.toMillis() + 999) / 1000);
-        return new Fault(ErrorKind.THROTTLED, "The allowance is spent for now.", List.of(Long.toString(s)));
+        return new ServiceException(ErrorKind.THROTTLED, "The allowance is spent for now.", List.of(Long.toString(s)));
     }
 
     private void look() {
@@ -135,7 +135,7 @@
             while (!l.waiting.isEmpty() && now().compareTo(l.waiting.peek().until()) >= 0) {
                 Waiting w = l.waiting.poll();
                 throttled++;
-                Fault f = throttled(l);
+                ServiceException f = throttled(l);
                 shard.leave(() -> w.sink().tryEmitError(f));
             }
             if (now().minus(l.seen).compareTo(SEEN) < 0) {
@@ -147,7 +147,7 @@
 
     private void serve(Local l) {
         while (!l.waiting.isEmpty()) {
-            Optional<Purse.Pass> p = l.purse.take(now());
+            Optional<LocalBucket.Pass> p = l.purse.take(now());
             if (p.isEmpty()) {
                 return;
             }
@@ -168,7 +168,7 @@
             shard.leave(() -> news.hurry(bucket));
             return;
         }
-        if (l.pending == 0 || now().minus(l.pendingSince).compareTo(Passes.LIFE.dividedBy(2)) > 0) {
+        if (l.pending == 0 || now().minus(l.pendingSince).compareTo(AdmissionTokens.LIFE.dividedBy(2)) > 0) {
             l.pending = ++nextGrant;
             l.pendingSince = now();
         }
@@ -176,9 +176,9 @@
         l.told = now();
         asks++;
         Duration since = l.pendingSince;
-        Passes.PassAsk ask = new Passes.PassAsk(bucket, l.pending, Math.max(l.waiting.size(), l.missed ? 1 : 0),
+        AdmissionTokens.PassAsk ask = new AdmissionTokens.PassAsk(bucket, l.pending, Math.max(l.waiting.size(), l.missed ? 1 : 0),
             l.purse.reports(now()));
-        shard.leave(() -> env.beam().ask(holder.get(), ask, Passes.PassReply.class, ASK)
+        shard.leave(() -> env.beam().ask(holder.get(), ask, AdmissionTokens.PassReply.class, ASK)
             .subscribe(r -> shard.run(() -> granted(bucket, l, r, since)), e -> shard.run(() -> {
                 l.asking = false;
                 l.notBefore = now().plus(AGAIN);
@@ -195,11 +195,11 @@
         }
         l.told = now();
         asks++;
-        Passes.PassAsk ask = new Passes.PassAsk(bucket, Passes.NO_GRANT, 0, l.purse.reports(now()));
-        shard.leave(() -> env.beam().ask(holder.get(), ask, Passes.PassReply.class, ASK).subscribe(r -> { }, e -> { }));
+        AdmissionTokens.PassAsk ask = new AdmissionTokens.PassAsk(bucket, AdmissionTokens.NO_GRANT, 0, l.purse.reports(now()));
+        shard.leave(() -> env.beam().ask(holder.get(), ask, AdmissionTokens.PassReply.class, ASK).subscribe(r -> { }, e -> { }));
     }
 
-    private void granted(String bucket, Local l, Passes.PassReply r, Duration asked) {
+    private void granted(String bucket, Local l, AdmissionTokens.PassReply r, Duration asked) {
         l.asking = false;
         l.missed = false;
         l.pending = 0;
--- a/foundation/src/main/java/org/woadvale/foundation/tide/Holders.java
+++ b/common/src/main/java/org/woadvale/common/ratelimit/TokenGranters.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.tide;
+package org.woadvale.common.ratelimit;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -13,46 +13,46 @@
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.woadvale.foundation.beacon.News;
-import org.woadvale.foundation.keeper.Env;
-import org.woadvale.foundation.keeper.Pace;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.lantern.Schedule;
-import org.woadvale.foundation.lantern.Shard;
-import org.woadvale.foundation.watch.Asks;
-import org.woadvale.foundation.watch.Core;
-import org.woadvale.foundation.watch.Duty;
-import org.woadvale.foundation.watch.Places;
+import org.woadvale.common.discovery.ViewSubscriptions;
+import org.woadvale.common.replication.Env;
+import org.woadvale.common.replication.ReplicationTiming;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.runtime.TimerHandle;
+import org.woadvale.common.runtime.LockedShard;
+import org.woadvale.common.membership.ControlMessages;
+import org.woadvale.common.membership.CoreClient;
+import org.woadvale.common.membership.LeaderDuty;
+import org.woadvale.common.membership.ServiceNames;
 
 import reactor.core.publisher.Mono;
 
 /** The admission node: holds the aggregate buckets that the ring draws to it, each by claim and term. design 8.4 */
-public final class Holders {
+public final class TokenGranters {
     private static final Logger LOG = LogManager.getLogger("tide");
     private static final Duration SETTLED = Duration.ofSeconds(3);
 
     private static final class Held {
-        Holding holding;
+        AggregateBucket holding;
         Duration claimEnd;
         Duration strangerSince = Duration.ZERO;
         boolean releasing;
     }
 
     private final Env env;
-    private final Core core;
-    private final News news;
-    private final Function<String, Optional<Allowance>> allowances;
+    private final CoreClient core;
+    private final ViewSubscriptions news;
+    private final Function<String, Optional<RateLimit>> allowances;
     private final Supplier<Set<String>> buckets;
-    private final Shard shard = new Shard();
+    private final LockedShard shard = new LockedShard();
     private final Map<String, Held> held = new HashMap<>();
     private final Set<String> asking = new TreeSet<>();
-    private Schedule looking = () -> { };
+    private TimerHandle looking = () -> { };
     private boolean draining;
     private long granted;
     private long asks;
 
-    public Holders(Env env, Core core, News news, Function<String, Optional<Allowance>> allowances,
+    public TokenGranters(Env env, CoreClient core, ViewSubscriptions news, Function<String, Optional<RateLimit>> allowances,
                    Supplier<Set<String>> buckets) {
         this.env = env;
         this.core = core;
@@ -74,9 +74,9 @@
     }
 
     private void look() {
-        Set<String> ring = news.latest(Places.INTAKES).seats().keySet();
+        Set<String> ring = news.latest(ServiceNames.INTAKES).seats().keySet();
         for (String b : buckets.get()) {
-            boolean mine = Places.draw(b, ring).filter(env.self()::equals).isPresent();
+            boolean mine = ServiceNames.draw(b, ring).filter(env.self()::equals).isPresent();
             boolean deputy = !mine && deputy(b, ring);
             shard.run(() -> consider(b, mine, deputy));
         }
@@ -85,11 +85,11 @@
 
     /** Stands once the first of the ring has let its claim lapse; the ring itself is told of that later. design 8.4 */
     private boolean deputy(String b, Set<String> ring) {
-        Duty d = news.latest(b).duty();
-        Optional<String> first = Places.draw(b, ring);
+        LeaderDuty d = news.latest(b).duty();
+        Optional<String> first = ServiceNames.draw(b, ring);
         Set<String> rest = new TreeSet<>(ring);
         first.ifPresent(rest::remove);
-        return first.filter(d.holder()::equals).isPresent() && Places.draw(b, rest).filter(env.self()::equals).isPresent();
+        return first.filter(d.holder()::equals).isPresent() && ServiceNames.draw(b, rest).filter(env.self()::equals).isPresent();
     }
 
     private void consider(String b, boolean mine, boolean deputy) {
@@ -112,25 +112,25 @@
             return;
         }
         Duration sent = now();
-        shard.leave(() -> core.ask(Places.controlPart(b), new Asks.DutyAsk(b, env.self(), term), Asks.DutyReply.class)
+        shard.leave(() -> core.ask(ServiceNames.controlPart(b), new ControlMessages.DutyAsk(b, env.self(), term), ControlMessages.DutyReply.class)
             .doFinally(s -> env.schedules().after(Duration.ofMillis(250), () -> shard.run(() -> asking.remove(b))))
             .subscribe(r -> shard.run(() -> answered(b, r, sent)), e -> { }));
     }
 
-    private void answered(String b, Asks.DutyReply r, Duration sent) {
+    private void answered(String b, ControlMessages.DutyReply r, Duration sent) {
         if (!r.yours() || draining) {
             held.remove(b);
             return;
         }
-        Duration end = sent.plus(Pace.usual().ownClaim());
+        Duration end = sent.plus(ReplicationTiming.usual().ownClaim());
         Held h = held.get(b);
         if (h == null || h.holding.term() != r.duty().term()) {
-            Optional<Allowance> a = allowances.apply(b);
+            Optional<RateLimit> a = allowances.apply(b);
             if (a.isEmpty()) {
                 return;
             }
             h = new Held();
-            h.holding = new Holding(r.duty().term(), r.duty().level(), r.duty().clear(), a.get(), now());
+            h.holding = new AggregateBucket(r.duty().term(), r.duty().level(), r.duty().clear(), a.get(), now());
             held.put(b, h);
             LOG.info("tide: holds {} in term {}.", b, r.duty().term());
         }
@@ -143,9 +143,9 @@
         if (h == null || h.claimEnd.compareTo(now()) <= 0) {
             return;
         }
-        Asks.DutyRelease r = new Asks.DutyRelease(b, env.self(), h.holding.term(), h.holding.level(now()));
+        ControlMessages.DutyRelease r = new ControlMessages.DutyRelease(b, env.self(), h.holding.term(), h.holding.level(now()));
         LOG.info("tide: gives up {} with level {}.", b, r.level());
-        shard.leave(() -> core.ask(Places.controlPart(b), r, Asks.Done.class).subscribe(d -> { }, e -> { }));
+        shard.leave(() -> core.ask(ServiceNames.controlPart(b), r, ControlMessages.Done.class).subscribe(d -> { }, e -> { }));
     }
 
     public void drain() {
@@ -155,18 +155,18 @@
         });
     }
 
-    public Mono<Passes.PassReply> asked(String asker, Passes.PassAsk a) {
-        Optional<Allowance> allowance = allowances.apply(a.bucket());
+    public Mono<AdmissionTokens.PassReply> asked(String asker, AdmissionTokens.PassAsk a) {
+        Optional<RateLimit> allowance = allowances.apply(a.bucket());
         return Mono.defer(() -> shard.get(() -> {
             Held h = held.get(a.bucket());
             if (h == null || now().compareTo(h.claimEnd) >= 0) {
-                return Mono.error(new Fault(ErrorKind.NOT_OWNER, "This node does not hold " + a.bucket() + "."));
+                return Mono.error(new ServiceException(ErrorKind.NOT_OWNER, "This node does not hold " + a.bucket() + "."));
             }
             if (allowance.isEmpty()) {
-                return Mono.error(new Fault(ErrorKind.STALE_VIEW, "The layout here is not proven fresh."));
+                return Mono.error(new ServiceException(ErrorKind.STALE_VIEW, "The layout here is not proven fresh."));
             }
             h.holding.change(allowance.get(), now());
-            Passes.PassReply r = h.holding.ask(asker, a, h.claimEnd, now());
+            AdmissionTokens.PassReply r = h.holding.ask(asker, a, h.claimEnd, now());
             asks++;
             granted += r.granted();
             return Mono.just(r);
--- a/foundation/src/main/java/org/woadvale/foundation/keeper/Founding.java
+++ b/common/src/main/java/org/woadvale/common/replication/Bootstrap.java
@@ -1,23 +1,23 @@
-package org.woadvale.foundation.keeper;
+package org.woadvale.common.replication;
 
 import java.time.Duration;
 import java.util.Map;
 import java.util.TreeMap;
 
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
 
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 
 /** First formation, and the oath by which a replica may vote again: design 5.5. */
-final class Founding {
+final class Bootstrap {
     private static final Duration PERIOD = Duration.ofMillis(300);
     private final Replica r;
     private final Map<String, String> blanks = new TreeMap<>();
     private Duration nextTry = Duration.ZERO;
 
-    Founding(Replica r) {
+    Bootstrap(Replica r) {
         this.r = r;
     }
 
@@ -98,6 +98,6 @@
             }
             return Mono.just(new Messages.Ok(false));
         }
-        return Mono.error(new Fault(ErrorKind.BAD_REQUEST, "A replica does not answer this."));
+        return Mono.error(new ServiceException(ErrorKind.BAD_REQUEST, "A replica does not answer this."));
     }
 }
--- a/foundation/src/main/java/org/woadvale/foundation/keeper/Progress.java
+++ b/common/src/main/java/org/woadvale/common/replication/CommitTracker.java
@@ -1,16 +1,16 @@
-package org.woadvale.foundation.keeper;
+package org.woadvale.common.replication;
 
 import java.util.Optional;
 import java.util.TreeMap;
 
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
 
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 
 /** What is committed and applied, and who waits for it. */
-final class Progress {
+final class CommitTracker {
     private record Waiting(long term, Sinks.One<Object> sink) { }
 
     private final Replica r;
@@ -18,7 +18,7 @@
     private long commit;
     private long applied;
 
-    Progress(Replica r) {
+    CommitTracker(Replica r) {
         this.r = r;
     }
 
@@ -54,12 +54,12 @@
         r.founding.considerOath();
     }
 
-    private void apply(LogItem item) {
+    private void apply(LogEntry item) {
         Object result = "";
-        if (item.kind() == LogItem.Kind.COMMAND) {
+        if (item.kind() == LogEntry.Kind.COMMAND) {
             try {
                 result = r.machine.apply(applied, r.env.codec().read(item.bytes(), Object.class));
-            } catch (Fault e) {
+            } catch (ServiceException e) {
                 result = e;
             }
         }
@@ -79,7 +79,7 @@
         waiting.clear();
     }
 
-    private Fault unknown() {
-        return new Fault(ErrorKind.UNKNOWN_OUTCOME, "The part " + r.part + " changed its owner before the commit was known.");
+    private ServiceException unknown() {
+        return new ServiceException(ErrorKind.UNKNOWN_OUTCOME, "The part " + r.part + " changed its owner before the commit was known.");
     }
 }
--- a/foundation/src/main/java/org/woadvale/foundation/keeper/Ballot.java
+++ b/common/src/main/java/org/woadvale/common/replication/Election.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.keeper;
+package org.woadvale.common.replication;
 
 import java.time.Duration;
 import java.util.Map;
@@ -8,12 +8,12 @@
 import reactor.core.publisher.Sinks;
 
 /** Standing, and voting for others: design 5.3. */
-final class Ballot {
+final class Election {
     private final Replica r;
     private Duration standAt = Duration.ZERO;
     private Map<String, String> votes = new TreeMap<>();
 
-    Ballot(Replica r) {
+    Election(Replica r) {
         this.r = r;
     }
 
--- a/foundation/src/main/java/org/woadvale/foundation/keeper/Following.java
+++ b/common/src/main/java/org/woadvale/common/replication/FollowerLog.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.keeper;
+package org.woadvale.common.replication;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -7,12 +7,12 @@
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 
-/** Taking changes and views from the owner: design 5.4. */
-final class Following {
+/** Sampling changes and views from the owner: design 5.4. */
+final class FollowerLog {
     private final Replica r;
     private Optional<Sinks.One<Object>> noting = Optional.empty();
 
-    Following(Replica r) {
+    FollowerLog(Replica r) {
         this.r = r;
     }
 
@@ -67,8 +67,8 @@
             return Mono.just(reply(false, Math.max(r.progress.commit(), a.prevIndex() - 1)));
         }
         long index = a.prevIndex();
-        List<LogItem> fresh = new ArrayList<>();
-        for (LogItem item : a.items()) {
+        List<LogEntry> fresh = new ArrayList<>();
+        for (LogEntry item : a.items()) {
             index++;
             if (index <= r.ledger.baseIndex()) {
                 continue;
--- a/foundation/src/main/java/org/woadvale/foundation/keeper/Follower.java
+++ b/common/src/main/java/org/woadvale/common/replication/FollowerProgress.java
@@ -1,10 +1,10 @@
-package org.woadvale.foundation.keeper;
+package org.woadvale.common.replication;
 
 import java.time.Duration;
 import java.util.List;
 
 /** The owner's knowledge of one other replica; one append in flight at a time. */
-final class Follower {
+final class FollowerProgress {
     final Duration since;
     String identity = "";
     boolean willing;
@@ -12,7 +12,7 @@
     /** When the latest confirmed renewal was sent, by the owner's clock. */
     Duration confirmed = Duration.ZERO;
     private final Replica r;
-    private final Owning owning;
+    private final Leader owning;
     private final String to;
     private final long term;
     private long next;
@@ -21,7 +21,7 @@
     private long commitTold;
     private boolean trouble;
 
-    Follower(Replica r, Owning owning, String to) {
+    FollowerProgress(Replica r, Leader owning, String to) {
         this.r = r;
         this.owning = owning;
         this.to = to;
@@ -52,7 +52,7 @@
                 b.group(), b.machine(), List.of()));
             upTo = b.index();
         } else {
-            List<LogItem> items = r.ledger.after(next - 1);
+            List<LogEntry> items = r.ledger.after(next - 1);
             ask = new Messages.AppendAsk(r.part, term, next - 1, r.ledger.termAt(next - 1), items, r.progress.commit());
             upTo = next - 1 + items.size();
         }
--- a/foundation/src/main/java/org/woadvale/foundation/keeper/Groups.java
+++ b/common/src/main/java/org/woadvale/common/replication/GroupMembership.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.keeper;
+package org.woadvale.common.replication;
 
 import java.util.Map;
 import java.util.Optional;
@@ -7,7 +7,7 @@
 import java.util.TreeSet;
 
 /** Who sits in the group, by address and identity; a change in flight needs both majorities: design 5.6. */
-final class Groups {
+final class GroupMembership {
     private record Change(long index, Map<String, String> seats) { }
 
     private Map<String, String> committed = new TreeMap<>();
--- a/foundation/src/main/java/org/woadvale/foundation/keeper/Owning.java
+++ b/common/src/main/java/org/woadvale/common/replication/Leader.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.keeper;
+package org.woadvale.common.replication;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -11,13 +11,13 @@
 import java.util.TreeSet;
 
 /** Replicating, counting commits and holding the claim: design 5.1. */
-final class Owning {
+final class Leader {
     private final Replica r;
-    private final Map<String, Follower> followers = new TreeMap<>();
+    private final Map<String, FollowerProgress> followers = new TreeMap<>();
     private long firstOwn;
     private boolean relinquished;
 
-    Owning(Replica r) {
+    Leader(Replica r) {
         this.r = r;
     }
 
@@ -26,9 +26,9 @@
         relinquished = false;
         firstOwn = r.ledger.lastIndex() + 1;
         if (r.groups.changing()) {
-            append(new LogItem(r.term, LogItem.Kind.NOTHING, new byte[0]));
+            append(new LogEntry(r.term, LogEntry.Kind.NOTHING, new byte[0]));
         } else {
-            append(new LogItem(r.term, LogItem.Kind.GROUP, r.env.codec().write(r.groups.committed())));
+            append(new LogEntry(r.term, LogEntry.Kind.GROUP, r.env.codec().write(r.groups.committed())));
         }
     }
 
@@ -63,9 +63,9 @@
         return Duration.ZERO;
     }
 
-    void append(LogItem item) {
+    void append(LogEntry item) {
         r.store.append(List.of(item), this::count);
-        followers().forEach(n -> followers.computeIfAbsent(n, k -> new Follower(r, this, k)).send(false));
+        followers().forEach(n -> followers.computeIfAbsent(n, k -> new FollowerProgress(r, this, k)).send(false));
     }
 
     /** The group and those that are to join it. */
@@ -103,7 +103,7 @@
     void look() {
         Set<String> now = followers();
         followers.keySet().retainAll(now);
-        now.forEach(n -> followers.computeIfAbsent(n, k -> new Follower(r, this, k)).send(true));
+        now.forEach(n -> followers.computeIfAbsent(n, k -> new FollowerProgress(r, this, k)).send(true));
         if (!r.groups.latest().containsKey(r.env.self()) && !r.groups.changing()) {
             r.become(Phase.FOLLOWING, "no longer seated");
         } else if (r.now().compareTo(claimEnd().plus(r.env.pace().claim())) > 0
@@ -121,8 +121,8 @@
     /** One change at a time: a lost disk's new identity, or a wanted member for one not wanted. design 5.6 */
     private void reseat() {
         Map<String, String> seats = r.groups.committed();
-        for (Map.Entry<String, Follower> e : followers.entrySet()) {
-            Follower f = e.getValue();
+        for (Map.Entry<String, FollowerProgress> e : followers.entrySet()) {
+            FollowerProgress f = e.getValue();
             boolean caughtUp = !f.identity.isEmpty() && f.match + 64 >= r.progress.commit() && f.match > 0;
             if (!caughtUp || f.identity.equals(seats.get(e.getKey()))) {
                 continue;
@@ -137,7 +137,7 @@
             }
             next.put(e.getKey(), f.identity);
             Replica.LOG.info("keeper: {} seats {} in its group.", r.part, e.getKey());
-            append(new LogItem(r.term, LogItem.Kind.GROUP, r.env.codec().write(next)));
+            append(new LogEntry(r.term, LogEntry.Kind.GROUP, r.env.codec().write(next)));
             return;
         }
     }
@@ -152,7 +152,7 @@
 
     /** The claim is given up first; only then may the heir stand. */
     boolean handOver(String to) {
-        Follower f = followers.get(to);
+        FollowerProgress f = followers.get(to);
         if (f == null || f.match < r.ledger.lastIndex() || !mayAct() || r.groups.changing()) {
             return false;
         }
--- a/foundation/src/main/java/org/woadvale/foundation/keeper/Messages.java
+++ b/common/src/main/java/org/woadvale/common/replication/Messages.java
@@ -1,10 +1,10 @@
-package org.woadvale.foundation.keeper;
+package org.woadvale.common.replication;
 
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
 
-import org.woadvale.foundation.beam.Router;
+import org.woadvale.common.rpc.RpcRouter;
 
 import reactor.core.publisher.Mono;
 
@@ -16,7 +16,7 @@
 
     public record VoteReply(long term, boolean granted, String identity) { }
 
-    public record AppendAsk(String part, long term, long prevIndex, long prevTerm, List<LogItem> items, long commit) { }
+    public record AppendAsk(String part, long term, long prevIndex, long prevTerm, List<LogEntry> items, long commit) { }
 
     public record AppendReply(long term, boolean ok, long match, String identity, boolean willing) { }
 
@@ -35,10 +35,10 @@
 
     /** All that a part needs to go on from: replaces every earlier record. */
     public record Base(String identity, long term, String votedFor, boolean sworn, long index, long indexTerm,
-                       Map<String, String> group, byte[] machine, List<LogItem> tail) { }
+                       Map<String, String> group, byte[] machine, List<LogEntry> tail) { }
 
     /** Every ask of replicas goes to the replica of its part here. */
-    public static Router route(Router router, Function<String, Mono<Replica>> at) {
+    public static RpcRouter route(RpcRouter router, Function<String, Mono<Replica>> at) {
         return router.on(VoteAsk.class, (f, a) -> at.apply(a.part()).flatMap(r -> r.handle(f, a)))
             .on(AppendAsk.class, (f, a) -> at.apply(a.part()).flatMap(r -> r.handle(f, a)))
             .on(ViewPush.class, (f, a) -> at.apply(a.part()).flatMap(r -> r.handle(f, a)))
@@ -50,6 +50,6 @@
     public static List<Class<?>> types() {
         return List.of(VoteAsk.class, VoteReply.class, AppendAsk.class, AppendReply.class, ViewPush.class,
             BlankAsk.class, BlankReply.class, Found.class, Stand.class, Ok.class, Base.class,
-            LogItem.class, LogItem.Kind.class);
+            LogEntry.class, LogEntry.Kind.class);
     }
 }
--- a/foundation/src/main/java/org/woadvale/foundation/keeper/Phase.java
+++ b/common/src/main/java/org/woadvale/common/replication/Phase.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.keeper;
+package org.woadvale.common.replication;
 
 import java.util.EnumSet;
 import java.util.Set;
--- a/foundation/src/main/java/org/woadvale/foundation/keeper/Replica.java
+++ b/common/src/main/java/org/woadvale/common/replication/Replica.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.keeper;
+package org.woadvale.common.replication;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -9,11 +9,11 @@
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.lantern.Schedule;
-import org.woadvale.foundation.lantern.Shard;
-import org.woadvale.foundation.logbook.Entry;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.runtime.TimerHandle;
+import org.woadvale.common.runtime.LockedShard;
+import org.woadvale.common.wal.Entry;
 
 import reactor.core.publisher.Mono;
 
@@ -23,16 +23,16 @@
 
     final String part;
     final Env env;
-    final Machine machine;
-    final Shard shard = new Shard();
-    final Ledger ledger = new Ledger();
-    final Groups groups = new Groups();
-    final Progress progress;
-    final Store store;
-    final Ballot ballot;
-    final Following following;
-    final Owning owning;
-    final Founding founding;
+    final StateMachine machine;
+    final LockedShard shard = new LockedShard();
+    final ReplicatedLog ledger = new ReplicatedLog();
+    final GroupMembership groups = new GroupMembership();
+    final CommitTracker progress;
+    final ReplicaStorage store;
+    final Election ballot;
+    final FollowerLog following;
+    final Leader owning;
+    final Bootstrap founding;
 
     Phase phase = Phase.BLANK;
     long term;
@@ -46,28 +46,28 @@
     Duration claimHeard;
     List<String> wanted;
     private Runnable onChange = () -> { };
-    private Schedule looking = () -> { };
+    private TimerHandle looking = () -> { };
 
-    public Replica(String part, List<String> wanted, Machine machine, Env env) {
+    public Replica(String part, List<String> wanted, StateMachine machine, Env env) {
         this.part = part;
         this.wanted = List.copyOf(wanted);
         this.machine = machine;
         this.env = env;
-        this.progress = new Progress(this);
-        this.store = new Store(this);
-        this.ballot = new Ballot(this);
-        this.following = new Following(this);
-        this.owning = new Owning(this);
-        this.founding = new Founding(this);
+        this.progress = new CommitTracker(this);
+        this.store = new ReplicaStorage(this);
+        this.ballot = new Election(this);
+        this.following = new FollowerLog(this);
+        this.owning = new Leader(this);
+        this.founding = new Bootstrap(this);
         this.claimHeard = env.times().mono().plus(env.pace().claim());
     }
 
-    public void start(List<Entry> recovered) throws Fault {
-        Optional<Fault> bad = shard.get(() -> {
+    public void start(List<Entry> recovered) throws ServiceException {
+        Optional<ServiceException> bad = shard.get(() -> {
             try {
                 store.recover(recovered);
                 return Optional.empty();
-            } catch (Fault e) {
+            } catch (ServiceException e) {
                 return Optional.of(e);
             }
         });
@@ -161,8 +161,8 @@
         shard.run(() -> wanted = List.copyOf(members));
     }
 
-    Fault notOwner() {
-        return new Fault(ErrorKind.NOT_OWNER, "Another node owns " + part + ".",
+    ServiceException notOwner() {
+        return new ServiceException(ErrorKind.NOT_OWNER, "Another node owns " + part + ".",
             owner.isEmpty() || owner.equals(env.self()) ? List.of() : List.of(owner));
     }
 
@@ -183,7 +183,7 @@
             if (!mayAct()) {
                 return Mono.<Object>error(notOwner());
             }
-            LogItem item = new LogItem(term, LogItem.Kind.COMMAND, env.codec().write(command));
+            LogEntry item = new LogEntry(term, LogEntry.Kind.COMMAND, env.codec().write(command));
             Mono<Object> out = progress.expect(ledger.lastIndex() + 1, term);
             owning.append(item);
             return out;
@@ -207,7 +207,7 @@
     public Mono<Object> handle(String from, Object body) {
         return Mono.defer(() -> shard.get(() -> {
             if (phase == Phase.STOPPED) {
-                return Mono.error(new Fault(ErrorKind.STOPPING, "The part is stopped here."));
+                return Mono.error(new ServiceException(ErrorKind.STOPPING, "The part is stopped here."));
             }
             if (body instanceof Messages.VoteAsk a) {
                 return ballot.asked(from, a);
--- a/foundation/src/main/java/org/woadvale/foundation/keeper/Store.java
+++ b/common/src/main/java/org/woadvale/common/replication/ReplicaStorage.java
@@ -1,20 +1,20 @@
-package org.woadvale.foundation.keeper;
+package org.woadvale.common.replication;
 
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.logbook.Entry;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.wal.Entry;
 
 /** What a replica writes to the logbook and reads back from it: design 5.4. */
-final class Store {
+final class ReplicaStorage {
     private static final long LARGE = 4L << 20;
     private static final int MANY = 8192;
     private final Replica r;
     private long synced;
 
-    Store(Replica r) {
+    ReplicaStorage(Replica r) {
         this.r = r;
     }
 
@@ -22,14 +22,14 @@
         return synced;
     }
 
-    void recover(List<Entry> entries) throws Fault {
+    void recover(List<Entry> entries) throws ServiceException {
         if (entries.isEmpty()) {
             r.identity = Long.toHexString(r.env.random().getAsLong());
             giveBase();
             return;
         }
         for (Entry stored : entries) {
-            Entry e = Older.lifted(stored, r.env.codec());
+            Entry e = LegacyFormat.lifted(stored, r.env.codec());
             switch (e.kind()) {
                 case BASE -> load(r.env.codec().read(e.bytes(), Messages.Base.class));
                 case VOTE -> {
@@ -57,13 +57,13 @@
         }
         r.progress.restored(b.index());
         long i = b.index();
-        for (LogItem item : b.tail()) {
+        for (LogEntry item : b.tail()) {
             i++;
             enter(i, item);
         }
     }
 
-    private void replay(Entry e) throws Fault {
+    private void replay(Entry e) throws ServiceException {
         r.ledger.cutFrom(e.index());
         r.groups.cutFrom(e.index());
         if (e.term() > r.term) {
@@ -71,31 +71,31 @@
             r.term = e.term();
             r.votedFor = "";
         }
-        enter(e.index(), r.env.codec().read(e.bytes(), LogItem.class));
+        enter(e.index(), r.env.codec().read(e.bytes(), LogEntry.class));
     }
 
-    private void enter(long index, LogItem item) {
+    private void enter(long index, LogEntry item) {
         r.ledger.append(item);
-        if (item.kind() == LogItem.Kind.GROUP) {
+        if (item.kind() == LogEntry.Kind.GROUP) {
             r.groups.appended(index, seats(item));
         }
     }
 
-    Map<String, String> seats(LogItem item) {
+    Map<String, String> seats(LogEntry item) {
         try {
             Map<String, String> out = new TreeMap<>();
             r.env.codec().read(item.bytes(), Map.class).forEach((k, v) -> out.put((String) k, (String) v));
             return out;
-        } catch (Fault e) {
+        } catch (ServiceException e) {
             throw new IllegalStateException("unreadable group entry", e);
         }
     }
 
     /** Adds to the memory log and to the disk; then runs once synced, unless the entry was cut since. */
-    void append(List<LogItem> items, Runnable then) {
+    void append(List<LogEntry> items, Runnable then) {
         long first = r.ledger.lastIndex() + 1;
         List<Entry> out = new java.util.ArrayList<>();
-        for (LogItem item : items) {
+        for (LogEntry item : items) {
             long index = r.ledger.lastIndex() + 1;
             enter(index, item);
             out.add(new Entry(r.part, Entry.Kind.ENTRY, index, item.term(), r.env.codec().write(item)));
@@ -133,7 +133,7 @@
 
     Messages.Base base() {
         long upTo = r.progress.applied();
-        List<LogItem> tail = r.ledger.tail();
+        List<LogEntry> tail = r.ledger.tail();
         int skip = (int) (upTo - r.ledger.baseIndex());
         return new Messages.Base(r.identity, r.term, r.votedFor, r.sworn, upTo, r.ledger.termAt(upTo),
             r.groups.committed(), r.machine.view(), List.copyOf(tail.subList(skip, tail.size())));
--- a/foundation/src/main/java/org/woadvale/foundation/keeper/Ledger.java
+++ b/common/src/main/java/org/woadvale/common/replication/ReplicatedLog.java
@@ -1,14 +1,14 @@
-package org.woadvale.foundation.keeper;
+package org.woadvale.common.replication;
 
 import java.util.ArrayList;
 import java.util.List;
 
 /** The log of a part in memory, from its base on. */
-final class Ledger {
+final class ReplicatedLog {
     private static final int BATCH_BYTES = 512 << 10;
     private long baseIndex;
     private long baseTerm;
-    private final List<LogItem> items = new ArrayList<>();
+    private final List<LogEntry> items = new ArrayList<>();
     private long bytes;
 
     long baseIndex() {
@@ -35,11 +35,11 @@
         return index == baseIndex ? baseTerm : get(index).term();
     }
 
-    LogItem get(long index) {
+    LogEntry get(long index) {
         return items.get((int) (index - baseIndex - 1));
     }
 
-    void append(LogItem item) {
+    void append(LogEntry item) {
         items.add(item);
         bytes += item.bytes().length;
     }
@@ -58,7 +58,7 @@
         baseIndex = index;
     }
 
-    void reset(long index, long term, List<LogItem> tail) {
+    void reset(long index, long term, List<LogEntry> tail) {
         baseIndex = index;
         baseTerm = term;
         items.clear();
@@ -66,8 +66,8 @@
         tail.forEach(this::append);
     }
 
-    List<LogItem> after(long index) {
-        List<LogItem> out = new ArrayList<>();
+    List<LogEntry> after(long index) {
+        List<LogEntry> out = new ArrayList<>();
         long size = 0;
         for (long i = index + 1; i <= lastIndex() && size < BATCH_BYTES; i++) {
             out.add(get(i));
@@ -76,7 +76,7 @@
         return out;
     }
 
-    List<LogItem> tail() {
+    List<LogEntry> tail() {
         return List.copyOf(items);
     }
 }
--- a/foundation/src/main/java/org/woadvale/foundation/keeper/Pace.java
+++ b/common/src/main/java/org/woadvale/common/replication/ReplicationTiming.java
@@ -1,11 +1,11 @@
-package org.woadvale.foundation.keeper;
+package org.woadvale.common.replication;
 
 import java.time.Duration;
 
 /** The times of the engine; one set for the whole fleet. */
-public record Pace(Duration claim, Duration renew, Duration look, Duration ask, Duration spread) {
-    public static Pace usual() {
-        return new Pace(Duration.ofMillis(2000), Duration.ofMillis(500), Duration.ofMillis(50),
+public record ReplicationTiming(Duration claim, Duration renew, Duration look, Duration ask, Duration spread) {
+    public static ReplicationTiming usual() {
+        return new ReplicationTiming(Duration.ofMillis(2000), Duration.ofMillis(500), Duration.ofMillis(50),
             Duration.ofMillis(700), Duration.ofMillis(300));
     }
 
@@ -13,8 +13,8 @@
      * For parts. Control parts: the next owner must confirm news before the views in the fleet are too old to use.
      * Message parts: what is ordered waits for the next owner. design 5.3
      */
-    public static Pace core() {
-        return new Pace(Duration.ofMillis(1200), Duration.ofMillis(300), Duration.ofMillis(50),
+    public static ReplicationTiming core() {
+        return new ReplicationTiming(Duration.ofMillis(1200), Duration.ofMillis(300), Duration.ofMillis(50),
             Duration.ofMillis(500), Duration.ofMillis(200));
     }
 
--- a/foundation/src/main/java/org/woadvale/foundation/keeper/Machine.java
+++ b/common/src/main/java/org/woadvale/common/replication/StateMachine.java
@@ -1,7 +1,7 @@
-package org.woadvale.foundation.keeper;
+package org.woadvale.common.replication;
 
 /** The state machine of a part; must be deterministic. */
-public interface Machine {
+public interface StateMachine {
     /** Called once for each committed command, in order, inside the part's shard. */
     Object apply(long index, Object command);
 
--- a/foundation/src/main/java/org/woadvale/foundation/beam/Codec.java
+++ b/common/src/main/java/org/woadvale/common/rpc/Codec.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.beam;
+package org.woadvale.common.rpc;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -9,8 +9,8 @@
 import java.util.Optional;
 import java.util.TreeMap;
 
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
 
 import com.esotericsoftware.kryo.Kryo;
 import com.esotericsoftware.kryo.KryoException;
@@ -73,28 +73,28 @@
         return out.toBytes();
     }
 
-    public <T> T read(byte[] bytes, Class<T> type) throws Fault {
+    public <T> T read(byte[] bytes, Class<T> type) throws ServiceException {
         return read(kryos.get(), bytes, type);
     }
 
     /** What a build of the first format stored, said again in the present one. design 3.4 */
-    public byte[] lift(byte[] firstFormatBytes) throws Fault {
+    public byte[] lift(byte[] firstFormatBytes) throws ServiceException {
         return firstFormatBytes.length == 0 ? firstFormatBytes : write(readFirst(firstFormatBytes, Object.class));
     }
 
-    public <T> T readFirst(byte[] firstFormatBytes, Class<T> type) throws Fault {
+    public <T> T readFirst(byte[] firstFormatBytes, Class<T> type) throws ServiceException {
         return read(firstFormat.get(), firstFormatBytes, type);
     }
 
-    private static <T> T read(Kryo kryo, byte[] bytes, Class<T> type) throws Fault {
+    private static <T> T read(Kryo kryo, byte[] bytes, Class<T> type) throws ServiceException {
         try {
             Object o = kryo.readClassAndObject(new Input(bytes));
             if (!type.isInstance(o)) {
-                throw new Fault(ErrorKind.BAD_REQUEST, "Expected " + type.getSimpleName() + " in a frame.");
+                throw new ServiceException(ErrorKind.BAD_REQUEST, "Expected " + type.getSimpleName() + " in a frame.");
             }
             return type.cast(o);
         } catch (KryoException | IllegalArgumentException | IndexOutOfBoundsException | NegativeArraySizeException e) {
-            throw new Fault(ErrorKind.BAD_REQUEST, "Unreadable frame: " + e.getClass().getSimpleName() + ".");
+            throw new ServiceException(ErrorKind.BAD_REQUEST, "Unreadable frame: " + e.getClass().getSimpleName() + ".");
         }
     }
 }
--- a/foundation/src/main/java/org/woadvale/foundation/beam/Frame.java
+++ b/common/src/main/java/org/woadvale/common/rpc/Frame.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.beam;
+package org.woadvale.common.rpc;
 
 /** What travels on a stream after the handshake. */
 public record Frame(long id, Kind kind, Object body) {
--- a/foundation/src/main/java/org/woadvale/foundation/beam/RecordBytes.java
+++ b/common/src/main/java/org/woadvale/common/rpc/RecordBytes.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.beam;
+package org.woadvale.common.rpc;
 
 import java.lang.reflect.Constructor;
 import java.lang.reflect.RecordComponent;
--- a/foundation/src/main/java/org/woadvale/foundation/beam/Beam.java
+++ b/common/src/main/java/org/woadvale/common/rpc/RpcClient.java
@@ -1,11 +1,11 @@
-package org.woadvale.foundation.beam;
+package org.woadvale.common.rpc;
 
 import java.time.Duration;
 
 import reactor.core.publisher.Mono;
 
-/** Asks neighbours; a node's name is its internal address "ip:port": design 3.1. */
-public interface Beam {
+/** ControlMessages neighbours; a node's name is its internal address "ip:port": design 3.1. */
+public interface RpcClient {
     String self();
 
     /**
--- a/foundation/src/main/java/org/woadvale/foundation/beam/WireStream.java
+++ b/common/src/main/java/org/woadvale/common/rpc/RpcConnection.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.beam;
+package org.woadvale.common.rpc;
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -6,10 +6,10 @@
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.lantern.Pauses;
-import org.woadvale.foundation.lantern.Schedules;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.runtime.Delays;
+import org.woadvale.common.runtime.Timers;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -22,7 +22,7 @@
 import reactor.netty.Connection;
 
 /** One TCP stream: handshake first, frames after; anything else closes it with a log line. design 3.3 */
-final class WireStream {
+final class RpcConnection {
     private static final Logger LOG = LogManager.getLogger("beam");
     private static final int MAGIC = 0x574F4144;
     private static final Duration HANDSHAKE = Duration.ofSeconds(2);
@@ -32,15 +32,15 @@
     private final Connection connection;
     private final String self;
     private final Codec codec;
-    private final Router router;
-    private final Schedules schedules;
+    private final RpcRouter router;
+    private final Timers schedules;
     private final AtomicLong framesSent;
-    private final Exchange exchange;
+    private final PendingCalls exchange;
     private final Sinks.One<Boolean> greeted = Sinks.one();
     private volatile State state = State.GREETING;
     private volatile String neighbour = "?";
 
-    WireStream(Connection connection, String self, Codec codec, Router router, Schedules schedules,
+    RpcConnection(Connection connection, String self, Codec codec, RpcRouter router, Timers schedules,
                AtomicLong framesSent) {
         this.connection = connection;
         this.self = self;
@@ -48,7 +48,7 @@
         this.router = router;
         this.schedules = schedules;
         this.framesSent = framesSent;
-        this.exchange = new Exchange(schedules);
+        this.exchange = new PendingCalls(schedules);
     }
 
     void open() {
@@ -85,7 +85,7 @@
         } else if (state == State.OPEN) {
             try {
                 take(codec.read(bytes, Frame.class));
-            } catch (Fault e) {
+            } catch (ServiceException e) {
                 refuse(e.getMessage());
             }
         }
@@ -109,15 +109,15 @@
 
     private void take(Frame f) {
         if (f.kind() == Frame.Kind.ASK) {
-            schedules.soon(() -> Exchange.serve(router, neighbour, f).subscribe(this::send));
+            schedules.soon(() -> PendingCalls.serve(router, neighbour, f).subscribe(this::send));
         } else {
             schedules.soon(() -> exchange.answered(f));
         }
     }
 
     Mono<Object> ask(Object body, Duration limit) {
-        Fault notSent = new Fault(ErrorKind.UNREACHABLE, "The handshake took too long.");
-        return Pauses.limit(schedules, greeted.asMono(), limit, notSent).then(exchange.ask(body, limit, this::send));
+        ServiceException notSent = new ServiceException(ErrorKind.UNREACHABLE, "The handshake took too long.");
+        return Delays.limit(schedules, greeted.asMono(), limit, notSent).then(exchange.ask(body, limit, this::send));
     }
 
     private void send(Frame f) {
@@ -140,7 +140,7 @@
 
     void lost() {
         state = State.CLOSED;
-        greeted.tryEmitError(new Fault(ErrorKind.UNREACHABLE, "The stream closed before the handshake."));
+        greeted.tryEmitError(new ServiceException(ErrorKind.UNREACHABLE, "The stream closed before the handshake."));
         exchange.lost();
     }
 }
--- a/foundation/src/main/java/org/woadvale/foundation/beam/Router.java
+++ b/common/src/main/java/org/woadvale/common/rpc/RpcRouter.java
@@ -1,19 +1,19 @@
-package org.woadvale.foundation.beam;
+package org.woadvale.common.rpc;
 
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BiFunction;
 
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
 
 import reactor.core.publisher.Mono;
 
 /** Which part of the process answers which kind of ask. */
-public final class Router {
+public final class RpcRouter {
     private final Map<Class<?>, BiFunction<String, Object, Mono<?>>> handlers = new ConcurrentHashMap<>();
 
-    public <T> Router on(Class<T> type, BiFunction<String, T, Mono<?>> handler) {
+    public <T> RpcRouter on(Class<T> type, BiFunction<String, T, Mono<?>> handler) {
         handlers.put(type, (from, body) -> handler.apply(from, type.cast(body)));
         return this;
     }
@@ -21,7 +21,7 @@
     public Mono<?> handle(String from, Object body) {
         BiFunction<String, Object, Mono<?>> h = handlers.get(body.getClass());
         if (h == null) {
-            return Mono.error(new Fault(ErrorKind.BAD_REQUEST,
+            return Mono.error(new ServiceException(ErrorKind.BAD_REQUEST,
                 "This node does not answer " + body.getClass().getSimpleName() + "."));
         }
         return Mono.defer(() -> h.apply(from, body));
--- a/foundation/src/main/java/org/woadvale/foundation/beam/Since.java
+++ b/common/src/main/java/org/woadvale/common/rpc/Since.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.beam;
+package org.woadvale.common.rpc;
 
 import java.lang.annotation.ElementType;
 import java.lang.annotation.Retention;
--- a/foundation/src/main/java/org/woadvale/foundation/beam/TcpBeam.java
+++ b/common/src/main/java/org/woadvale/common/rpc/TcpRpcClient.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.beam;
+package org.woadvale.common.rpc;
 
 import java.time.Duration;
 import java.util.Map;
@@ -7,10 +7,10 @@
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.woadvale.foundation.lantern.Component;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.lantern.Schedules;
+import org.woadvale.common.runtime.Component;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.runtime.Timers;
 
 import reactor.core.publisher.Mono;
 import reactor.netty.Connection;
@@ -19,26 +19,26 @@
 import reactor.netty.tcp.TcpServer;
 
 /** Frames over Reactor Netty TCP: one stream to each neighbour we ask. */
-public final class TcpBeam implements Beam, Component {
+public final class TcpRpcClient implements RpcClient, Component {
     private static final Logger LOG = LogManager.getLogger("beam");
     private static final Duration CONNECT = Duration.ofMillis(500);
 
     private final String self;
     private final String listen;
     private final Codec codec;
-    private final Router router;
-    private final Schedules schedules;
-    private final Map<String, Mono<WireStream>> streams = new ConcurrentHashMap<>();
-    private final Map<WireStream, Boolean> incoming = new ConcurrentHashMap<>();
+    private final RpcRouter router;
+    private final Timers schedules;
+    private final Map<String, Mono<RpcConnection>> streams = new ConcurrentHashMap<>();
+    private final Map<RpcConnection, Boolean> incoming = new ConcurrentHashMap<>();
     private final AtomicLong framesSent = new AtomicLong();
     private DisposableServer server;
 
-    public TcpBeam(String self, Codec codec, Router router, Schedules schedules) {
+    public TcpRpcClient(String self, Codec codec, RpcRouter router, Timers schedules) {
         this(self, self, codec, router, schedules);
     }
 
     /** Known by one address, listening at another, as behind a relay. */
-    public TcpBeam(String self, String listen, Codec codec, Router router, Schedules schedules) {
+    public TcpRpcClient(String self, String listen, Codec codec, RpcRouter router, Timers schedules) {
         this.self = self;
         this.listen = listen;
         this.codec = codec;
@@ -61,19 +61,19 @@
     }
 
     @Override
-    public void start() throws Fault {
+    public void start() throws ServiceException {
         int colon = listen.lastIndexOf(':');
         String ip = listen.substring(0, colon);
         int port = Integer.parseInt(listen.substring(colon + 1));
         try {
             server = TcpServer.create().host(ip).port(port).doOnConnection(this::accept).bindNow(Duration.ofSeconds(5));
         } catch (RuntimeException e) {
-            throw new Fault(ErrorKind.UNAVAILABLE, "Cannot listen on " + listen + ": " + e.getMessage());
+            throw new ServiceException(ErrorKind.UNAVAILABLE, "Cannot listen on " + listen + ": " + e.getMessage());
         }
     }
 
     private void accept(Connection c) {
-        WireStream s = new WireStream(c, self, codec, router, schedules, framesSent);
+        RpcConnection s = new RpcConnection(c, self, codec, router, schedules, framesSent);
         incoming.put(s, Boolean.TRUE);
         c.onDispose(() -> incoming.remove(s));
         s.open();
@@ -84,21 +84,21 @@
         Mono<Object> got = self.equals(to) ? local(body, limit)
             : streams.computeIfAbsent(to, this::connect).flatMap(s -> s.ask(body, limit));
         return got.flatMap(o -> answer.isInstance(o) ? Mono.just(answer.cast(o))
-            : Mono.error(new Fault(ErrorKind.INTERNAL, "Unexpected answer " + o.getClass().getSimpleName() + ".")));
+            : Mono.error(new ServiceException(ErrorKind.INTERNAL, "Unexpected answer " + o.getClass().getSimpleName() + ".")));
     }
 
     private Mono<Object> local(Object body, Duration limit) {
-        return org.woadvale.foundation.lantern.Pauses.limit(schedules, Mono.<Object>from(router.handle(self, body)),
-            limit, new Fault(ErrorKind.UNKNOWN_OUTCOME, "No answer in time."));
+        return org.woadvale.common.runtime.Delays.limit(schedules, Mono.<Object>from(router.handle(self, body)),
+            limit, new ServiceException(ErrorKind.UNKNOWN_OUTCOME, "No answer in time."));
     }
 
-    private Mono<WireStream> connect(String to) {
+    private Mono<RpcConnection> connect(String to) {
         int colon = to.lastIndexOf(':');
         return TcpClient.create().host(to.substring(0, colon)).port(Integer.parseInt(to.substring(colon + 1)))
             .option(io.netty.channel.ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT.toMillis())
             .connect()
             .map(c -> {
-                WireStream s = new WireStream(c, self, codec, router, schedules, framesSent);
+                RpcConnection s = new RpcConnection(c, self, codec, router, schedules, framesSent);
                 c.onDispose(() -> {
                     streams.remove(to);
                     s.lost();
@@ -106,9 +106,9 @@
                 s.open();
                 return s;
             })
-            .onErrorMap(e -> new Fault(ErrorKind.UNREACHABLE, "No stream to " + to + "."))
+            .onErrorMap(e -> new ServiceException(ErrorKind.UNREACHABLE, "No stream to " + to + "."))
             .doOnError(e -> schedules.after(Duration.ofMillis(100), () -> streams.remove(to)))
-            .cast(WireStream.class)
+            .cast(RpcConnection.class)
             .cache();
     }
 
@@ -119,8 +119,8 @@
 
     @Override
     public void stop() {
-        incoming.keySet().forEach(WireStream::close);
-        streams.values().forEach(m -> m.subscribe(WireStream::close, e -> { }));
+        incoming.keySet().forEach(RpcConnection::close);
+        streams.values().forEach(m -> m.subscribe(RpcConnection::close, e -> { }));
         if (server != null) {
             server.disposeNow(Duration.ofSeconds(2));
         }
--- a/foundation/src/main/java/org/woadvale/foundation/lantern/Times.java
+++ b/common/src/main/java/org/woadvale/common/runtime/Clock.java
@@ -1,10 +1,10 @@
-package org.woadvale.foundation.lantern;
+package org.woadvale.common.runtime;
 
 import java.time.Duration;
 import java.time.Instant;
 
 /** The two clocks of a process: design 2.1. */
-public interface Times {
+public interface Clock {
     /** Time since an arbitrary start; never goes back; used for every claim and age. */
     Duration mono();
 
--- a/foundation/src/main/java/org/woadvale/foundation/lantern/Component.java
+++ b/common/src/main/java/org/woadvale/common/runtime/Component.java
@@ -1,10 +1,10 @@
-package org.woadvale.foundation.lantern;
+package org.woadvale.common.runtime;
 
 /** A long-lived thing in the supervisor tree. */
 public interface Component {
     String name();
 
-    void start() throws Fault;
+    void start() throws ServiceException;
 
     void stop();
 
--- a/foundation/src/main/java/org/woadvale/foundation/lantern/Pauses.java
+++ b/common/src/main/java/org/woadvale/common/runtime/Delays.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.lantern;
+package org.woadvale.common.runtime;
 
 import java.time.Duration;
 
@@ -6,14 +6,14 @@
 import reactor.core.publisher.Mono;
 
 /** Time limits on the process's own schedules, so that a fake clock rules them too. */
-public final class Pauses {
-    private Pauses() { }
+public final class Delays {
+    private Delays() { }
 
     /** Fails with the fault after the limit, unless the work has ended. */
-    public static <T> Mono<T> limit(Schedules sch, Mono<T> work,
-                                                           Duration limit, Fault fault) {
+    public static <T> Mono<T> limit(Timers sch, Mono<T> work,
+                                                           Duration limit, ServiceException fault) {
         return Mono.create(sink -> {
-            Schedule s = sch.after(limit, () -> sink.error(fault));
+            TimerHandle s = sch.after(limit, () -> sink.error(fault));
             Disposable d = work.doFinally(x -> s.cancel())
                 .subscribe(sink::success, sink::error, sink::success);
             sink.onCancel(() -> {
@@ -23,9 +23,9 @@
         });
     }
 
-    public static Mono<Boolean> pause(Schedules sch, Duration d) {
+    public static Mono<Boolean> pause(Timers sch, Duration d) {
         return Mono.create(sink -> {
-            Schedule s = sch.after(d, () -> sink.success(Boolean.TRUE));
+            TimerHandle s = sch.after(d, () -> sink.success(Boolean.TRUE));
             sink.onCancel(s::cancel);
         });
     }
--- a/foundation/src/main/java/org/woadvale/foundation/lantern/ErrorKind.java
+++ b/common/src/main/java/org/woadvale/common/runtime/ErrorKind.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.lantern;
+package org.woadvale.common.runtime;
 
 import org.apache.logging.log4j.Level;
 
--- a/foundation/src/main/java/org/woadvale/foundation/lantern/Shard.java
+++ b/common/src/main/java/org/woadvale/common/runtime/LockedShard.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.lantern;
+package org.woadvale.common.runtime;
 
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -6,7 +6,7 @@
 import java.util.function.Supplier;
 
 /** A piece of state under its own lock; what leaves the shard runs after unlocking: design 2.3. */
-public final class Shard {
+public final class LockedShard {
     private final ReentrantLock lock = new ReentrantLock();
     private final Deque<Runnable> leaving = new ArrayDeque<>();
 
--- a/foundation/src/main/java/org/woadvale/foundation/lantern/Repeating.java
+++ b/common/src/main/java/org/woadvale/common/runtime/RepeatingTimer.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.lantern;
+package org.woadvale.common.runtime;
 
 import java.time.Duration;
 import java.util.Optional;
@@ -7,21 +7,21 @@
 import org.apache.logging.log4j.Logger;
 
 /** A task that sets itself again after each run, whatever the run threw. */
-final class Repeating implements Schedule {
+final class RepeatingTimer implements TimerHandle {
     private static final Logger LOG = LogManager.getLogger("lantern");
-    private final Schedules schedules;
+    private final Timers schedules;
     private final Duration period;
     private final Runnable task;
-    private Optional<Schedule> next = Optional.empty();
+    private Optional<TimerHandle> next = Optional.empty();
     private boolean cancelled;
 
-    Repeating(Schedules schedules, Duration period, Runnable task) {
+    RepeatingTimer(Timers schedules, Duration period, Runnable task) {
         this.schedules = schedules;
         this.period = period;
         this.task = task;
     }
 
-    synchronized Repeating begin() {
+    synchronized RepeatingTimer begin() {
         if (!cancelled) {
             next = Optional.of(schedules.after(period, this::run));
         }
@@ -45,6 +45,6 @@
     @Override
     public synchronized void cancel() {
         cancelled = true;
-        next.ifPresent(Schedule::cancel);
+        next.ifPresent(TimerHandle::cancel);
     }
 }
--- a/foundation/src/main/java/org/woadvale/foundation/lantern/Fault.java
+++ b/common/src/main/java/org/woadvale/common/runtime/ServiceException.java
@@ -1,18 +1,18 @@
-package org.woadvale.foundation.lantern;
+package org.woadvale.common.runtime;
 
 import java.util.List;
 
 /** The checked exception of the whole system; its kind says what the asker may believe. */
-public final class Fault extends Exception {
+public final class ServiceException extends Exception {
     private static final long serialVersionUID = 1L;
     private final ErrorKind kind;
     private final transient List<String> details;
 
-    public Fault(ErrorKind kind, String message) {
+    public ServiceException(ErrorKind kind, String message) {
         this(kind, message, List.of());
     }
 
-    public Fault(ErrorKind kind, String message, List<String> details) {
+    public ServiceException(ErrorKind kind, String message, List<String> details) {
         super(message, null, false, false);
         this.kind = kind;
         this.details = List.copyOf(details);
@@ -27,10 +27,10 @@
     }
 
     /** Any throwable as a fault; what is not ours is an internal fault with unknown outcome. */
-    public static Fault of(Throwable e) {
-        if (e instanceof Fault f) {
+    public static ServiceException of(Throwable e) {
+        if (e instanceof ServiceException f) {
             return f;
         }
-        return new Fault(ErrorKind.INTERNAL, e.getClass().getSimpleName() + ": " + e.getMessage());
+        return new ServiceException(ErrorKind.INTERNAL, e.getClass().getSimpleName() + ": " + e.getMessage());
     }
 }
--- a/foundation/src/main/java/org/woadvale/foundation/lantern/Stage.java
+++ b/common/src/main/java/org/woadvale/common/runtime/Stage.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.lantern;
+package org.woadvale.common.runtime;
 
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -12,7 +12,7 @@
 public final class Stage<I, O> {
     private record Waiting<I, O>(I in, Sinks.One<O> out) { }
 
-    private final Shard shard = new Shard();
+    private final LockedShard shard = new LockedShard();
     private final Deque<Waiting<I, O>> queue = new ArrayDeque<>();
     private final String name;
     private final int depth;
@@ -42,7 +42,7 @@
             });
             if (!taken) {
                 refused.incrementAndGet();
-                return Mono.error(new Fault(ErrorKind.QUEUE_FULL, "The stage " + name + " is full."));
+                return Mono.error(new ServiceException(ErrorKind.QUEUE_FULL, "The stage " + name + " is full."));
             }
             return out.asMono();
         });
--- a/foundation/src/main/java/org/woadvale/foundation/lantern/Supervisor.java
+++ b/common/src/main/java/org/woadvale/common/runtime/Supervisor.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.lantern;
+package org.woadvale.common.runtime;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -18,16 +18,16 @@
     private static final int LIMIT = 5;
 
     private final String name;
-    private final Schedules schedules;
+    private final Timers schedules;
     private final Runnable onGivenUp;
     private final List<Component> children = new ArrayList<>();
     private final Map<Component, Integer> restarts = new HashMap<>();
     private final Set<Component> pending = new HashSet<>();
-    private Schedule looking = () -> { };
+    private TimerHandle looking = () -> { };
     private boolean running;
     private boolean givenUp;
 
-    public Supervisor(String name, Schedules schedules, Runnable onGivenUp) {
+    public Supervisor(String name, Timers schedules, Runnable onGivenUp) {
         this.name = name;
         this.schedules = schedules;
         this.onGivenUp = onGivenUp;
@@ -44,7 +44,7 @@
     }
 
     @Override
-    public synchronized void start() throws Fault {
+    public synchronized void start() throws ServiceException {
         running = true;
         for (Component c : children) {
             c.start();
@@ -82,7 +82,7 @@
         try {
             c.stop();
             c.start();
-        } catch (Fault e) {
+        } catch (ServiceException e) {
             LOG.error("lantern: {} did not start: {}", c.name(), e.getMessage());
         }
     }
--- a/foundation/src/main/java/org/woadvale/foundation/lantern/RealTimes.java
+++ b/common/src/main/java/org/woadvale/common/runtime/SystemClock.java
@@ -1,10 +1,10 @@
-package org.woadvale.foundation.lantern;
+package org.woadvale.common.runtime;
 
 import java.time.Duration;
 import java.time.Instant;
 
 /** The machine's clocks. */
-public final class RealTimes implements Times {
+public final class SystemClock implements Clock {
     private final long start = System.nanoTime();
 
     @Override
--- a/foundation/src/main/java/org/woadvale/foundation/lantern/RealSchedules.java
+++ b/common/src/main/java/org/woadvale/common/runtime/SystemTimers.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.lantern;
+package org.woadvale.common.runtime;
 
 import java.time.Duration;
 import java.util.concurrent.ExecutorService;
@@ -12,12 +12,12 @@
 import org.apache.logging.log4j.Logger;
 
 /** Several threads for work, one for the disk. */
-public final class RealSchedules implements Schedules {
+public final class SystemTimers implements Timers {
     private static final Logger LOG = LogManager.getLogger("lantern");
     private final ScheduledThreadPoolExecutor pool;
     private final ExecutorService disk;
 
-    public RealSchedules(int threads) {
+    public SystemTimers(int threads) {
         pool = new ScheduledThreadPoolExecutor(threads, r -> daemon(r, "work"));
         pool.setRemoveOnCancelPolicy(true);
         disk = Executors.newSingleThreadExecutor(r -> daemon(r, "disk"));
@@ -30,7 +30,7 @@
     }
 
     @Override
-    public Schedule after(Duration delay, Runnable task) {
+    public TimerHandle after(Duration delay, Runnable task) {
         try {
             ScheduledFuture<?> f = pool.schedule(guarded(task), Math.max(0, delay.toNanos()), TimeUnit.NANOSECONDS);
             return () -> f.cancel(false);
--- a/foundation/src/main/java/org/woadvale/foundation/lantern/Schedule.java
+++ b/common/src/main/java/org/woadvale/common/runtime/TimerHandle.java
@@ -1,7 +1,7 @@
-package org.woadvale.foundation.lantern;
+package org.woadvale.common.runtime;
 
 /** A pending call; cancelling one that has run does nothing. */
 @FunctionalInterface
-public interface Schedule {
+public interface TimerHandle {
     void cancel();
 }
--- a/foundation/src/main/java/org/woadvale/foundation/lantern/Schedules.java
+++ b/common/src/main/java/org/woadvale/common/runtime/Timers.java
@@ -1,10 +1,10 @@
-package org.woadvale.foundation.lantern;
+package org.woadvale.common.runtime;
 
 import java.time.Duration;
 
 /** Seam for everything that happens later: design 2.1. */
-public interface Schedules {
-    Schedule after(Duration delay, Runnable task);
+public interface Timers {
+    TimerHandle after(Duration delay, Runnable task);
 
     /** As soon as a thread is free. */
     void soon(Runnable task);
@@ -13,7 +13,7 @@
     void onDisk(Runnable task);
 
     /** Repeats until cancelled; the next run is set after the former one ended. */
-    default Schedule every(Duration period, Runnable task) {
-        return new Repeating(this, period, task).begin();
+    default TimerHandle every(Duration period, Runnable task) {
+        return new RepeatingTimer(this, period, task).begin();
     }
 }
--- a/foundation/src/main/java/org/woadvale/foundation/logbook/NoLogbook.java
+++ b/common/src/main/java/org/woadvale/common/wal/DisabledWriteAheadLog.java
@@ -1,11 +1,11 @@
-package org.woadvale.foundation.logbook;
+package org.woadvale.common.wal;
 
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 
 /** For processes without a disk: nothing may be written. */
-public final class NoLogbook implements Logbook {
+public final class DisabledWriteAheadLog implements WriteAheadLog {
     @Override
     public Map<String, List<Entry>> recovered() {
         return Map.of();
--- a/foundation/src/main/java/org/woadvale/foundation/logbook/Entry.java
+++ b/common/src/main/java/org/woadvale/common/wal/Entry.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.logbook;
+package org.woadvale.common.wal;
 
 /** One record of a part. A BASE replaces everything the part wrote before it. */
 public record Entry(String part, Kind kind, long index, long term, byte[] bytes, byte format) {
--- a/foundation/src/main/java/org/woadvale/foundation/logbook/FolderDisk.java
+++ b/common/src/main/java/org/woadvale/common/wal/FolderDisk.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.logbook;
+package org.woadvale.common.wal;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
--- a/foundation/src/main/java/org/woadvale/foundation/logbook/Window.java
+++ b/common/src/main/java/org/woadvale/common/wal/ReadWindow.java
@@ -1,17 +1,17 @@
-package org.woadvale.foundation.logbook;
+package org.woadvale.common.wal;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
 
 /** A moving piece of one file: recovery holds no more than the record it looks at. design 4.3 */
-final class Window {
+final class ReadWindow {
     private final Disk.Leaf leaf;
     private final int size;
     private byte[] bytes = new byte[Disk.CHUNK];
     private int from;
     private int held;
 
-    Window(Disk.Leaf leaf) throws IOException {
+    ReadWindow(Disk.Leaf leaf) throws IOException {
         this.leaf = leaf;
         this.size = leaf.size();
     }
--- a/foundation/src/main/java/org/woadvale/foundation/logbook/RecordForm.java
+++ b/common/src/main/java/org/woadvale/common/wal/RecordFormat.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.logbook;
+package org.woadvale.common.wal;
 
 import java.io.IOException;
 import java.nio.BufferUnderflowException;
@@ -8,7 +8,7 @@
 import java.util.zip.CRC32C;
 
 /** The bytes of a record: length, checksum, segment number, batch number, body. design 4.2 */
-final class RecordForm {
+final class RecordFormat {
     static final int HEAD = 4 + 4;
     /** Format of this build's records; readers accept every format up to it. */
     static final byte FORMAT = Entry.FORMAT;
@@ -29,7 +29,7 @@
         }
     }
 
-    private RecordForm() { }
+    private RecordFormat() { }
 
     static byte[] roll(long segment, long batch) {
         return seal(ByteBuffer.allocate(HEAD + 18).position(HEAD).put(FORMAT).putLong(segment).putLong(batch).put(ROLL),
@@ -57,7 +57,7 @@
     }
 
     /** Empty where no whole, sound record stands at the place. */
-    static Optional<Found> read(Window file, int at) throws Newer, IOException {
+    static Optional<Found> read(ReadWindow file, int at) throws Newer, IOException {
         if (at + HEAD + 18 > file.size()) {
             return Optional.empty();
         }
--- a/foundation/src/main/java/org/woadvale/foundation/logbook/Recovery.java
+++ b/common/src/main/java/org/woadvale/common/wal/Recovery.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.logbook;
+package org.woadvale.common.wal;
 
 import java.io.IOException;
 import java.util.ArrayList;
@@ -25,13 +25,13 @@
     int pos;
     long batch;
 
-    static Recovery run(List<Disk.Leaf> files) throws Damaged, RecordForm.Newer, IOException {
+    static Recovery run(List<Disk.Leaf> files) throws Damaged, RecordFormat.Newer, IOException {
         Recovery r = new Recovery();
         long newest = -1;
         long oldest = Long.MAX_VALUE;
         int n = files.size();
         for (int i = 0; i < n; i++) {
-            Optional<RecordForm.Found> first = RecordForm.read(new Window(files.get(i)), 0);
+            Optional<RecordFormat.Found> first = RecordFormat.read(new ReadWindow(files.get(i)), 0);
             if (first.isPresent()) {
                 long s = first.get().segment();
                 if (s % n != i) {
@@ -43,30 +43,30 @@
         }
         if (newest < 0) {
             for (int i = 1; i < n; i++) {
-                mustBeUnused(new Window(files.get(i)), i);
+                mustBeUnused(new ReadWindow(files.get(i)), i);
             }
-            r.checkTail(new Window(files.get(0)), 0, 0);
+            r.checkTail(new ReadWindow(files.get(0)), 0, 0);
             return r;
         }
         for (long s = oldest; s <= newest; s++) {
-            r.segment(new Window(files.get((int) (s % n))), s, s == newest);
+            r.segment(new ReadWindow(files.get((int) (s % n))), s, s == newest);
         }
         if (newest - oldest + 1 < n) {
-            r.checkTail(new Window(files.get((int) ((newest + 1) % n))), newest + 1, 0);
+            r.checkTail(new ReadWindow(files.get((int) ((newest + 1) % n))), newest + 1, 0);
         }
         return r;
     }
 
-    private static void mustBeUnused(Window file, int i) throws Damaged, IOException {
+    private static void mustBeUnused(ReadWindow file, int i) throws Damaged, IOException {
         if (!file.zero(0, file.size())) {
             throw new Damaged("file " + i + " is unreadable");
         }
     }
 
-    private void segment(Window file, long s, boolean last) throws Damaged, RecordForm.Newer, IOException {
+    private void segment(ReadWindow file, long s, boolean last) throws Damaged, RecordFormat.Newer, IOException {
         int at = 0;
         while (true) {
-            Optional<RecordForm.Found> f = RecordForm.read(file, at);
+            Optional<RecordFormat.Found> f = RecordFormat.read(file, at);
             if (f.isEmpty() || f.get().segment() != s) {
                 if (!last) {
                     throw new Damaged("segment " + s + " breaks off at " + at);
@@ -99,12 +99,12 @@
     }
 
     /** A sound record of a later batch beyond the break proves that synced bytes were lost. */
-    private void checkTail(Window file, long s, int from) throws Damaged, RecordForm.Newer, IOException {
-        for (int at = from; at + RecordForm.HEAD + 18 <= file.size(); at++) {
-            if (file.at(at + RecordForm.HEAD) < 1 || file.look(at + RecordForm.HEAD + 1, 8).getLong() != s) {
+    private void checkTail(ReadWindow file, long s, int from) throws Damaged, RecordFormat.Newer, IOException {
+        for (int at = from; at + RecordFormat.HEAD + 18 <= file.size(); at++) {
+            if (file.at(at + RecordFormat.HEAD) < 1 || file.look(at + RecordFormat.HEAD + 1, 8).getLong() != s) {
                 continue;
             }
-            Optional<RecordForm.Found> f = RecordForm.read(file, at);
+            Optional<RecordFormat.Found> f = RecordFormat.read(file, at);
             if (f.isPresent() && f.get().batch() > batch + 1) {
                 throw new Damaged("segment " + s + " is damaged at " + from + ", before synced records");
             }
--- a/foundation/src/main/java/org/woadvale/foundation/logbook/RingLogbook.java
+++ b/common/src/main/java/org/woadvale/common/wal/RingWriteAheadLog.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.logbook;
+package org.woadvale.common.wal;
 
 import java.io.IOException;
 import java.util.ArrayList;
@@ -10,12 +10,12 @@
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.lantern.Schedules;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.runtime.Timers;
 
 /** One ring of preallocated files; one sync serves everything that waited: design 4. */
-public final class RingLogbook implements Logbook {
+public final class RingWriteAheadLog implements WriteAheadLog {
     private static final Logger LOG = LogManager.getLogger("logbook");
 
     /** So many files later a part is asked again. */
@@ -23,14 +23,14 @@
 
     private record Job(List<Entry> entries, Runnable done) { }
 
-    private final Schedules schedules;
+    private final Timers schedules;
     private final int size;
     private final List<Disk.Leaf> leaves = new ArrayList<>();
     private final Map<String, List<Entry>> recovered;
     private final Map<String, Long> needs = new HashMap<>();
     /** In which segment a part was asked for a base that has not been written yet. */
     private final Map<String, Long> asked = new HashMap<>();
-    private final Gather gather = new Gather();
+    private final WriteBatch gather = new WriteBatch();
     private final Map<String, Runnable> pressure = new ConcurrentHashMap<>();
     private List<Job> waiting = new ArrayList<>();
     private Consumer<String> failure = why -> { };
@@ -42,7 +42,7 @@
     private volatile long syncs;
     private volatile boolean nearlyFull;
 
-    private RingLogbook(Disk disk, Schedules schedules, int files, int size) throws IOException, RecordForm.Newer {
+    private RingWriteAheadLog(Disk disk, Timers schedules, int files, int size) throws IOException, RecordFormat.Newer {
         this.schedules = schedules;
         this.size = size;
         openAll(disk, files);
@@ -64,7 +64,7 @@
             // the file that comes next still holds what is needed: nothing may be written over it. design 4.1
             throw new IOException("the ring is full, and no file can be freed; repair this copy from the others");
         }
-        new Window(leaves.get(file())).blank(pos);
+        new ReadWindow(leaves.get(file())).blank(pos);
         leaves.get(file()).sync();
     }
 
@@ -79,13 +79,13 @@
         }
     }
 
-    public static RingLogbook open(Disk disk, Schedules schedules, int files, int size) throws Fault {
+    public static RingWriteAheadLog open(Disk disk, Timers schedules, int files, int size) throws ServiceException {
         try {
-            return new RingLogbook(disk, schedules, files, size);
-        } catch (RecordForm.Newer e) {
-            throw new Fault(ErrorKind.UNAVAILABLE, "The data folder was " + e.getMessage() + ".");
+            return new RingWriteAheadLog(disk, schedules, files, size);
+        } catch (RecordFormat.Newer e) {
+            throw new ServiceException(ErrorKind.UNAVAILABLE, "The data folder was " + e.getMessage() + ".");
         } catch (IOException e) {
-            throw new Fault(ErrorKind.UNAVAILABLE, "Cannot open the data folder: " + e.getMessage());
+            throw new ServiceException(ErrorKind.UNAVAILABLE, "Cannot open the data folder: " + e.getMessage());
         }
     }
 
@@ -156,13 +156,13 @@
     }
 
     private void put(Entry e) throws IOException {
-        int need = RecordForm.size(e);
-        int rollSize = RecordForm.HEAD + 18;
+        int need = RecordFormat.size(e);
+        int rollSize = RecordFormat.HEAD + 18;
         if (need + rollSize > size) {
             throw new IOException("a record of " + need + " bytes is larger than a ring file");
         }
         if (pos + need + rollSize > size) {
-            gather.add(leaves.get(file()), pos, RecordForm.roll(segment, batch));
+            gather.add(leaves.get(file()), pos, RecordFormat.roll(segment, batch));
             gather.flush(leaves.get(file()), pos + rollSize);
             leaves.get(file()).sync();
             syncs++;
@@ -172,7 +172,7 @@
                 throw new IOException("the ring is full");
             }
         }
-        byte[] head = RecordForm.head(segment, batch, e);
+        byte[] head = RecordFormat.head(segment, batch, e);
         gather.add(leaves.get(file()), pos, head);
         gather.add(leaves.get(file()), pos + head.length, e.bytes());
         pos += need;
@@ -192,7 +192,7 @@
         }
     }
 
-    /** Asks the parts that hold back the oldest files for new bases. */
+    /** ControlMessages the parts that hold back the oldest files for new bases. */
     private void relieve() {
         long used = segment - oldestNeeded() + 1;
         nearlyFull = used >= leaves.size() - Math.max(1, leaves.size() / 8);
--- a/foundation/src/main/java/org/woadvale/foundation/logbook/Logbook.java
+++ b/common/src/main/java/org/woadvale/common/wal/WriteAheadLog.java
@@ -1,11 +1,11 @@
-package org.woadvale.foundation.logbook;
+package org.woadvale.common.wal;
 
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 
 /** Synced records of every part of this process. */
-public interface Logbook {
+public interface WriteAheadLog {
     /** What each part wrote, from its last base on. */
     Map<String, List<Entry>> recovered();
 
--- a/foundation/src/main/java/org/woadvale/foundation/logbook/Gather.java
+++ b/common/src/main/java/org/woadvale/common/wal/WriteBatch.java
@@ -1,9 +1,9 @@
-package org.woadvale.foundation.logbook;
+package org.woadvale.common.wal;
 
 import java.io.IOException;
 
 /** Puts small records together, so that a batch costs few writes and no memory of its own size. design 4.2 */
-final class Gather {
+final class WriteBatch {
     private final byte[] bytes = new byte[Disk.CHUNK];
     private int held;
 
--- a/foundation/src/test/java/org/woadvale/foundation/chart/ChartsTest.java
+++ b/common/src/test/java/org/woadvale/common/config/ConfigurationsTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.chart;
+package org.woadvale.common.config;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -11,11 +11,11 @@
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.runtime.ServiceException;
 
-class ChartsTest {
+class ConfigurationsTest {
     private static List<String> faults(String json) {
-        return assertThrows(Fault.class, () -> Charts.layout(json.getBytes(StandardCharsets.UTF_8))).details();
+        return assertThrows(ServiceException.class, () -> Configurations.layout(json.getBytes(StandardCharsets.UTF_8))).details();
     }
 
     @Test
@@ -41,13 +41,13 @@
 
     /** Before: taken, and the endpoint got both rates. A layout that was taken before is used all the same. */
     @Test
-    void twoServicesWithOneAddressAreAFault() throws Fault {
+    void twoServicesWithOneAddressAreAFault() throws ServiceException {
         String json = """
             {"services":{"a":{"kind":"endpoint","address":"http://10.0.0.1:80/x","ratePerS":26},
                          "b":{"kind":"endpoint","address":"http://10.0.0.1:80/x/","ratePerS":26}},"later":1}""";
         assertEquals(List.of("services.b.address: is a's too; it would get both rates"),
             faults(json.replace(",\"later\":1", "")));
-        assertEquals(2, Charts.taken(json.getBytes(java.nio.charset.StandardCharsets.UTF_8)).services().size());
+        assertEquals(2, Configurations.taken(json.getBytes(java.nio.charset.StandardCharsets.UTF_8)).services().size());
     }
 
     @Test
@@ -59,15 +59,15 @@
 
     /** Each bound, and the usual sizes within all of them. */
     @Test
-    void partsThatRingOrHeapCannotCarryAreRefused() throws Fault {
-        assertEquals(java.util.Optional.empty(), Boot.sizes(store(16, 16, 8), 160));
-        assertEquals("partMb: a part of 16 MB needs ringFileMb of at least 32", Boot.sizes(store(16, 16, 16), 4096).get());
-        assertEquals("partMb: 8 parts of 8 MB need a ring of 176 MB, it has 128", Boot.sizes(store(8, 16, 8), 4096).get());
-        assertEquals("partMb: 8 parts of 8 MB need a heap of 160 MB, it has 159", Boot.sizes(store(16, 16, 8), 159).get());
+    void partsThatRingOrHeapCannotCarryAreRefused() throws ServiceException {
+        assertEquals(java.util.Optional.empty(), Settings.sizes(store(16, 16, 8), 160));
+        assertEquals("partMb: a part of 16 MB needs ringFileMb of at least 32", Settings.sizes(store(16, 16, 16), 4096).get());
+        assertEquals("partMb: 8 parts of 8 MB need a ring of 176 MB, it has 128", Settings.sizes(store(8, 16, 8), 4096).get());
+        assertEquals("partMb: 8 parts of 8 MB need a heap of 160 MB, it has 159", Settings.sizes(store(16, 16, 8), 159).get());
     }
 
-    private static Boot store(int files, int fileMb, int partMb) {
-        return new Boot("127.0.0.1:1", "127.0.0.1:2", "h", List.of("127.0.0.1:3"), java.util.Set.of("store"), "d", files,
+    private static Settings store(int files, int fileMb, int partMb) {
+        return new Settings("127.0.0.1:1", "127.0.0.1:2", "h", List.of("127.0.0.1:3"), java.util.Set.of("store"), "d", files,
             fileMb, "", false, partMb, "");
     }
 
@@ -76,15 +76,15 @@
         Path p = dir.resolve("boot.json");
         Files.writeString(p, """
             {"address":"nowhere","http":"127.0.0.1:1","hall":"h","seeds":["127.0.0.1:2"]}""");
-        String m = assertThrows(Fault.class, () -> Boot.read(p.toString())).getMessage();
+        String m = assertThrows(ServiceException.class, () -> Settings.read(p.toString())).getMessage();
         assertTrue(m.contains("invalid at address: "), m);
         assertTrue(m.contains("must be IP:port"), m);
         Files.writeString(p, """
             {"address":"127.0.0.1:70000","http":"127.0.0.1:1","hall":"h","seeds":["127.0.0.1:2"]}""");
-        assertTrue(assertThrows(Fault.class, () -> Boot.read(p.toString())).getMessage().contains("at address: "));
+        assertTrue(assertThrows(ServiceException.class, () -> Settings.read(p.toString())).getMessage().contains("at address: "));
         Files.writeString(p, """
             {"address":"127.0.0.1:3","http":"127.0.0.1:1","hall":"h","seeds":["127.0.0.1:2"],"roles":["store"]}""");
-        String m2 = assertThrows(Fault.class, () -> Boot.read(p.toString())).getMessage();
+        String m2 = assertThrows(ServiceException.class, () -> Settings.read(p.toString())).getMessage();
         assertTrue(m2.contains("invalid at data: a store needs a data folder"), m2);
     }
 }
--- a/foundation/src/test/java/org/woadvale/foundation/gate/GateEdgeTest.java
+++ b/common/src/test/java/org/woadvale/common/http/GateEdgeTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.gate;
+package org.woadvale.common.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -26,7 +26,7 @@
 /** Requests that are written oddly, byte for byte: a definite answer and the end of the stream, and nothing reaches the application. */
 class GateEdgeTest {
     private final List<String> reached = Collections.synchronizedList(new ArrayList<>());
-    private Gate gate;
+    private HttpGateway gate;
     private int port;
 
     @BeforeEach
@@ -34,7 +34,7 @@
         try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             port = s.getLocalPort();
         }
-        gate = new Gate("127.0.0.1:" + port, 1000, q -> {
+        gate = new HttpGateway("127.0.0.1:" + port, 1000, q -> {
             reached.add(q.path() + " " + new String(q.body(), StandardCharsets.ISO_8859_1));
             return Mono.just(new Answer(200, java.util.Map.of("X-Path", q.path()), new byte[] {'o', 'k'}));
         });
@@ -151,7 +151,7 @@
         stop();
         Sinks.One<Answer> later = Sinks.one();
         CountDownLatch open = new CountDownLatch(1);
-        gate = new Gate("127.0.0.1:" + port, 1000, q -> {
+        gate = new HttpGateway("127.0.0.1:" + port, 1000, q -> {
             open.countDown();
             return later.asMono();
         });
--- a/foundation/src/test/java/org/woadvale/foundation/gate/GateTest.java
+++ b/common/src/test/java/org/woadvale/common/http/HttpGatewayTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.gate;
+package org.woadvale.common.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -12,13 +12,13 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.junit.jupiter.api.Test;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
 
 import reactor.core.publisher.Mono;
 
 /** The real HTTP server in front of the application function. */
-class GateTest {
+class HttpGatewayTest {
     private final AtomicInteger reached = new AtomicInteger();
 
     private HttpResponse<String> post(String address, int bytes, boolean lengthKnown) throws Exception {
@@ -36,9 +36,9 @@
         try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             address = "127.0.0.1:" + s.getLocalPort();
         }
-        Gate gate = new Gate(address, 100, q -> {
+        HttpGateway gate = new HttpGateway(address, 100, q -> {
             reached.incrementAndGet();
-            return q.body().length == 3 ? Mono.error(new Fault(ErrorKind.THROTTLED, "later", java.util.List.of("7")))
+            return q.body().length == 3 ? Mono.error(new ServiceException(ErrorKind.THROTTLED, "later", java.util.List.of("7")))
                 : Mono.just(Answer.json(200, q.body().length));
         });
         gate.start();
@@ -64,9 +64,9 @@
         try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             address = "127.0.0.1:" + s.getLocalPort();
         }
-        Gate gate = new Gate(address, 100, q -> switch (q.body().length) {
+        HttpGateway gate = new HttpGateway(address, 100, q -> switch (q.body().length) {
             case 1 -> Mono.just(Answer.json(202, "taken"));
-            case 2 -> Mono.error(new Fault(ErrorKind.UNKNOWN_OUTCOME, "not known"));
+            case 2 -> Mono.error(new ServiceException(ErrorKind.UNKNOWN_OUTCOME, "not known"));
             case 3 -> throw new IllegalStateException("thrown");
             default -> Mono.empty();
         });
--- a/foundation/src/test/java/org/woadvale/foundation/tide/HoldingTest.java
+++ b/common/src/test/java/org/woadvale/common/ratelimit/AggregateBucketTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.tide;
+package org.woadvale.common.ratelimit;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -12,8 +12,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-class HoldingTest {
-    private static final Allowance A = new Allowance(10, 20);
+class AggregateBucketTest {
+    private static final RateLimit A = new RateLimit(10, 20);
 
     private static final Duration FAR = Duration.ofDays(1);
 
@@ -21,13 +21,13 @@
         return Duration.ofMillis(ms);
     }
 
-    private static Passes.PassAsk ask(long id, int least, Passes.Report... reports) {
-        return new Passes.PassAsk("b", id, least, List.of(reports));
+    private static AdmissionTokens.PassAsk ask(long id, int least, AdmissionTokens.Report... reports) {
+        return new AdmissionTokens.PassAsk("b", id, least, List.of(reports));
     }
 
     @Test
     void repeatedAskIsTheSameGrant() {
-        Holding h = new Holding(1, -1, false, A, ms(0));
+        AggregateBucket h = new AggregateBucket(1, -1, false, A, ms(0));
         assertEquals(10, h.ask("x", ask(1, 10), FAR, ms(1)).granted());
         assertEquals(10, h.ask("x", ask(1, 10), FAR, ms(2)).granted());
         assertEquals(10, h.outstanding());
@@ -35,7 +35,7 @@
 
     @Test
     void grantsNeverExceedTheAggregateAndRestOnlyReturnsAfterTheirLife() {
-        Holding h = new Holding(1, -1, false, A, ms(0));
+        AggregateBucket h = new AggregateBucket(1, -1, false, A, ms(0));
         assertEquals(20, h.ask("x", ask(1, 50), FAR, ms(0)).granted());
         assertEquals(0, h.ask("y", ask(1, 1), FAR, ms(900)).granted(), "all are out: nothing may be filled");
         assertTrue(h.ask("y", ask(2, 1), FAR, ms(1300)).granted() > 0, "dead passes make room");
@@ -44,34 +44,34 @@
     /** Before: 17, since the time in which all were out was counted as time of filling once they were dead. */
     @Test
     void nothingIsFilledForTheTimeInWhichAllWasOut() {
-        Holding h = new Holding(1, -1, false, A, ms(0));
+        AggregateBucket h = new AggregateBucket(1, -1, false, A, ms(0));
         assertEquals(20, h.ask("x", ask(1, 20), FAR, ms(0)).granted());
         assertEquals(6, h.ask("y", ask(1, 20), FAR, ms(1700)).granted(), "x may have spent its last at 0.999 s");
     }
 
     @Test
     void givenBackPassesAreGrantedAgainButOnlyOnce() {
-        Holding h = new Holding(1, -1, false, A, ms(0));
+        AggregateBucket h = new AggregateBucket(1, -1, false, A, ms(0));
         h.ask("x", ask(1, 20), FAR, ms(0));
-        Passes.Report back = new Passes.Report(1, 5, true);
+        AdmissionTokens.Report back = new AdmissionTokens.Report(1, 5, true);
         assertEquals(15, h.ask("y", ask(1, 20), FAR, ms(0)).granted() + h.ask("x", ask(2, 20, back), FAR, ms(0)).granted());
         assertEquals(0, h.ask("x", ask(3, 20, back), FAR, ms(0)).granted());
     }
 
     @Test
     void laterTermStartsEmptyAndFillsOnlyOnceOldPassesAreDead() {
-        Holding h = new Holding(2, 0, false, A, ms(0));
+        AggregateBucket h = new AggregateBucket(2, 0, false, A, ms(0));
         assertEquals(0, h.ask("x", ask(1, 1), FAR, ms(1000)).granted());
         assertEquals(6, h.ask("x", ask(2, 9), FAR, ms(1700)).granted(), "0.6 s of filling");
     }
 
     @Test
     void batchIsASecondOfTheRateByActiveAskers() {
-        Holding h = new Holding(1, -1, false, new Allowance(12, 100), ms(0));
+        AggregateBucket h = new AggregateBucket(1, -1, false, new RateLimit(12, 100), ms(0));
         long id = 0;
         for (String n : List.of("x", "y", "z")) {
             for (int i = 0; i < 5; i++) {
-                h.ask(n, ask(++id, 0, new Passes.Report(id - 1, 12, true)), FAR, ms(0));
+                h.ask(n, ask(++id, 0, new AdmissionTokens.Report(id - 1, 12, true)), FAR, ms(0));
             }
         }
         assertEquals(4, h.ask("z", ask(++id, 0), FAR, ms(0)).granted());
@@ -81,7 +81,7 @@
 
     @Test
     void newcomerStartsSmallSoThatOneCannotEmptyTheBucket() {
-        Holding h = new Holding(1, -1, false, new Allowance(40, 40), ms(0));
+        AggregateBucket h = new AggregateBucket(1, -1, false, new RateLimit(40, 40), ms(0));
         assertEquals(1, h.ask("x", ask(1, 0), FAR, ms(0)).granted());
         assertEquals(2, h.ask("x", ask(2, 0), FAR, ms(0)).granted());
         assertEquals(4, h.ask("x", ask(3, 0), FAR, ms(0)).granted());
@@ -90,7 +90,7 @@
 
     /** A holder that is there, gone until its claim has lapsed, or moved in order. */
     private static final class Chain {
-        Holding h = new Holding(1, -1, false, A, ms(0));
+        AggregateBucket h = new AggregateBucket(1, -1, false, A, ms(0));
         long claimEnd;
         long goneUntil = -1;
         int lapses;
@@ -99,14 +99,14 @@
         void look(long t, Random random) {
             if (goneUntil >= 0) {
                 if (t >= goneUntil) {
-                    h = new Holding(h.term() + 1, 0, true, A, ms(t));
+                    h = new AggregateBucket(h.term() + 1, 0, true, A, ms(t));
                     goneUntil = -1;
                 }
             } else if (random.nextInt(800) == 0) {
                 goneUntil = claimEnd + 100;
                 lapses++;
             } else if (random.nextInt(800) == 0) {
-                h = new Holding(h.term() + 1, h.level(ms(t)), false, A, ms(t));
+                h = new AggregateBucket(h.term() + 1, h.level(ms(t)), false, A, ms(t));
                 moves++;
             }
             if (goneUntil < 0 && t % 250 == 0) {
@@ -115,24 +115,24 @@
         }
     }
 
-    /** Purses lose messages, die, put back and settle at random, holders crash and move; the allowance holds. */
+    /** LocalBuckets lose messages, die, put back and settle at random, holders crash and move; the allowance holds. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
     void acceptedStaysWithinTheAllowanceWhateverGetsLost(long seed) {
         Random random = new Random(seed);
         Chain chain = new Chain();
-        List<Purse> purses = new ArrayList<>(List.of(new Purse(), new Purse(), new Purse()));
+        List<LocalBucket> purses = new ArrayList<>(List.of(new LocalBucket(), new LocalBucket(), new LocalBucket()));
         List<Long> accepted = new ArrayList<>();
         long id = 0;
         for (long t = 0; t < 40_000; t += 5) {
             chain.look(t, random);
             int n = random.nextInt(3);
-            Purse p = purses.get(n);
+            LocalBucket p = purses.get(n);
             if (random.nextInt(4) == 0 && chain.goneUntil < 0) {
-                Passes.PassAsk a = new Passes.PassAsk("b", ++id, 1, p.reports(ms(t)));
+                AdmissionTokens.PassAsk a = new AdmissionTokens.PassAsk("b", ++id, 1, p.reports(ms(t)));
                 int fate = random.nextInt(10);
                 if (fate > 0) {
-                    Passes.PassReply r = chain.h.ask("n" + n, a, ms(chain.claimEnd), ms(t));
+                    AdmissionTokens.PassReply r = chain.h.ask("n" + n, a, ms(chain.claimEnd), ms(t));
                     if (fate > 1) {
                         p.granted(r.grant(), r.granted(), ms(t), r.life(), ms(t));
                     }
@@ -151,7 +151,7 @@
                 });
             }
             if (random.nextInt(500) == 0) {
-                purses.set(n, new Purse());
+                purses.set(n, new LocalBucket());
             }
         }
         assertTrue(accepted.size() > 100, "only " + accepted.size());
@@ -167,17 +167,17 @@
     /** Else the next term would have to wait for them to die before it fills. */
     @Test
     void noPassOutlivesItsHoldersClaim() {
-        Holding h = new Holding(1, -1, false, A, ms(0));
+        AggregateBucket h = new AggregateBucket(1, -1, false, A, ms(0));
         assertEquals(ms(300), h.ask("x", ask(1, 5), ms(300), ms(0)).life());
         assertEquals(ms(200), h.ask("x", ask(1, 5), ms(300), ms(100)).life(), "nor by asking again");
-        assertEquals(Passes.LIFE, h.ask("x", ask(2, 1), ms(1900), ms(100)).life());
+        assertEquals(AdmissionTokens.LIFE, h.ask("x", ask(2, 1), ms(1900), ms(100)).life());
     }
 
     @Test
     void termAfterALapseFillsAtOnceAndAMoveKeepsItsLevel() {
-        Holding lapsed = new Holding(2, 0, true, A, ms(0));
+        AggregateBucket lapsed = new AggregateBucket(2, 0, true, A, ms(0));
         assertEquals(5, lapsed.ask("x", ask(1, 9), FAR, ms(500)).granted());
-        Holding moved = new Holding(2, 8, false, A, ms(0));
+        AggregateBucket moved = new AggregateBucket(2, 8, false, A, ms(0));
         assertEquals(8, moved.ask("x", ask(1, 20), FAR, ms(0)).granted());
         assertEquals(0, moved.ask("y", ask(1, 20), FAR, ms(1000)).granted(), "12 of earlier terms and 8 of this are out");
         assertTrue(moved.ask("y", ask(2, 20), FAR, ms(1400)).granted() > 0);
--- a/foundation/src/test/java/org/woadvale/foundation/beam/TcpBeamTest.java
+++ b/common/src/test/java/org/woadvale/common/rpc/TcpRpcClientTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.beam;
+package org.woadvale.common.rpc;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -16,22 +16,22 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.lantern.RealSchedules;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.runtime.SystemTimers;
 
 import reactor.core.publisher.Mono;
 
 /** The real streams, on ephemeral loopback ports. */
-class TcpBeamTest {
+class TcpRpcClientTest {
     public record Question(String words) { }
 
     public record Unregistered(String words) { }
 
     private static final Codec CODEC = new Codec(Map.of(100, List.of(Question.class)));
-    private final RealSchedules schedules = new RealSchedules(2);
-    private TcpBeam a;
-    private TcpBeam b;
+    private final SystemTimers schedules = new SystemTimers(2);
+    private TcpRpcClient a;
+    private TcpRpcClient b;
 
     private static String free() throws IOException {
         try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
@@ -41,10 +41,10 @@
 
     @BeforeEach
     void open() throws Exception {
-        Router r = new Router().on(Question.class, (from, q) -> q.words().isEmpty()
-            ? Mono.error(new Fault(ErrorKind.CONFLICT, "empty", List.of("x"))) : Mono.just(new Question(q.words() + "!")));
-        a = new TcpBeam(free(), CODEC, new Router(), schedules);
-        b = new TcpBeam(free(), CODEC, r, schedules);
+        RpcRouter r = new RpcRouter().on(Question.class, (from, q) -> q.words().isEmpty()
+            ? Mono.error(new ServiceException(ErrorKind.CONFLICT, "empty", List.of("x"))) : Mono.just(new Question(q.words() + "!")));
+        a = new TcpRpcClient(free(), CODEC, new RpcRouter(), schedules);
+        b = new TcpRpcClient(free(), CODEC, r, schedules);
         a.start();
         b.start();
     }
@@ -56,14 +56,14 @@
         schedules.close();
     }
 
-    private Fault fault(Mono<?> m) {
-        return Fault.of(reactor.core.Exceptions.unwrap(assertThrows(RuntimeException.class, () -> m.block(Duration.ofSeconds(20)))));
+    private ServiceException fault(Mono<?> m) {
+        return ServiceException.of(reactor.core.Exceptions.unwrap(assertThrows(RuntimeException.class, () -> m.block(Duration.ofSeconds(20)))));
     }
 
     @Test
     void answersAndFaultsTravel() {
         assertEquals("hi!", a.ask(b.self(), new Question("hi"), Question.class, Duration.ofSeconds(10)).block().words());
-        Fault f = fault(a.ask(b.self(), new Question(""), Question.class, Duration.ofSeconds(10)));
+        ServiceException f = fault(a.ask(b.self(), new Question(""), Question.class, Duration.ofSeconds(10)));
         assertEquals(ErrorKind.CONFLICT, f.kind());
         assertEquals(List.of("x"), f.details());
     }
--- a/foundation/src/test/java/org/woadvale/foundation/lantern/ErrorKindTest.java
+++ b/common/src/test/java/org/woadvale/common/runtime/ErrorKindTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.lantern;
+package org.woadvale.common.runtime;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
--- a/foundation/src/test/java/org/woadvale/foundation/logbook/RecordFormTest.java
+++ b/common/src/test/java/org/woadvale/common/wal/RecordFormatTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.foundation.logbook;
+package org.woadvale.common.wal;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -12,12 +12,12 @@
 import org.junit.jupiter.api.Test;
 
 /** Bytes that older builds wrote must stay readable. */
-class RecordFormTest {
+class RecordFormatTest {
     private static final byte[] FORMAT_1 = HexFormat.of().parseHex("00000035733c1d7301000000000000000300000000000000090100"
         + "026d310000000000000005000000000000000200000003010203");
 
-    private static Optional<RecordForm.Found> read(byte[] file) throws RecordForm.Newer, IOException {
-        return RecordForm.read(new Window(new Disk.Leaf() {
+    private static Optional<RecordFormat.Found> read(byte[] file) throws RecordFormat.Newer, IOException {
+        return RecordFormat.read(new ReadWindow(new Disk.Leaf() {
             @Override
             public int size() {
                 return file.length;
@@ -37,8 +37,8 @@
     }
 
     @Test
-    void recordsOfTheFirstFormatAreRead() throws RecordForm.Newer, IOException {
-        RecordForm.Found f = read(FORMAT_1).orElseThrow();
+    void recordsOfTheFirstFormatAreRead() throws RecordFormat.Newer, IOException {
+        RecordFormat.Found f = read(FORMAT_1).orElseThrow();
         assertEquals(3, f.segment());
         assertEquals(9, f.batch());
         Entry e = f.entry().orElseThrow();
@@ -50,7 +50,7 @@
     }
 
     @Test
-    void anyFlippedBitIsSeen() throws RecordForm.Newer, IOException {
+    void anyFlippedBitIsSeen() throws RecordFormat.Newer, IOException {
         for (int bit = 0; bit < FORMAT_1.length * 8; bit++) {
             byte[] bad = FORMAT_1.clone();
             bad[bit / 8] ^= (byte) (1 << bit % 8);
@@ -62,11 +62,11 @@
     @Test
     void aNewerFormatIsNotTakenForDamage() {
         byte[] newer = FORMAT_1.clone();
-        newer[RecordForm.HEAD] = RecordForm.FORMAT + 1;
+        newer[RecordFormat.HEAD] = RecordFormat.FORMAT + 1;
         java.util.zip.CRC32C crc = new java.util.zip.CRC32C();
-        crc.update(newer, RecordForm.HEAD, newer.length - RecordForm.HEAD);
+        crc.update(newer, RecordFormat.HEAD, newer.length - RecordFormat.HEAD);
         java.nio.ByteBuffer.wrap(newer).putInt(4, (int) crc.getValue());
         assertEquals("written by a newer build: format 4, this one reads up to 3",
-            assertThrows(RecordForm.Newer.class, () -> read(newer)).getMessage());
+            assertThrows(RecordFormat.Newer.class, () -> read(newer)).getMessage());
     }
 }
--- a/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/LayoutLog.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/ConfigurationLog.java
@@ -1,4 +1,4 @@
-package org.woadvale.lighthouse.lamp;
+package org.woadvale.controlplane.partition;
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -7,14 +7,14 @@
 import java.util.Map;
 import java.util.Optional;
 
-import org.woadvale.foundation.beam.Since;
-import org.woadvale.foundation.chart.Charts;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.watch.Asks;
+import org.woadvale.common.rpc.Since;
+import org.woadvale.common.config.Configurations;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.membership.ControlMessages;
 
 /** Versions of the layout in order; a repeated request id gets the answer it had. Both are bounded. design 6.4 */
-public final class LayoutLog {
+public final class ConfigurationLog {
     static final int MOST_STEPS = 256;
     static final int MOST_KNOWN = 4096;
 
@@ -29,7 +29,7 @@
     private final Map<String, Known> known = new LinkedHashMap<>();
     private long bytes;
 
-    LayoutLog(int mostBytes) {
+    ConfigurationLog(int mostBytes) {
         this.mostBytes = mostBytes;
     }
 
@@ -59,7 +59,7 @@
 
     /** What the operator sent: the original where there is one. */
     private static String digest(byte[] layout, byte[] original) {
-        return Charts.sha256(new String(original.length > 0 ? original : layout, StandardCharsets.UTF_8));
+        return Configurations.sha256(new String(original.length > 0 ? original : layout, StandardCharsets.UTF_8));
     }
 
     private static String digest(Step s) {
@@ -85,24 +85,24 @@
         return s.layout().length + s.original().length;
     }
 
-    Object put(Asks.PutLayout p) {
+    Object put(ControlMessages.PutLayout p) {
         String digest = digest(p.layout(), p.original());
         Optional<Known> before = Optional.ofNullable(known.get(p.requestId()));
         if (before.isPresent()) {
-            return before.get().digest().equals(digest) ? new Asks.LayoutTaken(before.get().version(), true)
-                : new Fault(ErrorKind.CONFLICT, "This request id was used for another layout.");
+            return before.get().digest().equals(digest) ? new ControlMessages.LayoutTaken(before.get().version(), true)
+                : new ServiceException(ErrorKind.CONFLICT, "This request id was used for another layout.");
         }
         if (p.base() != version()) {
-            return new Fault(ErrorKind.STALE_BASE, "The base version " + p.base() + " is not the present one, "
+            return new ServiceException(ErrorKind.STALE_BASE, "The base version " + p.base() + " is not the present one, "
                 + version() + ".", List.of(Long.toString(version())));
         }
         if (p.revision() != 0 && p.revision() <= version()) {
-            return new Fault(ErrorKind.INVALID_LAYOUT, "The revision " + p.revision() + " is not above the present one, "
+            return new ServiceException(ErrorKind.INVALID_LAYOUT, "The revision " + p.revision() + " is not above the present one, "
                 + version() + ".", List.of("revision: must be above " + version()));
         }
         long next = p.revision() == 0 ? version() + 1 : p.revision();
         add(new Step(next, p.requestId(), p.author(), p.layout(), p.original()));
         remember(new Known(p.requestId(), version(), digest));
-        return new Asks.LayoutTaken(version(), false);
+        return new ControlMessages.LayoutTaken(version(), false);
     }
 }
--- a/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/LampNode.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/ControlNode.java
@@ -1,4 +1,4 @@
-package org.woadvale.lighthouse.lamp;
+package org.woadvale.controlplane.partition;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -8,26 +8,26 @@
 import java.util.Map;
 import java.util.TreeSet;
 
-import org.woadvale.foundation.beam.Router;
-import org.woadvale.foundation.keeper.Env;
-import org.woadvale.foundation.keeper.Messages;
-import org.woadvale.foundation.keeper.Phase;
-import org.woadvale.foundation.keeper.Replica;
-import org.woadvale.foundation.lantern.Component;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.lantern.Pauses;
-import org.woadvale.foundation.lantern.Schedule;
-import org.woadvale.foundation.watch.Asks;
-import org.woadvale.foundation.watch.Core;
-import org.woadvale.foundation.watch.Places;
-import org.woadvale.foundation.watch.ServiceView;
+import org.woadvale.common.rpc.RpcRouter;
+import org.woadvale.common.replication.Env;
+import org.woadvale.common.replication.Messages;
+import org.woadvale.common.replication.Phase;
+import org.woadvale.common.replication.Replica;
+import org.woadvale.common.runtime.Component;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.runtime.Delays;
+import org.woadvale.common.runtime.TimerHandle;
+import org.woadvale.common.membership.ControlMessages;
+import org.woadvale.common.membership.CoreClient;
+import org.woadvale.common.membership.ServiceNames;
+import org.woadvale.common.membership.ServiceView;
 
 import reactor.core.publisher.Mono;
 
 /** A lighthouse: one replica of every control part, and what it answers as their owner. */
-public final class LampNode implements Component {
-    private record Part(Replica replica, LampMachine machine, Claims claims) { }
+public final class ControlNode implements Component {
+    private record Part(Replica replica, ControlStateMachine machine, LeaseManager claims) { }
 
     private static final int HISTORY = 4 << 20;
     private static final Duration PATIENCE = Duration.ofMillis(2500);
@@ -35,22 +35,22 @@
     private static final Duration AGAIN = Duration.ofMillis(150);
 
     private final Env env;
-    private final Core core;
+    private final CoreClient core;
     private final Map<String, Part> parts = new LinkedHashMap<>();
     private final Map<String, Duration> owned = new java.util.concurrent.ConcurrentHashMap<>();
-    private final Placing placing = new Placing();
-    private Schedule looking = () -> { };
-    private Schedule learning = () -> { };
+    private final ReplicaPlacement placing = new ReplicaPlacement();
+    private TimerHandle looking = () -> { };
+    private TimerHandle learning = () -> { };
     private volatile boolean draining;
 
     /** A lighthouse that joins a running core is seated by the owners once {@code wantedCore} names it. */
-    public LampNode(Env env, Core core, List<String> wantedCore) {
+    public ControlNode(Env env, CoreClient core, List<String> wantedCore) {
         this.env = env;
         this.core = core;
-        for (String p : Places.controlParts()) {
-            LampMachine m = new LampMachine(env.codec(), Math.min(HISTORY, env.logbook().largest() / 4));
+        for (String p : ServiceNames.controlParts()) {
+            ControlStateMachine m = new ControlStateMachine(env.codec(), Math.min(HISTORY, env.logbook().largest() / 4));
             Replica r = new Replica(p, turned(wantedCore, p), m, env);
-            parts.put(p, new Part(r, m, new Claims(r, m, env)));
+            parts.put(p, new Part(r, m, new LeaseManager(r, m, env)));
         }
     }
 
@@ -66,18 +66,18 @@
         return "lamp";
     }
 
-    public void route(Router router) {
+    public void route(RpcRouter router) {
         Messages.route(router, id -> part(id).map(Part::replica))
-            .on(Asks.ClaimAsk.class, (f, a) -> of(a.service()).flatMap(p -> p.claims().claim(a)))
-            .on(Asks.LeaveAsk.class, (f, a) -> of(a.service()).flatMap(p -> p.claims().leave(a)))
-            .on(Asks.DutyAsk.class, (f, a) -> of(a.service()).flatMap(p -> p.claims().duty(a)))
-            .on(Asks.DutyRelease.class, (f, a) -> of(a.service()).flatMap(p -> p.claims().release(a)))
-            .on(Asks.NewsAsk.class, (f, a) -> news(a))
-            .on(Asks.CoreAsk.class, (f, a) -> Mono.just(new Asks.CoreReply(lighthouses())))
-            .on(Asks.PutCore.class, (f, a) -> change(Places.CORE, a))
-            .on(Asks.PutProcessor.class, (f, a) -> change(a.service(), a))
-            .on(Asks.DropProcessor.class, (f, a) -> change(a.service(), a))
-            .on(Asks.PutProcessors.class, (f, a) -> change(a.service(), a));
+            .on(ControlMessages.ClaimAsk.class, (f, a) -> of(a.service()).flatMap(p -> p.claims().claim(a)))
+            .on(ControlMessages.LeaveAsk.class, (f, a) -> of(a.service()).flatMap(p -> p.claims().leave(a)))
+            .on(ControlMessages.DutyAsk.class, (f, a) -> of(a.service()).flatMap(p -> p.claims().duty(a)))
+            .on(ControlMessages.DutyRelease.class, (f, a) -> of(a.service()).flatMap(p -> p.claims().release(a)))
+            .on(ControlMessages.NewsAsk.class, (f, a) -> news(a))
+            .on(ControlMessages.CoreAsk.class, (f, a) -> Mono.just(new ControlMessages.CoreReply(lighthouses())))
+            .on(ControlMessages.PutCore.class, (f, a) -> change(ServiceNames.CORE, a))
+            .on(ControlMessages.PutProcessor.class, (f, a) -> change(a.service(), a))
+            .on(ControlMessages.DropProcessor.class, (f, a) -> change(a.service(), a))
+            .on(ControlMessages.PutProcessors.class, (f, a) -> change(a.service(), a));
     }
 
     /** The boot values changed while we run. */
@@ -87,25 +87,25 @@
 
     private Mono<Part> part(String id) {
         return Mono.justOrEmpty(parts.get(id))
-            .switchIfEmpty(Mono.error(new Fault(ErrorKind.NOT_FOUND, "No control part " + id + ".")));
+            .switchIfEmpty(Mono.error(new ServiceException(ErrorKind.NOT_FOUND, "No control part " + id + ".")));
     }
 
     private Mono<Part> of(String service) {
-        return part(Places.controlPart(service));
+        return part(ServiceNames.controlPart(service));
     }
 
-    private Mono<Asks.Done> change(String service, Object command) {
-        return of(service).flatMap(p -> p.replica().propose(command, Asks.Done.class));
+    private Mono<ControlMessages.Done> change(String service, Object command) {
+        return of(service).flatMap(p -> p.replica().propose(command, ControlMessages.Done.class));
     }
 
     /** Every service asked for is of one part; the age is nothing, since the claim was checked just now. */
-    private Mono<Asks.NewsReply> news(Asks.NewsAsk ask) {
-        String id = Places.controlPart(ask.known().keySet().stream().findFirst().orElse(Places.LAYOUT));
+    private Mono<ControlMessages.NewsReply> news(ControlMessages.NewsAsk ask) {
+        String id = ServiceNames.controlPart(ask.known().keySet().stream().findFirst().orElse(ServiceNames.LAYOUT));
         return part(id).flatMap(p -> p.replica().read(i -> {
             List<ServiceView> views = new ArrayList<>();
             Map<String, Duration> ages = new HashMap<>();
             ask.known().forEach((s, version) -> {
-                if (Places.controlPart(s).equals(id)) {
+                if (ServiceNames.controlPart(s).equals(id)) {
                     ServiceView v = p.machine().service(s);
                     ages.put(s, Duration.ZERO);
                     if (v.version() != version) {
@@ -113,7 +113,7 @@
                     }
                 }
             });
-            return new Asks.NewsReply(views, ages);
+            return new ControlMessages.NewsReply(views, ages);
         }));
     }
 
@@ -124,7 +124,7 @@
     }
 
     @Override
-    public void start() throws Fault {
+    public void start() throws ServiceException {
         for (Map.Entry<String, Part> e : parts.entrySet()) {
             e.getValue().replica().start(env.logbook().recovered().getOrDefault(e.getKey(), List.of()));
         }
@@ -134,9 +134,9 @@
 
     /** Who the lighthouses should be, as far as part c0 is known here. */
     private void follow() {
-        Part c0 = parts.get(Places.controlPart(Places.CORE));
-        List<String> wanted = c0.replica().look(i -> c0.machine().service(Places.CORE)).placement()
-            .getOrDefault(Places.CORE, List.of());
+        Part c0 = parts.get(ServiceNames.controlPart(ServiceNames.CORE));
+        List<String> wanted = c0.replica().look(i -> c0.machine().service(ServiceNames.CORE)).placement()
+            .getOrDefault(ServiceNames.CORE, List.of());
         if (!wanted.isEmpty()) {
             parts.forEach((id, p) -> p.replica().want(turned(wanted, id)));
         }
@@ -147,12 +147,12 @@
         seeOwners();
         core.known(lighthouses());
         parts.values().forEach(p -> p.claims().reap());
-        Part stores = parts.get(Places.controlPart(Places.STORES));
+        Part stores = parts.get(ServiceNames.controlPart(ServiceNames.STORES));
         if (stores.replica().phase() == Phase.OWNING && stores.replica().mayAct()) {
-            ServiceView v = stores.replica().look(i -> stores.machine().service(Places.STORES));
+            ServiceView v = stores.replica().look(i -> stores.machine().service(ServiceNames.STORES));
             Map<String, List<String>> next = placing.next(v, env.times().mono());
             if (!next.equals(v.placement())) {
-                stores.replica().propose(new Asks.Place(next, v.version()), Asks.Done.class)
+                stores.replica().propose(new ControlMessages.Place(next, v.version()), ControlMessages.Done.class)
                     .subscribe(d -> { }, e -> { });
             }
         }
@@ -214,7 +214,7 @@
 
     private <T> Mono<T> ask(String part, Object body, Class<T> type, Duration until, boolean unknown) {
         return core.ask(part, body, type).onErrorResume(e -> {
-            Fault f = Fault.of(e);
+            ServiceException f = ServiceException.of(e);
             boolean nowUnknown = unknown || f.kind() == ErrorKind.UNKNOWN_OUTCOME;
             boolean again = f.kind() == ErrorKind.NOT_OWNER || f.kind() == ErrorKind.UNREACHABLE
                 || f.kind() == ErrorKind.STOPPING || f.kind() == ErrorKind.UNKNOWN_OUTCOME;
@@ -222,10 +222,10 @@
                 return Mono.error(f);
             }
             if (env.times().mono().compareTo(until) >= 0) {
-                return Mono.error(nowUnknown ? new Fault(ErrorKind.UNKNOWN_OUTCOME,
+                return Mono.error(nowUnknown ? new ServiceException(ErrorKind.UNKNOWN_OUTCOME,
                     "It is not known whether this was taken; ask again with the same request id.") : f);
             }
-            return Pauses.pause(env.schedules(), AGAIN)
+            return Delays.pause(env.schedules(), AGAIN)
                 .then(Mono.defer(() -> ask(part, body, type, until, nowUnknown)));
         });
     }
@@ -234,7 +234,7 @@
         return parts.get(part).replica();
     }
 
-    public LampMachine machine(String part) {
+    public ControlStateMachine machine(String part) {
         return parts.get(part).machine();
     }
 
--- a/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/Operators.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/Operators.java
@@ -1,4 +1,4 @@
-package org.woadvale.lighthouse.lamp;
+package org.woadvale.controlplane.partition;
 
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -6,16 +6,16 @@
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 
-import org.woadvale.foundation.beam.Since;
-import org.woadvale.foundation.chart.Charts;
-import org.woadvale.foundation.gate.Answer;
-import org.woadvale.foundation.gate.Request;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.watch.Asks;
-import org.woadvale.foundation.watch.Places;
-import org.woadvale.foundation.watch.Processor;
-import org.woadvale.foundation.watch.ServiceView;
+import org.woadvale.common.rpc.Since;
+import org.woadvale.common.config.Configurations;
+import org.woadvale.common.http.Answer;
+import org.woadvale.common.http.Request;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.membership.ControlMessages;
+import org.woadvale.common.membership.ServiceNames;
+import org.woadvale.common.membership.Processor;
+import org.woadvale.common.membership.ServiceView;
 
 import reactor.core.publisher.Mono;
 
@@ -24,7 +24,7 @@
     public static final int MAX_LAYOUT = 1 << 20;
 
     /** Carried from the asked lighthouse to the owner of part 0. */
-    public record LayoutPut(Asks.PutLayout put) { }
+    public record LayoutPut(ControlMessages.PutLayout put) { }
 
     public record LayoutGet(long version) { }
 
@@ -39,55 +39,55 @@
     public record Processors(Map<String, Processor> processors, long version) { }
 
     public static List<Class<?>> types() {
-        return List.of(LampMachine.State.class, LayoutLog.Step.class, LayoutPut.class, LayoutGet.class,
+        return List.of(ControlStateMachine.State.class, ConfigurationLog.Step.class, LayoutPut.class, LayoutGet.class,
             LayoutIs.class, HistoryGet.class, History.class, ProcessorsGet.class, Processors.class,
-            LayoutLog.Known.class);
+            ConfigurationLog.Known.class);
     }
 
-    private final LampNode node;
+    private final ControlNode node;
     private final String operatorKeySha256;
     private final Platform platform;
 
-    public Operators(LampNode node, String operatorKeySha256) {
+    public Operators(ControlNode node, String operatorKeySha256) {
         this.node = node;
         this.operatorKeySha256 = operatorKeySha256;
         this.platform = new Platform(node);
     }
 
-    public void route(org.woadvale.foundation.beam.Router router) {
-        LampMachine m = node.machine("c0");
-        router.on(LayoutPut.class, (f, a) -> node.replica("c0").propose(a.put(), Asks.LayoutTaken.class))
+    public void route(org.woadvale.common.rpc.RpcRouter router) {
+        ControlStateMachine m = node.machine("c0");
+        router.on(LayoutPut.class, (f, a) -> node.replica("c0").propose(a.put(), ControlMessages.LayoutTaken.class))
             .on(LayoutGet.class, (f, a) -> node.replica("c0").read(i -> m.layouts().steps())
                 .flatMap(steps -> pick(steps, a.version())))
             .on(HistoryGet.class, (f, a) -> node.replica("c0").read(i -> m.layouts().steps()).map(s -> new History(
-                s.stream().map(LayoutLog.Step::version).toList(), s.stream().map(LayoutLog.Step::requestId).toList(),
-                s.stream().map(LayoutLog.Step::author).toList())))
-            .on(ProcessorsGet.class, (f, a) -> node.replica(Places.controlPart(a.service()))
+                s.stream().map(ConfigurationLog.Step::version).toList(), s.stream().map(ConfigurationLog.Step::requestId).toList(),
+                s.stream().map(ConfigurationLog.Step::author).toList())))
+            .on(ProcessorsGet.class, (f, a) -> node.replica(ServiceNames.controlPart(a.service()))
                 .read(i -> {
-                    ServiceView v = node.machine(Places.controlPart(a.service())).service(a.service());
+                    ServiceView v = node.machine(ServiceNames.controlPart(a.service())).service(a.service());
                     return new Processors(v.processors(), v.version());
                 }));
     }
 
-    private static Mono<LayoutIs> pick(List<LayoutLog.Step> steps, long version) {
+    private static Mono<LayoutIs> pick(List<ConfigurationLog.Step> steps, long version) {
         if (steps.isEmpty() && version <= 0) {
-            return Mono.just(new LayoutIs(0, "", Charts.write(org.woadvale.foundation.chart.Layout.empty()),
+            return Mono.just(new LayoutIs(0, "", Configurations.write(org.woadvale.common.config.Configuration.empty()),
                 new byte[0]));
         }
         return Mono.justOrEmpty(steps.stream()
             .filter(s -> version < 0 ? s == steps.get(steps.size() - 1) : s.version() == version).findFirst()
             .map(s -> new LayoutIs(s.version(), s.author(), s.layout(), s.original())))
-            .switchIfEmpty(Mono.error(new Fault(ErrorKind.NOT_FOUND, "The version " + version + " is not kept.")));
+            .switchIfEmpty(Mono.error(new ServiceException(ErrorKind.NOT_FOUND, "The version " + version + " is not kept.")));
     }
 
     public Mono<Answer> answer(Request q) {
-        return Mono.defer(() -> route(q)).onErrorResume(e -> Mono.just(Answer.of(softened(Fault.of(e)))));
+        return Mono.defer(() -> route(q)).onErrorResume(e -> Mono.just(Answer.of(softened(ServiceException.of(e)))));
     }
 
     /** Where the owner was not found nothing was written; where it was lost midway nobody knows yet. */
-    private static Fault softened(Fault f) {
+    private static ServiceException softened(ServiceException f) {
         return f.kind() == ErrorKind.NOT_OWNER || f.kind() == ErrorKind.UNREACHABLE
-            ? new Fault(ErrorKind.UNAVAILABLE, "No owner of the part could be reached.") : f;
+            ? new ServiceException(ErrorKind.UNAVAILABLE, "No owner of the part could be reached.") : f;
     }
 
     private Mono<Answer> route(Request q) {
@@ -101,8 +101,8 @@
             return Mono.just(Answer.json(200, Map.of("parts", node.status(), "lighthouses", node.lighthouses())));
         }
         if (!operatorKeySha256.isEmpty()
-                && q.secret().map(Charts::sha256).filter(operatorKeySha256::equals).isEmpty()) {
-            return Mono.error(new Fault(ErrorKind.UNAUTHORISED, "The operator key is missing or wrong."));
+                && q.secret().map(Configurations::sha256).filter(operatorKeySha256::equals).isEmpty()) {
+            return Mono.error(new ServiceException(ErrorKind.UNAUTHORISED, "The operator key is missing or wrong."));
         }
         return switch (op) {
             case "PUT v1/layout" -> put(q);
@@ -110,38 +110,38 @@
             case "POST v1/drain" -> Mono.just(Answer.json(200, Map.of("drained", node.drain())));
             case "GET v1/services", "PUT v1/services", "DELETE v1/services" -> platform.processors(q, s);
             case "PUT v1/core" -> platform.core(q);
-            default -> Mono.error(new Fault(ErrorKind.NOT_FOUND, "No such place: " + q.path() + "."));
+            default -> Mono.error(new ServiceException(ErrorKind.NOT_FOUND, "No such place: " + q.path() + "."));
         };
     }
 
     private Mono<Answer> put(Request q) {
         try {
-            Charts.layout(q.body());
-        } catch (Fault e) {
+            Configurations.layout(q.body());
+        } catch (ServiceException e) {
             return Mono.error(e);
         }
         Optional<Long> base = q.header("if-match").map(h -> h.replace("\"", "")).filter(h -> h.matches("[0-9]{1,18}"))
             .map(Long::valueOf);
         if (base.isEmpty()) {
-            return Mono.error(new Fault(ErrorKind.BAD_REQUEST, "If-Match must carry the base version, a whole number."));
+            return Mono.error(new ServiceException(ErrorKind.BAD_REQUEST, "If-Match must carry the base version, a whole number."));
         }
         String id = q.header("x-request-id").orElseGet(() -> "auto-" + ThreadLocalRandom.current().nextLong());
         if (!id.matches("[A-Za-z0-9._-]{1,64}")) {
-            return Mono.error(new Fault(ErrorKind.BAD_REQUEST, "X-Request-Id must be 1 to 64 letters, digits, . _ -"));
+            return Mono.error(new ServiceException(ErrorKind.BAD_REQUEST, "X-Request-Id must be 1 to 64 letters, digits, . _ -"));
         }
-        Asks.PutLayout put = new Asks.PutLayout(id, base.get(), q.body(), q.header("x-author").orElse(""));
+        ControlMessages.PutLayout put = new ControlMessages.PutLayout(id, base.get(), q.body(), q.header("x-author").orElse(""));
         return put(put)
             .map(t -> Answer.json(200, Map.of("version", t.version(), "repeated", t.repeated(), "requestId", id))
                 .with("ETag", "\"" + t.version() + "\""));
     }
 
-    public LampNode node() {
+    public ControlNode node() {
         return node;
     }
 
     /** Checked by the caller; the answer is a definite yes or no, or UNKNOWN_OUTCOME. design 6.4 */
-    public Mono<Asks.LayoutTaken> put(Asks.PutLayout p) {
-        return node.ask("c0", new LayoutPut(p), Asks.LayoutTaken.class);
+    public Mono<ControlMessages.LayoutTaken> put(ControlMessages.PutLayout p) {
+        return node.ask("c0", new LayoutPut(p), ControlMessages.LayoutTaken.class);
     }
 
     /** A kept layout by its version, the newest for -1. */
--- a/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/Roll.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/ProcessorRegistry.java
@@ -1,4 +1,4 @@
-package org.woadvale.lighthouse.lamp;
+package org.woadvale.controlplane.partition;
 
 import java.time.Duration;
 import java.util.HashMap;
@@ -9,32 +9,32 @@
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.woadvale.foundation.chart.Charts;
-import org.woadvale.foundation.chart.Layout;
-import org.woadvale.foundation.keeper.Env;
-import org.woadvale.foundation.keeper.Replica;
-import org.woadvale.foundation.lantern.Component;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.lantern.Schedule;
-import org.woadvale.foundation.watch.Asks;
-import org.woadvale.foundation.watch.Places;
-import org.woadvale.foundation.watch.Processor;
+import org.woadvale.common.config.Configurations;
+import org.woadvale.common.config.Configuration;
+import org.woadvale.common.replication.Env;
+import org.woadvale.common.replication.Replica;
+import org.woadvale.common.runtime.Component;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.runtime.TimerHandle;
+import org.woadvale.common.membership.ControlMessages;
+import org.woadvale.common.membership.ServiceNames;
+import org.woadvale.common.membership.Processor;
 
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
 /** The owner of part c0 reads the registry for all; whole lists are written, and only where they differ. design 6.7 */
-public final class Roll implements Component {
+public final class ProcessorRegistry implements Component {
     private static final Logger LOG = LogManager.getLogger("watch");
     private final Env env;
-    private final LampNode node;
+    private final ControlNode node;
     private final Registry registry;
     private final Duration period;
     private final AtomicBoolean asking = new AtomicBoolean();
-    private Schedule looking = () -> { };
+    private TimerHandle looking = () -> { };
     private boolean troubled;
 
-    public Roll(Env env, LampNode node, Registry registry, Duration period) {
+    public ProcessorRegistry(Env env, ControlNode node, Registry registry, Duration period) {
         this.env = env;
         this.node = node;
         this.registry = registry;
@@ -63,16 +63,16 @@
 
     /** Services that have a list; none as long as no layout was taken. */
     private Set<String> listed() {
-        byte[] json = node.replica("c0").look(i -> node.machine("c0").service(Places.LAYOUT)).layout();
+        byte[] json = node.replica("c0").look(i -> node.machine("c0").service(ServiceNames.LAYOUT)).layout();
         Set<String> out = new TreeSet<>();
         if (json.length > 0) {
             try {
-                Charts.taken(json).services().forEach((n, s) -> {
-                    if (s.kind() == Layout.Kind.PROCESSORS) {
+                Configurations.taken(json).services().forEach((n, s) -> {
+                    if (s.kind() == Configuration.Kind.PROCESSORS) {
                         out.add(n);
                     }
                 });
-            } catch (Fault e) {
+            } catch (ServiceException e) {
                 LOG.error("watch: the layout is unreadable here: {}", e.details());
             }
         }
@@ -97,21 +97,21 @@
 
     private void trouble(Throwable e) {
         if (!troubled) {
-            LOG.warn("watch: the registry of processors cannot be read: {}", Fault.of(e).getMessage());
+            LOG.warn("watch: the registry of processors cannot be read: {}", ServiceException.of(e).getMessage());
         }
         troubled = true;
     }
 
     /** Of two readings the later is written last: one is under way at a time, and by the owner of c0 only. */
     private Mono<Boolean> take(String service, Map<String, Processor> list) {
-        String key = Places.processors(service);
-        return node.ask(Places.controlPart(key), new Operators.ProcessorsGet(key), Operators.Processors.class)
+        String key = ServiceNames.processors(service);
+        return node.ask(ServiceNames.controlPart(key), new Operators.ProcessorsGet(key), Operators.Processors.class)
             .flatMap(p -> {
                 if (p.processors().equals(list) || !mine()) {
                     return Mono.just(true);
                 }
-                return node.ask(Places.controlPart(key), new Asks.PutProcessors(key, new HashMap<>(list), p.version() + 1),
-                    Asks.Done.class).map(Asks.Done::ok);
+                return node.ask(ServiceNames.controlPart(key), new ControlMessages.PutProcessors(key, new HashMap<>(list), p.version() + 1),
+                    ControlMessages.Done.class).map(ControlMessages.Done::ok);
             });
     }
 }
--- a/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/Registry.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/Registry.java
@@ -1,8 +1,8 @@
-package org.woadvale.lighthouse.lamp;
+package org.woadvale.controlplane.partition;
 
 import java.util.Map;
 
-import org.woadvale.foundation.watch.Processor;
+import org.woadvale.common.membership.Processor;
 
 import reactor.core.publisher.Mono;
 
--- a/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/Evening.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/ReplicaBalancer.java
@@ -1,4 +1,4 @@
-package org.woadvale.lighthouse.lamp;
+package org.woadvale.controlplane.partition;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -11,11 +11,11 @@
 import java.util.Optional;
 import java.util.Set;
 
-import org.woadvale.foundation.watch.Seat;
-import org.woadvale.foundation.watch.ServiceView;
+import org.woadvale.common.membership.MemberLease;
+import org.woadvale.common.membership.ServiceView;
 
 /** Gives a store that joined its share, one change at a time, and only while nobody comes or goes. design 6.5 */
-final class Evening {
+final class ReplicaBalancer {
     private static final Duration QUIET = Duration.ofSeconds(15);
     private static final Duration BETWEEN = Duration.ofSeconds(3);
 
@@ -63,7 +63,7 @@
         return List.copyOf(out);
     }
 
-    private static long halls(Map<String, Seat> seats, List<String> copies) {
+    private static long halls(Map<String, MemberLease> seats, List<String> copies) {
         return new HashSet<>(copies.stream().map(c -> seats.get(c).hall()).toList()).size();
     }
 
--- a/lighthouse/src/main/java/org/woadvale/lighthouse/lamp/Placing.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/ReplicaPlacement.java
@@ -1,4 +1,4 @@
-package org.woadvale.lighthouse.lamp;
+package org.woadvale.controlplane.partition;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -11,12 +11,12 @@
 import java.util.Set;
 import java.util.TreeMap;
 
-import org.woadvale.foundation.watch.Places;
-import org.woadvale.foundation.watch.Seat;
-import org.woadvale.foundation.watch.ServiceView;
+import org.woadvale.common.membership.ServiceNames;
+import org.woadvale.common.membership.MemberLease;
+import org.woadvale.common.membership.ServiceView;
 
 /** Draws three stores in different halls for each message part; moves as little as it can, a few at a time. design 6.5 */
-final class Placing {
+final class ReplicaPlacement {
     static final int COPIES = 3;
     /** A store is replaced only after it has been away for so long. */
     static final Duration GIVEN_UP = Duration.ofSeconds(10);
@@ -29,7 +29,7 @@
 
     private final Map<String, Duration> lastSeen = new HashMap<>();
     private final Map<String, Move> moving = new HashMap<>();
-    private final Evening evening = new Evening();
+    private final ReplicaBalancer evening = new ReplicaBalancer();
     private Duration firstFull = Duration.ZERO;
 
     /** The placement that should be; the present one where nothing is to be done. */
@@ -45,7 +45,7 @@
             return present;
         }
         Map<String, List<String>> out = new TreeMap<>(present);
-        for (String part : Places.messageParts()) {
+        for (String part : ServiceNames.messageParts()) {
             Optional<List<String>> repaired = repaired(v, part, out, now);
             if (repaired.isPresent() && !moving.containsKey(part)) {
                 List<String> copies = repaired.get();
@@ -89,7 +89,7 @@
         return Optional.empty();
     }
 
-    private Map<String, List<String>> first(Map<String, Seat> seats, Duration now) {
+    private Map<String, List<String>> first(Map<String, MemberLease> seats, Duration now) {
         if (seats.size() < COPIES) {
             return Map.of();
         }
@@ -99,7 +99,7 @@
             return Map.of();
         }
         Map<String, List<String>> out = new TreeMap<>();
-        for (String part : Places.messageParts()) {
+        for (String part : ServiceNames.messageParts()) {
             List<String> copies = new ArrayList<>();
             while (copies.size() < COPIES) {
                 copies.add(candidates(seats, copies, out).get(0));
@@ -111,17 +111,17 @@
 
     /** The first of the list founds and is drawn as owner first: spread that evenly. */
     private static List<String> firstByTurn(List<String> copies, Map<String, List<String>> out) {
-        Map<String, Integer> firsts = Evening.firsts(out);
+        Map<String, Integer> firsts = ReplicaBalancer.firsts(out);
         List<String> sorted = new ArrayList<>(copies);
         sorted.sort(Comparator.<String>comparingInt(n -> firsts.getOrDefault(n, 0)).thenComparing(n -> n));
         return List.copyOf(sorted);
     }
 
     /** Those not yet used, other halls first, then the least loaded. */
-    private static List<String> candidates(Map<String, Seat> seats, List<String> used, Map<String, List<String>> out) {
+    private static List<String> candidates(Map<String, MemberLease> seats, List<String> used, Map<String, List<String>> out) {
         Set<String> halls = new HashSet<>();
         used.forEach(u -> halls.add(seats.containsKey(u) ? seats.get(u).hall() : "?"));
-        Map<String, Integer> load = Evening.load(out);
+        Map<String, Integer> load = ReplicaBalancer.load(out);
         return seats.keySet().stream().filter(n -> !used.contains(n))
             .sorted(Comparator.<String>comparingInt(n -> halls.contains(seats.get(n).hall()) ? 1 : 0)
                 .thenComparingInt(n -> load.getOrDefault(n, 0)).thenComparing(n -> n))
--- a/lighthouse/src/test/java/org/woadvale/lighthouse/lamp/LayoutLogTest.java
+++ b/controlplane/src/test/java/org/woadvale/controlplane/partition/ConfigurationLogTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.lighthouse.lamp;
+package org.woadvale.controlplane.partition;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -7,32 +7,32 @@
 import java.nio.charset.StandardCharsets;
 
 import org.junit.jupiter.api.Test;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.watch.Asks;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.membership.ControlMessages;
 
 /** Revisions, originals and repeats: design 6.8 and 6.4. */
-class LayoutLogTest {
-    private final LayoutLog log = new LayoutLog(1 << 20);
+class ConfigurationLogTest {
+    private final ConfigurationLog log = new ConfigurationLog(1 << 20);
 
     private static byte[] bytes(String s) {
         return s.getBytes(StandardCharsets.UTF_8);
     }
 
     private Object put(String id, long base, long revision, String original) {
-        return log.put(new Asks.PutLayout(id, base, bytes("{}"), "me", revision, bytes(original)));
+        return log.put(new ControlMessages.PutLayout(id, base, bytes("{}"), "me", revision, bytes(original)));
     }
 
     private static ErrorKind kind(Object o) {
-        return ((Fault) o).kind();
+        return ((ServiceException) o).kind();
     }
 
     @Test
     void ownRevisionIsTheVersionAndRisesInUnevenSteps() {
-        assertEquals(new Asks.LayoutTaken(3, false), put("a", 0, 3, "A"));
-        assertEquals(new Asks.LayoutTaken(17, false), put("b", 3, 17, "B"));
+        assertEquals(new ControlMessages.LayoutTaken(3, false), put("a", 0, 3, "A"));
+        assertEquals(new ControlMessages.LayoutTaken(17, false), put("b", 3, 17, "B"));
         assertEquals(17, log.version());
-        assertEquals(new Asks.LayoutTaken(18, false), log.put(new Asks.PutLayout("c", 17, bytes("{}"), "me")));
+        assertEquals(new ControlMessages.LayoutTaken(18, false), log.put(new ControlMessages.PutLayout("c", 17, bytes("{}"), "me")));
     }
 
     @Test
@@ -46,18 +46,18 @@
     @Test
     void ofTwoOnOneBaseTheSecondIsStale() {
         put("a", 0, 5, "A");
-        assertEquals(new Asks.LayoutTaken(7, false), put("b", 5, 7, "B"));
+        assertEquals(new ControlMessages.LayoutTaken(7, false), put("b", 5, 7, "B"));
         Object lost = put("c", 5, 8, "C");
         assertEquals(ErrorKind.STALE_BASE, kind(lost));
-        assertTrue(((Fault) lost).details().contains("7"), "the present one is named");
+        assertTrue(((ServiceException) lost).details().contains("7"), "the present one is named");
     }
 
     @Test
     void sameTextAgainHasTheSameAnswerEvenLater() {
         put("a", 0, 5, "A");
         put("b", 5, 7, "B");
-        assertEquals(new Asks.LayoutTaken(5, true), put("a", 0, 5, "A"));
-        assertEquals(new Asks.LayoutTaken(7, true), put("b", 5, 7, "B"));
+        assertEquals(new ControlMessages.LayoutTaken(5, true), put("a", 0, 5, "A"));
+        assertEquals(new ControlMessages.LayoutTaken(7, true), put("b", 5, 7, "B"));
         assertEquals(ErrorKind.CONFLICT, kind(put("a", 0, 5, "other text")));
     }
 
@@ -73,25 +73,25 @@
     void restoredLogAnswersAlike() {
         put("a", 0, 5, "A");
         put("b", 5, 7, "B");
-        LayoutLog other = new LayoutLog(1 << 20);
+        ConfigurationLog other = new ConfigurationLog(1 << 20);
         other.restore(log.steps(), log.known());
         assertEquals(7, other.version());
         assertArrayEquals(bytes("B"), other.steps().get(1).original());
-        assertEquals(new Asks.LayoutTaken(5, true), other.put(new Asks.PutLayout("a", 0, bytes("{}"), "me", 5, bytes("A"))));
+        assertEquals(new ControlMessages.LayoutTaken(5, true), other.put(new ControlMessages.PutLayout("a", 0, bytes("{}"), "me", 5, bytes("A"))));
     }
 
     /** Originals count towards the bound, the ids stay. */
     @Test
     void boundHoldsWithOriginals() {
-        LayoutLog small = new LayoutLog(1000);
+        ConfigurationLog small = new ConfigurationLog(1000);
         long base = 0;
         for (int i = 1; i <= 20; i++) {
-            small.put(new Asks.PutLayout("id" + i, base, bytes("{}"), "me", i * 3L, bytes("x".repeat(300))));
+            small.put(new ControlMessages.PutLayout("id" + i, base, bytes("{}"), "me", i * 3L, bytes("x".repeat(300))));
             base = i * 3L;
         }
         assertEquals(60, small.version());
         assertTrue(small.steps().size() <= 3, small.steps().size() + " kept");
-        assertEquals(new Asks.LayoutTaken(3, true),
-            small.put(new Asks.PutLayout("id1", 0, bytes("{}"), "me", 3, bytes("x".repeat(300)))));
+        assertEquals(new ControlMessages.LayoutTaken(3, true),
+            small.put(new ControlMessages.PutLayout("id1", 0, bytes("{}"), "me", 3, bytes("x".repeat(300)))));
     }
 }
