--- a/pilot/src/main/java/org/woadvale/pilot/Layouts.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/ConfigurationView.java
@@ -1,4 +1,4 @@
-package org.woadvale.pilot;
+package org.woadvale.dataplane;
 
 import java.util.Comparator;
 import java.util.HashMap;
@@ -9,26 +9,26 @@
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.woadvale.foundation.beacon.News;
-import org.woadvale.foundation.chart.Charts;
-import org.woadvale.foundation.chart.Layout;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.tide.Allowance;
-import org.woadvale.foundation.watch.Places;
-import org.woadvale.foundation.watch.ServiceView;
+import org.woadvale.common.discovery.ViewSubscriptions;
+import org.woadvale.common.config.Configurations;
+import org.woadvale.common.config.Configuration;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.ratelimit.RateLimit;
+import org.woadvale.common.membership.ServiceNames;
+import org.woadvale.common.membership.ServiceView;
 
 /** The layout as this node may use it: only while its age is proven. design 7.2 */
-public final class Layouts {
+public final class ConfigurationView {
     private static final Logger LOG = LogManager.getLogger("beacon");
     /** A leaving bucket's burst, in seconds of its rate: any 5 s stay within a tenth of the rate. design 8.3 */
     private static final double LEAVING_BURST_S = 0.4;
 
     /** A layout, read once. */
-    public record Known(long version, Layout layout, Map<String, Layout.Key> keysByHash,
-                        Map<String, Allowance> allowances, Map<String, TreeMap<String, String>> doors) {
-        public Optional<Layout.Key> key(String secret) {
-            return Optional.ofNullable(keysByHash.get(Charts.sha256(secret)));
+    public record Known(long version, Configuration layout, Map<String, Configuration.Key> keysByHash,
+                        Map<String, RateLimit> allowances, Map<String, TreeMap<String, String>> doors) {
+        public Optional<Configuration.Key> key(String secret) {
+            return Optional.ofNullable(keysByHash.get(Configurations.sha256(secret)));
         }
 
         /** The lane whose door has the host and the longest beginning of the path. design 9.12 */
@@ -39,13 +39,13 @@
         }
     }
 
-    private final News news;
+    private final ViewSubscriptions news;
     private volatile Known known = read(0, new byte[0]);
 
-    public Layouts(News news) {
+    public ConfigurationView(ViewSubscriptions news) {
         this.news = news;
         news.onView((service, v) -> {
-            if (service.equals(Places.LAYOUT)) {
+            if (service.equals(ServiceNames.LAYOUT)) {
                 take(v);
             }
         });
@@ -60,18 +60,18 @@
     }
 
     private static Known read(long version, byte[] json) {
-        Layout l = Layout.empty();
+        Configuration l = Configuration.empty();
         try {
-            l = json.length == 0 ? l : Charts.taken(json);
-        } catch (Fault e) {
+            l = json.length == 0 ? l : Configurations.taken(json);
+        } catch (ServiceException e) {
             LOG.error("beacon: layout {} is unreadable here: {}", version, e.details());
         }
-        Map<String, Layout.Key> keys = new HashMap<>();
+        Map<String, Configuration.Key> keys = new HashMap<>();
         l.keys().values().forEach(k -> keys.put(k.sha256(), k));
-        Map<String, Allowance> allowances = new TreeMap<>();
-        l.tenants().forEach((n, t) -> allowances.put(Places.tenantBucket(n), new Allowance(t.ratePerS(), t.burstSize())));
+        Map<String, RateLimit> allowances = new TreeMap<>();
+        l.tenants().forEach((n, t) -> allowances.put(ServiceNames.tenantBucket(n), new RateLimit(t.ratePerS(), t.burstSize())));
         l.services().forEach((n, x) -> leaving(n, x).ifPresent(b ->
-            allowances.put(b, new Allowance(x.ratePerS(), Math.max(1, x.ratePerS() * LEAVING_BURST_S)))));
+            allowances.put(b, new RateLimit(x.ratePerS(), Math.max(1, x.ratePerS() * LEAVING_BURST_S)))));
         Map<String, TreeMap<String, String>> doors = new HashMap<>();
         l.lanes().forEach((n, lane) -> lane.doors().forEach(d ->
             doors.computeIfAbsent(d.host(), h -> new TreeMap<>()).put(d.prefix(), n)));
@@ -79,18 +79,18 @@
     }
 
     public Optional<Known> fresh() {
-        return news.fresh(Places.LAYOUT).map(v -> v.layoutVersion() == known.version() ? known : take(v));
+        return news.fresh(ServiceNames.LAYOUT).map(v -> v.layoutVersion() == known.version() ? known : take(v));
     }
 
-    public Known require() throws Fault {
+    public Known require() throws ServiceException {
         return fresh().orElseThrow(() ->
-            new Fault(ErrorKind.STALE_VIEW, "This node is not in touch with the core."));
+            new ServiceException(ErrorKind.STALE_VIEW, "This node is not in touch with the core."));
     }
 
     /** The bucket that paces a service; empty where it is not paced. */
-    private static Optional<String> leaving(String name, Layout.Service s) {
+    private static Optional<String> leaving(String name, Configuration.Service s) {
         return s.ratePerS() <= 0 ? Optional.empty()
-            : Optional.of(s.kind() == Layout.Kind.ENDPOINT ? Places.endpointBucket(s.address()) : "fetch/" + name);
+            : Optional.of(s.kind() == Configuration.Kind.ENDPOINT ? ServiceNames.endpointBucket(s.address()) : "fetch/" + name);
     }
 
     /** The same by the layout that is proven fresh; all empty where none is. */
@@ -99,7 +99,7 @@
     }
 
     /** The allowance behind a bucket's name; empty where the layout has none or is not proven fresh. */
-    public Optional<Allowance> allowance(String bucket) {
+    public Optional<RateLimit> allowance(String bucket) {
         return fresh().flatMap(k -> Optional.ofNullable(k.allowances().get(bucket)));
     }
 
--- a/pilot/src/main/java/org/woadvale/pilot/StoreSeats.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/PartitionReplicas.java
@@ -1,4 +1,4 @@
-package org.woadvale.pilot;
+package org.woadvale.dataplane;
 
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -7,18 +7,18 @@
 import java.util.Set;
 import java.util.TreeMap;
 
-import org.woadvale.foundation.beacon.News;
-import org.woadvale.foundation.keeper.Env;
-import org.woadvale.foundation.watch.Places;
-import org.woadvale.pilot.berth.Berths;
+import org.woadvale.common.discovery.ViewSubscriptions;
+import org.woadvale.common.replication.Env;
+import org.woadvale.common.membership.ServiceNames;
+import org.woadvale.dataplane.queue.MessagePartitions;
 
 /** In which message parts this store counts, and which it owns: design 6.5. Empty on a node that is no store. */
-final class StoreSeats {
+final class PartitionReplicas {
     private final Env env;
-    private final News news;
-    private final Optional<Berths> berths;
+    private final ViewSubscriptions news;
+    private final Optional<MessagePartitions> berths;
 
-    StoreSeats(Env env, News news, Optional<Berths> berths) {
+    PartitionReplicas(Env env, ViewSubscriptions news, Optional<MessagePartitions> berths) {
         this.env = env;
         this.news = news;
         this.berths = berths;
@@ -32,7 +32,7 @@
     }
 
     private List<String> mine() {
-        return berths.isEmpty() ? List.of() : news.latest(Places.STORES).placement().entrySet().stream()
+        return berths.isEmpty() ? List.of() : news.latest(ServiceNames.STORES).placement().entrySet().stream()
             .filter(e -> e.getValue().contains(env.self())).map(Map.Entry::getKey).sorted().toList();
     }
 
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Clocks.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/Clocks.java
@@ -1,12 +1,12 @@
-package org.woadvale.pilot.launch;
+package org.woadvale.dataplane.delivery;
 
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 
-import org.woadvale.foundation.keeper.Env;
-import org.woadvale.pilot.berth.Commands;
+import org.woadvale.common.replication.Env;
+import org.woadvale.dataplane.queue.Commands;
 
 import reactor.core.publisher.Mono;
 
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Post.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/DeliveryClient.java
@@ -1,4 +1,4 @@
-package org.woadvale.pilot.launch;
+package org.woadvale.dataplane.delivery;
 
 import java.time.Duration;
 import java.util.Map;
@@ -8,7 +8,7 @@
 
 /** Seam to the back ends: fails with UNREACHABLE if nothing was sent, else with UNKNOWN_OUTCOME. */
 @FunctionalInterface
-public interface Post {
+public interface DeliveryClient {
     /** Header names are in lower case. */
     record Reply(int status, Map<String, String> headers, byte[] body) {
         public Reply(int status, byte[] body) {
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Ticket.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/DeliveryPermit.java
@@ -1,31 +1,31 @@
-package org.woadvale.pilot.launch;
+package org.woadvale.dataplane.delivery;
 
 import java.util.Optional;
 
-import org.woadvale.foundation.tide.Purse;
-import org.woadvale.foundation.tide.Purses;
-import org.woadvale.pilot.berth.Berths.Berth;
-import org.woadvale.pilot.berth.Message;
+import org.woadvale.common.ratelimit.LocalBucket;
+import org.woadvale.common.ratelimit.LocalBuckets;
+import org.woadvale.dataplane.queue.MessagePartitions.MessagePartition;
+import org.woadvale.dataplane.queue.Message;
 
 /** What a delivery spends: read units of the store, and a leaving pass where the service is paced. */
-final class Ticket {
+final class DeliveryPermit {
     private static final int READ_UNIT = 4096;
-    private final Purses purses;
+    private final LocalBuckets purses;
     private final String bucket;
-    private final Optional<Purse.Pass> pass;
+    private final Optional<LocalBucket.Pass> pass;
 
-    private Ticket(Purses purses, String bucket, Optional<Purse.Pass> pass) {
+    private DeliveryPermit(LocalBuckets purses, String bucket, Optional<LocalBucket.Pass> pass) {
         this.purses = purses;
         this.bucket = bucket;
         this.pass = pass;
     }
 
-    static Optional<Ticket> draw(Kit kit, Berth berth, Message m, String service) {
-        Optional<Ticket> t = draw(kit, service);
+    static Optional<DeliveryPermit> draw(DispatchContext kit, MessagePartition berth, Message m, String service) {
+        Optional<DeliveryPermit> t = draw(kit, service);
         if (t.isEmpty()) {
             return t;
         }
-        Ticket ticket = t.get();
+        DeliveryPermit ticket = t.get();
         if (!kit.berths().spend(berth, (m.body().length + READ_UNIT - 1) / READ_UNIT)) {
             ticket.putBack();
             return Optional.empty();
@@ -34,11 +34,11 @@
     }
 
     /** None where the pass is missing, or where it is not known whether one is needed. */
-    static Optional<Ticket> draw(Kit kit, String service) {
+    static Optional<DeliveryPermit> draw(DispatchContext kit, String service) {
         return kit.layouts().leavingBucket(service).flatMap(bucket -> {
-            Optional<Purse.Pass> pass = bucket.flatMap(kit.purses()::tryTake);
+            Optional<LocalBucket.Pass> pass = bucket.flatMap(kit.purses()::tryTake);
             return bucket.isPresent() && pass.isEmpty() ? Optional.empty()
-                : Optional.of(new Ticket(kit.purses(), bucket.orElse(""), pass));
+                : Optional.of(new DeliveryPermit(kit.purses(), bucket.orElse(""), pass));
         });
     }
 
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Speech.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/DeliveryProtocol.java
@@ -1,16 +1,16 @@
-package org.woadvale.pilot.launch;
+package org.woadvale.dataplane.delivery;
 
 import java.time.Duration;
 import java.util.function.BooleanSupplier;
 
-import org.woadvale.pilot.berth.Message;
+import org.woadvale.dataplane.queue.Message;
 
 /** Seam: how a delivery is written for a back end, and what its answer means. design 9.3 */
-public interface Speech {
+public interface DeliveryProtocol {
     /** The request for one attempt; limit is how long the attempt may take. */
-    Post.Call push(Message m, Targets.Target to, Duration limit, BooleanSupplier still);
+    DeliveryClient.Call push(Message m, Targets.Target to, Duration limit, BooleanSupplier still);
 
-    Verdict read(Message m, Post.Reply r);
+    Verdict read(Message m, DeliveryClient.Reply r);
 
     /** Whether a back end can be asked what became of an attempt. */
     boolean inquires();
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Launcher.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/Dispatcher.java
@@ -1,4 +1,4 @@
-package org.woadvale.pilot.launch;
+package org.woadvale.dataplane.delivery;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -11,35 +11,35 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 
-import org.woadvale.foundation.chart.Layout;
-import org.woadvale.foundation.tide.Allowance;
-import org.woadvale.foundation.tide.Bucket;
-import org.woadvale.foundation.watch.Places;
-import org.woadvale.pilot.berth.Berths.Berth;
-import org.woadvale.pilot.berth.Commands;
-import org.woadvale.pilot.berth.LaneTerms;
-import org.woadvale.pilot.berth.Message;
-import org.woadvale.pilot.berth.Startable;
+import org.woadvale.common.config.Configuration;
+import org.woadvale.common.ratelimit.RateLimit;
+import org.woadvale.common.ratelimit.Bucket;
+import org.woadvale.common.membership.ServiceNames;
+import org.woadvale.dataplane.queue.MessagePartitions.MessagePartition;
+import org.woadvale.dataplane.queue.Commands;
+import org.woadvale.dataplane.queue.RouteTerms;
+import org.woadvale.dataplane.queue.Message;
+import org.woadvale.dataplane.queue.ReadyQueue;
 
 import reactor.core.publisher.Mono;
 
 /** Lets the messages of one part out, while this node owns it: design 9.3. */
-public final class Launcher {
+public final class Dispatcher {
     private static final int LOOK_AHEAD = 64;
     private static final Duration SHORTLY = Duration.ofMillis(20);
     private static final Duration FIRST_BACKOFF = Duration.ofMillis(50);
     private static final Duration LONGEST_BACKOFF = Duration.ofSeconds(20);
     /** Retries of a tenant on a lane in a part: a flood that cannot succeed spends only these. */
-    private static final Allowance RETRIES = new Allowance(5, 10);
+    private static final RateLimit RETRIES = new RateLimit(5, 10);
 
-    private final Kit kit;
-    private final Berth berth;
+    private final DispatchContext kit;
+    private final MessagePartition berth;
     private final Set<String> busy = ConcurrentHashMap.newKeySet();
     private final Map<String, Bucket> retries = new HashMap<>();
     private final Leases leases;
     private int turn;
 
-    public Launcher(Kit kit, Berth berth) {
+    public Dispatcher(DispatchContext kit, MessagePartition berth) {
         this.kit = kit;
         this.berth = berth;
         this.leases = new Leases(kit, berth, this);
@@ -53,7 +53,7 @@
         return busy.isEmpty();
     }
 
-    Kit kit() {
+    DispatchContext kit() {
         return kit;
     }
 
@@ -69,12 +69,12 @@
         return kit.env().times().wall();
     }
 
-    private Layout layout() {
-        return kit.layouts().fresh().map(k -> k.layout()).orElse(Layout.empty());
+    private Configuration layout() {
+        return kit.layouts().fresh().map(k -> k.layout()).orElse(Configuration.empty());
     }
 
-    LaneTerms terms(Message m) {
-        return Optional.ofNullable(layout().lanes().get(m.lane())).map(LaneTerms::of).orElse(m.terms());
+    RouteTerms terms(Message m) {
+        return Optional.ofNullable(layout().lanes().get(m.lane())).map(RouteTerms::of).orElse(m.terms());
     }
 
     /** Counted from when the message was due first: a delay asked for does not eat it up. */
@@ -91,7 +91,7 @@
     }
 
     boolean dedupes(Message m) {
-        return Optional.ofNullable(layout().services().get(terms(m).service())).map(Layout.Service::dedupes).orElse(false);
+        return Optional.ofNullable(layout().services().get(terms(m).service())).map(Configuration.Service::dedupes).orElse(false);
     }
 
     /** What was not run is tried elsewhere soon; a little apart, so that not all come at once. */
@@ -106,28 +106,28 @@
     }
 
     /** Only views of proven age may say that a processor is gone. */
-    Whereabouts whereabouts(Message m) {
-        Optional<Layout> l = kit.layouts().fresh().map(k -> k.layout());
+    ProcessorStatus whereabouts(Message m) {
+        Optional<Configuration> l = kit.layouts().fresh().map(k -> k.layout());
         if (l.isEmpty()) {
-            return Whereabouts.of(Whereabouts.Kind.NOT_KNOWN_NOW);
+            return ProcessorStatus.of(ProcessorStatus.Kind.NOT_KNOWN_NOW);
         }
         String service = terms(m).service();
-        Optional<Layout.Service> s = Optional.ofNullable(l.get().services().get(service));
-        if (s.isPresent() && s.get().kind() == Layout.Kind.ENDPOINT) {
-            return Whereabouts.listed(m, s.get().address());
+        Optional<Configuration.Service> s = Optional.ofNullable(l.get().services().get(service));
+        if (s.isPresent() && s.get().kind() == Configuration.Kind.ENDPOINT) {
+            return ProcessorStatus.listed(m, s.get().address());
         }
-        if (s.isEmpty() && m.processor().equals(Drawing.ENDPOINT)) {
-            return Whereabouts.gone(m);
+        if (s.isEmpty() && m.processor().equals(ProcessorSelector.ENDPOINT)) {
+            return ProcessorStatus.gone(m);
         }
-        return kit.news().fresh(Places.processors(service))
-            .map(v -> Optional.ofNullable(v.processors().get(m.processor())).map(p -> Whereabouts.listed(m, p.address()))
-                .orElse(Whereabouts.gone(m)))
-            .orElse(Whereabouts.of(Whereabouts.Kind.NOT_KNOWN_NOW));
+        return kit.news().fresh(ServiceNames.processors(service))
+            .map(v -> Optional.ofNullable(v.processors().get(m.processor())).map(p -> ProcessorStatus.listed(m, p.address()))
+                .orElse(ProcessorStatus.gone(m)))
+            .orElse(ProcessorStatus.of(ProcessorStatus.Kind.NOT_KNOWN_NOW));
     }
 
     /** Asking an outside endpoint counts as one of its requests, so it spends a leaving pass. */
-    Optional<Ticket> mayInquire(Message m) {
-        return Ticket.draw(kit, terms(m).service());
+    Optional<DeliveryPermit> mayInquire(Message m) {
+        return DeliveryPermit.draw(kit, terms(m).service());
     }
 
     /** Called by the store's one schedule. */
@@ -169,7 +169,7 @@
         Instant now = wall();
         return berth.replica().look(i -> {
             Map<String, List<Message>> out = new TreeMap<>();
-            Startable s = berth.machine().startable();
+            ReadyQueue s = berth.machine().startable();
             s.lanes().forEach(lane -> {
                 List<Message> list = s.due(lane, now, LOOK_AHEAD, turn, m -> !busy.contains(m.handle()));
                 if (!list.isEmpty()) {
@@ -186,8 +186,8 @@
             expire(m);
             return true;
         }
-        Optional<Targets.Target> t = kit.targets().draw(Drawing.targets(this, terms(m).service()),
-            Drawing.most(this, terms(m).service()));
+        Optional<Targets.Target> t = kit.targets().draw(ProcessorSelector.targets(this, terms(m).service()),
+            ProcessorSelector.most(this, terms(m).service()));
         if (t.isEmpty()) {
             return false;
         }
@@ -195,7 +195,7 @@
             kit.targets().unused(t.get());
             return true;
         }
-        Optional<Ticket> ticket = Ticket.draw(kit, berth, m, terms(m).service());
+        Optional<DeliveryPermit> ticket = DeliveryPermit.draw(kit, berth, m, terms(m).service());
         if (ticket.isEmpty()) {
             kit.targets().unused(t.get());
             return false;
@@ -219,7 +219,7 @@
     }
 
     /** The attempt is committed before anything is sent; then all is checked again. */
-    private Mono<Boolean> launch(Message m, Ticket ticket, Targets.Target t) {
+    private Mono<Boolean> launch(Message m, DeliveryPermit ticket, Targets.Target t) {
         Commands.Start start = new Commands.Start(m.handle(), m.attempt() + 1, t.id(),
             wall().plusMillis(terms(m).attemptMs()), wall(), t.address());
         return berth.replica().propose(start, Commands.Changed.class)
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Launches.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/Dispatchers.java
@@ -1,4 +1,4 @@
-package org.woadvale.pilot.launch;
+package org.woadvale.dataplane.delivery;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -8,56 +8,56 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
-import org.woadvale.foundation.beam.Router;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.lantern.Schedule;
-import org.woadvale.foundation.watch.Places;
-import org.woadvale.foundation.watch.Processor;
-import org.woadvale.pilot.berth.Berths.Berth;
-import org.woadvale.pilot.berth.Commands;
-import org.woadvale.pilot.berth.LaneTerms;
-import org.woadvale.pilot.berth.Message;
+import org.woadvale.common.rpc.RpcRouter;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.runtime.TimerHandle;
+import org.woadvale.common.membership.ServiceNames;
+import org.woadvale.common.membership.Processor;
+import org.woadvale.dataplane.queue.MessagePartitions.MessagePartition;
+import org.woadvale.dataplane.queue.Commands;
+import org.woadvale.dataplane.queue.RouteTerms;
+import org.woadvale.dataplane.queue.Message;
 
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
 /** All launchers of a store, and the fetching side of delivery: design 9.3 and 9.4. */
-public final class Launches {
+public final class Dispatchers {
     private static final int SCAN = 64;
-    private final Kit kit;
+    private final DispatchContext kit;
     private static final Duration LOOK = Duration.ofMillis(20);
-    private final Moorings moorings;
-    private Schedule looking = () -> { };
+    private final WaitingPulls moorings;
+    private TimerHandle looking = () -> { };
     private final AtomicInteger turns = new AtomicInteger();
-    private final Map<String, Launcher> launchers = new ConcurrentHashMap<>();
+    private final Map<String, Dispatcher> launchers = new ConcurrentHashMap<>();
 
-    public Launches(Kit kit) {
+    public Dispatchers(DispatchContext kit) {
         this.kit = kit;
-        this.moorings = new Moorings(kit, launchers);
+        this.moorings = new WaitingPulls(kit, launchers);
     }
 
-    public void opened(Berth b) {
-        Launcher l = new Launcher(kit, b);
+    public void opened(MessagePartition b) {
+        Dispatcher l = new Dispatcher(kit, b);
         launchers.put(b.part(), l);
     }
 
     public void start() {
         looking = kit.env().schedules().every(LOOK, () -> {
             moorings.look();
-            launchers.values().forEach(Launcher::look);
+            launchers.values().forEach(Dispatcher::look);
         });
     }
 
     public boolean idle() {
-        return launchers.values().stream().allMatch(Launcher::idle);
+        return launchers.values().stream().allMatch(Dispatcher::idle);
     }
 
     public void stop() {
         looking.cancel();
     }
 
-    public void route(Router router) {
+    public void route(RpcRouter router) {
         moorings.route(router);
         router.on(Commands.FetchAsk.class, (f, a) -> kit.berths().at(a.part()).flatMap(b -> kit.berths().timely(a.until()).then(Mono.defer(() -> fetch(b, a)))))
             .on(Commands.OutcomeAsk.class, (f, a) -> kit.berths().at(a.part())
@@ -65,11 +65,11 @@
     }
 
     /** A processor speaks only for its own service and its own attempts; an empty service is one of us. */
-    private Mono<Commands.Changed> outcome(Berth b, Commands.OutcomeAsk a) {
+    private Mono<Commands.Changed> outcome(MessagePartition b, Commands.OutcomeAsk a) {
         return b.replica().read(i -> b.machine().get(a.end().handle())).flatMap(m -> {
             if (m.isPresent() && !a.service().isEmpty() && (!terms(m.get()).service().equals(a.service())
                     || a.end().attempt() == m.get().attempt() && !a.processor().equals(m.get().processor()))) {
-                return Mono.error(new Fault(ErrorKind.FORBIDDEN, "This attempt was not given to " + a.processor() + "."));
+                return Mono.error(new ServiceException(ErrorKind.FORBIDDEN, "This attempt was not given to " + a.processor() + "."));
             }
             if (a.end().ending() == Commands.Ending.RETRY && m.isPresent() && !a.service().isEmpty()
                     && m.get().tries() >= terms(m.get()).attempts()) {
@@ -81,10 +81,10 @@
         });
     }
 
-    private Mono<Commands.Fetched> fetch(Berth b, Commands.FetchAsk a) {
+    private Mono<Commands.Fetched> fetch(MessagePartition b, Commands.FetchAsk a) {
         return b.replica().read(i -> i).flatMap(i -> {
             if (!mayReceive(a)) {
-                return Mono.error(new Fault(ErrorKind.FORBIDDEN,
+                return Mono.error(new ServiceException(ErrorKind.FORBIDDEN,
                     "The processor " + a.processor() + " is not listed, is leaving, or the list is not proven fresh."));
             }
             if (a.again()) {
@@ -96,19 +96,19 @@
     }
 
     /** What this very fetch was given, for a processor that did not get the answer: the same attempts. */
-    private List<Message> handedBefore(Berth b, Commands.FetchAsk a) {
+    private List<Message> handedBefore(MessagePartition b, Commands.FetchAsk a) {
         var now = kit.env().times().wall();
         return b.replica().look(i -> b.machine().running().stream().filter(m -> m.processor().equals(a.processor())
-            && m.where().equals(Whereabouts.FETCHED + a.fetch()) && m.deadline().isAfter(now)).toList());
+            && m.where().equals(ProcessorStatus.FETCHED + a.fetch()) && m.deadline().isAfter(now)).toList());
     }
 
     private boolean mayReceive(Commands.FetchAsk a) {
-        Optional<Processor> p = kit.news().fresh(Places.processors(a.service()))
+        Optional<Processor> p = kit.news().fresh(ServiceNames.processors(a.service()))
             .map(v -> v.processors().get(a.processor()));
         return p.isPresent() && !p.get().leaving() && p.get().address().isEmpty();
     }
 
-    private List<Message> candidates(Berth b, String service) {
+    private List<Message> candidates(MessagePartition b, String service) {
         int turn = turns.incrementAndGet();
         var now = kit.env().times().wall();
         List<Message> out = new ArrayList<>();
@@ -120,24 +120,24 @@
         return out;
     }
 
-    private LaneTerms terms(Message m) {
+    private RouteTerms terms(Message m) {
         return kit.layouts().fresh().flatMap(k -> Optional.ofNullable(k.layout().lanes().get(m.lane())))
-            .map(LaneTerms::of).orElse(m.terms());
+            .map(RouteTerms::of).orElse(m.terms());
     }
 
     /** The attempt is committed before the answer; all is checked again at hand-out. */
-    private Mono<Message> start(Berth b, Message m, Commands.FetchAsk a) {
+    private Mono<Message> start(MessagePartition b, Message m, Commands.FetchAsk a) {
         var now = kit.env().times().wall();
         if (now.isAfter(m.from().plusMillis(terms(m).timeLimitMs())) || kit.layouts().fresh().isEmpty()) {
             return Mono.empty();
         }
-        Optional<Ticket> ticket = Ticket.draw(kit, b, m, a.service());
+        Optional<DeliveryPermit> ticket = DeliveryPermit.draw(kit, b, m, a.service());
         if (ticket.isEmpty()) {
             return Mono.empty();
         }
         Commands.Start s = new Commands.Start(m.handle(), m.attempt() + 1, a.processor(),
             now.plusMillis(terms(m).attemptMs()), now,
-            Whereabouts.FETCHED + a.fetch());
+            ProcessorStatus.FETCHED + a.fetch());
         return b.replica().propose(s, Commands.Changed.class)
             .doOnError(e -> ticket.get().putBack())
             .onErrorResume(e -> Mono.empty())
--- a/pilot/src/main/java/org/woadvale/pilot/launch/HttpPost.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/HttpDeliveryClient.java
@@ -1,4 +1,4 @@
-package org.woadvale.pilot.launch;
+package org.woadvale.dataplane.delivery;
 
 import java.net.ConnectException;
 import java.net.SocketAddress;
@@ -10,8 +10,8 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelOption;
@@ -24,7 +24,7 @@
 import reactor.netty.resources.ConnectionProvider;
 
 /** HTTP/1.1 to back ends by Reactor Netty; it never sends a request twice by itself. */
-public final class HttpPost implements Post {
+public final class HttpDeliveryClient implements DeliveryClient {
     private static final int MAX_ANSWER = 64 << 10;
     /** How long a stream may rest, unless the back end says less. */
     private static final Duration REST = Duration.ofSeconds(20);
@@ -43,14 +43,14 @@
         return client.headers(h -> c.headers().forEach(h::set)).responseTimeout(c.limit())
             .request(HttpMethod.valueOf(c.method())).uri(c.url())
             .send((q, out) -> c.still().getAsBoolean() ? out.send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(c.body())))
-                : Mono.error(new Fault(ErrorKind.UNREACHABLE, "It may not be sent any more.")))
+                : Mono.error(new ServiceException(ErrorKind.UNREACHABLE, "It may not be sent any more.")))
             .responseConnection((r, stream) -> stream.inbound().receive().aggregate().asByteArray()
                 .defaultIfEmpty(new byte[0])
                 .filter(b -> b.length <= MAX_ANSWER).defaultIfEmpty(new byte[0])
                 .map(b -> reply(c, r, stream, b)))
             .next()
             .timeout(c.limit().plusMillis(200))
-            .onErrorMap(HttpPost::fault);
+            .onErrorMap(HttpDeliveryClient::fault);
     }
 
     /** An answer to another request shows that the stream is out of step: nothing more is sent on it. */
@@ -61,7 +61,7 @@
             .allMatch(e -> headers.getOrDefault(e.getKey(), e.getValue()).equals(e.getValue()));
         if (!ours) {
             stream.channel().close();
-            throw reactor.core.Exceptions.propagate(new Fault(ErrorKind.UNKNOWN_OUTCOME,
+            throw reactor.core.Exceptions.propagate(new ServiceException(ErrorKind.UNKNOWN_OUTCOME,
                 "The answer is to another request."));
         }
         Matcher m = KEEP_ALIVE.matcher(headers.getOrDefault("keep-alive", ""));
@@ -75,12 +75,12 @@
 
     private static Throwable fault(Throwable thrown) {
         Throwable e = reactor.core.Exceptions.unwrap(thrown);
-        if (e instanceof Fault) {
+        if (e instanceof ServiceException) {
             return e;
         }
         boolean never = e instanceof ConnectException || e instanceof ConnectTimeoutException
             || e.getCause() instanceof ConnectException || e.getClass().getSimpleName().startsWith("PoolAcquire");
-        return new Fault(never ? ErrorKind.UNREACHABLE : ErrorKind.UNKNOWN_OUTCOME,
+        return new ServiceException(never ? ErrorKind.UNREACHABLE : ErrorKind.UNKNOWN_OUTCOME,
             e.getClass().getSimpleName() + ": " + e.getMessage());
     }
 }
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Leases.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/Leases.java
@@ -1,4 +1,4 @@
-package org.woadvale.pilot.launch;
+package org.woadvale.dataplane.delivery;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -8,13 +8,13 @@
 import java.util.Map;
 import java.util.Optional;
 
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.pilot.berth.Berths.Berth;
-import org.woadvale.pilot.berth.Commands;
-import org.woadvale.pilot.berth.Message;
-import org.woadvale.pilot.berth.MessageState;
-import org.woadvale.pilot.berth.Startable;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.dataplane.queue.MessagePartitions.MessagePartition;
+import org.woadvale.dataplane.queue.Commands;
+import org.woadvale.dataplane.queue.Message;
+import org.woadvale.dataplane.queue.MessageState;
+import org.woadvale.dataplane.queue.ReadyQueue;
 
 import reactor.core.publisher.Mono;
 
@@ -28,12 +28,12 @@
 
     private record Held(int attempt, Duration lastWord, boolean lapsing) { }
 
-    private final Kit kit;
-    private final Berth berth;
-    private final Launcher launcher;
+    private final DispatchContext kit;
+    private final MessagePartition berth;
+    private final Dispatcher launcher;
     private final Map<String, Held> held = new HashMap<>();
 
-    Leases(Kit kit, Berth berth, Launcher launcher) {
+    Leases(DispatchContext kit, MessagePartition berth, Dispatcher launcher) {
         this.kit = kit;
         this.berth = berth;
         this.launcher = launcher;
@@ -52,7 +52,7 @@
         Instant now = wall();
         return berth.replica().look(i -> {
             List<Message> out = new ArrayList<>();
-            Startable s = berth.machine().startable();
+            ReadyQueue s = berth.machine().startable();
             s.lanes().forEach(lane -> out.addAll(s.due(lane, now, most, turn,
                 m -> launcher.terms(m).service().equals(service))));
             return out;
@@ -66,7 +66,7 @@
                 || m.tries() > 0 && !launcher.retryAllowed(m.lane() + "/" + m.tenant())) {
             return Mono.empty();
         }
-        Optional<Ticket> ticket = Ticket.draw(kit, berth, m, service);
+        Optional<DeliveryPermit> ticket = DeliveryPermit.draw(kit, berth, m, service);
         if (ticket.isEmpty()) {
             return Mono.empty();
         }
@@ -134,8 +134,8 @@
             .flatMap(ok -> ok ? Mono.just(true) : Mono.error(gone()));
     }
 
-    private static Fault gone() {
-        return new Fault(ErrorKind.CONFLICT, "The lease is gone.");
+    private static ServiceException gone() {
+        return new ServiceException(ErrorKind.CONFLICT, "The lease is gone.");
     }
 
     /** The same end said again has the same answer; the end of an earlier lease is refused. */
@@ -156,7 +156,7 @@
         });
     }
 
-    /** Times and attempts are the owner's to count. */
+    /** Clock and attempts are the owner's to count. */
     private Commands.End settled(Commands.End e, Message m) {
         boolean over = e.ending() == Commands.Ending.RETRY && !launcher.triesLeft(m);
         Instant due = e.ending() == Commands.Ending.RETRY ? wall().plus(launcher.backoff(m.tries()))
--- a/pilot/src/main/java/org/woadvale/pilot/launch/OwnSpeech.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/NativeDeliveryProtocol.java
@@ -1,4 +1,4 @@
-package org.woadvale.pilot.launch;
+package org.woadvale.dataplane.delivery;
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -6,20 +6,20 @@
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 
-import org.woadvale.foundation.chart.Charts;
-import org.woadvale.pilot.berth.Message;
+import org.woadvale.common.config.Configurations;
+import org.woadvale.dataplane.queue.Message;
 
 import com.fasterxml.jackson.databind.util.RawValue;
 
 /** The product's own way: JSON with message id and attempt, answered by an echo with a receipt. design 9.3 */
-public final class OwnSpeech implements Speech {
+public final class NativeDeliveryProtocol implements DeliveryProtocol {
     @Override
-    public Post.Call push(Message m, Targets.Target to, Duration limit, BooleanSupplier still) {
-        return new Post.Call("POST", to.address() + "/messages", body(m), limit, still);
+    public DeliveryClient.Call push(Message m, Targets.Target to, Duration limit, BooleanSupplier still) {
+        return new DeliveryClient.Call("POST", to.address() + "/messages", body(m), limit, still);
     }
 
     @Override
-    public Verdict read(Message m, Post.Reply r) {
+    public Verdict read(Message m, DeliveryClient.Reply r) {
         return Verdict.ofPush(r, m.handle(), m.attempt());
     }
 
@@ -37,6 +37,6 @@
         b.put("lane", m.lane());
         b.put("orderingKey", m.orderKey());
         b.put("body", new RawValue(new String(m.body(), StandardCharsets.UTF_8)));
-        return Charts.write(b);
+        return Configurations.write(b);
     }
 }
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Drawing.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/ProcessorSelector.java
@@ -1,4 +1,4 @@
-package org.woadvale.pilot.launch;
+package org.woadvale.dataplane.delivery;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -6,26 +6,26 @@
 import java.util.Optional;
 import java.util.function.ToIntFunction;
 
-import org.woadvale.foundation.chart.Layout;
-import org.woadvale.foundation.watch.Places;
-import org.woadvale.foundation.watch.Processor;
+import org.woadvale.common.config.Configuration;
+import org.woadvale.common.membership.ServiceNames;
+import org.woadvale.common.membership.Processor;
 
 /** Who may receive work of a service now, by views of proven age: design 7.2. */
-final class Drawing {
+final class ProcessorSelector {
     static final String ENDPOINT = "endpoint";
 
-    private Drawing() { }
+    private ProcessorSelector() { }
 
     /**
      * How much one back end may have in flight from this store: its connections shared out among the stores, and not
      * much more than its slots. 0 where nothing is said.
      */
-    static ToIntFunction<Targets.Target> most(Launcher l, String service) {
-        int stores = (int) Math.max(1, l.kit().news().latest(Places.STORES).placement().values().stream()
+    static ToIntFunction<Targets.Target> most(Dispatcher l, String service) {
+        int stores = (int) Math.max(1, l.kit().news().latest(ServiceNames.STORES).placement().values().stream()
             .flatMap(List::stream).distinct().count());
-        int streams = l.kit().layouts().fresh().map(k -> k.layout().services().get(service)).map(Layout.Service::streams)
+        int streams = l.kit().layouts().fresh().map(k -> k.layout().services().get(service)).map(Configuration.Service::streams)
             .orElse(0);
-        Map<String, Processor> listed = l.kit().news().latest(Places.processors(service)).processors();
+        Map<String, Processor> listed = l.kit().news().latest(ServiceNames.processors(service)).processors();
         return t -> {
             int bySlots = Optional.ofNullable(listed.get(t.id())).map(p -> (p.slots() * 2 + stores - 1) / stores).orElse(0);
             int byStreams = streams == 0 ? 0 : Math.max(1, streams / stores);
@@ -33,19 +33,19 @@
         };
     }
 
-    static List<Targets.Target> targets(Launcher l, String service) {
-        Optional<Layout.Service> s = l.kit().layouts().fresh().map(k -> k.layout().services().get(service));
+    static List<Targets.Target> targets(Dispatcher l, String service) {
+        Optional<Configuration.Service> s = l.kit().layouts().fresh().map(k -> k.layout().services().get(service));
         if (s.isEmpty()) {
             return List.of();
         }
-        if (s.get().kind() == Layout.Kind.ENDPOINT) {
+        if (s.get().kind() == Configuration.Kind.ENDPOINT) {
             return List.of(new Targets.Target(service, ENDPOINT, s.get().address(), true));
         }
         List<Targets.Target> out = new ArrayList<>();
-        if (s.get().kind() == Layout.Kind.FETCHERS) {
+        if (s.get().kind() == Configuration.Kind.FETCHERS) {
             return out;
         }
-        l.kit().news().fresh(Places.processors(service)).ifPresent(v -> v.processors().forEach((id, p) -> {
+        l.kit().news().fresh(ServiceNames.processors(service)).ifPresent(v -> v.processors().forEach((id, p) -> {
             if (!p.leaving() && !p.address().isEmpty()) {
                 out.add(new Targets.Target(service + "/" + id, id, p.address(), p.hall().isEmpty()
                     || p.hall().equals(l.kit().hall())));
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Recorder.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/Recorder.java
@@ -1,13 +1,13 @@
-package org.woadvale.pilot.launch;
+package org.woadvale.dataplane.delivery;
 
 import java.time.Duration;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.woadvale.foundation.keeper.Env;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.pilot.berth.Commands;
+import org.woadvale.common.replication.Env;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.dataplane.queue.Commands;
 
 import reactor.core.publisher.Mono;
 
@@ -18,9 +18,9 @@
     private static final Duration AGAIN = Duration.ofMillis(200);
     private static final Duration GIVE_UP = Duration.ofMinutes(10);
     private final Env env;
-    private final Courier courier;
+    private final SubmitForwarder courier;
 
-    public Recorder(Env env, Courier courier) {
+    public Recorder(Env env, SubmitForwarder courier) {
         this.env = env;
         this.courier = courier;
     }
@@ -33,7 +33,7 @@
         Commands.OutcomeAsk ask = new Commands.OutcomeAsk(part, end, processor, "");
         return courier.ask(part, ask, Commands.Changed.class, EACH).map(Commands.Changed::done)
             .onErrorResume(e -> {
-                Fault f = Fault.of(e);
+                ServiceException f = ServiceException.of(e);
                 if (f.kind() == ErrorKind.NOT_FOUND) {
                     return Mono.just(false);
                 }
@@ -41,7 +41,7 @@
                     LOG.error("launch: gave up recording the end of {}: {}", end.handle(), f.getMessage());
                     return Mono.just(false);
                 }
-                return org.woadvale.foundation.lantern.Pauses.pause(env.schedules(), AGAIN)
+                return org.woadvale.common.runtime.Delays.pause(env.schedules(), AGAIN)
                     .then(Mono.defer(() -> record(part, end, processor, until)));
             });
     }
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Run.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/Run.java
@@ -1,4 +1,4 @@
-package org.woadvale.pilot.launch;
+package org.woadvale.dataplane.delivery;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -6,8 +6,8 @@
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.woadvale.pilot.berth.Commands;
-import org.woadvale.pilot.berth.Message;
+import org.woadvale.dataplane.queue.Commands;
+import org.woadvale.dataplane.queue.Message;
 
 import reactor.core.publisher.Mono;
 
@@ -19,11 +19,11 @@
     private static final Duration AFTER_DEADLINE = Duration.ofMillis(250);
     private static final Duration ADOPTED = Duration.ofMillis(300);
 
-    private final Launcher l;
+    private final Dispatcher l;
     private final Message m;
     private final Targets.Target target;
 
-    Run(Launcher l, Message started, Targets.Target target) {
+    Run(Dispatcher l, Message started, Targets.Target target) {
         this.l = l;
         this.m = started;
         this.target = target;
@@ -34,15 +34,15 @@
     }
 
     /** Claim, list and pass are looked at when the stream is open; only then the work may happen. */
-    Mono<Boolean> push(Ticket ticket) {
+    Mono<Boolean> push(DeliveryPermit ticket) {
         Duration begun = l.kit().env().times().mono();
         // the calendar may have jumped since the attempt was committed
         Duration left = Duration.between(wall(), m.deadline());
         Duration most = Duration.ofMillis(l.terms(m).attemptMs());
         Duration limit = left.isNegative() ? Duration.ofMillis(1) : left.compareTo(most) > 0 ? most : left;
-        Slip slip = new Slip();
+        SendGuard slip = new SendGuard();
         return l.kit().post().send(l.kit().speech().push(m, target, limit,
-                () -> slip.leave(() -> l.owns() && Drawing.targets(l, l.terms(m).service()).contains(target)
+                () -> slip.leave(() -> l.owns() && ProcessorSelector.targets(l, l.terms(m).service()).contains(target)
                     && ticket.spend())))
             .map(r -> l.kit().speech().read(m, r))
             .onErrorResume(e -> Mono.just(new Verdict(Verdict.Kind.UNCLEAR, String.valueOf(e.getMessage()))))
@@ -80,18 +80,18 @@
      */
     Mono<Boolean> resend(String why) {
         Duration wait = l.dedupes(m) ? l.shortly() : Duration.between(wall(), m.deadline()).plus(AFTER_DEADLINE);
-        return org.woadvale.foundation.lantern.Pauses.pause(l.kit().env().schedules(), wait.isNegative() ? Duration.ZERO : wait)
+        return org.woadvale.common.runtime.Delays.pause(l.kit().env().schedules(), wait.isNegative() ? Duration.ZERO : wait)
             .then(Mono.defer(() -> end(Commands.Ending.LAPSED, "sent again: " + why, wall().plus(l.shortly()))));
     }
 
     /** Running by the log, but begun by an earlier owner, which may still hand over the answer that it got. */
     Mono<Boolean> adopted() {
-        return l.resends(m) ? org.woadvale.foundation.lantern.Pauses.pause(l.kit().env().schedules(), ADOPTED)
+        return l.resends(m) ? org.woadvale.common.runtime.Delays.pause(l.kit().env().schedules(), ADOPTED)
             .then(Mono.defer(() -> resend("the owner changed"))) : inquire();
     }
 
     private Mono<Boolean> inquireLater() {
-        return org.woadvale.foundation.lantern.Pauses.pause(l.kit().env().schedules(), ASK_AGAIN)
+        return org.woadvale.common.runtime.Delays.pause(l.kit().env().schedules(), ASK_AGAIN)
             .then(Mono.defer(this::inquire));
     }
 
@@ -101,21 +101,21 @@
             return Mono.just(false);
         }
         boolean late = wall().isAfter(m.deadline());
-        Whereabouts where = l.whereabouts(m);
-        if (late && where.kind() == Whereabouts.Kind.GONE) {
+        ProcessorStatus where = l.whereabouts(m);
+        if (late && where.kind() == ProcessorStatus.Kind.GONE) {
             return unclear("the processor is gone");
         }
-        if (late && where.kind() == Whereabouts.Kind.FETCHES && l.terms(m).rerun()) {
+        if (late && where.kind() == ProcessorStatus.Kind.FETCHES && l.terms(m).rerun()) {
             return unclear("no outcome before the deadline");
         }
         if (wall().isAfter(l.timeIsUp(m)) && mayEndUnproven(where)) {
             return end(Commands.Ending.FAILED, Message.UNCLEAR + "time limit reached", wall());
         }
-        Optional<Ticket> ticket = where.canBeAsked() ? l.mayInquire(m) : Optional.empty();
+        Optional<DeliveryPermit> ticket = where.canBeAsked() ? l.mayInquire(m) : Optional.empty();
         if (ticket.isEmpty()) {
             return inquireLater();
         }
-        return l.kit().post().send(new Post.Call("GET", where.address() + "/runs/" + m.handle() + "?attempt=" + m.attempt(),
+        return l.kit().post().send(new DeliveryClient.Call("GET", where.address() + "/runs/" + m.handle() + "?attempt=" + m.attempt(),
             new byte[0], ASK_LIMIT, () -> l.owns() && ticket.get().spend()))
             .map(r -> Verdict.ofInquiry(r, m.handle()))
             .onErrorResume(e -> Mono.just(new Verdict(Verdict.Kind.UNCLEAR, "no answer")))
@@ -129,8 +129,8 @@
     }
 
     /** The next of a key must not start while a listed processor may still run this one: design 9.3. */
-    private boolean mayEndUnproven(Whereabouts where) {
-        return !m.ordered() || where.kind() == Whereabouts.Kind.FETCHES || where.kind() == Whereabouts.Kind.GONE;
+    private boolean mayEndUnproven(ProcessorStatus where) {
+        return !m.ordered() || where.kind() == ProcessorStatus.Kind.FETCHES || where.kind() == ProcessorStatus.Kind.GONE;
     }
 
     /** Nobody can say any more whether it was done: the lane's operator has said what then. */
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Slip.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/SendGuard.java
@@ -1,9 +1,9 @@
-package org.woadvale.pilot.launch;
+package org.woadvale.dataplane.delivery;
 
 import java.util.function.BooleanSupplier;
 
 /** The moment at which a request leaves: either it was sent, or it never will be. design 9.3 */
-final class Slip {
+final class SendGuard {
     private enum State { OPEN, SENT, CLOSED }
 
     private State state = State.OPEN;
--- a/pilot/src/main/java/org/woadvale/pilot/launch/StoreHealth.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/StoreHealth.java
@@ -1,13 +1,13 @@
-package org.woadvale.pilot.launch;
+package org.woadvale.dataplane.delivery;
 
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 
-import org.woadvale.foundation.keeper.Env;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.replication.Env;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
 
 import reactor.core.publisher.Mono;
 
@@ -42,7 +42,7 @@
         });
     }
 
-    void failed(String part, String store, Fault f) {
+    void failed(String part, String store, ServiceException f) {
         if (f.kind() == ErrorKind.UNREACHABLE || f.kind() == ErrorKind.UNKNOWN_OUTCOME) {
             ailing.put(store, now().plus(AILING));
         }
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Courier.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/SubmitForwarder.java
@@ -1,4 +1,4 @@
-package org.woadvale.pilot.launch;
+package org.woadvale.dataplane.delivery;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -7,29 +7,29 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
 
-import org.woadvale.foundation.beacon.News;
-import org.woadvale.foundation.keeper.Env;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.lantern.Pauses;
-import org.woadvale.foundation.watch.Places;
-import org.woadvale.foundation.watch.Seat;
-import org.woadvale.pilot.berth.Commands;
+import org.woadvale.common.discovery.ViewSubscriptions;
+import org.woadvale.common.replication.Env;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.runtime.Delays;
+import org.woadvale.common.membership.ServiceNames;
+import org.woadvale.common.membership.MemberLease;
+import org.woadvale.dataplane.queue.Commands;
 
 import reactor.core.publisher.Mono;
 
 /** Finds the owner of a message part among its stores and asks it. */
-public final class Courier {
+public final class SubmitForwarder {
     private static final Duration EACH = Duration.ofMillis(400);
     private static final Duration PAUSE = Duration.ofMillis(20);
     private final Env env;
-    private final News news;
+    private final ViewSubscriptions news;
     private final Map<String, String> owners = new ConcurrentHashMap<>();
     private final String hall;
     private final StoreHealth health;
     private final Clocks clocks;
 
-    public Courier(Env env, News news, String hall) {
+    public SubmitForwarder(Env env, ViewSubscriptions news, String hall) {
         this.hall = hall;
         this.env = env;
         this.news = news;
@@ -42,8 +42,8 @@
      * given id. design 9.13
      */
     public String anyPart(String id) {
-        Map<String, List<String>> placement = news.latest(Places.STORES).placement();
-        Map<String, Seat> seats = news.latest(Places.STORES).seats();
+        Map<String, List<String>> placement = news.latest(ServiceNames.STORES).placement();
+        Map<String, MemberLease> seats = news.latest(ServiceNames.STORES).seats();
         List<String> sound = new ArrayList<>();
         List<String> near = new ArrayList<>();
         placement.forEach((part, copies) -> {
@@ -56,13 +56,13 @@
             }
         });
         List<String> from = near.isEmpty() ? sound : near;
-        return from.isEmpty() ? Places.messagePart("", id)
-            : Places.draw(id, from).orElse(Places.messagePart("", id));
+        return from.isEmpty() ? ServiceNames.messagePart("", id)
+            : ServiceNames.draw(id, from).orElse(ServiceNames.messagePart("", id));
     }
 
     /** The known owner first, then the copies in turn; those that do not answer only if there are no others. */
     private String guess(String part, int turn) {
-        List<String> all = news.latest(Places.STORES).placement().getOrDefault(part, List.of());
+        List<String> all = news.latest(ServiceNames.STORES).placement().getOrDefault(part, List.of());
         List<String> copies = all.stream().filter(c -> !health.ailing(c)).toList();
         String known = owners.getOrDefault(part, "");
         if (turn == 0 && !known.isEmpty() && !health.ailing(known)) {
@@ -87,29 +87,29 @@
     /** The same, but nothing that is held up on its way beyond the limit is taken then: design 9.7. */
     public <T> Mono<T> timely(String part, Function<Commands.Until, Object> body, Class<T> type, Duration limit) {
         Duration until = env.times().mono().plus(limit);
-        return attempt(part, to -> clocks.until(to, until, EACH).map(body).onErrorMap(Courier::notSent), type, until, 0,
+        return attempt(part, to -> clocks.until(to, until, EACH).map(body).onErrorMap(SubmitForwarder::notSent), type, until, 0,
             false, "");
     }
 
     /** One ask to one store, not taken later than the limit; its answer may take as long as the limit. */
     public <T> Mono<T> at(String store, Function<Commands.Until, Object> body, Class<T> type, Duration limit) {
         Duration until = env.times().mono().plus(limit);
-        return clocks.until(store, until, EACH).map(body).onErrorMap(Courier::notSent)
+        return clocks.until(store, until, EACH).map(body).onErrorMap(SubmitForwarder::notSent)
             .flatMap(b -> env.beam().ask(store, b, type, limit.plus(EACH)))
             .doOnError(e -> clocks.forget(store));
     }
 
     /** The question for the clock was left without an answer; of the ask itself nothing was sent. */
-    private static Fault notSent(Throwable e) {
-        Fault f = Fault.of(e);
-        return f.kind().definite() ? f : new Fault(ErrorKind.UNREACHABLE, f.getMessage());
+    private static ServiceException notSent(Throwable e) {
+        ServiceException f = ServiceException.of(e);
+        return f.kind().definite() ? f : new ServiceException(ErrorKind.UNREACHABLE, f.getMessage());
     }
 
     private <T> Mono<T> attempt(String part, Function<String, Mono<Object>> body, Class<T> type, Duration until, int turn,
                                 boolean unknown, String hint) {
         String to = hint.isEmpty() ? guess(part, turn) : hint;
         if (to.isEmpty()) {
-            return Mono.error(new Fault(ErrorKind.UNAVAILABLE, "No store is placed for the part " + part + "."));
+            return Mono.error(new ServiceException(ErrorKind.UNAVAILABLE, "No store is placed for the part " + part + "."));
         }
         return body.apply(to).flatMap(b -> health.watched(to, env.beam().ask(to, b, type, EACH)))
             .doOnNext(t -> {
@@ -117,7 +117,7 @@
                 health.well(part, to);
             })
             .onErrorResume(e -> {
-                Fault f = Fault.of(e);
+                ServiceException f = ServiceException.of(e);
                 owners.remove(part, to);
                 clocks.forget(to);
                 health.failed(part, to, f);
@@ -130,17 +130,17 @@
                 }
                 String next = f.kind() == ErrorKind.NOT_OWNER && !f.details().isEmpty() ? f.details().get(0) : "";
                 Mono<T> more = Mono.defer(() -> attempt(part, body, type, until, turn + 1, nowUnknown, next));
-                return next.isEmpty() ? Pauses.pause(env.schedules(), PAUSE).then(more) : more;
+                return next.isEmpty() ? Delays.pause(env.schedules(), PAUSE).then(more) : more;
             });
     }
 
     /** A definite refusal after an unknown try says nothing of that try: design 9.6. */
-    private static Fault settled(Fault last, boolean unknown) {
+    private static ServiceException settled(ServiceException last, boolean unknown) {
         if (unknown) {
-            return new Fault(ErrorKind.UNKNOWN_OUTCOME, "It is not known whether this was taken; ask with the same id.");
+            return new ServiceException(ErrorKind.UNKNOWN_OUTCOME, "It is not known whether this was taken; ask with the same id.");
         }
         return last.kind() == ErrorKind.NOT_OWNER || last.kind() == ErrorKind.UNREACHABLE
             || last.kind() == ErrorKind.STOPPING || last.kind() == ErrorKind.EXPIRED
-            ? new Fault(ErrorKind.UNAVAILABLE, "The store of this message has no owner now.") : last;
+            ? new ServiceException(ErrorKind.UNAVAILABLE, "The store of this message has no owner now.") : last;
     }
 }
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Targets.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/Targets.java
@@ -1,4 +1,4 @@
-package org.woadvale.pilot.launch;
+package org.woadvale.dataplane.delivery;
 
 import java.time.Duration;
 import java.util.Comparator;
@@ -8,8 +8,8 @@
 import java.util.Optional;
 import java.util.function.ToIntFunction;
 
-import org.woadvale.foundation.keeper.Env;
-import org.woadvale.foundation.lantern.Shard;
+import org.woadvale.common.replication.Env;
+import org.woadvale.common.runtime.LockedShard;
 
 /** Liveness of back ends by their results: slow ones get less, failing ones are probed. design 9.4 */
 public final class Targets {
@@ -31,7 +31,7 @@
     }
 
     private final Env env;
-    private final Shard shard = new Shard();
+    private final LockedShard shard = new LockedShard();
     private final Map<String, Liveness> all = new HashMap<>();
 
     public Targets(Env env) {
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Verdict.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/Verdict.java
@@ -1,8 +1,8 @@
-package org.woadvale.pilot.launch;
+package org.woadvale.dataplane.delivery;
 
-import org.woadvale.foundation.chart.Charts;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.config.Configurations;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
 
 import com.fasterxml.jackson.databind.JsonNode;
 
@@ -11,7 +11,7 @@
     public enum Kind { DONE, REFUSED, LATER, UNCLEAR, RUNNING, NOT_KNOWN }
 
     /** Only 429 and 503 say that nothing was done; other 5xx and 408 may come after the work. */
-    public static Verdict ofPush(Post.Reply r, String handle, int attempt) {
+    public static Verdict ofPush(DeliveryClient.Reply r, String handle, int attempt) {
         if (r.status() == 200) {
             return proof(r, handle, attempt);
         }
@@ -22,7 +22,7 @@
             : new Verdict(Kind.UNCLEAR, "answer " + r.status());
     }
 
-    private static Verdict proof(Post.Reply r, String handle, int attempt) {
+    private static Verdict proof(DeliveryClient.Reply r, String handle, int attempt) {
         JsonNode n = json(r.body());
         String receipt = n.path("receipt").asText("");
         boolean echo = n.path("messageId").asText("").equals(handle) && n.path("attempt").asInt(-1) == attempt;
@@ -31,7 +31,7 @@
     }
 
     /** The answer to the question what became of a message. */
-    public static Verdict ofInquiry(Post.Reply r, String handle) {
+    public static Verdict ofInquiry(DeliveryClient.Reply r, String handle) {
         JsonNode n = json(r.body());
         String state = n.path("state").asText("");
         String receipt = n.path("receipt").asText("");
@@ -54,8 +54,8 @@
 
     private static JsonNode json(byte[] body) {
         try {
-            return Charts.read(body, JsonNode.class, ErrorKind.BAD_REQUEST);
-        } catch (Fault e) {
+            return Configurations.read(body, JsonNode.class, ErrorKind.BAD_REQUEST);
+        } catch (ServiceException e) {
             return com.fasterxml.jackson.databind.node.MissingNode.getInstance();
         }
     }
--- a/pilot/src/main/java/org/woadvale/pilot/launch/Moorings.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/WaitingPulls.java
@@ -1,4 +1,4 @@
-package org.woadvale.pilot.launch;
+package org.woadvale.dataplane.delivery;
 
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -13,42 +13,42 @@
 import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
 
-import org.woadvale.foundation.beam.Router;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.pilot.berth.Commands;
-import org.woadvale.pilot.berth.Message;
+import org.woadvale.common.rpc.RpcRouter;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.dataplane.queue.Commands;
+import org.woadvale.dataplane.queue.Message;
 
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 
 /** Fetches that wait at this store until one of its parts has work of their service: design 9.10. */
-final class Moorings {
+final class WaitingPulls {
     private static final int MOST = 4096;
 
     private record Moored(Commands.PullAsk ask, Duration until, Sinks.One<Object> out) { }
 
-    private final Kit kit;
-    private final Map<String, Launcher> launchers;
+    private final DispatchContext kit;
+    private final Map<String, Dispatcher> launchers;
     private final Map<String, Deque<Moored>> waiting = new HashMap<>();
     private final Set<String> starting = ConcurrentHashMap.newKeySet();
     private int turn;
 
-    Moorings(Kit kit, Map<String, Launcher> launchers) {
+    WaitingPulls(DispatchContext kit, Map<String, Dispatcher> launchers) {
         this.kit = kit;
         this.launchers = launchers;
     }
 
-    void route(Router router) {
+    void route(RpcRouter router) {
         router.on(Commands.PullAsk.class, (f, a) -> kit.berths().timely(a.until()).then(Mono.defer(() -> moor(a))))
             .on(Commands.LeaseAsk.class, (f, a) -> leases(a.part()).flatMap(l -> l.extend(a)).map(ok ->
-                new org.woadvale.foundation.watch.Asks.Done(true)))
+                new org.woadvale.common.membership.ControlMessages.Done(true)))
             .on(Commands.LeaseEndAsk.class, (f, a) -> leases(a.part()).flatMap(l -> l.end(a.end())));
     }
 
     private Mono<Leases> leases(String part) {
-        return Mono.justOrEmpty(Optional.ofNullable(launchers.get(part)).map(Launcher::leases))
-            .switchIfEmpty(Mono.error(new Fault(ErrorKind.NOT_OWNER, "The part " + part + " is not here.")));
+        return Mono.justOrEmpty(Optional.ofNullable(launchers.get(part)).map(Dispatcher::leases))
+            .switchIfEmpty(Mono.error(new ServiceException(ErrorKind.NOT_OWNER, "The part " + part + " is not here.")));
     }
 
     private Duration now() {
@@ -60,7 +60,7 @@
         synchronized (this) {
             Deque<Moored> line = waiting.computeIfAbsent(a.service(), s -> new ArrayDeque<>());
             if (line.size() >= MOST) {
-                return Mono.error(new Fault(ErrorKind.QUEUE_FULL, "Too many fetches wait here."));
+                return Mono.error(new ServiceException(ErrorKind.QUEUE_FULL, "Too many fetches wait here."));
             }
             line.add(m);
         }
@@ -98,9 +98,9 @@
     }
 
     private void serve(String service) {
-        List<Launcher> all = new ArrayList<>(launchers.values());
+        List<Dispatcher> all = new ArrayList<>(launchers.values());
         Collections.rotate(all, turn++);
-        for (Launcher l : all) {
+        for (Dispatcher l : all) {
             int most = count(service);
             if (most == 0) {
                 return;
@@ -111,7 +111,7 @@
         }
     }
 
-    private void give(String service, Launcher l, Message m) {
+    private void give(String service, Dispatcher l, Message m) {
         if (!starting.add(m.handle())) {
             return;
         }
--- a/pilot/src/main/java/org/woadvale/pilot/gangway/Fetches.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/ingress/Fetches.java
@@ -1,4 +1,4 @@
-package org.woadvale.pilot.gangway;
+package org.woadvale.dataplane.ingress;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -9,18 +9,18 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
 
-import org.woadvale.foundation.beacon.News;
-import org.woadvale.foundation.chart.Layout;
-import org.woadvale.foundation.keeper.Env;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.lantern.Pauses;
-import org.woadvale.foundation.watch.Asks;
-import org.woadvale.foundation.watch.Places;
-import org.woadvale.pilot.Layouts;
-import org.woadvale.pilot.berth.Commands;
-import org.woadvale.pilot.berth.Message;
-import org.woadvale.pilot.launch.Courier;
+import org.woadvale.common.discovery.ViewSubscriptions;
+import org.woadvale.common.config.Configuration;
+import org.woadvale.common.replication.Env;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.runtime.Delays;
+import org.woadvale.common.membership.ControlMessages;
+import org.woadvale.common.membership.ServiceNames;
+import org.woadvale.dataplane.ConfigurationView;
+import org.woadvale.dataplane.queue.Commands;
+import org.woadvale.dataplane.queue.Message;
+import org.woadvale.dataplane.delivery.SubmitForwarder;
 
 import reactor.core.publisher.Mono;
 
@@ -49,7 +49,7 @@
                 return Optional.empty();
             }
             Lease l = new Lease(word.substring(0, word.indexOf('.')), Integer.parseInt(word.substring(word.indexOf('.') + 1)));
-            return Optional.of(l).filter(x -> Places.messageParts().contains(x.part()));
+            return Optional.of(l).filter(x -> ServiceNames.messageParts().contains(x.part()));
         }
 
         String part() {
@@ -58,13 +58,13 @@
     }
 
     private final Env env;
-    private final News news;
-    private final Layouts layouts;
-    private final Courier courier;
+    private final ViewSubscriptions news;
+    private final ConfigurationView layouts;
+    private final SubmitForwarder courier;
     private final String hall;
     private final BooleanSupplier draining;
 
-    public Fetches(Env env, News news, Layouts layouts, Courier courier, String hall, BooleanSupplier draining) {
+    public Fetches(Env env, ViewSubscriptions news, ConfigurationView layouts, SubmitForwarder courier, String hall, BooleanSupplier draining) {
         this.hall = hall;
         this.env = env;
         this.news = news;
@@ -99,17 +99,17 @@
         }
         List<String> stores = stores();
         boolean known = layouts.fresh().map(k -> k.layout().services().get(service))
-            .filter(s -> s.kind() == Layout.Kind.FETCHERS).isPresent();
+            .filter(s -> s.kind() == Configuration.Kind.FETCHERS).isPresent();
         Mono<Message> next = Mono.defer(() -> turn(service, processor, until, first, n + 1, gone));
         if (!known || stores.isEmpty()) {
-            return Pauses.pause(env.schedules(), least(left, AGAIN)).then(next);
+            return Delays.pause(env.schedules(), least(left, AGAIN)).then(next);
         }
         String store = stores.get((n - first) % stores.size());
         Duration here = least(left, near(store) ? NEAR : TURN);
         return courier.at(store, u -> new Commands.PullAsk(service, processor, u, here.toMillis(), hall),
                 Commands.Pulled.class, here)
             .flatMap(p -> p.messages().isEmpty() ? Mono.<Message>empty() : Mono.just(p.messages().get(0)))
-            .onErrorResume(e -> Pauses.pause(env.schedules(), least(left, AGAIN)).then(Mono.<Message>empty()))
+            .onErrorResume(e -> Delays.pause(env.schedules(), least(left, AGAIN)).then(Mono.<Message>empty()))
             .switchIfEmpty(next);
     }
 
@@ -118,15 +118,15 @@
     }
 
     private boolean near(String store) {
-        return Optional.ofNullable(news.latest(Places.STORES).seats().get(store)).filter(s -> s.hall().equals(hall))
+        return Optional.ofNullable(news.latest(ServiceNames.STORES).seats().get(store)).filter(s -> s.hall().equals(hall))
             .isPresent();
     }
 
     /** Those of our own hall first. */
     private List<String> stores() {
         TreeSet<String> all = new TreeSet<>();
-        news.latest(Places.STORES).placement().values().forEach(all::addAll);
-        all.retainAll(news.latest(Places.STORES).seats().keySet());
+        news.latest(ServiceNames.STORES).placement().values().forEach(all::addAll);
+        all.retainAll(news.latest(ServiceNames.STORES).seats().keySet());
         List<String> out = new ArrayList<>(all);
         out.sort(java.util.Comparator.comparing(s -> !near(s)));
         return out;
@@ -134,8 +134,8 @@
 
     /** Fails with CONFLICT where the lease is gone. */
     public Mono<Boolean> extend(Lease l) {
-        return courier.ask(l.part(), new Commands.LeaseAsk(l.part(), l.handle(), l.attempt()), Asks.Done.class, LIMIT)
-            .map(Asks.Done::ok).onErrorMap(Fetches::gone);
+        return courier.ask(l.part(), new Commands.LeaseAsk(l.part(), l.handle(), l.attempt()), ControlMessages.Done.class, LIMIT)
+            .map(ControlMessages.Done::ok).onErrorMap(Fetches::gone);
     }
 
     /** Taken once and for all; the same end said again is taken again. Fails with CONFLICT where the lease is gone. */
@@ -147,6 +147,6 @@
     }
 
     private static Throwable gone(Throwable e) {
-        return Fault.of(e).kind() == ErrorKind.NOT_FOUND ? new Fault(ErrorKind.CONFLICT, "The lease is gone.") : e;
+        return ServiceException.of(e).kind() == ErrorKind.NOT_FOUND ? new ServiceException(ErrorKind.CONFLICT, "The lease is gone.") : e;
     }
 }
--- a/pilot/src/main/java/org/woadvale/pilot/gangway/Gangway.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/ingress/IngressNode.java
@@ -1,4 +1,4 @@
-package org.woadvale.pilot.gangway;
+package org.woadvale.dataplane.ingress;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -9,19 +9,19 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 
-import org.woadvale.foundation.chart.Layout;
-import org.woadvale.foundation.gate.Answer;
-import org.woadvale.foundation.gate.Request;
-import org.woadvale.foundation.keeper.Env;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.lantern.Pauses;
-import org.woadvale.foundation.watch.Places;
-import org.woadvale.pilot.Layouts;
-import org.woadvale.pilot.berth.Commands;
-import org.woadvale.pilot.berth.Message;
-import org.woadvale.pilot.berth.MessageState;
-import org.woadvale.pilot.launch.Courier;
+import org.woadvale.common.config.Configuration;
+import org.woadvale.common.http.Answer;
+import org.woadvale.common.http.Request;
+import org.woadvale.common.replication.Env;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.runtime.Delays;
+import org.woadvale.common.membership.ServiceNames;
+import org.woadvale.dataplane.ConfigurationView;
+import org.woadvale.dataplane.queue.Commands;
+import org.woadvale.dataplane.queue.Message;
+import org.woadvale.dataplane.queue.MessageState;
+import org.woadvale.dataplane.delivery.SubmitForwarder;
 
 import com.fasterxml.jackson.databind.util.RawValue;
 
@@ -29,7 +29,7 @@
 import reactor.core.publisher.Mono;
 
 /** HTTP of an intake: hand-ins, status, fetches and outcomes. design 9.6 */
-public final class Gangway {
+public final class IngressNode {
     public static final int MAX_BODY = Intake.MAX_BODY;
     /** With a view of up to 2 s and the last try's own limit still within 5 s of a key's withdrawal. */
     private static final Duration LIMIT = Duration.ofSeconds(2);
@@ -37,18 +37,18 @@
     private static final Duration POLL = Duration.ofMillis(100);
 
     private final Env env;
-    private final Doors doors;
-    private final Courier courier;
+    private final RouteMatcher doors;
+    private final SubmitForwarder courier;
     private final Intake intake;
     private final Queries queries;
     private final Supplier<Map<String, Object>> status;
     private final Supplier<Boolean> ready;
     private final Supplier<Boolean> drain;
 
-    public Gangway(Env env, Layouts layouts, Intake intake, Queries queries, Courier courier, Supplier<Map<String, Object>> status,
+    public IngressNode(Env env, ConfigurationView layouts, Intake intake, Queries queries, SubmitForwarder courier, Supplier<Map<String, Object>> status,
                    Supplier<Boolean> ready, Supplier<Boolean> drain) {
         this.env = env;
-        this.doors = new Doors(layouts);
+        this.doors = new RouteMatcher(layouts);
         this.courier = courier;
         this.intake = intake;
         this.queries = queries;
@@ -61,13 +61,13 @@
         return Mono.defer(() -> {
             try {
                 return route(q);
-            } catch (Fault e) {
+            } catch (ServiceException e) {
                 return Mono.error(e);
             }
-        }).onErrorResume(e -> Mono.just(Answer.of(Fault.of(e))));
+        }).onErrorResume(e -> Mono.just(Answer.of(ServiceException.of(e))));
     }
 
-    private Mono<Answer> route(Request q) throws Fault {
+    private Mono<Answer> route(Request q) throws ServiceException {
         List<String> s = q.segments();
         String op = q.method() + " " + String.join("/", s.subList(0, Math.min(2, s.size()))) + " " + s.size();
         switch (op) {
@@ -100,7 +100,7 @@
                 break;
             default:
         }
-        throw new Fault(ErrorKind.NOT_FOUND, "No such place: " + q.method() + " " + q.path() + ".");
+        throw new ServiceException(ErrorKind.NOT_FOUND, "No such place: " + q.method() + " " + q.path() + ".");
     }
 
     private Mono<Answer> show(Request q, String handle) {
@@ -125,14 +125,14 @@
     }
 
     /** Messages of the key's tenant in one state, newest first: failed ones unless told otherwise. */
-    private Mono<Answer> list(Request q) throws Fault {
-        Layout.Key key = doors.key(q, Layout.Role.CALLER);
+    private Mono<Answer> list(Request q) throws ServiceException {
+        Configuration.Key key = doors.key(q, Configuration.Role.CALLER);
         String state = query(q, "state").orElse("failed").toUpperCase(Locale.ROOT);
         String reason = query(q, "reason").orElse("");
         if (java.util.Arrays.stream(MessageState.values()).noneMatch(x -> x.name().equals(state))) {
-            throw new Fault(ErrorKind.BAD_REQUEST, "state must be waiting, running, done or failed.");
+            throw new ServiceException(ErrorKind.BAD_REQUEST, "state must be waiting, running, done or failed.");
         }
-        return Flux.fromIterable(Places.messageParts())
+        return Flux.fromIterable(ServiceNames.messageParts())
             .flatMap(p -> courier.ask(p, new Commands.ListAsk(p, key.tenant(), state, 100),
                 Commands.Listed.class, LIMIT))
             .collectList().map(lists -> {
@@ -148,47 +148,47 @@
             .map(r -> r.group(1)).findFirst();
     }
 
-    private Mono<Answer> fetch(Request q, String service) throws Fault {
+    private Mono<Answer> fetch(Request q, String service) throws ServiceException {
         processorKey(q, service);
-        FetchIn in = doors.body(q, FetchIn.class);
-        int first = (int) Math.floorMod(env.random().getAsLong(), (long) Places.MESSAGE_PARTS);
+        PullRequest in = doors.body(q, PullRequest.class);
+        int first = (int) Math.floorMod(env.random().getAsLong(), (long) ServiceNames.MESSAGE_PARTS);
         Mono<Answer> fresh = Mono.defer(() ->
             fetch(q, service, in, env.times().mono().plus(Duration.ofMillis(in.waitMs())), first));
-        return in.again() && !in.fetch().isEmpty() ? Flux.fromIterable(Places.messageParts())
+        return in.again() && !in.fetch().isEmpty() ? Flux.fromIterable(ServiceNames.messageParts())
             .concatMap(p -> fetch(p, service, in, true)).concatMapIterable(Commands.Fetched::messages).collectList()
             .flatMap(got -> got.isEmpty() ? fresh : Mono.just(handed(got))) : fresh;
     }
 
-    private Mono<Commands.Fetched> fetch(String part, String service, FetchIn in, boolean again) {
+    private Mono<Commands.Fetched> fetch(String part, String service, PullRequest in, boolean again) {
         return courier.timely(part, u -> new Commands.FetchAsk(part, service, in.processor(), in.most(), u, in.fetch(),
             again), Commands.Fetched.class, OWNER_HINTS)
-            .onErrorResume(e -> Fault.of(e).kind() == ErrorKind.FORBIDDEN ? Mono.error(e) : Mono.empty());
+            .onErrorResume(e -> ServiceException.of(e).kind() == ErrorKind.FORBIDDEN ? Mono.error(e) : Mono.empty());
     }
 
     private static Answer handed(List<Message> messages) {
-        return Answer.json(200, Map.of("messages", messages.stream().map(Gangway::handed).toList()));
+        return Answer.json(200, Map.of("messages", messages.stream().map(IngressNode::handed).toList()));
     }
 
-    private void processorKey(Request q, String service) throws Fault {
-        if (!doors.key(q, Layout.Role.PROCESSOR).service().equals(service)) {
-            throw new Fault(ErrorKind.FORBIDDEN, "This key is for another service.");
+    private void processorKey(Request q, String service) throws ServiceException {
+        if (!doors.key(q, Configuration.Role.PROCESSOR).service().equals(service)) {
+            throw new ServiceException(ErrorKind.FORBIDDEN, "This key is for another service.");
         }
     }
 
     /** Part by part; the key is checked again before every round, so a withdrawn one gets nothing. */
-    private Mono<Answer> fetch(Request q, String service, FetchIn in, Duration until, int first) {
+    private Mono<Answer> fetch(Request q, String service, PullRequest in, Duration until, int first) {
         return Mono.defer(() -> {
             try {
                 processorKey(q, service);
-            } catch (Fault e) {
+            } catch (ServiceException e) {
                 return Mono.error(e);
             }
-            return Flux.range(0, Places.MESSAGE_PARTS).map(i -> "m" + (first + i) % Places.MESSAGE_PARTS)
+            return Flux.range(0, ServiceNames.MESSAGE_PARTS).map(i -> "m" + (first + i) % ServiceNames.MESSAGE_PARTS)
                 .concatMap(p -> fetch(p, service, in, false), 1)
                 .filter(f -> !f.messages().isEmpty()).next().map(f -> handed(f.messages()))
                 .switchIfEmpty(Mono.defer(() -> env.times().mono().compareTo(until) >= 0
                     ? Mono.just(Answer.json(200, Map.of("messages", List.of())))
-                    : Pauses.pause(env.schedules(), POLL).then(fetch(q, service, in, until, first + 1))));
+                    : Delays.pause(env.schedules(), POLL).then(fetch(q, service, in, until, first + 1))));
         });
     }
 
@@ -198,11 +198,11 @@
             "body", new RawValue(new String(m.body(), java.nio.charset.StandardCharsets.UTF_8)));
     }
 
-    private Mono<Answer> outcome(Request q, String handle) throws Fault {
-        Layout.Key key = doors.key(q, Layout.Role.PROCESSOR);
-        OutcomeIn in = doors.body(q, OutcomeIn.class);
+    private Mono<Answer> outcome(Request q, String handle) throws ServiceException {
+        Configuration.Key key = doors.key(q, Configuration.Role.PROCESSOR);
+        OutcomeRequest in = doors.body(q, OutcomeRequest.class);
         if (in.outcome().equals("done") && in.receipt().isBlank()) {
-            throw new Fault(ErrorKind.BAD_REQUEST, "Done needs a receipt.");
+            throw new ServiceException(ErrorKind.BAD_REQUEST, "Done needs a receipt.");
         }
         String part = Queries.partOf(handle);
         var now = env.times().wall();
--- a/pilot/src/main/java/org/woadvale/pilot/gangway/Intake.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/ingress/Intake.java
@@ -1,4 +1,4 @@
-package org.woadvale.pilot.gangway;
+package org.woadvale.dataplane.ingress;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -6,23 +6,23 @@
 import java.util.Map;
 import java.util.Optional;
 
-import org.woadvale.foundation.chart.Charts;
-import org.woadvale.foundation.chart.Layout;
-import org.woadvale.foundation.gate.Answer;
-import org.woadvale.foundation.gate.Request;
-import org.woadvale.foundation.keeper.Env;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.lantern.Pauses;
-import org.woadvale.foundation.lantern.Stage;
-import org.woadvale.foundation.tide.Passes;
-import org.woadvale.foundation.tide.Purse;
-import org.woadvale.foundation.tide.Purses;
-import org.woadvale.foundation.watch.Places;
-import org.woadvale.pilot.Layouts;
-import org.woadvale.pilot.berth.Commands;
-import org.woadvale.pilot.berth.LaneTerms;
-import org.woadvale.pilot.launch.Courier;
+import org.woadvale.common.config.Configurations;
+import org.woadvale.common.config.Configuration;
+import org.woadvale.common.http.Answer;
+import org.woadvale.common.http.Request;
+import org.woadvale.common.replication.Env;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.runtime.Delays;
+import org.woadvale.common.runtime.Stage;
+import org.woadvale.common.ratelimit.AdmissionTokens;
+import org.woadvale.common.ratelimit.LocalBucket;
+import org.woadvale.common.ratelimit.LocalBuckets;
+import org.woadvale.common.membership.ServiceNames;
+import org.woadvale.dataplane.ConfigurationView;
+import org.woadvale.dataplane.queue.Commands;
+import org.woadvale.dataplane.queue.RouteTerms;
+import org.woadvale.dataplane.delivery.SubmitForwarder;
 
 import reactor.core.publisher.Mono;
 
@@ -37,20 +37,20 @@
     private static final int DEPTH = 1024;
     private static final int WIDTH = 256;
 
-    private record Checked(Offer offer, String tenant, String hash, boolean free) { }
+    private record Checked(Submission offer, String tenant, String hash, boolean free) { }
 
-    private record Admitted(Checked c, Purse.Pass pass, String part) { }
+    private record Admitted(Checked c, LocalBucket.Pass pass, String part) { }
 
     private final Env env;
-    private final Doors doors;
-    private final Purses purses;
-    private final Courier courier;
+    private final RouteMatcher doors;
+    private final LocalBuckets purses;
+    private final SubmitForwarder courier;
     private final Stage<Checked, Admitted> passing;
     private final Stage<Admitted, Commands.Accepted> handingOver;
 
-    public Intake(Env env, Layouts layouts, Purses purses, Courier courier) {
+    public Intake(Env env, ConfigurationView layouts, LocalBuckets purses, SubmitForwarder courier) {
         this.env = env;
-        this.doors = new Doors(layouts);
+        this.doors = new RouteMatcher(layouts);
         this.purses = purses;
         this.courier = courier;
         this.passing = new Stage<>("passes", DEPTH, WIDTH * 4, this::pass);
@@ -60,45 +60,45 @@
     /** The product's own way in: JSON, answered by the handle. */
     Mono<Answer> handIn(Request q, String lane) {
         try {
-            Offer o = offer(q, lane);
+            Submission o = offer(q, lane);
             return take(o).map(x -> accepted(o, x));
-        } catch (Fault e) {
+        } catch (ServiceException e) {
             return Mono.error(e);
         }
     }
 
-    private Offer offer(Request q, String lane) throws Fault {
-        doors.key(q, Layout.Role.CALLER);
+    private Submission offer(Request q, String lane) throws ServiceException {
+        doors.key(q, Configuration.Role.CALLER);
         doors.lane(lane);
-        HandIn in = doors.body(q, HandIn.class);
-        return new Offer(q.secret().orElse(""), lane, in.id(), in.orderingKey(), in.delayMs(), Map.of(),
-            Charts.write(in.body()), LIMIT);
+        SubmitRequest in = doors.body(q, SubmitRequest.class);
+        return new Submission(q.secret().orElse(""), lane, in.id(), in.orderingKey(), in.delayMs(), Map.of(),
+            Configurations.write(in.body()), LIMIT);
     }
 
     /** Accepted, or a fault whose kind says whether it may have been taken. design 9.6 */
-    public Mono<Commands.Accepted> take(Offer o) {
+    public Mono<Commands.Accepted> take(Submission o) {
         try {
             return passing.submit(check(o)).flatMap(a -> handingOver.submit(a)
                 .doOnError(e -> {
-                    if (Fault.of(e).kind() == ErrorKind.QUEUE_FULL) {
+                    if (ServiceException.of(e).kind() == ErrorKind.QUEUE_FULL) {
                         putBack(a);
                     }
                 }));
-        } catch (Fault e) {
+        } catch (ServiceException e) {
             return Mono.error(e);
         }
     }
 
-    private Checked check(Offer o) throws Fault {
-        Optional<Layout.Key> key = doors.callerKey(o.secret(), o.lane());
-        Layout.Lane l = doors.lane(o.lane());
-        if (l.doors().isEmpty() && l.ordering() == Layout.Ordering.KEY && o.orderKey().isEmpty()) {
-            throw new Fault(ErrorKind.BAD_REQUEST, "The lane " + o.lane() + " needs an orderingKey.");
+    private Checked check(Submission o) throws ServiceException {
+        Optional<Configuration.Key> key = doors.callerKey(o.secret(), o.lane());
+        Configuration.Lane l = doors.lane(o.lane());
+        if (l.doors().isEmpty() && l.ordering() == Configuration.Ordering.KEY && o.orderKey().isEmpty()) {
+            throw new ServiceException(ErrorKind.BAD_REQUEST, "The lane " + o.lane() + " needs an orderingKey.");
         }
-        if (l.doors().isEmpty() && l.ordering() == Layout.Ordering.NONE && !o.orderKey().isEmpty()) {
-            throw new Fault(ErrorKind.BAD_REQUEST, "The lane " + o.lane() + " has no ordering; leave out orderingKey.");
+        if (l.doors().isEmpty() && l.ordering() == Configuration.Ordering.NONE && !o.orderKey().isEmpty()) {
+            throw new ServiceException(ErrorKind.BAD_REQUEST, "The lane " + o.lane() + " has no ordering; leave out orderingKey.");
         }
-        return new Checked(o, key.map(Layout.Key::tenant).orElse(""), o.hash(), !l.doors().isEmpty());
+        return new Checked(o, key.map(Configuration.Key::tenant).orElse(""), o.hash(), !l.doors().isEmpty());
     }
 
     private Mono<Admitted> pass(Checked c) {
@@ -107,8 +107,8 @@
 
     private Mono<Admitted> pass(Checked c, String part) {
         return c.tenant().isEmpty() ? Mono.just(new Admitted(c,
-                new Purse.Pass(Passes.NO_GRANT, env.times().mono().plus(Passes.LIFE)), part))
-            : purses.take(Places.tenantBucket(c.tenant()), c.offer().patience().dividedBy(16)).map(p -> new Admitted(c, p, part));
+                new LocalBucket.Pass(AdmissionTokens.NO_GRANT, env.times().mono().plus(AdmissionTokens.LIFE)), part))
+            : purses.take(ServiceNames.tenantBucket(c.tenant()), c.offer().patience().dividedBy(16)).map(p -> new Admitted(c, p, part));
     }
 
     /**
@@ -116,13 +116,13 @@
      * doors) any part does: one whose owner is near and in touch. design 9.13
      */
     private String part(Checked c) {
-        Offer o = c.offer();
+        Submission o = c.offer();
         return o.orderKey().isEmpty() && c.free() ? courier.anyPart(o.id())
-            : Places.messagePart(o.lane(), o.orderKey().isEmpty() ? o.id() : o.orderKey());
+            : ServiceNames.messagePart(o.lane(), o.orderKey().isEmpty() ? o.id() : o.orderKey());
     }
 
     private String bucket(Admitted a) {
-        return Places.tenantBucket(a.c().tenant());
+        return ServiceNames.tenantBucket(a.c().tenant());
     }
 
     private void putBack(Admitted a) {
@@ -135,27 +135,27 @@
     }
 
     /** What is not decided by half of the caller's patience is answered then, while there is time to come back. */
-    private static Duration givenUp(Offer o) {
+    private static Duration givenUp(Submission o) {
         Duration half = o.patience().dividedBy(2);
         return o.patience().compareTo(LIMIT) >= 0 ? LIMIT : half;
     }
 
-    private Layout.Lane lookAgain(Admitted a) throws Fault {
-        Layout.Lane lane = doors.lane(a.c().offer().lane());
-        if (!doors.callerKey(a.c().offer().secret(), a.c().offer().lane()).map(Layout.Key::tenant).orElse("")
+    private Configuration.Lane lookAgain(Admitted a) throws ServiceException {
+        Configuration.Lane lane = doors.lane(a.c().offer().lane());
+        if (!doors.callerKey(a.c().offer().secret(), a.c().offer().lane()).map(Configuration.Key::tenant).orElse("")
                 .equals(a.c().tenant())) {
-            throw new Fault(ErrorKind.UNAUTHORISED, "The key is another tenant's by now.");
+            throw new ServiceException(ErrorKind.UNAUTHORISED, "The key is another tenant's by now.");
         }
         if (!purses.alive(a.pass())) {
-            throw new Fault(ErrorKind.THROTTLED, "The pass died while waiting.");
+            throw new ServiceException(ErrorKind.THROTTLED, "The pass died while waiting.");
         }
         return lane;
     }
 
-    private Commands.Accept accept(Checked c, Layout.Lane lane) {
+    private Commands.Accept accept(Checked c, Configuration.Lane lane) {
         Instant now = env.times().wall();
-        Offer o = c.offer();
-        return new Commands.Accept(c.tenant(), o.lane(), o.id(), o.orderKey(), o.body(), c.hash(), LaneTerms.of(lane),
+        Submission o = c.offer();
+        return new Commands.Accept(c.tenant(), o.lane(), o.id(), o.orderKey(), o.body(), c.hash(), RouteTerms.of(lane),
             now.plusMillis(o.delayMs()), now, o.envelope());
     }
 
@@ -167,7 +167,7 @@
         Commands.Accept accept;
         try {
             accept = accept(a.c(), lookAgain(a));
-        } catch (Fault e) {
+        } catch (ServiceException e) {
             putBack(a);
             return Mono.error(settled(e, unknown));
         }
@@ -177,7 +177,7 @@
                 waits(a, life))
             .doOnNext(x -> settle(a, x))
             .onErrorResume(e -> {
-                Fault f = Fault.of(e);
+                ServiceException f = ServiceException.of(e);
                 boolean nowUnknown = unknown || !f.kind().definite();
                 if (f.kind().definite()) {
                     putBack(a);
@@ -190,7 +190,7 @@
                 }
                 boolean again = (nowUnknown || f.kind() == ErrorKind.UNAVAILABLE && !a.c().free())
                     && !purses.alive(a.pass()) && env.times().mono().compareTo(until) < 0;
-                return again ? Pauses.pause(env.schedules(), PAUSE).then(pass(a.c(), a.part()))
+                return again ? Delays.pause(env.schedules(), PAUSE).then(pass(a.c(), a.part()))
                     .flatMap(next -> attempt(next, until, nowUnknown)).onErrorMap(x -> settled(x, nowUnknown))
                     : Mono.error(settled(f, nowUnknown));
             });
@@ -202,7 +202,7 @@
     }
 
     /** It was certainly not taken there, so another part may take it. */
-    private Optional<String> elsewhere(Admitted a, Fault f) {
+    private Optional<String> elsewhere(Admitted a, ServiceException f) {
         return Optional.of(a).filter(x -> x.c().free() && x.c().offer().orderKey().isEmpty()
                 && f.kind() == ErrorKind.UNAVAILABLE).map(x -> courier.anyPart(x.c().offer().id()))
             .filter(p -> !p.equals(a.part()));
@@ -210,8 +210,8 @@
 
     /** A definite refusal now says nothing of an earlier unknown try. */
     private static Throwable settled(Throwable e, boolean unknown) {
-        return unknown && Fault.of(e).kind().definite()
-            ? new Fault(ErrorKind.UNKNOWN_OUTCOME, "It is not known whether this was taken; ask with the same id.") : e;
+        return unknown && ServiceException.of(e).kind().definite()
+            ? new ServiceException(ErrorKind.UNKNOWN_OUTCOME, "It is not known whether this was taken; ask with the same id.") : e;
     }
 
     /** A repeated hand-in was accepted before and has paid then. */
@@ -223,7 +223,7 @@
         }
     }
 
-    private static Answer accepted(Offer o, Commands.Accepted x) {
+    private static Answer accepted(Submission o, Commands.Accepted x) {
         Map<String, Object> body = new LinkedHashMap<>();
         body.put("accepted", true);
         body.put("handle", x.handle());
--- a/pilot/src/main/java/org/woadvale/pilot/gangway/FetchIn.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/ingress/PullRequest.java
@@ -1,4 +1,4 @@
-package org.woadvale.pilot.gangway;
+package org.woadvale.dataplane.ingress;
 
 import jakarta.validation.constraints.Max;
 import jakarta.validation.constraints.Min;
@@ -6,11 +6,11 @@
 import jakarta.validation.constraints.Pattern;
 
 /** What a processor asks for; with the same fetch id, again, if it did not get the answer. design 9.3 */
-public record FetchIn(@NotNull @Pattern(regexp = ID) String processor, @Min(0) @Max(10000) long waitMs,
+public record PullRequest(@NotNull @Pattern(regexp = ID) String processor, @Min(0) @Max(10000) long waitMs,
                       @Min(0) @Max(32) int most, @Pattern(regexp = "(" + ID + ")?") String fetch, boolean again) {
     static final String ID = "[A-Za-z0-9][A-Za-z0-9._-]{0,62}";
 
-    public FetchIn {
+    public PullRequest {
         most = most == 0 ? 1 : most;
         fetch = fetch == null ? "" : fetch;
     }
--- /dev/null
+++ b/dataplane/src/main/java/org/woadvale/dataplane/ingress/Queries.java
@@ -0,0 +1,49 @@
+package org.woadvale.dataplane.ingress;
+
+import java.time.Duration;
+
+import org.woadvale.common.config.Configuration;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.membership.ServiceNames;
+import org.woadvale.dataplane.ConfigurationView;
+import org.woadvale.dataplane.queue.Commands;
+import org.woadvale.dataplane.queue.Message;
+import org.woadvale.dataplane.delivery.SubmitForwarder;
+
+import reactor.core.publisher.Mono;
+
+/** What became of a message, found by its handle alone from any intake. design 9.6 */
+public final class Queries {
+    private static final Duration LIMIT = Duration.ofMillis(1800);
+    private static final String HANDLE = "m[0-9]{1,4}-[0-9]{1,18}";
+    private final ConfigurationView layouts;
+    private final SubmitForwarder courier;
+
+    public Queries(ConfigurationView layouts, SubmitForwarder courier) {
+        this.layouts = layouts;
+        this.courier = courier;
+    }
+
+    static String partOf(String handle) throws ServiceException {
+        String part = handle.replaceAll("-.*", "");
+        if (!handle.matches(HANDLE) || !ServiceNames.messageParts().contains(part)) {
+            throw new ServiceException(ErrorKind.NOT_FOUND, "No such message.");
+        }
+        return part;
+    }
+
+    /** The message, if it is of the secret's tenant; NOT_FOUND else, the same as for one that never was. */
+    public Mono<Message> message(String secret, String handle) {
+        return Mono.defer(() -> {
+            try {
+                Configuration.Key key = layouts.require().key(secret).filter(k -> k.role() == Configuration.Role.CALLER)
+                    .orElseThrow(() -> new ServiceException(ErrorKind.UNAUTHORISED, "The key is missing, wrong or withdrawn."));
+                String part = partOf(handle);
+                return courier.ask(part, new Commands.StatusAsk(part, handle, key.tenant()), Message.class, LIMIT);
+            } catch (ServiceException e) {
+                return Mono.error(e);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/dataplane/src/main/java/org/woadvale/dataplane/ingress/RouteMatcher.java
@@ -0,0 +1,58 @@
+package org.woadvale.dataplane.ingress;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.woadvale.common.config.Configurations;
+import org.woadvale.common.config.Configuration;
+import org.woadvale.common.http.Request;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.dataplane.ConfigurationView;
+
+/** Keys and inputs are checked on every request, on open streams too: design 7.2 and 9.6. */
+final class RouteMatcher {
+    private final ConfigurationView layouts;
+
+    RouteMatcher(ConfigurationView layouts) {
+        this.layouts = layouts;
+    }
+
+    Configuration.Key key(Request q, Configuration.Role role) throws ServiceException {
+        ConfigurationView.Known k = layouts.require();
+        Optional<Configuration.Key> key = q.secret().flatMap(k::key);
+        if (key.isEmpty()) {
+            throw new ServiceException(ErrorKind.UNAUTHORISED, "The key is missing, wrong or withdrawn.");
+        }
+        if (key.get().role() != role) {
+            throw new ServiceException(ErrorKind.FORBIDDEN, "This key is not for " + role.name().toLowerCase(java.util.Locale.ROOT)
+                + "s.");
+        }
+        return key.get();
+    }
+
+    /** Empty where the lane asks for no key. */
+    Optional<Configuration.Key> callerKey(String secret, String lane) throws ServiceException {
+        ConfigurationView.Known k = layouts.require();
+        Optional<Configuration.Key> key = k.key(secret).filter(x -> x.role() == Configuration.Role.CALLER);
+        if (key.isEmpty() && !lane(lane).keyless()) {
+            throw new ServiceException(ErrorKind.UNAUTHORISED, "The key is missing, wrong or withdrawn.");
+        }
+        return key;
+    }
+
+    Configuration.Lane lane(String name) throws ServiceException {
+        return Optional.ofNullable(layouts.require().layout().lanes().get(name))
+            .orElseThrow(() -> new ServiceException(ErrorKind.UNKNOWN_LANE, "There is no lane " + name + "."));
+    }
+
+    <T> T body(Request q, Class<T> type) throws ServiceException {
+        T t = Configurations.read(q.body(), type, ErrorKind.BAD_REQUEST);
+        List<String> faults = new ArrayList<>(Configurations.faults(t));
+        if (!faults.isEmpty()) {
+            throw new ServiceException(ErrorKind.BAD_REQUEST, "The request has " + faults.size() + " faults.", faults);
+        }
+        return t;
+    }
+}
--- a/pilot/src/main/java/org/woadvale/pilot/gangway/HandIn.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/ingress/SubmitRequest.java
@@ -1,4 +1,4 @@
-package org.woadvale.pilot.gangway;
+package org.woadvale.dataplane.ingress;
 
 import com.fasterxml.jackson.databind.JsonNode;
 
@@ -9,11 +9,11 @@
 import jakarta.validation.constraints.Size;
 
 /** What a caller hands in. */
-public record HandIn(@NotNull @Pattern(regexp = "[A-Za-z0-9][A-Za-z0-9._:-]{0,127}") String id,
+public record SubmitRequest(@NotNull @Pattern(regexp = "[A-Za-z0-9][A-Za-z0-9._:-]{0,127}") String id,
                      @Size(max = 128) String orderingKey,
                      @Min(0) @Max(86400000) long delayMs,
                      @NotNull JsonNode body) {
-    public HandIn {
+    public SubmitRequest {
         orderingKey = orderingKey == null ? "" : orderingKey;
     }
 }
--- a/pilot/src/main/java/org/woadvale/pilot/berth/Commands.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/queue/Commands.java
@@ -1,11 +1,11 @@
-package org.woadvale.pilot.berth;
+package org.woadvale.dataplane.queue;
 
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
 
-import org.woadvale.foundation.beam.Since;
+import org.woadvale.common.rpc.Since;
 
 /** What is written in the logs of message parts, and asked between pilots. */
 public final class Commands {
@@ -14,9 +14,9 @@
     /** Lapsed: nobody knows, it may run again, and it counts as no attempt. design 9.11 */
     public enum Ending { DONE, FAILED, RETRY, NOT_SENT, LAPSED }
 
-    public record Accept(String tenant, String lane, String id, String orderKey, byte[] body, String hash, LaneTerms terms,
+    public record Accept(String tenant, String lane, String id, String orderKey, byte[] body, String hash, RouteTerms terms,
                          Instant due, Instant at, @Since(3) Map<String, String> envelope) {
-        public Accept(String tenant, String lane, String id, String orderKey, byte[] body, String hash, LaneTerms terms,
+        public Accept(String tenant, String lane, String id, String orderKey, byte[] body, String hash, RouteTerms terms,
                       Instant due, Instant at) {
             this(tenant, lane, id, orderKey, body, hash, terms, due, at, Map.of());
         }
@@ -79,7 +79,7 @@
     public static List<Class<?>> types() {
         return List.of(Ending.class, Accept.class, Start.class, End.class, Forget.class, Accepted.class, Changed.class,
             Forgotten.class, AcceptAsk.class, StatusAsk.class, ListAsk.class, Listed.class, FetchAsk.class,
-            Fetched.class, OutcomeAsk.class, State.class, Message.class, MessageState.class, LaneTerms.class,
+            Fetched.class, OutcomeAsk.class, State.class, Message.class, MessageState.class, RouteTerms.class,
             Until.class, ClockAsk.class, Clock.class, PullAsk.class, Pulled.class, LeaseAsk.class, LeaseEndAsk.class);
     }
 }
--- a/pilot/src/main/java/org/woadvale/pilot/berth/Message.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/queue/Message.java
@@ -1,16 +1,16 @@
-package org.woadvale.pilot.berth;
+package org.woadvale.dataplane.queue;
 
 import java.time.Instant;
 import java.util.Map;
 
-import org.woadvale.foundation.beam.Since;
+import org.woadvale.common.rpc.Since;
 
 /**
  * One message as its part knows it. Done ones keep no body. The envelope is opaque here: whoever hands in and whoever
  * delivers agree on it. Ends: a bit for each attempt whose end was taken, up to the 62nd.
  */
 public record Message(String handle, String tenant, String lane, String id, String orderKey, byte[] body, String hash,
-                      LaneTerms terms, long seq, Instant accepted, Instant from, Instant due, MessageState state, int attempt, int tries,
+                      RouteTerms terms, long seq, Instant accepted, Instant from, Instant due, MessageState state, int attempt, int tries,
                       String processor, Instant deadline, String proof, Instant ended, @Since(2) String where,
                       @Since(3) Map<String, String> envelope, @Since(3) long ends) {
 
--- a/pilot/src/main/java/org/woadvale/pilot/berth/Berths.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/queue/MessagePartitions.java
@@ -1,4 +1,4 @@
-package org.woadvale.pilot.berth;
+package org.woadvale.dataplane.queue;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -11,44 +11,44 @@
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.woadvale.foundation.beacon.News;
-import org.woadvale.foundation.beam.Router;
-import org.woadvale.foundation.keeper.Env;
-import org.woadvale.foundation.keeper.Messages;
-import org.woadvale.foundation.keeper.Phase;
-import org.woadvale.foundation.keeper.Replica;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.lantern.Schedule;
-import org.woadvale.foundation.tide.Allowance;
-import org.woadvale.foundation.tide.Bucket;
-import org.woadvale.foundation.watch.Places;
+import org.woadvale.common.discovery.ViewSubscriptions;
+import org.woadvale.common.rpc.RpcRouter;
+import org.woadvale.common.replication.Env;
+import org.woadvale.common.replication.Messages;
+import org.woadvale.common.replication.Phase;
+import org.woadvale.common.replication.Replica;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.runtime.TimerHandle;
+import org.woadvale.common.ratelimit.RateLimit;
+import org.woadvale.common.ratelimit.Bucket;
+import org.woadvale.common.membership.ServiceNames;
 
 import reactor.core.publisher.Mono;
 
 /** The message parts of a store, opened as the placement says: design 9.1. */
-public final class Berths {
+public final class MessagePartitions {
     private static final Logger LOG = LogManager.getLogger("berth");
     private static final Duration UNCLEAR_RETENTION = Duration.ofDays(1);
     private static final int MAX_FORGET_LAG_S = 5;
 
     /** One part here: its replica, its machine and its own bucket in size units. */
-    public record Berth(String part, Replica replica, BerthMachine machine, Bucket units) { }
+    public record MessagePartition(String part, Replica replica, MessageStateMachine machine, Bucket units) { }
 
     private final Env env;
-    private final News news;
-    private final Map<String, Berth> berths = new ConcurrentHashMap<>();
+    private final ViewSubscriptions news;
+    private final Map<String, MessagePartition> berths = new ConcurrentHashMap<>();
     private final Bucket nodeUnits;
-    private final Allowance partAllowance;
+    private final RateLimit partAllowance;
     private final long partBytes;
-    private Consumer<Berth> onOpen = b -> { };
-    private Schedule looking = () -> { };
+    private Consumer<MessagePartition> onOpen = b -> { };
+    private TimerHandle looking = () -> { };
     private boolean draining;
     private final String life;
     private final Duration retention;
 
     /** A part takes no more beyond its size; and its view, with room for the log's tail, must fit into a ring file. */
-    public Berths(Env env, News news, Allowance node, Allowance part, long partBytes, Duration retention) {
+    public MessagePartitions(Env env, ViewSubscriptions news, RateLimit node, RateLimit part, long partBytes, Duration retention) {
         this.retention = retention;
         this.partBytes = partBytes;
         this.env = env;
@@ -58,12 +58,12 @@
         this.life = Long.toHexString(env.random().getAsLong());
     }
 
-    public void onOpen(Consumer<Berth> c) {
+    public void onOpen(Consumer<MessagePartition> c) {
         onOpen = c;
     }
 
-    public void route(Router router) {
-        Messages.route(router, part -> at(part).map(Berth::replica))
+    public void route(RpcRouter router) {
+        Messages.route(router, part -> at(part).map(MessagePartition::replica))
             .on(Commands.AcceptAsk.class, (f, a) -> at(a.part()).flatMap(b -> timely(a.until())
                 .then(Mono.defer(() -> accept(b, a.accept())))))
             .on(Commands.ClockAsk.class, (f, a) -> Mono.just(new Commands.Clock(life, env.times().mono())))
@@ -72,19 +72,19 @@
                 new Commands.Listed(b.machine().list(a.tenant(), MessageState.valueOf(a.state()), a.most())))));
     }
 
-    public Mono<Berth> at(String part) {
+    public Mono<MessagePartition> at(String part) {
         return Mono.justOrEmpty(berths.get(part))
-            .switchIfEmpty(Mono.error(new Fault(ErrorKind.NOT_OWNER, "The part " + part + " is not here.")));
+            .switchIfEmpty(Mono.error(new ServiceException(ErrorKind.NOT_OWNER, "The part " + part + " is not here.")));
     }
 
     /** What was held up on its way past its time is refused: its pass, key and lane have not been looked at since. */
     public Mono<Object> timely(Commands.Until u) {
         return Mono.defer(() -> u.life().equals(life) && env.times().mono().compareTo(u.by()) < 0 ? Mono.empty()
-            : Mono.error(new Fault(ErrorKind.EXPIRED, "This came too late to be taken.")));
+            : Mono.error(new ServiceException(ErrorKind.EXPIRED, "This came too late to be taken.")));
     }
 
     /** Node and part buckets in size units first, then the commit. All refusals here are definite. */
-    private Mono<Commands.Accepted> accept(Berth b, Commands.Accept a) {
+    private Mono<Commands.Accepted> accept(MessagePartition b, Commands.Accept a) {
         int units = Math.max(1, (a.body().length + 1023) / 1024);
         boolean room = b.replica().look(i -> b.machine().weight()) < Math.min(partBytes, env.logbook().largest() / 2)
             && !env.logbook().nearlyFull();
@@ -93,15 +93,15 @@
             return b.replica().read(i -> i).flatMap(i -> accept(b, a));
         }
         if (!room) {
-            return Mono.error(new Fault(ErrorKind.QUEUE_FULL, "The part " + b.part() + " has no room."));
+            return Mono.error(new ServiceException(ErrorKind.QUEUE_FULL, "The part " + b.part() + " has no room."));
         }
         if (!spend(b, units)) {
-            return Mono.error(new Fault(ErrorKind.THROTTLED, "The store is at its limit.", List.of("1")));
+            return Mono.error(new ServiceException(ErrorKind.THROTTLED, "The store is at its limit.", List.of("1")));
         }
         return b.replica().propose(stamped(a), Commands.Accepted.class);
     }
 
-    /** Times are the owner's: the intake's calendar clock may be off. design 9.1 */
+    /** Clock are the owner's: the intake's calendar clock may be off. design 9.1 */
     private Commands.Accept stamped(Commands.Accept a) {
         Instant now = env.times().wall();
         return new Commands.Accept(a.tenant(), a.lane(), a.id(), a.orderKey(), a.body(), a.hash(), a.terms(),
@@ -109,7 +109,7 @@
     }
 
     /** Draws size units of the node and of the part, or of neither. */
-    public boolean spend(Berth b, int units) {
+    public boolean spend(MessagePartition b, int units) {
         synchronized (nodeUnits) {
             Duration now = env.times().mono();
             nodeUnits.fill(now, 0);
@@ -121,13 +121,13 @@
         }
     }
 
-    private Mono<Message> status(Berth b, Commands.StatusAsk a) {
+    private Mono<Message> status(MessagePartition b, Commands.StatusAsk a) {
         return b.replica().read(i -> b.machine().get(a.handle()).filter(m -> m.tenant().equals(a.tenant())))
             .flatMap(o -> o.map(Mono::just).orElseGet(() -> Mono.error(
-                new Fault(ErrorKind.NOT_FOUND, "No such message is known; it may have been forgotten after its end."))));
+                new ServiceException(ErrorKind.NOT_FOUND, "No such message is known; it may have been forgotten after its end."))));
     }
 
-    public void start() throws Fault {
+    public void start() throws ServiceException {
         for (String part : env.logbook().recovered().keySet()) {
             if (part.startsWith("m")) {
                 open(part, List.of());
@@ -136,25 +136,25 @@
         looking = env.schedules().every(Duration.ofMillis(200), this::look);
     }
 
-    private void open(String part, List<String> wanted) throws Fault {
-        BerthMachine m = new BerthMachine(part, env.codec());
+    private void open(String part, List<String> wanted) throws ServiceException {
+        MessageStateMachine m = new MessageStateMachine(part, env.codec());
         Replica r = new Replica(part, wanted, m, env);
         r.start(env.logbook().recovered().getOrDefault(part, List.of()));
-        Berth b = new Berth(part, r, m, Bucket.full(partAllowance, env.times().mono()));
+        MessagePartition b = new MessagePartition(part, r, m, Bucket.full(partAllowance, env.times().mono()));
         berths.put(part, b);
         onOpen.accept(b);
     }
 
     private void look() {
-        Map<String, List<String>> placement = new HashMap<>(news.latest(Places.STORES).placement());
+        Map<String, List<String>> placement = new HashMap<>(news.latest(ServiceNames.STORES).placement());
         placement.forEach((part, copies) -> {
-            Optional<Berth> b = Optional.ofNullable(berths.get(part));
+            Optional<MessagePartition> b = Optional.ofNullable(berths.get(part));
             if (b.isPresent()) {
                 b.get().replica().want(copies);
             } else if (copies.contains(env.self())) {
                 try {
                     open(part, copies);
-                } catch (Fault e) {
+                } catch (ServiceException e) {
                     LOG.error("berth: the part {} did not open: {}", part, e.getMessage());
                 }
             }
@@ -165,7 +165,7 @@
         });
     }
 
-    private void forget(Berth b) {
+    private void forget(MessagePartition b) {
         var limit = env.times().wall().minus(retention);
         var unclear = env.times().wall().minus(UNCLEAR_RETENTION);
         if (b.replica().mayAct() && b.replica().look(i -> b.machine().anyEndedBefore(
@@ -175,7 +175,7 @@
     }
 
     /** The first of the placement owns once it is up to date; a draining node gives all away. */
-    private void spread(Berth b, List<String> copies) {
+    private void spread(MessagePartition b, List<String> copies) {
         if (b.replica().phase() != Phase.OWNING) {
             return;
         }
@@ -193,7 +193,7 @@
         return berths.values().stream().noneMatch(b -> b.replica().phase() == Phase.OWNING);
     }
 
-    public Map<String, Berth> all() {
+    public Map<String, MessagePartition> all() {
         return berths;
     }
 
--- a/pilot/src/main/java/org/woadvale/pilot/berth/MessageState.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/queue/MessageState.java
@@ -1,4 +1,4 @@
-package org.woadvale.pilot.berth;
+package org.woadvale.dataplane.queue;
 
 import java.util.EnumSet;
 import java.util.Set;
--- a/pilot/src/main/java/org/woadvale/pilot/berth/BerthMachine.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/queue/MessageStateMachine.java
@@ -1,4 +1,4 @@
-package org.woadvale.pilot.berth;
+package org.woadvale.dataplane.queue;
 
 import java.time.Instant;
 import java.util.ArrayList;
@@ -10,13 +10,13 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 
-import org.woadvale.foundation.beam.Codec;
-import org.woadvale.foundation.keeper.Machine;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.rpc.Codec;
+import org.woadvale.common.replication.StateMachine;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
 
 /** The messages of one part: design 9. */
-public final class BerthMachine implements Machine {
+public final class MessageStateMachine implements StateMachine {
     private static final int ENDED_WEIGHT = 400;
     private static final int MOST_UNCLEAR = 1000;
 
@@ -25,7 +25,7 @@
     private final Map<String, Message> messages = new HashMap<>();
     private final Map<String, String> byId = new HashMap<>();
     private final Map<String, TreeMap<Long, String>> order = new HashMap<>();
-    private final Startable startable = new Startable();
+    private final ReadyQueue startable = new ReadyQueue();
     private final Map<String, Message> running = new TreeMap<>();
     private final TreeSet<Message> ended = new TreeSet<>(Comparator.comparing(Message::ended).thenComparing(Message::seq));
     private final TreeSet<Message> unclear = new TreeSet<>(Comparator.comparing(Message::ended).thenComparing(Message::seq));
@@ -33,7 +33,7 @@
     private long liveBytes;
     private long keptBytes;
 
-    public BerthMachine(String part, Codec codec) {
+    public MessageStateMachine(String part, Codec codec) {
         this.part = part;
         this.codec = codec;
     }
@@ -59,7 +59,7 @@
         return List.copyOf(running.values());
     }
 
-    public Startable startable() {
+    public ReadyQueue startable() {
         return startable;
     }
 
@@ -88,7 +88,7 @@
         } else if (c instanceof Commands.Forget f) {
             return forget(f);
         }
-        return new Fault(ErrorKind.BAD_REQUEST, "Unknown command " + c.getClass().getSimpleName() + ".");
+        return new ServiceException(ErrorKind.BAD_REQUEST, "Unknown command " + c.getClass().getSimpleName() + ".");
     }
 
     private Object accept(Commands.Accept a) {
@@ -99,7 +99,7 @@
         if (known.isPresent()) {
             Message k = known.get();
             if (!k.hash().equals(a.hash())) {
-                return new Fault(ErrorKind.CONFLICT, "The message id was used for other content.", List.of(k.handle()));
+                return new ServiceException(ErrorKind.CONFLICT, "The message id was used for other content.", List.of(k.handle()));
             }
             return new Commands.Accepted(k.handle(), k.state().name(), true);
         }
@@ -115,7 +115,7 @@
     private Object start(Commands.Start s) {
         Message m = messages.get(s.handle());
         if (m == null || m.state() != MessageState.WAITING || s.attempt() != m.attempt() + 1 || !first(m)) {
-            return m == null ? new Fault(ErrorKind.NOT_FOUND, "No such message.") : new Commands.Changed(false, m);
+            return m == null ? new ServiceException(ErrorKind.NOT_FOUND, "No such message.") : new Commands.Changed(false, m);
         }
         Message next = m.to(MessageState.RUNNING, s.attempt(), m.tries() + 1, s.processor(), s.deadline(), m.due(), "",
             s.at(), s.where());
@@ -130,7 +130,7 @@
     private Object end(Commands.End e) {
         Message m = messages.get(e.handle());
         if (m == null) {
-            return new Fault(ErrorKind.NOT_FOUND, "No such message.");
+            return new ServiceException(ErrorKind.NOT_FOUND, "No such message.");
         }
         boolean present = m.state() == MessageState.RUNNING && m.attempt() == e.attempt();
         // of two leases only the later may end a message: design 9.10
@@ -243,7 +243,7 @@
                     put(Optional.empty(), m);
                 }
             });
-        } catch (Fault e) {
+        } catch (ServiceException e) {
             throw new IllegalStateException("unreadable view", e);
         }
     }
--- a/pilot/src/main/java/org/woadvale/pilot/berth/Startable.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/queue/ReadyQueue.java
@@ -1,4 +1,4 @@
-package org.woadvale.pilot.berth;
+package org.woadvale.dataplane.queue;
 
 import java.time.Instant;
 import java.util.ArrayList;
@@ -11,7 +11,7 @@
 import java.util.function.Predicate;
 
 /** Waiting messages that are first of their key: by lane, then tenant, then due time. design 9.4 */
-public final class Startable {
+public final class ReadyQueue {
     private static final Comparator<Message> BY_DUE = Comparator.comparing(Message::due).thenComparing(Message::seq);
     private final Map<String, Map<String, TreeSet<Message>>> lanes = new TreeMap<>();
 
--- a/foundation/src/main/java/org/woadvale/foundation/tide/Allowance.java
+++ /dev/null
@@ -1,4 +0,0 @@
-package org.woadvale.foundation.tide;
-
-/** The rate and the size of one shared bucket. */
-public record Allowance(double ratePerS, double burst) { }
--- a/tender/src/main/java/org/woadvale/tender/Commands.java
+++ b/operator/src/main/java/org/woadvale/operator/Commands.java
@@ -1,4 +1,4 @@
-package org.woadvale.tender;
+package org.woadvale.operator;
 
 import java.io.IOException;
 import java.net.URI;
@@ -16,8 +16,8 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
 
 import com.github.rvesse.airline.annotations.Arguments;
 import com.github.rvesse.airline.annotations.Option;
@@ -28,15 +28,15 @@
     private Commands() { }
 
     interface Command {
-        int go(Consumer<String> out) throws Fault;
+        int go(Consumer<String> out) throws ServiceException;
     }
 
     @com.github.rvesse.airline.annotations.Command(name = "list", description = "Lists the shipped runbooks")
     public static final class ListBooks implements Command {
         @Override
-        public int go(Consumer<String> out) throws Fault {
-            for (String n : Books.SHIPPED) {
-                Runbook b = Books.load(n);
+        public int go(Consumer<String> out) throws ServiceException {
+            for (String n : Runbooks.SHIPPED) {
+                Runbook b = Runbooks.load(n);
                 out.accept(n + ": " + b.purpose() + " Needs: " + new TreeMap<>(b.needs()));
             }
             return 0;
@@ -50,8 +50,8 @@
         private String book;
 
         @Override
-        public int go(Consumer<String> out) throws Fault {
-            out.accept(Books.load(book).name() + ": " + Books.load(book).steps().size() + " steps, valid.");
+        public int go(Consumer<String> out) throws ServiceException {
+            out.accept(Runbooks.load(book).name() + ": " + Runbooks.load(book).steps().size() + " steps, valid.");
             return 0;
         }
     }
@@ -78,9 +78,9 @@
         private String key = "";
 
         @Override
-        public int go(Consumer<String> out) throws Fault {
+        public int go(Consumer<String> out) throws ServiceException {
             Runner r = new Runner(new Http()::send, new Terminal(out, yes), key, dry);
-            boolean ok = r.run(Books.load(book), values());
+            boolean ok = r.run(Runbooks.load(book), values());
             if (!record.isEmpty()) {
                 try {
                     List<String> lines = new ArrayList<>(List.of("# " + Instant.now() + " " + book));
@@ -88,24 +88,24 @@
                     Files.write(Path.of(record), lines, java.nio.file.StandardOpenOption.CREATE,
                         java.nio.file.StandardOpenOption.APPEND);
                 } catch (IOException e) {
-                    throw new Fault(ErrorKind.UNAVAILABLE, "The record was not written: " + e.getMessage());
+                    throw new ServiceException(ErrorKind.UNAVAILABLE, "The record was not written: " + e.getMessage());
                 }
             }
             return ok ? 0 : 1;
         }
 
-        private Map<String, String> values() throws Fault {
+        private Map<String, String> values() throws ServiceException {
             Map<String, String> out = new HashMap<>();
             for (String s : set) {
                 int i = s.indexOf('=');
                 if (i < 1) {
-                    throw new Fault(ErrorKind.BAD_REQUEST, "--set takes NAME=VALUE, not " + s + ".");
+                    throw new ServiceException(ErrorKind.BAD_REQUEST, "--set takes NAME=VALUE, not " + s + ".");
                 }
                 String v = s.substring(i + 1);
                 try {
                     out.put(s.substring(0, i), v.startsWith("@") ? Files.readString(Path.of(v.substring(1))) : v);
                 } catch (IOException e) {
-                    throw new Fault(ErrorKind.BAD_REQUEST, "Cannot read " + v.substring(1) + ".");
+                    throw new ServiceException(ErrorKind.BAD_REQUEST, "Cannot read " + v.substring(1) + ".");
                 }
             }
             return out;
@@ -134,7 +134,7 @@
         }
     }
 
-    private record Terminal(Consumer<String> out, boolean yes) implements Hands {
+    private record Terminal(Consumer<String> out, boolean yes) implements OperatorIo {
         @Override
         public boolean done(String what) {
             out.accept("BY HAND: " + what + (yes ? "" : "  [press Enter when done, n to stop]"));
--- a/tender/src/main/java/org/woadvale/tender/Hands.java
+++ b/operator/src/main/java/org/woadvale/operator/OperatorIo.java
@@ -1,9 +1,9 @@
-package org.woadvale.tender;
+package org.woadvale.operator;
 
 import java.time.Duration;
 
 /** Seam to the person at the terminal and to time. */
-interface Hands {
+interface OperatorIo {
     /** False: the person says no, and the run stops. */
     boolean done(String what);
 
--- a/tender/src/main/java/org/woadvale/tender/Tender.java
+++ b/operator/src/main/java/org/woadvale/operator/OperatorProgram.java
@@ -1,16 +1,16 @@
-package org.woadvale.tender;
+package org.woadvale.operator;
 
 import com.github.rvesse.airline.annotations.Cli;
 import com.github.rvesse.airline.help.Help;
 import com.github.rvesse.airline.parser.errors.ParseException;
 
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.runtime.ServiceException;
 
 /** The operator's tool: runbooks that can be executed. It starts no process. */
 @Cli(name = "tender", description = "Lists, checks and runs runbooks", defaultCommand = Help.class,
     commands = {Commands.ListBooks.class, Commands.Check.class, Commands.Run.class, Help.class})
-public final class Tender {
-    private Tender() { }
+public final class OperatorProgram {
+    private OperatorProgram() { }
 
     public static void main(String[] args) {
         System.exit(main(args, System.out::println));
@@ -18,7 +18,7 @@
 
     static int main(String[] args, java.util.function.Consumer<String> out) {
         try {
-            Object c = new com.github.rvesse.airline.Cli<Object>(Tender.class).parse(args);
+            Object c = new com.github.rvesse.airline.Cli<Object>(OperatorProgram.class).parse(args);
             if (c instanceof Commands.Command x) {
                 return x.go(out);
             }
@@ -26,7 +26,7 @@
             return 0;
         } catch (ParseException e) {
             out.accept("tender: " + e.getMessage());
-        } catch (Fault e) {
+        } catch (ServiceException e) {
             out.accept("tender: " + e.getMessage());
             e.details().forEach(d -> out.accept("  " + d));
         }
--- a/tender/src/main/java/org/woadvale/tender/Books.java
+++ b/operator/src/main/java/org/woadvale/operator/Runbooks.java
@@ -1,4 +1,4 @@
-package org.woadvale.tender;
+package org.woadvale.operator;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -10,39 +10,39 @@
 import java.util.Set;
 import java.util.regex.Matcher;
 
-import org.woadvale.foundation.chart.Charts;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.config.Configurations;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
 
 /** Finds and checks runbooks: the shipped ones by name, others by file. */
-final class Books {
+final class Runbooks {
     static final List<String> SHIPPED = List.of("put-layout", "withdraw-key", "rolling-restart", "replace-store",
         "replace-lighthouse", "drain-processor", "check-after-outage");
 
-    private Books() { }
+    private Runbooks() { }
 
-    static Runbook load(String nameOrFile) throws Fault {
-        Runbook b = Charts.read(bytes(nameOrFile), Runbook.class, ErrorKind.BAD_REQUEST);
-        List<String> faults = new ArrayList<>(Charts.faults(b));
+    static Runbook load(String nameOrFile) throws ServiceException {
+        Runbook b = Configurations.read(bytes(nameOrFile), Runbook.class, ErrorKind.BAD_REQUEST);
+        List<String> faults = new ArrayList<>(Configurations.faults(b));
         if (faults.isEmpty()) {
             faults.addAll(crossFaults(b));
         }
         if (!faults.isEmpty()) {
-            throw new Fault(ErrorKind.BAD_REQUEST, "The runbook " + nameOrFile + " has " + faults.size() + " faults.", faults);
+            throw new ServiceException(ErrorKind.BAD_REQUEST, "The runbook " + nameOrFile + " has " + faults.size() + " faults.", faults);
         }
         return b;
     }
 
-    private static byte[] bytes(String nameOrFile) throws Fault {
+    private static byte[] bytes(String nameOrFile) throws ServiceException {
         try {
             if (SHIPPED.contains(nameOrFile)) {
-                try (InputStream in = Books.class.getResourceAsStream("/runbooks/" + nameOrFile + ".json")) {
+                try (InputStream in = Runbooks.class.getResourceAsStream("/runbooks/" + nameOrFile + ".json")) {
                     return in.readAllBytes();
                 }
             }
             return Files.readAllBytes(Path.of(nameOrFile));
         } catch (IOException e) {
-            throw new Fault(ErrorKind.NOT_FOUND, "There is no runbook " + nameOrFile + "; see tender list.");
+            throw new ServiceException(ErrorKind.NOT_FOUND, "There is no runbook " + nameOrFile + "; see tender list.");
         }
     }
 
--- a/tender/src/main/java/org/woadvale/tender/Runner.java
+++ b/operator/src/main/java/org/woadvale/operator/Runner.java
@@ -1,4 +1,4 @@
-package org.woadvale.tender;
+package org.woadvale.operator;
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -8,9 +8,9 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-import org.woadvale.foundation.chart.Charts;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.config.Configurations;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
 
 import com.fasterxml.jackson.core.JsonPointer;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -21,12 +21,12 @@
 final class Runner {
     private static final Duration AGAIN = Duration.ofMillis(300);
     private final Wire wire;
-    private final Hands hands;
+    private final OperatorIo hands;
     private final String key;
     private final boolean dry;
     private final List<String> record = new ArrayList<>();
 
-    Runner(Wire wire, Hands hands, String key, boolean dry) {
+    Runner(Wire wire, OperatorIo hands, String key, boolean dry) {
         this.wire = wire;
         this.hands = hands;
         this.key = key;
@@ -73,7 +73,7 @@
             for (Runbook.Step s : steps) {
                 try {
                     step(s, here);
-                } catch (Fault e) {
+                } catch (ServiceException e) {
                     note("STOP at \"" + here.fill(s.title()) + "\": " + e.getMessage());
                     return false;
                 }
@@ -82,7 +82,7 @@
         return true;
     }
 
-    private void step(Runbook.Step s, Values v) throws Fault {
+    private void step(Runbook.Step s, Values v) throws ServiceException {
         String what = s.kind() + " " + v.fill(s.title());
         if (dry && s.kind() != Runbook.Kind.REQUIRE) {
             note("would " + what + (s.asks() ? ": " + s.method() + " " + v.fill(s.url()) : ""));
@@ -94,15 +94,15 @@
             case REMOVE -> remove(s, v);
             case PERSON -> {
                 if (!hands.done(v.fill(s.title()))) {
-                    throw new Fault(ErrorKind.CONFLICT, "not confirmed");
+                    throw new ServiceException(ErrorKind.CONFLICT, "not confirmed");
                 }
             }
-            default -> throw new Fault(ErrorKind.BAD_REQUEST, "unknown kind");
+            default -> throw new ServiceException(ErrorKind.BAD_REQUEST, "unknown kind");
         }
         note("ok " + what);
     }
 
-    private Wire.Got once(Runbook.Step s, Values v) throws Fault {
+    private Wire.Got once(Runbook.Step s, Values v) throws ServiceException {
         Map<String, String> headers = new TreeMap<>();
         s.headers().forEach((k, x) -> headers.put(k, v.fill(x)));
         if (!key.isEmpty()) {
@@ -112,33 +112,33 @@
         try {
             g = wire.send(s.method(), v.fill(s.url()), headers, v.fill(s.body()).getBytes(StandardCharsets.UTF_8));
         } catch (IOException e) {
-            throw new Fault(ErrorKind.UNREACHABLE, "no answer from " + v.fill(s.url()) + " (" + e.getMessage() + ")");
+            throw new ServiceException(ErrorKind.UNREACHABLE, "no answer from " + v.fill(s.url()) + " (" + e.getMessage() + ")");
         }
         String found = s.expect().pointer().isEmpty() ? "" : json(g.body()).at(v.fill(s.expect().pointer())).asText("");
         if (g.status() != s.expect().status()) {
             boolean later = g.status() == 429 || g.status() >= 500;
-            throw new Fault(later ? ErrorKind.UNAVAILABLE : ErrorKind.CONFLICT, "answer " + g.status() + ", expected " + s.expect().status() + ": "
+            throw new ServiceException(later ? ErrorKind.UNAVAILABLE : ErrorKind.CONFLICT, "answer " + g.status() + ", expected " + s.expect().status() + ": "
                 + new String(g.body(), StandardCharsets.UTF_8));
         }
         if (!s.expect().pointer().isEmpty() && !found.equals(v.fill(s.expect().equals()))) {
-            throw new Fault(ErrorKind.CONFLICT, v.fill(s.expect().pointer()) + " is \"" + found + "\", expected \""
+            throw new ServiceException(ErrorKind.CONFLICT, v.fill(s.expect().pointer()) + " is \"" + found + "\", expected \""
                 + v.fill(s.expect().equals()) + "\"");
         }
         return g;
     }
 
     /** A wait asks until it holds; an action is asked again only where the answer was to come back later. */
-    private Wire.Got until(Runbook.Step s, Values v) throws Fault {
+    private Wire.Got until(Runbook.Step s, Values v) throws ServiceException {
         Duration end = hands.now().plusMillis(s.withinMs());
         while (true) {
             try {
                 return once(s, v);
-            } catch (Fault e) {
+            } catch (ServiceException e) {
                 if (s.kind() == Runbook.Kind.ASK && !e.kind().retryable()) {
                     throw e;
                 }
                 if (hands.now().compareTo(end) >= 0) {
-                    throw new Fault(e.kind(), "not within " + s.withinMs() + " ms: " + e.getMessage());
+                    throw new ServiceException(e.kind(), "not within " + s.withinMs() + " ms: " + e.getMessage());
                 }
                 hands.rest(AGAIN);
             }
@@ -152,20 +152,20 @@
             : json(g.body()).at(where).asText("")));
     }
 
-    private static void remove(Runbook.Step s, Values v) throws Fault {
+    private static void remove(Runbook.Step s, Values v) throws ServiceException {
         JsonNode doc = json(v.get(s.from()).getBytes(StandardCharsets.UTF_8));
         JsonPointer p = JsonPointer.compile(v.fill(s.pointer()));
         JsonNode parent = doc.at(p.head());
         if (!(parent instanceof ObjectNode o) || !o.has(p.last().getMatchingProperty())) {
-            throw new Fault(ErrorKind.NOT_FOUND, "there is nothing at " + p);
+            throw new ServiceException(ErrorKind.NOT_FOUND, "there is nothing at " + p);
         }
         o.remove(p.last().getMatchingProperty());
-        v.put(s.from(), new String(Charts.write(doc), StandardCharsets.UTF_8));
+        v.put(s.from(), new String(Configurations.write(doc), StandardCharsets.UTF_8));
     }
 
     private static JsonNode json(byte[] body) {
         try {
-            return Charts.JSON.readTree(body);
+            return Configurations.JSON.readTree(body);
         } catch (IOException e) {
             return MissingNode.getInstance();
         }
--- a/tender/src/main/java/org/woadvale/tender/Values.java
+++ b/operator/src/main/java/org/woadvale/operator/Values.java
@@ -1,4 +1,4 @@
-package org.woadvale.tender;
+package org.woadvale.operator;
 
 import java.util.HashMap;
 import java.util.Map;
--- a/tender/src/test/java/org/woadvale/tender/TenderTest.java
+++ b/operator/src/test/java/org/woadvale/operator/OperatorProgramTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.tender;
+package org.woadvale.operator;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -19,11 +19,11 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.runtime.ServiceException;
 
-class TenderTest {
+class OperatorProgramTest {
     /** A scripted core: answers by method and path, notes what it was asked; its clock moves only by resting. */
-    private static final class Script implements Wire, Hands {
+    private static final class Script implements Wire, OperatorIo {
         final Map<String, List<Got>> answers = new HashMap<>();
         final List<String> asked = new ArrayList<>();
         final List<String> bodies = new ArrayList<>();
@@ -69,8 +69,8 @@
             now = now.plus(d);
         }
 
-        boolean run(String book, boolean dry, Map<String, String> values) throws Fault {
-            return new Runner(this, this, "", dry).run(Books.load(book), values);
+        boolean run(String book, boolean dry, Map<String, String> values) throws ServiceException {
+            return new Runner(this, this, "", dry).run(Runbooks.load(book), values);
         }
     }
 
@@ -81,8 +81,8 @@
     @ParameterizedTest
     @ValueSource(strings = {"put-layout", "withdraw-key", "rolling-restart", "replace-store", "replace-lighthouse",
         "drain-processor", "check-after-outage"})
-    void everyShippedRunbookIsValidAndAsksForWhatItNeeds(String name) throws Fault {
-        assertEquals(name, Books.load(name).name());
+    void everyShippedRunbookIsValidAndAsksForWhatItNeeds(String name) throws ServiceException {
+        assertEquals(name, Runbooks.load(name).name());
         Script s = new Script();
         assertFalse(s.run(name, true, Map.of()));
         assertTrue(s.said.get(0).startsWith("STOP: missing values"), s.said.toString());
@@ -90,7 +90,7 @@
     }
 
     @Test
-    void withdrawnKeyLeavesTheRestAsItWas() throws Fault {
+    void withdrawnKeyLeavesTheRestAsItWas() throws ServiceException {
         Script s = new Script().on("GET http://l/v1/layout", 200, LAYOUT).on("PUT http://l/v1/layout", 200, "{\"version\":5}")
             .on("GET http://i/v1/status", 200, "{\"layout\":4}").on("GET http://i/v1/status", 200, "{\"layout\":5}");
         assertTrue(s.run("withdraw-key", false, KEY), s.said.toString());
@@ -99,7 +99,7 @@
     }
 
     @Test
-    void lostRaceStopsTheRunAndSaysWhy() throws Fault {
+    void lostRaceStopsTheRunAndSaysWhy() throws ServiceException {
         Script s = new Script().on("GET http://l/v1/layout", 200, LAYOUT)
             .on("PUT http://l/v1/layout", 412, "{\"kind\":\"stale_base\"}");
         assertFalse(s.run("withdraw-key", false, KEY));
@@ -108,7 +108,7 @@
     }
 
     @Test
-    void actionThatIsToComeBackLaterIsAskedAgain() throws Fault {
+    void actionThatIsToComeBackLaterIsAskedAgain() throws ServiceException {
         Script s = new Script().on("GET http://l/v1/layout", 200, LAYOUT).on("PUT http://l/v1/layout", 503, "{}")
             .on("PUT http://l/v1/layout", 504, "{}").on("PUT http://l/v1/layout", 200, "{\"version\":5}")
             .on("GET http://i/v1/status", 200, "{\"layout\":5}");
@@ -117,14 +117,14 @@
     }
 
     @Test
-    void dryRunChangesNothing() throws Fault {
+    void dryRunChangesNothing() throws ServiceException {
         Script s = new Script().on("GET http://l/v1/layout", 200, LAYOUT);
         assertTrue(s.run("withdraw-key", true, KEY));
         assertEquals(List.of("GET http://l/v1/layout"), s.asked);
     }
 
     @Test
-    void valuesAreFilledIntoPointersToo() throws Fault {
+    void valuesAreFilledIntoPointersToo() throws ServiceException {
         Script s = new Script().on("GET http://l/v1/services/s/processors", 200, "{\"p1\":{\"address\":\"http://p\"}}")
             .on("PUT http://l/v1/services/s/processors/p1", 200, "{}").on("DELETE http://l/v1/services/s/processors/p1", 200, "{}");
         assertTrue(s.run("drain-processor", false, Map.of("lighthouse", "http://l", "service", "s", "processor", "p1",
@@ -132,7 +132,7 @@
     }
 
     @Test
-    void waitHasADeadline() throws Fault {
+    void waitHasADeadline() throws ServiceException {
         Script s = new Script().on("GET http://l/v1/layout", 200, LAYOUT).on("PUT http://l/v1/layout", 200, "{\"version\":5}")
             .on("GET http://i/v1/status", 200, "{\"layout\":4}");
         assertFalse(s.run("withdraw-key", false, KEY));
@@ -140,7 +140,7 @@
     }
 
     @Test
-    void rollingRestartFinishesOneNodeBeforeTheNext() throws Fault {
+    void rollingRestartFinishesOneNodeBeforeTheNext() throws ServiceException {
         Script s = new Script();
         for (String n : List.of("http://a", "http://b")) {
             s.on("GET " + n + "/v1/readiness", 200, "{}").on("POST " + n + "/v1/drain", 200, "{\"drained\":false}")
@@ -161,11 +161,11 @@
         Path p = dir.resolve("b.json");
         Files.writeString(p, """
             {"name":"b","purpose":"p","steps":[{"title":"${nowhere}","kind":"ASK"},{"title":"t","kind":"REMOVE"}]}""");
-        Fault f = assertThrows(Fault.class, () -> Books.load(p.toString()));
+        ServiceException f = assertThrows(ServiceException.class, () -> Runbooks.load(p.toString()));
         assertEquals(3, f.details().size(), f.details().toString());
         List<String> out = new ArrayList<>();
-        assertEquals(2, Tender.main(new String[] {"check", p.toString()}, out::add));
-        assertEquals(0, Tender.main(new String[] {"list"}, out::add));
-        assertEquals(2, Tender.main(new String[] {"run", "nothing-such"}, out::add));
+        assertEquals(2, OperatorProgram.main(new String[] {"check", p.toString()}, out::add));
+        assertEquals(0, OperatorProgram.main(new String[] {"list"}, out::add));
+        assertEquals(2, OperatorProgram.main(new String[] {"run", "nothing-such"}, out::add));
     }
 }
--- a/trials/src/main/java/org/woadvale/trials/hollow/Backlog.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/Backlog.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.hollow;
+package org.woadvale.testkit.capacity;
 
 import java.lang.management.ManagementFactory;
 import java.time.Instant;
@@ -6,11 +6,11 @@
 import java.util.List;
 import java.util.Map;
 
-import org.woadvale.foundation.beam.Codec;
-import org.woadvale.foundation.watch.Wire;
-import org.woadvale.pilot.berth.BerthMachine;
-import org.woadvale.pilot.berth.Commands;
-import org.woadvale.pilot.berth.LaneTerms;
+import org.woadvale.common.rpc.Codec;
+import org.woadvale.common.membership.Wire;
+import org.woadvale.dataplane.queue.MessageStateMachine;
+import org.woadvale.dataplane.queue.Commands;
+import org.woadvale.dataplane.queue.RouteTerms;
 
 /** Messages that wait in one part, 1,250 bytes each: heap, and what taking them and making a view of them costs. design 9.8 */
 final class Backlog implements Mechanism {
@@ -47,11 +47,11 @@
     public Map<String, Double> measure(int size) {
         Codec codec = Wire.codec(Wire.PILOT, Commands.types());
         long before = Heap.used();
-        BerthMachine m = new BerthMachine("m0", codec);
+        MessageStateMachine m = new MessageStateMachine("m0", codec);
         double from = cpuMs();
         for (int i = 1; i <= size; i++) {
             m.apply(i, new Commands.Accept("tenant" + i % 8, "hold", "id" + i, "", new byte[BODY], "h".repeat(64),
-                new LaneTerms("reserve", 60000, 8, 3000, false), Instant.EPOCH, Instant.EPOCH));
+                new RouteTerms("reserve", 60000, 8, 3000, false), Instant.EPOCH, Instant.EPOCH));
         }
         double taken = cpuMs() - from;
         Map<String, Double> out = new LinkedHashMap<>();
@@ -60,7 +60,7 @@
         byte[] view = m.view();
         double made = cpuMs() - from;
         from = cpuMs();
-        new BerthMachine("m0", codec).restore(view);
+        new MessageStateMachine("m0", codec).restore(view);
         out.put("view KB", view.length / 1024.0);
         out.put("processor ms to take all", taken);
         out.put("processor ms to make a view", made);
--- a/trials/src/main/java/org/woadvale/trials/hollow/CapacityCommand.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/CapacityCommand.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.hollow;
+package org.woadvale.testkit.capacity;
 
 import java.io.IOException;
 import java.io.PrintStream;
@@ -10,8 +10,8 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
 
 /** Measures slopes, draws them, and holds a forecast against the largest run: docs/CAPACITY.md. */
 public final class CapacityCommand {
@@ -28,18 +28,18 @@
         try {
             measure(Wanted.of(args, Heap.allowed()));
             return 0;
-        } catch (Fault e) {
+        } catch (ServiceException e) {
             err.println("capacity: " + e.getMessage());
             return e.kind() == ErrorKind.BAD_REQUEST ? 2 : 1;
         }
     }
 
-    private void measure(Wanted w) throws Fault {
+    private void measure(Wanted w) throws ServiceException {
         System.setProperty("java.awt.headless", "true");
         try {
             Files.createDirectories(w.out());
         } catch (IOException e) {
-            throw new Fault(ErrorKind.UNAVAILABLE, "Cannot make the folder " + w.out() + ".");
+            throw new ServiceException(ErrorKind.UNAVAILABLE, "Cannot make the folder " + w.out() + ".");
         }
         for (Map.Entry<Mechanism, List<Integer>> e : w.runs().entrySet()) {
             String name = w.name(e.getKey());
@@ -53,7 +53,7 @@
     }
 
     /** The middle size is run once unrecorded, so that the first figures are not those of cold code. */
-    private Map<String, Map<Integer, Double>> sweep(String name, Mechanism m, List<Integer> sizes) throws Fault {
+    private Map<String, Map<Integer, Double>> sweep(String name, Mechanism m, List<Integer> sizes) throws ServiceException {
         m.measure(sizes.get(sizes.size() / 2));
         Map<String, Map<Integer, Double>> figures = new LinkedHashMap<>();
         for (int size : sizes) {
@@ -67,7 +67,7 @@
         return figures;
     }
 
-    private Map<String, Double> timed(String name, Mechanism m, int size) throws Fault {
+    private Map<String, Double> timed(String name, Mechanism m, int size) throws ServiceException {
         long from = System.nanoTime();
         Map<String, Double> got = m.measure(size);
         err.println("capacity: " + name + " " + size + " took "
@@ -85,7 +85,7 @@
         out.println();
     }
 
-    private void forecast(Mechanism m, int size, Map<String, Map<Integer, Double>> figures) throws Fault {
+    private void forecast(Mechanism m, int size, Map<String, Map<Integer, Double>> figures) throws ServiceException {
         Map<String, Double> run = timed(Wanted.NODES, m, size);
         out.println("| " + size + " " + m.counts() + " | forecast | run | run over forecast |");
         out.println("|---|---|---|---|");
--- a/trials/src/main/java/org/woadvale/trials/hollow/Count.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/Count.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.hollow;
+package org.woadvale.testkit.capacity;
 
 import java.util.Collection;
 
--- a/trials/src/main/java/org/woadvale/trials/hollow/Events.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/Events.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.hollow;
+package org.woadvale.testkit.capacity;
 
 import java.lang.management.ManagementFactory;
 import java.time.Duration;
@@ -6,9 +6,9 @@
 import java.util.List;
 import java.util.Map;
 
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.trials.buoy.Scenery;
-import org.woadvale.trials.squall.Voyage;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.testkit.stub.TestConfiguration;
+import org.woadvale.testkit.simulation.FleetSimulation;
 
 /**
  * Whole shipped nodes (8 intakes, 3 stores, 3 lighthouses) under mixed traffic: what one event costs in frames, syncs and
@@ -41,8 +41,8 @@
     }
 
     @Override
-    public Map<String, Double> measure(int size) throws Fault {
-        Voyage v = new Voyage(1, 8, 3, 12, new Scenery(8, 12, 100, 200, 40), RING_BYTES).embark();
+    public Map<String, Double> measure(int size) throws ServiceException {
+        FleetSimulation v = new FleetSimulation(1, 8, 3, 12, new TestConfiguration(8, 12, 100, 200, 40), RING_BYTES).embark();
         v.w.sim.run(Duration.ofSeconds(3));
         v.traffic(size);
         v.w.sim.run(Duration.ofSeconds(5));
@@ -59,7 +59,7 @@
         return out;
     }
 
-    private static long accepted(Voyage v) {
+    private static long accepted(FleetSimulation v) {
         return v.kinds().getOrDefault("accepted", 0L);
     }
 }
--- a/trials/src/main/java/org/woadvale/trials/hollow/FleetRuns.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/FleetRuns.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.hollow;
+package org.woadvale.testkit.capacity;
 
 import java.time.Duration;
 import java.util.LinkedHashMap;
@@ -6,7 +6,7 @@
 import java.util.Map;
 import java.util.function.IntFunction;
 
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.runtime.ServiceException;
 
 /** Runs of hollow fleets that differ in one number. */
 final class FleetRuns {
@@ -27,7 +27,7 @@
 
     /** One fleet after another. */
     private interface Run {
-        Map<String, Double> of(int size) throws Fault;
+        Map<String, Double> of(int size) throws ServiceException;
     }
 
     private record Kind(String counts, List<Integer> sizes, int most, IntFunction<Long> heap, Run run) implements Mechanism {
@@ -37,7 +37,7 @@
         }
 
         @Override
-        public Map<String, Double> measure(int size) throws Fault {
+        public Map<String, Double> measure(int size) throws ServiceException {
             return run.of(size);
         }
     }
@@ -121,7 +121,7 @@
         });
     }
 
-    /** Layouts changed within a window, evenly; a layout of 64 tenants. */
+    /** ConfigurationView changed within a window, evenly; a layout of 64 tenants. */
     static Mechanism changes() {
         return new Kind("changes in 10 s", List.of(1, 2, 4, 8, 16), MOST_CHANGES, n -> fleet(36, 64, 16), n -> {
             HollowFleet f = new HollowFleet(Shape.usual().tenants(64));
@@ -142,7 +142,7 @@
         });
     }
 
-    /** Passes drawn by each node in a second, from the buckets of eight tenants. */
+    /** AdmissionTokens drawn by each node in a second, from the buckets of eight tenants. */
     static Mechanism passes() {
         return new Kind("passes drawn by a node /s", List.of(25, 50, 100, 200), MOST_DRAWN, n -> fleet(36, 8, 16), n -> {
             HollowFleet f = new HollowFleet(Shape.usual().draws(n));
--- a/trials/src/main/java/org/woadvale/trials/hollow/HollowFleet.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/HollowFleet.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.hollow;
+package org.woadvale.testkit.capacity;
 
 import java.time.Duration;
 import java.util.Collection;
@@ -8,30 +8,30 @@
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 
-import org.woadvale.foundation.beam.Beam;
-import org.woadvale.foundation.beam.Codec;
-import org.woadvale.foundation.beam.Router;
-import org.woadvale.foundation.chart.Charts;
-import org.woadvale.foundation.keeper.Env;
-import org.woadvale.foundation.keeper.Pace;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.logbook.RingLogbook;
-import org.woadvale.foundation.watch.Asks;
-import org.woadvale.foundation.watch.Core;
-import org.woadvale.foundation.watch.Places;
-import org.woadvale.foundation.watch.Processor;
-import org.woadvale.foundation.watch.Wire;
-import org.woadvale.lighthouse.lamp.LampNode;
-import org.woadvale.lighthouse.lamp.Operators;
-import org.woadvale.pilot.berth.Commands;
-import org.woadvale.trials.buoy.Scenery;
-import org.woadvale.trials.squall.Sim;
-import org.woadvale.trials.squall.SimDisk;
+import org.woadvale.common.rpc.RpcClient;
+import org.woadvale.common.rpc.Codec;
+import org.woadvale.common.rpc.RpcRouter;
+import org.woadvale.common.config.Configurations;
+import org.woadvale.common.replication.Env;
+import org.woadvale.common.replication.ReplicationTiming;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.wal.RingWriteAheadLog;
+import org.woadvale.common.membership.ControlMessages;
+import org.woadvale.common.membership.CoreClient;
+import org.woadvale.common.membership.ServiceNames;
+import org.woadvale.common.membership.Processor;
+import org.woadvale.common.membership.Wire;
+import org.woadvale.controlplane.partition.ControlNode;
+import org.woadvale.controlplane.partition.Operators;
+import org.woadvale.dataplane.queue.Commands;
+import org.woadvale.testkit.stub.TestConfiguration;
+import org.woadvale.testkit.simulation.Sim;
+import org.woadvale.testkit.simulation.SimDisk;
 
 /** Three shipped lighthouses and many hollow nodes in one process, on the fake clock. design 12.1 */
 final class HollowFleet {
-    static final String LIST = Places.processors(Scenery.GROUP);
+    static final String LIST = ServiceNames.processors(TestConfiguration.GROUP);
     private static final Duration PATIENCE = Duration.ofSeconds(60);
     private static final Duration REST = Duration.ofSeconds(4);
     private static final int RING_FILES = 6;
@@ -49,20 +49,20 @@
     private final Map<String, HollowHost> hosts = new LinkedHashMap<>();
     private final Map<String, HollowNode> nodes = new LinkedHashMap<>();
     private final Map<String, Integer> places = new LinkedHashMap<>();
-    private final Core operator;
+    private final CoreClient operator;
     private final long heapBefore;
     private long layout;
     private long changes;
 
     /** Serving when it returns: everyone knows everyone and each tenant's bucket is held. */
-    HollowFleet(Shape shape) throws Fault {
+    HollowFleet(Shape shape) throws ServiceException {
         this.shape = shape;
         for (String l : seeds) {
             light(l);
         }
         HollowHost desk = new HollowHost("10.0.9.1:1", sim);
         net.add(desk);
-        operator = new Core(net.beam(desk, lampCodec), sim.random()::nextLong, seeds, List.of(), l -> { });
+        operator = new CoreClient(net.beam(desk, lampCodec), sim.random()::nextLong, seeds, List.of(), l -> { });
         sim.run(REST);
         change();
         await(() -> layout == 1, "the layout was not taken");
@@ -83,17 +83,17 @@
         }
     }
 
-    private void light(String address) throws Fault {
+    private void light(String address) throws ServiceException {
         HollowHost h = new HollowHost(address, sim);
         net.add(h);
         lamps.put(address, h);
-        Router router = new Router();
+        RpcRouter router = new RpcRouter();
         h.serve(router);
-        Beam beam = net.beam(h, lampCodec);
-        RingLogbook book = RingLogbook.open(new SimDisk(sim), h, RING_FILES, RING_BYTES);
+        RpcClient beam = net.beam(h, lampCodec);
+        RingWriteAheadLog book = RingWriteAheadLog.open(new SimDisk(sim), h, RING_FILES, RING_BYTES);
         book.onFailure(why -> h.kill());
-        Env env = new Env(h, h, beam, lampCodec, book, sim.random()::nextLong, Pace.core());
-        LampNode n = new LampNode(env, new Core(beam, sim.random()::nextLong, seeds, List.of(), l -> { }), seeds);
+        Env env = new Env(h, h, beam, lampCodec, book, sim.random()::nextLong, ReplicationTiming.core());
+        ControlNode n = new ControlNode(env, new CoreClient(beam, sim.random()::nextLong, seeds, List.of(), l -> { }), seeds);
         n.route(router);
         new Operators(n, "").route(router);
         n.start();
@@ -104,7 +104,7 @@
         HollowHost h = new HollowHost(address, sim);
         net.add(h);
         hosts.put(address, h);
-        String role = i % Shape.STORE_EVERY == 0 ? Places.STORES : Places.INTAKES;
+        String role = i % Shape.STORE_EVERY == 0 ? ServiceNames.STORES : ServiceNames.INTAKES;
         HollowNode n = new HollowNode(h, net.beam(h, pilotCodec), pilotCodec, sim, "hall" + i % Shape.HALLS, seeds, role);
         nodes.put(address, n);
         h.work(() -> n.start(List.of(LIST)));
@@ -113,7 +113,7 @@
     private void drawing(String address) {
         HollowHost h = hosts.get(address);
         Duration period = Duration.ofNanos((long) (1e9 / shape.drawsPerS()));
-        h.every(period, () -> nodes.get(address).draw(Places.tenantBucket(Scenery.tenant(
+        h.every(period, () -> nodes.get(address).draw(ServiceNames.tenantBucket(TestConfiguration.tenant(
             sim.random().nextInt(shape.tenants())))));
     }
 
@@ -123,17 +123,17 @@
 
     /** One more layout: the same but for the burst of all tenants. Its version is the count of changes that were taken. */
     void change() {
-        byte[] json = Charts.write(new Scenery(shape.tenants(), 0, RATE, (int) (RATE + changes), 1).layout(i -> ""));
-        Asks.PutLayout put = new Asks.PutLayout("change" + changes++, layout, json, "capacity");
-        operator.ask(Places.controlPart(Places.LAYOUT), new Operators.LayoutPut(put), Asks.LayoutTaken.class)
+        byte[] json = Configurations.write(new TestConfiguration(shape.tenants(), 0, RATE, (int) (RATE + changes), 1).layout(i -> ""));
+        ControlMessages.PutLayout put = new ControlMessages.PutLayout("change" + changes++, layout, json, "capacity");
+        operator.ask(ServiceNames.controlPart(ServiceNames.LAYOUT), new Operators.LayoutPut(put), ControlMessages.LayoutTaken.class)
             .subscribe(t -> layout = t.version(), e -> { });
     }
 
     int layoutBytes() {
-        return nodes.values().iterator().next().latest(Places.LAYOUT).layout().length;
+        return nodes.values().iterator().next().latest(ServiceNames.LAYOUT).layout().length;
     }
 
-    private void list() throws Fault {
+    private void list() throws ServiceException {
         int[] taken = {0};
         for (int i = 0; i < shape.destinations(); i++) {
             put(i, false, taken);
@@ -147,12 +147,12 @@
 
     private void put(int i, boolean leaving, int[] taken) {
         Processor p = new Processor("http://10.200." + i / 250 % 250 + "." + i % 250 + ":8080", leaving);
-        operator.ask(Places.controlPart(LIST), new Asks.PutProcessor(LIST, "processor-" + i, p, 0), Asks.Done.class)
+        operator.ask(ServiceNames.controlPart(LIST), new ControlMessages.PutProcessor(LIST, "processor-" + i, p, 0), ControlMessages.Done.class)
             .subscribe(d -> taken[0]++, e -> { });
     }
 
     /** Marks one destination, or takes the mark back; how long until each store that follows the list has the new one. */
-    Duration mark(boolean leaving) throws Fault {
+    Duration mark(boolean leaving) throws ServiceException {
         Duration from = sim.now();
         put(0, leaving, new int[1]);
         await(() -> nodes.values().stream().filter(HollowNode::follows)
@@ -161,7 +161,7 @@
     }
 
     /** One change of the layout; how long until every node uses it, in steps of 10 ms. */
-    Duration changeEverywhere() throws Fault {
+    Duration changeEverywhere() throws ServiceException {
         Duration from = sim.now();
         long before = layout;
         change();
@@ -181,7 +181,7 @@
     }
 
     /** An intake is gone until its claim has lapsed, and comes back; how long until every node knows the new one. */
-    Duration restart(Duration away) throws Fault {
+    Duration restart(Duration away) throws ServiceException {
         String a = restarting();
         nodes.remove(a).stop();
         hosts.remove(a).kill();
@@ -189,17 +189,17 @@
         Duration from = sim.now();
         begin(a);
         String now = nodes.get(a).incarnation();
-        await(() -> nodes.values().stream().allMatch(n -> n.incarnationOf(Places.INTAKES, a).equals(now)),
+        await(() -> nodes.values().stream().allMatch(n -> n.incarnationOf(ServiceNames.INTAKES, a).equals(now)),
             "a restarted node is not known everywhere");
         return sim.now().minus(from);
     }
 
     /** Ends when the condition holds, looked at each 10 ms. */
-    private void await(BooleanSupplier condition, String why) throws Fault {
+    private void await(BooleanSupplier condition, String why) throws ServiceException {
         Duration end = sim.now().plus(PATIENCE);
         while (!condition.getAsBoolean()) {
             if (sim.now().compareTo(end) > 0) {
-                throw new Fault(ErrorKind.UNAVAILABLE, why + " within " + PATIENCE.toSeconds() + " s at " + shape + ".");
+                throw new ServiceException(ErrorKind.UNAVAILABLE, why + " within " + PATIENCE.toSeconds() + " s at " + shape + ".");
             }
             sim.run(Duration.ofMillis(10));
         }
--- a/trials/src/main/java/org/woadvale/trials/hollow/HollowHost.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/HollowHost.java
@@ -1,22 +1,22 @@
-package org.woadvale.trials.hollow;
+package org.woadvale.testkit.capacity;
 
 import java.lang.management.ManagementFactory;
 import java.lang.management.ThreadMXBean;
 import java.time.Duration;
 import java.time.Instant;
 
-import org.woadvale.foundation.beam.Router;
-import org.woadvale.foundation.lantern.Schedule;
-import org.woadvale.foundation.lantern.Schedules;
-import org.woadvale.foundation.lantern.Times;
-import org.woadvale.trials.squall.Sim;
+import org.woadvale.common.rpc.RpcRouter;
+import org.woadvale.common.runtime.TimerHandle;
+import org.woadvale.common.runtime.Timers;
+import org.woadvale.common.runtime.Clock;
+import org.woadvale.testkit.simulation.Sim;
 
 /**
  * One hollow machine on the fake clock: it counts what it sends and gets, and the processor time of all that runs on
  * it. Design 12.1. The time is the thread's own (ThreadMXBean); asking for it costs about a microsecond a task, which
  * is not taken off. Sockets cost nothing here: see {@link Wires}.
  */
-final class HollowHost implements Times, Schedules {
+final class HollowHost implements Clock, Timers {
     private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
     private static final Instant EPOCH = Instant.parse("2030-01-01T00:00:00Z");
     private static final Duration DISK = Duration.ofMillis(2);
@@ -24,7 +24,7 @@
     final String address;
     private final Sim sim;
     private final Duration started;
-    private Router router = new Router();
+    private RpcRouter router = new RpcRouter();
     private boolean alive = true;
     private long frames;
     private long bytes;
@@ -37,11 +37,11 @@
         this.started = sim.now();
     }
 
-    void serve(Router r) {
+    void serve(RpcRouter r) {
         router = r;
     }
 
-    Router router() {
+    RpcRouter router() {
         return router;
     }
 
@@ -89,7 +89,7 @@
     }
 
     @Override
-    public Schedule after(Duration delay, Runnable task) {
+    public TimerHandle after(Duration delay, Runnable task) {
         boolean[] cancelled = {false};
         sim.after(delay, () -> {
             if (!cancelled[0]) {
--- a/trials/src/main/java/org/woadvale/trials/hollow/HollowNet.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/HollowNet.java
@@ -1,18 +1,18 @@
-package org.woadvale.trials.hollow;
+package org.woadvale.testkit.capacity;
 
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 
-import org.woadvale.foundation.beam.Beam;
-import org.woadvale.foundation.beam.Codec;
-import org.woadvale.foundation.beam.Exchange;
-import org.woadvale.foundation.beam.Frame;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.lantern.Schedule;
-import org.woadvale.trials.squall.Sim;
+import org.woadvale.common.rpc.RpcClient;
+import org.woadvale.common.rpc.Codec;
+import org.woadvale.common.rpc.PendingCalls;
+import org.woadvale.common.rpc.Frame;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.runtime.TimerHandle;
+import org.woadvale.testkit.simulation.Sim;
 
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
@@ -30,7 +30,7 @@
         hosts.put(h.address, h);
     }
 
-    Beam beam(HollowHost self, Codec codec) {
+    RpcClient beam(HollowHost self, Codec codec) {
         return new HollowBeam(self, codec);
     }
 
@@ -38,7 +38,7 @@
         return sim.between(100, 1500);
     }
 
-    private final class HollowBeam implements Beam {
+    private final class HollowBeam implements RpcClient {
         private final HollowHost self;
         private final Codec codec;
 
@@ -57,8 +57,8 @@
         public <T> Mono<T> ask(String to, Object body, Class<T> answer, Duration limit) {
             return Mono.defer(() -> {
                 Sinks.One<Frame> sink = Sinks.one();
-                Schedule late = self.after(limit,
-                    () -> sink.tryEmitError(new Fault(ErrorKind.UNKNOWN_OUTCOME, "No answer in time.")));
+                TimerHandle late = self.after(limit,
+                    () -> sink.tryEmitError(new ServiceException(ErrorKind.UNKNOWN_OUTCOME, "No answer in time.")));
                 byte[] bytes = codec.write(new Frame(1, Frame.Kind.ASK, body));
                 self.passed(bytes.length);
                 sim.after(delay(), () -> arrive(to, bytes, sink));
@@ -67,20 +67,20 @@
                 : Mono.just(answer.cast(f.body())));
         }
 
-        private Fault fault(Frame.Refusal r) {
-            return new Fault(ErrorKind.valueOf(r.kind()), r.message(), r.details());
+        private ServiceException fault(Frame.Refusal r) {
+            return new ServiceException(ErrorKind.valueOf(r.kind()), r.message(), r.details());
         }
 
         private void arrive(String to, byte[] bytes, Sinks.One<Frame> sink) {
             Optional<HollowHost> target = Optional.ofNullable(hosts.get(to)).filter(HollowHost::alive);
             if (target.isEmpty()) {
-                self.work(() -> sink.tryEmitError(new Fault(ErrorKind.UNREACHABLE, "No stream to " + to + ".")));
+                self.work(() -> sink.tryEmitError(new ServiceException(ErrorKind.UNREACHABLE, "No stream to " + to + ".")));
                 return;
             }
             HollowHost t = target.get();
             t.passed(bytes.length);
             t.asked();
-            t.work(() -> Exchange.serve(t.router(), self.address, read(bytes)).subscribe(f -> back(t, f, sink)));
+            t.work(() -> PendingCalls.serve(t.router(), self.address, read(bytes)).subscribe(f -> back(t, f, sink)));
         }
 
         private void back(HollowHost from, Frame f, Sinks.One<Frame> sink) {
@@ -95,7 +95,7 @@
         private Frame read(byte[] bytes) {
             try {
                 return codec.read(bytes, Frame.class);
-            } catch (Fault e) {
+            } catch (ServiceException e) {
                 throw new IllegalStateException(e);
             }
         }
--- a/trials/src/main/java/org/woadvale/trials/hollow/Mechanism.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/Mechanism.java
@@ -1,9 +1,9 @@
-package org.woadvale.trials.hollow;
+package org.woadvale.testkit.capacity;
 
 import java.util.List;
 import java.util.Map;
 
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.runtime.ServiceException;
 
 /** Something whose cost is measured against a size. */
 interface Mechanism {
@@ -20,5 +20,5 @@
     long needs(int size);
 
     /** One run: figures by name, each with its unit in the name. */
-    Map<String, Double> measure(int size) throws Fault;
+    Map<String, Double> measure(int size) throws ServiceException;
 }
--- a/trials/src/main/java/org/woadvale/trials/hollow/Parts.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/Parts.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.hollow;
+package org.woadvale.testkit.capacity;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -8,20 +8,20 @@
 import java.util.List;
 import java.util.Map;
 
-import org.woadvale.foundation.beam.Codec;
-import org.woadvale.foundation.beam.Router;
-import org.woadvale.foundation.keeper.Env;
-import org.woadvale.foundation.keeper.Messages;
-import org.woadvale.foundation.keeper.Pace;
-import org.woadvale.foundation.keeper.Replica;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.logbook.RingLogbook;
-import org.woadvale.foundation.watch.Wire;
-import org.woadvale.pilot.berth.BerthMachine;
-import org.woadvale.pilot.berth.Commands;
-import org.woadvale.trials.squall.Sim;
-import org.woadvale.trials.squall.SimDisk;
+import org.woadvale.common.rpc.Codec;
+import org.woadvale.common.rpc.RpcRouter;
+import org.woadvale.common.replication.Env;
+import org.woadvale.common.replication.Messages;
+import org.woadvale.common.replication.ReplicationTiming;
+import org.woadvale.common.replication.Replica;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.wal.RingWriteAheadLog;
+import org.woadvale.common.membership.Wire;
+import org.woadvale.dataplane.queue.MessageStateMachine;
+import org.woadvale.dataplane.queue.Commands;
+import org.woadvale.testkit.simulation.Sim;
+import org.woadvale.testkit.simulation.SimDisk;
 
 import reactor.core.publisher.Mono;
 
@@ -57,7 +57,7 @@
     }
 
     @Override
-    public Map<String, Double> measure(int size) throws Fault {
+    public Map<String, Double> measure(int size) throws ServiceException {
         long before = Heap.used();
         Sim sim = new Sim(1);
         HollowNet net = new HollowNet(sim);
@@ -72,7 +72,7 @@
         sim.run(START);
         long owned = replicas.stream().flatMap(m -> m.values().stream()).filter(Replica::mayAct).count();
         if (owned != size) {
-            throw new Fault(ErrorKind.UNAVAILABLE, "Only " + owned + " of " + size + " parts have an owner.");
+            throw new ServiceException(ErrorKind.UNAVAILABLE, "Only " + owned + " of " + size + " parts have an owner.");
         }
         Count was = Count.sum(hosts.stream().map(HollowHost::count).toList());
         sim.run(WINDOW);
@@ -87,17 +87,17 @@
     }
 
     /** Each part has another first store, so owners are spread. */
-    private static Map<String, Replica> store(HollowHost h, HollowNet net, Sim sim, int parts) throws Fault {
+    private static Map<String, Replica> store(HollowHost h, HollowNet net, Sim sim, int parts) throws ServiceException {
         Codec codec = Wire.codec(Wire.PILOT, Commands.types());
-        RingLogbook book = RingLogbook.open(new SimDisk(sim), h, RING_FILES, RING_BYTES);
-        Env env = new Env(h, h, net.beam(h, codec), codec, book, sim.random()::nextLong, Pace.usual());
+        RingWriteAheadLog book = RingWriteAheadLog.open(new SimDisk(sim), h, RING_FILES, RING_BYTES);
+        Env env = new Env(h, h, net.beam(h, codec), codec, book, sim.random()::nextLong, ReplicationTiming.usual());
         Map<String, Replica> mine = new HashMap<>();
         for (int i = 0; i < parts; i++) {
             List<String> copies = new ArrayList<>(STORES);
             Collections.rotate(copies, i);
-            mine.put("m" + i, new Replica("m" + i, copies, new BerthMachine("m" + i, codec), env));
+            mine.put("m" + i, new Replica("m" + i, copies, new MessageStateMachine("m" + i, codec), env));
         }
-        Router r = new Router();
+        RpcRouter r = new RpcRouter();
         r.on(Messages.VoteAsk.class, (f, a) -> at(mine, a.part(), f, a))
             .on(Messages.AppendAsk.class, (f, a) -> at(mine, a.part(), f, a))
             .on(Messages.ViewPush.class, (f, a) -> at(mine, a.part(), f, a))
--- a/trials/src/main/java/org/woadvale/trials/hollow/Plot.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/Plot.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.hollow;
+package org.woadvale.testkit.capacity;
 
 import java.awt.Color;
 import java.awt.Font;
@@ -17,8 +17,8 @@
 import org.knowm.xchart.XYChartBuilder;
 import org.knowm.xchart.XYSeries;
 import org.knowm.xchart.style.markers.SeriesMarkers;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
 
 /** Points and their lines, drawn by XChart: one picture a mechanism. */
 final class Plot {
@@ -41,7 +41,7 @@
     }
 
     /** Writes NAME.png into the folder; figures by name, each with its points by size. */
-    static void write(Path folder, String name, String counts, Map<String, Map<Integer, Double>> figures) throws Fault {
+    static void write(Path folder, String name, String counts, Map<String, Map<Integer, Double>> figures) throws ServiceException {
         List<XYChart> all = new ArrayList<>();
         figures.forEach((figure, points) -> all.add(chart(counts, figure, points)));
         int columns = Math.min(COLUMNS, all.size());
@@ -57,7 +57,7 @@
         try {
             ImageIO.write(sheet, "png", folder.resolve(name + ".png").toFile());
         } catch (IOException e) {
-            throw new Fault(ErrorKind.UNAVAILABLE, "Cannot write the plot " + name + " into " + folder + ".");
+            throw new ServiceException(ErrorKind.UNAVAILABLE, "Cannot write the plot " + name + " into " + folder + ".");
         }
     }
 }
--- a/trials/src/main/java/org/woadvale/trials/hollow/Shape.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/Shape.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.hollow;
+package org.woadvale.testkit.capacity;
 
 /** A hollow fleet: nodes, tenants of the layout, processors in one list, passes drawn by each node in a second. */
 record Shape(int nodes, int tenants, int destinations, double drawsPerS) {
--- a/trials/src/main/java/org/woadvale/trials/hollow/Wanted.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/Wanted.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.hollow;
+package org.woadvale.testkit.capacity;
 
 import java.nio.file.Path;
 import java.util.Arrays;
@@ -8,8 +8,8 @@
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
 
 import com.github.rvesse.airline.SingleCommand;
 import com.github.rvesse.airline.annotations.Command;
@@ -40,7 +40,7 @@
     private final int largest;
     private final Path out;
 
-    private Wanted(Options o, long allowed) throws Fault {
+    private Wanted(Options o, long allowed) throws ServiceException {
         List<String> only = list(o.nodes.isEmpty() ? o.only : NODES);
         List<String> sizes = list(o.nodes.isEmpty() ? o.sizes : o.nodes);
         Map<String, Supplier<Mechanism>> all = all();
@@ -86,7 +86,7 @@
     }
 
     /** Refuses with one sentence; so much heap in bytes may be used. */
-    static Wanted of(String[] args, long allowed) throws Fault {
+    static Wanted of(String[] args, long allowed) throws ServiceException {
         try {
             return new Wanted(SingleCommand.singleCommand(Options.class).parse(args), allowed);
         } catch (ParseException e) {
@@ -94,15 +94,15 @@
         }
     }
 
-    private static Fault bad(String why) {
-        return new Fault(ErrorKind.BAD_REQUEST, why);
+    private static ServiceException bad(String why) {
+        return new ServiceException(ErrorKind.BAD_REQUEST, why);
     }
 
     private static List<String> list(String commas) {
         return commas.isEmpty() ? List.of() : Arrays.stream(commas.split(",", -1)).map(String::trim).toList();
     }
 
-    private static List<Integer> checked(List<String> sizes) throws Fault {
+    private static List<Integer> checked(List<String> sizes) throws ServiceException {
         for (String s : sizes) {
             if (!s.matches("[1-9][0-9]{0,7}")) {
                 throw bad("A size is a whole number from 1 to 99999999, not \"" + s + "\".");
@@ -115,7 +115,7 @@
         return out;
     }
 
-    private void fits(Mechanism m, int size, long allowed) throws Fault {
+    private void fits(Mechanism m, int size, long allowed) throws ServiceException {
         if (size > m.most()) {
             throw bad(size + " " + m.counts() + " are more than the " + m.most() + " that can be run.");
         }
--- a/trials/src/main/java/org/woadvale/trials/hollow/Wires.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/Wires.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.hollow;
+package org.woadvale.testkit.capacity;
 
 import java.io.IOException;
 import java.lang.management.ManagementFactory;
@@ -9,13 +9,13 @@
 import java.util.List;
 import java.util.Map;
 
-import org.woadvale.foundation.beam.Router;
-import org.woadvale.foundation.beam.TcpBeam;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.lantern.RealSchedules;
-import org.woadvale.foundation.watch.Asks;
-import org.woadvale.foundation.watch.Wire;
+import org.woadvale.common.rpc.RpcRouter;
+import org.woadvale.common.rpc.TcpRpcClient;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.runtime.SystemTimers;
+import org.woadvale.common.membership.ControlMessages;
+import org.woadvale.common.membership.Wire;
 
 import com.sun.management.OperatingSystemMXBean;
 
@@ -23,7 +23,7 @@
 import reactor.core.publisher.Mono;
 
 /**
- * Claims renewed over the shipped TCP beam on loopback, both ends in this process: what the sockets cost that hollow
+ * LeaseManager renewed over the shipped TCP beam on loopback, both ends in this process: what the sockets cost that hollow
  * machines do not have. Real time; the processor time is the whole process's. design 3
  */
 final class Wires implements Mechanism {
@@ -53,11 +53,11 @@
         return 128 << 20;
     }
 
-    private static String free() throws Fault {
+    private static String free() throws ServiceException {
         try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return "127.0.0.1:" + s.getLocalPort();
         } catch (IOException e) {
-            throw new Fault(ErrorKind.UNAVAILABLE, "No free port on loopback.");
+            throw new ServiceException(ErrorKind.UNAVAILABLE, "No free port on loopback.");
         }
     }
 
@@ -66,12 +66,12 @@
     }
 
     @Override
-    public Map<String, Double> measure(int size) throws Fault {
-        RealSchedules schedules = new RealSchedules(2);
-        Router router = new Router();
-        router.on(Asks.LeaveAsk.class, (f, a) -> Mono.just(new Asks.Done(true)));
-        TcpBeam here = new TcpBeam(free(), Wire.codec(Wire.PILOT, List.of()), new Router(), schedules);
-        TcpBeam there = new TcpBeam(free(), Wire.codec(Wire.PILOT, List.of()), router, schedules);
+    public Map<String, Double> measure(int size) throws ServiceException {
+        SystemTimers schedules = new SystemTimers(2);
+        RpcRouter router = new RpcRouter();
+        router.on(ControlMessages.LeaveAsk.class, (f, a) -> Mono.just(new ControlMessages.Done(true)));
+        TcpRpcClient here = new TcpRpcClient(free(), Wire.codec(Wire.PILOT, List.of()), new RpcRouter(), schedules);
+        TcpRpcClient there = new TcpRpcClient(free(), Wire.codec(Wire.PILOT, List.of()), router, schedules);
         try {
             there.start();
             ask(here, there.self(), WARM_UP);
@@ -87,8 +87,8 @@
         }
     }
 
-    private static void ask(TcpBeam from, String to, int n) {
-        Asks.LeaveAsk body = new Asks.LeaveAsk("role/intake", to);
-        Flux.range(0, n).flatMap(i -> from.ask(to, body, Asks.Done.class, LIMIT), IN_FLIGHT).blockLast(ALL);
+    private static void ask(TcpRpcClient from, String to, int n) {
+        ControlMessages.LeaveAsk body = new ControlMessages.LeaveAsk("role/intake", to);
+        Flux.range(0, n).flatMap(i -> from.ask(to, body, ControlMessages.Done.class, LIMIT), IN_FLIGHT).blockLast(ALL);
     }
 }
--- a/trials/src/main/java/org/woadvale/trials/harbour/Client.java
+++ b/testkit/src/main/java/org/woadvale/testkit/cluster/Client.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.harbour;
+package org.woadvale.testkit.cluster;
 
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -8,7 +8,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
-import org.woadvale.foundation.chart.Charts;
+import org.woadvale.common.config.Configurations;
 
 import com.fasterxml.jackson.databind.JsonNode;
 
@@ -42,7 +42,7 @@
 
     private static JsonNode json(byte[] body) {
         try {
-            return Charts.JSON.readTree(body);
+            return Configurations.JSON.readTree(body);
         } catch (java.io.IOException e) {
             return com.fasterxml.jackson.databind.node.MissingNode.getInstance();
         }
--- a/trials/src/main/java/org/woadvale/trials/harbour/Signaller.java
+++ b/testkit/src/main/java/org/woadvale/testkit/cluster/ClientLoad.java
@@ -1,21 +1,21 @@
-package org.woadvale.trials.harbour;
+package org.woadvale.testkit.cluster;
 
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 
-import org.woadvale.signal.ApiClient;
-import org.woadvale.signal.ApiException;
-import org.woadvale.signal.api.CallersApi;
-import org.woadvale.signal.model.HandIn;
-import org.woadvale.signal.model.Message;
-import org.woadvale.signal.model.Taken;
+import org.woadvale.client.ApiClient;
+import org.woadvale.client.ApiException;
+import org.woadvale.client.api.CallersApi;
+import org.woadvale.client.model.SubmitRequest;
+import org.woadvale.client.model.Message;
+import org.woadvale.client.model.Taken;
 
 /** A caller that uses the client generated from our schema. */
-public final class Signaller {
+public final class ClientLoad {
     private final CallersApi api;
 
-    public Signaller(String http, String key) {
+    public ClientLoad(String http, String key) {
         ApiClient c = new ApiClient();
         c.updateBaseUri("http://" + http);
         c.setRequestInterceptor(b -> b.header("Authorization", "Bearer " + key));
@@ -25,7 +25,7 @@
 
     /** The handle of the message taken; a 202 without one is no answer. */
     public String handIn(String lane, String id) throws ApiException {
-        HandIn in = new HandIn().id(id).body(Map.of("text", "by the generated client"));
+        SubmitRequest in = new SubmitRequest().id(id).body(Map.of("text", "by the generated client"));
         return Optional.ofNullable(api.handIn(lane, in)).map(Taken::getHandle).filter(h -> !h.isEmpty())
             .orElseThrow(() -> new ApiException("taken without a handle"));
     }
--- a/trials/src/main/java/org/woadvale/trials/harbour/Drills.java
+++ b/testkit/src/main/java/org/woadvale/testkit/cluster/Drills.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.harbour;
+package org.woadvale.testkit.cluster;
 
 import java.io.IOException;
 import java.time.Duration;
@@ -7,12 +7,12 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
-import org.woadvale.trials.buoy.Sightings;
+import org.woadvale.testkit.stub.Observations;
 
 /** Failures on the real fleet, under traffic. */
 final class Drills {
     private interface Drill {
-        void run(Fleet f, Town t, Load l) throws IOException;
+        void run(Fleet f, StubEnvironment t, Load l) throws IOException;
     }
 
     /** What is to be set up before the fleet starts. */
@@ -49,7 +49,7 @@
             if (name.startsWith("cut-")) {
                 cuts = f.relayed();
             } else if (name.equals("wrap")) {
-                for (Vessel v : f.stores) {
+                for (NodeProcess v : f.stores) {
                     v.boot("partMb", 1).boot("ringFileMb", 2).boot("ringFiles", 16);
                 }
             } else if (name.equals("upgrade")) {
@@ -59,46 +59,46 @@
     }
 
     /** All links of one process wait for 8 s; a key is withdrawn meanwhile and goes on being used there. */
-    private static void cutOff(Vessel v, Fleet f, Town t, Load l) throws IOException {
+    private static void cutOff(NodeProcess v, Fleet f, StubEnvironment t, Load l) throws IOException {
         t.putKey("short-lived", true);
         CompletableFuture<Void> traffic = traffic(l, 24);
-        Town.sleep(5000);
+        StubEnvironment.sleep(5000);
         f.all().stream().filter(o -> o != v).forEach(o -> cuts.cut(v.address, o.address));
         System.out.println("Cut " + v.name + " off.");
         t.putKey("short-lived", false);
         for (int i = 0; i < 32; i++) {
             l.use("short-lived", f.intakes.get(0));
-            Town.sleep(250);
+            StubEnvironment.sleep(250);
         }
         cuts.heal();
         System.out.println("Healed.");
         traffic.join();
     }
 
-    private static void hallOff(Fleet f, Town t, Load l) throws IOException {
+    private static void hallOff(Fleet f, StubEnvironment t, Load l) throws IOException {
         CompletableFuture<Void> traffic = traffic(l, 24);
-        Town.sleep(5000);
-        java.util.List<Vessel> hall = f.inHall(0, t.shape);
-        hall.forEach(Vessel::kill);
+        StubEnvironment.sleep(5000);
+        java.util.List<NodeProcess> hall = f.inHall(0, t.shape);
+        hall.forEach(NodeProcess::kill);
         System.out.println("Hall 0 is off: " + hall.stream().map(v -> v.name).toList());
-        Town.sleep(7000);
-        for (Vessel v : hall) {
+        StubEnvironment.sleep(7000);
+        for (NodeProcess v : hall) {
             v.start();
         }
         traffic.join();
     }
 
-    private static void slowEndpoints(Fleet f, Town t, Load l) {
+    private static void slowEndpoints(Fleet f, StubEnvironment t, Load l) {
         t.backends.forEach((id, b) -> {
             if (b.paced()) {
-                b.behave(new org.woadvale.trials.buoy.Backend.Manner(Duration.ofMillis(1500), 0, 0, 0.05));
+                b.behave(new org.woadvale.testkit.stub.Backend.Manner(Duration.ofMillis(1500), 0, 0, 0.05));
             }
         });
         l.run(Duration.ofSeconds(20), RATE);
     }
 
     /** -Dolder=JAR: the older build fills its folders, all stop, this build goes on with them. */
-    private static void upgrade(Fleet f, Town t, Load l) throws IOException {
+    private static void upgrade(Fleet f, StubEnvironment t, Load l) throws IOException {
         l.run(Duration.ofSeconds(10), RATE);
         f.killAll();
         f.all().forEach(v -> v.build(System.getProperty("java.class.path")));
@@ -114,7 +114,7 @@
         return ALL.keySet();
     }
 
-    static void run(String name, Fleet f, Town t, Load l) throws IOException {
+    static void run(String name, Fleet f, StubEnvironment t, Load l) throws IOException {
         if (!ALL.containsKey(name)) {
             throw new IllegalArgumentException("no drill " + name + "; there are " + names());
         }
@@ -125,36 +125,36 @@
         return CompletableFuture.runAsync(() -> l.run(Duration.ofSeconds(seconds), RATE));
     }
 
-    private static void killOne(Vessel v, Town t, Load l) throws IOException {
+    private static void killOne(NodeProcess v, StubEnvironment t, Load l) throws IOException {
         CompletableFuture<Void> traffic = traffic(l, 20);
-        Town.sleep(5000);
+        StubEnvironment.sleep(5000);
         v.kill();
         System.out.println("Killed " + v.name + ".");
-        Town.sleep(7000);
+        StubEnvironment.sleep(7000);
         v.start();
         System.out.println("Started " + v.name + " again.");
         traffic.join();
     }
 
-    private static void pauseOne(Vessel v, Load l) throws IOException {
+    private static void pauseOne(NodeProcess v, Load l) throws IOException {
         CompletableFuture<Void> traffic = traffic(l, 20);
-        Town.sleep(5000);
+        StubEnvironment.sleep(5000);
         v.signal("STOP");
-        Town.sleep(6000);
+        StubEnvironment.sleep(6000);
         v.signal("CONT");
         System.out.println("Paused " + v.name + " for 6 s.");
         traffic.join();
     }
 
-    private static void loseDisk(Fleet f, Town t, Load l) throws IOException {
+    private static void loseDisk(Fleet f, StubEnvironment t, Load l) throws IOException {
         CompletableFuture<Void> traffic = traffic(l, 25);
-        Town.sleep(5000);
+        StubEnvironment.sleep(5000);
         f.stores.get(1).kill();
         f.stores.get(1).loseDisk();
-        Town.sleep(1000);
+        StubEnvironment.sleep(1000);
         f.stores.get(1).start();
         System.out.println("store1 came back with a blank disk.");
-        Town.sleep(9000);
+        StubEnvironment.sleep(9000);
         f.stores.get(0).kill();
         System.out.println("Killed store0: only store1 and the others hold what was accepted.");
         traffic.join();
@@ -162,32 +162,32 @@
     }
 
     /** Everything is killed, everything is started; served means a hand-in was accepted. */
-    private static void outage(Fleet f, Town t, Load l) throws IOException {
+    private static void outage(Fleet f, StubEnvironment t, Load l) throws IOException {
         l.run(Duration.ofSeconds(5), RATE);
         f.killAll();
         Duration restarted = t.times.mono();
         f.startAll();
         t.await("service after the outage", Duration.ofSeconds(60), () -> {
             try {
-                return l.one(0).join().said() == Sightings.Said.ACCEPTED;
+                return l.one(0).join().said() == Observations.Said.ACCEPTED;
             } catch (java.util.concurrent.CompletionException e) {
                 return false;
             }
         });
         Duration served = t.times.mono();
-        t.seen.saw(t.seen.outages, new Sightings.Outage(restarted, served));
+        t.seen.saw(t.seen.outages, new Observations.Outage(restarted, served));
         System.out.println("Served again after " + served.minus(restarted).toMillis() + " ms.");
         l.run(Duration.ofSeconds(5), RATE);
     }
 
-    /** Machine by machine: stop in order, start again, wait until it is ready. */
-    private static void roll(Fleet f, Town t, Load l) throws IOException {
+    /** StateMachine by machine: stop in order, start again, wait until it is ready. */
+    private static void roll(Fleet f, StubEnvironment t, Load l) throws IOException {
         CompletableFuture<Void> traffic = traffic(l, 60);
-        for (Vessel v : f.all()) {
+        for (NodeProcess v : f.all()) {
             v.stop();
             v.start();
             t.await(v.name + " to be ready", Duration.ofSeconds(30), () -> t.ready(v));
-            Town.sleep(1500);
+            StubEnvironment.sleep(1500);
         }
         System.out.println("Rolled " + f.all().size() + " processes.");
         traffic.join();
--- a/trials/src/main/java/org/woadvale/trials/harbour/Fleet.java
+++ b/testkit/src/main/java/org/woadvale/testkit/cluster/Fleet.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.harbour;
+package org.woadvale.testkit.cluster;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -12,17 +12,17 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.stream.Stream;
 
-import org.woadvale.lighthouse.Lighthouse;
-import org.woadvale.pilot.Pilot;
+import org.woadvale.controlplane.ControlPlaneProgram;
+import org.woadvale.dataplane.DataPlaneProgram;
 
 /** A whole fleet of real processes on loopback. */
 public final class Fleet implements AutoCloseable {
     private static final int LOWEST = 15000;
     private static final int HIGHEST = 32000;
     private static final Set<Integer> GIVEN = new HashSet<>();
-    public final List<Vessel> lighthouses = new ArrayList<>();
-    public final List<Vessel> intakes = new ArrayList<>();
-    public final List<Vessel> stores = new ArrayList<>();
+    public final List<NodeProcess> lighthouses = new ArrayList<>();
+    public final List<NodeProcess> intakes = new ArrayList<>();
+    public final List<NodeProcess> stores = new ArrayList<>();
     private final List<Relay> relays = new ArrayList<>();
     private final Path root;
     private final List<String> seeds;
@@ -35,7 +35,7 @@
         }
         seeds = List.copyOf(addresses);
         for (int i = 0; i < shape.lighthouses; i++) {
-            lighthouses.add(new Vessel("lighthouse" + i, Lighthouse.class.getName(), root, seeds.get(i), free(),
+            lighthouses.add(new NodeProcess("lighthouse" + i, ControlPlaneProgram.class.getName(), root, seeds.get(i), free(),
                 hall(i, shape), seeds, List.of(), true, false));
         }
         for (int i = 0; i < shape.stores; i++) {
@@ -50,8 +50,8 @@
         return "hall" + i % shape.halls;
     }
 
-    public Vessel pilot(String name, String hall, String role) throws IOException {
-        return new Vessel(name, Pilot.class.getName(), root, free(), free(), hall, seeds, List.of(role),
+    public NodeProcess pilot(String name, String hall, String role) throws IOException {
+        return new NodeProcess(name, DataPlaneProgram.class.getName(), root, free(), free(), hall, seeds, List.of(role),
             role.equals("store"), false);
     }
 
@@ -76,7 +76,7 @@
     /** Puts a relay before every process; none may have been started yet. */
     public Relay.Cuts relayed() throws IOException {
         Relay.Cuts cuts = new Relay.Cuts();
-        for (Vessel v : all()) {
+        for (NodeProcess v : all()) {
             String listen = free();
             v.boot("listen", listen);
             relays.add(new Relay(v.address, listen, cuts));
@@ -84,26 +84,26 @@
         return cuts;
     }
 
-    public List<Vessel> inHall(int n, Shape shape) {
+    public List<NodeProcess> inHall(int n, Shape shape) {
         return Stream.of(lighthouses, stores, intakes).flatMap(l -> java.util.stream.IntStream.range(0, l.size())
             .filter(i -> i % shape.halls == n).mapToObj(l::get)).toList();
     }
 
-    public List<Vessel> all() {
+    public List<NodeProcess> all() {
         return Stream.of(lighthouses, stores, intakes).flatMap(List::stream).toList();
     }
 
     public void startAll() throws IOException {
-        for (Vessel v : all()) {
+        for (NodeProcess v : all()) {
             v.start();
         }
     }
 
     public void killAll() {
-        all().forEach(Vessel::kill);
+        all().forEach(NodeProcess::kill);
     }
 
-    public Optional<Vessel> byName(String name) {
+    public Optional<NodeProcess> byName(String name) {
         return all().stream().filter(v -> v.name.equals(name)).findFirst();
     }
 
