--- a/trials/src/main/java/org/woadvale/trials/harbour/Load.java
+++ b/testkit/src/main/java/org/woadvale/testkit/cluster/Load.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.harbour;
+package org.woadvale.testkit.cluster;
 
 import java.time.Duration;
 import java.util.HashMap;
@@ -12,9 +12,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
 
-import org.woadvale.foundation.chart.Charts;
-import org.woadvale.trials.buoy.Scenery;
-import org.woadvale.trials.buoy.Sightings;
+import org.woadvale.common.config.Configurations;
+import org.woadvale.testkit.stub.TestConfiguration;
+import org.woadvale.testkit.stub.Observations;
 
 /** Callers: mixed traffic over all intakes at a steady rate, then the question what became of it. */
 public final class Load {
@@ -22,7 +22,7 @@
     /** Accepted messages that were not yet shown as ended, with the last answer about each. */
     private final Map<String, String> left = new ConcurrentHashMap<>();
     private final ConcurrentLinkedQueue<String> broken = new ConcurrentLinkedQueue<>();
-    private final Town town;
+    private final StubEnvironment town;
     private final Fleet fleet;
     private final Random random;
     private final AtomicLong ids = new AtomicLong();
@@ -30,7 +30,7 @@
     private final ConcurrentLinkedQueue<CompletableFuture<?>> open = new ConcurrentLinkedQueue<>();
     private final Map<String, AtomicLong> kinds = new ConcurrentHashMap<>();
 
-    public Load(Town town, Fleet fleet, long seed) {
+    public Load(StubEnvironment town, Fleet fleet, long seed) {
         this.town = town;
         this.fleet = fleet;
         this.random = new Random(seed);
@@ -51,12 +51,12 @@
                 asked = town.times.mono();
                 List.copyOf(left.keySet()).forEach(this::ask);
             }
-            Town.sleep(5);
+            StubEnvironment.sleep(5);
         }
     }
 
     /** A hand-in of a mixed kind at an intake that is up. */
-    public CompletableFuture<Sightings.HandedIn> one(int tenant) {
+    public CompletableFuture<Observations.HandedIn> one(int tenant) {
         List<String> lanes = town.scenery.lanes();
         String lane = random.nextInt(3) == 0 ? "accept" : lanes.get(random.nextInt(lanes.size()));
         Map<String, Object> body = new LinkedHashMap<>();
@@ -68,54 +68,54 @@
         }
         body.put("delayMs", random.nextInt(10) == 0 ? 500 + random.nextInt(1500) : 0);
         body.put("body", Map.of("text", "x".repeat(200 + random.nextInt(1000))));
-        return handIn(tenant, id, lane, order, Charts.write(body), 3);
+        return handIn(tenant, id, lane, order, Configurations.write(body), 3);
     }
 
     /** One hand-in and one read under a key at one intake, on the client's kept-alive connections. */
-    public void use(String secret, Vessel intake) {
+    public void use(String secret, NodeProcess intake) {
         String id = "k" + ids.incrementAndGet();
-        byte[] body = Charts.write(Map.of("id", id, "body", Map.of()));
+        byte[] body = Configurations.write(Map.of("id", id, "body", Map.of()));
         open.add(handIn(0, id, "hold", "", body, 0, intake, secret));
         open.add(town.client.send("GET", intake.http, "/v1/messages?state=failed", secret, new byte[0], Map.of())
             .handle((g, e) -> {
                 if (e == null && g.status() == 200) {
-                    town.seen.saw(town.seen.served, new Sightings.KeyServed(secret, "read", town.times.mono()));
+                    town.seen.saw(town.seen.served, new Observations.KeyServed(secret, "read", town.times.mono()));
                 }
                 return true;
             }));
     }
 
-    private CompletableFuture<Sightings.HandedIn> handIn(int tenant, String id, String lane, String order, byte[] body,
+    private CompletableFuture<Observations.HandedIn> handIn(int tenant, String id, String lane, String order, byte[] body,
                                                          int tries) {
         return handIn(tenant, id, lane, order, body, tries, fleet.intakes.get(random.nextInt(fleet.intakes.size())),
-            Scenery.callerKey(tenant));
+            TestConfiguration.callerKey(tenant));
     }
 
-    private CompletableFuture<Sightings.HandedIn> handIn(int tenant, String id, String lane, String order, byte[] body,
-                                                         int tries, Vessel v, String key) {
+    private CompletableFuture<Observations.HandedIn> handIn(int tenant, String id, String lane, String order, byte[] body,
+                                                         int tries, NodeProcess v, String key) {
         Duration sent = town.times.mono();
-        CompletableFuture<Sightings.HandedIn> f = town.client.send("POST", v.http, "/v1/lanes/" + lane + "/messages",
+        CompletableFuture<Observations.HandedIn> f = town.client.send("POST", v.http, "/v1/lanes/" + lane + "/messages",
             key, body, Map.of()).handle((g, e) -> {
-                Taking t = e == null ? Taking.of(g) : Taking.NONE;
+                Sampling t = e == null ? Sampling.of(g) : Sampling.NONE;
                 kinds.computeIfAbsent(t.kind(), k -> new AtomicLong()).incrementAndGet();
                 if (t.broken()) {
                     broken.add(id + ": " + g.told());
                 }
-                Sightings.HandedIn h = new Sightings.HandedIn(Scenery.tenant(tenant), id, lane, order,
+                Observations.HandedIn h = new Observations.HandedIn(TestConfiguration.tenant(tenant), id, lane, order,
                     key, sent, town.times.mono(), t.said(), t.kind(), t.handle(), t.repeated());
                 town.seen.saw(town.seen.handedIn, h);
-                if (t.said() == Sightings.Said.ACCEPTED) {
+                if (t.said() == Observations.Said.ACCEPTED) {
                     owners.put(t.handle(), tenant);
                     left.put(t.handle(), "not asked yet");
                 }
                 return h;
-            }).thenCompose(h -> h.said() == Sightings.Said.UNKNOWN && tries > 0
+            }).thenCompose(h -> h.said() == Observations.Said.UNKNOWN && tries > 0
                 ? handIn(tenant, id, lane, order, body, tries - 1) : CompletableFuture.completedFuture(h));
         open.add(f);
         return f;
     }
 
-    /** Asks for every accepted message until all have ended. */
+    /** ControlMessages for every accepted message until all have ended. */
     public boolean settle(Duration limit) {
         open.forEach(f -> f.exceptionally(e -> null).join());
         open.clear();
@@ -135,13 +135,13 @@
     }
 
     private CompletableFuture<?> ask(String handle) {
-        Vessel v = fleet.intakes.get(random.nextInt(fleet.intakes.size()));
+        NodeProcess v = fleet.intakes.get(random.nextInt(fleet.intakes.size()));
         Duration asked = town.times.mono();
-        return town.client.send("GET", v.http, "/v1/messages/" + handle, Scenery.callerKey(owners.get(handle)),
+        return town.client.send("GET", v.http, "/v1/messages/" + handle, TestConfiguration.callerKey(owners.get(handle)),
             new byte[0], Map.of()).handle((g, e) -> {
                 left.computeIfPresent(handle, (h, before) -> e == null ? g.told() : "no answer: " + e);
                 if (e == null && g.status() == 200 && g.json().path("handle").asText().equals(handle)) {
-                    Sightings.Shown shown = Sightings.Shown.read(handle, g.json(), asked, town.times.mono(), town::trueTime);
+                    Observations.Shown shown = Observations.Shown.read(handle, g.json(), asked, town.times.mono(), town::trueTime);
                     town.seen.saw(town.seen.shown, shown);
                     if (shown.over()) {
                         left.remove(handle);
--- a/trials/src/main/java/org/woadvale/trials/harbour/Vessel.java
+++ b/testkit/src/main/java/org/woadvale/testkit/cluster/NodeProcess.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.harbour;
+package org.woadvale.testkit.cluster;
 
 import java.io.IOException;
 import java.nio.file.Files;
@@ -9,10 +9,10 @@
 import java.util.Map;
 import java.util.Optional;
 
-import org.woadvale.foundation.chart.Charts;
+import org.woadvale.common.config.Configurations;
 
 /** One real process of the fleet; only the fleet launcher starts processes. */
-public final class Vessel {
+public final class NodeProcess {
     public final String name;
     public final String address;
     public final String http;
@@ -22,7 +22,7 @@
     private Optional<Process> process = Optional.empty();
     private String classpath = System.getProperty("java.class.path");
 
-    public Vessel(String name, String mainClass, Path root, String address, String http, String hall,
+    public NodeProcess(String name, String mainClass, Path root, String address, String http, String hall,
                   List<String> seeds, List<String> roles, boolean disk, boolean join) throws IOException {
         this.name = name;
         this.mainClass = mainClass;
@@ -43,14 +43,14 @@
             boot.put("partMb", 4);
         }
         boot.put("join", join);
-        Files.write(bootFile, Charts.write(boot));
+        Files.write(bootFile, Configurations.write(boot));
     }
 
     /** A field of the boot file, from the next start on. */
-    public Vessel boot(String field, Object value) throws IOException {
-        Map<String, Object> boot = new LinkedHashMap<>(Charts.JSON.readerForMapOf(Object.class).readValue(bootFile.toFile()));
+    public NodeProcess boot(String field, Object value) throws IOException {
+        Map<String, Object> boot = new LinkedHashMap<>(Configurations.JSON.readerForMapOf(Object.class).readValue(bootFile.toFile()));
         boot.put(field, value);
-        Files.write(bootFile, Charts.write(boot));
+        Files.write(bootFile, Configurations.write(boot));
         return this;
     }
 
--- a/trials/src/main/java/org/woadvale/trials/harbour/Relay.java
+++ b/testkit/src/main/java/org/woadvale/testkit/cluster/Relay.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.harbour;
+package org.woadvale.testkit.cluster;
 
 import java.io.DataInputStream;
 import java.io.IOException;
@@ -90,7 +90,7 @@
 
     private void hold(String from, String to) {
         while (cuts.is(from, to)) {
-            Town.sleep(20);
+            StubEnvironment.sleep(20);
         }
     }
 
--- /dev/null
+++ b/testkit/src/main/java/org/woadvale/testkit/cluster/Sampling.java
@@ -0,0 +1,27 @@
+package org.woadvale.testkit.cluster;
+
+import org.woadvale.testkit.stub.Observations;
+
+/**
+ * What a caller makes of the answer to a hand-in. A 202 without a handle proves nothing: the caller asks again with
+ * the same id, as after no answer, and what was answered counts as broken. design 9.6
+ */
+record Sampling(Observations.Said said, String kind, String handle, boolean repeated) {
+    static final Sampling NONE = new Sampling(Observations.Said.UNKNOWN, "no answer", "", false);
+    private static final Sampling BROKEN = new Sampling(Observations.Said.UNKNOWN, "accepted without a handle", "", false);
+
+    static Sampling of(Client.Got g) {
+        if (g.status() == 202) {
+            String handle = g.json().path("handle").asText("");
+            return handle.isEmpty() ? BROKEN
+                : new Sampling(Observations.Said.ACCEPTED, "accepted", handle, g.json().path("repeated").asBoolean());
+        }
+        boolean unknown = g.status() >= 500 && g.status() != 503;
+        return new Sampling(unknown ? Observations.Said.UNKNOWN : Observations.Said.REFUSED, g.json().path("kind").asText(), "",
+            false);
+    }
+
+    boolean broken() {
+        return equals(BROKEN);
+    }
+}
--- a/trials/src/main/java/org/woadvale/trials/harbour/Shape.java
+++ b/testkit/src/main/java/org/woadvale/testkit/cluster/Shape.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.harbour;
+package org.woadvale.testkit.cluster;
 
 import java.util.Arrays;
 
--- a/trials/src/main/java/org/woadvale/trials/harbour/Town.java
+++ b/testkit/src/main/java/org/woadvale/testkit/cluster/StubEnvironment.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.harbour;
+package org.woadvale.testkit.cluster;
 
 import java.io.IOException;
 import java.security.SecureRandom;
@@ -10,59 +10,59 @@
 import java.util.concurrent.CompletionException;
 import java.util.function.BooleanSupplier;
 
-import org.woadvale.foundation.chart.Charts;
-import org.woadvale.foundation.chart.Layout;
-import org.woadvale.foundation.gate.Gate;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.lantern.RealSchedules;
-import org.woadvale.foundation.lantern.RealTimes;
-import org.woadvale.foundation.lantern.Times;
-import org.woadvale.trials.buoy.Backend;
-import org.woadvale.trials.buoy.Edit;
-import org.woadvale.trials.buoy.Scenery;
-import org.woadvale.trials.buoy.Sightings;
+import org.woadvale.common.config.Configurations;
+import org.woadvale.common.config.Configuration;
+import org.woadvale.common.http.HttpGateway;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.runtime.SystemTimers;
+import org.woadvale.common.runtime.SystemClock;
+import org.woadvale.common.runtime.Clock;
+import org.woadvale.testkit.stub.Backend;
+import org.woadvale.testkit.stub.Edit;
+import org.woadvale.testkit.stub.TestConfiguration;
+import org.woadvale.testkit.stub.Observations;
 
 /** The stand-ins around a real fleet: back ends, platform and head office. */
-public final class Town implements AutoCloseable {
-    public final Sightings seen = new Sightings();
-    public final Times times = new RealTimes();
+public final class StubEnvironment implements AutoCloseable {
+    public final Observations seen = new Observations();
+    public final Clock times = new SystemClock();
     public final Client client = new Client();
-    public final Scenery scenery;
+    public final TestConfiguration scenery;
     public final Shape shape;
     public final Map<String, Backend> backends = new LinkedHashMap<>();
     private final Map<String, String> addresses = new LinkedHashMap<>();
-    private final RealSchedules schedules = new RealSchedules(4);
-    private final List<Gate> gates = new ArrayList<>();
+    private final SystemTimers schedules = new SystemTimers(4);
+    private final List<HttpGateway> gates = new ArrayList<>();
     private final Fleet fleet;
     private long present;
 
-    public Town(Fleet fleet, Shape shape, Scenery scenery) throws IOException, Fault {
+    public StubEnvironment(Fleet fleet, Shape shape, TestConfiguration scenery) throws IOException, ServiceException {
         this.fleet = fleet;
         this.scenery = scenery;
         this.shape = shape;
         scenery.allow(seen);
         for (int i = 0; i < shape.processors; i++) {
-            backend("p" + i, i % 2 == 0 ? Scenery.GROUP : Scenery.ORDERED_GROUP, false);
+            backend("p" + i, i % 2 == 0 ? TestConfiguration.GROUP : TestConfiguration.ORDERED_GROUP, false);
         }
         for (int i = 0; i < shape.endpoints; i++) {
-            backend(Scenery.endpoint(i), Scenery.endpoint(i), true);
+            backend(TestConfiguration.endpoint(i), TestConfiguration.endpoint(i), true);
         }
     }
 
-    private void backend(String id, String service, boolean paced) throws IOException, Fault {
+    private void backend(String id, String service, boolean paced) throws IOException, ServiceException {
         Backend b = new Backend(id, service, paced, seen, times, schedules, new SecureRandom()::nextLong);
         String address = Fleet.free();
-        Gate g = new Gate(address, 64 << 10, b::answer);
+        HttpGateway g = new HttpGateway(address, 64 << 10, b::answer);
         g.start();
         gates.add(g);
         backends.put(id, b);
         addresses.put(id, address);
     }
 
-    /** Asks lighthouses in turn until one gives a clear answer. */
+    /** ControlMessages lighthouses in turn until one gives a clear answer. */
     public Client.Got operate(String method, String path, byte[] body, Map<String, String> headers) {
         for (int i = 0; i < 60; i++) {
-            Vessel v = fleet.lighthouses.get(i % fleet.lighthouses.size());
+            NodeProcess v = fleet.lighthouses.get(i % fleet.lighthouses.size());
             try {
                 Client.Got g = client.send(method, v.http, path, "", body, headers).join();
                 if (g.status() < 500) {
@@ -76,8 +76,8 @@
         throw new IllegalStateException("no lighthouse answered " + method + " " + path);
     }
 
-    public long putLayout(Layout l, long base, String requestId) {
-        byte[] json = Charts.write(l);
+    public long putLayout(Configuration l, long base, String requestId) {
+        byte[] json = Configurations.write(l);
         if (!System.getProperty("older", "").isEmpty()) {
             // the older build does not know this field
             json = new String(json, java.nio.charset.StandardCharsets.UTF_8).replace(",\"ifUnclear\":\"FAIL\"", "")
@@ -86,8 +86,8 @@
         Client.Got g = operate("PUT", "/v1/layout", json, Map.of("If-Match", Long.toString(base), "X-Request-Id", requestId));
         boolean taken = g.status() == 200;
         long version = taken ? g.json().path("version").asLong() : -1;
-        seen.saw(seen.layouts, new Sightings.LayoutSaid(requestId, version, taken, true, times.mono(),
-            Charts.sha256(new String(json, java.nio.charset.StandardCharsets.UTF_8))));
+        seen.saw(seen.layouts, new Observations.LayoutSaid(requestId, version, taken, true, times.mono(),
+            Configurations.sha256(new String(json, java.nio.charset.StandardCharsets.UTF_8))));
         if (!taken) {
             throw new IllegalStateException("layout refused: " + new String(g.body(), java.nio.charset.StandardCharsets.UTF_8));
         }
@@ -97,19 +97,19 @@
 
     /** A key of tenant 0 comes or goes; what follows is by the version that results. */
     public void putKey(String secret, boolean there) {
-        Layout l = Edit.keys(layout(), m -> {
+        Configuration l = Edit.keys(layout(), m -> {
             if (there) {
-                m.put(secret, new Layout.Key(Layout.Role.CALLER, Scenery.tenant(0), "", Charts.sha256(secret)));
+                m.put(secret, new Configuration.Key(Configuration.Role.CALLER, TestConfiguration.tenant(0), "", Configurations.sha256(secret)));
             }
         });
         putLayout(l, present, "key-" + there);
         if (!there) {
-            seen.saw(seen.keys, new Sightings.KeyWithdrawn(secret, times.mono()));
+            seen.saw(seen.keys, new Observations.KeyWithdrawn(secret, times.mono()));
         }
     }
 
-    public Layout layout() {
-        return scenery.layout(i -> "http://" + addresses.get(Scenery.endpoint(i)));
+    public Configuration layout() {
+        return scenery.layout(i -> "http://" + addresses.get(TestConfiguration.endpoint(i)));
     }
 
     public void listProcessors() {
@@ -118,14 +118,14 @@
 
     public void list(String id, boolean leaving) {
         int n = Integer.parseInt(id.substring(1));
-        String service = n % 2 == 0 ? Scenery.GROUP : Scenery.ORDERED_GROUP;
+        String service = n % 2 == 0 ? TestConfiguration.GROUP : TestConfiguration.ORDERED_GROUP;
         Client.Got g = operate("PUT", "/v1/services/" + service + "/processors/" + id,
-            Charts.write(Map.of("address", "http://" + addresses.get(id), "leaving", leaving)), Map.of());
+            Configurations.write(Map.of("address", "http://" + addresses.get(id), "leaving", leaving)), Map.of());
         if (g.status() != 200) {
             throw new IllegalStateException("processor refused: " + g.status());
         }
         if (leaving) {
-            seen.saw(seen.leaving, new Sightings.MarkedLeaving(id, times.mono()));
+            seen.saw(seen.leaving, new Observations.MarkedLeaving(id, times.mono()));
         }
     }
 
@@ -134,7 +134,7 @@
         return times.mono().minus(Duration.between(stamp, times.wall()));
     }
 
-    public boolean ready(Vessel v) {
+    public boolean ready(NodeProcess v) {
         try {
             return client.send("GET", v.http, "/v1/readiness", "", new byte[0], Map.of()).join().status() == 200;
         } catch (CompletionException e) {
@@ -159,7 +159,7 @@
 
     @Override
     public void close() {
-        gates.forEach(Gate::stop);
+        gates.forEach(HttpGateway::stop);
         schedules.close();
     }
 }
--- a/trials/src/main/java/org/woadvale/trials/harbour/Harbour.java
+++ b/testkit/src/main/java/org/woadvale/testkit/cluster/TestkitProgram.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.harbour;
+package org.woadvale.testkit.cluster;
 
 import java.io.IOException;
 import java.nio.file.Files;
@@ -7,19 +7,19 @@
 import java.util.List;
 import java.util.Map;
 
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.trials.buoy.NeverList;
-import org.woadvale.trials.buoy.Scenery;
-import org.woadvale.trials.hollow.CapacityCommand;
-import org.woadvale.trials.squall.Gale;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.testkit.stub.NeverList;
+import org.woadvale.testkit.stub.TestConfiguration;
+import org.woadvale.testkit.capacity.CapacityCommand;
+import org.woadvale.testkit.simulation.SeededPlatformDays;
 
 /** A real fleet on one machine from one command: design 12.2. */
-public final class Harbour {
+public final class TestkitProgram {
     private static final int TENANTS = 8;
 
-    private Harbour() { }
+    private TestkitProgram() { }
 
-    public static void main(String[] args) throws IOException, Fault {
+    public static void main(String[] args) throws IOException, ServiceException {
         if (args.length == 0 || args[0].equals("--help")) {
             System.out.println("harbour smoke [SHAPE]            starts a fleet, hands in, checks, stops");
             System.out.println("harbour load SHAPE SECONDS RATE  mixed traffic, then the never-list and the counts");
@@ -35,7 +35,7 @@
         }
         if (args[0].equals("platform")) {
             System.exit(args.length > 2 && args[1].equals("--seeds")
-                && Gale.sweep(args[2], Duration.ofSeconds(args.length > 3 ? Long.parseLong(args[3]) : 40)) ? 0 : 1);
+                && SeededPlatformDays.sweep(args[2], Duration.ofSeconds(args.length > 3 ? Long.parseLong(args[3]) : 40)) ? 0 : 1);
         }
         boolean drill = args[0].equals("drill");
         Shape shape = Shape.of(args.length > (drill ? 2 : 1) ? args[drill ? 2 : 1] : "small");
@@ -43,8 +43,8 @@
         System.out.println("Data and logs: " + root);
         boolean ok;
         try (Fleet fleet = new Fleet(shape, root)) {
-            Scenery scenery = new Scenery(TENANTS, shape.endpoints, 45, 60, 26);
-            try (Town town = new Town(fleet, shape, scenery)) {
+            TestConfiguration scenery = new TestConfiguration(TENANTS, shape.endpoints, 45, 60, 26);
+            try (StubEnvironment town = new StubEnvironment(fleet, shape, scenery)) {
                 if (drill) {
                     Drills.before(args[1]).run(fleet);
                 }
@@ -65,14 +65,14 @@
         System.exit(ok ? 0 : 1);
     }
 
-    private static void smoke(Fleet fleet, Town town, Load load) {
-        Signaller s = new Signaller(fleet.intakes.get(0).http, Scenery.callerKey(0));
+    private static void smoke(Fleet fleet, StubEnvironment town, Load load) {
+        ClientLoad s = new ClientLoad(fleet.intakes.get(0).http, TestConfiguration.callerKey(0));
         try {
             String handle = s.handIn("hold", "smoke");
             town.await("the end of " + handle, Duration.ofSeconds(20), () -> s.over(handle));
             System.out.println("By the generated client: " + handle + " is " + s.show(handle).getState() + ", proof "
                 + s.show(handle).getProof() + ".");
-        } catch (org.woadvale.signal.ApiException e) {
+        } catch (org.woadvale.client.ApiException e) {
             throw new IllegalStateException("the generated client got " + e.getCode() + " " + e.getResponseBody(), e);
         }
         load.run(Duration.ofSeconds(3), 50);
@@ -82,7 +82,7 @@
         return Drills.names();
     }
 
-    static Duration begin(Fleet fleet, Town town) throws IOException {
+    static Duration begin(Fleet fleet, StubEnvironment town) throws IOException {
         Duration begun = town.times.mono();
         fleet.startAll();
         town.putLayout(town.layout(), 0, "first");
@@ -93,7 +93,7 @@
 
     private static void stay(Fleet fleet) {
         fleet.all().forEach(v -> System.out.println(v.name + " internal " + v.address + " http " + v.http));
-        System.out.println("Caller keys: " + Scenery.callerKey(0) + " .. " + Scenery.callerKey(TENANTS - 1)
+        System.out.println("Caller keys: " + TestConfiguration.callerKey(0) + " .. " + TestConfiguration.callerKey(TENANTS - 1)
             + ". Press Enter to stop.");
         try {
             System.in.read();
@@ -102,7 +102,7 @@
         }
     }
 
-    static boolean report(Fleet fleet, Town town, Load load) {
+    static boolean report(Fleet fleet, StubEnvironment town, Load load) {
         boolean settled = load.settle(Duration.ofSeconds(90));
         System.out.println("Hand-ins by answer: " + load.kinds());
         load.broken().stream().limit(20).forEach(b -> System.out.println("BROKEN ANSWER: " + b));
@@ -114,9 +114,9 @@
         return settled && bad.isEmpty() && load.broken().isEmpty() && !load.states().isEmpty();
     }
 
-    private static void counts(Fleet fleet, Town town) {
+    private static void counts(Fleet fleet, StubEnvironment town) {
         long[] sum = new long[6];
-        for (Vessel v : fleet.all()) {
+        for (NodeProcess v : fleet.all()) {
             try {
                 var g = town.client.send("GET", v.http, "/v1/status", "", new byte[0], Map.of()).join();
                 sum[0] += g.json().path("syncs").asLong();
--- a/trials/src/main/java/org/woadvale/trials/squall/Bare.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/BareReplicas.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import java.time.Duration;
 import java.util.HashMap;
@@ -8,39 +8,39 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 
-import org.woadvale.foundation.beam.Beam;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.watch.Asks;
-import org.woadvale.foundation.watch.ServiceView;
-import org.woadvale.pilot.berth.Commands;
-import org.woadvale.pilot.launch.Post;
+import org.woadvale.common.rpc.RpcClient;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.membership.ControlMessages;
+import org.woadvale.common.membership.ServiceView;
+import org.woadvale.dataplane.queue.Commands;
+import org.woadvale.dataplane.delivery.DeliveryClient;
 
 import reactor.core.publisher.Mono;
 
 /** Stand-ins behind the platform's doors that leave out one mechanism each. design 12.3 */
-final class Bare {
+final class BareReplicas {
     private static final String ID = "X-Attempt-Id";
     private static final String SEAL = "x-server-seal";
 
-    private Bare() { }
+    private BareReplicas() { }
 
-    private static Seams replies(Function<Post.Reply, Post.Reply> f) {
+    private static Seams replies(Function<DeliveryClient.Reply, DeliveryClient.Reply> f) {
         return Seams.none().withPost((a, p) -> c -> p.send(c).map(f));
     }
 
-    private static Post.Reply other(Post.Reply r, int status, String seal) {
+    private static DeliveryClient.Reply other(DeliveryClient.Reply r, int status, String seal) {
         Map<String, String> h = new HashMap<>(r.headers());
         h.remove(SEAL);
         if (!seal.isEmpty()) {
             h.put(SEAL, seal);
         }
-        return new Post.Reply(status, h, r.body());
+        return new DeliveryClient.Reply(status, h, r.body());
     }
 
     /** LOST: the stores' disks say "synced" and have not. */
     static Seams lyingStores() {
-        return Seams.none().withDisk((a, d) -> a.startsWith("10.0.1.") ? Naive.lyingDisk().disk().apply(a, d) : d);
+        return Seams.none().withDisk((a, d) -> a.startsWith("10.0.1.") ? NaiveVariants.lyingDisk().disk().apply(a, d) : d);
     }
 
     /** TWICE: a success is no proof, every fourth time. */
@@ -57,7 +57,7 @@
     /** ORDER: silence is taken for a refusal for good. */
     static Seams silenceIsRefusal() {
         return Seams.none().withPost((a, p) -> c -> p.send(c).onErrorResume(e ->
-            Fault.of(e).kind() == ErrorKind.UNKNOWN_OUTCOME ? Mono.just(new Post.Reply(422,
+            ServiceException.of(e).kind() == ErrorKind.UNKNOWN_OUTCOME ? Mono.just(new DeliveryClient.Reply(422,
                 Map.of("x-attempt-id", c.headers().getOrDefault(ID, "")), new byte[0])) : Mono.error(e)));
     }
 
@@ -66,7 +66,7 @@
         return Seams.none().withPost((a, p) -> c -> {
             Map<String, String> h = new LinkedHashMap<>(c.headers());
             h.remove("X-Expect-Instance");
-            return p.send(new Post.Call(c.method(), c.url(), h, c.body(), c.limit(), c.still(), c.echo()));
+            return p.send(new DeliveryClient.Call(c.method(), c.url(), h, c.body(), c.limit(), c.still(), c.echo()));
         });
     }
 
@@ -77,7 +77,7 @@
             byte first = b[0];
             b[0] = b[b.length - 1];
             b[b.length - 1] = first;
-            return p.send(new Post.Call(c.method(), c.url(), c.headers(), b, c.limit(), c.still(), c.echo()));
+            return p.send(new DeliveryClient.Call(c.method(), c.url(), c.headers(), b, c.limit(), c.still(), c.echo()));
         });
     }
 
@@ -85,7 +85,7 @@
     static Seams lookFirstSendLater() {
         return Seams.none().withPost((a, p) -> c -> Mono.defer(() -> {
             boolean go = c.still().getAsBoolean();
-            return p.send(new Post.Call(c.method(), c.url(), c.headers(), c.body(), c.limit(), () -> go, c.echo()));
+            return p.send(new DeliveryClient.Call(c.method(), c.url(), c.headers(), c.body(), c.limit(), () -> go, c.echo()));
         }));
     }
 
@@ -93,7 +93,7 @@
     static Seams newsStands(BooleanSupplier frozen) {
         return Seams.none().withBeam((a, b) -> {
             Map<String, ServiceView> last = new HashMap<>();
-            return new Beam() {
+            return new RpcClient() {
                 @Override
                 public String self() {
                     return b.self();
@@ -101,12 +101,12 @@
 
                 @Override
                 public <T> Mono<T> ask(String to, Object body, Class<T> answer, Duration limit) {
-                    if (!(body instanceof Asks.NewsAsk n) || frozen.getAsBoolean() && !last.keySet().containsAll(n.known().keySet())) {
+                    if (!(body instanceof ControlMessages.NewsAsk n) || frozen.getAsBoolean() && !last.keySet().containsAll(n.known().keySet())) {
                         return b.ask(to, body, answer, limit);
                     }
-                    return frozen.getAsBoolean() ? Mono.just(answer.cast(Naive.anew(n, last)))
+                    return frozen.getAsBoolean() ? Mono.just(answer.cast(NaiveVariants.anew(n, last)))
                         : b.ask(to, body, answer, limit).doOnNext(t ->
-                            ((Asks.NewsReply) t).views().forEach(v -> last.put(v.service(), v)));
+                            ((ControlMessages.NewsReply) t).views().forEach(v -> last.put(v.service(), v)));
                 }
             };
         });
@@ -115,7 +115,7 @@
     /** TWICE: whoever has a lease of a message, has its present one. */
     static Seams anyLeaseWillDo() {
         Map<String, Integer> present = new ConcurrentHashMap<>();
-        return Seams.none().withBeam((a, b) -> new Beam() {
+        return Seams.none().withBeam((a, b) -> new RpcClient() {
             @Override
             public String self() {
                 return b.self();
--- a/trials/src/main/java/org/woadvale/trials/squall/Callers.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Callers.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import java.time.Duration;
 import java.util.HashMap;
@@ -10,12 +10,12 @@
 import java.util.Set;
 import java.util.TreeMap;
 
-import org.woadvale.foundation.chart.Charts;
-import org.woadvale.foundation.gate.Answer;
-import org.woadvale.foundation.gate.Request;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.trials.buoy.Scenery;
-import org.woadvale.trials.buoy.Sightings;
+import org.woadvale.common.config.Configurations;
+import org.woadvale.common.http.Answer;
+import org.woadvale.common.http.Request;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.testkit.stub.TestConfiguration;
+import org.woadvale.testkit.stub.Observations;
 
 import com.fasterxml.jackson.databind.JsonNode;
 
@@ -64,7 +64,7 @@
         }
         body.put("delayMs", w.sim.luck(0.1) ? 1000 : 0);
         body.put("body", Map.of("text", "x".repeat(300)));
-        handIn(tenant, id, lane, order, Charts.write(body), w.intakes, 5);
+        handIn(tenant, id, lane, order, Configurations.write(body), w.intakes, 5);
     }
 
     /** A message of the lane without ordering. */
@@ -74,14 +74,14 @@
 
     public void plainAt(int tenant, List<String> intakes) {
         String id = "c" + ids++;
-        handIn(tenant, id, "hold", "", Charts.write(Map.of("id", id, "delayMs", 0, "body", Map.of("n", 1))), intakes, 5);
+        handIn(tenant, id, "hold", "", Configurations.write(Map.of("id", id, "delayMs", 0, "body", Map.of("n", 1))), intakes, 5);
     }
 
     /** A message for an outside endpoint. */
     public void check(int endpoint) {
         String id = "c" + ids++;
         handIn((int) (ids % w.scenery.tenants()), id, "check" + endpoint, "",
-            Charts.write(Map.of("id", id, "delayMs", 0, "body", Map.of("n", 1))), w.intakes, 5);
+            Configurations.write(Map.of("id", id, "delayMs", 0, "body", Map.of("n", 1))), w.intakes, 5);
     }
 
     /** Messages whose hand-in was never answered, but whose run was seen; older ones may be forgotten by now. */
@@ -94,19 +94,19 @@
     public void handIn(int tenant, String id, String lane, String order, byte[] body, List<String> at, int tries) {
         Duration sent = w.sim.now();
         Request q = new Request("POST", "/v1/lanes/" + lane + "/messages",
-            Map.of("authorization", "Bearer " + Scenery.callerKey(tenant)), body);
+            Map.of("authorization", "Bearer " + TestConfiguration.callerKey(tenant)), body);
         w.request(at.get(w.sim.random().nextInt(at.size())), q, Duration.ofSeconds(6), a -> {
-            Sightings.Said said = a.isEmpty() || unknown(a.get()) ? Sightings.Said.UNKNOWN
-                : a.get().status() == 202 ? Sightings.Said.ACCEPTED : Sightings.Said.REFUSED;
+            Observations.Said said = a.isEmpty() || unknown(a.get()) ? Observations.Said.UNKNOWN
+                : a.get().status() == 202 ? Observations.Said.ACCEPTED : Observations.Said.REFUSED;
             String kind = a.map(x -> x.status() == 202 ? "accepted" : json(x).path("kind").asText()).orElse("no answer");
             kinds.merge(kind, 1L, Long::sum);
-            String handle = said == Sightings.Said.ACCEPTED ? json(a.get()).path("handle").asText() : "";
-            boolean repeated = said == Sightings.Said.ACCEPTED && json(a.get()).path("repeated").asBoolean();
-            w.seen.saw(w.seen.handedIn, new Sightings.HandedIn(Scenery.tenant(tenant), id, lane, order,
-                Scenery.callerKey(tenant), sent, w.sim.now(), said, kind, handle, repeated));
-            if (said == Sightings.Said.ACCEPTED) {
+            String handle = said == Observations.Said.ACCEPTED ? json(a.get()).path("handle").asText() : "";
+            boolean repeated = said == Observations.Said.ACCEPTED && json(a.get()).path("repeated").asBoolean();
+            w.seen.saw(w.seen.handedIn, new Observations.HandedIn(TestConfiguration.tenant(tenant), id, lane, order,
+                TestConfiguration.callerKey(tenant), sent, w.sim.now(), said, kind, handle, repeated));
+            if (said == Observations.Said.ACCEPTED) {
                 follow(handle, tenant);
-            } else if (said == Sightings.Said.UNKNOWN && tries > 0) {
+            } else if (said == Observations.Said.UNKNOWN && tries > 0) {
                 handIn(tenant, id, lane, order, body, at, tries - 1);
             }
         });
@@ -119,13 +119,13 @@
 
     static JsonNode json(Answer a) {
         try {
-            return Charts.JSON.readTree(a.body());
+            return Configurations.JSON.readTree(a.body());
         } catch (java.io.IOException e) {
             return com.fasterxml.jackson.databind.node.MissingNode.getInstance();
         }
     }
 
-    /** Asks for messages while the run goes on: ended ones are forgotten after a while. */
+    /** ControlMessages for messages while the run goes on: ended ones are forgotten after a while. */
     public void watch() {
         w.sim.after(Duration.ofSeconds(20), () -> {
             List.copyOf(open).forEach(this::ask);
@@ -145,9 +145,9 @@
         String at = w.intakes.get(w.sim.random().nextInt(w.intakes.size()));
         Duration asked = w.sim.now();
         w.request(at, new Request("GET", "/v1/messages/" + handle,
-            Map.of("authorization", "Bearer " + Scenery.callerKey(owners.get(handle))), new byte[0]),
+            Map.of("authorization", "Bearer " + TestConfiguration.callerKey(owners.get(handle))), new byte[0]),
             Duration.ofSeconds(5), a -> a.filter(x -> x.status() == 200).ifPresent(x -> {
-                Sightings.Shown shown = Sightings.Shown.read(handle, json(x), asked, w.sim.now(), w::trueTime);
+                Observations.Shown shown = Observations.Shown.read(handle, json(x), asked, w.sim.now(), w::trueTime);
                 w.seen.saw(w.seen.shown, shown);
                 if (shown.over()) {
                     open.remove(handle);
@@ -155,7 +155,7 @@
             }));
     }
 
-    /** Asks for all accepted messages until each has ended. */
+    /** ControlMessages for all accepted messages until each has ended. */
     public boolean settle(Duration limit) {
         calm();
         Duration end = w.sim.now().plus(limit);
--- a/trials/src/main/java/org/woadvale/trials/squall/Capacity.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Capacity.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -6,14 +6,14 @@
 import java.util.List;
 import java.util.Map;
 
-import org.woadvale.foundation.beam.Codec;
-import org.woadvale.foundation.chart.Charts;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.watch.Wire;
-import org.woadvale.pilot.berth.BerthMachine;
-import org.woadvale.pilot.berth.Commands;
-import org.woadvale.pilot.berth.LaneTerms;
-import org.woadvale.trials.buoy.Scenery;
+import org.woadvale.common.rpc.Codec;
+import org.woadvale.common.config.Configurations;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.membership.Wire;
+import org.woadvale.dataplane.queue.MessageStateMachine;
+import org.woadvale.dataplane.queue.Commands;
+import org.woadvale.dataplane.queue.RouteTerms;
+import org.woadvale.testkit.stub.TestConfiguration;
 
 /** How much a part holds, and how long making a view of a full one takes against a claim. */
 public final class Capacity {
@@ -22,15 +22,15 @@
     private Capacity() { }
 
     /** All processors are down: how long hand-ins of 1.25 KB at 270 a second are taken, parts of 2 MB. */
-    private static void down() throws Fault {
-        Voyage v = new Voyage(1, 8, 3, 4, new Scenery(8, 2, 45, 60, 26), World.LARGE_RING).embark();
+    private static void down() throws ServiceException {
+        FleetSimulation v = new FleetSimulation(1, 8, 3, 4, new TestConfiguration(8, 2, 45, 60, 26), World.LARGE_RING).embark();
         v.w.backends.keySet().forEach(b -> v.w.post.down(b, true));
         Duration from = v.w.sim.now();
         for (int i = 0; i < 270 * 90; i++) {
             int n = i;
             v.w.sim.after(Duration.ofNanos(i * 1_000_000_000L / 270), () -> {
                 String id = "d" + n;
-                v.handIn(n % 8, id, "hold", "", Charts.write(Map.of("id", id, "delayMs", 0, "body", "x".repeat(BODY))),
+                v.handIn(n % 8, id, "hold", "", Configurations.write(Map.of("id", id, "delayMs", 0, "body", "x".repeat(BODY))),
                     v.w.intakes, 0);
             });
         }
@@ -44,17 +44,17 @@
     /** On this machine; nobody gets at the part meanwhile. */
     private static void view(int mb) {
         Codec codec = Wire.codec(Wire.PILOT, Commands.types());
-        BerthMachine m = new BerthMachine("m0", codec);
+        MessageStateMachine m = new MessageStateMachine("m0", codec);
         Instant t = Instant.EPOCH;
         for (long i = 1; m.weight() < (long) mb << 20; i++) {
             m.apply(i, new Commands.Accept("t", "l", "id" + i, "", new byte[BODY], "h".repeat(64),
-                new LaneTerms("s", 60000, 8, 3000, false), t, t));
+                new RouteTerms("s", 60000, 8, 3000, false), t, t));
         }
         List<Long> ms = new ArrayList<>();
         for (int i = 0; i < 30; i++) {
             long from = System.nanoTime();
             byte[] view = m.view();
-            BerthMachine other = new BerthMachine("m0", codec);
+            MessageStateMachine other = new MessageStateMachine("m0", codec);
             long made = System.nanoTime();
             other.restore(view);
             ms.add((made - from) / 1_000_000);
@@ -64,7 +64,7 @@
             + sorted.get(29) + " ms of a claim of 2000 ms; thirty times.");
     }
 
-    public static void main(String[] args) throws Fault {
+    public static void main(String[] args) throws ServiceException {
         for (int mb : new int[] {2, 8, 16}) {
             view(mb);
         }
--- a/trials/src/main/java/org/woadvale/trials/squall/Day.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Day.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -8,21 +8,21 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
-import org.woadvale.foundation.chart.Charts;
-import org.woadvale.foundation.chart.Layout;
-import org.woadvale.foundation.gate.Answer;
-import org.woadvale.foundation.gate.Request;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.trials.buoy.Edit;
-import org.woadvale.trials.buoy.Scenery;
-import org.woadvale.trials.buoy.Sightings;
+import org.woadvale.common.config.Configurations;
+import org.woadvale.common.config.Configuration;
+import org.woadvale.common.http.Answer;
+import org.woadvale.common.http.Request;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.testkit.stub.Edit;
+import org.woadvale.testkit.stub.TestConfiguration;
+import org.woadvale.testkit.stub.Observations;
 
 /** Two operators put layouts all day, racing, while lighthouses die and come back; how long each yes or no takes. */
 public final class Day {
     private record Said(String id, byte[] layout, long base, long version) { }
 
     private static final Duration DOWN = Duration.ofSeconds(5);
-    private final Voyage v;
+    private final FleetSimulation v;
     private final World w;
     private final List<Long> millis = new ArrayList<>();
     private final List<Said> taken = new ArrayList<>();
@@ -32,13 +32,13 @@
     private long killed;
     private int n;
 
-    public Day(long seed) throws Fault {
-        v = new Voyage(seed, 2, 3, 2, new Scenery(2, 1, 20, 30, 26), World.SMALL_RING).embark();
+    public Day(long seed) throws ServiceException {
+        v = new FleetSimulation(seed, 2, 3, 2, new TestConfiguration(2, 1, 20, 30, 26), World.SMALL_RING).embark();
         w = v.w;
     }
 
     /** Each operator changes something every so often; a lighthouse goes down every so often. */
-    public Day run(Duration length, Duration between, Duration kills) throws Fault {
+    public Day run(Duration length, Duration between, Duration kills) throws ServiceException {
         Duration end = w.sim.now().plus(length);
         operator("a", v.layout, 1, between, end);
         operator("b", v.layout, 1, between, end);
@@ -59,15 +59,15 @@
         return this;
     }
 
-    private void operator(String who, Layout known, long base, Duration between, Duration end) {
+    private void operator(String who, Configuration known, long base, Duration between, Duration end) {
         Duration pause = between.plus(w.sim.between(0, between.toNanos() / 2000));
         w.sim.after(pause, () -> {
             if (w.sim.now().compareTo(end) >= 0) {
                 return;
             }
-            Layout next = Edit.tenant(known, "spare" + who, 1 + n % 50, 5);
+            Configuration next = Edit.tenant(known, "spare" + who, 1 + n % 50, 5);
             String id = who + n++;
-            put(id, Charts.write(next), base, w.sim.now(), a -> {
+            put(id, Configurations.write(next), base, w.sim.now(), a -> {
                 long version = a.status() == 200 ? Callers.json(a).path("version").asLong() : present(a);
                 // the one that lost goes on from what it reads
                 reread(version, l -> operator(who, l, version, between, end));
@@ -98,7 +98,7 @@
             if (yes) {
                 long version = Callers.json(a.get()).path("version").asLong();
                 taken.add(new Said(id, json, base, version));
-                w.seen.saw(w.seen.layouts, new Sightings.LayoutSaid(id, version, true, true, w.sim.now(), digest(json)));
+                w.seen.saw(w.seen.layouts, new Observations.LayoutSaid(id, version, true, true, w.sim.now(), digest(json)));
             } else if (a.get().status() != 412) {
                 wrong.add(id + " was answered " + a.get().status());
             }
@@ -107,7 +107,7 @@
     }
 
     private static String digest(byte[] json) {
-        return Charts.sha256(new String(json, StandardCharsets.UTF_8));
+        return Configurations.sha256(new String(json, StandardCharsets.UTF_8));
     }
 
     /** However long ago: the first answer. */
@@ -121,13 +121,13 @@
             }));
     }
 
-    private void reread(long version, Consumer<Layout> then) {
+    private void reread(long version, Consumer<Configuration> then) {
         w.request(w.lighthouses.get(w.sim.random().nextInt(3)), new Request("GET", "/v1/layout/" + version, Map.of(),
             new byte[0]), Duration.ofSeconds(4), a -> {
-                Optional<Layout> l = a.filter(x -> x.status() == 200).flatMap(x -> {
+                Optional<Configuration> l = a.filter(x -> x.status() == 200).flatMap(x -> {
                     try {
-                        return Optional.of(Charts.layout(x.body()));
-                    } catch (Fault e) {
+                        return Optional.of(Configurations.layout(x.body()));
+                    } catch (ServiceException e) {
                         return Optional.empty();
                     }
                 });
@@ -163,7 +163,7 @@
     }
 
     /** day HOURS [SEED] */
-    public static void main(String[] args) throws Fault {
+    public static void main(String[] args) throws ServiceException {
         Day d = new Day(args.length > 1 ? Long.parseLong(args[1]) : 1)
             .run(Duration.ofMinutes((long) (60 * Double.parseDouble(args[0]))), Duration.ofSeconds(20), Duration.ofMinutes(3));
         System.out.println(d);
--- a/trials/src/main/java/org/woadvale/trials/squall/Entry.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Entry.java
@@ -1,21 +1,21 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
-import org.woadvale.foundation.gate.Request;
+import org.woadvale.common.http.Request;
 
 /** The platform's entry: a hash of the client picks a node of its zone, by what each says of its readiness. */
 final class Entry {
     private static final Duration PERIOD = Duration.ofSeconds(1);
     private static final Duration LOOK = Duration.ofMillis(800);
     private static final int MISSES = 2;
-    private final Roads roads;
+    private final NetworkSimulation roads;
     private final Map<String, Integer> missed = new HashMap<>();
 
-    Entry(Roads roads) {
+    Entry(NetworkSimulation roads) {
         this.roads = roads;
         look();
     }
--- a/trials/src/main/java/org/woadvale/trials/squall/Scenes.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/FailureScenarios.java
@@ -1,36 +1,36 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicReference;
 
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.watch.Places;
-import org.woadvale.trials.buoy.Backend;
-import org.woadvale.trials.buoy.Scenery;
-import org.woadvale.trials.buoy.Sightings;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.membership.ServiceNames;
+import org.woadvale.testkit.stub.Backend;
+import org.woadvale.testkit.stub.TestConfiguration;
+import org.woadvale.testkit.stub.Observations;
 
 /** One scenario for each never-line: it brings about the failure that the line is meant for. design 12.3 */
-final class Scenes {
-    private static final Scenery SMALL = new Scenery(3, 2, 20, 30, 26);
+final class FailureScenarios {
+    private static final TestConfiguration SMALL = new TestConfiguration(3, 2, 20, 30, 26);
 
-    private Scenes() { }
+    private FailureScenarios() { }
 
-    private static Voyage begun(long seed, Scenery s, Seams seams) throws Fault {
-        Voyage v = new Voyage(seed, 3, 3, 4, s, World.LARGE_RING, seams).embark();
+    private static FleetSimulation begun(long seed, TestConfiguration s, Seams seams) throws ServiceException {
+        FleetSimulation v = new FleetSimulation(seed, 3, 3, 4, s, World.LARGE_RING, seams).embark();
         v.w.sim.run(Duration.ofSeconds(2));
         return v;
     }
 
-    private static Voyage over(Voyage v) {
+    private static FleetSimulation over(FleetSimulation v) {
         v.followWhatRan();
         v.settle(Duration.ofSeconds(120));
         return v;
     }
 
     /** 01: all machines lose their power under traffic. */
-    static Voyage powerLossEverywhere(long seed, Seams seams) throws Fault {
-        Voyage v = begun(seed, SMALL, seams);
+    static FleetSimulation powerLossEverywhere(long seed, Seams seams) throws ServiceException {
+        FleetSimulation v = begun(seed, SMALL, seams);
         v.traffic(30);
         v.w.sim.run(Duration.ofSeconds(4));
         v.calm();
@@ -44,8 +44,8 @@
     }
 
     /** 02: processors do the work, and then something breaks. */
-    static Voyage errorsAfterTheWork(long seed, Seams seams) throws Fault {
-        Voyage v = begun(seed, SMALL, seams);
+    static FleetSimulation errorsAfterTheWork(long seed, Seams seams) throws ServiceException {
+        FleetSimulation v = begun(seed, SMALL, seams);
         v.w.backends.values().forEach(b -> b.behave(new Backend.Manner(Duration.ofMillis(5), 0, 0, 0, 0.5, "")));
         v.traffic(15);
         v.w.sim.run(Duration.ofSeconds(6));
@@ -53,8 +53,8 @@
     }
 
     /** 03: the stores hear an intake, but it does not hear them. */
-    static Voyage answersDoNotComeBack(long seed, Seams seams) throws Fault {
-        Voyage v = begun(seed, SMALL, seams);
+    static FleetSimulation answersDoNotComeBack(long seed, Seams seams) throws ServiceException {
+        FleetSimulation v = begun(seed, SMALL, seams);
         v.traffic(30);
         v.w.sim.run(Duration.ofSeconds(2));
         v.w.stores.forEach(s -> v.w.net.cutOneWay(s, v.w.intakes.get(0)));
@@ -66,8 +66,8 @@
     }
 
     /** 04: work that takes longer than an attempt may. */
-    static Voyage workLongerThanAnAttempt(long seed, Seams seams) throws Fault {
-        Voyage v = begun(seed, SMALL, seams);
+    static FleetSimulation workLongerThanAnAttempt(long seed, Seams seams) throws ServiceException {
+        FleetSimulation v = begun(seed, SMALL, seams);
         v.w.backends.values().forEach(b -> b.behave(new Backend.Manner(Duration.ofSeconds(5), 0, 0, 0)));
         v.traffic(8);
         v.w.sim.run(Duration.ofSeconds(6));
@@ -78,8 +78,8 @@
     }
 
     /** 05: the streams between an intake and the stores stall for a minute under a tenant's flood. */
-    static Voyage stalledStreams(long seed, Seams seams) throws Fault {
-        Voyage v = begun(seed, SMALL, seams);
+    static FleetSimulation stalledStreams(long seed, Seams seams) throws ServiceException {
+        FleetSimulation v = begun(seed, SMALL, seams);
         String i = v.w.intakes.get(0);
         for (int n = 0; n < 20; n++) {
             v.plainAt(1, List.of(i));
@@ -96,12 +96,12 @@
     }
 
     /** 06: streams to an endpoint open after anything up to 3 s, all at once in the end. */
-    static Voyage streamsThatOpenSlowly(long seed, Seams seams) throws Fault {
-        Voyage v = begun(seed, new Scenery(3, 1, 60, 60, 26), seams);
+    static FleetSimulation streamsThatOpenSlowly(long seed, Seams seams) throws ServiceException {
+        FleetSimulation v = begun(seed, new TestConfiguration(3, 1, 60, 60, 26), seams);
         for (int ms = 0; ms < 14000; ms += 20) {
             v.w.sim.after(Duration.ofMillis(ms), () -> v.check(0));
         }
-        String e = Scenery.endpoint(0);
+        String e = TestConfiguration.endpoint(0);
         for (int ms = 0; ms < 3000; ms += 50) {
             Duration left = Duration.ofMillis(3000 - ms);
             v.w.sim.after(Duration.ofMillis(7000 + ms), () -> v.w.post.slowStreams(e, left));
@@ -112,21 +112,21 @@
     }
 
     /** The nodes of a hall hear nothing from the core any more; among themselves they do. */
-    private static void outOfTouch(Voyage v, int hall) {
+    private static void outOfTouch(FleetSimulation v, int hall) {
         for (String n : List.of(v.w.intakes.get(hall), v.w.stores.get(hall))) {
             v.w.lighthouses.forEach(l -> v.w.net.cut(l, n));
         }
     }
 
     /** Its intake goes on getting passes for the tenant that is used here, so that nothing but old news can stop it. */
-    private static int hallOfAnotherThanTheHolder(Voyage v) {
-        return v.w.pilot(v.w.intakes.get(0)).holds().contains("tenant/" + Scenery.tenant(2)) ? 1 : 0;
+    private static int hallOfAnotherThanTheHolder(FleetSimulation v) {
+        return v.w.pilot(v.w.intakes.get(0)).holds().contains("tenant/" + TestConfiguration.tenant(2)) ? 1 : 0;
     }
 
     /** 07: a key is withdrawn while a hall is out of touch; it goes on being used, also for reads. */
-    static Voyage keyWithdrawnOutOfTouch(long seed, Seams seams) throws Fault {
-        Voyage v = begun(seed, SMALL, seams);
-        new Head(v).withdraw();
+    static FleetSimulation keyWithdrawnOutOfTouch(long seed, Seams seams) throws ServiceException {
+        FleetSimulation v = begun(seed, SMALL, seams);
+        new HeadOffice(v).withdraw();
         v.w.sim.run(Duration.ofMillis(1800));
         outOfTouch(v, hallOfAnotherThanTheHolder(v));
         v.w.sim.run(Duration.ofSeconds(16));
@@ -135,9 +135,9 @@
     }
 
     /** 08: a lane is added and taken away again while a hall is out of touch. */
-    static Voyage lanesChangedOutOfTouch(long seed, Seams seams) throws Fault {
-        Voyage v = begun(seed, SMALL, seams);
-        Head head = new Head(v);
+    static FleetSimulation lanesChangedOutOfTouch(long seed, Seams seams) throws ServiceException {
+        FleetSimulation v = begun(seed, SMALL, seams);
+        HeadOffice head = new HeadOffice(v);
         head.change();
         v.w.sim.run(Duration.ofSeconds(4));
         outOfTouch(v, hallOfAnotherThanTheHolder(v));
@@ -149,14 +149,14 @@
     }
 
     /** 09: the owner of the layout is cut off from the other lighthouses; another layout is taken; then it is read there. */
-    static Voyage ownerOfTheLayoutCutOff(long seed, Seams seams, AtomicReference<String> cut) throws Fault {
-        Voyage v = begun(seed, SMALL, seams);
+    static FleetSimulation ownerOfTheLayoutCutOff(long seed, Seams seams, AtomicReference<String> cut) throws ServiceException {
+        FleetSimulation v = begun(seed, SMALL, seams);
         String owner = v.w.lighthouses.stream().filter(l -> v.w.lamp(l).replica("c0").mayAct()).findFirst().orElseThrow();
         v.w.net.cutOff(owner);
         cut.set(owner);
         v.w.sim.run(Duration.ofSeconds(4));
         List<String> others = v.w.lighthouses.stream().filter(l -> !l.equals(owner)).toList();
-        new Head(v).changeAt(others);
+        new HeadOffice(v).changeAt(others);
         v.w.sim.run(Duration.ofSeconds(3));
         for (int i = 0; i < 4; i++) {
             v.readAt(owner);
@@ -169,8 +169,8 @@
     }
 
     /** 10: processors are marked as leaving while no store hears the core; some have their news from themselves only. */
-    static Voyage markedOutOfTouch(long seed, Seams seams) throws Fault {
-        Voyage v = begun(seed, SMALL, seams);
+    static FleetSimulation markedOutOfTouch(long seed, Seams seams) throws ServiceException {
+        FleetSimulation v = begun(seed, SMALL, seams);
         v.traffic(40);
         v.w.sim.run(Duration.ofSeconds(2));
         v.w.stores.forEach(s -> v.w.lighthouses.forEach(l -> v.w.net.cut(l, s)));
@@ -182,8 +182,8 @@
     }
 
     /** 11: something in between answers "200" in the name of the endpoints, and does nothing. */
-    static Voyage somethingInBetween(long seed, Seams seams) throws Fault {
-        Voyage v = begun(seed, SMALL, seams);
+    static FleetSimulation somethingInBetween(long seed, Seams seams) throws ServiceException {
+        FleetSimulation v = begun(seed, SMALL, seams);
         v.w.post.middlebox(true);
         v.traffic(15);
         v.w.sim.run(Duration.ofSeconds(5));
@@ -195,8 +195,8 @@
      * 12: two full outages in a row; back means every tenant and every part. From the second a lighthouse and a store
      * come back late, so their parts have to wait out their claims.
      */
-    static Voyage twoOutages(long seed, Seams seams) throws Fault {
-        Voyage v = begun(seed, SMALL, seams);
+    static FleetSimulation twoOutages(long seed, Seams seams) throws ServiceException {
+        FleetSimulation v = begun(seed, SMALL, seams);
         for (int i = 0; i < 2; i++) {
             v.traffic(20);
             v.w.sim.run(Duration.ofSeconds(3));
@@ -218,7 +218,7 @@
     }
 
     /** Until a hand-in of every tenant in every part, sent since, was accepted. */
-    static Duration awaitReturn(Voyage v) {
+    static Duration awaitReturn(FleetSimulation v) {
         Duration restarted = v.w.sim.now();
         v.w.sim.runUntil(() -> {
             for (int t = 0; t < v.w.scenery.tenants(); t++) {
@@ -226,11 +226,11 @@
                     v.plain(t);
                 }
             }
-            long seen = v.w.seen.handedIn.stream().filter(h -> h.said() == Sightings.Said.ACCEPTED && h.sent().compareTo(restarted) > 0)
+            long seen = v.w.seen.handedIn.stream().filter(h -> h.said() == Observations.Said.ACCEPTED && h.sent().compareTo(restarted) > 0)
                 .map(h -> h.tenant() + h.handle().substring(0, h.handle().indexOf('-'))).distinct().count();
-            return seen >= (long) Places.MESSAGE_PARTS * v.w.scenery.tenants();
+            return seen >= (long) ServiceNames.MESSAGE_PARTS * v.w.scenery.tenants();
         }, Duration.ofSeconds(40));
-        v.w.seen.saw(v.w.seen.outages, new Sightings.Outage(restarted, v.w.sim.now()));
+        v.w.seen.saw(v.w.seen.outages, new Observations.Outage(restarted, v.w.sim.now()));
         return v.w.sim.now().minus(restarted);
     }
 }
--- a/trials/src/main/java/org/woadvale/trials/squall/Fairness.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Fairness.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -8,10 +8,10 @@
 import java.util.Locale;
 import java.util.Map;
 
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.trials.buoy.Backend;
-import org.woadvale.trials.buoy.Scenery;
-import org.woadvale.trials.buoy.Sightings;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.testkit.stub.Backend;
+import org.woadvale.testkit.stub.TestConfiguration;
+import org.woadvale.testkit.stub.Observations;
 
 /** What one tenant's excess does to the others: their accepted share and their delay, on the fake clock. */
 public final class Fairness {
@@ -22,9 +22,9 @@
                          List<String> violations) { }
 
     /** Tenant 0 sends many times the others' load; trouble makes the back ends slow or useless for it. */
-    public static Others run(long seed, double flood, Backend.Manner manner, Duration allDown) throws Fault {
-        Scenery scenery = new Scenery(4, 2, 40, 60, 26);
-        Voyage v = new Voyage(seed, 3, 3, 4, scenery, World.LARGE_RING).embark();
+    public static Others run(long seed, double flood, Backend.Manner manner, Duration allDown) throws ServiceException {
+        TestConfiguration scenery = new TestConfiguration(4, 2, 40, 60, 26);
+        FleetSimulation v = new FleetSimulation(seed, 3, 3, 4, scenery, World.LARGE_RING).embark();
         v.w.sim.run(Duration.ofSeconds(3));
         v.w.backends.entrySet().stream().filter(e -> e.getKey().startsWith("p")).forEach(e -> e.getValue().behave(manner));
         Duration begun = v.w.sim.now();
@@ -40,7 +40,7 @@
     }
 
     /** Messages of the lane without ordering, of tenants in turn. */
-    private static void every(Voyage v, int fromTenant, int toTenant, double perSecond, Duration until) {
+    private static void every(FleetSimulation v, int fromTenant, int toTenant, double perSecond, Duration until) {
         if (v.w.sim.now().compareTo(until) >= 0) {
             return;
         }
@@ -49,25 +49,25 @@
         v.w.sim.after(Duration.ofNanos((long) (1e9 / perSecond)), () -> every(v, fromTenant, toTenant, perSecond, until));
     }
 
-    private static Others figures(Voyage v, boolean settled) {
+    private static Others figures(FleetSimulation v, boolean settled) {
         Map<String, Duration> begun = new HashMap<>();
         v.w.seen.ran.forEach(r -> begun.merge(r.handle(), r.begun(), (a, b) -> a.compareTo(b) < 0 ? a : b));
         List<Duration> delays = new ArrayList<>();
         long accepted = 0;
         long all = 0;
         long full = 0;
-        for (Sightings.HandedIn h : v.w.seen.handedIn) {
+        for (Observations.HandedIn h : v.w.seen.handedIn) {
             full += h.kind().equals("queue_full") ? 1 : 0;
-            if (!h.tenant().equals(Scenery.tenant(0))) {
+            if (!h.tenant().equals(TestConfiguration.tenant(0))) {
                 all++;
-                if (h.said() == Sightings.Said.ACCEPTED) {
+                if (h.said() == Observations.Said.ACCEPTED) {
                     accepted++;
                     delays.add(begun.getOrDefault(h.handle(), v.w.sim.now()).minus(h.answered()));
                 }
             }
         }
         delays.sort(Comparator.naturalOrder());
-        long failed = v.w.seen.shown.stream().filter(x -> x.state().equals("failed")).map(Sightings.Shown::handle)
+        long failed = v.w.seen.shown.stream().filter(x -> x.state().equals("failed")).map(Observations.Shown::handle)
             .distinct().count();
         List<String> bad = new ArrayList<>(v.violations());
         if (!settled) {
@@ -77,12 +77,12 @@
             delays.get(delays.size() * 95 / 100), failed, full, bad);
     }
 
-    public static void main(String[] args) throws Fault {
+    public static void main(String[] args) throws ServiceException {
         System.out.println("| run | others accepted | others' median delay ms | p95 ms | failed, all tenants | queue_full | violations |");
         System.out.println("|---|---|---|---|---|---|---|");
         Backend.Manner good = Backend.Manner.good();
         Backend.Manner slow = new Backend.Manner(Duration.ofSeconds(2), 0, 0, 0);
-        Backend.Manner poison = new Backend.Manner(Duration.ofMillis(300), 0.1, 0.85, 0, 0, Scenery.tenant(0));
+        Backend.Manner poison = new Backend.Manner(Duration.ofMillis(300), 0.1, 0.85, 0, 0, TestConfiguration.tenant(0));
         row("calm", run(1, 4, good, Duration.ZERO));
         row("one tenant at 30 times", run(1, 120, good, Duration.ZERO));
         row("the same, slow processors", run(1, 120, slow, Duration.ZERO));
--- a/trials/src/main/java/org/woadvale/trials/squall/Storm.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/FaultStorm.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -10,25 +10,25 @@
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.stream.LongStream;
 
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.trials.buoy.Scenery;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.testkit.stub.TestConfiguration;
 
 /** One seeded run with random failures, alone and together; a last one right at the end; then every message asked for. */
-public final class Storm {
+public final class FaultStorm {
     /** A fleet and its load. */
     public enum Size {
-        SMALL(3, 0, 3, 4, 25, new Scenery(3, 2, 20, 30, 26)),
-        LANKAVIDYA(8, 3, 3, 8, 150, new Scenery(8, 12, 45, 60, 26)),
-        ROTTERDAM(7, 4, 4, 8, 150, new Scenery(8, 12, 45, 60, 27));
+        SMALL(3, 0, 3, 4, 25, new TestConfiguration(3, 2, 20, 30, 26)),
+        LANKAVIDYA(8, 3, 3, 8, 150, new TestConfiguration(8, 12, 45, 60, 26)),
+        ROTTERDAM(7, 4, 4, 8, 150, new TestConfiguration(8, 12, 45, 60, 27));
 
         final int intakes;
         final int stores;
         final int halls;
         final int processors;
         final double perSecond;
-        final Scenery scenery;
+        final TestConfiguration scenery;
 
-        Size(int intakes, int stores, int halls, int processors, double perSecond, Scenery scenery) {
+        Size(int intakes, int stores, int halls, int processors, double perSecond, TestConfiguration scenery) {
             this.intakes = intakes;
             this.stores = stores;
             this.halls = halls;
@@ -43,40 +43,40 @@
         }
     }
 
-    private final Voyage v;
+    private final FleetSimulation v;
     private final World w;
     private final Size size;
     private final Random random;
-    private final Map<String, Blow> blows = new LinkedHashMap<>();
+    private final Map<String, FaultInjection> blows = new LinkedHashMap<>();
     private final List<String> log = new ArrayList<>();
 
-    public Storm(long seed) throws Fault {
+    public FaultStorm(long seed) throws ServiceException {
         this(seed, Size.SMALL);
     }
 
-    public Storm(long seed, Size size) throws Fault {
+    public FaultStorm(long seed, Size size) throws ServiceException {
         this.size = size;
         random = new Random(seed * 31 + 7);
-        v = new Voyage(seed, size.intakes, size.stores(seed), size.processors, size.scenery,
+        v = new FleetSimulation(seed, size.intakes, size.stores(seed), size.processors, size.scenery,
             size == Size.SMALL ? World.SMALL_RING : World.LARGE_RING, size.halls, Seams.none());
         w = v.w;
         v.watch();
-        new MachineBlows(v, random, log).into(blows);
-        new OutsideBlows(v, random, seed % 4 == 3).into(blows);
+        new MachineFaults(v, random, log).into(blows);
+        new ProcessorFaults(v, random, seed % 4 == 3).into(blows);
     }
 
-    private void strike(List<String> names) throws Fault {
+    private void strike(List<String> names) throws ServiceException {
         String name = names.get(random.nextInt(names.size()));
         log.add(w.sim.now().toMillis() + " " + name);
         blows.get(name).strike();
     }
 
     /** The violations seen; empty when all went well. */
-    public List<String> run() throws Fault {
+    public List<String> run() throws ServiceException {
         return run(Duration.ofSeconds(25));
     }
 
-    public List<String> run(Duration length) throws Fault {
+    public List<String> run(Duration length) throws ServiceException {
         v.embark();
         v.list("f2", false);
         v.list("f3", false);
@@ -129,14 +129,14 @@
         LongStream.rangeClosed(from, to).parallel().forEach(seed -> {
             List<String> bad;
             try {
-                Storm s = new Storm(seed, size);
+                FaultStorm s = new FaultStorm(seed, size);
                 bad = s.run(length);
                 synchronized (kinds) {
                     s.kinds().forEach((k, n) -> kinds.merge(k, n, Long::sum));
                     s.log().stream().filter(l -> Character.isDigit(l.charAt(0)))
                         .forEach(l -> struck.merge(l.substring(l.indexOf(' ') + 1), 1L, Long::sum));
                 }
-            } catch (Fault | RuntimeException e) {
+            } catch (ServiceException | RuntimeException e) {
                 bad = List.of("threw " + e + " at " + (e.getStackTrace().length > 0 ? e.getStackTrace()[0] : ""));
             }
             if (!bad.isEmpty()) {
--- a/trials/src/main/java/org/woadvale/trials/squall/Fetcher.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Fetcher.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import java.time.Duration;
 import java.util.HashSet;
@@ -7,11 +7,11 @@
 import java.util.Optional;
 import java.util.Set;
 
-import org.woadvale.foundation.chart.Charts;
-import org.woadvale.foundation.gate.Answer;
-import org.woadvale.foundation.gate.Request;
-import org.woadvale.trials.buoy.Scenery;
-import org.woadvale.trials.buoy.Sightings;
+import org.woadvale.common.config.Configurations;
+import org.woadvale.common.http.Answer;
+import org.woadvale.common.http.Request;
+import org.woadvale.testkit.stub.TestConfiguration;
+import org.woadvale.testkit.stub.Observations;
 
 import com.fasterxml.jackson.databind.JsonNode;
 
@@ -32,7 +32,7 @@
         this.w = w;
         this.id = id;
         this.service = service;
-        this.secret = Scenery.fetchKey(service);
+        this.secret = TestConfiguration.fetchKey(service);
     }
 
     void use(String group, String newSecret) {
@@ -47,7 +47,7 @@
     /** The process dies; what it was doing is not done. */
     public void crash() {
         life++;
-        mine.forEach(h -> w.seen.saw(w.seen.died, new Sightings.Died(h, w.sim.now())));
+        mine.forEach(h -> w.seen.saw(w.seen.died, new Observations.Died(h, w.sim.now())));
         mine.clear();
     }
 
@@ -67,7 +67,7 @@
     }
 
     private Request post(String path, Map<String, Object> body) {
-        return new Request("POST", path, Map.of("authorization", "Bearer " + secret), Charts.write(body));
+        return new Request("POST", path, Map.of("authorization", "Bearer " + secret), Configurations.write(body));
     }
 
     private void ask(String fetch, boolean again, int bornIn) {
@@ -98,21 +98,21 @@
 
     private void served(Optional<Answer> a, String used, String what) {
         if (a.isPresent() && a.get().status() == 200) {
-            w.seen.saw(w.seen.served, new Sightings.KeyServed(used, what, w.sim.now()));
+            w.seen.saw(w.seen.served, new Observations.KeyServed(used, what, w.sim.now()));
         }
     }
 
     private void run(JsonNode m, int bornIn) {
         String handle = m.path("messageId").asText();
         int attempt = m.path("attempt").asInt();
-        w.seen.saw(w.seen.ran, new Sightings.Ran(handle, m.path("callerId").asText(), m.path("tenant").asText(),
+        w.seen.saw(w.seen.ran, new Observations.Ran(handle, m.path("callerId").asText(), m.path("tenant").asText(),
             m.path("lane").asText(), m.path("orderingKey").asText(), attempt, id, service, w.sim.now()));
         mine.add(handle);
         w.sim.after(work, () -> {
             if (life == bornIn) {
                 String receipt = id + ":" + handle + ":" + attempt;
                 mine.remove(handle);
-                w.seen.saw(w.seen.answered, new Sightings.Answered(handle, attempt, id, w.sim.now(), true, receipt));
+                w.seen.saw(w.seen.answered, new Observations.Answered(handle, attempt, id, w.sim.now(), true, receipt));
                 report(handle, attempt, receipt, bornIn);
             }
         });
--- a/trials/src/main/java/org/woadvale/trials/squall/Voyage.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/FleetSimulation.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import java.time.Duration;
 import java.util.List;
@@ -6,55 +6,55 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 
-import org.woadvale.foundation.chart.Charts;
-import org.woadvale.foundation.chart.Layout;
-import org.woadvale.foundation.gate.Answer;
-import org.woadvale.foundation.gate.Request;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.trials.buoy.NeverList;
-import org.woadvale.trials.buoy.Scenery;
-import org.woadvale.trials.buoy.Sightings;
+import org.woadvale.common.config.Configurations;
+import org.woadvale.common.config.Configuration;
+import org.woadvale.common.http.Answer;
+import org.woadvale.common.http.Request;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.testkit.stub.NeverList;
+import org.woadvale.testkit.stub.TestConfiguration;
+import org.woadvale.testkit.stub.Observations;
 
 /** Platform and head office of a simulated fleet, and its callers. */
-public final class Voyage extends Callers {
+public final class FleetSimulation extends Callers {
     private final Map<String, String> secrets = new TreeMap<>();
     private final Map<String, Fetcher> fetchers = new TreeMap<>();
-    public Layout layout;
+    public Configuration layout;
     public long version;
     long puts;
 
-    public Voyage(long seed, int intakes, int stores, int processors) throws Fault {
-        this(seed, intakes, stores, processors, new Scenery(3, 2, 20, 30, 26), World.SMALL_RING);
+    public FleetSimulation(long seed, int intakes, int stores, int processors) throws ServiceException {
+        this(seed, intakes, stores, processors, new TestConfiguration(3, 2, 20, 30, 26), World.SMALL_RING);
     }
 
-    public Voyage(long seed, int intakes, int stores, int processors, Scenery scenery, int ringBytes)
-            throws Fault {
+    public FleetSimulation(long seed, int intakes, int stores, int processors, TestConfiguration scenery, int ringBytes)
+            throws ServiceException {
         this(seed, intakes, stores, processors, scenery, ringBytes, Seams.none());
     }
 
-    public Voyage(long seed, int intakes, int stores, int processors, Scenery scenery, int ringBytes, Seams seams)
-            throws Fault {
+    public FleetSimulation(long seed, int intakes, int stores, int processors, TestConfiguration scenery, int ringBytes, Seams seams)
+            throws ServiceException {
         this(seed, intakes, stores, processors, scenery, ringBytes, 3, seams);
     }
 
-    public Voyage(long seed, int intakes, int stores, int processors, Scenery scenery, int ringBytes, int halls, Seams seams)
-            throws Fault {
+    public FleetSimulation(long seed, int intakes, int stores, int processors, TestConfiguration scenery, int ringBytes, int halls, Seams seams)
+            throws ServiceException {
         super(new World(seed, intakes, stores, scenery, ringBytes, halls, seams));
         for (int i = 0; i < processors; i++) {
             w.addBackend("p" + i, service(i), false);
         }
         for (int i = 0; i < scenery.endpoints(); i++) {
-            w.addBackend(Scenery.endpoint(i), Scenery.endpoint(i), true);
+            w.addBackend(TestConfiguration.endpoint(i), TestConfiguration.endpoint(i), true);
         }
-        layout = scenery.layout(i -> "http://" + w.post.address(Scenery.endpoint(i)));
+        layout = scenery.layout(i -> "http://" + w.post.address(TestConfiguration.endpoint(i)));
     }
 
     static String service(int processor) {
-        return processor % 2 == 0 ? Scenery.GROUP : Scenery.ORDERED_GROUP;
+        return processor % 2 == 0 ? TestConfiguration.GROUP : TestConfiguration.ORDERED_GROUP;
     }
 
     /** Puts the first layout, lists the processors and waits until every intake is ready. */
-    public Voyage embark() {
+    public FleetSimulation embark() {
         put(layout, 0, "first", g -> { });
         w.backends.keySet().stream().filter(b -> b.startsWith("p")).forEach(b -> list(b, false));
         require(w.sim.runUntil(w::ready, Duration.ofSeconds(40)), "the fleet did not get ready");
@@ -63,7 +63,7 @@
 
     /** The secret that the layout had for a group until now; it has another from here on. */
     String fetchSecret(String group, String next) {
-        String old = secrets.getOrDefault(group, Scenery.fetchKey(group));
+        String old = secrets.getOrDefault(group, TestConfiguration.fetchKey(group));
         secrets.put(group, next);
         return old;
     }
@@ -94,19 +94,19 @@
     }
 
     /** Repeats with the same request id until the answer is definite. */
-    public void put(Layout l, long base, String id, Consumer<Answer> then) {
+    public void put(Configuration l, long base, String id, Consumer<Answer> then) {
         put(l, base, id, w.presentLighthouses(), then);
     }
 
-    void put(Layout l, long base, String id, List<String> at, Consumer<Answer> then) {
-        byte[] json = Charts.write(l);
+    void put(Configuration l, long base, String id, List<String> at, Consumer<Answer> then) {
+        byte[] json = Configurations.write(l);
         puts++;
         Request q = new Request("PUT", "/v1/layout", Map.of("if-match", Long.toString(base), "x-request-id", id), json);
         operate(q, at, a -> {
             boolean taken = a.status() == 200;
             long v = taken ? json(a).path("version").asLong() : -1;
-            w.seen.saw(w.seen.layouts, new Sightings.LayoutSaid(id, v, taken, valid(json), w.sim.now(),
-                Charts.sha256(new String(json, java.nio.charset.StandardCharsets.UTF_8))));
+            w.seen.saw(w.seen.layouts, new Observations.LayoutSaid(id, v, taken, valid(json), w.sim.now(),
+                Configurations.sha256(new String(json, java.nio.charset.StandardCharsets.UTF_8))));
             if (taken && v > version) {
                 version = v;
                 layout = l;
@@ -117,9 +117,9 @@
 
     private static boolean valid(byte[] json) {
         try {
-            Charts.layout(json);
+            Configurations.layout(json);
             return true;
-        } catch (Fault e) {
+        } catch (ServiceException e) {
             return false;
         }
     }
@@ -131,9 +131,9 @@
     void readAt(String lighthouse) {
         Duration asked = w.sim.now();
         w.request(lighthouse, new Request("GET", "/v1/layout", Map.of(), new byte[0]), Duration.ofSeconds(4),
-            a -> a.filter(x -> x.status() == 200).ifPresent(x -> w.seen.saw(w.seen.reads, new Sightings.LayoutRead(
+            a -> a.filter(x -> x.status() == 200).ifPresent(x -> w.seen.saw(w.seen.reads, new Observations.LayoutRead(
                 Long.parseLong(x.headers().get("ETag").replace("\"", "")),
-                Charts.sha256(new String(x.body(), java.nio.charset.StandardCharsets.UTF_8)), asked))));
+                Configurations.sha256(new String(x.body(), java.nio.charset.StandardCharsets.UTF_8)), asked))));
     }
 
     void operate(Request q, Consumer<Answer> then) {
@@ -157,7 +157,7 @@
             fetchers.computeIfAbsent(processor, p -> new Fetcher(w, p, service).start());
         }
         if (!leaving) {
-            w.seen.saw(w.seen.listed, new Sightings.Listed(processor, w.sim.now()));
+            w.seen.saw(w.seen.listed, new Observations.Listed(processor, w.sim.now()));
         }
         operate(listing(processor, leaving), a -> marked(processor, leaving));
     }
@@ -170,13 +170,13 @@
 
     private void marked(String processor, boolean leaving) {
         if (leaving) {
-            w.seen.saw(w.seen.leaving, new Sightings.MarkedLeaving(processor, w.sim.now()));
+            w.seen.saw(w.seen.leaving, new Observations.MarkedLeaving(processor, w.sim.now()));
         }
     }
 
     Request listing(String processor, boolean leaving) {
         String service = service(Integer.parseInt(processor.substring(1)));
-        return new Request("PUT", "/v1/services/" + service + "/processors/" + processor, Map.of(), Charts.write(
+        return new Request("PUT", "/v1/services/" + service + "/processors/" + processor, Map.of(), Configurations.write(
             Map.of("address", processor.startsWith("f") ? "" : "http://" + w.post.address(processor), "leaving", leaving)));
     }
 
--- a/trials/src/main/java/org/woadvale/trials/squall/Harness.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Harness.java
@@ -1,10 +1,10 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import java.time.Duration;
 
-import org.woadvale.foundation.beam.Beam;
-import org.woadvale.foundation.beam.Codec;
-import org.woadvale.foundation.beam.Router;
+import org.woadvale.common.rpc.RpcClient;
+import org.woadvale.common.rpc.Codec;
+import org.woadvale.common.rpc.RpcRouter;
 
 /** A simulated host for tests of single components. */
 public final class Harness {
@@ -25,11 +25,11 @@
         return host.disk;
     }
 
-    public Beam beam(Codec codec) {
+    public RpcClient beam(Codec codec) {
         return net.beam(host, codec);
     }
 
-    public void boot(Router r) {
+    public void boot(RpcRouter r) {
         host.boot(r);
     }
 
--- a/trials/src/main/java/org/woadvale/trials/squall/Head.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/HeadOffice.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import java.time.Duration;
 import java.util.HashMap;
@@ -7,36 +7,36 @@
 import java.util.Optional;
 import java.util.TreeMap;
 
-import org.woadvale.foundation.chart.Charts;
-import org.woadvale.foundation.chart.Layout;
-import org.woadvale.foundation.gate.Answer;
-import org.woadvale.foundation.gate.Request;
-import org.woadvale.trials.buoy.Edit;
-import org.woadvale.trials.buoy.Scenery;
-import org.woadvale.trials.buoy.Sightings;
+import org.woadvale.common.config.Configurations;
+import org.woadvale.common.config.Configuration;
+import org.woadvale.common.http.Answer;
+import org.woadvale.common.http.Request;
+import org.woadvale.testkit.stub.Edit;
+import org.woadvale.testkit.stub.TestConfiguration;
+import org.woadvale.testkit.stub.Observations;
 
 /** The head office: changes layouts, races itself, sends bad ones, withdraws keys; and looks at the effect. */
-final class Head {
+final class HeadOffice {
     private static final Duration PROBE_FOR = Duration.ofSeconds(7);
-    private final Voyage v;
+    private final FleetSimulation v;
     private final World w;
     private int n;
 
-    Head(Voyage v) {
+    HeadOffice(FleetSimulation v) {
         this.v = v;
         this.w = v.w;
     }
 
-    private Layout withLane(Layout l, String lane) {
-        Map<String, Layout.Lane> lanes = new TreeMap<>(l.lanes());
-        lanes.put(lane, new Layout.Lane(Scenery.GROUP, Layout.Ordering.NONE, 30000, 5, 3000, Layout.IfUnclear.FAIL));
-        return new Layout(l.tenants(), l.services(), lanes, l.keys());
+    private Configuration withLane(Configuration l, String lane) {
+        Map<String, Configuration.Lane> lanes = new TreeMap<>(l.lanes());
+        lanes.put(lane, new Configuration.Lane(TestConfiguration.GROUP, Configuration.Ordering.NONE, 30000, 5, 3000, Configuration.IfUnclear.FAIL));
+        return new Configuration(l.tenants(), l.services(), lanes, l.keys());
     }
 
-    private static Layout withoutLane(Layout l, String lane) {
-        Map<String, Layout.Lane> lanes = new TreeMap<>(l.lanes());
+    private static Configuration withoutLane(Configuration l, String lane) {
+        Map<String, Configuration.Lane> lanes = new TreeMap<>(l.lanes());
         lanes.remove(lane);
-        return new Layout(l.tenants(), l.services(), lanes, l.keys());
+        return new Configuration(l.tenants(), l.services(), lanes, l.keys());
     }
 
     /** Adds a lane, or takes the last added one away; then every intake must follow within 3 s. */
@@ -48,7 +48,7 @@
         Optional<String> extra = v.layout.lanes().keySet().stream().filter(x -> x.startsWith("extra")).findFirst();
         boolean remove = extra.isPresent() && n % 2 == 1;
         String lane = remove ? extra.get() : "extra" + n;
-        Layout next = remove ? withoutLane(v.layout, lane) : withLane(v.layout, lane);
+        Configuration next = remove ? withoutLane(v.layout, lane) : withLane(v.layout, lane);
         v.put(next, v.version, "change" + n++, lighthouses, a -> {
             if (a.status() == 200) {
                 long puts = v.puts;
@@ -58,7 +58,7 @@
     }
 
     /**
-     * Hands in on the lane for a while; the next layout sent ends the probe, since it may apply before its answer
+     * OperatorIo in on the lane for a while; the next layout sent ends the probe, since it may apply before its answer
      * is seen.
      */
     private void probe(String intake, String lane, boolean wanted, long puts, Duration acknowledged, Duration until) {
@@ -66,14 +66,14 @@
             return;
         }
         Duration sent = w.sim.now();
-        byte[] body = Charts.write(Map.of("id", "probe" + n + "-" + sent.toNanos(), "delayMs", 0, "body", Map.of()));
+        byte[] body = Configurations.write(Map.of("id", "probe" + n + "-" + sent.toNanos(), "delayMs", 0, "body", Map.of()));
         Request q = new Request("POST", "/v1/lanes/" + lane + "/messages",
-            Map.of("authorization", "Bearer " + Scenery.callerKey(2)), body);
+            Map.of("authorization", "Bearer " + TestConfiguration.callerKey(2)), body);
         w.request(intake, q, Duration.ofSeconds(5), a -> {
-            String kind = a.map(x -> Voyage.json(x).path("kind").asText("")).orElse("");
+            String kind = a.map(x -> FleetSimulation.json(x).path("kind").asText("")).orElse("");
             boolean ignored = wanted ? kind.equals("unknown_lane") : a.isPresent() && a.get().status() == 202;
             if (ignored && v.puts == puts) {
-                w.seen.saw(w.seen.ignored, new Sightings.LayoutNeeded(lane + " at " + intake, acknowledged, sent));
+                w.seen.saw(w.seen.ignored, new Observations.LayoutNeeded(lane + " at " + intake, acknowledged, sent));
             }
         });
         w.sim.after(Duration.ofMillis(400), () -> probe(intake, lane, wanted, puts, acknowledged, until));
@@ -90,49 +90,49 @@
     /** A tenant is allowed more or less; back to the usual at the next. */
     void allowance() {
         int t = w.sim.random().nextInt(w.scenery.tenants());
-        boolean usual = v.layout.tenants().get(Scenery.tenant(t)).ratePerS() != w.scenery.ratePerS();
+        boolean usual = v.layout.tenants().get(TestConfiguration.tenant(t)).ratePerS() != w.scenery.ratePerS();
         double rate = usual ? w.scenery.ratePerS() : w.scenery.ratePerS() * (w.sim.luck(0.5) ? 0.3 : 1.5);
         int burst = usual ? w.scenery.burst() : (int) Math.max(1, w.scenery.burst() * rate / w.scenery.ratePerS());
         Duration sent = w.sim.now();
-        v.put(Edit.tenant(v.layout, Scenery.tenant(t), rate, burst), v.version, "allow" + n++, a -> {
+        v.put(Edit.tenant(v.layout, TestConfiguration.tenant(t), rate, burst), v.version, "allow" + n++, a -> {
             if (a.status() == 200) {
-                w.seen.allowed(Scenery.tenant(t), new Sightings.Limit(rate, burst, sent, w.sim.now()));
+                w.seen.allowed(TestConfiguration.tenant(t), new Observations.Limit(rate, burst, sent, w.sim.now()));
             }
         });
     }
 
     void rate() {
-        String e = Scenery.endpoint(w.sim.random().nextInt(w.scenery.endpoints()));
+        String e = TestConfiguration.endpoint(w.sim.random().nextInt(w.scenery.endpoints()));
         double rate = w.sim.luck(0.5) ? w.scenery.endpointRate() : 10 + w.sim.random().nextInt(20);
         Duration sent = w.sim.now();
         v.put(Edit.services(v.layout, m -> m.put(e, Edit.rate(m.get(e), rate))), v.version, "rate" + n++, a -> {
             if (a.status() == 200) {
-                w.seen.paced(e, new Sightings.Limit(rate, 0, sent, w.sim.now()));
+                w.seen.paced(e, new Observations.Limit(rate, 0, sent, w.sim.now()));
             }
         });
     }
 
     void timeLimit() {
         String lane = w.sim.luck(0.5) ? "hold" : "accept";
-        long limit = w.sim.luck(0.5) ? Scenery.TIME_LIMIT_MS : 30000;
-        w.seen.lane(lane, new Sightings.LaneLimits(limit, Scenery.ATTEMPTS));
-        v.put(Edit.lanes(v.layout, m -> m.put(lane, Edit.limits(m.get(lane), limit, Scenery.ATTEMPTS))), v.version,
+        long limit = w.sim.luck(0.5) ? TestConfiguration.TIME_LIMIT_MS : 30000;
+        w.seen.lane(lane, new Observations.LaneLimits(limit, TestConfiguration.ATTEMPTS));
+        v.put(Edit.lanes(v.layout, m -> m.put(lane, Edit.limits(m.get(lane), limit, TestConfiguration.ATTEMPTS))), v.version,
             "limit" + n++, a -> { });
     }
 
     void bad() {
-        Map<String, Layout.Lane> lanes = new HashMap<>(v.layout.lanes());
-        lanes.put("broken", new Layout.Lane("nowhere", Layout.Ordering.NONE, 30000, 5, 3000, Layout.IfUnclear.FAIL));
-        v.put(new Layout(v.layout.tenants(), v.layout.services(), lanes, v.layout.keys()), v.version, "bad" + n++, a -> { });
+        Map<String, Configuration.Lane> lanes = new HashMap<>(v.layout.lanes());
+        lanes.put("broken", new Configuration.Lane("nowhere", Configuration.Ordering.NONE, 30000, 5, 3000, Configuration.IfUnclear.FAIL));
+        v.put(new Configuration(v.layout.tenants(), v.layout.services(), lanes, v.layout.keys()), v.version, "bad" + n++, a -> { });
     }
 
     /** The last tenant's key goes, and is tried on every intake long after; later it comes back under a new secret. */
     void withdraw() {
         String secret = "short-lived-" + n;
-        Map<String, Layout.Key> with = new TreeMap<>(v.layout.keys());
-        with.put("short", new Layout.Key(Layout.Role.CALLER, Scenery.tenant(2), "", Charts.sha256(secret)));
+        Map<String, Configuration.Key> with = new TreeMap<>(v.layout.keys());
+        with.put("short", new Configuration.Key(Configuration.Role.CALLER, TestConfiguration.tenant(2), "", Configurations.sha256(secret)));
         String id = "key" + n++;
-        v.put(new Layout(v.layout.tenants(), v.layout.services(), v.layout.lanes(), with), v.version, id, a -> {
+        v.put(new Configuration(v.layout.tenants(), v.layout.services(), v.layout.lanes(), with), v.version, id, a -> {
             if (a.status() == 200) {
                 w.sim.after(Duration.ofSeconds(2), () -> drop(secret, id));
                 w.intakes.forEach(i -> use(i, secret, w.sim.now().plus(Duration.ofSeconds(14))));
@@ -142,23 +142,23 @@
 
     /** A group's processor key is exchanged; its processors go on with the old one for a while. */
     void rotate() {
-        String group = w.sim.luck(0.5) ? Scenery.GROUP : Scenery.ORDERED_GROUP;
+        String group = w.sim.luck(0.5) ? TestConfiguration.GROUP : TestConfiguration.ORDERED_GROUP;
         String fresh = "fetch-secret-" + n++;
         v.put(Edit.keys(v.layout, m -> m.put("fetch-" + group,
-            new Layout.Key(Layout.Role.PROCESSOR, "", group, Charts.sha256(fresh)))), v.version, "rotate" + n, a -> {
+            new Configuration.Key(Configuration.Role.PROCESSOR, "", group, Configurations.sha256(fresh)))), v.version, "rotate" + n, a -> {
                 if (a.status() == 200) {
-                    w.seen.saw(w.seen.keys, new Sightings.KeyWithdrawn(v.fetchSecret(group, fresh), w.sim.now()));
+                    w.seen.saw(w.seen.keys, new Observations.KeyWithdrawn(v.fetchSecret(group, fresh), w.sim.now()));
                     w.sim.after(Duration.ofSeconds(8), () -> v.useFetchSecret(group, fresh));
                 }
             });
     }
 
     private void drop(String secret, String id) {
-        Map<String, Layout.Key> without = new TreeMap<>(v.layout.keys());
+        Map<String, Configuration.Key> without = new TreeMap<>(v.layout.keys());
         without.remove("short");
-        v.put(new Layout(v.layout.tenants(), v.layout.services(), v.layout.lanes(), without), v.version, id + "-drop", a -> {
+        v.put(new Configuration(v.layout.tenants(), v.layout.services(), v.layout.lanes(), without), v.version, id + "-drop", a -> {
             if (a.status() == 200) {
-                w.seen.saw(w.seen.keys, new Sightings.KeyWithdrawn(secret, w.sim.now()));
+                w.seen.saw(w.seen.keys, new Observations.KeyWithdrawn(secret, w.sim.now()));
             }
         });
     }
@@ -170,20 +170,20 @@
         Duration sent = w.sim.now();
         String id = "k" + secret + sent.toNanos();
         Request q = new Request("POST", "/v1/lanes/hold/messages", Map.of("authorization", "Bearer " + secret),
-            Charts.write(Map.of("id", id, "delayMs", 0, "body", Map.of())));
+            Configurations.write(Map.of("id", id, "delayMs", 0, "body", Map.of())));
         w.request(intake, q, Duration.ofSeconds(5), a -> saw(a, secret, id, sent));
         w.request(intake, new Request("GET", "/v1/messages?state=failed", Map.of("authorization", "Bearer " + secret),
             new byte[0]), Duration.ofSeconds(5), a -> a.filter(x -> x.status() == 200).ifPresent(x ->
-                w.seen.saw(w.seen.served, new Sightings.KeyServed(secret, "read", w.sim.now()))));
+                w.seen.saw(w.seen.served, new Observations.KeyServed(secret, "read", w.sim.now()))));
         w.sim.after(Duration.ofMillis(500), () -> use(intake, secret, until));
     }
 
     private void saw(Optional<Answer> a, String secret, String id, Duration sent) {
         boolean ok = a.isPresent() && a.get().status() == 202;
-        Sightings.Said said = ok ? Sightings.Said.ACCEPTED : a.isEmpty() || a.get().status() >= 500
-            && a.get().status() != 503 ? Sightings.Said.UNKNOWN : Sightings.Said.REFUSED;
-        String handle = ok ? Voyage.json(a.get()).path("handle").asText() : "";
-        w.seen.saw(w.seen.handedIn, new Sightings.HandedIn(Scenery.tenant(2), id, "hold", "", secret, sent, w.sim.now(),
+        Observations.Said said = ok ? Observations.Said.ACCEPTED : a.isEmpty() || a.get().status() >= 500
+            && a.get().status() != 503 ? Observations.Said.UNKNOWN : Observations.Said.REFUSED;
+        String handle = ok ? FleetSimulation.json(a.get()).path("handle").asText() : "";
+        w.seen.saw(w.seen.handedIn, new Observations.HandedIn(TestConfiguration.tenant(2), id, "hold", "", secret, sent, w.sim.now(),
             said, "", handle, false));
         if (ok) {
             v.follow(handle, 2);
--- a/trials/src/main/java/org/woadvale/trials/squall/Host.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Host.java
@@ -1,21 +1,21 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import java.time.Duration;
 import java.time.Instant;
 
-import org.woadvale.foundation.beam.Router;
-import org.woadvale.foundation.lantern.Schedule;
-import org.woadvale.foundation.lantern.Schedules;
-import org.woadvale.foundation.lantern.Times;
+import org.woadvale.common.rpc.RpcRouter;
+import org.woadvale.common.runtime.TimerHandle;
+import org.woadvale.common.runtime.Timers;
+import org.woadvale.common.runtime.Clock;
 
 /** One machine: its clocks run a little off, it can be killed, paused, and lose its power. */
-public final class Host implements Times, Schedules {
+public final class Host implements Clock, Timers {
     static final Instant EPOCH = Instant.parse("2030-01-01T00:00:00Z");
     final String address;
     final Sim sim;
     final SimDisk disk;
     private final double pace;
-    private Router router = new Router();
+    private RpcRouter router = new RpcRouter();
     private boolean alive;
     private long life;
     private Duration pausedUntil = Duration.ZERO;
@@ -29,7 +29,7 @@
         this.pace = 1 + (sim.random().nextDouble() - 0.5) * 0.01;
     }
 
-    void boot(Router r) {
+    void boot(RpcRouter r) {
         router = r;
         alive = true;
         started = sim.now();
@@ -72,7 +72,7 @@
         return life;
     }
 
-    Router router() {
+    RpcRouter router() {
         return router;
     }
 
@@ -98,7 +98,7 @@
     }
 
     @Override
-    public Schedule after(Duration delay, Runnable task) {
+    public TimerHandle after(Duration delay, Runnable task) {
         boolean[] cancelled = {false};
         long bornIn = life;
         sim.after(Duration.ofNanos((long) (delay.toNanos() / pace)), () -> guarded(bornIn, cancelled, task));
--- a/trials/src/main/java/org/woadvale/trials/squall/MachineBlows.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/MachineFaults.java
@@ -1,25 +1,25 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 
-import org.woadvale.foundation.chart.Charts;
-import org.woadvale.foundation.gate.Request;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.config.Configurations;
+import org.woadvale.common.http.Request;
+import org.woadvale.common.runtime.ServiceException;
 
 /** What fails of the system itself: machines, disks, links. */
-final class MachineBlows {
+final class MachineFaults {
     private static final Duration CALM_AFTER_LOSS = Duration.ofSeconds(15);
     private static final Duration CALM_AFTER_REPLACEMENT = Duration.ofSeconds(40);
-    private final Voyage v;
+    private final FleetSimulation v;
     private final World w;
     private final Random random;
     private final List<String> log;
     private Duration noLossBefore;
 
-    MachineBlows(Voyage v, Random random, List<String> log) {
+    MachineFaults(FleetSimulation v, Random random, List<String> log) {
         this.v = v;
         this.w = v.w;
         this.random = random;
@@ -27,7 +27,7 @@
         this.noLossBefore = w.sim.now();
     }
 
-    void into(Map<String, Blow> blows) {
+    void into(Map<String, FaultInjection> blows) {
         blows.put("kill", this::kill);
         blows.put("power loss", this::powerLoss);
         blows.put("pause", this::pause);
@@ -53,17 +53,17 @@
         return Duration.ofMillis(500 + random.nextInt(7000));
     }
 
-    private void later(Duration d, Blow b) {
+    private void later(Duration d, FaultInjection b) {
         w.sim.after(d, () -> {
             try {
                 b.strike();
-            } catch (Fault e) {
+            } catch (ServiceException e) {
                 throw new IllegalStateException(e);
             }
         });
     }
 
-    private void healing(Blow b) throws Fault {
+    private void healing(FaultInjection b) throws ServiceException {
         b.strike();
         later(some(), w.net::heal);
     }
@@ -86,7 +86,7 @@
         w.host(any(w.all())).pause(some());
     }
 
-    private void cutOff() throws Fault {
+    private void cutOff() throws ServiceException {
         healing(() -> w.net.cutOff(any(w.all())));
     }
 
@@ -125,7 +125,7 @@
             w.lose(h);
             later(some(), () -> {
                 String fresh = w.newLighthouse();
-                v.operate(new Request("PUT", "/v1/core", Map.of(), Charts.write(Map.of("lighthouses",
+                v.operate(new Request("PUT", "/v1/core", Map.of(), Configurations.write(Map.of("lighthouses",
                     w.presentLighthouses()))), a -> log.add("core " + a.status() + " with " + fresh));
             });
         }
--- a/trials/src/main/java/org/woadvale/trials/squall/Machines.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Machines.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -14,8 +14,8 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
-import org.woadvale.foundation.gate.Answer;
-import org.woadvale.trials.buoy.Sightings;
+import org.woadvale.common.http.Answer;
+import org.woadvale.testkit.stub.Observations;
 
 import reactor.core.publisher.Mono;
 
@@ -102,6 +102,6 @@
 
     /** What a host's calendar showed, in the simulator's time; nothing can be told once calendars differ. */
     Duration trueTime(Instant stamp) {
-        return hosts.values().stream().anyMatch(Host::calendarOff) ? Sightings.UNSEEN : Duration.between(Host.EPOCH, stamp);
+        return hosts.values().stream().anyMatch(Host::calendarOff) ? Observations.UNSEEN : Duration.between(Host.EPOCH, stamp);
     }
 }
--- a/trials/src/main/java/org/woadvale/trials/squall/Measure.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Measure.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -7,10 +7,10 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.trials.buoy.NeverList;
-import org.woadvale.trials.buoy.Scenery;
-import org.woadvale.trials.buoy.Sightings;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.testkit.stub.NeverList;
+import org.woadvale.testkit.stub.TestConfiguration;
+import org.woadvale.testkit.stub.Observations;
 
 /** Counts on the fake clock, the same for everyone who runs it: see docs/measurements.md. */
 public final class Measure {
@@ -25,9 +25,9 @@
     }
 
     /** Steady traffic in a fleet of a deployment's size; the fault, if any, strikes a third into the run. */
-    public static Figures steady(long seed, int intakes, int stores, Scenery scenery, double perSecond, Duration length,
-                                 java.util.function.Consumer<Voyage> fault) throws Fault {
-        Voyage v = new Voyage(seed, intakes, stores, 12, scenery, World.LARGE_RING).embark();
+    public static Figures steady(long seed, int intakes, int stores, TestConfiguration scenery, double perSecond, Duration length,
+                                 java.util.function.Consumer<FleetSimulation> fault) throws ServiceException {
+        FleetSimulation v = new FleetSimulation(seed, intakes, stores, 12, scenery, World.LARGE_RING).embark();
         v.w.sim.run(Duration.ofSeconds(3));
         long frames = v.w.net.frames();
         long syncs = syncs(v);
@@ -55,15 +55,15 @@
         long accepted = k.getOrDefault("accepted", 0L);
         long throttled = k.getOrDefault("throttled", 0L);
         long other = k.values().stream().mapToLong(Long::longValue).sum() - accepted - throttled;
-        long failed = v.w.seen.shown.stream().filter(x -> x.state().equals("failed")).map(Sightings.Shown::handle).distinct()
+        long failed = v.w.seen.shown.stream().filter(x -> x.state().equals("failed")).map(Observations.Shown::handle).distinct()
             .count();
         return new Figures(accepted, failed, throttled, other, passes[0], passes[1], passes[2], framesUsed, syncsUsed,
             worstShare(v.w.seen), bad);
     }
 
     /** Power lost everywhere, all started again at once: time until a hand-in of the given tenant is accepted. */
-    public static Duration outage(long seed, int intakes, int stores, Scenery scenery) throws Fault {
-        Voyage v = new Voyage(seed, intakes, stores, 4, scenery, World.LARGE_RING).embark();
+    public static Duration outage(long seed, int intakes, int stores, TestConfiguration scenery) throws ServiceException {
+        FleetSimulation v = new FleetSimulation(seed, intakes, stores, 4, scenery, World.LARGE_RING).embark();
         v.traffic(60);
         v.w.sim.run(Duration.ofSeconds(5));
         v.calm();
@@ -73,27 +73,27 @@
             v.w.restart(h);
         }
         Duration begun = v.w.sim.now();
-        Voyage.require(v.w.sim.runUntil(() -> {
+        FleetSimulation.require(v.w.sim.runUntil(() -> {
             v.plain(0);
-            return v.w.seen.handedIn.stream().anyMatch(h -> h.said() == Sightings.Said.ACCEPTED
+            return v.w.seen.handedIn.stream().anyMatch(h -> h.said() == Observations.Said.ACCEPTED
                 && h.sent().compareTo(begun) > 0);
         }, Duration.ofSeconds(30)), "no service after the outage");
         Duration took = v.w.sim.now().minus(begun);
-        Voyage.require(v.settle(Duration.ofSeconds(120)) && v.violations().isEmpty(), "lost after the outage");
+        FleetSimulation.require(v.settle(Duration.ofSeconds(120)) && v.violations().isEmpty(), "lost after the outage");
         return took;
     }
 
-    private static long syncs(Voyage v) {
+    private static long syncs(FleetSimulation v) {
         return v.w.stores.stream().mapToLong(s -> v.w.host(s).disk.syncs()).sum();
     }
 
     /** The worst 5 s window of any tenant against its burst and rate. */
-    private static double worstShare(Sightings s) {
+    private static double worstShare(Observations s) {
         double worst = 0;
-        for (Map.Entry<String, List<Sightings.Limit>> e : s.allowances().entrySet()) {
+        for (Map.Entry<String, List<Observations.Limit>> e : s.allowances().entrySet()) {
             List<Duration> at = s.copy(s.handedIn).stream()
-                .filter(h -> h.tenant().equals(e.getKey()) && h.said() == Sightings.Said.ACCEPTED && !h.repeated())
-                .map(Sightings.HandedIn::answered).sorted().toList();
+                .filter(h -> h.tenant().equals(e.getKey()) && h.said() == Observations.Said.ACCEPTED && !h.repeated())
+                .map(Observations.HandedIn::answered).sorted().toList();
             double n = NeverList.worst(at);
             worst = Math.max(worst, n / (e.getValue().get(0).rate() * 5 + e.getValue().get(0).burst()));
         }
@@ -101,11 +101,11 @@
     }
 
     /** The holder of a tenant's bucket dies, the tenant asks for nearly all of its allowance: what is refused then. */
-    private static void holders(Scenery eight) throws Fault {
+    private static void holders(TestConfiguration eight) throws ServiceException {
         List<Long> refused = new ArrayList<>();
         List<Long> sent = new ArrayList<>();
         for (long seed = 1; seed <= 10; seed++) {
-            Voyage v = new Voyage(seed, 8, 3, 4, eight, World.LARGE_RING).embark();
+            FleetSimulation v = new FleetSimulation(seed, 8, 3, 4, eight, World.LARGE_RING).embark();
             String holder = v.w.intakes.stream().filter(i -> v.w.pilot(i).holds().contains("tenant/tenant0")).findFirst()
                 .orElseThrow();
             List<String> others = v.w.intakes.stream().filter(i -> !i.equals(holder)).toList();
@@ -116,8 +116,8 @@
             Duration from = v.w.sim.now();
             v.w.kill(holder);
             v.w.sim.run(Duration.ofSeconds(8));
-            Voyage.require(v.settle(Duration.ofSeconds(60)) && v.violations().isEmpty(), "not sound");
-            List<Sightings.HandedIn> after = v.w.seen.handedIn.stream().filter(h -> h.sent().compareTo(from) >= 0).toList();
+            FleetSimulation.require(v.settle(Duration.ofSeconds(60)) && v.violations().isEmpty(), "not sound");
+            List<Observations.HandedIn> after = v.w.seen.handedIn.stream().filter(h -> h.sent().compareTo(from) >= 0).toList();
             refused.add(after.stream().filter(h -> h.kind().equals("throttled")).count());
             sent.add(after.stream().filter(h -> h.kind().equals("throttled")).map(h -> h.sent().minus(from).toMillis())
                 .max(Long::compare).orElse(0L));
@@ -134,8 +134,8 @@
         f.violations().stream().limit(3).forEach(v -> System.out.println("    " + v));
     }
 
-    public static void main(String[] args) throws Fault {
-        Scenery eight = new Scenery(8, 12, 45, 60, 26);
+    public static void main(String[] args) throws ServiceException {
+        TestConfiguration eight = new TestConfiguration(8, 12, 45, 60, 26);
         if (args.length > 0 && args[0].equals("holder")) {
             holders(eight);
             return;
@@ -155,9 +155,9 @@
         for (long seed = 1; seed <= 3; seed++) {
             row("lankavidya seed " + seed, steady(seed, 8, 3, eight, 270, length, v -> { }));
         }
-        row("rotterdam", steady(1, 7, 4, new Scenery(8, 12, 45, 60, 27), 270, length, v -> { }));
-        row("tiny tenants 1/s of 2/s", steady(1, 8, 3, new Scenery(8, 2, 2, 4, 26), 8, length, v -> { }));
-        row("twice the allowance", steady(1, 8, 3, new Scenery(8, 12, 15, 20, 26), 270, length, v -> { }));
+        row("rotterdam", steady(1, 7, 4, new TestConfiguration(8, 12, 45, 60, 27), 270, length, v -> { }));
+        row("tiny tenants 1/s of 2/s", steady(1, 8, 3, new TestConfiguration(8, 2, 2, 4, 26), 8, length, v -> { }));
+        row("twice the allowance", steady(1, 8, 3, new TestConfiguration(8, 12, 15, 20, 26), 270, length, v -> { }));
         row("holder killed", steady(1, 8, 3, eight, 270, length, v -> v.w.kill(v.w.intakes.get(0))));
         row("holder drained", steady(1, 8, 3, eight, 270, length, v -> v.w.pilot(v.w.intakes.get(0)).drain()));
         row("store killed", steady(1, 8, 3, eight, 270, length, v -> v.w.kill(v.w.stores.get(0))));
--- a/trials/src/main/java/org/woadvale/trials/squall/Naive.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/NaiveVariants.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -8,32 +8,32 @@
 import java.util.function.Function;
 import java.util.function.Predicate;
 
-import org.woadvale.foundation.beam.Beam;
-import org.woadvale.foundation.chart.Charts;
-import org.woadvale.foundation.keeper.Pace;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.lantern.Times;
-import org.woadvale.foundation.logbook.Disk;
-import org.woadvale.foundation.watch.Asks;
-import org.woadvale.foundation.watch.ServiceView;
-import org.woadvale.pilot.berth.Commands;
-import org.woadvale.pilot.launch.Post;
+import org.woadvale.common.rpc.RpcClient;
+import org.woadvale.common.config.Configurations;
+import org.woadvale.common.replication.ReplicationTiming;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.runtime.Clock;
+import org.woadvale.common.wal.Disk;
+import org.woadvale.common.membership.ControlMessages;
+import org.woadvale.common.membership.ServiceView;
+import org.woadvale.dataplane.queue.Commands;
+import org.woadvale.dataplane.delivery.DeliveryClient;
 
 import com.fasterxml.jackson.databind.JsonNode;
 
 import reactor.core.publisher.Mono;
 
 /** Stand-ins that leave out one mechanism each; every never-line has a scenario that breaks with one. design 12.3 */
-final class Naive {
+final class NaiveVariants {
     private interface Asking {
-        <T> Mono<T> ask(Beam b, String to, Object body, Class<T> answer, Duration limit);
+        <T> Mono<T> ask(RpcClient b, String to, Object body, Class<T> answer, Duration limit);
     }
 
-    private Naive() { }
+    private NaiveVariants() { }
 
-    private static Beam beam(Beam b, Asking how) {
-        return new Beam() {
+    private static RpcClient beam(RpcClient b, Asking how) {
+        return new RpcClient() {
             @Override
             public String self() {
                 return b.self();
@@ -88,16 +88,16 @@
     /** 02: any 5xx is taken for "later". */
     static Seams anyErrorIsLater() {
         return Seams.none().withPost((a, p) -> c -> p.send(c)
-            .map(r -> r.status() >= 500 ? new Post.Reply(503, r.body()) : r));
+            .map(r -> r.status() >= 500 ? new DeliveryClient.Reply(503, r.body()) : r));
     }
 
     /** 03: an answer that did not come in time is taken for "nothing was sent". */
     static Seams silenceIsNo() {
         return Seams.none().withBeam((a, b) -> beam(b, new Asking() {
             @Override
-            public <T> Mono<T> ask(Beam x, String to, Object body, Class<T> answer, Duration limit) {
+            public <T> Mono<T> ask(RpcClient x, String to, Object body, Class<T> answer, Duration limit) {
                 return x.ask(to, body, answer, limit).onErrorMap(e -> body instanceof Commands.AcceptAsk
-                    && Fault.of(e).kind() == ErrorKind.UNKNOWN_OUTCOME ? new Fault(ErrorKind.UNREACHABLE, "no answer") : e);
+                    && ServiceException.of(e).kind() == ErrorKind.UNKNOWN_OUTCOME ? new ServiceException(ErrorKind.UNREACHABLE, "no answer") : e);
             }
         }));
     }
@@ -105,7 +105,7 @@
     /** 04: a processor that does not answer in time is taken to have refused. */
     static Seams silenceIsRefusal() {
         return Seams.none().withPost((a, p) -> c -> p.send(c).onErrorResume(
-            e -> Fault.of(e).kind() == ErrorKind.UNKNOWN_OUTCOME ? Mono.just(new Post.Reply(422, new byte[0])) : Mono.error(e)));
+            e -> ServiceException.of(e).kind() == ErrorKind.UNKNOWN_OUTCOME ? Mono.just(new DeliveryClient.Reply(422, new byte[0])) : Mono.error(e)));
     }
 
     /** 05: hand-ins without a time by which they must have come; a store's life is learned once and for all. */
@@ -114,7 +114,7 @@
             Map<String, Object> clocks = new HashMap<>();
             return beam(b, new Asking() {
                 @Override
-                public <T> Mono<T> ask(Beam x, String to, Object body, Class<T> answer, Duration limit) {
+                public <T> Mono<T> ask(RpcClient x, String to, Object body, Class<T> answer, Duration limit) {
                     if (body instanceof Commands.ClockAsk) {
                         return clocks.containsKey(to) ? Mono.just(answer.cast(clocks.get(to)))
                             : x.ask(to, body, answer, limit).doOnNext(t -> clocks.put(to, t));
@@ -130,7 +130,7 @@
     static Seams lookFirstSendLater() {
         return Seams.none().withPost((a, p) -> c -> Mono.defer(() -> {
             boolean go = c.still().getAsBoolean();
-            return p.send(new Post.Call(c.method(), c.url(), c.body(), c.limit(), () -> go));
+            return p.send(new DeliveryClient.Call(c.method(), c.url(), c.body(), c.limit(), () -> go));
         }));
     }
 
@@ -140,12 +140,12 @@
             Map<String, ServiceView> last = new HashMap<>();
             return beam(b, new Asking() {
                 @Override
-                public <T> Mono<T> ask(Beam x, String to, Object body, Class<T> answer, Duration limit) {
-                    if (!(body instanceof Asks.NewsAsk n)) {
+                public <T> Mono<T> ask(RpcClient x, String to, Object body, Class<T> answer, Duration limit) {
+                    if (!(body instanceof ControlMessages.NewsAsk n)) {
                         return x.ask(to, body, answer, limit);
                     }
                     return x.ask(to, body, answer, limit)
-                        .doOnNext(t -> ((Asks.NewsReply) t).views().forEach(v -> last.put(v.service(), v)))
+                        .doOnNext(t -> ((ControlMessages.NewsReply) t).views().forEach(v -> last.put(v.service(), v)))
                         .onErrorResume(e -> silent(e) && last.keySet().containsAll(n.known().keySet())
                             ? Mono.just(answer.cast(anew(n, last))) : Mono.error(e));
                 }
@@ -154,10 +154,10 @@
     }
 
     private static boolean silent(Throwable e) {
-        return Fault.of(e).kind() == ErrorKind.UNKNOWN_OUTCOME || Fault.of(e).kind() == ErrorKind.UNREACHABLE;
+        return ServiceException.of(e).kind() == ErrorKind.UNKNOWN_OUTCOME || ServiceException.of(e).kind() == ErrorKind.UNREACHABLE;
     }
 
-    static Asks.NewsReply anew(Asks.NewsAsk n, Map<String, ServiceView> last) {
+    static ControlMessages.NewsReply anew(ControlMessages.NewsAsk n, Map<String, ServiceView> last) {
         Map<String, Duration> ages = new HashMap<>();
         java.util.List<ServiceView> views = new java.util.ArrayList<>();
         n.known().forEach((s, version) -> java.util.Optional.ofNullable(last.get(s)).ifPresent(v -> {
@@ -166,12 +166,12 @@
                 views.add(v);
             }
         }));
-        return new Asks.NewsReply(views, ages);
+        return new ControlMessages.NewsReply(views, ages);
     }
 
     /** 09: a machine whose clock stands still for as long as told, as if it had been suspended. */
     static Seams stoppedClock(Predicate<String> stopped) {
-        return Seams.none().withTimes((a, t) -> new Times() {
+        return Seams.none().withTimes((a, t) -> new Clock() {
             private Duration last = Duration.ZERO;
 
             @Override
@@ -192,15 +192,15 @@
         return Seams.none().withPost((a, p) -> c -> p.send(c).map(r -> r.status() == 200 ? proven(c, r) : r));
     }
 
-    private static Post.Reply proven(Post.Call c, Post.Reply r) {
+    private static DeliveryClient.Reply proven(DeliveryClient.Call c, DeliveryClient.Reply r) {
         try {
-            JsonNode n = Charts.read(c.body(), JsonNode.class, ErrorKind.BAD_REQUEST);
+            JsonNode n = Configurations.read(c.body(), JsonNode.class, ErrorKind.BAD_REQUEST);
             Map<String, Object> b = new LinkedHashMap<>();
             b.put("messageId", n.path("messageId").asText());
             b.put("attempt", n.path("attempt").asInt());
             b.put("receipt", "surely");
-            return r.body().length > 2 ? r : new Post.Reply(200, Charts.write(b));
-        } catch (Fault e) {
+            return r.body().length > 2 ? r : new DeliveryClient.Reply(200, Configurations.write(b));
+        } catch (ServiceException e) {
             return r;
         }
     }
@@ -208,6 +208,6 @@
     /** 12: claims so long that nobody ever loses one by mistake. */
     static Seams longClaims() {
         Function<Duration, Duration> longer = d -> d.multipliedBy(10);
-        return Seams.none().withPace(p -> new Pace(longer.apply(p.claim()), p.renew(), p.look(), p.ask(), p.spread()));
+        return Seams.none().withPace(p -> new ReplicationTiming(longer.apply(p.claim()), p.renew(), p.look(), p.ask(), p.spread()));
     }
 }
--- a/trials/src/main/java/org/woadvale/trials/squall/Roads.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/NetworkSimulation.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import java.time.Duration;
 import java.util.HashMap;
@@ -9,34 +9,34 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 
-import org.woadvale.foundation.beam.Beam;
-import org.woadvale.foundation.beam.Codec;
-import org.woadvale.foundation.beam.Router;
-import org.woadvale.foundation.chart.Boot;
-import org.woadvale.foundation.gate.Answer;
-import org.woadvale.foundation.gate.Request;
-import org.woadvale.foundation.keeper.Env;
-import org.woadvale.foundation.keeper.Pace;
-import org.woadvale.foundation.keeper.Phase;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.logbook.Logbook;
-import org.woadvale.foundation.logbook.NoLogbook;
-import org.woadvale.foundation.logbook.RingLogbook;
-import org.woadvale.foundation.watch.Core;
-import org.woadvale.foundation.watch.Wire;
-import org.woadvale.lighthouse.lamp.LampNode;
-import org.woadvale.lighthouse.lamp.Operators;
-import org.woadvale.lighthouse.lamp.Roll;
-import org.woadvale.pilot.PilotNode;
-import org.woadvale.pilot.berth.Commands;
-import org.woadvale.platform.PlatformDoors;
+import org.woadvale.common.rpc.RpcClient;
+import org.woadvale.common.rpc.Codec;
+import org.woadvale.common.rpc.RpcRouter;
+import org.woadvale.common.config.Settings;
+import org.woadvale.common.http.Answer;
+import org.woadvale.common.http.Request;
+import org.woadvale.common.replication.Env;
+import org.woadvale.common.replication.ReplicationTiming;
+import org.woadvale.common.replication.Phase;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.wal.WriteAheadLog;
+import org.woadvale.common.wal.DisabledWriteAheadLog;
+import org.woadvale.common.wal.RingWriteAheadLog;
+import org.woadvale.common.membership.CoreClient;
+import org.woadvale.common.membership.Wire;
+import org.woadvale.controlplane.partition.ControlNode;
+import org.woadvale.controlplane.partition.Operators;
+import org.woadvale.controlplane.partition.ProcessorRegistry;
+import org.woadvale.dataplane.DataPlaneNode;
+import org.woadvale.dataplane.queue.Commands;
+import org.woadvale.platform.PlatformApi;
 
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 
 /** The shipped nodes behind the platform's doors, on fakes; what is outside of them is the test's. design 12.1 */
-public final class Roads extends Machines {
+public final class NetworkSimulation extends Machines {
     /** How long a leased message rests after its last word; told to the nodes as their boot value. */
     public static final Duration LEASE = Duration.ofMillis(3000);
     private static final int RING_FILES = 8;
@@ -44,15 +44,15 @@
     private static final int HALLS = 3;
     private static final Duration ROLL = Duration.ofMillis(700);
 
-    public final Quays quays = new Quays(this);
+    public final ProcessorSimulation quays = new ProcessorSimulation(this);
     private final List<String> seeds;
-    private final Map<String, LampNode> lamps = new HashMap<>();
-    private final Map<String, PilotNode> pilots = new HashMap<>();
+    private final Map<String, ControlNode> lamps = new HashMap<>();
+    private final Map<String, DataPlaneNode> pilots = new HashMap<>();
     private final Map<String, Function<Request, Mono<Answer>>> doors = new HashMap<>();
     private final Seams seams;
-    private Function<String, Mono<byte[]>> pages = path -> Mono.error(new Fault(ErrorKind.UNAVAILABLE, "no list yet"));
+    private Function<String, Mono<byte[]>> pages = path -> Mono.error(new ServiceException(ErrorKind.UNAVAILABLE, "no list yet"));
 
-    public Roads(long seed, int fronts, int storeCount, Seams seams) throws Fault {
+    public NetworkSimulation(long seed, int fronts, int storeCount, Seams seams) throws ServiceException {
         super(new Sim(seed), HALLS);
         this.seams = seams;
         for (int i = 0; i < 3; i++) {
@@ -85,51 +85,51 @@
         });
     }
 
-    public void start(String address) throws Fault {
+    public void start(String address) throws ServiceException {
         Host h = hosts.get(address);
         boolean lamp = lighthouses.contains(address);
         boolean store = stores.contains(address);
-        Router router = new Router();
+        RpcRouter router = new RpcRouter();
         Codec codec = lamp ? Wire.codec(Wire.LIGHTHOUSE, Operators.types()) : Wire.codec(Wire.PILOT, Commands.types());
         h.boot(router);
-        Beam beam = seams.beam().apply(address, net.beam(h, codec));
-        Logbook book = lamp || store ? RingLogbook.open(seams.disk().apply(address, h.disk), h, RING_FILES, World.LARGE_RING)
-            : new NoLogbook();
+        RpcClient beam = seams.beam().apply(address, net.beam(h, codec));
+        WriteAheadLog book = lamp || store ? RingWriteAheadLog.open(seams.disk().apply(address, h.disk), h, RING_FILES, World.LARGE_RING)
+            : new DisabledWriteAheadLog();
         book.onFailure(why -> h.kill());
         Env env = new Env(seams.times().apply(address, h), h, beam, codec, book, sim.random()::nextLong,
-            seams.pace().apply(lamp ? Pace.core() : Pace.usual()));
-        Core core = new Core(beam, sim.random()::nextLong, seeds, List.of(), l -> { });
+            seams.pace().apply(lamp ? ReplicationTiming.core() : ReplicationTiming.usual()));
+        CoreClient core = new CoreClient(beam, sim.random()::nextLong, seeds, List.of(), l -> { });
         if (lamp) {
-            LampNode n = new LampNode(env, core, seeds);
+            ControlNode n = new ControlNode(env, core, seeds);
             n.route(router);
             Operators o = new Operators(n, "");
             o.route(router);
             lamps.put(address, n);
-            doors.put(address, PlatformDoors.control(o));
+            doors.put(address, PlatformApi.control(o));
             n.start();
-            new Roll(env, n, PlatformDoors.registry(pagesFor(h)), ROLL).start();
+            new ProcessorRegistry(env, n, PlatformApi.registry(pagesFor(h)), ROLL).start();
         } else {
-            Boot boot = new Boot(address, address, hall(address), seeds, Set.of(store ? "store" : "intake"),
+            Settings boot = new Settings(address, address, hall(address), seeds, Set.of(store ? "store" : "intake"),
                 store ? "x" : "", RING_FILES, 1, "", false, 8, "", LEASE.toMillis(), KEEP_ENDED_S, 0);
-            PilotNode n = new PilotNode(env, boot, core, seams.post().apply(address, quays.from(h)), PlatformDoors.speech());
+            DataPlaneNode n = new DataPlaneNode(env, boot, core, seams.post().apply(address, quays.from(h)), PlatformApi.speech());
             n.route(router);
             pilots.put(address, n);
-            doors.put(address, PlatformDoors.front(n));
+            doors.put(address, PlatformApi.front(n));
             n.start();
         }
     }
 
-    public void restart(String address) throws Fault {
+    public void restart(String address) throws ServiceException {
         if (!lost.contains(address) && !hosts.get(address).alive()) {
             start(address);
         }
     }
 
-    public PilotNode pilot(String address) {
+    public DataPlaneNode pilot(String address) {
         return pilots.get(address);
     }
 
-    public LampNode lamp(String address) {
+    public ControlNode lamp(String address) {
         return lamps.get(address);
     }
 
--- a/trials/src/main/java/org/woadvale/trials/squall/Office.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/OperatorSimulation.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -7,28 +7,28 @@
 import java.util.Map;
 import java.util.Optional;
 
-import org.woadvale.foundation.gate.Answer;
-import org.woadvale.foundation.gate.Request;
-import org.woadvale.trials.buoy.Papers;
-import org.woadvale.trials.buoy.Watchbook;
+import org.woadvale.common.http.Answer;
+import org.woadvale.common.http.Request;
+import org.woadvale.testkit.stub.ConfigurationStub;
+import org.woadvale.testkit.stub.ObservationLog;
 
 /** The platform's operator: versions, races, bad ones, keys that come and go. docs/platform.md 3 */
-final class Office {
+final class OperatorSimulation {
     private static final Duration CALL = Duration.ofSeconds(2);
     private static final Duration LONGEST = Duration.ofMillis(1600);
-    private final Roads roads;
-    private final Watchbook seen;
-    private Papers now;
+    private final NetworkSimulation roads;
+    private final ObservationLog seen;
+    private ConfigurationStub now;
     private int n;
     private int open;
 
-    Office(Roads roads, Watchbook seen, Papers first) {
+    OperatorSimulation(NetworkSimulation roads, ObservationLog seen, ConfigurationStub first) {
         this.roads = roads;
         this.seen = seen;
         this.now = first;
     }
 
-    Papers now() {
+    ConfigurationStub now() {
         return now;
     }
 
@@ -38,16 +38,16 @@
     }
 
     /** Sent as it was, to any lighthouse, until the answer is clear. */
-    void put(Papers p, String text, long base, boolean valid) {
+    void put(ConfigurationStub p, String text, long base, boolean valid) {
         open++;
         put(p, text, base, valid, roads.sim.now(), Duration.ofMillis(100));
     }
 
-    void put(Papers p, long base) {
+    void put(ConfigurationStub p, long base) {
         put(p, p.text(), base, true);
     }
 
-    private void put(Papers p, String text, long base, boolean valid, Duration sent, Duration pause) {
+    private void put(ConfigurationStub p, String text, long base, boolean valid, Duration sent, Duration pause) {
         String to = roads.lighthouses.get(roads.sim.random().nextInt(roads.lighthouses.size()));
         Request q = new Request("PUT", "/-/configuration", Map.of("if-match", Long.toString(base)),
             text.getBytes(StandardCharsets.UTF_8));
@@ -59,7 +59,7 @@
                 return;
             }
             open--;
-            seen.papers.add(new Watchbook.Paper(p, text, base, valid, sent, status, roads.sim.now()));
+            seen.papers.add(new ObservationLog.Paper(p, text, base, valid, sent, status, roads.sim.now()));
             if (status == 200 && valid && p.configRevision() > now.configRevision()) {
                 now = p;
             }
@@ -74,21 +74,21 @@
         return now.configRevision() + 1 + roads.sim.random().nextInt(4);
     }
 
-    private Papers more(String name) {
-        List<Papers.Route> all = new ArrayList<>(now.routes());
-        Papers.Route like = all.get(roads.sim.random().nextInt(3));
-        all.add(new Papers.Route(name, like.host(), "/" + name + "/", like.service(), like.timeoutMs(), like.maxAttempts(),
+    private ConfigurationStub more(String name) {
+        List<ConfigurationStub.Route> all = new ArrayList<>(now.routes());
+        ConfigurationStub.Route like = all.get(roads.sim.random().nextInt(3));
+        all.add(new ConfigurationStub.Route(name, like.host(), "/" + name + "/", like.service(), like.timeoutMs(), like.maxAttempts(),
             like.inOrder(), like.retentionS(), false));
         return now.routes(all).with(next());
     }
 
-    private Optional<Papers.Route> added() {
+    private Optional<ConfigurationStub.Route> added() {
         return now.routes().stream().filter(r -> r.name().startsWith("new")).findFirst();
     }
 
     /** A route comes, or one that came goes; now and then a time-out changes. */
     void change() {
-        Optional<Papers.Route> old = added();
+        Optional<ConfigurationStub.Route> old = added();
         if (old.isPresent() && roads.sim.luck(0.5)) {
             put(now.routes(now.routes().stream().filter(r -> !r.equals(old.get())).toList()).with(next()),
                 now.configRevision());
@@ -98,57 +98,57 @@
     }
 
     void race() {
-        Papers a = more("new" + n++);
-        Papers b = more("new" + n++);
+        ConfigurationStub a = more("new" + n++);
+        ConfigurationStub b = more("new" + n++);
         put(a, now.configRevision());
         put(b, now.configRevision());
     }
 
     /** One of each kind in turn; none may ever be in force. */
     void bad() {
-        Papers p = more("bad" + n);
-        Papers.Route r = p.routes().get(p.routes().size() - 1);
-        List<Papers.Route> others = new ArrayList<>(now.routes());
+        ConfigurationStub p = more("bad" + n);
+        ConfigurationStub.Route r = p.routes().get(p.routes().size() - 1);
+        List<ConfigurationStub.Route> others = new ArrayList<>(now.routes());
         switch (n++ % 6) {
             case 0 -> put(p, p.text().substring(0, p.text().length() / 2), now.configRevision(), false);
-            case 1 -> bad(p, others, new Papers.Route(r.name(), r.host(), r.pathPrefix(), "nobody", 500, 3, false, 90, false));
-            case 2 -> bad(p, others, new Papers.Route(r.name(), r.host(), others.get(0).pathPrefix(), r.service(), 500, 3, false, 90, false));
-            case 3 -> bad(p, others, new Papers.Route(r.name(), r.host(), r.pathPrefix(), r.service(), 0, 3, false, 90, false));
+            case 1 -> bad(p, others, new ConfigurationStub.Route(r.name(), r.host(), r.pathPrefix(), "nobody", 500, 3, false, 90, false));
+            case 2 -> bad(p, others, new ConfigurationStub.Route(r.name(), r.host(), others.get(0).pathPrefix(), r.service(), 500, 3, false, 90, false));
+            case 3 -> bad(p, others, new ConfigurationStub.Route(r.name(), r.host(), r.pathPrefix(), r.service(), 0, 3, false, 90, false));
             case 4 -> put(p.with(now.configRevision()), p.with(now.configRevision()).text(), now.configRevision(), false);
             default -> {
-                List<Papers.Tenant> t = new ArrayList<>(now.tenants());
-                t.add(new Papers.Tenant("thief", List.of(t.get(0).accessKeys().get(0)), 1, 1));
+                List<ConfigurationStub.Tenant> t = new ArrayList<>(now.tenants());
+                t.add(new ConfigurationStub.Tenant("thief", List.of(t.get(0).accessKeys().get(0)), 1, 1));
                 put(p.tenants(t), p.tenants(t).text(), now.configRevision(), false);
             }
         }
     }
 
-    private void bad(Papers p, List<Papers.Route> others, Papers.Route worst) {
+    private void bad(ConfigurationStub p, List<ConfigurationStub.Route> others, ConfigurationStub.Route worst) {
         others.add(worst);
         put(p.routes(others), p.routes(others).text(), now.configRevision(), false);
     }
 
     /** A tenant's second key goes, or a new one comes. */
     void keys() {
-        List<Papers.Tenant> all = new ArrayList<>(now.tenants());
+        List<ConfigurationStub.Tenant> all = new ArrayList<>(now.tenants());
         int i = roads.sim.random().nextInt(all.size());
-        Papers.Tenant t = all.get(i);
+        ConfigurationStub.Tenant t = all.get(i);
         List<String> keys = new ArrayList<>(t.accessKeys());
         if (keys.size() > 1) {
             keys.remove(keys.size() - 1);
         } else {
             keys.add("key-" + i + "-" + n++);
         }
-        all.set(i, new Papers.Tenant(t.name(), keys, t.ratePerS(), t.burstSize()));
+        all.set(i, new ConfigurationStub.Tenant(t.name(), keys, t.ratePerS(), t.burstSize()));
         put(now.tenants(all).with(next()), now.configRevision());
     }
 
-    /** Asks for it as it stands; the last reading of a day counts. */
+    /** ControlMessages for it as it stands; the last reading of a day counts. */
     void read() {
         String to = roads.lighthouses.get(roads.sim.random().nextInt(roads.lighthouses.size()));
         roads.request(to, new Request("GET", "/-/configuration", Map.of(), new byte[0]), CALL, a -> {
             if (a.isPresent() && a.get().status() == 200) {
-                seen.readBack.add(new Watchbook.ReadBack(200, new String(a.get().body(), StandardCharsets.UTF_8), roads.sim.now()));
+                seen.readBack.add(new ObservationLog.ReadBack(200, new String(a.get().body(), StandardCharsets.UTF_8), roads.sim.now()));
             }
         });
     }
--- a/trials/src/main/java/org/woadvale/trials/squall/Pairs.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Pairs.java
@@ -1,17 +1,17 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeSet;
 import java.util.concurrent.atomic.AtomicReference;
 
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.trials.buoy.NeverList;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.testkit.stub.NeverList;
 
 /** Each never-line's scenario twice: as shipped, and with one mechanism left out. design 12.3 */
 public final class Pairs {
     private interface Scene {
-        Voyage play(long seed, Seams seams) throws Fault;
+        FleetSimulation play(long seed, Seams seams) throws ServiceException;
     }
 
     /** The line, what is brought about, and what the stand-in leaves out. */
@@ -30,11 +30,11 @@
             this.naive = naive;
         }
 
-        public List<String> shipped(long seed) throws Fault {
+        public List<String> shipped(long seed) throws ServiceException {
             return scene.play(seed, Seams.none()).violations();
         }
 
-        public List<String> brokenWithout(long seed) throws Fault {
+        public List<String> brokenWithout(long seed) throws ServiceException {
             return new NeverList(scene.play(seed, naive).w.seen).broken();
         }
 
@@ -49,32 +49,32 @@
     private static Pair layout() {
         AtomicReference<String> cut = new AtomicReference<>("");
         return new Pair("09", "owner of the layout cut off, read there", "clock that counts while the claim runs out",
-            (s, x) -> Scenes.ownerOfTheLayoutCutOff(s, x, cut), Naive.stoppedClock(a -> a.equals(cut.get())));
+            (s, x) -> FailureScenarios.ownerOfTheLayoutCutOff(s, x, cut), NaiveVariants.stoppedClock(a -> a.equals(cut.get())));
     }
 
     public static List<Pair> all() {
         return List.of(
-            new Pair("01", "power lost everywhere", "sync before the answer", Scenes::powerLossEverywhere, Naive.lyingDisk()),
-            new Pair("02", "errors after the work", "only 429 and 503 mean not done", Scenes::errorsAfterTheWork,
-                Naive.anyErrorIsLater()),
-            new Pair("03", "stores' answers do not come back", "no answer is not a no", Scenes::answersDoNotComeBack,
-                Naive.silenceIsNo()),
-            new Pair("04", "work longer than an attempt", "no answer is not an end", Scenes::workLongerThanAnAttempt,
-                Naive.silenceIsRefusal()),
+            new Pair("01", "power lost everywhere", "sync before the answer", FailureScenarios::powerLossEverywhere, NaiveVariants.lyingDisk()),
+            new Pair("02", "errors after the work", "only 429 and 503 mean not done", FailureScenarios::errorsAfterTheWork,
+                NaiveVariants.anyErrorIsLater()),
+            new Pair("03", "stores' answers do not come back", "no answer is not a no", FailureScenarios::answersDoNotComeBack,
+                NaiveVariants.silenceIsNo()),
+            new Pair("04", "work longer than an attempt", "no answer is not an end", FailureScenarios::workLongerThanAnAttempt,
+                NaiveVariants.silenceIsRefusal()),
             new Pair("05", "streams stall under a flood", "a time by which a hand-in must have come",
-                Scenes::stalledStreams, Naive.timelessHandIns()),
+                FailureScenarios::stalledStreams, NaiveVariants.timelessHandIns()),
             new Pair("06", "streams to an endpoint open slowly", "the last look when the stream is open",
-                Scenes::streamsThatOpenSlowly, Naive.lookFirstSendLater()),
-            new Pair("07", "key withdrawn, a hall out of touch", "age of news", Scenes::keyWithdrawnOutOfTouch,
-                Naive.noNewsIsGoodNews()),
-            new Pair("08", "lane removed, a hall out of touch", "age of news", Scenes::lanesChangedOutOfTouch,
-                Naive.noNewsIsGoodNews()),
+                FailureScenarios::streamsThatOpenSlowly, NaiveVariants.lookFirstSendLater()),
+            new Pair("07", "key withdrawn, a hall out of touch", "age of news", FailureScenarios::keyWithdrawnOutOfTouch,
+                NaiveVariants.noNewsIsGoodNews()),
+            new Pair("08", "lane removed, a hall out of touch", "age of news", FailureScenarios::lanesChangedOutOfTouch,
+                NaiveVariants.noNewsIsGoodNews()),
             layout(),
-            new Pair("10", "processors marked, stores out of touch", "age of news", Scenes::markedOutOfTouch,
-                Naive.noNewsIsGoodNews()),
-            new Pair("11", "something answers 200 for the endpoints", "echo and receipt", Scenes::somethingInBetween,
-                Naive.everySuccessIsProof()),
-            new Pair("12", "two full outages", "short claims", Scenes::twoOutages, Naive.longClaims()));
+            new Pair("10", "processors marked, stores out of touch", "age of news", FailureScenarios::markedOutOfTouch,
+                NaiveVariants.noNewsIsGoodNews()),
+            new Pair("11", "something answers 200 for the endpoints", "echo and receipt", FailureScenarios::somethingInBetween,
+                NaiveVariants.everySuccessIsProof()),
+            new Pair("12", "two full outages", "short claims", FailureScenarios::twoOutages, NaiveVariants.longClaims()));
     }
 
     /** pairs FROM TO: the table; exits non-zero if a shipped run broke anything or a pair did not break its line. */
@@ -103,7 +103,7 @@
                 List<String> lines = p.brokenWithout(seed);
                 broke += lines.contains(p.line) ? 1 : 0;
                 others.addAll(lines);
-            } catch (Fault e) {
+            } catch (ServiceException e) {
                 throw new IllegalStateException(p.line + " seed " + seed, e);
             }
         }
--- a/trials/src/main/java/org/woadvale/trials/squall/Straits.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/PlatformScenarios.java
@@ -1,17 +1,17 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
 
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.trials.buoy.Rules;
-import org.woadvale.trials.buoy.Watchbook;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.testkit.stub.Rules;
+import org.woadvale.testkit.stub.ObservationLog;
 
 /** Scenarios that bring about the failure each rule is meant for, as shipped and with one mechanism left out. design 12.3 */
-public final class Straits {
+public final class PlatformScenarios {
     interface Scene {
-        void play(Passage p) throws Fault;
+        void play(PlatformSimulation p) throws ServiceException;
     }
 
     /** A rule, what brings its break about, and what keeps it. */
@@ -30,18 +30,18 @@
             this.naive = naive;
         }
 
-        private Passage played(long seed, Seams seams) throws Fault {
-            Passage p = new Passage(seed, 3, 3, seams).embark();
+        private PlatformSimulation played(long seed, Seams seams) throws ServiceException {
+            PlatformSimulation p = new PlatformSimulation(seed, 3, 3, seams).embark();
             scene.play(p);
             p.end(Duration.ofSeconds(10));
             return p;
         }
 
-        public List<String> shipped(long seed) throws Fault {
+        public List<String> shipped(long seed) throws ServiceException {
             return new Rules(played(seed, Seams.none()).seen).violations();
         }
 
-        public List<String> brokenWithout(long seed) throws Fault {
+        public List<String> brokenWithout(long seed) throws ServiceException {
             return new Rules(played(seed, naive).seen).broken();
         }
 
@@ -51,45 +51,45 @@
         }
     }
 
-    private Straits() { }
+    private PlatformScenarios() { }
 
     public static List<Pair> all() {
         AtomicBoolean frozen = new AtomicBoolean();
         return List.of(
-            new Pair("LOST", "power lost everywhere", "sync before the answer", Straits::powerLost, Bare.lyingStores()),
-            new Pair("REFUSED", "stores' answers do not come back", "no answer is not a no", Straits::answersDoNotComeBack,
-                Naive.silenceIsNo()),
-            new Pair("ORDER", "processors break off", "silence is not an end", Straits::breakingOff, Bare.silenceIsRefusal()),
-            new Pair("TWICE read", "a good day", "a sealed answer is proof", p -> served(p, 30, 5), Bare.successIsNoProof()),
+            new Pair("LOST", "power lost everywhere", "sync before the answer", PlatformScenarios::powerLost, BareReplicas.lyingStores()),
+            new Pair("REFUSED", "stores' answers do not come back", "no answer is not a no", PlatformScenarios::answersDoNotComeBack,
+                NaiveVariants.silenceIsNo()),
+            new Pair("ORDER", "processors break off", "silence is not an end", PlatformScenarios::breakingOff, BareReplicas.silenceIsRefusal()),
+            new Pair("TWICE read", "a good day", "a sealed answer is proof", p -> served(p, 30, 5), BareReplicas.successIsNoProof()),
             new Pair("TWICE leases", "processors say nothing for longer than a lease", "only the present lease ends it",
-                Straits::muteProcessors, Bare.anyLeaseWillDo()),
-            new Pair("MIXED", "processors fail", "only a seal is proof", Straits::breakingOff, Bare.errorIsSuccess()),
-            new Pair("ROUTE", "another service takes an address", "the expected instance", Straits::reusedAddress,
-                Bare.nobodyIsExpected()),
-            new Pair("UNASKED", "a good day", "bytes go as they came", p -> served(p, 30, 3), Bare.bytesChange()),
+                PlatformScenarios::muteProcessors, BareReplicas.anyLeaseWillDo()),
+            new Pair("MIXED", "processors fail", "only a seal is proof", PlatformScenarios::breakingOff, BareReplicas.errorIsSuccess()),
+            new Pair("ROUTE", "another service takes an address", "the expected instance", PlatformScenarios::reusedAddress,
+                BareReplicas.nobodyIsExpected()),
+            new Pair("UNASKED", "a good day", "bytes go as they came", p -> served(p, 30, 3), BareReplicas.bytesChange()),
             new Pair("CEILING", "streams to the endpoint open slowly", "the last look when the stream is open",
-                Straits::slowStreams, Bare.lookFirstSendLater()),
-            new Pair("QUOTA", "streams stall under a flood", "a time by which a hand-in must have come", Straits::stalled,
-                Naive.timelessHandIns()),
+                PlatformScenarios::slowStreams, BareReplicas.lookFirstSendLater()),
+            new Pair("QUOTA", "streams stall under a flood", "a time by which a hand-in must have come", PlatformScenarios::stalled,
+                NaiveVariants.timelessHandIns()),
             new Pair("CONFIG revoked", "a key is withdrawn", "news of proven age", p -> keyWithdrawn(p, frozen),
-                Bare.newsStands(frozen::get)),
+                BareReplicas.newsStands(frozen::get)),
             new Pair("CONFIG ignored", "a route comes", "news of proven age", p -> routeAdded(p, frozen),
-                Bare.newsStands(frozen::get)),
+                BareReplicas.newsStands(frozen::get)),
             new Pair("DRAIN", "a processor leaves", "news of proven age", p -> processorLeaves(p, frozen),
-                Bare.newsStands(frozen::get)));
+                BareReplicas.newsStands(frozen::get)));
     }
 
-    private static void served(Passage p, double perSecond, int seconds) {
+    private static void served(PlatformSimulation p, double perSecond, int seconds) {
         p.traffic(perSecond);
         p.roads.sim.run(Duration.ofSeconds(seconds));
         p.calm();
     }
 
-    private static void trouble(Passage p, int seconds) {
-        p.seen.troubles.add(new Watchbook.Trouble("scene", p.roads.sim.now(), p.roads.sim.now().plusSeconds(seconds)));
+    private static void trouble(PlatformSimulation p, int seconds) {
+        p.seen.troubles.add(new ObservationLog.Trouble("scene", p.roads.sim.now(), p.roads.sim.now().plusSeconds(seconds)));
     }
 
-    private static void powerLost(Passage p) throws Fault {
+    private static void powerLost(PlatformSimulation p) throws ServiceException {
         p.traffic(20);
         for (int ms = 0; ms < 3000; ms += 50) {
             int n = ms;
@@ -106,7 +106,7 @@
         p.roads.sim.run(Duration.ofSeconds(8));
     }
 
-    private static void answersDoNotComeBack(Passage p) {
+    private static void answersDoNotComeBack(PlatformSimulation p) {
         trouble(p, 12);
         p.traffic(40);
         p.roads.stores.forEach(s -> p.roads.net.cutOneWay(s, p.roads.intakes.get(0)));
@@ -116,28 +116,28 @@
         p.roads.net.heal();
     }
 
-    private static void breakingOff(Passage p) {
-        p.hands.values().forEach(h -> h.behave(new Habits(Duration.ofMillis(50), Duration.ofMillis(400), 0.2, 0.4, 0.1)));
+    private static void breakingOff(PlatformSimulation p) {
+        p.hands.values().forEach(h -> h.behave(new ClientHabits(Duration.ofMillis(50), Duration.ofMillis(400), 0.2, 0.4, 0.1)));
         served(p, 25, 6);
         p.roads.sim.run(Duration.ofSeconds(2));
-        p.hands.values().forEach(h -> h.behave(Habits.good()));
+        p.hands.values().forEach(h -> h.behave(ClientHabits.good()));
     }
 
-    private static void muteProcessors(Passage p) {
+    private static void muteProcessors(PlatformSimulation p) {
         p.pullers.values().forEach(x -> {
             x.mute();
-            x.behave(new Habits(Duration.ofMillis(2500), Duration.ofMillis(6000), 0, 0, 0));
+            x.behave(new ClientHabits(Duration.ofMillis(2500), Duration.ofMillis(6000), 0, 0, 0));
         });
         served(p, 10, 4);
         p.roads.sim.run(Duration.ofSeconds(12));
-        p.pullers.values().forEach(x -> x.behave(Habits.good()));
+        p.pullers.values().forEach(x -> x.behave(ClientHabits.good()));
     }
 
     /** Gone without a word, still on the list, and somebody else is there. */
-    private static void reusedAddress(Passage p) {
+    private static void reusedAddress(PlatformSimulation p) {
         p.traffic(40);
         p.roads.sim.run(Duration.ofSeconds(1));
-        List<Hand> plain = p.hands.values().stream().filter(h -> h.service().equals("plain")).toList();
+        List<ScriptedClient> plain = p.hands.values().stream().filter(h -> h.service().equals("plain")).toList();
         plain.forEach(h -> p.moveIn(h, "book"));
         p.roads.sim.run(Duration.ofSeconds(3));
         p.hand("plain", "10.9.5.1:8080");
@@ -145,7 +145,7 @@
         p.calm();
     }
 
-    private static void slowStreams(Passage p) {
+    private static void slowStreams(PlatformSimulation p) {
         String far = "172.20.0.3:8748";
         for (int ms = 0; ms < 9000; ms += 25) {
             int n = ms;
@@ -159,7 +159,7 @@
         p.roads.sim.run(Duration.ofSeconds(40));
     }
 
-    private static void stalled(Passage p) {
+    private static void stalled(PlatformSimulation p) {
         String i = p.roads.intakes.get(0);
         for (int n = 0; n < 20; n++) {
             p.send("/open/w" + n, "key1", "", 0, i);
@@ -176,7 +176,7 @@
         p.roads.sim.run(Duration.ofSeconds(2));
     }
 
-    private static void keyWithdrawn(Passage p, AtomicBoolean frozen) {
+    private static void keyWithdrawn(PlatformSimulation p, AtomicBoolean frozen) {
         frozen.set(true);
         for (int i = 0; i < 4; i++) {
             p.office.keys();
@@ -190,7 +190,7 @@
         frozen.set(false);
     }
 
-    private static void routeAdded(Passage p, AtomicBoolean frozen) {
+    private static void routeAdded(PlatformSimulation p, AtomicBoolean frozen) {
         frozen.set(true);
         p.office.change();
         p.roads.sim.run(Duration.ofSeconds(5));
@@ -199,7 +199,7 @@
         frozen.set(false);
     }
 
-    private static void processorLeaves(Passage p, AtomicBoolean frozen) {
+    private static void processorLeaves(PlatformSimulation p, AtomicBoolean frozen) {
         p.traffic(40);
         p.roads.sim.run(Duration.ofSeconds(1));
         frozen.set(true);
--- a/trials/src/main/java/org/woadvale/trials/squall/Passage.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/PlatformSimulation.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -9,15 +9,15 @@
 import java.util.Optional;
 import java.util.TreeMap;
 
-import org.woadvale.foundation.gate.Answer;
-import org.woadvale.foundation.gate.Request;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.trials.buoy.Papers;
-import org.woadvale.trials.buoy.Rules;
-import org.woadvale.trials.buoy.Watchbook;
+import org.woadvale.common.http.Answer;
+import org.woadvale.common.http.Request;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.testkit.stub.ConfigurationStub;
+import org.woadvale.testkit.stub.Rules;
+import org.woadvale.testkit.stub.ObservationLog;
 
 /** A fleet behind the platform's doors with everything that is around it there: clients, processors, operator. */
-public final class Passage {
+public final class PlatformSimulation {
     static final String HOST = "lode.example";
     private static final Duration LAG = Duration.ofMillis(800);
     private static final double LIST_RATE = 44;
@@ -26,78 +26,78 @@
     private static final int CLIENTS = 40;
     private static final double RATE = 25;
 
-    public final Roads roads;
-    public final Watchbook seen = new Watchbook();
-    final Roster roster;
+    public final NetworkSimulation roads;
+    public final ObservationLog seen = new ObservationLog();
+    final ProcessorList roster;
     final Entry entry;
-    final Office office;
-    final Map<String, Hand> hands = new LinkedHashMap<>();
+    final OperatorSimulation office;
+    final Map<String, ScriptedClient> hands = new LinkedHashMap<>();
     final Map<String, Puller> pullers = new LinkedHashMap<>();
-    private final Map<String, Hand.Table> tables = new TreeMap<>();
+    private final Map<String, ScriptedClient.Table> tables = new TreeMap<>();
     private final Map<String, String> addresses = new TreeMap<>();
     private final Map<Integer, Integer> answers = new TreeMap<>();
     private int ids;
     private int lives;
     private boolean traffic;
 
-    public Passage(long seed, int fronts, int stores, Seams seams) throws Fault {
-        roads = new Roads(seed, fronts, stores, seams);
-        roster = new Roster(roads.sim, LAG, LIST_RATE);
+    public PlatformSimulation(long seed, int fronts, int stores, Seams seams) throws ServiceException {
+        roads = new NetworkSimulation(seed, fronts, stores, seams);
+        roster = new ProcessorList(roads.sim, LAG, LIST_RATE);
         roads.list(roster::page);
         entry = new Entry(roads);
-        office = new Office(roads, seen, papers());
+        office = new OperatorSimulation(roads, seen, papers());
         roads.quays.onRead((q, a) -> {
             if (a.status() / 100 == 2 && a.headers().containsKey("X-Server-Seal")) {
-                seen.read.add(new Watchbook.Read(q.headers().getOrDefault("x-attempt-id", ""), roads.sim.now()));
+                seen.read.add(new ObservationLog.Read(q.headers().getOrDefault("x-attempt-id", ""), roads.sim.now()));
             }
         });
     }
 
-    static Papers papers() {
-        List<Papers.Route> routes = List.of(route("hold", "desk", false, 3), route("accept", "book", true, 4),
+    static ConfigurationStub papers() {
+        List<ConfigurationStub.Route> routes = List.of(route("hold", "desk", false, 3), route("accept", "book", true, 4),
             route("check", "far", false, 3), route("turn", "desk", true, 3), route("open", "plain", false, 3));
-        List<Papers.Service> services = List.of(new Papers.Service("desk", 0, 100, false, true, Optional.empty()),
-            new Papers.Service("book", 0, 100, true, false, Optional.empty()),
-            new Papers.Service("plain", 0, 100, false, false, Optional.empty()),
-            new Papers.Service("far", 12, 24, true, false, Optional.of("172.20.0.3:8748")));
-        List<Papers.Tenant> tenants = new ArrayList<>();
+        List<ConfigurationStub.Service> services = List.of(new ConfigurationStub.Service("desk", 0, 100, false, true, Optional.empty()),
+            new ConfigurationStub.Service("book", 0, 100, true, false, Optional.empty()),
+            new ConfigurationStub.Service("plain", 0, 100, false, false, Optional.empty()),
+            new ConfigurationStub.Service("far", 12, 24, true, false, Optional.of("172.20.0.3:8748")));
+        List<ConfigurationStub.Tenant> tenants = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
-            tenants.add(new Papers.Tenant("tenant" + i, List.of("key" + i, "spare" + i), RATE, RATE));
+            tenants.add(new ConfigurationStub.Tenant("tenant" + i, List.of("key" + i, "spare" + i), RATE, RATE));
         }
-        return new Papers(2, routes, services, tenants);
+        return new ConfigurationStub(2, routes, services, tenants);
     }
 
-    private static Papers.Route route(String name, String service, boolean inOrder, int attempts) {
-        return new Papers.Route(name, HOST, "/" + name + "/", service, 1500, attempts, inOrder, 90, false);
+    private static ConfigurationStub.Route route(String name, String service, boolean inOrder, int attempts) {
+        return new ConfigurationStub.Route(name, HOST, "/" + name + "/", service, 1500, attempts, inOrder, 90, false);
     }
 
     /** The first configuration, the processors, and readiness. */
-    public Passage embark() {
+    public PlatformSimulation embark() {
         office.begin();
         for (int i = 0; i < 3; i++) {
             hand("book", "10.9.0." + i + ":8080");
             hand("plain", "10.9.1." + i + ":8080");
             puller();
         }
-        hands.put("far", place(new Hand(roads, seen, "far", "far", 6, table("far"), true), "172.20.0.3:8748"));
-        Voyage.require(roads.sim.runUntil(roads::ready, Duration.ofSeconds(40)), "the fleet did not get ready");
+        hands.put("far", place(new ScriptedClient(roads, seen, "far", "far", 6, table("far"), true), "172.20.0.3:8748"));
+        FleetSimulation.require(roads.sim.runUntil(roads::ready, Duration.ofSeconds(40)), "the fleet did not get ready");
         roads.sim.run(Duration.ofSeconds(2));
         return this;
     }
 
-    private Hand.Table table(String service) {
-        return tables.computeIfAbsent(service, s -> new Hand.Table());
+    private ScriptedClient.Table table(String service) {
+        return tables.computeIfAbsent(service, s -> new ScriptedClient.Table());
     }
 
-    private Hand place(Hand h, String address) {
+    private ScriptedClient place(ScriptedClient h, String address) {
         roads.quays.place(address, h::take);
         addresses.put(h.id(), address);
         return h;
     }
 
-    Hand hand(String service, String address) {
+    ScriptedClient hand(String service, String address) {
         String id = "i-" + lives++;
-        Hand h = place(new Hand(roads, seen, id, service, 6, table(service), service.equals("book")), address);
+        ScriptedClient h = place(new ScriptedClient(roads, seen, id, service, 6, table(service), service.equals("book")), address);
         hands.put(id, h);
         roster.put(id, service, address, 6, "ready");
         return h;
@@ -111,7 +111,7 @@
     }
 
     /** It is gone at once; the list shows it for some seconds more, and its address is another's soon. */
-    void crash(Hand h) {
+    void crash(ScriptedClient h) {
         h.die();
         hands.remove(h.id());
         String address = addresses.get(h.id());
@@ -121,7 +121,7 @@
     }
 
     /** It is gone without a word, and a processor of another service is at its address. */
-    void moveIn(Hand gone, String service) {
+    void moveIn(ScriptedClient gone, String service) {
         gone.die();
         hands.remove(gone.id());
         hand(service, addresses.get(gone.id()));
@@ -129,10 +129,10 @@
     }
 
     /** In order: shown as draining, served for a while, and gone. */
-    void leave(Hand h) {
+    void leave(ScriptedClient h) {
         hands.remove(h.id());
         String address = addresses.get(h.id());
-        seen.draining.add(new Watchbook.Draining(h.id(), roster.put(h.id(), h.service(), address, 6, "draining")));
+        seen.draining.add(new ObservationLog.Draining(h.id(), roster.put(h.id(), h.service(), address, 6, "draining")));
         roads.sim.after(Duration.ofMillis(4500), () -> {
             h.die();
             roads.quays.leave(address);
@@ -161,9 +161,9 @@
 
     /** A client on any route that there is, or was just added or removed, with any key that there is or was. */
     private void client() {
-        List<Papers.Route> routes = office.now().routes();
+        List<ConfigurationStub.Route> routes = office.now().routes();
         boolean usual = roads.sim.luck(0.9);
-        Papers.Route r = usual || seen.papers.isEmpty() ? routes.get(roads.sim.random().nextInt(routes.size()))
+        ConfigurationStub.Route r = usual || seen.papers.isEmpty() ? routes.get(roads.sim.random().nextInt(routes.size()))
             : any(any(seen.papers).papers().routes());
         int t = roads.sim.random().nextInt(4);
         String key = usual ? "key" + t : any(any(seen.papers).papers().tenants().get(t).accessKeys());
@@ -188,11 +188,11 @@
         if (delayMs > 0) {
             h.put("x-delay-ms", Long.toString(delayMs));
         }
-        seen.sent.add(new Watchbook.Sent(id, HOST, path, key, order, body, delayMs, node, roads.sim.now()));
+        seen.sent.add(new ObservationLog.Sent(id, HOST, path, key, order, body, delayMs, node, roads.sim.now()));
         roads.request(node, new Request("POST", path, h, body.getBytes(StandardCharsets.UTF_8)), CLIENT, a -> {
             int status = a.map(Answer::status).orElse(0);
             answers.merge(status, 1, Integer::sum);
-            seen.said.add(new Watchbook.Said(id, status,
+            seen.said.add(new ObservationLog.Said(id, status,
                 a.map(x -> x.headers().getOrDefault("X-Message-Ref", id)).orElse(""), roads.sim.now()));
         });
     }
@@ -201,8 +201,8 @@
     public List<String> end(Duration completion) {
         calm();
         roads.sim.run(completion);
-        Voyage.require(roads.sim.runUntil(office::idle, Duration.ofSeconds(30)), "the operator got no clear answer");
-        Map<String, Watchbook.Sent> sent = new LinkedHashMap<>();
+        FleetSimulation.require(roads.sim.runUntil(office::idle, Duration.ofSeconds(30)), "the operator got no clear answer");
+        Map<String, ObservationLog.Sent> sent = new LinkedHashMap<>();
         seen.sent.forEach(s -> sent.put(s.id(), s));
         seen.said.stream().filter(s -> s.status() == 202).forEach(s -> show(sent.get(s.id()), s.ref(), 5));
         roads.sim.run(Duration.ofSeconds(12));
@@ -211,12 +211,12 @@
         return new Rules(seen).violations();
     }
 
-    private String keyOf(Watchbook.Sent s) {
+    private String keyOf(ObservationLog.Sent s) {
         return seen.papers.stream().flatMap(p -> p.papers().tenant(s.key()).stream()).findFirst()
             .map(t -> t.accessKeys().get(0)).orElse(s.key());
     }
 
-    private void show(Watchbook.Sent s, String ref, int tries) {
+    private void show(ObservationLog.Sent s, String ref, int tries) {
         Map<String, String> h = Map.of("host", HOST, "authorization", "Token " + keyOf(s));
         Duration limit = Duration.ofSeconds(2);
         roads.request(entry.any(), new Request("GET", "/-/message/" + ref, h, new byte[0]), limit, a ->
@@ -226,7 +226,7 @@
                     show(s, ref, tries - 1);
                     return;
                 }
-                seen.shown.add(new Watchbook.Shown(s.id(), a.map(Answer::status).orElse(0),
+                seen.shown.add(new ObservationLog.Shown(s.id(), a.map(Answer::status).orElse(0),
                     a.map(x -> Callers.json(x).path("state").asText()).orElse(""),
                     a.map(x -> Callers.json(x).path("seal").asText()).orElse(""), b.map(Answer::status).orElse(0),
                     b.filter(x -> x.status() == 200).map(x -> new String(x.body())).orElse("")));
--- a/trials/src/main/java/org/woadvale/trials/squall/OutsideBlows.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/ProcessorFaults.java
@@ -1,29 +1,29 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 
-import org.woadvale.trials.buoy.Backend;
+import org.woadvale.testkit.stub.Backend;
 
 /** What comes from outside: callers, processors, endpoints, head office, and the calendar. */
-final class OutsideBlows {
-    private final Voyage v;
+final class ProcessorFaults {
+    private final FleetSimulation v;
     private final World w;
-    private final Head head;
+    private final HeadOffice head;
     private final Random random;
     private final boolean calendarsJump;
 
-    OutsideBlows(Voyage v, Random random, boolean calendarsJump) {
+    ProcessorFaults(FleetSimulation v, Random random, boolean calendarsJump) {
         this.v = v;
         this.w = v.w;
-        this.head = new Head(v);
+        this.head = new HeadOffice(v);
         this.random = random;
         this.calendarsJump = calendarsJump;
     }
 
-    void into(Map<String, Blow> blows) {
+    void into(Map<String, FaultInjection> blows) {
         blows.put("answers lost", () -> w.post.answerLoss(0.2));
         blows.put("back end down", () -> down(anyBackend()));
         blows.put("all back ends down", () -> List.copyOf(w.backends.keySet()).forEach(this::down));
--- a/trials/src/main/java/org/woadvale/trials/squall/Roster.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/ProcessorList.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -8,14 +8,14 @@
 import java.util.Optional;
 import java.util.TreeMap;
 
-import org.woadvale.foundation.chart.Charts;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.config.Configurations;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
 
 import reactor.core.publisher.Mono;
 
 /** The platform's list of processors: it lags, comes in pages, and takes only so many calls a second. docs/platform.md 6 */
-public final class Roster {
+public final class ProcessorList {
     private static final int PAGE = 3;
 
     /** One entry, as it stands since a time. */
@@ -29,7 +29,7 @@
     private boolean down;
     private int refused;
 
-    public Roster(Sim sim, Duration lag, double ratePerS) {
+    public ProcessorList(Sim sim, Duration lag, double ratePerS) {
         this.sim = sim;
         this.lag = lag;
         this.ratePerS = ratePerS;
@@ -68,7 +68,7 @@
         long lately = calls.stream().filter(c -> c.plusSeconds(1).compareTo(sim.now()) > 0).count();
         if (down || lately > ratePerS) {
             refused++;
-            return Mono.error(new Fault(ErrorKind.UNAVAILABLE, down ? "no answer" : "the list answered 429"));
+            return Mono.error(new ServiceException(ErrorKind.UNAVAILABLE, down ? "no answer" : "the list answered 429"));
         }
         int from = path.contains("pageToken=p-") ? Integer.parseInt(path.replaceAll(".*pageToken=p-", "")) : 0;
         List<Map<String, Object>> all = new ArrayList<>();
@@ -76,7 +76,7 @@
         Map<String, Object> out = new LinkedHashMap<>();
         out.put("instances", all.subList(Math.min(from, all.size()), Math.min(all.size(), from + PAGE)));
         out.put("nextToken", from + PAGE < all.size() ? "p-" + (from + PAGE) : null);
-        return Mono.just(Charts.write(out));
+        return Mono.just(Configurations.write(out));
     }
 
     private static Map<String, Object> entry(String id, Row r) {
--- a/trials/src/main/java/org/woadvale/trials/squall/Quays.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/ProcessorSimulation.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import java.time.Duration;
 import java.util.HashMap;
@@ -11,25 +11,25 @@
 import java.util.function.BiConsumer;
 import java.util.function.Function;
 
-import org.woadvale.foundation.gate.Answer;
-import org.woadvale.foundation.gate.Request;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.pilot.launch.Post;
+import org.woadvale.common.http.Answer;
+import org.woadvale.common.http.Request;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.dataplane.delivery.DeliveryClient;
 
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 
 /** Addresses at which processors take work, and the way there from the stores. */
-public final class Quays {
-    private final Roads roads;
+public final class ProcessorSimulation {
+    private final NetworkSimulation roads;
     private final Map<String, Function<Request, Mono<Answer>>> at = new HashMap<>();
     private final Set<String> silent = new HashSet<>();
     private BiConsumer<Request, Answer> onRead = (q, a) -> { };
     private final Map<String, Duration> slowStreams = new HashMap<>();
     private double answerLoss;
 
-    Quays(Roads roads) {
+    ProcessorSimulation(NetworkSimulation roads) {
         this.roads = roads;
     }
 
@@ -65,16 +65,16 @@
         onRead = c;
     }
 
-    Post from(Host h) {
+    DeliveryClient from(Host h) {
         return call -> Mono.defer(() -> {
-            Sinks.One<Post.Reply> sink = Sinks.one();
-            h.after(call.limit(), () -> sink.tryEmitError(new Fault(ErrorKind.UNKNOWN_OUTCOME, "no answer in time")));
+            Sinks.One<DeliveryClient.Reply> sink = Sinks.one();
+            h.after(call.limit(), () -> sink.tryEmitError(new ServiceException(ErrorKind.UNKNOWN_OUTCOME, "no answer in time")));
             String rest = call.url().substring("http://".length());
             String address = rest.substring(0, rest.indexOf('/'));
             Request q = new Request(call.method(), rest.substring(rest.indexOf('/')), lower(call.headers()), call.body());
             roads.sim.after(roads.net.delay().plus(slowStreams.getOrDefault(address, Duration.ZERO)), () -> h.soon(() -> {
                 if (!at.containsKey(address) || !call.still().getAsBoolean()) {
-                    sink.tryEmitError(new Fault(ErrorKind.UNREACHABLE, "refused"));
+                    sink.tryEmitError(new ServiceException(ErrorKind.UNREACHABLE, "refused"));
                     return;
                 }
                 roads.sim.after(roads.net.delay(), () -> arrive(h, address, q, sink));
@@ -89,16 +89,16 @@
         return out;
     }
 
-    private void arrive(Host h, String address, Request q, Sinks.One<Post.Reply> sink) {
+    private void arrive(Host h, String address, Request q, Sinks.One<DeliveryClient.Reply> sink) {
         Optional<Function<Request, Mono<Answer>>> p = Optional.ofNullable(at.get(address));
         if (p.isEmpty()) {
-            h.soon(() -> sink.tryEmitError(new Fault(ErrorKind.UNKNOWN_OUTCOME, "reset")));
+            h.soon(() -> sink.tryEmitError(new ServiceException(ErrorKind.UNKNOWN_OUTCOME, "reset")));
             return;
         }
         p.get().apply(q).subscribe(a -> {
             if (!silent.contains(address) && !roads.sim.luck(answerLoss)) {
                 roads.sim.after(roads.net.delay(), () -> h.soon(() -> {
-                    if (sink.tryEmitValue(new Post.Reply(a.status(), lower(a.headers()), a.body())) == Sinks.EmitResult.OK) {
+                    if (sink.tryEmitValue(new DeliveryClient.Reply(a.status(), lower(a.headers()), a.body())) == Sinks.EmitResult.OK) {
                         onRead.accept(q, a);
                     }
                 }));
--- a/trials/src/main/java/org/woadvale/trials/squall/Puller.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Puller.java
@@ -1,30 +1,30 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
-import org.woadvale.foundation.gate.Answer;
-import org.woadvale.foundation.gate.Request;
-import org.woadvale.trials.buoy.Watchbook;
+import org.woadvale.common.http.Answer;
+import org.woadvale.common.http.Request;
+import org.woadvale.testkit.stub.ObservationLog;
 
 /** One life of a processor that fetches its jobs, a call for each free slot. docs/platform.md 5 */
 final class Puller {
     private static final Duration WAIT = Duration.ofMillis(1000);
     private static final Duration CALL = Duration.ofMillis(2500);
     private static final Duration AGAIN = Duration.ofMillis(200);
-    private final Roads roads;
+    private final NetworkSimulation roads;
     private final Entry entry;
-    private final Watchbook seen;
+    private final ObservationLog seen;
     private final String id;
     private final String service;
-    private Habits habits = Habits.good();
+    private ClientHabits habits = ClientHabits.good();
     private boolean alive = true;
     private boolean leaving;
     private boolean mute;
     private int runs;
 
-    Puller(Roads roads, Entry entry, Watchbook seen, String id, String service) {
+    Puller(NetworkSimulation roads, Entry entry, ObservationLog seen, String id, String service) {
         this.roads = roads;
         this.entry = entry;
         this.seen = seen;
@@ -39,7 +39,7 @@
         return this;
     }
 
-    void behave(Habits h) {
+    void behave(ClientHabits h) {
         habits = h;
     }
 
@@ -83,7 +83,7 @@
             end(job, 503, "");
             return;
         }
-        seen.began.add(new Watchbook.Began(message, service, job.headers().getOrDefault("X-Tenant", ""),
+        seen.began.add(new ObservationLog.Began(message, service, job.headers().getOrDefault("X-Tenant", ""),
             job.headers().getOrDefault("X-Order-Key", ""), job.headers().get("X-Job-Method"),
             job.headers().get("X-Job-Target"), new String(job.body()), began));
         boolean[] over = {false};
@@ -95,7 +95,7 @@
             }
             int outcome = habits.outcome(message, roads.sim);
             String seal = outcome == 200 ? id + "." + runs++ : "";
-            seen.ended.add(new Watchbook.Ended(message, outcome, seal, began, roads.sim.now()));
+            seen.ended.add(new ObservationLog.Ended(message, outcome, seal, began, roads.sim.now()));
             if (outcome == 0) {
                 pull();
             } else {
@@ -109,7 +109,7 @@
     }
 
     private void extendLater(Answer job, boolean[] over) {
-        roads.sim.after(Roads.LEASE.dividedBy(3), () -> {
+        roads.sim.after(NetworkSimulation.LEASE.dividedBy(3), () -> {
             if (alive && !mute && !over[0]) {
                 roads.request(entry.any(), new Request("POST", "/-/job-extend/" + job.headers().get("X-Attempt-Id"),
                     lease(job), new byte[0]), CALL, a -> { });
@@ -134,9 +134,9 @@
                 return;
             }
             if (status == 200) {
-                seen.endsTaken.add(new Watchbook.EndTaken(message, job.headers().get("X-Lease-Id"), outcome, roads.sim.now()));
+                seen.endsTaken.add(new ObservationLog.EndTaken(message, job.headers().get("X-Lease-Id"), outcome, roads.sim.now()));
                 if (outcome == 200) {
-                    seen.read.add(new Watchbook.Read(message, roads.sim.now()));
+                    seen.read.add(new ObservationLog.Read(message, roads.sim.now()));
                 }
             }
             pull();
--- a/trials/src/main/java/org/woadvale/trials/squall/Hand.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/ScriptedClient.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import java.time.Duration;
 import java.util.HashMap;
@@ -6,14 +6,14 @@
 import java.util.Map;
 import java.util.Set;
 
-import org.woadvale.foundation.gate.Answer;
-import org.woadvale.foundation.gate.Request;
-import org.woadvale.trials.buoy.Watchbook;
+import org.woadvale.common.http.Answer;
+import org.woadvale.common.http.Request;
+import org.woadvale.testkit.stub.ObservationLog;
 
 import reactor.core.publisher.Mono;
 
 /** One life of a processor that is pushed to: slots, a short queue, seals. docs/platform.md 5 */
-final class Hand {
+final class ScriptedClient {
     /** What the processors of a service that dedupes share: successes by id, and who is at work. */
     static final class Table {
         private final Map<String, String> seals = new HashMap<>();
@@ -21,19 +21,19 @@
     }
 
     private static final int QUEUE = 8;
-    private final Roads roads;
-    private final Watchbook seen;
+    private final NetworkSimulation roads;
+    private final ObservationLog seen;
     private final String id;
     private final String service;
     private final int slots;
     private final Table table;
     private final boolean dedupes;
-    private Habits habits = Habits.good();
+    private ClientHabits habits = ClientHabits.good();
     private int busy;
     private int runs;
     private boolean alive = true;
 
-    Hand(Roads roads, Watchbook seen, String id, String service, int slots, Table table, boolean dedupes) {
+    ScriptedClient(NetworkSimulation roads, ObservationLog seen, String id, String service, int slots, Table table, boolean dedupes) {
         this.roads = roads;
         this.seen = seen;
         this.id = id;
@@ -51,7 +51,7 @@
         return service;
     }
 
-    void behave(Habits h) {
+    void behave(ClientHabits h) {
         habits = h;
     }
 
@@ -73,7 +73,7 @@
         String message = header(q, "x-attempt-id");
         String expected = header(q, "x-expect-instance");
         boolean other = !expected.isEmpty() && !expected.equals(id);
-        seen.arrived.add(new Watchbook.Arrived(message, service, id, other, roads.sim.now()));
+        seen.arrived.add(new ObservationLog.Arrived(message, service, id, other, roads.sim.now()));
         if (!alive) {
             return Mono.never();
         }
@@ -104,7 +104,7 @@
         String seal = outcome == 200 ? id + "." + runs++ : "";
         busy++;
         table.running.add(message);
-        seen.began.add(new Watchbook.Began(message, service, header(q, "x-tenant"), header(q, "x-order-key"), q.method(),
+        seen.began.add(new ObservationLog.Began(message, service, header(q, "x-tenant"), header(q, "x-order-key"), q.method(),
             q.path(), new String(q.body()), began));
         return Mono.create(sink -> roads.sim.after(tooLong ? limit : work, () -> {
             busy--;
@@ -115,7 +115,7 @@
             if (!seal.isEmpty()) {
                 table.seals.put(message, seal);
             }
-            seen.ended.add(new Watchbook.Ended(message, outcome, seal, began, roads.sim.now()));
+            seen.ended.add(new ObservationLog.Ended(message, outcome, seal, began, roads.sim.now()));
             if (outcome > 0) {
                 Answer a = answer(q, outcome, false);
                 sink.success(seal.isEmpty() ? a : a.with("X-Server-Seal", seal));
--- /dev/null
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Seams.java
@@ -0,0 +1,40 @@
+package org.woadvale.testkit.simulation;
+
+import java.util.function.BiFunction;
+import java.util.function.UnaryOperator;
+
+import org.woadvale.common.rpc.RpcClient;
+import org.woadvale.common.replication.ReplicationTiming;
+import org.woadvale.common.runtime.Clock;
+import org.woadvale.common.wal.Disk;
+import org.woadvale.dataplane.delivery.DeliveryClient;
+
+/** Where a stand-in may take the place of what the shipped nodes are given; by address. design 12.3 */
+public record Seams(BiFunction<String, RpcClient, RpcClient> beam, BiFunction<String, Disk, Disk> disk,
+                    BiFunction<String, Clock, Clock> times, BiFunction<String, DeliveryClient, DeliveryClient> post,
+                    UnaryOperator<ReplicationTiming> pace) {
+
+    public static Seams none() {
+        return new Seams((a, b) -> b, (a, d) -> d, (a, t) -> t, (a, p) -> p, p -> p);
+    }
+
+    public Seams withBeam(BiFunction<String, RpcClient, RpcClient> b) {
+        return new Seams(b, disk, times, post, pace);
+    }
+
+    public Seams withDisk(BiFunction<String, Disk, Disk> d) {
+        return new Seams(beam, d, times, post, pace);
+    }
+
+    public Seams withTimes(BiFunction<String, Clock, Clock> t) {
+        return new Seams(beam, disk, t, post, pace);
+    }
+
+    public Seams withPost(BiFunction<String, DeliveryClient, DeliveryClient> p) {
+        return new Seams(beam, disk, times, p, pace);
+    }
+
+    public Seams withPace(UnaryOperator<ReplicationTiming> p) {
+        return new Seams(beam, disk, times, post, p);
+    }
+}
--- a/trials/src/main/java/org/woadvale/trials/squall/Gale.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/SeededPlatformDays.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -10,16 +10,16 @@
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.stream.LongStream;
 
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.trials.buoy.Watchbook;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.testkit.stub.ObservationLog;
 
 /** A seeded day on the platform's stand-in: planned work and unplanned trouble under traffic, then every message asked for. */
-public final class Gale {
+public final class SeededPlatformDays {
     private static final Duration RECOVERY = Duration.ofMillis(4200);
     /** A planned stop, the start, and as long as the entry takes to see it. */
     private static final Duration ROLL = Duration.ofMillis(10_500);
-    private final Passage p;
-    private final Roads r;
+    private final PlatformSimulation p;
+    private final NetworkSimulation r;
     private final Random random;
     private final Map<String, Runnable> planned = new LinkedHashMap<>();
     private final Map<String, Runnable> unplanned = new LinkedHashMap<>();
@@ -28,14 +28,14 @@
     private final boolean calm;
     private Duration nextStop = Duration.ZERO;
 
-    public Gale(long seed) throws Fault {
+    public SeededPlatformDays(long seed) throws ServiceException {
         this(seed, Seams.none());
     }
 
-    public Gale(long seed, Seams seams) throws Fault {
+    public SeededPlatformDays(long seed, Seams seams) throws ServiceException {
         random = new Random(seed * 17 + 3);
         calm = seed % 3 == 0;
-        p = new Passage(seed, 3 + (int) (seed % 3), 3, seams);
+        p = new PlatformSimulation(seed, 3 + (int) (seed % 3), 3, seams);
         r = p.roads;
         planned.put("change", p.office::change);
         planned.put("race", p.office::race);
@@ -62,23 +62,23 @@
         return list.get(random.nextInt(list.size()));
     }
 
-    private List<Hand> listed() {
+    private List<ScriptedClient> listed() {
         return p.hands.values().stream().filter(h -> !h.id().equals("far")).toList();
     }
 
     private void trouble(String what, Duration length) {
-        p.seen.troubles.add(new Watchbook.Trouble(what, r.sim.now(), r.sim.now().plus(length)));
+        p.seen.troubles.add(new ObservationLog.Trouble(what, r.sim.now(), r.sim.now().plus(length)));
     }
 
     private void killed(String node) {
-        p.seen.killed.add(new Watchbook.Killed(node, r.sim.now()));
+        p.seen.killed.add(new ObservationLog.Killed(node, r.sim.now()));
     }
 
     private void back(String node, Duration after) {
         r.sim.after(after, () -> {
             try {
                 r.restart(node);
-            } catch (Fault e) {
+            } catch (ServiceException e) {
                 throw new IllegalStateException(e);
             }
         });
@@ -142,11 +142,11 @@
     }
 
     private void rough() {
-        p.hands.values().forEach(h -> h.behave(Habits.rough()));
-        p.pullers.values().forEach(h -> h.behave(Habits.rough()));
+        p.hands.values().forEach(h -> h.behave(ClientHabits.rough()));
+        p.pullers.values().forEach(h -> h.behave(ClientHabits.rough()));
         r.sim.after(Duration.ofSeconds(4), () -> {
-            p.hands.values().forEach(h -> h.behave(Habits.good()));
-            p.pullers.values().forEach(h -> h.behave(Habits.good()));
+            p.hands.values().forEach(h -> h.behave(ClientHabits.good()));
+            p.pullers.values().forEach(h -> h.behave(ClientHabits.good()));
         });
     }
 
@@ -213,7 +213,7 @@
         Map<Integer, Integer> answers = new TreeMap<>();
         LongStream.rangeClosed(from, to).parallel().forEach(seed -> {
             try {
-                Gale g = new Gale(seed);
+                SeededPlatformDays g = new SeededPlatformDays(seed);
                 List<String> bad = g.run(length);
                 synchronized (answers) {
                     g.answers().forEach((k, n) -> answers.merge(k, n, Integer::sum));
@@ -221,7 +221,7 @@
                 if (!bad.isEmpty()) {
                     failed.put(seed, bad);
                 }
-            } catch (Fault | RuntimeException e) {
+            } catch (ServiceException | RuntimeException e) {
                 failed.put(seed, List.of("threw " + e + " at " + (e.getStackTrace().length > 0 ? e.getStackTrace()[0] : "")));
             }
         });
--- a/trials/src/main/java/org/woadvale/trials/squall/Sim.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Sim.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import java.time.Duration;
 import java.util.Comparator;
--- a/trials/src/main/java/org/woadvale/trials/squall/SimDisk.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/SimDisk.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Map;
 
-import org.woadvale.foundation.logbook.Disk;
+import org.woadvale.common.wal.Disk;
 
 /** A disk that forgets unsynced writes when the power goes: each sector may be kept, torn or lost. */
 public final class SimDisk implements Disk {
--- a/trials/src/main/java/org/woadvale/trials/squall/SimNet.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/SimNet.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -9,13 +9,13 @@
 import java.util.Optional;
 import java.util.Set;
 
-import org.woadvale.foundation.beam.Beam;
-import org.woadvale.foundation.beam.Codec;
-import org.woadvale.foundation.beam.Exchange;
-import org.woadvale.foundation.beam.Frame;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.lantern.Schedule;
+import org.woadvale.common.rpc.RpcClient;
+import org.woadvale.common.rpc.Codec;
+import org.woadvale.common.rpc.PendingCalls;
+import org.woadvale.common.rpc.Frame;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.runtime.TimerHandle;
 
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
@@ -110,11 +110,11 @@
         return !reaches(from, to) || sim.luck(loss);
     }
 
-    Beam beam(Host self, Codec codec) {
+    RpcClient beam(Host self, Codec codec) {
         return new SimBeam(self, codec);
     }
 
-    private final class SimBeam implements Beam {
+    private final class SimBeam implements RpcClient {
         private final Host self;
         private final Codec codec;
 
@@ -132,8 +132,8 @@
         public <T> Mono<T> ask(String to, Object body, Class<T> answer, Duration limit) {
             return Mono.defer(() -> {
                 Sinks.One<Frame> sink = Sinks.one();
-                Schedule late = self.after(limit,
-                    () -> sink.tryEmitError(new Fault(ErrorKind.UNKNOWN_OUTCOME, "No answer in time.")));
+                TimerHandle late = self.after(limit,
+                    () -> sink.tryEmitError(new ServiceException(ErrorKind.UNKNOWN_OUTCOME, "No answer in time.")));
                 Frame ask = new Frame(1, Frame.Kind.ASK, body);
                 byte[] bytes = codec.write(ask);
                 eye.sent(self.address, to, ask, bytes.length);
@@ -147,8 +147,8 @@
                 : Mono.just(answer.cast(f.body())));
         }
 
-        private Fault fault(Frame.Refusal r) {
-            return new Fault(ErrorKind.valueOf(r.kind()), r.message(), r.details());
+        private ServiceException fault(Frame.Refusal r) {
+            return new ServiceException(ErrorKind.valueOf(r.kind()), r.message(), r.details());
         }
 
         private void deliver(String to, byte[] bytes, Sinks.One<Frame> sink, long life) {
@@ -159,10 +159,10 @@
             }
             travel(self.address, to, () -> {
                 if (target.isEmpty() || !target.get().alive()) {
-                    back(life, () -> sink.tryEmitError(new Fault(ErrorKind.UNREACHABLE, "No stream to " + to + ".")));
+                    back(life, () -> sink.tryEmitError(new ServiceException(ErrorKind.UNREACHABLE, "No stream to " + to + ".")));
                     return;
                 }
-                target.get().soon(() -> Exchange.serve(target.get().router(), self.address, read(bytes))
+                target.get().soon(() -> PendingCalls.serve(target.get().router(), self.address, read(bytes))
                     .subscribe(f -> reply(target.get(), f, sink, life)));
             });
         }
@@ -170,7 +170,7 @@
         private Frame read(byte[] bytes) {
             try {
                 return codec.read(bytes, Frame.class);
-            } catch (Fault e) {
+            } catch (ServiceException e) {
                 throw new IllegalStateException(e);
             }
         }
--- a/trials/src/main/java/org/woadvale/trials/squall/SimPost.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/SimPost.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -8,14 +8,14 @@
 import java.util.Optional;
 import java.util.Set;
 
-import org.woadvale.foundation.gate.Request;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.lantern.Schedule;
-import org.woadvale.foundation.lantern.Schedules;
-import org.woadvale.foundation.lantern.Times;
-import org.woadvale.pilot.launch.Post;
-import org.woadvale.trials.buoy.Backend;
+import org.woadvale.common.http.Request;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.runtime.TimerHandle;
+import org.woadvale.common.runtime.Timers;
+import org.woadvale.common.runtime.Clock;
+import org.woadvale.dataplane.delivery.DeliveryClient;
+import org.woadvale.testkit.stub.Backend;
 
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
@@ -23,7 +23,7 @@
 /** The way from stores to back ends; back ends live outside of every host. */
 public final class SimPost {
     /** The outside's clock: true time. */
-    public interface Outside extends Times, Schedules { }
+    public interface Outside extends Clock, Timers { }
 
     private final World w;
     private final Set<String> down = new HashSet<>();
@@ -63,7 +63,7 @@
             }
 
             @Override
-            public Schedule after(Duration delay, Runnable task) {
+            public TimerHandle after(Duration delay, Runnable task) {
                 boolean[] cancelled = {false};
                 w.sim.after(delay, () -> {
                     if (!cancelled[0]) {
@@ -85,10 +85,10 @@
         };
     }
 
-    Post from(Host h) {
+    DeliveryClient from(Host h) {
         return call -> Mono.defer(() -> {
-            Sinks.One<Post.Reply> sink = Sinks.one();
-            h.after(call.limit(), () -> sink.tryEmitError(new Fault(ErrorKind.UNKNOWN_OUTCOME, "no answer in time")));
+            Sinks.One<DeliveryClient.Reply> sink = Sinks.one();
+            h.after(call.limit(), () -> sink.tryEmitError(new ServiceException(ErrorKind.UNKNOWN_OUTCOME, "no answer in time")));
             String rest = call.url().substring("http://".length());
             String address = rest.substring(0, rest.indexOf('/'));
             String id = names.getOrDefault(address, "");
@@ -96,14 +96,14 @@
             if (middlebox && names.getOrDefault(address, "").startsWith("registry")) {
                 w.sim.after(w.net.delay(), () -> h.soon(() -> {
                     if (call.still().getAsBoolean()) {
-                        sink.tryEmitValue(new Post.Reply(200, new byte[] {'{', '}'}));
+                        sink.tryEmitValue(new DeliveryClient.Reply(200, new byte[] {'{', '}'}));
                     }
                 }));
                 return sink.asMono();
             }
             w.sim.after(w.net.delay().plus(slowStreams.getOrDefault(id, Duration.ZERO)), () -> h.soon(() -> {
                 if (b.isEmpty() || down.contains(id) || !call.still().getAsBoolean()) {
-                    sink.tryEmitError(new Fault(ErrorKind.UNREACHABLE, "refused"));
+                    sink.tryEmitError(new ServiceException(ErrorKind.UNREACHABLE, "refused"));
                     return;
                 }
                 w.sim.after(w.net.delay(), () -> arrive(h, id, b.get(), new Request(call.method(),
@@ -113,13 +113,13 @@
         });
     }
 
-    private void arrive(Host h, String id, Backend b, Request q, Sinks.One<Post.Reply> sink) {
+    private void arrive(Host h, String id, Backend b, Request q, Sinks.One<DeliveryClient.Reply> sink) {
         if (down.contains(id)) {
             return;
         }
         b.answer(q).subscribe(a -> {
             if (!w.sim.luck(answerLoss) && !down.contains(id)) {
-                w.sim.after(w.net.delay(), () -> h.soon(() -> sink.tryEmitValue(new Post.Reply(a.status(), a.body()))));
+                w.sim.after(w.net.delay(), () -> h.soon(() -> sink.tryEmitValue(new DeliveryClient.Reply(a.status(), a.body()))));
             }
         }, e -> { });
     }
--- a/trials/src/main/java/org/woadvale/trials/squall/Spread.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Spread.java
@@ -1,25 +1,25 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 
-import org.woadvale.foundation.keeper.Phase;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.watch.Places;
-import org.woadvale.trials.buoy.Scenery;
+import org.woadvale.common.replication.Phase;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.membership.ServiceNames;
+import org.woadvale.testkit.stub.TestConfiguration;
 
 /** How evenly owners and holders lie over the nodes, and how often parts change hands; on the fake clock. */
 public final class Spread {
     private Spread() { }
 
     /** A store is lost for good, a spare is there: how many seats are on their way at once, and until when. */
-    private static void repair() throws Fault {
+    private static void repair() throws ServiceException {
         System.out.println("| seed | seats on their way at once, at most | all seated after the loss | accepted meanwhile "
             + "| refused or unknown meanwhile |");
         System.out.println("|---|---|---|---|---|");
         for (long seed = 1; seed <= 5; seed++) {
-            Voyage v = new Voyage(seed, 8, 3, 4, new Scenery(8, 12, 45, 60, 26), World.LARGE_RING).embark();
+            FleetSimulation v = new FleetSimulation(seed, 8, 3, 4, new TestConfiguration(8, 12, 45, 60, 26), World.LARGE_RING).embark();
             v.traffic(150);
             v.w.sim.run(Duration.ofSeconds(20));
             int[] most = {0};
@@ -28,7 +28,7 @@
             Duration from = v.w.sim.now();
             long accepted = v.kinds().getOrDefault("accepted", 0L);
             long all = v.kinds().values().stream().mapToLong(Long::longValue).sum();
-            Voyage.require(v.w.sim.runUntil(() -> {
+            FleetSimulation.require(v.w.sim.runUntil(() -> {
                 most[0] = Math.max(most[0], v.w.pilot(spare).unseatedCount());
                 return v.w.repaired();
             }, Duration.ofSeconds(120)), "not repaired");
@@ -38,7 +38,7 @@
         }
     }
 
-    public static void main(String[] args) throws Fault {
+    public static void main(String[] args) throws ServiceException {
         if (args.length > 0 && args[0].equals("repair")) {
             repair();
             return;
@@ -47,7 +47,7 @@
             + "| buckets by each intake | message part terms in all |");
         System.out.println("|---|---|---|---|---|---|");
         for (int[] shape : new int[][] {{8, 3}, {7, 4}}) {
-            Voyage v = new Voyage(1, shape[0], shape[1], 4, new Scenery(8, 12, 45, 60, 26), World.SMALL_RING).embark();
+            FleetSimulation v = new FleetSimulation(1, shape[0], shape[1], 4, new TestConfiguration(8, 12, 45, 60, 26), World.SMALL_RING).embark();
             String name = shape[0] + "+" + shape[1] + "+3";
             v.w.sim.run(Duration.ofSeconds(10));
             row(v, name, "10 s after the start");
@@ -66,7 +66,7 @@
         }
     }
 
-    private static void row(Voyage v, String name, String when) {
+    private static void row(FleetSimulation v, String name, String when) {
         List<Long> stores = new ArrayList<>();
         List<Long> lamps = new ArrayList<>();
         List<Integer> holders = new ArrayList<>();
@@ -75,13 +75,13 @@
             stores.add(v.w.host(s).alive() ? v.w.pilot(s).owned() : 0);
         }
         for (String l : v.w.lighthouses) {
-            lamps.add(v.w.host(l).alive() ? Places.controlParts().stream()
+            lamps.add(v.w.host(l).alive() ? ServiceNames.controlParts().stream()
                 .filter(p -> v.w.lamp(l).replica(p).phase() == Phase.OWNING).count() : 0);
         }
         for (String i : v.w.intakes) {
             holders.add(v.w.host(i).alive() ? v.w.pilot(i).holds().size() : 0);
         }
-        for (String p : Places.messageParts()) {
+        for (String p : ServiceNames.messageParts()) {
             terms += v.w.stores.stream().filter(s -> v.w.host(s).alive()).mapToLong(s -> v.w.pilot(s).term(p)).max().orElse(0);
         }
         System.out.println("| " + name + " | " + when + " | " + stores + " | " + lamps + " | " + holders + " | " + terms + " |");
