--- a/trials/src/main/java/org/woadvale/trials/squall/Freight.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/TrafficMeter.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import java.time.Duration;
 import java.util.Comparator;
@@ -6,11 +6,11 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.trials.buoy.Scenery;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.testkit.stub.TestConfiguration;
 
 /** What the frames between halls weigh, by what they say: see docs/measurements.md. */
-public final class Freight {
+public final class TrafficMeter {
     /** About what TCP, IP and the acknowledgement of every other segment add to a frame that travels by itself. */
     private static final int AROUND = 4 + 52 + 26;
 
@@ -21,9 +21,9 @@
 
     private final Map<String, Load> loads = new TreeMap<>();
 
-    private Freight() { }
+    private TrafficMeter() { }
 
-    private void watch(Voyage v) {
+    private void watch(FleetSimulation v) {
         v.w.net.watch((from, to, f, bytes) -> {
             if (!v.w.hall(from).equals(v.w.hall(to))) {
                 Load l = loads.computeIfAbsent(f.body().getClass().getSimpleName(), k -> new Load());
@@ -52,11 +52,11 @@
             l.bytes / (double) Math.max(1, l.frames), (l.bytes + AROUND * l.frames) / per);
     }
 
-    public static void main(String[] args) throws Fault {
-        Scenery eight = new Scenery(8, 12, 45, 60, 26);
-        Voyage idle = new Voyage(1, 8, 3, 12, eight, World.LARGE_RING).embark();
+    public static void main(String[] args) throws ServiceException {
+        TestConfiguration eight = new TestConfiguration(8, 12, 45, 60, 26);
+        FleetSimulation idle = new FleetSimulation(1, 8, 3, 12, eight, World.LARGE_RING).embark();
         idle.w.sim.run(Duration.ofSeconds(30));
-        Freight quiet = new Freight();
+        TrafficMeter quiet = new TrafficMeter();
         quiet.watch(idle);
         idle.w.sim.run(Duration.ofSeconds(20));
         quiet.print("An idle fleet of 8 + 3 + 3 in three halls, a second:", 20);
@@ -65,12 +65,12 @@
         }
     }
 
-    private static void busy(int rate, Scenery scenery) throws Fault {
-        Voyage busy = new Voyage(1, 8, 3, 12, scenery, World.LARGE_RING).embark();
+    private static void busy(int rate, TestConfiguration scenery) throws ServiceException {
+        FleetSimulation busy = new FleetSimulation(1, 8, 3, 12, scenery, World.LARGE_RING).embark();
         busy.traffic(rate);
         busy.w.sim.run(Duration.ofSeconds(10));
         long before = busy.kinds().getOrDefault("accepted", 0L);
-        Freight work = new Freight();
+        TrafficMeter work = new TrafficMeter();
         work.watch(busy);
         busy.w.sim.run(Duration.ofSeconds(20));
         work.print("At " + rate + " messages a second, each message, with its share of what an idle fleet says:", busy.kinds().get("accepted") - before);
--- a/trials/src/main/java/org/woadvale/trials/squall/World.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/World.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import java.time.Duration;
 import java.util.HashMap;
@@ -8,29 +8,29 @@
 import java.util.Optional;
 import java.util.Set;
 
-import org.woadvale.foundation.beam.Beam;
-import org.woadvale.foundation.beam.Codec;
-import org.woadvale.foundation.beam.Router;
-import org.woadvale.foundation.chart.Boot;
-import org.woadvale.foundation.gate.Answer;
-import org.woadvale.foundation.gate.Request;
-import org.woadvale.foundation.keeper.Env;
-import org.woadvale.foundation.keeper.Pace;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.logbook.Logbook;
-import org.woadvale.foundation.logbook.NoLogbook;
-import org.woadvale.foundation.logbook.RingLogbook;
-import org.woadvale.foundation.keeper.Phase;
-import org.woadvale.foundation.watch.Core;
-import org.woadvale.foundation.watch.Places;
-import org.woadvale.foundation.watch.Wire;
-import org.woadvale.lighthouse.lamp.LampNode;
-import org.woadvale.lighthouse.lamp.Operators;
-import org.woadvale.pilot.PilotNode;
-import org.woadvale.pilot.berth.Commands;
-import org.woadvale.trials.buoy.Backend;
-import org.woadvale.trials.buoy.Scenery;
-import org.woadvale.trials.buoy.Sightings;
+import org.woadvale.common.rpc.RpcClient;
+import org.woadvale.common.rpc.Codec;
+import org.woadvale.common.rpc.RpcRouter;
+import org.woadvale.common.config.Settings;
+import org.woadvale.common.http.Answer;
+import org.woadvale.common.http.Request;
+import org.woadvale.common.replication.Env;
+import org.woadvale.common.replication.ReplicationTiming;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.wal.WriteAheadLog;
+import org.woadvale.common.wal.DisabledWriteAheadLog;
+import org.woadvale.common.wal.RingWriteAheadLog;
+import org.woadvale.common.replication.Phase;
+import org.woadvale.common.membership.CoreClient;
+import org.woadvale.common.membership.ServiceNames;
+import org.woadvale.common.membership.Wire;
+import org.woadvale.controlplane.partition.ControlNode;
+import org.woadvale.controlplane.partition.Operators;
+import org.woadvale.dataplane.DataPlaneNode;
+import org.woadvale.dataplane.queue.Commands;
+import org.woadvale.testkit.stub.Backend;
+import org.woadvale.testkit.stub.TestConfiguration;
+import org.woadvale.testkit.stub.Observations;
 
 /** A whole fleet of the shipped nodes on fakes: design 12.1. */
 public final class World extends Machines {
@@ -39,19 +39,19 @@
     static final int SMALL_RING = 512 << 10;
     static final int LARGE_RING = 4 << 20;
 
-    public final Sightings seen = new Sightings();
-    public final Scenery scenery;
+    public final Observations seen = new Observations();
+    public final TestConfiguration scenery;
     public final Map<String, Backend> backends = new LinkedHashMap<>();
     public final SimPost post;
     private final int ringBytes;
     private final List<String> seeds;
-    private final Map<String, LampNode> lamps = new HashMap<>();
+    private final Map<String, ControlNode> lamps = new HashMap<>();
     private final Map<String, Operators> operators = new HashMap<>();
-    private final Map<String, PilotNode> pilots = new HashMap<>();
+    private final Map<String, DataPlaneNode> pilots = new HashMap<>();
     private final Seams seams;
 
-    public World(long seed, int intakeCount, int storeCount, Scenery scenery, int ringBytes, int hallCount, Seams seams)
-            throws Fault {
+    public World(long seed, int intakeCount, int storeCount, TestConfiguration scenery, int ringBytes, int hallCount, Seams seams)
+            throws ServiceException {
         super(new Sim(seed), hallCount);
         this.seams = seams;
         this.ringBytes = ringBytes;
@@ -74,7 +74,7 @@
     }
 
     /** A lighthouse that joins a running core. */
-    public String newLighthouse() throws Fault {
+    public String newLighthouse() throws ServiceException {
         String a = host("10.0.0." + (lighthouses.size() + 1) + ":1", lighthouses.size());
         lighthouses.add(a);
         start(a);
@@ -82,7 +82,7 @@
     }
 
     /** A machine that was not there before. */
-    public String newStore() throws Fault {
+    public String newStore() throws ServiceException {
         String a = host("10.0.1." + (stores.size() + 1) + ":1", stores.size());
         stores.add(a);
         start(a);
@@ -103,22 +103,22 @@
         return addBackend(id, old.service(), old.paced());
     }
 
-    public void start(String address) throws Fault {
+    public void start(String address) throws ServiceException {
         Host h = hosts.get(address);
         boolean lamp = lighthouses.contains(address);
         boolean store = stores.contains(address);
-        Router router = new Router();
+        RpcRouter router = new RpcRouter();
         Codec codec = lamp ? Wire.codec(Wire.LIGHTHOUSE, Operators.types()) : Wire.codec(Wire.PILOT, Commands.types());
         h.boot(router);
-        Beam beam = seams.beam().apply(address, net.beam(h, codec));
-        Logbook book = lamp || store ? RingLogbook.open(seams.disk().apply(address, h.disk), h, RING_FILES, ringBytes)
-            : new NoLogbook();
+        RpcClient beam = seams.beam().apply(address, net.beam(h, codec));
+        WriteAheadLog book = lamp || store ? RingWriteAheadLog.open(seams.disk().apply(address, h.disk), h, RING_FILES, ringBytes)
+            : new DisabledWriteAheadLog();
         book.onFailure(why -> h.kill());
         Env env = new Env(seams.times().apply(address, h), h, beam, codec, book, sim.random()::nextLong,
-            seams.pace().apply(lamp || store ? Pace.core() : Pace.usual()));
-        Core core = new Core(beam, sim.random()::nextLong, seeds, List.of(), l -> { });
+            seams.pace().apply(lamp || store ? ReplicationTiming.core() : ReplicationTiming.usual()));
+        CoreClient core = new CoreClient(beam, sim.random()::nextLong, seeds, List.of(), l -> { });
         if (lamp) {
-            LampNode n = new LampNode(env, core, seeds.contains(address) ? seeds : List.of());
+            ControlNode n = new ControlNode(env, core, seeds.contains(address) ? seeds : List.of());
             n.route(router);
             Operators o = new Operators(n, "");
             o.route(router);
@@ -126,16 +126,16 @@
             operators.put(address, o);
             n.start();
         } else {
-            Boot boot = new Boot(address, address, hall(address), seeds, Set.of(store ? "store" : "intake"),
+            Settings boot = new Settings(address, address, hall(address), seeds, Set.of(store ? "store" : "intake"),
                 store ? "x" : "", RING_FILES, 1, "", false, 8, "");
-            PilotNode n = new PilotNode(env, boot, core, seams.post().apply(address, post.from(h)));
+            DataPlaneNode n = new DataPlaneNode(env, boot, core, seams.post().apply(address, post.from(h)));
             n.route(router);
             pilots.put(address, n);
             n.start();
         }
     }
 
-    public void restart(String address) throws Fault {
+    public void restart(String address) throws ServiceException {
         if (!lost.contains(address) && !hosts.get(address).alive()) {
             start(address);
         }
@@ -145,16 +145,16 @@
     void begin(String address) {
         try {
             restart(address);
-        } catch (Fault e) {
+        } catch (ServiceException e) {
             throw new IllegalStateException(e);
         }
     }
 
-    public PilotNode pilot(String address) {
+    public DataPlaneNode pilot(String address) {
         return pilots.get(address);
     }
 
-    public LampNode lamp(String address) {
+    public ControlNode lamp(String address) {
         return lamps.get(address);
     }
 
@@ -167,7 +167,7 @@
     public void seenVersions() {
         pilots.forEach((a, p) -> {
             if (hosts.get(a).alive() && !hosts.get(a).paused()) {
-                seen.saw(seen.versions, new Sightings.NodeVersion(a, (Long) p.status().get("layout"), sim.now()));
+                seen.saw(seen.versions, new Observations.NodeVersion(a, (Long) p.status().get("layout"), sim.now()));
             }
         });
     }
@@ -177,7 +177,7 @@
         return hosts.keySet().stream().allMatch(h -> lost(h) || hosts.get(h).alive())
             && presentStores().stream().allMatch(s -> pilots.get(s).status().get("seated").equals(true)
                 && pilots.get(s).groups().values().stream().noneMatch(g -> g.stream().anyMatch(this::lost)))
-            && presentLighthouses().stream().allMatch(l -> Places.controlParts().stream().allMatch(p ->
+            && presentLighthouses().stream().allMatch(l -> ServiceNames.controlParts().stream().allMatch(p ->
                 lamps.get(l).replica(p).phase() != Phase.BLANK && lamps.get(l).replica(p).phase() != Phase.STOPPED
                 && lamps.get(l).replica(p).group().keySet().stream().noneMatch(this::lost)));
     }
--- a/trials/src/main/java/org/woadvale/trials/buoy/Fates.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/AnswerFaults.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.buoy;
+package org.woadvale.testkit.stub;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -12,20 +12,20 @@
 import java.util.stream.Collectors;
 
 /** What became of messages: lost, run again, run though refused, out of order, done without proof. */
-final class Fates {
-    private final Sightings s;
+final class AnswerFaults {
+    private final Observations s;
 
-    Fates(Sightings s) {
+    AnswerFaults(Observations s) {
         this.s = s;
     }
 
     /** At the end of a run every accepted message must be shown as ended; as failed only for a reason seen outside. */
     List<String> lost() {
         Map<String, Duration> ended = new HashMap<>();
-        s.copy(s.shown).stream().filter(Sightings.Shown::over)
+        s.copy(s.shown).stream().filter(Observations.Shown::over)
             .forEach(x -> ended.merge(x.handle(), x.at(), (a, b) -> a.compareTo(b) < 0 ? a : b));
         List<String> out = new ArrayList<>(s.copy(s.handedIn).stream()
-            .filter(h -> h.said() == Sightings.Said.ACCEPTED && !ended.containsKey(h.handle()))
+            .filter(h -> h.said() == Observations.Said.ACCEPTED && !ended.containsKey(h.handle()))
             .map(h -> h.handle() + " was never shown as ended").distinct().toList());
         s.copy(s.shown).stream().filter(x -> !x.over() && ended.containsKey(x.handle())
                 && x.asked().compareTo(ended.get(x.handle())) > 0)
@@ -36,7 +36,7 @@
 
     List<String> runAgain() {
         Map<String, Duration> success = new HashMap<>();
-        s.copy(s.answered).stream().filter(Sightings.Answered::success)
+        s.copy(s.answered).stream().filter(Observations.Answered::success)
             .forEach(a -> success.merge(a.handle(), a.at(), (x, y) -> x.compareTo(y) < 0 ? x : y));
         return s.copy(s.ran).stream()
             .filter(r -> success.containsKey(r.handle()) && r.begun().compareTo(success.get(r.handle())) > 0)
@@ -45,11 +45,11 @@
 
     /** Definite refusals of an id that was never accepted nor left unknown. */
     List<String> refusedRan() {
-        Function<Sightings.HandedIn, String> id = h -> h.tenant() + "/" + h.lane() + "/" + h.id();
-        Map<String, Set<Sightings.Said>> said = s.copy(s.handedIn).stream().collect(Collectors.groupingBy(id,
-            Collectors.mapping(Sightings.HandedIn::said, Collectors.toSet())));
+        Function<Observations.HandedIn, String> id = h -> h.tenant() + "/" + h.lane() + "/" + h.id();
+        Map<String, Set<Observations.Said>> said = s.copy(s.handedIn).stream().collect(Collectors.groupingBy(id,
+            Collectors.mapping(Observations.HandedIn::said, Collectors.toSet())));
         return s.copy(s.ran).stream().map(r -> r.tenant() + "/" + r.lane() + "/" + r.callerId()).distinct()
-            .filter(k -> said.getOrDefault(k, Set.of()).equals(Set.of(Sightings.Said.REFUSED)))
+            .filter(k -> said.getOrDefault(k, Set.of()).equals(Set.of(Observations.Said.REFUSED)))
             .map(k -> k + " ran though refused").toList();
     }
 
@@ -65,12 +65,12 @@
     /** No run of a key may begin before every earlier accepted message of it has ended, whether that ever ran or not. */
     List<String> order() {
         Map<String, Duration> ended = ends();
-        Set<String> ran = s.copy(s.ran).stream().map(Sightings.Ran::handle).collect(Collectors.toSet());
+        Set<String> ran = s.copy(s.ran).stream().map(Observations.Ran::handle).collect(Collectors.toSet());
         s.copy(s.died).forEach(d -> ran.remove(d.handle()));
         Map<String, Set<String>> byKey = new HashMap<>();
-        s.copy(s.handedIn).stream().filter(h -> !h.orderKey().isEmpty() && h.said() == Sightings.Said.ACCEPTED)
+        s.copy(s.handedIn).stream().filter(h -> !h.orderKey().isEmpty() && h.said() == Observations.Said.ACCEPTED)
             .forEach(h -> byKey.computeIfAbsent(group(h.tenant(), h.lane(), h.orderKey()), k -> new HashSet<>()).add(h.handle()));
-        Map<String, List<Sightings.Ran>> runs = s.copy(s.ran).stream().filter(r -> !r.orderKey().isEmpty())
+        Map<String, List<Observations.Ran>> runs = s.copy(s.ran).stream().filter(r -> !r.orderKey().isEmpty())
             .collect(Collectors.groupingBy(r -> group(r.tenant(), r.lane(), r.orderKey())));
         Map<String, List<Duration>> overs = new HashMap<>();
         s.copy(s.answered).forEach(a -> overs.computeIfAbsent(a.handle(), h -> new ArrayList<>()).add(a.at()));
@@ -79,7 +79,7 @@
         runs.forEach((k, list) -> {
             Set<String> all = new HashSet<>(byKey.getOrDefault(k, Set.of()));
             list.forEach(r -> all.add(r.handle()));
-            for (Sightings.Ran later : list) {
+            for (Observations.Ran later : list) {
                 for (String earlier : all) {
                     if (seq(earlier) < seq(later.handle()) && !before(ended, ran, earlier, later.begun())) {
                         out.add(k + ": " + later.handle() + " began before " + earlier + " had ended");
@@ -97,7 +97,7 @@
         return ended.containsKey(handle) ? ended.get(handle).compareTo(begun) <= 0 : !ran.contains(handle);
     }
 
-    private static List<String> stillRunning(List<Sightings.Ran> runs, Map<String, List<Duration>> overs, Sightings.Ran later) {
+    private static List<String> stillRunning(List<Observations.Ran> runs, Map<String, List<Duration>> overs, Observations.Ran later) {
         Map<String, Long> begun = new HashMap<>();
         runs.stream().filter(r -> seq(r.handle()) < seq(later.handle()) && r.begun().compareTo(later.begun()) < 0)
             .forEach(r -> begun.merge(r.handle(), 1L, Long::sum));
@@ -115,7 +115,7 @@
 
     /** Shown as done: a processor must have answered that very message with that very receipt. */
     List<String> proof() {
-        Set<String> receipts = s.copy(s.answered).stream().filter(Sightings.Answered::success)
+        Set<String> receipts = s.copy(s.answered).stream().filter(Observations.Answered::success)
             .map(a -> a.handle() + "/" + a.receipt()).collect(Collectors.toSet());
         return s.copy(s.shown).stream().filter(x -> x.state().equals("done"))
             .filter(x -> !receipts.contains(x.handle() + "/" + x.proof())).map(x -> x.handle() + " with " + x.proof())
--- a/trials/src/main/java/org/woadvale/trials/buoy/Backend.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/Backend.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.buoy;
+package org.woadvale.testkit.stub;
 
 import java.time.Duration;
 import java.util.HashMap;
@@ -8,14 +8,14 @@
 import java.util.Set;
 import java.util.function.LongSupplier;
 
-import org.woadvale.foundation.chart.Charts;
-import org.woadvale.foundation.gate.Answer;
-import org.woadvale.foundation.gate.Request;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.lantern.Pauses;
-import org.woadvale.foundation.lantern.Schedules;
-import org.woadvale.foundation.lantern.Times;
+import org.woadvale.common.config.Configurations;
+import org.woadvale.common.http.Answer;
+import org.woadvale.common.http.Request;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.runtime.Delays;
+import org.woadvale.common.runtime.Timers;
+import org.woadvale.common.runtime.Clock;
 
 import com.fasterxml.jackson.databind.JsonNode;
 
@@ -44,9 +44,9 @@
     private final String id;
     private final String service;
     private final boolean paced;
-    private final Sightings s;
-    private final Times times;
-    private final Schedules schedules;
+    private final Observations s;
+    private final Clock times;
+    private final Timers schedules;
     private final LongSupplier random;
     private final Map<String, Done> done = new HashMap<>();
     private final Map<String, Integer> running = new HashMap<>();
@@ -56,7 +56,7 @@
     private boolean forgetful;
     private int life;
 
-    public Backend(String id, String service, boolean paced, Sightings s, Times times, Schedules schedules,
+    public Backend(String id, String service, boolean paced, Observations s, Clock times, Timers schedules,
                    LongSupplier random) {
         this.id = id;
         this.service = service;
@@ -84,7 +84,7 @@
         life++;
         running.forEach((handle, n) -> {
             for (int i = 0; i < n; i++) {
-                s.saw(s.died, new Sightings.Died(handle, times.mono()));
+                s.saw(s.died, new Observations.Died(handle, times.mono()));
             }
         });
         running.clear();
@@ -100,12 +100,12 @@
     public Mono<Answer> answer(Request q) {
         return Mono.defer(() -> {
             if (paced) {
-                s.saw(s.endpoints, new Sightings.RequestAtEndpoint(service, times.mono()));
+                s.saw(s.endpoints, new Observations.RequestAtEndpoint(service, times.mono()));
             }
             try {
-                return q.method().equals("POST") ? work(Charts.read(q.body(), JsonNode.class, ErrorKind.BAD_REQUEST))
+                return q.method().equals("POST") ? work(Configurations.read(q.body(), JsonNode.class, ErrorKind.BAD_REQUEST))
                     : Mono.just(told(q.segments().get(q.segments().size() - 1), q.path().replaceAll(".*attempt=", "")));
-            } catch (Fault e) {
+            } catch (ServiceException e) {
                 return Mono.just(Answer.of(e));
             }
         });
@@ -116,30 +116,30 @@
         int attempt = m.path("attempt").asInt();
         Manner now = manner.towards(m.path("tenant").asText());
         if (luck(now.later()) || fenced.contains(handle + "/" + attempt)) {
-            s.saw(s.turnedAway, new Sightings.TurnedAway(handle, attempt, times.mono()));
+            s.saw(s.turnedAway, new Observations.TurnedAway(handle, attempt, times.mono()));
             return Mono.just(Answer.json(503, Map.of("error", "later")));
         }
-        s.saw(s.ran, new Sightings.Ran(handle, m.path("callerId").asText(), m.path("tenant").asText(),
+        s.saw(s.ran, new Observations.Ran(handle, m.path("callerId").asText(), m.path("tenant").asText(),
             m.path("lane").asText(), m.path("orderingKey").asText(), attempt, id, service, times.mono()));
         running.merge(handle, 1, Integer::sum);
         int begunIn = life;
-        return Pauses.pause(schedules, now.work()).flatMap(x -> worked(handle, attempt, now, begunIn));
+        return Delays.pause(schedules, now.work()).flatMap(x -> worked(handle, attempt, now, begunIn));
     }
 
     private synchronized Mono<Answer> worked(String handle, int attempt, Manner now, int begunIn) {
         if (begunIn != life) {
-            return Mono.error(new Fault(ErrorKind.UNKNOWN_OUTCOME, "the processor died"));
+            return Mono.error(new ServiceException(ErrorKind.UNKNOWN_OUTCOME, "the processor died"));
         }
         running.merge(handle, -1, (a, b) -> a + b == 0 ? null : a + b);
         if (luck(now.refuse())) {
-            s.saw(s.answered, new Sightings.Answered(handle, attempt, id, times.mono(), false, ""));
+            s.saw(s.answered, new Observations.Answered(handle, attempt, id, times.mono(), false, ""));
             return Mono.just(Answer.json(422, Map.of("error", "refused")));
         }
         String receipt = id + ":" + handle + ":" + attempt;
         done.put(handle, new Done(attempt, receipt));
-        s.saw(s.answered, new Sightings.Answered(handle, attempt, id, times.mono(), true, receipt));
+        s.saw(s.answered, new Observations.Answered(handle, attempt, id, times.mono(), true, receipt));
         if (luck(now.loseAnswer())) {
-            return Mono.error(new Fault(ErrorKind.UNKNOWN_OUTCOME, "the answer is lost"));
+            return Mono.error(new ServiceException(ErrorKind.UNKNOWN_OUTCOME, "the answer is lost"));
         }
         if (luck(now.breakAnswer())) {
             return Mono.just(Answer.json(luck(0.5) ? 500 : 502, Map.of("error", "something broke after the work")));
--- a/trials/src/main/java/org/woadvale/trials/buoy/PaperRules.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/ConfigurationRules.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.buoy;
+package org.woadvale.testkit.stub;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -11,18 +11,18 @@
 import java.util.function.Predicate;
 
 /** What became of configurations. */
-final class PaperRules {
-    private final Watchbook w;
-    private final Map<String, Watchbook.Sent> sent = new HashMap<>();
+final class ConfigurationRules {
+    private final ObservationLog w;
+    private final Map<String, ObservationLog.Sent> sent = new HashMap<>();
     private final Set<String> began = new HashSet<>();
 
-    PaperRules(Watchbook w) {
+    ConfigurationRules(ObservationLog w) {
         this.w = w;
         w.sent.forEach(s -> sent.put(s.id(), s));
         w.began.forEach(b -> began.add(b.id()));
     }
 
-    private List<Watchbook.Paper> acknowledged() {
+    private List<ObservationLog.Paper> acknowledged() {
         return w.papers.stream().filter(p -> p.status() == 200 && p.valid())
             .sorted(java.util.Comparator.comparingLong(p -> p.papers().configRevision())).toList();
     }
@@ -30,10 +30,10 @@
     /** Keys that an acknowledged configuration took away, and that none has brought back since. */
     List<String> revoked() {
         List<String> out = new ArrayList<>();
-        List<Watchbook.Paper> all = acknowledged();
+        List<ObservationLog.Paper> all = acknowledged();
         sent.values().stream().filter(s -> began.contains(s.id()) && !s.key().isEmpty()).forEach(s -> {
-            Duration by = s.at().minus(Watchbook.Bounds.REVOKE);
-            Optional<Watchbook.Paper> last = all.stream().filter(p -> p.answered().compareTo(by) < 0).reduce((a, b) -> b);
+            Duration by = s.at().minus(ObservationLog.Bounds.REVOKE);
+            Optional<ObservationLog.Paper> last = all.stream().filter(p -> p.answered().compareTo(by) < 0).reduce((a, b) -> b);
             boolean held = last.isEmpty() || w.papers.stream().anyMatch(p -> p.valid()
                 && p.papers().configRevision() >= last.get().papers().configRevision()
                 && holds(p.papers(), s));
@@ -44,22 +44,22 @@
         return out;
     }
 
-    private static boolean holds(Papers p, Watchbook.Sent s) {
-        return p.tenant(s.key()).isPresent() || p.route(s.host(), s.path()).filter(Papers.Route::keyless).isPresent();
+    private static boolean holds(ConfigurationStub p, ObservationLog.Sent s) {
+        return p.tenant(s.key()).isPresent() || p.route(s.host(), s.path()).filter(ConfigurationStub.Route::keyless).isPresent();
     }
 
     /** In touch, and yet answered as only an older one allows. */
     List<String> ignored() {
         List<String> out = new ArrayList<>();
         w.said.stream().filter(a -> sent.containsKey(a.id())).forEach(a -> {
-            Watchbook.Sent s = sent.get(a.id());
-            List<Papers> ruling = w.ruling(s.at(), a.at());
-            Predicate<Papers> open = p -> p.route(s.host(), s.path()).isPresent() && holds(p, s);
+            ObservationLog.Sent s = sent.get(a.id());
+            List<ConfigurationStub> ruling = w.ruling(s.at(), a.at());
+            Predicate<ConfigurationStub> open = p -> p.route(s.host(), s.path()).isPresent() && holds(p, s);
             boolean wrong = a.status() == 202 ? ruling.stream().noneMatch(open)
                 : Set.of(401, 403, 404).contains(a.status()) && ruling.stream().allMatch(open);
             if (wrong && !ruling.isEmpty() && w.calm(s.at(), a.at())) {
                 out.add(s.id() + " " + s.path() + " sent at " + s.at() + " to " + s.node() + " was answered " + a.status()
-                    + "; ruling " + ruling.stream().map(Papers::configRevision).toList());
+                    + "; ruling " + ruling.stream().map(ConfigurationStub::configRevision).toList());
             }
         });
         return out;
@@ -70,16 +70,16 @@
         List<String> out = new ArrayList<>();
         Map<String, Duration> served = new HashMap<>();
         w.said.stream().filter(a -> sent.containsKey(a.id())).forEach(a -> {
-            Watchbook.Sent s = sent.get(a.id());
+            ObservationLog.Sent s = sent.get(a.id());
             String place = s.node() + " " + s.host() + s.path();
             if (a.status() == 202) {
                 served.merge(place, a.at(), (x, y) -> x.compareTo(y) < 0 ? x : y);
             } else if (a.status() == 404 && served.containsKey(place)
-                    && s.at().compareTo(served.get(place).plus(Watchbook.Bounds.BACK)) > 0
+                    && s.at().compareTo(served.get(place).plus(ObservationLog.Bounds.BACK)) > 0
                     && w.killed.stream().noneMatch(k -> k.node().equals(s.node()) && k.at().compareTo(served.get(place)) > 0)
                     && w.papers.stream().noneMatch(p -> p.valid() && p.status() != 412
                         && p.papers().route(s.host(), s.path()).isEmpty() && p.sent().compareTo(a.at()) < 0
-                        && p.answered().plus(Watchbook.Bounds.APPLY).compareTo(served.get(place)) > 0)) {
+                        && p.answered().plus(ObservationLog.Bounds.APPLY).compareTo(served.get(place)) > 0)) {
                 out.add(place + " was served at " + served.get(place) + " and unknown at " + a.at());
             }
         });
@@ -102,12 +102,12 @@
 
     /** The last reading: the newest acknowledged one as it was sent, or a later one that got no clear answer. */
     List<String> readBack() {
-        List<Watchbook.Paper> all = acknowledged();
+        List<ObservationLog.Paper> all = acknowledged();
         if (all.isEmpty() || w.readBack.isEmpty()) {
             return List.of();
         }
-        Watchbook.Paper newest = all.get(all.size() - 1);
-        Watchbook.ReadBack last = w.readBack.get(w.readBack.size() - 1);
+        ObservationLog.Paper newest = all.get(all.size() - 1);
+        ObservationLog.ReadBack last = w.readBack.get(w.readBack.size() - 1);
         boolean good = last.status() == 200 && w.papers.stream().anyMatch(p -> p.valid() && p.text().equals(last.text())
             && (p.text().equals(newest.text())
                 || p.status() == 0 && p.papers().configRevision() > newest.papers().configRevision()));
--- a/trials/src/main/java/org/woadvale/trials/buoy/Papers.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/ConfigurationStub.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.buoy;
+package org.woadvale.testkit.stub;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -6,10 +6,10 @@
 import java.util.Map;
 import java.util.Optional;
 
-import org.woadvale.foundation.chart.Charts;
+import org.woadvale.common.config.Configurations;
 
 /** A configuration as the platform's operator writes it. docs/platform.md 3 */
-public record Papers(long configRevision, List<Route> routes, List<Service> services, List<Tenant> tenants) {
+public record ConfigurationStub(long configRevision, List<Route> routes, List<Service> services, List<Tenant> tenants) {
     public record Route(String name, String host, String pathPrefix, String service, long timeoutMs, int maxAttempts,
                         boolean inOrder, double retentionS, boolean keyless) { }
 
@@ -18,16 +18,16 @@
 
     public record Tenant(String name, List<String> accessKeys, double ratePerS, double burstSize) { }
 
-    public Papers with(long revision) {
-        return new Papers(revision, routes, services, tenants);
+    public ConfigurationStub with(long revision) {
+        return new ConfigurationStub(revision, routes, services, tenants);
     }
 
-    public Papers routes(List<Route> other) {
-        return new Papers(configRevision, List.copyOf(other), services, tenants);
+    public ConfigurationStub routes(List<Route> other) {
+        return new ConfigurationStub(configRevision, List.copyOf(other), services, tenants);
     }
 
-    public Papers tenants(List<Tenant> other) {
-        return new Papers(configRevision, routes, services, List.copyOf(other));
+    public ConfigurationStub tenants(List<Tenant> other) {
+        return new ConfigurationStub(configRevision, routes, services, List.copyOf(other));
     }
 
     /** The route whose host is the one and whose prefix is the longest that begins the path. */
@@ -52,7 +52,7 @@
         out.put("limits", Map.of("maxBodyBytes", 262144));
         out.put("tenants", tenants.stream().map(t -> Map.of("name", t.name(), "accessKeys", t.accessKeys(), "priority", 1,
             "ratePerS", t.ratePerS(), "burstSize", t.burstSize())).toList());
-        return new String(Charts.write(out), java.nio.charset.StandardCharsets.UTF_8);
+        return new String(Configurations.write(out), java.nio.charset.StandardCharsets.UTF_8);
     }
 
     private static Map<String, Object> fields(Route r) {
--- a/trials/src/main/java/org/woadvale/trials/buoy/EndRules.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/EndRules.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.buoy;
+package org.woadvale.testkit.stub;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -8,11 +8,11 @@
 
 /** What the system says of accepted messages at the day's end, and requests that got no answer. */
 final class EndRules {
-    private final Watchbook w;
+    private final ObservationLog w;
     private final Ends ends;
-    private final Map<String, Watchbook.Shown> shown = new HashMap<>();
+    private final Map<String, ObservationLog.Shown> shown = new HashMap<>();
 
-    EndRules(Watchbook w) {
+    EndRules(ObservationLog w) {
         this.w = w;
         this.ends = new Ends(w);
         w.shown.forEach(s -> shown.put(s.id(), s));
@@ -22,7 +22,7 @@
     List<String> lost() {
         List<String> out = new ArrayList<>();
         ends.accepted().keySet().forEach(id -> {
-            Watchbook.Shown s = shown.getOrDefault(id, new Watchbook.Shown(id, 0, "", "", 0, ""));
+            ObservationLog.Shown s = shown.getOrDefault(id, new ObservationLog.Shown(id, 0, "", "", 0, ""));
             if (!ends.endedBy(id, lastLook())) {
                 if (s.bodyStatus() != 200 || s.state().equals("completed") || s.state().equals("dead_letter")) {
                     out.add(id + " was accepted, has not ended, and is shown as " + s);
@@ -38,7 +38,7 @@
 
     /** In calm times every request that was sent gets its answer, also around planned stops. */
     List<String> unanswered() {
-        Map<String, Watchbook.Sent> sent = new HashMap<>();
+        Map<String, ObservationLog.Sent> sent = new HashMap<>();
         w.sent.forEach(s -> sent.put(s.id(), s));
         return w.said.stream().filter(a -> a.status() == 0 && sent.containsKey(a.id())
             && w.calm(sent.get(a.id()).at(), a.at())).map(a -> a.id() + " sent at " + sent.get(a.id()).at() + " to "
--- a/trials/src/main/java/org/woadvale/trials/buoy/NeverList.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/NeverList.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.buoy;
+package org.woadvale.testkit.stub;
 
 import java.time.Duration;
 import java.util.List;
@@ -7,12 +7,12 @@
 
 /** One check for each line of what must never happen. Empty answers: nothing wrong was seen. */
 public final class NeverList {
-    private final Fates fates;
+    private final AnswerFaults fates;
     private final Windows windows;
     private final Orders orders;
 
-    public NeverList(Sightings s) {
-        this.fates = new Fates(s);
+    public NeverList(Observations s) {
+        this.fates = new AnswerFaults(s);
         this.windows = new Windows(s);
         this.orders = new Orders(s);
     }
--- a/trials/src/main/java/org/woadvale/trials/buoy/Watchbook.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/ObservationLog.java
@@ -1,11 +1,11 @@
-package org.woadvale.trials.buoy;
+package org.woadvale.testkit.stub;
 
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 
 /** What the platform's clients, processors and operator saw, in true time; nothing of the system's inside. */
-public final class Watchbook {
+public final class ObservationLog {
     public record Sent(String id, String host, String path, String key, String orderKey, String body, long delayMs,
                        String node, Duration at) { }
 
@@ -31,7 +31,7 @@
     public record Shown(String id, int status, String state, String seal, int bodyStatus, String body) { }
 
     /** A configuration that was sent; status 0: no clear answer. */
-    public record Paper(Papers papers, String text, long base, boolean valid, Duration sent, int status, Duration answered) { }
+    public record Paper(ConfigurationStub papers, String text, long base, boolean valid, Duration sent, int status, Duration answered) { }
 
     public record ReadBack(int status, String text, Duration at) { }
 
@@ -63,8 +63,8 @@
         return troubles.stream().noneMatch(t -> t.until().compareTo(since) > 0 && t.from().compareTo(until) <= 0);
     }
 
-    /** Papers that may rule a request between two moments: what was newest so long before, and all that came since. */
-    public List<Papers> ruling(Duration from, Duration until) {
+    /** ConfigurationStub that may rule a request between two moments: what was newest so long before, and all that came since. */
+    public List<ConfigurationStub> ruling(Duration from, Duration until) {
         Duration old = from.minus(Bounds.APPLY);
         long newest = papers.stream().filter(p -> p.status() == 200 && p.answered().compareTo(old) < 0)
             .mapToLong(p -> p.papers().configRevision()).max().orElse(0);
--- a/trials/src/main/java/org/woadvale/trials/buoy/Sightings.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/Observations.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.buoy;
+package org.woadvale.testkit.stub;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -11,7 +11,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 
 /** What callers, back ends and operators saw, and nothing else; the checker reads only this. */
-public final class Sightings {
+public final class Observations {
     /** A time that nobody saw. */
     public static final Duration UNSEEN = Duration.ofSeconds(-1);
 
--- a/trials/src/main/java/org/woadvale/trials/buoy/Orders.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/Orders.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.buoy;
+package org.woadvale.testkit.stub;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -15,9 +15,9 @@
     /** For the way of an answer, which nobody can take back once it was sent. */
     private static final Duration WAY = Duration.ofMillis(200);
     private static final Duration RETURN = Duration.ofSeconds(12);
-    private final Sightings s;
+    private final Observations s;
 
-    Orders(Sightings s) {
+    Orders(Observations s) {
         this.s = s;
     }
 
@@ -30,7 +30,7 @@
         s.copy(s.keys).forEach(k -> {
             Duration end = k.acknowledged().plus(KEY);
             s.copy(s.handedIn).stream()
-                .filter(h -> h.key().equals(k.key()) && h.said() == Sightings.Said.ACCEPTED
+                .filter(h -> h.key().equals(k.key()) && h.said() == Observations.Said.ACCEPTED
                     && accepted.getOrDefault(h.handle(), h.sent()).compareTo(end) > 0)
                 .forEach(h -> out.add(h.handle() + " taken with " + k.key()));
             s.copy(s.served).stream().filter(u -> u.key().equals(k.key()) && u.answered().minus(WAY).compareTo(end) > 0)
@@ -55,11 +55,11 @@
 
     List<String> badLayout() {
         List<String> out = new ArrayList<>();
-        List<Sightings.LayoutSaid> said = s.copy(s.layouts);
+        List<Observations.LayoutSaid> said = s.copy(s.layouts);
         said.stream().filter(l -> l.taken() && !l.valid()).forEach(l -> out.add(l.requestId() + " is invalid but taken"));
-        Map<Long, Set<String>> byVersion = said.stream().filter(Sightings.LayoutSaid::taken)
-            .collect(Collectors.groupingBy(Sightings.LayoutSaid::version,
-                Collectors.mapping(Sightings.LayoutSaid::digest, Collectors.toSet())));
+        Map<Long, Set<String>> byVersion = said.stream().filter(Observations.LayoutSaid::taken)
+            .collect(Collectors.groupingBy(Observations.LayoutSaid::version,
+                Collectors.mapping(Observations.LayoutSaid::digest, Collectors.toSet())));
         byVersion.forEach((v, d) -> {
             if (d.size() > 1) {
                 out.add("two layouts were taken as version " + v);
--- a/trials/src/main/java/org/woadvale/trials/buoy/Reasons.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/Reasons.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.buoy;
+package org.woadvale.testkit.stub;
 
 import java.util.HashMap;
 import java.util.List;
@@ -10,13 +10,13 @@
 
 /** A message that is shown as failed needs a reason that was seen outside; else it was lost. */
 final class Reasons {
-    private final Sightings s;
+    private final Observations s;
     private final Set<String> refused;
     private final Map<String, Set<Integer>> tried = new HashMap<>();
 
-    Reasons(Sightings s) {
+    Reasons(Observations s) {
         this.s = s;
-        this.refused = s.copy(s.answered).stream().filter(a -> !a.success()).map(Sightings.Answered::handle)
+        this.refused = s.copy(s.answered).stream().filter(a -> !a.success()).map(Observations.Answered::handle)
             .collect(Collectors.toSet());
         s.copy(s.ran).forEach(r -> tried(r.handle(), r.attempt()));
         s.copy(s.turnedAway).forEach(r -> tried(r.handle(), r.attempt()));
@@ -31,8 +31,8 @@
             .map(x -> x.handle() + " failed without a reason: " + x.proof()).distinct().toList();
     }
 
-    private boolean founded(Sightings.Shown x) {
-        Optional<Sightings.LaneLimits> lane = Optional.ofNullable(s.lanes().get(x.lane()));
+    private boolean founded(Observations.Shown x) {
+        Optional<Observations.LaneLimits> lane = Optional.ofNullable(s.lanes().get(x.lane()));
         if (x.proof().startsWith("attempts used up")) {
             return lane.map(l -> tried.getOrDefault(x.handle(), Set.of()).size() >= l.attempts()).orElse(true);
         }
--- a/trials/src/main/java/org/woadvale/trials/buoy/Rules.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/Rules.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.buoy;
+package org.woadvale.testkit.stub;
 
 import java.util.List;
 import java.util.Map;
@@ -6,9 +6,9 @@
 
 /** One check for each rule of docs/rules.md, on what was seen from outside. Empty answers: nothing was broken. */
 public final class Rules {
-    private final Watchbook w;
+    private final ObservationLog w;
 
-    public Rules(Watchbook w) {
+    public Rules(ObservationLog w) {
         this.w = w;
     }
 
@@ -22,7 +22,7 @@
         out.put("UNASKED", runs.unasked());
         out.put("ROUTE", runs.route());
         out.put("DRAIN", runs.drain());
-        PaperRules papers = new PaperRules(w);
+        ConfigurationRules papers = new ConfigurationRules(w);
         out.put("CONFIG revoked", papers.revoked());
         out.put("CONFIG ignored", papers.ignored());
         out.put("CONFIG back", papers.back());
--- a/trials/src/main/java/org/woadvale/trials/buoy/RunRules.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/RunRules.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.buoy;
+package org.woadvale.testkit.stub;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -12,25 +12,25 @@
 /** What processors were given to run. */
 final class RunRules {
     private static final Set<Integer> PROMISES = Set.of(429, 503, 408, 421);
-    private final Watchbook w;
+    private final ObservationLog w;
     private final Ends ends;
 
-    RunRules(Watchbook w) {
+    RunRules(ObservationLog w) {
         this.w = w;
         this.ends = new Ends(w);
     }
 
     private String tenant(String key) {
-        return w.papers.stream().flatMap(p -> p.papers().tenant(key).stream()).map(Papers.Tenant::name).findFirst().orElse("");
+        return w.papers.stream().flatMap(p -> p.papers().tenant(key).stream()).map(ConfigurationStub.Tenant::name).findFirst().orElse("");
     }
 
-    private Optional<String> line(Watchbook.Sent s) {
+    private Optional<String> line(ObservationLog.Sent s) {
         return ends.route(s).filter(r -> r.inOrder() && !s.orderKey().isEmpty())
             .map(r -> r.name() + "\n" + tenant(s.key()) + "\n" + s.orderKey());
     }
 
     List<String> order() {
-        Map<String, List<Watchbook.Sent>> lines = new HashMap<>();
+        Map<String, List<ObservationLog.Sent>> lines = new HashMap<>();
         w.sent.stream().filter(s -> ends.accepted().containsKey(s.id())).forEach(s -> line(s).ifPresent(l ->
             lines.computeIfAbsent(l, k -> new ArrayList<>()).add(s)));
         List<String> out = new ArrayList<>();
@@ -46,7 +46,7 @@
         List<String> out = new ArrayList<>();
         w.read.forEach(r -> {
             boolean inTime = ends.sent(r.id()).flatMap(ends::route).map(x -> w.ended.stream().anyMatch(e ->
-                e.id().equals(r.id()) && Ends.success(e) && e.at().minus(e.began()).plus(Watchbook.Bounds.BEFORE_TIMEOUT)
+                e.id().equals(r.id()) && Ends.success(e) && e.at().minus(e.began()).plus(ObservationLog.Bounds.BEFORE_TIMEOUT)
                     .compareTo(Duration.ofMillis(x.timeoutMs())) <= 0)).orElse(false);
             w.began.stream().filter(b -> inTime && b.id().equals(r.id()) && b.at().compareTo(r.at()) > 0
                 && w.calm(b.at(), b.at())).findFirst()
@@ -73,7 +73,7 @@
     List<String> unasked() {
         List<String> out = new ArrayList<>();
         w.began.forEach(b -> {
-            Optional<Watchbook.Sent> s = ends.sent(b.id());
+            Optional<ObservationLog.Sent> s = ends.sent(b.id());
             if (s.isEmpty()) {
                 out.add(b.id() + " was sent by nobody");
             } else if (!b.method().equals("POST") || !b.path().equals(s.get().path()) || !b.body().equals(s.get().body())
@@ -103,7 +103,7 @@
         Map<String, Duration> shown = new HashMap<>();
         w.draining.forEach(d -> shown.putIfAbsent(d.instance(), d.shown()));
         return w.arrived.stream().filter(a -> !a.turnedAway() && shown.containsKey(a.instance())
-            && a.at().compareTo(shown.get(a.instance()).plus(Watchbook.Bounds.DRAIN)) > 0
+            && a.at().compareTo(shown.get(a.instance()).plus(ObservationLog.Bounds.DRAIN)) > 0
             && w.calm(shown.get(a.instance()), a.at())).map(a -> a.instance() + " got " + a.id() + " at " + a.at()
                 + ", shown as leaving at " + shown.get(a.instance())).toList();
     }
--- a/trials/src/main/java/org/woadvale/trials/buoy/Windows.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/Windows.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.buoy;
+package org.woadvale.testkit.stub;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -11,9 +11,9 @@
     static final Duration WINDOW = Duration.ofSeconds(5);
     private static final Duration APPLIES = Duration.ofSeconds(3);
     private static final double SLACK = 1.1;
-    private final Sightings s;
+    private final Observations s;
 
-    Windows(Sightings s) {
+    Windows(Observations s) {
         this.s = s;
     }
 
@@ -25,7 +25,7 @@
             tenants.put(r.handle(), r.tenant());
             taken.merge(r.handle(), r.begun(), Windows::first);
         });
-        s.copy(s.handedIn).stream().filter(h -> h.said() == Sightings.Said.ACCEPTED).forEach(h -> {
+        s.copy(s.handedIn).stream().filter(h -> h.said() == Observations.Said.ACCEPTED).forEach(h -> {
             tenants.put(h.handle(), h.tenant());
             taken.merge(h.handle(), h.answered(), Windows::first);
         });
@@ -43,7 +43,7 @@
         List<String> out = new ArrayList<>();
         s.rates().forEach((service, limits) -> {
             List<Duration> at = s.copy(s.endpoints).stream().filter(e -> e.service().equals(service))
-                .map(Sightings.RequestAtEndpoint::at).sorted().toList();
+                .map(Observations.RequestAtEndpoint::at).sorted().toList();
             out.addAll(excess(service, at, limits, false));
         });
         return out;
@@ -53,7 +53,7 @@
         return a.compareTo(b) < 0 ? a : b;
     }
 
-    private static List<String> excess(String who, List<Duration> at, List<Sightings.Limit> limits, boolean burst) {
+    private static List<String> excess(String who, List<Duration> at, List<Observations.Limit> limits, boolean burst) {
         int from = 0;
         for (int i = 0; i < at.size(); i++) {
             while (at.get(i).minus(at.get(from)).compareTo(WINDOW) >= 0) {
@@ -69,10 +69,10 @@
     }
 
     /** The highest of all limits that may have been in force: an older one for 3 s after the next was acknowledged. */
-    private static double most(List<Sightings.Limit> limits, Duration from, Duration to, boolean burst) {
+    private static double most(List<Observations.Limit> limits, Duration from, Duration to, boolean burst) {
         double most = 0;
         for (int i = 0; i < limits.size(); i++) {
-            Sightings.Limit l = limits.get(i);
+            Observations.Limit l = limits.get(i);
             boolean over = i + 1 < limits.size() && limits.get(i + 1).acknowledged().plus(APPLIES).compareTo(from) < 0;
             if (!over && l.sent().compareTo(to) <= 0) {
                 most = Math.max(most, (l.rate() * WINDOW.toSeconds() + (burst ? l.burst() : 0)) * SLACK);
--- a/trials/src/test/java/org/woadvale/tender/FleetTest.java
+++ b/testkit/src/test/java/org/woadvale/operator/FleetTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.tender;
+package org.woadvale.operator;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -20,28 +20,28 @@
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import org.woadvale.foundation.chart.Charts;
-import org.woadvale.foundation.chart.Layout;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.lighthouse.Lighthouse;
-import org.woadvale.trials.buoy.NeverList;
-import org.woadvale.trials.buoy.Scenery;
-import org.woadvale.trials.buoy.Sightings;
-import org.woadvale.trials.harbour.Fleet;
-import org.woadvale.trials.harbour.Load;
-import org.woadvale.signal.ApiException;
-import org.woadvale.signal.model.Message;
-import org.woadvale.trials.harbour.Shape;
-import org.woadvale.trials.harbour.Signaller;
-import org.woadvale.trials.harbour.Town;
-import org.woadvale.trials.harbour.Vessel;
+import org.woadvale.common.config.Configurations;
+import org.woadvale.common.config.Configuration;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.controlplane.ControlPlaneProgram;
+import org.woadvale.testkit.stub.NeverList;
+import org.woadvale.testkit.stub.TestConfiguration;
+import org.woadvale.testkit.stub.Observations;
+import org.woadvale.testkit.cluster.Fleet;
+import org.woadvale.testkit.cluster.Load;
+import org.woadvale.client.ApiException;
+import org.woadvale.client.model.Message;
+import org.woadvale.testkit.cluster.Shape;
+import org.woadvale.testkit.cluster.ClientLoad;
+import org.woadvale.testkit.cluster.StubEnvironment;
+import org.woadvale.testkit.cluster.NodeProcess;
 
 /** One day of a real fleet of processes, run by the shipped runbooks, under traffic. Waits only on conditions. */
 class FleetTest {
     private static final Duration LONG = Duration.ofSeconds(60);
 
     /** The person of the runbooks: here the fleet launcher. */
-    private final class Crew implements Hands {
+    private final class Crew implements OperatorIo {
         @Override
         public boolean done(String what) {
             said.add(what);
@@ -76,7 +76,7 @@
     private final List<String> said = new ArrayList<>();
     private ByHand byHand = what -> { };
     private Fleet fleet;
-    private Town town;
+    private StubEnvironment town;
     private Load load;
 
     private Wire.Got send(String method, String url, Map<String, String> headers, byte[] body) throws IOException {
@@ -92,28 +92,28 @@
         }
     }
 
-    private void run(String book, Map<String, String> values) throws Fault {
+    private void run(String book, Map<String, String> values) throws ServiceException {
         said.clear();
-        assertTrue(new Runner(this::send, new Crew(), "", false).run(Books.load(book), values),
+        assertTrue(new Runner(this::send, new Crew(), "", false).run(Runbooks.load(book), values),
             () -> book + ": " + String.join("\n", said));
     }
 
-    private static String http(Vessel v) {
+    private static String http(NodeProcess v) {
         return "http://" + v.http;
     }
 
-    private static String list(List<Vessel> vs) {
+    private static String list(List<NodeProcess> vs) {
         return vs.stream().map(FleetTest::http).collect(Collectors.joining(","));
     }
 
     private void accepted(String when) {
-        town.await("a hand-in " + when, LONG, () -> load.one(0).join().said() == Sightings.Said.ACCEPTED);
+        town.await("a hand-in " + when, LONG, () -> load.one(0).join().said() == Observations.Said.ACCEPTED);
     }
 
     @Test
     void oneDay(@TempDir Path root) throws Exception {
         fleet = new Fleet(Shape.SMALL, root);
-        try (Fleet f = fleet; Town t = new Town(f, Shape.SMALL, new Scenery(8, 2, 45, 60, 26))) {
+        try (Fleet f = fleet; StubEnvironment t = new StubEnvironment(f, Shape.SMALL, new TestConfiguration(8, 2, 45, 60, 26))) {
             town = t;
             load = new Load(t, f, 5);
             f.startAll();
@@ -136,7 +136,7 @@
             replaceStore();
             traffic.join();
             f.killAll();
-            for (Vessel v : f.all()) {
+            for (NodeProcess v : f.all()) {
                 v.start();
             }
             run("check-after-outage", Map.of("lighthouses", list(f.lighthouses), "stores", list(f.stores),
@@ -153,7 +153,7 @@
 
     /** A caller with the client generated from our schema: hands in, sees the proof, is told the kind of a refusal. */
     private void generatedClient() throws ApiException {
-        Signaller s = new Signaller(fleet.intakes.get(0).http, Scenery.callerKey(1));
+        ClientLoad s = new ClientLoad(fleet.intakes.get(0).http, TestConfiguration.callerKey(1));
         String handle = s.handIn("hold", "generated");
         town.await("the end of " + handle, LONG, () -> s.over(handle));
         assertEquals(Message.StateEnum.DONE, s.show(handle).getState());
@@ -170,28 +170,28 @@
 
     private void changeLayouts() throws Exception {
         allReady();
-        Map<String, Layout.Lane> lanes = new TreeMap<>(town.layout().lanes());
+        Map<String, Configuration.Lane> lanes = new TreeMap<>(town.layout().lanes());
         lanes.put("extra", lanes.get("hold"));
-        Map<String, Layout.Key> keys = new TreeMap<>(town.layout().keys());
-        keys.put("guest", new Layout.Key(Layout.Role.CALLER, Scenery.tenant(0), "", Charts.sha256("guest-secret")));
-        Layout next = new Layout(town.layout().tenants(), town.layout().services(), lanes, keys);
+        Map<String, Configuration.Key> keys = new TreeMap<>(town.layout().keys());
+        keys.put("guest", new Configuration.Key(Configuration.Role.CALLER, TestConfiguration.tenant(0), "", Configurations.sha256("guest-secret")));
+        Configuration next = new Configuration(town.layout().tenants(), town.layout().services(), lanes, keys);
         String l = http(fleet.lighthouses.get(1));
         String i = http(fleet.intakes.get(0));
         run("put-layout", Map.of("lighthouse", l, "intake", i, "request", "day-1",
-            "layout", new String(Charts.write(next), StandardCharsets.UTF_8)));
+            "layout", new String(Configurations.write(next), StandardCharsets.UTF_8)));
         run("withdraw-key", Map.of("lighthouse", l, "intake", i, "request", "day-2", "key", "guest"));
         var refused = town.client.send("POST", fleet.intakes.get(0).http, "/v1/lanes/hold/messages", "guest-secret",
-            Charts.write(Map.of("id", "x", "body", Map.of())), Map.of()).join();
+            Configurations.write(Map.of("id", "x", "body", Map.of())), Map.of()).join();
         assertEquals(401, refused.status());
-        String address = Charts.JSON.readTree(send("GET", l + "/v1/services/reserve/processors", Map.of(), new byte[0])
+        String address = Configurations.JSON.readTree(send("GET", l + "/v1/services/reserve/processors", Map.of(), new byte[0])
             .body()).at("/p0/address").asText();
         run("drain-processor", Map.of("lighthouse", l, "service", "reserve", "processor", "p0", "address", address));
     }
 
-    private void roll() throws Fault {
+    private void roll() throws ServiceException {
         allReady();
         byHand = what -> {
-            Vessel v = fleet.all().stream().filter(x -> what.endsWith(x.http)).findFirst().orElseThrow();
+            NodeProcess v = fleet.all().stream().filter(x -> what.endsWith(x.http)).findFirst().orElseThrow();
             v.stop();
             v.start();
         };
@@ -203,7 +203,7 @@
         List<String> seeds = fleet.lighthouses.stream().map(v -> v.address).toList();
         fleet.lighthouses.get(2).kill();
         String address = Fleet.free();
-        Vessel fresh = new Vessel("lighthouse3", Lighthouse.class.getName(), root, address, Fleet.free(), "hall2",
+        NodeProcess fresh = new NodeProcess("lighthouse3", ControlPlaneProgram.class.getName(), root, address, Fleet.free(), "hall2",
             seeds, List.of(), true, true);
         fleet.lighthouses.set(2, fresh);
         byHand = what -> fresh.start();
@@ -215,7 +215,7 @@
     private void replaceStore() throws Exception {
         allReady();
         fleet.stores.get(2).kill();
-        Vessel fresh = fleet.pilot("store3", "hall2", "store");
+        NodeProcess fresh = fleet.pilot("store3", "hall2", "store");
         fleet.stores.set(2, fresh);
         byHand = what -> fresh.start();
         run("replace-store", Map.of("lighthouse", http(fleet.lighthouses.get(0)), "store", http(fresh)));
--- a/trials/src/test/java/org/woadvale/trials/LedgerTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/BriefTableTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials;
+package org.woadvale.testkit;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -16,11 +16,11 @@
 import java.util.stream.Stream;
 
 import org.junit.jupiter.api.Test;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.trials.harbour.Harbour;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.testkit.cluster.TestkitProgram;
 
 /** The ledger of the brief names only what there is. */
-class LedgerTest {
+class BriefTableTest {
     private static final Pattern TEST = Pattern.compile("`([A-Z][A-Za-z]*Test)(?:\\.([a-z][A-Za-z]*))?`");
     private static final Pattern DRILL = Pattern.compile("drills? ((?:[a-z]+(?:-[a-z]+)*(?:, )?)+)");
 
@@ -56,7 +56,7 @@
     /** The one closed list of kinds, in the schema that clients are made from too. */
     @Test
     void schemaListsEveryErrorKind() throws IOException {
-        String schema = Files.readString(Path.of("..", "signal", "src", "main", "openapi", "woadvale.yaml"));
+        String schema = Files.readString(Path.of("..", "client", "src", "main", "openapi", "woadvale.yaml"));
         Matcher m = Pattern.compile("enum: \\[(bad_request[^\\]]*)\\]").matcher(schema);
         assertTrue(m.find(), "the kinds must be there");
         assertEquals(Stream.of(ErrorKind.values()).map(ErrorKind::word).toList(), List.of(m.group(1).split(",\\s*")));
@@ -72,7 +72,7 @@
                 for (String d : m.group(1).split(", ")) {
                     if (d.contains("-") || d.equals("roll") || d.equals("wrap") || d.equals("outage") || d.equals("upgrade")) {
                         named++;
-                        if (!Harbour.drills().contains(d)) {
+                        if (!TestkitProgram.drills().contains(d)) {
                             missing.add(d);
                         }
                     }
--- a/trials/src/test/java/org/woadvale/trials/RulesTableTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/RulesTableTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials;
+package org.woadvale.testkit;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -16,8 +16,8 @@
 import java.util.stream.Stream;
 
 import org.junit.jupiter.api.Test;
-import org.woadvale.trials.buoy.Rules;
-import org.woadvale.trials.buoy.Watchbook;
+import org.woadvale.testkit.stub.Rules;
+import org.woadvale.testkit.stub.ObservationLog;
 
 /** docs/rules.md has a row for each rule, and names only tests and sections that there are. */
 class RulesTableTest {
@@ -86,7 +86,7 @@
     @Test
     void everyCheckHasItsRow() throws IOException {
         String page = String.join("\n", rows());
-        new Rules(new Watchbook()).all().keySet().forEach(rule ->
+        new Rules(new ObservationLog()).all().keySet().forEach(rule ->
             assertTrue(page.contains("| " + rule.replaceAll(" .*", "")), rule));
     }
 }
--- a/trials/src/test/java/org/woadvale/trials/StyleTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/StyleTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials;
+package org.woadvale.testkit;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/trials/src/test/java/org/woadvale/trials/hollow/CapacityTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/capacity/CapacityTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.hollow;
+package org.woadvale.testkit.capacity;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -18,7 +18,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.runtime.ServiceException;
 
 /** The line through measured points, the command line's refusals, and that a hollow fleet serves. */
 class CapacityTest {
@@ -88,7 +88,7 @@
     }
 
     @Test
-    void usualSizesFitIntoTwoGigabytes() throws Fault {
+    void usualSizesFitIntoTwoGigabytes() throws ServiceException {
         for (Mechanism m : Wanted.of(new String[0], 2 * GB).runs().keySet()) {
             assertTrue(m.sizes().size() >= Fit.FEWEST, m.counts());
         }
@@ -96,7 +96,7 @@
 
     /** Everyone knows everyone, the bucket of each tenant is held, and a change reaches all. */
     @Test
-    void aHollowFleetServes() throws Fault {
+    void aHollowFleetServes() throws ServiceException {
         HollowFleet f = new HollowFleet(new Shape(9, 3, 4, 0));
         assertTrue(f.changeEverywhere().toMillis() < 2000);
         assertTrue(f.mark(true).toMillis() < 2000);
--- a/trials/src/test/java/org/woadvale/trials/harbour/CutAnswersTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/cluster/CutAnswersTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.harbour;
+package org.woadvale.testkit.cluster;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -24,10 +24,10 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.woadvale.pilot.Pilot;
-import org.woadvale.trials.buoy.NeverList;
-import org.woadvale.trials.buoy.Scenery;
-import org.woadvale.trials.buoy.Sightings;
+import org.woadvale.dataplane.DataPlaneProgram;
+import org.woadvale.testkit.stub.NeverList;
+import org.woadvale.testkit.stub.TestConfiguration;
+import org.woadvale.testkit.stub.Observations;
 
 /** What callers make of answers that are cut off or say too little; the intake is a bare socket. */
 class CutAnswersTest {
@@ -122,15 +122,15 @@
         AtomicLong handIns = new AtomicLong();
         try (BareIntake b = new BareIntake(l -> day(first, l, l.startsWith("POST") ? handIns.incrementAndGet() : 0));
              Fleet f = new Fleet(Shape.SMALL, root);
-             Town t = new Town(f, Shape.SMALL, new Scenery(8, 2, 45, 60, 26))) {
+             StubEnvironment t = new StubEnvironment(f, Shape.SMALL, new TestConfiguration(8, 2, 45, 60, 26))) {
             f.intakes.clear();
-            f.intakes.add(new Vessel("bare", Pilot.class.getName(), root, Fleet.free(), b.address(), "hall0", List.of(),
+            f.intakes.add(new NodeProcess("bare", DataPlaneProgram.class.getName(), root, Fleet.free(), b.address(), "hall0", List.of(),
                 List.of("intake"), false, false));
             Load load = new Load(t, f, 5);
-            Sightings.HandedIn h = load.one(0).join();
+            Observations.HandedIn h = load.one(0).join();
             assertTrue(load.settle(Duration.ofSeconds(3)), () -> load.states() + " " + load.unended());
             assertEquals(Map.of("failed", 1L), load.states());
-            assertEquals(Sightings.Said.ACCEPTED, h.said());
+            assertEquals(Observations.Said.ACCEPTED, h.said());
             assertEquals("m1-1", h.handle());
             assertEquals(2, handIns.get());
             assertEquals(1, load.broken().size(), load.broken().toString());
@@ -145,9 +145,9 @@
         try (BareIntake b = new BareIntake(l -> l.startsWith("POST") ? answer("202 Accepted", TAKEN)
                 : answer("200 OK", "{\"messages\":[]}"));
              Fleet f = new Fleet(Shape.SMALL, root);
-             Town t = new Town(f, Shape.SMALL, new Scenery(8, 2, 45, 60, 26))) {
+             StubEnvironment t = new StubEnvironment(f, Shape.SMALL, new TestConfiguration(8, 2, 45, 60, 26))) {
             f.intakes.clear();
-            f.intakes.add(new Vessel("bare", Pilot.class.getName(), root, Fleet.free(), b.address(), "hall0", List.of(),
+            f.intakes.add(new NodeProcess("bare", DataPlaneProgram.class.getName(), root, Fleet.free(), b.address(), "hall0", List.of(),
                 List.of("intake"), false, false));
             Load load = new Load(t, f, 5);
             load.one(0).join();
--- a/trials/src/test/java/org/woadvale/trials/features/FeaturesTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/features/FeaturesTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.features;
+package org.woadvale.testkit.features;
 
 import org.junit.platform.suite.api.ConfigurationParameter;
 import org.junit.platform.suite.api.IncludeEngines;
@@ -9,7 +9,7 @@
 @Suite
 @IncludeEngines("cucumber")
 @SelectClasspathResource("features")
-@ConfigurationParameter(key = "cucumber.glue", value = "org.woadvale.trials.squall")
+@ConfigurationParameter(key = "cucumber.glue", value = "org.woadvale.testkit.simulation")
 @ConfigurationParameter(key = "cucumber.publish.quiet", value = "true")
 class FeaturesTest {
 }
--- a/trials/src/test/java/org/woadvale/trials/keeper/KeeperReturnTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/replication/KeeperReturnTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.keeper;
+package org.woadvale.testkit.replication;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -11,7 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.runtime.ServiceException;
 
 /** The former owner need not wait for its own claim, and nobody else may take that way. design 5.3 */
 class KeeperReturnTest {
@@ -19,7 +19,7 @@
 
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5})
-    void afterALossOfAllPowerTheFormerOwnerOwnsAtOnce(long seed) throws Fault {
+    void afterALossOfAllPowerTheFormerOwnerOwnsAtOnce(long seed) throws ServiceException {
         Trio t = new Trio(seed);
         assertEquals("one", t.say("one"));
         String former = t.awaitOwner();
@@ -36,7 +36,7 @@
     }
 
     @Test
-    void anOwnerOfAnEarlierTermWaitsForThePresentOne() throws Fault {
+    void anOwnerOfAnEarlierTermWaitsForThePresentOne() throws ServiceException {
         Trio t = new Trio(7);
         String old = t.awaitOwner();
         t.hosts.get(old).powerLoss();
@@ -52,7 +52,7 @@
 
     @ParameterizedTest
     @ValueSource(longs = {21, 22, 23, 24, 25, 26})
-    void neverTwoOwnersUnderRestartsAndPauses(long seed) throws Fault {
+    void neverTwoOwnersUnderRestartsAndPauses(long seed) throws ServiceException {
         Trio t = new Trio(seed);
         t.awaitOwner();
         t.net.weather(0.05, 0.05);
--- a/trials/src/test/java/org/woadvale/trials/keeper/OldBytesTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/replication/OldBytesTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.keeper;
+package org.woadvale.testkit.replication;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -8,27 +8,27 @@
 import java.util.Map;
 
 import org.junit.jupiter.api.Test;
-import org.woadvale.foundation.beam.Codec;
-import org.woadvale.foundation.keeper.LogItem;
-import org.woadvale.foundation.keeper.Messages;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.watch.Wire;
-import org.woadvale.pilot.berth.Commands;
-import org.woadvale.pilot.berth.LaneTerms;
+import org.woadvale.common.rpc.Codec;
+import org.woadvale.common.replication.LogEntry;
+import org.woadvale.common.replication.Messages;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.membership.Wire;
+import org.woadvale.dataplane.queue.Commands;
+import org.woadvale.dataplane.queue.RouteTerms;
 
 /** What the first version wrote into logs: a changed type or number shows here before it eats a disk. */
 class OldBytesTest {
     private static final Codec CODEC = Wire.codec(Wire.PILOT, Commands.types());
 
-    private static <T> T read(String hex, Class<T> type) throws Fault {
+    private static <T> T read(String hex, Class<T> type) throws ServiceException {
         return CODEC.readFirst(HexFormat.of().parseHex(hex), type);
     }
 
     @Test
-    void commandsOfTheFirstVersionAreRead() throws Fault {
+    void commandsOfTheFirstVersionAreRead() throws ServiceException {
         Commands.Accept a = read("9303010b00030102010a0082688269826c826f827401e807068273d00f", Commands.Accept.class);
         assertEquals("t l i o h", String.join(" ", a.tenant(), a.lane(), a.id(), a.orderKey(), a.hash()));
-        assertEquals(new LaneTerms("s", 1000, 3, 500, false), a.terms());
+        assertEquals(new RouteTerms("s", 1000, 3, 500, false), a.terms());
         assertEquals(Instant.ofEpochSecond(10), a.due());
         assertEquals(Instant.ofEpochSecond(11), a.at());
         assertEquals(new Commands.End("m0-1", 2, Commands.Ending.DONE, "r", Instant.ofEpochSecond(10),
@@ -36,10 +36,10 @@
     }
 
     @Test
-    void logItemsAndBasesOfTheFirstVersionAreRead() throws Fault {
-        LogItem i = read("710209010e", LogItem.class);
+    void logItemsAndBasesOfTheFirstVersionAreRead() throws ServiceException {
+        LogEntry i = read("710209010e", LogEntry.class);
         assertEquals(7, i.term());
-        assertEquals(LogItem.Kind.COMMAND, i.kind());
+        assertEquals(LogEntry.Kind.COMMAND, i.kind());
         Messages.Base b = read("7019020003613ab103827869e40a040204010b01068276", Messages.Base.class);
         assertEquals(Map.of("a:1", "x"), b.group());
         assertEquals(List.of(5L, 2L, 3L), List.of(b.index(), b.indexTerm(), b.term()));
@@ -48,11 +48,11 @@
     /** One build knows a component more than the other; either reads what the other wrote. */
     private record Short(String a, int b) { }
 
-    private record Long_(String a, int b, @org.woadvale.foundation.beam.Since(3) List<String> c,
-                         @org.woadvale.foundation.beam.Since(3) boolean d) { }
+    private record Long_(String a, int b, @org.woadvale.common.rpc.Since(3) List<String> c,
+                         @org.woadvale.common.rpc.Since(3) boolean d) { }
 
     @Test
-    void twoBuildsReadEachOther() throws Fault {
+    void twoBuildsReadEachOther() throws ServiceException {
         Codec older = new Codec(Map.of(100, List.of(Short.class, Messages.Ok.class)));
         Codec newer = new Codec(Map.of(100, List.of(Long_.class, Messages.Ok.class)));
         assertEquals(new Long_("x", 7, List.of(), false), newer.read(older.write(new Short("x", 7)), Long_.class));
--- a/trials/src/test/java/org/woadvale/trials/keeper/KeeperTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/replication/ReplicationTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.keeper;
+package org.woadvale.testkit.replication;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -13,15 +13,15 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.keeper.Messages;
-import org.woadvale.foundation.keeper.Phase;
-import org.woadvale.foundation.logbook.Entry;
-import org.woadvale.foundation.logbook.RingLogbook;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.replication.Messages;
+import org.woadvale.common.replication.Phase;
+import org.woadvale.common.wal.Entry;
+import org.woadvale.common.wal.RingWriteAheadLog;
 
-class KeeperTest {
+class ReplicationTest {
     @Test
-    void committedWordsOutliveTheOwner() throws Fault {
+    void committedWordsOutliveTheOwner() throws ServiceException {
         Trio t = new Trio(1);
         assertEquals("one", t.say("one"));
         String first = t.awaitOwner();
@@ -33,7 +33,7 @@
     }
 
     @Test
-    void pausedOwnerWakesHarmless() throws Fault {
+    void pausedOwnerWakesHarmless() throws ServiceException {
         Trio t = new Trio(2);
         String old = t.awaitOwner();
         t.hosts.get(old).pause(Duration.ofSeconds(6));
@@ -46,7 +46,7 @@
 
     @ParameterizedTest
     @ValueSource(longs = {11, 12, 13})
-    void neverTwoOwnersUnderCuts(long seed) throws Fault {
+    void neverTwoOwnersUnderCuts(long seed) throws ServiceException {
         Trio t = new Trio(seed);
         t.awaitOwner();
         t.net.weather(0.05, 0.05);
@@ -63,7 +63,7 @@
     }
 
     @Test
-    void cutOffReplicaDoesNotUnseatTheOwnerOnReturn() throws Fault {
+    void cutOffReplicaDoesNotUnseatTheOwnerOnReturn() throws ServiceException {
         Trio t = new Trio(3);
         String owner = t.awaitOwner();
         String other = t.hosts.keySet().stream().filter(h -> !h.equals(owner)).findFirst().orElseThrow();
@@ -77,7 +77,7 @@
     }
 
     @Test
-    void farBehindReplicaTakesAViewThenFollows() throws Fault {
+    void farBehindReplicaTakesAViewThenFollows() throws ServiceException {
         Trio t = new Trio(4);
         String owner = t.awaitOwner();
         String behind = t.hosts.keySet().stream().filter(h -> !h.equals(owner)).findFirst().orElseThrow();
@@ -93,7 +93,7 @@
 
     /** The disk is blank: the replica must not vote until the others have seated it anew. */
     @Test
-    void lostDiskLosesNothing() throws Fault {
+    void lostDiskLosesNothing() throws ServiceException {
         Trio t = new Trio(5);
         loseDiskOfTheOnlyOther(t, false);
         t.sim.run(Duration.ofSeconds(10));
@@ -108,7 +108,7 @@
 
     /** The naive way, which counts the blank disk at once, loses an accepted entry: why design 5.5 is needed. */
     @Test
-    void naiveDiskReturnLosesAnAcceptedEntry() throws Fault {
+    void naiveDiskReturnLosesAnAcceptedEntry() throws ServiceException {
         Trio t = new Trio(5);
         loseDiskOfTheOnlyOther(t, true);
         t.awaitOwner();
@@ -118,7 +118,7 @@
     }
 
     /** Accepted by a and b while c is away; then b's disk is lost, a is down, and c is back. */
-    private static void loseDiskOfTheOnlyOther(Trio t, boolean naive) throws Fault {
+    private static void loseDiskOfTheOnlyOther(Trio t, boolean naive) throws ServiceException {
         assertEquals("early", t.say("early"));
         t.sim.run(Duration.ofSeconds(1));
         assertEquals("a:1", t.awaitOwner());
@@ -130,8 +130,8 @@
         t.hosts.get("b:1").kill();
         t.hosts.get("b:1").disk().wipe();
         if (naive) {
-            t.hosts.get("b:1").boot(new org.woadvale.foundation.beam.Router());
-            RingLogbook book = RingLogbook.open(t.hosts.get("b:1").disk(), t.hosts.get("b:1").host(), 4, 512 << 10);
+            t.hosts.get("b:1").boot(new org.woadvale.common.rpc.RpcRouter());
+            RingWriteAheadLog book = RingWriteAheadLog.open(t.hosts.get("b:1").disk(), t.hosts.get("b:1").host(), 4, 512 << 10);
             Messages.Base base = new Messages.Base(identity, 0, "", true, 0, 0, group, new byte[0], List.of());
             book.append(List.of(new Entry(Trio.PART, Entry.Kind.BASE, 0, 0, t.codec.write(base))), () -> { });
             t.sim.run(Duration.ofMillis(100));
@@ -142,7 +142,7 @@
     }
 
     @Test
-    void lostMemberIsReplacedAndAllCopiesCount() throws Fault {
+    void lostMemberIsReplacedAndAllCopiesCount() throws ServiceException {
         Trio t = new Trio(6);
         t.say("one");
         t.hosts.get("c:1").kill();
@@ -156,7 +156,7 @@
     }
 
     @Test
-    void handOverMovesTheOwnerWithoutWaitingForTheClaim() throws Fault {
+    void handOverMovesTheOwnerWithoutWaitingForTheClaim() throws ServiceException {
         Trio t = new Trio(7);
         String old = t.awaitOwner();
         t.say("one");
@@ -171,7 +171,7 @@
     }
 
     @Test
-    void refusedProposalIsDefiniteAndNeverApplied() throws Fault {
+    void refusedProposalIsDefiniteAndNeverApplied() throws ServiceException {
         Trio t = new Trio(8);
         String owner = t.awaitOwner();
         String other = t.hosts.keySet().stream().filter(h -> !h.equals(owner)).findFirst().orElseThrow();
@@ -185,7 +185,7 @@
     }
 
     @Test
-    void undecidedProposalIsUnknownNotRefused() throws Fault {
+    void undecidedProposalIsUnknownNotRefused() throws ServiceException {
         Trio t = new Trio(9);
         String owner = t.awaitOwner();
         t.net.cutOff(owner);
--- a/trials/src/test/java/org/woadvale/trials/keeper/RingBytesTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/replication/RingBytesTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.keeper;
+package org.woadvale.testkit.replication;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -11,14 +11,14 @@
 import java.util.Set;
 
 import org.junit.jupiter.api.Test;
-import org.woadvale.foundation.beam.Router;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.logbook.Disk;
-import org.woadvale.foundation.logbook.Entry;
-import org.woadvale.foundation.logbook.RingLogbook;
-import org.woadvale.trials.squall.Harness;
-import org.woadvale.trials.squall.Sim;
-import org.woadvale.trials.squall.SimNet;
+import org.woadvale.common.rpc.RpcRouter;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.wal.Disk;
+import org.woadvale.common.wal.Entry;
+import org.woadvale.common.wal.RingWriteAheadLog;
+import org.woadvale.testkit.simulation.Harness;
+import org.woadvale.testkit.simulation.Sim;
+import org.woadvale.testkit.simulation.SimNet;
 
 /** How many bytes the ring asks of the disk at once, and in how many calls. */
 class RingBytesTest {
@@ -87,10 +87,10 @@
     private final Harness h = new Harness("a:1", sim, new SimNet(sim));
     private Counting disk;
 
-    private RingLogbook open() throws Fault {
-        h.boot(new Router());
+    private RingWriteAheadLog open() throws ServiceException {
+        h.boot(new RpcRouter());
         disk = new Counting(h.disk());
-        return RingLogbook.open(disk, h.host(), FILES, SIZE);
+        return RingWriteAheadLog.open(disk, h.host(), FILES, SIZE);
     }
 
     private static Entry entry(long index, Entry.Kind kind, int size) {
@@ -99,8 +99,8 @@
 
     /** Before: all twelve files stood in the heap at once, 96 MB for a state of a few. */
     @Test
-    void aWrappedRingIsOpenedPieceByPiece() throws Fault {
-        RingLogbook b = open();
+    void aWrappedRingIsOpenedPieceByPiece() throws ServiceException {
+        RingWriteAheadLog b = open();
         List<String> failed = new ArrayList<>();
         b.onFailure(failed::add);
         long last = 0;
@@ -127,7 +127,7 @@
     }
 
     @Test
-    void anUnusedRingCostsSmallReadsAndNoWrites() throws Fault {
+    void anUnusedRingCostsSmallReadsAndNoWrites() throws ServiceException {
         open();
         assertTrue(disk.largestRead() <= Disk.CHUNK);
         assertEquals(List.of(), disk.writes);
@@ -135,8 +135,8 @@
 
     /** Before: one write for each record. */
     @Test
-    void aBatchIsWrittenTogether() throws Fault {
-        RingLogbook b = open();
+    void aBatchIsWrittenTogether() throws ServiceException {
+        RingWriteAheadLog b = open();
         List<Entry> batch = new ArrayList<>();
         for (int i = 1; i <= 40; i++) {
             batch.add(entry(i, Entry.Kind.ENTRY, 1000));
--- a/trials/src/test/java/org/woadvale/trials/keeper/SupervisorTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/replication/SupervisorTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.keeper;
+package org.woadvale.testkit.replication;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -9,13 +9,13 @@
 import java.util.List;
 
 import org.junit.jupiter.api.Test;
-import org.woadvale.foundation.beam.Router;
-import org.woadvale.foundation.lantern.Component;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.lantern.Supervisor;
-import org.woadvale.trials.squall.Harness;
-import org.woadvale.trials.squall.Sim;
-import org.woadvale.trials.squall.SimNet;
+import org.woadvale.common.rpc.RpcRouter;
+import org.woadvale.common.runtime.Component;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.runtime.Supervisor;
+import org.woadvale.testkit.simulation.Harness;
+import org.woadvale.testkit.simulation.Sim;
+import org.woadvale.testkit.simulation.SimNet;
 
 class SupervisorTest {
     private final List<String> log = new ArrayList<>();
@@ -54,8 +54,8 @@
     }
 
     @Test
-    void startsInOrderStartsTheDeadAgainStopsInReverse() throws Fault {
-        h.boot(new Router());
+    void startsInOrderStartsTheDeadAgainStopsInReverse() throws ServiceException {
+        h.boot(new RpcRouter());
         Scripted a = new Scripted("a");
         Scripted b = new Scripted("b");
         Supervisor s = new Supervisor("s", h.host(), () -> log.add("given up")).with(a).with(b);
@@ -67,8 +67,8 @@
     }
 
     @Test
-    void givesUpOnWhatDiesAgainAndAgain() throws Fault {
-        h.boot(new Router());
+    void givesUpOnWhatDiesAgainAndAgain() throws ServiceException {
+        h.boot(new RpcRouter());
         Scripted a = new Scripted("a");
         Supervisor s = new Supervisor("s", h.host(), () -> log.add("given up")).with(a);
         s.start();
--- a/trials/src/test/java/org/woadvale/trials/keeper/Trio.java
+++ b/testkit/src/test/java/org/woadvale/testkit/replication/Trio.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.keeper;
+package org.woadvale.testkit.replication;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -7,26 +7,26 @@
 import java.util.Map;
 import java.util.Optional;
 
-import org.woadvale.foundation.beam.Codec;
-import org.woadvale.foundation.beam.Router;
-import org.woadvale.foundation.keeper.Env;
-import org.woadvale.foundation.keeper.Machine;
-import org.woadvale.foundation.keeper.Messages;
-import org.woadvale.foundation.keeper.Pace;
-import org.woadvale.foundation.keeper.Phase;
-import org.woadvale.foundation.keeper.Replica;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.logbook.RingLogbook;
-import org.woadvale.foundation.watch.Wire;
-import org.woadvale.trials.squall.Harness;
-import org.woadvale.trials.squall.Sim;
-import org.woadvale.trials.squall.SimNet;
+import org.woadvale.common.rpc.Codec;
+import org.woadvale.common.rpc.RpcRouter;
+import org.woadvale.common.replication.Env;
+import org.woadvale.common.replication.StateMachine;
+import org.woadvale.common.replication.Messages;
+import org.woadvale.common.replication.ReplicationTiming;
+import org.woadvale.common.replication.Phase;
+import org.woadvale.common.replication.Replica;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.wal.RingWriteAheadLog;
+import org.woadvale.common.membership.Wire;
+import org.woadvale.testkit.simulation.Harness;
+import org.woadvale.testkit.simulation.Sim;
+import org.woadvale.testkit.simulation.SimNet;
 
 import reactor.core.publisher.Mono;
 
 /** One part on three (or more) simulated hosts, with a machine that keeps a list of words. */
 final class Trio {
-    static final class Words implements Machine {
+    static final class Words implements StateMachine {
         final List<String> words = new ArrayList<>();
         private final Codec codec;
 
@@ -52,7 +52,7 @@
             try {
                 words.clear();
                 codec.read(view, List.class).forEach(w -> words.add((String) w));
-            } catch (Fault e) {
+            } catch (ServiceException e) {
                 throw new IllegalStateException(e);
             }
         }
@@ -67,7 +67,7 @@
     final Map<String, Words> words = new LinkedHashMap<>();
     List<String> wanted = List.of("a:1", "b:1", "c:1");
 
-    Trio(long seed) throws Fault {
+    Trio(long seed) throws ServiceException {
         sim = new Sim(seed);
         net = new SimNet(sim);
         for (String n : wanted) {
@@ -75,18 +75,18 @@
         }
     }
 
-    void add(String n) throws Fault {
+    void add(String n) throws ServiceException {
         hosts.put(n, new Harness(n, sim, net));
         start(n);
     }
 
-    void start(String n) throws Fault {
+    void start(String n) throws ServiceException {
         Harness h = hosts.get(n);
-        Router r = new Router();
+        RpcRouter r = new RpcRouter();
         h.boot(r);
-        RingLogbook book = RingLogbook.open(h.disk(), h.host(), 4, 512 << 10);
+        RingWriteAheadLog book = RingWriteAheadLog.open(h.disk(), h.host(), 4, 512 << 10);
         book.onFailure(why -> h.kill());
-        Env env = new Env(h.host(), h.host(), h.beam(codec), codec, book, sim.random()::nextLong, Pace.usual());
+        Env env = new Env(h.host(), h.host(), h.beam(codec), codec, book, sim.random()::nextLong, ReplicationTiming.usual());
         Words m = new Words(codec);
         Replica replica = new Replica(PART, wanted, m, env);
         Messages.types().forEach(t -> r.on(t, (from, a) -> replica.handle(from, a)));
@@ -126,7 +126,7 @@
     String sayAt(String n, String word) {
         String[] out = {"open"};
         Mono<String> m = replicas.get(n).propose(word, String.class);
-        m.subscribe(x -> out[0] = x, e -> out[0] = Fault.of(e).kind().word());
+        m.subscribe(x -> out[0] = x, e -> out[0] = ServiceException.of(e).kind().word());
         sim.runUntil(() -> !out[0].equals("open"), Duration.ofSeconds(10));
         return out[0];
     }
--- a/trials/src/test/java/org/woadvale/trials/keeper/LogbookTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/replication/WriteAheadLogTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.keeper;
+package org.woadvale.testkit.replication;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -11,29 +11,29 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.woadvale.foundation.beam.Router;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.logbook.Entry;
-import org.woadvale.foundation.logbook.RingLogbook;
-import org.woadvale.trials.squall.Harness;
-import org.woadvale.trials.squall.Sim;
-import org.woadvale.trials.squall.SimNet;
+import org.woadvale.common.rpc.RpcRouter;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.wal.Entry;
+import org.woadvale.common.wal.RingWriteAheadLog;
+import org.woadvale.testkit.simulation.Harness;
+import org.woadvale.testkit.simulation.Sim;
+import org.woadvale.testkit.simulation.SimNet;
 
-class LogbookTest {
+class WriteAheadLogTest {
     private static final int FILES = 4;
     private static final int SIZE = 4096;
     private Sim sim;
     private Harness h;
 
-    private RingLogbook open(long seed) throws Fault {
+    private RingWriteAheadLog open(long seed) throws ServiceException {
         sim = new Sim(seed);
         h = new Harness("a:1", sim, new SimNet(sim));
         return reopen();
     }
 
-    private RingLogbook reopen() throws Fault {
-        h.boot(new Router());
-        return RingLogbook.open(h.disk(), h.host(), FILES, SIZE);
+    private RingWriteAheadLog reopen() throws ServiceException {
+        h.boot(new RpcRouter());
+        return RingWriteAheadLog.open(h.disk(), h.host(), FILES, SIZE);
     }
 
     private static Entry entry(String part, long index, int size) {
@@ -46,8 +46,8 @@
 
     /** It was opened, and the oldest file zeroed though it was needed: every other reopening lost entries. */
     @Test
-    void fullRingIsNotOpenedOverWhatIsNeeded() throws Fault {
-        RingLogbook b = open(5);
+    void fullRingIsNotOpenedOverWhatIsNeeded() throws ServiceException {
+        RingWriteAheadLog b = open(5);
         boolean[] stopped = {false};
         b.onFailure(why -> stopped[0] = true);
         for (long i = 1; !stopped[0] && i < 1000; i++) {
@@ -56,15 +56,15 @@
         }
         assertTrue(stopped[0], "nobody gives a base, so the ring must fill");
         for (int i = 0; i < 2; i++) {
-            Fault f = org.junit.jupiter.api.Assertions.assertThrows(Fault.class, this::reopen);
+            ServiceException f = org.junit.jupiter.api.Assertions.assertThrows(ServiceException.class, this::reopen);
             assertTrue(f.getMessage().contains("the ring is full"), f.getMessage());
         }
     }
 
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
-    void whatWasConfirmedSurvivesPowerLoss(long seed) throws Fault {
-        RingLogbook b = open(seed);
+    void whatWasConfirmedSurvivesPowerLoss(long seed) throws ServiceException {
+        RingWriteAheadLog b = open(seed);
         List<Long> confirmed = new ArrayList<>();
         for (int round = 0; round < 5; round++) {
             long first = round * 10L + 1;
@@ -83,12 +83,12 @@
     }
 
     @Test
-    void ringIsReclaimedBehindBases() throws Fault {
-        RingLogbook b = open(9);
+    void ringIsReclaimedBehindBases() throws ServiceException {
+        RingWriteAheadLog b = open(9);
         boolean[] failed = {false};
         b.onFailure(why -> failed[0] = true);
         long[] index = {0};
-        RingLogbook book = b;
+        RingWriteAheadLog book = b;
         b.onPressure("m1", () -> book.append(List.of(base("m1", index[0])), () -> { }));
         for (int i = 0; i < 300; i++) {
             b.append(List.of(entry("m1", ++index[0], 200)), () -> { });
@@ -101,8 +101,8 @@
 
     /** Before: asked after each sync until the base was there, 53 times for 30 files, and the bases filled the ring. */
     @Test
-    void partIsAskedForABaseOnce() throws Fault {
-        RingLogbook b = open(13);
+    void partIsAskedForABaseOnce() throws ServiceException {
+        RingWriteAheadLog b = open(13);
         List<String> failed = new ArrayList<>();
         b.onFailure(failed::add);
         int[] asked = {0};
@@ -121,8 +121,8 @@
     }
 
     @Test
-    void fullRingSaysSoBeforeItFails() throws Fault {
-        RingLogbook b = open(10);
+    void fullRingSaysSoBeforeItFails() throws ServiceException {
+        RingWriteAheadLog b = open(10);
         List<String> failed = new ArrayList<>();
         b.onFailure(failed::add);
         boolean warned = false;
@@ -136,8 +136,8 @@
     }
 
     @Test
-    void damageBeforeTheTailCondemnsTheFolder() throws Fault {
-        RingLogbook b = open(11);
+    void damageBeforeTheTailCondemnsTheFolder() throws ServiceException {
+        RingWriteAheadLog b = open(11);
         for (int i = 1; i <= 10; i++) {
             b.append(List.of(entry("m1", i, 100)), () -> { });
             sim.run(Duration.ofMillis(20));
@@ -148,17 +148,17 @@
     }
 
     @Test
-    void tornTailIsCutAndLeftoversAreNeverRead() throws Fault {
-        RingLogbook b = open(12);
+    void tornTailIsCutAndLeftoversAreNeverRead() throws ServiceException {
+        RingWriteAheadLog b = open(12);
         b.append(List.of(entry("m1", 1, 100)), () -> { });
         sim.run(Duration.ofMillis(20));
         h.kill();
-        RingLogbook c = reopen();
+        RingWriteAheadLog c = reopen();
         c.append(List.of(entry("m1", 2, 50), entry("m1", 3, 50)), () -> { });
         sim.run(Duration.ofMillis(20));
         h.kill();
         h.disk().damage("ring-00", 200);
-        RingLogbook d = reopen();
+        RingWriteAheadLog d = reopen();
         assertEquals(List.of(1L), d.recovered().get("m1").stream().map(Entry::index).toList());
         d.append(List.of(entry("m1", 9, 50)), () -> { });
         sim.run(Duration.ofMillis(20));
--- a/trials/src/test/java/org/woadvale/trials/squall/BadInputTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/BadInputTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -10,17 +10,17 @@
 import java.util.Map;
 
 import org.junit.jupiter.api.Test;
-import org.woadvale.foundation.gate.Answer;
-import org.woadvale.foundation.gate.Request;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.trials.buoy.Scenery;
+import org.woadvale.common.http.Answer;
+import org.woadvale.common.http.Request;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.testkit.stub.TestConfiguration;
 
 /** Bad input gets a definite kind, and nothing is stored. */
 class BadInputTest {
-    private final Voyage v;
+    private final FleetSimulation v;
 
-    BadInputTest() throws Fault {
-        v = new Voyage(1, 2, 3, 2).embark();
+    BadInputTest() throws ServiceException {
+        v = new FleetSimulation(1, 2, 3, 2).embark();
         v.w.sim.run(Duration.ofSeconds(3));
     }
 
@@ -36,17 +36,17 @@
 
     private String kind(String method, String path, String key, String body) {
         Answer a = ask(v.w.intakes.get(0), method, path, key, body, Map.of());
-        return a.status() + " " + Voyage.json(a).path("kind").asText();
+        return a.status() + " " + FleetSimulation.json(a).path("kind").asText();
     }
 
     private long stored() {
-        Answer a = ask(v.w.intakes.get(1), "GET", "/v1/messages?state=done", Scenery.callerKey(0), "", Map.of());
-        return Voyage.json(a).path("messages").size();
+        Answer a = ask(v.w.intakes.get(1), "GET", "/v1/messages?state=done", TestConfiguration.callerKey(0), "", Map.of());
+        return FleetSimulation.json(a).path("messages").size();
     }
 
     @Test
     void handInsThatCannotBeTakenAreRefusedDefinitely() {
-        String key = Scenery.callerKey(0);
+        String key = TestConfiguration.callerKey(0);
         String good = "{\"id\":\"a\",\"body\":{}}";
         String hold = "/v1/lanes/hold/messages";
         assertEquals("400 bad_request", kind("POST", hold, key, "{\"id\":"));
@@ -73,32 +73,32 @@
     /** An unknown processor, service, message; a report for what has ended changes nothing. */
     @Test
     void processorsGetDefiniteAnswers() {
-        String key = Scenery.fetchKey(Scenery.GROUP);
-        String fetch = "/v1/services/" + Scenery.GROUP + "/fetch";
+        String key = TestConfiguration.fetchKey(TestConfiguration.GROUP);
+        String fetch = "/v1/services/" + TestConfiguration.GROUP + "/fetch";
         assertEquals("403 forbidden", kind("POST", fetch, key, "{\"processor\":\"nobody\"}"));
         assertEquals("403 forbidden", kind("POST", "/v1/services/nowhere/fetch", key, "{\"processor\":\"p0\"}"));
         assertEquals("400 bad_request", kind("POST", fetch, key, "{\"processor\":\"p0\",\"fetch\":\"a b\"}"));
         String done = "{\"processor\":\"p0\",\"attempt\":1,\"outcome\":\"done\",\"receipt\":\"r\"}";
         assertEquals("404 not_found", kind("POST", "/v1/messages/m0-99/outcome", key, done));
-        Answer a = ask(v.w.intakes.get(0), "POST", "/v1/lanes/hold/messages", Scenery.callerKey(0),
+        Answer a = ask(v.w.intakes.get(0), "POST", "/v1/lanes/hold/messages", TestConfiguration.callerKey(0),
             "{\"id\":\"a\",\"body\":{}}", Map.of());
-        String handle = Voyage.json(a).path("handle").asText();
+        String handle = FleetSimulation.json(a).path("handle").asText();
         assertEquals("400 bad_request", kind("POST", "/v1/messages/" + handle + "/outcome", key,
             done.replace("\"r\"", "\"\"")));
         Answer late = ask(v.w.intakes.get(0), "POST", "/v1/messages/" + handle + "/outcome", key,
             done.replace("done", "failed"), Map.of());
-        assertEquals("200 false done", late.status() + " " + Voyage.json(late).path("recorded").asBoolean() + " "
-            + Voyage.json(late).path("state").asText());
+        assertEquals("200 false done", late.status() + " " + FleetSimulation.json(late).path("recorded").asBoolean() + " "
+            + FleetSimulation.json(late).path("state").asText());
         assertEquals("403 forbidden", kind("POST", "/v1/messages/" + handle + "/outcome", key, done.replace("p0", "p9")));
     }
 
     @Test
     void othersMessagesAreNotShown() {
-        Answer a = ask(v.w.intakes.get(0), "POST", "/v1/lanes/hold/messages", Scenery.callerKey(0),
+        Answer a = ask(v.w.intakes.get(0), "POST", "/v1/lanes/hold/messages", TestConfiguration.callerKey(0),
             "{\"id\":\"a\",\"body\":{}}", Map.of());
-        String handle = Voyage.json(a).path("handle").asText();
-        assertEquals("200 ", kind("GET", "/v1/messages/" + handle, Scenery.callerKey(0), ""));
-        assertEquals("404 not_found", kind("GET", "/v1/messages/" + handle, Scenery.callerKey(1), ""));
+        String handle = FleetSimulation.json(a).path("handle").asText();
+        assertEquals("200 ", kind("GET", "/v1/messages/" + handle, TestConfiguration.callerKey(0), ""));
+        assertEquals("404 not_found", kind("GET", "/v1/messages/" + handle, TestConfiguration.callerKey(1), ""));
     }
 
     @Test
@@ -106,7 +106,7 @@
         List<Answer> all = new ArrayList<>();
         for (int i = 0; i < 120; i++) {
             v.w.request(v.w.intakes.get(i % 2), new Request("POST", "/v1/lanes/hold/messages",
-                Map.of("authorization", "Bearer " + Scenery.callerKey(1)),
+                Map.of("authorization", "Bearer " + TestConfiguration.callerKey(1)),
                 ("{\"id\":\"n" + i + "\",\"body\":{}}").getBytes(StandardCharsets.UTF_8)), Duration.ofSeconds(6),
                 a -> all.add(a.orElseThrow()));
         }
@@ -127,17 +127,17 @@
         Answer unclear = ask(l, "PUT", "/v1/layout", "", "{\"services\":{\"s\":{\"kind\":\"processors\"}},\"lanes\":{\"x\":"
             + "{\"service\":\"s\",\"timeLimitMs\":5000,\"attempts\":1,\"ifUnclear\":\"perhaps\"}}}", base);
         assertEquals("422 lanes.x.ifUnclear", unclear.status() + " "
-            + Voyage.json(unclear).path("details").path(0).asText().replaceAll(":.*", ""));
+            + FleetSimulation.json(unclear).path("details").path(0).asText().replaceAll(":.*", ""));
         Answer stale = ask(l, "PUT", "/v1/layout", "", "{}", Map.of("if-match", "0", "x-request-id", "stale"));
         assertEquals(412, stale.status());
-        assertEquals("1", Voyage.json(stale).path("details").path(0).asText(), "the present version is named");
+        assertEquals("1", FleetSimulation.json(stale).path("details").path(0).asText(), "the present version is named");
         assertEquals(400, ask(l, "PUT", "/v1/layout", "", "{}", Map.of()).status());
         assertEquals("\"1\"", ask(l, "GET", "/v1/layout", "", "", Map.of()).headers().get("ETag"));
         Answer first = ask(l, "PUT", "/v1/layout", "", "{}", Map.of("if-match", "1", "x-request-id", "good"));
         Answer again = ask(v.w.lighthouses.get(2), "PUT", "/v1/layout", "", "{}",
             Map.of("if-match", "1", "x-request-id", "good"));
-        assertEquals(2, Voyage.json(first).path("version").asInt());
-        assertEquals(2, Voyage.json(again).path("version").asInt());
-        assertTrue(Voyage.json(again).path("repeated").asBoolean());
+        assertEquals(2, FleetSimulation.json(first).path("version").asInt());
+        assertEquals(2, FleetSimulation.json(again).path("version").asInt());
+        assertTrue(FleetSimulation.json(again).path("repeated").asBoolean());
     }
 }
--- a/trials/src/test/java/org/woadvale/trials/squall/ControlTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/ControlTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -12,17 +12,17 @@
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.woadvale.foundation.gate.Answer;
-import org.woadvale.foundation.gate.Request;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.trials.buoy.Papers;
+import org.woadvale.common.http.Answer;
+import org.woadvale.common.http.Request;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.testkit.stub.ConfigurationStub;
 
 /** The operator's configurations through the doors: design 6.8, docs/platform.md 3. */
 class ControlTest {
     private Shore s;
 
     @BeforeEach
-    void begin() throws Fault {
+    void begin() throws ServiceException {
         s = new Shore(21, 2);
     }
 
@@ -31,12 +31,12 @@
             Duration.ofSeconds(4)).orElseThrow();
     }
 
-    private static Papers.Route route(String name, String prefix) {
+    private static ConfigurationStub.Route route(String name, String prefix) {
         return Shore.route(name, prefix, "desk", false);
     }
 
-    private Papers more(long revision, Papers.Route... routes) {
-        List<Papers.Route> all = new ArrayList<>(s.papers.routes());
+    private ConfigurationStub more(long revision, ConfigurationStub.Route... routes) {
+        List<ConfigurationStub.Route> all = new ArrayList<>(s.papers.routes());
         all.addAll(List.of(routes));
         return s.papers.routes(all).with(revision);
     }
@@ -52,7 +52,7 @@
 
     @Test
     void sameTextAgainIsYesAtAnyLighthouse() {
-        Papers next = more(9, route("r-new", "/new/"));
+        ConfigurationStub next = more(9, route("r-new", "/new/"));
         assertEquals(200, s.put(next, 3, 0).status());
         assertEquals(200, s.put(more(20, route("r-other", "/other/")), 9, 1).status());
         for (int l = 0; l < 3; l++) {
@@ -63,15 +63,15 @@
 
     /** Refused with every fault, and nothing of it is ever in force; the same after the core was restarted. */
     @Test
-    void invalidOnesAreRefusedAndNeverInForce() throws Fault {
+    void invalidOnesAreRefusedAndNeverInForce() throws ServiceException {
         List<String> bad = List.of(
             s.papers.with(9).text().substring(0, 300),
             more(9, Shore.route("r-x", "/x/", "nobody", false)).text(),
             more(9, route("r-x", "/x/"), route("r-y", "/x/")).text(),
-            more(9, new Papers.Route("r-x", Shore.HOST, "/x/", "desk", 0, 3, false, 90, false)).text(),
+            more(9, new ConfigurationStub.Route("r-x", Shore.HOST, "/x/", "desk", 0, 3, false, 90, false)).text(),
             more(3, route("r-x", "/x/")).text(), more(2, route("r-x", "/x/")).text(),
-            more(9, route("r-x", "/x/")).tenants(List.of(new Papers.Tenant("a", List.of(Shore.KEY), 9, 9),
-                new Papers.Tenant("b", List.of(Shore.KEY), 9, 9))).text());
+            more(9, route("r-x", "/x/")).tenants(List.of(new ConfigurationStub.Tenant("a", List.of(Shore.KEY), 9, 9),
+                new ConfigurationStub.Tenant("b", List.of(Shore.KEY), 9, 9))).text());
         refused(bad);
         s.r.lighthouses.forEach(s.r::kill);
         s.run(500);
@@ -115,8 +115,8 @@
 
     @Test
     void routeIsFoundByHostAndTheLongestPrefix() {
-        Papers next = more(9, new Papers.Route("r-long", Shore.HOST, "/push/deep/", "desk", 1500, 3, false, 90, false),
-            new Papers.Route("r-host", "other.example", "/push/", "desk", 1500, 3, false, 90, true));
+        ConfigurationStub next = more(9, new ConfigurationStub.Route("r-long", Shore.HOST, "/push/deep/", "desk", 1500, 3, false, 90, false),
+            new ConfigurationStub.Route("r-host", "other.example", "/push/", "desk", 1500, 3, false, 90, true));
         assertEquals(200, s.put(next, 3, 0).status());
         s.run(3000);
         s.accepted("/push/deep/1", "deep", Map.of());
@@ -137,7 +137,7 @@
         assertEquals(401, s.send("/push/1", "b", Map.of("authorization", "Token wrong")).status());
         assertEquals(401, s.send("/push/1", "b", Map.of("authorization", "")).status());
         assertEquals(401, s.send("/push/1", "b", Map.of("authorization", "Bearer " + Shore.KEY)).status());
-        assertEquals(200, s.put(s.papers.with(9).tenants(List.of(new Papers.Tenant("tenant-a", List.of("fresh"), 200, 200))),
+        assertEquals(200, s.put(s.papers.with(9).tenants(List.of(new ConfigurationStub.Tenant("tenant-a", List.of("fresh"), 200, 200))),
             3, 0).status());
         s.run(3000);
         assertEquals(401, s.send("/push/1", "b", Map.of()).status());
--- a/trials/src/test/java/org/woadvale/trials/squall/DayTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/DayTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -7,13 +7,13 @@
 import java.util.List;
 
 import org.junit.jupiter.api.Test;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.runtime.ServiceException;
 
 /** The operators' stream of changes; more than the history keeps, so that old request ids are tried too. */
 class DayTest {
     /** Before: a request id older than the 256 layouts kept was answered with stale_base after its yes. */
     @Test
-    void everyChangeGetsAYesOrNoWithinSecondsAndRepeatsGetTheFirst() throws Fault {
+    void everyChangeGetsAYesOrNoWithinSecondsAndRepeatsGetTheFirst() throws ServiceException {
         Day d = new Day(1).run(Duration.ofMinutes(6), Duration.ofMillis(600), Duration.ofSeconds(40));
         assertEquals(List.of(), d.wrong(), d::toString);
         assertTrue(d.changes() > 500 && d.repeats() > 60, d.toString());
--- a/trials/src/test/java/org/woadvale/trials/squall/FairnessTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/FairnessTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -7,9 +7,9 @@
 import java.util.List;
 
 import org.junit.jupiter.api.Test;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.trials.buoy.Backend;
-import org.woadvale.trials.buoy.Scenery;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.testkit.stub.Backend;
+import org.woadvale.testkit.stub.TestConfiguration;
 
 /** One tenant's excess is its own trouble; fake-clock delays. */
 class FairnessTest {
@@ -21,15 +21,15 @@
 
     /** Before, with one line by due time: 7.2 s. */
     @Test
-    void slowProcessorsAreSharedFairly() throws Fault {
+    void slowProcessorsAreSharedFairly() throws ServiceException {
         served(Fairness.run(1, 120, new Backend.Manner(Duration.ofSeconds(2), 0, 0, 0), Duration.ZERO),
             Duration.ofMillis(5000));
     }
 
     /** Before, with retries of a whole lane in one bucket: 31.7 s. */
     @Test
-    void jobsThatCannotSucceedDoNotStarveOthers() throws Fault {
-        served(Fairness.run(1, 120, new Backend.Manner(Duration.ofMillis(300), 0.1, 0.85, 0, 0, Scenery.tenant(0)),
+    void jobsThatCannotSucceedDoNotStarveOthers() throws ServiceException {
+        served(Fairness.run(1, 120, new Backend.Manner(Duration.ofMillis(300), 0.1, 0.85, 0, 0, TestConfiguration.tenant(0)),
             Duration.ZERO), Duration.ofMillis(5000));
     }
 }
--- a/trials/src/test/java/org/woadvale/trials/squall/StormTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/FaultStormTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -7,13 +7,13 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.runtime.ServiceException;
 
 /**
  * Seeds that failed in a sweep stay here, with their cause. A storm's course changes with the code and with the set
  * of blows, so the causes are held by tests of their own as well.
  */
-class StormTest {
+class FaultStormTest {
     /**
      * 9: hand-ins that waited for a store outlived their passes and were accepted all at once (LateFramesTest).
      * 21, 28, 37: an unclear attempt ran again because a stale view was taken for "the processor is gone".
@@ -22,16 +22,16 @@
      */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 7, 9, 21, 28, 37, 115, 3110})
-    void nothingThatMustNeverHappenHappens(long seed) throws Fault {
-        Storm s = new Storm(seed);
+    void nothingThatMustNeverHappenHappens(long seed) throws ServiceException {
+        FaultStorm s = new FaultStorm(seed);
         List<String> bad = s.run();
         assertEquals(List.of(), bad, () -> "blows: " + s.log());
     }
 
     @Test
-    void norAtTheDeploymentsSizes() throws Fault {
-        for (Storm.Size size : List.of(Storm.Size.LANKAVIDYA, Storm.Size.ROTTERDAM)) {
-            Storm s = new Storm(1, size);
+    void norAtTheDeploymentsSizes() throws ServiceException {
+        for (FaultStorm.Size size : List.of(FaultStorm.Size.LANKAVIDYA, FaultStorm.Size.ROTTERDAM)) {
+            FaultStorm s = new FaultStorm(1, size);
             List<String> bad = s.run();
             assertEquals(List.of(), bad, () -> size + " blows: " + s.log());
         }
--- a/trials/src/test/java/org/woadvale/trials/squall/FetchTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/FetchTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -8,13 +8,13 @@
 import java.util.List;
 
 import org.junit.jupiter.api.Test;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.trials.buoy.Scenery;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.testkit.stub.TestConfiguration;
 
 /** Processors that fetch: lost answers, crashes. */
 class FetchTest {
-    private static Voyage fetching(long seed) throws Fault {
-        Voyage v = new Voyage(seed, 2, 3, 0, new Scenery(2, 1, 20, 30, 26), World.LARGE_RING).embark();
+    private static FleetSimulation fetching(long seed) throws ServiceException {
+        FleetSimulation v = new FleetSimulation(seed, 2, 3, 0, new TestConfiguration(2, 1, 20, 30, 26), World.LARGE_RING).embark();
         v.list("f0", false);
         v.list("f1", false);
         v.w.sim.run(Duration.ofSeconds(1));
@@ -23,9 +23,9 @@
 
     /** Before fetches had ids: a message whose fetch was answered into the void stayed unclear and failed. */
     @Test
-    void fetchWhoseAnswerWasLostIsRepeatedForTheSameAttempts() throws Fault {
+    void fetchWhoseAnswerWasLostIsRepeatedForTheSameAttempts() throws ServiceException {
         for (long seed = 1; seed <= 2; seed++) {
-            Voyage v = fetching(seed);
+            FleetSimulation v = fetching(seed);
             List.of("f0", "f1").forEach(f -> v.fetcher(f).behave(Duration.ofMillis(20), 0.4));
             v.traffic(10);
             v.w.sim.run(Duration.ofSeconds(8));
@@ -37,8 +37,8 @@
     }
 
     @Test
-    void whatACrashedFetcherHadEndsAsUnclear() throws Fault {
-        Voyage v = fetching(3);
+    void whatACrashedFetcherHadEndsAsUnclear() throws ServiceException {
+        FleetSimulation v = fetching(3);
         v.fetcher("f0").behave(Duration.ofSeconds(2), 0);
         v.traffic(10);
         v.w.sim.run(Duration.ofSeconds(4));
--- a/trials/src/test/java/org/woadvale/trials/squall/HttpPostTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/HttpDeliveryClientTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -9,24 +9,24 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.junit.jupiter.api.Test;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.pilot.launch.HttpPost;
-import org.woadvale.pilot.launch.Post;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.dataplane.delivery.HttpDeliveryClient;
+import org.woadvale.dataplane.delivery.DeliveryClient;
 
 /** The real client against a back end that says odd things: design 9.3, docs/platform.md 5. */
-class HttpPostTest {
+class HttpDeliveryClientTest {
     private static final Duration LIMIT = Duration.ofMillis(1500);
-    private final HttpPost post = new HttpPost();
+    private final HttpDeliveryClient post = new HttpDeliveryClient();
 
-    private static Post.Call call(Peer p, String id, Duration limit) {
-        return new Post.Call("POST", p.address() + "/x?y=1", Map.of("X-Attempt-Id", id, "Content-Length", "2"),
+    private static DeliveryClient.Call call(Peer p, String id, Duration limit) {
+        return new DeliveryClient.Call("POST", p.address() + "/x?y=1", Map.of("X-Attempt-Id", id, "Content-Length", "2"),
             new byte[] {'h', 'i'}, limit, () -> true, Map.of("x-attempt-id", id));
     }
 
     private String said(Peer p, String id) {
         return post.send(call(p, id, LIMIT)).map(r -> r.status() + " " + r.headers().get("x-attempt-id") + " "
-            + new String(r.body())).onErrorResume(e -> reactor.core.publisher.Mono.just(Fault.of(e).kind().name())).block();
+            + new String(r.body())).onErrorResume(e -> reactor.core.publisher.Mono.just(ServiceException.of(e).kind().name())).block();
     }
 
     private static Peer.Said open(String text) {
@@ -106,7 +106,7 @@
         try (Peer p = new Peer((c, n, head) -> open(""))) {
             long from = System.nanoTime();
             ErrorKind kind = post.send(call(p, "a", Duration.ofMillis(300))).map(r -> ErrorKind.CONFLICT)
-                .onErrorResume(e -> reactor.core.publisher.Mono.just(Fault.of(e).kind())).block();
+                .onErrorResume(e -> reactor.core.publisher.Mono.just(ServiceException.of(e).kind())).block();
             assertEquals(ErrorKind.UNKNOWN_OUTCOME, kind);
             assertTrue(System.nanoTime() - from < 5_000_000_000L);
         }
--- a/trials/src/test/java/org/woadvale/trials/squall/LastLookTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/LastLookTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -12,13 +12,13 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.junit.jupiter.api.Test;
-import org.woadvale.foundation.gate.Answer;
-import org.woadvale.foundation.gate.Gate;
-import org.woadvale.foundation.lantern.ErrorKind;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.pilot.launch.HttpPost;
-import org.woadvale.pilot.launch.Post;
-import org.woadvale.trials.harbour.Fleet;
+import org.woadvale.common.http.Answer;
+import org.woadvale.common.http.HttpGateway;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.dataplane.delivery.HttpDeliveryClient;
+import org.woadvale.dataplane.delivery.DeliveryClient;
+import org.woadvale.testkit.cluster.Fleet;
 
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
@@ -32,7 +32,7 @@
         CountDownLatch full = new CountDownLatch(64);
         Sinks.One<Answer> answer = Sinks.one();
         String address = Fleet.free();
-        Gate g = new Gate(address, 1 << 16, q -> {
+        HttpGateway g = new HttpGateway(address, 1 << 16, q -> {
             arrived.incrementAndGet();
             full.countDown();
             return answer.asMono();
@@ -40,12 +40,12 @@
         g.start();
         try {
             AtomicBoolean may = new AtomicBoolean(true);
-            HttpPost post = new HttpPost();
+            HttpDeliveryClient post = new HttpDeliveryClient();
             List<Mono<ErrorKind>> all = new ArrayList<>();
             for (int i = 0; i < 80; i++) {
-                all.add(post.send(new Post.Call("POST", "http://" + address + "/messages", new byte[] {'{', '}'},
+                all.add(post.send(new DeliveryClient.Call("POST", "http://" + address + "/messages", new byte[] {'{', '}'},
                     Duration.ofSeconds(20), may::get)).map(r -> ErrorKind.CONFLICT)
-                    .onErrorResume(e -> Mono.just(Fault.of(e).kind())).cache());
+                    .onErrorResume(e -> Mono.just(ServiceException.of(e).kind())).cache());
             }
             all.forEach(Mono::subscribe);
             assertTrue(full.await(30, TimeUnit.SECONDS), "64 must arrive, " + arrived.get() + " did");
--- a/trials/src/test/java/org/woadvale/trials/squall/LateFramesTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/LateFramesTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -7,17 +7,17 @@
 import java.util.List;
 
 import org.junit.jupiter.api.Test;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.runtime.ServiceException;
 
 /** A stream that stalls delivers its frames late, all at once, long after those who sent them have given up. */
 class LateFramesTest {
     /** The stream stalls 1 to 6 ms after the first request. Before: marks were undone, and work went on. */
     @Test
-    void lateChangeOfAListDoesNotUndoALeavingMark() throws Fault {
-        Voyage v = new Voyage(1, 2, 3, 14).embark();
+    void lateChangeOfAListDoesNotUndoALeavingMark() throws ServiceException {
+        FleetSimulation v = new FleetSimulation(1, 2, 3, 14).embark();
         v.traffic(20);
         v.w.sim.run(Duration.ofSeconds(2));
-        String part = org.woadvale.foundation.watch.Places.controlPart("service/" + Voyage.service(0));
+        String part = org.woadvale.common.membership.ServiceNames.controlPart("service/" + FleetSimulation.service(0));
         String owner = v.w.lighthouses.stream().filter(l -> v.w.lamp(l).replica(part).mayAct()).findFirst().orElseThrow();
         String asked = v.w.lighthouses.stream().filter(l -> !l.equals(owner)).findFirst().orElseThrow();
         for (int k = 1; k <= 6; k++) {
--- a/trials/src/test/java/org/woadvale/trials/squall/LeasesTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/LeasesTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -8,14 +8,14 @@
 import java.util.Map;
 
 import org.junit.jupiter.api.Test;
-import org.woadvale.foundation.gate.Answer;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.http.Answer;
+import org.woadvale.common.runtime.ServiceException;
 
 /** Fetched work is held by a lease: design 9.10. */
 class LeasesTest {
-    private static final long LEASE_MS = Roads.LEASE.toMillis();
+    private static final long LEASE_MS = NetworkSimulation.LEASE.toMillis();
 
-    private static Shore withOne(long seed) throws Fault {
+    private static Shore withOne(long seed) throws ServiceException {
         Shore s = new Shore(seed, 1);
         s.accepted("/pull/x?y=1", "bytes", Map.of());
         return s;
@@ -26,7 +26,7 @@
     }
 
     @Test
-    void jobCarriesTheRequestAsItArrived() throws Fault {
+    void jobCarriesTheRequestAsItArrived() throws ServiceException {
         Shore s = withOne(1);
         Answer a = s.pull("i-1", 1000);
         assertEquals("200 POST /pull/x?y=1 tenant-a bytes", a.status() + " " + a.headers().get("X-Job-Method") + " "
@@ -38,7 +38,7 @@
 
     /** Not sooner than a lease after the last word, and not much later. */
     @Test
-    void silentLeaseIsHandedAgainAndNotSooner() throws Fault {
+    void silentLeaseIsHandedAgainAndNotSooner() throws ServiceException {
         Shore s = withOne(2);
         Answer first = s.pull("i-1", 1000);
         Duration given = s.r.sim.now();
@@ -50,7 +50,7 @@
     }
 
     @Test
-    void eachExtensionCountsAnew() throws Fault {
+    void eachExtensionCountsAnew() throws ServiceException {
         Shore s = withOne(3);
         Answer first = s.pull("i-1", 1000);
         for (int i = 0; i < 4; i++) {
@@ -63,7 +63,7 @@
     }
 
     @Test
-    void endIsTakenOnceAndSaidAgainHasTheSameAnswer() throws Fault {
+    void endIsTakenOnceAndSaidAgainHasTheSameAnswer() throws ServiceException {
         Shore s = withOne(4);
         Answer a = s.pull("i-1", 1000);
         assertEquals(200, s.end(a, 200));
@@ -72,7 +72,7 @@
     }
 
     @Test
-    void olderLeaseIsGoneAfterANewerOne() throws Fault {
+    void olderLeaseIsGoneAfterANewerOne() throws ServiceException {
         Shore s = withOne(5);
         Answer old = s.pull("i-1", 1000);
         Answer fresh = s.pull("i-2", 10_000);
@@ -85,7 +85,7 @@
     }
 
     @Test
-    void unknownLeaseIsGone() throws Fault {
+    void unknownLeaseIsGone() throws ServiceException {
         Shore s = withOne(6);
         for (String word : new String[] {"m0-99.1", "nonsense", "m7-1.1.1", "m999-1.1"}) {
             Map<String, String> h = Map.of("x-lease-id", word, "x-job-outcome", "200", "x-server-seal", "s");
@@ -96,7 +96,7 @@
 
     /** The predecessor's last word is not known to the new owner: it counts from when it took over. */
     @Test
-    void newOwnerCountsFromTakingOver() throws Fault {
+    void newOwnerCountsFromTakingOver() throws ServiceException {
         Shore s = withOne(7);
         Answer a = s.pull("i-1", 1000);
         s.run(1500);
@@ -112,7 +112,7 @@
 
     /** An end that was taken by an owner that is gone has the same answer from its successor. */
     @Test
-    void takenEndIsRememberedAcrossOwners() throws Fault {
+    void takenEndIsRememberedAcrossOwners() throws ServiceException {
         Shore s = withOne(8);
         Answer a = s.pull("i-1", 1000);
         assertEquals(200, s.end(a, 200));
@@ -122,7 +122,7 @@
     }
 
     @Test
-    void workGivenBackUnrunCountsAsNoAttempt() throws Fault {
+    void workGivenBackUnrunCountsAsNoAttempt() throws ServiceException {
         Shore s = withOne(9);
         for (int i = 0; i < 6; i++) {
             Answer a = s.pull("i-1", 5000);
@@ -134,7 +134,7 @@
     }
 
     @Test
-    void failedAttemptsAreCountedAndThenItIsDead() throws Fault {
+    void failedAttemptsAreCountedAndThenItIsDead() throws ServiceException {
         Shore s = new Shore(10, 1);
         String handle = s.accepted("/pull/x", "poison", Map.of());
         for (int i = 0; i < 3; i++) {
@@ -149,7 +149,7 @@
     }
 
     @Test
-    void lapsedLeasesCountAsNoAttempt() throws Fault {
+    void lapsedLeasesCountAsNoAttempt() throws ServiceException {
         Shore s = new Shore(11, 1);
         String handle = s.accepted("/pull/x", "body", Map.of());
         for (int i = 0; i < 5; i++) {
@@ -163,7 +163,7 @@
 
     /** The next of the key waits while the first is held, and while its lease lapses. */
     @Test
-    void orderedMessageKeepsItsPlaceWhileItsLeaseLapses() throws Fault {
+    void orderedMessageKeepsItsPlaceWhileItsLeaseLapses() throws ServiceException {
         Shore s = new Shore(12, 1);
         Map<String, String> key = Map.of("x-order-key", "k");
         s.accepted("/turn/x", "first", key);
--- a/trials/src/test/java/org/woadvale/trials/squall/NeverSteps.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/NeverSteps.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -7,8 +7,8 @@
 import java.util.List;
 import java.util.Map;
 
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.trials.buoy.Scenery;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.testkit.stub.TestConfiguration;
 
 import io.cucumber.java.en.Given;
 import io.cucumber.java.en.Then;
@@ -17,13 +17,13 @@
 /** The steps of the features, on a simulated fleet with a fixed seed. */
 public class NeverSteps {
     private static final long SEED = 42;
-    private Voyage v;
-    private Head head;
+    private FleetSimulation v;
+    private HeadOffice head;
 
     @Given("a fleet of {int} intakes and {int} stores under {int} messages a second")
-    public void fleet(int intakes, int stores, int perSecond) throws Fault {
-        v = new Voyage(SEED, intakes, stores, 4).embark();
-        head = new Head(v);
+    public void fleet(int intakes, int stores, int perSecond) throws ServiceException {
+        v = new FleetSimulation(SEED, intakes, stores, 4).embark();
+        head = new HeadOffice(v);
         v.traffic(perSecond);
         v.w.sim.run(Duration.ofSeconds(4));
     }
@@ -40,7 +40,7 @@
 
     @When("the holder of an allowance is killed")
     public void killHolder() {
-        String holder = v.w.intakes.stream().filter(i -> v.w.pilot(i).holds().contains("tenant/" + Scenery.tenant(0)))
+        String holder = v.w.intakes.stream().filter(i -> v.w.pilot(i).holds().contains("tenant/" + TestConfiguration.tenant(0)))
             .findFirst().orElseThrow();
         v.w.kill(holder);
     }
@@ -67,7 +67,7 @@
     }
 
     @When("everything loses power and is restarted")
-    public void outage() throws Fault {
+    public void outage() throws ServiceException {
         v.w.all().forEach(h -> v.w.host(h).powerLoss());
         v.w.sim.run(Duration.ofSeconds(1));
         for (String h : v.w.all()) {
@@ -106,7 +106,7 @@
     }
 
     @When("all is healed")
-    public void heal() throws Fault {
+    public void heal() throws ServiceException {
         v.w.net.heal();
         v.w.post.answerLoss(0);
         for (String h : v.w.all()) {
--- a/trials/src/test/java/org/woadvale/trials/squall/PairsTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/PairsTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -9,7 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.runtime.ServiceException;
 
 /** Each never-line fails without the mechanism that keeps it, and holds with it. */
 class PairsTest {
@@ -19,7 +19,7 @@
 
     @ParameterizedTest(name = "line {0}")
     @MethodSource("pairs")
-    void lineHoldsAndBreaksWithoutItsMechanism(Pairs.Pair p) throws Fault {
+    void lineHoldsAndBreaksWithoutItsMechanism(Pairs.Pair p) throws ServiceException {
         for (long seed = 1; seed <= 2; seed++) {
             assertEquals(List.of(), p.shipped(seed), p.failure);
         }
--- a/trials/src/test/java/org/woadvale/trials/squall/StraitsTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/PlatformScenariosTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -7,17 +7,17 @@
 
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.runtime.ServiceException;
 
 /** As shipped nothing is broken; without the one mechanism that keeps it, the rule is. */
-class StraitsTest {
-    static List<Straits.Pair> pairs() {
-        return Straits.all();
+class PlatformScenariosTest {
+    static List<PlatformScenarios.Pair> pairs() {
+        return PlatformScenarios.all();
     }
 
     @ParameterizedTest
     @MethodSource("pairs")
-    void shippedHoldsAndWithoutItsMechanismTheRuleBreaks(Straits.Pair p) throws Fault {
+    void shippedHoldsAndWithoutItsMechanismTheRuleBreaks(PlatformScenarios.Pair p) throws ServiceException {
         assertEquals(List.of(), p.shipped(1), p.failure);
         List<String> broken = p.brokenWithout(1);
         assertTrue(broken.contains(p.rule), p.failure + " without " + p.leftOut + ": " + broken);
--- a/trials/src/test/java/org/woadvale/trials/squall/PassageTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/PlatformSimulationTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -7,13 +7,13 @@
 import java.util.List;
 
 import org.junit.jupiter.api.Test;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.runtime.ServiceException;
 
 /** The whole stand-in of the platform around a fleet, without trouble. */
-class PassageTest {
+class PlatformSimulationTest {
     @Test
-    void calmDayBreaksNoRuleAndServesAll() throws Fault {
-        Passage p = new Passage(1, 3, 3, Seams.none()).embark();
+    void calmDayBreaksNoRuleAndServesAll() throws ServiceException {
+        PlatformSimulation p = new PlatformSimulation(1, 3, 3, Seams.none()).embark();
         p.traffic(30);
         p.roads.sim.run(Duration.ofSeconds(6));
         p.office.change();
--- a/trials/src/test/java/org/woadvale/trials/squall/RollTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/ProcessorRegistryTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -7,26 +7,26 @@
 import java.util.Map;
 
 import org.junit.jupiter.api.Test;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.foundation.watch.Places;
-import org.woadvale.foundation.watch.ServiceView;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.membership.ServiceNames;
+import org.woadvale.common.membership.ServiceView;
 
 import reactor.core.publisher.Mono;
 
 /** One lighthouse reads the list for all: design 6.7. */
-class RollTest {
-    private static final String KEY = Places.processors("book");
+class ProcessorRegistryTest {
+    private static final String KEY = ServiceNames.processors("book");
     private static final String AT = "10.9.0.1:8080";
 
     private static ServiceView view(Shore s) {
-        String part = Places.controlPart(KEY);
+        String part = ServiceNames.controlPart(KEY);
         String owner = s.r.lighthouses.stream().filter(l -> s.r.host(l).alive() && s.r.lamp(l).replica(part).mayAct())
             .findFirst().orElseThrow();
         return s.r.lamp(owner).replica(part).look(i -> s.r.lamp(owner).machine(part).service(KEY));
     }
 
     @Test
-    void wholeListIsTakenFromAllPagesAndWrittenOnlyWhereItDiffers() throws Fault {
+    void wholeListIsTakenFromAllPagesAndWrittenOnlyWhereItDiffers() throws ServiceException {
         Shore s = new Shore(1, 1);
         for (int i = 0; i < 8; i++) {
             s.roster.put("i-" + i, i % 2 == 0 ? "book" : "same", "10.9.0." + i + ":8080", 4, "ready");
@@ -48,7 +48,7 @@
     }
 
     @Test
-    void fleetAsksNoOftenerThanOneReaderDoes() throws Fault {
+    void fleetAsksNoOftenerThanOneReaderDoes() throws ServiceException {
         Shore s = new Shore(2, 2);
         s.run(2000);
         int before = s.roster.calls();
@@ -60,7 +60,7 @@
 
     /** What is being read stays in force while the list cannot be had. */
     @Test
-    void listThatIsDownChangesNothing() throws Fault {
+    void listThatIsDownChangesNothing() throws ServiceException {
         Shore s = new Shore(3, 1);
         s.processor("i-1", "book", AT, q -> Mono.just(Shore.done(q)));
         s.roster.down(true);
@@ -72,7 +72,7 @@
     }
 
     @Test
-    void nextOwnerOfTheLayoutsPartReadsOn() throws Fault {
+    void nextOwnerOfTheLayoutsPartReadsOn() throws ServiceException {
         Shore s = new Shore(4, 1);
         String owner = s.r.lighthouses.stream().filter(l -> s.r.lamp(l).replica("c0").mayAct()).findFirst().orElseThrow();
         s.r.kill(owner);
@@ -82,7 +82,7 @@
     }
 
     @Test
-    void drainingProcessorGetsNothingMore() throws Fault {
+    void drainingProcessorGetsNothingMore() throws ServiceException {
         Shore s = new Shore(5, 1);
         s.processor("i-1", "book", AT, q -> Mono.just(Shore.done(q)));
         s.accepted("/push/x", "b", Map.of());
@@ -102,7 +102,7 @@
 
     /** Another service may take the address of one that is gone: its id is no more the one that is expected. */
     @Test
-    void reusedAddressIsToldWhoIsExpected() throws Fault {
+    void reusedAddressIsToldWhoIsExpected() throws ServiceException {
         Shore s = new Shore(6, 1);
         s.processor("i-1", "book", AT, q -> Mono.just(Shore.done(q)));
         s.accepted("/push/x", "b", Map.of());
--- a/trials/src/test/java/org/woadvale/trials/squall/RateTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/RateTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -8,18 +8,18 @@
 import java.util.function.Consumer;
 
 import org.junit.jupiter.api.Test;
-import org.woadvale.foundation.chart.Layout;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.trials.buoy.Edit;
-import org.woadvale.trials.buoy.Scenery;
-import org.woadvale.trials.buoy.Sightings;
+import org.woadvale.common.config.Configuration;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.testkit.stub.Edit;
+import org.woadvale.testkit.stub.TestConfiguration;
+import org.woadvale.testkit.stub.Observations;
 
 /** An outside endpoint under more work than its rate, while what paces it changes. */
 class RateTest {
-    private static final String ENDPOINT = Scenery.endpoint(0);
+    private static final String ENDPOINT = TestConfiguration.endpoint(0);
 
-    private static List<String> under(long seed, Consumer<Voyage> change) throws Fault {
-        Voyage v = new Voyage(seed, 3, 3, 2, new Scenery(3, 1, 60, 60, 26), World.LARGE_RING).embark();
+    private static List<String> under(long seed, Consumer<FleetSimulation> change) throws ServiceException {
+        FleetSimulation v = new FleetSimulation(seed, 3, 3, 2, new TestConfiguration(3, 1, 60, 60, 26), World.LARGE_RING).embark();
         for (int ms = 0; ms < 12000; ms += 20) {
             v.w.sim.after(Duration.ofMillis(ms), () -> v.check(0));
         }
@@ -29,13 +29,13 @@
         return v.violations();
     }
 
-    private static String holder(Voyage v) {
+    private static String holder(FleetSimulation v) {
         return v.w.intakes.stream().filter(i -> v.w.pilot(i).holds().stream().anyMatch(b -> b.startsWith("endpoint/")))
             .findFirst().orElseThrow();
     }
 
     /** The holder and one store are out of touch with everyone who could tell them, but not with each other. */
-    private static void keepInTheDark(Voyage v) {
+    private static void keepInTheDark(FleetSimulation v) {
         String holder = holder(v);
         String store = v.w.stores.get(0);
         v.w.net.cutOff(holder);
@@ -47,11 +47,11 @@
 
     /** Before: the bucket went by the service's name, and two of them were granted from for up to 2 s. */
     @Test
-    void renamedServiceKeepsItsEndpointsBucket() throws Fault {
+    void renamedServiceKeepsItsEndpointsBucket() throws ServiceException {
         for (long seed = 1; seed <= 1; seed++) {
             assertEquals(List.of(), under(seed, v -> {
                 keepInTheDark(v);
-                Layout renamed = Edit.services(v.layout, m -> m.put("renamed", m.remove(ENDPOINT)));
+                Configuration renamed = Edit.services(v.layout, m -> m.put("renamed", m.remove(ENDPOINT)));
                 v.put(Edit.lanes(renamed, m -> m.put("check0", Edit.service(m.get("check0"), "renamed"))), v.version,
                     "rename", a -> assertEquals(200, a.status()));
             }));
@@ -59,16 +59,16 @@
     }
 
     @Test
-    void loweredRateIsKeptAfterThreeSeconds() throws Fault {
+    void loweredRateIsKeptAfterThreeSeconds() throws ServiceException {
         assertEquals(List.of(), under(1, v -> {
             Duration sent = v.w.sim.now();
             v.put(Edit.services(v.layout, m -> m.put(ENDPOINT, Edit.rate(m.get(ENDPOINT), 8))), v.version, "lower",
-                a -> v.w.seen.paced(ENDPOINT, new Sightings.Limit(8, 0, sent, v.w.sim.now())));
+                a -> v.w.seen.paced(ENDPOINT, new Observations.Limit(8, 0, sent, v.w.sim.now())));
         }));
     }
 
     @Test
-    void changeOfHolderKeepsTheRate() throws Fault {
+    void changeOfHolderKeepsTheRate() throws ServiceException {
         for (long seed = 1; seed <= 1; seed++) {
             assertEquals(List.of(), under(seed, v -> {
                 String holder = holder(v);
--- a/trials/src/test/java/org/woadvale/trials/squall/RepairTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/RepairTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -10,25 +10,25 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.junit.jupiter.api.Test;
-import org.woadvale.foundation.chart.Charts;
-import org.woadvale.foundation.gate.Request;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.config.Configurations;
+import org.woadvale.common.http.Request;
+import org.woadvale.common.runtime.ServiceException;
 
 /** What is lost for good is replaced, with traffic going on. */
 class RepairTest {
-    private static void ended(Voyage v) {
+    private static void ended(FleetSimulation v) {
         assertTrue(v.settle(Duration.ofSeconds(120)), "open: " + v.firstOpen());
         assertEquals(List.of(), v.violations());
     }
 
-    private static boolean allParts(Voyage v, String store, boolean seated) {
+    private static boolean allParts(FleetSimulation v, String store, boolean seated) {
         return v.w.stores.stream().filter(s -> v.w.host(s).alive()).allMatch(s ->
             v.w.pilot(s).groups().values().stream().allMatch(g -> g.contains(store) == seated));
     }
 
     @Test
-    void fourthStoreTakesThePlaceOfALostOne() throws Fault {
-        Voyage v = new Voyage(3, 3, 3, 4).embark();
+    void fourthStoreTakesThePlaceOfALostOne() throws ServiceException {
+        FleetSimulation v = new FleetSimulation(3, 3, 3, 4).embark();
         v.traffic(20);
         v.w.sim.run(Duration.ofSeconds(5));
         String lost = v.w.stores.get(0);
@@ -46,8 +46,8 @@
 
     /** Before: a store that merely joined got nothing. Its hall has another, so it shares that one's copies only. */
     @Test
-    void storeThatJoinsGetsItsShareAndThenAllIsQuiet() throws Fault {
-        Voyage v = new Voyage(9, 3, 3, 4).embark();
+    void storeThatJoinsGetsItsShareAndThenAllIsQuiet() throws ServiceException {
+        FleetSimulation v = new FleetSimulation(9, 3, 3, 4).embark();
         v.traffic(20);
         v.w.sim.run(Duration.ofSeconds(5));
         String fresh = v.w.newStore();
@@ -64,14 +64,14 @@
         ended(v);
     }
 
-    private static long terms(Voyage v) {
-        return org.woadvale.foundation.watch.Places.messageParts().stream()
+    private static long terms(FleetSimulation v) {
+        return org.woadvale.common.membership.ServiceNames.messageParts().stream()
             .mapToLong(p -> v.w.stores.stream().mapToLong(s -> v.w.pilot(s).term(p)).max().orElse(0)).sum();
     }
 
     @Test
-    void shortAbsenceOfAStoreMovesNothing() throws Fault {
-        Voyage v = new Voyage(4, 3, 4, 4).embark();
+    void shortAbsenceOfAStoreMovesNothing() throws ServiceException {
+        FleetSimulation v = new FleetSimulation(4, 3, 4, 4).embark();
         v.traffic(20);
         v.w.sim.run(Duration.ofSeconds(5));
         Map<String, ?> before = v.w.pilot(v.w.stores.get(1)).groups();
@@ -84,14 +84,14 @@
     }
 
     @Test
-    void lostLighthouseIsReplacedByAnother() throws Fault {
-        Voyage v = new Voyage(5, 3, 3, 4).embark();
+    void lostLighthouseIsReplacedByAnother() throws ServiceException {
+        FleetSimulation v = new FleetSimulation(5, 3, 3, 4).embark();
         v.traffic(20);
         v.w.kill(v.w.lighthouses.get(0));
         String spare = v.w.newLighthouse();
         List<String> wanted = List.of(v.w.lighthouses.get(1), v.w.lighthouses.get(2), spare);
         AtomicInteger status = new AtomicInteger();
-        v.operate(new Request("PUT", "/v1/core", Map.of(), Charts.write(Map.of("lighthouses", wanted))),
+        v.operate(new Request("PUT", "/v1/core", Map.of(), Configurations.write(Map.of("lighthouses", wanted))),
             a -> status.set(a.status()));
         assertTrue(v.w.sim.runUntil(() -> status.get() == 200 && v.w.lamp(spare).lighthouses().equals(
             wanted.stream().sorted().toList()), Duration.ofSeconds(60)), "not seated: " + v.w.lamp(spare).lighthouses());
@@ -105,11 +105,11 @@
 
     /** Before: 503 at once, and the operator had to come back. */
     @Test
-    void layoutPutRightAfterTheLossOfItsOwnerGetsAClearYes() throws Fault {
-        Voyage v = new Voyage(8, 3, 3, 4).embark();
+    void layoutPutRightAfterTheLossOfItsOwnerGetsAClearYes() throws ServiceException {
+        FleetSimulation v = new FleetSimulation(8, 3, 3, 4).embark();
         v.w.kill(v.w.lighthouses.get(0));
         List<Integer> answers = new java.util.ArrayList<>();
-        byte[] json = Charts.write(v.layout);
+        byte[] json = Configurations.write(v.layout);
         v.w.request(v.w.lighthouses.get(1), new Request("PUT", "/v1/layout", Map.of("if-match", "1", "x-request-id", "now"),
             json), Duration.ofSeconds(5), a -> answers.add(a.map(x -> x.status()).orElse(0)));
         v.w.sim.run(Duration.ofSeconds(6));
@@ -118,24 +118,24 @@
 
     /** Before, when restarted holders of buckets waited for their own claims to lapse: 5.6 to 6.2 s. */
     @Test
-    void fullOutageIsOverWithinItsBudget() throws Fault {
-        Duration took = Measure.outage(1, 8, 3, new org.woadvale.trials.buoy.Scenery(8, 4, 45, 60, 26));
+    void fullOutageIsOverWithinItsBudget() throws ServiceException {
+        Duration took = Measure.outage(1, 8, 3, new org.woadvale.testkit.stub.TestConfiguration(8, 4, 45, 60, 26));
         assertTrue(took.compareTo(Duration.ofMillis(5000)) < 0, "first acceptance after " + took);
     }
 
     @Test
-    void twoLighthousesAtOnceAreRefused() throws Fault {
-        Voyage v = new Voyage(6, 3, 3, 4).embark();
+    void twoLighthousesAtOnceAreRefused() throws ServiceException {
+        FleetSimulation v = new FleetSimulation(6, 3, 3, 4).embark();
         AtomicInteger status = new AtomicInteger();
-        v.operate(new Request("PUT", "/v1/core", Map.of(), Charts.write(Map.of("lighthouses",
+        v.operate(new Request("PUT", "/v1/core", Map.of(), Configurations.write(Map.of("lighthouses",
             List.of(v.w.lighthouses.get(0), "10.9.9.1:1", "10.9.9.2:1")))), a -> status.set(a.status()));
         v.w.sim.run(Duration.ofSeconds(2));
         assertEquals(409, status.get());
     }
 
     @Test
-    void ownersSpreadAgainAfterARollingRestart() throws Fault {
-        Voyage v = new Voyage(7, 3, 3, 4).embark();
+    void ownersSpreadAgainAfterARollingRestart() throws ServiceException {
+        FleetSimulation v = new FleetSimulation(7, 3, 3, 4).embark();
         v.traffic(20);
         for (String s : v.w.stores) {
             v.w.pilot(s).drain();
--- a/trials/src/test/java/org/woadvale/trials/squall/ResendTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/ResendTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -8,9 +8,9 @@
 import java.util.Map;
 
 import org.junit.jupiter.api.Test;
-import org.woadvale.foundation.gate.Answer;
-import org.woadvale.foundation.gate.Request;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.http.Answer;
+import org.woadvale.common.http.Request;
+import org.woadvale.common.runtime.ServiceException;
 
 import reactor.core.publisher.Mono;
 
@@ -28,7 +28,7 @@
     }
 
     @Test
-    void unclearAttemptIsSentAgainAfterItsDeadlineOnly() throws Fault {
+    void unclearAttemptIsSentAgainAfterItsDeadlineOnly() throws ServiceException {
         Shore s = new Shore(1, 1);
         s.processor("i-1", "book", AT, q -> silenceUntil(s, 2, q));
         String handle = s.accepted("/push/x", "b", Map.of());
@@ -40,7 +40,7 @@
 
     /** The back end gives a repeat its first success again, so nothing is waited for. */
     @Test
-    void unclearAnswerOfAServiceThatDedupesIsSentAgainAtOnce() throws Fault {
+    void unclearAnswerOfAServiceThatDedupesIsSentAgainAtOnce() throws ServiceException {
         Shore s = new Shore(2, 1);
         s.processor("i-1", "same", AT, q -> Mono.just(s.got.size() < 3 ? Shore.answer(q, 502) : Shore.done(q)));
         s.accepted("/dedup/x", "b", Map.of());
@@ -50,7 +50,7 @@
     }
 
     @Test
-    void unclearAttemptsAndSuchThatWereNotRunCountAsNoTries() throws Fault {
+    void unclearAttemptsAndSuchThatWereNotRunCountAsNoTries() throws ServiceException {
         Shore s = new Shore(3, 1);
         s.processor("i-1", "same", AT, q -> {
             int n = s.got.size();
@@ -64,7 +64,7 @@
     }
 
     @Test
-    void answers500CountAndTheThirdEndsIt() throws Fault {
+    void answers500CountAndTheThirdEndsIt() throws ServiceException {
         Shore s = new Shore(4, 1);
         s.processor("i-1", "book", AT, q -> Mono.just(Shore.answer(q, 500)));
         String handle = s.accepted("/push/x", "poison", Map.of());
@@ -74,7 +74,7 @@
     }
 
     @Test
-    void nextOfTheKeyWaitsWhileTheFirstIsUnclear() throws Fault {
+    void nextOfTheKeyWaitsWhileTheFirstIsUnclear() throws ServiceException {
         Shore s = new Shore(5, 1);
         s.processor("i-1", "book", AT, q -> silenceUntil(s, 3, q));
         Map<String, String> key = Map.of("x-order-key", "k");
@@ -87,7 +87,7 @@
 
     /** The new owner waits for the attempt's deadline too; then it is run again, once. */
     @Test
-    void newOwnerSendsAgainWhatItsPredecessorHadUnderWay() throws Fault {
+    void newOwnerSendsAgainWhatItsPredecessorHadUnderWay() throws ServiceException {
         Shore s = new Shore(6, 1);
         s.processor("i-1", "book", AT, q -> silenceUntil(s, 2, q));
         String handle = s.accepted("/push/x", "b", Map.of());
@@ -101,7 +101,7 @@
 
     /** A planned hand-over while a processor works: its answer is recorded with the new owner, and nothing runs twice. */
     @Test
-    void handOverDuringARunDoesNotRunItTwice() throws Fault {
+    void handOverDuringARunDoesNotRunItTwice() throws ServiceException {
         Shore s = new Shore(7, 1);
         s.processor("i-1", "book", AT, q -> Mono.create(sink -> s.r.sim.after(Duration.ofMillis(1000),
             () -> sink.success(Shore.done(q)))));
@@ -116,7 +116,7 @@
     }
 
     @Test
-    void deliveryIsTheRequestAsItArrived() throws Fault {
+    void deliveryIsTheRequestAsItArrived() throws ServiceException {
         Shore s = new Shore(8, 1);
         s.processor("i-1", "book", AT, q -> Mono.just(Shore.done(q)));
         s.accepted("/order/x?y=%20z", "bytes", Map.of("x-order-key", "k", "x-attempt-id", "mine", "content-type", "a/b"));
@@ -132,7 +132,7 @@
 
     /** A failed message keeps its body, a done one does not; what is not there and what is another's look alike. */
     @Test
-    void failedMessagesKeepTheirBodiesAndDoneOnesDoNot() throws Fault {
+    void failedMessagesKeepTheirBodiesAndDoneOnesDoNot() throws ServiceException {
         Shore s = new Shore(9, 1);
         s.processor("i-1", "book", AT, q -> Mono.just(new String(q.body()).equals("bad") ? Shore.answer(q, 422) : Shore.done(q)));
         String bad = s.accepted("/push/x", "bad", Map.of());
--- a/trials/src/test/java/org/woadvale/trials/squall/GaleTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/SeededPlatformDaysTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -6,14 +6,14 @@
 import java.util.List;
 
 import org.junit.jupiter.api.Test;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.runtime.ServiceException;
 
 /** A few seeded days with trouble; `trials platform --seeds A..B` plays more. */
-class GaleTest {
+class SeededPlatformDaysTest {
     @Test
-    void roughDaysBreakNoRule() throws Fault {
+    void roughDaysBreakNoRule() throws ServiceException {
         for (long seed = 1; seed <= 3; seed++) {
-            Gale g = new Gale(seed);
+            SeededPlatformDays g = new SeededPlatformDays(seed);
             assertEquals(List.of(), g.run(Duration.ofSeconds(30)), "seed " + seed + ": " + g.log());
         }
     }
--- a/trials/src/test/java/org/woadvale/trials/squall/SeedsTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/SeedsTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -13,10 +13,10 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.woadvale.foundation.chart.Charts;
-import org.woadvale.foundation.gate.Request;
-import org.woadvale.foundation.helm.KnownFile;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.config.Configurations;
+import org.woadvale.common.http.Request;
+import org.woadvale.common.cli.KnownFile;
+import org.woadvale.common.runtime.ServiceException;
 
 /** The seeds are needed at the first start only. */
 class SeedsTest {
@@ -28,21 +28,21 @@
      */
     @ParameterizedTest
     @ValueSource(longs = {5, 2, 3, 4})
-    void allThreeSeedsMayBeGone(long seed) throws Fault {
-        Voyage v = new Voyage(seed, 3, 3, 4).embark();
+    void allThreeSeedsMayBeGone(long seed) throws ServiceException {
+        FleetSimulation v = new FleetSimulation(seed, 3, 3, 4).embark();
         v.traffic(20);
         for (int i = 0; i < 3; i++) {
             v.w.lose(v.w.lighthouses.get(i));
             String fresh = v.w.newLighthouse();
             List<String> wanted = v.w.presentLighthouses();
             AtomicInteger status = new AtomicInteger();
-            v.operate(new Request("PUT", "/v1/core", Map.of(), Charts.write(Map.of("lighthouses", wanted))),
+            v.operate(new Request("PUT", "/v1/core", Map.of(), Configurations.write(Map.of("lighthouses", wanted))),
                 a -> status.set(a.status()));
             assertTrue(v.w.sim.runUntil(() -> status.get() == 200 && v.w.lamp(fresh).lighthouses().equals(
                 wanted.stream().sorted().toList()), Duration.ofSeconds(60)), "not seated: " + v.w.lamp(fresh).lighthouses());
             v.w.sim.run(Duration.ofSeconds(10));
         }
-        new Head(v).changeAt(v.w.presentLighthouses());
+        new HeadOffice(v).changeAt(v.w.presentLighthouses());
         v.w.sim.run(Duration.ofSeconds(5));
         assertEquals(2, v.version, "the layout was changed by the new core");
         v.w.seenVersions();
--- a/trials/src/test/java/org/woadvale/trials/squall/Shore.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/Shore.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -11,10 +11,10 @@
 import java.util.Map;
 import java.util.Optional;
 
-import org.woadvale.foundation.gate.Answer;
-import org.woadvale.foundation.gate.Request;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.trials.buoy.Papers;
+import org.woadvale.common.http.Answer;
+import org.woadvale.common.http.Request;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.testkit.stub.ConfigurationStub;
 
 import com.fasterxml.jackson.databind.JsonNode;
 
@@ -29,40 +29,40 @@
     /** What a scripted processor was sent. */
     record Got(Request q, Duration at) { }
 
-    final Roads r;
-    final Roster roster;
+    final NetworkSimulation r;
+    final ProcessorList roster;
     final List<Got> got = new ArrayList<>();
-    Papers papers = Shore.plain();
+    ConfigurationStub papers = Shore.plain();
     private int ids;
 
-    Shore(long seed, int fronts) throws Fault {
-        r = new Roads(seed, fronts, 3, Seams.none());
-        roster = new Roster(r.sim, Duration.ofMillis(800), 44);
+    Shore(long seed, int fronts) throws ServiceException {
+        r = new NetworkSimulation(seed, fronts, 3, Seams.none());
+        roster = new ProcessorList(r.sim, Duration.ofMillis(800), 44);
         r.list(roster::page);
         assertEquals(200, put(papers, 0, 0).status());
         assertTrue(r.sim.runUntil(r::ready, Duration.ofSeconds(40)), "the fleet did not get ready");
     }
 
-    static Papers plain() {
-        List<Papers.Route> routes = List.of(route("r-pull", "/pull/", "desk", false), route("r-push", "/push/", "book", false),
+    static ConfigurationStub plain() {
+        List<ConfigurationStub.Route> routes = List.of(route("r-pull", "/pull/", "desk", false), route("r-push", "/push/", "book", false),
             route("r-order", "/order/", "book", true), route("r-dedup", "/dedup/", "same", true),
             route("r-fixed", "/fixed/", "far", false), route("r-pull-order", "/turn/", "desk", true));
-        List<Papers.Service> services = List.of(service("desk", true, false, Optional.empty()),
+        List<ConfigurationStub.Service> services = List.of(service("desk", true, false, Optional.empty()),
             service("book", false, false, Optional.empty()), service("same", false, true, Optional.empty()),
-            new Papers.Service("far", 20, 35, true, false, Optional.of("172.20.0.3:8748")));
-        return new Papers(3, routes, services, List.of(new Papers.Tenant("tenant-a", List.of(KEY), 200, 200),
-            new Papers.Tenant("tenant-b", List.of("key-of-b"), 200, 200)));
+            new ConfigurationStub.Service("far", 20, 35, true, false, Optional.of("172.20.0.3:8748")));
+        return new ConfigurationStub(3, routes, services, List.of(new ConfigurationStub.Tenant("tenant-a", List.of(KEY), 200, 200),
+            new ConfigurationStub.Tenant("tenant-b", List.of("key-of-b"), 200, 200)));
     }
 
-    static Papers.Route route(String name, String prefix, String service, boolean inOrder) {
-        return new Papers.Route(name, HOST, prefix, service, 1500, 3, inOrder, 90, false);
+    static ConfigurationStub.Route route(String name, String prefix, String service, boolean inOrder) {
+        return new ConfigurationStub.Route(name, HOST, prefix, service, 1500, 3, inOrder, 90, false);
     }
 
-    private static Papers.Service service(String name, boolean pull, boolean dedup, Optional<String> at) {
-        return new Papers.Service(name, 0, 100, dedup, pull, at);
+    private static ConfigurationStub.Service service(String name, boolean pull, boolean dedup, Optional<String> at) {
+        return new ConfigurationStub.Service(name, 0, 100, dedup, pull, at);
     }
 
-    Answer put(Papers p, long base, int lighthouse) {
+    Answer put(ConfigurationStub p, long base, int lighthouse) {
         return put(p.text(), base, lighthouse);
     }
 
--- a/trials/src/test/java/org/woadvale/trials/squall/UnclearTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/UnclearTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -9,28 +9,28 @@
 import java.util.TreeMap;
 
 import org.junit.jupiter.api.Test;
-import org.woadvale.foundation.chart.Layout;
-import org.woadvale.foundation.lantern.Fault;
-import org.woadvale.trials.buoy.Backend;
-import org.woadvale.trials.buoy.NeverList;
-import org.woadvale.trials.buoy.Scenery;
+import org.woadvale.common.config.Configuration;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.testkit.stub.Backend;
+import org.woadvale.testkit.stub.NeverList;
+import org.woadvale.testkit.stub.TestConfiguration;
 
 /** Work that may have been done is not done again, however its answer was lost. */
 class UnclearTest {
     private static final Backend.Manner LOSES = new Backend.Manner(Duration.ofMillis(5), 0, 0, 1);
 
-    private static Voyage voyage(long seed) throws Fault {
-        return new Voyage(seed, 2, 3, 2, new Scenery(2, 1, 20, 30, 26), World.LARGE_RING).embark();
+    private static FleetSimulation voyage(long seed) throws ServiceException {
+        return new FleetSimulation(seed, 2, 3, 2, new TestConfiguration(2, 1, 20, 30, 26), World.LARGE_RING).embark();
     }
 
-    private static Voyage ended(Voyage v) {
+    private static FleetSimulation ended(FleetSimulation v) {
         assertTrue(v.settle(Duration.ofSeconds(180)), "open: " + v.firstOpen());
         return v;
     }
 
     /** Processors do the work and lose the answers; then each is replaced: same id, new address, no memory. */
-    private static Voyage replacedOneByOne(long seed) throws Fault {
-        Voyage v = voyage(seed);
+    private static FleetSimulation replacedOneByOne(long seed) throws ServiceException {
+        FleetSimulation v = voyage(seed);
         v.traffic(10);
         v.w.sim.run(Duration.ofSeconds(3));
         for (String p : List.of("p0", "p1")) {
@@ -44,9 +44,9 @@
     }
 
     @Test
-    void whatAPredecessorMayHaveDoneIsNotRunBySuccessors() throws Fault {
+    void whatAPredecessorMayHaveDoneIsNotRunBySuccessors() throws ServiceException {
         for (long seed = 1; seed <= 3; seed++) {
-            Voyage v = replacedOneByOne(seed);
+            FleetSimulation v = replacedOneByOne(seed);
             assertEquals(List.of(), v.violations());
             assertTrue(v.w.seen.shown.stream().anyMatch(x -> x.proof().equals("unclear: the processor is gone")));
         }
@@ -54,13 +54,13 @@
 
     /** The lane's operator knows that the work is harmless twice. */
     @Test
-    void laneThatSaysRerunRunsItElsewhere() throws Fault {
-        Voyage v = voyage(1);
-        Map<String, Layout.Lane> lanes = new TreeMap<>(v.layout.lanes());
-        Layout.Lane hold = lanes.get("hold");
-        lanes.put("hold", new Layout.Lane(hold.service(), hold.ordering(), hold.timeLimitMs(), hold.attempts(),
-            hold.attemptMs(), Layout.IfUnclear.RERUN));
-        v.put(new Layout(v.layout.tenants(), v.layout.services(), lanes, v.layout.keys()), v.version, "rerun", a -> { });
+    void laneThatSaysRerunRunsItElsewhere() throws ServiceException {
+        FleetSimulation v = voyage(1);
+        Map<String, Configuration.Lane> lanes = new TreeMap<>(v.layout.lanes());
+        Configuration.Lane hold = lanes.get("hold");
+        lanes.put("hold", new Configuration.Lane(hold.service(), hold.ordering(), hold.timeLimitMs(), hold.attempts(),
+            hold.attemptMs(), Configuration.IfUnclear.RERUN));
+        v.put(new Configuration(v.layout.tenants(), v.layout.services(), lanes, v.layout.keys()), v.version, "rerun", a -> { });
         v.w.sim.run(Duration.ofSeconds(2));
         v.w.backends.get("p0").behave(LOSES);
         v.plain(0);
--- a/trials/src/test/java/org/woadvale/trials/squall/MooringsTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/WaitingPullsTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.squall;
+package org.woadvale.testkit.simulation;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -10,12 +10,12 @@
 import java.util.Map;
 
 import org.junit.jupiter.api.Test;
-import org.woadvale.foundation.gate.Answer;
-import org.woadvale.foundation.gate.Request;
-import org.woadvale.foundation.lantern.Fault;
+import org.woadvale.common.http.Answer;
+import org.woadvale.common.http.Request;
+import org.woadvale.common.runtime.ServiceException;
 
 /** Fetches wait at one store at a time: design 9.10. */
-class MooringsTest {
+class WaitingPullsTest {
     private static Request pull(String instance, long waitMs) {
         return new Request("POST", "/-/pull/desk", Map.of("x-instance-id", instance, "x-poll-wait-ms", Long.toString(waitMs)),
             new byte[0]);
@@ -31,7 +31,7 @@
     }
 
     @Test
-    void fetchWithoutWorkIsEmptyAfterItsWait() throws Fault {
+    void fetchWithoutWorkIsEmptyAfterItsWait() throws ServiceException {
         Shore s = new Shore(1, 2);
         Duration asked = s.r.sim.now();
         assertEquals(204, s.pull("i-1", 1000).status());
@@ -44,7 +44,7 @@
 
     /** Work that becomes due meets a waiting fetch at once, wherever the two are. */
     @Test
-    void waitingFetchGetsWhatBecomesDue() throws Fault {
+    void waitingFetchGetsWhatBecomesDue() throws ServiceException {
         Shore s = new Shore(2, 3);
         List<Answer> out = waiting(s, 6, 10_000);
         s.run(1000);
@@ -55,7 +55,7 @@
     }
 
     @Test
-    void oneMessageGoesToOneFetchOnly() throws Fault {
+    void oneMessageGoesToOneFetchOnly() throws ServiceException {
         for (long seed = 3; seed < 6; seed++) {
             Shore s = new Shore(seed, 3);
             List<Answer> out = waiting(s, 30, 2500);
@@ -72,7 +72,7 @@
     }
 
     @Test
-    void delayIsKept() throws Fault {
+    void delayIsKept() throws ServiceException {
         Shore s = new Shore(6, 1);
         Duration sent = s.r.sim.now();
         s.accepted("/pull/x", "late", Map.of("x-delay-ms", "1500"));
@@ -84,7 +84,7 @@
 
     /** The asking intake dies: its fetch is gone, and what it may have been promised comes again after the lease. */
     @Test
-    void fetchOfADeadIntakeLosesNothing() throws Fault {
+    void fetchOfADeadIntakeLosesNothing() throws ServiceException {
         Shore s = new Shore(7, 2);
         List<Answer> out = new ArrayList<>();
         s.accepted("/pull/x", "kept", Map.of("x-delay-ms", "600"));
--- a/trials/src/test/java/org/woadvale/trials/buoy/PaperRulesTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/stub/ConfigurationRulesTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.buoy;
+package org.woadvale.testkit.stub;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -7,12 +7,12 @@
 import org.junit.jupiter.api.Test;
 
 /** Each check of configurations and limits sees the break that it is meant for, and no other does. */
-class PaperRulesTest extends Diary {
+class ConfigurationRulesTest extends Diary {
     @Test
     void withdrawnKeyRan() {
-        paper(new Papers(2, papers(1, "a", "order").routes(), papers(1).services(),
-            List.of(new Papers.Tenant("t", List.of("spare"), 1, 1))), 1, true, 200, 20);
-        w.troubles.add(new Watchbook.Trouble("cut", s(20), s(40)));
+        paper(new ConfigurationStub(2, papers(1, "a", "order").routes(), papers(1).services(),
+            List.of(new ConfigurationStub.Tenant("t", List.of("spare"), 1, 1))), 1, true, 200, 20);
+        w.troubles.add(new ObservationLog.Trouble("cut", s(20), s(40)));
         done("1", "a", "", 24.9);
         breaks();
         done("2", "a", "", 25.1);
@@ -46,7 +46,7 @@
         sent("2", "new", "k", "", 21);
         said("2", 404, 21.1);
         breaks("CONFIG back");
-        w.killed.add(new Watchbook.Killed("n1", s(20.8)));
+        w.killed.add(new ObservationLog.Killed("n1", s(20.8)));
         assertEquals(List.of(), new Rules(w).broken());
     }
 
@@ -57,7 +57,7 @@
         w.papers.remove(1);
         paper(papers(2, "a", "order"), 1, true, 200, 20);
         paper(papers(3, "a", "order"), 1, true, 200, 20);
-        w.readBack.set(0, new Watchbook.ReadBack(200, papers(3, "a", "order").text(), s(60)));
+        w.readBack.set(0, new ObservationLog.ReadBack(200, papers(3, "a", "order").text(), s(60)));
         assertEquals(List.of("CONFIG taken"), new Rules(w).broken());
     }
 
@@ -66,7 +66,7 @@
         paper(papers(2, "a", "order"), 1, true, 200, 20);
         breaks();
         for (String text : List.of(papers(1, "a", "order").text(), papers(2, "a").text(), "")) {
-            w.readBack.set(0, new Watchbook.ReadBack(200, text, s(60)));
+            w.readBack.set(0, new ObservationLog.ReadBack(200, text, s(60)));
             assertEquals(List.of("CONFIG read"), new Rules(w).broken(), text);
         }
     }
@@ -84,10 +84,10 @@
     @Test
     void tooManyAtAService() {
         for (int i = 0; i < 16; i++) {
-            w.arrived.add(new Watchbook.Arrived("1", "svc", "i", false, s(10 + i * 0.1)));
+            w.arrived.add(new ObservationLog.Arrived("1", "svc", "i", false, s(10 + i * 0.1)));
         }
         breaks();
-        w.arrived.add(new Watchbook.Arrived("1", "svc", "i", false, s(14.9)));
+        w.arrived.add(new ObservationLog.Arrived("1", "svc", "i", false, s(14.9)));
         assertEquals(List.of("CEILING"), new Rules(w).broken());
     }
 }
--- a/trials/src/test/java/org/woadvale/trials/buoy/Diary.java
+++ b/testkit/src/test/java/org/woadvale/testkit/stub/Diary.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.buoy;
+package org.woadvale.testkit.stub;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -11,20 +11,20 @@
 /** A day as it was seen from outside, written by hand. */
 abstract class Diary {
     static final String HOST = "h";
-    final Watchbook w = new Watchbook();
+    final ObservationLog w = new ObservationLog();
 
     static Duration s(double seconds) {
         return Duration.ofMillis((long) (seconds * 1000));
     }
 
-    static Papers papers(long revision, String... routes) {
-        return new Papers(revision, List.of(routes).stream().map(r -> new Papers.Route(r, HOST, "/" + r + "/", "svc", 1500, 2,
-            r.startsWith("order"), 90, false)).toList(), List.of(new Papers.Service("svc", 2, 9, false, false, Optional.empty())),
-            List.of(new Papers.Tenant("t", List.of("k", "spare"), 1, 1)));
+    static ConfigurationStub papers(long revision, String... routes) {
+        return new ConfigurationStub(revision, List.of(routes).stream().map(r -> new ConfigurationStub.Route(r, HOST, "/" + r + "/", "svc", 1500, 2,
+            r.startsWith("order"), 90, false)).toList(), List.of(new ConfigurationStub.Service("svc", 2, 9, false, false, Optional.empty())),
+            List.of(new ConfigurationStub.Tenant("t", List.of("k", "spare"), 1, 1)));
     }
 
-    void paper(Papers p, long base, boolean valid, int status, double at) {
-        w.papers.add(new Watchbook.Paper(p, p.text(), base, valid, s(at), status, s(at)));
+    void paper(ConfigurationStub p, long base, boolean valid, int status, double at) {
+        w.papers.add(new ObservationLog.Paper(p, p.text(), base, valid, s(at), status, s(at)));
     }
 
     @BeforeEach
@@ -33,11 +33,11 @@
     }
 
     void sent(String id, String route, String key, String order, double at) {
-        w.sent.add(new Watchbook.Sent(id, HOST, "/" + route + "/x", key, order, "body", 0, "n1", s(at)));
+        w.sent.add(new ObservationLog.Sent(id, HOST, "/" + route + "/x", key, order, "body", 0, "n1", s(at)));
     }
 
     void said(String id, int status, double at) {
-        w.said.add(new Watchbook.Said(id, status, "ref", s(at)));
+        w.said.add(new ObservationLog.Said(id, status, "ref", s(at)));
     }
 
     void accepted(String id, String route, String order, double at) {
@@ -46,15 +46,15 @@
     }
 
     void began(String id, String route, String order, double at) {
-        w.began.add(new Watchbook.Began(id, "svc", "t", order, "POST", "/" + route + "/x", "body", s(at)));
+        w.began.add(new ObservationLog.Began(id, "svc", "t", order, "POST", "/" + route + "/x", "body", s(at)));
     }
 
     void ended(String id, int status, double began, double at) {
-        w.ended.add(new Watchbook.Ended(id, status, status == 200 ? "seal" : "", s(began), s(at)));
+        w.ended.add(new ObservationLog.Ended(id, status, status == 200 ? "seal" : "", s(began), s(at)));
     }
 
     void shown(String id, String state, String seal, int bodyStatus, String body) {
-        w.shown.add(new Watchbook.Shown(id, 200, state, seal, bodyStatus, body));
+        w.shown.add(new ObservationLog.Shown(id, 200, state, seal, bodyStatus, body));
     }
 
     void done(String id, String route, String order, double at) {
@@ -65,7 +65,7 @@
     }
 
     void breaks(String... rules) {
-        w.readBack.add(new Watchbook.ReadBack(200, w.papers.stream().filter(p -> p.status() == 200 && p.valid())
+        w.readBack.add(new ObservationLog.ReadBack(200, w.papers.stream().filter(p -> p.status() == 200 && p.valid())
             .reduce((a, b) -> b).orElseThrow().text(), s(60)));
         assertEquals(List.of(rules), new Rules(w).broken(), new Rules(w).violations().toString());
     }
--- a/trials/src/test/java/org/woadvale/trials/buoy/NeverListTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/stub/NeverListTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.buoy;
+package org.woadvale.testkit.stub;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -12,7 +12,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
-import org.woadvale.trials.buoy.Sightings.Said;
+import org.woadvale.testkit.stub.Observations.Said;
 
 /** Each check is shown to fail on a planted fault, and only that check; a sound history passes all. */
 class NeverListTest {
@@ -20,47 +20,47 @@
         return Duration.ofMillis((long) (seconds * 1000));
     }
 
-    private static Sightings.HandedIn in(String id, String handle, Said said, String key, double at) {
-        return new Sightings.HandedIn("t", id, "l", "", key, s(at), s(at), said, "", handle, false);
+    private static Observations.HandedIn in(String id, String handle, Said said, String key, double at) {
+        return new Observations.HandedIn("t", id, "l", "", key, s(at), s(at), said, "", handle, false);
     }
 
-    private static Sightings.Ran ran(String handle, String id, String order, String processor, double at) {
-        return new Sightings.Ran(handle, id, "t", "l", order, 1, processor, "svc", s(at));
+    private static Observations.Ran ran(String handle, String id, String order, String processor, double at) {
+        return new Observations.Ran(handle, id, "t", "l", order, 1, processor, "svc", s(at));
     }
 
-    private static Sightings.Answered ok(String handle, double at) {
-        return new Sightings.Answered(handle, 1, "p", s(at), true, "r-" + handle);
+    private static Observations.Answered ok(String handle, double at) {
+        return new Observations.Answered(handle, 1, "p", s(at), true, "r-" + handle);
     }
 
-    private static Sightings.Shown shown(String handle, String state, String proof, double at) {
-        return new Sightings.Shown(handle, state, proof, "l", s(at), s(at), Sightings.UNSEEN, Sightings.UNSEEN);
+    private static Observations.Shown shown(String handle, String state, String proof, double at) {
+        return new Observations.Shown(handle, state, proof, "l", s(at), s(at), Observations.UNSEEN, Observations.UNSEEN);
     }
 
-    private static Sightings sound() {
-        Sightings x = new Sightings();
-        x.allowed("t", new Sightings.Limit(1, 5, s(0), s(0)));
-        x.paced("e", new Sightings.Limit(2, 0, s(0), s(0)));
-        x.lane("l", new Sightings.LaneLimits(60000, 3));
+    private static Observations sound() {
+        Observations x = new Observations();
+        x.allowed("t", new Observations.Limit(1, 5, s(0), s(0)));
+        x.paced("e", new Observations.Limit(2, 0, s(0), s(0)));
+        x.lane("l", new Observations.LaneLimits(60000, 3));
         x.handedIn.add(in("a", "m0-1", Said.ACCEPTED, "k", 1));
         x.handedIn.add(in("b", "", Said.REFUSED, "k", 1));
         x.ran.add(ran("m0-1", "a", "o", "p", 2));
         x.answered.add(ok("m0-1", 3));
         x.shown.add(shown("m0-1", "done", "r-m0-1", 4));
-        x.layouts.add(new Sightings.LayoutSaid("q", 1, true, true, s(1), "d1"));
-        x.reads.add(new Sightings.LayoutRead(1, "d1", s(2)));
-        x.keys.add(new Sightings.KeyWithdrawn("k", s(1)));
-        x.leaving.add(new Sightings.MarkedLeaving("p", s(1)));
-        x.outages.add(new Sightings.Outage(s(1), s(10)));
+        x.layouts.add(new Observations.LayoutSaid("q", 1, true, true, s(1), "d1"));
+        x.reads.add(new Observations.LayoutRead(1, "d1", s(2)));
+        x.keys.add(new Observations.KeyWithdrawn("k", s(1)));
+        x.leaving.add(new Observations.MarkedLeaving("p", s(1)));
+        x.outages.add(new Observations.Outage(s(1), s(10)));
         return x;
     }
 
     static Stream<Arguments> planted() {
-        Map<String, Consumer<Sightings>> m = new TreeMap<>();
+        Map<String, Consumer<Observations>> m = new TreeMap<>();
         m.put("00 nothing", x -> { });
         m.put("01", x -> x.handedIn.add(in("c", "m0-2", Said.ACCEPTED, "k", 1)));
         m.put("01 failed for no reason", x -> x.shown.add(shown("m0-4", "failed", "who knows", 4)));
         m.put("01 attempts not used up", x -> {
-            x.turnedAway.add(new Sightings.TurnedAway("m0-4", 1, s(2)));
+            x.turnedAway.add(new Observations.TurnedAway("m0-4", 1, s(2)));
             x.shown.add(shown("m0-4", "failed", "attempts used up; last: answer 503", 4));
         });
         m.put("02", x -> x.ran.add(ran("m0-1", "a", "o", "p", 3.5)));
@@ -73,8 +73,8 @@
             x.answered.add(ok("m0-2", 3.5));
         });
         m.put("04 an earlier one that had not ended", x -> {
-            x.handedIn.add(new Sightings.HandedIn("t", "c", "l", "o", "k", s(1), s(1), Said.ACCEPTED, "", "m0-0", false));
-            x.shown.add(new Sightings.Shown("m0-0", "failed", "unclear", "l", s(4), s(4), s(1), s(2.5)));
+            x.handedIn.add(new Observations.HandedIn("t", "c", "l", "o", "k", s(1), s(1), Said.ACCEPTED, "", "m0-0", false));
+            x.shown.add(new Observations.Shown("m0-0", "failed", "unclear", "l", s(4), s(4), s(1), s(2.5)));
         });
         m.put("05 unknown but taken", x -> {
             for (int i = 10; i < 22; i++) {
@@ -84,7 +84,7 @@
             }
         });
         m.put("05 after it was lowered", x -> {
-            x.allowed("t", new Sightings.Limit(0.1, 1, s(10), s(10)));
+            x.allowed("t", new Observations.Limit(0.1, 1, s(10), s(10)));
             for (int i = 10; i < 15; i++) {
                 x.handedIn.add(in("n" + i, "m1-" + i, Said.ACCEPTED, "other", 14));
                 x.shown.add(shown("m1-" + i, "failed", "unclear", 15));
@@ -98,38 +98,38 @@
         });
         m.put("06", x -> {
             for (int i = 0; i < 12; i++) {
-                x.endpoints.add(new Sightings.RequestAtEndpoint("e", s(1 + i * 0.1)));
+                x.endpoints.add(new Observations.RequestAtEndpoint("e", s(1 + i * 0.1)));
             }
         });
         m.put("07", x -> {
             x.handedIn.add(in("z", "m0-7", Said.ACCEPTED, "k", 6.5));
             x.shown.add(shown("m0-7", "failed", "unclear", 9));
         });
-        m.put("07 served a fetch", x -> x.served.add(new Sightings.KeyServed("k", "fetch", s(6.5))));
+        m.put("07 served a fetch", x -> x.served.add(new Observations.KeyServed("k", "fetch", s(6.5))));
         m.put("07 accepted late", x -> {
             x.handedIn.add(in("z", "m0-7", Said.ACCEPTED, "k", 5.5));
-            x.shown.add(new Sightings.Shown("m0-7", "failed", "unclear", "l", s(9), s(9), s(6.5), s(7)));
+            x.shown.add(new Observations.Shown("m0-7", "failed", "unclear", "l", s(9), s(9), s(6.5), s(7)));
         });
         m.put("08 gone back", x -> {
-            x.versions.add(new Sightings.NodeVersion("n", 4, s(1)));
-            x.versions.add(new Sightings.NodeVersion("n", -1, s(2)));
-            x.versions.add(new Sightings.NodeVersion("n", 3, s(3)));
+            x.versions.add(new Observations.NodeVersion("n", 4, s(1)));
+            x.versions.add(new Observations.NodeVersion("n", -1, s(2)));
+            x.versions.add(new Observations.NodeVersion("n", 3, s(3)));
         });
-        m.put("08", x -> x.ignored.add(new Sightings.LayoutNeeded("lane", s(1), s(4.5))));
-        m.put("09", x -> x.reads.add(new Sightings.LayoutRead(0, "d0", s(2))));
+        m.put("08", x -> x.ignored.add(new Observations.LayoutNeeded("lane", s(1), s(4.5))));
+        m.put("09", x -> x.reads.add(new Observations.LayoutRead(0, "d0", s(2))));
         m.put("10", x -> {
             x.ran.add(ran("m0-8", "y", "", "p", 4.5));
             x.answered.add(ok("m0-8", 5));
         });
         m.put("11", x -> x.shown.add(shown("m0-5", "done", "made up", 4)));
-        m.put("12", x -> x.outages.add(new Sightings.Outage(s(1), s(14))));
+        m.put("12", x -> x.outages.add(new Observations.Outage(s(1), s(14))));
         return m.entrySet().stream().map(e -> Arguments.of(e.getKey(), e.getValue()));
     }
 
     @ParameterizedTest(name = "{0}")
     @MethodSource("planted")
-    void onlyThePlantedFaultIsFound(String line, Consumer<Sightings> plant) {
-        Sightings x = sound();
+    void onlyThePlantedFaultIsFound(String line, Consumer<Observations> plant) {
+        Observations x = sound();
         plant.accept(x);
         List<String> found = new NeverList(x).broken();
         assertEquals(line.startsWith("00") ? List.of() : List.of(line.substring(0, 2)), found);
@@ -137,18 +137,18 @@
 
     @org.junit.jupiter.api.Test
     void endedMessageMayNotBeShownAsOpenLater() {
-        Sightings x = sound();
-        x.shown.add(new Sightings.Shown("m0-1", "ready", "", "l", s(3.9), s(4.5), Sightings.UNSEEN, Sightings.UNSEEN));
-        assertEquals(List.of(), new Fates(x).lost());
-        x.shown.add(new Sightings.Shown("m0-1", "ready", "", "l", s(4.1), s(4.5), Sightings.UNSEEN, Sightings.UNSEEN));
-        assertEquals(1, new Fates(x).lost().size());
+        Observations x = sound();
+        x.shown.add(new Observations.Shown("m0-1", "ready", "", "l", s(3.9), s(4.5), Observations.UNSEEN, Observations.UNSEEN));
+        assertEquals(List.of(), new AnswerFaults(x).lost());
+        x.shown.add(new Observations.Shown("m0-1", "ready", "", "l", s(4.1), s(4.5), Observations.UNSEEN, Observations.UNSEEN));
+        assertEquals(1, new AnswerFaults(x).lost().size());
     }
 
     @org.junit.jupiter.api.Test
     void twoLayoutsOfOneVersionAndBadOnesAreFound() {
-        Sightings x = sound();
-        x.layouts.add(new Sightings.LayoutSaid("r", 1, true, true, s(2), "d2"));
-        x.layouts.add(new Sightings.LayoutSaid("bad", 2, true, false, s(2), "d3"));
+        Observations x = sound();
+        x.layouts.add(new Observations.LayoutSaid("r", 1, true, true, s(2), "d2"));
+        x.layouts.add(new Observations.LayoutSaid("bad", 2, true, false, s(2), "d3"));
         assertEquals(2, new Orders(x).badLayout().size());
     }
 }
--- a/trials/src/test/java/org/woadvale/trials/buoy/RulesTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/stub/RulesTest.java
@@ -1,4 +1,4 @@
-package org.woadvale.trials.buoy;
+package org.woadvale.testkit.stub;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -42,20 +42,20 @@
     @Test
     void readSuccessRunsAgain() {
         done("1", "a", "", 10);
-        w.read.add(new Watchbook.Read("1", s(10.4)));
+        w.read.add(new ObservationLog.Read("1", s(10.4)));
         began("1", "a", "", 12);
         breaks("TWICE read");
-        w.troubles.add(new Watchbook.Trouble("kill", s(11), s(11)));
+        w.troubles.add(new ObservationLog.Trouble("kill", s(11), s(11)));
         assertEquals(List.of(), new Rules(w).broken());
     }
 
     @Test
     void endsOfTwoLeases() {
         done("1", "a", "", 10);
-        w.endsTaken.add(new Watchbook.EndTaken("1", "l1", 200, s(11)));
-        w.endsTaken.add(new Watchbook.EndTaken("1", "l1", 200, s(11.2)));
+        w.endsTaken.add(new ObservationLog.EndTaken("1", "l1", 200, s(11)));
+        w.endsTaken.add(new ObservationLog.EndTaken("1", "l1", 200, s(11.2)));
         breaks();
-        w.endsTaken.add(new Watchbook.EndTaken("1", "l2", 200, s(12)));
+        w.endsTaken.add(new ObservationLog.EndTaken("1", "l2", 200, s(12)));
         assertEquals(List.of("TWICE leases"), new Rules(w).broken());
     }
 
@@ -73,26 +73,26 @@
         breaks("UNASKED");
         w.began.clear();
         done("1", "a", "", 10);
-        w.began.add(new Watchbook.Began("1", "svc", "t", "", "POST", "/a/x", "changed", s(10.1)));
+        w.began.add(new ObservationLog.Began("1", "svc", "t", "", "POST", "/a/x", "changed", s(10.1)));
         assertEquals(List.of("UNASKED"), new Rules(w).broken());
-        w.began.set(1, new Watchbook.Began("1", "svc", "another", "", "POST", "/a/x", "body", s(10.1)));
+        w.began.set(1, new ObservationLog.Began("1", "svc", "another", "", "POST", "/a/x", "body", s(10.1)));
         assertEquals(List.of("UNASKED"), new Rules(w).broken());
     }
 
     @Test
     void ranWhereNoConfigurationEverAllowed() {
         done("1", "a", "", 10);
-        w.began.add(new Watchbook.Began("1", "other", "t", "", "POST", "/a/x", "body", s(10.2)));
+        w.began.add(new ObservationLog.Began("1", "other", "t", "", "POST", "/a/x", "body", s(10.2)));
         breaks("ROUTE");
     }
 
     @Test
     void leavingProcessorGotWork() {
-        w.draining.add(new Watchbook.Draining("i", s(10)));
-        w.arrived.add(new Watchbook.Arrived("1", "svc", "i", false, s(12.9)));
-        w.arrived.add(new Watchbook.Arrived("1", "svc", "i", true, s(13.5)));
+        w.draining.add(new ObservationLog.Draining("i", s(10)));
+        w.arrived.add(new ObservationLog.Arrived("1", "svc", "i", false, s(12.9)));
+        w.arrived.add(new ObservationLog.Arrived("1", "svc", "i", true, s(13.5)));
         breaks();
-        w.arrived.add(new Watchbook.Arrived("1", "svc", "i", false, s(13.5)));
+        w.arrived.add(new ObservationLog.Arrived("1", "svc", "i", false, s(13.5)));
         assertEquals(List.of("DRAIN"), new Rules(w).broken());
     }
 
@@ -102,7 +102,7 @@
         breaks("LOST");
         shown("1", "queued", "", 200, "body");
         assertEquals(List.of(), new Rules(w).broken());
-        w.shown.set(0, new Watchbook.Shown("1", 200, "queued", "", 404, ""));
+        w.shown.set(0, new ObservationLog.Shown("1", 200, "queued", "", 404, ""));
         assertEquals(List.of("LOST"), new Rules(w).broken());
     }
 
@@ -116,12 +116,12 @@
     @Test
     void wrongWordsOfAMessage() {
         done("1", "a", "", 10);
-        w.shown.set(0, new Watchbook.Shown("1", 200, "completed", "another", 404, ""));
+        w.shown.set(0, new ObservationLog.Shown("1", 200, "completed", "another", 404, ""));
         breaks("MIXED");
-        w.shown.set(0, new Watchbook.Shown("1", 200, "completed", "seal", 200, "other bytes"));
+        w.shown.set(0, new ObservationLog.Shown("1", 200, "completed", "seal", 200, "other bytes"));
         assertEquals(List.of("MIXED"), new Rules(w).broken());
         accepted("2", "a", "", 12);
-        w.shown.set(0, new Watchbook.Shown("1", 200, "completed", "seal", 404, ""));
+        w.shown.set(0, new ObservationLog.Shown("1", 200, "completed", "seal", 404, ""));
         shown("2", "dead_letter", "", 200, "body");
         assertEquals(List.of("LOST", "MIXED"), new Rules(w).broken());
     }
