--- a/common/src/main/java/org/woadvale/common/cli/KnownFile.java
+++ b/common/src/main/java/org/woadvale/common/cli/KnownFile.java
@@ -5,7 +5,6 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.util.List;
-
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -20,8 +19,11 @@
 
     public List<String> read() {
         try {
-            return Files.exists(file) ? Files.readAllLines(file).stream().filter(l -> l.matches("[0-9.]+:[0-9]+")).toList()
-                : List.of();
+            return Files.exists(file)
+                    ? Files.readAllLines(file).stream()
+                            .filter(l -> l.matches("[0-9.]+:[0-9]+"))
+                            .toList()
+                    : List.of();
         } catch (IOException e) {
             LOG.warn("helm: the list of neighbours is unreadable.");
             return List.of();
--- a/common/src/main/java/org/woadvale/common/cli/Program.java
+++ b/common/src/main/java/org/woadvale/common/cli/Program.java
@@ -1,19 +1,17 @@
 package org.woadvale.common.cli;
 
+import com.github.rvesse.airline.SingleCommand;
+import com.github.rvesse.airline.help.Help;
+import com.github.rvesse.airline.parser.errors.ParseException;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Supplier;
-
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.woadvale.common.config.Settings;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
-import org.woadvale.common.runtime.SystemTimers;
 import org.woadvale.common.runtime.Supervisor;
-
-import com.github.rvesse.airline.SingleCommand;
-import com.github.rvesse.airline.parser.errors.ParseException;
-import com.github.rvesse.airline.help.Help;
+import org.woadvale.common.runtime.SystemTimers;
 
 /** The command line of a daemon: run, check-boot, --help, --version. design 10.1 */
 public final class Program {
@@ -81,11 +79,12 @@
                     usage();
                     return args.length == 0 ? 2 : 0;
                 default:
-                    throw new ServiceException(ErrorKind.BAD_REQUEST, "There is no command " + verb + "; see " + name + " --help.");
+                    throw new ServiceException(
+                            ErrorKind.BAD_REQUEST, "There is no command " + verb + "; see " + name + " --help.");
             }
         } catch (ServiceException e) {
-            System.err.println(name + ": " + e.getMessage()
-                + (e.details().isEmpty() ? "" : " " + String.join("; ", e.details())));
+            System.err.println(
+                    name + ": " + e.getMessage() + (e.details().isEmpty() ? "" : " " + String.join("; ", e.details())));
             return 2;
         }
     }
--- a/common/src/main/java/org/woadvale/common/cli/SettingsOptions.java
+++ b/common/src/main/java/org/woadvale/common/cli/SettingsOptions.java
@@ -1,10 +1,9 @@
 package org.woadvale.common.cli;
 
+import com.github.rvesse.airline.annotations.Option;
 import org.woadvale.common.config.Settings;
 import org.woadvale.common.runtime.ServiceException;
 
-import com.github.rvesse.airline.annotations.Option;
-
 /** The flags that both programs share. */
 public class SettingsOptions {
     @Option(name = "--boot", title = "FILE", description = "Boot file (JSON)")
@@ -22,7 +21,9 @@
     @Option(name = "--data", title = "FOLDER", description = "Data folder, instead of the boot file's")
     private String data = "";
 
-    @Option(name = {"-h", "--help"}, description = "Shows this help")
+    @Option(
+            name = {"-h", "--help"},
+            description = "Shows this help")
     private boolean help;
 
     public Settings boot() throws ServiceException {
--- a/common/src/main/java/org/woadvale/common/config/Configuration.java
+++ b/common/src/main/java/org/woadvale/common/config/Configuration.java
@@ -1,12 +1,7 @@
 package org.woadvale.common.config;
 
-import java.time.Duration;
-import java.util.List;
-import java.util.Map;
-
 import com.fasterxml.jackson.annotation.JsonIgnore;
 import com.fasterxml.jackson.annotation.JsonProperty;
-
 import jakarta.validation.Valid;
 import jakarta.validation.constraints.DecimalMax;
 import jakarta.validation.constraints.DecimalMin;
@@ -15,6 +10,9 @@
 import jakarta.validation.constraints.NotNull;
 import jakarta.validation.constraints.Pattern;
 import jakarta.validation.constraints.Size;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
 
 /** The operator's whole layout: design 6.1. */
 public record Configuration(
@@ -37,20 +35,33 @@
     }
 
     /** How many messages a tenant may hand in each second, and how large a burst. */
-    public record Tenant(@JsonProperty(required = true) @DecimalMin("0.1") @DecimalMax("100000") double ratePerS,
-                         @JsonProperty(required = true) @Min(1) @Max(1000000) int burstSize) { }
+    public record Tenant(
+            @JsonProperty(required = true) @DecimalMin("0.1") @DecimalMax("100000")
+            double ratePerS,
+
+            @JsonProperty(required = true) @Min(1) @Max(1000000)
+            int burstSize) {}
 
     /** Fetchers are on no list: they fetch, and hold what they have got by a lease. design 9.10 */
-    public enum Kind { PROCESSORS, ENDPOINT, FETCHERS }
+    public enum Kind {
+        PROCESSORS,
+        ENDPOINT,
+        FETCHERS
+    }
 
     /**
      * A processor group, or one outside endpoint with its stated rate. Streams: how many connections one back end
      * takes from all stores together, 0 where it does not say. Dedupes: a repeat gets the first success again.
      */
-    public record Service(@NotNull Kind kind,
-                          @Pattern(regexp = "(http://[0-9.]+:[0-9]{1,5}(/[A-Za-z0-9/_.-]*)?)?") String address,
-                          @DecimalMin("0") @DecimalMax("100000") double ratePerS,
-                          @Min(0) @Max(100000) int streams, boolean dedupes) {
+    public record Service(
+            @NotNull Kind kind,
+
+            @Pattern(regexp = "(http://[0-9.]+:[0-9]{1,5}(/[A-Za-z0-9/_.-]*)?)?")
+            String address,
+
+            @DecimalMin("0") @DecimalMax("100000") double ratePerS,
+            @Min(0) @Max(100000) int streams,
+            boolean dedupes) {
         public Service {
             address = address == null ? "" : address;
         }
@@ -60,21 +71,36 @@
         }
     }
 
-    public enum Ordering { NONE, KEY }
+    public enum Ordering {
+        NONE,
+        KEY
+    }
 
     /** What becomes of a message when nobody can say whether its run was done: design 9.3; resend: design 9.11. */
-    public enum IfUnclear { FAIL, RERUN, RESEND }
+    public enum IfUnclear {
+        FAIL,
+        RERUN,
+        RESEND
+    }
 
     /** A host and the beginning of a path by which a lane is addressed, besides its name. design 9.12 */
-    public record Door(@NotNull @Pattern(regexp = "[!-~]{1,255}") String host,
-                       @NotNull @Pattern(regexp = "/[!-~]{0,1023}") String prefix) { }
+    public record Door(
+            @NotNull @Pattern(regexp = "[!-~]{1,255}") String host,
+            @NotNull @Pattern(regexp = "/[!-~]{0,1023}") String prefix) {}
 
     /** Leads one kind of message to a service. */
-    public record Lane(@NotNull @Pattern(regexp = NAME) String service, @NotNull Ordering ordering,
-                       @JsonProperty(required = true) @Min(1000) @Max(604800000) long timeLimitMs,
-                       @JsonProperty(required = true) @Min(1) @Max(100) int attempts,
-                       @Min(0) @Max(600000) long attemptMs, IfUnclear ifUnclear,
-                       @Size(max = 100) List<@NotNull @Valid Door> doors, boolean keyless) {
+    public record Lane(
+            @NotNull @Pattern(regexp = NAME) String service,
+            @NotNull Ordering ordering,
+
+            @JsonProperty(required = true) @Min(1000) @Max(604800000)
+            long timeLimitMs,
+
+            @JsonProperty(required = true) @Min(1) @Max(100) int attempts,
+            @Min(0) @Max(600000) long attemptMs,
+            IfUnclear ifUnclear,
+            @Size(max = 100) List<@NotNull @Valid Door> doors,
+            boolean keyless) {
         private static final long USUAL_ATTEMPT_MS = 5000;
 
         public Lane {
@@ -84,8 +110,13 @@
             doors = doors == null ? List.of() : List.copyOf(doors);
         }
 
-        public Lane(String service, Ordering ordering, long timeLimitMs, int attempts, long attemptMs,
-                    IfUnclear ifUnclear) {
+        public Lane(
+                String service,
+                Ordering ordering,
+                long timeLimitMs,
+                int attempts,
+                long attemptMs,
+                IfUnclear ifUnclear) {
             this(service, ordering, timeLimitMs, attempts, attemptMs, ifUnclear, List.of(), false);
         }
 
@@ -100,11 +131,17 @@
         }
     }
 
-    public enum Role { CALLER, PROCESSOR }
+    public enum Role {
+        CALLER,
+        PROCESSOR
+    }
 
     /** A key is known by the SHA-256 of its secret only. */
-    public record Key(@NotNull Role role, String tenant, String service,
-                      @NotNull @Pattern(regexp = "[0-9a-f]{64}") String sha256) {
+    public record Key(
+            @NotNull Role role,
+            String tenant,
+            String service,
+            @NotNull @Pattern(regexp = "[0-9a-f]{64}") String sha256) {
         public Key {
             tenant = tenant == null ? "" : tenant;
             service = service == null ? "" : service;
--- a/common/src/main/java/org/woadvale/common/config/Configurations.java
+++ b/common/src/main/java/org/woadvale/common/config/Configurations.java
@@ -1,5 +1,13 @@
 package org.woadvale.common.config;
 
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonMappingException;
+import com.fasterxml.jackson.databind.MapperFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import jakarta.validation.Validation;
+import jakarta.validation.Validator;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -8,32 +16,24 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-
 import org.hibernate.validator.messageinterpolation.ParameterMessageInterpolator;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
 
-import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.databind.DeserializationFeature;
-import com.fasterxml.jackson.databind.JsonMappingException;
-import com.fasterxml.jackson.databind.MapperFeature;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.json.JsonMapper;
-
-import jakarta.validation.Validation;
-import jakarta.validation.Validator;
-
 /** Reading and checking of JSON that people write: design 6.1. */
 public final class Configurations {
     public static final ObjectMapper JSON = JsonMapper.builder()
-        .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
-        .enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
-        .enable(MapperFeature.ACCEPT_CASE_INSENSITIVE_ENUMS)
-        .build();
-    private static final Validator VALIDATOR = Validation.byDefaultProvider().configure()
-        .messageInterpolator(new ParameterMessageInterpolator()).buildValidatorFactory().getValidator();
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
+            .enable(MapperFeature.ACCEPT_CASE_INSENSITIVE_ENUMS)
+            .build();
+    private static final Validator VALIDATOR = Validation.byDefaultProvider()
+            .configure()
+            .messageInterpolator(new ParameterMessageInterpolator())
+            .buildValidatorFactory()
+            .getValidator();
 
-    private Configurations() { }
+    private Configurations() {}
 
     public static Configuration layout(byte[] json) throws ServiceException {
         Configuration l = read(json, Configuration.class, ErrorKind.INVALID_LAYOUT);
@@ -42,7 +42,8 @@
             faults.addAll(crossFaults(l));
         }
         if (!faults.isEmpty()) {
-            throw new ServiceException(ErrorKind.INVALID_LAYOUT, "The layout has " + faults.size() + " faults.", faults);
+            throw new ServiceException(
+                    ErrorKind.INVALID_LAYOUT, "The layout has " + faults.size() + " faults.", faults);
         }
         return l;
     }
@@ -50,7 +51,9 @@
     /** A layout that was taken: it is used as it is, whatever this build would say of it, or knows of it. */
     public static Configuration taken(byte[] json) throws ServiceException {
         try {
-            return JSON.readerFor(Configuration.class).without(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES).readValue(json);
+            return JSON.readerFor(Configuration.class)
+                    .without(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+                    .readValue(json);
         } catch (IOException e) {
             throw new ServiceException(ErrorKind.INVALID_LAYOUT, "The taken layout cannot be read: " + e.getMessage());
         }
@@ -75,8 +78,11 @@
         StringBuilder path = new StringBuilder();
         String why = String.valueOf(e.getMessage());
         if (e instanceof JsonMappingException m) {
-            m.getPath().forEach(r -> path.append(r.getFieldName() == null ? "[" + r.getIndex() + "]"
-                : (path.length() == 0 ? "" : ".") + r.getFieldName()));
+            m.getPath()
+                    .forEach(r -> path.append(
+                            r.getFieldName() == null
+                                    ? "[" + r.getIndex() + "]"
+                                    : (path.length() == 0 ? "" : ".") + r.getFieldName()));
             why = String.valueOf(m.getOriginalMessage());
         }
         return (path.length() == 0 ? "" : path + ": ") + why.lines().findFirst().orElse("");
@@ -84,7 +90,10 @@
 
     /** Every fault of the annotations, by path. */
     public static List<String> faults(Object o) {
-        return VALIDATOR.validate(o).stream().map(v -> v.getPropertyPath() + ": " + v.getMessage()).sorted().toList();
+        return VALIDATOR.validate(o).stream()
+                .map(v -> v.getPropertyPath() + ": " + v.getMessage())
+                .sorted()
+                .toList();
     }
 
     private static List<String> crossFaults(Configuration l) {
@@ -92,8 +101,9 @@
         Map<String, String> addresses = new HashMap<>();
         l.services().forEach((n, s) -> {
             if (!s.address().isEmpty()) {
-                Optional.ofNullable(addresses.putIfAbsent(s.address().replaceAll("/+$", ""), n)).ifPresent(other ->
-                    out.add("services." + n + ".address: is " + other + "'s too; it would get both rates"));
+                Optional.ofNullable(addresses.putIfAbsent(s.address().replaceAll("/+$", ""), n))
+                        .ifPresent(other ->
+                                out.add("services." + n + ".address: is " + other + "'s too; it would get both rates"));
             }
             boolean endpoint = s.kind() == Configuration.Kind.ENDPOINT;
             if (endpoint && s.address().isEmpty()) {
@@ -108,8 +118,10 @@
         });
         Map<Configuration.Door, String> doors = new HashMap<>();
         l.lanes().forEach((n, lane) -> {
-            lane.doors().forEach(d -> Optional.ofNullable(doors.putIfAbsent(d, n)).ifPresent(other ->
-                out.add("lanes." + n + ".doors: " + d.host() + d.prefix() + " is " + other + "'s too")));
+            lane.doors()
+                    .forEach(d -> Optional.ofNullable(doors.putIfAbsent(d, n))
+                            .ifPresent(other -> out.add(
+                                    "lanes." + n + ".doors: " + d.host() + d.prefix() + " is " + other + "'s too")));
             if (!l.services().containsKey(lane.service())) {
                 out.add("lanes." + n + ".service: no service " + lane.service());
             }
@@ -143,7 +155,7 @@
     public static String sha256(String secret) {
         try {
             byte[] d = java.security.MessageDigest.getInstance("SHA-256")
-                .digest(secret.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+                    .digest(secret.getBytes(java.nio.charset.StandardCharsets.UTF_8));
             return java.util.HexFormat.of().formatHex(d);
         } catch (java.security.NoSuchAlgorithmException e) {
             throw new IllegalStateException(e);
--- a/common/src/main/java/org/woadvale/common/config/Settings.java
+++ b/common/src/main/java/org/woadvale/common/config/Settings.java
@@ -1,28 +1,34 @@
 package org.woadvale.common.config;
 
+import jakarta.validation.constraints.Max;
+import jakarta.validation.constraints.Min;
+import jakarta.validation.constraints.NotNull;
+import jakarta.validation.constraints.Pattern;
+import jakarta.validation.constraints.Size;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-
+import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
-import org.woadvale.common.membership.ServiceNames;
-
-import jakarta.validation.constraints.Max;
-import jakarta.validation.constraints.Min;
-import jakarta.validation.constraints.NotNull;
-import jakarta.validation.constraints.Pattern;
-import jakarta.validation.constraints.Size;
 
 /** What a process learns of its place: design 10.1. */
 public record Settings(
-        @NotNull @Pattern(regexp = ADDRESS, message = "must be IP:port") String address,
-        @NotNull @Pattern(regexp = ADDRESS, message = "must be IP:port") String http,
-        @NotNull @Pattern(regexp = "[a-z0-9-]{1,32}", message = "must be 1 to 32 small letters, digits or -") String hall,
-        @NotNull @Size(min = 1, max = 3) List<@NotNull @Pattern(regexp = ADDRESS, message = "must be IP:port") String> seeds,
+        @NotNull @Pattern(regexp = ADDRESS, message = "must be IP:port")
+        String address,
+
+        @NotNull @Pattern(regexp = ADDRESS, message = "must be IP:port")
+        String http,
+
+        @NotNull @Pattern(regexp = "[a-z0-9-]{1,32}", message = "must be 1 to 32 small letters, digits or -")
+        String hall,
+
+        @NotNull @Size(min = 1, max = 3)
+        List<@NotNull @Pattern(regexp = ADDRESS, message = "must be IP:port") String> seeds,
+
         Set<@NotNull @Pattern(regexp = "intake|store", message = "must be intake or store") String> roles,
         String data,
         @Min(0) @Max(64) int ringFiles,
@@ -30,7 +36,10 @@
         @Pattern(regexp = "([0-9a-f]{64})?") String operatorKeySha256,
         boolean join,
         @Min(0) @Max(16) int partMb,
-        @Pattern(regexp = "(" + ADDRESS + ")?", message = "must be IP:port") String listen,
+
+        @Pattern(regexp = "(" + ADDRESS + ")?", message = "must be IP:port")
+        String listen,
+
         @Min(0) @Max(3600000) long leaseMs,
         @Min(0) @Max(604800) int keepEndedS,
         @Min(0) @Max(60000) long lingerMs) {
@@ -59,21 +68,49 @@
         keepEndedS = keepEndedS == 0 ? USUAL_KEEP_ENDED_S : keepEndedS;
     }
 
-    public Settings(String address, String http, String hall, List<String> seeds, Set<String> roles, String data, int ringFiles,
-                int ringFileMb, String operatorKeySha256, boolean join, int partMb, String listen) {
-        this(address, http, hall, seeds, roles, data, ringFiles, ringFileMb, operatorKeySha256, join, partMb, listen, 0, 0,
-            0);
+    public Settings(
+            String address,
+            String http,
+            String hall,
+            List<String> seeds,
+            Set<String> roles,
+            String data,
+            int ringFiles,
+            int ringFileMb,
+            String operatorKeySha256,
+            boolean join,
+            int partMb,
+            String listen) {
+        this(
+                address,
+                http,
+                hall,
+                seeds,
+                roles,
+                data,
+                ringFiles,
+                ringFileMb,
+                operatorKeySha256,
+                join,
+                partMb,
+                listen,
+                0,
+                0,
+                0);
     }
 
     public static Settings read(String file) throws ServiceException {
         try {
-            return checked(Configurations.read(Files.readAllBytes(Path.of(file)), Settings.class, ErrorKind.BAD_REQUEST));
+            return checked(
+                    Configurations.read(Files.readAllBytes(Path.of(file)), Settings.class, ErrorKind.BAD_REQUEST));
         } catch (IOException e) {
             throw new ServiceException(ErrorKind.BAD_REQUEST, "Cannot read the boot file " + file + ".");
         } catch (ServiceException e) {
-            String where = e.details().isEmpty() ? e.getMessage() : e.details().get(0).replace(".<list element>", "")
-                .replace(".<iterable element>", "");
-            throw new ServiceException(ErrorKind.BAD_REQUEST, "The boot file " + file + " is invalid at " + where + ".");
+            String where = e.details().isEmpty()
+                    ? e.getMessage()
+                    : e.details().get(0).replace(".<list element>", "").replace(".<iterable element>", "");
+            throw new ServiceException(
+                    ErrorKind.BAD_REQUEST, "The boot file " + file + " is invalid at " + where + ".");
         }
     }
 
@@ -98,17 +135,19 @@
     static Optional<String> sizes(Settings b, long heapMb) {
         int parts = ServiceNames.MESSAGE_PARTS;
         if (b.partMb() * 2 > b.ringFileMb()) {
-            return Optional.of("partMb: a part of " + b.partMb() + " MB needs ringFileMb of at least " + 2 * b.partMb());
+            return Optional.of(
+                    "partMb: a part of " + b.partMb() + " MB needs ringFileMb of at least " + 2 * b.partMb());
         }
         // of each part an old base, a new one and the log between them, and the file that is being written
         int ring = parts * (2 * b.partMb() + Math.min(LOG_MB, Math.max(1, b.ringFileMb() / 4))) + b.ringFileMb();
         if (ring > b.ringFiles() * b.ringFileMb()) {
             return Optional.of("partMb: " + parts + " parts of " + b.partMb() + " MB need a ring of " + ring
-                + " MB, it has " + b.ringFiles() * b.ringFileMb());
+                    + " MB, it has " + b.ringFiles() * b.ringFileMb());
         }
-        return parts * b.partMb() * HEAP_PER_MB <= heapMb ? Optional.empty()
-            : Optional.of("partMb: " + parts + " parts of " + b.partMb() + " MB need a heap of "
-                + (int) (parts * b.partMb() * HEAP_PER_MB) + " MB, it has " + heapMb);
+        return parts * b.partMb() * HEAP_PER_MB <= heapMb
+                ? Optional.empty()
+                : Optional.of("partMb: " + parts + " parts of " + b.partMb() + " MB need a heap of "
+                        + (int) (parts * b.partMb() * HEAP_PER_MB) + " MB, it has " + heapMb);
     }
 
     /** Where to listen, if that is not the address by which others know this process. */
@@ -117,10 +156,24 @@
     }
 
     /** With the flags that the command line gave; an empty flag changes nothing. */
-    public Settings with(String flagAddress, String flagHttp, String flagHall, String flagData) throws ServiceException {
-        return checked(new Settings(or(flagAddress, address), or(flagHttp, http), or(flagHall, hall), seeds, roles,
-            or(flagData, data), ringFiles, ringFileMb, operatorKeySha256, join, partMb, listen, leaseMs,
-            keepEndedS, lingerMs));
+    public Settings with(String flagAddress, String flagHttp, String flagHall, String flagData)
+            throws ServiceException {
+        return checked(new Settings(
+                or(flagAddress, address),
+                or(flagHttp, http),
+                or(flagHall, hall),
+                seeds,
+                roles,
+                or(flagData, data),
+                ringFiles,
+                ringFileMb,
+                operatorKeySha256,
+                join,
+                partMb,
+                listen,
+                leaseMs,
+                keepEndedS,
+                lingerMs));
     }
 
     private static String or(String flag, String given) {
--- a/common/src/main/java/org/woadvale/common/discovery/ViewSubscriptions.java
+++ b/common/src/main/java/org/woadvale/common/discovery/ViewSubscriptions.java
@@ -7,16 +7,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BiConsumer;
-
-import org.woadvale.common.replication.Env;
-import org.woadvale.common.runtime.TimerHandle;
-import org.woadvale.common.runtime.LockedShard;
 import org.woadvale.common.membership.ControlMessages;
 import org.woadvale.common.membership.CoreClient;
-import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.membership.MemberLease;
+import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.membership.ServiceView;
-
+import org.woadvale.common.replication.Env;
+import org.woadvale.common.runtime.LockedShard;
+import org.woadvale.common.runtime.TimerHandle;
 import reactor.core.publisher.Mono;
 
 /** A node's views of services, each with the proven age of its confirmation: design 7. */
@@ -48,7 +46,7 @@
     private final LockedShard shard = new LockedShard();
     private final Map<String, Followed> all = new HashMap<>();
     private final List<BiConsumer<String, ServiceView>> listeners = new ArrayList<>();
-    private TimerHandle polling = () -> { };
+    private TimerHandle polling = () -> {};
 
     public ViewSubscriptions(Env env, CoreClient core, String hall) {
         this.env = env;
@@ -100,8 +98,11 @@
         });
         if (!known.isEmpty()) {
             Duration sent = now();
-            core.ask(ServiceNames.controlPart(service), new ControlMessages.NewsAsk(known), ControlMessages.NewsReply.class)
-                .subscribe(r -> took(r, sent), e -> { });
+            core.ask(
+                            ServiceNames.controlPart(service),
+                            new ControlMessages.NewsAsk(known),
+                            ControlMessages.NewsReply.class)
+                    .subscribe(r -> took(r, sent), e -> {});
         }
     }
 
@@ -122,8 +123,12 @@
     private Optional<String> home(String service) {
         Map<String, MemberLease> seats = new HashMap<>(seats(ServiceNames.INTAKES));
         seats.putAll(seats(ServiceNames.STORES));
-        return ServiceNames.draw("home/" + ServiceNames.controlPart(service),
-            seats.entrySet().stream().filter(e -> e.getValue().hall().equals(hall)).map(Map.Entry::getKey).toList());
+        return ServiceNames.draw(
+                "home/" + ServiceNames.controlPart(service),
+                seats.entrySet().stream()
+                        .filter(e -> e.getValue().hall().equals(hall))
+                        .map(Map.Entry::getKey)
+                        .toList());
     }
 
     private Map<String, MemberLease> seats(String role) {
@@ -137,23 +142,31 @@
             all.values().removeIf(f -> !f.always && now().compareTo(f.wantedUntil) > 0);
             all.forEach((s, f) -> {
                 Optional<String> home = home(s);
-                // the first view after a start comes from the core: a home may know less than we knew before. design 7.1
-                boolean direct = !f.any || home.isEmpty() || home.get().equals(env.self()) || now().compareTo(f.directUntil) < 0;
-                (direct ? byPart.computeIfAbsent(ServiceNames.controlPart(s), k -> new HashMap<>())
-                    : byHome.computeIfAbsent(home.get(), k -> new HashMap<>())).put(s, f.any ? f.view.version() : -1L);
+                // the first view after a start comes from the core: a home may know less than we knew before. design
+                // 7.1
+                boolean direct =
+                        !f.any || home.isEmpty() || home.get().equals(env.self()) || now().compareTo(f.directUntil) < 0;
+                (direct
+                                ? byPart.computeIfAbsent(ServiceNames.controlPart(s), k -> new HashMap<>())
+                                : byHome.computeIfAbsent(home.get(), k -> new HashMap<>()))
+                        .put(s, f.any ? f.view.version() : -1L);
             });
         });
         byPart.forEach((part, known) -> {
             Duration sent = now();
             core.ask(part, new ControlMessages.NewsAsk(known), ControlMessages.NewsReply.class)
-                .subscribe(r -> took(r, sent), e -> { });
+                    .subscribe(r -> took(r, sent), e -> {});
         });
         byHome.forEach((home, known) -> {
             Duration sent = now();
-            env.beam().ask(home, new ControlMessages.NewsAsk(known), ControlMessages.NewsReply.class, HOME_ASK).subscribe(r -> {
-                took(r, sent);
-                distrust(known, r);
-            }, e -> distrust(known, new ControlMessages.NewsReply(List.of(), Map.of())));
+            env.beam()
+                    .ask(home, new ControlMessages.NewsAsk(known), ControlMessages.NewsReply.class, HOME_ASK)
+                    .subscribe(
+                            r -> {
+                                took(r, sent);
+                                distrust(known, r);
+                            },
+                            e -> distrust(known, new ControlMessages.NewsReply(List.of(), Map.of())));
         });
     }
 
@@ -173,22 +186,23 @@
         Map<String, ServiceView> views = new HashMap<>();
         r.views().forEach(v -> views.put(v.service(), v));
         List<ServiceView> changed = new ArrayList<>();
-        shard.run(() -> r.ages().forEach((s, age) -> Optional.ofNullable(all.get(s)).ifPresent(f -> {
-            ServiceView v = views.getOrDefault(s, f.view);
-            if (f.any && v.version() < f.view.version()) {
-                return;
-            }
-            if (!f.any && !views.containsKey(s)) {
-                return;
-            }
-            if (!f.any || v.version() > f.view.version()) {
-                f.view = v;
-                f.any = true;
-                changed.add(v);
-            }
-            Duration at = sent.minus(age);
-            f.confirmed = at.compareTo(f.confirmed) > 0 ? at : f.confirmed;
-        })));
+        shard.run(() -> r.ages()
+                .forEach((s, age) -> Optional.ofNullable(all.get(s)).ifPresent(f -> {
+                    ServiceView v = views.getOrDefault(s, f.view);
+                    if (f.any && v.version() < f.view.version()) {
+                        return;
+                    }
+                    if (!f.any && !views.containsKey(s)) {
+                        return;
+                    }
+                    if (!f.any || v.version() > f.view.version()) {
+                        f.view = v;
+                        f.any = true;
+                        changed.add(v);
+                    }
+                    Duration at = sent.minus(age);
+                    f.confirmed = at.compareTo(f.confirmed) > 0 ? at : f.confirmed;
+                })));
         changed.forEach(v -> listeners.forEach(l -> l.accept(v.service(), v)));
     }
 
--- a/common/src/main/java/org/woadvale/common/http/Answer.java
+++ b/common/src/main/java/org/woadvale/common/http/Answer.java
@@ -1,10 +1,8 @@
 package org.woadvale.common.http;
 
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-
 import org.woadvale.common.config.Configurations;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
--- a/common/src/main/java/org/woadvale/common/http/HttpGateway.java
+++ b/common/src/main/java/org/woadvale/common/http/HttpGateway.java
@@ -1,22 +1,20 @@
 package org.woadvale.common.http;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.Function;
-
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.woadvale.common.runtime.Component;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
-
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.group.ChannelGroup;
-import io.netty.channel.group.DefaultChannelGroup;
-import io.netty.util.concurrent.GlobalEventExecutor;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
 import reactor.netty.NettyPipeline;
@@ -50,36 +48,45 @@
     public void start() throws ServiceException {
         int colon = address.lastIndexOf(':');
         try {
-            server = HttpServer.create().host(address.substring(0, colon))
-                .port(Integer.parseInt(address.substring(colon + 1)))
-                .httpRequestDecoder(s -> s.maxHeaderSize(MAX_HEADER).maxInitialLineLength(MAX_HEADER))
-                .idleTimeout(Duration.ofSeconds(60)).channelGroup(streams)
-                .doOnChannelInit((o, c, a) -> c.pipeline().addAfter(NettyPipeline.HttpCodec, "broken", new MalformedRequest()))
-                .handle(this::serve).bindNow(Duration.ofSeconds(5));
+            server = HttpServer.create()
+                    .host(address.substring(0, colon))
+                    .port(Integer.parseInt(address.substring(colon + 1)))
+                    .httpRequestDecoder(s -> s.maxHeaderSize(MAX_HEADER).maxInitialLineLength(MAX_HEADER))
+                    .idleTimeout(Duration.ofSeconds(60))
+                    .channelGroup(streams)
+                    .doOnChannelInit((o, c, a) ->
+                            c.pipeline().addAfter(NettyPipeline.HttpCodec, "broken", new MalformedRequest()))
+                    .handle(this::serve)
+                    .bindNow(Duration.ofSeconds(5));
         } catch (RuntimeException e) {
-            throw new ServiceException(ErrorKind.UNAVAILABLE, "Cannot listen for HTTP on " + address + ": " + e.getMessage());
+            throw new ServiceException(
+                    ErrorKind.UNAVAILABLE, "Cannot listen for HTTP on " + address + ": " + e.getMessage());
         }
     }
 
     private Mono<Void> serve(HttpServerRequest in, HttpServerResponse out) {
-        return body(in)
-            .flatMap(b -> app.apply(new Request(in.method().name(), in.uri(), headers(in), b)))
-            .switchIfEmpty(Mono.error(new ServiceException(ErrorKind.INTERNAL, "No answer was made.")))
-            .onErrorResume(e -> {
-                ServiceException f = ServiceException.of(e);
-                LOG.log(f.kind().level(), "gate: {} {} ended as {}: {}", in.method(), in.uri(), f.kind().word(),
-                    f.getMessage());
-                return Mono.just(Answer.of(f));
-            })
-            .flatMap(a -> {
-                out.status(a.status());
-                a.headers().forEach(out::header);
-                out.header("Content-Length", Integer.toString(a.body().length));
-                if (closing) {
-                    out.header("Connection", "close");
-                }
-                return out.send(Mono.just(Unpooled.wrappedBuffer(a.body()))).then();
-            });
+        return body(in).flatMap(b -> app.apply(new Request(in.method().name(), in.uri(), headers(in), b)))
+                .switchIfEmpty(Mono.error(new ServiceException(ErrorKind.INTERNAL, "No answer was made.")))
+                .onErrorResume(e -> {
+                    ServiceException f = ServiceException.of(e);
+                    LOG.log(
+                            f.kind().level(),
+                            "gate: {} {} ended as {}: {}",
+                            in.method(),
+                            in.uri(),
+                            f.kind().word(),
+                            f.getMessage());
+                    return Mono.just(Answer.of(f));
+                })
+                .flatMap(a -> {
+                    out.status(a.status());
+                    a.headers().forEach(out::header);
+                    out.header("Content-Length", Integer.toString(a.body().length));
+                    if (closing) {
+                        out.header("Connection", "close");
+                    }
+                    return out.send(Mono.just(Unpooled.wrappedBuffer(a.body()))).then();
+                });
     }
 
     private Mono<byte[]> body(HttpServerRequest in) {
@@ -87,15 +94,20 @@
         if (declared > maxBody) {
             return Mono.error(tooLarge());
         }
-        return in.receive().map(HttpGateway::bytes).reduceWith(() -> new byte[0], (a, b) -> {
-            if (a.length + b.length > maxBody) {
-                throw reactor.core.Exceptions.propagate(tooLarge());
-            }
-            byte[] all = java.util.Arrays.copyOf(a, a.length + b.length);
-            System.arraycopy(b, 0, all, a.length, b.length);
-            return all;
-        }).onErrorMap(reactor.core.Exceptions::unwrap).flatMap(b -> MalformedRequest.is(in)
-            ? Mono.error(new ServiceException(ErrorKind.BAD_REQUEST, "The request cannot be read whole.")) : Mono.just(b));
+        return in.receive()
+                .map(HttpGateway::bytes)
+                .reduceWith(() -> new byte[0], (a, b) -> {
+                    if (a.length + b.length > maxBody) {
+                        throw reactor.core.Exceptions.propagate(tooLarge());
+                    }
+                    byte[] all = java.util.Arrays.copyOf(a, a.length + b.length);
+                    System.arraycopy(b, 0, all, a.length, b.length);
+                    return all;
+                })
+                .onErrorMap(reactor.core.Exceptions::unwrap)
+                .flatMap(b -> MalformedRequest.is(in)
+                        ? Mono.error(new ServiceException(ErrorKind.BAD_REQUEST, "The request cannot be read whole."))
+                        : Mono.just(b));
     }
 
     private ServiceException tooLarge() {
--- a/common/src/main/java/org/woadvale/common/http/MalformedRequest.java
+++ b/common/src/main/java/org/woadvale/common/http/MalformedRequest.java
@@ -1,11 +1,10 @@
 package org.woadvale.common.http;
 
-import java.util.concurrent.atomic.AtomicBoolean;
-
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.DecoderResultProvider;
 import io.netty.util.AttributeKey;
+import java.util.concurrent.atomic.AtomicBoolean;
 import reactor.netty.http.server.HttpServerRequest;
 
 /** Notes on a stream that what came cannot be decoded: the server then ends the body as if it were whole. */
--- a/common/src/main/java/org/woadvale/common/http/Request.java
+++ b/common/src/main/java/org/woadvale/common/http/Request.java
@@ -17,6 +17,8 @@
 
     /** The secret of a bearer key. */
     public Optional<String> secret() {
-        return header("authorization").filter(a -> a.startsWith("Bearer ")).map(a -> a.substring(7).trim());
+        return header("authorization")
+                .filter(a -> a.startsWith("Bearer "))
+                .map(a -> a.substring(7).trim());
     }
 }
--- a/common/src/main/java/org/woadvale/common/membership/ControlMessages.java
+++ b/common/src/main/java/org/woadvale/common/membership/ControlMessages.java
@@ -3,67 +3,81 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
-
 import org.woadvale.common.rpc.Since;
 
 /** What processes ask the core, and home nodes: design 6.3 and 7. */
 public final class ControlMessages {
-    private ControlMessages() { }
+    private ControlMessages() {}
 
-    public record ClaimAsk(String service, String node, MemberLease seat) { }
+    public record ClaimAsk(String service, String node, MemberLease seat) {}
 
-    public record LeaveAsk(String service, String node) { }
+    public record LeaveAsk(String service, String node) {}
 
     /** Renews when term is the present one; otherwise stands for the vacant duty. */
-    public record DutyAsk(String service, String node, long term) { }
+    public record DutyAsk(String service, String node, long term) {}
 
-    public record DutyReply(boolean yours, LeaderDuty duty) { }
+    public record DutyReply(boolean yours, LeaderDuty duty) {}
 
-    public record DutyRelease(String service, String node, long term, double level) { }
+    public record DutyRelease(String service, String node, long term, double level) {}
 
-    public record Done(boolean ok) { }
+    public record Done(boolean ok) {}
 
     /** Versions known by the asker; -1 for none. */
-    public record NewsAsk(Map<String, Long> known) { }
+    public record NewsAsk(Map<String, Long> known) {}
 
     /** Views that differ, and for each service served the age of its confirmation. */
-    public record NewsReply(List<ServiceView> views, Map<String, Duration> ages) { }
+    public record NewsReply(List<ServiceView> views, Map<String, Duration> ages) {}
 
-    public record CoreAsk(boolean any) { }
+    public record CoreAsk(boolean any) {}
 
-    public record CoreReply(List<String> lighthouses) { }
+    public record CoreReply(List<String> lighthouses) {}
 
     // commands in the logs of control parts
-    public record PutSeat(String service, String node, MemberLease seat) { }
+    public record PutSeat(String service, String node, MemberLease seat) {}
 
-    public record DropSeat(String service, String node, String incarnation) { }
+    public record DropSeat(String service, String node, String incarnation) {}
 
     /** Taken only while the list has the version seen before, plus one; nothing (0) is always taken. design 6.7 */
-    public record PutProcessor(String service, String id, Processor processor, @Since(2) long seen) { }
+    public record PutProcessor(
+            String service,
+            String id,
+            Processor processor,
+            @Since(2) long seen) {}
 
-    public record DropProcessor(String service, String id, @Since(2) long seen) { }
+    public record DropProcessor(
+            String service, String id, @Since(2) long seen) {}
 
-    public record TakeDuty(String service, String node, long expectedTerm, @Since(2) boolean lapsed) { }
+    public record TakeDuty(
+            String service,
+            String node,
+            long expectedTerm,
+            @Since(2) boolean lapsed) {}
 
-    public record ReleaseDuty(String service, String node, long term, double level) { }
+    public record ReleaseDuty(String service, String node, long term, double level) {}
 
-    public record Place(Map<String, List<String>> placement, long expectedVersion) { }
+    public record Place(Map<String, List<String>> placement, long expectedVersion) {}
 
     /** A revision of the operator's own, if not 0, becomes the version; the original is kept and given back. design 6.8 */
-    public record PutLayout(String requestId, long base, byte[] layout, String author, @Since(3) long revision,
-                            @Since(3) byte[] original) {
+    public record PutLayout(
+            String requestId,
+            long base,
+            byte[] layout,
+            String author,
+            @Since(3) long revision,
+            @Since(3) byte[] original) {
         public PutLayout(String requestId, long base, byte[] layout, String author) {
             this(requestId, base, layout, author, 0, new byte[0]);
         }
     }
 
     /** A whole list at once, from a registry that has them all: design 6.7. */
-    public record PutProcessors(String service, Map<String, Processor> processors, long seen) { }
+    public record PutProcessors(String service, Map<String, Processor> processors, long seen) {}
 
-    public record LayoutTaken(long version, boolean repeated) { }
+    public record LayoutTaken(long version, boolean repeated) {}
 
     /** One lighthouse for another: the whole list as it should be. */
-    public record PutCore(List<String> lighthouses, @Since(2) List<String> instead) { }
+    public record PutCore(
+            List<String> lighthouses, @Since(2) List<String> instead) {}
 
     /** Types that came after the first build: numbered after all others. design 3.2 */
     public static List<Class<?>> later() {
@@ -71,9 +85,30 @@
     }
 
     public static List<Class<?>> types() {
-        return List.of(ClaimAsk.class, LeaveAsk.class, DutyAsk.class, DutyReply.class, DutyRelease.class, Done.class,
-            NewsAsk.class, NewsReply.class, CoreAsk.class, CoreReply.class, PutSeat.class, DropSeat.class,
-            PutProcessor.class, DropProcessor.class, TakeDuty.class, ReleaseDuty.class, Place.class, PutLayout.class,
-            LayoutTaken.class, MemberLease.class, Processor.class, LeaderDuty.class, ServiceView.class, PutCore.class);
+        return List.of(
+                ClaimAsk.class,
+                LeaveAsk.class,
+                DutyAsk.class,
+                DutyReply.class,
+                DutyRelease.class,
+                Done.class,
+                NewsAsk.class,
+                NewsReply.class,
+                CoreAsk.class,
+                CoreReply.class,
+                PutSeat.class,
+                DropSeat.class,
+                PutProcessor.class,
+                DropProcessor.class,
+                TakeDuty.class,
+                ReleaseDuty.class,
+                Place.class,
+                PutLayout.class,
+                LayoutTaken.class,
+                MemberLease.class,
+                Processor.class,
+                LeaderDuty.class,
+                ServiceView.class,
+                PutCore.class);
     }
 }
--- a/common/src/main/java/org/woadvale/common/membership/CoreClient.java
+++ b/common/src/main/java/org/woadvale/common/membership/CoreClient.java
@@ -8,11 +8,9 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-
 import org.woadvale.common.rpc.RpcClient;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
-
 import reactor.core.publisher.Mono;
 
 /** A process's way to the owners of the control parts; every ask is idempotent. */
@@ -26,7 +24,12 @@
     private final Map<String, String> owners = new ConcurrentHashMap<>();
     private volatile List<String> lighthouses;
 
-    public CoreClient(RpcClient beam, LongSupplier random, List<String> seeds, List<String> known, Consumer<List<String>> remember) {
+    public CoreClient(
+            RpcClient beam,
+            LongSupplier random,
+            List<String> seeds,
+            List<String> known,
+            Consumer<List<String>> remember) {
         this.beam = beam;
         this.random = random;
         this.seeds = List.copyOf(seeds);
@@ -59,12 +62,15 @@
         if (n.equals(beam.self())) {
             return;
         }
-        beam.ask(n, new ControlMessages.CoreAsk(true), ControlMessages.CoreReply.class, EACH).subscribe(r -> {
-            if (!r.lighthouses().isEmpty() && !r.lighthouses().equals(lighthouses)) {
-                lighthouses = List.copyOf(r.lighthouses());
-                remember.accept(lighthouses);
-            }
-        }, e -> { });
+        beam.ask(n, new ControlMessages.CoreAsk(true), ControlMessages.CoreReply.class, EACH)
+                .subscribe(
+                        r -> {
+                            if (!r.lighthouses().isEmpty() && !r.lighthouses().equals(lighthouses)) {
+                                lighthouses = List.copyOf(r.lighthouses());
+                                remember.accept(lighthouses);
+                            }
+                        },
+                        e -> {});
     }
 
     public String guess(String part) {
@@ -78,18 +84,23 @@
 
     private <T> Mono<T> attempt(String part, Object body, Class<T> type, String to, int left) {
         return beam.ask(to, body, type, EACH)
-            .doOnNext(t -> owners.put(part, to))
-            .onErrorResume(e -> {
-                ServiceException f = ServiceException.of(e);
-                owners.remove(part, to);
-                boolean again = f.kind() == ErrorKind.NOT_OWNER || f.kind() == ErrorKind.UNREACHABLE
-                    || f.kind() == ErrorKind.UNKNOWN_OUTCOME || f.kind() == ErrorKind.STOPPING;
-                if (!again || left <= 1) {
-                    return Mono.error(f);
-                }
-                String next = f.kind() == ErrorKind.NOT_OWNER && !f.details().isEmpty() ? f.details().get(0) : other(to);
-                return attempt(part, body, type, next, left - 1);
-            });
+                .doOnNext(t -> owners.put(part, to))
+                .onErrorResume(e -> {
+                    ServiceException f = ServiceException.of(e);
+                    owners.remove(part, to);
+                    boolean again = f.kind() == ErrorKind.NOT_OWNER
+                            || f.kind() == ErrorKind.UNREACHABLE
+                            || f.kind() == ErrorKind.UNKNOWN_OUTCOME
+                            || f.kind() == ErrorKind.STOPPING;
+                    if (!again || left <= 1) {
+                        return Mono.error(f);
+                    }
+                    String next =
+                            f.kind() == ErrorKind.NOT_OWNER && !f.details().isEmpty()
+                                    ? f.details().get(0)
+                                    : other(to);
+                    return attempt(part, body, type, next, left - 1);
+                });
     }
 
     private String other(String not) {
--- a/common/src/main/java/org/woadvale/common/membership/LeaderDuty.java
+++ b/common/src/main/java/org/woadvale/common/membership/LeaderDuty.java
@@ -6,7 +6,8 @@
  * A one-node duty; the holder is empty while it is vacant. A term of zero: never held. Clear: it was taken when all
  * that earlier terms gave out had lapsed.
  */
-public record LeaderDuty(String holder, long term, double level, @Since(2) boolean clear) {
+public record LeaderDuty(
+        String holder, long term, double level, @Since(2) boolean clear) {
     public static LeaderDuty never() {
         return new LeaderDuty("", 0, -1, false);
     }
--- a/common/src/main/java/org/woadvale/common/membership/MemberLease.java
+++ b/common/src/main/java/org/woadvale/common/membership/MemberLease.java
@@ -1,8 +1,11 @@
 package org.woadvale.common.membership;
 
 import java.util.List;
-
 import org.woadvale.common.rpc.Since;
 
 /** A member's place in a service: a role is a service too. */
-public record MemberLease(String hall, String http, String incarnation, @Since(2) List<String> unseated) { }
+public record MemberLease(
+        String hall,
+        String http,
+        String incarnation,
+        @Since(2) List<String> unseated) {}
--- a/common/src/main/java/org/woadvale/common/membership/ServiceNames.java
+++ b/common/src/main/java/org/woadvale/common/membership/ServiceNames.java
@@ -10,12 +10,13 @@
     public static final String LAYOUT = "layout";
     /** Who the lighthouses should be; kept with the layout. */
     public static final String CORE = "core";
+
     public static final String INTAKES = "role/intake";
     public static final String STORES = "role/store";
     public static final int CONTROL_PARTS = 8;
     public static final int MESSAGE_PARTS = 8;
 
-    private ServiceNames() { }
+    private ServiceNames() {}
 
     public static String tenantBucket(String tenant) {
         return "tenant/" + tenant;
@@ -31,11 +32,15 @@
     }
 
     public static String controlPart(String service) {
-        return service.equals(LAYOUT) || service.equals(CORE) ? "c0" : "c" + (1 + Math.floorMod(mix(service.hashCode()), CONTROL_PARTS));
+        return service.equals(LAYOUT) || service.equals(CORE)
+                ? "c0"
+                : "c" + (1 + Math.floorMod(mix(service.hashCode()), CONTROL_PARTS));
     }
 
     public static List<String> controlParts() {
-        return java.util.stream.IntStream.rangeClosed(0, CONTROL_PARTS).mapToObj(i -> "c" + i).toList();
+        return java.util.stream.IntStream.rangeClosed(0, CONTROL_PARTS)
+                .mapToObj(i -> "c" + i)
+                .toList();
     }
 
     public static String messagePart(String lane, String key) {
@@ -43,12 +48,15 @@
     }
 
     public static List<String> messageParts() {
-        return java.util.stream.IntStream.range(0, MESSAGE_PARTS).mapToObj(i -> "m" + i).toList();
+        return java.util.stream.IntStream.range(0, MESSAGE_PARTS)
+                .mapToObj(i -> "m" + i)
+                .toList();
     }
 
     /** Rendezvous draw: losing a node moves only what it had. */
     public static Optional<String> draw(String what, Collection<String> nodes) {
-        return nodes.stream().max(Comparator.<String>comparingLong(n -> mix64(what, n)).thenComparing(n -> n));
+        return nodes.stream()
+                .max(Comparator.<String>comparingLong(n -> mix64(what, n)).thenComparing(n -> n));
     }
 
     public static long mix64(String a, String b) {
--- a/common/src/main/java/org/woadvale/common/membership/ServiceView.java
+++ b/common/src/main/java/org/woadvale/common/membership/ServiceView.java
@@ -4,8 +4,15 @@
 import java.util.Map;
 
 /** All that the core knows of one service; applied only forward by version. design 7.1 */
-public record ServiceView(String service, long version, Map<String, MemberLease> seats, Map<String, Processor> processors,
-                          LeaderDuty duty, Map<String, List<String>> placement, byte[] layout, long layoutVersion) {
+public record ServiceView(
+        String service,
+        long version,
+        Map<String, MemberLease> seats,
+        Map<String, Processor> processors,
+        LeaderDuty duty,
+        Map<String, List<String>> placement,
+        byte[] layout,
+        long layoutVersion) {
     public static ServiceView blank(String service) {
         return new ServiceView(service, 0, Map.of(), Map.of(), LeaderDuty.never(), Map.of(), new byte[0], 0);
     }
--- a/common/src/main/java/org/woadvale/common/membership/Wire.java
+++ b/common/src/main/java/org/woadvale/common/membership/Wire.java
@@ -3,10 +3,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-
-import org.woadvale.common.rpc.Codec;
-import org.woadvale.common.replication.Messages;
 import org.woadvale.common.ratelimit.AdmissionTokens;
+import org.woadvale.common.replication.Messages;
+import org.woadvale.common.rpc.Codec;
 
 /** The numbers of the types on inner streams; in each list, only ever add at the end. design 3.2 */
 public final class Wire {
@@ -14,7 +13,7 @@
     public static final int PILOT = 400;
     private static final int SHARED = 100;
 
-    private Wire() { }
+    private Wire() {}
 
     public static Codec codec(int ownFirst, List<Class<?>> own) {
         List<Class<?>> shared = new ArrayList<>();
--- a/common/src/main/java/org/woadvale/common/ratelimit/AdmissionTokens.java
+++ b/common/src/main/java/org/woadvale/common/ratelimit/AdmissionTokens.java
@@ -13,15 +13,15 @@
     /** An ask that only reports. */
     public static final long NO_GRANT = 0;
 
-    private AdmissionTokens() { }
+    private AdmissionTokens() {}
 
     /** Spent so far of a grant, and whether the rest is given back for good. */
-    public record Report(long grant, int spent, boolean closed) { }
+    public record Report(long grant, int spent, boolean closed) {}
 
-    public record PassAsk(String bucket, long grant, int least, List<Report> reports) { }
+    public record PassAsk(String bucket, long grant, int least, List<Report> reports) {}
 
     /** Granted may be zero; then retry tells when to come back. AdmissionTokens live so long, from when they were asked for. */
-    public record PassReply(long grant, int granted, Duration retry, long term, Duration life) { }
+    public record PassReply(long grant, int granted, Duration retry, long term, Duration life) {}
 
     public static List<Class<?>> types() {
         return List.of(Report.class, PassAsk.class, PassReply.class);
--- a/common/src/main/java/org/woadvale/common/ratelimit/AggregateBucket.java
+++ b/common/src/main/java/org/woadvale/common/ratelimit/AggregateBucket.java
@@ -33,7 +33,7 @@
     }
 
     /** A node that asked lately; its first grants are small and double, so that one cannot empty the bucket. */
-    private record Asker(Duration last, int most) { }
+    private record Asker(Duration last, int most) {}
 
     private final long term;
     private final Bucket bucket;
@@ -42,6 +42,7 @@
     private final Map<String, Asker> askers = new HashMap<>();
     /** What earlier terms may still have out, and until when. */
     private double before;
+
     private final Duration beforeUntil;
     private int outstanding;
 
@@ -101,15 +102,17 @@
     }
 
     private void report(String asker, AdmissionTokens.Report r) {
-        Optional.ofNullable(byId.get(asker + "/" + r.grant())).filter(g -> !g.closed).ifPresent(g -> {
-            int before = g.out();
-            g.spent = Math.max(g.spent, Math.min(r.spent(), g.granted));
-            if (r.closed()) {
-                bucket.giveBack(g.granted - g.spent);
-                g.closed = true;
-            }
-            outstanding += g.out() - before;
-        });
+        Optional.ofNullable(byId.get(asker + "/" + r.grant()))
+                .filter(g -> !g.closed)
+                .ifPresent(g -> {
+                    int before = g.out();
+                    g.spent = Math.max(g.spent, Math.min(r.spent(), g.granted));
+                    if (r.closed()) {
+                        bucket.giveBack(g.granted - g.spent);
+                        g.closed = true;
+                    }
+                    outstanding += g.out() - before;
+                });
     }
 
     /** Idempotent by asker and grant id; never grants more than the aggregate holds, nor for longer than the claim. */
--- a/common/src/main/java/org/woadvale/common/ratelimit/LocalBucket.java
+++ b/common/src/main/java/org/woadvale/common/ratelimit/LocalBucket.java
@@ -10,10 +10,11 @@
 
 /** The local bucket of one node for one shared bucket: drawn without a call. design 8.3 */
 public final class LocalBucket {
-    private static final Duration GIVE_BACK = AdmissionTokens.LIFE.multipliedBy(7).dividedBy(10);
+    private static final Duration GIVE_BACK =
+            AdmissionTokens.LIFE.multipliedBy(7).dividedBy(10);
 
     /** One drawn pass; dead after its end. */
-    public record Pass(long grant, Duration until) { }
+    public record Pass(long grant, Duration until) {}
 
     private static final class Lot {
         final long grant;
@@ -53,7 +54,9 @@
     }
 
     private Optional<Lot> unsettled(Pass p) {
-        return lots.stream().filter(l -> l.grant == p.grant() && !l.closed && l.drawn > l.settled).findFirst();
+        return lots.stream()
+                .filter(l -> l.grant == p.grant() && !l.closed && l.drawn > l.settled)
+                .findFirst();
     }
 
     /** A pass drawn for work that was definitely refused is spendable again while it lives. */
@@ -96,7 +99,7 @@
     /** Old lots are closed here first, then reported as given back: they can never be spent in both places. */
     public List<AdmissionTokens.Report> reports(Duration now) {
         List<AdmissionTokens.Report> out = new ArrayList<>();
-        for (Iterator<Lot> i = lots.iterator(); i.hasNext();) {
+        for (Iterator<Lot> i = lots.iterator(); i.hasNext(); ) {
             Lot l = i.next();
             if (now.compareTo(l.until) >= 0) {
                 i.remove();
--- a/common/src/main/java/org/woadvale/common/ratelimit/LocalBuckets.java
+++ b/common/src/main/java/org/woadvale/common/ratelimit/LocalBuckets.java
@@ -7,15 +7,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-
 import org.woadvale.common.discovery.ViewSubscriptions;
 import org.woadvale.common.replication.Env;
 import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.LockedShard;
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.common.runtime.TimerHandle;
-import org.woadvale.common.runtime.LockedShard;
-import org.woadvale.common.membership.ServiceNames;
-
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 
@@ -28,7 +25,7 @@
     private static final Duration TELL = Duration.ofMillis(100);
     private static final int MAX_WAITING = 256;
 
-    private record Waiting(Sinks.One<LocalBucket.Pass> sink, Duration until) { }
+    private record Waiting(Sinks.One<LocalBucket.Pass> sink, Duration until) {}
 
     private static final class Local {
         final LocalBucket purse = new LocalBucket();
@@ -39,19 +36,20 @@
         boolean asking;
         /** Somebody wanted a pass and did not wait for it. */
         boolean missed;
+
         Duration told = Duration.ZERO;
         long pending;
         Duration pendingSince = Duration.ZERO;
     }
 
     /** Counts for the measurements: drawn at once, after a wait, or not at all. */
-    public record Counts(long atOnce, long waited, long throttled, long asks) { }
+    public record Counts(long atOnce, long waited, long throttled, long asks) {}
 
     private final Env env;
     private final ViewSubscriptions news;
     private final LockedShard shard = new LockedShard();
     private final Map<String, Local> all = new HashMap<>();
-    private TimerHandle looking = () -> { };
+    private TimerHandle looking = () -> {};
     private long nextGrant;
     private long atOnce;
     private long waited;
@@ -162,7 +160,8 @@
         if (!need || l.asking || now().compareTo(l.notBefore) < 0) {
             return;
         }
-        Optional<String> holder = Optional.of(news.latest(bucket).duty().holder()).filter(h -> !h.isEmpty());
+        Optional<String> holder =
+                Optional.of(news.latest(bucket).duty().holder()).filter(h -> !h.isEmpty());
         if (holder.isEmpty()) {
             l.notBefore = now().plus(AGAIN);
             shard.leave(() -> news.hurry(bucket));
@@ -176,27 +175,37 @@
         l.told = now();
         asks++;
         Duration since = l.pendingSince;
-        AdmissionTokens.PassAsk ask = new AdmissionTokens.PassAsk(bucket, l.pending, Math.max(l.waiting.size(), l.missed ? 1 : 0),
-            l.purse.reports(now()));
-        shard.leave(() -> env.beam().ask(holder.get(), ask, AdmissionTokens.PassReply.class, ASK)
-            .subscribe(r -> shard.run(() -> granted(bucket, l, r, since)), e -> shard.run(() -> {
-                l.asking = false;
-                l.notBefore = now().plus(AGAIN);
-                // the holder may be another by now: design 8.4
-                shard.leave(() -> news.hurry(bucket));
-            })));
+        AdmissionTokens.PassAsk ask = new AdmissionTokens.PassAsk(
+                bucket, l.pending, Math.max(l.waiting.size(), l.missed ? 1 : 0), l.purse.reports(now()));
+        shard.leave(() -> env.beam()
+                .ask(holder.get(), ask, AdmissionTokens.PassReply.class, ASK)
+                .subscribe(
+                        r -> shard.run(() -> granted(bucket, l, r, since)),
+                        e -> shard.run(() -> {
+                            l.asking = false;
+                            l.notBefore = now().plus(AGAIN);
+                            // the holder may be another by now: design 8.4
+                            shard.leave(() -> news.hurry(bucket));
+                        })));
     }
 
     /** What is spent is told soon: the holder fills only what is not out. */
     private void report(String bucket, Local l) {
-        Optional<String> holder = Optional.of(news.latest(bucket).duty().holder()).filter(h -> !h.isEmpty());
-        if (l.asking || holder.isEmpty() || !l.purse.hasNews() || now().minus(l.told).compareTo(TELL) < 0) {
+        Optional<String> holder =
+                Optional.of(news.latest(bucket).duty().holder()).filter(h -> !h.isEmpty());
+        if (l.asking
+                || holder.isEmpty()
+                || !l.purse.hasNews()
+                || now().minus(l.told).compareTo(TELL) < 0) {
             return;
         }
         l.told = now();
         asks++;
-        AdmissionTokens.PassAsk ask = new AdmissionTokens.PassAsk(bucket, AdmissionTokens.NO_GRANT, 0, l.purse.reports(now()));
-        shard.leave(() -> env.beam().ask(holder.get(), ask, AdmissionTokens.PassReply.class, ASK).subscribe(r -> { }, e -> { }));
+        AdmissionTokens.PassAsk ask =
+                new AdmissionTokens.PassAsk(bucket, AdmissionTokens.NO_GRANT, 0, l.purse.reports(now()));
+        shard.leave(() -> env.beam()
+                .ask(holder.get(), ask, AdmissionTokens.PassReply.class, ASK)
+                .subscribe(r -> {}, e -> {}));
     }
 
     private void granted(String bucket, Local l, AdmissionTokens.PassReply r, Duration asked) {
--- a/common/src/main/java/org/woadvale/common/ratelimit/TokenGranters.java
+++ b/common/src/main/java/org/woadvale/common/ratelimit/TokenGranters.java
@@ -10,21 +10,19 @@
 import java.util.TreeSet;
 import java.util.function.Function;
 import java.util.function.Supplier;
-
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.woadvale.common.discovery.ViewSubscriptions;
+import org.woadvale.common.membership.ControlMessages;
+import org.woadvale.common.membership.CoreClient;
+import org.woadvale.common.membership.LeaderDuty;
+import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.replication.Env;
 import org.woadvale.common.replication.ReplicationTiming;
 import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.LockedShard;
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.common.runtime.TimerHandle;
-import org.woadvale.common.runtime.LockedShard;
-import org.woadvale.common.membership.ControlMessages;
-import org.woadvale.common.membership.CoreClient;
-import org.woadvale.common.membership.LeaderDuty;
-import org.woadvale.common.membership.ServiceNames;
-
 import reactor.core.publisher.Mono;
 
 /** The admission node: holds the aggregate buckets that the ring draws to it, each by claim and term. design 8.4 */
@@ -47,13 +45,17 @@
     private final LockedShard shard = new LockedShard();
     private final Map<String, Held> held = new HashMap<>();
     private final Set<String> asking = new TreeSet<>();
-    private TimerHandle looking = () -> { };
+    private TimerHandle looking = () -> {};
     private boolean draining;
     private long granted;
     private long asks;
 
-    public TokenGranters(Env env, CoreClient core, ViewSubscriptions news, Function<String, Optional<RateLimit>> allowances,
-                   Supplier<Set<String>> buckets) {
+    public TokenGranters(
+            Env env,
+            CoreClient core,
+            ViewSubscriptions news,
+            Function<String, Optional<RateLimit>> allowances,
+            Supplier<Set<String>> buckets) {
         this.env = env;
         this.core = core;
         this.news = news;
@@ -80,7 +82,9 @@
             boolean deputy = !mine && deputy(b, ring);
             shard.run(() -> consider(b, mine, deputy));
         }
-        shard.run(() -> List.copyOf(held.keySet()).stream().filter(b -> !buckets.get().contains(b)).forEach(this::release));
+        shard.run(() -> List.copyOf(held.keySet()).stream()
+                .filter(b -> !buckets.get().contains(b))
+                .forEach(this::release));
     }
 
     /** Stands once the first of the ring has let its claim lapse; the ring itself is told of that later. design 8.4 */
@@ -89,7 +93,8 @@
         Optional<String> first = ServiceNames.draw(b, ring);
         Set<String> rest = new TreeSet<>(ring);
         first.ifPresent(rest::remove);
-        return first.filter(d.holder()::equals).isPresent() && ServiceNames.draw(b, rest).filter(env.self()::equals).isPresent();
+        return first.filter(d.holder()::equals).isPresent()
+                && ServiceNames.draw(b, rest).filter(env.self()::equals).isPresent();
     }
 
     private void consider(String b, boolean mine, boolean deputy) {
@@ -112,9 +117,12 @@
             return;
         }
         Duration sent = now();
-        shard.leave(() -> core.ask(ServiceNames.controlPart(b), new ControlMessages.DutyAsk(b, env.self(), term), ControlMessages.DutyReply.class)
-            .doFinally(s -> env.schedules().after(Duration.ofMillis(250), () -> shard.run(() -> asking.remove(b))))
-            .subscribe(r -> shard.run(() -> answered(b, r, sent)), e -> { }));
+        shard.leave(() -> core.ask(
+                        ServiceNames.controlPart(b),
+                        new ControlMessages.DutyAsk(b, env.self(), term),
+                        ControlMessages.DutyReply.class)
+                .doFinally(s -> env.schedules().after(Duration.ofMillis(250), () -> shard.run(() -> asking.remove(b))))
+                .subscribe(r -> shard.run(() -> answered(b, r, sent)), e -> {}));
     }
 
     private void answered(String b, ControlMessages.DutyReply r, Duration sent) {
@@ -130,7 +138,8 @@
                 return;
             }
             h = new Held();
-            h.holding = new AggregateBucket(r.duty().term(), r.duty().level(), r.duty().clear(), a.get(), now());
+            h.holding = new AggregateBucket(
+                    r.duty().term(), r.duty().level(), r.duty().clear(), a.get(), now());
             held.put(b, h);
             LOG.info("tide: holds {} in term {}.", b, r.duty().term());
         }
@@ -143,9 +152,11 @@
         if (h == null || h.claimEnd.compareTo(now()) <= 0) {
             return;
         }
-        ControlMessages.DutyRelease r = new ControlMessages.DutyRelease(b, env.self(), h.holding.term(), h.holding.level(now()));
+        ControlMessages.DutyRelease r =
+                new ControlMessages.DutyRelease(b, env.self(), h.holding.term(), h.holding.level(now()));
         LOG.info("tide: gives up {} with level {}.", b, r.level());
-        shard.leave(() -> core.ask(ServiceNames.controlPart(b), r, ControlMessages.Done.class).subscribe(d -> { }, e -> { }));
+        shard.leave(() -> core.ask(ServiceNames.controlPart(b), r, ControlMessages.Done.class)
+                .subscribe(d -> {}, e -> {}));
     }
 
     public void drain() {
@@ -160,7 +171,8 @@
         return Mono.defer(() -> shard.get(() -> {
             Held h = held.get(a.bucket());
             if (h == null || now().compareTo(h.claimEnd) >= 0) {
-                return Mono.error(new ServiceException(ErrorKind.NOT_OWNER, "This node does not hold " + a.bucket() + "."));
+                return Mono.error(
+                        new ServiceException(ErrorKind.NOT_OWNER, "This node does not hold " + a.bucket() + "."));
             }
             if (allowance.isEmpty()) {
                 return Mono.error(new ServiceException(ErrorKind.STALE_VIEW, "The layout here is not proven fresh."));
--- a/common/src/main/java/org/woadvale/common/replication/Bootstrap.java
+++ b/common/src/main/java/org/woadvale/common/replication/Bootstrap.java
@@ -3,10 +3,8 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.TreeMap;
-
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
-
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 
@@ -32,8 +30,13 @@
         blanks.put(r.env.self(), r.identity);
         for (String n : r.wanted) {
             if (!n.equals(r.env.self())) {
-                r.shard.leave(() -> r.env.beam().ask(n, new Messages.BlankAsk(r.part), Messages.BlankReply.class,
-                    r.env.pace().ask()).subscribe(b -> r.shard.run(() -> reported(n, b)), e -> { }));
+                r.shard.leave(() -> r.env.beam()
+                        .ask(
+                                n,
+                                new Messages.BlankAsk(r.part),
+                                Messages.BlankReply.class,
+                                r.env.pace().ask())
+                        .subscribe(b -> r.shard.run(() -> reported(n, b)), e -> {}));
             }
         }
         if (r.wanted.size() == 1) {
@@ -59,8 +62,8 @@
     }
 
     private void tell(String n, Messages.Found f) {
-        r.shard.leave(() -> r.env.beam().ask(n, f, Messages.Ok.class, r.env.pace().ask())
-            .subscribe(ok -> { }, e -> { }));
+        r.shard.leave(() ->
+                r.env.beam().ask(n, f, Messages.Ok.class, r.env.pace().ask()).subscribe(ok -> {}, e -> {}));
     }
 
     private void found(Map<String, String> group) {
--- a/common/src/main/java/org/woadvale/common/replication/CommitTracker.java
+++ b/common/src/main/java/org/woadvale/common/replication/CommitTracker.java
@@ -2,16 +2,14 @@
 
 import java.util.Optional;
 import java.util.TreeMap;
-
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
-
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 
 /** What is committed and applied, and who waits for it. */
 final class CommitTracker {
-    private record Waiting(long term, Sinks.One<Object> sink) { }
+    private record Waiting(long term, Sinks.One<Object> sink) {}
 
     private final Replica r;
     private final TreeMap<Long, Waiting> waiting = new TreeMap<>();
@@ -80,6 +78,7 @@
     }
 
     private ServiceException unknown() {
-        return new ServiceException(ErrorKind.UNKNOWN_OUTCOME, "The part " + r.part + " changed its owner before the commit was known.");
+        return new ServiceException(
+                ErrorKind.UNKNOWN_OUTCOME, "The part " + r.part + " changed its owner before the commit was known.");
     }
 }
--- a/common/src/main/java/org/woadvale/common/replication/Election.java
+++ b/common/src/main/java/org/woadvale/common/replication/Election.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.TreeMap;
-
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 
@@ -58,17 +57,21 @@
 
     private void round(long term, boolean dry, boolean handedOver) {
         votes = new TreeMap<>(Map.of(r.env.self(), r.identity));
-        Messages.VoteAsk ask = new Messages.VoteAsk(r.part, term, r.ledger.lastIndex(), r.ledger.lastTerm(), dry,
-            handedOver);
+        Messages.VoteAsk ask =
+                new Messages.VoteAsk(r.part, term, r.ledger.lastIndex(), r.ledger.lastTerm(), dry, handedOver);
         for (String n : r.neighbours()) {
-            r.shard.leave(() -> r.env.beam().ask(n, ask, Messages.VoteReply.class, r.env.pace().ask())
-                .subscribe(v -> r.shard.run(() -> answered(n, ask, v)), e -> { }));
+            r.shard.leave(() -> r.env.beam()
+                    .ask(n, ask, Messages.VoteReply.class, r.env.pace().ask())
+                    .subscribe(v -> r.shard.run(() -> answered(n, ask, v)), e -> {}));
         }
-        r.env.schedules().after(r.env.pace().ask(), () -> r.shard.run(() -> {
-            if (r.phase == Phase.STANDING && (dry ? r.term + 1 : r.term) == term) {
-                r.become(Phase.FOLLOWING, "no majority in time");
-            }
-        }));
+        r.env.schedules()
+                .after(
+                        r.env.pace().ask(),
+                        () -> r.shard.run(() -> {
+                            if (r.phase == Phase.STANDING && (dry ? r.term + 1 : r.term) == term) {
+                                r.become(Phase.FOLLOWING, "no majority in time");
+                            }
+                        }));
     }
 
     private void answered(String from, Messages.VoteAsk ask, Messages.VoteReply v) {
@@ -102,7 +105,7 @@
         // whoever held the claim and stands now has given it up, or lost it with its former life
         boolean itsOwn = from.equals(r.votedFor) && r.phase != Phase.OWNING;
         boolean complete = a.lastTerm() > r.ledger.lastTerm()
-            || (a.lastTerm() == r.ledger.lastTerm() && a.lastIndex() >= r.ledger.lastIndex());
+                || (a.lastTerm() == r.ledger.lastTerm() && a.lastIndex() >= r.ledger.lastIndex());
         boolean free = a.term() > r.term || (a.term() == r.term && (r.votedFor.equals(from)));
         if (!r.sworn || (claimRuns && !a.handedOver() && !itsOwn) || !complete || !free) {
             return Mono.just(new Messages.VoteReply(r.term, false, r.identity));
--- a/common/src/main/java/org/woadvale/common/replication/Env.java
+++ b/common/src/main/java/org/woadvale/common/replication/Env.java
@@ -1,16 +1,21 @@
 package org.woadvale.common.replication;
 
 import java.util.function.LongSupplier;
-
-import org.woadvale.common.rpc.RpcClient;
 import org.woadvale.common.rpc.Codec;
-import org.woadvale.common.runtime.Timers;
+import org.woadvale.common.rpc.RpcClient;
 import org.woadvale.common.runtime.Clock;
+import org.woadvale.common.runtime.Timers;
 import org.woadvale.common.wal.WriteAheadLog;
 
 /** All that a replica needs of the world; each piece can be faked: design 2.1. */
-public record Env(Clock times, Timers schedules, RpcClient beam, Codec codec, WriteAheadLog logbook, LongSupplier random,
-                  ReplicationTiming pace) {
+public record Env(
+        Clock times,
+        Timers schedules,
+        RpcClient beam,
+        Codec codec,
+        WriteAheadLog logbook,
+        LongSupplier random,
+        ReplicationTiming pace) {
     public String self() {
         return beam.self();
     }
--- a/common/src/main/java/org/woadvale/common/replication/FollowerLog.java
+++ b/common/src/main/java/org/woadvale/common/replication/FollowerLog.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 
--- a/common/src/main/java/org/woadvale/common/replication/FollowerProgress.java
+++ b/common/src/main/java/org/woadvale/common/replication/FollowerProgress.java
@@ -11,6 +11,7 @@
     long match;
     /** When the latest confirmed renewal was sent, by the owner's clock. */
     Duration confirmed = Duration.ZERO;
+
     private final Replica r;
     private final Leader owning;
     private final String to;
@@ -48,8 +49,11 @@
         long upTo;
         if (next <= r.ledger.baseIndex()) {
             Messages.Base b = r.store.base();
-            ask = new Messages.ViewPush(r.part, term, new Messages.Base("", term, "", false, b.index(), b.indexTerm(),
-                b.group(), b.machine(), List.of()));
+            ask = new Messages.ViewPush(
+                    r.part,
+                    term,
+                    new Messages.Base(
+                            "", term, "", false, b.index(), b.indexTerm(), b.group(), b.machine(), List.of()));
             upTo = b.index();
         } else {
             List<LogEntry> items = r.ledger.after(next - 1);
@@ -57,11 +61,14 @@
             upTo = next - 1 + items.size();
         }
         commitTold = r.progress.commit();
-        r.shard.leave(() -> r.env.beam().ask(to, ask, Messages.AppendReply.class, r.env.pace().ask())
-            .subscribe(a -> r.shard.run(() -> answered(a, at, upTo)), e -> r.shard.run(() -> {
-                inFlight = false;
-                trouble = true;
-            })));
+        r.shard.leave(() -> r.env.beam()
+                .ask(to, ask, Messages.AppendReply.class, r.env.pace().ask())
+                .subscribe(
+                        a -> r.shard.run(() -> answered(a, at, upTo)),
+                        e -> r.shard.run(() -> {
+                            inFlight = false;
+                            trouble = true;
+                        })));
     }
 
     private void answered(Messages.AppendReply a, Duration at, long upTo) {
--- a/common/src/main/java/org/woadvale/common/replication/GroupMembership.java
+++ b/common/src/main/java/org/woadvale/common/replication/GroupMembership.java
@@ -8,7 +8,7 @@
 
 /** Who sits in the group, by address and identity; a change in flight needs both majorities: design 5.6. */
 final class GroupMembership {
-    private record Change(long index, Map<String, String> seats) { }
+    private record Change(long index, Map<String, String> seats) {}
 
     private Map<String, String> committed = new TreeMap<>();
     private Optional<Change> change = Optional.empty();
@@ -56,11 +56,14 @@
     }
 
     boolean majority(Map<String, String> agreeing) {
-        return majority(committed, agreeing) && (change.isEmpty() || majority(change.get().seats(), agreeing));
+        return majority(committed, agreeing)
+                && (change.isEmpty() || majority(change.get().seats(), agreeing));
     }
 
     private static boolean majority(Map<String, String> seats, Map<String, String> agreeing) {
-        long n = seats.entrySet().stream().filter(e -> e.getValue().equals(agreeing.get(e.getKey()))).count();
+        long n = seats.entrySet().stream()
+                .filter(e -> e.getValue().equals(agreeing.get(e.getKey())))
+                .count();
         return !seats.isEmpty() && n * 2 > seats.size();
     }
 }
--- a/common/src/main/java/org/woadvale/common/replication/Leader.java
+++ b/common/src/main/java/org/woadvale/common/replication/Leader.java
@@ -46,7 +46,8 @@
 
     /** Counted from the sending of the latest renewal that a majority has confirmed. */
     private Duration claimEnd() {
-        List<Duration> sent = new ArrayList<>(followers.values().stream().map(f -> f.confirmed).toList());
+        List<Duration> sent = new ArrayList<>(
+                followers.values().stream().map(f -> f.confirmed).toList());
         sent.add(r.now());
         sent.sort(Comparator.reverseOrder());
         for (Duration t : sent) {
@@ -65,7 +66,10 @@
 
     void append(LogEntry item) {
         r.store.append(List.of(item), this::count);
-        followers().forEach(n -> followers.computeIfAbsent(n, k -> new FollowerProgress(r, this, k)).send(false));
+        followers()
+                .forEach(n -> followers
+                        .computeIfAbsent(n, k -> new FollowerProgress(r, this, k))
+                        .send(false));
     }
 
     /** The group and those that are to join it. */
@@ -80,7 +84,8 @@
         if (r.phase != Phase.OWNING) {
             return;
         }
-        List<Long> matches = new ArrayList<>(followers.values().stream().map(f -> f.match).toList());
+        List<Long> matches =
+                new ArrayList<>(followers.values().stream().map(f -> f.match).toList());
         matches.add(r.store.synced());
         matches.sort(Comparator.reverseOrder());
         for (long m : matches) {
@@ -103,7 +108,9 @@
     void look() {
         Set<String> now = followers();
         followers.keySet().retainAll(now);
-        now.forEach(n -> followers.computeIfAbsent(n, k -> new FollowerProgress(r, this, k)).send(true));
+        now.forEach(n -> followers
+                .computeIfAbsent(n, k -> new FollowerProgress(r, this, k))
+                .send(true));
         if (!r.groups.latest().containsKey(r.env.self()) && !r.groups.changing()) {
             r.become(Phase.FOLLOWING, "no longer seated");
         } else if (r.now().compareTo(claimEnd().plus(r.env.pace().claim())) > 0
@@ -115,7 +122,10 @@
     }
 
     private Duration begunAt() {
-        return followers.values().stream().map(f -> f.since).min(Comparator.naturalOrder()).orElse(Duration.ZERO);
+        return followers.values().stream()
+                .map(f -> f.since)
+                .min(Comparator.naturalOrder())
+                .orElse(Duration.ZERO);
     }
 
     /** One change at a time: a lost disk's new identity, or a wanted member for one not wanted. design 5.6 */
@@ -129,7 +139,9 @@
             }
             Map<String, String> next = new TreeMap<>(seats);
             if (!seats.containsKey(e.getKey())) {
-                Optional<String> leaving = seats.keySet().stream().filter(s -> !r.wanted.contains(s)).findFirst();
+                Optional<String> leaving = seats.keySet().stream()
+                        .filter(s -> !r.wanted.contains(s))
+                        .findFirst();
                 if (leaving.isEmpty()) {
                     continue;
                 }
@@ -144,10 +156,10 @@
 
     Optional<String> heir() {
         return followers.entrySet().stream()
-            .filter(e -> e.getValue().identity.equals(r.groups.committed().get(e.getKey())))
-            .filter(e -> e.getValue().willing && e.getValue().match >= r.ledger.lastIndex())
-            .map(Map.Entry::getKey)
-            .min(Comparator.comparingInt(n -> r.wanted.contains(n) ? r.wanted.indexOf(n) : Integer.MAX_VALUE));
+                .filter(e -> e.getValue().identity.equals(r.groups.committed().get(e.getKey())))
+                .filter(e -> e.getValue().willing && e.getValue().match >= r.ledger.lastIndex())
+                .map(Map.Entry::getKey)
+                .min(Comparator.comparingInt(n -> r.wanted.contains(n) ? r.wanted.indexOf(n) : Integer.MAX_VALUE));
     }
 
     /** The claim is given up first; only then may the heir stand. */
@@ -158,13 +170,21 @@
         }
         relinquished = true;
         long term = r.term;
-        r.shard.leave(() -> r.env.beam().ask(to, new Messages.Stand(r.part, term), Messages.Ok.class,
-            r.env.pace().ask()).subscribe(ok -> { }, e -> { }));
-        r.env.schedules().after(r.env.pace().ask(), () -> r.shard.run(() -> {
-            if (r.phase == Phase.OWNING && r.term == term) {
-                r.become(Phase.FOLLOWING, "handed over");
-            }
-        }));
+        r.shard.leave(() -> r.env.beam()
+                .ask(
+                        to,
+                        new Messages.Stand(r.part, term),
+                        Messages.Ok.class,
+                        r.env.pace().ask())
+                .subscribe(ok -> {}, e -> {}));
+        r.env.schedules()
+                .after(
+                        r.env.pace().ask(),
+                        () -> r.shard.run(() -> {
+                            if (r.phase == Phase.OWNING && r.term == term) {
+                                r.become(Phase.FOLLOWING, "handed over");
+                            }
+                        }));
         return true;
     }
 }
--- a/common/src/main/java/org/woadvale/common/replication/LegacyFormat.java
+++ b/common/src/main/java/org/woadvale/common/replication/LegacyFormat.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-
 import org.woadvale.common.rpc.Codec;
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.common.wal.Entry;
@@ -12,7 +11,7 @@
     /** Records without the count of their components. */
     private static final int FIRST = 1;
 
-    private LegacyFormat() { }
+    private LegacyFormat() {}
 
     static Entry lifted(Entry e, Codec c) throws ServiceException {
         if (e.format() > FIRST) {
@@ -26,8 +25,16 @@
             for (LogEntry i : b.tail()) {
                 tail.add(lifted(i, c));
             }
-            o = new Messages.Base(b.identity(), b.term(), b.votedFor(), b.sworn(), b.index(), b.indexTerm(), b.group(),
-                c.lift(b.machine()), tail);
+            o = new Messages.Base(
+                    b.identity(),
+                    b.term(),
+                    b.votedFor(),
+                    b.sworn(),
+                    b.index(),
+                    b.indexTerm(),
+                    b.group(),
+                    c.lift(b.machine()),
+                    tail);
         }
         return new Entry(e.part(), e.kind(), e.index(), e.term(), c.write(o));
     }
--- a/common/src/main/java/org/woadvale/common/replication/Replica.java
+++ b/common/src/main/java/org/woadvale/common/replication/Replica.java
@@ -6,15 +6,13 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
-
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.LockedShard;
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.common.runtime.TimerHandle;
-import org.woadvale.common.runtime.LockedShard;
 import org.woadvale.common.wal.Entry;
-
 import reactor.core.publisher.Mono;
 
 /** One replica of one part: the front, and the state that its helpers share. design 5 */
@@ -44,9 +42,10 @@
     boolean willing = true;
     /** Until when, by our clock, the present owner's claim may run. */
     Duration claimHeard;
+
     List<String> wanted;
-    private Runnable onChange = () -> { };
-    private TimerHandle looking = () -> { };
+    private Runnable onChange = () -> {};
+    private TimerHandle looking = () -> {};
 
     public Replica(String part, List<String> wanted, StateMachine machine, Env env) {
         this.part = part;
@@ -83,7 +82,7 @@
             case BLANK -> founding.look();
             case FOLLOWING -> ballot.look();
             case OWNING -> owning.look();
-            default -> { }
+            default -> {}
         }
         store.compactIfLarge();
     }
@@ -103,8 +102,15 @@
         }
         Phase before = phase;
         phase = next;
-        LOG.debug("keeper: {} of {} at {}: {} to {} in term {}, {}.", part, machine.getClass().getSimpleName(),
-            env.self(), before, next, term, why);
+        LOG.debug(
+                "keeper: {} of {} at {}: {} to {} in term {}, {}.",
+                part,
+                machine.getClass().getSimpleName(),
+                env.self(),
+                before,
+                next,
+                term,
+                why);
         if (before == Phase.OWNING) {
             owning.ended();
             progress.forsake();
@@ -121,7 +127,7 @@
             term = newTerm;
             votedFor = "";
             owner = "";
-            store.vote(() -> { });
+            store.vote(() -> {});
             if (phase == Phase.OWNING || phase == Phase.STANDING) {
                 become(Phase.FOLLOWING, why);
             }
@@ -162,14 +168,16 @@
     }
 
     ServiceException notOwner() {
-        return new ServiceException(ErrorKind.NOT_OWNER, "Another node owns " + part + ".",
-            owner.isEmpty() || owner.equals(env.self()) ? List.of() : List.of(owner));
+        return new ServiceException(
+                ErrorKind.NOT_OWNER,
+                "Another node owns " + part + ".",
+                owner.isEmpty() || owner.equals(env.self()) ? List.of() : List.of(owner));
     }
 
     /** Reads the machine under claim, so never older than what was acknowledged. */
     public <T> Mono<T> read(Function<Long, T> reader) {
-        return Mono.defer(() -> shard.get(() -> mayAct() ? Mono.just(reader.apply(progress.applied()))
-            : Mono.error(notOwner())));
+        return Mono.defer(
+                () -> shard.get(() -> mayAct() ? Mono.just(reader.apply(progress.applied())) : Mono.error(notOwner())));
     }
 
     /** Looks at the machine as it is here, owner or not. */
@@ -180,14 +188,16 @@
     /** Refused definitely before anything is written; unknown once it is in the log and the claim is lost. */
     public <T> Mono<T> propose(Object command, Class<T> result) {
         return Mono.defer(() -> shard.get(() -> {
-            if (!mayAct()) {
-                return Mono.<Object>error(notOwner());
-            }
-            LogEntry item = new LogEntry(term, LogEntry.Kind.COMMAND, env.codec().write(command));
-            Mono<Object> out = progress.expect(ledger.lastIndex() + 1, term);
-            owning.append(item);
-            return out;
-        })).flatMap(o -> result.isInstance(o) ? Mono.just(result.cast(o)) : Mono.error((Throwable) o));
+                    if (!mayAct()) {
+                        return Mono.<Object>error(notOwner());
+                    }
+                    LogEntry item = new LogEntry(
+                            term, LogEntry.Kind.COMMAND, env.codec().write(command));
+                    Mono<Object> out = progress.expect(ledger.lastIndex() + 1, term);
+                    owning.append(item);
+                    return out;
+                }))
+                .flatMap(o -> result.isInstance(o) ? Mono.just(result.cast(o)) : Mono.error((Throwable) o));
     }
 
     public void unwilling() {
--- a/common/src/main/java/org/woadvale/common/replication/ReplicaStorage.java
+++ b/common/src/main/java/org/woadvale/common/replication/ReplicaStorage.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.common.wal.Entry;
 
@@ -98,7 +97,8 @@
         for (LogEntry item : items) {
             long index = r.ledger.lastIndex() + 1;
             enter(index, item);
-            out.add(new Entry(r.part, Entry.Kind.ENTRY, index, item.term(), r.env.codec().write(item)));
+            out.add(new Entry(
+                    r.part, Entry.Kind.ENTRY, index, item.term(), r.env.codec().write(item)));
         }
         long last = r.ledger.lastIndex();
         long lastTerm = r.ledger.lastTerm();
@@ -106,14 +106,17 @@
             then.run();
             return;
         }
-        r.env.logbook().append(out, () -> r.shard.run(() -> {
-            if (r.phase != Phase.STOPPED) {
-                if (r.ledger.holds(last) && r.ledger.termAt(last) == lastTerm) {
-                    synced = Math.max(synced, last);
-                }
-                then.run();
-            }
-        }));
+        r.env.logbook()
+                .append(
+                        out,
+                        () -> r.shard.run(() -> {
+                            if (r.phase != Phase.STOPPED) {
+                                if (r.ledger.holds(last) && r.ledger.termAt(last) == lastTerm) {
+                                    synced = Math.max(synced, last);
+                                }
+                                then.run();
+                            }
+                        }));
     }
 
     void cutFrom(long index) {
@@ -123,25 +126,40 @@
     }
 
     void vote(Runnable then) {
-        r.env.logbook().append(List.of(new Entry(r.part, Entry.Kind.VOTE, 0, r.term,
-            r.env.codec().write(r.votedFor))), () -> r.shard.run(() -> {
-                if (r.phase != Phase.STOPPED) {
-                    then.run();
-                }
-            }));
+        r.env.logbook()
+                .append(
+                        List.of(new Entry(
+                                r.part,
+                                Entry.Kind.VOTE,
+                                0,
+                                r.term,
+                                r.env.codec().write(r.votedFor))),
+                        () -> r.shard.run(() -> {
+                            if (r.phase != Phase.STOPPED) {
+                                then.run();
+                            }
+                        }));
     }
 
     Messages.Base base() {
         long upTo = r.progress.applied();
         List<LogEntry> tail = r.ledger.tail();
         int skip = (int) (upTo - r.ledger.baseIndex());
-        return new Messages.Base(r.identity, r.term, r.votedFor, r.sworn, upTo, r.ledger.termAt(upTo),
-            r.groups.committed(), r.machine.view(), List.copyOf(tail.subList(skip, tail.size())));
+        return new Messages.Base(
+                r.identity,
+                r.term,
+                r.votedFor,
+                r.sworn,
+                upTo,
+                r.ledger.termAt(upTo),
+                r.groups.committed(),
+                r.machine.view(),
+                List.copyOf(tail.subList(skip, tail.size())));
     }
 
     /** A new base makes every earlier record of the part needless. */
     void giveBase() {
-        giveBase(() -> { });
+        giveBase(() -> {});
     }
 
     void giveBase(Runnable then) {
@@ -152,15 +170,22 @@
         r.ledger.forgetTo(b.index());
         long last = r.ledger.lastIndex();
         long lastTerm = r.ledger.lastTerm();
-        r.env.logbook().append(List.of(new Entry(r.part, Entry.Kind.BASE, b.index(), b.term(),
-            r.env.codec().write(b))), () -> r.shard.run(() -> {
-                if (r.phase != Phase.STOPPED) {
-                    if (r.ledger.holds(last) && r.ledger.termAt(last) == lastTerm) {
-                        synced = Math.max(synced, last);
-                    }
-                    then.run();
-                }
-            }));
+        r.env.logbook()
+                .append(
+                        List.of(new Entry(
+                                r.part,
+                                Entry.Kind.BASE,
+                                b.index(),
+                                b.term(),
+                                r.env.codec().write(b))),
+                        () -> r.shard.run(() -> {
+                            if (r.phase != Phase.STOPPED) {
+                                if (r.ledger.holds(last) && r.ledger.termAt(last) == lastTerm) {
+                                    synced = Math.max(synced, last);
+                                }
+                                then.run();
+                            }
+                        }));
     }
 
     /** Replaces all we have by the owner's view. */
@@ -174,7 +199,8 @@
     }
 
     void compactIfLarge() {
-        if (r.ledger.bytes() > Math.min(LARGE, r.env.logbook().largest() / 4) || r.ledger.lastIndex() - r.ledger.baseIndex() > MANY) {
+        if (r.ledger.bytes() > Math.min(LARGE, r.env.logbook().largest() / 4)
+                || r.ledger.lastIndex() - r.ledger.baseIndex() > MANY) {
             if (r.progress.applied() > r.ledger.baseIndex()) {
                 giveBase();
             }
--- a/common/src/main/java/org/woadvale/common/replication/ReplicationTiming.java
+++ b/common/src/main/java/org/woadvale/common/replication/ReplicationTiming.java
@@ -5,8 +5,12 @@
 /** The times of the engine; one set for the whole fleet. */
 public record ReplicationTiming(Duration claim, Duration renew, Duration look, Duration ask, Duration spread) {
     public static ReplicationTiming usual() {
-        return new ReplicationTiming(Duration.ofMillis(2000), Duration.ofMillis(500), Duration.ofMillis(50),
-            Duration.ofMillis(700), Duration.ofMillis(300));
+        return new ReplicationTiming(
+                Duration.ofMillis(2000),
+                Duration.ofMillis(500),
+                Duration.ofMillis(50),
+                Duration.ofMillis(700),
+                Duration.ofMillis(300));
     }
 
     /**
@@ -14,8 +18,12 @@
      * Message parts: what is ordered waits for the next owner. design 5.3
      */
     public static ReplicationTiming core() {
-        return new ReplicationTiming(Duration.ofMillis(1200), Duration.ofMillis(300), Duration.ofMillis(50),
-            Duration.ofMillis(500), Duration.ofMillis(200));
+        return new ReplicationTiming(
+                Duration.ofMillis(1200),
+                Duration.ofMillis(300),
+                Duration.ofMillis(50),
+                Duration.ofMillis(500),
+                Duration.ofMillis(200));
     }
 
     /** The owner stops a little before the voters do, for clocks that do not run alike. */
--- a/common/src/main/java/org/woadvale/common/rpc/Codec.java
+++ b/common/src/main/java/org/woadvale/common/rpc/Codec.java
@@ -1,5 +1,10 @@
 package org.woadvale.common.rpc;
 
+import com.esotericsoftware.kryo.Kryo;
+import com.esotericsoftware.kryo.KryoException;
+import com.esotericsoftware.kryo.io.Input;
+import com.esotericsoftware.kryo.io.Output;
+import com.esotericsoftware.kryo.serializers.ImmutableCollectionsSerializers;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -8,20 +13,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
 
-import com.esotericsoftware.kryo.Kryo;
-import com.esotericsoftware.kryo.KryoException;
-import com.esotericsoftware.kryo.io.Input;
-import com.esotericsoftware.kryo.io.Output;
-import com.esotericsoftware.kryo.serializers.ImmutableCollectionsSerializers;
-
 /** Kryo with required registration and fixed numbers: no class name ever comes off the wire. design 3.2 */
 public final class Codec {
     /** Range of inner protocol versions that this build speaks. */
     public static final int OLDEST = 2;
+
     public static final int NEWEST = 2;
     public static final int MAX_FRAME = 24 << 20;
 
@@ -94,7 +93,8 @@
             }
             return type.cast(o);
         } catch (KryoException | IllegalArgumentException | IndexOutOfBoundsException | NegativeArraySizeException e) {
-            throw new ServiceException(ErrorKind.BAD_REQUEST, "Unreadable frame: " + e.getClass().getSimpleName() + ".");
+            throw new ServiceException(
+                    ErrorKind.BAD_REQUEST, "Unreadable frame: " + e.getClass().getSimpleName() + ".");
         }
     }
 }
--- a/common/src/main/java/org/woadvale/common/rpc/Frame.java
+++ b/common/src/main/java/org/woadvale/common/rpc/Frame.java
@@ -2,8 +2,12 @@
 
 /** What travels on a stream after the handshake. */
 public record Frame(long id, Kind kind, Object body) {
-    public enum Kind { ASK, ANSWER, REFUSAL }
+    public enum Kind {
+        ASK,
+        ANSWER,
+        REFUSAL
+    }
 
     /** A fault on the wire. */
-    public record Refusal(String kind, String message, java.util.List<String> details) { }
+    public record Refusal(String kind, String message, java.util.List<String> details) {}
 }
--- a/common/src/main/java/org/woadvale/common/rpc/PendingCalls.java
+++ b/common/src/main/java/org/woadvale/common/rpc/PendingCalls.java
@@ -6,12 +6,10 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
-
+import org.woadvale.common.runtime.Delays;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
-import org.woadvale.common.runtime.Delays;
 import org.woadvale.common.runtime.Timers;
-
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 
@@ -35,8 +33,12 @@
             Sinks.One<Object> sink = Sinks.one();
             open.put(id, sink);
             send.accept(new Frame(id, Frame.Kind.ASK, body));
-            return Delays.limit(schedules, sink.asMono(), limit,
-                new ServiceException(ErrorKind.UNKNOWN_OUTCOME, "No answer in time.")).doFinally(s -> open.remove(id));
+            return Delays.limit(
+                            schedules,
+                            sink.asMono(),
+                            limit,
+                            new ServiceException(ErrorKind.UNKNOWN_OUTCOME, "No answer in time."))
+                    .doFinally(s -> open.remove(id));
         });
     }
 
@@ -53,18 +55,22 @@
 
     /** The stream has gone: every open ask has an unknown outcome. */
     public void lost() {
-        open.keySet().forEach(id -> Optional.ofNullable(open.remove(id)).ifPresent(sink ->
-            sink.tryEmitError(new ServiceException(ErrorKind.UNKNOWN_OUTCOME, "The stream was lost."))));
+        open.keySet()
+                .forEach(id -> Optional.ofNullable(open.remove(id))
+                        .ifPresent(sink -> sink.tryEmitError(
+                                new ServiceException(ErrorKind.UNKNOWN_OUTCOME, "The stream was lost."))));
     }
 
     /** Runs the handler and turns its result into the frame to send back. */
     public static Mono<Frame> serve(RpcRouter router, String from, Frame ask) {
         return Mono.<Object>from(router.handle(from, ask.body()))
-            .map(o -> new Frame(ask.id(), Frame.Kind.ANSWER, o))
-            .onErrorResume(e -> {
-                ServiceException f = ServiceException.of(e);
-                return Mono.just(new Frame(ask.id(), Frame.Kind.REFUSAL,
-                    new Frame.Refusal(f.kind().name(), String.valueOf(f.getMessage()), f.details())));
-            });
+                .map(o -> new Frame(ask.id(), Frame.Kind.ANSWER, o))
+                .onErrorResume(e -> {
+                    ServiceException f = ServiceException.of(e);
+                    return Mono.just(new Frame(
+                            ask.id(),
+                            Frame.Kind.REFUSAL,
+                            new Frame.Refusal(f.kind().name(), String.valueOf(f.getMessage()), f.details())));
+                });
     }
 }
--- a/common/src/main/java/org/woadvale/common/rpc/RecordBytes.java
+++ b/common/src/main/java/org/woadvale/common/rpc/RecordBytes.java
@@ -1,5 +1,10 @@
 package org.woadvale.common.rpc;
 
+import com.esotericsoftware.kryo.Kryo;
+import com.esotericsoftware.kryo.KryoException;
+import com.esotericsoftware.kryo.Serializer;
+import com.esotericsoftware.kryo.io.Input;
+import com.esotericsoftware.kryo.io.Output;
 import java.lang.reflect.Constructor;
 import java.lang.reflect.RecordComponent;
 import java.time.Duration;
@@ -10,17 +15,29 @@
 import java.util.Map;
 import java.util.Optional;
 
-import com.esotericsoftware.kryo.Kryo;
-import com.esotericsoftware.kryo.KryoException;
-import com.esotericsoftware.kryo.Serializer;
-import com.esotericsoftware.kryo.io.Input;
-import com.esotericsoftware.kryo.io.Output;
-
 /** A record with the count of its components: older readers drop what they do not know, newer ones fill in. design 3.4 */
 final class RecordBytes extends Serializer<Object> {
-    private static final Map<Class<?>, Object> NOTHING = Map.of(String.class, "", int.class, 0, long.class, 0L,
-        boolean.class, false, double.class, 0.0, byte[].class, new byte[0], List.class, List.of(), Map.class, Map.of(),
-        Duration.class, Duration.ZERO, Instant.class, Instant.EPOCH);
+    private static final Map<Class<?>, Object> NOTHING = Map.of(
+            String.class,
+            "",
+            int.class,
+            0,
+            long.class,
+            0L,
+            boolean.class,
+            false,
+            double.class,
+            0.0,
+            byte[].class,
+            new byte[0],
+            List.class,
+            List.of(),
+            Map.class,
+            Map.of(),
+            Duration.class,
+            Duration.ZERO,
+            Instant.class,
+            Instant.EPOCH);
     private final Class<?> type;
     private final RecordComponent[] parts;
     private final Constructor<?> maker;
@@ -32,8 +49,8 @@
         this.parts = type.getRecordComponents();
         this.firstFormat = firstFormat;
         try {
-            this.maker = type.getDeclaredConstructor(Arrays.stream(parts).map(RecordComponent::getType)
-                .toArray(Class[]::new));
+            this.maker = type.getDeclaredConstructor(
+                    Arrays.stream(parts).map(RecordComponent::getType).toArray(Class[]::new));
             maker.setAccessible(true);
             Arrays.stream(parts).forEach(p -> p.getAccessor().setAccessible(true));
         } catch (ReflectiveOperationException e) {
@@ -78,13 +95,17 @@
     }
 
     private void readFirst(Kryo k, Input in, Object[] args) {
-        int[] order = java.util.stream.IntStream.range(0, parts.length).boxed()
-            .filter(i -> !parts[i].isAnnotationPresent(Since.class))
-            .sorted(Comparator.comparing(i -> parts[i].getName())).mapToInt(Integer::intValue).toArray();
+        int[] order = java.util.stream.IntStream.range(0, parts.length)
+                .boxed()
+                .filter(i -> !parts[i].isAnnotationPresent(Since.class))
+                .sorted(Comparator.comparing(i -> parts[i].getName()))
+                .mapToInt(Integer::intValue)
+                .toArray();
         for (int i : order) {
             Class<?> c = parts[i].getType();
-            args[i] = c.isPrimitive() ? k.readObject(in, c)
-                : k.isFinal(c) ? k.readObjectOrNull(in, c) : k.readClassAndObject(in);
+            args[i] = c.isPrimitive()
+                    ? k.readObject(in, c)
+                    : k.isFinal(c) ? k.readObjectOrNull(in, c) : k.readClassAndObject(in);
         }
     }
 
--- a/common/src/main/java/org/woadvale/common/rpc/RpcClient.java
+++ b/common/src/main/java/org/woadvale/common/rpc/RpcClient.java
@@ -1,7 +1,6 @@
 package org.woadvale.common.rpc;
 
 import java.time.Duration;
-
 import reactor.core.publisher.Mono;
 
 /** ControlMessages neighbours; a node's name is its internal address "ip:port": design 3.1. */
--- a/common/src/main/java/org/woadvale/common/rpc/RpcConnection.java
+++ b/common/src/main/java/org/woadvale/common/rpc/RpcConnection.java
@@ -1,22 +1,20 @@
 package org.woadvale.common.rpc;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicLong;
-
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.woadvale.common.runtime.Delays;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
-import org.woadvale.common.runtime.Delays;
 import org.woadvale.common.runtime.Timers;
-
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
-import io.netty.handler.codec.LengthFieldPrepender;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 import reactor.netty.Connection;
@@ -27,7 +25,11 @@
     private static final int MAGIC = 0x574F4144;
     private static final Duration HANDSHAKE = Duration.ofSeconds(2);
 
-    private enum State { GREETING, OPEN, CLOSED }
+    private enum State {
+        GREETING,
+        OPEN,
+        CLOSED
+    }
 
     private final Connection connection;
     private final String self;
@@ -40,8 +42,13 @@
     private volatile State state = State.GREETING;
     private volatile String neighbour = "?";
 
-    RpcConnection(Connection connection, String self, Codec codec, RpcRouter router, Timers schedules,
-               AtomicLong framesSent) {
+    RpcConnection(
+            Connection connection,
+            String self,
+            Codec codec,
+            RpcRouter router,
+            Timers schedules,
+            AtomicLong framesSent) {
         this.connection = connection;
         this.self = self;
         this.codec = codec;
@@ -127,7 +134,8 @@
 
     private void refuse(String why) {
         if (state != State.CLOSED) {
-            LOG.warn("beam: closed the stream from {}: {}.", connection.channel().remoteAddress(), why);
+            LOG.warn(
+                    "beam: closed the stream from {}: {}.", connection.channel().remoteAddress(), why);
             close();
         }
     }
--- a/common/src/main/java/org/woadvale/common/rpc/RpcRouter.java
+++ b/common/src/main/java/org/woadvale/common/rpc/RpcRouter.java
@@ -3,10 +3,8 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BiFunction;
-
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
-
 import reactor.core.publisher.Mono;
 
 /** Which part of the process answers which kind of ask. */
@@ -21,8 +19,9 @@
     public Mono<?> handle(String from, Object body) {
         BiFunction<String, Object, Mono<?>> h = handlers.get(body.getClass());
         if (h == null) {
-            return Mono.error(new ServiceException(ErrorKind.BAD_REQUEST,
-                "This node does not answer " + body.getClass().getSimpleName() + "."));
+            return Mono.error(new ServiceException(
+                    ErrorKind.BAD_REQUEST,
+                    "This node does not answer " + body.getClass().getSimpleName() + "."));
         }
         return Mono.defer(() -> h.apply(from, body));
     }
--- a/common/src/main/java/org/woadvale/common/rpc/TcpRpcClient.java
+++ b/common/src/main/java/org/woadvale/common/rpc/TcpRpcClient.java
@@ -4,14 +4,12 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
-
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.woadvale.common.runtime.Component;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.common.runtime.Timers;
-
 import reactor.core.publisher.Mono;
 import reactor.netty.Connection;
 import reactor.netty.DisposableServer;
@@ -66,7 +64,11 @@
         String ip = listen.substring(0, colon);
         int port = Integer.parseInt(listen.substring(colon + 1));
         try {
-            server = TcpServer.create().host(ip).port(port).doOnConnection(this::accept).bindNow(Duration.ofSeconds(5));
+            server = TcpServer.create()
+                    .host(ip)
+                    .port(port)
+                    .doOnConnection(this::accept)
+                    .bindNow(Duration.ofSeconds(5));
         } catch (RuntimeException e) {
             throw new ServiceException(ErrorKind.UNAVAILABLE, "Cannot listen on " + listen + ": " + e.getMessage());
         }
@@ -81,35 +83,43 @@
 
     @Override
     public <T> Mono<T> ask(String to, Object body, Class<T> answer, Duration limit) {
-        Mono<Object> got = self.equals(to) ? local(body, limit)
-            : streams.computeIfAbsent(to, this::connect).flatMap(s -> s.ask(body, limit));
-        return got.flatMap(o -> answer.isInstance(o) ? Mono.just(answer.cast(o))
-            : Mono.error(new ServiceException(ErrorKind.INTERNAL, "Unexpected answer " + o.getClass().getSimpleName() + ".")));
+        Mono<Object> got = self.equals(to)
+                ? local(body, limit)
+                : streams.computeIfAbsent(to, this::connect).flatMap(s -> s.ask(body, limit));
+        return got.flatMap(o -> answer.isInstance(o)
+                ? Mono.just(answer.cast(o))
+                : Mono.error(new ServiceException(
+                        ErrorKind.INTERNAL, "Unexpected answer " + o.getClass().getSimpleName() + ".")));
     }
 
     private Mono<Object> local(Object body, Duration limit) {
-        return org.woadvale.common.runtime.Delays.limit(schedules, Mono.<Object>from(router.handle(self, body)),
-            limit, new ServiceException(ErrorKind.UNKNOWN_OUTCOME, "No answer in time."));
+        return org.woadvale.common.runtime.Delays.limit(
+                schedules,
+                Mono.<Object>from(router.handle(self, body)),
+                limit,
+                new ServiceException(ErrorKind.UNKNOWN_OUTCOME, "No answer in time."));
     }
 
     private Mono<RpcConnection> connect(String to) {
         int colon = to.lastIndexOf(':');
-        return TcpClient.create().host(to.substring(0, colon)).port(Integer.parseInt(to.substring(colon + 1)))
-            .option(io.netty.channel.ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT.toMillis())
-            .connect()
-            .map(c -> {
-                RpcConnection s = new RpcConnection(c, self, codec, router, schedules, framesSent);
-                c.onDispose(() -> {
-                    streams.remove(to);
-                    s.lost();
-                });
-                s.open();
-                return s;
-            })
-            .onErrorMap(e -> new ServiceException(ErrorKind.UNREACHABLE, "No stream to " + to + "."))
-            .doOnError(e -> schedules.after(Duration.ofMillis(100), () -> streams.remove(to)))
-            .cast(RpcConnection.class)
-            .cache();
+        return TcpClient.create()
+                .host(to.substring(0, colon))
+                .port(Integer.parseInt(to.substring(colon + 1)))
+                .option(io.netty.channel.ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT.toMillis())
+                .connect()
+                .map(c -> {
+                    RpcConnection s = new RpcConnection(c, self, codec, router, schedules, framesSent);
+                    c.onDispose(() -> {
+                        streams.remove(to);
+                        s.lost();
+                    });
+                    s.open();
+                    return s;
+                })
+                .onErrorMap(e -> new ServiceException(ErrorKind.UNREACHABLE, "No stream to " + to + "."))
+                .doOnError(e -> schedules.after(Duration.ofMillis(100), () -> streams.remove(to)))
+                .cast(RpcConnection.class)
+                .cache();
     }
 
     @Override
@@ -120,7 +130,7 @@
     @Override
     public void stop() {
         incoming.keySet().forEach(RpcConnection::close);
-        streams.values().forEach(m -> m.subscribe(RpcConnection::close, e -> { }));
+        streams.values().forEach(m -> m.subscribe(RpcConnection::close, e -> {}));
         if (server != null) {
             server.disposeNow(Duration.ofSeconds(2));
         }
--- a/common/src/main/java/org/woadvale/common/runtime/Delays.java
+++ b/common/src/main/java/org/woadvale/common/runtime/Delays.java
@@ -1,21 +1,18 @@
 package org.woadvale.common.runtime;
 
 import java.time.Duration;
-
 import reactor.core.Disposable;
 import reactor.core.publisher.Mono;
 
 /** Time limits on the process's own schedules, so that a fake clock rules them too. */
 public final class Delays {
-    private Delays() { }
+    private Delays() {}
 
     /** Fails with the fault after the limit, unless the work has ended. */
-    public static <T> Mono<T> limit(Timers sch, Mono<T> work,
-                                                           Duration limit, ServiceException fault) {
+    public static <T> Mono<T> limit(Timers sch, Mono<T> work, Duration limit, ServiceException fault) {
         return Mono.create(sink -> {
             TimerHandle s = sch.after(limit, () -> sink.error(fault));
-            Disposable d = work.doFinally(x -> s.cancel())
-                .subscribe(sink::success, sink::error, sink::success);
+            Disposable d = work.doFinally(x -> s.cancel()).subscribe(sink::success, sink::error, sink::success);
             sink.onCancel(() -> {
                 s.cancel();
                 d.dispose();
--- a/common/src/main/java/org/woadvale/common/runtime/RepeatingTimer.java
+++ b/common/src/main/java/org/woadvale/common/runtime/RepeatingTimer.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.Optional;
-
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
--- a/common/src/main/java/org/woadvale/common/runtime/Stage.java
+++ b/common/src/main/java/org/woadvale/common/runtime/Stage.java
@@ -4,13 +4,12 @@
 import java.util.Deque;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
-
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 
 /** One stage of a request's way: a bounded queue before a bounded number of running works. */
 public final class Stage<I, O> {
-    private record Waiting<I, O>(I in, Sinks.One<O> out) { }
+    private record Waiting<I, O>(I in, Sinks.One<O> out) {}
 
     private final LockedShard shard = new LockedShard();
     private final Deque<Waiting<I, O>> queue = new ArrayDeque<>();
@@ -58,11 +57,14 @@
 
     private void begin(Waiting<I, O> w) {
         Mono.defer(() -> work.apply(w.in()))
-            .doFinally(s -> shard.run(() -> {
-                running--;
-                pump();
-            }))
-            .subscribe(v -> w.out().tryEmitValue(v), e -> w.out().tryEmitError(e), () -> w.out().tryEmitEmpty());
+                .doFinally(s -> shard.run(() -> {
+                    running--;
+                    pump();
+                }))
+                .subscribe(
+                        v -> w.out().tryEmitValue(v),
+                        e -> w.out().tryEmitError(e),
+                        () -> w.out().tryEmitEmpty());
     }
 
     public int waiting() {
--- a/common/src/main/java/org/woadvale/common/runtime/Supervisor.java
+++ b/common/src/main/java/org/woadvale/common/runtime/Supervisor.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -23,7 +22,7 @@
     private final List<Component> children = new ArrayList<>();
     private final Map<Component, Integer> restarts = new HashMap<>();
     private final Set<Component> pending = new HashSet<>();
-    private TimerHandle looking = () -> { };
+    private TimerHandle looking = () -> {};
     private boolean running;
     private boolean givenUp;
 
--- a/common/src/main/java/org/woadvale/common/runtime/SystemTimers.java
+++ b/common/src/main/java/org/woadvale/common/runtime/SystemTimers.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
-
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -35,7 +34,7 @@
             ScheduledFuture<?> f = pool.schedule(guarded(task), Math.max(0, delay.toNanos()), TimeUnit.NANOSECONDS);
             return () -> f.cancel(false);
         } catch (RejectedExecutionException e) {
-            return () -> { };
+            return () -> {};
         }
     }
 
--- a/common/src/main/java/org/woadvale/common/wal/Entry.java
+++ b/common/src/main/java/org/woadvale/common/wal/Entry.java
@@ -9,5 +9,9 @@
         this(part, kind, index, term, bytes, FORMAT);
     }
 
-    public enum Kind { BASE, ENTRY, VOTE }
+    public enum Kind {
+        BASE,
+        ENTRY,
+        VOTE
+    }
 }
--- a/common/src/main/java/org/woadvale/common/wal/FolderDisk.java
+++ b/common/src/main/java/org/woadvale/common/wal/FolderDisk.java
@@ -22,7 +22,10 @@
     @Override
     public List<String> list() throws IOException {
         try (Stream<Path> s = Files.list(folder)) {
-            return s.filter(Files::isRegularFile).map(p -> p.getFileName().toString()).sorted().toList();
+            return s.filter(Files::isRegularFile)
+                    .map(p -> p.getFileName().toString())
+                    .sorted()
+                    .toList();
         }
     }
 
@@ -30,7 +33,8 @@
     public Leaf open(String name, int size) throws IOException {
         Path p = folder.resolve(name);
         boolean made = !Files.exists(p);
-        FileChannel ch = FileChannel.open(p, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE);
+        FileChannel ch =
+                FileChannel.open(p, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE);
         if (made || ch.size() < size) {
             Leaf blank = new ChannelLeaf(ch);
             byte[] zeros = new byte[CHUNK];
@@ -68,14 +72,14 @@
 
         @Override
         public void write(long pos, byte[] bytes, int length) throws IOException {
-            for (int at = 0; at < length;) {
+            for (int at = 0; at < length; ) {
                 at += ch.write(ByteBuffer.wrap(bytes, at, Math.min(CHUNK, length - at)), pos + at);
             }
         }
 
         @Override
         public void read(long pos, byte[] into, int length) throws IOException {
-            for (int at = 0; at < length;) {
+            for (int at = 0; at < length; ) {
                 int n = ch.read(ByteBuffer.wrap(into, at, Math.min(CHUNK, length - at)), pos + at);
                 if (n < 0) {
                     Arrays.fill(into, at, length, (byte) 0);
--- a/common/src/main/java/org/woadvale/common/wal/ReadWindow.java
+++ b/common/src/main/java/org/woadvale/common/wal/ReadWindow.java
@@ -34,7 +34,9 @@
     }
 
     byte at(int pos) throws IOException {
-        return pos >= from && pos < from + held ? bytes[pos - from] : look(pos, 1).get();
+        return pos >= from && pos < from + held
+                ? bytes[pos - from]
+                : look(pos, 1).get();
     }
 
     boolean zero(int start, int end) throws IOException {
--- a/common/src/main/java/org/woadvale/common/wal/RecordFormat.java
+++ b/common/src/main/java/org/woadvale/common/wal/RecordFormat.java
@@ -12,6 +12,7 @@
     static final int HEAD = 4 + 4;
     /** Format of this build's records; readers accept every format up to it. */
     static final byte FORMAT = Entry.FORMAT;
+
     private static final byte ROLL = 9;
 
     /** A sound record that this build cannot read: nothing may be cut or set aside for it. */
@@ -19,7 +20,11 @@
         private static final long serialVersionUID = 1L;
 
         Newer(int format) {
-            super("written by a newer build: format " + format + ", this one reads up to " + FORMAT, null, false, false);
+            super(
+                    "written by a newer build: format " + format + ", this one reads up to " + FORMAT,
+                    null,
+                    false,
+                    false);
         }
     }
 
@@ -29,19 +34,35 @@
         }
     }
 
-    private RecordFormat() { }
+    private RecordFormat() {}
 
     static byte[] roll(long segment, long batch) {
-        return seal(ByteBuffer.allocate(HEAD + 18).position(HEAD).put(FORMAT).putLong(segment).putLong(batch).put(ROLL),
-            new byte[0]);
+        return seal(
+                ByteBuffer.allocate(HEAD + 18)
+                        .position(HEAD)
+                        .put(FORMAT)
+                        .putLong(segment)
+                        .putLong(batch)
+                        .put(ROLL),
+                new byte[0]);
     }
 
     /** All of the record but its bytes, which follow: a large base is not copied once more. */
     static byte[] head(long segment, long batch, Entry e) {
         byte[] part = e.part().getBytes(StandardCharsets.UTF_8);
-        return seal(ByteBuffer.allocate(size(e) - e.bytes().length).position(HEAD).put(FORMAT).putLong(segment).putLong(batch)
-            .put((byte) e.kind().ordinal()).putShort((short) part.length).put(part)
-            .putLong(e.index()).putLong(e.term()).putInt(e.bytes().length), e.bytes());
+        return seal(
+                ByteBuffer.allocate(size(e) - e.bytes().length)
+                        .position(HEAD)
+                        .put(FORMAT)
+                        .putLong(segment)
+                        .putLong(batch)
+                        .put((byte) e.kind().ordinal())
+                        .putShort((short) part.length)
+                        .put(part)
+                        .putLong(e.index())
+                        .putLong(e.term())
+                        .putInt(e.bytes().length),
+                e.bytes());
     }
 
     static int size(Entry e) {
@@ -96,7 +117,16 @@
         long term = b.getLong();
         byte[] bytes = new byte[b.getInt()];
         b.get(bytes);
-        return Optional.of(new Found(segment, batch, next, Optional.of(
-            new Entry(new String(part, StandardCharsets.UTF_8), Entry.Kind.values()[kind], index, term, bytes, format))));
+        return Optional.of(new Found(
+                segment,
+                batch,
+                next,
+                Optional.of(new Entry(
+                        new String(part, StandardCharsets.UTF_8),
+                        Entry.Kind.values()[kind],
+                        index,
+                        term,
+                        bytes,
+                        format))));
     }
 }
--- a/common/src/main/java/org/woadvale/common/wal/Recovery.java
+++ b/common/src/main/java/org/woadvale/common/wal/Recovery.java
@@ -21,6 +21,7 @@
     final Map<String, List<Entry>> parts = new LinkedHashMap<>();
     /** Segment of the oldest record still needed by each part. */
     final Map<String, Long> needs = new LinkedHashMap<>();
+
     long segment;
     int pos;
     long batch;
@@ -101,7 +102,8 @@
     /** A sound record of a later batch beyond the break proves that synced bytes were lost. */
     private void checkTail(ReadWindow file, long s, int from) throws Damaged, RecordFormat.Newer, IOException {
         for (int at = from; at + RecordFormat.HEAD + 18 <= file.size(); at++) {
-            if (file.at(at + RecordFormat.HEAD) < 1 || file.look(at + RecordFormat.HEAD + 1, 8).getLong() != s) {
+            if (file.at(at + RecordFormat.HEAD) < 1
+                    || file.look(at + RecordFormat.HEAD + 1, 8).getLong() != s) {
                 continue;
             }
             Optional<RecordFormat.Found> f = RecordFormat.read(file, at);
--- a/common/src/main/java/org/woadvale/common/wal/RingWriteAheadLog.java
+++ b/common/src/main/java/org/woadvale/common/wal/RingWriteAheadLog.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
-
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.woadvale.common.runtime.ErrorKind;
@@ -21,7 +20,7 @@
     /** So many files later a part is asked again. */
     private static final long ASK_AGAIN = 1;
 
-    private record Job(List<Entry> entries, Runnable done) { }
+    private record Job(List<Entry> entries, Runnable done) {}
 
     private final Timers schedules;
     private final int size;
@@ -30,10 +29,11 @@
     private final Map<String, Long> needs = new HashMap<>();
     /** In which segment a part was asked for a base that has not been written yet. */
     private final Map<String, Long> asked = new HashMap<>();
+
     private final WriteBatch gather = new WriteBatch();
     private final Map<String, Runnable> pressure = new ConcurrentHashMap<>();
     private List<Job> waiting = new ArrayList<>();
-    private Consumer<String> failure = why -> { };
+    private Consumer<String> failure = why -> {};
     private long segment;
     private int pos;
     private long batch;
@@ -70,7 +70,8 @@
 
     private void openAll(Disk disk, int files) throws IOException {
         leaves.clear();
-        boolean torn = !disk.list().isEmpty() && disk.list().stream().filter(f -> f.startsWith("ring-")).count() < files;
+        boolean torn = !disk.list().isEmpty()
+                && disk.list().stream().filter(f -> f.startsWith("ring-")).count() < files;
         for (int i = 0; i < files; i++) {
             leaves.add(disk.open(String.format("ring-%02d", i), size));
         }
@@ -209,7 +210,7 @@
                     }
                 });
             }
-            holding.forEach(p -> schedules.soon(pressure.getOrDefault(p, () -> { })));
+            holding.forEach(p -> schedules.soon(pressure.getOrDefault(p, () -> {})));
         }
     }
 
--- a/common/src/test/java/org/woadvale/common/config/ConfigurationsTest.java
+++ b/common/src/test/java/org/woadvale/common/config/ConfigurationsTest.java
@@ -8,14 +8,14 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.woadvale.common.runtime.ServiceException;
 
 class ConfigurationsTest {
     private static List<String> faults(String json) {
-        return assertThrows(ServiceException.class, () -> Configurations.layout(json.getBytes(StandardCharsets.UTF_8))).details();
+        return assertThrows(ServiceException.class, () -> Configurations.layout(json.getBytes(StandardCharsets.UTF_8)))
+                .details();
     }
 
     @Test
@@ -24,8 +24,9 @@
             {"tenants":{"a":{"ratePerS":0,"burstSize":0}},
              "services":{"s":{"kind":"endpoint"}},
              "lanes":{"l":{"service":"s","ordering":"none","timeLimitMs":5,"attempts":0}},"keys":{}}""");
-        assertEquals(List.of("lanes[l].attempts", "lanes[l].timeLimitMs", "tenants[a].burstSize", "tenants[a].ratePerS"),
-            f.stream().map(x -> x.substring(0, x.indexOf(':'))).toList());
+        assertEquals(
+                List.of("lanes[l].attempts", "lanes[l].timeLimitMs", "tenants[a].burstSize", "tenants[a].ratePerS"),
+                f.stream().map(x -> x.substring(0, x.indexOf(':'))).toList());
     }
 
     @Test
@@ -34,9 +35,14 @@
             {"tenants":{},"services":{"s":{"kind":"endpoint"}},
              "lanes":{"l":{"service":"gone","ordering":"none","timeLimitMs":5000,"attempts":1,"attemptMs":9000}},
              "keys":{"k":{"role":"caller","tenant":"nobody","sha256":"%s"}}}""".formatted("0".repeat(64)));
-        assertEquals(List.of("services.s.address: an endpoint needs one",
-            "services.s.ratePerS: an endpoint needs a rate of at least 1", "lanes.l.service: no service gone",
-            "lanes.l.attemptMs: longer than timeLimitMs", "keys.k.tenant: no tenant nobody"), f);
+        assertEquals(
+                List.of(
+                        "services.s.address: an endpoint needs one",
+                        "services.s.ratePerS: an endpoint needs a rate of at least 1",
+                        "lanes.l.service: no service gone",
+                        "lanes.l.attemptMs: longer than timeLimitMs",
+                        "keys.k.tenant: no tenant nobody"),
+                f);
     }
 
     /** Before: taken, and the endpoint got both rates. A layout that was taken before is used all the same. */
@@ -45,9 +51,14 @@
         String json = """
             {"services":{"a":{"kind":"endpoint","address":"http://10.0.0.1:80/x","ratePerS":26},
                          "b":{"kind":"endpoint","address":"http://10.0.0.1:80/x/","ratePerS":26}},"later":1}""";
-        assertEquals(List.of("services.b.address: is a's too; it would get both rates"),
-            faults(json.replace(",\"later\":1", "")));
-        assertEquals(2, Configurations.taken(json.getBytes(java.nio.charset.StandardCharsets.UTF_8)).services().size());
+        assertEquals(
+                List.of("services.b.address: is a's too; it would get both rates"),
+                faults(json.replace(",\"later\":1", "")));
+        assertEquals(
+                2,
+                Configurations.taken(json.getBytes(java.nio.charset.StandardCharsets.UTF_8))
+                        .services()
+                        .size());
     }
 
     @Test
@@ -61,14 +72,31 @@
     @Test
     void partsThatRingOrHeapCannotCarryAreRefused() throws ServiceException {
         assertEquals(java.util.Optional.empty(), Settings.sizes(store(16, 16, 8), 160));
-        assertEquals("partMb: a part of 16 MB needs ringFileMb of at least 32", Settings.sizes(store(16, 16, 16), 4096).get());
-        assertEquals("partMb: 8 parts of 8 MB need a ring of 176 MB, it has 128", Settings.sizes(store(8, 16, 8), 4096).get());
-        assertEquals("partMb: 8 parts of 8 MB need a heap of 160 MB, it has 159", Settings.sizes(store(16, 16, 8), 159).get());
+        assertEquals(
+                "partMb: a part of 16 MB needs ringFileMb of at least 32",
+                Settings.sizes(store(16, 16, 16), 4096).get());
+        assertEquals(
+                "partMb: 8 parts of 8 MB need a ring of 176 MB, it has 128",
+                Settings.sizes(store(8, 16, 8), 4096).get());
+        assertEquals(
+                "partMb: 8 parts of 8 MB need a heap of 160 MB, it has 159",
+                Settings.sizes(store(16, 16, 8), 159).get());
     }
 
     private static Settings store(int files, int fileMb, int partMb) {
-        return new Settings("127.0.0.1:1", "127.0.0.1:2", "h", List.of("127.0.0.1:3"), java.util.Set.of("store"), "d", files,
-            fileMb, "", false, partMb, "");
+        return new Settings(
+                "127.0.0.1:1",
+                "127.0.0.1:2",
+                "h",
+                List.of("127.0.0.1:3"),
+                java.util.Set.of("store"),
+                "d",
+                files,
+                fileMb,
+                "",
+                false,
+                partMb,
+                "");
     }
 
     @Test
@@ -76,15 +104,19 @@
         Path p = dir.resolve("boot.json");
         Files.writeString(p, """
             {"address":"nowhere","http":"127.0.0.1:1","hall":"h","seeds":["127.0.0.1:2"]}""");
-        String m = assertThrows(ServiceException.class, () -> Settings.read(p.toString())).getMessage();
+        String m = assertThrows(ServiceException.class, () -> Settings.read(p.toString()))
+                .getMessage();
         assertTrue(m.contains("invalid at address: "), m);
         assertTrue(m.contains("must be IP:port"), m);
         Files.writeString(p, """
             {"address":"127.0.0.1:70000","http":"127.0.0.1:1","hall":"h","seeds":["127.0.0.1:2"]}""");
-        assertTrue(assertThrows(ServiceException.class, () -> Settings.read(p.toString())).getMessage().contains("at address: "));
+        assertTrue(assertThrows(ServiceException.class, () -> Settings.read(p.toString()))
+                .getMessage()
+                .contains("at address: "));
         Files.writeString(p, """
             {"address":"127.0.0.1:3","http":"127.0.0.1:1","hall":"h","seeds":["127.0.0.1:2"],"roles":["store"]}""");
-        String m2 = assertThrows(ServiceException.class, () -> Settings.read(p.toString())).getMessage();
+        String m2 = assertThrows(ServiceException.class, () -> Settings.read(p.toString()))
+                .getMessage();
         assertTrue(m2.contains("invalid at data: a store needs a data folder"), m2);
     }
 }
--- a/common/src/test/java/org/woadvale/common/http/GateEdgeTest.java
+++ b/common/src/test/java/org/woadvale/common/http/GateEdgeTest.java
@@ -15,11 +15,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 
@@ -88,7 +86,9 @@
     @Test
     void lengthWithChunks() throws IOException {
         refused("both", post("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", "0\r\n\r\n"));
-        refused("both, other order", post("Transfer-Encoding: chunked\r\nContent-Length: 5\r\n", "5\r\nhello\r\n0\r\n\r\n"));
+        refused(
+                "both, other order",
+                post("Transfer-Encoding: chunked\r\nContent-Length: 5\r\n", "5\r\nhello\r\n0\r\n\r\n"));
     }
 
     @Test
@@ -132,7 +132,9 @@
 
     @Test
     void chunksAreTakenAsTheWholeBody() throws IOException {
-        String answer = said(post("Connection: close\r\nTransfer-Encoding: chunked\r\n", "5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n"), false);
+        String answer = said(
+                post("Connection: close\r\nTransfer-Encoding: chunked\r\n", "5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n"),
+                false);
         assertEquals(List.of("200"), statuses(answer));
         assertEquals(List.of("/a hello world"), reached);
     }
@@ -140,7 +142,8 @@
     /** Two requests at once on one stream: each its own answer, in their order. */
     @Test
     void answersComeInTheOrderOfTheRequests() throws IOException {
-        String answer = said("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", false);
+        String answer = said(
+                "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", false);
         assertEquals(List.of("200", "200"), statuses(answer));
         assertTrue(answer.toLowerCase(java.util.Locale.ROOT).matches("(?s).*x-path: /1.*x-path: /2.*"), answer);
     }
@@ -185,7 +188,8 @@
     @Test
     void restOfATooLargeBodyIsNoRequest() throws IOException {
         String inner = "GET /evil HTTP/1.1\r\nHost: h\r\n\r\n";
-        String answer = said(post("Content-Length: 2000\r\n", "x".repeat(1990 - inner.length()) + inner + "x".repeat(10)), true);
+        String answer = said(
+                post("Content-Length: 2000\r\n", "x".repeat(1990 - inner.length()) + inner + "x".repeat(10)), true);
         assertEquals("413", statuses(answer).get(0));
         assertEquals(List.of(), reached);
     }
--- a/common/src/test/java/org/woadvale/common/http/HttpGatewayTest.java
+++ b/common/src/test/java/org/woadvale/common/http/HttpGatewayTest.java
@@ -10,11 +10,9 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.util.concurrent.atomic.AtomicInteger;
-
 import org.junit.jupiter.api.Test;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
-
 import reactor.core.publisher.Mono;
 
 /** The real HTTP server in front of the application function. */
@@ -24,10 +22,17 @@
     private HttpResponse<String> post(String address, int bytes, boolean lengthKnown) throws Exception {
         byte[] body = "x".repeat(bytes).getBytes();
         HttpRequest.BodyPublisher p = HttpRequest.BodyPublishers.ofByteArray(body);
-        return HttpClient.newHttpClient().send(HttpRequest.newBuilder(URI.create("http://" + address + "/a"))
-            .version(HttpClient.Version.HTTP_1_1)
-            .POST(lengthKnown ? p : HttpRequest.BodyPublishers.ofInputStream(() -> new java.io.ByteArrayInputStream(body)))
-            .build(), HttpResponse.BodyHandlers.ofString());
+        return HttpClient.newHttpClient()
+                .send(
+                        HttpRequest.newBuilder(URI.create("http://" + address + "/a"))
+                                .version(HttpClient.Version.HTTP_1_1)
+                                .POST(
+                                        lengthKnown
+                                                ? p
+                                                : HttpRequest.BodyPublishers.ofInputStream(
+                                                        () -> new java.io.ByteArrayInputStream(body)))
+                                .build(),
+                        HttpResponse.BodyHandlers.ofString());
     }
 
     @Test
@@ -38,8 +43,9 @@
         }
         HttpGateway gate = new HttpGateway(address, 100, q -> {
             reached.incrementAndGet();
-            return q.body().length == 3 ? Mono.error(new ServiceException(ErrorKind.THROTTLED, "later", java.util.List.of("7")))
-                : Mono.just(Answer.json(200, q.body().length));
+            return q.body().length == 3
+                    ? Mono.error(new ServiceException(ErrorKind.THROTTLED, "later", java.util.List.of("7")))
+                    : Mono.just(Answer.json(200, q.body().length));
         });
         gate.start();
         try {
@@ -77,7 +83,9 @@
             for (int i = 0; i < lengths.length; i++) {
                 HttpResponse<String> r = post(address, lengths[i], true);
                 assertEquals(statuses[i], r.statusCode(), "for " + lengths[i]);
-                assertEquals(r.body().length(), r.headers().firstValueAsLong("Content-Length").orElse(-1));
+                assertEquals(
+                        r.body().length(),
+                        r.headers().firstValueAsLong("Content-Length").orElse(-1));
                 assertTrue(r.body().length() > 0, "for " + lengths[i]);
             }
         } finally {
--- a/common/src/test/java/org/woadvale/common/ratelimit/AggregateBucketTest.java
+++ b/common/src/test/java/org/woadvale/common/ratelimit/AggregateBucketTest.java
@@ -7,7 +7,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -54,7 +53,10 @@
         AggregateBucket h = new AggregateBucket(1, -1, false, A, ms(0));
         h.ask("x", ask(1, 20), FAR, ms(0));
         AdmissionTokens.Report back = new AdmissionTokens.Report(1, 5, true);
-        assertEquals(15, h.ask("y", ask(1, 20), FAR, ms(0)).granted() + h.ask("x", ask(2, 20, back), FAR, ms(0)).granted());
+        assertEquals(
+                15,
+                h.ask("y", ask(1, 20), FAR, ms(0)).granted()
+                        + h.ask("x", ask(2, 20, back), FAR, ms(0)).granted());
         assertEquals(0, h.ask("x", ask(3, 20, back), FAR, ms(0)).granted());
     }
 
@@ -170,7 +172,8 @@
         AggregateBucket h = new AggregateBucket(1, -1, false, A, ms(0));
         assertEquals(ms(300), h.ask("x", ask(1, 5), ms(300), ms(0)).life());
         assertEquals(ms(200), h.ask("x", ask(1, 5), ms(300), ms(100)).life(), "nor by asking again");
-        assertEquals(AdmissionTokens.LIFE, h.ask("x", ask(2, 1), ms(1900), ms(100)).life());
+        assertEquals(
+                AdmissionTokens.LIFE, h.ask("x", ask(2, 1), ms(1900), ms(100)).life());
     }
 
     @Test
@@ -179,7 +182,8 @@
         assertEquals(5, lapsed.ask("x", ask(1, 9), FAR, ms(500)).granted());
         AggregateBucket moved = new AggregateBucket(2, 8, false, A, ms(0));
         assertEquals(8, moved.ask("x", ask(1, 20), FAR, ms(0)).granted());
-        assertEquals(0, moved.ask("y", ask(1, 20), FAR, ms(1000)).granted(), "12 of earlier terms and 8 of this are out");
+        assertEquals(
+                0, moved.ask("y", ask(1, 20), FAR, ms(1000)).granted(), "12 of earlier terms and 8 of this are out");
         assertTrue(moved.ask("y", ask(2, 20), FAR, ms(1400)).granted() > 0);
     }
 }
--- a/common/src/test/java/org/woadvale/common/rpc/TcpRpcClientTest.java
+++ b/common/src/test/java/org/woadvale/common/rpc/TcpRpcClientTest.java
@@ -12,21 +12,19 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
-
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.common.runtime.SystemTimers;
-
 import reactor.core.publisher.Mono;
 
 /** The real streams, on ephemeral loopback ports. */
 class TcpRpcClientTest {
-    public record Question(String words) { }
+    public record Question(String words) {}
 
-    public record Unregistered(String words) { }
+    public record Unregistered(String words) {}
 
     private static final Codec CODEC = new Codec(Map.of(100, List.of(Question.class)));
     private final SystemTimers schedules = new SystemTimers(2);
@@ -41,8 +39,12 @@
 
     @BeforeEach
     void open() throws Exception {
-        RpcRouter r = new RpcRouter().on(Question.class, (from, q) -> q.words().isEmpty()
-            ? Mono.error(new ServiceException(ErrorKind.CONFLICT, "empty", List.of("x"))) : Mono.just(new Question(q.words() + "!")));
+        RpcRouter r = new RpcRouter()
+                .on(
+                        Question.class,
+                        (from, q) -> q.words().isEmpty()
+                                ? Mono.error(new ServiceException(ErrorKind.CONFLICT, "empty", List.of("x")))
+                                : Mono.just(new Question(q.words() + "!")));
         a = new TcpRpcClient(free(), CODEC, new RpcRouter(), schedules);
         b = new TcpRpcClient(free(), CODEC, r, schedules);
         a.start();
@@ -57,12 +59,17 @@
     }
 
     private ServiceException fault(Mono<?> m) {
-        return ServiceException.of(reactor.core.Exceptions.unwrap(assertThrows(RuntimeException.class, () -> m.block(Duration.ofSeconds(20)))));
+        return ServiceException.of(reactor.core.Exceptions.unwrap(
+                assertThrows(RuntimeException.class, () -> m.block(Duration.ofSeconds(20)))));
     }
 
     @Test
     void answersAndFaultsTravel() {
-        assertEquals("hi!", a.ask(b.self(), new Question("hi"), Question.class, Duration.ofSeconds(10)).block().words());
+        assertEquals(
+                "hi!",
+                a.ask(b.self(), new Question("hi"), Question.class, Duration.ofSeconds(10))
+                        .block()
+                        .words());
         ServiceException f = fault(a.ask(b.self(), new Question(""), Question.class, Duration.ofSeconds(10)));
         assertEquals(ErrorKind.CONFLICT, f.kind());
         assertEquals(List.of("x"), f.details());
@@ -70,13 +77,16 @@
 
     @Test
     void nobodyThereIsUnreachable() throws Exception {
-        assertEquals(ErrorKind.UNREACHABLE,
-            fault(a.ask(free(), new Question("hi"), Question.class, Duration.ofSeconds(10))).kind());
+        assertEquals(
+                ErrorKind.UNREACHABLE,
+                fault(a.ask(free(), new Question("hi"), Question.class, Duration.ofSeconds(10)))
+                        .kind());
     }
 
     /** Returns what the socket gives after our bytes: -1 says that the stream was closed. */
     private int afterSending(byte[]... frames) throws IOException {
-        try (Socket s = new Socket("127.0.0.1", Integer.parseInt(b.self().substring(b.self().indexOf(':') + 1)))) {
+        try (Socket s = new Socket(
+                "127.0.0.1", Integer.parseInt(b.self().substring(b.self().indexOf(':') + 1)))) {
             s.setSoTimeout(15000);
             DataOutputStream out = new DataOutputStream(s.getOutputStream());
             for (byte[] f : frames) {
@@ -91,8 +101,12 @@
     }
 
     private static byte[] hello(int oldest, int newest) {
-        return java.nio.ByteBuffer.allocate(8 + 11).putInt(0x574F4144).putShort((short) oldest).putShort((short) newest)
-            .put("127.0.0.1:1".getBytes(StandardCharsets.UTF_8)).array();
+        return java.nio.ByteBuffer.allocate(8 + 11)
+                .putInt(0x574F4144)
+                .putShort((short) oldest)
+                .putShort((short) newest)
+                .put("127.0.0.1:1".getBytes(StandardCharsets.UTF_8))
+                .array();
     }
 
     @Test
@@ -107,6 +121,7 @@
     @Test
     void newerNeighbourThatStillSpeaksOurVersionIsServed() throws IOException {
         byte[] ask = CODEC.write(new Frame(7, Frame.Kind.ASK, new Question("hi")));
-        assertEquals(0, afterSending(hello(Codec.NEWEST, Codec.NEWEST + 3), ask), "the first byte of an answer's length");
+        assertEquals(
+                0, afterSending(hello(Codec.NEWEST, Codec.NEWEST + 3), ask), "the first byte of an answer's length");
     }
 }
--- a/common/src/test/java/org/woadvale/common/runtime/ErrorKindTest.java
+++ b/common/src/test/java/org/woadvale/common/runtime/ErrorKindTest.java
@@ -4,7 +4,6 @@
 
 import java.util.Arrays;
 import java.util.stream.Collectors;
-
 import org.junit.jupiter.api.Test;
 
 /** The table from kind to answer, written out a second time on purpose. */
@@ -32,8 +31,11 @@
 
     @Test
     void tableIsAsDocumented() {
-        assertEquals(TABLE, Arrays.stream(ErrorKind.values()).map(k -> k.word() + " " + k.status() + " "
-            + (k.definite() ? "definite" : "unknown") + " " + (k.retryable() ? "retryable" : "final"))
-            .collect(Collectors.joining("\n")));
+        assertEquals(
+                TABLE,
+                Arrays.stream(ErrorKind.values())
+                        .map(k -> k.word() + " " + k.status() + " " + (k.definite() ? "definite" : "unknown") + " "
+                                + (k.retryable() ? "retryable" : "final"))
+                        .collect(Collectors.joining("\n")));
     }
 }
--- a/common/src/test/java/org/woadvale/common/wal/RecordFormatTest.java
+++ b/common/src/test/java/org/woadvale/common/wal/RecordFormatTest.java
@@ -8,32 +8,34 @@
 import java.io.IOException;
 import java.util.HexFormat;
 import java.util.Optional;
-
 import org.junit.jupiter.api.Test;
 
 /** Bytes that older builds wrote must stay readable. */
 class RecordFormatTest {
-    private static final byte[] FORMAT_1 = HexFormat.of().parseHex("00000035733c1d7301000000000000000300000000000000090100"
-        + "026d310000000000000005000000000000000200000003010203");
+    private static final byte[] FORMAT_1 = HexFormat.of()
+            .parseHex("00000035733c1d7301000000000000000300000000000000090100"
+                    + "026d310000000000000005000000000000000200000003010203");
 
     private static Optional<RecordFormat.Found> read(byte[] file) throws RecordFormat.Newer, IOException {
-        return RecordFormat.read(new ReadWindow(new Disk.Leaf() {
-            @Override
-            public int size() {
-                return file.length;
-            }
+        return RecordFormat.read(
+                new ReadWindow(new Disk.Leaf() {
+                    @Override
+                    public int size() {
+                        return file.length;
+                    }
 
-            @Override
-            public void write(long pos, byte[] bytes, int length) { }
+                    @Override
+                    public void write(long pos, byte[] bytes, int length) {}
 
-            @Override
-            public void read(long pos, byte[] into, int length) {
-                System.arraycopy(file, (int) pos, into, 0, length);
-            }
+                    @Override
+                    public void read(long pos, byte[] into, int length) {
+                        System.arraycopy(file, (int) pos, into, 0, length);
+                    }
 
-            @Override
-            public void sync() { }
-        }), 0);
+                    @Override
+                    public void sync() {}
+                }),
+                0);
     }
 
     @Test
@@ -66,7 +68,8 @@
         java.util.zip.CRC32C crc = new java.util.zip.CRC32C();
         crc.update(newer, RecordFormat.HEAD, newer.length - RecordFormat.HEAD);
         java.nio.ByteBuffer.wrap(newer).putInt(4, (int) crc.getValue());
-        assertEquals("written by a newer build: format 4, this one reads up to 3",
-            assertThrows(RecordFormat.Newer.class, () -> read(newer)).getMessage());
+        assertEquals(
+                "written by a newer build: format 4, this one reads up to 3",
+                assertThrows(RecordFormat.Newer.class, () -> read(newer)).getMessage());
     }
 }
--- a/controlplane/src/main/java/org/woadvale/controlplane/ControlPlaneProgram.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/ControlPlaneProgram.java
@@ -5,44 +5,44 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.List;
-import java.util.concurrent.atomic.AtomicReference;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
-
-import org.woadvale.common.rpc.Codec;
-import org.woadvale.common.rpc.RpcRouter;
-import org.woadvale.common.rpc.TcpRpcClient;
-import org.woadvale.common.config.Settings;
-import org.woadvale.common.http.HttpGateway;
 import org.woadvale.common.cli.KnownFile;
 import org.woadvale.common.cli.Program;
+import org.woadvale.common.config.Settings;
+import org.woadvale.common.http.HttpGateway;
+import org.woadvale.common.membership.CoreClient;
+import org.woadvale.common.membership.Wire;
 import org.woadvale.common.replication.Env;
 import org.woadvale.common.replication.ReplicationTiming;
+import org.woadvale.common.rpc.Codec;
+import org.woadvale.common.rpc.RpcRouter;
+import org.woadvale.common.rpc.TcpRpcClient;
 import org.woadvale.common.runtime.Component;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
-import org.woadvale.common.runtime.SystemTimers;
-import org.woadvale.common.runtime.SystemClock;
 import org.woadvale.common.runtime.Supervisor;
+import org.woadvale.common.runtime.SystemClock;
+import org.woadvale.common.runtime.SystemTimers;
 import org.woadvale.common.wal.FolderDisk;
 import org.woadvale.common.wal.RingWriteAheadLog;
-import org.woadvale.common.membership.CoreClient;
-import org.woadvale.common.membership.Wire;
 import org.woadvale.controlplane.partition.ControlNode;
 import org.woadvale.controlplane.partition.Operators;
-import org.woadvale.controlplane.partition.Registry;
 import org.woadvale.controlplane.partition.ProcessorRegistry;
+import org.woadvale.controlplane.partition.Registry;
 
 /** The control plane program. */
 public final class ControlPlaneProgram {
-    private static final AtomicReference<Runnable> DRAIN = new AtomicReference<>(() -> { });
+    private static final AtomicReference<Runnable> DRAIN = new AtomicReference<>(() -> {});
 
     private static final Duration ROLL = Duration.ofMillis(700);
 
-    private ControlPlaneProgram() { }
+    private ControlPlaneProgram() {}
 
     public static void main(String[] args) {
-        System.exit(new Program("lighthouse", ControlPlaneProgram::check, ControlPlaneProgram::grow, DRAIN::get).main(args));
+        System.exit(new Program("lighthouse", ControlPlaneProgram::check, ControlPlaneProgram::grow, DRAIN::get)
+                .main(args));
     }
 
     /** The running node's orderly way out; nothing before it runs. */
@@ -52,34 +52,47 @@
 
     public static void check(Settings b) throws ServiceException {
         if (b.data().isEmpty()) {
-            throw new ServiceException(ErrorKind.BAD_REQUEST, "The boot file is invalid at data: a lighthouse needs a data folder.");
+            throw new ServiceException(
+                    ErrorKind.BAD_REQUEST, "The boot file is invalid at data: a lighthouse needs a data folder.");
         }
         if (!b.join() && !b.seeds().contains(b.address())) {
-            throw new ServiceException(ErrorKind.BAD_REQUEST,
-                "The boot file is invalid at seeds: the first lighthouses name themselves; set join for a later one.");
+            throw new ServiceException(
+                    ErrorKind.BAD_REQUEST,
+                    "The boot file is invalid at seeds: the first lighthouses name themselves; set join for a later one.");
         }
         if (!b.roles().isEmpty()) {
-            throw new ServiceException(ErrorKind.BAD_REQUEST, "The boot file is invalid at roles: a lighthouse has none.");
+            throw new ServiceException(
+                    ErrorKind.BAD_REQUEST, "The boot file is invalid at roles: a lighthouse has none.");
         }
     }
 
     static Supervisor grow(Settings b, SystemTimers schedules, Runnable onGivenUp) throws ServiceException {
-        return grow(b, schedules, onGivenUp, Optional.empty(),
-            o -> List.of(new HttpGateway(b.http(), Operators.MAX_LAYOUT, o::answer)));
+        return grow(
+                b,
+                schedules,
+                onGivenUp,
+                Optional.empty(),
+                o -> List.of(new HttpGateway(b.http(), Operators.MAX_LAYOUT, o::answer)));
     }
 
     /** The tree with other doors for operators, and with a registry that has the processors. design 1 */
-    public static Supervisor grow(Settings b, SystemTimers schedules, Runnable onGivenUp, Optional<Registry> registry,
-                                  Function<Operators, List<Component>> doors) throws ServiceException {
+    public static Supervisor grow(
+            Settings b,
+            SystemTimers schedules,
+            Runnable onGivenUp,
+            Optional<Registry> registry,
+            Function<Operators, List<Component>> doors)
+            throws ServiceException {
         Codec codec = Wire.codec(Wire.LIGHTHOUSE, Operators.types());
         RpcRouter router = new RpcRouter();
         TcpRpcClient beam = new TcpRpcClient(b.address(), b.listenAt(), codec, router, schedules);
         RingWriteAheadLog book;
         try {
-            book = RingWriteAheadLog.open(new FolderDisk(Path.of(b.data(), "ring")), schedules, b.ringFiles(),
-                b.ringFileMb() << 20);
+            book = RingWriteAheadLog.open(
+                    new FolderDisk(Path.of(b.data(), "ring")), schedules, b.ringFiles(), b.ringFileMb() << 20);
         } catch (IOException e) {
-            throw new ServiceException(ErrorKind.UNAVAILABLE, "Cannot open the data folder " + b.data() + ": " + e.getMessage());
+            throw new ServiceException(
+                    ErrorKind.UNAVAILABLE, "Cannot open the data folder " + b.data() + ": " + e.getMessage());
         }
         book.onFailure(why -> onGivenUp.run());
         SecureRandom random = new SecureRandom();
@@ -91,7 +104,8 @@
         Operators operators = new Operators(node, b.operatorKeySha256());
         operators.route(router);
         DRAIN.set(() -> drain(node));
-        Supervisor tree = new Supervisor("lighthouse", schedules, onGivenUp).with(beam).with(node);
+        Supervisor tree =
+                new Supervisor("lighthouse", schedules, onGivenUp).with(beam).with(node);
         registry.ifPresent(r -> tree.with(new ProcessorRegistry(env, node, r, ROLL)));
         doors.apply(operators).forEach(tree::with);
         return tree;
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/ConfigurationLog.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/ConfigurationLog.java
@@ -6,12 +6,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-
-import org.woadvale.common.rpc.Since;
 import org.woadvale.common.config.Configurations;
+import org.woadvale.common.membership.ControlMessages;
+import org.woadvale.common.rpc.Since;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
-import org.woadvale.common.membership.ControlMessages;
 
 /** Versions of the layout in order; a repeated request id gets the answer it had. Both are bounded. design 6.4 */
 public final class ConfigurationLog {
@@ -19,10 +18,15 @@
     static final int MOST_KNOWN = 4096;
 
     /** One taken layout. */
-    public record Step(long version, String requestId, String author, byte[] layout, @Since(3) byte[] original) { }
+    public record Step(
+            long version,
+            String requestId,
+            String author,
+            byte[] layout,
+            @Since(3) byte[] original) {}
 
     /** What a request id was used for. */
-    public record Known(String requestId, long version, String digest) { }
+    public record Known(String requestId, long version, String digest) {}
 
     private final int mostBytes;
     private final List<Step> steps = new ArrayList<>();
@@ -89,16 +93,21 @@
         String digest = digest(p.layout(), p.original());
         Optional<Known> before = Optional.ofNullable(known.get(p.requestId()));
         if (before.isPresent()) {
-            return before.get().digest().equals(digest) ? new ControlMessages.LayoutTaken(before.get().version(), true)
-                : new ServiceException(ErrorKind.CONFLICT, "This request id was used for another layout.");
+            return before.get().digest().equals(digest)
+                    ? new ControlMessages.LayoutTaken(before.get().version(), true)
+                    : new ServiceException(ErrorKind.CONFLICT, "This request id was used for another layout.");
         }
         if (p.base() != version()) {
-            return new ServiceException(ErrorKind.STALE_BASE, "The base version " + p.base() + " is not the present one, "
-                + version() + ".", List.of(Long.toString(version())));
+            return new ServiceException(
+                    ErrorKind.STALE_BASE,
+                    "The base version " + p.base() + " is not the present one, " + version() + ".",
+                    List.of(Long.toString(version())));
         }
         if (p.revision() != 0 && p.revision() <= version()) {
-            return new ServiceException(ErrorKind.INVALID_LAYOUT, "The revision " + p.revision() + " is not above the present one, "
-                + version() + ".", List.of("revision: must be above " + version()));
+            return new ServiceException(
+                    ErrorKind.INVALID_LAYOUT,
+                    "The revision " + p.revision() + " is not above the present one, " + version() + ".",
+                    List.of("revision: must be above " + version()));
         }
         long next = p.revision() == 0 ? version() + 1 : p.revision();
         add(new Step(next, p.requestId(), p.author(), p.layout(), p.original()));
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/ControlNode.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/ControlNode.java
@@ -7,27 +7,25 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeSet;
-
-import org.woadvale.common.rpc.RpcRouter;
+import org.woadvale.common.membership.ControlMessages;
+import org.woadvale.common.membership.CoreClient;
+import org.woadvale.common.membership.ServiceNames;
+import org.woadvale.common.membership.ServiceView;
 import org.woadvale.common.replication.Env;
 import org.woadvale.common.replication.Messages;
 import org.woadvale.common.replication.Phase;
 import org.woadvale.common.replication.Replica;
+import org.woadvale.common.rpc.RpcRouter;
 import org.woadvale.common.runtime.Component;
+import org.woadvale.common.runtime.Delays;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
-import org.woadvale.common.runtime.Delays;
 import org.woadvale.common.runtime.TimerHandle;
-import org.woadvale.common.membership.ControlMessages;
-import org.woadvale.common.membership.CoreClient;
-import org.woadvale.common.membership.ServiceNames;
-import org.woadvale.common.membership.ServiceView;
-
 import reactor.core.publisher.Mono;
 
 /** A lighthouse: one replica of every control part, and what it answers as their owner. */
 public final class ControlNode implements Component {
-    private record Part(Replica replica, ControlStateMachine machine, LeaseManager claims) { }
+    private record Part(Replica replica, ControlStateMachine machine, LeaseManager claims) {}
 
     private static final int HISTORY = 4 << 20;
     private static final Duration PATIENCE = Duration.ofMillis(2500);
@@ -39,8 +37,8 @@
     private final Map<String, Part> parts = new LinkedHashMap<>();
     private final Map<String, Duration> owned = new java.util.concurrent.ConcurrentHashMap<>();
     private final ReplicaPlacement placing = new ReplicaPlacement();
-    private TimerHandle looking = () -> { };
-    private TimerHandle learning = () -> { };
+    private TimerHandle looking = () -> {};
+    private TimerHandle learning = () -> {};
     private volatile boolean draining;
 
     /** A lighthouse that joins a running core is seated by the owners once {@code wantedCore} names it. */
@@ -48,7 +46,8 @@
         this.env = env;
         this.core = core;
         for (String p : ServiceNames.controlParts()) {
-            ControlStateMachine m = new ControlStateMachine(env.codec(), Math.min(HISTORY, env.logbook().largest() / 4));
+            ControlStateMachine m = new ControlStateMachine(
+                    env.codec(), Math.min(HISTORY, env.logbook().largest() / 4));
             Replica r = new Replica(p, turned(wantedCore, p), m, env);
             parts.put(p, new Part(r, m, new LeaseManager(r, m, env)));
         }
@@ -68,16 +67,24 @@
 
     public void route(RpcRouter router) {
         Messages.route(router, id -> part(id).map(Part::replica))
-            .on(ControlMessages.ClaimAsk.class, (f, a) -> of(a.service()).flatMap(p -> p.claims().claim(a)))
-            .on(ControlMessages.LeaveAsk.class, (f, a) -> of(a.service()).flatMap(p -> p.claims().leave(a)))
-            .on(ControlMessages.DutyAsk.class, (f, a) -> of(a.service()).flatMap(p -> p.claims().duty(a)))
-            .on(ControlMessages.DutyRelease.class, (f, a) -> of(a.service()).flatMap(p -> p.claims().release(a)))
-            .on(ControlMessages.NewsAsk.class, (f, a) -> news(a))
-            .on(ControlMessages.CoreAsk.class, (f, a) -> Mono.just(new ControlMessages.CoreReply(lighthouses())))
-            .on(ControlMessages.PutCore.class, (f, a) -> change(ServiceNames.CORE, a))
-            .on(ControlMessages.PutProcessor.class, (f, a) -> change(a.service(), a))
-            .on(ControlMessages.DropProcessor.class, (f, a) -> change(a.service(), a))
-            .on(ControlMessages.PutProcessors.class, (f, a) -> change(a.service(), a));
+                .on(
+                        ControlMessages.ClaimAsk.class,
+                        (f, a) -> of(a.service()).flatMap(p -> p.claims().claim(a)))
+                .on(
+                        ControlMessages.LeaveAsk.class,
+                        (f, a) -> of(a.service()).flatMap(p -> p.claims().leave(a)))
+                .on(
+                        ControlMessages.DutyAsk.class,
+                        (f, a) -> of(a.service()).flatMap(p -> p.claims().duty(a)))
+                .on(
+                        ControlMessages.DutyRelease.class,
+                        (f, a) -> of(a.service()).flatMap(p -> p.claims().release(a)))
+                .on(ControlMessages.NewsAsk.class, (f, a) -> news(a))
+                .on(ControlMessages.CoreAsk.class, (f, a) -> Mono.just(new ControlMessages.CoreReply(lighthouses())))
+                .on(ControlMessages.PutCore.class, (f, a) -> change(ServiceNames.CORE, a))
+                .on(ControlMessages.PutProcessor.class, (f, a) -> change(a.service(), a))
+                .on(ControlMessages.DropProcessor.class, (f, a) -> change(a.service(), a))
+                .on(ControlMessages.PutProcessors.class, (f, a) -> change(a.service(), a));
     }
 
     /** The boot values changed while we run. */
@@ -87,7 +94,7 @@
 
     private Mono<Part> part(String id) {
         return Mono.justOrEmpty(parts.get(id))
-            .switchIfEmpty(Mono.error(new ServiceException(ErrorKind.NOT_FOUND, "No control part " + id + ".")));
+                .switchIfEmpty(Mono.error(new ServiceException(ErrorKind.NOT_FOUND, "No control part " + id + ".")));
     }
 
     private Mono<Part> of(String service) {
@@ -100,7 +107,8 @@
 
     /** Every service asked for is of one part; the age is nothing, since the claim was checked just now. */
     private Mono<ControlMessages.NewsReply> news(ControlMessages.NewsAsk ask) {
-        String id = ServiceNames.controlPart(ask.known().keySet().stream().findFirst().orElse(ServiceNames.LAYOUT));
+        String id = ServiceNames.controlPart(
+                ask.known().keySet().stream().findFirst().orElse(ServiceNames.LAYOUT));
         return part(id).flatMap(p -> p.replica().read(i -> {
             List<ServiceView> views = new ArrayList<>();
             Map<String, Duration> ages = new HashMap<>();
@@ -135,8 +143,10 @@
     /** Who the lighthouses should be, as far as part c0 is known here. */
     private void follow() {
         Part c0 = parts.get(ServiceNames.controlPart(ServiceNames.CORE));
-        List<String> wanted = c0.replica().look(i -> c0.machine().service(ServiceNames.CORE)).placement()
-            .getOrDefault(ServiceNames.CORE, List.of());
+        List<String> wanted = c0.replica()
+                .look(i -> c0.machine().service(ServiceNames.CORE))
+                .placement()
+                .getOrDefault(ServiceNames.CORE, List.of());
         if (!wanted.isEmpty()) {
             parts.forEach((id, p) -> p.replica().want(turned(wanted, id)));
         }
@@ -152,8 +162,9 @@
             ServiceView v = stores.replica().look(i -> stores.machine().service(ServiceNames.STORES));
             Map<String, List<String>> next = placing.next(v, env.times().mono());
             if (!next.equals(v.placement())) {
-                stores.replica().propose(new ControlMessages.Place(next, v.version()), ControlMessages.Done.class)
-                    .subscribe(d -> { }, e -> { });
+                stores.replica()
+                        .propose(new ControlMessages.Place(next, v.version()), ControlMessages.Done.class)
+                        .subscribe(d -> {}, e -> {});
             }
         }
         if (draining) {
@@ -194,14 +205,16 @@
     }
 
     private void seeOwners() {
-        parts.forEach((id, p) -> p.replica().owner().ifPresent(o -> owned.put(id, env.times().mono())));
+        parts.forEach((id, p) ->
+                p.replica().owner().ifPresent(o -> owned.put(id, env.times().mono())));
     }
 
     /** A part that changes hands in order is without an owner for a moment; that is no reason to turn operators away. */
     public boolean ready() {
         seeOwners();
         Duration from = env.times().mono().minus(CHANGES_HANDS);
-        return parts.keySet().stream().allMatch(p -> owned.containsKey(p) && owned.get(p).compareTo(from) > 0);
+        return parts.keySet().stream()
+                .allMatch(p -> owned.containsKey(p) && owned.get(p).compareTo(from) > 0);
     }
 
     /**
@@ -216,17 +229,23 @@
         return core.ask(part, body, type).onErrorResume(e -> {
             ServiceException f = ServiceException.of(e);
             boolean nowUnknown = unknown || f.kind() == ErrorKind.UNKNOWN_OUTCOME;
-            boolean again = f.kind() == ErrorKind.NOT_OWNER || f.kind() == ErrorKind.UNREACHABLE
-                || f.kind() == ErrorKind.STOPPING || f.kind() == ErrorKind.UNKNOWN_OUTCOME;
+            boolean again = f.kind() == ErrorKind.NOT_OWNER
+                    || f.kind() == ErrorKind.UNREACHABLE
+                    || f.kind() == ErrorKind.STOPPING
+                    || f.kind() == ErrorKind.UNKNOWN_OUTCOME;
             if (!again) {
                 return Mono.error(f);
             }
             if (env.times().mono().compareTo(until) >= 0) {
-                return Mono.error(nowUnknown ? new ServiceException(ErrorKind.UNKNOWN_OUTCOME,
-                    "It is not known whether this was taken; ask again with the same request id.") : f);
+                return Mono.error(
+                        nowUnknown
+                                ? new ServiceException(
+                                        ErrorKind.UNKNOWN_OUTCOME,
+                                        "It is not known whether this was taken; ask again with the same request id.")
+                                : f);
             }
             return Delays.pause(env.schedules(), AGAIN)
-                .then(Mono.defer(() -> ask(part, body, type, until, nowUnknown)));
+                    .then(Mono.defer(() -> ask(part, body, type, until, nowUnknown)));
         });
     }
 
@@ -240,8 +259,17 @@
 
     public Map<String, Object> status() {
         Map<String, Object> out = new LinkedHashMap<>();
-        parts.forEach((id, p) -> out.put(id, Map.of("phase", p.replica().phase(), "term", p.replica().term(),
-            "owner", p.replica().owner().orElse(""), "group", p.replica().group().keySet())));
+        parts.forEach((id, p) -> out.put(
+                id,
+                Map.of(
+                        "phase",
+                        p.replica().phase(),
+                        "term",
+                        p.replica().term(),
+                        "owner",
+                        p.replica().owner().orElse(""),
+                        "group",
+                        p.replica().group().keySet())));
         return out;
     }
 }
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/ControlStateMachine.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/ControlStateMachine.java
@@ -5,24 +5,25 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-
-import org.woadvale.common.rpc.Codec;
-import org.woadvale.common.rpc.Since;
-import org.woadvale.common.replication.StateMachine;
-import org.woadvale.common.runtime.ErrorKind;
-import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.common.membership.ControlMessages;
 import org.woadvale.common.membership.LeaderDuty;
-import org.woadvale.common.membership.ServiceNames;
-import org.woadvale.common.membership.Processor;
 import org.woadvale.common.membership.MemberLease;
+import org.woadvale.common.membership.Processor;
+import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.membership.ServiceView;
+import org.woadvale.common.replication.StateMachine;
+import org.woadvale.common.rpc.Codec;
+import org.woadvale.common.rpc.Since;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
 
 /** The state of one control part: services by name, and in part 0 the layout. design 6 */
 public final class ControlStateMachine implements StateMachine {
     /** All of the machine, for views. */
-    public record State(Map<String, ServiceView> services, List<ConfigurationLog.Step> steps,
-                        @Since(2) List<ConfigurationLog.Known> known) { }
+    public record State(
+            Map<String, ServiceView> services,
+            List<ConfigurationLog.Step> steps,
+            @Since(2) List<ConfigurationLog.Known> known) {}
 
     private final Codec codec;
     private final Map<String, ServiceView> services = new TreeMap<>();
@@ -83,23 +84,37 @@
         } else if (c instanceof ControlMessages.PutCore p) {
             ServiceView v = service(ServiceNames.CORE);
             Set<String> now = Set.copyOf(v.placement().getOrDefault(ServiceNames.CORE, List.of()));
-            if (!now.isEmpty() && !p.instead().isEmpty() && !now.equals(Set.copyOf(p.instead()))
+            if (!now.isEmpty()
+                    && !p.instead().isEmpty()
+                    && !now.equals(Set.copyOf(p.instead()))
                     && !now.equals(Set.copyOf(p.lighthouses()))) {
                 return new ControlMessages.Done(false);
             }
-            services.put(ServiceNames.CORE, new ServiceView(ServiceNames.CORE, index, v.seats(), v.processors(), v.duty(),
-                Map.of(ServiceNames.CORE, p.lighthouses()), v.layout(), v.layoutVersion()));
+            services.put(
+                    ServiceNames.CORE,
+                    new ServiceView(
+                            ServiceNames.CORE,
+                            index,
+                            v.seats(),
+                            v.processors(),
+                            v.duty(),
+                            Map.of(ServiceNames.CORE, p.lighthouses()),
+                            v.layout(),
+                            v.layoutVersion()));
             return new ControlMessages.Done(true);
         } else if (c instanceof ControlMessages.PutLayout p) {
             return putLayout(index, p);
         }
-        return new ServiceException(ErrorKind.BAD_REQUEST, "Unknown command " + c.getClass().getSimpleName() + ".");
+        return new ServiceException(
+                ErrorKind.BAD_REQUEST, "Unknown command " + c.getClass().getSimpleName() + ".");
     }
 
     private Object seats(long index, String service, Map<String, MemberLease> seats) {
         ServiceView v = service(service);
-        services.put(service, new ServiceView(service, index, seats, v.processors(), v.duty(), v.placement(),
-            v.layout(), v.layoutVersion()));
+        services.put(
+                service,
+                new ServiceView(
+                        service, index, seats, v.processors(), v.duty(), v.placement(), v.layout(), v.layoutVersion()));
         return new ControlMessages.Done(true);
     }
 
@@ -108,15 +123,18 @@
         if (seen != 0 && seen != v.version() + 1) {
             return new ControlMessages.Done(false);
         }
-        services.put(service, new ServiceView(service, index, v.seats(), m, v.duty(), v.placement(),
-            v.layout(), v.layoutVersion()));
+        services.put(
+                service,
+                new ServiceView(service, index, v.seats(), m, v.duty(), v.placement(), v.layout(), v.layoutVersion()));
         return new ControlMessages.Done(true);
     }
 
     private void duty(long index, String service, LeaderDuty d) {
         ServiceView v = service(service);
-        services.put(service, new ServiceView(service, index, v.seats(), v.processors(), d, v.placement(),
-            v.layout(), v.layoutVersion()));
+        services.put(
+                service,
+                new ServiceView(
+                        service, index, v.seats(), v.processors(), d, v.placement(), v.layout(), v.layoutVersion()));
     }
 
     private Object takeDuty(long index, ControlMessages.TakeDuty t) {
@@ -125,8 +143,8 @@
             return new ControlMessages.DutyReply(false, now);
         }
         // design 8.4: a crashed holder's level is lost; only a level given up by the holder itself is handed on
-        LeaderDuty next = new LeaderDuty(t.node(), now.term() + 1, now.vacant() ? now.level() : 0,
-            t.lapsed() && !now.vacant());
+        LeaderDuty next =
+                new LeaderDuty(t.node(), now.term() + 1, now.vacant() ? now.level() : 0, t.lapsed() && !now.vacant());
         duty(index, t.service(), next);
         return new ControlMessages.DutyReply(true, next);
     }
@@ -136,8 +154,17 @@
         if (v.version() != p.expectedVersion()) {
             return new ControlMessages.Done(false);
         }
-        services.put(ServiceNames.STORES, new ServiceView(ServiceNames.STORES, index, v.seats(), v.processors(), v.duty(),
-            p.placement(), v.layout(), v.layoutVersion()));
+        services.put(
+                ServiceNames.STORES,
+                new ServiceView(
+                        ServiceNames.STORES,
+                        index,
+                        v.seats(),
+                        v.processors(),
+                        v.duty(),
+                        p.placement(),
+                        v.layout(),
+                        v.layoutVersion()));
         return new ControlMessages.Done(true);
     }
 
@@ -145,8 +172,17 @@
         Object out = layouts.put(p);
         if (out instanceof ControlMessages.LayoutTaken t && !t.repeated()) {
             ServiceView v = service(ServiceNames.LAYOUT);
-            services.put(ServiceNames.LAYOUT, new ServiceView(ServiceNames.LAYOUT, index, v.seats(), v.processors(), v.duty(),
-                v.placement(), p.layout(), t.version()));
+            services.put(
+                    ServiceNames.LAYOUT,
+                    new ServiceView(
+                            ServiceNames.LAYOUT,
+                            index,
+                            v.seats(),
+                            v.processors(),
+                            v.duty(),
+                            v.placement(),
+                            p.layout(),
+                            t.version()));
         }
         return out;
     }
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/LeaseManager.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/LeaseManager.java
@@ -5,19 +5,17 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
-
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.woadvale.common.replication.Env;
-import org.woadvale.common.replication.ReplicationTiming;
-import org.woadvale.common.replication.Phase;
-import org.woadvale.common.replication.Replica;
-import org.woadvale.common.runtime.LockedShard;
 import org.woadvale.common.membership.ControlMessages;
 import org.woadvale.common.membership.LeaderDuty;
 import org.woadvale.common.membership.MemberLease;
 import org.woadvale.common.membership.ServiceView;
-
+import org.woadvale.common.replication.Env;
+import org.woadvale.common.replication.Phase;
+import org.woadvale.common.replication.Replica;
+import org.woadvale.common.replication.ReplicationTiming;
+import org.woadvale.common.runtime.LockedShard;
 import reactor.core.publisher.Mono;
 
 /** Renewals of one part, in its owner's memory; a new owner grants every claim a whole time anew. design 6.3 */
@@ -30,6 +28,7 @@
     private final Map<String, Duration> heard = new HashMap<>();
     /** Terms of duties that are being given to the next: a renewal that comes meanwhile is too late. */
     private final Map<String, Long> given = new HashMap<>();
+
     private Duration ownerSince = Duration.ZERO;
     private long ownerTerm;
 
@@ -75,19 +74,24 @@
     Mono<ControlMessages.Done> claim(ControlMessages.ClaimAsk a) {
         return owned(i -> {
             hear(a.service() + "|" + a.node());
-            MemberLease known = replica.look(x -> machine.service(a.service())).seats().get(a.node());
+            MemberLease known =
+                    replica.look(x -> machine.service(a.service())).seats().get(a.node());
             if (a.seat().equals(known)) {
                 return Mono.just(new ControlMessages.Done(true));
             }
             LOG.info("watch: {} joins {}.", a.node(), a.service());
-            return replica.propose(new ControlMessages.PutSeat(a.service(), a.node(), a.seat()), ControlMessages.Done.class);
+            return replica.propose(
+                    new ControlMessages.PutSeat(a.service(), a.node(), a.seat()), ControlMessages.Done.class);
         });
     }
 
     Mono<ControlMessages.Done> leave(ControlMessages.LeaveAsk a) {
-        return owned(i -> Optional.ofNullable(replica.look(x -> machine.service(a.service())).seats().get(a.node()))
-            .map(s -> replica.propose(new ControlMessages.DropSeat(a.service(), a.node(), s.incarnation()), ControlMessages.Done.class))
-            .orElse(Mono.just(new ControlMessages.Done(true))));
+        return owned(i -> Optional.ofNullable(
+                        replica.look(x -> machine.service(a.service())).seats().get(a.node()))
+                .map(s -> replica.propose(
+                        new ControlMessages.DropSeat(a.service(), a.node(), s.incarnation()),
+                        ControlMessages.Done.class))
+                .orElse(Mono.just(new ControlMessages.Done(true))));
     }
 
     Mono<ControlMessages.DutyReply> duty(ControlMessages.DutyAsk a) {
@@ -98,8 +102,9 @@
             if (d.holder().equals(a.node()) && d.term() == a.term() && !goes) {
                 hear(key);
                 // the renewal counts only while the part is ours: design 6.3
-                return replica.mayAct() ? Mono.just(new ControlMessages.DutyReply(true, d))
-                    : Mono.just(new ControlMessages.DutyReply(false, d));
+                return replica.mayAct()
+                        ? Mono.just(new ControlMessages.DutyReply(true, d))
+                        : Mono.just(new ControlMessages.DutyReply(false, d));
             }
             // design 8.4: a holder that knows of no term has restarted, so nobody grants in its old term any more
             boolean restarted = d.holder().equals(a.node()) && a.term() == 0;
@@ -108,19 +113,26 @@
                 return Mono.just(new ControlMessages.DutyReply(false, d));
             }
             shard.run(() -> given.put(key, d.term()));
-            return replica.propose(new ControlMessages.TakeDuty(a.service(), a.node(), d.term(), lapsed), ControlMessages.DutyReply.class)
-                .doOnNext(r -> {
-                    if (r.yours()) {
-                        hear(key);
-                        LOG.info("watch: {} takes {} in term {}.", a.node(), a.service(), r.duty().term());
-                    }
-                });
+            return replica.propose(
+                            new ControlMessages.TakeDuty(a.service(), a.node(), d.term(), lapsed),
+                            ControlMessages.DutyReply.class)
+                    .doOnNext(r -> {
+                        if (r.yours()) {
+                            hear(key);
+                            LOG.info(
+                                    "watch: {} takes {} in term {}.",
+                                    a.node(),
+                                    a.service(),
+                                    r.duty().term());
+                        }
+                    });
         });
     }
 
     Mono<ControlMessages.Done> release(ControlMessages.DutyRelease r) {
-        return owned(i -> replica.propose(new ControlMessages.ReleaseDuty(r.service(), r.node(), r.term(), r.level()),
-            ControlMessages.Done.class));
+        return owned(i -> replica.propose(
+                new ControlMessages.ReleaseDuty(r.service(), r.node(), r.term(), r.level()),
+                ControlMessages.Done.class));
     }
 
     /** Members whose claim has lapsed are members no more. */
@@ -132,8 +144,10 @@
             v.seats().forEach((node, seat) -> {
                 if (lapsed(v.service() + "|" + node)) {
                     LOG.info("watch: the claim of {} in {} lapsed.", node, v.service());
-                    replica.propose(new ControlMessages.DropSeat(v.service(), node, seat.incarnation()), ControlMessages.Done.class)
-                        .subscribe(d -> { }, e -> { });
+                    replica.propose(
+                                    new ControlMessages.DropSeat(v.service(), node, seat.incarnation()),
+                                    ControlMessages.Done.class)
+                            .subscribe(d -> {}, e -> {});
                 }
             });
         }
