--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/Operators.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/Operators.java
@@ -1,22 +1,19 @@
 package org.woadvale.controlplane.partition;
 
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
-
-import org.woadvale.common.rpc.Since;
 import org.woadvale.common.config.Configurations;
 import org.woadvale.common.http.Answer;
 import org.woadvale.common.http.Request;
-import org.woadvale.common.runtime.ErrorKind;
-import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.common.membership.ControlMessages;
-import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.membership.Processor;
+import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.membership.ServiceView;
-
+import org.woadvale.common.rpc.Since;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
 import reactor.core.publisher.Mono;
 
 /** HTTP for operators and the platform, on any lighthouse; each request finds its owner. design 6.4 */
@@ -24,24 +21,36 @@
     public static final int MAX_LAYOUT = 1 << 20;
 
     /** Carried from the asked lighthouse to the owner of part 0. */
-    public record LayoutPut(ControlMessages.PutLayout put) { }
+    public record LayoutPut(ControlMessages.PutLayout put) {}
 
-    public record LayoutGet(long version) { }
+    public record LayoutGet(long version) {}
 
-    public record LayoutIs(long version, String author, byte[] layout, @Since(3) byte[] original) { }
+    public record LayoutIs(
+            long version,
+            String author,
+            byte[] layout,
+            @Since(3) byte[] original) {}
 
-    public record HistoryGet(int most) { }
+    public record HistoryGet(int most) {}
 
-    public record History(List<Long> versions, List<String> requests, List<String> authors) { }
+    public record History(List<Long> versions, List<String> requests, List<String> authors) {}
 
-    public record ProcessorsGet(String service) { }
+    public record ProcessorsGet(String service) {}
 
-    public record Processors(Map<String, Processor> processors, long version) { }
+    public record Processors(Map<String, Processor> processors, long version) {}
 
     public static List<Class<?>> types() {
-        return List.of(ControlStateMachine.State.class, ConfigurationLog.Step.class, LayoutPut.class, LayoutGet.class,
-            LayoutIs.class, HistoryGet.class, History.class, ProcessorsGet.class, Processors.class,
-            ConfigurationLog.Known.class);
+        return List.of(
+                ControlStateMachine.State.class,
+                ConfigurationLog.Step.class,
+                LayoutPut.class,
+                LayoutGet.class,
+                LayoutIs.class,
+                HistoryGet.class,
+                History.class,
+                ProcessorsGet.class,
+                Processors.class,
+                ConfigurationLog.Known.class);
     }
 
     private final ControlNode node;
@@ -57,27 +66,46 @@
     public void route(org.woadvale.common.rpc.RpcRouter router) {
         ControlStateMachine m = node.machine("c0");
         router.on(LayoutPut.class, (f, a) -> node.replica("c0").propose(a.put(), ControlMessages.LayoutTaken.class))
-            .on(LayoutGet.class, (f, a) -> node.replica("c0").read(i -> m.layouts().steps())
-                .flatMap(steps -> pick(steps, a.version())))
-            .on(HistoryGet.class, (f, a) -> node.replica("c0").read(i -> m.layouts().steps()).map(s -> new History(
-                s.stream().map(ConfigurationLog.Step::version).toList(), s.stream().map(ConfigurationLog.Step::requestId).toList(),
-                s.stream().map(ConfigurationLog.Step::author).toList())))
-            .on(ProcessorsGet.class, (f, a) -> node.replica(ServiceNames.controlPart(a.service()))
-                .read(i -> {
-                    ServiceView v = node.machine(ServiceNames.controlPart(a.service())).service(a.service());
-                    return new Processors(v.processors(), v.version());
-                }));
+                .on(
+                        LayoutGet.class,
+                        (f, a) -> node.replica("c0")
+                                .read(i -> m.layouts().steps())
+                                .flatMap(steps -> pick(steps, a.version())))
+                .on(
+                        HistoryGet.class,
+                        (f, a) -> node.replica("c0")
+                                .read(i -> m.layouts().steps())
+                                .map(s -> new History(
+                                        s.stream()
+                                                .map(ConfigurationLog.Step::version)
+                                                .toList(),
+                                        s.stream()
+                                                .map(ConfigurationLog.Step::requestId)
+                                                .toList(),
+                                        s.stream()
+                                                .map(ConfigurationLog.Step::author)
+                                                .toList())))
+                .on(
+                        ProcessorsGet.class,
+                        (f, a) -> node.replica(ServiceNames.controlPart(a.service()))
+                                .read(i -> {
+                                    ServiceView v = node.machine(ServiceNames.controlPart(a.service()))
+                                            .service(a.service());
+                                    return new Processors(v.processors(), v.version());
+                                }));
     }
 
     private static Mono<LayoutIs> pick(List<ConfigurationLog.Step> steps, long version) {
         if (steps.isEmpty() && version <= 0) {
-            return Mono.just(new LayoutIs(0, "", Configurations.write(org.woadvale.common.config.Configuration.empty()),
-                new byte[0]));
+            return Mono.just(new LayoutIs(
+                    0, "", Configurations.write(org.woadvale.common.config.Configuration.empty()), new byte[0]));
         }
         return Mono.justOrEmpty(steps.stream()
-            .filter(s -> version < 0 ? s == steps.get(steps.size() - 1) : s.version() == version).findFirst()
-            .map(s -> new LayoutIs(s.version(), s.author(), s.layout(), s.original())))
-            .switchIfEmpty(Mono.error(new ServiceException(ErrorKind.NOT_FOUND, "The version " + version + " is not kept.")));
+                        .filter(s -> version < 0 ? s == steps.get(steps.size() - 1) : s.version() == version)
+                        .findFirst()
+                        .map(s -> new LayoutIs(s.version(), s.author(), s.layout(), s.original())))
+                .switchIfEmpty(Mono.error(
+                        new ServiceException(ErrorKind.NOT_FOUND, "The version " + version + " is not kept.")));
     }
 
     public Mono<Answer> answer(Request q) {
@@ -87,7 +115,8 @@
     /** Where the owner was not found nothing was written; where it was lost midway nobody knows yet. */
     private static ServiceException softened(ServiceException f) {
         return f.kind() == ErrorKind.NOT_OWNER || f.kind() == ErrorKind.UNREACHABLE
-            ? new ServiceException(ErrorKind.UNAVAILABLE, "No owner of the part could be reached.") : f;
+                ? new ServiceException(ErrorKind.UNAVAILABLE, "No owner of the part could be reached.")
+                : f;
     }
 
     private Mono<Answer> route(Request q) {
@@ -101,7 +130,10 @@
             return Mono.just(Answer.json(200, Map.of("parts", node.status(), "lighthouses", node.lighthouses())));
         }
         if (!operatorKeySha256.isEmpty()
-                && q.secret().map(Configurations::sha256).filter(operatorKeySha256::equals).isEmpty()) {
+                && q.secret()
+                        .map(Configurations::sha256)
+                        .filter(operatorKeySha256::equals)
+                        .isEmpty()) {
             return Mono.error(new ServiceException(ErrorKind.UNAUTHORISED, "The operator key is missing or wrong."));
         }
         return switch (op) {
@@ -120,19 +152,25 @@
         } catch (ServiceException e) {
             return Mono.error(e);
         }
-        Optional<Long> base = q.header("if-match").map(h -> h.replace("\"", "")).filter(h -> h.matches("[0-9]{1,18}"))
-            .map(Long::valueOf);
+        Optional<Long> base = q.header("if-match")
+                .map(h -> h.replace("\"", ""))
+                .filter(h -> h.matches("[0-9]{1,18}"))
+                .map(Long::valueOf);
         if (base.isEmpty()) {
-            return Mono.error(new ServiceException(ErrorKind.BAD_REQUEST, "If-Match must carry the base version, a whole number."));
+            return Mono.error(new ServiceException(
+                    ErrorKind.BAD_REQUEST, "If-Match must carry the base version, a whole number."));
         }
-        String id = q.header("x-request-id").orElseGet(() -> "auto-" + ThreadLocalRandom.current().nextLong());
+        String id = q.header("x-request-id")
+                .orElseGet(() -> "auto-" + ThreadLocalRandom.current().nextLong());
         if (!id.matches("[A-Za-z0-9._-]{1,64}")) {
-            return Mono.error(new ServiceException(ErrorKind.BAD_REQUEST, "X-Request-Id must be 1 to 64 letters, digits, . _ -"));
+            return Mono.error(
+                    new ServiceException(ErrorKind.BAD_REQUEST, "X-Request-Id must be 1 to 64 letters, digits, . _ -"));
         }
-        ControlMessages.PutLayout put = new ControlMessages.PutLayout(id, base.get(), q.body(), q.header("x-author").orElse(""));
-        return put(put)
-            .map(t -> Answer.json(200, Map.of("version", t.version(), "repeated", t.repeated(), "requestId", id))
-                .with("ETag", "\"" + t.version() + "\""));
+        ControlMessages.PutLayout put = new ControlMessages.PutLayout(
+                id, base.get(), q.body(), q.header("x-author").orElse(""));
+        return put(put).map(
+                        t -> Answer.json(200, Map.of("version", t.version(), "repeated", t.repeated(), "requestId", id))
+                                .with("ETag", "\"" + t.version() + "\""));
     }
 
     public ControlNode node() {
@@ -152,16 +190,21 @@
     private Mono<Answer> get(List<String> s) {
         long version = s.size() > 2 && s.get(2).matches("[0-9]{1,18}") ? Long.parseLong(s.get(2)) : -1;
         return layout(version)
-            .map(l -> new Answer(200, Map.of("Content-Type", "application/json"), l.layout())
-                .with("ETag", "\"" + l.version() + "\""));
+                .map(l -> new Answer(200, Map.of("Content-Type", "application/json"), l.layout())
+                        .with("ETag", "\"" + l.version() + "\""));
     }
 
     private Mono<Answer> history() {
         return node.ask("c0", new HistoryGet(0), History.class).map(h -> {
             List<Map<String, Object>> rows = new java.util.ArrayList<>();
             for (int i = 0; i < h.versions().size(); i++) {
-                rows.add(Map.of("version", h.versions().get(i), "requestId", h.requests().get(i),
-                    "author", h.authors().get(i)));
+                rows.add(Map.of(
+                        "version",
+                        h.versions().get(i),
+                        "requestId",
+                        h.requests().get(i),
+                        "author",
+                        h.authors().get(i)));
             }
             return Answer.json(200, Map.of("versions", rows));
         });
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/Platform.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/Platform.java
@@ -1,22 +1,19 @@
 package org.woadvale.controlplane.partition;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.function.LongFunction;
-
 import org.woadvale.common.config.Configurations;
 import org.woadvale.common.http.Answer;
 import org.woadvale.common.http.Request;
-import org.woadvale.common.runtime.ErrorKind;
-import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.common.membership.ControlMessages;
-import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.membership.Processor;
-
-import com.fasterxml.jackson.databind.JsonNode;
-
+import org.woadvale.common.membership.ServiceNames;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
 import reactor.core.publisher.Mono;
 
 /** HTTP for the platform: processor lists, leaving marks, and who the lighthouses are. design 6.4 */
@@ -33,44 +30,65 @@
     Mono<Answer> core(Request q) {
         try {
             List<String> wanted = new ArrayList<>();
-            Configurations.read(q.body(), JsonNode.class, ErrorKind.BAD_REQUEST).path("lighthouses")
-                .forEach(n -> wanted.add(n.asText()));
-            if (wanted.size() != 3 || !wanted.stream().allMatch(a -> a.matches(ADDRESS))
+            Configurations.read(q.body(), JsonNode.class, ErrorKind.BAD_REQUEST)
+                    .path("lighthouses")
+                    .forEach(n -> wanted.add(n.asText()));
+            if (wanted.size() != 3
+                    || !wanted.stream().allMatch(a -> a.matches(ADDRESS))
                     || new HashSet<>(wanted).size() != 3) {
-                throw new ServiceException(ErrorKind.BAD_REQUEST, "lighthouses must be three different internal addresses.");
+                throw new ServiceException(
+                        ErrorKind.BAD_REQUEST, "lighthouses must be three different internal addresses.");
             }
-            if (node.replica(ServiceNames.controlPart(ServiceNames.CORE)).group().isEmpty()) {
+            if (node.replica(ServiceNames.controlPart(ServiceNames.CORE))
+                    .group()
+                    .isEmpty()) {
                 throw new ServiceException(ErrorKind.UNAVAILABLE, "This lighthouse is not seated yet; ask another.");
             }
             if (wanted.stream().filter(node.lighthouses()::contains).count() < 2) {
-                throw new ServiceException(ErrorKind.CONFLICT, "Only one lighthouse may be exchanged at a time; the present ones are "
-                    + String.join(", ", node.lighthouses()) + ".");
+                throw new ServiceException(
+                        ErrorKind.CONFLICT,
+                        "Only one lighthouse may be exchanged at a time; the present ones are "
+                                + String.join(", ", node.lighthouses()) + ".");
             }
-            return node.ask(ServiceNames.controlPart(ServiceNames.CORE), new ControlMessages.PutCore(wanted, node.lighthouses()), ControlMessages.Done.class)
-                .flatMap(d -> d.ok() ? Mono.just(Answer.json(200, Map.of("lighthouses", wanted)))
-                    : Mono.error(new ServiceException(ErrorKind.CONFLICT, "Another exchange is under way; look at GET /v1/status.")));
+            return node.ask(
+                            ServiceNames.controlPart(ServiceNames.CORE),
+                            new ControlMessages.PutCore(wanted, node.lighthouses()),
+                            ControlMessages.Done.class)
+                    .flatMap(d -> d.ok()
+                            ? Mono.just(Answer.json(200, Map.of("lighthouses", wanted)))
+                            : Mono.error(new ServiceException(
+                                    ErrorKind.CONFLICT, "Another exchange is under way; look at GET /v1/status.")));
         } catch (ServiceException e) {
             return Mono.error(e);
         }
     }
 
     private Mono<Operators.Processors> list(String service) {
-        return node.ask(ServiceNames.controlPart(service), new Operators.ProcessorsGet(service), Operators.Processors.class);
+        return node.ask(
+                ServiceNames.controlPart(service), new Operators.ProcessorsGet(service), Operators.Processors.class);
     }
 
     /** A change holds on to the list that was read, so that one held up on its way cannot undo a later one. design 6.7 */
     private Mono<Boolean> change(String service, LongFunction<Object> command, int left) {
-        return list(service).flatMap(p -> node.ask(ServiceNames.controlPart(service), command.apply(p.version() + 1),
-            ControlMessages.Done.class)).flatMap(d -> d.ok() ? Mono.just(true)
-                : left > 1 ? change(service, command, left - 1)
-                : Mono.error(new ServiceException(ErrorKind.UNAVAILABLE, "The list changes too fast; ask again.")));
+        return list(service)
+                .flatMap(p -> node.ask(
+                        ServiceNames.controlPart(service), command.apply(p.version() + 1), ControlMessages.Done.class))
+                .flatMap(d -> d.ok()
+                        ? Mono.just(true)
+                        : left > 1
+                                ? change(service, command, left - 1)
+                                : Mono.error(new ServiceException(
+                                        ErrorKind.UNAVAILABLE, "The list changes too fast; ask again.")));
     }
 
     /** /v1/services/{service}/processors[/{id}] */
     Mono<Answer> processors(Request q, List<String> s) {
-        boolean list = s.size() == 4 && s.get(3).equals("processors") && q.method().equals("GET");
-        boolean one = s.size() == 5 && s.get(3).equals("processors") && !q.method().equals("GET");
-        if (!list && !one || !s.get(2).matches("[a-z0-9][a-z0-9_-]{0,62}")
+        boolean list =
+                s.size() == 4 && s.get(3).equals("processors") && q.method().equals("GET");
+        boolean one =
+                s.size() == 5 && s.get(3).equals("processors") && !q.method().equals("GET");
+        if (!list && !one
+                || !s.get(2).matches("[a-z0-9][a-z0-9_-]{0,62}")
                 || one && !s.get(4).matches("[A-Za-z0-9][A-Za-z0-9._-]{0,62}")) {
             return Mono.error(new ServiceException(ErrorKind.NOT_FOUND, "No such place: " + q.path() + "."));
         }
@@ -79,7 +97,8 @@
             return list(service).map(p -> Answer.json(200, p.processors()));
         }
         if (q.method().equals("DELETE")) {
-            return change(service, v -> new ControlMessages.DropProcessor(service, s.get(4), v), CHANGES).thenReturn(Answer.json(200, Map.of("removed", s.get(4))));
+            return change(service, v -> new ControlMessages.DropProcessor(service, s.get(4), v), CHANGES)
+                    .thenReturn(Answer.json(200, Map.of("removed", s.get(4))));
         }
         try {
             JsonNode body = Configurations.read(q.body(), JsonNode.class, ErrorKind.BAD_REQUEST);
@@ -88,7 +107,8 @@
                 throw new ServiceException(ErrorKind.BAD_REQUEST, "address must be http://IP:port or empty.");
             }
             Processor p = new Processor(address, body.path("leaving").asBoolean(false));
-            return change(service, v -> new ControlMessages.PutProcessor(service, s.get(4), p, v), CHANGES).thenReturn(Answer.json(200, Map.of("id", s.get(4), "address", address, "leaving", p.leaving())));
+            return change(service, v -> new ControlMessages.PutProcessor(service, s.get(4), p, v), CHANGES)
+                    .thenReturn(Answer.json(200, Map.of("id", s.get(4), "address", address, "leaving", p.leaving())));
         } catch (ServiceException e) {
             return Mono.error(e);
         }
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/ProcessorRegistry.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/ProcessorRegistry.java
@@ -6,20 +6,18 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.atomic.AtomicBoolean;
-
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.woadvale.common.config.Configurations;
 import org.woadvale.common.config.Configuration;
+import org.woadvale.common.config.Configurations;
+import org.woadvale.common.membership.ControlMessages;
+import org.woadvale.common.membership.Processor;
+import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.replication.Env;
 import org.woadvale.common.replication.Replica;
 import org.woadvale.common.runtime.Component;
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.common.runtime.TimerHandle;
-import org.woadvale.common.membership.ControlMessages;
-import org.woadvale.common.membership.ServiceNames;
-import org.woadvale.common.membership.Processor;
-
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
@@ -31,7 +29,7 @@
     private final Registry registry;
     private final Duration period;
     private final AtomicBoolean asking = new AtomicBoolean();
-    private TimerHandle looking = () -> { };
+    private TimerHandle looking = () -> {};
     private boolean troubled;
 
     public ProcessorRegistry(Env env, ControlNode node, Registry registry, Duration period) {
@@ -63,7 +61,9 @@
 
     /** Services that have a list; none as long as no layout was taken. */
     private Set<String> listed() {
-        byte[] json = node.replica("c0").look(i -> node.machine("c0").service(ServiceNames.LAYOUT)).layout();
+        byte[] json = node.replica("c0")
+                .look(i -> node.machine("c0").service(ServiceNames.LAYOUT))
+                .layout();
         Set<String> out = new TreeSet<>();
         if (json.length > 0) {
             try {
@@ -88,16 +88,20 @@
             asking.set(false);
             return;
         }
-        registry.list().flatMapMany(all -> {
-            troubled = false;
-            return Flux.fromIterable(services)
-                .flatMap(s -> take(s, all.getOrDefault(s, Map.of())));
-        }).doFinally(x -> asking.set(false)).subscribe(ok -> { }, this::trouble);
+        registry.list()
+                .flatMapMany(all -> {
+                    troubled = false;
+                    return Flux.fromIterable(services).flatMap(s -> take(s, all.getOrDefault(s, Map.of())));
+                })
+                .doFinally(x -> asking.set(false))
+                .subscribe(ok -> {}, this::trouble);
     }
 
     private void trouble(Throwable e) {
         if (!troubled) {
-            LOG.warn("watch: the registry of processors cannot be read: {}", ServiceException.of(e).getMessage());
+            LOG.warn(
+                    "watch: the registry of processors cannot be read: {}",
+                    ServiceException.of(e).getMessage());
         }
         troubled = true;
     }
@@ -106,12 +110,15 @@
     private Mono<Boolean> take(String service, Map<String, Processor> list) {
         String key = ServiceNames.processors(service);
         return node.ask(ServiceNames.controlPart(key), new Operators.ProcessorsGet(key), Operators.Processors.class)
-            .flatMap(p -> {
-                if (p.processors().equals(list) || !mine()) {
-                    return Mono.just(true);
-                }
-                return node.ask(ServiceNames.controlPart(key), new ControlMessages.PutProcessors(key, new HashMap<>(list), p.version() + 1),
-                    ControlMessages.Done.class).map(ControlMessages.Done::ok);
-            });
+                .flatMap(p -> {
+                    if (p.processors().equals(list) || !mine()) {
+                        return Mono.just(true);
+                    }
+                    return node.ask(
+                                    ServiceNames.controlPart(key),
+                                    new ControlMessages.PutProcessors(key, new HashMap<>(list), p.version() + 1),
+                                    ControlMessages.Done.class)
+                            .map(ControlMessages.Done::ok);
+                });
     }
 }
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/Registry.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/Registry.java
@@ -1,9 +1,7 @@
 package org.woadvale.controlplane.partition;
 
 import java.util.Map;
-
 import org.woadvale.common.membership.Processor;
-
 import reactor.core.publisher.Mono;
 
 /** Seam to whoever knows all processors: whole lists by service and id, or a fault. design 6.7 */
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/ReplicaBalancer.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/ReplicaBalancer.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-
 import org.woadvale.common.membership.MemberLease;
 import org.woadvale.common.membership.ServiceView;
 
@@ -20,7 +19,7 @@
     private static final Duration BETWEEN = Duration.ofSeconds(3);
 
     /** New copies of a part; the store that is to receive it, or none where only the order changes. */
-    record Change(String part, List<String> copies, Optional<String> to) { }
+    record Change(String part, List<String> copies, Optional<String> to) {}
 
     private Set<String> members = Set.of();
     private Duration quietSince = Duration.ZERO;
@@ -35,7 +34,9 @@
 
     Optional<Change> next(ServiceView v, Duration now) {
         boolean allThere = v.placement().values().stream().allMatch(members::containsAll);
-        if (!allThere || now.minus(quietSince).compareTo(QUIET) < 0 || now.minus(last).compareTo(BETWEEN) < 0) {
+        if (!allThere
+                || now.minus(quietSince).compareTo(QUIET) < 0
+                || now.minus(last).compareTo(BETWEEN) < 0) {
             return Optional.empty();
         }
         Optional<Change> c = copy(v).or(() -> first(v));
@@ -46,15 +47,20 @@
     /** A copy goes from a fuller store to the emptiest while they differ by two, and no part gets into fewer halls. */
     private Optional<Change> copy(ServiceView v) {
         Map<String, Integer> load = load(v.placement());
-        Comparator<String> byLoad = Comparator.<String>comparingInt(n -> load.getOrDefault(n, 0)).thenComparing(n -> n);
+        Comparator<String> byLoad =
+                Comparator.<String>comparingInt(n -> load.getOrDefault(n, 0)).thenComparing(n -> n);
         String least = Collections.min(members, byLoad);
-        return members.stream().sorted(byLoad.reversed())
-            .filter(n -> load.getOrDefault(n, 0) - load.getOrDefault(least, 0) >= 2)
-            .flatMap(fuller -> v.placement().entrySet().stream().sorted(Map.Entry.comparingByKey())
-                .filter(e -> e.getValue().contains(fuller) && !e.getValue().contains(least))
-                .map(e -> new Change(e.getKey(), replaced(e.getValue(), fuller, least), Optional.of(least)))
-                .filter(c -> halls(v.seats(), c.copies()) >= halls(v.seats(), v.placement().get(c.part()))))
-            .findFirst();
+        return members.stream()
+                .sorted(byLoad.reversed())
+                .filter(n -> load.getOrDefault(n, 0) - load.getOrDefault(least, 0) >= 2)
+                .flatMap(fuller -> v.placement().entrySet().stream()
+                        .sorted(Map.Entry.comparingByKey())
+                        .filter(e ->
+                                e.getValue().contains(fuller) && !e.getValue().contains(least))
+                        .map(e -> new Change(e.getKey(), replaced(e.getValue(), fuller, least), Optional.of(least)))
+                        .filter(c -> halls(v.seats(), c.copies())
+                                >= halls(v.seats(), v.placement().get(c.part()))))
+                .findFirst();
     }
 
     private static List<String> replaced(List<String> copies, String one, String by) {
@@ -70,15 +76,19 @@
     /** The first of a part's list owns it: those are spread in the same way, by order alone. */
     private Optional<Change> first(ServiceView v) {
         Map<String, Integer> firsts = firsts(v.placement());
-        return v.placement().entrySet().stream().sorted(Map.Entry.comparingByKey()).flatMap(e -> {
-            List<String> copies = e.getValue();
-            return copies.stream().filter(c -> firsts.getOrDefault(copies.get(0), 0) - firsts.getOrDefault(c, 0) >= 2)
-                .map(c -> {
-                    List<String> out = new ArrayList<>(copies);
-                    Collections.swap(out, 0, out.indexOf(c));
-                    return new Change(e.getKey(), List.copyOf(out), Optional.empty());
-                });
-        }).findFirst();
+        return v.placement().entrySet().stream()
+                .sorted(Map.Entry.comparingByKey())
+                .flatMap(e -> {
+                    List<String> copies = e.getValue();
+                    return copies.stream()
+                            .filter(c -> firsts.getOrDefault(copies.get(0), 0) - firsts.getOrDefault(c, 0) >= 2)
+                            .map(c -> {
+                                List<String> out = new ArrayList<>(copies);
+                                Collections.swap(out, 0, out.indexOf(c));
+                                return new Change(e.getKey(), List.copyOf(out), Optional.empty());
+                            });
+                })
+                .findFirst();
     }
 
     static Map<String, Integer> load(Map<String, List<String>> placement) {
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/ReplicaPlacement.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/ReplicaPlacement.java
@@ -10,9 +10,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-
-import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.membership.MemberLease;
+import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.membership.ServiceView;
 
 /** Draws three stores in different halls for each message part; moves as little as it can, a few at a time. design 6.5 */
@@ -22,10 +21,11 @@
     static final Duration GIVEN_UP = Duration.ofSeconds(10);
     /** So many seats may be on their way at once; one that does not arrive stops counting after a while. */
     static final int MOST_MOVING = 2;
+
     private static final Duration TOLD = Duration.ofMillis(1500);
     private static final Duration MOVE_LIMIT = Duration.ofSeconds(60);
 
-    private record Move(String to, Duration since) { }
+    private record Move(String to, Duration since) {}
 
     private final Map<String, Duration> lastSeen = new HashMap<>();
     private final Map<String, Move> moving = new HashMap<>();
@@ -49,7 +49,10 @@
             Optional<List<String>> repaired = repaired(v, part, out, now);
             if (repaired.isPresent() && !moving.containsKey(part)) {
                 List<String> copies = repaired.get();
-                String to = copies.stream().filter(c -> !present.get(part).contains(c)).findFirst().orElseThrow();
+                String to = copies.stream()
+                        .filter(c -> !present.get(part).contains(c))
+                        .findFirst()
+                        .orElseThrow();
                 moving.put(part, new Move(to, now));
                 out.put(part, copies);
                 return out;
@@ -67,7 +70,9 @@
     /** The store has been told, and says that it counts in the part; or it is given up. */
     private static boolean arrived(ServiceView v, String part, Move m, Duration now) {
         Duration age = now.minus(m.since());
-        boolean counts = Optional.ofNullable(v.seats().get(m.to())).map(s -> !s.unseated().contains(part)).orElse(false);
+        boolean counts = Optional.ofNullable(v.seats().get(m.to()))
+                .map(s -> !s.unseated().contains(part))
+                .orElse(false);
         return age.compareTo(MOVE_LIMIT) > 0 || age.compareTo(TOLD) > 0 && counts;
     }
 
@@ -113,18 +118,23 @@
     private static List<String> firstByTurn(List<String> copies, Map<String, List<String>> out) {
         Map<String, Integer> firsts = ReplicaBalancer.firsts(out);
         List<String> sorted = new ArrayList<>(copies);
-        sorted.sort(Comparator.<String>comparingInt(n -> firsts.getOrDefault(n, 0)).thenComparing(n -> n));
+        sorted.sort(
+                Comparator.<String>comparingInt(n -> firsts.getOrDefault(n, 0)).thenComparing(n -> n));
         return List.copyOf(sorted);
     }
 
     /** Those not yet used, other halls first, then the least loaded. */
-    private static List<String> candidates(Map<String, MemberLease> seats, List<String> used, Map<String, List<String>> out) {
+    private static List<String> candidates(
+            Map<String, MemberLease> seats, List<String> used, Map<String, List<String>> out) {
         Set<String> halls = new HashSet<>();
         used.forEach(u -> halls.add(seats.containsKey(u) ? seats.get(u).hall() : "?"));
         Map<String, Integer> load = ReplicaBalancer.load(out);
-        return seats.keySet().stream().filter(n -> !used.contains(n))
-            .sorted(Comparator.<String>comparingInt(n -> halls.contains(seats.get(n).hall()) ? 1 : 0)
-                .thenComparingInt(n -> load.getOrDefault(n, 0)).thenComparing(n -> n))
-            .toList();
+        return seats.keySet().stream()
+                .filter(n -> !used.contains(n))
+                .sorted(Comparator.<String>comparingInt(
+                                n -> halls.contains(seats.get(n).hall()) ? 1 : 0)
+                        .thenComparingInt(n -> load.getOrDefault(n, 0))
+                        .thenComparing(n -> n))
+                .toList();
     }
 }
--- a/controlplane/src/test/java/org/woadvale/controlplane/partition/ConfigurationLogTest.java
+++ b/controlplane/src/test/java/org/woadvale/controlplane/partition/ConfigurationLogTest.java
@@ -5,11 +5,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
-
 import org.junit.jupiter.api.Test;
+import org.woadvale.common.membership.ControlMessages;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
-import org.woadvale.common.membership.ControlMessages;
 
 /** Revisions, originals and repeats: design 6.8 and 6.4. */
 class ConfigurationLogTest {
@@ -32,7 +31,9 @@
         assertEquals(new ControlMessages.LayoutTaken(3, false), put("a", 0, 3, "A"));
         assertEquals(new ControlMessages.LayoutTaken(17, false), put("b", 3, 17, "B"));
         assertEquals(17, log.version());
-        assertEquals(new ControlMessages.LayoutTaken(18, false), log.put(new ControlMessages.PutLayout("c", 17, bytes("{}"), "me")));
+        assertEquals(
+                new ControlMessages.LayoutTaken(18, false),
+                log.put(new ControlMessages.PutLayout("c", 17, bytes("{}"), "me")));
     }
 
     @Test
@@ -77,7 +78,9 @@
         other.restore(log.steps(), log.known());
         assertEquals(7, other.version());
         assertArrayEquals(bytes("B"), other.steps().get(1).original());
-        assertEquals(new ControlMessages.LayoutTaken(5, true), other.put(new ControlMessages.PutLayout("a", 0, bytes("{}"), "me", 5, bytes("A"))));
+        assertEquals(
+                new ControlMessages.LayoutTaken(5, true),
+                other.put(new ControlMessages.PutLayout("a", 0, bytes("{}"), "me", 5, bytes("A"))));
     }
 
     /** Originals count towards the bound, the ids stay. */
@@ -91,7 +94,8 @@
         }
         assertEquals(60, small.version());
         assertTrue(small.steps().size() <= 3, small.steps().size() + " kept");
-        assertEquals(new ControlMessages.LayoutTaken(3, true),
-            small.put(new ControlMessages.PutLayout("id1", 0, bytes("{}"), "me", 3, bytes("x".repeat(300)))));
+        assertEquals(
+                new ControlMessages.LayoutTaken(3, true),
+                small.put(new ControlMessages.PutLayout("id1", 0, bytes("{}"), "me", 3, bytes("x".repeat(300)))));
     }
 }
--- a/dataplane/src/main/java/org/woadvale/dataplane/ConfigurationView.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/ConfigurationView.java
@@ -6,17 +6,16 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.woadvale.common.discovery.ViewSubscriptions;
-import org.woadvale.common.config.Configurations;
 import org.woadvale.common.config.Configuration;
-import org.woadvale.common.runtime.ErrorKind;
-import org.woadvale.common.runtime.ServiceException;
-import org.woadvale.common.ratelimit.RateLimit;
+import org.woadvale.common.config.Configurations;
+import org.woadvale.common.discovery.ViewSubscriptions;
 import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.membership.ServiceView;
+import org.woadvale.common.ratelimit.RateLimit;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
 
 /** The layout as this node may use it: only while its age is proven. design 7.2 */
 public final class ConfigurationView {
@@ -25,8 +24,12 @@
     private static final double LEAVING_BURST_S = 0.4;
 
     /** A layout, read once. */
-    public record Known(long version, Configuration layout, Map<String, Configuration.Key> keysByHash,
-                        Map<String, RateLimit> allowances, Map<String, TreeMap<String, String>> doors) {
+    public record Known(
+            long version,
+            Configuration layout,
+            Map<String, Configuration.Key> keysByHash,
+            Map<String, RateLimit> allowances,
+            Map<String, TreeMap<String, String>> doors) {
         public Optional<Configuration.Key> key(String secret) {
             return Optional.ofNullable(keysByHash.get(Configurations.sha256(secret)));
         }
@@ -34,8 +37,10 @@
         /** The lane whose door has the host and the longest beginning of the path. design 9.12 */
         public Optional<String> laneAt(String host, String path) {
             TreeMap<String, String> byPrefix = doors.getOrDefault(host, new TreeMap<>());
-            return byPrefix.entrySet().stream().filter(e -> path.startsWith(e.getKey()))
-                .max(Comparator.comparingInt(e -> e.getKey().length())).map(Map.Entry::getValue);
+            return byPrefix.entrySet().stream()
+                    .filter(e -> path.startsWith(e.getKey()))
+                    .max(Comparator.comparingInt(e -> e.getKey().length()))
+                    .map(Map.Entry::getValue);
         }
     }
 
@@ -69,12 +74,18 @@
         Map<String, Configuration.Key> keys = new HashMap<>();
         l.keys().values().forEach(k -> keys.put(k.sha256(), k));
         Map<String, RateLimit> allowances = new TreeMap<>();
-        l.tenants().forEach((n, t) -> allowances.put(ServiceNames.tenantBucket(n), new RateLimit(t.ratePerS(), t.burstSize())));
-        l.services().forEach((n, x) -> leaving(n, x).ifPresent(b ->
-            allowances.put(b, new RateLimit(x.ratePerS(), Math.max(1, x.ratePerS() * LEAVING_BURST_S)))));
+        l.tenants()
+                .forEach((n, t) ->
+                        allowances.put(ServiceNames.tenantBucket(n), new RateLimit(t.ratePerS(), t.burstSize())));
+        l.services()
+                .forEach((n, x) -> leaving(n, x)
+                        .ifPresent(b -> allowances.put(
+                                b, new RateLimit(x.ratePerS(), Math.max(1, x.ratePerS() * LEAVING_BURST_S)))));
         Map<String, TreeMap<String, String>> doors = new HashMap<>();
-        l.lanes().forEach((n, lane) -> lane.doors().forEach(d ->
-            doors.computeIfAbsent(d.host(), h -> new TreeMap<>()).put(d.prefix(), n)));
+        l.lanes()
+                .forEach((n, lane) -> lane.doors()
+                        .forEach(d -> doors.computeIfAbsent(d.host(), h -> new TreeMap<>())
+                                .put(d.prefix(), n)));
         return new Known(version, l, keys, allowances, doors);
     }
 
@@ -83,19 +94,24 @@
     }
 
     public Known require() throws ServiceException {
-        return fresh().orElseThrow(() ->
-            new ServiceException(ErrorKind.STALE_VIEW, "This node is not in touch with the core."));
+        return fresh().orElseThrow(
+                        () -> new ServiceException(ErrorKind.STALE_VIEW, "This node is not in touch with the core."));
     }
 
     /** The bucket that paces a service; empty where it is not paced. */
     private static Optional<String> leaving(String name, Configuration.Service s) {
-        return s.ratePerS() <= 0 ? Optional.empty()
-            : Optional.of(s.kind() == Configuration.Kind.ENDPOINT ? ServiceNames.endpointBucket(s.address()) : "fetch/" + name);
+        return s.ratePerS() <= 0
+                ? Optional.empty()
+                : Optional.of(
+                        s.kind() == Configuration.Kind.ENDPOINT
+                                ? ServiceNames.endpointBucket(s.address())
+                                : "fetch/" + name);
     }
 
     /** The same by the layout that is proven fresh; all empty where none is. */
     public Optional<Optional<String>> leavingBucket(String service) {
-        return fresh().map(k -> Optional.ofNullable(k.layout().services().get(service)).flatMap(s -> leaving(service, s)));
+        return fresh().map(k ->
+                Optional.ofNullable(k.layout().services().get(service)).flatMap(s -> leaving(service, s)));
     }
 
     /** The allowance behind a bucket's name; empty where the layout has none or is not proven fresh. */
--- a/dataplane/src/main/java/org/woadvale/dataplane/DataPlaneNode.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/DataPlaneNode.java
@@ -6,40 +6,37 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-
-import org.woadvale.common.discovery.ViewSubscriptions;
-import org.woadvale.common.rpc.RpcRouter;
 import org.woadvale.common.config.Settings;
+import org.woadvale.common.discovery.ViewSubscriptions;
 import org.woadvale.common.http.Answer;
 import org.woadvale.common.http.Request;
+import org.woadvale.common.membership.ControlMessages;
+import org.woadvale.common.membership.CoreClient;
+import org.woadvale.common.membership.MemberLease;
+import org.woadvale.common.membership.ServiceNames;
+import org.woadvale.common.ratelimit.AdmissionTokens;
+import org.woadvale.common.ratelimit.LocalBuckets;
+import org.woadvale.common.ratelimit.RateLimit;
+import org.woadvale.common.ratelimit.TokenGranters;
 import org.woadvale.common.replication.Env;
 import org.woadvale.common.replication.ReplicationTiming;
-import org.woadvale.common.replication.Phase;
+import org.woadvale.common.rpc.RpcRouter;
 import org.woadvale.common.runtime.Component;
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.common.runtime.TimerHandle;
-import org.woadvale.common.ratelimit.RateLimit;
-import org.woadvale.common.ratelimit.TokenGranters;
-import org.woadvale.common.ratelimit.AdmissionTokens;
-import org.woadvale.common.ratelimit.LocalBuckets;
-import org.woadvale.common.membership.ControlMessages;
-import org.woadvale.common.membership.CoreClient;
-import org.woadvale.common.membership.ServiceNames;
-import org.woadvale.common.membership.MemberLease;
-import org.woadvale.dataplane.queue.MessagePartitions;
-import org.woadvale.dataplane.ingress.Fetches;
-import org.woadvale.dataplane.ingress.IngressNode;
-import org.woadvale.dataplane.ingress.Intake;
-import org.woadvale.dataplane.ingress.Queries;
-import org.woadvale.dataplane.delivery.SubmitForwarder;
+import org.woadvale.dataplane.delivery.DeliveryClient;
+import org.woadvale.dataplane.delivery.DeliveryProtocol;
 import org.woadvale.dataplane.delivery.DispatchContext;
 import org.woadvale.dataplane.delivery.Dispatchers;
 import org.woadvale.dataplane.delivery.NativeDeliveryProtocol;
-import org.woadvale.dataplane.delivery.DeliveryClient;
 import org.woadvale.dataplane.delivery.Recorder;
-import org.woadvale.dataplane.delivery.DeliveryProtocol;
+import org.woadvale.dataplane.delivery.SubmitForwarder;
 import org.woadvale.dataplane.delivery.Targets;
-
+import org.woadvale.dataplane.ingress.Fetches;
+import org.woadvale.dataplane.ingress.IngressNode;
+import org.woadvale.dataplane.ingress.Intake;
+import org.woadvale.dataplane.ingress.Queries;
+import org.woadvale.dataplane.queue.MessagePartitions;
 import reactor.core.publisher.Mono;
 
 /** A pilot: intake, store or both, as its boot file says. design 1 */
@@ -62,8 +59,8 @@
     private final Fetches fetches;
     private final Queries queries;
     private final String incarnation;
-    private TimerHandle claiming = () -> { };
-    private TimerHandle learning = () -> { };
+    private TimerHandle claiming = () -> {};
+    private TimerHandle learning = () -> {};
     private volatile boolean draining;
 
     public DataPlaneNode(Env env, Settings boot, CoreClient core, DeliveryClient post) {
@@ -80,13 +77,30 @@
         this.purses = new LocalBuckets(env, news);
         SubmitForwarder courier = new SubmitForwarder(env, news, boot.hall());
         this.holders = boot.roles().contains("intake")
-            ? Optional.of(new TokenGranters(env, core, news, layouts::allowance, layouts::buckets)) : Optional.empty();
+                ? Optional.of(new TokenGranters(env, core, news, layouts::allowance, layouts::buckets))
+                : Optional.empty();
         this.berths = boot.roles().contains("store")
-            ? Optional.of(new MessagePartitions(env, news, STORE_UNITS, PART_UNITS, (long) boot.partMb() << 20,
-                Duration.ofSeconds(boot.keepEndedS()))) : Optional.empty();
+                ? Optional.of(new MessagePartitions(
+                        env,
+                        news,
+                        STORE_UNITS,
+                        PART_UNITS,
+                        (long) boot.partMb() << 20,
+                        Duration.ofSeconds(boot.keepEndedS())))
+                : Optional.empty();
         this.seats = new PartitionReplicas(env, news, berths);
-        this.launches = berths.map(b -> new Dispatchers(new DispatchContext(env, news, layouts, purses, b, new Targets(env), post,
-            speech, new Recorder(env, courier), Duration.ofMillis(boot.leaseMs()), boot.hall())));
+        this.launches = berths.map(b -> new Dispatchers(new DispatchContext(
+                env,
+                news,
+                layouts,
+                purses,
+                b,
+                new Targets(env),
+                post,
+                speech,
+                new Recorder(env, courier),
+                Duration.ofMillis(boot.leaseMs()),
+                boot.hall())));
         this.intake = new Intake(env, layouts, purses, courier);
         this.fetches = new Fetches(env, news, layouts, courier, boot.hall(), () -> draining);
         this.queries = new Queries(layouts, courier);
@@ -100,7 +114,9 @@
 
     public void route(RpcRouter router) {
         router.on(ControlMessages.NewsAsk.class, (f, a) -> news.asked(a))
-            .on(ControlMessages.CoreAsk.class, (f, a) -> Mono.just(new ControlMessages.CoreReply(core.lighthouses())));
+                .on(
+                        ControlMessages.CoreAsk.class,
+                        (f, a) -> Mono.just(new ControlMessages.CoreReply(core.lighthouses())));
         holders.ifPresent(h -> router.on(AdmissionTokens.PassAsk.class, h::asked));
         berths.ifPresent(b -> b.route(router));
         launches.ifPresent(l -> l.route(router));
@@ -129,8 +145,11 @@
         MemberLease seat = new MemberLease(boot.hall(), boot.http(), incarnation, seats.unseated());
         boot.roles().forEach(role -> {
             String service = "role/" + role;
-            core.ask(ServiceNames.controlPart(service), new ControlMessages.ClaimAsk(service, env.self(), seat), ControlMessages.Done.class)
-                .subscribe(d -> { }, e -> { });
+            core.ask(
+                            ServiceNames.controlPart(service),
+                            new ControlMessages.ClaimAsk(service, env.self(), seat),
+                            ControlMessages.Done.class)
+                    .subscribe(d -> {}, e -> {});
         });
     }
 
@@ -141,8 +160,11 @@
             holders.ifPresent(TokenGranters::drain);
             boot.roles().stream().filter(r -> r.equals("intake")).forEach(role -> {
                 String service = "role/" + role;
-                core.ask(ServiceNames.controlPart(service), new ControlMessages.LeaveAsk(service, env.self()), ControlMessages.Done.class)
-                    .subscribe(d -> { }, e -> { });
+                core.ask(
+                                ServiceNames.controlPart(service),
+                                new ControlMessages.LeaveAsk(service, env.self()),
+                                ControlMessages.Done.class)
+                        .subscribe(d -> {}, e -> {});
             });
         }
         return berths.map(MessagePartitions::drain).orElse(true);
@@ -159,8 +181,12 @@
     }
 
     public boolean ready() {
-        return !draining && layouts.fresh().isPresent() && !news.latest(ServiceNames.STORES).placement().isEmpty()
-            && berths.map(b -> b.all().values().stream().allMatch(x -> x.replica().owner().isPresent())).orElse(true);
+        return !draining
+                && layouts.fresh().isPresent()
+                && !news.latest(ServiceNames.STORES).placement().isEmpty()
+                && berths.map(b -> b.all().values().stream()
+                                .allMatch(x -> x.replica().owner().isPresent()))
+                        .orElse(true);
     }
 
     public Map<String, Set<String>> groups() {
@@ -223,7 +249,8 @@
         out.put("draining", draining);
         out.put("layout", layouts.fresh().map(ConfigurationView.Known::version).orElse(-1L));
         out.put("passes", purses.counts());
-        holders.ifPresent(h -> out.put("holds", Map.of("buckets", h.holds(), "asks", h.asks(), "granted", h.granted())));
+        holders.ifPresent(
+                h -> out.put("holds", Map.of("buckets", h.holds(), "asks", h.asks(), "granted", h.granted())));
         seats.status(out);
         return out;
     }
--- a/dataplane/src/main/java/org/woadvale/dataplane/DataPlaneProgram.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/DataPlaneProgram.java
@@ -9,43 +9,42 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
-
-import org.woadvale.common.rpc.Codec;
-import org.woadvale.common.rpc.RpcRouter;
-import org.woadvale.common.rpc.TcpRpcClient;
-import org.woadvale.common.config.Settings;
-import org.woadvale.common.http.HttpGateway;
 import org.woadvale.common.cli.KnownFile;
 import org.woadvale.common.cli.Program;
+import org.woadvale.common.config.Settings;
+import org.woadvale.common.http.HttpGateway;
+import org.woadvale.common.membership.CoreClient;
+import org.woadvale.common.membership.Wire;
 import org.woadvale.common.replication.Env;
 import org.woadvale.common.replication.ReplicationTiming;
+import org.woadvale.common.rpc.Codec;
+import org.woadvale.common.rpc.RpcRouter;
+import org.woadvale.common.rpc.TcpRpcClient;
 import org.woadvale.common.runtime.Component;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
-import org.woadvale.common.runtime.SystemTimers;
-import org.woadvale.common.runtime.SystemClock;
 import org.woadvale.common.runtime.Supervisor;
-import org.woadvale.common.wal.FolderDisk;
-import org.woadvale.common.wal.WriteAheadLog;
+import org.woadvale.common.runtime.SystemClock;
+import org.woadvale.common.runtime.SystemTimers;
 import org.woadvale.common.wal.DisabledWriteAheadLog;
+import org.woadvale.common.wal.FolderDisk;
 import org.woadvale.common.wal.RingWriteAheadLog;
-import org.woadvale.common.membership.CoreClient;
-import org.woadvale.common.membership.Wire;
-import org.woadvale.dataplane.queue.Commands;
-import org.woadvale.dataplane.ingress.IngressNode;
+import org.woadvale.common.wal.WriteAheadLog;
+import org.woadvale.dataplane.delivery.DeliveryProtocol;
 import org.woadvale.dataplane.delivery.HttpDeliveryClient;
 import org.woadvale.dataplane.delivery.NativeDeliveryProtocol;
-import org.woadvale.dataplane.delivery.DeliveryProtocol;
+import org.woadvale.dataplane.ingress.IngressNode;
+import org.woadvale.dataplane.queue.Commands;
 
 /** The data plane program. */
 public final class DataPlaneProgram {
-    private static final AtomicReference<Runnable> DRAIN = new AtomicReference<>(() -> { });
+    private static final AtomicReference<Runnable> DRAIN = new AtomicReference<>(() -> {});
 
     private static final Duration MOVES = Duration.ofMillis(1500);
     private static final Duration RUNS = Duration.ofMillis(2000);
     private static final Duration STEP = Duration.ofMillis(50);
 
-    private DataPlaneProgram() { }
+    private DataPlaneProgram() {}
 
     public static void main(String[] args) {
         System.exit(new Program("pilot", DataPlaneProgram::check, DataPlaneProgram::grow, DRAIN::get).main(args));
@@ -58,21 +57,32 @@
 
     public static void check(Settings b) throws ServiceException {
         if (b.roles().isEmpty()) {
-            throw new ServiceException(ErrorKind.BAD_REQUEST, "The boot file is invalid at roles: name intake, store or both.");
+            throw new ServiceException(
+                    ErrorKind.BAD_REQUEST, "The boot file is invalid at roles: name intake, store or both.");
         }
         if (b.join()) {
-            throw new ServiceException(ErrorKind.BAD_REQUEST, "The boot file is invalid at join: only lighthouses have it.");
+            throw new ServiceException(
+                    ErrorKind.BAD_REQUEST, "The boot file is invalid at join: only lighthouses have it.");
         }
     }
 
     static Supervisor grow(Settings b, SystemTimers schedules, Runnable onGivenUp) throws ServiceException {
-        return grow(b, schedules, onGivenUp, new NativeDeliveryProtocol(),
-            node -> List.of(new HttpGateway(b.http(), IngressNode.MAX_BODY, node::answer)));
+        return grow(
+                b,
+                schedules,
+                onGivenUp,
+                new NativeDeliveryProtocol(),
+                node -> List.of(new HttpGateway(b.http(), IngressNode.MAX_BODY, node::answer)));
     }
 
     /** The tree with other doors, and another way of speaking to back ends. design 1 */
-    public static Supervisor grow(Settings b, SystemTimers schedules, Runnable onGivenUp, DeliveryProtocol speech,
-                                  Function<DataPlaneNode, List<Component>> doors) throws ServiceException {
+    public static Supervisor grow(
+            Settings b,
+            SystemTimers schedules,
+            Runnable onGivenUp,
+            DeliveryProtocol speech,
+            Function<DataPlaneNode, List<Component>> doors)
+            throws ServiceException {
         Codec codec = Wire.codec(Wire.PILOT, Commands.types());
         RpcRouter router = new RpcRouter();
         TcpRpcClient beam = new TcpRpcClient(b.address(), b.listenAt(), codec, router, schedules);
@@ -80,13 +90,24 @@
         book.onFailure(why -> onGivenUp.run());
         SecureRandom random = new SecureRandom();
         Optional<KnownFile> known = b.data().isEmpty() ? Optional.empty() : Optional.of(new KnownFile(b.data()));
-        Env env = new Env(new SystemClock(), schedules, beam, codec, book, random::nextLong,
-            b.roles().contains("store") ? ReplicationTiming.core() : ReplicationTiming.usual());
-        CoreClient core = new CoreClient(beam, random::nextLong, b.seeds(), known.map(KnownFile::read).orElse(List.of()),
-            l -> known.ifPresent(k -> k.write(l)));
+        Env env = new Env(
+                new SystemClock(),
+                schedules,
+                beam,
+                codec,
+                book,
+                random::nextLong,
+                b.roles().contains("store") ? ReplicationTiming.core() : ReplicationTiming.usual());
+        CoreClient core = new CoreClient(
+                beam,
+                random::nextLong,
+                b.seeds(),
+                known.map(KnownFile::read).orElse(List.of()),
+                l -> known.ifPresent(k -> k.write(l)));
         DataPlaneNode node = new DataPlaneNode(env, b, core, new HttpDeliveryClient(), speech);
         node.route(router);
-        Supervisor tree = new Supervisor("pilot", schedules, onGivenUp).with(beam).with(node);
+        Supervisor tree =
+                new Supervisor("pilot", schedules, onGivenUp).with(beam).with(node);
         List<Component> gates = doors.apply(node);
         gates.forEach(tree::with);
         DRAIN.set(() -> drain(node, gates, Duration.ofMillis(b.lingerMs())));
@@ -98,10 +119,11 @@
             return new DisabledWriteAheadLog();
         }
         try {
-            return RingWriteAheadLog.open(new FolderDisk(Path.of(b.data(), "ring")), schedules, b.ringFiles(),
-                b.ringFileMb() << 20);
+            return RingWriteAheadLog.open(
+                    new FolderDisk(Path.of(b.data(), "ring")), schedules, b.ringFiles(), b.ringFileMb() << 20);
         } catch (IOException e) {
-            throw new ServiceException(ErrorKind.UNAVAILABLE, "Cannot open the data folder " + b.data() + ": " + e.getMessage());
+            throw new ServiceException(
+                    ErrorKind.UNAVAILABLE, "Cannot open the data folder " + b.data() + ": " + e.getMessage());
         }
     }
 
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/DeliveryClient.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/DeliveryClient.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
-
 import reactor.core.publisher.Mono;
 
 /** Seam to the back ends: fails with UNREACHABLE if nothing was sent, else with UNKNOWN_OUTCOME. */
@@ -20,8 +19,14 @@
      * Whether it may still be sent is asked once the stream is open, right before the first byte. An
      * answer that has a header of the echo (lower case) with another value belongs to another request. design 9.3
      */
-    record Call(String method, String url, Map<String, String> headers, byte[] body, Duration limit,
-                BooleanSupplier still, Map<String, String> echo) {
+    record Call(
+            String method,
+            String url,
+            Map<String, String> headers,
+            byte[] body,
+            Duration limit,
+            BooleanSupplier still,
+            Map<String, String> echo) {
         public Call(String method, String url, byte[] body, Duration limit, BooleanSupplier still) {
             this(method, url, Map.of("Content-Type", "application/json"), body, limit, still, Map.of());
         }
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/DeliveryPermit.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/DeliveryPermit.java
@@ -1,11 +1,10 @@
 package org.woadvale.dataplane.delivery;
 
 import java.util.Optional;
-
 import org.woadvale.common.ratelimit.LocalBucket;
 import org.woadvale.common.ratelimit.LocalBuckets;
-import org.woadvale.dataplane.queue.MessagePartitions.MessagePartition;
 import org.woadvale.dataplane.queue.Message;
+import org.woadvale.dataplane.queue.MessagePartitions.MessagePartition;
 
 /** What a delivery spends: read units of the store, and a leaving pass where the service is paced. */
 final class DeliveryPermit {
@@ -37,8 +36,9 @@
     static Optional<DeliveryPermit> draw(DispatchContext kit, String service) {
         return kit.layouts().leavingBucket(service).flatMap(bucket -> {
             Optional<LocalBucket.Pass> pass = bucket.flatMap(kit.purses()::tryTake);
-            return bucket.isPresent() && pass.isEmpty() ? Optional.empty()
-                : Optional.of(new DeliveryPermit(kit.purses(), bucket.orElse(""), pass));
+            return bucket.isPresent() && pass.isEmpty()
+                    ? Optional.empty()
+                    : Optional.of(new DeliveryPermit(kit.purses(), bucket.orElse(""), pass));
         });
     }
 
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/DeliveryProtocol.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/DeliveryProtocol.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.function.BooleanSupplier;
-
 import org.woadvale.dataplane.queue.Message;
 
 /** Seam: how a delivery is written for a back end, and what its answer means. design 9.3 */
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/DispatchContext.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/DispatchContext.java
@@ -1,13 +1,22 @@
 package org.woadvale.dataplane.delivery;
 
 import java.time.Duration;
-
 import org.woadvale.common.discovery.ViewSubscriptions;
-import org.woadvale.common.replication.Env;
 import org.woadvale.common.ratelimit.LocalBuckets;
+import org.woadvale.common.replication.Env;
 import org.woadvale.dataplane.ConfigurationView;
 import org.woadvale.dataplane.queue.MessagePartitions;
 
 /** What every launcher of a store shares; lease is how long a leased message rests after its last word. */
-public record DispatchContext(Env env, ViewSubscriptions news, ConfigurationView layouts, LocalBuckets purses, MessagePartitions berths, Targets targets, DeliveryClient post,
-                  DeliveryProtocol speech, Recorder recorder, Duration lease, String hall) { }
+public record DispatchContext(
+        Env env,
+        ViewSubscriptions news,
+        ConfigurationView layouts,
+        LocalBuckets purses,
+        MessagePartitions berths,
+        Targets targets,
+        DeliveryClient post,
+        DeliveryProtocol speech,
+        Recorder recorder,
+        Duration lease,
+        String hall) {}
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/Dispatcher.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/Dispatcher.java
@@ -10,17 +10,15 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
-
 import org.woadvale.common.config.Configuration;
-import org.woadvale.common.ratelimit.RateLimit;
-import org.woadvale.common.ratelimit.Bucket;
 import org.woadvale.common.membership.ServiceNames;
-import org.woadvale.dataplane.queue.MessagePartitions.MessagePartition;
+import org.woadvale.common.ratelimit.Bucket;
+import org.woadvale.common.ratelimit.RateLimit;
 import org.woadvale.dataplane.queue.Commands;
-import org.woadvale.dataplane.queue.RouteTerms;
 import org.woadvale.dataplane.queue.Message;
+import org.woadvale.dataplane.queue.MessagePartitions.MessagePartition;
 import org.woadvale.dataplane.queue.ReadyQueue;
-
+import org.woadvale.dataplane.queue.RouteTerms;
 import reactor.core.publisher.Mono;
 
 /** Lets the messages of one part out, while this node owns it: design 9.3. */
@@ -74,7 +72,9 @@
     }
 
     RouteTerms terms(Message m) {
-        return Optional.ofNullable(layout().lanes().get(m.lane())).map(RouteTerms::of).orElse(m.terms());
+        return Optional.ofNullable(layout().lanes().get(m.lane()))
+                .map(RouteTerms::of)
+                .orElse(m.terms());
     }
 
     /** Counted from when the message was due first: a delay asked for does not eat it up. */
@@ -91,7 +91,9 @@
     }
 
     boolean dedupes(Message m) {
-        return Optional.ofNullable(layout().services().get(terms(m).service())).map(Configuration.Service::dedupes).orElse(false);
+        return Optional.ofNullable(layout().services().get(terms(m).service()))
+                .map(Configuration.Service::dedupes)
+                .orElse(false);
     }
 
     /** What was not run is tried elsewhere soon; a little apart, so that not all come at once. */
@@ -112,17 +114,20 @@
             return ProcessorStatus.of(ProcessorStatus.Kind.NOT_KNOWN_NOW);
         }
         String service = terms(m).service();
-        Optional<Configuration.Service> s = Optional.ofNullable(l.get().services().get(service));
+        Optional<Configuration.Service> s =
+                Optional.ofNullable(l.get().services().get(service));
         if (s.isPresent() && s.get().kind() == Configuration.Kind.ENDPOINT) {
             return ProcessorStatus.listed(m, s.get().address());
         }
         if (s.isEmpty() && m.processor().equals(ProcessorSelector.ENDPOINT)) {
             return ProcessorStatus.gone(m);
         }
-        return kit.news().fresh(ServiceNames.processors(service))
-            .map(v -> Optional.ofNullable(v.processors().get(m.processor())).map(p -> ProcessorStatus.listed(m, p.address()))
-                .orElse(ProcessorStatus.gone(m)))
-            .orElse(ProcessorStatus.of(ProcessorStatus.Kind.NOT_KNOWN_NOW));
+        return kit.news()
+                .fresh(ServiceNames.processors(service))
+                .map(v -> Optional.ofNullable(v.processors().get(m.processor()))
+                        .map(p -> ProcessorStatus.listed(m, p.address()))
+                        .orElse(ProcessorStatus.gone(m)))
+                .orElse(ProcessorStatus.of(ProcessorStatus.Kind.NOT_KNOWN_NOW));
     }
 
     /** Asking an outside endpoint counts as one of its requests, so it spends a leaving pass. */
@@ -159,8 +164,10 @@
             if (m.leased()) {
                 leases.look(m);
             } else if (busy.add(m.handle())) {
-                new Run(this, m, new Targets.Target("", m.processor(), "", true)).adopted()
-                    .doFinally(s -> busy.remove(m.handle())).subscribe(x -> { }, e -> { });
+                new Run(this, m, new Targets.Target("", m.processor(), "", true))
+                        .adopted()
+                        .doFinally(s -> busy.remove(m.handle()))
+                        .subscribe(x -> {}, e -> {});
             }
         }
     }
@@ -186,8 +193,10 @@
             expire(m);
             return true;
         }
-        Optional<Targets.Target> t = kit.targets().draw(ProcessorSelector.targets(this, terms(m).service()),
-            ProcessorSelector.most(this, terms(m).service()));
+        Optional<Targets.Target> t = kit.targets()
+                .draw(
+                        ProcessorSelector.targets(this, terms(m).service()),
+                        ProcessorSelector.most(this, terms(m).service()));
         if (t.isEmpty()) {
             return false;
         }
@@ -201,40 +210,48 @@
             return false;
         }
         busy.add(m.handle());
-        launch(m, ticket.get(), t.get()).doFinally(s -> busy.remove(m.handle())).subscribe(x -> { }, e -> { });
+        launch(m, ticket.get(), t.get()).doFinally(s -> busy.remove(m.handle())).subscribe(x -> {}, e -> {});
         return true;
     }
 
     synchronized boolean retryAllowed(String lane) {
-        Bucket b = retries.computeIfAbsent(lane, k -> Bucket.full(RETRIES, kit.env().times().mono()));
+        Bucket b = retries.computeIfAbsent(
+                lane, k -> Bucket.full(RETRIES, kit.env().times().mono()));
         b.fill(kit.env().times().mono(), 0);
         return b.take(1);
     }
 
     private void expire(Message m) {
         if (busy.add(m.handle())) {
-            kit.recorder().record(part(), new Commands.End(m.handle(), 0, Commands.Ending.FAILED, "time limit reached",
-                wall(), wall()), "").doFinally(s -> busy.remove(m.handle())).subscribe(x -> { }, e -> { });
+            kit.recorder()
+                    .record(
+                            part(),
+                            new Commands.End(
+                                    m.handle(), 0, Commands.Ending.FAILED, "time limit reached", wall(), wall()),
+                            "")
+                    .doFinally(s -> busy.remove(m.handle()))
+                    .subscribe(x -> {}, e -> {});
         }
     }
 
     /** The attempt is committed before anything is sent; then all is checked again. */
     private Mono<Boolean> launch(Message m, DeliveryPermit ticket, Targets.Target t) {
-        Commands.Start start = new Commands.Start(m.handle(), m.attempt() + 1, t.id(),
-            wall().plusMillis(terms(m).attemptMs()), wall(), t.address());
-        return berth.replica().propose(start, Commands.Changed.class)
-            .doOnError(e -> {
-                ticket.putBack();
-                kit.targets().unused(t);
-            })
-            .flatMap(c -> {
-                Run run = new Run(this, c.message(), t);
-                if (!c.done()) {
+        Commands.Start start = new Commands.Start(
+                m.handle(), m.attempt() + 1, t.id(), wall().plusMillis(terms(m).attemptMs()), wall(), t.address());
+        return berth.replica()
+                .propose(start, Commands.Changed.class)
+                .doOnError(e -> {
                     ticket.putBack();
                     kit.targets().unused(t);
-                    return Mono.just(false);
-                }
-                return run.push(ticket);
-            });
+                })
+                .flatMap(c -> {
+                    Run run = new Run(this, c.message(), t);
+                    if (!c.done()) {
+                        ticket.putBack();
+                        kit.targets().unused(t);
+                        return Mono.just(false);
+                    }
+                    return run.push(ticket);
+                });
     }
 }
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/Dispatchers.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/Dispatchers.java
@@ -7,18 +7,16 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
-
+import org.woadvale.common.membership.Processor;
+import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.rpc.RpcRouter;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.common.runtime.TimerHandle;
-import org.woadvale.common.membership.ServiceNames;
-import org.woadvale.common.membership.Processor;
-import org.woadvale.dataplane.queue.MessagePartitions.MessagePartition;
 import org.woadvale.dataplane.queue.Commands;
-import org.woadvale.dataplane.queue.RouteTerms;
 import org.woadvale.dataplane.queue.Message;
-
+import org.woadvale.dataplane.queue.MessagePartitions.MessagePartition;
+import org.woadvale.dataplane.queue.RouteTerms;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
@@ -28,7 +26,7 @@
     private final DispatchContext kit;
     private static final Duration LOOK = Duration.ofMillis(20);
     private final WaitingPulls moorings;
-    private TimerHandle looking = () -> { };
+    private TimerHandle looking = () -> {};
     private final AtomicInteger turns = new AtomicInteger();
     private final Map<String, Dispatcher> launchers = new ConcurrentHashMap<>();
 
@@ -59,23 +57,42 @@
 
     public void route(RpcRouter router) {
         moorings.route(router);
-        router.on(Commands.FetchAsk.class, (f, a) -> kit.berths().at(a.part()).flatMap(b -> kit.berths().timely(a.until()).then(Mono.defer(() -> fetch(b, a)))))
-            .on(Commands.OutcomeAsk.class, (f, a) -> kit.berths().at(a.part())
-                .flatMap(b -> outcome(b, a)));
+        router.on(
+                        Commands.FetchAsk.class,
+                        (f, a) -> kit.berths()
+                                .at(a.part())
+                                .flatMap(b -> kit.berths().timely(a.until()).then(Mono.defer(() -> fetch(b, a)))))
+                .on(
+                        Commands.OutcomeAsk.class,
+                        (f, a) -> kit.berths().at(a.part()).flatMap(b -> outcome(b, a)));
     }
 
     /** A processor speaks only for its own service and its own attempts; an empty service is one of us. */
     private Mono<Commands.Changed> outcome(MessagePartition b, Commands.OutcomeAsk a) {
         return b.replica().read(i -> b.machine().get(a.end().handle())).flatMap(m -> {
-            if (m.isPresent() && !a.service().isEmpty() && (!terms(m.get()).service().equals(a.service())
-                    || a.end().attempt() == m.get().attempt() && !a.processor().equals(m.get().processor()))) {
-                return Mono.error(new ServiceException(ErrorKind.FORBIDDEN, "This attempt was not given to " + a.processor() + "."));
+            if (m.isPresent()
+                    && !a.service().isEmpty()
+                    && (!terms(m.get()).service().equals(a.service())
+                            || a.end().attempt() == m.get().attempt()
+                                    && !a.processor().equals(m.get().processor()))) {
+                return Mono.error(new ServiceException(
+                        ErrorKind.FORBIDDEN, "This attempt was not given to " + a.processor() + "."));
             }
-            if (a.end().ending() == Commands.Ending.RETRY && m.isPresent() && !a.service().isEmpty()
+            if (a.end().ending() == Commands.Ending.RETRY
+                    && m.isPresent()
+                    && !a.service().isEmpty()
                     && m.get().tries() >= terms(m.get()).attempts()) {
                 Commands.End e = a.end();
-                return b.replica().propose(new Commands.End(e.handle(), e.attempt(), Commands.Ending.FAILED,
-                    "attempts used up", e.due(), e.at()), Commands.Changed.class);
+                return b.replica()
+                        .propose(
+                                new Commands.End(
+                                        e.handle(),
+                                        e.attempt(),
+                                        Commands.Ending.FAILED,
+                                        "attempts used up",
+                                        e.due(),
+                                        e.at()),
+                                Commands.Changed.class);
             }
             return b.replica().propose(a.end(), Commands.Changed.class);
         });
@@ -84,27 +101,37 @@
     private Mono<Commands.Fetched> fetch(MessagePartition b, Commands.FetchAsk a) {
         return b.replica().read(i -> i).flatMap(i -> {
             if (!mayReceive(a)) {
-                return Mono.error(new ServiceException(ErrorKind.FORBIDDEN,
-                    "The processor " + a.processor() + " is not listed, is leaving, or the list is not proven fresh."));
+                return Mono.error(new ServiceException(
+                        ErrorKind.FORBIDDEN,
+                        "The processor " + a.processor()
+                                + " is not listed, is leaving, or the list is not proven fresh."));
             }
             if (a.again()) {
                 return Mono.just(new Commands.Fetched(handedBefore(b, a)));
             }
-            return Flux.fromIterable(candidates(b, a.service())).take(a.most())
-                .concatMap(m -> start(b, m, a)).collectList().map(Commands.Fetched::new);
+            return Flux.fromIterable(candidates(b, a.service()))
+                    .take(a.most())
+                    .concatMap(m -> start(b, m, a))
+                    .collectList()
+                    .map(Commands.Fetched::new);
         });
     }
 
     /** What this very fetch was given, for a processor that did not get the answer: the same attempts. */
     private List<Message> handedBefore(MessagePartition b, Commands.FetchAsk a) {
         var now = kit.env().times().wall();
-        return b.replica().look(i -> b.machine().running().stream().filter(m -> m.processor().equals(a.processor())
-            && m.where().equals(ProcessorStatus.FETCHED + a.fetch()) && m.deadline().isAfter(now)).toList());
+        return b.replica()
+                .look(i -> b.machine().running().stream()
+                        .filter(m -> m.processor().equals(a.processor())
+                                && m.where().equals(ProcessorStatus.FETCHED + a.fetch())
+                                && m.deadline().isAfter(now))
+                        .toList());
     }
 
     private boolean mayReceive(Commands.FetchAsk a) {
-        Optional<Processor> p = kit.news().fresh(ServiceNames.processors(a.service()))
-            .map(v -> v.processors().get(a.processor()));
+        Optional<Processor> p = kit.news()
+                .fresh(ServiceNames.processors(a.service()))
+                .map(v -> v.processors().get(a.processor()));
         return p.isPresent() && !p.get().leaving() && p.get().address().isEmpty();
     }
 
@@ -113,46 +140,59 @@
         var now = kit.env().times().wall();
         List<Message> out = new ArrayList<>();
         b.replica().look(i -> {
-            b.machine().startable().lanes().forEach(lane -> out.addAll(b.machine().startable().due(lane, now, SCAN, turn,
-                m -> terms(m).service().equals(service))));
+            b.machine()
+                    .startable()
+                    .lanes()
+                    .forEach(lane -> out.addAll(b.machine()
+                            .startable()
+                            .due(lane, now, SCAN, turn, m -> terms(m).service().equals(service))));
             return out;
         });
         return out;
     }
 
     private RouteTerms terms(Message m) {
-        return kit.layouts().fresh().flatMap(k -> Optional.ofNullable(k.layout().lanes().get(m.lane())))
-            .map(RouteTerms::of).orElse(m.terms());
+        return kit.layouts()
+                .fresh()
+                .flatMap(k -> Optional.ofNullable(k.layout().lanes().get(m.lane())))
+                .map(RouteTerms::of)
+                .orElse(m.terms());
     }
 
     /** The attempt is committed before the answer; all is checked again at hand-out. */
     private Mono<Message> start(MessagePartition b, Message m, Commands.FetchAsk a) {
         var now = kit.env().times().wall();
-        if (now.isAfter(m.from().plusMillis(terms(m).timeLimitMs())) || kit.layouts().fresh().isEmpty()) {
+        if (now.isAfter(m.from().plusMillis(terms(m).timeLimitMs()))
+                || kit.layouts().fresh().isEmpty()) {
             return Mono.empty();
         }
         Optional<DeliveryPermit> ticket = DeliveryPermit.draw(kit, b, m, a.service());
         if (ticket.isEmpty()) {
             return Mono.empty();
         }
-        Commands.Start s = new Commands.Start(m.handle(), m.attempt() + 1, a.processor(),
-            now.plusMillis(terms(m).attemptMs()), now,
-            ProcessorStatus.FETCHED + a.fetch());
-        return b.replica().propose(s, Commands.Changed.class)
-            .doOnError(e -> ticket.get().putBack())
-            .onErrorResume(e -> Mono.empty())
-            .flatMap(c -> {
-                if (!c.done()) {
-                    ticket.get().putBack();
-                    return Mono.empty();
-                }
-                if (!mayReceive(a) || !b.replica().mayAct() || !ticket.get().spend()) {
-                    ticket.get().putBack();
-                    Commands.End e = new Commands.End(m.handle(), m.attempt() + 1, Commands.Ending.NOT_SENT, "not sent",
-                        now, now);
-                    return kit.recorder().record(b.part(), e, a.processor()).then(Mono.<Message>empty());
-                }
-                return Mono.just(c.message());
-            });
+        Commands.Start s = new Commands.Start(
+                m.handle(),
+                m.attempt() + 1,
+                a.processor(),
+                now.plusMillis(terms(m).attemptMs()),
+                now,
+                ProcessorStatus.FETCHED + a.fetch());
+        return b.replica()
+                .propose(s, Commands.Changed.class)
+                .doOnError(e -> ticket.get().putBack())
+                .onErrorResume(e -> Mono.empty())
+                .flatMap(c -> {
+                    if (!c.done()) {
+                        ticket.get().putBack();
+                        return Mono.empty();
+                    }
+                    if (!mayReceive(a) || !b.replica().mayAct() || !ticket.get().spend()) {
+                        ticket.get().putBack();
+                        Commands.End e = new Commands.End(
+                                m.handle(), m.attempt() + 1, Commands.Ending.NOT_SENT, "not sent", now, now);
+                        return kit.recorder().record(b.part(), e, a.processor()).then(Mono.<Message>empty());
+                    }
+                    return Mono.just(c.message());
+                });
     }
 }
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/HttpDeliveryClient.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/HttpDeliveryClient.java
@@ -1,5 +1,9 @@
 package org.woadvale.dataplane.delivery;
 
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
+import io.netty.handler.codec.http.HttpMethod;
 import java.net.ConnectException;
 import java.net.SocketAddress;
 import java.time.Duration;
@@ -9,14 +13,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
-
-import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.ConnectTimeoutException;
-import io.netty.handler.codec.http.HttpMethod;
 import reactor.core.publisher.Mono;
 import reactor.netty.Connection;
 import reactor.netty.http.client.HttpClient;
@@ -28,29 +26,44 @@
     private static final int MAX_ANSWER = 64 << 10;
     /** How long a stream may rest, unless the back end says less. */
     private static final Duration REST = Duration.ofSeconds(20);
+
     private static final Pattern KEEP_ALIVE = Pattern.compile("timeout=([0-9]{1,6})");
 
     private final Map<SocketAddress, Duration> rests = new ConcurrentHashMap<>();
-    private final HttpClient client = HttpClient.create(ConnectionProvider.builder("launch").maxConnections(64)
-            .pendingAcquireMaxCount(256).pendingAcquireTimeout(Duration.ofSeconds(2)).lifo()
-            .evictionPredicate((c, meta) -> !c.channel().isActive()
-                || meta.idleTime() > rests.getOrDefault(c.channel().remoteAddress(), REST).toMillis()).build())
-        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1000).disableRetry(true);
+    private final HttpClient client = HttpClient.create(ConnectionProvider.builder("launch")
+                    .maxConnections(64)
+                    .pendingAcquireMaxCount(256)
+                    .pendingAcquireTimeout(Duration.ofSeconds(2))
+                    .lifo()
+                    .evictionPredicate((c, meta) -> !c.channel().isActive()
+                            || meta.idleTime()
+                                    > rests.getOrDefault(c.channel().remoteAddress(), REST)
+                                            .toMillis())
+                    .build())
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1000)
+            .disableRetry(true);
 
     /** Whatever waited for a stream is looked at again once it has one. */
     @Override
     public Mono<Reply> send(Call c) {
-        return client.headers(h -> c.headers().forEach(h::set)).responseTimeout(c.limit())
-            .request(HttpMethod.valueOf(c.method())).uri(c.url())
-            .send((q, out) -> c.still().getAsBoolean() ? out.send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(c.body())))
-                : Mono.error(new ServiceException(ErrorKind.UNREACHABLE, "It may not be sent any more.")))
-            .responseConnection((r, stream) -> stream.inbound().receive().aggregate().asByteArray()
-                .defaultIfEmpty(new byte[0])
-                .filter(b -> b.length <= MAX_ANSWER).defaultIfEmpty(new byte[0])
-                .map(b -> reply(c, r, stream, b)))
-            .next()
-            .timeout(c.limit().plusMillis(200))
-            .onErrorMap(HttpDeliveryClient::fault);
+        return client.headers(h -> c.headers().forEach(h::set))
+                .responseTimeout(c.limit())
+                .request(HttpMethod.valueOf(c.method()))
+                .uri(c.url())
+                .send((q, out) -> c.still().getAsBoolean()
+                        ? out.send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(c.body())))
+                        : Mono.error(new ServiceException(ErrorKind.UNREACHABLE, "It may not be sent any more.")))
+                .responseConnection((r, stream) -> stream.inbound()
+                        .receive()
+                        .aggregate()
+                        .asByteArray()
+                        .defaultIfEmpty(new byte[0])
+                        .filter(b -> b.length <= MAX_ANSWER)
+                        .defaultIfEmpty(new byte[0])
+                        .map(b -> reply(c, r, stream, b)))
+                .next()
+                .timeout(c.limit().plusMillis(200))
+                .onErrorMap(HttpDeliveryClient::fault);
     }
 
     /** An answer to another request shows that the stream is out of step: nothing more is sent on it. */
@@ -58,11 +71,11 @@
         Map<String, String> headers = new HashMap<>();
         r.responseHeaders().forEach(e -> headers.put(e.getKey().toLowerCase(Locale.ROOT), e.getValue()));
         boolean ours = c.echo().entrySet().stream()
-            .allMatch(e -> headers.getOrDefault(e.getKey(), e.getValue()).equals(e.getValue()));
+                .allMatch(e -> headers.getOrDefault(e.getKey(), e.getValue()).equals(e.getValue()));
         if (!ours) {
             stream.channel().close();
-            throw reactor.core.Exceptions.propagate(new ServiceException(ErrorKind.UNKNOWN_OUTCOME,
-                "The answer is to another request."));
+            throw reactor.core.Exceptions.propagate(
+                    new ServiceException(ErrorKind.UNKNOWN_OUTCOME, "The answer is to another request."));
         }
         Matcher m = KEEP_ALIVE.matcher(headers.getOrDefault("keep-alive", ""));
         if (m.find()) {
@@ -78,9 +91,12 @@
         if (e instanceof ServiceException) {
             return e;
         }
-        boolean never = e instanceof ConnectException || e instanceof ConnectTimeoutException
-            || e.getCause() instanceof ConnectException || e.getClass().getSimpleName().startsWith("PoolAcquire");
-        return new ServiceException(never ? ErrorKind.UNREACHABLE : ErrorKind.UNKNOWN_OUTCOME,
-            e.getClass().getSimpleName() + ": " + e.getMessage());
+        boolean never = e instanceof ConnectException
+                || e instanceof ConnectTimeoutException
+                || e.getCause() instanceof ConnectException
+                || e.getClass().getSimpleName().startsWith("PoolAcquire");
+        return new ServiceException(
+                never ? ErrorKind.UNREACHABLE : ErrorKind.UNKNOWN_OUTCOME,
+                e.getClass().getSimpleName() + ": " + e.getMessage());
     }
 }
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/Leases.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/Leases.java
@@ -7,15 +7,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
-import org.woadvale.dataplane.queue.MessagePartitions.MessagePartition;
 import org.woadvale.dataplane.queue.Commands;
 import org.woadvale.dataplane.queue.Message;
+import org.woadvale.dataplane.queue.MessagePartitions.MessagePartition;
 import org.woadvale.dataplane.queue.MessageState;
 import org.woadvale.dataplane.queue.ReadyQueue;
-
 import reactor.core.publisher.Mono;
 
 /**
@@ -26,7 +24,7 @@
     /** For words that were answered while the clock was read. */
     private static final Duration MARGIN = Duration.ofMillis(100);
 
-    private record Held(int attempt, Duration lastWord, boolean lapsing) { }
+    private record Held(int attempt, Duration lastWord, boolean lapsing) {}
 
     private final DispatchContext kit;
     private final MessagePartition berth;
@@ -53,8 +51,13 @@
         return berth.replica().look(i -> {
             List<Message> out = new ArrayList<>();
             ReadyQueue s = berth.machine().startable();
-            s.lanes().forEach(lane -> out.addAll(s.due(lane, now, most, turn,
-                m -> launcher.terms(m).service().equals(service))));
+            s.lanes()
+                    .forEach(lane -> out.addAll(s.due(
+                            lane,
+                            now,
+                            most,
+                            turn,
+                            m -> launcher.terms(m).service().equals(service))));
             return out;
         });
     }
@@ -62,7 +65,8 @@
     /** The attempt is committed, then all is looked at again; empty where it was not handed out. */
     Mono<Message> begin(Message m, String processor) {
         String service = launcher.terms(m).service();
-        if (wall().isAfter(launcher.timeIsUp(m)) || kit.layouts().fresh().isEmpty()
+        if (wall().isAfter(launcher.timeIsUp(m))
+                || kit.layouts().fresh().isEmpty()
                 || m.tries() > 0 && !launcher.retryAllowed(m.lane() + "/" + m.tenant())) {
             return Mono.empty();
         }
@@ -70,19 +74,35 @@
         if (ticket.isEmpty()) {
             return Mono.empty();
         }
-        Commands.Start s = new Commands.Start(m.handle(), m.attempt() + 1, processor, wall().plus(kit.lease()), wall(),
-            Message.LEASED + processor);
-        return berth.replica().propose(s, Commands.Changed.class).doOnError(e -> ticket.get().putBack())
-            .flatMap(c -> {
-                if (c.done() && launcher.owns() && kit.layouts().fresh().isPresent() && ticket.get().spend()) {
-                    touch(m.handle(), c.message().attempt());
-                    return Mono.just(c.message());
-                }
-                ticket.get().putBack();
-                return c.done() ? kit.recorder().record(berth.part(), new Commands.End(m.handle(), m.attempt() + 1,
-                    Commands.Ending.NOT_SENT, "not handed out", wall(), wall()), processor).then(Mono.<Message>empty())
-                    : Mono.empty();
-            });
+        Commands.Start s = new Commands.Start(
+                m.handle(), m.attempt() + 1, processor, wall().plus(kit.lease()), wall(), Message.LEASED + processor);
+        return berth.replica()
+                .propose(s, Commands.Changed.class)
+                .doOnError(e -> ticket.get().putBack())
+                .flatMap(c -> {
+                    if (c.done()
+                            && launcher.owns()
+                            && kit.layouts().fresh().isPresent()
+                            && ticket.get().spend()) {
+                        touch(m.handle(), c.message().attempt());
+                        return Mono.just(c.message());
+                    }
+                    ticket.get().putBack();
+                    return c.done()
+                            ? kit.recorder()
+                                    .record(
+                                            berth.part(),
+                                            new Commands.End(
+                                                    m.handle(),
+                                                    m.attempt() + 1,
+                                                    Commands.Ending.NOT_SENT,
+                                                    "not handed out",
+                                                    wall(),
+                                                    wall()),
+                                            processor)
+                                    .then(Mono.<Message>empty())
+                            : Mono.empty();
+                });
     }
 
     /** Not the owner any more. */
@@ -97,9 +117,11 @@
     /** A running message that is leased: it lapses once the time since the last word is over. */
     void look(Message m) {
         if (lapses(m)) {
-            Commands.End e = new Commands.End(m.handle(), m.attempt(), Commands.Ending.LAPSED, "the lease lapsed", wall(),
-                wall());
-            berth.replica().propose(e, Commands.Changed.class).subscribe(c -> forget(m.handle()), x -> forget(m.handle()));
+            Commands.End e = new Commands.End(
+                    m.handle(), m.attempt(), Commands.Ending.LAPSED, "the lease lapsed", wall(), wall());
+            berth.replica()
+                    .propose(e, Commands.Changed.class)
+                    .subscribe(c -> forget(m.handle()), x -> forget(m.handle()));
         }
     }
 
@@ -128,10 +150,14 @@
 
     /** True if the processor still has it and may go on for a whole lease. */
     Mono<Boolean> extend(Commands.LeaseAsk a) {
-        return berth.replica().read(i -> berth.machine().get(a.handle())
-                .filter(x -> x.leased() && x.state() == MessageState.RUNNING
-                    && x.attempt() == a.attempt()).isPresent() && touch(a.handle(), a.attempt()))
-            .flatMap(ok -> ok ? Mono.just(true) : Mono.error(gone()));
+        return berth.replica()
+                .read(i -> berth.machine()
+                                .get(a.handle())
+                                .filter(x ->
+                                        x.leased() && x.state() == MessageState.RUNNING && x.attempt() == a.attempt())
+                                .isPresent()
+                        && touch(a.handle(), a.attempt()))
+                .flatMap(ok -> ok ? Mono.just(true) : Mono.error(gone()));
     }
 
     private static ServiceException gone() {
@@ -145,23 +171,34 @@
             if (m.isPresent() && m.get().tookEnd(e.attempt())) {
                 return Mono.just(new Commands.Changed(true, m.get()));
             }
-            if (m.isEmpty() || m.get().attempt() != e.attempt() || m.get().state().ended()) {
+            if (m.isEmpty()
+                    || m.get().attempt() != e.attempt()
+                    || m.get().state().ended()) {
                 return Mono.error(gone());
             }
-            return berth.replica().propose(settled(e, m.get()), Commands.Changed.class).flatMap(c -> {
-                forget(e.handle());
-                return c.done() || c.message().tookEnd(e.attempt()) ? Mono.just(new Commands.Changed(true, c.message()))
-                    : Mono.error(gone());
-            });
+            return berth.replica()
+                    .propose(settled(e, m.get()), Commands.Changed.class)
+                    .flatMap(c -> {
+                        forget(e.handle());
+                        return c.done() || c.message().tookEnd(e.attempt())
+                                ? Mono.just(new Commands.Changed(true, c.message()))
+                                : Mono.error(gone());
+                    });
         });
     }
 
     /** Clock and attempts are the owner's to count. */
     private Commands.End settled(Commands.End e, Message m) {
         boolean over = e.ending() == Commands.Ending.RETRY && !launcher.triesLeft(m);
-        Instant due = e.ending() == Commands.Ending.RETRY ? wall().plus(launcher.backoff(m.tries()))
-            : wall().plus(launcher.shortly());
-        return new Commands.End(e.handle(), e.attempt(), over ? Commands.Ending.FAILED : e.ending(),
-            over ? "attempts used up; last: " + e.proof() : e.proof(), due, wall());
+        Instant due = e.ending() == Commands.Ending.RETRY
+                ? wall().plus(launcher.backoff(m.tries()))
+                : wall().plus(launcher.shortly());
+        return new Commands.End(
+                e.handle(),
+                e.attempt(),
+                over ? Commands.Ending.FAILED : e.ending(),
+                over ? "attempts used up; last: " + e.proof() : e.proof(),
+                due,
+                wall());
     }
 }
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/NativeDeliveryProtocol.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/NativeDeliveryProtocol.java
@@ -1,16 +1,14 @@
 package org.woadvale.dataplane.delivery;
 
+import com.fasterxml.jackson.databind.util.RawValue;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
-
 import org.woadvale.common.config.Configurations;
 import org.woadvale.dataplane.queue.Message;
 
-import com.fasterxml.jackson.databind.util.RawValue;
-
 /** The product's own way: JSON with message id and attempt, answered by an echo with a receipt. design 9.3 */
 public final class NativeDeliveryProtocol implements DeliveryProtocol {
     @Override
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/ProcessorSelector.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/ProcessorSelector.java
@@ -5,36 +5,47 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.ToIntFunction;
-
 import org.woadvale.common.config.Configuration;
-import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.membership.Processor;
+import org.woadvale.common.membership.ServiceNames;
 
 /** Who may receive work of a service now, by views of proven age: design 7.2. */
 final class ProcessorSelector {
     static final String ENDPOINT = "endpoint";
 
-    private ProcessorSelector() { }
+    private ProcessorSelector() {}
 
     /**
      * How much one back end may have in flight from this store: its connections shared out among the stores, and not
      * much more than its slots. 0 where nothing is said.
      */
     static ToIntFunction<Targets.Target> most(Dispatcher l, String service) {
-        int stores = (int) Math.max(1, l.kit().news().latest(ServiceNames.STORES).placement().values().stream()
-            .flatMap(List::stream).distinct().count());
-        int streams = l.kit().layouts().fresh().map(k -> k.layout().services().get(service)).map(Configuration.Service::streams)
-            .orElse(0);
-        Map<String, Processor> listed = l.kit().news().latest(ServiceNames.processors(service)).processors();
+        int stores = (int) Math.max(
+                1,
+                l.kit().news().latest(ServiceNames.STORES).placement().values().stream()
+                        .flatMap(List::stream)
+                        .distinct()
+                        .count());
+        int streams = l.kit()
+                .layouts()
+                .fresh()
+                .map(k -> k.layout().services().get(service))
+                .map(Configuration.Service::streams)
+                .orElse(0);
+        Map<String, Processor> listed =
+                l.kit().news().latest(ServiceNames.processors(service)).processors();
         return t -> {
-            int bySlots = Optional.ofNullable(listed.get(t.id())).map(p -> (p.slots() * 2 + stores - 1) / stores).orElse(0);
+            int bySlots = Optional.ofNullable(listed.get(t.id()))
+                    .map(p -> (p.slots() * 2 + stores - 1) / stores)
+                    .orElse(0);
             int byStreams = streams == 0 ? 0 : Math.max(1, streams / stores);
             return bySlots == 0 ? byStreams : byStreams == 0 ? bySlots : Math.min(bySlots, byStreams);
         };
     }
 
     static List<Targets.Target> targets(Dispatcher l, String service) {
-        Optional<Configuration.Service> s = l.kit().layouts().fresh().map(k -> k.layout().services().get(service));
+        Optional<Configuration.Service> s =
+                l.kit().layouts().fresh().map(k -> k.layout().services().get(service));
         if (s.isEmpty()) {
             return List.of();
         }
@@ -45,12 +56,18 @@
         if (s.get().kind() == Configuration.Kind.FETCHERS) {
             return out;
         }
-        l.kit().news().fresh(ServiceNames.processors(service)).ifPresent(v -> v.processors().forEach((id, p) -> {
-            if (!p.leaving() && !p.address().isEmpty()) {
-                out.add(new Targets.Target(service + "/" + id, id, p.address(), p.hall().isEmpty()
-                    || p.hall().equals(l.kit().hall())));
-            }
-        }));
+        l.kit()
+                .news()
+                .fresh(ServiceNames.processors(service))
+                .ifPresent(v -> v.processors().forEach((id, p) -> {
+                    if (!p.leaving() && !p.address().isEmpty()) {
+                        out.add(new Targets.Target(
+                                service + "/" + id,
+                                id,
+                                p.address(),
+                                p.hall().isEmpty() || p.hall().equals(l.kit().hall())));
+                    }
+                }));
         return out;
     }
 }
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/ProcessorStatus.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/ProcessorStatus.java
@@ -4,7 +4,12 @@
 
 /** Where the processor of an attempt can be asked; not knowing is not the same as its being gone. design 9.3 */
 record ProcessorStatus(Kind kind, String address) {
-    enum Kind { NOT_KNOWN_NOW, GONE, FETCHES, AT }
+    enum Kind {
+        NOT_KNOWN_NOW,
+        GONE,
+        FETCHES,
+        AT
+    }
 
     /** An attempt that was fetched has this before the id of the fetch, where a pushed one has the address. */
     static final String FETCHED = "fetch:";
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/Recorder.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/Recorder.java
@@ -1,14 +1,12 @@
 package org.woadvale.dataplane.delivery;
 
 import java.time.Duration;
-
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.woadvale.common.replication.Env;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.dataplane.queue.Commands;
-
 import reactor.core.publisher.Mono;
 
 /** Records an ending with whichever store owns the part now, until it is committed: design 9.3. */
@@ -31,18 +29,19 @@
 
     private Mono<Boolean> record(String part, Commands.End end, String processor, Duration until) {
         Commands.OutcomeAsk ask = new Commands.OutcomeAsk(part, end, processor, "");
-        return courier.ask(part, ask, Commands.Changed.class, EACH).map(Commands.Changed::done)
-            .onErrorResume(e -> {
-                ServiceException f = ServiceException.of(e);
-                if (f.kind() == ErrorKind.NOT_FOUND) {
-                    return Mono.just(false);
-                }
-                if (env.times().mono().compareTo(until) >= 0) {
-                    LOG.error("launch: gave up recording the end of {}: {}", end.handle(), f.getMessage());
-                    return Mono.just(false);
-                }
-                return org.woadvale.common.runtime.Delays.pause(env.schedules(), AGAIN)
-                    .then(Mono.defer(() -> record(part, end, processor, until)));
-            });
+        return courier.ask(part, ask, Commands.Changed.class, EACH)
+                .map(Commands.Changed::done)
+                .onErrorResume(e -> {
+                    ServiceException f = ServiceException.of(e);
+                    if (f.kind() == ErrorKind.NOT_FOUND) {
+                        return Mono.just(false);
+                    }
+                    if (env.times().mono().compareTo(until) >= 0) {
+                        LOG.error("launch: gave up recording the end of {}: {}", end.handle(), f.getMessage());
+                        return Mono.just(false);
+                    }
+                    return org.woadvale.common.runtime.Delays.pause(env.schedules(), AGAIN)
+                            .then(Mono.defer(() -> record(part, end, processor, until)));
+                });
     }
 }
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/Run.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/Run.java
@@ -3,12 +3,10 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
-
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.woadvale.dataplane.queue.Commands;
 import org.woadvale.dataplane.queue.Message;
-
 import reactor.core.publisher.Mono;
 
 /** One attempt at one message, from its committed start to its committed end: design 9.3. */
@@ -41,29 +39,45 @@
         Duration most = Duration.ofMillis(l.terms(m).attemptMs());
         Duration limit = left.isNegative() ? Duration.ofMillis(1) : left.compareTo(most) > 0 ? most : left;
         SendGuard slip = new SendGuard();
-        return l.kit().post().send(l.kit().speech().push(m, target, limit,
-                () -> slip.leave(() -> l.owns() && ProcessorSelector.targets(l, l.terms(m).service()).contains(target)
-                    && ticket.spend())))
-            .map(r -> l.kit().speech().read(m, r))
-            .onErrorResume(e -> Mono.just(new Verdict(Verdict.Kind.UNCLEAR, String.valueOf(e.getMessage()))))
-            .flatMap(v -> {
-                boolean answered = v.kind() != Verdict.Kind.UNCLEAR && v.kind() != Verdict.Kind.NOT_KNOWN;
-                l.kit().targets().ended(target, answered && v.kind() != Verdict.Kind.LATER,
-                    l.kit().env().times().mono().minus(begun));
-                if (slip.close()) {
-                    ticket.putBack();
-                    return end(Commands.Ending.NOT_SENT, "not sent: " + v.word(), wall().plus(l.shortly()));
-                }
-                return settle(v);
-            });
+        return l.kit()
+                .post()
+                .send(l.kit()
+                        .speech()
+                        .push(
+                                m,
+                                target,
+                                limit,
+                                () -> slip.leave(() -> l.owns()
+                                        && ProcessorSelector.targets(
+                                                        l, l.terms(m).service())
+                                                .contains(target)
+                                        && ticket.spend())))
+                .map(r -> l.kit().speech().read(m, r))
+                .onErrorResume(e -> Mono.just(new Verdict(Verdict.Kind.UNCLEAR, String.valueOf(e.getMessage()))))
+                .flatMap(v -> {
+                    boolean answered = v.kind() != Verdict.Kind.UNCLEAR && v.kind() != Verdict.Kind.NOT_KNOWN;
+                    l.kit()
+                            .targets()
+                            .ended(
+                                    target,
+                                    answered && v.kind() != Verdict.Kind.LATER,
+                                    l.kit().env().times().mono().minus(begun));
+                    if (slip.close()) {
+                        ticket.putBack();
+                        return end(Commands.Ending.NOT_SENT, "not sent: " + v.word(), wall().plus(l.shortly()));
+                    }
+                    return settle(v);
+                });
     }
 
     private Mono<Boolean> settle(Verdict v) {
         return switch (v.kind()) {
             case DONE -> end(Commands.Ending.DONE, v.word(), wall());
             case REFUSED -> end(Commands.Ending.FAILED, v.word(), wall());
-            case LATER -> l.triesLeft(m) ? end(Commands.Ending.RETRY, v.word(), wall().plus(l.backoff(m.tries())))
-                : end(Commands.Ending.FAILED, "attempts used up; last: " + v.word(), wall());
+            case LATER ->
+                l.triesLeft(m)
+                        ? end(Commands.Ending.RETRY, v.word(), wall().plus(l.backoff(m.tries())))
+                        : end(Commands.Ending.FAILED, "attempts used up; last: " + v.word(), wall());
             case NOT_KNOWN -> end(Commands.Ending.NOT_SENT, v.word(), wall().plus(l.backoff(1)));
             case UNCLEAR, RUNNING -> l.resends(m) ? resend(v.word()) : inquireLater();
         };
@@ -79,20 +93,25 @@
      * gives a repeat its first success again. design 9.11
      */
     Mono<Boolean> resend(String why) {
-        Duration wait = l.dedupes(m) ? l.shortly() : Duration.between(wall(), m.deadline()).plus(AFTER_DEADLINE);
-        return org.woadvale.common.runtime.Delays.pause(l.kit().env().schedules(), wait.isNegative() ? Duration.ZERO : wait)
-            .then(Mono.defer(() -> end(Commands.Ending.LAPSED, "sent again: " + why, wall().plus(l.shortly()))));
+        Duration wait = l.dedupes(m)
+                ? l.shortly()
+                : Duration.between(wall(), m.deadline()).plus(AFTER_DEADLINE);
+        return org.woadvale.common.runtime.Delays.pause(
+                        l.kit().env().schedules(), wait.isNegative() ? Duration.ZERO : wait)
+                .then(Mono.defer(() -> end(Commands.Ending.LAPSED, "sent again: " + why, wall().plus(l.shortly()))));
     }
 
     /** Running by the log, but begun by an earlier owner, which may still hand over the answer that it got. */
     Mono<Boolean> adopted() {
-        return l.resends(m) ? org.woadvale.common.runtime.Delays.pause(l.kit().env().schedules(), ADOPTED)
-            .then(Mono.defer(() -> resend("the owner changed"))) : inquire();
+        return l.resends(m)
+                ? org.woadvale.common.runtime.Delays.pause(l.kit().env().schedules(), ADOPTED)
+                        .then(Mono.defer(() -> resend("the owner changed")))
+                : inquire();
     }
 
     private Mono<Boolean> inquireLater() {
         return org.woadvale.common.runtime.Delays.pause(l.kit().env().schedules(), ASK_AGAIN)
-            .then(Mono.defer(this::inquire));
+                .then(Mono.defer(this::inquire));
     }
 
     /** Never run again while the processor may still know: ask it by message id. */
@@ -115,22 +134,30 @@
         if (ticket.isEmpty()) {
             return inquireLater();
         }
-        return l.kit().post().send(new DeliveryClient.Call("GET", where.address() + "/runs/" + m.handle() + "?attempt=" + m.attempt(),
-            new byte[0], ASK_LIMIT, () -> l.owns() && ticket.get().spend()))
-            .map(r -> Verdict.ofInquiry(r, m.handle()))
-            .onErrorResume(e -> Mono.just(new Verdict(Verdict.Kind.UNCLEAR, "no answer")))
-            .flatMap(v -> {
-                if (v.kind() == Verdict.Kind.NOT_KNOWN) {
-                    // a push still under way may arrive until the deadline: design 9.3
-                    return late ? retry(v.word()) : inquireLater();
-                }
-                return settle(v);
-            });
+        return l.kit()
+                .post()
+                .send(new DeliveryClient.Call(
+                        "GET",
+                        where.address() + "/runs/" + m.handle() + "?attempt=" + m.attempt(),
+                        new byte[0],
+                        ASK_LIMIT,
+                        () -> l.owns() && ticket.get().spend()))
+                .map(r -> Verdict.ofInquiry(r, m.handle()))
+                .onErrorResume(e -> Mono.just(new Verdict(Verdict.Kind.UNCLEAR, "no answer")))
+                .flatMap(v -> {
+                    if (v.kind() == Verdict.Kind.NOT_KNOWN) {
+                        // a push still under way may arrive until the deadline: design 9.3
+                        return late ? retry(v.word()) : inquireLater();
+                    }
+                    return settle(v);
+                });
     }
 
     /** The next of a key must not start while a listed processor may still run this one: design 9.3. */
     private boolean mayEndUnproven(ProcessorStatus where) {
-        return !m.ordered() || where.kind() == ProcessorStatus.Kind.FETCHES || where.kind() == ProcessorStatus.Kind.GONE;
+        return !m.ordered()
+                || where.kind() == ProcessorStatus.Kind.FETCHES
+                || where.kind() == ProcessorStatus.Kind.GONE;
     }
 
     /** Nobody can say any more whether it was done: the lane's operator has said what then. */
@@ -140,7 +167,8 @@
     }
 
     private Mono<Boolean> retry(String word) {
-        return l.triesLeft(m) ? end(Commands.Ending.RETRY, word, wall().plus(l.backoff(1)))
-            : end(Commands.Ending.FAILED, "attempts used up; last: " + word, wall());
+        return l.triesLeft(m)
+                ? end(Commands.Ending.RETRY, word, wall().plus(l.backoff(1)))
+                : end(Commands.Ending.FAILED, "attempts used up; last: " + word, wall());
     }
 }
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/SendGuard.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/SendGuard.java
@@ -4,7 +4,11 @@
 
 /** The moment at which a request leaves: either it was sent, or it never will be. design 9.3 */
 final class SendGuard {
-    private enum State { OPEN, SENT, CLOSED }
+    private enum State {
+        OPEN,
+        SENT,
+        CLOSED
+    }
 
     private State state = State.OPEN;
 
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/StoreHealth.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/StoreHealth.java
@@ -4,11 +4,9 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
-
 import org.woadvale.common.replication.Env;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
-
 import reactor.core.publisher.Mono;
 
 /** What this node's own asks tell of stores and parts; only for draws, never for what is true. design 9.13 */
@@ -66,6 +64,7 @@
 
     boolean silent(String store) {
         Duration limit = now().minus(SILENT);
-        return ailing(store) || open.getOrDefault(store, Map.of()).values().stream().anyMatch(t -> t.compareTo(limit) < 0);
+        return ailing(store)
+                || open.getOrDefault(store, Map.of()).values().stream().anyMatch(t -> t.compareTo(limit) < 0);
     }
 }
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/SubmitForwarder.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/SubmitForwarder.java
@@ -6,16 +6,14 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
-
 import org.woadvale.common.discovery.ViewSubscriptions;
+import org.woadvale.common.membership.MemberLease;
+import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.replication.Env;
+import org.woadvale.common.runtime.Delays;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
-import org.woadvale.common.runtime.Delays;
-import org.woadvale.common.membership.ServiceNames;
-import org.woadvale.common.membership.MemberLease;
 import org.woadvale.dataplane.queue.Commands;
-
 import reactor.core.publisher.Mono;
 
 /** Finds the owner of a message part among its stores and asks it. */
@@ -56,8 +54,9 @@
             }
         });
         List<String> from = near.isEmpty() ? sound : near;
-        return from.isEmpty() ? ServiceNames.messagePart("", id)
-            : ServiceNames.draw(id, from).orElse(ServiceNames.messagePart("", id));
+        return from.isEmpty()
+                ? ServiceNames.messagePart("", id)
+                : ServiceNames.draw(id, from).orElse(ServiceNames.messagePart("", id));
     }
 
     /** The known owner first, then the copies in turn; those that do not answer only if there are no others. */
@@ -87,16 +86,24 @@
     /** The same, but nothing that is held up on its way beyond the limit is taken then: design 9.7. */
     public <T> Mono<T> timely(String part, Function<Commands.Until, Object> body, Class<T> type, Duration limit) {
         Duration until = env.times().mono().plus(limit);
-        return attempt(part, to -> clocks.until(to, until, EACH).map(body).onErrorMap(SubmitForwarder::notSent), type, until, 0,
-            false, "");
+        return attempt(
+                part,
+                to -> clocks.until(to, until, EACH).map(body).onErrorMap(SubmitForwarder::notSent),
+                type,
+                until,
+                0,
+                false,
+                "");
     }
 
     /** One ask to one store, not taken later than the limit; its answer may take as long as the limit. */
     public <T> Mono<T> at(String store, Function<Commands.Until, Object> body, Class<T> type, Duration limit) {
         Duration until = env.times().mono().plus(limit);
-        return clocks.until(store, until, EACH).map(body).onErrorMap(SubmitForwarder::notSent)
-            .flatMap(b -> env.beam().ask(store, b, type, limit.plus(EACH)))
-            .doOnError(e -> clocks.forget(store));
+        return clocks.until(store, until, EACH)
+                .map(body)
+                .onErrorMap(SubmitForwarder::notSent)
+                .flatMap(b -> env.beam().ask(store, b, type, limit.plus(EACH)))
+                .doOnError(e -> clocks.forget(store));
     }
 
     /** The question for the clock was left without an answer; of the ask itself nothing was sent. */
@@ -105,42 +112,59 @@
         return f.kind().definite() ? f : new ServiceException(ErrorKind.UNREACHABLE, f.getMessage());
     }
 
-    private <T> Mono<T> attempt(String part, Function<String, Mono<Object>> body, Class<T> type, Duration until, int turn,
-                                boolean unknown, String hint) {
+    private <T> Mono<T> attempt(
+            String part,
+            Function<String, Mono<Object>> body,
+            Class<T> type,
+            Duration until,
+            int turn,
+            boolean unknown,
+            String hint) {
         String to = hint.isEmpty() ? guess(part, turn) : hint;
         if (to.isEmpty()) {
-            return Mono.error(new ServiceException(ErrorKind.UNAVAILABLE, "No store is placed for the part " + part + "."));
+            return Mono.error(
+                    new ServiceException(ErrorKind.UNAVAILABLE, "No store is placed for the part " + part + "."));
         }
-        return body.apply(to).flatMap(b -> health.watched(to, env.beam().ask(to, b, type, EACH)))
-            .doOnNext(t -> {
-                owners.put(part, to);
-                health.well(part, to);
-            })
-            .onErrorResume(e -> {
-                ServiceException f = ServiceException.of(e);
-                owners.remove(part, to);
-                clocks.forget(to);
-                health.failed(part, to, f);
-                boolean nowUnknown = unknown || !f.kind().definite();
-                boolean again = f.kind() == ErrorKind.NOT_OWNER || f.kind() == ErrorKind.UNREACHABLE
-                    || f.kind() == ErrorKind.UNKNOWN_OUTCOME || f.kind() == ErrorKind.STOPPING
-                    || f.kind() == ErrorKind.EXPIRED;
-                if (!again || env.times().mono().compareTo(until) >= 0) {
-                    return Mono.error(settled(f, nowUnknown));
-                }
-                String next = f.kind() == ErrorKind.NOT_OWNER && !f.details().isEmpty() ? f.details().get(0) : "";
-                Mono<T> more = Mono.defer(() -> attempt(part, body, type, until, turn + 1, nowUnknown, next));
-                return next.isEmpty() ? Delays.pause(env.schedules(), PAUSE).then(more) : more;
-            });
+        return body.apply(to)
+                .flatMap(b -> health.watched(to, env.beam().ask(to, b, type, EACH)))
+                .doOnNext(t -> {
+                    owners.put(part, to);
+                    health.well(part, to);
+                })
+                .onErrorResume(e -> {
+                    ServiceException f = ServiceException.of(e);
+                    owners.remove(part, to);
+                    clocks.forget(to);
+                    health.failed(part, to, f);
+                    boolean nowUnknown = unknown || !f.kind().definite();
+                    boolean again = f.kind() == ErrorKind.NOT_OWNER
+                            || f.kind() == ErrorKind.UNREACHABLE
+                            || f.kind() == ErrorKind.UNKNOWN_OUTCOME
+                            || f.kind() == ErrorKind.STOPPING
+                            || f.kind() == ErrorKind.EXPIRED;
+                    if (!again || env.times().mono().compareTo(until) >= 0) {
+                        return Mono.error(settled(f, nowUnknown));
+                    }
+                    String next =
+                            f.kind() == ErrorKind.NOT_OWNER && !f.details().isEmpty()
+                                    ? f.details().get(0)
+                                    : "";
+                    Mono<T> more = Mono.defer(() -> attempt(part, body, type, until, turn + 1, nowUnknown, next));
+                    return next.isEmpty() ? Delays.pause(env.schedules(), PAUSE).then(more) : more;
+                });
     }
 
     /** A definite refusal after an unknown try says nothing of that try: design 9.6. */
     private static ServiceException settled(ServiceException last, boolean unknown) {
         if (unknown) {
-            return new ServiceException(ErrorKind.UNKNOWN_OUTCOME, "It is not known whether this was taken; ask with the same id.");
+            return new ServiceException(
+                    ErrorKind.UNKNOWN_OUTCOME, "It is not known whether this was taken; ask with the same id.");
         }
-        return last.kind() == ErrorKind.NOT_OWNER || last.kind() == ErrorKind.UNREACHABLE
-            || last.kind() == ErrorKind.STOPPING || last.kind() == ErrorKind.EXPIRED
-            ? new ServiceException(ErrorKind.UNAVAILABLE, "The store of this message has no owner now.") : last;
+        return last.kind() == ErrorKind.NOT_OWNER
+                        || last.kind() == ErrorKind.UNREACHABLE
+                        || last.kind() == ErrorKind.STOPPING
+                        || last.kind() == ErrorKind.EXPIRED
+                ? new ServiceException(ErrorKind.UNAVAILABLE, "The store of this message has no owner now.")
+                : last;
     }
 }
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/Targets.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/Targets.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.ToIntFunction;
-
 import org.woadvale.common.replication.Env;
 import org.woadvale.common.runtime.LockedShard;
 
@@ -17,11 +16,12 @@
     private static final int FAILING = 3;
     /** Work goes to another hall only where that pays: bytes between halls are dear. */
     private static final double FAR = 2;
+
     private static final Duration FIRST_PAUSE = Duration.ofMillis(250);
     private static final Duration LONGEST_PAUSE = Duration.ofSeconds(1);
 
     /** One back end that may get work. */
-    public record Target(String key, String id, String address, boolean near) { }
+    public record Target(String key, String id, String address, boolean near) {}
 
     private static final class Liveness {
         int inFlight;
@@ -45,8 +45,10 @@
     /** The least busy of those that may be tried now; its place in flight is taken. */
     public Optional<Target> draw(List<Target> from, ToIntFunction<Target> most) {
         return shard.get(() -> {
-            Optional<Target> t = from.stream().filter(x -> open(of(x), most.applyAsInt(x)))
-                .min(Comparator.comparingDouble(x -> (of(x).inFlight + 1) * (1 + of(x).slowMs) * (x.near() ? 1 : FAR)));
+            Optional<Target> t = from.stream()
+                    .filter(x -> open(of(x), most.applyAsInt(x)))
+                    .min(Comparator.comparingDouble(
+                            x -> (of(x).inFlight + 1) * (1 + of(x).slowMs) * (x.near() ? 1 : FAR)));
             t.ifPresent(x -> of(x).inFlight++);
             return t;
         });
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/Verdict.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/Verdict.java
@@ -1,14 +1,20 @@
 package org.woadvale.dataplane.delivery;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import org.woadvale.common.config.Configurations;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
 
-import com.fasterxml.jackson.databind.JsonNode;
-
 /** What a back end's answer means. Only an echo with a receipt is proof: design 9.3. */
 public record Verdict(Kind kind, String word) {
-    public enum Kind { DONE, REFUSED, LATER, UNCLEAR, RUNNING, NOT_KNOWN }
+    public enum Kind {
+        DONE,
+        REFUSED,
+        LATER,
+        UNCLEAR,
+        RUNNING,
+        NOT_KNOWN
+    }
 
     /** Only 429 and 503 say that nothing was done; other 5xx and 408 may come after the work. */
     public static Verdict ofPush(DeliveryClient.Reply r, String handle, int attempt) {
@@ -18,16 +24,19 @@
         if (r.status() == 429 || r.status() == 503) {
             return new Verdict(Kind.LATER, "answer " + r.status());
         }
-        return r.status() >= 400 && r.status() < 500 && r.status() != 408 ? new Verdict(Kind.REFUSED, "answer " + r.status())
-            : new Verdict(Kind.UNCLEAR, "answer " + r.status());
+        return r.status() >= 400 && r.status() < 500 && r.status() != 408
+                ? new Verdict(Kind.REFUSED, "answer " + r.status())
+                : new Verdict(Kind.UNCLEAR, "answer " + r.status());
     }
 
     private static Verdict proof(DeliveryClient.Reply r, String handle, int attempt) {
         JsonNode n = json(r.body());
         String receipt = n.path("receipt").asText("");
-        boolean echo = n.path("messageId").asText("").equals(handle) && n.path("attempt").asInt(-1) == attempt;
-        return echo && !receipt.isEmpty() && receipt.length() <= 256 ? new Verdict(Kind.DONE, receipt)
-            : new Verdict(Kind.UNCLEAR, "an answer without proof");
+        boolean echo = n.path("messageId").asText("").equals(handle)
+                && n.path("attempt").asInt(-1) == attempt;
+        return echo && !receipt.isEmpty() && receipt.length() <= 256
+                ? new Verdict(Kind.DONE, receipt)
+                : new Verdict(Kind.UNCLEAR, "an answer without proof");
     }
 
     /** The answer to the question what became of a message. */
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/WaitingPulls.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/WaitingPulls.java
@@ -12,13 +12,11 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
-
 import org.woadvale.common.rpc.RpcRouter;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.dataplane.queue.Commands;
 import org.woadvale.dataplane.queue.Message;
-
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 
@@ -26,7 +24,7 @@
 final class WaitingPulls {
     private static final int MOST = 4096;
 
-    private record Moored(Commands.PullAsk ask, Duration until, Sinks.One<Object> out) { }
+    private record Moored(Commands.PullAsk ask, Duration until, Sinks.One<Object> out) {}
 
     private final DispatchContext kit;
     private final Map<String, Dispatcher> launchers;
@@ -40,15 +38,21 @@
     }
 
     void route(RpcRouter router) {
-        router.on(Commands.PullAsk.class, (f, a) -> kit.berths().timely(a.until()).then(Mono.defer(() -> moor(a))))
-            .on(Commands.LeaseAsk.class, (f, a) -> leases(a.part()).flatMap(l -> l.extend(a)).map(ok ->
-                new org.woadvale.common.membership.ControlMessages.Done(true)))
-            .on(Commands.LeaseEndAsk.class, (f, a) -> leases(a.part()).flatMap(l -> l.end(a.end())));
+        router.on(
+                        Commands.PullAsk.class,
+                        (f, a) -> kit.berths().timely(a.until()).then(Mono.defer(() -> moor(a))))
+                .on(
+                        Commands.LeaseAsk.class,
+                        (f, a) -> leases(a.part())
+                                .flatMap(l -> l.extend(a))
+                                .map(ok -> new org.woadvale.common.membership.ControlMessages.Done(true)))
+                .on(Commands.LeaseEndAsk.class, (f, a) -> leases(a.part()).flatMap(l -> l.end(a.end())));
     }
 
     private Mono<Leases> leases(String part) {
         return Mono.justOrEmpty(Optional.ofNullable(launchers.get(part)).map(Dispatcher::leases))
-            .switchIfEmpty(Mono.error(new ServiceException(ErrorKind.NOT_OWNER, "The part " + part + " is not here.")));
+                .switchIfEmpty(
+                        Mono.error(new ServiceException(ErrorKind.NOT_OWNER, "The part " + part + " is not here.")));
     }
 
     private Duration now() {
@@ -84,7 +88,8 @@
     /** Those of our own hall first: bytes between halls are dear. */
     private synchronized Optional<Moored> take(String service) {
         Deque<Moored> line = waiting.getOrDefault(service, new ArrayDeque<>());
-        Optional<Moored> near = line.stream().filter(m -> m.ask().hall().equals(kit.hall())).findFirst();
+        Optional<Moored> near =
+                line.stream().filter(m -> m.ask().hall().equals(kit.hall())).findFirst();
         near.ifPresent(line::remove);
         return near.or(() -> Optional.ofNullable(line.poll()));
     }
@@ -120,8 +125,14 @@
             starting.remove(m.handle());
             return;
         }
-        l.leases().begin(m, to.get().ask().processor()).map(Optional::of).defaultIfEmpty(Optional.empty())
-            .onErrorReturn(Optional.empty()).doFinally(s -> starting.remove(m.handle())).subscribe(x -> x.ifPresentOrElse(
-                got -> to.get().out().tryEmitValue(new Commands.Pulled(List.of(got))), () -> putBack(to.get())));
+        l.leases()
+                .begin(m, to.get().ask().processor())
+                .map(Optional::of)
+                .defaultIfEmpty(Optional.empty())
+                .onErrorReturn(Optional.empty())
+                .doFinally(s -> starting.remove(m.handle()))
+                .subscribe(x -> x.ifPresentOrElse(
+                        got -> to.get().out().tryEmitValue(new Commands.Pulled(List.of(got))),
+                        () -> putBack(to.get())));
     }
 }
--- a/dataplane/src/main/java/org/woadvale/dataplane/ingress/Fetches.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/ingress/Fetches.java
@@ -8,20 +8,18 @@
 import java.util.TreeSet;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
-
-import org.woadvale.common.discovery.ViewSubscriptions;
 import org.woadvale.common.config.Configuration;
+import org.woadvale.common.discovery.ViewSubscriptions;
+import org.woadvale.common.membership.ControlMessages;
+import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.replication.Env;
+import org.woadvale.common.runtime.Delays;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
-import org.woadvale.common.runtime.Delays;
-import org.woadvale.common.membership.ControlMessages;
-import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.dataplane.ConfigurationView;
+import org.woadvale.dataplane.delivery.SubmitForwarder;
 import org.woadvale.dataplane.queue.Commands;
 import org.woadvale.dataplane.queue.Message;
-import org.woadvale.dataplane.delivery.SubmitForwarder;
-
 import reactor.core.publisher.Mono;
 
 /** Fetches by processors that are on no list: work is handed out with a lease. design 9.10 */
@@ -31,6 +29,7 @@
     private static final Duration TURN = Duration.ofMillis(100);
     /** At a store of its own hall. */
     private static final Duration NEAR = Duration.ofMillis(300);
+
     private static final Duration AGAIN = Duration.ofMillis(100);
 
     /** What a processor says of its lease: the handle, and the attempt that it has. */
@@ -48,7 +47,8 @@
             if (!word.matches("m[0-9]{1,4}-[0-9]{1,18}\\.[0-9]{1,9}")) {
                 return Optional.empty();
             }
-            Lease l = new Lease(word.substring(0, word.indexOf('.')), Integer.parseInt(word.substring(word.indexOf('.') + 1)));
+            Lease l = new Lease(
+                    word.substring(0, word.indexOf('.')), Integer.parseInt(word.substring(word.indexOf('.') + 1)));
             return Optional.of(l).filter(x -> ServiceNames.messageParts().contains(x.part()));
         }
 
@@ -64,7 +64,13 @@
     private final String hall;
     private final BooleanSupplier draining;
 
-    public Fetches(Env env, ViewSubscriptions news, ConfigurationView layouts, SubmitForwarder courier, String hall, BooleanSupplier draining) {
+    public Fetches(
+            Env env,
+            ViewSubscriptions news,
+            ConfigurationView layouts,
+            SubmitForwarder courier,
+            String hall,
+            BooleanSupplier draining) {
         this.hall = hall;
         this.env = env;
         this.news = news;
@@ -80,37 +86,49 @@
             sink.onCancel(() -> gone.set(true));
             Duration until = env.times().mono().plus(wait);
             int first = (int) Math.floorMod(env.random().getAsLong(), 1 << 16);
-            turn(service, processor, until, first, first, gone).subscribe(m -> {
-                if (gone.get()) {
-                    end(Lease.of(m), Commands.Ending.NOT_SENT, "nobody took it").subscribe(x -> { }, e -> { });
-                } else {
-                    sink.success(m);
-                }
-            }, sink::error, sink::success);
+            turn(service, processor, until, first, first, gone)
+                    .subscribe(
+                            m -> {
+                                if (gone.get()) {
+                                    end(Lease.of(m), Commands.Ending.NOT_SENT, "nobody took it")
+                                            .subscribe(x -> {}, e -> {});
+                                } else {
+                                    sink.success(m);
+                                }
+                            },
+                            sink::error,
+                            sink::success);
         });
     }
 
-    private Mono<Message> turn(String service, String processor, Duration until, int first, int n,
-                               AtomicBoolean gone) {
+    private Mono<Message> turn(String service, String processor, Duration until, int first, int n, AtomicBoolean gone) {
         Duration left = until.minus(env.times().mono());
         // a draining intake lets nobody wait for longer than one turn
         if (left.toMillis() < 1 || gone.get() || n != first && draining.getAsBoolean()) {
             return Mono.empty();
         }
         List<String> stores = stores();
-        boolean known = layouts.fresh().map(k -> k.layout().services().get(service))
-            .filter(s -> s.kind() == Configuration.Kind.FETCHERS).isPresent();
+        boolean known = layouts.fresh()
+                .map(k -> k.layout().services().get(service))
+                .filter(s -> s.kind() == Configuration.Kind.FETCHERS)
+                .isPresent();
         Mono<Message> next = Mono.defer(() -> turn(service, processor, until, first, n + 1, gone));
         if (!known || stores.isEmpty()) {
             return Delays.pause(env.schedules(), least(left, AGAIN)).then(next);
         }
         String store = stores.get((n - first) % stores.size());
         Duration here = least(left, near(store) ? NEAR : TURN);
-        return courier.at(store, u -> new Commands.PullAsk(service, processor, u, here.toMillis(), hall),
-                Commands.Pulled.class, here)
-            .flatMap(p -> p.messages().isEmpty() ? Mono.<Message>empty() : Mono.just(p.messages().get(0)))
-            .onErrorResume(e -> Delays.pause(env.schedules(), least(left, AGAIN)).then(Mono.<Message>empty()))
-            .switchIfEmpty(next);
+        return courier.at(
+                        store,
+                        u -> new Commands.PullAsk(service, processor, u, here.toMillis(), hall),
+                        Commands.Pulled.class,
+                        here)
+                .flatMap(p -> p.messages().isEmpty()
+                        ? Mono.<Message>empty()
+                        : Mono.just(p.messages().get(0)))
+                .onErrorResume(
+                        e -> Delays.pause(env.schedules(), least(left, AGAIN)).then(Mono.<Message>empty()))
+                .switchIfEmpty(next);
     }
 
     private static Duration least(Duration a, Duration b) {
@@ -118,8 +136,9 @@
     }
 
     private boolean near(String store) {
-        return Optional.ofNullable(news.latest(ServiceNames.STORES).seats().get(store)).filter(s -> s.hall().equals(hall))
-            .isPresent();
+        return Optional.ofNullable(news.latest(ServiceNames.STORES).seats().get(store))
+                .filter(s -> s.hall().equals(hall))
+                .isPresent();
     }
 
     /** Those of our own hall first. */
@@ -134,8 +153,13 @@
 
     /** Fails with CONFLICT where the lease is gone. */
     public Mono<Boolean> extend(Lease l) {
-        return courier.ask(l.part(), new Commands.LeaseAsk(l.part(), l.handle(), l.attempt()), ControlMessages.Done.class, LIMIT)
-            .map(ControlMessages.Done::ok).onErrorMap(Fetches::gone);
+        return courier.ask(
+                        l.part(),
+                        new Commands.LeaseAsk(l.part(), l.handle(), l.attempt()),
+                        ControlMessages.Done.class,
+                        LIMIT)
+                .map(ControlMessages.Done::ok)
+                .onErrorMap(Fetches::gone);
     }
 
     /** Taken once and for all; the same end said again is taken again. Fails with CONFLICT where the lease is gone. */
@@ -143,10 +167,13 @@
         Instant now = env.times().wall();
         Commands.End e = new Commands.End(l.handle(), l.attempt(), ending, word, now, now);
         return courier.ask(l.part(), new Commands.LeaseEndAsk(l.part(), e), Commands.Changed.class, LIMIT)
-            .map(Commands.Changed::done).onErrorMap(Fetches::gone);
+                .map(Commands.Changed::done)
+                .onErrorMap(Fetches::gone);
     }
 
     private static Throwable gone(Throwable e) {
-        return ServiceException.of(e).kind() == ErrorKind.NOT_FOUND ? new ServiceException(ErrorKind.CONFLICT, "The lease is gone.") : e;
+        return ServiceException.of(e).kind() == ErrorKind.NOT_FOUND
+                ? new ServiceException(ErrorKind.CONFLICT, "The lease is gone.")
+                : e;
     }
 }
--- a/dataplane/src/main/java/org/woadvale/dataplane/ingress/IngressNode.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/ingress/IngressNode.java
@@ -1,5 +1,6 @@
 package org.woadvale.dataplane.ingress;
 
+import com.fasterxml.jackson.databind.util.RawValue;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -8,23 +9,19 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Supplier;
-
 import org.woadvale.common.config.Configuration;
 import org.woadvale.common.http.Answer;
 import org.woadvale.common.http.Request;
+import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.replication.Env;
+import org.woadvale.common.runtime.Delays;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
-import org.woadvale.common.runtime.Delays;
-import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.dataplane.ConfigurationView;
+import org.woadvale.dataplane.delivery.SubmitForwarder;
 import org.woadvale.dataplane.queue.Commands;
 import org.woadvale.dataplane.queue.Message;
 import org.woadvale.dataplane.queue.MessageState;
-import org.woadvale.dataplane.delivery.SubmitForwarder;
-
-import com.fasterxml.jackson.databind.util.RawValue;
-
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
@@ -33,6 +30,7 @@
     public static final int MAX_BODY = Intake.MAX_BODY;
     /** With a view of up to 2 s and the last try's own limit still within 5 s of a key's withdrawal. */
     private static final Duration LIMIT = Duration.ofSeconds(2);
+
     private static final Duration OWNER_HINTS = Duration.ofMillis(200);
     private static final Duration POLL = Duration.ofMillis(100);
 
@@ -45,8 +43,15 @@
     private final Supplier<Boolean> ready;
     private final Supplier<Boolean> drain;
 
-    public IngressNode(Env env, ConfigurationView layouts, Intake intake, Queries queries, SubmitForwarder courier, Supplier<Map<String, Object>> status,
-                   Supplier<Boolean> ready, Supplier<Boolean> drain) {
+    public IngressNode(
+            Env env,
+            ConfigurationView layouts,
+            Intake intake,
+            Queries queries,
+            SubmitForwarder courier,
+            Supplier<Map<String, Object>> status,
+            Supplier<Boolean> ready,
+            Supplier<Boolean> drain) {
         this.env = env;
         this.doors = new RouteMatcher(layouts);
         this.courier = courier;
@@ -59,12 +64,13 @@
 
     public Mono<Answer> answer(Request q) {
         return Mono.defer(() -> {
-            try {
-                return route(q);
-            } catch (ServiceException e) {
-                return Mono.error(e);
-            }
-        }).onErrorResume(e -> Mono.just(Answer.of(ServiceException.of(e))));
+                    try {
+                        return route(q);
+                    } catch (ServiceException e) {
+                        return Mono.error(e);
+                    }
+                })
+                .onErrorResume(e -> Mono.just(Answer.of(ServiceException.of(e))));
     }
 
     private Mono<Answer> route(Request q) throws ServiceException {
@@ -113,7 +119,11 @@
         b.put("handle", m.handle());
         b.put("id", m.id());
         b.put("lane", m.lane());
-        b.put("state", m.state() == MessageState.WAITING && due ? "ready" : m.state().name().toLowerCase(Locale.ROOT));
+        b.put(
+                "state",
+                m.state() == MessageState.WAITING && due
+                        ? "ready"
+                        : m.state().name().toLowerCase(Locale.ROOT));
         b.put("attempts", m.attempt());
         b.put("processor", m.processor());
         b.put(m.state() == MessageState.DONE ? "proof" : "note", m.proof());
@@ -129,44 +139,60 @@
         Configuration.Key key = doors.key(q, Configuration.Role.CALLER);
         String state = query(q, "state").orElse("failed").toUpperCase(Locale.ROOT);
         String reason = query(q, "reason").orElse("");
-        if (java.util.Arrays.stream(MessageState.values()).noneMatch(x -> x.name().equals(state))) {
+        if (java.util.Arrays.stream(MessageState.values())
+                .noneMatch(x -> x.name().equals(state))) {
             throw new ServiceException(ErrorKind.BAD_REQUEST, "state must be waiting, running, done or failed.");
         }
         return Flux.fromIterable(ServiceNames.messageParts())
-            .flatMap(p -> courier.ask(p, new Commands.ListAsk(p, key.tenant(), state, 100),
-                Commands.Listed.class, LIMIT))
-            .collectList().map(lists -> {
-                List<Map<String, Object>> rows = new ArrayList<>();
-                lists.forEach(l -> l.messages().stream().filter(m -> m.proof().startsWith(reason))
-                    .forEach(m -> rows.add(shown(m))));
-                return Answer.json(200, Map.of("messages", rows));
-            });
+                .flatMap(p ->
+                        courier.ask(p, new Commands.ListAsk(p, key.tenant(), state, 100), Commands.Listed.class, LIMIT))
+                .collectList()
+                .map(lists -> {
+                    List<Map<String, Object>> rows = new ArrayList<>();
+                    lists.forEach(l -> l.messages().stream()
+                            .filter(m -> m.proof().startsWith(reason))
+                            .forEach(m -> rows.add(shown(m))));
+                    return Answer.json(200, Map.of("messages", rows));
+                });
     }
 
     private static Optional<String> query(Request q, String name) {
-        return java.util.regex.Pattern.compile("[?&]" + name + "=([a-z]+)").matcher(q.path()).results()
-            .map(r -> r.group(1)).findFirst();
+        return java.util.regex.Pattern.compile("[?&]" + name + "=([a-z]+)")
+                .matcher(q.path())
+                .results()
+                .map(r -> r.group(1))
+                .findFirst();
     }
 
     private Mono<Answer> fetch(Request q, String service) throws ServiceException {
         processorKey(q, service);
         PullRequest in = doors.body(q, PullRequest.class);
         int first = (int) Math.floorMod(env.random().getAsLong(), (long) ServiceNames.MESSAGE_PARTS);
-        Mono<Answer> fresh = Mono.defer(() ->
-            fetch(q, service, in, env.times().mono().plus(Duration.ofMillis(in.waitMs())), first));
-        return in.again() && !in.fetch().isEmpty() ? Flux.fromIterable(ServiceNames.messageParts())
-            .concatMap(p -> fetch(p, service, in, true)).concatMapIterable(Commands.Fetched::messages).collectList()
-            .flatMap(got -> got.isEmpty() ? fresh : Mono.just(handed(got))) : fresh;
+        Mono<Answer> fresh =
+                Mono.defer(() -> fetch(q, service, in, env.times().mono().plus(Duration.ofMillis(in.waitMs())), first));
+        return in.again() && !in.fetch().isEmpty()
+                ? Flux.fromIterable(ServiceNames.messageParts())
+                        .concatMap(p -> fetch(p, service, in, true))
+                        .concatMapIterable(Commands.Fetched::messages)
+                        .collectList()
+                        .flatMap(got -> got.isEmpty() ? fresh : Mono.just(handed(got)))
+                : fresh;
     }
 
     private Mono<Commands.Fetched> fetch(String part, String service, PullRequest in, boolean again) {
-        return courier.timely(part, u -> new Commands.FetchAsk(part, service, in.processor(), in.most(), u, in.fetch(),
-            again), Commands.Fetched.class, OWNER_HINTS)
-            .onErrorResume(e -> ServiceException.of(e).kind() == ErrorKind.FORBIDDEN ? Mono.error(e) : Mono.empty());
+        return courier.timely(
+                        part,
+                        u -> new Commands.FetchAsk(part, service, in.processor(), in.most(), u, in.fetch(), again),
+                        Commands.Fetched.class,
+                        OWNER_HINTS)
+                .onErrorResume(
+                        e -> ServiceException.of(e).kind() == ErrorKind.FORBIDDEN ? Mono.error(e) : Mono.empty());
     }
 
     private static Answer handed(List<Message> messages) {
-        return Answer.json(200, Map.of("messages", messages.stream().map(IngressNode::handed).toList()));
+        return Answer.json(
+                200,
+                Map.of("messages", messages.stream().map(IngressNode::handed).toList()));
     }
 
     private void processorKey(Request q, String service) throws ServiceException {
@@ -183,19 +209,36 @@
             } catch (ServiceException e) {
                 return Mono.error(e);
             }
-            return Flux.range(0, ServiceNames.MESSAGE_PARTS).map(i -> "m" + (first + i) % ServiceNames.MESSAGE_PARTS)
-                .concatMap(p -> fetch(p, service, in, false), 1)
-                .filter(f -> !f.messages().isEmpty()).next().map(f -> handed(f.messages()))
-                .switchIfEmpty(Mono.defer(() -> env.times().mono().compareTo(until) >= 0
-                    ? Mono.just(Answer.json(200, Map.of("messages", List.of())))
-                    : Delays.pause(env.schedules(), POLL).then(fetch(q, service, in, until, first + 1))));
+            return Flux.range(0, ServiceNames.MESSAGE_PARTS)
+                    .map(i -> "m" + (first + i) % ServiceNames.MESSAGE_PARTS)
+                    .concatMap(p -> fetch(p, service, in, false), 1)
+                    .filter(f -> !f.messages().isEmpty())
+                    .next()
+                    .map(f -> handed(f.messages()))
+                    .switchIfEmpty(Mono.defer(() -> env.times().mono().compareTo(until) >= 0
+                            ? Mono.just(Answer.json(200, Map.of("messages", List.of())))
+                            : Delays.pause(env.schedules(), POLL).then(fetch(q, service, in, until, first + 1))));
         });
     }
 
     private static Map<String, Object> handed(Message m) {
-        return Map.of("messageId", m.handle(), "attempt", m.attempt(), "callerId", m.id(), "tenant", m.tenant(),
-            "lane", m.lane(), "orderingKey", m.orderKey(), "deadline", m.deadline().toString(),
-            "body", new RawValue(new String(m.body(), java.nio.charset.StandardCharsets.UTF_8)));
+        return Map.of(
+                "messageId",
+                m.handle(),
+                "attempt",
+                m.attempt(),
+                "callerId",
+                m.id(),
+                "tenant",
+                m.tenant(),
+                "lane",
+                m.lane(),
+                "orderingKey",
+                m.orderKey(),
+                "deadline",
+                m.deadline().toString(),
+                "body",
+                new RawValue(new String(m.body(), java.nio.charset.StandardCharsets.UTF_8)));
     }
 
     private Mono<Answer> outcome(Request q, String handle) throws ServiceException {
@@ -212,9 +255,17 @@
             default -> Commands.Ending.RETRY;
         };
         Commands.End end = new Commands.End(handle, in.attempt(), ending, in.receipt(), now.plusMillis(500), now);
-        return courier.ask(part, new Commands.OutcomeAsk(part, end, in.processor(), key.service()),
-            Commands.Changed.class, LIMIT)
-            .map(c -> Answer.json(200, Map.of("recorded", c.done(), "state",
-                c.message().state().name().toLowerCase(Locale.ROOT))));
+        return courier.ask(
+                        part,
+                        new Commands.OutcomeAsk(part, end, in.processor(), key.service()),
+                        Commands.Changed.class,
+                        LIMIT)
+                .map(c -> Answer.json(
+                        200,
+                        Map.of(
+                                "recorded",
+                                c.done(),
+                                "state",
+                                c.message().state().name().toLowerCase(Locale.ROOT))));
     }
 }
--- a/dataplane/src/main/java/org/woadvale/dataplane/ingress/Intake.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/ingress/Intake.java
@@ -5,25 +5,23 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
-
-import org.woadvale.common.config.Configurations;
 import org.woadvale.common.config.Configuration;
+import org.woadvale.common.config.Configurations;
 import org.woadvale.common.http.Answer;
 import org.woadvale.common.http.Request;
+import org.woadvale.common.membership.ServiceNames;
+import org.woadvale.common.ratelimit.AdmissionTokens;
+import org.woadvale.common.ratelimit.LocalBucket;
+import org.woadvale.common.ratelimit.LocalBuckets;
 import org.woadvale.common.replication.Env;
+import org.woadvale.common.runtime.Delays;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
-import org.woadvale.common.runtime.Delays;
 import org.woadvale.common.runtime.Stage;
-import org.woadvale.common.ratelimit.AdmissionTokens;
-import org.woadvale.common.ratelimit.LocalBucket;
-import org.woadvale.common.ratelimit.LocalBuckets;
-import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.dataplane.ConfigurationView;
+import org.woadvale.dataplane.delivery.SubmitForwarder;
 import org.woadvale.dataplane.queue.Commands;
 import org.woadvale.dataplane.queue.RouteTerms;
-import org.woadvale.dataplane.delivery.SubmitForwarder;
-
 import reactor.core.publisher.Mono;
 
 /** A hand-in's way: checked, then a pass, then the store; three stages with bounded queues. design 9.6 */
@@ -33,13 +31,14 @@
     private static final Duration PAUSE = Duration.ofMillis(50);
     /** Where another part may take it, no owner is waited for. */
     private static final Duration SHORT = Duration.ofMillis(100);
+
     private static final Duration HOPELESS = Duration.ofMillis(15);
     private static final int DEPTH = 1024;
     private static final int WIDTH = 256;
 
-    private record Checked(Submission offer, String tenant, String hash, boolean free) { }
+    private record Checked(Submission offer, String tenant, String hash, boolean free) {}
 
-    private record Admitted(Checked c, LocalBucket.Pass pass, String part) { }
+    private record Admitted(Checked c, LocalBucket.Pass pass, String part) {}
 
     private final Env env;
     private final RouteMatcher doors;
@@ -71,19 +70,26 @@
         doors.key(q, Configuration.Role.CALLER);
         doors.lane(lane);
         SubmitRequest in = doors.body(q, SubmitRequest.class);
-        return new Submission(q.secret().orElse(""), lane, in.id(), in.orderingKey(), in.delayMs(), Map.of(),
-            Configurations.write(in.body()), LIMIT);
+        return new Submission(
+                q.secret().orElse(""),
+                lane,
+                in.id(),
+                in.orderingKey(),
+                in.delayMs(),
+                Map.of(),
+                Configurations.write(in.body()),
+                LIMIT);
     }
 
     /** Accepted, or a fault whose kind says whether it may have been taken. design 9.6 */
     public Mono<Commands.Accepted> take(Submission o) {
         try {
-            return passing.submit(check(o)).flatMap(a -> handingOver.submit(a)
-                .doOnError(e -> {
-                    if (ServiceException.of(e).kind() == ErrorKind.QUEUE_FULL) {
-                        putBack(a);
-                    }
-                }));
+            return passing.submit(check(o))
+                    .flatMap(a -> handingOver.submit(a).doOnError(e -> {
+                        if (ServiceException.of(e).kind() == ErrorKind.QUEUE_FULL) {
+                            putBack(a);
+                        }
+                    }));
         } catch (ServiceException e) {
             return Mono.error(e);
         }
@@ -92,13 +98,22 @@
     private Checked check(Submission o) throws ServiceException {
         Optional<Configuration.Key> key = doors.callerKey(o.secret(), o.lane());
         Configuration.Lane l = doors.lane(o.lane());
-        if (l.doors().isEmpty() && l.ordering() == Configuration.Ordering.KEY && o.orderKey().isEmpty()) {
+        if (l.doors().isEmpty()
+                && l.ordering() == Configuration.Ordering.KEY
+                && o.orderKey().isEmpty()) {
             throw new ServiceException(ErrorKind.BAD_REQUEST, "The lane " + o.lane() + " needs an orderingKey.");
         }
-        if (l.doors().isEmpty() && l.ordering() == Configuration.Ordering.NONE && !o.orderKey().isEmpty()) {
-            throw new ServiceException(ErrorKind.BAD_REQUEST, "The lane " + o.lane() + " has no ordering; leave out orderingKey.");
+        if (l.doors().isEmpty()
+                && l.ordering() == Configuration.Ordering.NONE
+                && !o.orderKey().isEmpty()) {
+            throw new ServiceException(
+                    ErrorKind.BAD_REQUEST, "The lane " + o.lane() + " has no ordering; leave out orderingKey.");
         }
-        return new Checked(o, key.map(Configuration.Key::tenant).orElse(""), o.hash(), !l.doors().isEmpty());
+        return new Checked(
+                o,
+                key.map(Configuration.Key::tenant).orElse(""),
+                o.hash(),
+                !l.doors().isEmpty());
     }
 
     private Mono<Admitted> pass(Checked c) {
@@ -106,9 +121,16 @@
     }
 
     private Mono<Admitted> pass(Checked c, String part) {
-        return c.tenant().isEmpty() ? Mono.just(new Admitted(c,
-                new LocalBucket.Pass(AdmissionTokens.NO_GRANT, env.times().mono().plus(AdmissionTokens.LIFE)), part))
-            : purses.take(ServiceNames.tenantBucket(c.tenant()), c.offer().patience().dividedBy(16)).map(p -> new Admitted(c, p, part));
+        return c.tenant().isEmpty()
+                ? Mono.just(new Admitted(
+                        c,
+                        new LocalBucket.Pass(
+                                AdmissionTokens.NO_GRANT, env.times().mono().plus(AdmissionTokens.LIFE)),
+                        part))
+                : purses.take(
+                                ServiceNames.tenantBucket(c.tenant()),
+                                c.offer().patience().dividedBy(16))
+                        .map(p -> new Admitted(c, p, part));
     }
 
     /**
@@ -117,8 +139,9 @@
      */
     private String part(Checked c) {
         Submission o = c.offer();
-        return o.orderKey().isEmpty() && c.free() ? courier.anyPart(o.id())
-            : ServiceNames.messagePart(o.lane(), o.orderKey().isEmpty() ? o.id() : o.orderKey());
+        return o.orderKey().isEmpty() && c.free()
+                ? courier.anyPart(o.id())
+                : ServiceNames.messagePart(o.lane(), o.orderKey().isEmpty() ? o.id() : o.orderKey());
     }
 
     private String bucket(Admitted a) {
@@ -142,7 +165,9 @@
 
     private Configuration.Lane lookAgain(Admitted a) throws ServiceException {
         Configuration.Lane lane = doors.lane(a.c().offer().lane());
-        if (!doors.callerKey(a.c().offer().secret(), a.c().offer().lane()).map(Configuration.Key::tenant).orElse("")
+        if (!doors.callerKey(a.c().offer().secret(), a.c().offer().lane())
+                .map(Configuration.Key::tenant)
+                .orElse("")
                 .equals(a.c().tenant())) {
             throw new ServiceException(ErrorKind.UNAUTHORISED, "The key is another tenant's by now.");
         }
@@ -155,8 +180,17 @@
     private Commands.Accept accept(Checked c, Configuration.Lane lane) {
         Instant now = env.times().wall();
         Submission o = c.offer();
-        return new Commands.Accept(c.tenant(), o.lane(), o.id(), o.orderKey(), o.body(), c.hash(), RouteTerms.of(lane),
-            now.plusMillis(o.delayMs()), now, o.envelope());
+        return new Commands.Accept(
+                c.tenant(),
+                o.lane(),
+                o.id(),
+                o.orderKey(),
+                o.body(),
+                c.hash(),
+                RouteTerms.of(lane),
+                now.plusMillis(o.delayMs()),
+                now,
+                o.envelope());
     }
 
     /**
@@ -173,27 +207,31 @@
         }
         String part = a.part();
         Duration life = a.pass().until().minus(env.times().mono());
-        return courier.timely(part, u -> new Commands.AcceptAsk(part, accept, u), Commands.Accepted.class,
-                waits(a, life))
-            .doOnNext(x -> settle(a, x))
-            .onErrorResume(e -> {
-                ServiceException f = ServiceException.of(e);
-                boolean nowUnknown = unknown || !f.kind().definite();
-                if (f.kind().definite()) {
-                    putBack(a);
-                } else {
-                    purses.settle(bucket(a), a.pass());
-                }
-                Optional<String> other = nowUnknown ? Optional.empty() : elsewhere(a, f);
-                if (other.isPresent()) {
-                    return pass(a.c(), other.get()).flatMap(next -> attempt(next, until, false));
-                }
-                boolean again = (nowUnknown || f.kind() == ErrorKind.UNAVAILABLE && !a.c().free())
-                    && !purses.alive(a.pass()) && env.times().mono().compareTo(until) < 0;
-                return again ? Delays.pause(env.schedules(), PAUSE).then(pass(a.c(), a.part()))
-                    .flatMap(next -> attempt(next, until, nowUnknown)).onErrorMap(x -> settled(x, nowUnknown))
-                    : Mono.error(settled(f, nowUnknown));
-            });
+        return courier.timely(
+                        part, u -> new Commands.AcceptAsk(part, accept, u), Commands.Accepted.class, waits(a, life))
+                .doOnNext(x -> settle(a, x))
+                .onErrorResume(e -> {
+                    ServiceException f = ServiceException.of(e);
+                    boolean nowUnknown = unknown || !f.kind().definite();
+                    if (f.kind().definite()) {
+                        putBack(a);
+                    } else {
+                        purses.settle(bucket(a), a.pass());
+                    }
+                    Optional<String> other = nowUnknown ? Optional.empty() : elsewhere(a, f);
+                    if (other.isPresent()) {
+                        return pass(a.c(), other.get()).flatMap(next -> attempt(next, until, false));
+                    }
+                    boolean again = (nowUnknown || f.kind() == ErrorKind.UNAVAILABLE && !a.c().free())
+                            && !purses.alive(a.pass())
+                            && env.times().mono().compareTo(until) < 0;
+                    return again
+                            ? Delays.pause(env.schedules(), PAUSE)
+                                    .then(pass(a.c(), a.part()))
+                                    .flatMap(next -> attempt(next, until, nowUnknown))
+                                    .onErrorMap(x -> settled(x, nowUnknown))
+                            : Mono.error(settled(f, nowUnknown));
+                });
     }
 
     /** A part that may change hands in order is waited for shortly; one that is in trouble is not. design 9.13 */
@@ -203,15 +241,18 @@
 
     /** It was certainly not taken there, so another part may take it. */
     private Optional<String> elsewhere(Admitted a, ServiceException f) {
-        return Optional.of(a).filter(x -> x.c().free() && x.c().offer().orderKey().isEmpty()
-                && f.kind() == ErrorKind.UNAVAILABLE).map(x -> courier.anyPart(x.c().offer().id()))
-            .filter(p -> !p.equals(a.part()));
+        return Optional.of(a)
+                .filter(x -> x.c().free() && x.c().offer().orderKey().isEmpty() && f.kind() == ErrorKind.UNAVAILABLE)
+                .map(x -> courier.anyPart(x.c().offer().id()))
+                .filter(p -> !p.equals(a.part()));
     }
 
     /** A definite refusal now says nothing of an earlier unknown try. */
     private static Throwable settled(Throwable e, boolean unknown) {
         return unknown && ServiceException.of(e).kind().definite()
-            ? new ServiceException(ErrorKind.UNKNOWN_OUTCOME, "It is not known whether this was taken; ask with the same id.") : e;
+                ? new ServiceException(
+                        ErrorKind.UNKNOWN_OUTCOME, "It is not known whether this was taken; ask with the same id.")
+                : e;
     }
 
     /** A repeated hand-in was accepted before and has paid then. */
--- a/dataplane/src/main/java/org/woadvale/dataplane/ingress/Queries.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/ingress/Queries.java
@@ -1,16 +1,14 @@
 package org.woadvale.dataplane.ingress;
 
 import java.time.Duration;
-
 import org.woadvale.common.config.Configuration;
+import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
-import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.dataplane.ConfigurationView;
+import org.woadvale.dataplane.delivery.SubmitForwarder;
 import org.woadvale.dataplane.queue.Commands;
 import org.woadvale.dataplane.queue.Message;
-import org.woadvale.dataplane.delivery.SubmitForwarder;
-
 import reactor.core.publisher.Mono;
 
 /** What became of a message, found by its handle alone from any intake. design 9.6 */
@@ -37,8 +35,11 @@
     public Mono<Message> message(String secret, String handle) {
         return Mono.defer(() -> {
             try {
-                Configuration.Key key = layouts.require().key(secret).filter(k -> k.role() == Configuration.Role.CALLER)
-                    .orElseThrow(() -> new ServiceException(ErrorKind.UNAUTHORISED, "The key is missing, wrong or withdrawn."));
+                Configuration.Key key = layouts.require()
+                        .key(secret)
+                        .filter(k -> k.role() == Configuration.Role.CALLER)
+                        .orElseThrow(() -> new ServiceException(
+                                ErrorKind.UNAUTHORISED, "The key is missing, wrong or withdrawn."));
                 String part = partOf(handle);
                 return courier.ask(part, new Commands.StatusAsk(part, handle, key.tenant()), Message.class, LIMIT);
             } catch (ServiceException e) {
--- a/dataplane/src/main/java/org/woadvale/dataplane/ingress/RouteMatcher.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/ingress/RouteMatcher.java
@@ -3,9 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-
-import org.woadvale.common.config.Configurations;
 import org.woadvale.common.config.Configuration;
+import org.woadvale.common.config.Configurations;
 import org.woadvale.common.http.Request;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
@@ -26,8 +25,9 @@
             throw new ServiceException(ErrorKind.UNAUTHORISED, "The key is missing, wrong or withdrawn.");
         }
         if (key.get().role() != role) {
-            throw new ServiceException(ErrorKind.FORBIDDEN, "This key is not for " + role.name().toLowerCase(java.util.Locale.ROOT)
-                + "s.");
+            throw new ServiceException(
+                    ErrorKind.FORBIDDEN,
+                    "This key is not for " + role.name().toLowerCase(java.util.Locale.ROOT) + "s.");
         }
         return key.get();
     }
@@ -44,7 +44,7 @@
 
     Configuration.Lane lane(String name) throws ServiceException {
         return Optional.ofNullable(layouts.require().layout().lanes().get(name))
-            .orElseThrow(() -> new ServiceException(ErrorKind.UNKNOWN_LANE, "There is no lane " + name + "."));
+                .orElseThrow(() -> new ServiceException(ErrorKind.UNKNOWN_LANE, "There is no lane " + name + "."));
     }
 
     <T> T body(Request q, Class<T> type) throws ServiceException {
--- a/dataplane/src/main/java/org/woadvale/dataplane/ingress/SubmitRequest.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/ingress/SubmitRequest.java
@@ -1,7 +1,6 @@
 package org.woadvale.dataplane.ingress;
 
 import com.fasterxml.jackson.databind.JsonNode;
-
 import jakarta.validation.constraints.Max;
 import jakarta.validation.constraints.Min;
 import jakarta.validation.constraints.NotNull;
@@ -9,10 +8,13 @@
 import jakarta.validation.constraints.Size;
 
 /** What a caller hands in. */
-public record SubmitRequest(@NotNull @Pattern(regexp = "[A-Za-z0-9][A-Za-z0-9._:-]{0,127}") String id,
-                     @Size(max = 128) String orderingKey,
-                     @Min(0) @Max(86400000) long delayMs,
-                     @NotNull JsonNode body) {
+public record SubmitRequest(
+        @NotNull @Pattern(regexp = "[A-Za-z0-9][A-Za-z0-9._:-]{0,127}")
+        String id,
+
+        @Size(max = 128) String orderingKey,
+        @Min(0) @Max(86400000) long delayMs,
+        @NotNull JsonNode body) {
     public SubmitRequest {
         orderingKey = orderingKey == null ? "" : orderingKey;
     }
--- a/dataplane/src/main/java/org/woadvale/dataplane/queue/Message.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/queue/Message.java
@@ -2,45 +2,114 @@
 
 import java.time.Instant;
 import java.util.Map;
-
 import org.woadvale.common.rpc.Since;
 
 /**
  * One message as its part knows it. Done ones keep no body. The envelope is opaque here: whoever hands in and whoever
  * delivers agree on it. Ends: a bit for each attempt whose end was taken, up to the 62nd.
  */
-public record Message(String handle, String tenant, String lane, String id, String orderKey, byte[] body, String hash,
-                      RouteTerms terms, long seq, Instant accepted, Instant from, Instant due, MessageState state, int attempt, int tries,
-                      String processor, Instant deadline, String proof, Instant ended, @Since(2) String where,
-                      @Since(3) Map<String, String> envelope, @Since(3) long ends) {
+public record Message(
+        String handle,
+        String tenant,
+        String lane,
+        String id,
+        String orderKey,
+        byte[] body,
+        String hash,
+        RouteTerms terms,
+        long seq,
+        Instant accepted,
+        Instant from,
+        Instant due,
+        MessageState state,
+        int attempt,
+        int tries,
+        String processor,
+        Instant deadline,
+        String proof,
+        Instant ended,
+        @Since(2) String where,
+        @Since(3) Map<String, String> envelope,
+        @Since(3) long ends) {
 
     public static final String NO_PROCESSOR = "";
     /** Every reason of an end that nobody could prove starts like this. */
     public static final String UNCLEAR = "unclear: ";
     /** An attempt that is held by a lease has this for where it went. design 9.10 */
     public static final String LEASED = "lease:";
+
     private static final int MOST_ENDS = 62;
 
     static Message accepted(String handle, long seq, Commands.Accept a) {
-        return new Message(handle, a.tenant(), a.lane(), a.id(), a.orderKey(), a.body(), a.hash(), a.terms(), seq, a.at(),
-            a.due(), a.due(), MessageState.WAITING, 0, 0, NO_PROCESSOR, Instant.MAX, "", Instant.MAX, "", a.envelope(), 0);
+        return new Message(
+                handle,
+                a.tenant(),
+                a.lane(),
+                a.id(),
+                a.orderKey(),
+                a.body(),
+                a.hash(),
+                a.terms(),
+                seq,
+                a.at(),
+                a.due(),
+                a.due(),
+                MessageState.WAITING,
+                0,
+                0,
+                NO_PROCESSOR,
+                Instant.MAX,
+                "",
+                Instant.MAX,
+                "",
+                a.envelope(),
+                0);
     }
 
     /** The one function for every change of state. */
-    Message to(MessageState next, int newAttempt, int newTries, String newProcessor, Instant newDeadline,
-               Instant newDue, String newProof, Instant at, String newWhere) {
+    Message to(
+            MessageState next,
+            int newAttempt,
+            int newTries,
+            String newProcessor,
+            Instant newDeadline,
+            Instant newDue,
+            String newProof,
+            Instant at,
+            String newWhere) {
         if (!state.next().contains(next)) {
             throw new IllegalStateException(handle + ": " + state + " to " + next);
         }
-        return new Message(handle, tenant, lane, id, orderKey, next == MessageState.DONE ? new byte[0] : body, hash, terms,
-            seq, accepted, from, newDue, next, newAttempt, newTries, newProcessor, newDeadline, newProof,
-            next.ended() ? at : Instant.MAX, newWhere, next == MessageState.DONE ? Map.of() : envelope, ends);
+        return new Message(
+                handle,
+                tenant,
+                lane,
+                id,
+                orderKey,
+                next == MessageState.DONE ? new byte[0] : body,
+                hash,
+                terms,
+                seq,
+                accepted,
+                from,
+                newDue,
+                next,
+                newAttempt,
+                newTries,
+                newProcessor,
+                newDeadline,
+                newProof,
+                next.ended() ? at : Instant.MAX,
+                newWhere,
+                next == MessageState.DONE ? Map.of() : envelope,
+                ends);
     }
 
     Message endTaken(int of) {
         long bits = of < 1 || of > MOST_ENDS ? ends : ends | 1L << of;
-        return new Message(handle, tenant, lane, id, orderKey, body, hash, terms, seq, accepted, from, due, state, attempt,
-            tries, processor, deadline, proof, ended, where, envelope, bits);
+        return new Message(
+                handle, tenant, lane, id, orderKey, body, hash, terms, seq, accepted, from, due, state, attempt, tries,
+                processor, deadline, proof, ended, where, envelope, bits);
     }
 
     /** Whether a processor's word on the attempt was taken as its end. */
--- a/dataplane/src/main/java/org/woadvale/dataplane/queue/MessageStateMachine.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/queue/MessageStateMachine.java
@@ -9,9 +9,8 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.TreeSet;
-
-import org.woadvale.common.rpc.Codec;
 import org.woadvale.common.replication.StateMachine;
+import org.woadvale.common.rpc.Codec;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
 
@@ -27,8 +26,10 @@
     private final Map<String, TreeMap<Long, String>> order = new HashMap<>();
     private final ReadyQueue startable = new ReadyQueue();
     private final Map<String, Message> running = new TreeMap<>();
-    private final TreeSet<Message> ended = new TreeSet<>(Comparator.comparing(Message::ended).thenComparing(Message::seq));
-    private final TreeSet<Message> unclear = new TreeSet<>(Comparator.comparing(Message::ended).thenComparing(Message::seq));
+    private final TreeSet<Message> ended =
+            new TreeSet<>(Comparator.comparing(Message::ended).thenComparing(Message::seq));
+    private final TreeSet<Message> unclear =
+            new TreeSet<>(Comparator.comparing(Message::ended).thenComparing(Message::seq));
     private long seq;
     private long liveBytes;
     private long keptBytes;
@@ -64,8 +65,11 @@
     }
 
     public List<Message> list(String tenant, MessageState state, int most) {
-        return messages.values().stream().filter(m -> m.tenant().equals(tenant) && m.state() == state)
-            .sorted(Comparator.comparing(Message::seq).reversed()).limit(most).toList();
+        return messages.values().stream()
+                .filter(m -> m.tenant().equals(tenant) && m.state() == state)
+                .sorted(Comparator.comparing(Message::seq).reversed())
+                .limit(most)
+                .toList();
     }
 
     /** When ended messages before a time are to be forgotten: is there any? */
@@ -88,7 +92,8 @@
         } else if (c instanceof Commands.Forget f) {
             return forget(f);
         }
-        return new ServiceException(ErrorKind.BAD_REQUEST, "Unknown command " + c.getClass().getSimpleName() + ".");
+        return new ServiceException(
+                ErrorKind.BAD_REQUEST, "Unknown command " + c.getClass().getSimpleName() + ".");
     }
 
     private Object accept(Commands.Accept a) {
@@ -99,7 +104,8 @@
         if (known.isPresent()) {
             Message k = known.get();
             if (!k.hash().equals(a.hash())) {
-                return new ServiceException(ErrorKind.CONFLICT, "The message id was used for other content.", List.of(k.handle()));
+                return new ServiceException(
+                        ErrorKind.CONFLICT, "The message id was used for other content.", List.of(k.handle()));
             }
             return new Commands.Accepted(k.handle(), k.state().name(), true);
         }
@@ -115,10 +121,20 @@
     private Object start(Commands.Start s) {
         Message m = messages.get(s.handle());
         if (m == null || m.state() != MessageState.WAITING || s.attempt() != m.attempt() + 1 || !first(m)) {
-            return m == null ? new ServiceException(ErrorKind.NOT_FOUND, "No such message.") : new Commands.Changed(false, m);
+            return m == null
+                    ? new ServiceException(ErrorKind.NOT_FOUND, "No such message.")
+                    : new Commands.Changed(false, m);
         }
-        Message next = m.to(MessageState.RUNNING, s.attempt(), m.tries() + 1, s.processor(), s.deadline(), m.due(), "",
-            s.at(), s.where());
+        Message next = m.to(
+                MessageState.RUNNING,
+                s.attempt(),
+                m.tries() + 1,
+                s.processor(),
+                s.deadline(),
+                m.due(),
+                "",
+                s.at(),
+                s.where());
         put(Optional.of(m), next);
         return new Commands.Changed(true, next);
     }
@@ -134,8 +150,10 @@
         }
         boolean present = m.state() == MessageState.RUNNING && m.attempt() == e.attempt();
         // of two leases only the later may end a message: design 9.10
-        boolean lateSuccess = e.ending() == Commands.Ending.DONE && !m.state().ended() && e.attempt() <= m.attempt()
-            && (e.attempt() == m.attempt() || !m.leased());
+        boolean lateSuccess = e.ending() == Commands.Ending.DONE
+                && !m.state().ended()
+                && e.attempt() <= m.attempt()
+                && (e.attempt() == m.attempt() || !m.leased());
         boolean overdue = e.attempt() == 0 && m.state() == MessageState.WAITING && e.ending() == Commands.Ending.FAILED;
         if (!present && !lateSuccess && !overdue) {
             return new Commands.Changed(false, m);
@@ -147,8 +165,16 @@
             case FAILED -> MessageState.FAILED;
             default -> MessageState.WAITING;
         };
-        Message next = m.to(to, m.attempt(), tries, m.processor(), Instant.MAX,
-            to == MessageState.WAITING ? e.due() : m.due(), e.proof(), e.at(), m.where());
+        Message next = m.to(
+                to,
+                m.attempt(),
+                tries,
+                m.processor(),
+                Instant.MAX,
+                to == MessageState.WAITING ? e.due() : m.due(),
+                e.proof(),
+                e.at(),
+                m.where());
         Message noted = e.ending() == Commands.Ending.LAPSED ? next : next.endTaken(e.attempt());
         put(Optional.of(m), noted);
         return new Commands.Changed(true, noted);
@@ -232,8 +258,10 @@
             keptBytes = 0;
             List<Message> all = new ArrayList<>(s.messages().values());
             all.sort(Comparator.comparing(Message::seq));
-            all.stream().filter(m -> m.ordered() && !m.state().ended())
-                .forEach(m -> order.computeIfAbsent(m.orderGroup(), g -> new TreeMap<>()).put(m.seq(), m.handle()));
+            all.stream()
+                    .filter(m -> m.ordered() && !m.state().ended())
+                    .forEach(m -> order.computeIfAbsent(m.orderGroup(), g -> new TreeMap<>())
+                            .put(m.seq(), m.handle()));
             all.forEach(m -> {
                 byId.put(m.idGroup(), m.handle());
                 if (m.state().ended()) {
--- a/dataplane/src/main/java/org/woadvale/dataplane/queue/ReadyQueue.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/queue/ReadyQueue.java
@@ -12,12 +12,14 @@
 
 /** Waiting messages that are first of their key: by lane, then tenant, then due time. design 9.4 */
 public final class ReadyQueue {
-    private static final Comparator<Message> BY_DUE = Comparator.comparing(Message::due).thenComparing(Message::seq);
+    private static final Comparator<Message> BY_DUE =
+            Comparator.comparing(Message::due).thenComparing(Message::seq);
     private final Map<String, Map<String, TreeSet<Message>>> lanes = new TreeMap<>();
 
     void add(Message m) {
         lanes.computeIfAbsent(m.lane(), l -> new TreeMap<>())
-            .computeIfAbsent(m.tenant(), t -> new TreeSet<>(BY_DUE)).add(m);
+                .computeIfAbsent(m.tenant(), t -> new TreeSet<>(BY_DUE))
+                .add(m);
     }
 
     void remove(Message m) {
@@ -45,8 +47,12 @@
         List<List<Message>> lines = new ArrayList<>();
         Map<String, TreeSet<Message>> tenants = lanes.getOrDefault(lane, Map.of());
         int each = Math.max(1, most / Math.max(1, tenants.size()));
-        tenants.values().forEach(line -> lines.add(line.stream().takeWhile(m -> !m.due().isAfter(now)).filter(wanted)
-            .limit(each).toList()));
+        tenants.values()
+                .forEach(line -> lines.add(line.stream()
+                        .takeWhile(m -> !m.due().isAfter(now))
+                        .filter(wanted)
+                        .limit(each)
+                        .toList()));
         // the first place goes round, for when there is room for one only
         Collections.rotate(lines, turn);
         List<Message> out = new ArrayList<>();
--- a/dataplane/src/main/java/org/woadvale/dataplane/queue/RouteTerms.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/queue/RouteTerms.java
@@ -1,17 +1,27 @@
 package org.woadvale.dataplane.queue;
 
-import org.woadvale.common.rpc.Since;
 import org.woadvale.common.config.Configuration;
+import org.woadvale.common.rpc.Since;
 
 /** The lane as it stood at acceptance; rules only once the layout no longer has the lane. design 9.5 */
-public record RouteTerms(String service, long timeLimitMs, int attempts, long attemptMs, @Since(2) boolean rerun,
-                        @Since(3) boolean resend) {
+public record RouteTerms(
+        String service,
+        long timeLimitMs,
+        int attempts,
+        long attemptMs,
+        @Since(2) boolean rerun,
+        @Since(3) boolean resend) {
     public RouteTerms(String service, long timeLimitMs, int attempts, long attemptMs, boolean rerun) {
         this(service, timeLimitMs, attempts, attemptMs, rerun, false);
     }
 
     public static RouteTerms of(Configuration.Lane l) {
-        return new RouteTerms(l.service(), l.timeLimitMs(), l.attempts(), l.attemptMs(),
-            l.ifUnclear() == Configuration.IfUnclear.RERUN, l.ifUnclear() == Configuration.IfUnclear.RESEND);
+        return new RouteTerms(
+                l.service(),
+                l.timeLimitMs(),
+                l.attempts(),
+                l.attemptMs(),
+                l.ifUnclear() == Configuration.IfUnclear.RERUN,
+                l.ifUnclear() == Configuration.IfUnclear.RESEND);
     }
 }
--- a/operator/src/main/java/org/woadvale/operator/Commands.java
+++ b/operator/src/main/java/org/woadvale/operator/Commands.java
@@ -1,5 +1,8 @@
 package org.woadvale.operator;
 
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.restrictions.Required;
 import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -15,17 +18,12 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
-
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
 
-import com.github.rvesse.airline.annotations.Arguments;
-import com.github.rvesse.airline.annotations.Option;
-import com.github.rvesse.airline.annotations.restrictions.Required;
-
 /** list, check and run. */
 final class Commands {
-    private Commands() { }
+    private Commands() {}
 
     interface Command {
         int go(Consumer<String> out) throws ServiceException;
@@ -51,7 +49,8 @@
 
         @Override
         public int go(Consumer<String> out) throws ServiceException {
-            out.accept(Runbooks.load(book).name() + ": " + Runbooks.load(book).steps().size() + " steps, valid.");
+            out.accept(Runbooks.load(book).name() + ": "
+                    + Runbooks.load(book).steps().size() + " steps, valid.");
             return 0;
         }
     }
@@ -85,8 +84,11 @@
                 try {
                     List<String> lines = new ArrayList<>(List.of("# " + Instant.now() + " " + book));
                     lines.addAll(r.record());
-                    Files.write(Path.of(record), lines, java.nio.file.StandardOpenOption.CREATE,
-                        java.nio.file.StandardOpenOption.APPEND);
+                    Files.write(
+                            Path.of(record),
+                            lines,
+                            java.nio.file.StandardOpenOption.CREATE,
+                            java.nio.file.StandardOpenOption.APPEND);
                 } catch (IOException e) {
                     throw new ServiceException(ErrorKind.UNAVAILABLE, "The record was not written: " + e.getMessage());
                 }
@@ -114,12 +116,14 @@
 
     /** The real wire. */
     private static final class Http {
-        private final HttpClient client = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(2)).build();
+        private final HttpClient client =
+                HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(2)).build();
 
         Wire.Got send(String method, String url, Map<String, String> headers, byte[] body) throws IOException {
             try {
-                HttpRequest.Builder b = HttpRequest.newBuilder(URI.create(url)).timeout(Duration.ofSeconds(8))
-                    .method(method, HttpRequest.BodyPublishers.ofByteArray(body));
+                HttpRequest.Builder b = HttpRequest.newBuilder(URI.create(url))
+                        .timeout(Duration.ofSeconds(8))
+                        .method(method, HttpRequest.BodyPublishers.ofByteArray(body));
                 headers.forEach(b::header);
                 HttpResponse<byte[]> r = client.send(b.build(), HttpResponse.BodyHandlers.ofByteArray());
                 Map<String, String> h = new HashMap<>();
@@ -138,7 +142,8 @@
         @Override
         public boolean done(String what) {
             out.accept("BY HAND: " + what + (yes ? "" : "  [press Enter when done, n to stop]"));
-            return yes || !"n".equals(new java.util.Scanner(System.in).nextLine().trim());
+            return yes
+                    || !"n".equals(new java.util.Scanner(System.in).nextLine().trim());
         }
 
         @Override
--- a/operator/src/main/java/org/woadvale/operator/OperatorProgram.java
+++ b/operator/src/main/java/org/woadvale/operator/OperatorProgram.java
@@ -3,14 +3,16 @@
 import com.github.rvesse.airline.annotations.Cli;
 import com.github.rvesse.airline.help.Help;
 import com.github.rvesse.airline.parser.errors.ParseException;
-
 import org.woadvale.common.runtime.ServiceException;
 
 /** The operator's tool: runbooks that can be executed. It starts no process. */
-@Cli(name = "tender", description = "Lists, checks and runs runbooks", defaultCommand = Help.class,
-    commands = {Commands.ListBooks.class, Commands.Check.class, Commands.Run.class, Help.class})
+@Cli(
+        name = "tender",
+        description = "Lists, checks and runs runbooks",
+        defaultCommand = Help.class,
+        commands = {Commands.ListBooks.class, Commands.Check.class, Commands.Run.class, Help.class})
 public final class OperatorProgram {
-    private OperatorProgram() { }
+    private OperatorProgram() {}
 
     public static void main(String[] args) {
         System.exit(main(args, System.out::println));
--- a/operator/src/main/java/org/woadvale/operator/Runbook.java
+++ b/operator/src/main/java/org/woadvale/operator/Runbook.java
@@ -1,19 +1,20 @@
 package org.woadvale.operator;
 
-import java.util.List;
-import java.util.Map;
-
 import jakarta.validation.Valid;
 import jakarta.validation.constraints.Max;
 import jakarta.validation.constraints.Min;
 import jakarta.validation.constraints.NotEmpty;
 import jakarta.validation.constraints.NotNull;
 import jakarta.validation.constraints.Pattern;
+import java.util.List;
+import java.util.Map;
 
 /** A runbook as it stands in its file: design 11.1. */
-public record Runbook(@NotNull @Pattern(regexp = "[a-z0-9-]{1,64}") String name, @NotNull String purpose,
-                      Map<@Pattern(regexp = Runbook.WORD) String, @NotNull String> needs,
-                      @NotEmpty List<@NotNull @Valid Step> steps) {
+public record Runbook(
+        @NotNull @Pattern(regexp = "[a-z0-9-]{1,64}") String name,
+        @NotNull String purpose,
+        Map<@Pattern(regexp = Runbook.WORD) String, @NotNull String> needs,
+        @NotEmpty List<@NotNull @Valid Step> steps) {
     static final String WORD = "[a-zA-Z][a-zA-Z0-9]{0,31}";
 
     public Runbook {
@@ -22,7 +23,13 @@
     }
 
     /** REQUIRE: must hold now. ASK: an action. WAIT: until it holds. REMOVE: edits a kept document. PERSON: by hand. */
-    public enum Kind { REQUIRE, ASK, WAIT, REMOVE, PERSON }
+    public enum Kind {
+        REQUIRE,
+        ASK,
+        WAIT,
+        REMOVE,
+        PERSON
+    }
 
     /** What an answer must show; an empty pointer looks at the status only. */
     public record Expect(@Min(0) @Max(599) int status, String pointer, String equals) {
@@ -33,10 +40,19 @@
         }
     }
 
-    public record Step(@NotNull String title, @NotNull Kind kind, @Pattern(regexp = "(GET|PUT|POST|DELETE)?") String method,
-                       String url, Map<String, String> headers, String body, @Valid Expect expect,
-                       Map<@Pattern(regexp = Runbook.WORD) String, String> keep, @Min(0) @Max(3600000) long withinMs,
-                       String each, String from, String pointer) {
+    public record Step(
+            @NotNull String title,
+            @NotNull Kind kind,
+            @Pattern(regexp = "(GET|PUT|POST|DELETE)?") String method,
+            String url,
+            Map<String, String> headers,
+            String body,
+            @Valid Expect expect,
+            Map<@Pattern(regexp = Runbook.WORD) String, String> keep,
+            @Min(0) @Max(3600000) long withinMs,
+            String each,
+            String from,
+            String pointer) {
         private static final long USUAL_MS = 30000;
 
         public Step {
--- a/operator/src/main/java/org/woadvale/operator/Runbooks.java
+++ b/operator/src/main/java/org/woadvale/operator/Runbooks.java
@@ -9,17 +9,22 @@
 import java.util.List;
 import java.util.Set;
 import java.util.regex.Matcher;
-
 import org.woadvale.common.config.Configurations;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
 
 /** Finds and checks runbooks: the shipped ones by name, others by file. */
 final class Runbooks {
-    static final List<String> SHIPPED = List.of("put-layout", "withdraw-key", "rolling-restart", "replace-store",
-        "replace-lighthouse", "drain-processor", "check-after-outage");
+    static final List<String> SHIPPED = List.of(
+            "put-layout",
+            "withdraw-key",
+            "rolling-restart",
+            "replace-store",
+            "replace-lighthouse",
+            "drain-processor",
+            "check-after-outage");
 
-    private Runbooks() { }
+    private Runbooks() {}
 
     static Runbook load(String nameOrFile) throws ServiceException {
         Runbook b = Configurations.read(bytes(nameOrFile), Runbook.class, ErrorKind.BAD_REQUEST);
@@ -28,7 +33,8 @@
             faults.addAll(crossFaults(b));
         }
         if (!faults.isEmpty()) {
-            throw new ServiceException(ErrorKind.BAD_REQUEST, "The runbook " + nameOrFile + " has " + faults.size() + " faults.", faults);
+            throw new ServiceException(
+                    ErrorKind.BAD_REQUEST, "The runbook " + nameOrFile + " has " + faults.size() + " faults.", faults);
         }
         return b;
     }
@@ -60,11 +66,18 @@
             if (s.asks() && s.url().isEmpty()) {
                 out.add(at + ".url: missing");
             }
-            if (s.kind() == Runbook.Kind.REMOVE && (s.from().isEmpty() || s.pointer().isEmpty())) {
+            if (s.kind() == Runbook.Kind.REMOVE
+                    && (s.from().isEmpty() || s.pointer().isEmpty())) {
                 out.add(at + ": REMOVE needs from and pointer");
             }
-            Matcher m = Values.USE.matcher(s.url() + s.body() + s.headers().values() + s.expect().equals() + s.pointer()
-                + s.title() + (s.each().isEmpty() ? "" : "${" + s.each() + "}") + (s.from().isEmpty() ? "" : "${" + s.from() + "}"));
+            Matcher m = Values.USE.matcher(s.url()
+                    + s.body()
+                    + s.headers().values()
+                    + s.expect().equals()
+                    + s.pointer()
+                    + s.title()
+                    + (s.each().isEmpty() ? "" : "${" + s.each() + "}")
+                    + (s.from().isEmpty() ? "" : "${" + s.from() + "}"));
             while (m.find()) {
                 if (!here.contains(m.group(1))) {
                     out.add(at + ": ${" + m.group(1) + "} is neither needed nor kept before");
--- a/operator/src/main/java/org/woadvale/operator/Runner.java
+++ b/operator/src/main/java/org/woadvale/operator/Runner.java
@@ -1,5 +1,9 @@
 package org.woadvale.operator;
 
+import com.fasterxml.jackson.core.JsonPointer;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -7,16 +11,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-
 import org.woadvale.common.config.Configurations;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
 
-import com.fasterxml.jackson.core.JsonPointer;
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.MissingNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
-
 /** Runs a checked runbook step by step and stops at the first that fails: design 11.1. */
 final class Runner {
     private static final Duration AGAIN = Duration.ofMillis(300);
@@ -44,16 +42,21 @@
 
     /** True when every step succeeded. */
     boolean run(Runbook b, Map<String, String> given) {
-        List<String> missing = b.needs().keySet().stream().filter(n -> !given.containsKey(n)).sorted().toList();
+        List<String> missing = b.needs().keySet().stream()
+                .filter(n -> !given.containsKey(n))
+                .sorted()
+                .toList();
         if (!missing.isEmpty()) {
             note("STOP: missing values " + missing + ".");
             return false;
         }
         Values v = new Values(given);
-        for (int i = 0; i < b.steps().size();) {
+        for (int i = 0; i < b.steps().size(); ) {
             Runbook.Step s = b.steps().get(i);
             int end = i + 1;
-            while (!s.each().isEmpty() && end < b.steps().size() && b.steps().get(end).each().equals(s.each())) {
+            while (!s.each().isEmpty()
+                    && end < b.steps().size()
+                    && b.steps().get(end).each().equals(s.each())) {
                 end++;
             }
             if (!turns(b.steps().subList(i, end), s.each(), v)) {
@@ -112,17 +115,24 @@
         try {
             g = wire.send(s.method(), v.fill(s.url()), headers, v.fill(s.body()).getBytes(StandardCharsets.UTF_8));
         } catch (IOException e) {
-            throw new ServiceException(ErrorKind.UNREACHABLE, "no answer from " + v.fill(s.url()) + " (" + e.getMessage() + ")");
+            throw new ServiceException(
+                    ErrorKind.UNREACHABLE, "no answer from " + v.fill(s.url()) + " (" + e.getMessage() + ")");
         }
-        String found = s.expect().pointer().isEmpty() ? "" : json(g.body()).at(v.fill(s.expect().pointer())).asText("");
+        String found = s.expect().pointer().isEmpty()
+                ? ""
+                : json(g.body()).at(v.fill(s.expect().pointer())).asText("");
         if (g.status() != s.expect().status()) {
             boolean later = g.status() == 429 || g.status() >= 500;
-            throw new ServiceException(later ? ErrorKind.UNAVAILABLE : ErrorKind.CONFLICT, "answer " + g.status() + ", expected " + s.expect().status() + ": "
-                + new String(g.body(), StandardCharsets.UTF_8));
+            throw new ServiceException(
+                    later ? ErrorKind.UNAVAILABLE : ErrorKind.CONFLICT,
+                    "answer " + g.status() + ", expected " + s.expect().status() + ": "
+                            + new String(g.body(), StandardCharsets.UTF_8));
         }
         if (!s.expect().pointer().isEmpty() && !found.equals(v.fill(s.expect().equals()))) {
-            throw new ServiceException(ErrorKind.CONFLICT, v.fill(s.expect().pointer()) + " is \"" + found + "\", expected \""
-                + v.fill(s.expect().equals()) + "\"");
+            throw new ServiceException(
+                    ErrorKind.CONFLICT,
+                    v.fill(s.expect().pointer()) + " is \"" + found + "\", expected \""
+                            + v.fill(s.expect().equals()) + "\"");
         }
         return g;
     }
@@ -147,9 +157,15 @@
 
     /** A pointer keeps that field, "header:NAME" a header, "body" the whole answer. */
     private static void keep(Runbook.Step s, Wire.Got g, Values v) {
-        s.keep().forEach((name, where) -> v.put(name, where.equals("body") ? new String(g.body(), StandardCharsets.UTF_8)
-            : where.startsWith("header:") ? g.headers().getOrDefault(where.substring(7).toLowerCase(java.util.Locale.ROOT), "")
-            : json(g.body()).at(where).asText("")));
+        s.keep()
+                .forEach((name, where) -> v.put(
+                        name,
+                        where.equals("body")
+                                ? new String(g.body(), StandardCharsets.UTF_8)
+                                : where.startsWith("header:")
+                                        ? g.headers()
+                                                .getOrDefault(where.substring(7).toLowerCase(java.util.Locale.ROOT), "")
+                                        : json(g.body()).at(where).asText("")));
     }
 
     private static void remove(Runbook.Step s, Values v) throws ServiceException {
