--- a/operator/src/test/java/org/woadvale/operator/OperatorProgramTest.java
+++ b/operator/src/test/java/org/woadvale/operator/OperatorProgramTest.java
@@ -14,7 +14,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -32,8 +31,8 @@
         Duration now = Duration.ZERO;
 
         Script on(String what, int status, String body) {
-            answers.computeIfAbsent(what, k -> new ArrayList<>()).add(
-                new Got(status, Map.of("etag", "\"4\""), body.getBytes(StandardCharsets.UTF_8)));
+            answers.computeIfAbsent(what, k -> new ArrayList<>())
+                    .add(new Got(status, Map.of("etag", "\"4\""), body.getBytes(StandardCharsets.UTF_8)));
             return this;
         }
 
@@ -74,13 +73,21 @@
         }
     }
 
-    private static final Map<String, String> KEY = Map.of("lighthouse", "http://l", "intake", "http://i", "key", "old",
-        "request", "r1");
+    private static final Map<String, String> KEY =
+            Map.of("lighthouse", "http://l", "intake", "http://i", "key", "old", "request", "r1");
     private static final String LAYOUT = "{\"keys\":{\"old\":{},\"new\":{}},\"lanes\":{}}";
 
     @ParameterizedTest
-    @ValueSource(strings = {"put-layout", "withdraw-key", "rolling-restart", "replace-store", "replace-lighthouse",
-        "drain-processor", "check-after-outage"})
+    @ValueSource(
+            strings = {
+                "put-layout",
+                "withdraw-key",
+                "rolling-restart",
+                "replace-store",
+                "replace-lighthouse",
+                "drain-processor",
+                "check-after-outage"
+            })
     void everyShippedRunbookIsValidAndAsksForWhatItNeeds(String name) throws ServiceException {
         assertEquals(name, Runbooks.load(name).name());
         Script s = new Script();
@@ -91,8 +98,11 @@
 
     @Test
     void withdrawnKeyLeavesTheRestAsItWas() throws ServiceException {
-        Script s = new Script().on("GET http://l/v1/layout", 200, LAYOUT).on("PUT http://l/v1/layout", 200, "{\"version\":5}")
-            .on("GET http://i/v1/status", 200, "{\"layout\":4}").on("GET http://i/v1/status", 200, "{\"layout\":5}");
+        Script s = new Script()
+                .on("GET http://l/v1/layout", 200, LAYOUT)
+                .on("PUT http://l/v1/layout", 200, "{\"version\":5}")
+                .on("GET http://i/v1/status", 200, "{\"layout\":4}")
+                .on("GET http://i/v1/status", 200, "{\"layout\":5}");
         assertTrue(s.run("withdraw-key", false, KEY), s.said.toString());
         assertTrue(s.asked.contains("PUT http://l/v1/layout base \"4\""), s.asked.toString());
         assertEquals("{\"keys\":{\"new\":{}},\"lanes\":{}}", s.bodies.get(1));
@@ -100,8 +110,9 @@
 
     @Test
     void lostRaceStopsTheRunAndSaysWhy() throws ServiceException {
-        Script s = new Script().on("GET http://l/v1/layout", 200, LAYOUT)
-            .on("PUT http://l/v1/layout", 412, "{\"kind\":\"stale_base\"}");
+        Script s = new Script()
+                .on("GET http://l/v1/layout", 200, LAYOUT)
+                .on("PUT http://l/v1/layout", 412, "{\"kind\":\"stale_base\"}");
         assertFalse(s.run("withdraw-key", false, KEY));
         assertTrue(s.said.get(s.said.size() - 1).contains("stale_base"), s.said.toString());
         assertEquals(2, s.asked.size(), "nothing may follow the failed step");
@@ -109,9 +120,12 @@
 
     @Test
     void actionThatIsToComeBackLaterIsAskedAgain() throws ServiceException {
-        Script s = new Script().on("GET http://l/v1/layout", 200, LAYOUT).on("PUT http://l/v1/layout", 503, "{}")
-            .on("PUT http://l/v1/layout", 504, "{}").on("PUT http://l/v1/layout", 200, "{\"version\":5}")
-            .on("GET http://i/v1/status", 200, "{\"layout\":5}");
+        Script s = new Script()
+                .on("GET http://l/v1/layout", 200, LAYOUT)
+                .on("PUT http://l/v1/layout", 503, "{}")
+                .on("PUT http://l/v1/layout", 504, "{}")
+                .on("PUT http://l/v1/layout", 200, "{\"version\":5}")
+                .on("GET http://i/v1/status", 200, "{\"layout\":5}");
         assertTrue(s.run("withdraw-key", false, KEY), s.said.toString());
         assertEquals(3, s.asked.stream().filter(a -> a.startsWith("PUT")).count());
     }
@@ -125,16 +139,24 @@
 
     @Test
     void valuesAreFilledIntoPointersToo() throws ServiceException {
-        Script s = new Script().on("GET http://l/v1/services/s/processors", 200, "{\"p1\":{\"address\":\"http://p\"}}")
-            .on("PUT http://l/v1/services/s/processors/p1", 200, "{}").on("DELETE http://l/v1/services/s/processors/p1", 200, "{}");
-        assertTrue(s.run("drain-processor", false, Map.of("lighthouse", "http://l", "service", "s", "processor", "p1",
-            "address", "http://p")), s.said.toString());
+        Script s = new Script()
+                .on("GET http://l/v1/services/s/processors", 200, "{\"p1\":{\"address\":\"http://p\"}}")
+                .on("PUT http://l/v1/services/s/processors/p1", 200, "{}")
+                .on("DELETE http://l/v1/services/s/processors/p1", 200, "{}");
+        assertTrue(
+                s.run(
+                        "drain-processor",
+                        false,
+                        Map.of("lighthouse", "http://l", "service", "s", "processor", "p1", "address", "http://p")),
+                s.said.toString());
     }
 
     @Test
     void waitHasADeadline() throws ServiceException {
-        Script s = new Script().on("GET http://l/v1/layout", 200, LAYOUT).on("PUT http://l/v1/layout", 200, "{\"version\":5}")
-            .on("GET http://i/v1/status", 200, "{\"layout\":4}");
+        Script s = new Script()
+                .on("GET http://l/v1/layout", 200, LAYOUT)
+                .on("PUT http://l/v1/layout", 200, "{\"version\":5}")
+                .on("GET http://i/v1/status", 200, "{\"layout\":4}");
         assertFalse(s.run("withdraw-key", false, KEY));
         assertTrue(s.said.get(s.said.size() - 1).contains("not within 5000 ms"), s.said.toString());
     }
@@ -143,15 +165,25 @@
     void rollingRestartFinishesOneNodeBeforeTheNext() throws ServiceException {
         Script s = new Script();
         for (String n : List.of("http://a", "http://b")) {
-            s.on("GET " + n + "/v1/readiness", 200, "{}").on("POST " + n + "/v1/drain", 200, "{\"drained\":false}")
-                .on("POST " + n + "/v1/drain", 200, "{\"drained\":true}");
+            s.on("GET " + n + "/v1/readiness", 200, "{}")
+                    .on("POST " + n + "/v1/drain", 200, "{\"drained\":false}")
+                    .on("POST " + n + "/v1/drain", 200, "{\"drained\":true}");
         }
         assertTrue(s.run("rolling-restart", false, Map.of("nodes", "http://a,http://b")), s.said.toString());
-        assertEquals(List.of("GET http://a/v1/readiness", "POST http://a/v1/drain", "POST http://a/v1/drain",
-            "GET http://a/v1/readiness", "GET http://b/v1/readiness", "POST http://b/v1/drain",
-            "POST http://b/v1/drain", "GET http://b/v1/readiness"), s.asked);
-        Script refusing = new Script().on("GET http://a/v1/readiness", 200, "{}")
-            .on("POST http://a/v1/drain", 200, "{\"drained\":true}");
+        assertEquals(
+                List.of(
+                        "GET http://a/v1/readiness",
+                        "POST http://a/v1/drain",
+                        "POST http://a/v1/drain",
+                        "GET http://a/v1/readiness",
+                        "GET http://b/v1/readiness",
+                        "POST http://b/v1/drain",
+                        "POST http://b/v1/drain",
+                        "GET http://b/v1/readiness"),
+                s.asked);
+        Script refusing = new Script()
+                .on("GET http://a/v1/readiness", 200, "{}")
+                .on("POST http://a/v1/drain", 200, "{\"drained\":true}");
         refusing.willing = false;
         assertFalse(refusing.run("rolling-restart", false, Map.of("nodes", "http://a,http://b")));
     }
--- a/testkit/src/main/java/org/woadvale/testkit/capacity/Backlog.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/Backlog.java
@@ -5,11 +5,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-
-import org.woadvale.common.rpc.Codec;
 import org.woadvale.common.membership.Wire;
-import org.woadvale.dataplane.queue.MessageStateMachine;
+import org.woadvale.common.rpc.Codec;
 import org.woadvale.dataplane.queue.Commands;
+import org.woadvale.dataplane.queue.MessageStateMachine;
 import org.woadvale.dataplane.queue.RouteTerms;
 
 /** Messages that wait in one part, 1,250 bytes each: heap, and what taking them and making a view of them costs. design 9.8 */
@@ -50,8 +49,18 @@
         MessageStateMachine m = new MessageStateMachine("m0", codec);
         double from = cpuMs();
         for (int i = 1; i <= size; i++) {
-            m.apply(i, new Commands.Accept("tenant" + i % 8, "hold", "id" + i, "", new byte[BODY], "h".repeat(64),
-                new RouteTerms("reserve", 60000, 8, 3000, false), Instant.EPOCH, Instant.EPOCH));
+            m.apply(
+                    i,
+                    new Commands.Accept(
+                            "tenant" + i % 8,
+                            "hold",
+                            "id" + i,
+                            "",
+                            new byte[BODY],
+                            "h".repeat(64),
+                            new RouteTerms("reserve", 60000, 8, 3000, false),
+                            Instant.EPOCH,
+                            Instant.EPOCH));
         }
         double taken = cpuMs() - from;
         Map<String, Double> out = new LinkedHashMap<>();
--- a/testkit/src/main/java/org/woadvale/testkit/capacity/CapacityCommand.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/CapacityCommand.java
@@ -9,7 +9,6 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
-
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
 
@@ -53,16 +52,19 @@
     }
 
     /** The middle size is run once unrecorded, so that the first figures are not those of cold code. */
-    private Map<String, Map<Integer, Double>> sweep(String name, Mechanism m, List<Integer> sizes) throws ServiceException {
+    private Map<String, Map<Integer, Double>> sweep(String name, Mechanism m, List<Integer> sizes)
+            throws ServiceException {
         m.measure(sizes.get(sizes.size() / 2));
         Map<String, Map<Integer, Double>> figures = new LinkedHashMap<>();
         for (int size : sizes) {
             Map<String, Double> got = timed(name, m, size);
-            got.forEach((f, y) -> figures.computeIfAbsent(f, k -> new TreeMap<>()).put(size, y));
+            got.forEach(
+                    (f, y) -> figures.computeIfAbsent(f, k -> new TreeMap<>()).put(size, y));
         }
         out.println();
-        out.println("| " + m.counts() + " | " + String.join(" | ", sizes.stream().map(String::valueOf).toList())
-            + " | slope | of the slope, standard error | at none | R² | farthest point |");
+        out.println("| " + m.counts() + " | "
+                + String.join(" | ", sizes.stream().map(String::valueOf).toList())
+                + " | slope | of the slope, standard error | at none | R² | farthest point |");
         out.println("|---" + "|---".repeat(sizes.size() + 5) + "|");
         return figures;
     }
@@ -71,16 +73,19 @@
         long from = System.nanoTime();
         Map<String, Double> got = m.measure(size);
         err.println("capacity: " + name + " " + size + " took "
-            + Duration.ofNanos(System.nanoTime() - from).toMillis() + " ms.");
+                + Duration.ofNanos(System.nanoTime() - from).toMillis() + " ms.");
         return got;
     }
 
     private void lines(Map<String, Map<Integer, Double>> figures) {
         figures.forEach((f, points) -> {
             Fit x = Fit.of(points);
-            out.println("| " + f + " | " + String.join(" | ", points.values().stream().map(CapacityCommand::shown).toList())
-                + " | " + shown(x.slope()) + " | " + shown(x.error()) + " | " + shown(x.intercept()) + " | "
-                + String.format(Locale.ROOT, "%.4f | %.0f %%", x.r2(), 100 * x.spread()) + " |");
+            out.println("| " + f + " | "
+                    + String.join(
+                            " | ",
+                            points.values().stream().map(CapacityCommand::shown).toList())
+                    + " | " + shown(x.slope()) + " | " + shown(x.error()) + " | " + shown(x.intercept()) + " | "
+                    + String.format(Locale.ROOT, "%.4f | %.0f %%", x.r2(), 100 * x.spread()) + " |");
         });
         out.println();
     }
@@ -92,14 +97,20 @@
         run.forEach((f, y) -> {
             double said = Fit.of(figures.get(f)).at(size);
             out.println("| " + f + " | " + shown(said) + " | " + shown(y) + " | "
-                + String.format(Locale.ROOT, "%.2f", y / said) + " |");
+                    + String.format(Locale.ROOT, "%.2f", y / said) + " |");
         });
         out.println();
     }
 
     /** Four figures. */
     private static String shown(double d) {
-        return d == 0 ? "0" : Math.abs(d) >= 1000 ? String.format(Locale.ROOT, "%.0f", d)
-            : new java.math.BigDecimal(d).round(new java.math.MathContext(4)).stripTrailingZeros().toPlainString();
+        return d == 0
+                ? "0"
+                : Math.abs(d) >= 1000
+                        ? String.format(Locale.ROOT, "%.0f", d)
+                        : new java.math.BigDecimal(d)
+                                .round(new java.math.MathContext(4))
+                                .stripTrailingZeros()
+                                .toPlainString();
     }
 }
--- a/testkit/src/main/java/org/woadvale/testkit/capacity/Events.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/Events.java
@@ -5,10 +5,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-
 import org.woadvale.common.runtime.ServiceException;
-import org.woadvale.testkit.stub.TestConfiguration;
 import org.woadvale.testkit.simulation.FleetSimulation;
+import org.woadvale.testkit.stub.TestConfiguration;
 
 /**
  * Whole shipped nodes (8 intakes, 3 stores, 3 lighthouses) under mixed traffic: what one event costs in frames, syncs and
@@ -42,7 +41,8 @@
 
     @Override
     public Map<String, Double> measure(int size) throws ServiceException {
-        FleetSimulation v = new FleetSimulation(1, 8, 3, 12, new TestConfiguration(8, 12, 100, 200, 40), RING_BYTES).embark();
+        FleetSimulation v =
+                new FleetSimulation(1, 8, 3, 12, new TestConfiguration(8, 12, 100, 200, 40), RING_BYTES).embark();
         v.w.sim.run(Duration.ofSeconds(3));
         v.traffic(size);
         v.w.sim.run(Duration.ofSeconds(5));
@@ -54,8 +54,9 @@
         Map<String, Double> out = new LinkedHashMap<>();
         out.put("accepted /s", (accepted(v) - accepted) / s);
         out.put("asks of the fleet /s", (v.w.net.frames() - frames) / s);
-        out.put("processor ms of the fleet /s",
-            (ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime() - cpu) / 1e6 / s);
+        out.put(
+                "processor ms of the fleet /s",
+                (ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime() - cpu) / 1e6 / s);
         return out;
     }
 
--- a/testkit/src/main/java/org/woadvale/testkit/capacity/Fit.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/Fit.java
@@ -1,7 +1,6 @@
 package org.woadvale.testkit.capacity;
 
 import java.util.Map;
-
 import org.apache.commons.math3.stat.regression.SimpleRegression;
 
 /**
@@ -18,8 +17,11 @@
         }
         SimpleRegression r = new SimpleRegression();
         points.forEach((x, y) -> r.addData(x, y));
-        double worst = points.entrySet().stream().mapToDouble(e -> Math.abs(e.getValue() - r.predict(e.getKey()))
-            / Math.max(Math.abs(e.getValue()), 1e-12)).max().orElse(0);
+        double worst = points.entrySet().stream()
+                .mapToDouble(
+                        e -> Math.abs(e.getValue() - r.predict(e.getKey())) / Math.max(Math.abs(e.getValue()), 1e-12))
+                .max()
+                .orElse(0);
         boolean flat = r.getTotalSumSquares() < 1e-18;
         return new Fit(r.getSlope(), r.getIntercept(), flat ? 1 : r.getRSquare(), worst, flat ? 0 : r.getSlopeStdErr());
     }
--- a/testkit/src/main/java/org/woadvale/testkit/capacity/FleetRuns.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/FleetRuns.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.IntFunction;
-
 import org.woadvale.common.runtime.ServiceException;
 
 /** Runs of hollow fleets that differ in one number. */
@@ -20,6 +19,7 @@
     private static final int MOST_NODES = 60_000;
     /** Of a layout. design 6.1 */
     private static final int MOST_TENANTS = 1000;
+
     private static final int MOST_LISTED = 20_000;
     private static final int MOST_CHANGES = 20;
     private static final int MOST_DRAWN = 10_000;
@@ -30,7 +30,8 @@
         Map<String, Double> of(int size) throws ServiceException;
     }
 
-    private record Kind(String counts, List<Integer> sizes, int most, IntFunction<Long> heap, Run run) implements Mechanism {
+    private record Kind(String counts, List<Integer> sizes, int most, IntFunction<Long> heap, Run run)
+            implements Mechanism {
         @Override
         public long needs(int size) {
             return heap.apply(size);
@@ -42,11 +43,14 @@
         }
     }
 
-    private FleetRuns() { }
+    private FleetRuns() {}
 
     private static long fleet(long nodes, long tenants, long destinations) {
-        return FIXED + nodes * A_NODE + nodes * nodes * A_SEAT + nodes * tenants * A_BUCKET
-            + nodes * destinations * A_PROCESSOR / 2;
+        return FIXED
+                + nodes * A_NODE
+                + nodes * nodes * A_SEAT
+                + nodes * tenants * A_BUCKET
+                + nodes * destinations * A_PROCESSOR / 2;
     }
 
     /** Every node knows every other; one is restarted, and one layout is changed. */
@@ -73,7 +77,8 @@
             Map<String, Count> now = f.nodeCounts();
             was.remove(f.restarting());
             now.remove(f.restarting());
-            double extra = Count.sum(now.values()).minus(Count.sum(was.values())).bytes() - quiet * s * (n - 1) / n;
+            double extra =
+                    Count.sum(now.values()).minus(Count.sum(was.values())).bytes() - quiet * s * (n - 1) / n;
             out.put("bytes of a node for one restart", extra / (n - 1));
             out.put("a restarted node known everywhere s", known.toMillis() / 1000.0);
             out.put("a change everywhere s", f.changeEverywhere().toMillis() / 1000.0);
@@ -92,33 +97,51 @@
 
     /** Processors in one list, which the stores follow; one of them is marked and unmarked, in turns. */
     static Mechanism destinations() {
-        return new Kind("processors in a list", List.of(1000, 2000, 4000, 8000), MOST_LISTED, n -> fleet(12, 8, n), n -> {
-            HollowFleet f = new HollowFleet(Shape.usual().nodes(12).destinations(n));
-            f.sim.run(WINDOW);
-            Map<String, Double> out = new LinkedHashMap<>();
-            out.put("heap of a node KB", f.heapOfNodes() / 1024.0 / 12);
-            Map<String, Count> nodes = f.nodeCounts();
-            Map<String, Count> lamps = f.lampCounts();
-            f.sim.run(WINDOW);
-            Count quietNodes = Count.sum(f.nodeCounts().values()).minus(Count.sum(nodes.values()));
-            Count quietLamps = Count.sum(f.lampCounts().values()).minus(Count.sum(lamps.values()));
-            nodes = f.nodeCounts();
-            lamps = f.lampCounts();
-            Duration took = Duration.ZERO;
-            for (int i = 0; i < MARKS; i++) {
-                took = took.plus(f.mark(i % 2 == 0));
-            }
-            f.sim.run(WINDOW.minus(took));
-            int stores = 12 / Shape.STORE_EVERY * MARKS;
-            out.put("bytes of a store for one mark", Count.sum(f.nodeCounts().values()).minus(Count.sum(nodes.values()))
-                .minus(quietNodes).bytes() / stores);
-            out.put("processor ms of the core for one mark", Count.sum(f.lampCounts().values())
-                .minus(Count.sum(lamps.values())).minus(quietLamps).cpuS() * 1000 / MARKS);
-            out.put("processor ms of a store for one mark", Count.sum(f.nodeCounts().values())
-                .minus(Count.sum(nodes.values())).minus(quietNodes).cpuS() * 1000 / stores);
-            out.put("a mark at each store s", took.toMillis() / 1000.0 / MARKS);
-            return out;
-        });
+        return new Kind(
+                "processors in a list", List.of(1000, 2000, 4000, 8000), MOST_LISTED, n -> fleet(12, 8, n), n -> {
+                    HollowFleet f = new HollowFleet(Shape.usual().nodes(12).destinations(n));
+                    f.sim.run(WINDOW);
+                    Map<String, Double> out = new LinkedHashMap<>();
+                    out.put("heap of a node KB", f.heapOfNodes() / 1024.0 / 12);
+                    Map<String, Count> nodes = f.nodeCounts();
+                    Map<String, Count> lamps = f.lampCounts();
+                    f.sim.run(WINDOW);
+                    Count quietNodes = Count.sum(f.nodeCounts().values()).minus(Count.sum(nodes.values()));
+                    Count quietLamps = Count.sum(f.lampCounts().values()).minus(Count.sum(lamps.values()));
+                    nodes = f.nodeCounts();
+                    lamps = f.lampCounts();
+                    Duration took = Duration.ZERO;
+                    for (int i = 0; i < MARKS; i++) {
+                        took = took.plus(f.mark(i % 2 == 0));
+                    }
+                    f.sim.run(WINDOW.minus(took));
+                    int stores = 12 / Shape.STORE_EVERY * MARKS;
+                    out.put(
+                            "bytes of a store for one mark",
+                            Count.sum(f.nodeCounts().values())
+                                            .minus(Count.sum(nodes.values()))
+                                            .minus(quietNodes)
+                                            .bytes()
+                                    / stores);
+                    out.put(
+                            "processor ms of the core for one mark",
+                            Count.sum(f.lampCounts().values())
+                                            .minus(Count.sum(lamps.values()))
+                                            .minus(quietLamps)
+                                            .cpuS()
+                                    * 1000
+                                    / MARKS);
+                    out.put(
+                            "processor ms of a store for one mark",
+                            Count.sum(f.nodeCounts().values())
+                                            .minus(Count.sum(nodes.values()))
+                                            .minus(quietNodes)
+                                            .cpuS()
+                                    * 1000
+                                    / stores);
+                    out.put("a mark at each store s", took.toMillis() / 1000.0 / MARKS);
+                    return out;
+                });
     }
 
     /** ConfigurationView changed within a window, evenly; a layout of 64 tenants. */
@@ -144,13 +167,14 @@
 
     /** AdmissionTokens drawn by each node in a second, from the buckets of eight tenants. */
     static Mechanism passes() {
-        return new Kind("passes drawn by a node /s", List.of(25, 50, 100, 200), MOST_DRAWN, n -> fleet(36, 8, 16), n -> {
-            HollowFleet f = new HollowFleet(Shape.usual().draws(n));
-            long drawn = f.draws();
-            Map<String, Double> out = steady(f, 36);
-            out.put("passes drawn of a node /s", (f.draws() - drawn) / (double) WINDOW.toSeconds() / 36);
-            return out;
-        });
+        return new Kind(
+                "passes drawn by a node /s", List.of(25, 50, 100, 200), MOST_DRAWN, n -> fleet(36, 8, 16), n -> {
+                    HollowFleet f = new HollowFleet(Shape.usual().draws(n));
+                    long drawn = f.draws();
+                    Map<String, Double> out = steady(f, 36);
+                    out.put("passes drawn of a node /s", (f.draws() - drawn) / (double) WINDOW.toSeconds() / 36);
+                    return out;
+                });
     }
 
     private static Map<String, Double> steady(HollowFleet f, int nodes) {
@@ -163,7 +187,8 @@
     }
 
     /** Means over the nodes, the busiest node, all lighthouses together and the busiest of them; bytes both ways. */
-    private static void put(Map<String, Double> out, HollowFleet f, Map<String, Count> nodes, Map<String, Count> lamps, int n) {
+    private static void put(
+            Map<String, Double> out, HollowFleet f, Map<String, Count> nodes, Map<String, Count> lamps, int n) {
         double s = WINDOW.toSeconds();
         Map<String, Count> now = f.nodeCounts();
         Map<String, Count> core = f.lampCounts();
@@ -172,14 +197,26 @@
         out.put("frames of a node /s", mean.frames());
         out.put("bytes of a node /s", mean.bytes());
         out.put("processor ms of a node /s", mean.cpuS() * 1000);
-        out.put("bytes of the busiest node /s", now.keySet().stream()
-            .mapToDouble(a -> now.get(a).minus(nodes.get(a)).bytes() / s).max().orElse(0));
-        out.put("processor ms of the busiest node /s", now.keySet().stream()
-            .mapToDouble(a -> now.get(a).minus(nodes.get(a)).cpuS() * 1000 / s).max().orElse(0));
+        out.put(
+                "bytes of the busiest node /s",
+                now.keySet().stream()
+                        .mapToDouble(a -> now.get(a).minus(nodes.get(a)).bytes() / s)
+                        .max()
+                        .orElse(0));
+        out.put(
+                "processor ms of the busiest node /s",
+                now.keySet().stream()
+                        .mapToDouble(a -> now.get(a).minus(nodes.get(a)).cpuS() * 1000 / s)
+                        .max()
+                        .orElse(0));
         out.put("asks of the core /s", all.asks());
         out.put("bytes of the core /s", all.bytes());
         out.put("processor ms of the core /s", all.cpuS() * 1000);
-        out.put("asks of the busiest lighthouse /s", core.keySet().stream()
-            .mapToDouble(a -> core.get(a).minus(lamps.get(a)).asks() / s).max().orElse(0));
+        out.put(
+                "asks of the busiest lighthouse /s",
+                core.keySet().stream()
+                        .mapToDouble(a -> core.get(a).minus(lamps.get(a)).asks() / s)
+                        .max()
+                        .orElse(0));
     }
 }
--- a/testkit/src/main/java/org/woadvale/testkit/capacity/Heap.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/Heap.java
@@ -1,15 +1,14 @@
 package org.woadvale.testkit.capacity;
 
-import java.lang.management.ManagementFactory;
-
 import com.sun.management.OperatingSystemMXBean;
+import java.lang.management.ManagementFactory;
 
 /** Bytes of heap in use after a collection. */
 final class Heap {
     /** The serial collector leaves some dead objects in place in three of four collections (MarkSweepAlwaysCompactCount). */
     private static final int COLLECTIONS = 4;
 
-    private Heap() { }
+    private Heap() {}
 
     static long used() {
         for (int i = 0; i < COLLECTIONS; i++) {
--- a/testkit/src/main/java/org/woadvale/testkit/capacity/HollowFleet.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/HollowFleet.java
@@ -7,27 +7,26 @@
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
-
-import org.woadvale.common.rpc.RpcClient;
-import org.woadvale.common.rpc.Codec;
-import org.woadvale.common.rpc.RpcRouter;
 import org.woadvale.common.config.Configurations;
+import org.woadvale.common.membership.ControlMessages;
+import org.woadvale.common.membership.CoreClient;
+import org.woadvale.common.membership.Processor;
+import org.woadvale.common.membership.ServiceNames;
+import org.woadvale.common.membership.Wire;
 import org.woadvale.common.replication.Env;
 import org.woadvale.common.replication.ReplicationTiming;
+import org.woadvale.common.rpc.Codec;
+import org.woadvale.common.rpc.RpcClient;
+import org.woadvale.common.rpc.RpcRouter;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.common.wal.RingWriteAheadLog;
-import org.woadvale.common.membership.ControlMessages;
-import org.woadvale.common.membership.CoreClient;
-import org.woadvale.common.membership.ServiceNames;
-import org.woadvale.common.membership.Processor;
-import org.woadvale.common.membership.Wire;
 import org.woadvale.controlplane.partition.ControlNode;
 import org.woadvale.controlplane.partition.Operators;
 import org.woadvale.dataplane.queue.Commands;
-import org.woadvale.testkit.stub.TestConfiguration;
 import org.woadvale.testkit.simulation.Sim;
 import org.woadvale.testkit.simulation.SimDisk;
+import org.woadvale.testkit.stub.TestConfiguration;
 
 /** Three shipped lighthouses and many hollow nodes in one process, on the fake clock. design 12.1 */
 final class HollowFleet {
@@ -62,7 +61,7 @@
         }
         HollowHost desk = new HollowHost("10.0.9.1:1", sim);
         net.add(desk);
-        operator = new CoreClient(net.beam(desk, lampCodec), sim.random()::nextLong, seeds, List.of(), l -> { });
+        operator = new CoreClient(net.beam(desk, lampCodec), sim.random()::nextLong, seeds, List.of(), l -> {});
         sim.run(REST);
         change();
         await(() -> layout == 1, "the layout was not taken");
@@ -74,8 +73,10 @@
             sim.after(sim.between(0, 400_000), () -> begin(a));
         }
         sim.run(Duration.ofMillis(500));
-        await(() -> nodes.values().stream().allMatch(n -> n.members() == shape.nodes() && n.layoutVersion() == layout)
-            && held() == shape.tenants(), "the fleet did not get ready");
+        await(
+                () -> nodes.values().stream().allMatch(n -> n.members() == shape.nodes() && n.layoutVersion() == layout)
+                        && held() == shape.tenants(),
+                "the fleet did not get ready");
         sim.run(REST);
         if (shape.drawsPerS() > 0) {
             nodes.keySet().forEach(this::drawing);
@@ -93,7 +94,8 @@
         RingWriteAheadLog book = RingWriteAheadLog.open(new SimDisk(sim), h, RING_FILES, RING_BYTES);
         book.onFailure(why -> h.kill());
         Env env = new Env(h, h, beam, lampCodec, book, sim.random()::nextLong, ReplicationTiming.core());
-        ControlNode n = new ControlNode(env, new CoreClient(beam, sim.random()::nextLong, seeds, List.of(), l -> { }), seeds);
+        ControlNode n =
+                new ControlNode(env, new CoreClient(beam, sim.random()::nextLong, seeds, List.of(), l -> {}), seeds);
         n.route(router);
         new Operators(n, "").route(router);
         n.start();
@@ -105,7 +107,8 @@
         net.add(h);
         hosts.put(address, h);
         String role = i % Shape.STORE_EVERY == 0 ? ServiceNames.STORES : ServiceNames.INTAKES;
-        HollowNode n = new HollowNode(h, net.beam(h, pilotCodec), pilotCodec, sim, "hall" + i % Shape.HALLS, seeds, role);
+        HollowNode n =
+                new HollowNode(h, net.beam(h, pilotCodec), pilotCodec, sim, "hall" + i % Shape.HALLS, seeds, role);
         nodes.put(address, n);
         h.work(() -> n.start(List.of(LIST)));
     }
@@ -113,8 +116,11 @@
     private void drawing(String address) {
         HollowHost h = hosts.get(address);
         Duration period = Duration.ofNanos((long) (1e9 / shape.drawsPerS()));
-        h.every(period, () -> nodes.get(address).draw(ServiceNames.tenantBucket(TestConfiguration.tenant(
-            sim.random().nextInt(shape.tenants())))));
+        h.every(
+                period,
+                () -> nodes.get(address)
+                        .draw(ServiceNames.tenantBucket(
+                                TestConfiguration.tenant(sim.random().nextInt(shape.tenants())))));
     }
 
     private int held() {
@@ -123,10 +129,14 @@
 
     /** One more layout: the same but for the burst of all tenants. Its version is the count of changes that were taken. */
     void change() {
-        byte[] json = Configurations.write(new TestConfiguration(shape.tenants(), 0, RATE, (int) (RATE + changes), 1).layout(i -> ""));
+        byte[] json = Configurations.write(
+                new TestConfiguration(shape.tenants(), 0, RATE, (int) (RATE + changes), 1).layout(i -> ""));
         ControlMessages.PutLayout put = new ControlMessages.PutLayout("change" + changes++, layout, json, "capacity");
-        operator.ask(ServiceNames.controlPart(ServiceNames.LAYOUT), new Operators.LayoutPut(put), ControlMessages.LayoutTaken.class)
-            .subscribe(t -> layout = t.version(), e -> { });
+        operator.ask(
+                        ServiceNames.controlPart(ServiceNames.LAYOUT),
+                        new Operators.LayoutPut(put),
+                        ControlMessages.LayoutTaken.class)
+                .subscribe(t -> layout = t.version(), e -> {});
     }
 
     int layoutBytes() {
@@ -147,16 +157,23 @@
 
     private void put(int i, boolean leaving, int[] taken) {
         Processor p = new Processor("http://10.200." + i / 250 % 250 + "." + i % 250 + ":8080", leaving);
-        operator.ask(ServiceNames.controlPart(LIST), new ControlMessages.PutProcessor(LIST, "processor-" + i, p, 0), ControlMessages.Done.class)
-            .subscribe(d -> taken[0]++, e -> { });
+        operator.ask(
+                        ServiceNames.controlPart(LIST),
+                        new ControlMessages.PutProcessor(LIST, "processor-" + i, p, 0),
+                        ControlMessages.Done.class)
+                .subscribe(d -> taken[0]++, e -> {});
     }
 
     /** Marks one destination, or takes the mark back; how long until each store that follows the list has the new one. */
     Duration mark(boolean leaving) throws ServiceException {
         Duration from = sim.now();
         put(0, leaving, new int[1]);
-        await(() -> nodes.values().stream().filter(HollowNode::follows)
-            .allMatch(n -> n.latest(LIST).processors().get("processor-0").leaving() == leaving), "a mark did not arrive");
+        await(
+                () -> nodes.values().stream()
+                        .filter(HollowNode::follows)
+                        .allMatch(n ->
+                                n.latest(LIST).processors().get("processor-0").leaving() == leaving),
+                "a mark did not arrive");
         return sim.now().minus(from);
     }
 
@@ -165,8 +182,9 @@
         Duration from = sim.now();
         long before = layout;
         change();
-        await(() -> layout > before && nodes.values().stream().allMatch(n -> n.layoutVersion() == layout),
-            "a change did not arrive everywhere");
+        await(
+                () -> layout > before && nodes.values().stream().allMatch(n -> n.layoutVersion() == layout),
+                "a change did not arrive everywhere");
         return sim.now().minus(from);
     }
 
@@ -189,8 +207,10 @@
         Duration from = sim.now();
         begin(a);
         String now = nodes.get(a).incarnation();
-        await(() -> nodes.values().stream().allMatch(n -> n.incarnationOf(ServiceNames.INTAKES, a).equals(now)),
-            "a restarted node is not known everywhere");
+        await(
+                () -> nodes.values().stream()
+                        .allMatch(n -> n.incarnationOf(ServiceNames.INTAKES, a).equals(now)),
+                "a restarted node is not known everywhere");
         return sim.now().minus(from);
     }
 
@@ -199,14 +219,17 @@
         Duration end = sim.now().plus(PATIENCE);
         while (!condition.getAsBoolean()) {
             if (sim.now().compareTo(end) > 0) {
-                throw new ServiceException(ErrorKind.UNAVAILABLE, why + " within " + PATIENCE.toSeconds() + " s at " + shape + ".");
+                throw new ServiceException(
+                        ErrorKind.UNAVAILABLE, why + " within " + PATIENCE.toSeconds() + " s at " + shape + ".");
             }
             sim.run(Duration.ofMillis(10));
         }
     }
 
     long draws() {
-        return nodes.values().stream().mapToLong(n -> n.passes().atOnce() + n.passes().waited()).sum();
+        return nodes.values().stream()
+                .mapToLong(n -> n.passes().atOnce() + n.passes().waited())
+                .sum();
     }
 
     Map<String, Count> lampCounts() {
--- a/testkit/src/main/java/org/woadvale/testkit/capacity/HollowHost.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/HollowHost.java
@@ -4,11 +4,10 @@
 import java.lang.management.ThreadMXBean;
 import java.time.Duration;
 import java.time.Instant;
-
 import org.woadvale.common.rpc.RpcRouter;
+import org.woadvale.common.runtime.Clock;
 import org.woadvale.common.runtime.TimerHandle;
 import org.woadvale.common.runtime.Timers;
-import org.woadvale.common.runtime.Clock;
 import org.woadvale.testkit.simulation.Sim;
 
 /**
--- a/testkit/src/main/java/org/woadvale/testkit/capacity/HollowNet.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/HollowNet.java
@@ -4,16 +4,14 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-
-import org.woadvale.common.rpc.RpcClient;
 import org.woadvale.common.rpc.Codec;
-import org.woadvale.common.rpc.PendingCalls;
 import org.woadvale.common.rpc.Frame;
+import org.woadvale.common.rpc.PendingCalls;
+import org.woadvale.common.rpc.RpcClient;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.common.runtime.TimerHandle;
 import org.woadvale.testkit.simulation.Sim;
-
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 
@@ -56,15 +54,19 @@
         @Override
         public <T> Mono<T> ask(String to, Object body, Class<T> answer, Duration limit) {
             return Mono.defer(() -> {
-                Sinks.One<Frame> sink = Sinks.one();
-                TimerHandle late = self.after(limit,
-                    () -> sink.tryEmitError(new ServiceException(ErrorKind.UNKNOWN_OUTCOME, "No answer in time.")));
-                byte[] bytes = codec.write(new Frame(1, Frame.Kind.ASK, body));
-                self.passed(bytes.length);
-                sim.after(delay(), () -> arrive(to, bytes, sink));
-                return sink.asMono().doFinally(s -> late.cancel());
-            }).flatMap(f -> f.kind() == Frame.Kind.REFUSAL ? Mono.<T>error(fault((Frame.Refusal) f.body()))
-                : Mono.just(answer.cast(f.body())));
+                        Sinks.One<Frame> sink = Sinks.one();
+                        TimerHandle late = self.after(
+                                limit,
+                                () -> sink.tryEmitError(
+                                        new ServiceException(ErrorKind.UNKNOWN_OUTCOME, "No answer in time.")));
+                        byte[] bytes = codec.write(new Frame(1, Frame.Kind.ASK, body));
+                        self.passed(bytes.length);
+                        sim.after(delay(), () -> arrive(to, bytes, sink));
+                        return sink.asMono().doFinally(s -> late.cancel());
+                    })
+                    .flatMap(f -> f.kind() == Frame.Kind.REFUSAL
+                            ? Mono.<T>error(fault((Frame.Refusal) f.body()))
+                            : Mono.just(answer.cast(f.body())));
         }
 
         private ServiceException fault(Frame.Refusal r) {
@@ -74,13 +76,15 @@
         private void arrive(String to, byte[] bytes, Sinks.One<Frame> sink) {
             Optional<HollowHost> target = Optional.ofNullable(hosts.get(to)).filter(HollowHost::alive);
             if (target.isEmpty()) {
-                self.work(() -> sink.tryEmitError(new ServiceException(ErrorKind.UNREACHABLE, "No stream to " + to + ".")));
+                self.work(() ->
+                        sink.tryEmitError(new ServiceException(ErrorKind.UNREACHABLE, "No stream to " + to + ".")));
                 return;
             }
             HollowHost t = target.get();
             t.passed(bytes.length);
             t.asked();
-            t.work(() -> PendingCalls.serve(t.router(), self.address, read(bytes)).subscribe(f -> back(t, f, sink)));
+            t.work(() ->
+                    PendingCalls.serve(t.router(), self.address, read(bytes)).subscribe(f -> back(t, f, sink)));
         }
 
         private void back(HollowHost from, Frame f, Sinks.One<Frame> sink) {
--- a/testkit/src/main/java/org/woadvale/testkit/capacity/HollowNode.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/HollowNode.java
@@ -4,26 +4,24 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-
 import org.woadvale.common.discovery.ViewSubscriptions;
-import org.woadvale.common.rpc.RpcClient;
-import org.woadvale.common.rpc.Codec;
-import org.woadvale.common.rpc.RpcRouter;
-import org.woadvale.common.replication.Env;
-import org.woadvale.common.replication.ReplicationTiming;
-import org.woadvale.common.runtime.TimerHandle;
-import org.woadvale.common.wal.DisabledWriteAheadLog;
-import org.woadvale.common.ratelimit.TokenGranters;
-import org.woadvale.common.ratelimit.AdmissionTokens;
-import org.woadvale.common.ratelimit.LocalBuckets;
 import org.woadvale.common.membership.ControlMessages;
 import org.woadvale.common.membership.CoreClient;
-import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.membership.MemberLease;
+import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.membership.ServiceView;
+import org.woadvale.common.ratelimit.AdmissionTokens;
+import org.woadvale.common.ratelimit.LocalBuckets;
+import org.woadvale.common.ratelimit.TokenGranters;
+import org.woadvale.common.replication.Env;
+import org.woadvale.common.replication.ReplicationTiming;
+import org.woadvale.common.rpc.Codec;
+import org.woadvale.common.rpc.RpcClient;
+import org.woadvale.common.rpc.RpcRouter;
+import org.woadvale.common.runtime.TimerHandle;
+import org.woadvale.common.wal.DisabledWriteAheadLog;
 import org.woadvale.dataplane.ConfigurationView;
 import org.woadvale.testkit.simulation.Sim;
-
 import reactor.core.publisher.Mono;
 
 /**
@@ -45,18 +43,29 @@
     private final List<TimerHandle> running = new java.util.ArrayList<>();
 
     HollowNode(HollowHost host, RpcClient beam, Codec codec, Sim sim, String hall, List<String> seeds, String role) {
-        this.env = new Env(host, host, beam, codec, new DisabledWriteAheadLog(), sim.random()::nextLong, ReplicationTiming.usual());
-        this.core = new CoreClient(beam, sim.random()::nextLong, seeds, List.of(), l -> { });
+        this.env = new Env(
+                host,
+                host,
+                beam,
+                codec,
+                new DisabledWriteAheadLog(),
+                sim.random()::nextLong,
+                ReplicationTiming.usual());
+        this.core = new CoreClient(beam, sim.random()::nextLong, seeds, List.of(), l -> {});
         this.role = role;
-        this.seat = new MemberLease(hall, host.address, Long.toHexString(sim.random().nextLong()), List.of());
+        this.seat = new MemberLease(
+                hall, host.address, Long.toHexString(sim.random().nextLong()), List.of());
         this.news = new ViewSubscriptions(env, core, hall);
         this.layouts = new ConfigurationView(news);
         this.purses = new LocalBuckets(env, news);
         this.holders = role.equals(ServiceNames.INTAKES)
-            ? Optional.of(new TokenGranters(env, core, news, layouts::allowance, layouts::buckets)) : Optional.empty();
+                ? Optional.of(new TokenGranters(env, core, news, layouts::allowance, layouts::buckets))
+                : Optional.empty();
         RpcRouter router = new RpcRouter();
         router.on(ControlMessages.NewsAsk.class, (f, a) -> news.asked(a))
-            .on(ControlMessages.CoreAsk.class, (f, a) -> Mono.just(new ControlMessages.CoreReply(core.lighthouses())));
+                .on(
+                        ControlMessages.CoreAsk.class,
+                        (f, a) -> Mono.just(new ControlMessages.CoreReply(core.lighthouses())));
         holders.ifPresent(h -> router.on(AdmissionTokens.PassAsk.class, h::asked));
         host.serve(router);
     }
@@ -80,13 +89,16 @@
     }
 
     private void claim() {
-        core.ask(ServiceNames.controlPart(role), new ControlMessages.ClaimAsk(role, env.self(), seat), ControlMessages.Done.class)
-            .subscribe(d -> { }, e -> { });
+        core.ask(
+                        ServiceNames.controlPart(role),
+                        new ControlMessages.ClaimAsk(role, env.self(), seat),
+                        ControlMessages.Done.class)
+                .subscribe(d -> {}, e -> {});
     }
 
     /** One pass for one message, settled at once. design 8.3 */
     void draw(String bucket) {
-        purses.take(bucket, LocalBuckets.WAIT).subscribe(p -> purses.settle(bucket, p), e -> { });
+        purses.take(bucket, LocalBuckets.WAIT).subscribe(p -> purses.settle(bucket, p), e -> {});
     }
 
     LocalBuckets.Counts passes() {
@@ -112,7 +124,8 @@
     }
 
     int members() {
-        return news.latest(ServiceNames.INTAKES).seats().size() + news.latest(ServiceNames.STORES).seats().size();
+        return news.latest(ServiceNames.INTAKES).seats().size()
+                + news.latest(ServiceNames.STORES).seats().size();
     }
 
     /** The incarnation that the node's own view of its role shows for a member; empty where it has none. */
--- a/testkit/src/main/java/org/woadvale/testkit/capacity/Mechanism.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/Mechanism.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Map;
-
 import org.woadvale.common.runtime.ServiceException;
 
 /** Something whose cost is measured against a size. */
--- a/testkit/src/main/java/org/woadvale/testkit/capacity/Parts.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/Parts.java
@@ -7,22 +7,20 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-
-import org.woadvale.common.rpc.Codec;
-import org.woadvale.common.rpc.RpcRouter;
+import org.woadvale.common.membership.Wire;
 import org.woadvale.common.replication.Env;
 import org.woadvale.common.replication.Messages;
-import org.woadvale.common.replication.ReplicationTiming;
 import org.woadvale.common.replication.Replica;
+import org.woadvale.common.replication.ReplicationTiming;
+import org.woadvale.common.rpc.Codec;
+import org.woadvale.common.rpc.RpcRouter;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.common.wal.RingWriteAheadLog;
-import org.woadvale.common.membership.Wire;
-import org.woadvale.dataplane.queue.MessageStateMachine;
 import org.woadvale.dataplane.queue.Commands;
+import org.woadvale.dataplane.queue.MessageStateMachine;
 import org.woadvale.testkit.simulation.Sim;
 import org.woadvale.testkit.simulation.SimDisk;
-
 import reactor.core.publisher.Mono;
 
 /** Replicas of many message parts on three stores, all at rest: what owning and following a part costs. design 5 */
@@ -70,14 +68,19 @@
             replicas.add(store(h, net, sim, size));
         }
         sim.run(START);
-        long owned = replicas.stream().flatMap(m -> m.values().stream()).filter(Replica::mayAct).count();
+        long owned = replicas.stream()
+                .flatMap(m -> m.values().stream())
+                .filter(Replica::mayAct)
+                .count();
         if (owned != size) {
-            throw new ServiceException(ErrorKind.UNAVAILABLE, "Only " + owned + " of " + size + " parts have an owner.");
+            throw new ServiceException(
+                    ErrorKind.UNAVAILABLE, "Only " + owned + " of " + size + " parts have an owner.");
         }
         Count was = Count.sum(hosts.stream().map(HollowHost::count).toList());
         sim.run(WINDOW);
-        Count mean = Count.sum(hosts.stream().map(HollowHost::count).toList()).minus(was)
-            .times(1.0 / WINDOW.toSeconds() / STORES.size());
+        Count mean = Count.sum(hosts.stream().map(HollowHost::count).toList())
+                .minus(was)
+                .times(1.0 / WINDOW.toSeconds() / STORES.size());
         Map<String, Double> out = new LinkedHashMap<>();
         out.put("frames of a store /s", mean.frames());
         out.put("bytes of a store /s", mean.bytes());
@@ -99,11 +102,11 @@
         }
         RpcRouter r = new RpcRouter();
         r.on(Messages.VoteAsk.class, (f, a) -> at(mine, a.part(), f, a))
-            .on(Messages.AppendAsk.class, (f, a) -> at(mine, a.part(), f, a))
-            .on(Messages.ViewPush.class, (f, a) -> at(mine, a.part(), f, a))
-            .on(Messages.Stand.class, (f, a) -> at(mine, a.part(), f, a))
-            .on(Messages.BlankAsk.class, (f, a) -> at(mine, a.part(), f, a))
-            .on(Messages.Found.class, (f, a) -> at(mine, a.part(), f, a));
+                .on(Messages.AppendAsk.class, (f, a) -> at(mine, a.part(), f, a))
+                .on(Messages.ViewPush.class, (f, a) -> at(mine, a.part(), f, a))
+                .on(Messages.Stand.class, (f, a) -> at(mine, a.part(), f, a))
+                .on(Messages.BlankAsk.class, (f, a) -> at(mine, a.part(), f, a))
+                .on(Messages.Found.class, (f, a) -> at(mine, a.part(), f, a));
         h.serve(r);
         for (Replica x : mine.values()) {
             x.start(List.of());
--- a/testkit/src/main/java/org/woadvale/testkit/capacity/Plot.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/Plot.java
@@ -9,9 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-
 import javax.imageio.ImageIO;
-
 import org.knowm.xchart.BitmapEncoder;
 import org.knowm.xchart.XYChart;
 import org.knowm.xchart.XYChartBuilder;
@@ -26,27 +24,33 @@
     private static final int HEIGHT = 190;
     private static final int COLUMNS = 3;
 
-    private Plot() { }
+    private Plot() {}
 
     private static XYChart chart(String counts, String figure, Map<Integer, Double> points) {
-        XYChart c = new XYChartBuilder().width(WIDTH).height(HEIGHT).title(figure).xAxisTitle(counts).build();
+        XYChart c = new XYChartBuilder()
+                .width(WIDTH)
+                .height(HEIGHT)
+                .title(figure)
+                .xAxisTitle(counts)
+                .build();
         c.getStyler().setLegendVisible(false).setChartTitleFont(new Font("SansSerif", Font.PLAIN, 11));
         c.getStyler().setYAxisMin(0.0).setChartBackgroundColor(Color.WHITE).setMarkerSize(6);
         List<Integer> x = new ArrayList<>(points.keySet());
         Fit f = Fit.of(points);
         c.addSeries("line", x, x.stream().map(f::at).toList()).setMarker(SeriesMarkers.NONE);
         c.addSeries("measured", x, new ArrayList<>(points.values()))
-            .setXYSeriesRenderStyle(XYSeries.XYSeriesRenderStyle.Scatter);
+                .setXYSeriesRenderStyle(XYSeries.XYSeriesRenderStyle.Scatter);
         return c;
     }
 
     /** Writes NAME.png into the folder; figures by name, each with its points by size. */
-    static void write(Path folder, String name, String counts, Map<String, Map<Integer, Double>> figures) throws ServiceException {
+    static void write(Path folder, String name, String counts, Map<String, Map<Integer, Double>> figures)
+            throws ServiceException {
         List<XYChart> all = new ArrayList<>();
         figures.forEach((figure, points) -> all.add(chart(counts, figure, points)));
         int columns = Math.min(COLUMNS, all.size());
-        BufferedImage sheet = new BufferedImage(columns * WIDTH, (all.size() + columns - 1) / columns * HEIGHT,
-            BufferedImage.TYPE_BYTE_INDEXED);
+        BufferedImage sheet = new BufferedImage(
+                columns * WIDTH, (all.size() + columns - 1) / columns * HEIGHT, BufferedImage.TYPE_BYTE_INDEXED);
         Graphics2D pen = sheet.createGraphics();
         pen.setColor(Color.WHITE);
         pen.fillRect(0, 0, sheet.getWidth(), sheet.getHeight());
@@ -57,7 +61,8 @@
         try {
             ImageIO.write(sheet, "png", folder.resolve(name + ".png").toFile());
         } catch (IOException e) {
-            throw new ServiceException(ErrorKind.UNAVAILABLE, "Cannot write the plot " + name + " into " + folder + ".");
+            throw new ServiceException(
+                    ErrorKind.UNAVAILABLE, "Cannot write the plot " + name + " into " + folder + ".");
         }
     }
 }
--- a/testkit/src/main/java/org/woadvale/testkit/capacity/Wanted.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/Wanted.java
@@ -1,5 +1,9 @@
 package org.woadvale.testkit.capacity;
 
+import com.github.rvesse.airline.SingleCommand;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.parser.errors.ParseException;
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
@@ -7,15 +11,9 @@
 import java.util.Map;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
-
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
 
-import com.github.rvesse.airline.SingleCommand;
-import com.github.rvesse.airline.annotations.Command;
-import com.github.rvesse.airline.annotations.Option;
-import com.github.rvesse.airline.parser.errors.ParseException;
-
 /** What the command line asks for, checked before anything is started. design 10.1 */
 final class Wanted {
     static final String NODES = "nodes";
@@ -25,12 +23,16 @@
     public static final class Options {
         @Option(name = "--only", description = "Mechanisms, by comma; all unless told")
         private String only = "";
+
         @Option(name = "--sizes", description = "Sizes by comma, four at least; with one mechanism only")
         private String sizes = "";
+
         @Option(name = "--nodes", description = "The same as --only nodes --sizes")
         private String nodes = "";
+
         @Option(name = "--largest", description = "Nodes of one more run, forecast by the line of the others")
         private int largest;
+
         @Option(name = "--out", description = "Folder for the plots")
         private String out = "docs/capacity";
     }
@@ -99,7 +101,9 @@
     }
 
     private static List<String> list(String commas) {
-        return commas.isEmpty() ? List.of() : Arrays.stream(commas.split(",", -1)).map(String::trim).toList();
+        return commas.isEmpty()
+                ? List.of()
+                : Arrays.stream(commas.split(",", -1)).map(String::trim).toList();
     }
 
     private static List<Integer> checked(List<String> sizes) throws ServiceException {
@@ -108,7 +112,8 @@
                 throw bad("A size is a whole number from 1 to 99999999, not \"" + s + "\".");
             }
         }
-        List<Integer> out = sizes.stream().map(Integer::valueOf).distinct().sorted().collect(Collectors.toList());
+        List<Integer> out =
+                sizes.stream().map(Integer::valueOf).distinct().sorted().collect(Collectors.toList());
         if (out.size() < Fit.FEWEST) {
             throw bad("A line needs " + Fit.FEWEST + " different sizes at least, not " + out.size() + ".");
         }
@@ -121,7 +126,7 @@
         }
         if (m.needs(size) > allowed) {
             throw bad(size + " " + m.counts() + " need about " + (m.needs(size) >> 20) + " MB of heap, and "
-                + (allowed >> 20) + " MB may be used.");
+                    + (allowed >> 20) + " MB may be used.");
         }
     }
 
--- a/testkit/src/main/java/org/woadvale/testkit/capacity/Wires.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/Wires.java
@@ -1,5 +1,6 @@
 package org.woadvale.testkit.capacity;
 
+import com.sun.management.OperatingSystemMXBean;
 import java.io.IOException;
 import java.lang.management.ManagementFactory;
 import java.net.InetAddress;
@@ -8,17 +9,13 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-
+import org.woadvale.common.membership.ControlMessages;
+import org.woadvale.common.membership.Wire;
 import org.woadvale.common.rpc.RpcRouter;
 import org.woadvale.common.rpc.TcpRpcClient;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.common.runtime.SystemTimers;
-import org.woadvale.common.membership.ControlMessages;
-import org.woadvale.common.membership.Wire;
-
-import com.sun.management.OperatingSystemMXBean;
-
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
@@ -89,6 +86,8 @@
 
     private static void ask(TcpRpcClient from, String to, int n) {
         ControlMessages.LeaveAsk body = new ControlMessages.LeaveAsk("role/intake", to);
-        Flux.range(0, n).flatMap(i -> from.ask(to, body, ControlMessages.Done.class, LIMIT), IN_FLIGHT).blockLast(ALL);
+        Flux.range(0, n)
+                .flatMap(i -> from.ask(to, body, ControlMessages.Done.class, LIMIT), IN_FLIGHT)
+                .blockLast(ALL);
     }
 }
--- a/testkit/src/main/java/org/woadvale/testkit/cluster/Client.java
+++ b/testkit/src/main/java/org/woadvale/testkit/cluster/Client.java
@@ -1,5 +1,6 @@
 package org.woadvale.testkit.cluster;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -7,11 +8,8 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-
 import org.woadvale.common.config.Configurations;
 
-import com.fasterxml.jackson.databind.JsonNode;
-
 /** The stand-in's HTTP client: the JDK's own, so that no code is shared with the tested programs. */
 public final class Client {
     public record Got(int status, JsonNode json, Map<String, java.util.List<String>> headers, byte[] body) {
@@ -21,23 +19,27 @@
         String told() {
             String text = new String(body, java.nio.charset.StandardCharsets.UTF_8);
             return status + " " + headers + " " + body.length + " bytes: "
-                + text.substring(0, Math.min(MOST_TOLD, text.length()));
+                    + text.substring(0, Math.min(MOST_TOLD, text.length()));
         }
     }
 
-    private final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
-        .connectTimeout(Duration.ofSeconds(1)).build();
+    private final HttpClient http = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(Duration.ofSeconds(1))
+            .build();
 
-    public CompletableFuture<Got> send(String method, String address, String path, String key, byte[] body,
-                                       Map<String, String> headers) {
+    public CompletableFuture<Got> send(
+            String method, String address, String path, String key, byte[] body, Map<String, String> headers) {
         HttpRequest.Builder b = HttpRequest.newBuilder(URI.create("http://" + address + path))
-            .timeout(Duration.ofSeconds(8)).method(method, HttpRequest.BodyPublishers.ofByteArray(body));
+                .timeout(Duration.ofSeconds(8))
+                .method(method, HttpRequest.BodyPublishers.ofByteArray(body));
         headers.forEach(b::header);
         if (!key.isEmpty()) {
             b.header("Authorization", "Bearer " + key);
         }
         return http.sendAsync(b.build(), HttpResponse.BodyHandlers.ofByteArray())
-            .thenApply(r -> new Got(r.statusCode(), json(r.body()), r.headers().map(), r.body()));
+                .thenApply(
+                        r -> new Got(r.statusCode(), json(r.body()), r.headers().map(), r.body()));
     }
 
     private static JsonNode json(byte[] body) {
--- a/testkit/src/main/java/org/woadvale/testkit/cluster/ClientLoad.java
+++ b/testkit/src/main/java/org/woadvale/testkit/cluster/ClientLoad.java
@@ -3,12 +3,11 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
-
 import org.woadvale.client.ApiClient;
 import org.woadvale.client.ApiException;
 import org.woadvale.client.api.CallersApi;
-import org.woadvale.client.model.SubmitRequest;
 import org.woadvale.client.model.Message;
+import org.woadvale.client.model.SubmitRequest;
 import org.woadvale.client.model.Taken;
 
 /** A caller that uses the client generated from our schema. */
@@ -26,8 +25,10 @@
     /** The handle of the message taken; a 202 without one is no answer. */
     public String handIn(String lane, String id) throws ApiException {
         SubmitRequest in = new SubmitRequest().id(id).body(Map.of("text", "by the generated client"));
-        return Optional.ofNullable(api.handIn(lane, in)).map(Taken::getHandle).filter(h -> !h.isEmpty())
-            .orElseThrow(() -> new ApiException("taken without a handle"));
+        return Optional.ofNullable(api.handIn(lane, in))
+                .map(Taken::getHandle)
+                .filter(h -> !h.isEmpty())
+                .orElseThrow(() -> new ApiException("taken without a handle"));
     }
 
     public Message show(String handle) throws ApiException {
--- a/testkit/src/main/java/org/woadvale/testkit/cluster/Drills.java
+++ b/testkit/src/main/java/org/woadvale/testkit/cluster/Drills.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-
 import org.woadvale.testkit.stub.Observations;
 
 /** Failures on the real fleet, under traffic. */
@@ -103,12 +102,15 @@
         f.killAll();
         f.all().forEach(v -> v.build(System.getProperty("java.class.path")));
         f.startAll();
-        t.await("readiness on the older folders", Duration.ofSeconds(60), () -> f.all().stream().allMatch(t::ready));
+        t.await(
+                "readiness on the older folders",
+                Duration.ofSeconds(60),
+                () -> f.all().stream().allMatch(t::ready));
         System.out.println("This build goes on with the older one's folders.");
         l.run(Duration.ofSeconds(10), RATE);
     }
 
-    private Drills() { }
+    private Drills() {}
 
     static Set<String> names() {
         return ALL.keySet();
--- a/testkit/src/main/java/org/woadvale/testkit/cluster/Fleet.java
+++ b/testkit/src/main/java/org/woadvale/testkit/cluster/Fleet.java
@@ -11,7 +11,6 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.stream.Stream;
-
 import org.woadvale.controlplane.ControlPlaneProgram;
 import org.woadvale.dataplane.DataPlaneProgram;
 
@@ -35,8 +34,17 @@
         }
         seeds = List.copyOf(addresses);
         for (int i = 0; i < shape.lighthouses; i++) {
-            lighthouses.add(new NodeProcess("lighthouse" + i, ControlPlaneProgram.class.getName(), root, seeds.get(i), free(),
-                hall(i, shape), seeds, List.of(), true, false));
+            lighthouses.add(new NodeProcess(
+                    "lighthouse" + i,
+                    ControlPlaneProgram.class.getName(),
+                    root,
+                    seeds.get(i),
+                    free(),
+                    hall(i, shape),
+                    seeds,
+                    List.of(),
+                    true,
+                    false));
         }
         for (int i = 0; i < shape.stores; i++) {
             stores.add(pilot("store" + i, hall(i, shape), "store"));
@@ -51,8 +59,17 @@
     }
 
     public NodeProcess pilot(String name, String hall, String role) throws IOException {
-        return new NodeProcess(name, DataPlaneProgram.class.getName(), root, free(), free(), hall, seeds, List.of(role),
-            role.equals("store"), false);
+        return new NodeProcess(
+                name,
+                DataPlaneProgram.class.getName(),
+                root,
+                free(),
+                free(),
+                hall,
+                seeds,
+                List.of(role),
+                role.equals("store"),
+                false);
     }
 
     /**
@@ -85,8 +102,11 @@
     }
 
     public List<NodeProcess> inHall(int n, Shape shape) {
-        return Stream.of(lighthouses, stores, intakes).flatMap(l -> java.util.stream.IntStream.range(0, l.size())
-            .filter(i -> i % shape.halls == n).mapToObj(l::get)).toList();
+        return Stream.of(lighthouses, stores, intakes)
+                .flatMap(l -> java.util.stream.IntStream.range(0, l.size())
+                        .filter(i -> i % shape.halls == n)
+                        .mapToObj(l::get))
+                .toList();
     }
 
     public List<NodeProcess> all() {
--- a/testkit/src/main/java/org/woadvale/testkit/cluster/Load.java
+++ b/testkit/src/main/java/org/woadvale/testkit/cluster/Load.java
@@ -7,20 +7,20 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
-
 import org.woadvale.common.config.Configurations;
-import org.woadvale.testkit.stub.TestConfiguration;
 import org.woadvale.testkit.stub.Observations;
+import org.woadvale.testkit.stub.TestConfiguration;
 
 /** Callers: mixed traffic over all intakes at a steady rate, then the question what became of it. */
 public final class Load {
     private static final Duration ASK_EACH = Duration.ofSeconds(15);
     /** Accepted messages that were not yet shown as ended, with the last answer about each. */
     private final Map<String, String> left = new ConcurrentHashMap<>();
+
     private final ConcurrentLinkedQueue<String> broken = new ConcurrentLinkedQueue<>();
     private final StubEnvironment town;
     private final Fleet fleet;
@@ -76,41 +76,62 @@
         String id = "k" + ids.incrementAndGet();
         byte[] body = Configurations.write(Map.of("id", id, "body", Map.of()));
         open.add(handIn(0, id, "hold", "", body, 0, intake, secret));
-        open.add(town.client.send("GET", intake.http, "/v1/messages?state=failed", secret, new byte[0], Map.of())
-            .handle((g, e) -> {
-                if (e == null && g.status() == 200) {
-                    town.seen.saw(town.seen.served, new Observations.KeyServed(secret, "read", town.times.mono()));
-                }
-                return true;
-            }));
+        open.add(town.client
+                .send("GET", intake.http, "/v1/messages?state=failed", secret, new byte[0], Map.of())
+                .handle((g, e) -> {
+                    if (e == null && g.status() == 200) {
+                        town.seen.saw(town.seen.served, new Observations.KeyServed(secret, "read", town.times.mono()));
+                    }
+                    return true;
+                }));
     }
 
-    private CompletableFuture<Observations.HandedIn> handIn(int tenant, String id, String lane, String order, byte[] body,
-                                                         int tries) {
-        return handIn(tenant, id, lane, order, body, tries, fleet.intakes.get(random.nextInt(fleet.intakes.size())),
-            TestConfiguration.callerKey(tenant));
+    private CompletableFuture<Observations.HandedIn> handIn(
+            int tenant, String id, String lane, String order, byte[] body, int tries) {
+        return handIn(
+                tenant,
+                id,
+                lane,
+                order,
+                body,
+                tries,
+                fleet.intakes.get(random.nextInt(fleet.intakes.size())),
+                TestConfiguration.callerKey(tenant));
     }
 
-    private CompletableFuture<Observations.HandedIn> handIn(int tenant, String id, String lane, String order, byte[] body,
-                                                         int tries, NodeProcess v, String key) {
+    private CompletableFuture<Observations.HandedIn> handIn(
+            int tenant, String id, String lane, String order, byte[] body, int tries, NodeProcess v, String key) {
         Duration sent = town.times.mono();
-        CompletableFuture<Observations.HandedIn> f = town.client.send("POST", v.http, "/v1/lanes/" + lane + "/messages",
-            key, body, Map.of()).handle((g, e) -> {
-                Sampling t = e == null ? Sampling.of(g) : Sampling.NONE;
-                kinds.computeIfAbsent(t.kind(), k -> new AtomicLong()).incrementAndGet();
-                if (t.broken()) {
-                    broken.add(id + ": " + g.told());
-                }
-                Observations.HandedIn h = new Observations.HandedIn(TestConfiguration.tenant(tenant), id, lane, order,
-                    key, sent, town.times.mono(), t.said(), t.kind(), t.handle(), t.repeated());
-                town.seen.saw(town.seen.handedIn, h);
-                if (t.said() == Observations.Said.ACCEPTED) {
-                    owners.put(t.handle(), tenant);
-                    left.put(t.handle(), "not asked yet");
-                }
-                return h;
-            }).thenCompose(h -> h.said() == Observations.Said.UNKNOWN && tries > 0
-                ? handIn(tenant, id, lane, order, body, tries - 1) : CompletableFuture.completedFuture(h));
+        CompletableFuture<Observations.HandedIn> f = town.client
+                .send("POST", v.http, "/v1/lanes/" + lane + "/messages", key, body, Map.of())
+                .handle((g, e) -> {
+                    Sampling t = e == null ? Sampling.of(g) : Sampling.NONE;
+                    kinds.computeIfAbsent(t.kind(), k -> new AtomicLong()).incrementAndGet();
+                    if (t.broken()) {
+                        broken.add(id + ": " + g.told());
+                    }
+                    Observations.HandedIn h = new Observations.HandedIn(
+                            TestConfiguration.tenant(tenant),
+                            id,
+                            lane,
+                            order,
+                            key,
+                            sent,
+                            town.times.mono(),
+                            t.said(),
+                            t.kind(),
+                            t.handle(),
+                            t.repeated());
+                    town.seen.saw(town.seen.handedIn, h);
+                    if (t.said() == Observations.Said.ACCEPTED) {
+                        owners.put(t.handle(), tenant);
+                        left.put(t.handle(), "not asked yet");
+                    }
+                    return h;
+                })
+                .thenCompose(h -> h.said() == Observations.Said.UNKNOWN && tries > 0
+                        ? handIn(tenant, id, lane, order, body, tries - 1)
+                        : CompletableFuture.completedFuture(h));
         open.add(f);
         return f;
     }
@@ -137,18 +158,28 @@
     private CompletableFuture<?> ask(String handle) {
         NodeProcess v = fleet.intakes.get(random.nextInt(fleet.intakes.size()));
         Duration asked = town.times.mono();
-        return town.client.send("GET", v.http, "/v1/messages/" + handle, TestConfiguration.callerKey(owners.get(handle)),
-            new byte[0], Map.of()).handle((g, e) -> {
-                left.computeIfPresent(handle, (h, before) -> e == null ? g.told() : "no answer: " + e);
-                if (e == null && g.status() == 200 && g.json().path("handle").asText().equals(handle)) {
-                    Observations.Shown shown = Observations.Shown.read(handle, g.json(), asked, town.times.mono(), town::trueTime);
-                    town.seen.saw(town.seen.shown, shown);
-                    if (shown.over()) {
-                        left.remove(handle);
+        return town.client
+                .send(
+                        "GET",
+                        v.http,
+                        "/v1/messages/" + handle,
+                        TestConfiguration.callerKey(owners.get(handle)),
+                        new byte[0],
+                        Map.of())
+                .handle((g, e) -> {
+                    left.computeIfPresent(handle, (h, before) -> e == null ? g.told() : "no answer: " + e);
+                    if (e == null
+                            && g.status() == 200
+                            && g.json().path("handle").asText().equals(handle)) {
+                        Observations.Shown shown =
+                                Observations.Shown.read(handle, g.json(), asked, town.times.mono(), town::trueTime);
+                        town.seen.saw(town.seen.shown, shown);
+                        if (shown.over()) {
+                            left.remove(handle);
+                        }
                     }
-                }
-                return true;
-            });
+                    return true;
+                });
     }
 
     /** Accepted messages that were never shown as ended, with the last answer about each. */
--- a/testkit/src/main/java/org/woadvale/testkit/cluster/NodeProcess.java
+++ b/testkit/src/main/java/org/woadvale/testkit/cluster/NodeProcess.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-
 import org.woadvale.common.config.Configurations;
 
 /** One real process of the fleet; only the fleet launcher starts processes. */
@@ -22,8 +21,18 @@
     private Optional<Process> process = Optional.empty();
     private String classpath = System.getProperty("java.class.path");
 
-    public NodeProcess(String name, String mainClass, Path root, String address, String http, String hall,
-                  List<String> seeds, List<String> roles, boolean disk, boolean join) throws IOException {
+    public NodeProcess(
+            String name,
+            String mainClass,
+            Path root,
+            String address,
+            String http,
+            String hall,
+            List<String> seeds,
+            List<String> roles,
+            boolean disk,
+            boolean join)
+            throws IOException {
         this.name = name;
         this.mainClass = mainClass;
         this.address = address;
@@ -48,7 +57,8 @@
 
     /** A field of the boot file, from the next start on. */
     public NodeProcess boot(String field, Object value) throws IOException {
-        Map<String, Object> boot = new LinkedHashMap<>(Configurations.JSON.readerForMapOf(Object.class).readValue(bootFile.toFile()));
+        Map<String, Object> boot = new LinkedHashMap<>(
+                Configurations.JSON.readerForMapOf(Object.class).readValue(bootFile.toFile()));
         boot.put(field, value);
         Files.write(bootFile, Configurations.write(boot));
         return this;
@@ -60,11 +70,22 @@
     }
 
     public void start() throws IOException {
-        List<String> cmd = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-Xmx192m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto",
-            "-cp", classpath, mainClass, "run", "--boot", bootFile.toString()));
-        ProcessBuilder b = new ProcessBuilder(cmd).redirectErrorStream(true)
-            .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("log").toFile()));
+        List<String> cmd = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx192m",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-Xshare:auto",
+                "-cp",
+                classpath,
+                mainClass,
+                "run",
+                "--boot",
+                bootFile.toString()));
+        ProcessBuilder b = new ProcessBuilder(cmd)
+                .redirectErrorStream(true)
+                .redirectOutput(
+                        ProcessBuilder.Redirect.appendTo(folder.resolve("log").toFile()));
         process = Optional.of(b.start());
     }
 
@@ -100,7 +121,11 @@
 
     public void signal(String sig) throws IOException {
         if (alive()) {
-            Process k = new ProcessBuilder("kill", "-" + sig, Long.toString(process.orElseThrow().pid())).start();
+            Process k = new ProcessBuilder(
+                            "kill",
+                            "-" + sig,
+                            Long.toString(process.orElseThrow().pid()))
+                    .start();
             waitFor(k);
         }
     }
--- a/testkit/src/main/java/org/woadvale/testkit/cluster/Relay.java
+++ b/testkit/src/main/java/org/woadvale/testkit/cluster/Relay.java
@@ -80,7 +80,11 @@
             String from = new String(hello, HELLO_NAME, length - HELLO_NAME, StandardCharsets.UTF_8);
             hold(from, self);
             Socket out = new Socket(InetAddress.getByName("127.0.0.1"), port(target));
-            out.getOutputStream().write(java.nio.ByteBuffer.allocate(4 + length).putInt(length).put(hello).array());
+            out.getOutputStream()
+                    .write(java.nio.ByteBuffer.allocate(4 + length)
+                            .putInt(length)
+                            .put(hello)
+                            .array());
             start(() -> pump(out, in, self, from));
             pump(in, out, from, self);
         } catch (IOException e) {
--- a/testkit/src/main/java/org/woadvale/testkit/cluster/Sampling.java
+++ b/testkit/src/main/java/org/woadvale/testkit/cluster/Sampling.java
@@ -8,17 +8,26 @@
  */
 record Sampling(Observations.Said said, String kind, String handle, boolean repeated) {
     static final Sampling NONE = new Sampling(Observations.Said.UNKNOWN, "no answer", "", false);
-    private static final Sampling BROKEN = new Sampling(Observations.Said.UNKNOWN, "accepted without a handle", "", false);
+    private static final Sampling BROKEN =
+            new Sampling(Observations.Said.UNKNOWN, "accepted without a handle", "", false);
 
     static Sampling of(Client.Got g) {
         if (g.status() == 202) {
             String handle = g.json().path("handle").asText("");
-            return handle.isEmpty() ? BROKEN
-                : new Sampling(Observations.Said.ACCEPTED, "accepted", handle, g.json().path("repeated").asBoolean());
+            return handle.isEmpty()
+                    ? BROKEN
+                    : new Sampling(
+                            Observations.Said.ACCEPTED,
+                            "accepted",
+                            handle,
+                            g.json().path("repeated").asBoolean());
         }
         boolean unknown = g.status() >= 500 && g.status() != 503;
-        return new Sampling(unknown ? Observations.Said.UNKNOWN : Observations.Said.REFUSED, g.json().path("kind").asText(), "",
-            false);
+        return new Sampling(
+                unknown ? Observations.Said.UNKNOWN : Observations.Said.REFUSED,
+                g.json().path("kind").asText(),
+                "",
+                false);
     }
 
     boolean broken() {
--- a/testkit/src/main/java/org/woadvale/testkit/cluster/Shape.java
+++ b/testkit/src/main/java/org/woadvale/testkit/cluster/Shape.java
@@ -25,7 +25,10 @@
     }
 
     static Shape of(String name) {
-        return Arrays.stream(values()).filter(s -> s.name().equalsIgnoreCase(name)).findFirst()
-            .orElseThrow(() -> new IllegalArgumentException("no shape " + name + "; try small, lankavidya, rotterdam"));
+        return Arrays.stream(values())
+                .filter(s -> s.name().equalsIgnoreCase(name))
+                .findFirst()
+                .orElseThrow(
+                        () -> new IllegalArgumentException("no shape " + name + "; try small, lankavidya, rotterdam"));
     }
 }
--- a/testkit/src/main/java/org/woadvale/testkit/cluster/StubEnvironment.java
+++ b/testkit/src/main/java/org/woadvale/testkit/cluster/StubEnvironment.java
@@ -9,18 +9,17 @@
 import java.util.Map;
 import java.util.concurrent.CompletionException;
 import java.util.function.BooleanSupplier;
-
-import org.woadvale.common.config.Configurations;
 import org.woadvale.common.config.Configuration;
+import org.woadvale.common.config.Configurations;
 import org.woadvale.common.http.HttpGateway;
+import org.woadvale.common.runtime.Clock;
 import org.woadvale.common.runtime.ServiceException;
-import org.woadvale.common.runtime.SystemTimers;
 import org.woadvale.common.runtime.SystemClock;
-import org.woadvale.common.runtime.Clock;
+import org.woadvale.common.runtime.SystemTimers;
 import org.woadvale.testkit.stub.Backend;
 import org.woadvale.testkit.stub.Edit;
-import org.woadvale.testkit.stub.TestConfiguration;
 import org.woadvale.testkit.stub.Observations;
+import org.woadvale.testkit.stub.TestConfiguration;
 
 /** The stand-ins around a real fleet: back ends, platform and head office. */
 public final class StubEnvironment implements AutoCloseable {
@@ -64,7 +63,8 @@
         for (int i = 0; i < 60; i++) {
             NodeProcess v = fleet.lighthouses.get(i % fleet.lighthouses.size());
             try {
-                Client.Got g = client.send(method, v.http, path, "", body, headers).join();
+                Client.Got g =
+                        client.send(method, v.http, path, "", body, headers).join();
                 if (g.status() < 500) {
                     return g;
                 }
@@ -80,16 +80,26 @@
         byte[] json = Configurations.write(l);
         if (!System.getProperty("older", "").isEmpty()) {
             // the older build does not know this field
-            json = new String(json, java.nio.charset.StandardCharsets.UTF_8).replace(",\"ifUnclear\":\"FAIL\"", "")
-                .getBytes(java.nio.charset.StandardCharsets.UTF_8);
+            json = new String(json, java.nio.charset.StandardCharsets.UTF_8)
+                    .replace(",\"ifUnclear\":\"FAIL\"", "")
+                    .getBytes(java.nio.charset.StandardCharsets.UTF_8);
         }
-        Client.Got g = operate("PUT", "/v1/layout", json, Map.of("If-Match", Long.toString(base), "X-Request-Id", requestId));
+        Client.Got g =
+                operate("PUT", "/v1/layout", json, Map.of("If-Match", Long.toString(base), "X-Request-Id", requestId));
         boolean taken = g.status() == 200;
         long version = taken ? g.json().path("version").asLong() : -1;
-        seen.saw(seen.layouts, new Observations.LayoutSaid(requestId, version, taken, true, times.mono(),
-            Configurations.sha256(new String(json, java.nio.charset.StandardCharsets.UTF_8))));
+        seen.saw(
+                seen.layouts,
+                new Observations.LayoutSaid(
+                        requestId,
+                        version,
+                        taken,
+                        true,
+                        times.mono(),
+                        Configurations.sha256(new String(json, java.nio.charset.StandardCharsets.UTF_8))));
         if (!taken) {
-            throw new IllegalStateException("layout refused: " + new String(g.body(), java.nio.charset.StandardCharsets.UTF_8));
+            throw new IllegalStateException(
+                    "layout refused: " + new String(g.body(), java.nio.charset.StandardCharsets.UTF_8));
         }
         present = version;
         return version;
@@ -99,7 +109,13 @@
     public void putKey(String secret, boolean there) {
         Configuration l = Edit.keys(layout(), m -> {
             if (there) {
-                m.put(secret, new Configuration.Key(Configuration.Role.CALLER, TestConfiguration.tenant(0), "", Configurations.sha256(secret)));
+                m.put(
+                        secret,
+                        new Configuration.Key(
+                                Configuration.Role.CALLER,
+                                TestConfiguration.tenant(0),
+                                "",
+                                Configurations.sha256(secret)));
             }
         });
         putLayout(l, present, "key-" + there);
@@ -119,8 +135,11 @@
     public void list(String id, boolean leaving) {
         int n = Integer.parseInt(id.substring(1));
         String service = n % 2 == 0 ? TestConfiguration.GROUP : TestConfiguration.ORDERED_GROUP;
-        Client.Got g = operate("PUT", "/v1/services/" + service + "/processors/" + id,
-            Configurations.write(Map.of("address", "http://" + addresses.get(id), "leaving", leaving)), Map.of());
+        Client.Got g = operate(
+                "PUT",
+                "/v1/services/" + service + "/processors/" + id,
+                Configurations.write(Map.of("address", "http://" + addresses.get(id), "leaving", leaving)),
+                Map.of());
         if (g.status() != 200) {
             throw new IllegalStateException("processor refused: " + g.status());
         }
@@ -136,7 +155,10 @@
 
     public boolean ready(NodeProcess v) {
         try {
-            return client.send("GET", v.http, "/v1/readiness", "", new byte[0], Map.of()).join().status() == 200;
+            return client.send("GET", v.http, "/v1/readiness", "", new byte[0], Map.of())
+                            .join()
+                            .status()
+                    == 200;
         } catch (CompletionException e) {
             return false;
         }
--- a/testkit/src/main/java/org/woadvale/testkit/cluster/TestkitProgram.java
+++ b/testkit/src/main/java/org/woadvale/testkit/cluster/TestkitProgram.java
@@ -6,36 +6,43 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
-
 import org.woadvale.common.runtime.ServiceException;
-import org.woadvale.testkit.stub.NeverList;
-import org.woadvale.testkit.stub.TestConfiguration;
 import org.woadvale.testkit.capacity.CapacityCommand;
 import org.woadvale.testkit.simulation.SeededPlatformDays;
+import org.woadvale.testkit.stub.NeverList;
+import org.woadvale.testkit.stub.TestConfiguration;
 
 /** A real fleet on one machine from one command: design 12.2. */
 public final class TestkitProgram {
     private static final int TENANTS = 8;
 
-    private TestkitProgram() { }
+    private TestkitProgram() {}
 
     public static void main(String[] args) throws IOException, ServiceException {
         if (args.length == 0 || args[0].equals("--help")) {
             System.out.println("harbour smoke [SHAPE]            starts a fleet, hands in, checks, stops");
             System.out.println("harbour load SHAPE SECONDS RATE  mixed traffic, then the never-list and the counts");
-            System.out.println("harbour drill NAME [SHAPE]       traffic with a failure; NAME is one of " + Drills.names());
+            System.out.println(
+                    "harbour drill NAME [SHAPE]       traffic with a failure; NAME is one of " + Drills.names());
             System.out.println("harbour up [SHAPE]               starts a fleet with stand-ins and leaves it running");
-            System.out.println("capacity [--only MECHANISM] [--nodes 30,60,120,240] [--largest 960]  slopes for docs/CAPACITY.md");
+            System.out.println(
+                    "capacity [--only MECHANISM] [--nodes 30,60,120,240] [--largest 960]  slopes for docs/CAPACITY.md");
             System.out.println("platform --seeds A..B [SECONDS]  simulated days behind the platform's doors");
             System.out.println("SHAPE is small, lankavidya or rotterdam.");
             System.exit(args.length == 0 ? 2 : 0);
         }
         if (args[0].equals("capacity")) {
-            System.exit(new CapacityCommand(System.out, System.err).run(java.util.Arrays.copyOfRange(args, 1, args.length)));
+            System.exit(new CapacityCommand(System.out, System.err)
+                    .run(java.util.Arrays.copyOfRange(args, 1, args.length)));
         }
         if (args[0].equals("platform")) {
-            System.exit(args.length > 2 && args[1].equals("--seeds")
-                && SeededPlatformDays.sweep(args[2], Duration.ofSeconds(args.length > 3 ? Long.parseLong(args[3]) : 40)) ? 0 : 1);
+            System.exit(
+                    args.length > 2
+                                    && args[1].equals("--seeds")
+                                    && SeededPlatformDays.sweep(
+                                            args[2], Duration.ofSeconds(args.length > 3 ? Long.parseLong(args[3]) : 40))
+                            ? 0
+                            : 1);
         }
         boolean drill = args[0].equals("drill");
         Shape shape = Shape.of(args.length > (drill ? 2 : 1) ? args[drill ? 2 : 1] : "small");
@@ -70,8 +77,8 @@
         try {
             String handle = s.handIn("hold", "smoke");
             town.await("the end of " + handle, Duration.ofSeconds(20), () -> s.over(handle));
-            System.out.println("By the generated client: " + handle + " is " + s.show(handle).getState() + ", proof "
-                + s.show(handle).getProof() + ".");
+            System.out.println("By the generated client: " + handle + " is "
+                    + s.show(handle).getState() + ", proof " + s.show(handle).getProof() + ".");
         } catch (org.woadvale.client.ApiException e) {
             throw new IllegalStateException("the generated client got " + e.getCode() + " " + e.getResponseBody(), e);
         }
@@ -87,14 +94,17 @@
         fleet.startAll();
         town.putLayout(town.layout(), 0, "first");
         town.listProcessors();
-        town.await("readiness", Duration.ofSeconds(40), () -> fleet.intakes.stream().allMatch(town::ready));
+        town.await(
+                "readiness",
+                Duration.ofSeconds(40),
+                () -> fleet.intakes.stream().allMatch(town::ready));
         return town.times.mono().minus(begun);
     }
 
     private static void stay(Fleet fleet) {
         fleet.all().forEach(v -> System.out.println(v.name + " internal " + v.address + " http " + v.http));
-        System.out.println("Caller keys: " + TestConfiguration.callerKey(0) + " .. " + TestConfiguration.callerKey(TENANTS - 1)
-            + ". Press Enter to stop.");
+        System.out.println("Caller keys: " + TestConfiguration.callerKey(0) + " .. "
+                + TestConfiguration.callerKey(TENANTS - 1) + ". Press Enter to stop.");
         try {
             System.in.read();
         } catch (IOException e) {
@@ -111,14 +121,19 @@
         bad.stream().limit(20).forEach(b -> System.out.println("NEVER: " + b));
         System.out.println("Violations: " + bad.size());
         counts(fleet, town);
-        return settled && bad.isEmpty() && load.broken().isEmpty() && !load.states().isEmpty();
+        return settled
+                && bad.isEmpty()
+                && load.broken().isEmpty()
+                && !load.states().isEmpty();
     }
 
     private static void counts(Fleet fleet, StubEnvironment town) {
         long[] sum = new long[6];
         for (NodeProcess v : fleet.all()) {
             try {
-                var g = town.client.send("GET", v.http, "/v1/status", "", new byte[0], Map.of()).join();
+                var g = town.client
+                        .send("GET", v.http, "/v1/status", "", new byte[0], Map.of())
+                        .join();
                 sum[0] += g.json().path("syncs").asLong();
                 sum[5] = Math.max(sum[5], g.json().path("ringFilesWritten").asLong());
                 sum[1] += g.json().path("passes").path("atOnce").asLong();
@@ -130,6 +145,6 @@
             }
         }
         System.out.println("Store syncs " + sum[0] + "; passes at once " + sum[1] + ", after a wait " + sum[2]
-            + ", throttled " + sum[3] + "; batch requests " + sum[4] + "; most ring files written " + sum[5] + ".");
+                + ", throttled " + sum[3] + "; batch requests " + sum[4] + "; most ring files written " + sum[5] + ".");
     }
 }
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/BareReplicas.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/BareReplicas.java
@@ -7,15 +7,13 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
-
+import org.woadvale.common.membership.ControlMessages;
+import org.woadvale.common.membership.ServiceView;
 import org.woadvale.common.rpc.RpcClient;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
-import org.woadvale.common.membership.ControlMessages;
-import org.woadvale.common.membership.ServiceView;
-import org.woadvale.dataplane.queue.Commands;
 import org.woadvale.dataplane.delivery.DeliveryClient;
-
+import org.woadvale.dataplane.queue.Commands;
 import reactor.core.publisher.Mono;
 
 /** Stand-ins behind the platform's doors that leave out one mechanism each. design 12.3 */
@@ -23,7 +21,7 @@
     private static final String ID = "X-Attempt-Id";
     private static final String SEAL = "x-server-seal";
 
-    private BareReplicas() { }
+    private BareReplicas() {}
 
     private static Seams replies(Function<DeliveryClient.Reply, DeliveryClient.Reply> f) {
         return Seams.none().withPost((a, p) -> c -> p.send(c).map(f));
@@ -40,7 +38,10 @@
 
     /** LOST: the stores' disks say "synced" and have not. */
     static Seams lyingStores() {
-        return Seams.none().withDisk((a, d) -> a.startsWith("10.0.1.") ? NaiveVariants.lyingDisk().disk().apply(a, d) : d);
+        return Seams.none()
+                .withDisk((a, d) -> a.startsWith("10.0.1.")
+                        ? NaiveVariants.lyingDisk().disk().apply(a, d)
+                        : d);
     }
 
     /** TWICE: a success is no proof, every fourth time. */
@@ -51,14 +52,18 @@
 
     /** MIXED: an error is taken for done. */
     static Seams errorIsSuccess() {
-        return replies(r -> r.status() >= 500 && !r.headers().containsKey("x-not-executed") ? other(r, 200, "surely") : r);
+        return replies(
+                r -> r.status() >= 500 && !r.headers().containsKey("x-not-executed") ? other(r, 200, "surely") : r);
     }
 
     /** ORDER: silence is taken for a refusal for good. */
     static Seams silenceIsRefusal() {
-        return Seams.none().withPost((a, p) -> c -> p.send(c).onErrorResume(e ->
-            ServiceException.of(e).kind() == ErrorKind.UNKNOWN_OUTCOME ? Mono.just(new DeliveryClient.Reply(422,
-                Map.of("x-attempt-id", c.headers().getOrDefault(ID, "")), new byte[0])) : Mono.error(e)));
+        return Seams.none()
+                .withPost((a, p) -> c -> p.send(c)
+                        .onErrorResume(e -> ServiceException.of(e).kind() == ErrorKind.UNKNOWN_OUTCOME
+                                ? Mono.just(new DeliveryClient.Reply(
+                                        422, Map.of("x-attempt-id", c.headers().getOrDefault(ID, "")), new byte[0]))
+                                : Mono.error(e)));
     }
 
     /** ROUTE: nobody is told who is expected. */
@@ -83,10 +88,12 @@
 
     /** CEILING: looked at once, sent whenever the stream is open. */
     static Seams lookFirstSendLater() {
-        return Seams.none().withPost((a, p) -> c -> Mono.defer(() -> {
-            boolean go = c.still().getAsBoolean();
-            return p.send(new DeliveryClient.Call(c.method(), c.url(), c.headers(), c.body(), c.limit(), () -> go, c.echo()));
-        }));
+        return Seams.none()
+                .withPost((a, p) -> c -> Mono.defer(() -> {
+                    boolean go = c.still().getAsBoolean();
+                    return p.send(new DeliveryClient.Call(
+                            c.method(), c.url(), c.headers(), c.body(), c.limit(), () -> go, c.echo()));
+                }));
     }
 
     /** CONFIG, DRAIN: from a moment on the views that are known are taken for confirmed. */
@@ -101,12 +108,17 @@
 
                 @Override
                 public <T> Mono<T> ask(String to, Object body, Class<T> answer, Duration limit) {
-                    if (!(body instanceof ControlMessages.NewsAsk n) || frozen.getAsBoolean() && !last.keySet().containsAll(n.known().keySet())) {
+                    if (!(body instanceof ControlMessages.NewsAsk n)
+                            || frozen.getAsBoolean()
+                                    && !last.keySet().containsAll(n.known().keySet())) {
                         return b.ask(to, body, answer, limit);
                     }
-                    return frozen.getAsBoolean() ? Mono.just(answer.cast(NaiveVariants.anew(n, last)))
-                        : b.ask(to, body, answer, limit).doOnNext(t ->
-                            ((ControlMessages.NewsReply) t).views().forEach(v -> last.put(v.service(), v)));
+                    return frozen.getAsBoolean()
+                            ? Mono.just(answer.cast(NaiveVariants.anew(n, last)))
+                            : b.ask(to, body, answer, limit)
+                                    .doOnNext(t -> ((ControlMessages.NewsReply) t)
+                                            .views()
+                                            .forEach(v -> last.put(v.service(), v)));
                 }
             };
         });
@@ -125,8 +137,13 @@
             public <T> Mono<T> ask(String to, Object body, Class<T> answer, Duration limit) {
                 if (body instanceof Commands.LeaseEndAsk e) {
                     Commands.End x = e.end();
-                    Commands.End now = new Commands.End(x.handle(), present.getOrDefault(x.handle(), x.attempt()), x.ending(),
-                        x.proof(), x.due(), x.at());
+                    Commands.End now = new Commands.End(
+                            x.handle(),
+                            present.getOrDefault(x.handle(), x.attempt()),
+                            x.ending(),
+                            x.proof(),
+                            x.due(),
+                            x.at());
                     return b.ask(to, new Commands.LeaseEndAsk(e.part(), now), answer, limit);
                 }
                 return b.ask(to, body, answer, limit).doOnNext(t -> {
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/Callers.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Callers.java
@@ -1,5 +1,6 @@
 package org.woadvale.testkit.simulation;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -9,15 +10,12 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-
 import org.woadvale.common.config.Configurations;
 import org.woadvale.common.http.Answer;
 import org.woadvale.common.http.Request;
 import org.woadvale.common.runtime.ErrorKind;
-import org.woadvale.testkit.stub.TestConfiguration;
 import org.woadvale.testkit.stub.Observations;
-
-import com.fasterxml.jackson.databind.JsonNode;
+import org.woadvale.testkit.stub.TestConfiguration;
 
 /** Callers of a simulated fleet: they hand in, ask again while they do not know, and ask what became of it. */
 public class Callers {
@@ -74,36 +72,73 @@
 
     public void plainAt(int tenant, List<String> intakes) {
         String id = "c" + ids++;
-        handIn(tenant, id, "hold", "", Configurations.write(Map.of("id", id, "delayMs", 0, "body", Map.of("n", 1))), intakes, 5);
+        handIn(
+                tenant,
+                id,
+                "hold",
+                "",
+                Configurations.write(Map.of("id", id, "delayMs", 0, "body", Map.of("n", 1))),
+                intakes,
+                5);
     }
 
     /** A message for an outside endpoint. */
     public void check(int endpoint) {
         String id = "c" + ids++;
-        handIn((int) (ids % w.scenery.tenants()), id, "check" + endpoint, "",
-            Configurations.write(Map.of("id", id, "delayMs", 0, "body", Map.of("n", 1))), w.intakes, 5);
+        handIn(
+                (int) (ids % w.scenery.tenants()),
+                id,
+                "check" + endpoint,
+                "",
+                Configurations.write(Map.of("id", id, "delayMs", 0, "body", Map.of("n", 1))),
+                w.intakes,
+                5);
     }
 
     /** Messages whose hand-in was never answered, but whose run was seen; older ones may be forgotten by now. */
     public void followWhatRan() {
         Duration from = w.sim.now().minus(REMEMBERED);
-        w.seen.copy(w.seen.ran).stream().filter(r -> r.begun().compareTo(from) > 0).forEach(r -> follow(r.handle(), Integer.parseInt(r.tenant().substring("tenant".length()))));
+        w.seen.copy(w.seen.ran).stream()
+                .filter(r -> r.begun().compareTo(from) > 0)
+                .forEach(r -> follow(r.handle(), Integer.parseInt(r.tenant().substring("tenant".length()))));
     }
 
     /** A caller asks again with the same id while the outcome is unknown. */
     public void handIn(int tenant, String id, String lane, String order, byte[] body, List<String> at, int tries) {
         Duration sent = w.sim.now();
-        Request q = new Request("POST", "/v1/lanes/" + lane + "/messages",
-            Map.of("authorization", "Bearer " + TestConfiguration.callerKey(tenant)), body);
+        Request q = new Request(
+                "POST",
+                "/v1/lanes/" + lane + "/messages",
+                Map.of("authorization", "Bearer " + TestConfiguration.callerKey(tenant)),
+                body);
         w.request(at.get(w.sim.random().nextInt(at.size())), q, Duration.ofSeconds(6), a -> {
-            Observations.Said said = a.isEmpty() || unknown(a.get()) ? Observations.Said.UNKNOWN
-                : a.get().status() == 202 ? Observations.Said.ACCEPTED : Observations.Said.REFUSED;
-            String kind = a.map(x -> x.status() == 202 ? "accepted" : json(x).path("kind").asText()).orElse("no answer");
+            Observations.Said said = a.isEmpty() || unknown(a.get())
+                    ? Observations.Said.UNKNOWN
+                    : a.get().status() == 202 ? Observations.Said.ACCEPTED : Observations.Said.REFUSED;
+            String kind = a.map(x -> x.status() == 202
+                            ? "accepted"
+                            : json(x).path("kind").asText())
+                    .orElse("no answer");
             kinds.merge(kind, 1L, Long::sum);
-            String handle = said == Observations.Said.ACCEPTED ? json(a.get()).path("handle").asText() : "";
-            boolean repeated = said == Observations.Said.ACCEPTED && json(a.get()).path("repeated").asBoolean();
-            w.seen.saw(w.seen.handedIn, new Observations.HandedIn(TestConfiguration.tenant(tenant), id, lane, order,
-                TestConfiguration.callerKey(tenant), sent, w.sim.now(), said, kind, handle, repeated));
+            String handle = said == Observations.Said.ACCEPTED
+                    ? json(a.get()).path("handle").asText()
+                    : "";
+            boolean repeated = said == Observations.Said.ACCEPTED
+                    && json(a.get()).path("repeated").asBoolean();
+            w.seen.saw(
+                    w.seen.handedIn,
+                    new Observations.HandedIn(
+                            TestConfiguration.tenant(tenant),
+                            id,
+                            lane,
+                            order,
+                            TestConfiguration.callerKey(tenant),
+                            sent,
+                            w.sim.now(),
+                            said,
+                            kind,
+                            handle,
+                            repeated));
             if (said == Observations.Said.ACCEPTED) {
                 follow(handle, tenant);
             } else if (said == Observations.Said.UNKNOWN && tries > 0) {
@@ -114,7 +149,10 @@
 
     private static boolean unknown(Answer a) {
         String kind = json(a).path("kind").asText();
-        return a.status() != 202 && (kind.isEmpty() || !ErrorKind.valueOf(kind.toUpperCase(java.util.Locale.ROOT)).definite());
+        return a.status() != 202
+                && (kind.isEmpty()
+                        || !ErrorKind.valueOf(kind.toUpperCase(java.util.Locale.ROOT))
+                                .definite());
     }
 
     static JsonNode json(Answer a) {
@@ -144,15 +182,22 @@
     private void ask(String handle) {
         String at = w.intakes.get(w.sim.random().nextInt(w.intakes.size()));
         Duration asked = w.sim.now();
-        w.request(at, new Request("GET", "/v1/messages/" + handle,
-            Map.of("authorization", "Bearer " + TestConfiguration.callerKey(owners.get(handle))), new byte[0]),
-            Duration.ofSeconds(5), a -> a.filter(x -> x.status() == 200).ifPresent(x -> {
-                Observations.Shown shown = Observations.Shown.read(handle, json(x), asked, w.sim.now(), w::trueTime);
-                w.seen.saw(w.seen.shown, shown);
-                if (shown.over()) {
-                    open.remove(handle);
-                }
-            }));
+        w.request(
+                at,
+                new Request(
+                        "GET",
+                        "/v1/messages/" + handle,
+                        Map.of("authorization", "Bearer " + TestConfiguration.callerKey(owners.get(handle))),
+                        new byte[0]),
+                Duration.ofSeconds(5),
+                a -> a.filter(x -> x.status() == 200).ifPresent(x -> {
+                    Observations.Shown shown =
+                            Observations.Shown.read(handle, json(x), asked, w.sim.now(), w::trueTime);
+                    w.seen.saw(w.seen.shown, shown);
+                    if (shown.over()) {
+                        open.remove(handle);
+                    }
+                }));
     }
 
     /** ControlMessages for all accepted messages until each has ended. */
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/Capacity.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Capacity.java
@@ -5,13 +5,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-
-import org.woadvale.common.rpc.Codec;
 import org.woadvale.common.config.Configurations;
-import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.common.membership.Wire;
-import org.woadvale.dataplane.queue.MessageStateMachine;
+import org.woadvale.common.rpc.Codec;
+import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.dataplane.queue.Commands;
+import org.woadvale.dataplane.queue.MessageStateMachine;
 import org.woadvale.dataplane.queue.RouteTerms;
 import org.woadvale.testkit.stub.TestConfiguration;
 
@@ -19,26 +18,34 @@
 public final class Capacity {
     private static final int BODY = 1250;
 
-    private Capacity() { }
+    private Capacity() {}
 
     /** All processors are down: how long hand-ins of 1.25 KB at 270 a second are taken, parts of 2 MB. */
     private static void down() throws ServiceException {
-        FleetSimulation v = new FleetSimulation(1, 8, 3, 4, new TestConfiguration(8, 2, 45, 60, 26), World.LARGE_RING).embark();
+        FleetSimulation v =
+                new FleetSimulation(1, 8, 3, 4, new TestConfiguration(8, 2, 45, 60, 26), World.LARGE_RING).embark();
         v.w.backends.keySet().forEach(b -> v.w.post.down(b, true));
         Duration from = v.w.sim.now();
         for (int i = 0; i < 270 * 90; i++) {
             int n = i;
             v.w.sim.after(Duration.ofNanos(i * 1_000_000_000L / 270), () -> {
                 String id = "d" + n;
-                v.handIn(n % 8, id, "hold", "", Configurations.write(Map.of("id", id, "delayMs", 0, "body", "x".repeat(BODY))),
-                    v.w.intakes, 0);
+                v.handIn(
+                        n % 8,
+                        id,
+                        "hold",
+                        "",
+                        Configurations.write(Map.of("id", id, "delayMs", 0, "body", "x".repeat(BODY))),
+                        v.w.intakes,
+                        0);
             });
         }
-        boolean full = v.w.sim.runUntil(() -> v.w.seen.handedIn.stream().anyMatch(h -> h.kind().equals("queue_full")),
-            Duration.ofSeconds(90));
+        boolean full = v.w.sim.runUntil(
+                () -> v.w.seen.handedIn.stream().anyMatch(h -> h.kind().equals("queue_full")), Duration.ofSeconds(90));
         System.out.println("All processors down, 270 x 1.25 KB a second, parts of 2 MB: "
-            + (full ? "first queue_full after " : "none full within ") + v.w.sim.now().minus(from).toSeconds() + " s; "
-            + v.kinds());
+                + (full ? "first queue_full after " : "none full within ")
+                + v.w.sim.now().minus(from).toSeconds() + " s; "
+                + v.kinds());
     }
 
     /** On this machine; nobody gets at the part meanwhile. */
@@ -47,8 +54,18 @@
         MessageStateMachine m = new MessageStateMachine("m0", codec);
         Instant t = Instant.EPOCH;
         for (long i = 1; m.weight() < (long) mb << 20; i++) {
-            m.apply(i, new Commands.Accept("t", "l", "id" + i, "", new byte[BODY], "h".repeat(64),
-                new RouteTerms("s", 60000, 8, 3000, false), t, t));
+            m.apply(
+                    i,
+                    new Commands.Accept(
+                            "t",
+                            "l",
+                            "id" + i,
+                            "",
+                            new byte[BODY],
+                            "h".repeat(64),
+                            new RouteTerms("s", 60000, 8, 3000, false),
+                            t,
+                            t));
         }
         List<Long> ms = new ArrayList<>();
         for (int i = 0; i < 30; i++) {
@@ -60,8 +77,8 @@
             ms.add((made - from) / 1_000_000);
         }
         List<Long> sorted = ms.stream().sorted().toList();
-        System.out.println("View of " + mb + " MB, " + m.count() + " messages: median " + sorted.get(15) + " ms, longest "
-            + sorted.get(29) + " ms of a claim of 2000 ms; thirty times.");
+        System.out.println("View of " + mb + " MB, " + m.count() + " messages: median " + sorted.get(15)
+                + " ms, longest " + sorted.get(29) + " ms of a claim of 2000 ms; thirty times.");
     }
 
     public static void main(String[] args) throws ServiceException {
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/Day.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Day.java
@@ -7,19 +7,18 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
-
-import org.woadvale.common.config.Configurations;
 import org.woadvale.common.config.Configuration;
+import org.woadvale.common.config.Configurations;
 import org.woadvale.common.http.Answer;
 import org.woadvale.common.http.Request;
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.testkit.stub.Edit;
-import org.woadvale.testkit.stub.TestConfiguration;
 import org.woadvale.testkit.stub.Observations;
+import org.woadvale.testkit.stub.TestConfiguration;
 
 /** Two operators put layouts all day, racing, while lighthouses die and come back; how long each yes or no takes. */
 public final class Day {
-    private record Said(String id, byte[] layout, long base, long version) { }
+    private record Said(String id, byte[] layout, long base, long version) {}
 
     private static final Duration DOWN = Duration.ofSeconds(5);
     private final FleetSimulation v;
@@ -68,7 +67,8 @@
             Configuration next = Edit.tenant(known, "spare" + who, 1 + n % 50, 5);
             String id = who + n++;
             put(id, Configurations.write(next), base, w.sim.now(), a -> {
-                long version = a.status() == 200 ? Callers.json(a).path("version").asLong() : present(a);
+                long version =
+                        a.status() == 200 ? Callers.json(a).path("version").asLong() : present(a);
                 // the one that lost goes on from what it reads
                 reread(version, l -> operator(who, l, version, between, end));
                 if (!taken.isEmpty() && w.sim.luck(0.2)) {
@@ -98,7 +98,9 @@
             if (yes) {
                 long version = Callers.json(a.get()).path("version").asLong();
                 taken.add(new Said(id, json, base, version));
-                w.seen.saw(w.seen.layouts, new Observations.LayoutSaid(id, version, true, true, w.sim.now(), digest(json)));
+                w.seen.saw(
+                        w.seen.layouts,
+                        new Observations.LayoutSaid(id, version, true, true, w.sim.now(), digest(json)));
             } else if (a.get().status() != 412) {
                 wrong.add(id + " was answered " + a.get().status());
             }
@@ -112,27 +114,33 @@
 
     /** However long ago: the first answer. */
     private void repeat(Said s) {
-        w.request(w.lighthouses.get(w.sim.random().nextInt(3)), request(s.id(), s.layout(), s.base()), Duration.ofSeconds(4),
-            a -> a.filter(x -> x.status() < 500).ifPresent(x -> {
-                repeats++;
-                if (x.status() != 200 || Callers.json(x).path("version").asLong() != s.version()) {
-                    wrong.add(s.id() + " was first " + s.version() + " and then " + x.status());
-                }
-            }));
+        w.request(
+                w.lighthouses.get(w.sim.random().nextInt(3)),
+                request(s.id(), s.layout(), s.base()),
+                Duration.ofSeconds(4),
+                a -> a.filter(x -> x.status() < 500).ifPresent(x -> {
+                    repeats++;
+                    if (x.status() != 200 || Callers.json(x).path("version").asLong() != s.version()) {
+                        wrong.add(s.id() + " was first " + s.version() + " and then " + x.status());
+                    }
+                }));
     }
 
     private void reread(long version, Consumer<Configuration> then) {
-        w.request(w.lighthouses.get(w.sim.random().nextInt(3)), new Request("GET", "/v1/layout/" + version, Map.of(),
-            new byte[0]), Duration.ofSeconds(4), a -> {
-                Optional<Configuration> l = a.filter(x -> x.status() == 200).flatMap(x -> {
-                    try {
-                        return Optional.of(Configurations.layout(x.body()));
-                    } catch (ServiceException e) {
-                        return Optional.empty();
-                    }
+        w.request(
+                w.lighthouses.get(w.sim.random().nextInt(3)),
+                new Request("GET", "/v1/layout/" + version, Map.of(), new byte[0]),
+                Duration.ofSeconds(4),
+                a -> {
+                    Optional<Configuration> l = a.filter(x -> x.status() == 200).flatMap(x -> {
+                        try {
+                            return Optional.of(Configurations.layout(x.body()));
+                        } catch (ServiceException e) {
+                            return Optional.empty();
+                        }
+                    });
+                    l.ifPresentOrElse(then, () -> w.sim.after(Duration.ofMillis(200), () -> reread(version, then)));
                 });
-                l.ifPresentOrElse(then, () -> w.sim.after(Duration.ofMillis(200), () -> reread(version, then)));
-            });
     }
 
     public List<String> wrong() {
@@ -157,15 +165,20 @@
 
     @Override
     public String toString() {
-        return changes() + " changes (" + lost + " lost a race), " + repeats + " repeats, " + killed + " power losses; ms to"
-            + " a yes or no: half " + within(0.5) + ", 95 % " + within(0.95) + ", 99 % " + within(0.99) + ", all " + within(1)
-            + "; wrong " + wrong().size();
+        return changes() + " changes (" + lost + " lost a race), " + repeats + " repeats, " + killed
+                + " power losses; ms to"
+                + " a yes or no: half " + within(0.5) + ", 95 % " + within(0.95) + ", 99 % " + within(0.99) + ", all "
+                + within(1)
+                + "; wrong " + wrong().size();
     }
 
     /** day HOURS [SEED] */
     public static void main(String[] args) throws ServiceException {
         Day d = new Day(args.length > 1 ? Long.parseLong(args[1]) : 1)
-            .run(Duration.ofMinutes((long) (60 * Double.parseDouble(args[0]))), Duration.ofSeconds(20), Duration.ofMinutes(3));
+                .run(
+                        Duration.ofMinutes((long) (60 * Double.parseDouble(args[0]))),
+                        Duration.ofSeconds(20),
+                        Duration.ofMinutes(3));
         System.out.println(d);
         d.wrong().stream().limit(5).forEach(System.out::println);
         System.exit(d.wrong().isEmpty() ? 0 : 1);
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/Entry.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Entry.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-
 import org.woadvale.common.http.Request;
 
 /** The platform's entry: a hash of the client picks a node of its zone, by what each says of its readiness. */
@@ -21,8 +20,11 @@
     }
 
     private void look() {
-        roads.intakes.forEach(n -> roads.request(n, new Request("GET", "/-/readiness", Map.of(), new byte[0]), LOOK,
-            a -> missed.merge(n, 1, (x, y) -> a.isPresent() && a.get().status() == 200 ? 0 : x + 1)));
+        roads.intakes.forEach(n -> roads.request(
+                n,
+                new Request("GET", "/-/readiness", Map.of(), new byte[0]),
+                LOOK,
+                a -> missed.merge(n, 1, (x, y) -> a.isPresent() && a.get().status() == 200 ? 0 : x + 1)));
         roads.sim.after(PERIOD, this::look);
     }
 
@@ -32,7 +34,8 @@
 
     /** Fewer than half of a zone's nodes in: all of them; none in: those of other zones. */
     String forClient(int client, String hall) {
-        List<String> zone = roads.intakes.stream().filter(n -> roads.hall(n).equals(hall)).toList();
+        List<String> zone =
+                roads.intakes.stream().filter(n -> roads.hall(n).equals(hall)).toList();
         List<String> in = zone.stream().filter(this::in).toList();
         List<String> from = in.isEmpty() ? elsewhere() : in.size() * 2 < zone.size() ? zone : in;
         return from.get(Math.floorMod(Integer.toString(client).hashCode() * 0x9E3779B9 >>> 7, from.size()));
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/FailureScenarios.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/FailureScenarios.java
@@ -3,18 +3,17 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicReference;
-
-import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.common.membership.ServiceNames;
+import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.testkit.stub.Backend;
-import org.woadvale.testkit.stub.TestConfiguration;
 import org.woadvale.testkit.stub.Observations;
+import org.woadvale.testkit.stub.TestConfiguration;
 
 /** One scenario for each never-line: it brings about the failure that the line is meant for. design 12.3 */
 final class FailureScenarios {
     private static final TestConfiguration SMALL = new TestConfiguration(3, 2, 20, 30, 26);
 
-    private FailureScenarios() { }
+    private FailureScenarios() {}
 
     private static FleetSimulation begun(long seed, TestConfiguration s, Seams seams) throws ServiceException {
         FleetSimulation v = new FleetSimulation(seed, 3, 3, 4, s, World.LARGE_RING, seams).embark();
@@ -149,13 +148,18 @@
     }
 
     /** 09: the owner of the layout is cut off from the other lighthouses; another layout is taken; then it is read there. */
-    static FleetSimulation ownerOfTheLayoutCutOff(long seed, Seams seams, AtomicReference<String> cut) throws ServiceException {
+    static FleetSimulation ownerOfTheLayoutCutOff(long seed, Seams seams, AtomicReference<String> cut)
+            throws ServiceException {
         FleetSimulation v = begun(seed, SMALL, seams);
-        String owner = v.w.lighthouses.stream().filter(l -> v.w.lamp(l).replica("c0").mayAct()).findFirst().orElseThrow();
+        String owner = v.w.lighthouses.stream()
+                .filter(l -> v.w.lamp(l).replica("c0").mayAct())
+                .findFirst()
+                .orElseThrow();
         v.w.net.cutOff(owner);
         cut.set(owner);
         v.w.sim.run(Duration.ofSeconds(4));
-        List<String> others = v.w.lighthouses.stream().filter(l -> !l.equals(owner)).toList();
+        List<String> others =
+                v.w.lighthouses.stream().filter(l -> !l.equals(owner)).toList();
         new HeadOffice(v).changeAt(others);
         v.w.sim.run(Duration.ofSeconds(3));
         for (int i = 0; i < 4; i++) {
@@ -220,16 +224,23 @@
     /** Until a hand-in of every tenant in every part, sent since, was accepted. */
     static Duration awaitReturn(FleetSimulation v) {
         Duration restarted = v.w.sim.now();
-        v.w.sim.runUntil(() -> {
-            for (int t = 0; t < v.w.scenery.tenants(); t++) {
-                for (int n = 0; n < 2; n++) {
-                    v.plain(t);
-                }
-            }
-            long seen = v.w.seen.handedIn.stream().filter(h -> h.said() == Observations.Said.ACCEPTED && h.sent().compareTo(restarted) > 0)
-                .map(h -> h.tenant() + h.handle().substring(0, h.handle().indexOf('-'))).distinct().count();
-            return seen >= (long) ServiceNames.MESSAGE_PARTS * v.w.scenery.tenants();
-        }, Duration.ofSeconds(40));
+        v.w.sim.runUntil(
+                () -> {
+                    for (int t = 0; t < v.w.scenery.tenants(); t++) {
+                        for (int n = 0; n < 2; n++) {
+                            v.plain(t);
+                        }
+                    }
+                    long seen = v.w.seen.handedIn.stream()
+                            .filter(h -> h.said() == Observations.Said.ACCEPTED
+                                    && h.sent().compareTo(restarted) > 0)
+                            .map(h -> h.tenant()
+                                    + h.handle().substring(0, h.handle().indexOf('-')))
+                            .distinct()
+                            .count();
+                    return seen >= (long) ServiceNames.MESSAGE_PARTS * v.w.scenery.tenants();
+                },
+                Duration.ofSeconds(40));
         v.w.seen.saw(v.w.seen.outages, new Observations.Outage(restarted, v.w.sim.now()));
         return v.w.sim.now().minus(restarted);
     }
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/FaultStorm.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/FaultStorm.java
@@ -9,7 +9,6 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.stream.LongStream;
-
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.testkit.stub.TestConfiguration;
 
@@ -57,8 +56,15 @@
     public FaultStorm(long seed, Size size) throws ServiceException {
         this.size = size;
         random = new Random(seed * 31 + 7);
-        v = new FleetSimulation(seed, size.intakes, size.stores(seed), size.processors, size.scenery,
-            size == Size.SMALL ? World.SMALL_RING : World.LARGE_RING, size.halls, Seams.none());
+        v = new FleetSimulation(
+                seed,
+                size.intakes,
+                size.stores(seed),
+                size.processors,
+                size.scenery,
+                size == Size.SMALL ? World.SMALL_RING : World.LARGE_RING,
+                size.halls,
+                Seams.none());
         w = v.w;
         v.watch();
         new MachineFaults(v, random, log).into(blows);
@@ -133,8 +139,9 @@
                 bad = s.run(length);
                 synchronized (kinds) {
                     s.kinds().forEach((k, n) -> kinds.merge(k, n, Long::sum));
-                    s.log().stream().filter(l -> Character.isDigit(l.charAt(0)))
-                        .forEach(l -> struck.merge(l.substring(l.indexOf(' ') + 1), 1L, Long::sum));
+                    s.log().stream()
+                            .filter(l -> Character.isDigit(l.charAt(0)))
+                            .forEach(l -> struck.merge(l.substring(l.indexOf(' ') + 1), 1L, Long::sum));
                 }
             } catch (ServiceException | RuntimeException e) {
                 bad = List.of("threw " + e + " at " + (e.getStackTrace().length > 0 ? e.getStackTrace()[0] : ""));
@@ -143,7 +150,8 @@
                 failed.put(seed, bad);
             }
         });
-        failed.forEach((seed, bad) -> System.out.println("seed " + seed + ": " + bad.size() + " " + bad.stream().limit(3).toList()));
+        failed.forEach((seed, bad) -> System.out.println(
+                "seed " + seed + ": " + bad.size() + " " + bad.stream().limit(3).toList()));
         System.out.println("Hand-ins by answer: " + kinds);
         System.out.println("Blows: " + struck);
         System.out.println(size + " seeds " + from + ".." + to + ": " + failed.size() + " failed.");
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/Fetcher.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Fetcher.java
@@ -1,19 +1,17 @@
 package org.woadvale.testkit.simulation;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-
 import org.woadvale.common.config.Configurations;
 import org.woadvale.common.http.Answer;
 import org.woadvale.common.http.Request;
-import org.woadvale.testkit.stub.TestConfiguration;
 import org.woadvale.testkit.stub.Observations;
-
-import com.fasterxml.jackson.databind.JsonNode;
+import org.woadvale.testkit.stub.TestConfiguration;
 
 /** Stand-in for a processor that fetches: asks again under the same fetch id, repeats each outcome until confirmed. */
 public final class Fetcher {
@@ -74,8 +72,9 @@
         if (life != bornIn) {
             return;
         }
-        Request q = post("/v1/services/" + service + "/fetch",
-            Map.of("processor", id, "waitMs", 500, "most", 2, "fetch", fetch, "again", again));
+        Request q = post(
+                "/v1/services/" + service + "/fetch",
+                Map.of("processor", id, "waitMs", 500, "most", 2, "fetch", fetch, "again", again));
         String used = secret;
         w.request(any(), q, Duration.ofSeconds(3), a -> {
             served(a, used, "fetch");
@@ -105,8 +104,18 @@
     private void run(JsonNode m, int bornIn) {
         String handle = m.path("messageId").asText();
         int attempt = m.path("attempt").asInt();
-        w.seen.saw(w.seen.ran, new Observations.Ran(handle, m.path("callerId").asText(), m.path("tenant").asText(),
-            m.path("lane").asText(), m.path("orderingKey").asText(), attempt, id, service, w.sim.now()));
+        w.seen.saw(
+                w.seen.ran,
+                new Observations.Ran(
+                        handle,
+                        m.path("callerId").asText(),
+                        m.path("tenant").asText(),
+                        m.path("lane").asText(),
+                        m.path("orderingKey").asText(),
+                        attempt,
+                        id,
+                        service,
+                        w.sim.now()));
         mine.add(handle);
         w.sim.after(work, () -> {
             if (life == bornIn) {
@@ -122,8 +131,9 @@
         if (life != bornIn) {
             return;
         }
-        Request q = post("/v1/messages/" + handle + "/outcome",
-            Map.of("processor", id, "attempt", attempt, "outcome", "done", "receipt", receipt));
+        Request q = post(
+                "/v1/messages/" + handle + "/outcome",
+                Map.of("processor", id, "attempt", attempt, "outcome", "done", "receipt", receipt));
         String used = secret;
         w.request(any(), q, Duration.ofSeconds(4), a -> {
             served(a, used, "outcome");
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/FleetSimulation.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/FleetSimulation.java
@@ -5,15 +5,14 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
-
-import org.woadvale.common.config.Configurations;
 import org.woadvale.common.config.Configuration;
+import org.woadvale.common.config.Configurations;
 import org.woadvale.common.http.Answer;
 import org.woadvale.common.http.Request;
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.testkit.stub.NeverList;
-import org.woadvale.testkit.stub.TestConfiguration;
 import org.woadvale.testkit.stub.Observations;
+import org.woadvale.testkit.stub.TestConfiguration;
 
 /** Platform and head office of a simulated fleet, and its callers. */
 public final class FleetSimulation extends Callers {
@@ -32,12 +31,21 @@
         this(seed, intakes, stores, processors, scenery, ringBytes, Seams.none());
     }
 
-    public FleetSimulation(long seed, int intakes, int stores, int processors, TestConfiguration scenery, int ringBytes, Seams seams)
+    public FleetSimulation(
+            long seed, int intakes, int stores, int processors, TestConfiguration scenery, int ringBytes, Seams seams)
             throws ServiceException {
         this(seed, intakes, stores, processors, scenery, ringBytes, 3, seams);
     }
 
-    public FleetSimulation(long seed, int intakes, int stores, int processors, TestConfiguration scenery, int ringBytes, int halls, Seams seams)
+    public FleetSimulation(
+            long seed,
+            int intakes,
+            int stores,
+            int processors,
+            TestConfiguration scenery,
+            int ringBytes,
+            int halls,
+            Seams seams)
             throws ServiceException {
         super(new World(seed, intakes, stores, scenery, ringBytes, halls, seams));
         for (int i = 0; i < processors; i++) {
@@ -55,7 +63,7 @@
 
     /** Puts the first layout, lists the processors and waits until every intake is ready. */
     public FleetSimulation embark() {
-        put(layout, 0, "first", g -> { });
+        put(layout, 0, "first", g -> {});
         w.backends.keySet().stream().filter(b -> b.startsWith("p")).forEach(b -> list(b, false));
         require(w.sim.runUntil(w::ready, Duration.ofSeconds(40)), "the fleet did not get ready");
         return this;
@@ -79,7 +87,9 @@
     /** The platform takes a processor off the list: it is gone. */
     public void unlist(String processor) {
         String service = service(Integer.parseInt(processor.substring(1)));
-        operate(new Request("DELETE", "/v1/services/" + service + "/processors/" + processor, Map.of(), new byte[0]), a -> { });
+        operate(
+                new Request("DELETE", "/v1/services/" + service + "/processors/" + processor, Map.of(), new byte[0]),
+                a -> {});
     }
 
     public static void require(boolean ok, String why) {
@@ -105,8 +115,15 @@
         operate(q, at, a -> {
             boolean taken = a.status() == 200;
             long v = taken ? json(a).path("version").asLong() : -1;
-            w.seen.saw(w.seen.layouts, new Observations.LayoutSaid(id, v, taken, valid(json), w.sim.now(),
-                Configurations.sha256(new String(json, java.nio.charset.StandardCharsets.UTF_8))));
+            w.seen.saw(
+                    w.seen.layouts,
+                    new Observations.LayoutSaid(
+                            id,
+                            v,
+                            taken,
+                            valid(json),
+                            w.sim.now(),
+                            Configurations.sha256(new String(json, java.nio.charset.StandardCharsets.UTF_8))));
             if (taken && v > version) {
                 version = v;
                 layout = l;
@@ -130,10 +147,18 @@
 
     void readAt(String lighthouse) {
         Duration asked = w.sim.now();
-        w.request(lighthouse, new Request("GET", "/v1/layout", Map.of(), new byte[0]), Duration.ofSeconds(4),
-            a -> a.filter(x -> x.status() == 200).ifPresent(x -> w.seen.saw(w.seen.reads, new Observations.LayoutRead(
-                Long.parseLong(x.headers().get("ETag").replace("\"", "")),
-                Configurations.sha256(new String(x.body(), java.nio.charset.StandardCharsets.UTF_8)), asked))));
+        w.request(
+                lighthouse,
+                new Request("GET", "/v1/layout", Map.of(), new byte[0]),
+                Duration.ofSeconds(4),
+                a -> a.filter(x -> x.status() == 200)
+                        .ifPresent(x -> w.seen.saw(
+                                w.seen.reads,
+                                new Observations.LayoutRead(
+                                        Long.parseLong(x.headers().get("ETag").replace("\"", "")),
+                                        Configurations.sha256(
+                                                new String(x.body(), java.nio.charset.StandardCharsets.UTF_8)),
+                                        asked))));
     }
 
     void operate(Request q, Consumer<Answer> then) {
@@ -164,8 +189,11 @@
 
     /** The same by a lighthouse of one's choice, asked once. */
     void listAt(String lighthouse, String processor, boolean leaving) {
-        w.request(lighthouse, listing(processor, leaving), Duration.ofSeconds(4),
-            a -> a.filter(x -> x.status() == 200).ifPresent(x -> marked(processor, leaving)));
+        w.request(
+                lighthouse,
+                listing(processor, leaving),
+                Duration.ofSeconds(4),
+                a -> a.filter(x -> x.status() == 200).ifPresent(x -> marked(processor, leaving)));
     }
 
     private void marked(String processor, boolean leaving) {
@@ -176,8 +204,15 @@
 
     Request listing(String processor, boolean leaving) {
         String service = service(Integer.parseInt(processor.substring(1)));
-        return new Request("PUT", "/v1/services/" + service + "/processors/" + processor, Map.of(), Configurations.write(
-            Map.of("address", processor.startsWith("f") ? "" : "http://" + w.post.address(processor), "leaving", leaving)));
+        return new Request(
+                "PUT",
+                "/v1/services/" + service + "/processors/" + processor,
+                Map.of(),
+                Configurations.write(Map.of(
+                        "address",
+                        processor.startsWith("f") ? "" : "http://" + w.post.address(processor),
+                        "leaving",
+                        leaving)));
     }
 
     public List<String> violations() {
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/Harness.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Harness.java
@@ -1,9 +1,8 @@
 package org.woadvale.testkit.simulation;
 
 import java.time.Duration;
-
-import org.woadvale.common.rpc.RpcClient;
 import org.woadvale.common.rpc.Codec;
+import org.woadvale.common.rpc.RpcClient;
 import org.woadvale.common.rpc.RpcRouter;
 
 /** A simulated host for tests of single components. */
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/HeadOffice.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/HeadOffice.java
@@ -6,14 +6,13 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-
-import org.woadvale.common.config.Configurations;
 import org.woadvale.common.config.Configuration;
+import org.woadvale.common.config.Configurations;
 import org.woadvale.common.http.Answer;
 import org.woadvale.common.http.Request;
 import org.woadvale.testkit.stub.Edit;
-import org.woadvale.testkit.stub.TestConfiguration;
 import org.woadvale.testkit.stub.Observations;
+import org.woadvale.testkit.stub.TestConfiguration;
 
 /** The head office: changes layouts, races itself, sends bad ones, withdraws keys; and looks at the effect. */
 final class HeadOffice {
@@ -29,7 +28,15 @@
 
     private Configuration withLane(Configuration l, String lane) {
         Map<String, Configuration.Lane> lanes = new TreeMap<>(l.lanes());
-        lanes.put(lane, new Configuration.Lane(TestConfiguration.GROUP, Configuration.Ordering.NONE, 30000, 5, 3000, Configuration.IfUnclear.FAIL));
+        lanes.put(
+                lane,
+                new Configuration.Lane(
+                        TestConfiguration.GROUP,
+                        Configuration.Ordering.NONE,
+                        30000,
+                        5,
+                        3000,
+                        Configuration.IfUnclear.FAIL));
         return new Configuration(l.tenants(), l.services(), lanes, l.keys());
     }
 
@@ -45,14 +52,17 @@
     }
 
     void changeAt(List<String> lighthouses) {
-        Optional<String> extra = v.layout.lanes().keySet().stream().filter(x -> x.startsWith("extra")).findFirst();
+        Optional<String> extra = v.layout.lanes().keySet().stream()
+                .filter(x -> x.startsWith("extra"))
+                .findFirst();
         boolean remove = extra.isPresent() && n % 2 == 1;
         String lane = remove ? extra.get() : "extra" + n;
         Configuration next = remove ? withoutLane(v.layout, lane) : withLane(v.layout, lane);
         v.put(next, v.version, "change" + n++, lighthouses, a -> {
             if (a.status() == 200) {
                 long puts = v.puts;
-                w.intakes.forEach(i -> probe(i, lane, !remove, puts, w.sim.now(), w.sim.now().plus(PROBE_FOR)));
+                w.intakes.forEach(i ->
+                        probe(i, lane, !remove, puts, w.sim.now(), w.sim.now().plus(PROBE_FOR)));
             }
         });
     }
@@ -66,12 +76,19 @@
             return;
         }
         Duration sent = w.sim.now();
-        byte[] body = Configurations.write(Map.of("id", "probe" + n + "-" + sent.toNanos(), "delayMs", 0, "body", Map.of()));
-        Request q = new Request("POST", "/v1/lanes/" + lane + "/messages",
-            Map.of("authorization", "Bearer " + TestConfiguration.callerKey(2)), body);
+        byte[] body =
+                Configurations.write(Map.of("id", "probe" + n + "-" + sent.toNanos(), "delayMs", 0, "body", Map.of()));
+        Request q = new Request(
+                "POST",
+                "/v1/lanes/" + lane + "/messages",
+                Map.of("authorization", "Bearer " + TestConfiguration.callerKey(2)),
+                body);
         w.request(intake, q, Duration.ofSeconds(5), a -> {
-            String kind = a.map(x -> FleetSimulation.json(x).path("kind").asText("")).orElse("");
-            boolean ignored = wanted ? kind.equals("unknown_lane") : a.isPresent() && a.get().status() == 202;
+            String kind =
+                    a.map(x -> FleetSimulation.json(x).path("kind").asText("")).orElse("");
+            boolean ignored = wanted
+                    ? kind.equals("unknown_lane")
+                    : a.isPresent() && a.get().status() == 202;
             if (ignored && v.puts == puts) {
                 w.seen.saw(w.seen.ignored, new Observations.LayoutNeeded(lane + " at " + intake, acknowledged, sent));
             }
@@ -82,8 +99,8 @@
     /** Two operators, one base: at most one is taken. */
     void race() {
         long base = v.version;
-        v.put(withLane(v.layout, "race" + n), base, "race-a" + n, a -> { });
-        v.put(withLane(v.layout, "other" + n), base, "race-b" + n, a -> { });
+        v.put(withLane(v.layout, "race" + n), base, "race-a" + n, a -> {});
+        v.put(withLane(v.layout, "other" + n), base, "race-b" + n, a -> {});
         n++;
     }
 
@@ -103,7 +120,8 @@
 
     void rate() {
         String e = TestConfiguration.endpoint(w.sim.random().nextInt(w.scenery.endpoints()));
-        double rate = w.sim.luck(0.5) ? w.scenery.endpointRate() : 10 + w.sim.random().nextInt(20);
+        double rate =
+                w.sim.luck(0.5) ? w.scenery.endpointRate() : 10 + w.sim.random().nextInt(20);
         Duration sent = w.sim.now();
         v.put(Edit.services(v.layout, m -> m.put(e, Edit.rate(m.get(e), rate))), v.version, "rate" + n++, a -> {
             if (a.status() == 200) {
@@ -116,21 +134,34 @@
         String lane = w.sim.luck(0.5) ? "hold" : "accept";
         long limit = w.sim.luck(0.5) ? TestConfiguration.TIME_LIMIT_MS : 30000;
         w.seen.lane(lane, new Observations.LaneLimits(limit, TestConfiguration.ATTEMPTS));
-        v.put(Edit.lanes(v.layout, m -> m.put(lane, Edit.limits(m.get(lane), limit, TestConfiguration.ATTEMPTS))), v.version,
-            "limit" + n++, a -> { });
+        v.put(
+                Edit.lanes(v.layout, m -> m.put(lane, Edit.limits(m.get(lane), limit, TestConfiguration.ATTEMPTS))),
+                v.version,
+                "limit" + n++,
+                a -> {});
     }
 
     void bad() {
         Map<String, Configuration.Lane> lanes = new HashMap<>(v.layout.lanes());
-        lanes.put("broken", new Configuration.Lane("nowhere", Configuration.Ordering.NONE, 30000, 5, 3000, Configuration.IfUnclear.FAIL));
-        v.put(new Configuration(v.layout.tenants(), v.layout.services(), lanes, v.layout.keys()), v.version, "bad" + n++, a -> { });
+        lanes.put(
+                "broken",
+                new Configuration.Lane(
+                        "nowhere", Configuration.Ordering.NONE, 30000, 5, 3000, Configuration.IfUnclear.FAIL));
+        v.put(
+                new Configuration(v.layout.tenants(), v.layout.services(), lanes, v.layout.keys()),
+                v.version,
+                "bad" + n++,
+                a -> {});
     }
 
     /** The last tenant's key goes, and is tried on every intake long after; later it comes back under a new secret. */
     void withdraw() {
         String secret = "short-lived-" + n;
         Map<String, Configuration.Key> with = new TreeMap<>(v.layout.keys());
-        with.put("short", new Configuration.Key(Configuration.Role.CALLER, TestConfiguration.tenant(2), "", Configurations.sha256(secret)));
+        with.put(
+                "short",
+                new Configuration.Key(
+                        Configuration.Role.CALLER, TestConfiguration.tenant(2), "", Configurations.sha256(secret)));
         String id = "key" + n++;
         v.put(new Configuration(v.layout.tenants(), v.layout.services(), v.layout.lanes(), with), v.version, id, a -> {
             if (a.status() == 200) {
@@ -144,23 +175,36 @@
     void rotate() {
         String group = w.sim.luck(0.5) ? TestConfiguration.GROUP : TestConfiguration.ORDERED_GROUP;
         String fresh = "fetch-secret-" + n++;
-        v.put(Edit.keys(v.layout, m -> m.put("fetch-" + group,
-            new Configuration.Key(Configuration.Role.PROCESSOR, "", group, Configurations.sha256(fresh)))), v.version, "rotate" + n, a -> {
-                if (a.status() == 200) {
-                    w.seen.saw(w.seen.keys, new Observations.KeyWithdrawn(v.fetchSecret(group, fresh), w.sim.now()));
-                    w.sim.after(Duration.ofSeconds(8), () -> v.useFetchSecret(group, fresh));
-                }
-            });
+        v.put(
+                Edit.keys(
+                        v.layout,
+                        m -> m.put(
+                                "fetch-" + group,
+                                new Configuration.Key(
+                                        Configuration.Role.PROCESSOR, "", group, Configurations.sha256(fresh)))),
+                v.version,
+                "rotate" + n,
+                a -> {
+                    if (a.status() == 200) {
+                        w.seen.saw(
+                                w.seen.keys, new Observations.KeyWithdrawn(v.fetchSecret(group, fresh), w.sim.now()));
+                        w.sim.after(Duration.ofSeconds(8), () -> v.useFetchSecret(group, fresh));
+                    }
+                });
     }
 
     private void drop(String secret, String id) {
         Map<String, Configuration.Key> without = new TreeMap<>(v.layout.keys());
         without.remove("short");
-        v.put(new Configuration(v.layout.tenants(), v.layout.services(), v.layout.lanes(), without), v.version, id + "-drop", a -> {
-            if (a.status() == 200) {
-                w.seen.saw(w.seen.keys, new Observations.KeyWithdrawn(secret, w.sim.now()));
-            }
-        });
+        v.put(
+                new Configuration(v.layout.tenants(), v.layout.services(), v.layout.lanes(), without),
+                v.version,
+                id + "-drop",
+                a -> {
+                    if (a.status() == 200) {
+                        w.seen.saw(w.seen.keys, new Observations.KeyWithdrawn(secret, w.sim.now()));
+                    }
+                });
     }
 
     private void use(String intake, String secret, Duration until) {
@@ -169,22 +213,45 @@
         }
         Duration sent = w.sim.now();
         String id = "k" + secret + sent.toNanos();
-        Request q = new Request("POST", "/v1/lanes/hold/messages", Map.of("authorization", "Bearer " + secret),
-            Configurations.write(Map.of("id", id, "delayMs", 0, "body", Map.of())));
+        Request q = new Request(
+                "POST",
+                "/v1/lanes/hold/messages",
+                Map.of("authorization", "Bearer " + secret),
+                Configurations.write(Map.of("id", id, "delayMs", 0, "body", Map.of())));
         w.request(intake, q, Duration.ofSeconds(5), a -> saw(a, secret, id, sent));
-        w.request(intake, new Request("GET", "/v1/messages?state=failed", Map.of("authorization", "Bearer " + secret),
-            new byte[0]), Duration.ofSeconds(5), a -> a.filter(x -> x.status() == 200).ifPresent(x ->
-                w.seen.saw(w.seen.served, new Observations.KeyServed(secret, "read", w.sim.now()))));
+        w.request(
+                intake,
+                new Request(
+                        "GET", "/v1/messages?state=failed", Map.of("authorization", "Bearer " + secret), new byte[0]),
+                Duration.ofSeconds(5),
+                a -> a.filter(x -> x.status() == 200)
+                        .ifPresent(x ->
+                                w.seen.saw(w.seen.served, new Observations.KeyServed(secret, "read", w.sim.now()))));
         w.sim.after(Duration.ofMillis(500), () -> use(intake, secret, until));
     }
 
     private void saw(Optional<Answer> a, String secret, String id, Duration sent) {
         boolean ok = a.isPresent() && a.get().status() == 202;
-        Observations.Said said = ok ? Observations.Said.ACCEPTED : a.isEmpty() || a.get().status() >= 500
-            && a.get().status() != 503 ? Observations.Said.UNKNOWN : Observations.Said.REFUSED;
+        Observations.Said said = ok
+                ? Observations.Said.ACCEPTED
+                : a.isEmpty() || a.get().status() >= 500 && a.get().status() != 503
+                        ? Observations.Said.UNKNOWN
+                        : Observations.Said.REFUSED;
         String handle = ok ? FleetSimulation.json(a.get()).path("handle").asText() : "";
-        w.seen.saw(w.seen.handedIn, new Observations.HandedIn(TestConfiguration.tenant(2), id, "hold", "", secret, sent, w.sim.now(),
-            said, "", handle, false));
+        w.seen.saw(
+                w.seen.handedIn,
+                new Observations.HandedIn(
+                        TestConfiguration.tenant(2),
+                        id,
+                        "hold",
+                        "",
+                        secret,
+                        sent,
+                        w.sim.now(),
+                        said,
+                        "",
+                        handle,
+                        false));
         if (ok) {
             v.follow(handle, 2);
         }
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/Host.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Host.java
@@ -2,11 +2,10 @@
 
 import java.time.Duration;
 import java.time.Instant;
-
 import org.woadvale.common.rpc.RpcRouter;
+import org.woadvale.common.runtime.Clock;
 import org.woadvale.common.runtime.TimerHandle;
 import org.woadvale.common.runtime.Timers;
-import org.woadvale.common.runtime.Clock;
 
 /** One machine: its clocks run a little off, it can be killed, paused, and lose its power. */
 public final class Host implements Clock, Timers {
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/MachineFaults.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/MachineFaults.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-
 import org.woadvale.common.config.Configurations;
 import org.woadvale.common.http.Request;
 import org.woadvale.common.runtime.ServiceException;
@@ -125,8 +124,13 @@
             w.lose(h);
             later(some(), () -> {
                 String fresh = w.newLighthouse();
-                v.operate(new Request("PUT", "/v1/core", Map.of(), Configurations.write(Map.of("lighthouses",
-                    w.presentLighthouses()))), a -> log.add("core " + a.status() + " with " + fresh));
+                v.operate(
+                        new Request(
+                                "PUT",
+                                "/v1/core",
+                                Map.of(),
+                                Configurations.write(Map.of("lighthouses", w.presentLighthouses()))),
+                        a -> log.add("core " + a.status() + " with " + fresh));
             });
         }
     }
@@ -150,7 +154,8 @@
     /** All machines of a hall lose power together and come back together. */
     private void hallOff() {
         String hall = w.hall(any(w.all()));
-        List<String> there = w.all().stream().filter(h -> w.hall(h).equals(hall)).toList();
+        List<String> there =
+                w.all().stream().filter(h -> w.hall(h).equals(hall)).toList();
         log.add("off " + hall);
         there.forEach(h -> w.host(h).powerLoss());
         later(some(), () -> {
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/Machines.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Machines.java
@@ -13,10 +13,8 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-
 import org.woadvale.common.http.Answer;
 import org.woadvale.testkit.stub.Observations;
-
 import reactor.core.publisher.Mono;
 
 /** The machines of a simulated fleet, whatever runs on them. */
@@ -102,6 +100,8 @@
 
     /** What a host's calendar showed, in the simulator's time; nothing can be told once calendars differ. */
     Duration trueTime(Instant stamp) {
-        return hosts.values().stream().anyMatch(Host::calendarOff) ? Observations.UNSEEN : Duration.between(Host.EPOCH, stamp);
+        return hosts.values().stream().anyMatch(Host::calendarOff)
+                ? Observations.UNSEEN
+                : Duration.between(Host.EPOCH, stamp);
     }
 }
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/NaiveVariants.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/NaiveVariants.java
@@ -1,5 +1,6 @@
 package org.woadvale.testkit.simulation;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
@@ -7,21 +8,17 @@
 import java.util.Map;
 import java.util.function.Function;
 import java.util.function.Predicate;
-
-import org.woadvale.common.rpc.RpcClient;
 import org.woadvale.common.config.Configurations;
+import org.woadvale.common.membership.ControlMessages;
+import org.woadvale.common.membership.ServiceView;
 import org.woadvale.common.replication.ReplicationTiming;
+import org.woadvale.common.rpc.RpcClient;
+import org.woadvale.common.runtime.Clock;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
-import org.woadvale.common.runtime.Clock;
 import org.woadvale.common.wal.Disk;
-import org.woadvale.common.membership.ControlMessages;
-import org.woadvale.common.membership.ServiceView;
-import org.woadvale.dataplane.queue.Commands;
 import org.woadvale.dataplane.delivery.DeliveryClient;
-
-import com.fasterxml.jackson.databind.JsonNode;
-
+import org.woadvale.dataplane.queue.Commands;
 import reactor.core.publisher.Mono;
 
 /** Stand-ins that leave out one mechanism each; every never-line has a scenario that breaks with one. design 12.3 */
@@ -30,7 +27,7 @@
         <T> Mono<T> ask(RpcClient b, String to, Object body, Class<T> answer, Duration limit);
     }
 
-    private NaiveVariants() { }
+    private NaiveVariants() {}
 
     private static RpcClient beam(RpcClient b, Asking how) {
         return new RpcClient() {
@@ -74,7 +71,7 @@
                     }
 
                     @Override
-                    public void sync() { }
+                    public void sync() {}
                 };
             }
 
@@ -87,25 +84,33 @@
 
     /** 02: any 5xx is taken for "later". */
     static Seams anyErrorIsLater() {
-        return Seams.none().withPost((a, p) -> c -> p.send(c)
-            .map(r -> r.status() >= 500 ? new DeliveryClient.Reply(503, r.body()) : r));
+        return Seams.none()
+                .withPost((a, p) ->
+                        c -> p.send(c).map(r -> r.status() >= 500 ? new DeliveryClient.Reply(503, r.body()) : r));
     }
 
     /** 03: an answer that did not come in time is taken for "nothing was sent". */
     static Seams silenceIsNo() {
-        return Seams.none().withBeam((a, b) -> beam(b, new Asking() {
-            @Override
-            public <T> Mono<T> ask(RpcClient x, String to, Object body, Class<T> answer, Duration limit) {
-                return x.ask(to, body, answer, limit).onErrorMap(e -> body instanceof Commands.AcceptAsk
-                    && ServiceException.of(e).kind() == ErrorKind.UNKNOWN_OUTCOME ? new ServiceException(ErrorKind.UNREACHABLE, "no answer") : e);
-            }
-        }));
+        return Seams.none()
+                .withBeam((a, b) -> beam(b, new Asking() {
+                    @Override
+                    public <T> Mono<T> ask(RpcClient x, String to, Object body, Class<T> answer, Duration limit) {
+                        return x.ask(to, body, answer, limit)
+                                .onErrorMap(e -> body instanceof Commands.AcceptAsk
+                                                && ServiceException.of(e).kind() == ErrorKind.UNKNOWN_OUTCOME
+                                        ? new ServiceException(ErrorKind.UNREACHABLE, "no answer")
+                                        : e);
+                    }
+                }));
     }
 
     /** 04: a processor that does not answer in time is taken to have refused. */
     static Seams silenceIsRefusal() {
-        return Seams.none().withPost((a, p) -> c -> p.send(c).onErrorResume(
-            e -> ServiceException.of(e).kind() == ErrorKind.UNKNOWN_OUTCOME ? Mono.just(new DeliveryClient.Reply(422, new byte[0])) : Mono.error(e)));
+        return Seams.none()
+                .withPost((a, p) -> c -> p.send(c)
+                        .onErrorResume(e -> ServiceException.of(e).kind() == ErrorKind.UNKNOWN_OUTCOME
+                                ? Mono.just(new DeliveryClient.Reply(422, new byte[0]))
+                                : Mono.error(e)));
     }
 
     /** 05: hand-ins without a time by which they must have come; a store's life is learned once and for all. */
@@ -116,11 +121,20 @@
                 @Override
                 public <T> Mono<T> ask(RpcClient x, String to, Object body, Class<T> answer, Duration limit) {
                     if (body instanceof Commands.ClockAsk) {
-                        return clocks.containsKey(to) ? Mono.just(answer.cast(clocks.get(to)))
-                            : x.ask(to, body, answer, limit).doOnNext(t -> clocks.put(to, t));
+                        return clocks.containsKey(to)
+                                ? Mono.just(answer.cast(clocks.get(to)))
+                                : x.ask(to, body, answer, limit).doOnNext(t -> clocks.put(to, t));
                     }
-                    return x.ask(to, body instanceof Commands.AcceptAsk i ? new Commands.AcceptAsk(i.part(), i.accept(),
-                        new Commands.Until(i.until().life(), Duration.ofDays(1))) : body, answer, limit);
+                    return x.ask(
+                            to,
+                            body instanceof Commands.AcceptAsk i
+                                    ? new Commands.AcceptAsk(
+                                            i.part(),
+                                            i.accept(),
+                                            new Commands.Until(i.until().life(), Duration.ofDays(1)))
+                                    : body,
+                            answer,
+                            limit);
                 }
             });
         });
@@ -128,10 +142,11 @@
 
     /** 06: everything is looked at once; what then waits for its stream is sent whatever has become of it. */
     static Seams lookFirstSendLater() {
-        return Seams.none().withPost((a, p) -> c -> Mono.defer(() -> {
-            boolean go = c.still().getAsBoolean();
-            return p.send(new DeliveryClient.Call(c.method(), c.url(), c.body(), c.limit(), () -> go));
-        }));
+        return Seams.none()
+                .withPost((a, p) -> c -> Mono.defer(() -> {
+                    boolean go = c.still().getAsBoolean();
+                    return p.send(new DeliveryClient.Call(c.method(), c.url(), c.body(), c.limit(), () -> go));
+                }));
     }
 
     /** 07, 08, 10: who cannot be reached for news is taken to have none: the last answer is still good. */
@@ -145,27 +160,34 @@
                         return x.ask(to, body, answer, limit);
                     }
                     return x.ask(to, body, answer, limit)
-                        .doOnNext(t -> ((ControlMessages.NewsReply) t).views().forEach(v -> last.put(v.service(), v)))
-                        .onErrorResume(e -> silent(e) && last.keySet().containsAll(n.known().keySet())
-                            ? Mono.just(answer.cast(anew(n, last))) : Mono.error(e));
+                            .doOnNext(
+                                    t -> ((ControlMessages.NewsReply) t).views().forEach(v -> last.put(v.service(), v)))
+                            .onErrorResume(e -> silent(e)
+                                            && last.keySet()
+                                                    .containsAll(n.known().keySet())
+                                    ? Mono.just(answer.cast(anew(n, last)))
+                                    : Mono.error(e));
                 }
             });
         });
     }
 
     private static boolean silent(Throwable e) {
-        return ServiceException.of(e).kind() == ErrorKind.UNKNOWN_OUTCOME || ServiceException.of(e).kind() == ErrorKind.UNREACHABLE;
+        return ServiceException.of(e).kind() == ErrorKind.UNKNOWN_OUTCOME
+                || ServiceException.of(e).kind() == ErrorKind.UNREACHABLE;
     }
 
     static ControlMessages.NewsReply anew(ControlMessages.NewsAsk n, Map<String, ServiceView> last) {
         Map<String, Duration> ages = new HashMap<>();
         java.util.List<ServiceView> views = new java.util.ArrayList<>();
-        n.known().forEach((s, version) -> java.util.Optional.ofNullable(last.get(s)).ifPresent(v -> {
-            ages.put(s, Duration.ZERO);
-            if (v.version() != version) {
-                views.add(v);
-            }
-        }));
+        n.known()
+                .forEach((s, version) -> java.util.Optional.ofNullable(last.get(s))
+                        .ifPresent(v -> {
+                            ages.put(s, Duration.ZERO);
+                            if (v.version() != version) {
+                                views.add(v);
+                            }
+                        }));
         return new ControlMessages.NewsReply(views, ages);
     }
 
@@ -208,6 +230,8 @@
     /** 12: claims so long that nobody ever loses one by mistake. */
     static Seams longClaims() {
         Function<Duration, Duration> longer = d -> d.multipliedBy(10);
-        return Seams.none().withPace(p -> new ReplicationTiming(longer.apply(p.claim()), p.renew(), p.look(), p.ask(), p.spread()));
+        return Seams.none()
+                .withPace(
+                        p -> new ReplicationTiming(longer.apply(p.claim()), p.renew(), p.look(), p.ask(), p.spread()));
     }
 }
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/NetworkSimulation.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/NetworkSimulation.java
@@ -8,30 +8,28 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
-
-import org.woadvale.common.rpc.RpcClient;
-import org.woadvale.common.rpc.Codec;
-import org.woadvale.common.rpc.RpcRouter;
 import org.woadvale.common.config.Settings;
 import org.woadvale.common.http.Answer;
 import org.woadvale.common.http.Request;
+import org.woadvale.common.membership.CoreClient;
+import org.woadvale.common.membership.Wire;
 import org.woadvale.common.replication.Env;
-import org.woadvale.common.replication.ReplicationTiming;
 import org.woadvale.common.replication.Phase;
+import org.woadvale.common.replication.ReplicationTiming;
+import org.woadvale.common.rpc.Codec;
+import org.woadvale.common.rpc.RpcClient;
+import org.woadvale.common.rpc.RpcRouter;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
-import org.woadvale.common.wal.WriteAheadLog;
 import org.woadvale.common.wal.DisabledWriteAheadLog;
 import org.woadvale.common.wal.RingWriteAheadLog;
-import org.woadvale.common.membership.CoreClient;
-import org.woadvale.common.membership.Wire;
+import org.woadvale.common.wal.WriteAheadLog;
 import org.woadvale.controlplane.partition.ControlNode;
 import org.woadvale.controlplane.partition.Operators;
 import org.woadvale.controlplane.partition.ProcessorRegistry;
 import org.woadvale.dataplane.DataPlaneNode;
 import org.woadvale.dataplane.queue.Commands;
 import org.woadvale.platform.PlatformApi;
-
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 
@@ -39,6 +37,7 @@
 public final class NetworkSimulation extends Machines {
     /** How long a leased message rests after its last word; told to the nodes as their boot value. */
     public static final Duration LEASE = Duration.ofMillis(3000);
+
     private static final int RING_FILES = 8;
     private static final int KEEP_ENDED_S = 130;
     private static final int HALLS = 3;
@@ -50,7 +49,8 @@
     private final Map<String, DataPlaneNode> pilots = new HashMap<>();
     private final Map<String, Function<Request, Mono<Answer>>> doors = new HashMap<>();
     private final Seams seams;
-    private Function<String, Mono<byte[]>> pages = path -> Mono.error(new ServiceException(ErrorKind.UNAVAILABLE, "no list yet"));
+    private Function<String, Mono<byte[]>> pages =
+            path -> Mono.error(new ServiceException(ErrorKind.UNAVAILABLE, "no list yet"));
 
     public NetworkSimulation(long seed, int fronts, int storeCount, Seams seams) throws ServiceException {
         super(new Sim(seed), HALLS);
@@ -78,9 +78,12 @@
     private Function<String, Mono<byte[]>> pagesFor(Host h) {
         return path -> Mono.defer(() -> {
             Sinks.One<byte[]> sink = Sinks.one();
-            sim.after(net.delay(), () -> pages.apply(path).subscribe(
-                b -> sim.after(net.delay(), () -> h.soon(() -> sink.tryEmitValue(b))),
-                e -> sim.after(net.delay(), () -> h.soon(() -> sink.tryEmitError(e)))));
+            sim.after(
+                    net.delay(),
+                    () -> pages.apply(path)
+                            .subscribe(
+                                    b -> sim.after(net.delay(), () -> h.soon(() -> sink.tryEmitValue(b))),
+                                    e -> sim.after(net.delay(), () -> h.soon(() -> sink.tryEmitError(e)))));
             return sink.asMono();
         });
     }
@@ -93,12 +96,19 @@
         Codec codec = lamp ? Wire.codec(Wire.LIGHTHOUSE, Operators.types()) : Wire.codec(Wire.PILOT, Commands.types());
         h.boot(router);
         RpcClient beam = seams.beam().apply(address, net.beam(h, codec));
-        WriteAheadLog book = lamp || store ? RingWriteAheadLog.open(seams.disk().apply(address, h.disk), h, RING_FILES, World.LARGE_RING)
-            : new DisabledWriteAheadLog();
+        WriteAheadLog book = lamp || store
+                ? RingWriteAheadLog.open(seams.disk().apply(address, h.disk), h, RING_FILES, World.LARGE_RING)
+                : new DisabledWriteAheadLog();
         book.onFailure(why -> h.kill());
-        Env env = new Env(seams.times().apply(address, h), h, beam, codec, book, sim.random()::nextLong,
-            seams.pace().apply(lamp ? ReplicationTiming.core() : ReplicationTiming.usual()));
-        CoreClient core = new CoreClient(beam, sim.random()::nextLong, seeds, List.of(), l -> { });
+        Env env = new Env(
+                seams.times().apply(address, h),
+                h,
+                beam,
+                codec,
+                book,
+                sim.random()::nextLong,
+                seams.pace().apply(lamp ? ReplicationTiming.core() : ReplicationTiming.usual()));
+        CoreClient core = new CoreClient(beam, sim.random()::nextLong, seeds, List.of(), l -> {});
         if (lamp) {
             ControlNode n = new ControlNode(env, core, seeds);
             n.route(router);
@@ -109,9 +119,24 @@
             n.start();
             new ProcessorRegistry(env, n, PlatformApi.registry(pagesFor(h)), ROLL).start();
         } else {
-            Settings boot = new Settings(address, address, hall(address), seeds, Set.of(store ? "store" : "intake"),
-                store ? "x" : "", RING_FILES, 1, "", false, 8, "", LEASE.toMillis(), KEEP_ENDED_S, 0);
-            DataPlaneNode n = new DataPlaneNode(env, boot, core, seams.post().apply(address, quays.from(h)), PlatformApi.speech());
+            Settings boot = new Settings(
+                    address,
+                    address,
+                    hall(address),
+                    seeds,
+                    Set.of(store ? "store" : "intake"),
+                    store ? "x" : "",
+                    RING_FILES,
+                    1,
+                    "",
+                    false,
+                    8,
+                    "",
+                    LEASE.toMillis(),
+                    KEEP_ENDED_S,
+                    0);
+            DataPlaneNode n = new DataPlaneNode(
+                    env, boot, core, seams.post().apply(address, quays.from(h)), PlatformApi.speech());
             n.route(router);
             pilots.put(address, n);
             doors.put(address, PlatformApi.front(n));
@@ -140,7 +165,8 @@
 
     /** The same, waited for: nobody else waits meanwhile. */
     public Optional<Answer> ask(String to, Request q, Duration limit) {
-        java.util.concurrent.atomic.AtomicReference<Optional<Answer>> out = new java.util.concurrent.atomic.AtomicReference<>();
+        java.util.concurrent.atomic.AtomicReference<Optional<Answer>> out =
+                new java.util.concurrent.atomic.AtomicReference<>();
         request(to, q, limit, out::set);
         sim.runUntil(() -> out.get() != null, limit.plusSeconds(1));
         return out.get();
@@ -148,12 +174,16 @@
 
     /** The store that owns a message part now; empty where none does. */
     public Optional<String> owner(String part) {
-        return stores.stream().filter(s -> host(s).alive()
-            && pilots.get(s).status().get("parts") instanceof Map<?, ?> parts && parts.get(part) instanceof Map<?, ?> p
-            && p.get("phase") == Phase.OWNING).findFirst();
+        return stores.stream()
+                .filter(s -> host(s).alive()
+                        && pilots.get(s).status().get("parts") instanceof Map<?, ?> parts
+                        && parts.get(part) instanceof Map<?, ?> p
+                        && p.get("phase") == Phase.OWNING)
+                .findFirst();
     }
 
     public boolean ready() {
-        return intakes.stream().allMatch(i -> hosts.get(i).alive() && pilots.get(i).ready());
+        return intakes.stream()
+                .allMatch(i -> hosts.get(i).alive() && pilots.get(i).ready());
     }
 }
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/OperatorSimulation.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/OperatorSimulation.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-
 import org.woadvale.common.http.Answer;
 import org.woadvale.common.http.Request;
 import org.woadvale.testkit.stub.ConfigurationStub;
@@ -49,8 +48,11 @@
 
     private void put(ConfigurationStub p, String text, long base, boolean valid, Duration sent, Duration pause) {
         String to = roads.lighthouses.get(roads.sim.random().nextInt(roads.lighthouses.size()));
-        Request q = new Request("PUT", "/-/configuration", Map.of("if-match", Long.toString(base)),
-            text.getBytes(StandardCharsets.UTF_8));
+        Request q = new Request(
+                "PUT",
+                "/-/configuration",
+                Map.of("if-match", Long.toString(base)),
+                text.getBytes(StandardCharsets.UTF_8));
         roads.request(to, q, CALL, a -> {
             int status = a.map(Answer::status).orElse(0);
             if (status == 0 || status >= 500 || status == 429 || status == 408) {
@@ -77,8 +79,16 @@
     private ConfigurationStub more(String name) {
         List<ConfigurationStub.Route> all = new ArrayList<>(now.routes());
         ConfigurationStub.Route like = all.get(roads.sim.random().nextInt(3));
-        all.add(new ConfigurationStub.Route(name, like.host(), "/" + name + "/", like.service(), like.timeoutMs(), like.maxAttempts(),
-            like.inOrder(), like.retentionS(), false));
+        all.add(new ConfigurationStub.Route(
+                name,
+                like.host(),
+                "/" + name + "/",
+                like.service(),
+                like.timeoutMs(),
+                like.maxAttempts(),
+                like.inOrder(),
+                like.retentionS(),
+                false));
         return now.routes(all).with(next());
     }
 
@@ -90,8 +100,12 @@
     void change() {
         Optional<ConfigurationStub.Route> old = added();
         if (old.isPresent() && roads.sim.luck(0.5)) {
-            put(now.routes(now.routes().stream().filter(r -> !r.equals(old.get())).toList()).with(next()),
-                now.configRevision());
+            put(
+                    now.routes(now.routes().stream()
+                                    .filter(r -> !r.equals(old.get()))
+                                    .toList())
+                            .with(next()),
+                    now.configRevision());
         } else {
             put(more("new" + n++), now.configRevision());
         }
@@ -111,13 +125,30 @@
         List<ConfigurationStub.Route> others = new ArrayList<>(now.routes());
         switch (n++ % 6) {
             case 0 -> put(p, p.text().substring(0, p.text().length() / 2), now.configRevision(), false);
-            case 1 -> bad(p, others, new ConfigurationStub.Route(r.name(), r.host(), r.pathPrefix(), "nobody", 500, 3, false, 90, false));
-            case 2 -> bad(p, others, new ConfigurationStub.Route(r.name(), r.host(), others.get(0).pathPrefix(), r.service(), 500, 3, false, 90, false));
-            case 3 -> bad(p, others, new ConfigurationStub.Route(r.name(), r.host(), r.pathPrefix(), r.service(), 0, 3, false, 90, false));
-            case 4 -> put(p.with(now.configRevision()), p.with(now.configRevision()).text(), now.configRevision(), false);
+            case 1 ->
+                bad(
+                        p,
+                        others,
+                        new ConfigurationStub.Route(
+                                r.name(), r.host(), r.pathPrefix(), "nobody", 500, 3, false, 90, false));
+            case 2 ->
+                bad(
+                        p,
+                        others,
+                        new ConfigurationStub.Route(
+                                r.name(), r.host(), others.get(0).pathPrefix(), r.service(), 500, 3, false, 90, false));
+            case 3 ->
+                bad(
+                        p,
+                        others,
+                        new ConfigurationStub.Route(
+                                r.name(), r.host(), r.pathPrefix(), r.service(), 0, 3, false, 90, false));
+            case 4 ->
+                put(p.with(now.configRevision()), p.with(now.configRevision()).text(), now.configRevision(), false);
             default -> {
                 List<ConfigurationStub.Tenant> t = new ArrayList<>(now.tenants());
-                t.add(new ConfigurationStub.Tenant("thief", List.of(t.get(0).accessKeys().get(0)), 1, 1));
+                t.add(new ConfigurationStub.Tenant(
+                        "thief", List.of(t.get(0).accessKeys().get(0)), 1, 1));
                 put(p.tenants(t), p.tenants(t).text(), now.configRevision(), false);
             }
         }
@@ -148,7 +179,8 @@
         String to = roads.lighthouses.get(roads.sim.random().nextInt(roads.lighthouses.size()));
         roads.request(to, new Request("GET", "/-/configuration", Map.of(), new byte[0]), CALL, a -> {
             if (a.isPresent() && a.get().status() == 200) {
-                seen.readBack.add(new ObservationLog.ReadBack(200, new String(a.get().body(), StandardCharsets.UTF_8), roads.sim.now()));
+                seen.readBack.add(new ObservationLog.ReadBack(
+                        200, new String(a.get().body(), StandardCharsets.UTF_8), roads.sim.now()));
             }
         });
     }
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/Pairs.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Pairs.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.TreeSet;
 import java.util.concurrent.atomic.AtomicReference;
-
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.testkit.stub.NeverList;
 
@@ -44,44 +43,95 @@
         }
     }
 
-    private Pairs() { }
+    private Pairs() {}
 
     private static Pair layout() {
         AtomicReference<String> cut = new AtomicReference<>("");
-        return new Pair("09", "owner of the layout cut off, read there", "clock that counts while the claim runs out",
-            (s, x) -> FailureScenarios.ownerOfTheLayoutCutOff(s, x, cut), NaiveVariants.stoppedClock(a -> a.equals(cut.get())));
+        return new Pair(
+                "09",
+                "owner of the layout cut off, read there",
+                "clock that counts while the claim runs out",
+                (s, x) -> FailureScenarios.ownerOfTheLayoutCutOff(s, x, cut),
+                NaiveVariants.stoppedClock(a -> a.equals(cut.get())));
     }
 
     public static List<Pair> all() {
         return List.of(
-            new Pair("01", "power lost everywhere", "sync before the answer", FailureScenarios::powerLossEverywhere, NaiveVariants.lyingDisk()),
-            new Pair("02", "errors after the work", "only 429 and 503 mean not done", FailureScenarios::errorsAfterTheWork,
-                NaiveVariants.anyErrorIsLater()),
-            new Pair("03", "stores' answers do not come back", "no answer is not a no", FailureScenarios::answersDoNotComeBack,
-                NaiveVariants.silenceIsNo()),
-            new Pair("04", "work longer than an attempt", "no answer is not an end", FailureScenarios::workLongerThanAnAttempt,
-                NaiveVariants.silenceIsRefusal()),
-            new Pair("05", "streams stall under a flood", "a time by which a hand-in must have come",
-                FailureScenarios::stalledStreams, NaiveVariants.timelessHandIns()),
-            new Pair("06", "streams to an endpoint open slowly", "the last look when the stream is open",
-                FailureScenarios::streamsThatOpenSlowly, NaiveVariants.lookFirstSendLater()),
-            new Pair("07", "key withdrawn, a hall out of touch", "age of news", FailureScenarios::keyWithdrawnOutOfTouch,
-                NaiveVariants.noNewsIsGoodNews()),
-            new Pair("08", "lane removed, a hall out of touch", "age of news", FailureScenarios::lanesChangedOutOfTouch,
-                NaiveVariants.noNewsIsGoodNews()),
-            layout(),
-            new Pair("10", "processors marked, stores out of touch", "age of news", FailureScenarios::markedOutOfTouch,
-                NaiveVariants.noNewsIsGoodNews()),
-            new Pair("11", "something answers 200 for the endpoints", "echo and receipt", FailureScenarios::somethingInBetween,
-                NaiveVariants.everySuccessIsProof()),
-            new Pair("12", "two full outages", "short claims", FailureScenarios::twoOutages, NaiveVariants.longClaims()));
+                new Pair(
+                        "01",
+                        "power lost everywhere",
+                        "sync before the answer",
+                        FailureScenarios::powerLossEverywhere,
+                        NaiveVariants.lyingDisk()),
+                new Pair(
+                        "02",
+                        "errors after the work",
+                        "only 429 and 503 mean not done",
+                        FailureScenarios::errorsAfterTheWork,
+                        NaiveVariants.anyErrorIsLater()),
+                new Pair(
+                        "03",
+                        "stores' answers do not come back",
+                        "no answer is not a no",
+                        FailureScenarios::answersDoNotComeBack,
+                        NaiveVariants.silenceIsNo()),
+                new Pair(
+                        "04",
+                        "work longer than an attempt",
+                        "no answer is not an end",
+                        FailureScenarios::workLongerThanAnAttempt,
+                        NaiveVariants.silenceIsRefusal()),
+                new Pair(
+                        "05",
+                        "streams stall under a flood",
+                        "a time by which a hand-in must have come",
+                        FailureScenarios::stalledStreams,
+                        NaiveVariants.timelessHandIns()),
+                new Pair(
+                        "06",
+                        "streams to an endpoint open slowly",
+                        "the last look when the stream is open",
+                        FailureScenarios::streamsThatOpenSlowly,
+                        NaiveVariants.lookFirstSendLater()),
+                new Pair(
+                        "07",
+                        "key withdrawn, a hall out of touch",
+                        "age of news",
+                        FailureScenarios::keyWithdrawnOutOfTouch,
+                        NaiveVariants.noNewsIsGoodNews()),
+                new Pair(
+                        "08",
+                        "lane removed, a hall out of touch",
+                        "age of news",
+                        FailureScenarios::lanesChangedOutOfTouch,
+                        NaiveVariants.noNewsIsGoodNews()),
+                layout(),
+                new Pair(
+                        "10",
+                        "processors marked, stores out of touch",
+                        "age of news",
+                        FailureScenarios::markedOutOfTouch,
+                        NaiveVariants.noNewsIsGoodNews()),
+                new Pair(
+                        "11",
+                        "something answers 200 for the endpoints",
+                        "echo and receipt",
+                        FailureScenarios::somethingInBetween,
+                        NaiveVariants.everySuccessIsProof()),
+                new Pair(
+                        "12",
+                        "two full outages",
+                        "short claims",
+                        FailureScenarios::twoOutages,
+                        NaiveVariants.longClaims()));
     }
 
     /** pairs FROM TO: the table; exits non-zero if a shipped run broke anything or a pair did not break its line. */
     public static void main(String[] args) {
         long from = Long.parseLong(args[0]);
         long to = Long.parseLong(args[1]);
-        System.out.println("| line | brought about | left out | seeds | shipped broke | without it broke the line | and others |");
+        System.out.println(
+                "| line | brought about | left out | seeds | shipped broke | without it broke the line | and others |");
         System.out.println("|---|---|---|---|---|---|---|");
         List<Boolean> good = new ArrayList<>();
         all().parallelStream().map(p -> row(p, from, to, good)).toList().forEach(System.out::println);
@@ -112,6 +162,6 @@
             good.add(shipped == 0 && broke > 0);
         }
         return "| " + p.line + " | " + p.failure + " | " + p.leftOut + " | " + (to - from + 1) + " | " + shipped
-            + String.join("", first) + " | " + broke + " | " + String.join(" ", others) + " |";
+                + String.join("", first) + " | " + broke + " | " + String.join(" ", others) + " |";
     }
 }
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/PlatformScenarios.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/PlatformScenarios.java
@@ -3,10 +3,9 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
-
 import org.woadvale.common.runtime.ServiceException;
-import org.woadvale.testkit.stub.Rules;
 import org.woadvale.testkit.stub.ObservationLog;
+import org.woadvale.testkit.stub.Rules;
 
 /** Scenarios that bring about the failure each rule is meant for, as shipped and with one mechanism left out. design 12.3 */
 public final class PlatformScenarios {
@@ -51,32 +50,89 @@
         }
     }
 
-    private PlatformScenarios() { }
+    private PlatformScenarios() {}
 
     public static List<Pair> all() {
         AtomicBoolean frozen = new AtomicBoolean();
         return List.of(
-            new Pair("LOST", "power lost everywhere", "sync before the answer", PlatformScenarios::powerLost, BareReplicas.lyingStores()),
-            new Pair("REFUSED", "stores' answers do not come back", "no answer is not a no", PlatformScenarios::answersDoNotComeBack,
-                NaiveVariants.silenceIsNo()),
-            new Pair("ORDER", "processors break off", "silence is not an end", PlatformScenarios::breakingOff, BareReplicas.silenceIsRefusal()),
-            new Pair("TWICE read", "a good day", "a sealed answer is proof", p -> served(p, 30, 5), BareReplicas.successIsNoProof()),
-            new Pair("TWICE leases", "processors say nothing for longer than a lease", "only the present lease ends it",
-                PlatformScenarios::muteProcessors, BareReplicas.anyLeaseWillDo()),
-            new Pair("MIXED", "processors fail", "only a seal is proof", PlatformScenarios::breakingOff, BareReplicas.errorIsSuccess()),
-            new Pair("ROUTE", "another service takes an address", "the expected instance", PlatformScenarios::reusedAddress,
-                BareReplicas.nobodyIsExpected()),
-            new Pair("UNASKED", "a good day", "bytes go as they came", p -> served(p, 30, 3), BareReplicas.bytesChange()),
-            new Pair("CEILING", "streams to the endpoint open slowly", "the last look when the stream is open",
-                PlatformScenarios::slowStreams, BareReplicas.lookFirstSendLater()),
-            new Pair("QUOTA", "streams stall under a flood", "a time by which a hand-in must have come", PlatformScenarios::stalled,
-                NaiveVariants.timelessHandIns()),
-            new Pair("CONFIG revoked", "a key is withdrawn", "news of proven age", p -> keyWithdrawn(p, frozen),
-                BareReplicas.newsStands(frozen::get)),
-            new Pair("CONFIG ignored", "a route comes", "news of proven age", p -> routeAdded(p, frozen),
-                BareReplicas.newsStands(frozen::get)),
-            new Pair("DRAIN", "a processor leaves", "news of proven age", p -> processorLeaves(p, frozen),
-                BareReplicas.newsStands(frozen::get)));
+                new Pair(
+                        "LOST",
+                        "power lost everywhere",
+                        "sync before the answer",
+                        PlatformScenarios::powerLost,
+                        BareReplicas.lyingStores()),
+                new Pair(
+                        "REFUSED",
+                        "stores' answers do not come back",
+                        "no answer is not a no",
+                        PlatformScenarios::answersDoNotComeBack,
+                        NaiveVariants.silenceIsNo()),
+                new Pair(
+                        "ORDER",
+                        "processors break off",
+                        "silence is not an end",
+                        PlatformScenarios::breakingOff,
+                        BareReplicas.silenceIsRefusal()),
+                new Pair(
+                        "TWICE read",
+                        "a good day",
+                        "a sealed answer is proof",
+                        p -> served(p, 30, 5),
+                        BareReplicas.successIsNoProof()),
+                new Pair(
+                        "TWICE leases",
+                        "processors say nothing for longer than a lease",
+                        "only the present lease ends it",
+                        PlatformScenarios::muteProcessors,
+                        BareReplicas.anyLeaseWillDo()),
+                new Pair(
+                        "MIXED",
+                        "processors fail",
+                        "only a seal is proof",
+                        PlatformScenarios::breakingOff,
+                        BareReplicas.errorIsSuccess()),
+                new Pair(
+                        "ROUTE",
+                        "another service takes an address",
+                        "the expected instance",
+                        PlatformScenarios::reusedAddress,
+                        BareReplicas.nobodyIsExpected()),
+                new Pair(
+                        "UNASKED",
+                        "a good day",
+                        "bytes go as they came",
+                        p -> served(p, 30, 3),
+                        BareReplicas.bytesChange()),
+                new Pair(
+                        "CEILING",
+                        "streams to the endpoint open slowly",
+                        "the last look when the stream is open",
+                        PlatformScenarios::slowStreams,
+                        BareReplicas.lookFirstSendLater()),
+                new Pair(
+                        "QUOTA",
+                        "streams stall under a flood",
+                        "a time by which a hand-in must have come",
+                        PlatformScenarios::stalled,
+                        NaiveVariants.timelessHandIns()),
+                new Pair(
+                        "CONFIG revoked",
+                        "a key is withdrawn",
+                        "news of proven age",
+                        p -> keyWithdrawn(p, frozen),
+                        BareReplicas.newsStands(frozen::get)),
+                new Pair(
+                        "CONFIG ignored",
+                        "a route comes",
+                        "news of proven age",
+                        p -> routeAdded(p, frozen),
+                        BareReplicas.newsStands(frozen::get)),
+                new Pair(
+                        "DRAIN",
+                        "a processor leaves",
+                        "news of proven age",
+                        p -> processorLeaves(p, frozen),
+                        BareReplicas.newsStands(frozen::get)));
     }
 
     private static void served(PlatformSimulation p, double perSecond, int seconds) {
@@ -86,14 +142,17 @@
     }
 
     private static void trouble(PlatformSimulation p, int seconds) {
-        p.seen.troubles.add(new ObservationLog.Trouble("scene", p.roads.sim.now(), p.roads.sim.now().plusSeconds(seconds)));
+        p.seen.troubles.add(new ObservationLog.Trouble(
+                "scene", p.roads.sim.now(), p.roads.sim.now().plusSeconds(seconds)));
     }
 
     private static void powerLost(PlatformSimulation p) throws ServiceException {
         p.traffic(20);
         for (int ms = 0; ms < 3000; ms += 50) {
             int n = ms;
-            p.roads.sim.after(Duration.ofMillis(ms), () -> p.send("/open/later" + n, "key" + n / 50 % 4, "", 20_000, p.entry.any()));
+            p.roads.sim.after(
+                    Duration.ofMillis(ms),
+                    () -> p.send("/open/later" + n, "key" + n / 50 % 4, "", 20_000, p.entry.any()));
         }
         p.roads.sim.run(Duration.ofSeconds(4));
         p.calm();
@@ -117,7 +176,9 @@
     }
 
     private static void breakingOff(PlatformSimulation p) {
-        p.hands.values().forEach(h -> h.behave(new ClientHabits(Duration.ofMillis(50), Duration.ofMillis(400), 0.2, 0.4, 0.1)));
+        p.hands
+                .values()
+                .forEach(h -> h.behave(new ClientHabits(Duration.ofMillis(50), Duration.ofMillis(400), 0.2, 0.4, 0.1)));
         served(p, 25, 6);
         p.roads.sim.run(Duration.ofSeconds(2));
         p.hands.values().forEach(h -> h.behave(ClientHabits.good()));
@@ -137,7 +198,9 @@
     private static void reusedAddress(PlatformSimulation p) {
         p.traffic(40);
         p.roads.sim.run(Duration.ofSeconds(1));
-        List<ScriptedClient> plain = p.hands.values().stream().filter(h -> h.service().equals("plain")).toList();
+        List<ScriptedClient> plain = p.hands.values().stream()
+                .filter(h -> h.service().equals("plain"))
+                .toList();
         plain.forEach(h -> p.moveIn(h, "book"));
         p.roads.sim.run(Duration.ofSeconds(3));
         p.hand("plain", "10.9.5.1:8080");
@@ -149,7 +212,8 @@
         String far = "172.20.0.3:8748";
         for (int ms = 0; ms < 9000; ms += 25) {
             int n = ms;
-            p.roads.sim.after(Duration.ofMillis(ms), () -> p.send("/check/" + n, "key" + n / 25 % 4, "", 0, p.entry.any()));
+            p.roads.sim.after(
+                    Duration.ofMillis(ms), () -> p.send("/check/" + n, "key" + n / 25 % 4, "", 0, p.entry.any()));
         }
         for (int ms = 0; ms < 1200; ms += 50) {
             Duration left = Duration.ofMillis(1200 - ms);
@@ -203,7 +267,10 @@
         p.traffic(40);
         p.roads.sim.run(Duration.ofSeconds(1));
         frozen.set(true);
-        p.leave(p.hands.values().stream().filter(h -> h.service().equals("plain")).findFirst().orElseThrow());
+        p.leave(p.hands.values().stream()
+                .filter(h -> h.service().equals("plain"))
+                .findFirst()
+                .orElseThrow());
         p.roads.sim.run(Duration.ofSeconds(6));
         p.calm();
         frozen.set(false);
