--- a/testkit/src/main/java/org/woadvale/testkit/simulation/PlatformSimulation.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/PlatformSimulation.java
@@ -8,13 +8,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-
 import org.woadvale.common.http.Answer;
 import org.woadvale.common.http.Request;
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.testkit.stub.ConfigurationStub;
-import org.woadvale.testkit.stub.Rules;
 import org.woadvale.testkit.stub.ObservationLog;
+import org.woadvale.testkit.stub.Rules;
 
 /** A fleet behind the platform's doors with everything that is around it there: clients, processors, operator. */
 public final class PlatformSimulation {
@@ -54,12 +53,17 @@
     }
 
     static ConfigurationStub papers() {
-        List<ConfigurationStub.Route> routes = List.of(route("hold", "desk", false, 3), route("accept", "book", true, 4),
-            route("check", "far", false, 3), route("turn", "desk", true, 3), route("open", "plain", false, 3));
-        List<ConfigurationStub.Service> services = List.of(new ConfigurationStub.Service("desk", 0, 100, false, true, Optional.empty()),
-            new ConfigurationStub.Service("book", 0, 100, true, false, Optional.empty()),
-            new ConfigurationStub.Service("plain", 0, 100, false, false, Optional.empty()),
-            new ConfigurationStub.Service("far", 12, 24, true, false, Optional.of("172.20.0.3:8748")));
+        List<ConfigurationStub.Route> routes = List.of(
+                route("hold", "desk", false, 3),
+                route("accept", "book", true, 4),
+                route("check", "far", false, 3),
+                route("turn", "desk", true, 3),
+                route("open", "plain", false, 3));
+        List<ConfigurationStub.Service> services = List.of(
+                new ConfigurationStub.Service("desk", 0, 100, false, true, Optional.empty()),
+                new ConfigurationStub.Service("book", 0, 100, true, false, Optional.empty()),
+                new ConfigurationStub.Service("plain", 0, 100, false, false, Optional.empty()),
+                new ConfigurationStub.Service("far", 12, 24, true, false, Optional.of("172.20.0.3:8748")));
         List<ConfigurationStub.Tenant> tenants = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
             tenants.add(new ConfigurationStub.Tenant("tenant" + i, List.of("key" + i, "spare" + i), RATE, RATE));
@@ -79,8 +83,10 @@
             hand("plain", "10.9.1." + i + ":8080");
             puller();
         }
-        hands.put("far", place(new ScriptedClient(roads, seen, "far", "far", 6, table("far"), true), "172.20.0.3:8748"));
-        FleetSimulation.require(roads.sim.runUntil(roads::ready, Duration.ofSeconds(40)), "the fleet did not get ready");
+        hands.put(
+                "far", place(new ScriptedClient(roads, seen, "far", "far", 6, table("far"), true), "172.20.0.3:8748"));
+        FleetSimulation.require(
+                roads.sim.runUntil(roads::ready, Duration.ofSeconds(40)), "the fleet did not get ready");
         roads.sim.run(Duration.ofSeconds(2));
         return this;
     }
@@ -97,7 +103,8 @@
 
     ScriptedClient hand(String service, String address) {
         String id = "i-" + lives++;
-        ScriptedClient h = place(new ScriptedClient(roads, seen, id, service, 6, table(service), service.equals("book")), address);
+        ScriptedClient h =
+                place(new ScriptedClient(roads, seen, id, service, 6, table(service), service.equals("book")), address);
         hands.put(id, h);
         roster.put(id, service, address, 6, "ready");
         return h;
@@ -151,25 +158,35 @@
     }
 
     private void next(double perSecond) {
-        roads.sim.after(Duration.ofNanos((long) (-Math.log(1 - roads.sim.random().nextDouble()) / perSecond * 1e9)), () -> {
-            if (traffic) {
-                client();
-                next(perSecond);
-            }
-        });
+        roads.sim.after(
+                Duration.ofNanos((long) (-Math.log(1 - roads.sim.random().nextDouble()) / perSecond * 1e9)), () -> {
+                    if (traffic) {
+                        client();
+                        next(perSecond);
+                    }
+                });
     }
 
     /** A client on any route that there is, or was just added or removed, with any key that there is or was. */
     private void client() {
         List<ConfigurationStub.Route> routes = office.now().routes();
         boolean usual = roads.sim.luck(0.9);
-        ConfigurationStub.Route r = usual || seen.papers.isEmpty() ? routes.get(roads.sim.random().nextInt(routes.size()))
-            : any(any(seen.papers).papers().routes());
+        ConfigurationStub.Route r = usual || seen.papers.isEmpty()
+                ? routes.get(roads.sim.random().nextInt(routes.size()))
+                : any(any(seen.papers).papers().routes());
         int t = roads.sim.random().nextInt(4);
-        String key = usual ? "key" + t : any(any(seen.papers).papers().tenants().get(t).accessKeys());
+        String key = usual
+                ? "key" + t
+                : any(any(seen.papers).papers().tenants().get(t).accessKeys());
         String order = r.inOrder() ? "k" + roads.sim.random().nextInt(5) : "";
-        send(r.pathPrefix() + ids, key, order, roads.sim.luck(0.1) ? 1000 : 0,
-            entry.forClient(roads.sim.random().nextInt(CLIENTS), "hall" + roads.sim.random().nextInt(3)));
+        send(
+                r.pathPrefix() + ids,
+                key,
+                order,
+                roads.sim.luck(0.1) ? 1000 : 0,
+                entry.forClient(
+                        roads.sim.random().nextInt(CLIENTS),
+                        "hall" + roads.sim.random().nextInt(3)));
     }
 
     private <T> T any(List<T> list) {
@@ -180,8 +197,8 @@
     void send(String path, String key, String order, long delayMs, String node) {
         String id = "a" + ids++;
         String body = "body of " + id;
-        Map<String, String> h = new LinkedHashMap<>(Map.of("host", HOST, "x-attempt-id", id, "authorization", "Token " + key,
-            "x-deadline-ms", DEADLINE_MS));
+        Map<String, String> h = new LinkedHashMap<>(Map.of(
+                "host", HOST, "x-attempt-id", id, "authorization", "Token " + key, "x-deadline-ms", DEADLINE_MS));
         if (!order.isEmpty()) {
             h.put("x-order-key", order);
         }
@@ -192,8 +209,11 @@
         roads.request(node, new Request("POST", path, h, body.getBytes(StandardCharsets.UTF_8)), CLIENT, a -> {
             int status = a.map(Answer::status).orElse(0);
             answers.merge(status, 1, Integer::sum);
-            seen.said.add(new ObservationLog.Said(id, status,
-                a.map(x -> x.headers().getOrDefault("X-Message-Ref", id)).orElse(""), roads.sim.now()));
+            seen.said.add(new ObservationLog.Said(
+                    id,
+                    status,
+                    a.map(x -> x.headers().getOrDefault("X-Message-Ref", id)).orElse(""),
+                    roads.sim.now()));
         });
     }
 
@@ -201,7 +221,8 @@
     public List<String> end(Duration completion) {
         calm();
         roads.sim.run(completion);
-        FleetSimulation.require(roads.sim.runUntil(office::idle, Duration.ofSeconds(30)), "the operator got no clear answer");
+        FleetSimulation.require(
+                roads.sim.runUntil(office::idle, Duration.ofSeconds(30)), "the operator got no clear answer");
         Map<String, ObservationLog.Sent> sent = new LinkedHashMap<>();
         seen.sent.forEach(s -> sent.put(s.id(), s));
         seen.said.stream().filter(s -> s.status() == 202).forEach(s -> show(sent.get(s.id()), s.ref(), 5));
@@ -212,25 +233,42 @@
     }
 
     private String keyOf(ObservationLog.Sent s) {
-        return seen.papers.stream().flatMap(p -> p.papers().tenant(s.key()).stream()).findFirst()
-            .map(t -> t.accessKeys().get(0)).orElse(s.key());
+        return seen.papers.stream()
+                .flatMap(p -> p.papers().tenant(s.key()).stream())
+                .findFirst()
+                .map(t -> t.accessKeys().get(0))
+                .orElse(s.key());
     }
 
     private void show(ObservationLog.Sent s, String ref, int tries) {
         Map<String, String> h = Map.of("host", HOST, "authorization", "Token " + keyOf(s));
         Duration limit = Duration.ofSeconds(2);
-        roads.request(entry.any(), new Request("GET", "/-/message/" + ref, h, new byte[0]), limit, a ->
-            roads.request(entry.any(), new Request("GET", "/-/message-body/" + ref, h, new byte[0]), limit, b -> {
-                boolean good = a.isPresent() && b.isPresent() && a.get().status() < 500 && b.get().status() < 500;
-                if (!good && tries > 0) {
-                    show(s, ref, tries - 1);
-                    return;
-                }
-                seen.shown.add(new ObservationLog.Shown(s.id(), a.map(Answer::status).orElse(0),
-                    a.map(x -> Callers.json(x).path("state").asText()).orElse(""),
-                    a.map(x -> Callers.json(x).path("seal").asText()).orElse(""), b.map(Answer::status).orElse(0),
-                    b.filter(x -> x.status() == 200).map(x -> new String(x.body())).orElse("")));
-            }));
+        roads.request(
+                entry.any(),
+                new Request("GET", "/-/message/" + ref, h, new byte[0]),
+                limit,
+                a -> roads.request(
+                        entry.any(), new Request("GET", "/-/message-body/" + ref, h, new byte[0]), limit, b -> {
+                            boolean good = a.isPresent()
+                                    && b.isPresent()
+                                    && a.get().status() < 500
+                                    && b.get().status() < 500;
+                            if (!good && tries > 0) {
+                                show(s, ref, tries - 1);
+                                return;
+                            }
+                            seen.shown.add(new ObservationLog.Shown(
+                                    s.id(),
+                                    a.map(Answer::status).orElse(0),
+                                    a.map(x -> Callers.json(x).path("state").asText())
+                                            .orElse(""),
+                                    a.map(x -> Callers.json(x).path("seal").asText())
+                                            .orElse(""),
+                                    b.map(Answer::status).orElse(0),
+                                    b.filter(x -> x.status() == 200)
+                                            .map(x -> new String(x.body()))
+                                            .orElse("")));
+                        }));
     }
 
     public Map<Integer, Integer> answers() {
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/ProcessorFaults.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/ProcessorFaults.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-
 import org.woadvale.testkit.stub.Backend;
 
 /** What comes from outside: callers, processors, endpoints, head office, and the calendar. */
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/ProcessorList.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/ProcessorList.java
@@ -7,11 +7,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-
 import org.woadvale.common.config.Configurations;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
-
 import reactor.core.publisher.Mono;
 
 /** The platform's list of processors: it lags, comes in pages, and takes only so many calls a second. docs/platform.md 6 */
@@ -19,7 +17,7 @@
     private static final int PAGE = 3;
 
     /** One entry, as it stands since a time. */
-    private record Row(String service, String address, int slots, String state, Duration since) { }
+    private record Row(String service, String address, int slots, String state, Duration since) {}
 
     private final Sim sim;
     private final Duration lag;
@@ -59,16 +57,21 @@
 
     private Optional<Row> shown(List<Row> all) {
         Duration by = sim.now().minus(lag);
-        return all.stream().filter(r -> r.since().compareTo(by) <= 0).reduce((a, b) -> b)
-            .filter(r -> !r.state().equals("gone"));
+        return all.stream()
+                .filter(r -> r.since().compareTo(by) <= 0)
+                .reduce((a, b) -> b)
+                .filter(r -> !r.state().equals("gone"));
     }
 
     Mono<byte[]> page(String path) {
         calls.add(sim.now());
-        long lately = calls.stream().filter(c -> c.plusSeconds(1).compareTo(sim.now()) > 0).count();
+        long lately = calls.stream()
+                .filter(c -> c.plusSeconds(1).compareTo(sim.now()) > 0)
+                .count();
         if (down || lately > ratePerS) {
             refused++;
-            return Mono.error(new ServiceException(ErrorKind.UNAVAILABLE, down ? "no answer" : "the list answered 429"));
+            return Mono.error(
+                    new ServiceException(ErrorKind.UNAVAILABLE, down ? "no answer" : "the list answered 429"));
         }
         int from = path.contains("pageToken=p-") ? Integer.parseInt(path.replaceAll(".*pageToken=p-", "")) : 0;
         List<Map<String, Object>> all = new ArrayList<>();
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/ProcessorSimulation.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/ProcessorSimulation.java
@@ -10,13 +10,11 @@
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
 import java.util.function.Function;
-
 import org.woadvale.common.http.Answer;
 import org.woadvale.common.http.Request;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.dataplane.delivery.DeliveryClient;
-
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 
@@ -25,7 +23,7 @@
     private final NetworkSimulation roads;
     private final Map<String, Function<Request, Mono<Answer>>> at = new HashMap<>();
     private final Set<String> silent = new HashSet<>();
-    private BiConsumer<Request, Answer> onRead = (q, a) -> { };
+    private BiConsumer<Request, Answer> onRead = (q, a) -> {};
     private final Map<String, Duration> slowStreams = new HashMap<>();
     private double answerLoss;
 
@@ -68,17 +66,22 @@
     DeliveryClient from(Host h) {
         return call -> Mono.defer(() -> {
             Sinks.One<DeliveryClient.Reply> sink = Sinks.one();
-            h.after(call.limit(), () -> sink.tryEmitError(new ServiceException(ErrorKind.UNKNOWN_OUTCOME, "no answer in time")));
+            h.after(
+                    call.limit(),
+                    () -> sink.tryEmitError(new ServiceException(ErrorKind.UNKNOWN_OUTCOME, "no answer in time")));
             String rest = call.url().substring("http://".length());
             String address = rest.substring(0, rest.indexOf('/'));
-            Request q = new Request(call.method(), rest.substring(rest.indexOf('/')), lower(call.headers()), call.body());
-            roads.sim.after(roads.net.delay().plus(slowStreams.getOrDefault(address, Duration.ZERO)), () -> h.soon(() -> {
-                if (!at.containsKey(address) || !call.still().getAsBoolean()) {
-                    sink.tryEmitError(new ServiceException(ErrorKind.UNREACHABLE, "refused"));
-                    return;
-                }
-                roads.sim.after(roads.net.delay(), () -> arrive(h, address, q, sink));
-            }));
+            Request q =
+                    new Request(call.method(), rest.substring(rest.indexOf('/')), lower(call.headers()), call.body());
+            roads.sim.after(
+                    roads.net.delay().plus(slowStreams.getOrDefault(address, Duration.ZERO)),
+                    () -> h.soon(() -> {
+                        if (!at.containsKey(address) || !call.still().getAsBoolean()) {
+                            sink.tryEmitError(new ServiceException(ErrorKind.UNREACHABLE, "refused"));
+                            return;
+                        }
+                        roads.sim.after(roads.net.delay(), () -> arrive(h, address, q, sink));
+                    }));
             return sink.asMono();
         });
     }
@@ -95,14 +98,22 @@
             h.soon(() -> sink.tryEmitError(new ServiceException(ErrorKind.UNKNOWN_OUTCOME, "reset")));
             return;
         }
-        p.get().apply(q).subscribe(a -> {
-            if (!silent.contains(address) && !roads.sim.luck(answerLoss)) {
-                roads.sim.after(roads.net.delay(), () -> h.soon(() -> {
-                    if (sink.tryEmitValue(new DeliveryClient.Reply(a.status(), lower(a.headers()), a.body())) == Sinks.EmitResult.OK) {
-                        onRead.accept(q, a);
-                    }
-                }));
-            }
-        }, e -> { });
+        p.get()
+                .apply(q)
+                .subscribe(
+                        a -> {
+                            if (!silent.contains(address) && !roads.sim.luck(answerLoss)) {
+                                roads.sim.after(
+                                        roads.net.delay(),
+                                        () -> h.soon(() -> {
+                                            if (sink.tryEmitValue(new DeliveryClient.Reply(
+                                                            a.status(), lower(a.headers()), a.body()))
+                                                    == Sinks.EmitResult.OK) {
+                                                onRead.accept(q, a);
+                                            }
+                                        }));
+                            }
+                        },
+                        e -> {});
     }
 }
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/Puller.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Puller.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
-
 import org.woadvale.common.http.Answer;
 import org.woadvale.common.http.Request;
 import org.woadvale.testkit.stub.ObservationLog;
@@ -61,8 +60,11 @@
         if (!alive || leaving) {
             return;
         }
-        Request q = new Request("POST", "/-/pull/" + service, Map.of("x-instance-id", id, "x-poll-wait-ms",
-            Long.toString(WAIT.toMillis())), new byte[0]);
+        Request q = new Request(
+                "POST",
+                "/-/pull/" + service,
+                Map.of("x-instance-id", id, "x-poll-wait-ms", Long.toString(WAIT.toMillis())),
+                new byte[0]);
         roads.request(entry.any(), q, CALL, a -> {
             if (!alive) {
                 return;
@@ -83,9 +85,15 @@
             end(job, 503, "");
             return;
         }
-        seen.began.add(new ObservationLog.Began(message, service, job.headers().getOrDefault("X-Tenant", ""),
-            job.headers().getOrDefault("X-Order-Key", ""), job.headers().get("X-Job-Method"),
-            job.headers().get("X-Job-Target"), new String(job.body()), began));
+        seen.began.add(new ObservationLog.Began(
+                message,
+                service,
+                job.headers().getOrDefault("X-Tenant", ""),
+                job.headers().getOrDefault("X-Order-Key", ""),
+                job.headers().get("X-Job-Method"),
+                job.headers().get("X-Job-Target"),
+                new String(job.body()),
+                began));
         boolean[] over = {false};
         extendLater(job, over);
         roads.sim.after(habits.work(roads.sim), () -> {
@@ -111,8 +119,12 @@
     private void extendLater(Answer job, boolean[] over) {
         roads.sim.after(NetworkSimulation.LEASE.dividedBy(3), () -> {
             if (alive && !mute && !over[0]) {
-                roads.request(entry.any(), new Request("POST", "/-/job-extend/" + job.headers().get("X-Attempt-Id"),
-                    lease(job), new byte[0]), CALL, a -> { });
+                roads.request(
+                        entry.any(),
+                        new Request(
+                                "POST", "/-/job-extend/" + job.headers().get("X-Attempt-Id"), lease(job), new byte[0]),
+                        CALL,
+                        a -> {});
                 extendLater(job, over);
             }
         });
@@ -134,7 +146,8 @@
                 return;
             }
             if (status == 200) {
-                seen.endsTaken.add(new ObservationLog.EndTaken(message, job.headers().get("X-Lease-Id"), outcome, roads.sim.now()));
+                seen.endsTaken.add(new ObservationLog.EndTaken(
+                        message, job.headers().get("X-Lease-Id"), outcome, roads.sim.now()));
                 if (outcome == 200) {
                     seen.read.add(new ObservationLog.Read(message, roads.sim.now()));
                 }
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/ScriptedClient.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/ScriptedClient.java
@@ -5,11 +5,9 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-
 import org.woadvale.common.http.Answer;
 import org.woadvale.common.http.Request;
 import org.woadvale.testkit.stub.ObservationLog;
-
 import reactor.core.publisher.Mono;
 
 /** One life of a processor that is pushed to: slots, a short queue, seals. docs/platform.md 5 */
@@ -33,7 +31,14 @@
     private int runs;
     private boolean alive = true;
 
-    ScriptedClient(NetworkSimulation roads, ObservationLog seen, String id, String service, int slots, Table table, boolean dedupes) {
+    ScriptedClient(
+            NetworkSimulation roads,
+            ObservationLog seen,
+            String id,
+            String service,
+            int slots,
+            Table table,
+            boolean dedupes) {
         this.roads = roads;
         this.seen = seen;
         this.id = id;
@@ -104,8 +109,15 @@
         String seal = outcome == 200 ? id + "." + runs++ : "";
         busy++;
         table.running.add(message);
-        seen.began.add(new ObservationLog.Began(message, service, header(q, "x-tenant"), header(q, "x-order-key"), q.method(),
-            q.path(), new String(q.body()), began));
+        seen.began.add(new ObservationLog.Began(
+                message,
+                service,
+                header(q, "x-tenant"),
+                header(q, "x-order-key"),
+                q.method(),
+                q.path(),
+                new String(q.body()),
+                began));
         return Mono.create(sink -> roads.sim.after(tooLong ? limit : work, () -> {
             busy--;
             table.running.remove(message);
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/Seams.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Seams.java
@@ -2,17 +2,19 @@
 
 import java.util.function.BiFunction;
 import java.util.function.UnaryOperator;
-
-import org.woadvale.common.rpc.RpcClient;
 import org.woadvale.common.replication.ReplicationTiming;
+import org.woadvale.common.rpc.RpcClient;
 import org.woadvale.common.runtime.Clock;
 import org.woadvale.common.wal.Disk;
 import org.woadvale.dataplane.delivery.DeliveryClient;
 
 /** Where a stand-in may take the place of what the shipped nodes are given; by address. design 12.3 */
-public record Seams(BiFunction<String, RpcClient, RpcClient> beam, BiFunction<String, Disk, Disk> disk,
-                    BiFunction<String, Clock, Clock> times, BiFunction<String, DeliveryClient, DeliveryClient> post,
-                    UnaryOperator<ReplicationTiming> pace) {
+public record Seams(
+        BiFunction<String, RpcClient, RpcClient> beam,
+        BiFunction<String, Disk, Disk> disk,
+        BiFunction<String, Clock, Clock> times,
+        BiFunction<String, DeliveryClient, DeliveryClient> post,
+        UnaryOperator<ReplicationTiming> pace) {
 
     public static Seams none() {
         return new Seams((a, b) -> b, (a, d) -> d, (a, t) -> t, (a, p) -> p, p -> p);
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/SeededPlatformDays.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/SeededPlatformDays.java
@@ -9,7 +9,6 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.stream.LongStream;
-
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.testkit.stub.ObservationLog;
 
@@ -18,6 +17,7 @@
     private static final Duration RECOVERY = Duration.ofMillis(4200);
     /** A planned stop, the start, and as long as the entry takes to see it. */
     private static final Duration ROLL = Duration.ofMillis(10_500);
+
     private final PlatformSimulation p;
     private final NetworkSimulation r;
     private final Random random;
@@ -26,6 +26,7 @@
     private final List<String> log = new ArrayList<>();
     /** Every third day has planned work only: what binds in calm times binds all day. */
     private final boolean calm;
+
     private Duration nextStop = Duration.ZERO;
 
     public SeededPlatformDays(long seed) throws ServiceException {
@@ -67,7 +68,8 @@
     }
 
     private void trouble(String what, Duration length) {
-        p.seen.troubles.add(new ObservationLog.Trouble(what, r.sim.now(), r.sim.now().plus(length)));
+        p.seen.troubles.add(
+                new ObservationLog.Trouble(what, r.sim.now(), r.sim.now().plus(length)));
     }
 
     private void killed(String node) {
@@ -119,7 +121,9 @@
 
     /** In order, one at a time: told to drain, no more offered, and ended once its time is over. */
     private void stop(String node) {
-        if (r.sim.now().compareTo(nextStop) < 0 || r.all().stream().anyMatch(x -> !r.host(x).alive() || r.host(x).paused())) {
+        if (r.sim.now().compareTo(nextStop) < 0
+                || r.all().stream()
+                        .anyMatch(x -> !r.host(x).alive() || r.host(x).paused())) {
             return;
         }
         nextStop = r.sim.now().plus(ROLL);
@@ -222,10 +226,13 @@
                     failed.put(seed, bad);
                 }
             } catch (ServiceException | RuntimeException e) {
-                failed.put(seed, List.of("threw " + e + " at " + (e.getStackTrace().length > 0 ? e.getStackTrace()[0] : "")));
+                failed.put(
+                        seed,
+                        List.of("threw " + e + " at " + (e.getStackTrace().length > 0 ? e.getStackTrace()[0] : "")));
             }
         });
-        failed.forEach((seed, bad) -> System.out.println("seed " + seed + ": " + bad.size() + " " + bad.stream().limit(3).toList()));
+        failed.forEach((seed, bad) -> System.out.println(
+                "seed " + seed + ": " + bad.size() + " " + bad.stream().limit(3).toList()));
         System.out.println("Answers: " + answers);
         System.out.println("Seeds " + from + ".." + to + ": " + failed.size() + " with broken rules.");
         return failed.isEmpty();
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/Sim.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Sim.java
@@ -7,10 +7,10 @@
 
 /** The fake clock and everything that is to happen on it: design 12.1. */
 public final class Sim {
-    private record Event(Duration at, long seq, Runnable task) { }
+    private record Event(Duration at, long seq, Runnable task) {}
 
     private final PriorityQueue<Event> events =
-        new PriorityQueue<>(Comparator.comparing(Event::at).thenComparingLong(Event::seq));
+            new PriorityQueue<>(Comparator.comparing(Event::at).thenComparingLong(Event::seq));
     private final Random random;
     private Duration now = Duration.ofSeconds(1000);
     private long seq;
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/SimDisk.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/SimDisk.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-
 import org.woadvale.common.wal.Disk;
 
 /** A disk that forgets unsynced writes when the power goes: each sector may be kept, torn or lost. */
@@ -16,7 +15,7 @@
         /** The sectors reach the platter each by itself. */
         List<Write> sectors() {
             List<Write> out = new ArrayList<>();
-            for (int at = 0; at < bytes.length;) {
+            for (int at = 0; at < bytes.length; ) {
                 int end = Math.min(bytes.length, ((pos + at) / SECTOR + 1) * SECTOR - pos);
                 out.add(new Write(pos + at, Arrays.copyOfRange(bytes, at, end)));
                 at = end;
@@ -109,7 +108,9 @@
         files.values().forEach(p -> {
             p.loose.stream().flatMap(w -> w.sectors().stream()).forEach(w -> {
                 int fate = sim.random().nextInt(3);
-                int keep = fate == 0 ? 0 : fate == 1 ? w.bytes().length : sim.random().nextInt(w.bytes().length + 1);
+                int keep = fate == 0
+                        ? 0
+                        : fate == 1 ? w.bytes().length : sim.random().nextInt(w.bytes().length + 1);
                 p.keep(w, keep);
             });
             p.loose.clear();
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/SimNet.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/SimNet.java
@@ -3,20 +3,18 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-
-import org.woadvale.common.rpc.RpcClient;
 import org.woadvale.common.rpc.Codec;
-import org.woadvale.common.rpc.PendingCalls;
 import org.woadvale.common.rpc.Frame;
+import org.woadvale.common.rpc.PendingCalls;
+import org.woadvale.common.rpc.RpcClient;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.common.runtime.TimerHandle;
-
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 
@@ -32,10 +30,11 @@
     private final Set<String> cuts = new HashSet<>();
     /** Frames that wait in a stream whose other end does not take them: they are late, not lost. */
     private final Map<String, List<Runnable>> stalled = new HashMap<>();
+
     private double loss;
     private double twice;
     private long frames;
-    private Eye eye = (from, to, f, bytes) -> { };
+    private Eye eye = (from, to, f, bytes) -> {};
 
     public SimNet(Sim sim) {
         this.sim = sim;
@@ -131,20 +130,24 @@
         @Override
         public <T> Mono<T> ask(String to, Object body, Class<T> answer, Duration limit) {
             return Mono.defer(() -> {
-                Sinks.One<Frame> sink = Sinks.one();
-                TimerHandle late = self.after(limit,
-                    () -> sink.tryEmitError(new ServiceException(ErrorKind.UNKNOWN_OUTCOME, "No answer in time.")));
-                Frame ask = new Frame(1, Frame.Kind.ASK, body);
-                byte[] bytes = codec.write(ask);
-                eye.sent(self.address, to, ask, bytes.length);
-                long life = self.life();
-                deliver(to, bytes, sink, life);
-                if (sim.luck(twice)) {
-                    deliver(to, bytes, sink, life);
-                }
-                return sink.asMono().doFinally(s -> late.cancel());
-            }).flatMap(f -> f.kind() == Frame.Kind.REFUSAL ? Mono.<T>error(fault((Frame.Refusal) f.body()))
-                : Mono.just(answer.cast(f.body())));
+                        Sinks.One<Frame> sink = Sinks.one();
+                        TimerHandle late = self.after(
+                                limit,
+                                () -> sink.tryEmitError(
+                                        new ServiceException(ErrorKind.UNKNOWN_OUTCOME, "No answer in time.")));
+                        Frame ask = new Frame(1, Frame.Kind.ASK, body);
+                        byte[] bytes = codec.write(ask);
+                        eye.sent(self.address, to, ask, bytes.length);
+                        long life = self.life();
+                        deliver(to, bytes, sink, life);
+                        if (sim.luck(twice)) {
+                            deliver(to, bytes, sink, life);
+                        }
+                        return sink.asMono().doFinally(s -> late.cancel());
+                    })
+                    .flatMap(f -> f.kind() == Frame.Kind.REFUSAL
+                            ? Mono.<T>error(fault((Frame.Refusal) f.body()))
+                            : Mono.just(answer.cast(f.body())));
         }
 
         private ServiceException fault(Frame.Refusal r) {
@@ -159,11 +162,15 @@
             }
             travel(self.address, to, () -> {
                 if (target.isEmpty() || !target.get().alive()) {
-                    back(life, () -> sink.tryEmitError(new ServiceException(ErrorKind.UNREACHABLE, "No stream to " + to + ".")));
+                    back(
+                            life,
+                            () -> sink.tryEmitError(
+                                    new ServiceException(ErrorKind.UNREACHABLE, "No stream to " + to + ".")));
                     return;
                 }
-                target.get().soon(() -> PendingCalls.serve(target.get().router(), self.address, read(bytes))
-                    .subscribe(f -> reply(target.get(), f, sink, life)));
+                target.get()
+                        .soon(() -> PendingCalls.serve(target.get().router(), self.address, read(bytes))
+                                .subscribe(f -> reply(target.get(), f, sink, life)));
             });
         }
 
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/SimPost.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/SimPost.java
@@ -7,23 +7,21 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-
 import org.woadvale.common.http.Request;
+import org.woadvale.common.runtime.Clock;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.common.runtime.TimerHandle;
 import org.woadvale.common.runtime.Timers;
-import org.woadvale.common.runtime.Clock;
 import org.woadvale.dataplane.delivery.DeliveryClient;
 import org.woadvale.testkit.stub.Backend;
-
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 
 /** The way from stores to back ends; back ends live outside of every host. */
 public final class SimPost {
     /** The outside's clock: true time. */
-    public interface Outside extends Clock, Timers { }
+    public interface Outside extends Clock, Timers {}
 
     private final World w;
     private final Set<String> down = new HashSet<>();
@@ -88,27 +86,43 @@
     DeliveryClient from(Host h) {
         return call -> Mono.defer(() -> {
             Sinks.One<DeliveryClient.Reply> sink = Sinks.one();
-            h.after(call.limit(), () -> sink.tryEmitError(new ServiceException(ErrorKind.UNKNOWN_OUTCOME, "no answer in time")));
+            h.after(
+                    call.limit(),
+                    () -> sink.tryEmitError(new ServiceException(ErrorKind.UNKNOWN_OUTCOME, "no answer in time")));
             String rest = call.url().substring("http://".length());
             String address = rest.substring(0, rest.indexOf('/'));
             String id = names.getOrDefault(address, "");
             Optional<Backend> b = Optional.ofNullable(at.get(address));
             if (middlebox && names.getOrDefault(address, "").startsWith("registry")) {
-                w.sim.after(w.net.delay(), () -> h.soon(() -> {
-                    if (call.still().getAsBoolean()) {
-                        sink.tryEmitValue(new DeliveryClient.Reply(200, new byte[] {'{', '}'}));
-                    }
-                }));
+                w.sim.after(
+                        w.net.delay(),
+                        () -> h.soon(() -> {
+                            if (call.still().getAsBoolean()) {
+                                sink.tryEmitValue(new DeliveryClient.Reply(200, new byte[] {'{', '}'}));
+                            }
+                        }));
                 return sink.asMono();
             }
-            w.sim.after(w.net.delay().plus(slowStreams.getOrDefault(id, Duration.ZERO)), () -> h.soon(() -> {
-                if (b.isEmpty() || down.contains(id) || !call.still().getAsBoolean()) {
-                    sink.tryEmitError(new ServiceException(ErrorKind.UNREACHABLE, "refused"));
-                    return;
-                }
-                w.sim.after(w.net.delay(), () -> arrive(h, id, b.get(), new Request(call.method(),
-                    rest.substring(rest.indexOf('/')), Map.of(), call.body()), sink));
-            }));
+            w.sim.after(
+                    w.net.delay().plus(slowStreams.getOrDefault(id, Duration.ZERO)),
+                    () -> h.soon(() -> {
+                        if (b.isEmpty() || down.contains(id) || !call.still().getAsBoolean()) {
+                            sink.tryEmitError(new ServiceException(ErrorKind.UNREACHABLE, "refused"));
+                            return;
+                        }
+                        w.sim.after(
+                                w.net.delay(),
+                                () -> arrive(
+                                        h,
+                                        id,
+                                        b.get(),
+                                        new Request(
+                                                call.method(),
+                                                rest.substring(rest.indexOf('/')),
+                                                Map.of(),
+                                                call.body()),
+                                        sink));
+                    }));
             return sink.asMono();
         });
     }
@@ -117,11 +131,17 @@
         if (down.contains(id)) {
             return;
         }
-        b.answer(q).subscribe(a -> {
-            if (!w.sim.luck(answerLoss) && !down.contains(id)) {
-                w.sim.after(w.net.delay(), () -> h.soon(() -> sink.tryEmitValue(new DeliveryClient.Reply(a.status(), a.body()))));
-            }
-        }, e -> { });
+        b.answer(q)
+                .subscribe(
+                        a -> {
+                            if (!w.sim.luck(answerLoss) && !down.contains(id)) {
+                                w.sim.after(
+                                        w.net.delay(),
+                                        () -> h.soon(() ->
+                                                sink.tryEmitValue(new DeliveryClient.Reply(a.status(), a.body()))));
+                            }
+                        },
+                        e -> {});
     }
 
     /** A back end at an address of its own; a successor under the same id has another one. */
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/Spread.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Spread.java
@@ -3,23 +3,25 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-
+import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.replication.Phase;
 import org.woadvale.common.runtime.ServiceException;
-import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.testkit.stub.TestConfiguration;
 
 /** How evenly owners and holders lie over the nodes, and how often parts change hands; on the fake clock. */
 public final class Spread {
-    private Spread() { }
+    private Spread() {}
 
     /** A store is lost for good, a spare is there: how many seats are on their way at once, and until when. */
     private static void repair() throws ServiceException {
-        System.out.println("| seed | seats on their way at once, at most | all seated after the loss | accepted meanwhile "
-            + "| refused or unknown meanwhile |");
+        System.out.println(
+                "| seed | seats on their way at once, at most | all seated after the loss | accepted meanwhile "
+                        + "| refused or unknown meanwhile |");
         System.out.println("|---|---|---|---|---|");
         for (long seed = 1; seed <= 5; seed++) {
-            FleetSimulation v = new FleetSimulation(seed, 8, 3, 4, new TestConfiguration(8, 12, 45, 60, 26), World.LARGE_RING).embark();
+            FleetSimulation v = new FleetSimulation(
+                            seed, 8, 3, 4, new TestConfiguration(8, 12, 45, 60, 26), World.LARGE_RING)
+                    .embark();
             v.traffic(150);
             v.w.sim.run(Duration.ofSeconds(20));
             int[] most = {0};
@@ -28,13 +30,18 @@
             Duration from = v.w.sim.now();
             long accepted = v.kinds().getOrDefault("accepted", 0L);
             long all = v.kinds().values().stream().mapToLong(Long::longValue).sum();
-            FleetSimulation.require(v.w.sim.runUntil(() -> {
-                most[0] = Math.max(most[0], v.w.pilot(spare).unseatedCount());
-                return v.w.repaired();
-            }, Duration.ofSeconds(120)), "not repaired");
+            FleetSimulation.require(
+                    v.w.sim.runUntil(
+                            () -> {
+                                most[0] = Math.max(most[0], v.w.pilot(spare).unseatedCount());
+                                return v.w.repaired();
+                            },
+                            Duration.ofSeconds(120)),
+                    "not repaired");
             long now = v.kinds().getOrDefault("accepted", 0L) - accepted;
-            System.out.println("| " + seed + " | " + most[0] + " | " + v.w.sim.now().minus(from).toMillis() + " ms | " + now + " | "
-                + (v.kinds().values().stream().mapToLong(Long::longValue).sum() - all - now) + " |");
+            System.out.println("| " + seed + " | " + most[0] + " | "
+                    + v.w.sim.now().minus(from).toMillis() + " ms | " + now + " | "
+                    + (v.kinds().values().stream().mapToLong(Long::longValue).sum() - all - now) + " |");
         }
     }
 
@@ -44,10 +51,12 @@
             return;
         }
         System.out.println("| fleet | when | message parts owned by each store | control parts by each lighthouse "
-            + "| buckets by each intake | message part terms in all |");
+                + "| buckets by each intake | message part terms in all |");
         System.out.println("|---|---|---|---|---|---|");
         for (int[] shape : new int[][] {{8, 3}, {7, 4}}) {
-            FleetSimulation v = new FleetSimulation(1, shape[0], shape[1], 4, new TestConfiguration(8, 12, 45, 60, 26), World.SMALL_RING).embark();
+            FleetSimulation v = new FleetSimulation(
+                            1, shape[0], shape[1], 4, new TestConfiguration(8, 12, 45, 60, 26), World.SMALL_RING)
+                    .embark();
             String name = shape[0] + "+" + shape[1] + "+3";
             v.w.sim.run(Duration.ofSeconds(10));
             row(v, name, "10 s after the start");
@@ -75,15 +84,24 @@
             stores.add(v.w.host(s).alive() ? v.w.pilot(s).owned() : 0);
         }
         for (String l : v.w.lighthouses) {
-            lamps.add(v.w.host(l).alive() ? ServiceNames.controlParts().stream()
-                .filter(p -> v.w.lamp(l).replica(p).phase() == Phase.OWNING).count() : 0);
+            lamps.add(
+                    v.w.host(l).alive()
+                            ? ServiceNames.controlParts().stream()
+                                    .filter(p -> v.w.lamp(l).replica(p).phase() == Phase.OWNING)
+                                    .count()
+                            : 0);
         }
         for (String i : v.w.intakes) {
             holders.add(v.w.host(i).alive() ? v.w.pilot(i).holds().size() : 0);
         }
         for (String p : ServiceNames.messageParts()) {
-            terms += v.w.stores.stream().filter(s -> v.w.host(s).alive()).mapToLong(s -> v.w.pilot(s).term(p)).max().orElse(0);
+            terms += v.w.stores.stream()
+                    .filter(s -> v.w.host(s).alive())
+                    .mapToLong(s -> v.w.pilot(s).term(p))
+                    .max()
+                    .orElse(0);
         }
-        System.out.println("| " + name + " | " + when + " | " + stores + " | " + lamps + " | " + holders + " | " + terms + " |");
+        System.out.println(
+                "| " + name + " | " + when + " | " + stores + " | " + lamps + " | " + holders + " | " + terms + " |");
     }
 }
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/TrafficMeter.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/TrafficMeter.java
@@ -5,7 +5,6 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
-
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.testkit.stub.TestConfiguration;
 
@@ -21,7 +20,7 @@
 
     private final Map<String, Load> loads = new TreeMap<>();
 
-    private TrafficMeter() { }
+    private TrafficMeter() {}
 
     private void watch(FleetSimulation v) {
         v.w.net.watch((from, to, f, bytes) -> {
@@ -37,8 +36,10 @@
         System.out.println(title);
         System.out.println("| frame | frames | bytes | bytes each | with what is around |");
         System.out.println("|---|---|---|---|---|");
-        loads.entrySet().stream().sorted(Comparator.comparing(e -> -(e.getValue().bytes + AROUND * e.getValue().frames)))
-            .limit(14).forEach(e -> row(e.getKey(), e.getValue(), per));
+        loads.entrySet().stream()
+                .sorted(Comparator.comparing(e -> -(e.getValue().bytes + AROUND * e.getValue().frames)))
+                .limit(14)
+                .forEach(e -> row(e.getKey(), e.getValue(), per));
         Load all = new Load();
         loads.values().forEach(l -> {
             all.frames += l.frames;
@@ -48,8 +49,14 @@
     }
 
     private static void row(String name, Load l, double per) {
-        System.out.printf(Locale.ROOT, "| %s | %.1f | %.0f | %.0f | %.0f |%n", name, l.frames / per, l.bytes / per,
-            l.bytes / (double) Math.max(1, l.frames), (l.bytes + AROUND * l.frames) / per);
+        System.out.printf(
+                Locale.ROOT,
+                "| %s | %.1f | %.0f | %.0f | %.0f |%n",
+                name,
+                l.frames / per,
+                l.bytes / per,
+                l.bytes / (double) Math.max(1, l.frames),
+                (l.bytes + AROUND * l.frames) / per);
     }
 
     public static void main(String[] args) throws ServiceException {
@@ -73,6 +80,8 @@
         TrafficMeter work = new TrafficMeter();
         work.watch(busy);
         busy.w.sim.run(Duration.ofSeconds(20));
-        work.print("At " + rate + " messages a second, each message, with its share of what an idle fleet says:", busy.kinds().get("accepted") - before);
+        work.print(
+                "At " + rate + " messages a second, each message, with its share of what an idle fleet says:",
+                busy.kinds().get("accepted") - before);
     }
 }
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/World.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/World.java
@@ -7,36 +7,36 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-
-import org.woadvale.common.rpc.RpcClient;
-import org.woadvale.common.rpc.Codec;
-import org.woadvale.common.rpc.RpcRouter;
 import org.woadvale.common.config.Settings;
 import org.woadvale.common.http.Answer;
 import org.woadvale.common.http.Request;
+import org.woadvale.common.membership.CoreClient;
+import org.woadvale.common.membership.ServiceNames;
+import org.woadvale.common.membership.Wire;
 import org.woadvale.common.replication.Env;
+import org.woadvale.common.replication.Phase;
 import org.woadvale.common.replication.ReplicationTiming;
+import org.woadvale.common.rpc.Codec;
+import org.woadvale.common.rpc.RpcClient;
+import org.woadvale.common.rpc.RpcRouter;
 import org.woadvale.common.runtime.ServiceException;
-import org.woadvale.common.wal.WriteAheadLog;
 import org.woadvale.common.wal.DisabledWriteAheadLog;
 import org.woadvale.common.wal.RingWriteAheadLog;
-import org.woadvale.common.replication.Phase;
-import org.woadvale.common.membership.CoreClient;
-import org.woadvale.common.membership.ServiceNames;
-import org.woadvale.common.membership.Wire;
+import org.woadvale.common.wal.WriteAheadLog;
 import org.woadvale.controlplane.partition.ControlNode;
 import org.woadvale.controlplane.partition.Operators;
 import org.woadvale.dataplane.DataPlaneNode;
 import org.woadvale.dataplane.queue.Commands;
 import org.woadvale.testkit.stub.Backend;
-import org.woadvale.testkit.stub.TestConfiguration;
 import org.woadvale.testkit.stub.Observations;
+import org.woadvale.testkit.stub.TestConfiguration;
 
 /** A whole fleet of the shipped nodes on fakes: design 12.1. */
 public final class World extends Machines {
     private static final int RING_FILES = 8;
     /** Small, so that storms meet the ring's end too. */
     static final int SMALL_RING = 512 << 10;
+
     static final int LARGE_RING = 4 << 20;
 
     public final Observations seen = new Observations();
@@ -50,7 +50,14 @@
     private final Map<String, DataPlaneNode> pilots = new HashMap<>();
     private final Seams seams;
 
-    public World(long seed, int intakeCount, int storeCount, TestConfiguration scenery, int ringBytes, int hallCount, Seams seams)
+    public World(
+            long seed,
+            int intakeCount,
+            int storeCount,
+            TestConfiguration scenery,
+            int ringBytes,
+            int hallCount,
+            Seams seams)
             throws ServiceException {
         super(new Sim(seed), hallCount);
         this.seams = seams;
@@ -111,12 +118,19 @@
         Codec codec = lamp ? Wire.codec(Wire.LIGHTHOUSE, Operators.types()) : Wire.codec(Wire.PILOT, Commands.types());
         h.boot(router);
         RpcClient beam = seams.beam().apply(address, net.beam(h, codec));
-        WriteAheadLog book = lamp || store ? RingWriteAheadLog.open(seams.disk().apply(address, h.disk), h, RING_FILES, ringBytes)
-            : new DisabledWriteAheadLog();
+        WriteAheadLog book = lamp || store
+                ? RingWriteAheadLog.open(seams.disk().apply(address, h.disk), h, RING_FILES, ringBytes)
+                : new DisabledWriteAheadLog();
         book.onFailure(why -> h.kill());
-        Env env = new Env(seams.times().apply(address, h), h, beam, codec, book, sim.random()::nextLong,
-            seams.pace().apply(lamp || store ? ReplicationTiming.core() : ReplicationTiming.usual()));
-        CoreClient core = new CoreClient(beam, sim.random()::nextLong, seeds, List.of(), l -> { });
+        Env env = new Env(
+                seams.times().apply(address, h),
+                h,
+                beam,
+                codec,
+                book,
+                sim.random()::nextLong,
+                seams.pace().apply(lamp || store ? ReplicationTiming.core() : ReplicationTiming.usual()));
+        CoreClient core = new CoreClient(beam, sim.random()::nextLong, seeds, List.of(), l -> {});
         if (lamp) {
             ControlNode n = new ControlNode(env, core, seeds.contains(address) ? seeds : List.of());
             n.route(router);
@@ -126,8 +140,19 @@
             operators.put(address, o);
             n.start();
         } else {
-            Settings boot = new Settings(address, address, hall(address), seeds, Set.of(store ? "store" : "intake"),
-                store ? "x" : "", RING_FILES, 1, "", false, 8, "");
+            Settings boot = new Settings(
+                    address,
+                    address,
+                    hall(address),
+                    seeds,
+                    Set.of(store ? "store" : "intake"),
+                    store ? "x" : "",
+                    RING_FILES,
+                    1,
+                    "",
+                    false,
+                    8,
+                    "");
             DataPlaneNode n = new DataPlaneNode(env, boot, core, seams.post().apply(address, post.from(h)));
             n.route(router);
             pilots.put(address, n);
@@ -160,14 +185,22 @@
 
     /** A request from outside to one node; no answer at all if the node dies or stays away. */
     public void request(String to, Request q, Duration limit, java.util.function.Consumer<Optional<Answer>> then) {
-        reach(to, () -> lighthouses.contains(to) ? operators.get(to).answer(q) : pilots.get(to).answer(q), limit, then);
+        reach(
+                to,
+                () -> lighthouses.contains(to)
+                        ? operators.get(to).answer(q)
+                        : pilots.get(to).answer(q),
+                limit,
+                then);
     }
 
     /** What each node that answers says of the layout it uses. */
     public void seenVersions() {
         pilots.forEach((a, p) -> {
             if (hosts.get(a).alive() && !hosts.get(a).paused()) {
-                seen.saw(seen.versions, new Observations.NodeVersion(a, (Long) p.status().get("layout"), sim.now()));
+                seen.saw(
+                        seen.versions,
+                        new Observations.NodeVersion(a, (Long) p.status().get("layout"), sim.now()));
             }
         });
     }
@@ -175,14 +208,20 @@
     /** Everything that was not lost is up, and every copy that was lost has been made anew elsewhere. */
     public boolean repaired() {
         return hosts.keySet().stream().allMatch(h -> lost(h) || hosts.get(h).alive())
-            && presentStores().stream().allMatch(s -> pilots.get(s).status().get("seated").equals(true)
-                && pilots.get(s).groups().values().stream().noneMatch(g -> g.stream().anyMatch(this::lost)))
-            && presentLighthouses().stream().allMatch(l -> ServiceNames.controlParts().stream().allMatch(p ->
-                lamps.get(l).replica(p).phase() != Phase.BLANK && lamps.get(l).replica(p).phase() != Phase.STOPPED
-                && lamps.get(l).replica(p).group().keySet().stream().noneMatch(this::lost)));
+                && presentStores().stream()
+                        .allMatch(s -> pilots.get(s).status().get("seated").equals(true)
+                                && pilots.get(s).groups().values().stream()
+                                        .noneMatch(g -> g.stream().anyMatch(this::lost)))
+                && presentLighthouses().stream()
+                        .allMatch(l -> ServiceNames.controlParts().stream()
+                                .allMatch(p -> lamps.get(l).replica(p).phase() != Phase.BLANK
+                                        && lamps.get(l).replica(p).phase() != Phase.STOPPED
+                                        && lamps.get(l).replica(p).group().keySet().stream()
+                                                .noneMatch(this::lost)));
     }
 
     public boolean ready() {
-        return intakes.stream().allMatch(i -> hosts.get(i).alive() && pilots.get(i).ready());
+        return intakes.stream()
+                .allMatch(i -> hosts.get(i).alive() && pilots.get(i).ready());
     }
 }
--- a/testkit/src/main/java/org/woadvale/testkit/stub/Backend.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/Backend.java
@@ -1,5 +1,6 @@
 package org.woadvale.testkit.stub;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -7,25 +8,21 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.LongSupplier;
-
 import org.woadvale.common.config.Configurations;
 import org.woadvale.common.http.Answer;
 import org.woadvale.common.http.Request;
+import org.woadvale.common.runtime.Clock;
+import org.woadvale.common.runtime.Delays;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
-import org.woadvale.common.runtime.Delays;
 import org.woadvale.common.runtime.Timers;
-import org.woadvale.common.runtime.Clock;
-
-import com.fasterxml.jackson.databind.JsonNode;
-
 import reactor.core.publisher.Mono;
 
 /** Stand-in for a processor or an outside endpoint; remembers what it did, unless told to forget. */
 public final class Backend {
     /** How it behaves from now on; a victim's name makes the failures that tenant's own. */
-    public record Manner(Duration work, double refuse, double later, double loseAnswer, double breakAnswer,
-                         String victim) {
+    public record Manner(
+            Duration work, double refuse, double later, double loseAnswer, double breakAnswer, String victim) {
         public Manner(Duration work, double refuse, double later, double loseAnswer) {
             this(work, refuse, later, loseAnswer, 0, "");
         }
@@ -39,7 +36,7 @@
         }
     }
 
-    private record Done(int attempt, String receipt) { }
+    private record Done(int attempt, String receipt) {}
 
     private final String id;
     private final String service;
@@ -52,12 +49,19 @@
     private final Map<String, Integer> running = new HashMap<>();
     /** Attempts that it said it does not know: they must not begin later. */
     private final Set<String> fenced = new HashSet<>();
+
     private Manner manner = Manner.good();
     private boolean forgetful;
     private int life;
 
-    public Backend(String id, String service, boolean paced, Observations s, Clock times, Timers schedules,
-                   LongSupplier random) {
+    public Backend(
+            String id,
+            String service,
+            boolean paced,
+            Observations s,
+            Clock times,
+            Timers schedules,
+            LongSupplier random) {
         this.id = id;
         this.service = service;
         this.paced = paced;
@@ -103,8 +107,11 @@
                 s.saw(s.endpoints, new Observations.RequestAtEndpoint(service, times.mono()));
             }
             try {
-                return q.method().equals("POST") ? work(Configurations.read(q.body(), JsonNode.class, ErrorKind.BAD_REQUEST))
-                    : Mono.just(told(q.segments().get(q.segments().size() - 1), q.path().replaceAll(".*attempt=", "")));
+                return q.method().equals("POST")
+                        ? work(Configurations.read(q.body(), JsonNode.class, ErrorKind.BAD_REQUEST))
+                        : Mono.just(told(
+                                q.segments().get(q.segments().size() - 1),
+                                q.path().replaceAll(".*attempt=", "")));
             } catch (ServiceException e) {
                 return Mono.just(Answer.of(e));
             }
@@ -119,8 +126,18 @@
             s.saw(s.turnedAway, new Observations.TurnedAway(handle, attempt, times.mono()));
             return Mono.just(Answer.json(503, Map.of("error", "later")));
         }
-        s.saw(s.ran, new Observations.Ran(handle, m.path("callerId").asText(), m.path("tenant").asText(),
-            m.path("lane").asText(), m.path("orderingKey").asText(), attempt, id, service, times.mono()));
+        s.saw(
+                s.ran,
+                new Observations.Ran(
+                        handle,
+                        m.path("callerId").asText(),
+                        m.path("tenant").asText(),
+                        m.path("lane").asText(),
+                        m.path("orderingKey").asText(),
+                        attempt,
+                        id,
+                        service,
+                        times.mono()));
         running.merge(handle, 1, Integer::sum);
         int begunIn = life;
         return Delays.pause(schedules, now.work()).flatMap(x -> worked(handle, attempt, now, begunIn));
@@ -159,7 +176,13 @@
     /** "Not known" is a promise that this attempt does not begin later; one without memory cannot give it. */
     private synchronized Answer told(String handle, String attempt) {
         if (done.containsKey(handle)) {
-            return Answer.json(200, shown(handle, "done", done.get(handle).attempt(), done.get(handle).receipt()));
+            return Answer.json(
+                    200,
+                    shown(
+                            handle,
+                            "done",
+                            done.get(handle).attempt(),
+                            done.get(handle).receipt()));
         }
         if (running.containsKey(handle)) {
             return Answer.json(200, shown(handle, "running", 0, ""));
--- a/testkit/src/main/java/org/woadvale/testkit/stub/ConfigurationRules.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/ConfigurationRules.java
@@ -23,29 +23,42 @@
     }
 
     private List<ObservationLog.Paper> acknowledged() {
-        return w.papers.stream().filter(p -> p.status() == 200 && p.valid())
-            .sorted(java.util.Comparator.comparingLong(p -> p.papers().configRevision())).toList();
+        return w.papers.stream()
+                .filter(p -> p.status() == 200 && p.valid())
+                .sorted(java.util.Comparator.comparingLong(p -> p.papers().configRevision()))
+                .toList();
     }
 
     /** Keys that an acknowledged configuration took away, and that none has brought back since. */
     List<String> revoked() {
         List<String> out = new ArrayList<>();
         List<ObservationLog.Paper> all = acknowledged();
-        sent.values().stream().filter(s -> began.contains(s.id()) && !s.key().isEmpty()).forEach(s -> {
-            Duration by = s.at().minus(ObservationLog.Bounds.REVOKE);
-            Optional<ObservationLog.Paper> last = all.stream().filter(p -> p.answered().compareTo(by) < 0).reduce((a, b) -> b);
-            boolean held = last.isEmpty() || w.papers.stream().anyMatch(p -> p.valid()
-                && p.papers().configRevision() >= last.get().papers().configRevision()
-                && holds(p.papers(), s));
-            if (!held) {
-                out.add(s.id() + " ran, sent at " + s.at() + " under " + s.key() + ", withdrawn at " + last.get().answered());
-            }
-        });
+        sent.values().stream()
+                .filter(s -> began.contains(s.id()) && !s.key().isEmpty())
+                .forEach(s -> {
+                    Duration by = s.at().minus(ObservationLog.Bounds.REVOKE);
+                    Optional<ObservationLog.Paper> last = all.stream()
+                            .filter(p -> p.answered().compareTo(by) < 0)
+                            .reduce((a, b) -> b);
+                    boolean held = last.isEmpty()
+                            || w.papers.stream()
+                                    .anyMatch(p -> p.valid()
+                                            && p.papers().configRevision()
+                                                    >= last.get().papers().configRevision()
+                                            && holds(p.papers(), s));
+                    if (!held) {
+                        out.add(s.id() + " ran, sent at " + s.at() + " under " + s.key() + ", withdrawn at "
+                                + last.get().answered());
+                    }
+                });
         return out;
     }
 
     private static boolean holds(ConfigurationStub p, ObservationLog.Sent s) {
-        return p.tenant(s.key()).isPresent() || p.route(s.host(), s.path()).filter(ConfigurationStub.Route::keyless).isPresent();
+        return p.tenant(s.key()).isPresent()
+                || p.route(s.host(), s.path())
+                        .filter(ConfigurationStub.Route::keyless)
+                        .isPresent();
     }
 
     /** In touch, and yet answered as only an older one allows. */
@@ -55,11 +68,14 @@
             ObservationLog.Sent s = sent.get(a.id());
             List<ConfigurationStub> ruling = w.ruling(s.at(), a.at());
             Predicate<ConfigurationStub> open = p -> p.route(s.host(), s.path()).isPresent() && holds(p, s);
-            boolean wrong = a.status() == 202 ? ruling.stream().noneMatch(open)
-                : Set.of(401, 403, 404).contains(a.status()) && ruling.stream().allMatch(open);
+            boolean wrong = a.status() == 202
+                    ? ruling.stream().noneMatch(open)
+                    : Set.of(401, 403, 404).contains(a.status())
+                            && ruling.stream().allMatch(open);
             if (wrong && !ruling.isEmpty() && w.calm(s.at(), a.at())) {
-                out.add(s.id() + " " + s.path() + " sent at " + s.at() + " to " + s.node() + " was answered " + a.status()
-                    + "; ruling " + ruling.stream().map(ConfigurationStub::configRevision).toList());
+                out.add(s.id() + " " + s.path() + " sent at " + s.at() + " to " + s.node() + " was answered "
+                        + a.status() + "; ruling "
+                        + ruling.stream().map(ConfigurationStub::configRevision).toList());
             }
         });
         return out;
@@ -74,12 +90,20 @@
             String place = s.node() + " " + s.host() + s.path();
             if (a.status() == 202) {
                 served.merge(place, a.at(), (x, y) -> x.compareTo(y) < 0 ? x : y);
-            } else if (a.status() == 404 && served.containsKey(place)
+            } else if (a.status() == 404
+                    && served.containsKey(place)
                     && s.at().compareTo(served.get(place).plus(ObservationLog.Bounds.BACK)) > 0
-                    && w.killed.stream().noneMatch(k -> k.node().equals(s.node()) && k.at().compareTo(served.get(place)) > 0)
-                    && w.papers.stream().noneMatch(p -> p.valid() && p.status() != 412
-                        && p.papers().route(s.host(), s.path()).isEmpty() && p.sent().compareTo(a.at()) < 0
-                        && p.answered().plus(ObservationLog.Bounds.APPLY).compareTo(served.get(place)) > 0)) {
+                    && w.killed.stream()
+                            .noneMatch(k -> k.node().equals(s.node()) && k.at().compareTo(served.get(place)) > 0)
+                    && w.papers.stream()
+                            .noneMatch(p -> p.valid()
+                                    && p.status() != 412
+                                    && p.papers().route(s.host(), s.path()).isEmpty()
+                                    && p.sent().compareTo(a.at()) < 0
+                                    && p.answered()
+                                                    .plus(ObservationLog.Bounds.APPLY)
+                                                    .compareTo(served.get(place))
+                                            > 0)) {
                 out.add(place + " was served at " + served.get(place) + " and unknown at " + a.at());
             }
         });
@@ -94,8 +118,9 @@
             if (!p.valid()) {
                 out.add("an invalid one was acknowledged: " + p.papers().configRevision());
             }
-            Optional.ofNullable(byBase.putIfAbsent(p.base(), p.text())).filter(t -> !t.equals(p.text()))
-                .ifPresent(t -> out.add("two were acknowledged on top of " + p.base()));
+            Optional.ofNullable(byBase.putIfAbsent(p.base(), p.text()))
+                    .filter(t -> !t.equals(p.text()))
+                    .ifPresent(t -> out.add("two were acknowledged on top of " + p.base()));
         });
         return out;
     }
@@ -108,10 +133,17 @@
         }
         ObservationLog.Paper newest = all.get(all.size() - 1);
         ObservationLog.ReadBack last = w.readBack.get(w.readBack.size() - 1);
-        boolean good = last.status() == 200 && w.papers.stream().anyMatch(p -> p.valid() && p.text().equals(last.text())
-            && (p.text().equals(newest.text())
-                || p.status() == 0 && p.papers().configRevision() > newest.papers().configRevision()));
-        return good ? List.of() : List.of("read at the end: " + last.status() + ", newest acknowledged is "
-            + newest.papers().configRevision());
+        boolean good = last.status() == 200
+                && w.papers.stream()
+                        .anyMatch(p -> p.valid()
+                                && p.text().equals(last.text())
+                                && (p.text().equals(newest.text())
+                                        || p.status() == 0
+                                                && p.papers().configRevision()
+                                                        > newest.papers().configRevision()));
+        return good
+                ? List.of()
+                : List.of("read at the end: " + last.status() + ", newest acknowledged is "
+                        + newest.papers().configRevision());
     }
 }
--- a/testkit/src/main/java/org/woadvale/testkit/stub/ConfigurationStub.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/ConfigurationStub.java
@@ -5,18 +5,30 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-
 import org.woadvale.common.config.Configurations;
 
 /** A configuration as the platform's operator writes it. docs/platform.md 3 */
 public record ConfigurationStub(long configRevision, List<Route> routes, List<Service> services, List<Tenant> tenants) {
-    public record Route(String name, String host, String pathPrefix, String service, long timeoutMs, int maxAttempts,
-                        boolean inOrder, double retentionS, boolean keyless) { }
+    public record Route(
+            String name,
+            String host,
+            String pathPrefix,
+            String service,
+            long timeoutMs,
+            int maxAttempts,
+            boolean inOrder,
+            double retentionS,
+            boolean keyless) {}
 
-    public record Service(String name, double ratePerS, int maxConnections, boolean selfDedup, boolean pullMode,
-                          Optional<String> fixedEndpoint) { }
+    public record Service(
+            String name,
+            double ratePerS,
+            int maxConnections,
+            boolean selfDedup,
+            boolean pullMode,
+            Optional<String> fixedEndpoint) {}
 
-    public record Tenant(String name, List<String> accessKeys, double ratePerS, double burstSize) { }
+    public record Tenant(String name, List<String> accessKeys, double ratePerS, double burstSize) {}
 
     public ConfigurationStub with(long revision) {
         return new ConfigurationStub(revision, routes, services, tenants);
@@ -32,8 +44,9 @@
 
     /** The route whose host is the one and whose prefix is the longest that begins the path. */
     public Optional<Route> route(String host, String path) {
-        return routes.stream().filter(r -> r.host().equals(host) && path.startsWith(r.pathPrefix()))
-            .max(java.util.Comparator.comparingInt(r -> r.pathPrefix().length()));
+        return routes.stream()
+                .filter(r -> r.host().equals(host) && path.startsWith(r.pathPrefix()))
+                .max(java.util.Comparator.comparingInt(r -> r.pathPrefix().length()));
     }
 
     public Optional<Tenant> tenant(String key) {
@@ -50,8 +63,21 @@
         out.put("routes", r);
         out.put("services", s);
         out.put("limits", Map.of("maxBodyBytes", 262144));
-        out.put("tenants", tenants.stream().map(t -> Map.of("name", t.name(), "accessKeys", t.accessKeys(), "priority", 1,
-            "ratePerS", t.ratePerS(), "burstSize", t.burstSize())).toList());
+        out.put(
+                "tenants",
+                tenants.stream()
+                        .map(t -> Map.of(
+                                "name",
+                                t.name(),
+                                "accessKeys",
+                                t.accessKeys(),
+                                "priority",
+                                1,
+                                "ratePerS",
+                                t.ratePerS(),
+                                "burstSize",
+                                t.burstSize()))
+                        .toList());
         return new String(Configurations.write(out), java.nio.charset.StandardCharsets.UTF_8);
     }
 
--- a/testkit/src/main/java/org/woadvale/testkit/stub/Edit.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/Edit.java
@@ -3,12 +3,11 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
-
 import org.woadvale.common.config.Configuration;
 
 /** Changes of a layout by the head office. */
 public final class Edit {
-    private Edit() { }
+    private Edit() {}
 
     private static <V> Map<String, V> changed(Map<String, V> m, Consumer<Map<String, V>> c) {
         Map<String, V> out = new TreeMap<>(m);
@@ -17,8 +16,11 @@
     }
 
     public static Configuration tenant(Configuration l, String name, double rate, int burst) {
-        return new Configuration(changed(l.tenants(), m -> m.put(name, new Configuration.Tenant(rate, burst))), l.services(), l.lanes(),
-            l.keys());
+        return new Configuration(
+                changed(l.tenants(), m -> m.put(name, new Configuration.Tenant(rate, burst))),
+                l.services(),
+                l.lanes(),
+                l.keys());
     }
 
     public static Configuration services(Configuration l, Consumer<Map<String, Configuration.Service>> c) {
@@ -38,7 +40,8 @@
     }
 
     public static Configuration.Lane service(Configuration.Lane l, String service) {
-        return new Configuration.Lane(service, l.ordering(), l.timeLimitMs(), l.attempts(), l.attemptMs(), l.ifUnclear());
+        return new Configuration.Lane(
+                service, l.ordering(), l.timeLimitMs(), l.attempts(), l.attemptMs(), l.ifUnclear());
     }
 
     public static Configuration.Lane limits(Configuration.Lane l, long timeLimitMs, int attempts) {
--- a/testkit/src/main/java/org/woadvale/testkit/stub/Ends.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/Ends.java
@@ -18,7 +18,8 @@
         this.w = w;
         w.sent.forEach(s -> sent.put(s.id(), s));
         w.said.stream().filter(s -> s.status() == 202).forEach(s -> accepted.put(s.id(), s));
-        w.ended.forEach(e -> ended.computeIfAbsent(e.id(), k -> new ArrayList<>()).add(e));
+        w.ended.forEach(
+                e -> ended.computeIfAbsent(e.id(), k -> new ArrayList<>()).add(e));
     }
 
     Optional<ObservationLog.Sent> sent(String id) {
@@ -31,8 +32,10 @@
 
     /** Any of the configurations ever sent that could rule this request: its route there. */
     Optional<ConfigurationStub.Route> route(ObservationLog.Sent s) {
-        return w.papers.stream().filter(ObservationLog.Paper::valid).flatMap(p -> p.papers().route(s.host(), s.path()).stream())
-            .findFirst();
+        return w.papers.stream()
+                .filter(ObservationLog.Paper::valid)
+                .flatMap(p -> p.papers().route(s.host(), s.path()).stream())
+                .findFirst();
     }
 
     private int attempts(ObservationLog.Sent s) {
@@ -44,7 +47,10 @@
     }
 
     List<String> seals(String id) {
-        return ended.getOrDefault(id, List.of()).stream().filter(Ends::success).map(ObservationLog.Ended::seal).toList();
+        return ended.getOrDefault(id, List.of()).stream()
+                .filter(Ends::success)
+                .map(ObservationLog.Ended::seal)
+                .toList();
     }
 
     static boolean success(ObservationLog.Ended e) {
@@ -56,14 +62,26 @@
         ObservationLog.Sent s = sent.get(id);
         List<ObservationLog.Ended> runs = ended.getOrDefault(id, List.of());
         List<Duration> out = new ArrayList<>();
-        runs.stream().filter(e -> success(e) || e.status() == 422).map(ObservationLog.Ended::at).forEach(out::add);
-        List<Duration> failed = runs.stream().filter(e -> e.status() == 500).map(ObservationLog.Ended::at).sorted().toList();
+        runs.stream()
+                .filter(e -> success(e) || e.status() == 422)
+                .map(ObservationLog.Ended::at)
+                .forEach(out::add);
+        List<Duration> failed = runs.stream()
+                .filter(e -> e.status() == 500)
+                .map(ObservationLog.Ended::at)
+                .sorted()
+                .toList();
         if (failed.size() >= attempts(s)) {
             out.add(failed.get(attempts(s) - 1));
         }
         route(s).ifPresent(r -> out.add(s.at().plusMillis((long) (r.retentionS() * 1000))));
-        w.papers.stream().filter(p -> p.valid() && p.status() != 412 && p.sent().compareTo(s.at()) > 0
-            && p.papers().route(s.host(), s.path()).isEmpty()).map(ObservationLog.Paper::sent).forEach(out::add);
+        w.papers.stream()
+                .filter(p -> p.valid()
+                        && p.status() != 412
+                        && p.sent().compareTo(s.at()) > 0
+                        && p.papers().route(s.host(), s.path()).isEmpty())
+                .map(ObservationLog.Paper::sent)
+                .forEach(out::add);
         return out.stream().min(Duration::compareTo);
     }
 
--- a/testkit/src/main/java/org/woadvale/testkit/stub/LimitRules.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/LimitRules.java
@@ -22,23 +22,41 @@
         w.began.forEach(b -> accepted.merge(b.id(), b.at(), (x, y) -> x.compareTo(y) < 0 ? x : y));
         w.said.stream().filter(a -> a.status() == 202).forEach(a -> accepted.put(a.id(), a.at()));
         Map<String, List<Duration>> at = new HashMap<>();
-        w.sent.stream().filter(s -> accepted.containsKey(s.id())).forEach(s -> w.papers.stream()
-            .flatMap(p -> p.papers().tenant(s.key()).stream()).map(ConfigurationStub.Tenant::name).findFirst()
-            .ifPresent(t -> at.computeIfAbsent(t, k -> new ArrayList<>()).add(accepted.get(s.id()))));
-        return excess(at, tenant -> p -> p.tenants().stream().filter(t -> t.name().equals(tenant)).findFirst()
-            .map(t -> (t.ratePerS() * ObservationLog.Bounds.WINDOW.toSeconds() + t.burstSize())
-                * (1 + ObservationLog.Bounds.QUOTA_OVERRUN) + ObservationLog.Bounds.QUOTA_SLACK));
+        w.sent.stream()
+                .filter(s -> accepted.containsKey(s.id()))
+                .forEach(s -> w.papers.stream()
+                        .flatMap(p -> p.papers().tenant(s.key()).stream())
+                        .map(ConfigurationStub.Tenant::name)
+                        .findFirst()
+                        .ifPresent(t ->
+                                at.computeIfAbsent(t, k -> new ArrayList<>()).add(accepted.get(s.id()))));
+        return excess(
+                at,
+                tenant -> p -> p.tenants().stream()
+                        .filter(t -> t.name().equals(tenant))
+                        .findFirst()
+                        .map(t -> (t.ratePerS() * ObservationLog.Bounds.WINDOW.toSeconds() + t.burstSize())
+                                        * (1 + ObservationLog.Bounds.QUOTA_OVERRUN)
+                                + ObservationLog.Bounds.QUOTA_SLACK));
     }
 
     List<String> ceiling() {
         Map<String, List<Duration>> at = new HashMap<>();
-        w.arrived.forEach(a -> at.computeIfAbsent(a.service(), k -> new ArrayList<>()).add(a.at()));
-        return excess(at, service -> p -> p.services().stream().filter(s -> s.name().equals(service) && s.ratePerS() > 0)
-            .findFirst().map(s -> s.ratePerS() * ObservationLog.Bounds.WINDOW.toSeconds() * ObservationLog.Bounds.CEILING_OVERRUN
-                + ObservationLog.Bounds.CEILING_SLACK));
+        w.arrived.forEach(
+                a -> at.computeIfAbsent(a.service(), k -> new ArrayList<>()).add(a.at()));
+        return excess(
+                at,
+                service -> p -> p.services().stream()
+                        .filter(s -> s.name().equals(service) && s.ratePerS() > 0)
+                        .findFirst()
+                        .map(s -> s.ratePerS()
+                                        * ObservationLog.Bounds.WINDOW.toSeconds()
+                                        * ObservationLog.Bounds.CEILING_OVERRUN
+                                + ObservationLog.Bounds.CEILING_SLACK));
     }
 
-    private List<String> excess(Map<String, List<Duration>> at, Function<String, Function<ConfigurationStub, Optional<Double>>> most) {
+    private List<String> excess(
+            Map<String, List<Duration>> at, Function<String, Function<ConfigurationStub, Optional<Double>>> most) {
         List<String> out = new ArrayList<>();
         at.forEach((who, times) -> {
             List<Duration> sorted = times.stream().sorted().toList();
@@ -51,7 +69,8 @@
                 Duration end = sorted.get(i);
                 // the highest of all that may have ruled: an older one for a window after it was replaced
                 Optional<Double> limit = w.ruling(begin.minus(ObservationLog.Bounds.WINDOW), end).stream()
-                    .flatMap(p -> most.apply(who).apply(p).stream()).max(Double::compareTo);
+                        .flatMap(p -> most.apply(who).apply(p).stream())
+                        .max(Double::compareTo);
                 if (limit.isPresent() && i - from + 1 > limit.get()) {
                     out.add(who + ": " + (i - from + 1) + " in the window up to " + end + ", allowed " + limit.get());
                     return;
--- a/testkit/src/main/java/org/woadvale/testkit/stub/NeverList.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/NeverList.java
@@ -35,12 +35,17 @@
     }
 
     public List<String> violations() {
-        return all().entrySet().stream().flatMap(e -> e.getValue().stream().map(v -> e.getKey() + ": " + v)).toList();
+        return all().entrySet().stream()
+                .flatMap(e -> e.getValue().stream().map(v -> e.getKey() + ": " + v))
+                .toList();
     }
 
     /** The numbers of the broken lines. */
     public List<String> broken() {
-        return all().entrySet().stream().filter(e -> !e.getValue().isEmpty()).map(e -> e.getKey().substring(0, 2)).toList();
+        return all().entrySet().stream()
+                .filter(e -> !e.getValue().isEmpty())
+                .map(e -> e.getKey().substring(0, 2))
+                .toList();
     }
 
     /** The most in any window of 5 s. */
--- a/testkit/src/main/java/org/woadvale/testkit/stub/ObservationLog.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/ObservationLog.java
@@ -6,42 +6,64 @@
 
 /** What the platform's clients, processors and operator saw, in true time; nothing of the system's inside. */
 public final class ObservationLog {
-    public record Sent(String id, String host, String path, String key, String orderKey, String body, long delayMs,
-                       String node, Duration at) { }
+    public record Sent(
+            String id,
+            String host,
+            String path,
+            String key,
+            String orderKey,
+            String body,
+            long delayMs,
+            String node,
+            Duration at) {}
 
     /** Status 0: no answer. */
-    public record Said(String id, int status, String ref, Duration at) { }
+    public record Said(String id, int status, String ref, Duration at) {}
 
     /** Whatever reaches a pushed-to processor; turned away: it said 421. */
-    public record Arrived(String id, String service, String instance, boolean turnedAway, Duration at) { }
-
-    public record Began(String id, String service, String tenant, String orderKey, String method, String path, String body,
-                        Duration at) { }
+    public record Arrived(String id, String service, String instance, boolean turnedAway, Duration at) {}
+
+    public record Began(
+            String id,
+            String service,
+            String tenant,
+            String orderKey,
+            String method,
+            String path,
+            String body,
+            Duration at) {}
 
     /** The processor's answer to a run: status and seal; zero for one that it broke off. */
-    public record Ended(String id, int status, String seal, Duration began, Duration at) { }
+    public record Ended(String id, int status, String seal, Duration began, Duration at) {}
 
     /** A sender has read a success. */
-    public record Read(String id, Duration at) { }
+    public record Read(String id, Duration at) {}
 
     /** The end of a lease was taken with 200. */
-    public record EndTaken(String id, String lease, int outcome, Duration at) { }
+    public record EndTaken(String id, String lease, int outcome, Duration at) {}
 
     /** The last word on a message at the day's end; status 0: no answer. */
-    public record Shown(String id, int status, String state, String seal, int bodyStatus, String body) { }
+    public record Shown(String id, int status, String state, String seal, int bodyStatus, String body) {}
 
     /** A configuration that was sent; status 0: no clear answer. */
-    public record Paper(ConfigurationStub papers, String text, long base, boolean valid, Duration sent, int status, Duration answered) { }
+    public record Paper(
+            ConfigurationStub papers,
+            String text,
+            long base,
+            boolean valid,
+            Duration sent,
+            int status,
+            Duration answered) {}
 
-    public record ReadBack(int status, String text, Duration at) { }
+    public record ReadBack(int status, String text, Duration at) {}
 
     /** From when on the list shows it as draining or no more. */
-    public record Draining(String instance, Duration shown) { }
+    public record Draining(String instance, Duration shown) {}
 
     /** Unplanned trouble; a life of a node ends with a kill. */
-    public record Trouble(String what, Duration from, Duration until) { }
+    public record Trouble(String what, Duration from, Duration until) {}
 
-    public record Killed(String node, Duration at) { }
+    public record Killed(String node, Duration at) {}
 
     public final List<Sent> sent = new ArrayList<>();
     public final List<Said> said = new ArrayList<>();
@@ -60,16 +82,25 @@
     /** No unplanned trouble anywhere from the contact time before the first moment until the second. */
     public boolean calm(Duration from, Duration until) {
         Duration since = from.minus(Bounds.CONTACT);
-        return troubles.stream().noneMatch(t -> t.until().compareTo(since) > 0 && t.from().compareTo(until) <= 0);
+        return troubles.stream()
+                .noneMatch(t -> t.until().compareTo(since) > 0 && t.from().compareTo(until) <= 0);
     }
 
     /** ConfigurationStub that may rule a request between two moments: what was newest so long before, and all that came since. */
     public List<ConfigurationStub> ruling(Duration from, Duration until) {
         Duration old = from.minus(Bounds.APPLY);
-        long newest = papers.stream().filter(p -> p.status() == 200 && p.answered().compareTo(old) < 0)
-            .mapToLong(p -> p.papers().configRevision()).max().orElse(0);
-        return papers.stream().filter(p -> p.valid() && (p.status() == 200 || p.status() == 0)
-            && p.papers().configRevision() >= newest && p.sent().compareTo(until) <= 0).map(Paper::papers).toList();
+        long newest = papers.stream()
+                .filter(p -> p.status() == 200 && p.answered().compareTo(old) < 0)
+                .mapToLong(p -> p.papers().configRevision())
+                .max()
+                .orElse(0);
+        return papers.stream()
+                .filter(p -> p.valid()
+                        && (p.status() == 200 || p.status() == 0)
+                        && p.papers().configRevision() >= newest
+                        && p.sent().compareTo(until) <= 0)
+                .map(Paper::papers)
+                .toList();
     }
 
     /** The bounds that the platform sets. */
@@ -86,6 +117,6 @@
         public static final double CEILING_OVERRUN = 1.1;
         public static final double CEILING_SLACK = 5;
 
-        private Bounds() { }
+        private Bounds() {}
     }
 }
--- a/testkit/src/main/java/org/woadvale/testkit/stub/Observations.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/Observations.java
@@ -1,5 +1,6 @@
 package org.woadvale.testkit.stub;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -8,42 +9,78 @@
 import java.util.Map;
 import java.util.function.Function;
 
-import com.fasterxml.jackson.databind.JsonNode;
-
 /** What callers, back ends and operators saw, and nothing else; the checker reads only this. */
 public final class Observations {
     /** A time that nobody saw. */
     public static final Duration UNSEEN = Duration.ofSeconds(-1);
 
-    public enum Said { ACCEPTED, REFUSED, UNKNOWN }
+    public enum Said {
+        ACCEPTED,
+        REFUSED,
+        UNKNOWN
+    }
 
     /** One hand-in by one caller; a repeat of an id is a hand-in of its own. */
-    public record HandedIn(String tenant, String id, String lane, String orderKey, String key, Duration sent,
-                           Duration answered, Said said, String kind, String handle, boolean repeated) { }
-
-    public record Ran(String handle, String callerId, String tenant, String lane, String orderKey, int attempt,
-                      String processor, String service, Duration begun) { }
+    public record HandedIn(
+            String tenant,
+            String id,
+            String lane,
+            String orderKey,
+            String key,
+            Duration sent,
+            Duration answered,
+            Said said,
+            String kind,
+            String handle,
+            boolean repeated) {}
+
+    public record Ran(
+            String handle,
+            String callerId,
+            String tenant,
+            String lane,
+            String orderKey,
+            int attempt,
+            String processor,
+            String service,
+            Duration begun) {}
 
     /** A run is over: answered with success or refusal. */
-    public record Answered(String handle, int attempt, String processor, Duration at, boolean success, String receipt) { }
+    public record Answered(
+            String handle, int attempt, String processor, Duration at, boolean success, String receipt) {}
 
     /** A run is over without an answer, since its processor died. */
-    public record Died(String handle, Duration at) { }
+    public record Died(String handle, Duration at) {}
 
     /** A back end said "later", and did nothing. */
-    public record TurnedAway(String handle, int attempt, Duration at) { }
+    public record TurnedAway(String handle, int attempt, Duration at) {}
 
     /** What a caller was shown of a message; stamps are those of its owner, in the checker's time, where known. */
-    public record Shown(String handle, String state, String proof, String lane, Duration asked, Duration at,
-                        Duration accepted, Duration ended) {
+    public record Shown(
+            String handle,
+            String state,
+            String proof,
+            String lane,
+            Duration asked,
+            Duration at,
+            Duration accepted,
+            Duration ended) {
         public boolean over() {
             return state.equals("done") || state.equals("failed");
         }
 
         /** From the answer to a GET; a clock that cannot be trusted shows nothing. */
-        public static Shown read(String handle, JsonNode n, Duration asked, Duration at, Function<Instant, Duration> clock) {
-            return new Shown(handle, n.path("state").asText(), n.path("proof").asText(n.path("note").asText("")),
-                n.path("lane").asText(), asked, at, stamp(n, "accepted", clock), stamp(n, "ended", clock));
+        public static Shown read(
+                String handle, JsonNode n, Duration asked, Duration at, Function<Instant, Duration> clock) {
+            return new Shown(
+                    handle,
+                    n.path("state").asText(),
+                    n.path("proof").asText(n.path("note").asText("")),
+                    n.path("lane").asText(),
+                    asked,
+                    at,
+                    stamp(n, "accepted", clock),
+                    stamp(n, "ended", clock));
         }
 
         private static Duration stamp(JsonNode n, String field, Function<Instant, Duration> clock) {
@@ -51,31 +88,32 @@
         }
     }
 
-    public record LayoutSaid(String requestId, long version, boolean taken, boolean valid, Duration at, String digest) { }
+    public record LayoutSaid(
+            String requestId, long version, boolean taken, boolean valid, Duration at, String digest) {}
 
-    public record LayoutRead(long version, String digest, Duration asked) { }
+    public record LayoutRead(long version, String digest, Duration asked) {}
 
-    public record KeyWithdrawn(String key, Duration acknowledged) { }
+    public record KeyWithdrawn(String key, Duration acknowledged) {}
 
     /** A request other than a hand-in that was served under a key. */
-    public record KeyServed(String key, String what, Duration answered) { }
+    public record KeyServed(String key, String what, Duration answered) {}
 
-    public record MarkedLeaving(String processor, Duration acknowledged) { }
+    public record MarkedLeaving(String processor, Duration acknowledged) {}
 
     /** The platform sent a listing without the mark: from then on the mark may be gone. */
-    public record Listed(String processor, Duration sent) { }
+    public record Listed(String processor, Duration sent) {}
 
-    public record RequestAtEndpoint(String service, Duration at) { }
+    public record RequestAtEndpoint(String service, Duration at) {}
 
-    public record LayoutNeeded(String what, Duration acknowledged, Duration seenIgnored) { }
+    public record LayoutNeeded(String what, Duration acknowledged, Duration seenIgnored) {}
 
     /** The layout version that a node says it uses; a restarted node is the same node. */
-    public record NodeVersion(String node, long version, Duration at) { }
+    public record NodeVersion(String node, long version, Duration at) {}
 
-    public record Outage(Duration restarted, Duration served) { }
+    public record Outage(Duration restarted, Duration served) {}
 
     /** A limit that the operator set: it may be in force from the sending of the change on. */
-    public record Limit(double rate, double burst, Duration sent, Duration acknowledged) { }
+    public record Limit(double rate, double burst, Duration sent, Duration acknowledged) {}
 
     /** What a lane's messages may meet at the least: the lowest of all settings of the run. */
     public record LaneLimits(long timeLimitMs, int attempts) {
@@ -102,6 +140,7 @@
     public final List<Outage> outages = new ArrayList<>();
     /** Allowances by tenant, rates by endpoint and limits by lane, as the operator set them. */
     private final Map<String, List<Limit>> allowances = new HashMap<>();
+
     private final Map<String, List<Limit>> rates = new HashMap<>();
     private final Map<String, LaneLimits> lanes = new HashMap<>();
 
--- a/testkit/src/main/java/org/woadvale/testkit/stub/Reasons.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/Reasons.java
@@ -16,8 +16,10 @@
 
     Reasons(Observations s) {
         this.s = s;
-        this.refused = s.copy(s.answered).stream().filter(a -> !a.success()).map(Observations.Answered::handle)
-            .collect(Collectors.toSet());
+        this.refused = s.copy(s.answered).stream()
+                .filter(a -> !a.success())
+                .map(Observations.Answered::handle)
+                .collect(Collectors.toSet());
         s.copy(s.ran).forEach(r -> tried(r.handle(), r.attempt()));
         s.copy(s.turnedAway).forEach(r -> tried(r.handle(), r.attempt()));
     }
@@ -27,18 +29,25 @@
     }
 
     List<String> unfounded() {
-        return s.copy(s.shown).stream().filter(x -> x.state().equals("failed")).filter(x -> !founded(x))
-            .map(x -> x.handle() + " failed without a reason: " + x.proof()).distinct().toList();
+        return s.copy(s.shown).stream()
+                .filter(x -> x.state().equals("failed"))
+                .filter(x -> !founded(x))
+                .map(x -> x.handle() + " failed without a reason: " + x.proof())
+                .distinct()
+                .toList();
     }
 
     private boolean founded(Observations.Shown x) {
         Optional<Observations.LaneLimits> lane = Optional.ofNullable(s.lanes().get(x.lane()));
         if (x.proof().startsWith("attempts used up")) {
-            return lane.map(l -> tried.getOrDefault(x.handle(), Set.of()).size() >= l.attempts()).orElse(true);
+            return lane.map(l -> tried.getOrDefault(x.handle(), Set.of()).size() >= l.attempts())
+                    .orElse(true);
         }
         if (x.proof().startsWith("time limit")) {
             boolean stamped = !x.accepted().isNegative() && !x.ended().isNegative();
-            return !stamped || lane.map(l -> x.ended().minus(x.accepted()).toMillis() >= l.timeLimitMs()).orElse(true);
+            return !stamped
+                    || lane.map(l -> x.ended().minus(x.accepted()).toMillis() >= l.timeLimitMs())
+                            .orElse(true);
         }
         // an unclear end needs an attempt that may have been sent; that it was sent is not always seen outside
         return x.proof().startsWith("unclear") || refused.contains(x.handle());
--- a/testkit/src/main/java/org/woadvale/testkit/stub/Rules.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/Rules.java
@@ -39,11 +39,16 @@
     }
 
     public List<String> violations() {
-        return all().entrySet().stream().flatMap(e -> e.getValue().stream().map(v -> e.getKey() + ": " + v)).toList();
+        return all().entrySet().stream()
+                .flatMap(e -> e.getValue().stream().map(v -> e.getKey() + ": " + v))
+                .toList();
     }
 
     /** The names of the broken rules. */
     public List<String> broken() {
-        return all().entrySet().stream().filter(e -> !e.getValue().isEmpty()).map(Map.Entry::getKey).toList();
+        return all().entrySet().stream()
+                .filter(e -> !e.getValue().isEmpty())
+                .map(Map.Entry::getKey)
+                .toList();
     }
 }
--- a/testkit/src/main/java/org/woadvale/testkit/stub/TestConfiguration.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/TestConfiguration.java
@@ -5,9 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-
-import org.woadvale.common.config.Configurations;
 import org.woadvale.common.config.Configuration;
+import org.woadvale.common.config.Configurations;
 
 /** The layout that the stand-ins play with: two processor groups, paced endpoints, eight tenants. */
 public record TestConfiguration(int tenants, int endpoints, double ratePerS, int burst, double endpointRate) {
@@ -46,20 +45,52 @@
         Map<String, Configuration.Key> k = new TreeMap<>();
         for (int i = 0; i < tenants; i++) {
             t.put(tenant(i), new Configuration.Tenant(ratePerS, burst));
-            k.put("key" + i, new Configuration.Key(Configuration.Role.CALLER, tenant(i), "", Configurations.sha256(callerKey(i))));
+            k.put(
+                    "key" + i,
+                    new Configuration.Key(
+                            Configuration.Role.CALLER, tenant(i), "", Configurations.sha256(callerKey(i))));
         }
         Map<String, Configuration.Service> s = new TreeMap<>();
         s.put(GROUP, new Configuration.Service(Configuration.Kind.PROCESSORS, "", 0));
         s.put(ORDERED_GROUP, new Configuration.Service(Configuration.Kind.PROCESSORS, "", 0));
         for (String group : List.of(GROUP, ORDERED_GROUP)) {
-            k.put("fetch-" + group, new Configuration.Key(Configuration.Role.PROCESSOR, "", group, Configurations.sha256(fetchKey(group))));
+            k.put(
+                    "fetch-" + group,
+                    new Configuration.Key(
+                            Configuration.Role.PROCESSOR, "", group, Configurations.sha256(fetchKey(group))));
         }
         Map<String, Configuration.Lane> l = new TreeMap<>();
-        l.put("hold", new Configuration.Lane(GROUP, Configuration.Ordering.NONE, TIME_LIMIT_MS, ATTEMPTS, 3000, Configuration.IfUnclear.FAIL));
-        l.put("accept", new Configuration.Lane(ORDERED_GROUP, Configuration.Ordering.KEY, TIME_LIMIT_MS, ATTEMPTS, 3000, Configuration.IfUnclear.FAIL));
+        l.put(
+                "hold",
+                new Configuration.Lane(
+                        GROUP,
+                        Configuration.Ordering.NONE,
+                        TIME_LIMIT_MS,
+                        ATTEMPTS,
+                        3000,
+                        Configuration.IfUnclear.FAIL));
+        l.put(
+                "accept",
+                new Configuration.Lane(
+                        ORDERED_GROUP,
+                        Configuration.Ordering.KEY,
+                        TIME_LIMIT_MS,
+                        ATTEMPTS,
+                        3000,
+                        Configuration.IfUnclear.FAIL));
         for (int i = 0; i < endpoints; i++) {
-            s.put(endpoint(i), new Configuration.Service(Configuration.Kind.ENDPOINT, endpointAddress.apply(i), endpointRate));
-            l.put("check" + i, new Configuration.Lane(endpoint(i), Configuration.Ordering.NONE, TIME_LIMIT_MS, ATTEMPTS, 3000, Configuration.IfUnclear.FAIL));
+            s.put(
+                    endpoint(i),
+                    new Configuration.Service(Configuration.Kind.ENDPOINT, endpointAddress.apply(i), endpointRate));
+            l.put(
+                    "check" + i,
+                    new Configuration.Lane(
+                            endpoint(i),
+                            Configuration.Ordering.NONE,
+                            TIME_LIMIT_MS,
+                            ATTEMPTS,
+                            3000,
+                            Configuration.IfUnclear.FAIL));
         }
         return new Configuration(t, s, l, k);
     }
--- a/testkit/src/main/java/org/woadvale/testkit/stub/Windows.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/Windows.java
@@ -25,15 +25,22 @@
             tenants.put(r.handle(), r.tenant());
             taken.merge(r.handle(), r.begun(), Windows::first);
         });
-        s.copy(s.handedIn).stream().filter(h -> h.said() == Observations.Said.ACCEPTED).forEach(h -> {
-            tenants.put(h.handle(), h.tenant());
-            taken.merge(h.handle(), h.answered(), Windows::first);
-        });
-        s.copy(s.shown).stream().filter(x -> !x.accepted().isNegative()).forEach(x -> taken.put(x.handle(), x.accepted()));
+        s.copy(s.handedIn).stream()
+                .filter(h -> h.said() == Observations.Said.ACCEPTED)
+                .forEach(h -> {
+                    tenants.put(h.handle(), h.tenant());
+                    taken.merge(h.handle(), h.answered(), Windows::first);
+                });
+        s.copy(s.shown).stream()
+                .filter(x -> !x.accepted().isNegative())
+                .forEach(x -> taken.put(x.handle(), x.accepted()));
         List<String> out = new ArrayList<>();
         s.allowances().forEach((tenant, limits) -> {
-            List<Duration> at = taken.entrySet().stream().filter(e -> tenant.equals(tenants.get(e.getKey())))
-                .map(Map.Entry::getValue).sorted().toList();
+            List<Duration> at = taken.entrySet().stream()
+                    .filter(e -> tenant.equals(tenants.get(e.getKey())))
+                    .map(Map.Entry::getValue)
+                    .sorted()
+                    .toList();
             out.addAll(excess(tenant, at, limits, true));
         });
         return out;
@@ -42,8 +49,11 @@
     List<String> rate() {
         List<String> out = new ArrayList<>();
         s.rates().forEach((service, limits) -> {
-            List<Duration> at = s.copy(s.endpoints).stream().filter(e -> e.service().equals(service))
-                .map(Observations.RequestAtEndpoint::at).sorted().toList();
+            List<Duration> at = s.copy(s.endpoints).stream()
+                    .filter(e -> e.service().equals(service))
+                    .map(Observations.RequestAtEndpoint::at)
+                    .sorted()
+                    .toList();
             out.addAll(excess(service, at, limits, false));
         });
         return out;
@@ -73,7 +83,8 @@
         double most = 0;
         for (int i = 0; i < limits.size(); i++) {
             Observations.Limit l = limits.get(i);
-            boolean over = i + 1 < limits.size() && limits.get(i + 1).acknowledged().plus(APPLIES).compareTo(from) < 0;
+            boolean over = i + 1 < limits.size()
+                    && limits.get(i + 1).acknowledged().plus(APPLIES).compareTo(from) < 0;
             if (!over && l.sent().compareTo(to) <= 0) {
                 most = Math.max(most, (l.rate() * WINDOW.toSeconds() + (burst ? l.burst() : 0)) * SLACK);
             }
--- a/testkit/src/test/java/org/woadvale/operator/FleetTest.java
+++ b/testkit/src/test/java/org/woadvale/operator/FleetTest.java
@@ -6,7 +6,6 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -17,24 +16,23 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.stream.Collectors;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import org.woadvale.common.config.Configurations;
+import org.woadvale.client.ApiException;
+import org.woadvale.client.model.Message;
 import org.woadvale.common.config.Configuration;
+import org.woadvale.common.config.Configurations;
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.controlplane.ControlPlaneProgram;
-import org.woadvale.testkit.stub.NeverList;
-import org.woadvale.testkit.stub.TestConfiguration;
-import org.woadvale.testkit.stub.Observations;
+import org.woadvale.testkit.cluster.ClientLoad;
 import org.woadvale.testkit.cluster.Fleet;
 import org.woadvale.testkit.cluster.Load;
-import org.woadvale.client.ApiException;
-import org.woadvale.client.model.Message;
+import org.woadvale.testkit.cluster.NodeProcess;
 import org.woadvale.testkit.cluster.Shape;
-import org.woadvale.testkit.cluster.ClientLoad;
 import org.woadvale.testkit.cluster.StubEnvironment;
-import org.woadvale.testkit.cluster.NodeProcess;
+import org.woadvale.testkit.stub.NeverList;
+import org.woadvale.testkit.stub.Observations;
+import org.woadvale.testkit.stub.TestConfiguration;
 
 /** One day of a real fleet of processes, run by the shipped runbooks, under traffic. Waits only on conditions. */
 class FleetTest {
@@ -74,7 +72,7 @@
     }
 
     private final List<String> said = new ArrayList<>();
-    private ByHand byHand = what -> { };
+    private ByHand byHand = what -> {};
     private Fleet fleet;
     private StubEnvironment town;
     private Load load;
@@ -83,7 +81,9 @@
         try {
             String rest = url.substring("http://".length());
             int slash = rest.indexOf('/');
-            var g = town.client.send(method, rest.substring(0, slash), rest.substring(slash), "", body, headers).join();
+            var g = town.client
+                    .send(method, rest.substring(0, slash), rest.substring(slash), "", body, headers)
+                    .join();
             Map<String, String> h = new HashMap<>();
             g.headers().forEach((k, v) -> h.put(k.toLowerCase(java.util.Locale.ROOT), v.get(0)));
             return new Wire.Got(g.status(), h, g.body());
@@ -94,8 +94,9 @@
 
     private void run(String book, Map<String, String> values) throws ServiceException {
         said.clear();
-        assertTrue(new Runner(this::send, new Crew(), "", false).run(Runbooks.load(book), values),
-            () -> book + ": " + String.join("\n", said));
+        assertTrue(
+                new Runner(this::send, new Crew(), "", false).run(Runbooks.load(book), values),
+                () -> book + ": " + String.join("\n", said));
     }
 
     private static String http(NodeProcess v) {
@@ -113,7 +114,8 @@
     @Test
     void oneDay(@TempDir Path root) throws Exception {
         fleet = new Fleet(Shape.SMALL, root);
-        try (Fleet f = fleet; StubEnvironment t = new StubEnvironment(f, Shape.SMALL, new TestConfiguration(8, 2, 45, 60, 26))) {
+        try (Fleet f = fleet;
+                StubEnvironment t = new StubEnvironment(f, Shape.SMALL, new TestConfiguration(8, 2, 45, 60, 26))) {
             town = t;
             load = new Load(t, f, 5);
             f.startAll();
@@ -139,15 +141,17 @@
             for (NodeProcess v : f.all()) {
                 v.start();
             }
-            run("check-after-outage", Map.of("lighthouses", list(f.lighthouses), "stores", list(f.stores),
-                "intakes", list(f.intakes)));
+            run(
+                    "check-after-outage",
+                    Map.of("lighthouses", list(f.lighthouses), "stores", list(f.stores), "intakes", list(f.intakes)));
             accepted("after the outage");
             boolean settled = load.settle(Duration.ofSeconds(120));
             assertEquals(List.of(), load.broken(), "every 202 carries a handle");
             assertTrue(settled, () -> "not every accepted message has ended: " + load.states() + " " + load.unended());
             List<String> bad = new NeverList(t.seen).violations();
             assertEquals(List.of(), bad);
-            assertTrue(load.states().getOrDefault("done", 0L) > 100, load.states().toString());
+            assertTrue(
+                    load.states().getOrDefault("done", 0L) > 100, load.states().toString());
         }
     }
 
@@ -173,25 +177,54 @@
         Map<String, Configuration.Lane> lanes = new TreeMap<>(town.layout().lanes());
         lanes.put("extra", lanes.get("hold"));
         Map<String, Configuration.Key> keys = new TreeMap<>(town.layout().keys());
-        keys.put("guest", new Configuration.Key(Configuration.Role.CALLER, TestConfiguration.tenant(0), "", Configurations.sha256("guest-secret")));
-        Configuration next = new Configuration(town.layout().tenants(), town.layout().services(), lanes, keys);
+        keys.put(
+                "guest",
+                new Configuration.Key(
+                        Configuration.Role.CALLER,
+                        TestConfiguration.tenant(0),
+                        "",
+                        Configurations.sha256("guest-secret")));
+        Configuration next =
+                new Configuration(town.layout().tenants(), town.layout().services(), lanes, keys);
         String l = http(fleet.lighthouses.get(1));
         String i = http(fleet.intakes.get(0));
-        run("put-layout", Map.of("lighthouse", l, "intake", i, "request", "day-1",
-            "layout", new String(Configurations.write(next), StandardCharsets.UTF_8)));
+        run(
+                "put-layout",
+                Map.of(
+                        "lighthouse",
+                        l,
+                        "intake",
+                        i,
+                        "request",
+                        "day-1",
+                        "layout",
+                        new String(Configurations.write(next), StandardCharsets.UTF_8)));
         run("withdraw-key", Map.of("lighthouse", l, "intake", i, "request", "day-2", "key", "guest"));
-        var refused = town.client.send("POST", fleet.intakes.get(0).http, "/v1/lanes/hold/messages", "guest-secret",
-            Configurations.write(Map.of("id", "x", "body", Map.of())), Map.of()).join();
+        var refused = town.client
+                .send(
+                        "POST",
+                        fleet.intakes.get(0).http,
+                        "/v1/lanes/hold/messages",
+                        "guest-secret",
+                        Configurations.write(Map.of("id", "x", "body", Map.of())),
+                        Map.of())
+                .join();
         assertEquals(401, refused.status());
-        String address = Configurations.JSON.readTree(send("GET", l + "/v1/services/reserve/processors", Map.of(), new byte[0])
-            .body()).at("/p0/address").asText();
+        String address = Configurations.JSON
+                .readTree(send("GET", l + "/v1/services/reserve/processors", Map.of(), new byte[0])
+                        .body())
+                .at("/p0/address")
+                .asText();
         run("drain-processor", Map.of("lighthouse", l, "service", "reserve", "processor", "p0", "address", address));
     }
 
     private void roll() throws ServiceException {
         allReady();
         byHand = what -> {
-            NodeProcess v = fleet.all().stream().filter(x -> what.endsWith(x.http)).findFirst().orElseThrow();
+            NodeProcess v = fleet.all().stream()
+                    .filter(x -> what.endsWith(x.http))
+                    .findFirst()
+                    .orElseThrow();
             v.stop();
             v.start();
         };
@@ -203,12 +236,32 @@
         List<String> seeds = fleet.lighthouses.stream().map(v -> v.address).toList();
         fleet.lighthouses.get(2).kill();
         String address = Fleet.free();
-        NodeProcess fresh = new NodeProcess("lighthouse3", ControlPlaneProgram.class.getName(), root, address, Fleet.free(), "hall2",
-            seeds, List.of(), true, true);
+        NodeProcess fresh = new NodeProcess(
+                "lighthouse3",
+                ControlPlaneProgram.class.getName(),
+                root,
+                address,
+                Fleet.free(),
+                "hall2",
+                seeds,
+                List.of(),
+                true,
+                true);
         fleet.lighthouses.set(2, fresh);
         byHand = what -> fresh.start();
-        run("replace-lighthouse", Map.of("lighthouse", http(fleet.lighthouses.get(0)), "newLighthouse", http(fresh),
-            "first", seeds.get(0), "second", seeds.get(1), "third", address));
+        run(
+                "replace-lighthouse",
+                Map.of(
+                        "lighthouse",
+                        http(fleet.lighthouses.get(0)),
+                        "newLighthouse",
+                        http(fresh),
+                        "first",
+                        seeds.get(0),
+                        "second",
+                        seeds.get(1),
+                        "third",
+                        address));
         accepted("with a new lighthouse");
     }
 
--- a/testkit/src/test/java/org/woadvale/testkit/BriefTableTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/BriefTableTest.java
@@ -14,7 +14,6 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
-
 import org.junit.jupiter.api.Test;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.testkit.cluster.TestkitProgram;
@@ -27,7 +26,9 @@
     private static Map<String, String> tests() throws IOException {
         try (Stream<Path> s = Files.walk(Path.of(".."))) {
             Map<String, String> out = new HashMap<>();
-            for (Path p : s.filter(x -> x.toString().contains("src/test/java") && x.toString().endsWith("Test.java")).toList()) {
+            for (Path p : s.filter(x -> x.toString().contains("src/test/java")
+                            && x.toString().endsWith("Test.java"))
+                    .toList()) {
                 out.put(p.getFileName().toString().replace(".java", ""), Files.readString(p));
             }
             return out;
@@ -44,7 +45,10 @@
             while (m.find()) {
                 named++;
                 String source = tests.getOrDefault(m.group(1), "");
-                if (source.isEmpty() || Optional.ofNullable(m.group(2)).filter(x -> !source.contains("void " + x + "(")).isPresent()) {
+                if (source.isEmpty()
+                        || Optional.ofNullable(m.group(2))
+                                .filter(x -> !source.contains("void " + x + "("))
+                                .isPresent()) {
                     missing.add(page + ": " + m.group());
                 }
             }
@@ -59,7 +63,9 @@
         String schema = Files.readString(Path.of("..", "client", "src", "main", "openapi", "woadvale.yaml"));
         Matcher m = Pattern.compile("enum: \\[(bad_request[^\\]]*)\\]").matcher(schema);
         assertTrue(m.find(), "the kinds must be there");
-        assertEquals(Stream.of(ErrorKind.values()).map(ErrorKind::word).toList(), List.of(m.group(1).split(",\\s*")));
+        assertEquals(
+                Stream.of(ErrorKind.values()).map(ErrorKind::word).toList(),
+                List.of(m.group(1).split(",\\s*")));
     }
 
     @Test
@@ -70,7 +76,11 @@
             Matcher m = DRILL.matcher(Files.readString(Path.of("..", "docs", page)));
             while (m.find()) {
                 for (String d : m.group(1).split(", ")) {
-                    if (d.contains("-") || d.equals("roll") || d.equals("wrap") || d.equals("outage") || d.equals("upgrade")) {
+                    if (d.contains("-")
+                            || d.equals("roll")
+                            || d.equals("wrap")
+                            || d.equals("outage")
+                            || d.equals("upgrade")) {
                         named++;
                         if (!TestkitProgram.drills().contains(d)) {
                             missing.add(d);
--- a/testkit/src/test/java/org/woadvale/testkit/RulesTableTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/RulesTableTest.java
@@ -14,10 +14,9 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
-
 import org.junit.jupiter.api.Test;
-import org.woadvale.testkit.stub.Rules;
 import org.woadvale.testkit.stub.ObservationLog;
+import org.woadvale.testkit.stub.Rules;
 
 /** docs/rules.md has a row for each rule, and names only tests and sections that there are. */
 class RulesTableTest {
@@ -25,14 +24,17 @@
     private static final Pattern SECTION = Pattern.compile("(?<![.0-9])([0-9]{1,2}\\.[0-9]{1,2})(?![0-9])");
 
     private static List<String> rows() throws IOException {
-        return Files.readAllLines(Path.of("..", "docs", "rules.md")).stream().filter(l -> l.startsWith("| ")
-            && !l.startsWith("| rule |") && !l.startsWith("| condition |")).toList();
+        return Files.readAllLines(Path.of("..", "docs", "rules.md")).stream()
+                .filter(l -> l.startsWith("| ") && !l.startsWith("| rule |") && !l.startsWith("| condition |"))
+                .toList();
     }
 
     private static Map<String, String> tests() throws IOException {
         try (Stream<Path> s = Files.walk(Path.of(".."))) {
             Map<String, String> out = new HashMap<>();
-            for (Path p : s.filter(x -> x.toString().contains("src/test/java") && x.toString().endsWith("Test.java")).toList()) {
+            for (Path p : s.filter(x -> x.toString().contains("src/test/java")
+                            && x.toString().endsWith("Test.java"))
+                    .toList()) {
                 out.put(p.getFileName().toString().replace(".java", ""), Files.readString(p));
             }
             return out;
@@ -48,7 +50,10 @@
         while (m.find()) {
             named++;
             String source = tests.getOrDefault(m.group(1), "");
-            if (source.isEmpty() || Optional.ofNullable(m.group(2)).filter(x -> !source.contains("void " + x + "(")).isPresent()) {
+            if (source.isEmpty()
+                    || Optional.ofNullable(m.group(2))
+                            .filter(x -> !source.contains("void " + x + "("))
+                            .isPresent()) {
                 missing.add(m.group());
             }
         }
@@ -75,7 +80,9 @@
         for (String r : rows()) {
             Matcher m = SECTION.matcher(r);
             while (m.find()) {
-                if (!Pattern.compile("(?m)^### " + Pattern.quote(m.group(1)) + "[. ]").matcher(design).find()) {
+                if (!Pattern.compile("(?m)^### " + Pattern.quote(m.group(1)) + "[. ]")
+                        .matcher(design)
+                        .find()) {
                     missing.add(m.group(1));
                 }
             }
@@ -86,7 +93,9 @@
     @Test
     void everyCheckHasItsRow() throws IOException {
         String page = String.join("\n", rows());
-        new Rules(new ObservationLog()).all().keySet().forEach(rule ->
-            assertTrue(page.contains("| " + rule.replaceAll(" .*", "")), rule));
+        new Rules(new ObservationLog())
+                .all()
+                .keySet()
+                .forEach(rule -> assertTrue(page.contains("| " + rule.replaceAll(" .*", "")), rule));
     }
 }
--- a/testkit/src/test/java/org/woadvale/testkit/StyleTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/StyleTest.java
@@ -12,7 +12,6 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
-
 import org.junit.jupiter.api.Test;
 
 /** The agreed style, where a machine can tell. */
@@ -22,8 +21,10 @@
 
     private static List<Path> sources() throws IOException {
         try (Stream<Path> s = Files.walk(Path.of(".."))) {
-            List<Path> all = s.filter(p -> p.toString().endsWith(".java") || p.toString().endsWith(".feature"))
-                .filter(p -> !p.toString().contains("/target/")).toList();
+            List<Path> all = s.filter(
+                            p -> p.toString().endsWith(".java") || p.toString().endsWith(".feature"))
+                    .filter(p -> !p.toString().contains("/target/"))
+                    .toList();
             assertTrue(all.size() > 50, "the walk must see the tree, it saw " + all.size());
             return all;
         }
@@ -48,7 +49,9 @@
         for (Path p : sources()) {
             Matcher m = REFERENCE.matcher(Files.readString(p));
             while (m.find()) {
-                if (!Pattern.compile("(?m)^#+ " + Pattern.quote(m.group(1)) + "[. ]").matcher(design).find()) {
+                if (!Pattern.compile("(?m)^#+ " + Pattern.quote(m.group(1)) + "[. ]")
+                        .matcher(design)
+                        .find()) {
                     missing.add(m.group(1) + " in " + p.getFileName());
                 }
             }
--- a/testkit/src/test/java/org/woadvale/testkit/capacity/CapacityTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/capacity/CapacityTest.java
@@ -13,7 +13,6 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.TreeMap;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -60,25 +59,30 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = ';', value = {
-        "--nodes 0,30,60,120; A size is a whole number from 1 to 99999999, not \"0\".",
-        "--nodes 30,60,,120; A size is a whole number from 1 to 99999999, not \"\".",
-        "--nodes 30,60,-1,120; A size is a whole number from 1 to 99999999, not \"-1\".",
-        "--nodes 30,60,60; A line needs 4 different sizes at least, not 2.",
-        "--only tides; There is no mechanism tides",
-        "--sizes 1,2,3,4; Sizes belong to one mechanism",
-        "--only tenants --sizes 8,16,32,1001; 1001 tenants are more than the 1000 that can be run.",
-        "--only tenants --largest 100; The largest run is a number of nodes over zero",
-        "--largest -5; The largest run is a number of nodes over zero",
-        "--nodes 30,60,120,20000; 20000 nodes, 8 tenants need about",
-        "--nodes 30,60,120,240 --largest 20000; 20000 nodes, 8 tenants need about",
-        "--more; Found unexpected parameters"})
+    @CsvSource(
+            delimiter = ';',
+            value = {
+                "--nodes 0,30,60,120; A size is a whole number from 1 to 99999999, not \"0\".",
+                "--nodes 30,60,,120; A size is a whole number from 1 to 99999999, not \"\".",
+                "--nodes 30,60,-1,120; A size is a whole number from 1 to 99999999, not \"-1\".",
+                "--nodes 30,60,60; A line needs 4 different sizes at least, not 2.",
+                "--only tides; There is no mechanism tides",
+                "--sizes 1,2,3,4; Sizes belong to one mechanism",
+                "--only tenants --sizes 8,16,32,1001; 1001 tenants are more than the 1000 that can be run.",
+                "--only tenants --largest 100; The largest run is a number of nodes over zero",
+                "--largest -5; The largest run is a number of nodes over zero",
+                "--nodes 30,60,120,20000; 20000 nodes, 8 tenants need about",
+                "--nodes 30,60,120,240 --largest 20000; 20000 nodes, 8 tenants need about",
+                "--more; Found unexpected parameters"
+            })
     void badInputIsOneSentenceAndStartsNothing(String line, String sentence, @TempDir Path folder) throws Exception {
         Path plots = folder.resolve("plots");
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         ByteArrayOutputStream err = new ByteArrayOutputStream();
-        int code = new CapacityCommand(new PrintStream(out, true, StandardCharsets.UTF_8),
-            new PrintStream(err, true, StandardCharsets.UTF_8)).run((line + " --out " + plots).split(" "));
+        int code = new CapacityCommand(
+                        new PrintStream(out, true, StandardCharsets.UTF_8),
+                        new PrintStream(err, true, StandardCharsets.UTF_8))
+                .run((line + " --out " + plots).split(" "));
         String said = err.toString(StandardCharsets.UTF_8);
         assertEquals(2, code, said);
         assertTrue(said.startsWith("capacity: " + sentence), said);
--- a/testkit/src/test/java/org/woadvale/testkit/cluster/CutAnswersTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/cluster/CutAnswersTest.java
@@ -19,15 +19,14 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.woadvale.dataplane.DataPlaneProgram;
 import org.woadvale.testkit.stub.NeverList;
-import org.woadvale.testkit.stub.TestConfiguration;
 import org.woadvale.testkit.stub.Observations;
+import org.woadvale.testkit.stub.TestConfiguration;
 
 /** What callers make of answers that are cut off or say too little; the intake is a bare socket. */
 class CutAnswersTest {
@@ -72,9 +71,13 @@
                 }
                 head.append((char) b);
             }
-            int length = head.toString().lines().map(l -> l.toLowerCase(java.util.Locale.ROOT))
-                .filter(l -> l.startsWith("content-length:")).map(l -> Integer.parseInt(l.substring(15).trim()))
-                .findFirst().orElse(0);
+            int length = head.toString()
+                    .lines()
+                    .map(l -> l.toLowerCase(java.util.Locale.ROOT))
+                    .filter(l -> l.startsWith("content-length:"))
+                    .map(l -> Integer.parseInt(l.substring(15).trim()))
+                    .findFirst()
+                    .orElse(0);
             in.readNBytes(length);
             return head.substring(0, head.indexOf(" HTTP/"));
         }
@@ -88,7 +91,8 @@
     /** As the gate answers: the length is declared. */
     private static byte[] answer(String status, String body) {
         return ("HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\nContent-Length: " + body.length()
-            + "\r\n\r\n" + body).getBytes(StandardCharsets.UTF_8);
+                        + "\r\n\r\n" + body)
+                .getBytes(StandardCharsets.UTF_8);
     }
 
     @Test
@@ -98,10 +102,14 @@
         try (BareIntake b = new BareIntake(line -> Arrays.copyOf(whole, Integer.parseInt(line.substring(6))))) {
             for (int i = 0; i < whole.length; i++) {
                 String path = "/" + i;
-                assertThrows(CompletionException.class, () -> client.send("POST", b.address(), path, "", new byte[3],
-                    Map.of()).join(), "cut after " + i + " of " + whole.length);
+                assertThrows(
+                        CompletionException.class,
+                        () -> client.send("POST", b.address(), path, "", new byte[3], Map.of())
+                                .join(),
+                        "cut after " + i + " of " + whole.length);
             }
-            Client.Got g = client.send("POST", b.address(), "/" + whole.length, "", new byte[3], Map.of()).join();
+            Client.Got g = client.send("POST", b.address(), "/" + whole.length, "", new byte[3], Map.of())
+                    .join();
             assertEquals("m1-1", g.json().path("handle").asText());
         }
     }
@@ -111,21 +119,40 @@
         if (line.startsWith("POST")) {
             return answer("202 Accepted", handIns == 1 ? first : TAKEN);
         }
-        return answer("200 OK", line.equals("GET /v1/messages/m1-1")
-            ? "{\"handle\":\"m1-1\",\"state\":\"failed\",\"note\":\"refused\",\"lane\":\"hold\"}" : "{\"messages\":[]}");
+        return answer(
+                "200 OK",
+                line.equals("GET /v1/messages/m1-1")
+                        ? "{\"handle\":\"m1-1\",\"state\":\"failed\",\"note\":\"refused\",\"lane\":\"hold\"}"
+                        : "{\"messages\":[]}");
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"", "{}", "{\"accepted\":true}",
-        "{\"accepted\":true,\"handle\":\"\"}", "{\"handle\":null}", "{\"accepted\":tr"})
+    @ValueSource(
+            strings = {
+                "",
+                "{}",
+                "{\"accepted\":true}",
+                "{\"accepted\":true,\"handle\":\"\"}",
+                "{\"handle\":null}",
+                "{\"accepted\":tr"
+            })
     void acceptedWithoutAHandleIsAskedAgainAndTold(String first, @TempDir Path root) throws Exception {
         AtomicLong handIns = new AtomicLong();
         try (BareIntake b = new BareIntake(l -> day(first, l, l.startsWith("POST") ? handIns.incrementAndGet() : 0));
-             Fleet f = new Fleet(Shape.SMALL, root);
-             StubEnvironment t = new StubEnvironment(f, Shape.SMALL, new TestConfiguration(8, 2, 45, 60, 26))) {
+                Fleet f = new Fleet(Shape.SMALL, root);
+                StubEnvironment t = new StubEnvironment(f, Shape.SMALL, new TestConfiguration(8, 2, 45, 60, 26))) {
             f.intakes.clear();
-            f.intakes.add(new NodeProcess("bare", DataPlaneProgram.class.getName(), root, Fleet.free(), b.address(), "hall0", List.of(),
-                List.of("intake"), false, false));
+            f.intakes.add(new NodeProcess(
+                    "bare",
+                    DataPlaneProgram.class.getName(),
+                    root,
+                    Fleet.free(),
+                    b.address(),
+                    "hall0",
+                    List.of(),
+                    List.of("intake"),
+                    false,
+                    false));
             Load load = new Load(t, f, 5);
             Observations.HandedIn h = load.one(0).join();
             assertTrue(load.settle(Duration.ofSeconds(3)), () -> load.states() + " " + load.unended());
@@ -134,7 +161,9 @@
             assertEquals("m1-1", h.handle());
             assertEquals(2, handIns.get());
             assertEquals(1, load.broken().size(), load.broken().toString());
-            assertTrue(load.broken().get(0).endsWith(" " + first.length() + " bytes: " + first), load.broken().get(0));
+            assertTrue(
+                    load.broken().get(0).endsWith(" " + first.length() + " bytes: " + first),
+                    load.broken().get(0));
             assertTrue(b.asked.stream().noneMatch("GET /v1/messages/"::equals), b.asked.toString());
             assertTrue(new NeverList(t.seen).violations().stream().noneMatch(v -> v.contains("never shown")));
         }
@@ -142,18 +171,29 @@
 
     @Test
     void anAnswerAboutSomethingElseShowsNothingOfTheMessage(@TempDir Path root) throws Exception {
-        try (BareIntake b = new BareIntake(l -> l.startsWith("POST") ? answer("202 Accepted", TAKEN)
-                : answer("200 OK", "{\"messages\":[]}"));
-             Fleet f = new Fleet(Shape.SMALL, root);
-             StubEnvironment t = new StubEnvironment(f, Shape.SMALL, new TestConfiguration(8, 2, 45, 60, 26))) {
+        try (BareIntake b = new BareIntake(l ->
+                        l.startsWith("POST") ? answer("202 Accepted", TAKEN) : answer("200 OK", "{\"messages\":[]}"));
+                Fleet f = new Fleet(Shape.SMALL, root);
+                StubEnvironment t = new StubEnvironment(f, Shape.SMALL, new TestConfiguration(8, 2, 45, 60, 26))) {
             f.intakes.clear();
-            f.intakes.add(new NodeProcess("bare", DataPlaneProgram.class.getName(), root, Fleet.free(), b.address(), "hall0", List.of(),
-                List.of("intake"), false, false));
+            f.intakes.add(new NodeProcess(
+                    "bare",
+                    DataPlaneProgram.class.getName(),
+                    root,
+                    Fleet.free(),
+                    b.address(),
+                    "hall0",
+                    List.of(),
+                    List.of("intake"),
+                    false,
+                    false));
             Load load = new Load(t, f, 5);
             load.one(0).join();
             assertEquals(false, load.settle(Duration.ofMillis(300)));
             assertEquals(Map.of(), load.states());
-            assertTrue(load.unended().get("m1-1").startsWith("200 "), load.unended().toString());
+            assertTrue(
+                    load.unended().get("m1-1").startsWith("200 "),
+                    load.unended().toString());
         }
     }
 }
--- a/testkit/src/test/java/org/woadvale/testkit/features/FeaturesTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/features/FeaturesTest.java
@@ -11,5 +11,4 @@
 @SelectClasspathResource("features")
 @ConfigurationParameter(key = "cucumber.glue", value = "org.woadvale.testkit.simulation")
 @ConfigurationParameter(key = "cucumber.publish.quiet", value = "true")
-class FeaturesTest {
-}
+class FeaturesTest {}
--- a/testkit/src/test/java/org/woadvale/testkit/replication/KeeperReturnTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/replication/KeeperReturnTest.java
@@ -7,7 +7,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -65,13 +64,14 @@
                     t.hosts.get(n).powerLoss();
                     t.start(n);
                 }
-                case 1 -> t.hosts.get(n).pause(Duration.ofMillis(200 + t.sim.random().nextInt(4000)));
+                case 1 ->
+                    t.hosts.get(n).pause(Duration.ofMillis(200 + t.sim.random().nextInt(4000)));
                 case 2 -> {
                     t.net.heal();
                     t.net.cutOff(n);
                 }
                 case 3 -> t.net.heal();
-                default -> { }
+                default -> {}
             }
             t.sim.run(Duration.ofMillis(100));
             worst = Math.max(worst, t.owners());
--- a/testkit/src/test/java/org/woadvale/testkit/replication/OldBytesTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/replication/OldBytesTest.java
@@ -6,13 +6,12 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
-
 import org.junit.jupiter.api.Test;
-import org.woadvale.common.rpc.Codec;
+import org.woadvale.common.membership.Wire;
 import org.woadvale.common.replication.LogEntry;
 import org.woadvale.common.replication.Messages;
+import org.woadvale.common.rpc.Codec;
 import org.woadvale.common.runtime.ServiceException;
-import org.woadvale.common.membership.Wire;
 import org.woadvale.dataplane.queue.Commands;
 import org.woadvale.dataplane.queue.RouteTerms;
 
@@ -31,8 +30,10 @@
         assertEquals(new RouteTerms("s", 1000, 3, 500, false), a.terms());
         assertEquals(Instant.ofEpochSecond(10), a.due());
         assertEquals(Instant.ofEpochSecond(11), a.at());
-        assertEquals(new Commands.End("m0-1", 2, Commands.Ending.DONE, "r", Instant.ofEpochSecond(10),
-            Instant.ofEpochSecond(11)), read("9503010b0004010a00016d302db18272", Commands.End.class));
+        assertEquals(
+                new Commands.End(
+                        "m0-1", 2, Commands.Ending.DONE, "r", Instant.ofEpochSecond(10), Instant.ofEpochSecond(11)),
+                read("9503010b0004010a00016d302db18272", Commands.End.class));
     }
 
     @Test
@@ -46,17 +47,19 @@
     }
 
     /** One build knows a component more than the other; either reads what the other wrote. */
-    private record Short(String a, int b) { }
+    private record Short(String a, int b) {}
 
-    private record Long_(String a, int b, @org.woadvale.common.rpc.Since(3) List<String> c,
-                         @org.woadvale.common.rpc.Since(3) boolean d) { }
+    private record Long_(
+            String a,
+            int b,
+            @org.woadvale.common.rpc.Since(3) List<String> c,
+            @org.woadvale.common.rpc.Since(3) boolean d) {}
 
     @Test
     void twoBuildsReadEachOther() throws ServiceException {
         Codec older = new Codec(Map.of(100, List.of(Short.class, Messages.Ok.class)));
         Codec newer = new Codec(Map.of(100, List.of(Long_.class, Messages.Ok.class)));
         assertEquals(new Long_("x", 7, List.of(), false), newer.read(older.write(new Short("x", 7)), Long_.class));
-        assertEquals(new Short("x", 7),
-            older.read(newer.write(new Long_("x", 7, List.of("more"), true)), Short.class));
+        assertEquals(new Short("x", 7), older.read(newer.write(new Long_("x", 7, List.of("more"), true)), Short.class));
     }
 }
--- a/testkit/src/test/java/org/woadvale/testkit/replication/ReplicationTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/replication/ReplicationTest.java
@@ -9,13 +9,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.common.replication.Messages;
 import org.woadvale.common.replication.Phase;
+import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.common.wal.Entry;
 import org.woadvale.common.wal.RingWriteAheadLog;
 
@@ -66,7 +65,10 @@
     void cutOffReplicaDoesNotUnseatTheOwnerOnReturn() throws ServiceException {
         Trio t = new Trio(3);
         String owner = t.awaitOwner();
-        String other = t.hosts.keySet().stream().filter(h -> !h.equals(owner)).findFirst().orElseThrow();
+        String other = t.hosts.keySet().stream()
+                .filter(h -> !h.equals(owner))
+                .findFirst()
+                .orElseThrow();
         long term = t.replicas.get(owner).term();
         t.net.cutOff(other);
         t.sim.run(Duration.ofSeconds(10));
@@ -80,7 +82,10 @@
     void farBehindReplicaTakesAViewThenFollows() throws ServiceException {
         Trio t = new Trio(4);
         String owner = t.awaitOwner();
-        String behind = t.hosts.keySet().stream().filter(h -> !h.equals(owner)).findFirst().orElseThrow();
+        String behind = t.hosts.keySet().stream()
+                .filter(h -> !h.equals(owner))
+                .findFirst()
+                .orElseThrow();
         t.hosts.get(behind).kill();
         List<String> said = new ArrayList<>();
         for (int i = 0; i < 120; i++) {
@@ -131,9 +136,10 @@
         t.hosts.get("b:1").disk().wipe();
         if (naive) {
             t.hosts.get("b:1").boot(new org.woadvale.common.rpc.RpcRouter());
-            RingWriteAheadLog book = RingWriteAheadLog.open(t.hosts.get("b:1").disk(), t.hosts.get("b:1").host(), 4, 512 << 10);
+            RingWriteAheadLog book = RingWriteAheadLog.open(
+                    t.hosts.get("b:1").disk(), t.hosts.get("b:1").host(), 4, 512 << 10);
             Messages.Base base = new Messages.Base(identity, 0, "", true, 0, 0, group, new byte[0], List.of());
-            book.append(List.of(new Entry(Trio.PART, Entry.Kind.BASE, 0, 0, t.codec.write(base))), () -> { });
+            book.append(List.of(new Entry(Trio.PART, Entry.Kind.BASE, 0, 0, t.codec.write(base))), () -> {});
             t.sim.run(Duration.ofMillis(100));
             t.hosts.get("b:1").kill();
         }
@@ -149,7 +155,9 @@
         t.want(List.of("a:1", "b:1", "d:1"));
         t.add("d:1");
         t.sim.run(Duration.ofSeconds(6));
-        assertEquals(Set.of("a:1", "b:1", "d:1"), t.replicas.get(t.awaitOwner()).group().keySet());
+        assertEquals(
+                Set.of("a:1", "b:1", "d:1"),
+                t.replicas.get(t.awaitOwner()).group().keySet());
         t.hosts.get(t.awaitOwner()).kill();
         assertEquals("two", t.say("two"));
         assertTrue(t.words.get("d:1").words.containsAll(List.of("one", "two")));
@@ -166,15 +174,19 @@
         assertTrue(t.replicas.get(old).handOver(heir));
         assertFalse(t.replicas.get(old).mayAct(), "the claim is given up first");
         t.sim.runUntil(() -> t.owner().filter(heir::equals).isPresent(), Duration.ofSeconds(3));
-        assertTrue(t.sim.now().minus(begun).compareTo(Duration.ofMillis(500)) < 0,
-            "took " + t.sim.now().minus(begun));
+        assertTrue(
+                t.sim.now().minus(begun).compareTo(Duration.ofMillis(500)) < 0,
+                "took " + t.sim.now().minus(begun));
     }
 
     @Test
     void refusedProposalIsDefiniteAndNeverApplied() throws ServiceException {
         Trio t = new Trio(8);
         String owner = t.awaitOwner();
-        String other = t.hosts.keySet().stream().filter(h -> !h.equals(owner)).findFirst().orElseThrow();
+        String other = t.hosts.keySet().stream()
+                .filter(h -> !h.equals(owner))
+                .findFirst()
+                .orElseThrow();
         assertEquals("not_owner", t.sayAt(other, "never"));
         t.net.cutOff(owner);
         t.sim.run(Duration.ofSeconds(4));
--- a/testkit/src/test/java/org/woadvale/testkit/replication/RingBytesTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/replication/RingBytesTest.java
@@ -9,7 +9,6 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-
 import org.junit.jupiter.api.Test;
 import org.woadvale.common.rpc.RpcRouter;
 import org.woadvale.common.runtime.ServiceException;
@@ -106,7 +105,7 @@
         long last = 0;
         while (b.filesWritten() <= FILES + 2) {
             last++;
-            b.append(List.of(entry(last, last % 20 == 0 ? Entry.Kind.BASE : Entry.Kind.ENTRY, RECORD)), () -> { });
+            b.append(List.of(entry(last, last % 20 == 0 ? Entry.Kind.BASE : Entry.Kind.ENTRY, RECORD)), () -> {});
             sim.run(Duration.ofMillis(20));
         }
         assertEquals(List.of(), failed);
@@ -141,10 +140,10 @@
         for (int i = 1; i <= 40; i++) {
             batch.add(entry(i, Entry.Kind.ENTRY, 1000));
         }
-        b.append(batch, () -> { });
+        b.append(batch, () -> {});
         sim.run(Duration.ofMillis(20));
         assertEquals(1, disk.writes.size());
-        b.append(List.of(entry(41, Entry.Kind.ENTRY, 300_000), entry(42, Entry.Kind.ENTRY, 10)), () -> { });
+        b.append(List.of(entry(41, Entry.Kind.ENTRY, 300_000), entry(42, Entry.Kind.ENTRY, 10)), () -> {});
         sim.run(Duration.ofMillis(20));
         h.kill();
         assertEquals(42, open().recovered().get("m1").size());
--- a/testkit/src/test/java/org/woadvale/testkit/replication/SupervisorTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/replication/SupervisorTest.java
@@ -7,7 +7,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-
 import org.junit.jupiter.api.Test;
 import org.woadvale.common.rpc.RpcRouter;
 import org.woadvale.common.runtime.Component;
@@ -58,7 +57,8 @@
         h.boot(new RpcRouter());
         Scripted a = new Scripted("a");
         Scripted b = new Scripted("b");
-        Supervisor s = new Supervisor("s", h.host(), () -> log.add("given up")).with(a).with(b);
+        Supervisor s =
+                new Supervisor("s", h.host(), () -> log.add("given up")).with(a).with(b);
         s.start();
         b.alive = false;
         sim.run(Duration.ofSeconds(4));
--- a/testkit/src/test/java/org/woadvale/testkit/replication/Trio.java
+++ b/testkit/src/test/java/org/woadvale/testkit/replication/Trio.java
@@ -6,22 +6,20 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-
-import org.woadvale.common.rpc.Codec;
-import org.woadvale.common.rpc.RpcRouter;
+import org.woadvale.common.membership.Wire;
 import org.woadvale.common.replication.Env;
-import org.woadvale.common.replication.StateMachine;
 import org.woadvale.common.replication.Messages;
-import org.woadvale.common.replication.ReplicationTiming;
 import org.woadvale.common.replication.Phase;
 import org.woadvale.common.replication.Replica;
+import org.woadvale.common.replication.ReplicationTiming;
+import org.woadvale.common.replication.StateMachine;
+import org.woadvale.common.rpc.Codec;
+import org.woadvale.common.rpc.RpcRouter;
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.common.wal.RingWriteAheadLog;
-import org.woadvale.common.membership.Wire;
 import org.woadvale.testkit.simulation.Harness;
 import org.woadvale.testkit.simulation.Sim;
 import org.woadvale.testkit.simulation.SimNet;
-
 import reactor.core.publisher.Mono;
 
 /** One part on three (or more) simulated hosts, with a machine that keeps a list of words. */
@@ -86,7 +84,8 @@
         h.boot(r);
         RingWriteAheadLog book = RingWriteAheadLog.open(h.disk(), h.host(), 4, 512 << 10);
         book.onFailure(why -> h.kill());
-        Env env = new Env(h.host(), h.host(), h.beam(codec), codec, book, sim.random()::nextLong, ReplicationTiming.usual());
+        Env env = new Env(
+                h.host(), h.host(), h.beam(codec), codec, book, sim.random()::nextLong, ReplicationTiming.usual());
         Words m = new Words(codec);
         Replica replica = new Replica(PART, wanted, m, env);
         Messages.types().forEach(t -> r.on(t, (from, a) -> replica.handle(from, a)));
@@ -102,13 +101,17 @@
 
     Optional<String> owner() {
         return replicas.entrySet().stream()
-            .filter(e -> hosts.get(e.getKey()).alive() && e.getValue().phase() == Phase.OWNING && e.getValue().mayAct())
-            .map(Map.Entry::getKey).findFirst();
+                .filter(e -> hosts.get(e.getKey()).alive()
+                        && e.getValue().phase() == Phase.OWNING
+                        && e.getValue().mayAct())
+                .map(Map.Entry::getKey)
+                .findFirst();
     }
 
     long owners() {
         return replicas.entrySet().stream()
-            .filter(e -> hosts.get(e.getKey()).alive() && e.getValue().mayAct()).count();
+                .filter(e -> hosts.get(e.getKey()).alive() && e.getValue().mayAct())
+                .count();
     }
 
     String awaitOwner() {
--- a/testkit/src/test/java/org/woadvale/testkit/replication/WriteAheadLogTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/replication/WriteAheadLogTest.java
@@ -7,7 +7,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -51,7 +50,7 @@
         boolean[] stopped = {false};
         b.onFailure(why -> stopped[0] = true);
         for (long i = 1; !stopped[0] && i < 1000; i++) {
-            b.append(List.of(entry("m1", i, 200)), () -> { });
+            b.append(List.of(entry("m1", i, 200)), () -> {});
             sim.run(Duration.ofMillis(10));
         }
         assertTrue(stopped[0], "nobody gives a base, so the ring must fill");
@@ -75,7 +74,9 @@
             }
             h.powerLoss();
             b = reopen();
-            List<Long> kept = b.recovered().getOrDefault("m1", List.of()).stream().map(Entry::index).toList();
+            List<Long> kept = b.recovered().getOrDefault("m1", List.of()).stream()
+                    .map(Entry::index)
+                    .toList();
             assertTrue(kept.containsAll(confirmed), "confirmed " + confirmed + " kept " + kept);
             assertEquals(kept.stream().distinct().toList(), kept, "nothing may be read twice");
         }
@@ -89,14 +90,19 @@
         b.onFailure(why -> failed[0] = true);
         long[] index = {0};
         RingWriteAheadLog book = b;
-        b.onPressure("m1", () -> book.append(List.of(base("m1", index[0])), () -> { }));
+        b.onPressure("m1", () -> book.append(List.of(base("m1", index[0])), () -> {}));
         for (int i = 0; i < 300; i++) {
-            b.append(List.of(entry("m1", ++index[0], 200)), () -> { });
+            b.append(List.of(entry("m1", ++index[0], 200)), () -> {});
             sim.run(Duration.ofMillis(20));
         }
         assertFalse(failed[0]);
         h.powerLoss();
-        assertEquals(300, reopen().recovered().get("m1").stream().mapToLong(Entry::index).max().orElse(0));
+        assertEquals(
+                300,
+                reopen().recovered().get("m1").stream()
+                        .mapToLong(Entry::index)
+                        .max()
+                        .orElse(0));
     }
 
     /** Before: asked after each sync until the base was there, 53 times for 30 files, and the bases filled the ring. */
@@ -108,16 +114,18 @@
         int[] asked = {0};
         b.onPressure("m1", () -> {
             asked[0]++;
-            sim.after(Duration.ofMillis(60), () -> b.append(List.of(new Entry("m1", Entry.Kind.BASE, 1, 1, new byte[900])),
-                () -> { }));
+            sim.after(
+                    Duration.ofMillis(60),
+                    () -> b.append(List.of(new Entry("m1", Entry.Kind.BASE, 1, 1, new byte[900])), () -> {}));
         });
         for (int i = 1; i < 600; i++) {
-            b.append(List.of(entry("m1", i, 60)), () -> { });
+            b.append(List.of(entry("m1", i, 60)), () -> {});
             sim.run(Duration.ofMillis(10));
         }
         assertEquals(List.of(), failed);
-        assertTrue(b.filesWritten() > 12 && asked[0] < b.filesWritten(), asked[0] + " bases asked for, "
-            + b.filesWritten() + " files written");
+        assertTrue(
+                b.filesWritten() > 12 && asked[0] < b.filesWritten(),
+                asked[0] + " bases asked for, " + b.filesWritten() + " files written");
     }
 
     @Test
@@ -128,7 +136,7 @@
         boolean warned = false;
         for (int i = 1; i < 200 && failed.isEmpty(); i++) {
             warned |= b.nearlyFull();
-            b.append(List.of(entry("m1", i, 200)), () -> { });
+            b.append(List.of(entry("m1", i, 200)), () -> {});
             sim.run(Duration.ofMillis(20));
         }
         assertTrue(warned, "nearlyFull must come before the failure");
@@ -139,7 +147,7 @@
     void damageBeforeTheTailCondemnsTheFolder() throws ServiceException {
         RingWriteAheadLog b = open(11);
         for (int i = 1; i <= 10; i++) {
-            b.append(List.of(entry("m1", i, 100)), () -> { });
+            b.append(List.of(entry("m1", i, 100)), () -> {});
             sim.run(Duration.ofMillis(20));
         }
         h.kill();
@@ -150,19 +158,22 @@
     @Test
     void tornTailIsCutAndLeftoversAreNeverRead() throws ServiceException {
         RingWriteAheadLog b = open(12);
-        b.append(List.of(entry("m1", 1, 100)), () -> { });
+        b.append(List.of(entry("m1", 1, 100)), () -> {});
         sim.run(Duration.ofMillis(20));
         h.kill();
         RingWriteAheadLog c = reopen();
-        c.append(List.of(entry("m1", 2, 50), entry("m1", 3, 50)), () -> { });
+        c.append(List.of(entry("m1", 2, 50), entry("m1", 3, 50)), () -> {});
         sim.run(Duration.ofMillis(20));
         h.kill();
         h.disk().damage("ring-00", 200);
         RingWriteAheadLog d = reopen();
-        assertEquals(List.of(1L), d.recovered().get("m1").stream().map(Entry::index).toList());
-        d.append(List.of(entry("m1", 9, 50)), () -> { });
+        assertEquals(
+                List.of(1L), d.recovered().get("m1").stream().map(Entry::index).toList());
+        d.append(List.of(entry("m1", 9, 50)), () -> {});
         sim.run(Duration.ofMillis(20));
         h.kill();
-        assertEquals(List.of(1L, 9L), reopen().recovered().get("m1").stream().map(Entry::index).toList());
+        assertEquals(
+                List.of(1L, 9L),
+                reopen().recovered().get("m1").stream().map(Entry::index).toList());
     }
 }
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/AdmissionTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/AdmissionTest.java
@@ -5,7 +5,6 @@
 
 import java.time.Duration;
 import java.util.List;
-
 import org.junit.jupiter.api.Test;
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.testkit.stub.TestConfiguration;
@@ -22,7 +21,7 @@
     /** Before: 3.7 % refused from a cold start, as the first asker emptied each bucket and spent passes were not told. */
     @Test
     void coldStartBelowTheAllowanceIsNotRefused() throws ServiceException {
-        Measure.Figures f = Measure.steady(1, 8, 3, EIGHT, 200, Duration.ofSeconds(9), v -> { });
+        Measure.Figures f = Measure.steady(1, 8, 3, EIGHT, 200, Duration.ofSeconds(9), v -> {});
         sound(f);
         assertEquals(0, f.throttled());
         assertTrue(f.asks() < 2 * f.accepted(), "batch requests " + f.asks() + " for " + f.accepted());
@@ -31,14 +30,16 @@
     /** Before: half of the messages of tenants of 2 a second were refused at half of their allowance. */
     @Test
     void tinyTenantsOverManyIntakesAreServed() throws ServiceException {
-        Measure.Figures f = Measure.steady(1, 8, 3, new TestConfiguration(8, 2, 2, 4, 26), 8, Duration.ofSeconds(30), v -> { });
+        Measure.Figures f =
+                Measure.steady(1, 8, 3, new TestConfiguration(8, 2, 2, 4, 26), 8, Duration.ofSeconds(30), v -> {});
         sound(f);
         assertTrue(f.throttledShare() < 0.05, "throttled " + f.throttledShare());
     }
 
     @Test
     void twiceTheAllowanceIsHeldToIt() throws ServiceException {
-        Measure.Figures f = Measure.steady(1, 8, 3, new TestConfiguration(8, 4, 10, 15, 26), 160, Duration.ofSeconds(12), v -> { });
+        Measure.Figures f =
+                Measure.steady(1, 8, 3, new TestConfiguration(8, 4, 10, 15, 26), 160, Duration.ofSeconds(12), v -> {});
         sound(f);
         assertTrue(f.throttledShare() > 0.3, "throttled " + f.throttledShare());
         assertTrue(f.worstShare() <= 1.0, "worst window " + f.worstShare());
@@ -48,8 +49,14 @@
     @Test
     void killedOwnerOfTheLayoutRefusesNobody() throws ServiceException {
         for (long seed = 1; seed <= 2; seed++) {
-            Measure.Figures f = Measure.steady(seed, 8, 3, new TestConfiguration(8, 2, 45, 60, 26), 100, Duration.ofSeconds(12),
-                v -> v.w.kill(v.w.lighthouses.get(0)));
+            Measure.Figures f = Measure.steady(
+                    seed,
+                    8,
+                    3,
+                    new TestConfiguration(8, 2, 45, 60, 26),
+                    100,
+                    Duration.ofSeconds(12),
+                    v -> v.w.kill(v.w.lighthouses.get(0)));
             sound(f);
             assertEquals(0, f.throttled() + f.otherRefusals());
         }
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/BadInputTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/BadInputTest.java
@@ -8,7 +8,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-
 import org.junit.jupiter.api.Test;
 import org.woadvale.common.http.Answer;
 import org.woadvale.common.http.Request;
@@ -28,8 +27,11 @@
         Map<String, String> headers = new java.util.HashMap<>(more);
         headers.put("authorization", "Bearer " + key);
         List<Answer> got = new ArrayList<>();
-        v.w.request(to, new Request(method, path, headers, body.getBytes(StandardCharsets.UTF_8)), Duration.ofSeconds(6),
-            a -> got.add(a.orElseThrow()));
+        v.w.request(
+                to,
+                new Request(method, path, headers, body.getBytes(StandardCharsets.UTF_8)),
+                Duration.ofSeconds(6),
+                a -> got.add(a.orElseThrow()));
         v.w.sim.run(Duration.ofSeconds(7));
         return got.get(0);
     }
@@ -40,7 +42,8 @@
     }
 
     private long stored() {
-        Answer a = ask(v.w.intakes.get(1), "GET", "/v1/messages?state=done", TestConfiguration.callerKey(0), "", Map.of());
+        Answer a =
+                ask(v.w.intakes.get(1), "GET", "/v1/messages?state=done", TestConfiguration.callerKey(0), "", Map.of());
         return FleetSimulation.json(a).path("messages").size();
     }
 
@@ -80,22 +83,42 @@
         assertEquals("400 bad_request", kind("POST", fetch, key, "{\"processor\":\"p0\",\"fetch\":\"a b\"}"));
         String done = "{\"processor\":\"p0\",\"attempt\":1,\"outcome\":\"done\",\"receipt\":\"r\"}";
         assertEquals("404 not_found", kind("POST", "/v1/messages/m0-99/outcome", key, done));
-        Answer a = ask(v.w.intakes.get(0), "POST", "/v1/lanes/hold/messages", TestConfiguration.callerKey(0),
-            "{\"id\":\"a\",\"body\":{}}", Map.of());
+        Answer a = ask(
+                v.w.intakes.get(0),
+                "POST",
+                "/v1/lanes/hold/messages",
+                TestConfiguration.callerKey(0),
+                "{\"id\":\"a\",\"body\":{}}",
+                Map.of());
         String handle = FleetSimulation.json(a).path("handle").asText();
-        assertEquals("400 bad_request", kind("POST", "/v1/messages/" + handle + "/outcome", key,
-            done.replace("\"r\"", "\"\"")));
-        Answer late = ask(v.w.intakes.get(0), "POST", "/v1/messages/" + handle + "/outcome", key,
-            done.replace("done", "failed"), Map.of());
-        assertEquals("200 false done", late.status() + " " + FleetSimulation.json(late).path("recorded").asBoolean() + " "
-            + FleetSimulation.json(late).path("state").asText());
-        assertEquals("403 forbidden", kind("POST", "/v1/messages/" + handle + "/outcome", key, done.replace("p0", "p9")));
+        assertEquals(
+                "400 bad_request",
+                kind("POST", "/v1/messages/" + handle + "/outcome", key, done.replace("\"r\"", "\"\"")));
+        Answer late = ask(
+                v.w.intakes.get(0),
+                "POST",
+                "/v1/messages/" + handle + "/outcome",
+                key,
+                done.replace("done", "failed"),
+                Map.of());
+        assertEquals(
+                "200 false done",
+                late.status() + " "
+                        + FleetSimulation.json(late).path("recorded").asBoolean() + " "
+                        + FleetSimulation.json(late).path("state").asText());
+        assertEquals(
+                "403 forbidden", kind("POST", "/v1/messages/" + handle + "/outcome", key, done.replace("p0", "p9")));
     }
 
     @Test
     void othersMessagesAreNotShown() {
-        Answer a = ask(v.w.intakes.get(0), "POST", "/v1/lanes/hold/messages", TestConfiguration.callerKey(0),
-            "{\"id\":\"a\",\"body\":{}}", Map.of());
+        Answer a = ask(
+                v.w.intakes.get(0),
+                "POST",
+                "/v1/lanes/hold/messages",
+                TestConfiguration.callerKey(0),
+                "{\"id\":\"a\",\"body\":{}}",
+                Map.of());
         String handle = FleetSimulation.json(a).path("handle").asText();
         assertEquals("200 ", kind("GET", "/v1/messages/" + handle, TestConfiguration.callerKey(0), ""));
         assertEquals("404 not_found", kind("GET", "/v1/messages/" + handle, TestConfiguration.callerKey(1), ""));
@@ -105,10 +128,15 @@
     void overTheAllowanceIsThrottledWithATimeToComeBack() {
         List<Answer> all = new ArrayList<>();
         for (int i = 0; i < 120; i++) {
-            v.w.request(v.w.intakes.get(i % 2), new Request("POST", "/v1/lanes/hold/messages",
-                Map.of("authorization", "Bearer " + TestConfiguration.callerKey(1)),
-                ("{\"id\":\"n" + i + "\",\"body\":{}}").getBytes(StandardCharsets.UTF_8)), Duration.ofSeconds(6),
-                a -> all.add(a.orElseThrow()));
+            v.w.request(
+                    v.w.intakes.get(i % 2),
+                    new Request(
+                            "POST",
+                            "/v1/lanes/hold/messages",
+                            Map.of("authorization", "Bearer " + TestConfiguration.callerKey(1)),
+                            ("{\"id\":\"n" + i + "\",\"body\":{}}").getBytes(StandardCharsets.UTF_8)),
+                    Duration.ofSeconds(6),
+                    a -> all.add(a.orElseThrow()));
         }
         v.w.sim.run(Duration.ofSeconds(7));
         List<Answer> refused = all.stream().filter(a -> a.status() == 429).toList();
@@ -121,21 +149,40 @@
     void layoutsThatCannotBeTakenChangeNothing() {
         String l = v.w.lighthouses.get(1);
         Map<String, String> base = Map.of("if-match", "1", "x-request-id", "bad");
-        Answer a = ask(l, "PUT", "/v1/layout", "", "{\"lanes\":{\"x\":{\"service\":\"no\",\"ordering\":\"none\"," 
-            + "\"timeLimitMs\":5000,\"attempts\":1}},\"tenants\":{\"T!\":{\"ratePerS\":1,\"burstSize\":1}}}", base);
+        Answer a = ask(
+                l,
+                "PUT",
+                "/v1/layout",
+                "",
+                "{\"lanes\":{\"x\":{\"service\":\"no\",\"ordering\":\"none\","
+                        + "\"timeLimitMs\":5000,\"attempts\":1}},\"tenants\":{\"T!\":{\"ratePerS\":1,\"burstSize\":1}}}",
+                base);
         assertEquals(422, a.status());
-        Answer unclear = ask(l, "PUT", "/v1/layout", "", "{\"services\":{\"s\":{\"kind\":\"processors\"}},\"lanes\":{\"x\":"
-            + "{\"service\":\"s\",\"timeLimitMs\":5000,\"attempts\":1,\"ifUnclear\":\"perhaps\"}}}", base);
-        assertEquals("422 lanes.x.ifUnclear", unclear.status() + " "
-            + FleetSimulation.json(unclear).path("details").path(0).asText().replaceAll(":.*", ""));
+        Answer unclear = ask(
+                l,
+                "PUT",
+                "/v1/layout",
+                "",
+                "{\"services\":{\"s\":{\"kind\":\"processors\"}},\"lanes\":{\"x\":"
+                        + "{\"service\":\"s\",\"timeLimitMs\":5000,\"attempts\":1,\"ifUnclear\":\"perhaps\"}}}",
+                base);
+        assertEquals(
+                "422 lanes.x.ifUnclear",
+                unclear.status() + " "
+                        + FleetSimulation.json(unclear)
+                                .path("details")
+                                .path(0)
+                                .asText()
+                                .replaceAll(":.*", ""));
         Answer stale = ask(l, "PUT", "/v1/layout", "", "{}", Map.of("if-match", "0", "x-request-id", "stale"));
         assertEquals(412, stale.status());
         assertEquals("1", FleetSimulation.json(stale).path("details").path(0).asText(), "the present version is named");
         assertEquals(400, ask(l, "PUT", "/v1/layout", "", "{}", Map.of()).status());
-        assertEquals("\"1\"", ask(l, "GET", "/v1/layout", "", "", Map.of()).headers().get("ETag"));
+        assertEquals(
+                "\"1\"", ask(l, "GET", "/v1/layout", "", "", Map.of()).headers().get("ETag"));
         Answer first = ask(l, "PUT", "/v1/layout", "", "{}", Map.of("if-match", "1", "x-request-id", "good"));
-        Answer again = ask(v.w.lighthouses.get(2), "PUT", "/v1/layout", "", "{}",
-            Map.of("if-match", "1", "x-request-id", "good"));
+        Answer again = ask(
+                v.w.lighthouses.get(2), "PUT", "/v1/layout", "", "{}", Map.of("if-match", "1", "x-request-id", "good"));
         assertEquals(2, FleetSimulation.json(first).path("version").asInt());
         assertEquals(2, FleetSimulation.json(again).path("version").asInt());
         assertTrue(FleetSimulation.json(again).path("repeated").asBoolean());
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/ControlTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/ControlTest.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.woadvale.common.http.Answer;
@@ -27,8 +26,11 @@
     }
 
     private Answer get(int lighthouse) {
-        return s.r.ask(s.r.lighthouses.get(lighthouse), new Request("GET", "/-/configuration", Map.of(), new byte[0]),
-            Duration.ofSeconds(4)).orElseThrow();
+        return s.r.ask(
+                        s.r.lighthouses.get(lighthouse),
+                        new Request("GET", "/-/configuration", Map.of(), new byte[0]),
+                        Duration.ofSeconds(4))
+                .orElseThrow();
     }
 
     private static ConfigurationStub.Route route(String name, String prefix) {
@@ -43,7 +45,11 @@
 
     @Test
     void textIsKeptAndReturnedByteForByte() {
-        String odd = s.papers.with(9).text().replace("\"limits\":", "  \"limits\" :\n\t").replace("{\"maxBody", "{\"unk\u00fcnown\":null,\"maxBody");
+        String odd = s.papers
+                .with(9)
+                .text()
+                .replace("\"limits\":", "  \"limits\" :\n\t")
+                .replace("{\"maxBody", "{\"unk\u00fcnown\":null,\"maxBody");
         assertEquals(200, s.put(odd, 3, 0).status());
         for (int l = 0; l < 3; l++) {
             assertEquals(odd, new String(get(l).body(), java.nio.charset.StandardCharsets.UTF_8));
@@ -65,13 +71,18 @@
     @Test
     void invalidOnesAreRefusedAndNeverInForce() throws ServiceException {
         List<String> bad = List.of(
-            s.papers.with(9).text().substring(0, 300),
-            more(9, Shore.route("r-x", "/x/", "nobody", false)).text(),
-            more(9, route("r-x", "/x/"), route("r-y", "/x/")).text(),
-            more(9, new ConfigurationStub.Route("r-x", Shore.HOST, "/x/", "desk", 0, 3, false, 90, false)).text(),
-            more(3, route("r-x", "/x/")).text(), more(2, route("r-x", "/x/")).text(),
-            more(9, route("r-x", "/x/")).tenants(List.of(new ConfigurationStub.Tenant("a", List.of(Shore.KEY), 9, 9),
-                new ConfigurationStub.Tenant("b", List.of(Shore.KEY), 9, 9))).text());
+                s.papers.with(9).text().substring(0, 300),
+                more(9, Shore.route("r-x", "/x/", "nobody", false)).text(),
+                more(9, route("r-x", "/x/"), route("r-y", "/x/")).text(),
+                more(9, new ConfigurationStub.Route("r-x", Shore.HOST, "/x/", "desk", 0, 3, false, 90, false))
+                        .text(),
+                more(3, route("r-x", "/x/")).text(),
+                more(2, route("r-x", "/x/")).text(),
+                more(9, route("r-x", "/x/"))
+                        .tenants(List.of(
+                                new ConfigurationStub.Tenant("a", List.of(Shore.KEY), 9, 9),
+                                new ConfigurationStub.Tenant("b", List.of(Shore.KEY), 9, 9)))
+                        .text());
         refused(bad);
         s.r.lighthouses.forEach(s.r::kill);
         s.run(500);
@@ -90,8 +101,18 @@
             assertEquals(400, a.status(), text.substring(0, 80));
             assertTrue(Callers.json(a).path("details").size() > 0, "a fault by its path: " + new String(a.body()));
         }
-        assertEquals(400, s.r.ask(s.r.lighthouses.get(0), new Request("PUT", "/-/configuration", Map.of(),
-            s.papers.with(9).text().getBytes()), Duration.ofSeconds(4)).orElseThrow().status());
+        assertEquals(
+                400,
+                s.r.ask(
+                                s.r.lighthouses.get(0),
+                                new Request(
+                                        "PUT",
+                                        "/-/configuration",
+                                        Map.of(),
+                                        s.papers.with(9).text().getBytes()),
+                                Duration.ofSeconds(4))
+                        .orElseThrow()
+                        .status());
     }
 
     /** Two operators at once on one base, at different lighthouses. */
@@ -100,12 +121,21 @@
         for (int round = 0; round < 5; round++) {
             long base = round == 0 ? 3 : 10L * round;
             List<Integer> out = new ArrayList<>();
-            List<String> texts = List.of(more(base + 10 - (round == 0 ? 3 : 0), route("r-a" + round, "/a" + round + "/")).text(),
-                more(base + 10 - (round == 0 ? 3 : 0), route("r-b" + round, "/b" + round + "/")).text());
+            List<String> texts = List.of(
+                    more(base + 10 - (round == 0 ? 3 : 0), route("r-a" + round, "/a" + round + "/"))
+                            .text(),
+                    more(base + 10 - (round == 0 ? 3 : 0), route("r-b" + round, "/b" + round + "/"))
+                            .text());
             for (int i = 0; i < 2; i++) {
-                s.r.request(s.r.lighthouses.get((round + i) % 3), new Request("PUT", "/-/configuration",
-                    Map.of("if-match", Long.toString(base)), texts.get(i).getBytes()), Duration.ofSeconds(5),
-                    a -> out.add(a.map(Answer::status).orElse(0)));
+                s.r.request(
+                        s.r.lighthouses.get((round + i) % 3),
+                        new Request(
+                                "PUT",
+                                "/-/configuration",
+                                Map.of("if-match", Long.toString(base)),
+                                texts.get(i).getBytes()),
+                        Duration.ofSeconds(5),
+                        a -> out.add(a.map(Answer::status).orElse(0)));
             }
             s.r.sim.runUntil(() -> out.size() == 2, Duration.ofSeconds(6));
             assertEquals(Set.of(200, 412), Set.copyOf(out));
@@ -115,8 +145,10 @@
 
     @Test
     void routeIsFoundByHostAndTheLongestPrefix() {
-        ConfigurationStub next = more(9, new ConfigurationStub.Route("r-long", Shore.HOST, "/push/deep/", "desk", 1500, 3, false, 90, false),
-            new ConfigurationStub.Route("r-host", "other.example", "/push/", "desk", 1500, 3, false, 90, true));
+        ConfigurationStub next = more(
+                9,
+                new ConfigurationStub.Route("r-long", Shore.HOST, "/push/deep/", "desk", 1500, 3, false, 90, false),
+                new ConfigurationStub.Route("r-host", "other.example", "/push/", "desk", 1500, 3, false, 90, true));
         assertEquals(200, s.put(next, 3, 0).status());
         s.run(3000);
         s.accepted("/push/deep/1", "deep", Map.of());
@@ -134,14 +166,29 @@
 
     @Test
     void keysRuleTheDoor() {
-        assertEquals(401, s.send("/push/1", "b", Map.of("authorization", "Token wrong")).status());
+        assertEquals(
+                401,
+                s.send("/push/1", "b", Map.of("authorization", "Token wrong")).status());
         assertEquals(401, s.send("/push/1", "b", Map.of("authorization", "")).status());
-        assertEquals(401, s.send("/push/1", "b", Map.of("authorization", "Bearer " + Shore.KEY)).status());
-        assertEquals(200, s.put(s.papers.with(9).tenants(List.of(new ConfigurationStub.Tenant("tenant-a", List.of("fresh"), 200, 200))),
-            3, 0).status());
+        assertEquals(
+                401,
+                s.send("/push/1", "b", Map.of("authorization", "Bearer " + Shore.KEY))
+                        .status());
+        assertEquals(
+                200,
+                s.put(
+                                s.papers
+                                        .with(9)
+                                        .tenants(List.of(
+                                                new ConfigurationStub.Tenant("tenant-a", List.of("fresh"), 200, 200))),
+                                3,
+                                0)
+                        .status());
         s.run(3000);
         assertEquals(401, s.send("/push/1", "b", Map.of()).status());
-        assertEquals(202, s.send("/push/1", "b", Map.of("authorization", "Token fresh")).status());
+        assertEquals(
+                202,
+                s.send("/push/1", "b", Map.of("authorization", "Token fresh")).status());
     }
 
     @Test
@@ -150,8 +197,8 @@
         assertEquals(400, s.send("/push/1", "b", Map.of("x-delay-ms", "soon")).status());
         assertEquals(400, s.send("/push/1", "b", Map.of("x-attempt-id", "")).status());
         assertEquals(400, s.send("/push/1", "b", Map.of("x-attempt-id", "a b")).status());
-        Optional<Answer> none = s.r.ask(s.r.lighthouses.get(0), new Request("GET", "/-/nothing", Map.of(), new byte[0]),
-            Duration.ofSeconds(4));
+        Optional<Answer> none = s.r.ask(
+                s.r.lighthouses.get(0), new Request("GET", "/-/nothing", Map.of(), new byte[0]), Duration.ofSeconds(4));
         assertEquals(404, none.orElseThrow().status());
     }
 }
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/DayTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/DayTest.java
@@ -5,7 +5,6 @@
 
 import java.time.Duration;
 import java.util.List;
-
 import org.junit.jupiter.api.Test;
 import org.woadvale.common.runtime.ServiceException;
 
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/FairnessTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/FairnessTest.java
@@ -5,7 +5,6 @@
 
 import java.time.Duration;
 import java.util.List;
-
 import org.junit.jupiter.api.Test;
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.testkit.stub.Backend;
@@ -22,14 +21,20 @@
     /** Before, with one line by due time: 7.2 s. */
     @Test
     void slowProcessorsAreSharedFairly() throws ServiceException {
-        served(Fairness.run(1, 120, new Backend.Manner(Duration.ofSeconds(2), 0, 0, 0), Duration.ZERO),
-            Duration.ofMillis(5000));
+        served(
+                Fairness.run(1, 120, new Backend.Manner(Duration.ofSeconds(2), 0, 0, 0), Duration.ZERO),
+                Duration.ofMillis(5000));
     }
 
     /** Before, with retries of a whole lane in one bucket: 31.7 s. */
     @Test
     void jobsThatCannotSucceedDoNotStarveOthers() throws ServiceException {
-        served(Fairness.run(1, 120, new Backend.Manner(Duration.ofMillis(300), 0.1, 0.85, 0, 0, TestConfiguration.tenant(0)),
-            Duration.ZERO), Duration.ofMillis(5000));
+        served(
+                Fairness.run(
+                        1,
+                        120,
+                        new Backend.Manner(Duration.ofMillis(300), 0.1, 0.85, 0, 0, TestConfiguration.tenant(0)),
+                        Duration.ZERO),
+                Duration.ofMillis(5000));
     }
 }
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/FaultStormTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/FaultStormTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.List;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/FetchTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/FetchTest.java
@@ -6,7 +6,6 @@
 
 import java.time.Duration;
 import java.util.List;
-
 import org.junit.jupiter.api.Test;
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.testkit.stub.TestConfiguration;
@@ -14,7 +13,8 @@
 /** Processors that fetch: lost answers, crashes. */
 class FetchTest {
     private static FleetSimulation fetching(long seed) throws ServiceException {
-        FleetSimulation v = new FleetSimulation(seed, 2, 3, 0, new TestConfiguration(2, 1, 20, 30, 26), World.LARGE_RING).embark();
+        FleetSimulation v =
+                new FleetSimulation(seed, 2, 3, 0, new TestConfiguration(2, 1, 20, 30, 26), World.LARGE_RING).embark();
         v.list("f0", false);
         v.list("f1", false);
         v.w.sim.run(Duration.ofSeconds(1));
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/HttpDeliveryClientTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/HttpDeliveryClientTest.java
@@ -7,12 +7,11 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
-
 import org.junit.jupiter.api.Test;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
-import org.woadvale.dataplane.delivery.HttpDeliveryClient;
 import org.woadvale.dataplane.delivery.DeliveryClient;
+import org.woadvale.dataplane.delivery.HttpDeliveryClient;
 
 /** The real client against a back end that says odd things: design 9.3, docs/platform.md 5. */
 class HttpDeliveryClientTest {
@@ -20,13 +19,22 @@
     private final HttpDeliveryClient post = new HttpDeliveryClient();
 
     private static DeliveryClient.Call call(Peer p, String id, Duration limit) {
-        return new DeliveryClient.Call("POST", p.address() + "/x?y=1", Map.of("X-Attempt-Id", id, "Content-Length", "2"),
-            new byte[] {'h', 'i'}, limit, () -> true, Map.of("x-attempt-id", id));
+        return new DeliveryClient.Call(
+                "POST",
+                p.address() + "/x?y=1",
+                Map.of("X-Attempt-Id", id, "Content-Length", "2"),
+                new byte[] {'h', 'i'},
+                limit,
+                () -> true,
+                Map.of("x-attempt-id", id));
     }
 
     private String said(Peer p, String id) {
-        return post.send(call(p, id, LIMIT)).map(r -> r.status() + " " + r.headers().get("x-attempt-id") + " "
-            + new String(r.body())).onErrorResume(e -> reactor.core.publisher.Mono.just(ServiceException.of(e).kind().name())).block();
+        return post.send(call(p, id, LIMIT))
+                .map(r -> r.status() + " " + r.headers().get("x-attempt-id") + " " + new String(r.body()))
+                .onErrorResume(e -> reactor.core.publisher.Mono.just(
+                        ServiceException.of(e).kind().name()))
+                .block();
     }
 
     private static Peer.Said open(String text) {
@@ -46,9 +54,10 @@
     /** The second answer comes with the first or while the next request is on its way: it is never that one's. */
     @Test
     void lateSecondAnswerIsNeverAnothersAnswer() throws Exception {
-        try (Peer p = new Peer((c, n, head) -> open(c == 1 && n == 1
-                ? Peer.answer(200, "a1", "", "one") + Peer.answer(200, "a1", "", "two")
-                : Peer.answer(200, head.replaceAll("(?is).*x-attempt-id: *(\\S+).*", "$1"), "", "own")))) {
+        try (Peer p = new Peer((c, n, head) -> open(
+                c == 1 && n == 1
+                        ? Peer.answer(200, "a1", "", "one") + Peer.answer(200, "a1", "", "two")
+                        : Peer.answer(200, head.replaceAll("(?is).*x-attempt-id: *(\\S+).*", "$1"), "", "own")))) {
             assertEquals("200 a1 one", said(p, "a1"));
             for (int i = 2; i < 8; i++) {
                 String id = "a" + i;
@@ -62,8 +71,10 @@
     /** The answer to an earlier request stands where this one's should. */
     @Test
     void answerWithAnothersIdIsUnclearAndClosesTheStream() throws Exception {
-        try (Peer p = new Peer((c, n, head) -> open(c == 1 && n == 2 ? Peer.answer(200, "a1", "", "again")
-                : Peer.answer(200, head.replaceAll("(?is).*x-attempt-id: *(\\S+).*", "$1"), "", "own")))) {
+        try (Peer p = new Peer((c, n, head) -> open(
+                c == 1 && n == 2
+                        ? Peer.answer(200, "a1", "", "again")
+                        : Peer.answer(200, head.replaceAll("(?is).*x-attempt-id: *(\\S+).*", "$1"), "", "own")))) {
             assertEquals("200 a1 own", said(p, "a1"));
             assertEquals(ErrorKind.UNKNOWN_OUTCOME.name(), said(p, "a2"));
             assertEquals("200 a3 own", said(p, "a3"));
@@ -105,8 +116,11 @@
     void silenceEndsAtTheLimit() throws Exception {
         try (Peer p = new Peer((c, n, head) -> open(""))) {
             long from = System.nanoTime();
-            ErrorKind kind = post.send(call(p, "a", Duration.ofMillis(300))).map(r -> ErrorKind.CONFLICT)
-                .onErrorResume(e -> reactor.core.publisher.Mono.just(ServiceException.of(e).kind())).block();
+            ErrorKind kind = post.send(call(p, "a", Duration.ofMillis(300)))
+                    .map(r -> ErrorKind.CONFLICT)
+                    .onErrorResume(e -> reactor.core.publisher.Mono.just(
+                            ServiceException.of(e).kind()))
+                    .block();
             assertEquals(ErrorKind.UNKNOWN_OUTCOME, kind);
             assertTrue(System.nanoTime() - from < 5_000_000_000L);
         }
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/LastLookTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/LastLookTest.java
@@ -10,16 +10,14 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
-
 import org.junit.jupiter.api.Test;
 import org.woadvale.common.http.Answer;
 import org.woadvale.common.http.HttpGateway;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
-import org.woadvale.dataplane.delivery.HttpDeliveryClient;
 import org.woadvale.dataplane.delivery.DeliveryClient;
+import org.woadvale.dataplane.delivery.HttpDeliveryClient;
 import org.woadvale.testkit.cluster.Fleet;
-
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 
@@ -43,9 +41,15 @@
             HttpDeliveryClient post = new HttpDeliveryClient();
             List<Mono<ErrorKind>> all = new ArrayList<>();
             for (int i = 0; i < 80; i++) {
-                all.add(post.send(new DeliveryClient.Call("POST", "http://" + address + "/messages", new byte[] {'{', '}'},
-                    Duration.ofSeconds(20), may::get)).map(r -> ErrorKind.CONFLICT)
-                    .onErrorResume(e -> Mono.just(ServiceException.of(e).kind())).cache());
+                all.add(post.send(new DeliveryClient.Call(
+                                "POST",
+                                "http://" + address + "/messages",
+                                new byte[] {'{', '}'},
+                                Duration.ofSeconds(20),
+                                may::get))
+                        .map(r -> ErrorKind.CONFLICT)
+                        .onErrorResume(e -> Mono.just(ServiceException.of(e).kind()))
+                        .cache());
             }
             all.forEach(Mono::subscribe);
             assertTrue(full.await(30, TimeUnit.SECONDS), "64 must arrive, " + arrived.get() + " did");
@@ -53,7 +57,8 @@
             answer.tryEmitValue(Answer.json(200, java.util.Map.of()));
             List<ErrorKind> kinds = all.stream().map(Mono::block).toList();
             assertEquals(64, arrived.get());
-            assertEquals(16, kinds.stream().filter(ErrorKind.UNREACHABLE::equals).count(), kinds.toString());
+            assertEquals(
+                    16, kinds.stream().filter(ErrorKind.UNREACHABLE::equals).count(), kinds.toString());
         } finally {
             g.stop();
         }
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/LateFramesTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/LateFramesTest.java
@@ -5,7 +5,6 @@
 
 import java.time.Duration;
 import java.util.List;
-
 import org.junit.jupiter.api.Test;
 import org.woadvale.common.runtime.ServiceException;
 
@@ -18,13 +17,19 @@
         v.traffic(20);
         v.w.sim.run(Duration.ofSeconds(2));
         String part = org.woadvale.common.membership.ServiceNames.controlPart("service/" + FleetSimulation.service(0));
-        String owner = v.w.lighthouses.stream().filter(l -> v.w.lamp(l).replica(part).mayAct()).findFirst().orElseThrow();
-        String asked = v.w.lighthouses.stream().filter(l -> !l.equals(owner)).findFirst().orElseThrow();
+        String owner = v.w.lighthouses.stream()
+                .filter(l -> v.w.lamp(l).replica(part).mayAct())
+                .findFirst()
+                .orElseThrow();
+        String asked = v.w.lighthouses.stream()
+                .filter(l -> !l.equals(owner))
+                .findFirst()
+                .orElseThrow();
         for (int k = 1; k <= 6; k++) {
             String p = "p" + (2 * k);
-            v.w.request(asked, v.listing(p, true), Duration.ofSeconds(4), a -> { });
+            v.w.request(asked, v.listing(p, true), Duration.ofSeconds(4), a -> {});
             v.w.sim.run(Duration.ofSeconds(1));
-            v.w.request(asked, v.listing(p, false), Duration.ofSeconds(4), a -> { });
+            v.w.request(asked, v.listing(p, false), Duration.ofSeconds(4), a -> {});
             v.w.sim.run(Duration.ofMillis(k));
             v.w.net.stall(asked, owner);
             v.w.sim.run(Duration.ofSeconds(4));
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/LeasesTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/LeasesTest.java
@@ -6,7 +6,6 @@
 
 import java.time.Duration;
 import java.util.Map;
-
 import org.junit.jupiter.api.Test;
 import org.woadvale.common.http.Answer;
 import org.woadvale.common.runtime.ServiceException;
@@ -29,8 +28,11 @@
     void jobCarriesTheRequestAsItArrived() throws ServiceException {
         Shore s = withOne(1);
         Answer a = s.pull("i-1", 1000);
-        assertEquals("200 POST /pull/x?y=1 tenant-a bytes", a.status() + " " + a.headers().get("X-Job-Method") + " "
-            + a.headers().get("X-Job-Target") + " " + a.headers().get("X-Tenant") + " " + new String(a.body()));
+        assertEquals(
+                "200 POST /pull/x?y=1 tenant-a bytes",
+                a.status() + " " + a.headers().get("X-Job-Method") + " "
+                        + a.headers().get("X-Job-Target") + " " + a.headers().get("X-Tenant") + " "
+                        + new String(a.body()));
         assertTrue(a.headers().values().stream().noneMatch(v -> v.contains(Shore.KEY)), "no key goes to a processor");
         assertEquals(200, s.end(a, 200));
         assertEquals(204, s.pull("i-1", 1000).status());
@@ -59,7 +61,9 @@
         }
         Duration word = s.r.sim.now();
         assertEquals(200, s.pull("i-2", 10_000).status());
-        assertTrue(s.r.sim.now().minus(word).toMillis() >= LEASE_MS - 20, "after " + s.r.sim.now().minus(word));
+        assertTrue(
+                s.r.sim.now().minus(word).toMillis() >= LEASE_MS - 20,
+                "after " + s.r.sim.now().minus(word));
     }
 
     @Test
@@ -106,7 +110,9 @@
         s.r.kill(before);
         assertEquals(200, s.pull("i-2", 20_000).status());
         assertNotEquals(before, s.r.owner(part(a)).orElseThrow());
-        assertTrue(s.r.sim.now().minus(word).toMillis() >= LEASE_MS, "after " + s.r.sim.now().minus(word));
+        assertTrue(
+                s.r.sim.now().minus(word).toMillis() >= LEASE_MS,
+                "after " + s.r.sim.now().minus(word));
         assertEquals(409, s.end(a, 200));
     }
 
@@ -158,7 +164,9 @@
         Answer a = s.pull("i-9", 10_000);
         assertEquals(200, s.end(a, 200));
         assertEquals("completed", s.state(handle).path("state").asText());
-        assertEquals("seal-" + a.headers().get("X-Lease-Id"), s.state(handle).path("seal").asText());
+        assertEquals(
+                "seal-" + a.headers().get("X-Lease-Id"),
+                s.state(handle).path("seal").asText());
     }
 
     /** The next of the key waits while the first is held, and while its lease lapses. */
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/NeverSteps.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/NeverSteps.java
@@ -3,17 +3,15 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.cucumber.java.en.Given;
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
-
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.testkit.stub.TestConfiguration;
 
-import io.cucumber.java.en.Given;
-import io.cucumber.java.en.Then;
-import io.cucumber.java.en.When;
-
 /** The steps of the features, on a simulated fleet with a fixed seed. */
 public class NeverSteps {
     private static final long SEED = 42;
@@ -40,8 +38,10 @@
 
     @When("the holder of an allowance is killed")
     public void killHolder() {
-        String holder = v.w.intakes.stream().filter(i -> v.w.pilot(i).holds().contains("tenant/" + TestConfiguration.tenant(0)))
-            .findFirst().orElseThrow();
+        String holder = v.w.intakes.stream()
+                .filter(i -> v.w.pilot(i).holds().contains("tenant/" + TestConfiguration.tenant(0)))
+                .findFirst()
+                .orElseThrow();
         v.w.kill(holder);
     }
 
@@ -62,8 +62,9 @@
 
     @When("a store is cut off one way")
     public void oneWay() {
-        v.w.all().stream().filter(h -> !h.equals(v.w.stores.get(0)))
-            .forEach(h -> v.w.net.cutOneWay(v.w.stores.get(0), h));
+        v.w.all().stream()
+                .filter(h -> !h.equals(v.w.stores.get(0)))
+                .forEach(h -> v.w.net.cutOneWay(v.w.stores.get(0), h));
     }
 
     @When("everything loses power and is restarted")
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/PairsTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/PairsTest.java
@@ -5,7 +5,6 @@
 
 import java.util.List;
 import java.util.stream.Stream;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/Peer.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/Peer.java
@@ -18,7 +18,7 @@
     }
 
     /** Bytes, and whether the connection ends then. */
-    record Said(String text, boolean close) { }
+    record Said(String text, boolean close) {}
 
     private final ServerSocket server;
     private final Script script;
@@ -43,7 +43,7 @@
 
     static String answer(int status, String id, String more, String body) {
         return "HTTP/1.1 " + status + " X\r\nX-Attempt-Id: " + id + "\r\n" + more + "Content-Length: " + body.length()
-            + "\r\n\r\n" + body;
+                + "\r\n\r\n" + body;
     }
 
     private void accept() {
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/PlatformScenariosTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/PlatformScenariosTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
-
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.woadvale.common.runtime.ServiceException;
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/PlatformSimulationTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/PlatformSimulationTest.java
@@ -5,7 +5,6 @@
 
 import java.time.Duration;
 import java.util.List;
-
 import org.junit.jupiter.api.Test;
 import org.woadvale.common.runtime.ServiceException;
 
@@ -26,7 +25,8 @@
         assertEquals(List.of(), p.end(Duration.ofSeconds(10)));
         long accepted = p.answers().get(202);
         assertTrue(accepted > 400, p.answers().toString());
-        long done = p.seen.shown.stream().filter(s -> s.state().equals("completed")).count();
+        long done =
+                p.seen.shown.stream().filter(s -> s.state().equals("completed")).count();
         assertTrue(done > accepted * 0.9, done + " of " + accepted);
     }
 }
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/ProcessorRegistryTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/ProcessorRegistryTest.java
@@ -5,12 +5,10 @@
 
 import java.time.Duration;
 import java.util.Map;
-
 import org.junit.jupiter.api.Test;
-import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.membership.ServiceView;
-
+import org.woadvale.common.runtime.ServiceException;
 import reactor.core.publisher.Mono;
 
 /** One lighthouse reads the list for all: design 6.7. */
@@ -20,9 +18,13 @@
 
     private static ServiceView view(Shore s) {
         String part = ServiceNames.controlPart(KEY);
-        String owner = s.r.lighthouses.stream().filter(l -> s.r.host(l).alive() && s.r.lamp(l).replica(part).mayAct())
-            .findFirst().orElseThrow();
-        return s.r.lamp(owner).replica(part).look(i -> s.r.lamp(owner).machine(part).service(KEY));
+        String owner = s.r.lighthouses.stream()
+                .filter(l -> s.r.host(l).alive() && s.r.lamp(l).replica(part).mayAct())
+                .findFirst()
+                .orElseThrow();
+        return s.r.lamp(owner)
+                .replica(part)
+                .look(i -> s.r.lamp(owner).machine(part).service(KEY));
     }
 
     @Test
@@ -34,8 +36,10 @@
         s.run(3000);
         ServiceView first = view(s);
         assertEquals(4, first.processors().size());
-        assertEquals("http://10.9.0.2:8080 4", first.processors().get("i-2").address() + " "
-            + first.processors().get("i-2").slots());
+        assertEquals(
+                "http://10.9.0.2:8080 4",
+                first.processors().get("i-2").address() + " "
+                        + first.processors().get("i-2").slots());
         s.run(5000);
         assertEquals(first.version(), view(s).version(), "nothing differs, nothing is written");
         s.roster.put("i-2", "book", "10.9.0.2:8080", 4, "draining");
@@ -74,7 +78,10 @@
     @Test
     void nextOwnerOfTheLayoutsPartReadsOn() throws ServiceException {
         Shore s = new Shore(4, 1);
-        String owner = s.r.lighthouses.stream().filter(l -> s.r.lamp(l).replica("c0").mayAct()).findFirst().orElseThrow();
+        String owner = s.r.lighthouses.stream()
+                .filter(l -> s.r.lamp(l).replica("c0").mayAct())
+                .findFirst()
+                .orElseThrow();
         s.r.kill(owner);
         s.run(4000);
         s.processor("i-1", "book", AT, q -> Mono.just(Shore.done(q)));
@@ -94,7 +101,9 @@
             s.run(150);
         }
         Duration last = s.got.get(s.got.size() - 1).at();
-        assertTrue(last.minus(shown).toMillis() < 2500, "got work until " + last.minus(shown) + " after the list showed it");
+        assertTrue(
+                last.minus(shown).toMillis() < 2500,
+                "got work until " + last.minus(shown) + " after the list showed it");
         s.processor("i-2", "book", "10.9.0.2:8080", q -> Mono.just(Shore.done(q)));
         s.run(3000);
         assertEquals(41, s.got.size());
