--- a/testkit/src/test/java/org/woadvale/testkit/simulation/RateTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/RateTest.java
@@ -6,20 +6,20 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.function.Consumer;
-
 import org.junit.jupiter.api.Test;
 import org.woadvale.common.config.Configuration;
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.testkit.stub.Edit;
-import org.woadvale.testkit.stub.TestConfiguration;
 import org.woadvale.testkit.stub.Observations;
+import org.woadvale.testkit.stub.TestConfiguration;
 
 /** An outside endpoint under more work than its rate, while what paces it changes. */
 class RateTest {
     private static final String ENDPOINT = TestConfiguration.endpoint(0);
 
     private static List<String> under(long seed, Consumer<FleetSimulation> change) throws ServiceException {
-        FleetSimulation v = new FleetSimulation(seed, 3, 3, 2, new TestConfiguration(3, 1, 60, 60, 26), World.LARGE_RING).embark();
+        FleetSimulation v =
+                new FleetSimulation(seed, 3, 3, 2, new TestConfiguration(3, 1, 60, 60, 26), World.LARGE_RING).embark();
         for (int ms = 0; ms < 12000; ms += 20) {
             v.w.sim.after(Duration.ofMillis(ms), () -> v.check(0));
         }
@@ -30,8 +30,10 @@
     }
 
     private static String holder(FleetSimulation v) {
-        return v.w.intakes.stream().filter(i -> v.w.pilot(i).holds().stream().anyMatch(b -> b.startsWith("endpoint/")))
-            .findFirst().orElseThrow();
+        return v.w.intakes.stream()
+                .filter(i -> v.w.pilot(i).holds().stream().anyMatch(b -> b.startsWith("endpoint/")))
+                .findFirst()
+                .orElseThrow();
     }
 
     /** The holder and one store are out of touch with everyone who could tell them, but not with each other. */
@@ -52,8 +54,11 @@
             assertEquals(List.of(), under(seed, v -> {
                 keepInTheDark(v);
                 Configuration renamed = Edit.services(v.layout, m -> m.put("renamed", m.remove(ENDPOINT)));
-                v.put(Edit.lanes(renamed, m -> m.put("check0", Edit.service(m.get("check0"), "renamed"))), v.version,
-                    "rename", a -> assertEquals(200, a.status()));
+                v.put(
+                        Edit.lanes(renamed, m -> m.put("check0", Edit.service(m.get("check0"), "renamed"))),
+                        v.version,
+                        "rename",
+                        a -> assertEquals(200, a.status()));
             }));
         }
     }
@@ -62,8 +67,11 @@
     void loweredRateIsKeptAfterThreeSeconds() throws ServiceException {
         assertEquals(List.of(), under(1, v -> {
             Duration sent = v.w.sim.now();
-            v.put(Edit.services(v.layout, m -> m.put(ENDPOINT, Edit.rate(m.get(ENDPOINT), 8))), v.version, "lower",
-                a -> v.w.seen.paced(ENDPOINT, new Observations.Limit(8, 0, sent, v.w.sim.now())));
+            v.put(
+                    Edit.services(v.layout, m -> m.put(ENDPOINT, Edit.rate(m.get(ENDPOINT), 8))),
+                    v.version,
+                    "lower",
+                    a -> v.w.seen.paced(ENDPOINT, new Observations.Limit(8, 0, sent, v.w.sim.now())));
         }));
     }
 
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/RepairTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/RepairTest.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
-
 import org.junit.jupiter.api.Test;
 import org.woadvale.common.config.Configurations;
 import org.woadvale.common.http.Request;
@@ -22,8 +21,9 @@
     }
 
     private static boolean allParts(FleetSimulation v, String store, boolean seated) {
-        return v.w.stores.stream().filter(s -> v.w.host(s).alive()).allMatch(s ->
-            v.w.pilot(s).groups().values().stream().allMatch(g -> g.contains(store) == seated));
+        return v.w.stores.stream()
+                .filter(s -> v.w.host(s).alive())
+                .allMatch(s -> v.w.pilot(s).groups().values().stream().allMatch(g -> g.contains(store) == seated));
     }
 
     @Test
@@ -34,8 +34,11 @@
         String lost = v.w.stores.get(0);
         v.w.kill(lost);
         String spare = v.w.newStore();
-        assertTrue(v.w.sim.runUntil(() -> v.w.pilot(spare).groups().size() == 8
-            && allParts(v, lost, false), Duration.ofSeconds(60)), "the spare is not seated everywhere");
+        assertTrue(
+                v.w.sim.runUntil(
+                        () -> v.w.pilot(spare).groups().size() == 8 && allParts(v, lost, false),
+                        Duration.ofSeconds(60)),
+                "the spare is not seated everywhere");
         v.w.kill(v.w.stores.get(1));
         v.w.sim.run(Duration.ofSeconds(8));
         long before = v.kinds().getOrDefault("accepted", 0L);
@@ -51,8 +54,13 @@
         v.traffic(20);
         v.w.sim.run(Duration.ofSeconds(5));
         String fresh = v.w.newStore();
-        assertTrue(v.w.sim.runUntil(() -> v.w.pilot(fresh).groups().size() == 4 && v.w.pilot(fresh).owned() == 2,
-            Duration.ofSeconds(120)), "it has " + v.w.pilot(fresh).groups().keySet() + ", owns " + v.w.pilot(fresh).owned());
+        assertTrue(
+                v.w.sim.runUntil(
+                        () -> v.w.pilot(fresh).groups().size() == 4
+                                && v.w.pilot(fresh).owned() == 2,
+                        Duration.ofSeconds(120)),
+                "it has " + v.w.pilot(fresh).groups().keySet() + ", owns "
+                        + v.w.pilot(fresh).owned());
         v.w.sim.run(Duration.ofSeconds(20));
         long terms = terms(v);
         v.w.sim.run(Duration.ofSeconds(60));
@@ -66,7 +74,11 @@
 
     private static long terms(FleetSimulation v) {
         return org.woadvale.common.membership.ServiceNames.messageParts().stream()
-            .mapToLong(p -> v.w.stores.stream().mapToLong(s -> v.w.pilot(s).term(p)).max().orElse(0)).sum();
+                .mapToLong(p -> v.w.stores.stream()
+                        .mapToLong(s -> v.w.pilot(s).term(p))
+                        .max()
+                        .orElse(0))
+                .sum();
     }
 
     @Test
@@ -91,10 +103,17 @@
         String spare = v.w.newLighthouse();
         List<String> wanted = List.of(v.w.lighthouses.get(1), v.w.lighthouses.get(2), spare);
         AtomicInteger status = new AtomicInteger();
-        v.operate(new Request("PUT", "/v1/core", Map.of(), Configurations.write(Map.of("lighthouses", wanted))),
-            a -> status.set(a.status()));
-        assertTrue(v.w.sim.runUntil(() -> status.get() == 200 && v.w.lamp(spare).lighthouses().equals(
-            wanted.stream().sorted().toList()), Duration.ofSeconds(60)), "not seated: " + v.w.lamp(spare).lighthouses());
+        v.operate(
+                new Request("PUT", "/v1/core", Map.of(), Configurations.write(Map.of("lighthouses", wanted))),
+                a -> status.set(a.status()));
+        assertTrue(
+                v.w.sim.runUntil(
+                        () -> status.get() == 200
+                                && v.w.lamp(spare)
+                                        .lighthouses()
+                                        .equals(wanted.stream().sorted().toList()),
+                        Duration.ofSeconds(60)),
+                "not seated: " + v.w.lamp(spare).lighthouses());
         v.w.kill(v.w.lighthouses.get(1));
         v.w.sim.run(Duration.ofSeconds(8));
         AtomicInteger taken = new AtomicInteger();
@@ -110,8 +129,11 @@
         v.w.kill(v.w.lighthouses.get(0));
         List<Integer> answers = new java.util.ArrayList<>();
         byte[] json = Configurations.write(v.layout);
-        v.w.request(v.w.lighthouses.get(1), new Request("PUT", "/v1/layout", Map.of("if-match", "1", "x-request-id", "now"),
-            json), Duration.ofSeconds(5), a -> answers.add(a.map(x -> x.status()).orElse(0)));
+        v.w.request(
+                v.w.lighthouses.get(1),
+                new Request("PUT", "/v1/layout", Map.of("if-match", "1", "x-request-id", "now"), json),
+                Duration.ofSeconds(5),
+                a -> answers.add(a.map(x -> x.status()).orElse(0)));
         v.w.sim.run(Duration.ofSeconds(6));
         assertEquals(List.of(200), answers);
     }
@@ -127,8 +149,14 @@
     void twoLighthousesAtOnceAreRefused() throws ServiceException {
         FleetSimulation v = new FleetSimulation(6, 3, 3, 4).embark();
         AtomicInteger status = new AtomicInteger();
-        v.operate(new Request("PUT", "/v1/core", Map.of(), Configurations.write(Map.of("lighthouses",
-            List.of(v.w.lighthouses.get(0), "10.9.9.1:1", "10.9.9.2:1")))), a -> status.set(a.status()));
+        v.operate(
+                new Request(
+                        "PUT",
+                        "/v1/core",
+                        Map.of(),
+                        Configurations.write(
+                                Map.of("lighthouses", List.of(v.w.lighthouses.get(0), "10.9.9.1:1", "10.9.9.2:1")))),
+                a -> status.set(a.status()));
         v.w.sim.run(Duration.ofSeconds(2));
         assertEquals(409, status.get());
     }
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/ResendTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/ResendTest.java
@@ -6,12 +6,10 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
-
 import org.junit.jupiter.api.Test;
 import org.woadvale.common.http.Answer;
 import org.woadvale.common.http.Request;
 import org.woadvale.common.runtime.ServiceException;
-
 import reactor.core.publisher.Mono;
 
 /** Attempts without an answer are sent again: design 9.11. */
@@ -55,7 +53,8 @@
         s.processor("i-1", "same", AT, q -> {
             int n = s.got.size();
             Answer notRun = Shore.answer(q, 503).with("X-Not-Executed", "1");
-            return Mono.just(n <= 5 ? Shore.answer(q, 502) : n <= 9 ? notRun : n <= 10 ? Shore.answer(q, 421) : Shore.done(q));
+            return Mono.just(
+                    n <= 5 ? Shore.answer(q, 502) : n <= 9 ? notRun : n <= 10 ? Shore.answer(q, 421) : Shore.done(q));
         });
         String handle = s.accepted("/dedup/x", "b", Map.of());
         s.run(20_000);
@@ -81,8 +80,9 @@
         s.accepted("/order/x", "first", key);
         s.accepted("/order/x", "second", key);
         s.run(9000);
-        assertEquals(List.of("first", "first", "first", "second"),
-            s.got.stream().map(g -> new String(g.q().body())).toList());
+        assertEquals(
+                List.of("first", "first", "first", "second"),
+                s.got.stream().map(g -> new String(g.q().body())).toList());
     }
 
     /** The new owner waits for the attempt's deadline too; then it is run again, once. */
@@ -103,8 +103,11 @@
     @Test
     void handOverDuringARunDoesNotRunItTwice() throws ServiceException {
         Shore s = new Shore(7, 1);
-        s.processor("i-1", "book", AT, q -> Mono.create(sink -> s.r.sim.after(Duration.ofMillis(1000),
-            () -> sink.success(Shore.done(q)))));
+        s.processor(
+                "i-1",
+                "book",
+                AT,
+                q -> Mono.create(sink -> s.r.sim.after(Duration.ofMillis(1000), () -> sink.success(Shore.done(q)))));
         String handle = s.accepted("/push/x", "b", Map.of());
         s.r.sim.runUntil(() -> !s.got.isEmpty(), Duration.ofSeconds(5));
         String before = s.r.owner(handle.replaceAll("-.*", "")).orElseThrow();
@@ -119,31 +122,46 @@
     void deliveryIsTheRequestAsItArrived() throws ServiceException {
         Shore s = new Shore(8, 1);
         s.processor("i-1", "book", AT, q -> Mono.just(Shore.done(q)));
-        s.accepted("/order/x?y=%20z", "bytes", Map.of("x-order-key", "k", "x-attempt-id", "mine", "content-type", "a/b"));
+        s.accepted(
+                "/order/x?y=%20z", "bytes", Map.of("x-order-key", "k", "x-attempt-id", "mine", "content-type", "a/b"));
         s.run(1500);
         Request q = s.got.get(0).q();
         assertEquals("POST /order/x?y=%20z bytes", q.method() + " " + q.path() + " " + new String(q.body()));
-        assertEquals(List.of("mine", "k", "tenant-a", "i-1", Shore.HOST, "a/b"), List.of("x-attempt-id", "x-order-key",
-            "x-tenant", "x-expect-instance", "host", "content-type").stream().map(h -> q.headers().get(h)).toList());
+        assertEquals(
+                List.of("mine", "k", "tenant-a", "i-1", Shore.HOST, "a/b"),
+                List.of("x-attempt-id", "x-order-key", "x-tenant", "x-expect-instance", "host", "content-type").stream()
+                        .map(h -> q.headers().get(h))
+                        .toList());
         long deadline = Long.parseLong(q.headers().get("x-deadline-ms"));
         assertTrue(deadline > 0 && deadline <= TIMEOUT_MS, "deadline " + deadline);
-        assertTrue(q.headers().keySet().stream().noneMatch(h -> h.equals("authorization")), "no key goes to a processor");
+        assertTrue(
+                q.headers().keySet().stream().noneMatch(h -> h.equals("authorization")), "no key goes to a processor");
     }
 
     /** A failed message keeps its body, a done one does not; what is not there and what is another's look alike. */
     @Test
     void failedMessagesKeepTheirBodiesAndDoneOnesDoNot() throws ServiceException {
         Shore s = new Shore(9, 1);
-        s.processor("i-1", "book", AT, q -> Mono.just(new String(q.body()).equals("bad") ? Shore.answer(q, 422) : Shore.done(q)));
+        s.processor(
+                "i-1",
+                "book",
+                AT,
+                q -> Mono.just(new String(q.body()).equals("bad") ? Shore.answer(q, 422) : Shore.done(q)));
         String bad = s.accepted("/push/x", "bad", Map.of());
         String good = s.accepted("/push/x", "good", Map.of());
         String later = s.accepted("/push/x", "later", Map.of("x-delay-ms", "60000"));
         s.run(2000);
-        assertEquals("200 bad", s.bytes(bad).status() + " " + new String(s.bytes(bad).body()));
-        assertEquals("200 later", s.bytes(later).status() + " " + new String(s.bytes(later).body()));
+        assertEquals(
+                "200 bad", s.bytes(bad).status() + " " + new String(s.bytes(bad).body()));
+        assertEquals(
+                "200 later",
+                s.bytes(later).status() + " " + new String(s.bytes(later).body()));
         assertEquals(404, s.bytes(good).status());
-        assertEquals(List.of("dead_letter", "completed", "queued"),
-            List.of(bad, good, later).stream().map(h -> s.state(h).path("state").asText()).toList());
+        assertEquals(
+                List.of("dead_letter", "completed", "queued"),
+                List.of(bad, good, later).stream()
+                        .map(h -> s.state(h).path("state").asText())
+                        .toList());
         for (String none : List.of("m0-999", "m999-1", "nonsense", "m1-1x")) {
             assertEquals(404, s.bytes(none).status(), none);
         }
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/SeedsTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/SeedsTest.java
@@ -8,14 +8,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.woadvale.common.cli.KnownFile;
 import org.woadvale.common.config.Configurations;
 import org.woadvale.common.http.Request;
-import org.woadvale.common.cli.KnownFile;
 import org.woadvale.common.runtime.ServiceException;
 
 /** The seeds are needed at the first start only. */
@@ -36,10 +35,17 @@
             String fresh = v.w.newLighthouse();
             List<String> wanted = v.w.presentLighthouses();
             AtomicInteger status = new AtomicInteger();
-            v.operate(new Request("PUT", "/v1/core", Map.of(), Configurations.write(Map.of("lighthouses", wanted))),
-                a -> status.set(a.status()));
-            assertTrue(v.w.sim.runUntil(() -> status.get() == 200 && v.w.lamp(fresh).lighthouses().equals(
-                wanted.stream().sorted().toList()), Duration.ofSeconds(60)), "not seated: " + v.w.lamp(fresh).lighthouses());
+            v.operate(
+                    new Request("PUT", "/v1/core", Map.of(), Configurations.write(Map.of("lighthouses", wanted))),
+                    a -> status.set(a.status()));
+            assertTrue(
+                    v.w.sim.runUntil(
+                            () -> status.get() == 200
+                                    && v.w.lamp(fresh)
+                                            .lighthouses()
+                                            .equals(wanted.stream().sorted().toList()),
+                            Duration.ofSeconds(60)),
+                    "not seated: " + v.w.lamp(fresh).lighthouses());
             v.w.sim.run(Duration.ofSeconds(10));
         }
         new HeadOffice(v).changeAt(v.w.presentLighthouses());
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/Shore.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/Shore.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -10,14 +11,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-
 import org.woadvale.common.http.Answer;
 import org.woadvale.common.http.Request;
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.testkit.stub.ConfigurationStub;
-
-import com.fasterxml.jackson.databind.JsonNode;
-
 import reactor.core.publisher.Mono;
 
 /** Scripted clients, processors and operator around a small fleet behind the platform's doors. */
@@ -27,7 +24,7 @@
     static final Duration SOON = Duration.ofSeconds(3);
 
     /** What a scripted processor was sent. */
-    record Got(Request q, Duration at) { }
+    record Got(Request q, Duration at) {}
 
     final NetworkSimulation r;
     final ProcessorList roster;
@@ -44,14 +41,25 @@
     }
 
     static ConfigurationStub plain() {
-        List<ConfigurationStub.Route> routes = List.of(route("r-pull", "/pull/", "desk", false), route("r-push", "/push/", "book", false),
-            route("r-order", "/order/", "book", true), route("r-dedup", "/dedup/", "same", true),
-            route("r-fixed", "/fixed/", "far", false), route("r-pull-order", "/turn/", "desk", true));
-        List<ConfigurationStub.Service> services = List.of(service("desk", true, false, Optional.empty()),
-            service("book", false, false, Optional.empty()), service("same", false, true, Optional.empty()),
-            new ConfigurationStub.Service("far", 20, 35, true, false, Optional.of("172.20.0.3:8748")));
-        return new ConfigurationStub(3, routes, services, List.of(new ConfigurationStub.Tenant("tenant-a", List.of(KEY), 200, 200),
-            new ConfigurationStub.Tenant("tenant-b", List.of("key-of-b"), 200, 200)));
+        List<ConfigurationStub.Route> routes = List.of(
+                route("r-pull", "/pull/", "desk", false),
+                route("r-push", "/push/", "book", false),
+                route("r-order", "/order/", "book", true),
+                route("r-dedup", "/dedup/", "same", true),
+                route("r-fixed", "/fixed/", "far", false),
+                route("r-pull-order", "/turn/", "desk", true));
+        List<ConfigurationStub.Service> services = List.of(
+                service("desk", true, false, Optional.empty()),
+                service("book", false, false, Optional.empty()),
+                service("same", false, true, Optional.empty()),
+                new ConfigurationStub.Service("far", 20, 35, true, false, Optional.of("172.20.0.3:8748")));
+        return new ConfigurationStub(
+                3,
+                routes,
+                services,
+                List.of(
+                        new ConfigurationStub.Tenant("tenant-a", List.of(KEY), 200, 200),
+                        new ConfigurationStub.Tenant("tenant-b", List.of("key-of-b"), 200, 200)));
     }
 
     static ConfigurationStub.Route route(String name, String prefix, String service, boolean inOrder) {
@@ -68,8 +76,14 @@
 
     Answer put(String text, long base, int lighthouse) {
         for (int i = 0; i < 20; i++) {
-            Optional<Answer> a = r.ask(r.lighthouses.get((lighthouse + i) % 3), new Request("PUT", "/-/configuration",
-                Map.of("if-match", Long.toString(base)), text.getBytes(StandardCharsets.UTF_8)), Duration.ofSeconds(4));
+            Optional<Answer> a = r.ask(
+                    r.lighthouses.get((lighthouse + i) % 3),
+                    new Request(
+                            "PUT",
+                            "/-/configuration",
+                            Map.of("if-match", Long.toString(base)),
+                            text.getBytes(StandardCharsets.UTF_8)),
+                    Duration.ofSeconds(4));
             if (a.isPresent() && a.get().status() < 500) {
                 return a.get();
             }
@@ -78,7 +92,8 @@
     }
 
     /** A processor at an address, on the list, whose answers are the script's. */
-    void processor(String id, String service, String address, java.util.function.Function<Request, Mono<Answer>> script) {
+    void processor(
+            String id, String service, String address, java.util.function.Function<Request, Mono<Answer>> script) {
         r.quays.place(address, q -> {
             got.add(new Got(q, r.sim.now()));
             return script.apply(q);
@@ -88,8 +103,14 @@
     }
 
     static Answer done(Request q) {
-        return new Answer(200, Map.of("X-Attempt-Id", q.headers().getOrDefault("x-attempt-id", ""), "X-Server-Seal",
-            "seal-" + q.headers().getOrDefault("x-attempt-id", "")), new byte[0]);
+        return new Answer(
+                200,
+                Map.of(
+                        "X-Attempt-Id",
+                        q.headers().getOrDefault("x-attempt-id", ""),
+                        "X-Server-Seal",
+                        "seal-" + q.headers().getOrDefault("x-attempt-id", "")),
+                new byte[0]);
     }
 
     static Answer answer(Request q, int status) {
@@ -115,26 +136,35 @@
     }
 
     Answer front(String method, String path, Map<String, String> headers, String body) {
-        return r.ask(r.intakes.get(0), new Request(method, path, headers, body.getBytes(StandardCharsets.UTF_8)),
-            Duration.ofSeconds(25)).orElseThrow();
+        return r.ask(
+                        r.intakes.get(0),
+                        new Request(method, path, headers, body.getBytes(StandardCharsets.UTF_8)),
+                        Duration.ofSeconds(25))
+                .orElseThrow();
     }
 
     Answer pull(String instance, long waitMs) {
-        return front("POST", "/-/pull/desk", Map.of("x-instance-id", instance, "x-poll-wait-ms", Long.toString(waitMs)), "");
+        return front(
+                "POST", "/-/pull/desk", Map.of("x-instance-id", instance, "x-poll-wait-ms", Long.toString(waitMs)), "");
     }
 
     int extend(Answer pulled) {
-        return front("POST", "/-/job-extend/" + pulled.headers().get("X-Attempt-Id"),
-            Map.of("x-lease-id", pulled.headers().get("X-Lease-Id")), "").status();
+        return front(
+                        "POST",
+                        "/-/job-extend/" + pulled.headers().get("X-Attempt-Id"),
+                        Map.of("x-lease-id", pulled.headers().get("X-Lease-Id")),
+                        "")
+                .status();
     }
 
     int end(Answer pulled, int outcome) {
-        Map<String, String> h = new LinkedHashMap<>(Map.of("x-lease-id", pulled.headers().get("X-Lease-Id"),
-            "x-job-outcome", Integer.toString(outcome)));
+        Map<String, String> h = new LinkedHashMap<>(
+                Map.of("x-lease-id", pulled.headers().get("X-Lease-Id"), "x-job-outcome", Integer.toString(outcome)));
         if (outcome == 200) {
             h.put("x-server-seal", "seal-" + pulled.headers().get("X-Lease-Id"));
         }
-        return front("POST", "/-/job-end/" + pulled.headers().get("X-Attempt-Id"), h, "").status();
+        return front("POST", "/-/job-end/" + pulled.headers().get("X-Attempt-Id"), h, "")
+                .status();
     }
 
     JsonNode state(String handle) {
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/UnclearTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/UnclearTest.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-
 import org.junit.jupiter.api.Test;
 import org.woadvale.common.config.Configuration;
 import org.woadvale.common.runtime.ServiceException;
@@ -58,9 +57,20 @@
         FleetSimulation v = voyage(1);
         Map<String, Configuration.Lane> lanes = new TreeMap<>(v.layout.lanes());
         Configuration.Lane hold = lanes.get("hold");
-        lanes.put("hold", new Configuration.Lane(hold.service(), hold.ordering(), hold.timeLimitMs(), hold.attempts(),
-            hold.attemptMs(), Configuration.IfUnclear.RERUN));
-        v.put(new Configuration(v.layout.tenants(), v.layout.services(), lanes, v.layout.keys()), v.version, "rerun", a -> { });
+        lanes.put(
+                "hold",
+                new Configuration.Lane(
+                        hold.service(),
+                        hold.ordering(),
+                        hold.timeLimitMs(),
+                        hold.attempts(),
+                        hold.attemptMs(),
+                        Configuration.IfUnclear.RERUN));
+        v.put(
+                new Configuration(v.layout.tenants(), v.layout.services(), lanes, v.layout.keys()),
+                v.version,
+                "rerun",
+                a -> {});
         v.w.sim.run(Duration.ofSeconds(2));
         v.w.backends.get("p0").behave(LOSES);
         v.plain(0);
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/WaitingPullsTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/WaitingPullsTest.java
@@ -8,7 +8,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-
 import org.junit.jupiter.api.Test;
 import org.woadvale.common.http.Answer;
 import org.woadvale.common.http.Request;
@@ -17,15 +16,21 @@
 /** Fetches wait at one store at a time: design 9.10. */
 class WaitingPullsTest {
     private static Request pull(String instance, long waitMs) {
-        return new Request("POST", "/-/pull/desk", Map.of("x-instance-id", instance, "x-poll-wait-ms", Long.toString(waitMs)),
-            new byte[0]);
+        return new Request(
+                "POST",
+                "/-/pull/desk",
+                Map.of("x-instance-id", instance, "x-poll-wait-ms", Long.toString(waitMs)),
+                new byte[0]);
     }
 
     private static List<Answer> waiting(Shore s, int n, long waitMs) {
         List<Answer> out = new ArrayList<>();
         for (int i = 0; i < n; i++) {
-            s.r.request(s.r.intakes.get(i % s.r.intakes.size()), pull("i-" + i, waitMs), Duration.ofSeconds(30),
-                a -> a.ifPresent(out::add));
+            s.r.request(
+                    s.r.intakes.get(i % s.r.intakes.size()),
+                    pull("i-" + i, waitMs),
+                    Duration.ofSeconds(30),
+                    a -> a.ifPresent(out::add));
         }
         return out;
     }
@@ -39,7 +44,10 @@
         assertTrue(took >= 900 && took < 2000, "took " + took + " ms");
         Answer none = s.front("POST", "/-/pull/nobody", Map.of("x-instance-id", "i-1", "x-poll-wait-ms", "300"), "");
         assertEquals("204 ", none.status() + " " + new String(none.body()));
-        assertEquals(400, s.front("POST", "/-/pull/desk", Map.of("x-poll-wait-ms", "300"), "").status());
+        assertEquals(
+                400,
+                s.front("POST", "/-/pull/desk", Map.of("x-poll-wait-ms", "300"), "")
+                        .status());
     }
 
     /** Work that becomes due meets a waiting fetch at once, wherever the two are. */
@@ -51,7 +59,9 @@
         Duration sent = s.r.sim.now();
         s.accepted("/pull/x", "b", Map.of());
         assertTrue(s.r.sim.runUntil(() -> !out.isEmpty(), Duration.ofSeconds(2)), "nobody got it");
-        assertTrue(s.r.sim.now().minus(sent).toMillis() < 700, "after " + s.r.sim.now().minus(sent));
+        assertTrue(
+                s.r.sim.now().minus(sent).toMillis() < 700,
+                "after " + s.r.sim.now().minus(sent));
     }
 
     @Test
--- a/testkit/src/test/java/org/woadvale/testkit/stub/ConfigurationRulesTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/stub/ConfigurationRulesTest.java
@@ -3,15 +3,22 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.List;
-
 import org.junit.jupiter.api.Test;
 
 /** Each check of configurations and limits sees the break that it is meant for, and no other does. */
 class ConfigurationRulesTest extends Diary {
     @Test
     void withdrawnKeyRan() {
-        paper(new ConfigurationStub(2, papers(1, "a", "order").routes(), papers(1).services(),
-            List.of(new ConfigurationStub.Tenant("t", List.of("spare"), 1, 1))), 1, true, 200, 20);
+        paper(
+                new ConfigurationStub(
+                        2,
+                        papers(1, "a", "order").routes(),
+                        papers(1).services(),
+                        List.of(new ConfigurationStub.Tenant("t", List.of("spare"), 1, 1))),
+                1,
+                true,
+                200,
+                20);
         w.troubles.add(new ObservationLog.Trouble("cut", s(20), s(40)));
         done("1", "a", "", 24.9);
         breaks();
@@ -57,7 +64,8 @@
         w.papers.remove(1);
         paper(papers(2, "a", "order"), 1, true, 200, 20);
         paper(papers(3, "a", "order"), 1, true, 200, 20);
-        w.readBack.set(0, new ObservationLog.ReadBack(200, papers(3, "a", "order").text(), s(60)));
+        w.readBack.set(
+                0, new ObservationLog.ReadBack(200, papers(3, "a", "order").text(), s(60)));
         assertEquals(List.of("CONFIG taken"), new Rules(w).broken());
     }
 
@@ -65,7 +73,8 @@
     void olderOneReadBack() {
         paper(papers(2, "a", "order"), 1, true, 200, 20);
         breaks();
-        for (String text : List.of(papers(1, "a", "order").text(), papers(2, "a").text(), "")) {
+        for (String text :
+                List.of(papers(1, "a", "order").text(), papers(2, "a").text(), "")) {
             w.readBack.set(0, new ObservationLog.ReadBack(200, text, s(60)));
             assertEquals(List.of("CONFIG read"), new Rules(w).broken(), text);
         }
--- a/testkit/src/test/java/org/woadvale/testkit/stub/Diary.java
+++ b/testkit/src/test/java/org/woadvale/testkit/stub/Diary.java
@@ -5,7 +5,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-
 import org.junit.jupiter.api.BeforeEach;
 
 /** A day as it was seen from outside, written by hand. */
@@ -18,9 +17,14 @@
     }
 
     static ConfigurationStub papers(long revision, String... routes) {
-        return new ConfigurationStub(revision, List.of(routes).stream().map(r -> new ConfigurationStub.Route(r, HOST, "/" + r + "/", "svc", 1500, 2,
-            r.startsWith("order"), 90, false)).toList(), List.of(new ConfigurationStub.Service("svc", 2, 9, false, false, Optional.empty())),
-            List.of(new ConfigurationStub.Tenant("t", List.of("k", "spare"), 1, 1)));
+        return new ConfigurationStub(
+                revision,
+                List.of(routes).stream()
+                        .map(r -> new ConfigurationStub.Route(
+                                r, HOST, "/" + r + "/", "svc", 1500, 2, r.startsWith("order"), 90, false))
+                        .toList(),
+                List.of(new ConfigurationStub.Service("svc", 2, 9, false, false, Optional.empty())),
+                List.of(new ConfigurationStub.Tenant("t", List.of("k", "spare"), 1, 1)));
     }
 
     void paper(ConfigurationStub p, long base, boolean valid, int status, double at) {
@@ -65,8 +69,15 @@
     }
 
     void breaks(String... rules) {
-        w.readBack.add(new ObservationLog.ReadBack(200, w.papers.stream().filter(p -> p.status() == 200 && p.valid())
-            .reduce((a, b) -> b).orElseThrow().text(), s(60)));
-        assertEquals(List.of(rules), new Rules(w).broken(), new Rules(w).violations().toString());
+        w.readBack.add(new ObservationLog.ReadBack(
+                200,
+                w.papers.stream()
+                        .filter(p -> p.status() == 200 && p.valid())
+                        .reduce((a, b) -> b)
+                        .orElseThrow()
+                        .text(),
+                s(60)));
+        assertEquals(
+                List.of(rules), new Rules(w).broken(), new Rules(w).violations().toString());
     }
 }
--- a/testkit/src/test/java/org/woadvale/testkit/stub/NeverListTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/stub/NeverListTest.java
@@ -8,7 +8,6 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
-
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -33,7 +32,8 @@
     }
 
     private static Observations.Shown shown(String handle, String state, String proof, double at) {
-        return new Observations.Shown(handle, state, proof, "l", s(at), s(at), Observations.UNSEEN, Observations.UNSEEN);
+        return new Observations.Shown(
+                handle, state, proof, "l", s(at), s(at), Observations.UNSEEN, Observations.UNSEEN);
     }
 
     private static Observations sound() {
@@ -56,7 +56,7 @@
 
     static Stream<Arguments> planted() {
         Map<String, Consumer<Observations>> m = new TreeMap<>();
-        m.put("00 nothing", x -> { });
+        m.put("00 nothing", x -> {});
         m.put("01", x -> x.handedIn.add(in("c", "m0-2", Said.ACCEPTED, "k", 1)));
         m.put("01 failed for no reason", x -> x.shown.add(shown("m0-4", "failed", "who knows", 4)));
         m.put("01 attempts not used up", x -> {
@@ -73,7 +73,8 @@
             x.answered.add(ok("m0-2", 3.5));
         });
         m.put("04 an earlier one that had not ended", x -> {
-            x.handedIn.add(new Observations.HandedIn("t", "c", "l", "o", "k", s(1), s(1), Said.ACCEPTED, "", "m0-0", false));
+            x.handedIn.add(
+                    new Observations.HandedIn("t", "c", "l", "o", "k", s(1), s(1), Said.ACCEPTED, "", "m0-0", false));
             x.shown.add(new Observations.Shown("m0-0", "failed", "unclear", "l", s(4), s(4), s(1), s(2.5)));
         });
         m.put("05 unknown but taken", x -> {
@@ -138,9 +139,11 @@
     @org.junit.jupiter.api.Test
     void endedMessageMayNotBeShownAsOpenLater() {
         Observations x = sound();
-        x.shown.add(new Observations.Shown("m0-1", "ready", "", "l", s(3.9), s(4.5), Observations.UNSEEN, Observations.UNSEEN));
+        x.shown.add(new Observations.Shown(
+                "m0-1", "ready", "", "l", s(3.9), s(4.5), Observations.UNSEEN, Observations.UNSEEN));
         assertEquals(List.of(), new AnswerFaults(x).lost());
-        x.shown.add(new Observations.Shown("m0-1", "ready", "", "l", s(4.1), s(4.5), Observations.UNSEEN, Observations.UNSEEN));
+        x.shown.add(new Observations.Shown(
+                "m0-1", "ready", "", "l", s(4.1), s(4.5), Observations.UNSEEN, Observations.UNSEEN));
         assertEquals(1, new AnswerFaults(x).lost().size());
     }
 
--- a/testkit/src/test/java/org/woadvale/testkit/stub/RulesTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/stub/RulesTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.List;
-
 import org.junit.jupiter.api.Test;
 
 /** Each check of runs and ends sees the break that it is meant for, and no other does. */
