--- a/common/src/main/java/org/woadvale/common/cli/SettingsOptions.java
+++ b/common/src/main/java/org/woadvale/common/cli/SettingsOptions.java
@@ -16,7 +16,7 @@
     private String http = "";
 
     @Option(name = "--hall", title = "NAME", description = "Hall of this machine, instead of the boot file's")
-    private String hall = "";
+    private String zone = "";
 
     @Option(name = "--data", title = "FOLDER", description = "Data folder, instead of the boot file's")
     private String data = "";
@@ -27,7 +27,7 @@
     private boolean help;
 
     public Settings boot() throws ServiceException {
-        return Settings.read(boot).with(address, http, hall, data);
+        return Settings.read(boot).with(address, http, zone, data);
     }
 
     public boolean help() {
--- a/common/src/main/java/org/woadvale/common/config/Configuration.java
+++ b/common/src/main/java/org/woadvale/common/config/Configuration.java
@@ -14,7 +14,7 @@
 import java.util.List;
 import java.util.Map;
 
-/** The operator's whole layout: design 6.1. */
+/** The operator's whole configuration: design 6.1. */
 public record Configuration(
         @NotNull @Size(max = 1000) Map<@Pattern(regexp = NAME) String, @NotNull @Valid Tenant> tenants,
         @NotNull @Size(max = 1000) Map<@Pattern(regexp = NAME) String, @NotNull @Valid Service> services,
@@ -34,7 +34,7 @@
         return m == null ? Map.of() : java.util.Collections.unmodifiableMap(new java.util.TreeMap<>(m));
     }
 
-    /** How many messages a tenant may hand in each second, and how large a burst. */
+    /** How many messages a tenant may processor in each second, and how large a burst. */
     public record Tenant(
             @JsonProperty(required = true) @DecimalMin("0.1") @DecimalMax("100000")
             double ratePerS,
--- a/common/src/main/java/org/woadvale/common/config/Configurations.java
+++ b/common/src/main/java/org/woadvale/common/config/Configurations.java
@@ -35,7 +35,7 @@
 
     private Configurations() {}
 
-    public static Configuration layout(byte[] json) throws ServiceException {
+    public static Configuration configuration(byte[] json) throws ServiceException {
         Configuration l = read(json, Configuration.class, ErrorKind.INVALID_LAYOUT);
         List<String> faults = new ArrayList<>(faults(l));
         if (faults.isEmpty()) {
@@ -48,7 +48,7 @@
         return l;
     }
 
-    /** A layout that was taken: it is used as it is, whatever this build would say of it, or knows of it. */
+    /** A configuration that was taken: it is used as it is, whatever this build would say of it, or knows of it. */
     public static Configuration taken(byte[] json) throws ServiceException {
         try {
             return JSON.readerFor(Configuration.class)
--- a/common/src/main/java/org/woadvale/common/config/Settings.java
+++ b/common/src/main/java/org/woadvale/common/config/Settings.java
@@ -1,5 +1,6 @@
 package org.woadvale.common.config;
 
+import com.fasterxml.jackson.annotation.JsonAlias;
 import jakarta.validation.constraints.Max;
 import jakarta.validation.constraints.Min;
 import jakarta.validation.constraints.NotNull;
@@ -23,8 +24,10 @@
         @NotNull @Pattern(regexp = ADDRESS, message = "must be IP:port")
         String http,
 
-        @NotNull @Pattern(regexp = "[a-z0-9-]{1,32}", message = "must be 1 to 32 small letters, digits or -")
-        String hall,
+        @NotNull
+        @Pattern(regexp = "[a-z0-9-]{1,32}", message = "must be 1 to 32 small letters, digits or -")
+        @JsonAlias("hall")
+        String zone,
 
         @NotNull @Size(min = 1, max = 3)
         List<@NotNull @Pattern(regexp = ADDRESS, message = "must be IP:port") String> seeds,
@@ -71,7 +74,7 @@
     public Settings(
             String address,
             String http,
-            String hall,
+            String zone,
             List<String> seeds,
             Set<String> roles,
             String data,
@@ -84,7 +87,7 @@
         this(
                 address,
                 http,
-                hall,
+                zone,
                 seeds,
                 roles,
                 data,
@@ -156,12 +159,12 @@
     }
 
     /** With the flags that the command line gave; an empty flag changes nothing. */
-    public Settings with(String flagAddress, String flagHttp, String flagHall, String flagData)
+    public Settings with(String flagAddress, String flagHttp, String flagZone, String flagData)
             throws ServiceException {
         return checked(new Settings(
                 or(flagAddress, address),
                 or(flagHttp, http),
-                or(flagHall, hall),
+                or(flagZone, zone),
                 seeds,
                 roles,
                 or(flagData, data),
--- a/common/src/main/java/org/woadvale/common/discovery/ViewSubscriptions.java
+++ b/common/src/main/java/org/woadvale/common/discovery/ViewSubscriptions.java
@@ -42,20 +42,21 @@
 
     private final Env env;
     private final CoreClient core;
-    private final String hall;
+    private final String zone;
     private final LockedShard shard = new LockedShard();
     private final Map<String, Followed> all = new HashMap<>();
     private final List<BiConsumer<String, ServiceView>> listeners = new ArrayList<>();
     private TimerHandle polling = () -> {};
 
-    public ViewSubscriptions(Env env, CoreClient core, String hall) {
+    public ViewSubscriptions(Env env, CoreClient core, String zone) {
         this.env = env;
         this.core = core;
-        this.hall = hall;
+        this.zone = zone;
     }
 
     public void start() {
-        List.of(ServiceNames.LAYOUT, ServiceNames.INTAKES, ServiceNames.STORES).forEach(this::always);
+        List.of(ServiceNames.CONFIGURATION, ServiceNames.INTAKES, ServiceNames.STORES)
+                .forEach(this::always);
         poll();
         polling = env.schedules().every(PERIOD, this::poll);
     }
@@ -100,8 +101,8 @@
             Duration sent = now();
             core.ask(
                             ServiceNames.controlPart(service),
-                            new ControlMessages.NewsAsk(known),
-                            ControlMessages.NewsReply.class)
+                            new ControlMessages.ViewAsk(known),
+                            ControlMessages.ViewReply.class)
                     .subscribe(r -> took(r, sent), e -> {});
         }
     }
@@ -121,18 +122,18 @@
     }
 
     private Optional<String> home(String service) {
-        Map<String, MemberLease> seats = new HashMap<>(seats(ServiceNames.INTAKES));
-        seats.putAll(seats(ServiceNames.STORES));
+        Map<String, MemberLease> members = new HashMap<>(members(ServiceNames.INTAKES));
+        members.putAll(members(ServiceNames.STORES));
         return ServiceNames.draw(
                 "home/" + ServiceNames.controlPart(service),
-                seats.entrySet().stream()
-                        .filter(e -> e.getValue().hall().equals(hall))
+                members.entrySet().stream()
+                        .filter(e -> e.getValue().zone().equals(zone))
                         .map(Map.Entry::getKey)
                         .toList());
     }
 
-    private Map<String, MemberLease> seats(String role) {
-        return Optional.ofNullable(all.get(role)).map(f -> f.view.seats()).orElse(Map.of());
+    private Map<String, MemberLease> members(String role) {
+        return Optional.ofNullable(all.get(role)).map(f -> f.view.members()).orElse(Map.of());
     }
 
     private void poll() {
@@ -154,24 +155,24 @@
         });
         byPart.forEach((part, known) -> {
             Duration sent = now();
-            core.ask(part, new ControlMessages.NewsAsk(known), ControlMessages.NewsReply.class)
+            core.ask(part, new ControlMessages.ViewAsk(known), ControlMessages.ViewReply.class)
                     .subscribe(r -> took(r, sent), e -> {});
         });
         byHome.forEach((home, known) -> {
             Duration sent = now();
-            env.beam()
-                    .ask(home, new ControlMessages.NewsAsk(known), ControlMessages.NewsReply.class, HOME_ASK)
+            env.rpc()
+                    .ask(home, new ControlMessages.ViewAsk(known), ControlMessages.ViewReply.class, HOME_ASK)
                     .subscribe(
                             r -> {
                                 took(r, sent);
                                 distrust(known, r);
                             },
-                            e -> distrust(known, new ControlMessages.NewsReply(List.of(), Map.of())));
+                            e -> distrust(known, new ControlMessages.ViewReply(List.of(), Map.of())));
         });
     }
 
-    /** A home that does not serve, or serves old news, is passed over for a while. */
-    private void distrust(Map<String, Long> asked, ControlMessages.NewsReply r) {
+    /** A home that does not serve, or serves old subscriptions, is passed over for a while. */
+    private void distrust(Map<String, Long> asked, ControlMessages.ViewReply r) {
         shard.run(() -> asked.keySet().forEach(s -> {
             Duration age = r.ages().getOrDefault(s, FRESH);
             Optional.ofNullable(all.get(s)).ifPresent(f -> {
@@ -182,7 +183,7 @@
         }));
     }
 
-    private void took(ControlMessages.NewsReply r, Duration sent) {
+    private void took(ControlMessages.ViewReply r, Duration sent) {
         Map<String, ServiceView> views = new HashMap<>();
         r.views().forEach(v -> views.put(v.service(), v));
         List<ServiceView> changed = new ArrayList<>();
@@ -207,7 +208,7 @@
     }
 
     /** As a home node: what is held, with its age; what is not held yet is followed from now on. */
-    public Mono<ControlMessages.NewsReply> asked(ControlMessages.NewsAsk ask) {
+    public Mono<ControlMessages.ViewReply> asked(ControlMessages.ViewAsk ask) {
         return Mono.fromSupplier(() -> shard.get(() -> {
             List<ServiceView> views = new ArrayList<>();
             Map<String, Duration> ages = new HashMap<>();
@@ -220,7 +221,7 @@
                     }
                 }
             });
-            return new ControlMessages.NewsReply(views, ages);
+            return new ControlMessages.ViewReply(views, ages);
         }));
     }
 }
--- a/common/src/main/java/org/woadvale/common/membership/ControlMessages.java
+++ b/common/src/main/java/org/woadvale/common/membership/ControlMessages.java
@@ -9,7 +9,7 @@
 public final class ControlMessages {
     private ControlMessages() {}
 
-    public record ClaimAsk(String service, String node, MemberLease seat) {}
+    public record LeaseAsk(String service, String node, MemberLease memberLease) {}
 
     public record LeaveAsk(String service, String node) {}
 
@@ -23,19 +23,19 @@
     public record Done(boolean ok) {}
 
     /** Versions known by the asker; -1 for none. */
-    public record NewsAsk(Map<String, Long> known) {}
+    public record ViewAsk(Map<String, Long> known) {}
 
     /** Views that differ, and for each service served the age of its confirmation. */
-    public record NewsReply(List<ServiceView> views, Map<String, Duration> ages) {}
+    public record ViewReply(List<ServiceView> views, Map<String, Duration> ages) {}
 
     public record CoreAsk(boolean any) {}
 
     public record CoreReply(List<String> lighthouses) {}
 
     // commands in the logs of control parts
-    public record PutSeat(String service, String node, MemberLease seat) {}
+    public record PutMember(String service, String node, MemberLease memberLease) {}
 
-    public record DropSeat(String service, String node, String incarnation) {}
+    public record DropMember(String service, String node, String incarnation) {}
 
     /** Taken only while the list has the version seen before, plus one; nothing (0) is always taken. design 6.7 */
     public record PutProcessor(
@@ -58,24 +58,24 @@
     public record Place(Map<String, List<String>> placement, long expectedVersion) {}
 
     /** A revision of the operator's own, if not 0, becomes the version; the original is kept and given back. design 6.8 */
-    public record PutLayout(
+    public record PutConfiguration(
             String requestId,
             long base,
-            byte[] layout,
+            byte[] configuration,
             String author,
             @Since(3) long revision,
             @Since(3) byte[] original) {
-        public PutLayout(String requestId, long base, byte[] layout, String author) {
-            this(requestId, base, layout, author, 0, new byte[0]);
+        public PutConfiguration(String requestId, long base, byte[] configuration, String author) {
+            this(requestId, base, configuration, author, 0, new byte[0]);
         }
     }
 
     /** A whole list at once, from a registry that has them all: design 6.7. */
     public record PutProcessors(String service, Map<String, Processor> processors, long seen) {}
 
-    public record LayoutTaken(long version, boolean repeated) {}
+    public record ConfigurationTaken(long version, boolean repeated) {}
 
-    /** One lighthouse for another: the whole list as it should be. */
+    /** One control node for another: the whole list as it should be. */
     public record PutCore(
             List<String> lighthouses, @Since(2) List<String> instead) {}
 
@@ -86,25 +86,25 @@
 
     public static List<Class<?>> types() {
         return List.of(
-                ClaimAsk.class,
+                LeaseAsk.class,
                 LeaveAsk.class,
                 DutyAsk.class,
                 DutyReply.class,
                 DutyRelease.class,
                 Done.class,
-                NewsAsk.class,
-                NewsReply.class,
+                ViewAsk.class,
+                ViewReply.class,
                 CoreAsk.class,
                 CoreReply.class,
-                PutSeat.class,
-                DropSeat.class,
+                PutMember.class,
+                DropMember.class,
                 PutProcessor.class,
                 DropProcessor.class,
                 TakeDuty.class,
                 ReleaseDuty.class,
                 Place.class,
-                PutLayout.class,
-                LayoutTaken.class,
+                PutConfiguration.class,
+                ConfigurationTaken.class,
                 MemberLease.class,
                 Processor.class,
                 LeaderDuty.class,
--- a/common/src/main/java/org/woadvale/common/membership/CoreClient.java
+++ b/common/src/main/java/org/woadvale/common/membership/CoreClient.java
@@ -17,7 +17,7 @@
 public final class CoreClient {
     private static final int TRIES = 5;
     private static final Duration EACH = Duration.ofMillis(700);
-    private final RpcClient beam;
+    private final RpcClient rpc;
     private final LongSupplier random;
     private volatile List<String> seeds;
     private final Consumer<List<String>> remember;
@@ -25,12 +25,12 @@
     private volatile List<String> lighthouses;
 
     public CoreClient(
-            RpcClient beam,
+            RpcClient rpc,
             LongSupplier random,
             List<String> seeds,
             List<String> known,
             Consumer<List<String>> remember) {
-        this.beam = beam;
+        this.rpc = rpc;
         this.random = random;
         this.seeds = List.copyOf(seeds);
         this.remember = remember;
@@ -41,7 +41,7 @@
         return lighthouses;
     }
 
-    /** A lighthouse knows the others by the groups of its own parts, and need not ask. design 6.6 */
+    /** A control node knows the others by the groups of its own parts, and need not ask. design 6.6 */
     public void known(List<String> now) {
         if (!now.isEmpty() && !now.equals(lighthouses)) {
             lighthouses = List.copyOf(now);
@@ -59,10 +59,10 @@
         List<String> from = new ArrayList<>(new TreeSet<>(lighthouses));
         from.addAll(seeds);
         String n = from.get((int) Math.floorMod(random.getAsLong(), (long) from.size()));
-        if (n.equals(beam.self())) {
+        if (n.equals(rpc.self())) {
             return;
         }
-        beam.ask(n, new ControlMessages.CoreAsk(true), ControlMessages.CoreReply.class, EACH)
+        rpc.ask(n, new ControlMessages.CoreAsk(true), ControlMessages.CoreReply.class, EACH)
                 .subscribe(
                         r -> {
                             if (!r.lighthouses().isEmpty() && !r.lighthouses().equals(lighthouses)) {
@@ -83,24 +83,21 @@
     }
 
     private <T> Mono<T> attempt(String part, Object body, Class<T> type, String to, int left) {
-        return beam.ask(to, body, type, EACH)
-                .doOnNext(t -> owners.put(part, to))
-                .onErrorResume(e -> {
-                    ServiceException f = ServiceException.of(e);
-                    owners.remove(part, to);
-                    boolean again = f.kind() == ErrorKind.NOT_OWNER
-                            || f.kind() == ErrorKind.UNREACHABLE
-                            || f.kind() == ErrorKind.UNKNOWN_OUTCOME
-                            || f.kind() == ErrorKind.STOPPING;
-                    if (!again || left <= 1) {
-                        return Mono.error(f);
-                    }
-                    String next =
-                            f.kind() == ErrorKind.NOT_OWNER && !f.details().isEmpty()
-                                    ? f.details().get(0)
-                                    : other(to);
-                    return attempt(part, body, type, next, left - 1);
-                });
+        return rpc.ask(to, body, type, EACH).doOnNext(t -> owners.put(part, to)).onErrorResume(e -> {
+            ServiceException f = ServiceException.of(e);
+            owners.remove(part, to);
+            boolean again = f.kind() == ErrorKind.NOT_OWNER
+                    || f.kind() == ErrorKind.UNREACHABLE
+                    || f.kind() == ErrorKind.UNKNOWN_OUTCOME
+                    || f.kind() == ErrorKind.STOPPING;
+            if (!again || left <= 1) {
+                return Mono.error(f);
+            }
+            String next = f.kind() == ErrorKind.NOT_OWNER && !f.details().isEmpty()
+                    ? f.details().get(0)
+                    : other(to);
+            return attempt(part, body, type, next, left - 1);
+        });
     }
 
     private String other(String not) {
--- a/common/src/main/java/org/woadvale/common/membership/MemberLease.java
+++ b/common/src/main/java/org/woadvale/common/membership/MemberLease.java
@@ -5,7 +5,7 @@
 
 /** A member's place in a service: a role is a service too. */
 public record MemberLease(
-        String hall,
+        String zone,
         String http,
         String incarnation,
-        @Since(2) List<String> unseated) {}
+        @Since(2) List<String> notVoting) {}
--- a/common/src/main/java/org/woadvale/common/membership/ServiceNames.java
+++ b/common/src/main/java/org/woadvale/common/membership/ServiceNames.java
@@ -7,8 +7,8 @@
 
 /** Names of services and parts, and the draws by hash that everyone makes alike: design 6.2. */
 public final class ServiceNames {
-    public static final String LAYOUT = "layout";
-    /** Who the lighthouses should be; kept with the layout. */
+    public static final String CONFIGURATION = "layout";
+    /** Who the lighthouses should be; kept with the configuration. */
     public static final String CORE = "core";
 
     public static final String INTAKES = "role/intake";
@@ -32,7 +32,7 @@
     }
 
     public static String controlPart(String service) {
-        return service.equals(LAYOUT) || service.equals(CORE)
+        return service.equals(CONFIGURATION) || service.equals(CORE)
                 ? "c0"
                 : "c" + (1 + Math.floorMod(mix(service.hashCode()), CONTROL_PARTS));
     }
--- a/common/src/main/java/org/woadvale/common/membership/ServiceView.java
+++ b/common/src/main/java/org/woadvale/common/membership/ServiceView.java
@@ -7,12 +7,12 @@
 public record ServiceView(
         String service,
         long version,
-        Map<String, MemberLease> seats,
+        Map<String, MemberLease> members,
         Map<String, Processor> processors,
         LeaderDuty duty,
         Map<String, List<String>> placement,
-        byte[] layout,
-        long layoutVersion) {
+        byte[] configuration,
+        long configurationVersion) {
     public static ServiceView blank(String service) {
         return new ServiceView(service, 0, Map.of(), Map.of(), LeaderDuty.never(), Map.of(), new byte[0], 0);
     }
--- a/common/src/main/java/org/woadvale/common/ratelimit/AdmissionTokens.java
+++ b/common/src/main/java/org/woadvale/common/ratelimit/AdmissionTokens.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 
-/** What purses and holders say to each other: design 8.3. */
+/** What local buckets and holders say to each other: design 8.3. */
 public final class AdmissionTokens {
     /** Tokens die this long after they were asked for, by the asker's clock. */
     public static final Duration LIFE = Duration.ofSeconds(1);
--- a/common/src/main/java/org/woadvale/common/ratelimit/AggregateBucket.java
+++ b/common/src/main/java/org/woadvale/common/ratelimit/AggregateBucket.java
@@ -115,12 +115,12 @@
                 });
     }
 
-    /** Idempotent by asker and grant id; never grants more than the aggregate holds, nor for longer than the claim. */
-    public AdmissionTokens.PassReply ask(String asker, AdmissionTokens.PassAsk a, Duration claimEnd, Duration now) {
+    /** Idempotent by asker and grant id; never grants more than the aggregate holds, nor for longer than the lease. */
+    public AdmissionTokens.PassReply ask(String asker, AdmissionTokens.PassAsk a, Duration leaseEnd, Duration now) {
         settle(now);
         a.reports().forEach(r -> report(asker, r));
         fill(now);
-        Duration left = claimEnd.minus(now);
+        Duration left = leaseEnd.minus(now);
         Duration life = left.compareTo(AdmissionTokens.LIFE) < 0 ? left : AdmissionTokens.LIFE;
         Grant known = byId.get(asker + "/" + a.grant());
         if (known != null) {
--- a/common/src/main/java/org/woadvale/common/ratelimit/LocalBuckets.java
+++ b/common/src/main/java/org/woadvale/common/ratelimit/LocalBuckets.java
@@ -28,7 +28,7 @@
     private record Waiting(Sinks.One<LocalBucket.Pass> sink, Duration until) {}
 
     private static final class Local {
-        final LocalBucket purse = new LocalBucket();
+        final LocalBucket localBucket = new LocalBucket();
         final Deque<Waiting> waiting = new ArrayDeque<>();
         Duration seen = Duration.ZERO;
         Duration notBefore = Duration.ZERO;
@@ -46,7 +46,7 @@
     public record Counts(long atOnce, long waited, long throttled, long asks) {}
 
     private final Env env;
-    private final ViewSubscriptions news;
+    private final ViewSubscriptions subscriptions;
     private final LockedShard shard = new LockedShard();
     private final Map<String, Local> all = new HashMap<>();
     private TimerHandle looking = () -> {};
@@ -56,9 +56,9 @@
     private long throttled;
     private long asks;
 
-    public LocalBuckets(Env env, ViewSubscriptions news) {
+    public LocalBuckets(Env env, ViewSubscriptions subscriptions) {
         this.env = env;
-        this.news = news;
+        this.subscriptions = subscriptions;
         this.nextGrant = env.random().getAsLong() >>> 8;
     }
 
@@ -74,12 +74,12 @@
         return env.times().mono();
     }
 
-    /** At once where the purse holds one; else a short wait for the refill in flight, bounded by the given one and by WAIT. */
+    /** At once where the local bucket holds one; else a short wait for the refill in flight, bounded by the given one and by WAIT. */
     public Mono<LocalBucket.Pass> take(String bucket, Duration wait) {
         return Mono.defer(() -> shard.get(() -> {
             Local l = all.computeIfAbsent(bucket, b -> new Local());
             l.seen = now();
-            Optional<LocalBucket.Pass> p = l.waiting.isEmpty() ? l.purse.take(now()) : Optional.empty();
+            Optional<LocalBucket.Pass> p = l.waiting.isEmpty() ? l.localBucket.take(now()) : Optional.empty();
             if (p.isPresent()) {
                 atOnce++;
                 refill(bucket, l);
@@ -102,7 +102,7 @@
         return shard.get(() -> {
             Local l = all.computeIfAbsent(bucket, b -> new Local());
             l.seen = now();
-            Optional<LocalBucket.Pass> p = l.purse.take(now());
+            Optional<LocalBucket.Pass> p = l.localBucket.take(now());
             p.ifPresent(x -> atOnce++);
             l.missed = p.isEmpty();
             refill(bucket, l);
@@ -115,11 +115,11 @@
     }
 
     public void putBack(String bucket, LocalBucket.Pass p) {
-        shard.run(() -> Optional.ofNullable(all.get(bucket)).ifPresent(l -> l.purse.putBack(p)));
+        shard.run(() -> Optional.ofNullable(all.get(bucket)).ifPresent(l -> l.localBucket.putBack(p)));
     }
 
     public void settle(String bucket, LocalBucket.Pass p) {
-        shard.run(() -> Optional.ofNullable(all.get(bucket)).ifPresent(l -> l.purse.settle(p)));
+        shard.run(() -> Optional.ofNullable(all.get(bucket)).ifPresent(l -> l.localBucket.settle(p)));
     }
 
     private ServiceException throttled(Local l) {
@@ -145,7 +145,7 @@
 
     private void serve(Local l) {
         while (!l.waiting.isEmpty()) {
-            Optional<LocalBucket.Pass> p = l.purse.take(now());
+            Optional<LocalBucket.Pass> p = l.localBucket.take(now());
             if (p.isEmpty()) {
                 return;
             }
@@ -156,15 +156,15 @@
     }
 
     private void refill(String bucket, Local l) {
-        boolean need = !l.waiting.isEmpty() || l.missed || (l.purse.low(now()) && !l.purse.tiny());
+        boolean need = !l.waiting.isEmpty() || l.missed || (l.localBucket.low(now()) && !l.localBucket.tiny());
         if (!need || l.asking || now().compareTo(l.notBefore) < 0) {
             return;
         }
         Optional<String> holder =
-                Optional.of(news.latest(bucket).duty().holder()).filter(h -> !h.isEmpty());
+                Optional.of(subscriptions.latest(bucket).duty().holder()).filter(h -> !h.isEmpty());
         if (holder.isEmpty()) {
             l.notBefore = now().plus(AGAIN);
-            shard.leave(() -> news.hurry(bucket));
+            shard.leave(() -> subscriptions.hurry(bucket));
             return;
         }
         if (l.pending == 0 || now().minus(l.pendingSince).compareTo(AdmissionTokens.LIFE.dividedBy(2)) > 0) {
@@ -176,8 +176,8 @@
         asks++;
         Duration since = l.pendingSince;
         AdmissionTokens.PassAsk ask = new AdmissionTokens.PassAsk(
-                bucket, l.pending, Math.max(l.waiting.size(), l.missed ? 1 : 0), l.purse.reports(now()));
-        shard.leave(() -> env.beam()
+                bucket, l.pending, Math.max(l.waiting.size(), l.missed ? 1 : 0), l.localBucket.reports(now()));
+        shard.leave(() -> env.rpc()
                 .ask(holder.get(), ask, AdmissionTokens.PassReply.class, ASK)
                 .subscribe(
                         r -> shard.run(() -> granted(bucket, l, r, since)),
@@ -185,25 +185,25 @@
                             l.asking = false;
                             l.notBefore = now().plus(AGAIN);
                             // the holder may be another by now: design 8.4
-                            shard.leave(() -> news.hurry(bucket));
+                            shard.leave(() -> subscriptions.hurry(bucket));
                         })));
     }
 
     /** What is spent is told soon: the holder fills only what is not out. */
     private void report(String bucket, Local l) {
         Optional<String> holder =
-                Optional.of(news.latest(bucket).duty().holder()).filter(h -> !h.isEmpty());
+                Optional.of(subscriptions.latest(bucket).duty().holder()).filter(h -> !h.isEmpty());
         if (l.asking
                 || holder.isEmpty()
-                || !l.purse.hasNews()
+                || !l.localBucket.hasNews()
                 || now().minus(l.told).compareTo(TELL) < 0) {
             return;
         }
         l.told = now();
         asks++;
         AdmissionTokens.PassAsk ask =
-                new AdmissionTokens.PassAsk(bucket, AdmissionTokens.NO_GRANT, 0, l.purse.reports(now()));
-        shard.leave(() -> env.beam()
+                new AdmissionTokens.PassAsk(bucket, AdmissionTokens.NO_GRANT, 0, l.localBucket.reports(now()));
+        shard.leave(() -> env.rpc()
                 .ask(holder.get(), ask, AdmissionTokens.PassReply.class, ASK)
                 .subscribe(r -> {}, e -> {}));
     }
@@ -212,7 +212,7 @@
         l.asking = false;
         l.missed = false;
         l.pending = 0;
-        l.purse.granted(r.grant(), r.granted(), asked, r.life(), now());
+        l.localBucket.granted(r.grant(), r.granted(), asked, r.life(), now());
         l.retry = r.granted() > 0 ? AGAIN : r.retry();
         if (r.granted() == 0) {
             Duration pause = r.retry().compareTo(WAIT) > 0 ? WAIT : r.retry();
--- a/common/src/main/java/org/woadvale/common/ratelimit/TokenGranters.java
+++ b/common/src/main/java/org/woadvale/common/ratelimit/TokenGranters.java
@@ -25,21 +25,21 @@
 import org.woadvale.common.runtime.TimerHandle;
 import reactor.core.publisher.Mono;
 
-/** The admission node: holds the aggregate buckets that the ring draws to it, each by claim and term. design 8.4 */
+/** The admission node: holds the aggregate buckets that the ring draws to it, each by lease and term. design 8.4 */
 public final class TokenGranters {
     private static final Logger LOG = LogManager.getLogger("tide");
     private static final Duration SETTLED = Duration.ofSeconds(3);
 
     private static final class Held {
         AggregateBucket holding;
-        Duration claimEnd;
+        Duration leaseEnd;
         Duration strangerSince = Duration.ZERO;
         boolean releasing;
     }
 
     private final Env env;
     private final CoreClient core;
-    private final ViewSubscriptions news;
+    private final ViewSubscriptions subscriptions;
     private final Function<String, Optional<RateLimit>> allowances;
     private final Supplier<Set<String>> buckets;
     private final LockedShard shard = new LockedShard();
@@ -53,12 +53,12 @@
     public TokenGranters(
             Env env,
             CoreClient core,
-            ViewSubscriptions news,
+            ViewSubscriptions subscriptions,
             Function<String, Optional<RateLimit>> allowances,
             Supplier<Set<String>> buckets) {
         this.env = env;
         this.core = core;
-        this.news = news;
+        this.subscriptions = subscriptions;
         this.allowances = allowances;
         this.buckets = buckets;
     }
@@ -76,7 +76,7 @@
     }
 
     private void look() {
-        Set<String> ring = news.latest(ServiceNames.INTAKES).seats().keySet();
+        Set<String> ring = subscriptions.latest(ServiceNames.INTAKES).members().keySet();
         for (String b : buckets.get()) {
             boolean mine = ServiceNames.draw(b, ring).filter(env.self()::equals).isPresent();
             boolean deputy = !mine && deputy(b, ring);
@@ -87,9 +87,9 @@
                 .forEach(this::release));
     }
 
-    /** Stands once the first of the ring has let its claim lapse; the ring itself is told of that later. design 8.4 */
+    /** Stands once the first of the ring has let its lease lapse; the ring itself is told of that later. design 8.4 */
     private boolean deputy(String b, Set<String> ring) {
-        LeaderDuty d = news.latest(b).duty();
+        LeaderDuty d = subscriptions.latest(b).duty();
         Optional<String> first = ServiceNames.draw(b, ring);
         Set<String> rest = new TreeSet<>(ring);
         first.ifPresent(rest::remove);
@@ -130,7 +130,7 @@
             held.remove(b);
             return;
         }
-        Duration end = sent.plus(ReplicationTiming.usual().ownClaim());
+        Duration end = sent.plus(ReplicationTiming.usual().ownLease());
         Held h = held.get(b);
         if (h == null || h.holding.term() != r.duty().term()) {
             Optional<RateLimit> a = allowances.apply(b);
@@ -143,13 +143,13 @@
             held.put(b, h);
             LOG.info("tide: holds {} in term {}.", b, r.duty().term());
         }
-        h.claimEnd = end;
+        h.leaseEnd = end;
     }
 
     /** The old holder stops first; then the level goes to the core for the next one. */
     private void release(String b) {
         Held h = held.remove(b);
-        if (h == null || h.claimEnd.compareTo(now()) <= 0) {
+        if (h == null || h.leaseEnd.compareTo(now()) <= 0) {
             return;
         }
         ControlMessages.DutyRelease r =
@@ -170,7 +170,7 @@
         Optional<RateLimit> allowance = allowances.apply(a.bucket());
         return Mono.defer(() -> shard.get(() -> {
             Held h = held.get(a.bucket());
-            if (h == null || now().compareTo(h.claimEnd) >= 0) {
+            if (h == null || now().compareTo(h.leaseEnd) >= 0) {
                 return Mono.error(
                         new ServiceException(ErrorKind.NOT_OWNER, "This node does not hold " + a.bucket() + "."));
             }
@@ -178,7 +178,7 @@
                 return Mono.error(new ServiceException(ErrorKind.STALE_VIEW, "The layout here is not proven fresh."));
             }
             h.holding.change(allowance.get(), now());
-            AdmissionTokens.PassReply r = h.holding.ask(asker, a, h.claimEnd, now());
+            AdmissionTokens.PassReply r = h.holding.ask(asker, a, h.leaseEnd, now());
             asks++;
             granted += r.granted();
             return Mono.just(r);
--- a/common/src/main/java/org/woadvale/common/replication/Bootstrap.java
+++ b/common/src/main/java/org/woadvale/common/replication/Bootstrap.java
@@ -8,7 +8,7 @@
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 
-/** First formation, and the oath by which a replica may vote again: design 5.5. */
+/** First formation, and the promotion by which a replica may vote again: design 5.5. */
 final class Bootstrap {
     private static final Duration PERIOD = Duration.ofMillis(300);
     private final Replica r;
@@ -30,12 +30,12 @@
         blanks.put(r.env.self(), r.identity);
         for (String n : r.wanted) {
             if (!n.equals(r.env.self())) {
-                r.shard.leave(() -> r.env.beam()
+                r.shard.leave(() -> r.env.rpc()
                         .ask(
                                 n,
                                 new Messages.BlankAsk(r.part),
                                 Messages.BlankReply.class,
-                                r.env.pace().ask())
+                                r.env.timing().ask())
                         .subscribe(b -> r.shard.run(() -> reported(n, b)), e -> {}));
             }
         }
@@ -63,24 +63,24 @@
 
     private void tell(String n, Messages.Found f) {
         r.shard.leave(() ->
-                r.env.beam().ask(n, f, Messages.Ok.class, r.env.pace().ask()).subscribe(ok -> {}, e -> {}));
+                r.env.rpc().ask(n, f, Messages.Ok.class, r.env.timing().ask()).subscribe(ok -> {}, e -> {}));
     }
 
     private void found(Map<String, String> group) {
         r.groups.reset(group);
-        // design 5.5: before the founding nobody could hold a claim
-        r.claimHeard = r.now();
+        // design 5.5: before the bootstrap nobody could hold a lease
+        r.leaseHeardUntil = r.now();
         swear("the group is founded");
     }
 
     private void swear(String why) {
-        r.sworn = true;
+        r.voter = true;
         r.become(Phase.FOLLOWING, why);
         r.store.giveBase();
     }
 
-    /** Sworn again once a committed group entry names our new identity; it was committed without us. */
-    void considerOath() {
+    /** Voter again once a committed group entry names our new identity; it was committed without us. */
+    void considerPromotion() {
         if (r.phase == Phase.BLANK && r.identity.equals(r.groups.committed().get(r.env.self()))) {
             Replica.LOG.info("keeper: {} at {} has caught up and counts again.", r.part, r.env.self());
             swear("seated by a committed entry");
--- a/common/src/main/java/org/woadvale/common/replication/CommitTracker.java
+++ b/common/src/main/java/org/woadvale/common/replication/CommitTracker.java
@@ -46,10 +46,10 @@
         commit = index;
         while (applied < commit) {
             applied++;
-            apply(r.ledger.get(applied));
+            apply(r.replicatedLog.get(applied));
         }
         r.groups.committedTo(commit);
-        r.founding.considerOath();
+        r.bootstrap.considerPromotion();
     }
 
     private void apply(LogEntry item) {
@@ -71,7 +71,7 @@
         });
     }
 
-    /** The claim is gone: what waits may still be committed by the next owner, or not. */
+    /** The lease is gone: what waits may still be committed by the next owner, or not. */
     void forsake() {
         waiting.values().forEach(w -> r.shard.leave(() -> w.sink().tryEmitError(unknown())));
         waiting.clear();
--- a/common/src/main/java/org/woadvale/common/replication/Election.java
+++ b/common/src/main/java/org/woadvale/common/replication/Election.java
@@ -22,7 +22,8 @@
             if (r.now().compareTo(standAt) >= 0) {
                 stand(false);
             }
-        } else if (r.now().compareTo(r.claimHeard) < 0 || !r.groups.latest().containsKey(r.env.self())) {
+        } else if (r.now().compareTo(r.leaseHeardUntil) < 0
+                || !r.groups.latest().containsKey(r.env.self())) {
             standAt = Duration.ZERO;
         } else if (standAt.isZero()) {
             standAt = r.now().plus(patience());
@@ -32,7 +33,7 @@
     }
 
     /**
-     * Started again, and nobody else can hold a claim that was confirmed here: it was ours, and ended with our former
+     * Started again, and nobody else can hold a lease that was confirmed here: it was ours, and ended with our former
      * life. design 5.3
      */
     private boolean lastOwner() {
@@ -41,32 +42,32 @@
 
     /** The first of the wanted list stands first; the others leave it time: owners spread by placement. */
     private Duration patience() {
-        Duration spread = r.env.pace().spread();
+        Duration spread = r.env.timing().spread();
         long jitter = Math.floorMod(r.env.random().getAsLong(), spread.toNanos());
         boolean first = !r.wanted.isEmpty() && r.wanted.get(0).equals(r.env.self());
         return first ? Duration.ofNanos(jitter / 8) : spread.dividedBy(2).plusNanos(jitter);
     }
 
     /** A dry round first, so that a replica nobody would elect does not raise the term. */
-    void stand(boolean handedOver) {
+    void stand(boolean leadershipTransferred) {
         standAt = Duration.ZERO;
         r.become(Phase.STANDING, "the part is vacant");
         r.owner = "";
-        round(r.term + 1, true, handedOver);
+        round(r.term + 1, true, leadershipTransferred);
     }
 
-    private void round(long term, boolean dry, boolean handedOver) {
+    private void round(long term, boolean dry, boolean leadershipTransferred) {
         votes = new TreeMap<>(Map.of(r.env.self(), r.identity));
-        Messages.VoteAsk ask =
-                new Messages.VoteAsk(r.part, term, r.ledger.lastIndex(), r.ledger.lastTerm(), dry, handedOver);
-        for (String n : r.neighbours()) {
-            r.shard.leave(() -> r.env.beam()
-                    .ask(n, ask, Messages.VoteReply.class, r.env.pace().ask())
+        Messages.VoteAsk ask = new Messages.VoteAsk(
+                r.part, term, r.replicatedLog.lastIndex(), r.replicatedLog.lastTerm(), dry, leadershipTransferred);
+        for (String n : r.peers()) {
+            r.shard.leave(() -> r.env.rpc()
+                    .ask(n, ask, Messages.VoteReply.class, r.env.timing().ask())
                     .subscribe(v -> r.shard.run(() -> answered(n, ask, v)), e -> {}));
         }
         r.env.schedules()
                 .after(
-                        r.env.pace().ask(),
+                        r.env.timing().ask(),
                         () -> r.shard.run(() -> {
                             if (r.phase == Phase.STANDING && (dry ? r.term + 1 : r.term) == term) {
                                 r.become(Phase.FOLLOWING, "no majority in time");
@@ -90,24 +91,25 @@
             long term = r.term;
             r.store.vote(() -> {
                 if (r.phase == Phase.STANDING && r.term == term) {
-                    round(term, false, ask.handedOver());
+                    round(term, false, ask.leadershipTransferred());
                 }
             });
         } else {
             r.become(Phase.OWNING, "elected");
             r.owner = r.env.self();
-            r.owning.begun();
+            r.leading.begun();
         }
     }
 
     Mono<Object> asked(String from, Messages.VoteAsk a) {
-        boolean claimRuns = r.now().compareTo(r.claimHeard) < 0 || (r.phase == Phase.OWNING && r.owning.claimRuns());
-        // whoever held the claim and stands now has given it up, or lost it with its former life
+        boolean leaseRuns =
+                r.now().compareTo(r.leaseHeardUntil) < 0 || (r.phase == Phase.OWNING && r.leading.leaseRuns());
+        // whoever held the lease and stands now has given it up, or lost it with its former life
         boolean itsOwn = from.equals(r.votedFor) && r.phase != Phase.OWNING;
-        boolean complete = a.lastTerm() > r.ledger.lastTerm()
-                || (a.lastTerm() == r.ledger.lastTerm() && a.lastIndex() >= r.ledger.lastIndex());
+        boolean complete = a.lastTerm() > r.replicatedLog.lastTerm()
+                || (a.lastTerm() == r.replicatedLog.lastTerm() && a.lastIndex() >= r.replicatedLog.lastIndex());
         boolean free = a.term() > r.term || (a.term() == r.term && (r.votedFor.equals(from)));
-        if (!r.sworn || (claimRuns && !a.handedOver() && !itsOwn) || !complete || !free) {
+        if (!r.voter || (leaseRuns && !a.leadershipTransferred() && !itsOwn) || !complete || !free) {
             return Mono.just(new Messages.VoteReply(r.term, false, r.identity));
         }
         if (a.dry()) {
@@ -121,16 +123,16 @@
                 r.become(Phase.FOLLOWING, "voted for " + from);
             }
         }
-        standAt = r.now().plus(r.env.pace().claim());
+        standAt = r.now().plus(r.env.timing().lease());
         long term = r.term;
         Sinks.One<Object> out = Sinks.one();
         r.store.vote(() -> r.shard.leave(() -> out.tryEmitValue(new Messages.VoteReply(term, true, r.identity))));
         return out.asMono();
     }
 
-    /** The owner has given up its claim in our favour. */
+    /** The owner has given up its lease in our favour. */
     Mono<Object> told(String from, Messages.Stand s) {
-        boolean ready = r.phase == Phase.FOLLOWING && r.sworn && s.term() == r.term && from.equals(r.owner);
+        boolean ready = r.phase == Phase.FOLLOWING && r.voter && s.term() == r.term && from.equals(r.owner);
         if (ready) {
             stand(true);
         }
--- a/common/src/main/java/org/woadvale/common/replication/Env.java
+++ b/common/src/main/java/org/woadvale/common/replication/Env.java
@@ -11,12 +11,12 @@
 public record Env(
         Clock times,
         Timers schedules,
-        RpcClient beam,
+        RpcClient rpc,
         Codec codec,
-        WriteAheadLog logbook,
+        WriteAheadLog wal,
         LongSupplier random,
-        ReplicationTiming pace) {
+        ReplicationTiming timing) {
     public String self() {
-        return beam.self();
+        return rpc.self();
     }
 }
--- a/common/src/main/java/org/woadvale/common/replication/FollowerLog.java
+++ b/common/src/main/java/org/woadvale/common/replication/FollowerLog.java
@@ -36,11 +36,11 @@
             r.store.vote(() -> r.shard.leave(() -> noted.tryEmitValue(Boolean.TRUE)));
         }
         r.owner = from;
-        r.claimHeard = r.now().plus(r.env.pace().claim());
+        r.leaseHeardUntil = r.now().plus(r.env.timing().lease());
         return true;
     }
 
-    /** A claim is confirmed only once it is on disk whose it is: after a restart nobody else's may run. design 5.3 */
+    /** A lease is confirmed only once it is on disk whose it is: after a restart nobody else's may run. design 5.3 */
     private Mono<Object> noted(Mono<Object> reply) {
         Optional<Sinks.One<Object>> n = noting;
         noting = Optional.empty();
@@ -59,21 +59,21 @@
         if (!heard(from, a.term())) {
             return Mono.just(reply(false, 0));
         }
-        if (a.prevIndex() > r.ledger.lastIndex()) {
-            return Mono.just(reply(false, r.ledger.lastIndex()));
+        if (a.prevIndex() > r.replicatedLog.lastIndex()) {
+            return Mono.just(reply(false, r.replicatedLog.lastIndex()));
         }
-        if (r.ledger.holds(a.prevIndex()) && r.ledger.termAt(a.prevIndex()) != a.prevTerm()) {
+        if (r.replicatedLog.holds(a.prevIndex()) && r.replicatedLog.termAt(a.prevIndex()) != a.prevTerm()) {
             return Mono.just(reply(false, Math.max(r.progress.commit(), a.prevIndex() - 1)));
         }
         long index = a.prevIndex();
         List<LogEntry> fresh = new ArrayList<>();
         for (LogEntry item : a.items()) {
             index++;
-            if (index <= r.ledger.baseIndex()) {
+            if (index <= r.replicatedLog.baseIndex()) {
                 continue;
             }
-            if (fresh.isEmpty() && index <= r.ledger.lastIndex()) {
-                if (r.ledger.termAt(index) == item.term()) {
+            if (fresh.isEmpty() && index <= r.replicatedLog.lastIndex()) {
+                if (r.replicatedLog.termAt(index) == item.term()) {
                     continue;
                 }
                 r.store.cutFrom(index);
@@ -83,7 +83,7 @@
         long match = a.prevIndex() + a.items().size();
         Sinks.One<Object> out = Sinks.one();
         if (fresh.isEmpty()) {
-            r.progress.commitTo(Math.min(a.commit(), Math.min(match, r.ledger.lastIndex())));
+            r.progress.commitTo(Math.min(a.commit(), Math.min(match, r.replicatedLog.lastIndex())));
             return Mono.just(reply(true, Math.min(match, r.store.synced())));
         }
         long term = r.term;
@@ -92,7 +92,7 @@
             Messages.AppendReply answer = reply(still, still ? Math.min(match, r.store.synced()) : 0);
             r.shard.leave(() -> out.tryEmitValue(answer));
         });
-        r.progress.commitTo(Math.min(a.commit(), Math.min(match, r.ledger.lastIndex())));
+        r.progress.commitTo(Math.min(a.commit(), Math.min(match, r.replicatedLog.lastIndex())));
         return out.asMono();
     }
 
@@ -111,7 +111,7 @@
             Messages.AppendReply answer = reply(r.term == term, r.term == term ? index : 0);
             r.shard.leave(() -> out.tryEmitValue(answer));
         });
-        r.founding.considerOath();
+        r.bootstrap.considerPromotion();
         return out.asMono();
     }
 }
--- a/common/src/main/java/org/woadvale/common/replication/FollowerProgress.java
+++ b/common/src/main/java/org/woadvale/common/replication/FollowerProgress.java
@@ -13,7 +13,7 @@
     Duration confirmed = Duration.ZERO;
 
     private final Replica r;
-    private final Leader owning;
+    private final Leader leading;
     private final String to;
     private final long term;
     private long next;
@@ -22,12 +22,12 @@
     private long commitTold;
     private boolean trouble;
 
-    FollowerProgress(Replica r, Leader owning, String to) {
+    FollowerProgress(Replica r, Leader leading, String to) {
         this.r = r;
-        this.owning = owning;
+        this.leading = leading;
         this.to = to;
         this.term = r.term;
-        this.next = r.ledger.lastIndex() + 1;
+        this.next = r.replicatedLog.lastIndex() + 1;
         this.since = r.now();
     }
 
@@ -37,8 +37,9 @@
 
     /** A renewal is due each renew time; entries go at once. */
     void send(boolean look) {
-        boolean due = sent.isZero() || r.now().compareTo(sent.plus(r.env.pace().renew())) >= 0;
-        boolean behind = next <= r.ledger.lastIndex() && !trouble && (!look || match > 0 || due);
+        boolean due =
+                sent.isZero() || r.now().compareTo(sent.plus(r.env.timing().renew())) >= 0;
+        boolean behind = next <= r.replicatedLog.lastIndex() && !trouble && (!look || match > 0 || due);
         if (inFlight || !current() || !(due || behind)) {
             return;
         }
@@ -47,7 +48,7 @@
         Duration at = sent;
         Object ask;
         long upTo;
-        if (next <= r.ledger.baseIndex()) {
+        if (next <= r.replicatedLog.baseIndex()) {
             Messages.Base b = r.store.base();
             ask = new Messages.ViewPush(
                     r.part,
@@ -56,13 +57,14 @@
                             "", term, "", false, b.index(), b.indexTerm(), b.group(), b.machine(), List.of()));
             upTo = b.index();
         } else {
-            List<LogEntry> items = r.ledger.after(next - 1);
-            ask = new Messages.AppendAsk(r.part, term, next - 1, r.ledger.termAt(next - 1), items, r.progress.commit());
+            List<LogEntry> items = r.replicatedLog.after(next - 1);
+            ask = new Messages.AppendAsk(
+                    r.part, term, next - 1, r.replicatedLog.termAt(next - 1), items, r.progress.commit());
             upTo = next - 1 + items.size();
         }
         commitTold = r.progress.commit();
-        r.shard.leave(() -> r.env.beam()
-                .ask(to, ask, Messages.AppendReply.class, r.env.pace().ask())
+        r.shard.leave(() -> r.env.rpc()
+                .ask(to, ask, Messages.AppendReply.class, r.env.timing().ask())
                 .subscribe(
                         a -> r.shard.run(() -> answered(a, at, upTo)),
                         e -> r.shard.run(() -> {
@@ -89,23 +91,25 @@
         confirmed = at.compareTo(confirmed) > 0 ? at : confirmed;
         if (a.ok()) {
             match = Math.max(match, a.match());
-            next = Math.max(match + 1, Math.min(next, r.ledger.lastIndex() + 1));
+            next = Math.max(match + 1, Math.min(next, r.replicatedLog.lastIndex() + 1));
             if (a.match() < upTo) {
                 next = a.match() + 1;
             }
         } else {
             next = Math.min(next, a.match() + 1);
         }
-        owning.count();
-        if (current() && (next <= r.ledger.lastIndex() && a.match() >= upTo || !a.ok())) {
+        leading.count();
+        if (current() && (next <= r.replicatedLog.lastIndex() && a.match() >= upTo || !a.ok())) {
             send(false);
-        } else if (current() && commitTold < r.progress.commit() && r.progress.commit() >= r.ledger.lastIndex()) {
+        } else if (current()
+                && commitTold < r.progress.commit()
+                && r.progress.commit() >= r.replicatedLog.lastIndex()) {
             tellCommit();
         }
     }
 
-    /** Followers learn of commits soon, so that an heir is ready and an oath is taken. */
+    /** Followers learn of commits soon, so that an successor is ready and an promotion is taken. */
     private void tellCommit() {
-        sent = sent.minus(r.env.pace().renew());
+        sent = sent.minus(r.env.timing().renew());
     }
 }
--- a/common/src/main/java/org/woadvale/common/replication/GroupMembership.java
+++ b/common/src/main/java/org/woadvale/common/replication/GroupMembership.java
@@ -8,7 +8,7 @@
 
 /** Who sits in the group, by address and identity; a change in flight needs both majorities: design 5.6. */
 final class GroupMembership {
-    private record Change(long index, Map<String, String> seats) {}
+    private record Change(long index, Map<String, String> members) {}
 
     private Map<String, String> committed = new TreeMap<>();
     private Optional<Change> change = Optional.empty();
@@ -18,7 +18,7 @@
     }
 
     Map<String, String> latest() {
-        return change.map(Change::seats).orElse(committed);
+        return change.map(Change::members).orElse(committed);
     }
 
     boolean changing() {
@@ -27,19 +27,19 @@
 
     Set<String> members() {
         Set<String> all = new TreeSet<>(committed.keySet());
-        change.ifPresent(c -> all.addAll(c.seats().keySet()));
+        change.ifPresent(c -> all.addAll(c.members().keySet()));
         return all;
     }
 
-    void reset(Map<String, String> seats) {
-        committed = new TreeMap<>(seats);
+    void reset(Map<String, String> members) {
+        committed = new TreeMap<>(members);
         change = Optional.empty();
     }
 
     /** An owner starts a change only after the former one was committed. */
-    void appended(long index, Map<String, String> seats) {
-        change.ifPresent(c -> committed = c.seats());
-        change = Optional.of(new Change(index, new TreeMap<>(seats)));
+    void appended(long index, Map<String, String> members) {
+        change.ifPresent(c -> committed = c.members());
+        change = Optional.of(new Change(index, new TreeMap<>(members)));
     }
 
     void cutFrom(long index) {
@@ -50,20 +50,20 @@
 
     void committedTo(long index) {
         if (change.isPresent() && change.get().index() <= index) {
-            committed = change.get().seats();
+            committed = change.get().members();
             change = Optional.empty();
         }
     }
 
     boolean majority(Map<String, String> agreeing) {
         return majority(committed, agreeing)
-                && (change.isEmpty() || majority(change.get().seats(), agreeing));
+                && (change.isEmpty() || majority(change.get().members(), agreeing));
     }
 
-    private static boolean majority(Map<String, String> seats, Map<String, String> agreeing) {
-        long n = seats.entrySet().stream()
+    private static boolean majority(Map<String, String> members, Map<String, String> agreeing) {
+        long n = members.entrySet().stream()
                 .filter(e -> e.getValue().equals(agreeing.get(e.getKey())))
                 .count();
-        return !seats.isEmpty() && n * 2 > seats.size();
+        return !members.isEmpty() && n * 2 > members.size();
     }
 }
--- a/common/src/main/java/org/woadvale/common/replication/Leader.java
+++ b/common/src/main/java/org/woadvale/common/replication/Leader.java
@@ -10,7 +10,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 
-/** Replicating, counting commits and holding the claim: design 5.1. */
+/** Replicating, counting commits and holding the lease: design 5.1. */
 final class Leader {
     private final Replica r;
     private final Map<String, FollowerProgress> followers = new TreeMap<>();
@@ -24,7 +24,7 @@
     void begun() {
         followers.clear();
         relinquished = false;
-        firstOwn = r.ledger.lastIndex() + 1;
+        firstOwn = r.replicatedLog.lastIndex() + 1;
         if (r.groups.changing()) {
             append(new LogEntry(r.term, LogEntry.Kind.NOTHING, new byte[0]));
         } else {
@@ -37,15 +37,15 @@
     }
 
     boolean mayAct() {
-        return claimRuns() && r.progress.commit() >= firstOwn;
+        return leaseRuns() && r.progress.commit() >= firstOwn;
     }
 
-    boolean claimRuns() {
-        return !relinquished && r.now().compareTo(claimEnd()) < 0;
+    boolean leaseRuns() {
+        return !relinquished && r.now().compareTo(leaseEnd()) < 0;
     }
 
     /** Counted from the sending of the latest renewal that a majority has confirmed. */
-    private Duration claimEnd() {
+    private Duration leaseEnd() {
         List<Duration> sent = new ArrayList<>(
                 followers.values().stream().map(f -> f.confirmed).toList());
         sent.add(r.now());
@@ -58,7 +58,7 @@
                 }
             });
             if (r.groups.majority(agreeing)) {
-                return t.plus(r.env.pace().ownClaim());
+                return t.plus(r.env.timing().ownLease());
             }
         }
         return Duration.ZERO;
@@ -74,7 +74,7 @@
 
     /** The group and those that are to join it. */
     private Set<String> followers() {
-        Set<String> all = new TreeSet<>(r.neighbours());
+        Set<String> all = new TreeSet<>(r.peers());
         r.wanted.stream().filter(w -> !w.equals(r.env.self())).forEach(all::add);
         return all;
     }
@@ -113,11 +113,11 @@
                 .send(true));
         if (!r.groups.latest().containsKey(r.env.self()) && !r.groups.changing()) {
             r.become(Phase.FOLLOWING, "no longer seated");
-        } else if (r.now().compareTo(claimEnd().plus(r.env.pace().claim())) > 0
-                && r.now().compareTo(begunAt().plus(r.env.pace().claim())) > 0) {
+        } else if (r.now().compareTo(leaseEnd().plus(r.env.timing().lease())) > 0
+                && r.now().compareTo(begunAt().plus(r.env.timing().lease())) > 0) {
             r.become(Phase.FOLLOWING, "the claim lapsed");
         } else if (mayAct() && !r.groups.changing()) {
-            reseat();
+            changeMembership();
         }
     }
 
@@ -129,17 +129,17 @@
     }
 
     /** One change at a time: a lost disk's new identity, or a wanted member for one not wanted. design 5.6 */
-    private void reseat() {
-        Map<String, String> seats = r.groups.committed();
+    private void changeMembership() {
+        Map<String, String> members = r.groups.committed();
         for (Map.Entry<String, FollowerProgress> e : followers.entrySet()) {
             FollowerProgress f = e.getValue();
             boolean caughtUp = !f.identity.isEmpty() && f.match + 64 >= r.progress.commit() && f.match > 0;
-            if (!caughtUp || f.identity.equals(seats.get(e.getKey()))) {
+            if (!caughtUp || f.identity.equals(members.get(e.getKey()))) {
                 continue;
             }
-            Map<String, String> next = new TreeMap<>(seats);
-            if (!seats.containsKey(e.getKey())) {
-                Optional<String> leaving = seats.keySet().stream()
+            Map<String, String> next = new TreeMap<>(members);
+            if (!members.containsKey(e.getKey())) {
+                Optional<String> leaving = members.keySet().stream()
                         .filter(s -> !r.wanted.contains(s))
                         .findFirst();
                 if (leaving.isEmpty()) {
@@ -154,32 +154,32 @@
         }
     }
 
-    Optional<String> heir() {
+    Optional<String> successor() {
         return followers.entrySet().stream()
                 .filter(e -> e.getValue().identity.equals(r.groups.committed().get(e.getKey())))
-                .filter(e -> e.getValue().willing && e.getValue().match >= r.ledger.lastIndex())
+                .filter(e -> e.getValue().willing && e.getValue().match >= r.replicatedLog.lastIndex())
                 .map(Map.Entry::getKey)
                 .min(Comparator.comparingInt(n -> r.wanted.contains(n) ? r.wanted.indexOf(n) : Integer.MAX_VALUE));
     }
 
-    /** The claim is given up first; only then may the heir stand. */
-    boolean handOver(String to) {
+    /** The lease is given up first; only then may the successor stand. */
+    boolean transferLeadership(String to) {
         FollowerProgress f = followers.get(to);
-        if (f == null || f.match < r.ledger.lastIndex() || !mayAct() || r.groups.changing()) {
+        if (f == null || f.match < r.replicatedLog.lastIndex() || !mayAct() || r.groups.changing()) {
             return false;
         }
         relinquished = true;
         long term = r.term;
-        r.shard.leave(() -> r.env.beam()
+        r.shard.leave(() -> r.env.rpc()
                 .ask(
                         to,
                         new Messages.Stand(r.part, term),
                         Messages.Ok.class,
-                        r.env.pace().ask())
+                        r.env.timing().ask())
                 .subscribe(ok -> {}, e -> {}));
         r.env.schedules()
                 .after(
-                        r.env.pace().ask(),
+                        r.env.timing().ask(),
                         () -> r.shard.run(() -> {
                             if (r.phase == Phase.OWNING && r.term == term) {
                                 r.become(Phase.FOLLOWING, "handed over");
--- a/common/src/main/java/org/woadvale/common/replication/LegacyFormat.java
+++ b/common/src/main/java/org/woadvale/common/replication/LegacyFormat.java
@@ -29,7 +29,7 @@
                     b.identity(),
                     b.term(),
                     b.votedFor(),
-                    b.sworn(),
+                    b.voter(),
                     b.index(),
                     b.indexTerm(),
                     b.group(),
--- a/common/src/main/java/org/woadvale/common/replication/Messages.java
+++ b/common/src/main/java/org/woadvale/common/replication/Messages.java
@@ -10,7 +10,8 @@
 public final class Messages {
     private Messages() {}
 
-    public record VoteAsk(String part, long term, long lastIndex, long lastTerm, boolean dry, boolean handedOver) {}
+    public record VoteAsk(
+            String part, long term, long lastIndex, long lastTerm, boolean dry, boolean leadershipTransferred) {}
 
     public record VoteReply(long term, boolean granted, String identity) {}
 
@@ -36,7 +37,7 @@
             String identity,
             long term,
             String votedFor,
-            boolean sworn,
+            boolean voter,
             long index,
             long indexTerm,
             Map<String, String> group,
--- a/common/src/main/java/org/woadvale/common/replication/Replica.java
+++ b/common/src/main/java/org/woadvale/common/replication/Replica.java
@@ -23,25 +23,25 @@
     final Env env;
     final StateMachine machine;
     final LockedShard shard = new LockedShard();
-    final ReplicatedLog ledger = new ReplicatedLog();
+    final ReplicatedLog replicatedLog = new ReplicatedLog();
     final GroupMembership groups = new GroupMembership();
     final CommitTracker progress;
     final ReplicaStorage store;
-    final Election ballot;
+    final Election election;
     final FollowerLog following;
-    final Leader owning;
-    final Bootstrap founding;
+    final Leader leading;
+    final Bootstrap bootstrap;
 
     Phase phase = Phase.BLANK;
     long term;
     String votedFor = "";
     String identity = "";
-    boolean sworn;
+    boolean voter;
     String owner = "";
-    /** A draining replica follows and votes, but is no heir. */
+    /** A draining replica follows and votes, but is no successor. */
     boolean willing = true;
-    /** Until when, by our clock, the present owner's claim may run. */
-    Duration claimHeard;
+    /** Until when, by our clock, the present owner's lease may run. */
+    Duration leaseHeardUntil;
 
     List<String> wanted;
     private Runnable onChange = () -> {};
@@ -54,11 +54,11 @@
         this.env = env;
         this.progress = new CommitTracker(this);
         this.store = new ReplicaStorage(this);
-        this.ballot = new Election(this);
+        this.election = new Election(this);
         this.following = new FollowerLog(this);
-        this.owning = new Leader(this);
-        this.founding = new Bootstrap(this);
-        this.claimHeard = env.times().mono().plus(env.pace().claim());
+        this.leading = new Leader(this);
+        this.bootstrap = new Bootstrap(this);
+        this.leaseHeardUntil = env.times().mono().plus(env.timing().lease());
     }
 
     public void start(List<Entry> recovered) throws ServiceException {
@@ -73,15 +73,15 @@
         if (bad.isPresent()) {
             throw bad.get();
         }
-        env.logbook().onPressure(part, () -> shard.run(store::giveBase));
-        looking = env.schedules().every(env.pace().look(), () -> shard.run(this::look));
+        env.wal().onPressure(part, () -> shard.run(store::giveBase));
+        looking = env.schedules().every(env.timing().look(), () -> shard.run(this::look));
     }
 
     private void look() {
         switch (phase) {
-            case BLANK -> founding.look();
-            case FOLLOWING -> ballot.look();
-            case OWNING -> owning.look();
+            case BLANK -> bootstrap.look();
+            case FOLLOWING -> election.look();
+            case OWNING -> leading.look();
             default -> {}
         }
         store.compactIfLarge();
@@ -112,7 +112,7 @@
                 term,
                 why);
         if (before == Phase.OWNING) {
-            owning.ended();
+            leading.ended();
             progress.forsake();
         }
         if (next == Phase.OWNING) {
@@ -138,9 +138,9 @@
         return env.times().mono();
     }
 
-    /** True while the claim runs and an entry of the own term is committed; ask right before each effect. */
+    /** True while the lease runs and an entry of the own term is committed; ask right before each effect. */
     public boolean mayAct() {
-        return shard.get(() -> phase == Phase.OWNING && owning.mayAct());
+        return shard.get(() -> phase == Phase.OWNING && leading.mayAct());
     }
 
     public long term() {
@@ -174,7 +174,7 @@
                 owner.isEmpty() || owner.equals(env.self()) ? List.of() : List.of(owner));
     }
 
-    /** Reads the machine under claim, so never older than what was acknowledged. */
+    /** Reads the machine under lease, so never older than what was acknowledged. */
     public <T> Mono<T> read(Function<Long, T> reader) {
         return Mono.defer(
                 () -> shard.get(() -> mayAct() ? Mono.just(reader.apply(progress.applied())) : Mono.error(notOwner())));
@@ -185,7 +185,7 @@
         return shard.get(() -> reader.apply(progress.applied()));
     }
 
-    /** Refused definitely before anything is written; unknown once it is in the log and the claim is lost. */
+    /** Refused definitely before anything is written; unknown once it is in the log and the lease is lost. */
     public <T> Mono<T> propose(Object command, Class<T> result) {
         return Mono.defer(() -> shard.get(() -> {
                     if (!mayAct()) {
@@ -193,8 +193,8 @@
                     }
                     LogEntry item = new LogEntry(
                             term, LogEntry.Kind.COMMAND, env.codec().write(command));
-                    Mono<Object> out = progress.expect(ledger.lastIndex() + 1, term);
-                    owning.append(item);
+                    Mono<Object> out = progress.expect(replicatedLog.lastIndex() + 1, term);
+                    leading.append(item);
                     return out;
                 }))
                 .flatMap(o -> result.isInstance(o) ? Mono.just(result.cast(o)) : Mono.error((Throwable) o));
@@ -205,13 +205,13 @@
     }
 
     /** Gives the part to another replica that is up to date; used by drains and by spreading. */
-    public boolean handOver(String to) {
-        return shard.get(() -> phase == Phase.OWNING && owning.handOver(to));
+    public boolean transferLeadership(String to) {
+        return shard.get(() -> phase == Phase.OWNING && leading.transferLeadership(to));
     }
 
     /** The replica best placed to take over, if any is up to date. */
-    public Optional<String> heir() {
-        return shard.get(() -> phase == Phase.OWNING ? owning.heir() : Optional.empty());
+    public Optional<String> successor() {
+        return shard.get(() -> phase == Phase.OWNING ? leading.successor() : Optional.empty());
     }
 
     public Mono<Object> handle(String from, Object body) {
@@ -220,19 +220,19 @@
                 return Mono.error(new ServiceException(ErrorKind.STOPPING, "The part is stopped here."));
             }
             if (body instanceof Messages.VoteAsk a) {
-                return ballot.asked(from, a);
+                return election.asked(from, a);
             } else if (body instanceof Messages.AppendAsk a) {
                 return following.append(from, a);
             } else if (body instanceof Messages.ViewPush a) {
                 return following.view(from, a);
             } else if (body instanceof Messages.Stand a) {
-                return ballot.told(from, a);
+                return election.told(from, a);
             }
-            return founding.asked(body);
+            return bootstrap.asked(body);
         }));
     }
 
-    List<String> neighbours() {
+    List<String> peers() {
         List<String> all = new ArrayList<>(groups.members());
         all.remove(env.self());
         return all;
--- a/common/src/main/java/org/woadvale/common/replication/ReplicaStorage.java
+++ b/common/src/main/java/org/woadvale/common/replication/ReplicaStorage.java
@@ -6,7 +6,7 @@
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.common.wal.Entry;
 
-/** What a replica writes to the logbook and reads back from it: design 5.4. */
+/** What a replica writes to the wal and reads back from it: design 5.4. */
 final class ReplicaStorage {
     private static final long LARGE = 4L << 20;
     private static final int MANY = 8192;
@@ -38,8 +38,8 @@
                 default -> replay(e);
             }
         }
-        synced = r.ledger.lastIndex();
-        if (r.sworn) {
+        synced = r.replicatedLog.lastIndex();
+        if (r.voter) {
             r.become(Phase.FOLLOWING, "recovered");
         }
     }
@@ -48,8 +48,8 @@
         r.identity = b.identity();
         r.term = b.term();
         r.votedFor = b.votedFor();
-        r.sworn = b.sworn();
-        r.ledger.reset(b.index(), b.indexTerm(), List.of());
+        r.voter = b.voter();
+        r.replicatedLog.reset(b.index(), b.indexTerm(), List.of());
         r.groups.reset(b.group());
         if (b.machine().length > 0) {
             r.machine.restore(b.machine());
@@ -63,10 +63,10 @@
     }
 
     private void replay(Entry e) throws ServiceException {
-        r.ledger.cutFrom(e.index());
+        r.replicatedLog.cutFrom(e.index());
         r.groups.cutFrom(e.index());
         if (e.term() > r.term) {
-            // a build that did not note its owners: nobody is known to hold a claim of this term. design 5.3
+            // a build that did not note its owners: nobody is known to hold a lease of this term. design 5.3
             r.term = e.term();
             r.votedFor = "";
         }
@@ -74,13 +74,13 @@
     }
 
     private void enter(long index, LogEntry item) {
-        r.ledger.append(item);
+        r.replicatedLog.append(item);
         if (item.kind() == LogEntry.Kind.GROUP) {
-            r.groups.appended(index, seats(item));
+            r.groups.appended(index, members(item));
         }
     }
 
-    Map<String, String> seats(LogEntry item) {
+    Map<String, String> members(LogEntry item) {
         try {
             Map<String, String> out = new TreeMap<>();
             r.env.codec().read(item.bytes(), Map.class).forEach((k, v) -> out.put((String) k, (String) v));
@@ -92,26 +92,26 @@
 
     /** Adds to the memory log and to the disk; then runs once synced, unless the entry was cut since. */
     void append(List<LogEntry> items, Runnable then) {
-        long first = r.ledger.lastIndex() + 1;
+        long first = r.replicatedLog.lastIndex() + 1;
         List<Entry> out = new java.util.ArrayList<>();
         for (LogEntry item : items) {
-            long index = r.ledger.lastIndex() + 1;
+            long index = r.replicatedLog.lastIndex() + 1;
             enter(index, item);
             out.add(new Entry(
                     r.part, Entry.Kind.ENTRY, index, item.term(), r.env.codec().write(item)));
         }
-        long last = r.ledger.lastIndex();
-        long lastTerm = r.ledger.lastTerm();
+        long last = r.replicatedLog.lastIndex();
+        long lastTerm = r.replicatedLog.lastTerm();
         if (last < first) {
             then.run();
             return;
         }
-        r.env.logbook()
+        r.env.wal()
                 .append(
                         out,
                         () -> r.shard.run(() -> {
                             if (r.phase != Phase.STOPPED) {
-                                if (r.ledger.holds(last) && r.ledger.termAt(last) == lastTerm) {
+                                if (r.replicatedLog.holds(last) && r.replicatedLog.termAt(last) == lastTerm) {
                                     synced = Math.max(synced, last);
                                 }
                                 then.run();
@@ -120,13 +120,13 @@
     }
 
     void cutFrom(long index) {
-        r.ledger.cutFrom(index);
+        r.replicatedLog.cutFrom(index);
         r.groups.cutFrom(index);
         synced = Math.min(synced, index - 1);
     }
 
     void vote(Runnable then) {
-        r.env.logbook()
+        r.env.wal()
                 .append(
                         List.of(new Entry(
                                 r.part,
@@ -143,15 +143,15 @@
 
     Messages.Base base() {
         long upTo = r.progress.applied();
-        List<LogEntry> tail = r.ledger.tail();
-        int skip = (int) (upTo - r.ledger.baseIndex());
+        List<LogEntry> tail = r.replicatedLog.tail();
+        int skip = (int) (upTo - r.replicatedLog.baseIndex());
         return new Messages.Base(
                 r.identity,
                 r.term,
                 r.votedFor,
-                r.sworn,
+                r.voter,
                 upTo,
-                r.ledger.termAt(upTo),
+                r.replicatedLog.termAt(upTo),
                 r.groups.committed(),
                 r.machine.view(),
                 List.copyOf(tail.subList(skip, tail.size())));
@@ -167,10 +167,10 @@
             return;
         }
         Messages.Base b = base();
-        r.ledger.forgetTo(b.index());
-        long last = r.ledger.lastIndex();
-        long lastTerm = r.ledger.lastTerm();
-        r.env.logbook()
+        r.replicatedLog.forgetTo(b.index());
+        long last = r.replicatedLog.lastIndex();
+        long lastTerm = r.replicatedLog.lastTerm();
+        r.env.wal()
                 .append(
                         List.of(new Entry(
                                 r.part,
@@ -180,7 +180,7 @@
                                 r.env.codec().write(b))),
                         () -> r.shard.run(() -> {
                             if (r.phase != Phase.STOPPED) {
-                                if (r.ledger.holds(last) && r.ledger.termAt(last) == lastTerm) {
+                                if (r.replicatedLog.holds(last) && r.replicatedLog.termAt(last) == lastTerm) {
                                     synced = Math.max(synced, last);
                                 }
                                 then.run();
@@ -190,7 +190,7 @@
 
     /** Replaces all we have by the owner's view. */
     void install(Messages.Base b, Runnable then) {
-        r.ledger.reset(b.index(), b.indexTerm(), List.of());
+        r.replicatedLog.reset(b.index(), b.indexTerm(), List.of());
         r.groups.reset(b.group());
         r.machine.restore(b.machine());
         r.progress.restored(b.index());
@@ -199,9 +199,9 @@
     }
 
     void compactIfLarge() {
-        if (r.ledger.bytes() > Math.min(LARGE, r.env.logbook().largest() / 4)
-                || r.ledger.lastIndex() - r.ledger.baseIndex() > MANY) {
-            if (r.progress.applied() > r.ledger.baseIndex()) {
+        if (r.replicatedLog.bytes() > Math.min(LARGE, r.env.wal().largest() / 4)
+                || r.replicatedLog.lastIndex() - r.replicatedLog.baseIndex() > MANY) {
+            if (r.progress.applied() > r.replicatedLog.baseIndex()) {
                 giveBase();
             }
         }
--- a/common/src/main/java/org/woadvale/common/replication/ReplicationTiming.java
+++ b/common/src/main/java/org/woadvale/common/replication/ReplicationTiming.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 
 /** The times of the engine; one set for the whole fleet. */
-public record ReplicationTiming(Duration claim, Duration renew, Duration look, Duration ask, Duration spread) {
+public record ReplicationTiming(Duration lease, Duration renew, Duration look, Duration ask, Duration spread) {
     public static ReplicationTiming usual() {
         return new ReplicationTiming(
                 Duration.ofMillis(2000),
@@ -14,7 +14,7 @@
     }
 
     /**
-     * For parts. Control parts: the next owner must confirm news before the views in the fleet are too old to use.
+     * For parts. Control parts: the next owner must confirm subscriptions before the views in the fleet are too old to use.
      * Message parts: what is ordered waits for the next owner. design 5.3
      */
     public static ReplicationTiming core() {
@@ -27,7 +27,7 @@
     }
 
     /** The owner stops a little before the voters do, for clocks that do not run alike. */
-    public Duration ownClaim() {
-        return claim.minus(claim.dividedBy(20));
+    public Duration ownLease() {
+        return lease.minus(lease.dividedBy(20));
     }
 }
--- a/common/src/main/java/org/woadvale/common/rpc/PendingCalls.java
+++ b/common/src/main/java/org/woadvale/common/rpc/PendingCalls.java
@@ -13,7 +13,7 @@
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 
-/** Matches answers to asks on one stream; bounds what is in flight. Shared by real and fake beams. */
+/** Matches answers to asks on one stream; bounds what is in flight. Shared by real and fake rpcs. */
 public final class PendingCalls {
     private static final int MAX_IN_FLIGHT = 4096;
     private final Map<Long, Sinks.One<Object>> open = new ConcurrentHashMap<>();
--- a/common/src/main/java/org/woadvale/common/rpc/RpcClient.java
+++ b/common/src/main/java/org/woadvale/common/rpc/RpcClient.java
@@ -3,13 +3,13 @@
 import java.time.Duration;
 import reactor.core.publisher.Mono;
 
-/** ControlMessages neighbours; a node's name is its internal address "ip:port": design 3.1. */
+/** ControlMessages peers; a node's name is its internal address "ip:port": design 3.1. */
 public interface RpcClient {
     String self();
 
     /**
      * Fails with UNREACHABLE (never sent), UNKNOWN_OUTCOME (sent, no answer in time),
-     * or with the neighbour's own fault.
+     * or with the peer's own fault.
      */
     <T> Mono<T> ask(String to, Object body, Class<T> answer, Duration limit);
 }
--- a/common/src/main/java/org/woadvale/common/rpc/RpcConnection.java
+++ b/common/src/main/java/org/woadvale/common/rpc/RpcConnection.java
@@ -40,7 +40,7 @@
     private final PendingCalls exchange;
     private final Sinks.One<Boolean> greeted = Sinks.one();
     private volatile State state = State.GREETING;
-    private volatile String neighbour = "?";
+    private volatile String peer = "?";
 
     RpcConnection(
             Connection connection,
@@ -109,14 +109,14 @@
             refuse("versions " + oldest + ".." + newest + " do not meet ours " + Codec.OLDEST + ".." + Codec.NEWEST);
             return;
         }
-        neighbour = in.toString(StandardCharsets.UTF_8);
+        peer = in.toString(StandardCharsets.UTF_8);
         state = State.OPEN;
         greeted.tryEmitValue(Boolean.TRUE);
     }
 
     private void take(Frame f) {
         if (f.kind() == Frame.Kind.ASK) {
-            schedules.soon(() -> PendingCalls.serve(router, neighbour, f).subscribe(this::send));
+            schedules.soon(() -> PendingCalls.serve(router, peer, f).subscribe(this::send));
         } else {
             schedules.soon(() -> exchange.answered(f));
         }
--- a/common/src/main/java/org/woadvale/common/rpc/TcpRpcClient.java
+++ b/common/src/main/java/org/woadvale/common/rpc/TcpRpcClient.java
@@ -16,7 +16,7 @@
 import reactor.netty.tcp.TcpClient;
 import reactor.netty.tcp.TcpServer;
 
-/** Frames over Reactor Netty TCP: one stream to each neighbour we ask. */
+/** Frames over Reactor Netty TCP: one stream to each peer we ask. */
 public final class TcpRpcClient implements RpcClient, Component {
     private static final Logger LOG = LogManager.getLogger("beam");
     private static final Duration CONNECT = Duration.ofMillis(500);
--- a/common/src/main/java/org/woadvale/common/runtime/Clock.java
+++ b/common/src/main/java/org/woadvale/common/runtime/Clock.java
@@ -5,7 +5,7 @@
 
 /** The two clocks of a process: design 2.1. */
 public interface Clock {
-    /** Time since an arbitrary start; never goes back; used for every claim and age. */
+    /** Time since an arbitrary start; never goes back; used for every lease and age. */
     Duration mono();
 
     /** Calendar time; used only for due times and records shown to people. */
--- a/common/src/test/java/org/woadvale/common/config/ConfigurationsTest.java
+++ b/common/src/test/java/org/woadvale/common/config/ConfigurationsTest.java
@@ -14,7 +14,9 @@
 
 class ConfigurationsTest {
     private static List<String> faults(String json) {
-        return assertThrows(ServiceException.class, () -> Configurations.layout(json.getBytes(StandardCharsets.UTF_8)))
+        return assertThrows(
+                        ServiceException.class,
+                        () -> Configurations.configuration(json.getBytes(StandardCharsets.UTF_8)))
                 .details();
     }
 
@@ -45,7 +47,7 @@
                 f);
     }
 
-    /** Before: taken, and the endpoint got both rates. A layout that was taken before is used all the same. */
+    /** Before: taken, and the endpoint got both rates. A configuration that was taken before is used all the same. */
     @Test
     void twoServicesWithOneAddressAreAFault() throws ServiceException {
         String json = """
--- a/common/src/test/java/org/woadvale/common/ratelimit/AggregateBucketTest.java
+++ b/common/src/test/java/org/woadvale/common/ratelimit/AggregateBucketTest.java
@@ -90,10 +90,10 @@
         assertEquals(3, h.ask("y", ask(1, 3), FAR, ms(0)).granted(), "as many as wait are granted at once");
     }
 
-    /** A holder that is there, gone until its claim has lapsed, or moved in order. */
+    /** A holder that is there, gone until its lease has lapsed, or moved in order. */
     private static final class Chain {
         AggregateBucket h = new AggregateBucket(1, -1, false, A, ms(0));
-        long claimEnd;
+        long leaseEnd;
         long goneUntil = -1;
         int lapses;
         int moves;
@@ -105,14 +105,14 @@
                     goneUntil = -1;
                 }
             } else if (random.nextInt(800) == 0) {
-                goneUntil = claimEnd + 100;
+                goneUntil = leaseEnd + 100;
                 lapses++;
             } else if (random.nextInt(800) == 0) {
                 h = new AggregateBucket(h.term() + 1, h.level(ms(t)), false, A, ms(t));
                 moves++;
             }
             if (goneUntil < 0 && t % 250 == 0) {
-                claimEnd = t + 1900;
+                leaseEnd = t + 1900;
             }
         }
     }
@@ -123,18 +123,19 @@
     void acceptedStaysWithinTheAllowanceWhateverGetsLost(long seed) {
         Random random = new Random(seed);
         Chain chain = new Chain();
-        List<LocalBucket> purses = new ArrayList<>(List.of(new LocalBucket(), new LocalBucket(), new LocalBucket()));
+        List<LocalBucket> localBuckets =
+                new ArrayList<>(List.of(new LocalBucket(), new LocalBucket(), new LocalBucket()));
         List<Long> accepted = new ArrayList<>();
         long id = 0;
         for (long t = 0; t < 40_000; t += 5) {
             chain.look(t, random);
             int n = random.nextInt(3);
-            LocalBucket p = purses.get(n);
+            LocalBucket p = localBuckets.get(n);
             if (random.nextInt(4) == 0 && chain.goneUntil < 0) {
                 AdmissionTokens.PassAsk a = new AdmissionTokens.PassAsk("b", ++id, 1, p.reports(ms(t)));
                 int fate = random.nextInt(10);
                 if (fate > 0) {
-                    AdmissionTokens.PassReply r = chain.h.ask("n" + n, a, ms(chain.claimEnd), ms(t));
+                    AdmissionTokens.PassReply r = chain.h.ask("n" + n, a, ms(chain.leaseEnd), ms(t));
                     if (fate > 1) {
                         p.granted(r.grant(), r.granted(), ms(t), r.life(), ms(t));
                     }
@@ -153,7 +154,7 @@
                 });
             }
             if (random.nextInt(500) == 0) {
-                purses.set(n, new LocalBucket());
+                localBuckets.set(n, new LocalBucket());
             }
         }
         assertTrue(accepted.size() > 100, "only " + accepted.size());
--- a/controlplane/src/main/java/org/woadvale/controlplane/ControlPlaneProgram.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/ControlPlaneProgram.java
@@ -72,7 +72,7 @@
                 schedules,
                 onGivenUp,
                 Optional.empty(),
-                o -> List.of(new HttpGateway(b.http(), Operators.MAX_LAYOUT, o::answer)));
+                o -> List.of(new HttpGateway(b.http(), Operators.MAX_CONFIGURATION, o::answer)));
     }
 
     /** The tree with other doors for operators, and with a registry that has the processors. design 1 */
@@ -85,7 +85,7 @@
             throws ServiceException {
         Codec codec = Wire.codec(Wire.LIGHTHOUSE, Operators.types());
         RpcRouter router = new RpcRouter();
-        TcpRpcClient beam = new TcpRpcClient(b.address(), b.listenAt(), codec, router, schedules);
+        TcpRpcClient rpc = new TcpRpcClient(b.address(), b.listenAt(), codec, router, schedules);
         RingWriteAheadLog book;
         try {
             book = RingWriteAheadLog.open(
@@ -97,15 +97,15 @@
         book.onFailure(why -> onGivenUp.run());
         SecureRandom random = new SecureRandom();
         KnownFile known = new KnownFile(b.data());
-        Env env = new Env(new SystemClock(), schedules, beam, codec, book, random::nextLong, ReplicationTiming.core());
-        CoreClient core = new CoreClient(beam, random::nextLong, b.seeds(), known.read(), known::write);
+        Env env = new Env(new SystemClock(), schedules, rpc, codec, book, random::nextLong, ReplicationTiming.core());
+        CoreClient core = new CoreClient(rpc, random::nextLong, b.seeds(), known.read(), known::write);
         ControlNode node = new ControlNode(env, core, b.join() ? List.of() : b.seeds());
         node.route(router);
         Operators operators = new Operators(node, b.operatorKeySha256());
         operators.route(router);
         DRAIN.set(() -> drain(node));
         Supervisor tree =
-                new Supervisor("lighthouse", schedules, onGivenUp).with(beam).with(node);
+                new Supervisor("lighthouse", schedules, onGivenUp).with(rpc).with(node);
         registry.ifPresent(r -> tree.with(new ProcessorRegistry(env, node, r, ROLL)));
         doors.apply(operators).forEach(tree::with);
         return tree;
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/ConfigurationLog.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/ConfigurationLog.java
@@ -12,17 +12,17 @@
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
 
-/** Versions of the layout in order; a repeated request id gets the answer it had. Both are bounded. design 6.4 */
+/** Versions of the configuration in order; a repeated request id gets the answer it had. Both are bounded. design 6.4 */
 public final class ConfigurationLog {
     static final int MOST_STEPS = 256;
     static final int MOST_KNOWN = 4096;
 
-    /** One taken layout. */
+    /** One taken configuration. */
     public record Step(
             long version,
             String requestId,
             String author,
-            byte[] layout,
+            byte[] configuration,
             @Since(3) byte[] original) {}
 
     /** What a request id was used for. */
@@ -62,12 +62,13 @@
     }
 
     /** What the operator sent: the original where there is one. */
-    private static String digest(byte[] layout, byte[] original) {
-        return Configurations.sha256(new String(original.length > 0 ? original : layout, StandardCharsets.UTF_8));
+    private static String digest(byte[] configuration, byte[] original) {
+        return Configurations.sha256(
+                new String(original.length > 0 ? original : configuration, StandardCharsets.UTF_8));
     }
 
     private static String digest(Step s) {
-        return digest(s.layout(), s.original());
+        return digest(s.configuration(), s.original());
     }
 
     private void remember(Known k) {
@@ -86,15 +87,15 @@
     }
 
     private static int size(Step s) {
-        return s.layout().length + s.original().length;
+        return s.configuration().length + s.original().length;
     }
 
-    Object put(ControlMessages.PutLayout p) {
-        String digest = digest(p.layout(), p.original());
+    Object put(ControlMessages.PutConfiguration p) {
+        String digest = digest(p.configuration(), p.original());
         Optional<Known> before = Optional.ofNullable(known.get(p.requestId()));
         if (before.isPresent()) {
             return before.get().digest().equals(digest)
-                    ? new ControlMessages.LayoutTaken(before.get().version(), true)
+                    ? new ControlMessages.ConfigurationTaken(before.get().version(), true)
                     : new ServiceException(ErrorKind.CONFLICT, "This request id was used for another layout.");
         }
         if (p.base() != version()) {
@@ -110,8 +111,8 @@
                     List.of("revision: must be above " + version()));
         }
         long next = p.revision() == 0 ? version() + 1 : p.revision();
-        add(new Step(next, p.requestId(), p.author(), p.layout(), p.original()));
+        add(new Step(next, p.requestId(), p.author(), p.configuration(), p.original()));
         remember(new Known(p.requestId(), version(), digest));
-        return new ControlMessages.LayoutTaken(version(), false);
+        return new ControlMessages.ConfigurationTaken(version(), false);
     }
 }
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/ControlNode.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/ControlNode.java
@@ -23,9 +23,9 @@
 import org.woadvale.common.runtime.TimerHandle;
 import reactor.core.publisher.Mono;
 
-/** A lighthouse: one replica of every control part, and what it answers as their owner. */
+/** A control node: one replica of every control part, and what it answers as their owner. */
 public final class ControlNode implements Component {
-    private record Part(Replica replica, ControlStateMachine machine, LeaseManager claims) {}
+    private record Part(Replica replica, ControlStateMachine machine, LeaseManager leases) {}
 
     private static final int HISTORY = 4 << 20;
     private static final Duration PATIENCE = Duration.ofMillis(2500);
@@ -41,19 +41,19 @@
     private TimerHandle learning = () -> {};
     private volatile boolean draining;
 
-    /** A lighthouse that joins a running core is seated by the owners once {@code wantedCore} names it. */
+    /** A control node that joins a running core is voting by the owners once {@code wantedCore} names it. */
     public ControlNode(Env env, CoreClient core, List<String> wantedCore) {
         this.env = env;
         this.core = core;
         for (String p : ServiceNames.controlParts()) {
             ControlStateMachine m = new ControlStateMachine(
-                    env.codec(), Math.min(HISTORY, env.logbook().largest() / 4));
+                    env.codec(), Math.min(HISTORY, env.wal().largest() / 4));
             Replica r = new Replica(p, turned(wantedCore, p), m, env);
             parts.put(p, new Part(r, m, new LeaseManager(r, m, env)));
         }
     }
 
-    /** Each part has another first lighthouse, so owners are spread. */
+    /** Each part has another first control node, so owners are spread. */
     static List<String> turned(List<String> core, String part) {
         List<String> sorted = new ArrayList<>(new TreeSet<>(core));
         java.util.Collections.rotate(sorted, Integer.parseInt(part.substring(1)));
@@ -68,18 +68,18 @@
     public void route(RpcRouter router) {
         Messages.route(router, id -> part(id).map(Part::replica))
                 .on(
-                        ControlMessages.ClaimAsk.class,
-                        (f, a) -> of(a.service()).flatMap(p -> p.claims().claim(a)))
+                        ControlMessages.LeaseAsk.class,
+                        (f, a) -> of(a.service()).flatMap(p -> p.leases().lease(a)))
                 .on(
                         ControlMessages.LeaveAsk.class,
-                        (f, a) -> of(a.service()).flatMap(p -> p.claims().leave(a)))
+                        (f, a) -> of(a.service()).flatMap(p -> p.leases().leave(a)))
                 .on(
                         ControlMessages.DutyAsk.class,
-                        (f, a) -> of(a.service()).flatMap(p -> p.claims().duty(a)))
+                        (f, a) -> of(a.service()).flatMap(p -> p.leases().duty(a)))
                 .on(
                         ControlMessages.DutyRelease.class,
-                        (f, a) -> of(a.service()).flatMap(p -> p.claims().release(a)))
-                .on(ControlMessages.NewsAsk.class, (f, a) -> news(a))
+                        (f, a) -> of(a.service()).flatMap(p -> p.leases().release(a)))
+                .on(ControlMessages.ViewAsk.class, (f, a) -> subscriptions(a))
                 .on(ControlMessages.CoreAsk.class, (f, a) -> Mono.just(new ControlMessages.CoreReply(lighthouses())))
                 .on(ControlMessages.PutCore.class, (f, a) -> change(ServiceNames.CORE, a))
                 .on(ControlMessages.PutProcessor.class, (f, a) -> change(a.service(), a))
@@ -105,10 +105,10 @@
         return of(service).flatMap(p -> p.replica().propose(command, ControlMessages.Done.class));
     }
 
-    /** Every service asked for is of one part; the age is nothing, since the claim was checked just now. */
-    private Mono<ControlMessages.NewsReply> news(ControlMessages.NewsAsk ask) {
+    /** Every service asked for is of one part; the age is nothing, since the lease was checked just now. */
+    private Mono<ControlMessages.ViewReply> subscriptions(ControlMessages.ViewAsk ask) {
         String id = ServiceNames.controlPart(
-                ask.known().keySet().stream().findFirst().orElse(ServiceNames.LAYOUT));
+                ask.known().keySet().stream().findFirst().orElse(ServiceNames.CONFIGURATION));
         return part(id).flatMap(p -> p.replica().read(i -> {
             List<ServiceView> views = new ArrayList<>();
             Map<String, Duration> ages = new HashMap<>();
@@ -121,7 +121,7 @@
                     }
                 }
             });
-            return new ControlMessages.NewsReply(views, ages);
+            return new ControlMessages.ViewReply(views, ages);
         }));
     }
 
@@ -134,7 +134,7 @@
     @Override
     public void start() throws ServiceException {
         for (Map.Entry<String, Part> e : parts.entrySet()) {
-            e.getValue().replica().start(env.logbook().recovered().getOrDefault(e.getKey(), List.of()));
+            e.getValue().replica().start(env.wal().recovered().getOrDefault(e.getKey(), List.of()));
         }
         looking = env.schedules().every(Duration.ofMillis(250), this::look);
         learning = env.schedules().every(Duration.ofSeconds(2), core::learn);
@@ -156,7 +156,7 @@
         follow();
         seeOwners();
         core.known(lighthouses());
-        parts.values().forEach(p -> p.claims().reap());
+        parts.values().forEach(p -> p.leases().reap());
         Part stores = parts.get(ServiceNames.controlPart(ServiceNames.STORES));
         if (stores.replica().phase() == Phase.OWNING && stores.replica().mayAct()) {
             ServiceView v = stores.replica().look(i -> stores.machine().service(ServiceNames.STORES));
@@ -168,33 +168,33 @@
             }
         }
         if (draining) {
-            handOver();
+            transferLeadership();
         } else {
             spread();
         }
     }
 
-    /** The first lighthouse of a part's list owns it once it is back and up to date; one move at a look. */
+    /** The first control node of a part's list owns it once it is back and up to date; one move at a look. */
     private void spread() {
         for (Map.Entry<String, Part> e : parts.entrySet()) {
             Replica r = e.getValue().replica();
             String first = turned(lighthouses(), e.getKey()).get(0);
-            if (r.heir().filter(first::equals).isPresent() && r.handOver(first)) {
+            if (r.successor().filter(first::equals).isPresent() && r.transferLeadership(first)) {
                 return;
             }
         }
     }
 
-    /** Owners hand over before they stop. */
+    /** Owners processor over before they stop. */
     public boolean drain() {
         draining = true;
         parts.values().forEach(p -> p.replica().unwilling());
-        handOver();
+        transferLeadership();
         return parts.values().stream().noneMatch(p -> p.replica().phase() == Phase.OWNING);
     }
 
-    private void handOver() {
-        parts.values().forEach(p -> p.replica().heir().ifPresent(p.replica()::handOver));
+    private void transferLeadership() {
+        parts.values().forEach(p -> p.replica().successor().ifPresent(p.replica()::transferLeadership));
     }
 
     @Override
@@ -209,7 +209,7 @@
                 p.replica().owner().ifPresent(o -> owned.put(id, env.times().mono())));
     }
 
-    /** A part that changes hands in order is without an owner for a moment; that is no reason to turn operators away. */
+    /** A part that changes processors in order is without an owner for a moment; that is no reason to turn operators away. */
     public boolean ready() {
         seeOwners();
         Duration from = env.times().mono().minus(CHANGES_HANDS);
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/ControlStateMachine.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/ControlStateMachine.java
@@ -17,7 +17,7 @@
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
 
-/** The state of one control part: services by name, and in part 0 the layout. design 6 */
+/** The state of one control part: services by name, and in part 0 the configuration. design 6 */
 public final class ControlStateMachine implements StateMachine {
     /** All of the machine, for views. */
     public record State(
@@ -27,12 +27,12 @@
 
     private final Codec codec;
     private final Map<String, ServiceView> services = new TreeMap<>();
-    private final ConfigurationLog layouts;
+    private final ConfigurationLog configurations;
 
-    /** The history of layouts has so many bytes at the most: a whole view must fit into a ring file. */
+    /** The history of configurations has so many bytes at the most: a whole view must fit into a ring file. */
     public ControlStateMachine(Codec codec, int historyBytes) {
         this.codec = codec;
-        this.layouts = new ConfigurationLog(historyBytes);
+        this.configurations = new ConfigurationLog(historyBytes);
     }
 
     public ServiceView service(String name) {
@@ -43,21 +43,24 @@
         return new TreeMap<>(services);
     }
 
-    public ConfigurationLog layouts() {
-        return layouts;
+    public ConfigurationLog configurations() {
+        return configurations;
     }
 
     @Override
     public Object apply(long index, Object c) {
-        if (c instanceof ControlMessages.PutSeat p) {
-            Map<String, MemberLease> seats = new HashMap<>(service(p.service()).seats());
-            seats.put(p.node(), p.seat());
-            return seats(index, p.service(), seats);
-        } else if (c instanceof ControlMessages.DropSeat d) {
-            Map<String, MemberLease> seats = new HashMap<>(service(d.service()).seats());
-            if (seats.containsKey(d.node()) && seats.get(d.node()).incarnation().equals(d.incarnation())) {
-                seats.remove(d.node());
-                return seats(index, d.service(), seats);
+        if (c instanceof ControlMessages.PutMember p) {
+            Map<String, MemberLease> members =
+                    new HashMap<>(service(p.service()).members());
+            members.put(p.node(), p.memberLease());
+            return members(index, p.service(), members);
+        } else if (c instanceof ControlMessages.DropMember d) {
+            Map<String, MemberLease> members =
+                    new HashMap<>(service(d.service()).members());
+            if (members.containsKey(d.node())
+                    && members.get(d.node()).incarnation().equals(d.incarnation())) {
+                members.remove(d.node());
+                return members(index, d.service(), members);
             }
             return new ControlMessages.Done(false);
         } else if (c instanceof ControlMessages.PutProcessor p) {
@@ -95,26 +98,33 @@
                     new ServiceView(
                             ServiceNames.CORE,
                             index,
-                            v.seats(),
+                            v.members(),
                             v.processors(),
                             v.duty(),
                             Map.of(ServiceNames.CORE, p.lighthouses()),
-                            v.layout(),
-                            v.layoutVersion()));
+                            v.configuration(),
+                            v.configurationVersion()));
             return new ControlMessages.Done(true);
-        } else if (c instanceof ControlMessages.PutLayout p) {
-            return putLayout(index, p);
+        } else if (c instanceof ControlMessages.PutConfiguration p) {
+            return putConfiguration(index, p);
         }
         return new ServiceException(
                 ErrorKind.BAD_REQUEST, "Unknown command " + c.getClass().getSimpleName() + ".");
     }
 
-    private Object seats(long index, String service, Map<String, MemberLease> seats) {
+    private Object members(long index, String service, Map<String, MemberLease> members) {
         ServiceView v = service(service);
         services.put(
                 service,
                 new ServiceView(
-                        service, index, seats, v.processors(), v.duty(), v.placement(), v.layout(), v.layoutVersion()));
+                        service,
+                        index,
+                        members,
+                        v.processors(),
+                        v.duty(),
+                        v.placement(),
+                        v.configuration(),
+                        v.configurationVersion()));
         return new ControlMessages.Done(true);
     }
 
@@ -125,7 +135,15 @@
         }
         services.put(
                 service,
-                new ServiceView(service, index, v.seats(), m, v.duty(), v.placement(), v.layout(), v.layoutVersion()));
+                new ServiceView(
+                        service,
+                        index,
+                        v.members(),
+                        m,
+                        v.duty(),
+                        v.placement(),
+                        v.configuration(),
+                        v.configurationVersion()));
         return new ControlMessages.Done(true);
     }
 
@@ -134,7 +152,14 @@
         services.put(
                 service,
                 new ServiceView(
-                        service, index, v.seats(), v.processors(), d, v.placement(), v.layout(), v.layoutVersion()));
+                        service,
+                        index,
+                        v.members(),
+                        v.processors(),
+                        d,
+                        v.placement(),
+                        v.configuration(),
+                        v.configurationVersion()));
     }
 
     private Object takeDuty(long index, ControlMessages.TakeDuty t) {
@@ -159,29 +184,29 @@
                 new ServiceView(
                         ServiceNames.STORES,
                         index,
-                        v.seats(),
+                        v.members(),
                         v.processors(),
                         v.duty(),
                         p.placement(),
-                        v.layout(),
-                        v.layoutVersion()));
+                        v.configuration(),
+                        v.configurationVersion()));
         return new ControlMessages.Done(true);
     }
 
-    private Object putLayout(long index, ControlMessages.PutLayout p) {
-        Object out = layouts.put(p);
-        if (out instanceof ControlMessages.LayoutTaken t && !t.repeated()) {
-            ServiceView v = service(ServiceNames.LAYOUT);
+    private Object putConfiguration(long index, ControlMessages.PutConfiguration p) {
+        Object out = configurations.put(p);
+        if (out instanceof ControlMessages.ConfigurationTaken t && !t.repeated()) {
+            ServiceView v = service(ServiceNames.CONFIGURATION);
             services.put(
-                    ServiceNames.LAYOUT,
+                    ServiceNames.CONFIGURATION,
                     new ServiceView(
-                            ServiceNames.LAYOUT,
+                            ServiceNames.CONFIGURATION,
                             index,
-                            v.seats(),
+                            v.members(),
                             v.processors(),
                             v.duty(),
                             v.placement(),
-                            p.layout(),
+                            p.configuration(),
                             t.version()));
         }
         return out;
@@ -189,7 +214,7 @@
 
     @Override
     public byte[] view() {
-        return codec.write(new State(new HashMap<>(services), layouts.steps(), layouts.known()));
+        return codec.write(new State(new HashMap<>(services), configurations.steps(), configurations.known()));
     }
 
     @Override
@@ -198,7 +223,7 @@
             State s = codec.read(view, State.class);
             services.clear();
             services.putAll(s.services());
-            layouts.restore(s.steps(), s.known());
+            configurations.restore(s.steps(), s.known());
         } catch (ServiceException e) {
             throw new IllegalStateException("unreadable view", e);
         }
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/LeaseManager.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/LeaseManager.java
@@ -18,7 +18,7 @@
 import org.woadvale.common.runtime.LockedShard;
 import reactor.core.publisher.Mono;
 
-/** Renewals of one part, in its owner's memory; a new owner grants every claim a whole time anew. design 6.3 */
+/** Renewals of one part, in its owner's memory; a new owner grants every lease a whole time anew. design 6.3 */
 final class LeaseManager {
     private static final Logger LOG = LogManager.getLogger("watch");
     private final Replica replica;
@@ -46,7 +46,7 @@
         return shard.get(() -> {
             noteTerm();
             Duration last = heard.getOrDefault(key, ownerSince);
-            return now().minus(last).compareTo(ReplicationTiming.usual().claim()) > 0;
+            return now().minus(last).compareTo(ReplicationTiming.usual().lease()) > 0;
         });
     }
 
@@ -71,25 +71,26 @@
         return replica.read(i -> i).flatMap(then);
     }
 
-    Mono<ControlMessages.Done> claim(ControlMessages.ClaimAsk a) {
+    Mono<ControlMessages.Done> lease(ControlMessages.LeaseAsk a) {
         return owned(i -> {
             hear(a.service() + "|" + a.node());
             MemberLease known =
-                    replica.look(x -> machine.service(a.service())).seats().get(a.node());
-            if (a.seat().equals(known)) {
+                    replica.look(x -> machine.service(a.service())).members().get(a.node());
+            if (a.memberLease().equals(known)) {
                 return Mono.just(new ControlMessages.Done(true));
             }
             LOG.info("watch: {} joins {}.", a.node(), a.service());
             return replica.propose(
-                    new ControlMessages.PutSeat(a.service(), a.node(), a.seat()), ControlMessages.Done.class);
+                    new ControlMessages.PutMember(a.service(), a.node(), a.memberLease()), ControlMessages.Done.class);
         });
     }
 
     Mono<ControlMessages.Done> leave(ControlMessages.LeaveAsk a) {
-        return owned(i -> Optional.ofNullable(
-                        replica.look(x -> machine.service(a.service())).seats().get(a.node()))
+        return owned(i -> Optional.ofNullable(replica.look(x -> machine.service(a.service()))
+                        .members()
+                        .get(a.node()))
                 .map(s -> replica.propose(
-                        new ControlMessages.DropSeat(a.service(), a.node(), s.incarnation()),
+                        new ControlMessages.DropMember(a.service(), a.node(), s.incarnation()),
                         ControlMessages.Done.class))
                 .orElse(Mono.just(new ControlMessages.Done(true))));
     }
@@ -135,17 +136,17 @@
                 ControlMessages.Done.class));
     }
 
-    /** Members whose claim has lapsed are members no more. */
+    /** Members whose lease has lapsed are members no more. */
     void reap() {
         if (replica.phase() != Phase.OWNING || !replica.mayAct()) {
             return;
         }
         for (ServiceView v : replica.look(i -> machine.services()).values()) {
-            v.seats().forEach((node, seat) -> {
+            v.members().forEach((node, memberLease) -> {
                 if (lapsed(v.service() + "|" + node)) {
                     LOG.info("watch: the claim of {} in {} lapsed.", node, v.service());
                     replica.propose(
-                                    new ControlMessages.DropSeat(v.service(), node, seat.incarnation()),
+                                    new ControlMessages.DropMember(v.service(), node, memberLease.incarnation()),
                                     ControlMessages.Done.class)
                             .subscribe(d -> {}, e -> {});
                 }
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/Operators.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/Operators.java
@@ -16,19 +16,19 @@
 import org.woadvale.common.runtime.ServiceException;
 import reactor.core.publisher.Mono;
 
-/** HTTP for operators and the platform, on any lighthouse; each request finds its owner. design 6.4 */
+/** HTTP for operators and the platform, on any control node; each request finds its owner. design 6.4 */
 public final class Operators {
-    public static final int MAX_LAYOUT = 1 << 20;
+    public static final int MAX_CONFIGURATION = 1 << 20;
 
-    /** Carried from the asked lighthouse to the owner of part 0. */
-    public record LayoutPut(ControlMessages.PutLayout put) {}
+    /** Carried from the asked control node to the owner of part 0. */
+    public record ConfigurationPut(ControlMessages.PutConfiguration put) {}
 
-    public record LayoutGet(long version) {}
+    public record ConfigurationGet(long version) {}
 
-    public record LayoutIs(
+    public record ConfigurationIs(
             long version,
             String author,
-            byte[] layout,
+            byte[] configuration,
             @Since(3) byte[] original) {}
 
     public record HistoryGet(int most) {}
@@ -43,9 +43,9 @@
         return List.of(
                 ControlStateMachine.State.class,
                 ConfigurationLog.Step.class,
-                LayoutPut.class,
-                LayoutGet.class,
-                LayoutIs.class,
+                ConfigurationPut.class,
+                ConfigurationGet.class,
+                ConfigurationIs.class,
                 HistoryGet.class,
                 History.class,
                 ProcessorsGet.class,
@@ -65,16 +65,18 @@
 
     public void route(org.woadvale.common.rpc.RpcRouter router) {
         ControlStateMachine m = node.machine("c0");
-        router.on(LayoutPut.class, (f, a) -> node.replica("c0").propose(a.put(), ControlMessages.LayoutTaken.class))
+        router.on(
+                        ConfigurationPut.class,
+                        (f, a) -> node.replica("c0").propose(a.put(), ControlMessages.ConfigurationTaken.class))
                 .on(
-                        LayoutGet.class,
+                        ConfigurationGet.class,
                         (f, a) -> node.replica("c0")
-                                .read(i -> m.layouts().steps())
+                                .read(i -> m.configurations().steps())
                                 .flatMap(steps -> pick(steps, a.version())))
                 .on(
                         HistoryGet.class,
                         (f, a) -> node.replica("c0")
-                                .read(i -> m.layouts().steps())
+                                .read(i -> m.configurations().steps())
                                 .map(s -> new History(
                                         s.stream()
                                                 .map(ConfigurationLog.Step::version)
@@ -95,15 +97,15 @@
                                 }));
     }
 
-    private static Mono<LayoutIs> pick(List<ConfigurationLog.Step> steps, long version) {
+    private static Mono<ConfigurationIs> pick(List<ConfigurationLog.Step> steps, long version) {
         if (steps.isEmpty() && version <= 0) {
-            return Mono.just(new LayoutIs(
+            return Mono.just(new ConfigurationIs(
                     0, "", Configurations.write(org.woadvale.common.config.Configuration.empty()), new byte[0]));
         }
         return Mono.justOrEmpty(steps.stream()
                         .filter(s -> version < 0 ? s == steps.get(steps.size() - 1) : s.version() == version)
                         .findFirst()
-                        .map(s -> new LayoutIs(s.version(), s.author(), s.layout(), s.original())))
+                        .map(s -> new ConfigurationIs(s.version(), s.author(), s.configuration(), s.original())))
                 .switchIfEmpty(Mono.error(
                         new ServiceException(ErrorKind.NOT_FOUND, "The version " + version + " is not kept.")));
     }
@@ -148,7 +150,7 @@
 
     private Mono<Answer> put(Request q) {
         try {
-            Configurations.layout(q.body());
+            Configurations.configuration(q.body());
         } catch (ServiceException e) {
             return Mono.error(e);
         }
@@ -166,7 +168,7 @@
             return Mono.error(
                     new ServiceException(ErrorKind.BAD_REQUEST, "X-Request-Id must be 1 to 64 letters, digits, . _ -"));
         }
-        ControlMessages.PutLayout put = new ControlMessages.PutLayout(
+        ControlMessages.PutConfiguration put = new ControlMessages.PutConfiguration(
                 id, base.get(), q.body(), q.header("x-author").orElse(""));
         return put(put).map(
                         t -> Answer.json(200, Map.of("version", t.version(), "repeated", t.repeated(), "requestId", id))
@@ -178,19 +180,19 @@
     }
 
     /** Checked by the caller; the answer is a definite yes or no, or UNKNOWN_OUTCOME. design 6.4 */
-    public Mono<ControlMessages.LayoutTaken> put(ControlMessages.PutLayout p) {
-        return node.ask("c0", new LayoutPut(p), ControlMessages.LayoutTaken.class);
+    public Mono<ControlMessages.ConfigurationTaken> put(ControlMessages.PutConfiguration p) {
+        return node.ask("c0", new ConfigurationPut(p), ControlMessages.ConfigurationTaken.class);
     }
 
-    /** A kept layout by its version, the newest for -1. */
-    public Mono<LayoutIs> layout(long version) {
-        return node.ask("c0", new LayoutGet(version), LayoutIs.class);
+    /** A kept configuration by its version, the newest for -1. */
+    public Mono<ConfigurationIs> configuration(long version) {
+        return node.ask("c0", new ConfigurationGet(version), ConfigurationIs.class);
     }
 
     private Mono<Answer> get(List<String> s) {
         long version = s.size() > 2 && s.get(2).matches("[0-9]{1,18}") ? Long.parseLong(s.get(2)) : -1;
-        return layout(version)
-                .map(l -> new Answer(200, Map.of("Content-Type", "application/json"), l.layout())
+        return configuration(version)
+                .map(l -> new Answer(200, Map.of("Content-Type", "application/json"), l.configuration())
                         .with("ETag", "\"" + l.version() + "\""));
     }
 
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/ProcessorRegistry.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/ProcessorRegistry.java
@@ -59,11 +59,11 @@
         return r.mayAct();
     }
 
-    /** Services that have a list; none as long as no layout was taken. */
+    /** Services that have a list; none as long as no configuration was taken. */
     private Set<String> listed() {
         byte[] json = node.replica("c0")
-                .look(i -> node.machine("c0").service(ServiceNames.LAYOUT))
-                .layout();
+                .look(i -> node.machine("c0").service(ServiceNames.CONFIGURATION))
+                .configuration();
         Set<String> out = new TreeSet<>();
         if (json.length > 0) {
             try {
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/ReplicaBalancer.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/ReplicaBalancer.java
@@ -44,7 +44,7 @@
         return c;
     }
 
-    /** A copy goes from a fuller store to the emptiest while they differ by two, and no part gets into fewer halls. */
+    /** A copy goes from a fuller store to the emptiest while they differ by two, and no part gets into fewer zones. */
     private Optional<Change> copy(ServiceView v) {
         Map<String, Integer> load = load(v.placement());
         Comparator<String> byLoad =
@@ -58,8 +58,8 @@
                         .filter(e ->
                                 e.getValue().contains(fuller) && !e.getValue().contains(least))
                         .map(e -> new Change(e.getKey(), replaced(e.getValue(), fuller, least), Optional.of(least)))
-                        .filter(c -> halls(v.seats(), c.copies())
-                                >= halls(v.seats(), v.placement().get(c.part()))))
+                        .filter(c -> zones(v.members(), c.copies())
+                                >= zones(v.members(), v.placement().get(c.part()))))
                 .findFirst();
     }
 
@@ -69,8 +69,8 @@
         return List.copyOf(out);
     }
 
-    private static long halls(Map<String, MemberLease> seats, List<String> copies) {
-        return new HashSet<>(copies.stream().map(c -> seats.get(c).hall()).toList()).size();
+    private static long zones(Map<String, MemberLease> members, List<String> copies) {
+        return new HashSet<>(copies.stream().map(c -> members.get(c).zone()).toList()).size();
     }
 
     /** The first of a part's list owns it: those are spread in the same way, by order alone. */
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/ReplicaPlacement.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/ReplicaPlacement.java
@@ -14,12 +14,12 @@
 import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.membership.ServiceView;
 
-/** Draws three stores in different halls for each message part; moves as little as it can, a few at a time. design 6.5 */
+/** Draws three stores in different zones for each message part; moves as little as it can, a few at a time. design 6.5 */
 final class ReplicaPlacement {
     static final int COPIES = 3;
     /** A store is replaced only after it has been away for so long. */
     static final Duration GIVEN_UP = Duration.ofSeconds(10);
-    /** So many seats may be on their way at once; one that does not arrive stops counting after a while. */
+    /** So many members may be on their way at once; one that does not arrive stops counting after a while. */
     static final int MOST_MOVING = 2;
 
     private static final Duration TOLD = Duration.ofMillis(1500);
@@ -34,13 +34,13 @@
 
     /** The placement that should be; the present one where nothing is to be done. */
     Map<String, List<String>> next(ServiceView v, Duration now) {
-        v.seats().keySet().forEach(n -> lastSeen.put(n, now));
+        v.members().keySet().forEach(n -> lastSeen.put(n, now));
         Map<String, List<String>> present = v.placement();
         if (present.isEmpty()) {
-            return first(v.seats(), now);
+            return first(v.members(), now);
         }
         moving.entrySet().removeIf(e -> arrived(v, e.getKey(), e.getValue(), now));
-        evening.look(v.seats().keySet(), now);
+        evening.look(v.members().keySet(), now);
         if (moving.size() >= MOST_MOVING) {
             return present;
         }
@@ -70,8 +70,8 @@
     /** The store has been told, and says that it counts in the part; or it is given up. */
     private static boolean arrived(ServiceView v, String part, Move m, Duration now) {
         Duration age = now.minus(m.since());
-        boolean counts = Optional.ofNullable(v.seats().get(m.to()))
-                .map(s -> !s.unseated().contains(part))
+        boolean counts = Optional.ofNullable(v.members().get(m.to()))
+                .map(s -> !s.notVoting().contains(part))
                 .orElse(false);
         return age.compareTo(MOVE_LIMIT) > 0 || age.compareTo(TOLD) > 0 && counts;
     }
@@ -84,7 +84,7 @@
             if (now.minus(lastSeen.get(gone)).compareTo(GIVEN_UP) > 0) {
                 List<String> rest = new ArrayList<>(copies);
                 rest.remove(gone);
-                List<String> spare = candidates(v.seats(), rest, out);
+                List<String> spare = candidates(v.members(), rest, out);
                 if (!spare.isEmpty()) {
                     copies.set(i, spare.get(0));
                     return Optional.of(List.copyOf(copies));
@@ -94,8 +94,8 @@
         return Optional.empty();
     }
 
-    private Map<String, List<String>> first(Map<String, MemberLease> seats, Duration now) {
-        if (seats.size() < COPIES) {
+    private Map<String, List<String>> first(Map<String, MemberLease> members, Duration now) {
+        if (members.size() < COPIES) {
             return Map.of();
         }
         // design 6.5: wait a moment after the third store, so that a fourth that starts with them gets its share
@@ -107,7 +107,7 @@
         for (String part : ServiceNames.messageParts()) {
             List<String> copies = new ArrayList<>();
             while (copies.size() < COPIES) {
-                copies.add(candidates(seats, copies, out).get(0));
+                copies.add(candidates(members, copies, out).get(0));
             }
             out.put(part, firstByTurn(copies, out));
         }
@@ -123,16 +123,16 @@
         return List.copyOf(sorted);
     }
 
-    /** Those not yet used, other halls first, then the least loaded. */
+    /** Those not yet used, other zones first, then the least loaded. */
     private static List<String> candidates(
-            Map<String, MemberLease> seats, List<String> used, Map<String, List<String>> out) {
-        Set<String> halls = new HashSet<>();
-        used.forEach(u -> halls.add(seats.containsKey(u) ? seats.get(u).hall() : "?"));
+            Map<String, MemberLease> members, List<String> used, Map<String, List<String>> out) {
+        Set<String> zones = new HashSet<>();
+        used.forEach(u -> zones.add(members.containsKey(u) ? members.get(u).zone() : "?"));
         Map<String, Integer> load = ReplicaBalancer.load(out);
-        return seats.keySet().stream()
+        return members.keySet().stream()
                 .filter(n -> !used.contains(n))
                 .sorted(Comparator.<String>comparingInt(
-                                n -> halls.contains(seats.get(n).hall()) ? 1 : 0)
+                                n -> zones.contains(members.get(n).zone()) ? 1 : 0)
                         .thenComparingInt(n -> load.getOrDefault(n, 0))
                         .thenComparing(n -> n))
                 .toList();
--- a/controlplane/src/test/java/org/woadvale/controlplane/partition/ConfigurationLogTest.java
+++ b/controlplane/src/test/java/org/woadvale/controlplane/partition/ConfigurationLogTest.java
@@ -19,7 +19,7 @@
     }
 
     private Object put(String id, long base, long revision, String original) {
-        return log.put(new ControlMessages.PutLayout(id, base, bytes("{}"), "me", revision, bytes(original)));
+        return log.put(new ControlMessages.PutConfiguration(id, base, bytes("{}"), "me", revision, bytes(original)));
     }
 
     private static ErrorKind kind(Object o) {
@@ -28,12 +28,12 @@
 
     @Test
     void ownRevisionIsTheVersionAndRisesInUnevenSteps() {
-        assertEquals(new ControlMessages.LayoutTaken(3, false), put("a", 0, 3, "A"));
-        assertEquals(new ControlMessages.LayoutTaken(17, false), put("b", 3, 17, "B"));
+        assertEquals(new ControlMessages.ConfigurationTaken(3, false), put("a", 0, 3, "A"));
+        assertEquals(new ControlMessages.ConfigurationTaken(17, false), put("b", 3, 17, "B"));
         assertEquals(17, log.version());
         assertEquals(
-                new ControlMessages.LayoutTaken(18, false),
-                log.put(new ControlMessages.PutLayout("c", 17, bytes("{}"), "me")));
+                new ControlMessages.ConfigurationTaken(18, false),
+                log.put(new ControlMessages.PutConfiguration("c", 17, bytes("{}"), "me")));
     }
 
     @Test
@@ -47,7 +47,7 @@
     @Test
     void ofTwoOnOneBaseTheSecondIsStale() {
         put("a", 0, 5, "A");
-        assertEquals(new ControlMessages.LayoutTaken(7, false), put("b", 5, 7, "B"));
+        assertEquals(new ControlMessages.ConfigurationTaken(7, false), put("b", 5, 7, "B"));
         Object lost = put("c", 5, 8, "C");
         assertEquals(ErrorKind.STALE_BASE, kind(lost));
         assertTrue(((ServiceException) lost).details().contains("7"), "the present one is named");
@@ -57,12 +57,12 @@
     void sameTextAgainHasTheSameAnswerEvenLater() {
         put("a", 0, 5, "A");
         put("b", 5, 7, "B");
-        assertEquals(new ControlMessages.LayoutTaken(5, true), put("a", 0, 5, "A"));
-        assertEquals(new ControlMessages.LayoutTaken(7, true), put("b", 5, 7, "B"));
+        assertEquals(new ControlMessages.ConfigurationTaken(5, true), put("a", 0, 5, "A"));
+        assertEquals(new ControlMessages.ConfigurationTaken(7, true), put("b", 5, 7, "B"));
         assertEquals(ErrorKind.CONFLICT, kind(put("a", 0, 5, "other text")));
     }
 
-    /** Two texts that mean the same layout are two changes. */
+    /** Two texts that mean the same configuration are two changes. */
     @Test
     void repeatsAreToldByTheOriginal() {
         put("a", 0, 5, "A");
@@ -79,8 +79,8 @@
         assertEquals(7, other.version());
         assertArrayEquals(bytes("B"), other.steps().get(1).original());
         assertEquals(
-                new ControlMessages.LayoutTaken(5, true),
-                other.put(new ControlMessages.PutLayout("a", 0, bytes("{}"), "me", 5, bytes("A"))));
+                new ControlMessages.ConfigurationTaken(5, true),
+                other.put(new ControlMessages.PutConfiguration("a", 0, bytes("{}"), "me", 5, bytes("A"))));
     }
 
     /** Originals count towards the bound, the ids stay. */
@@ -89,13 +89,15 @@
         ConfigurationLog small = new ConfigurationLog(1000);
         long base = 0;
         for (int i = 1; i <= 20; i++) {
-            small.put(new ControlMessages.PutLayout("id" + i, base, bytes("{}"), "me", i * 3L, bytes("x".repeat(300))));
+            small.put(new ControlMessages.PutConfiguration(
+                    "id" + i, base, bytes("{}"), "me", i * 3L, bytes("x".repeat(300))));
             base = i * 3L;
         }
         assertEquals(60, small.version());
         assertTrue(small.steps().size() <= 3, small.steps().size() + " kept");
         assertEquals(
-                new ControlMessages.LayoutTaken(3, true),
-                small.put(new ControlMessages.PutLayout("id1", 0, bytes("{}"), "me", 3, bytes("x".repeat(300)))));
+                new ControlMessages.ConfigurationTaken(3, true),
+                small.put(
+                        new ControlMessages.PutConfiguration("id1", 0, bytes("{}"), "me", 3, bytes("x".repeat(300)))));
     }
 }
--- a/dataplane/src/main/java/org/woadvale/dataplane/ConfigurationView.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/ConfigurationView.java
@@ -17,16 +17,16 @@
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
 
-/** The layout as this node may use it: only while its age is proven. design 7.2 */
+/** The configuration as this node may use it: only while its age is proven. design 7.2 */
 public final class ConfigurationView {
     private static final Logger LOG = LogManager.getLogger("beacon");
     /** A leaving bucket's burst, in seconds of its rate: any 5 s stay within a tenth of the rate. design 8.3 */
     private static final double LEAVING_BURST_S = 0.4;
 
-    /** A layout, read once. */
+    /** A configuration, read once. */
     public record Known(
             long version,
-            Configuration layout,
+            Configuration configuration,
             Map<String, Configuration.Key> keysByHash,
             Map<String, RateLimit> allowances,
             Map<String, TreeMap<String, String>> doors) {
@@ -44,22 +44,22 @@
         }
     }
 
-    private final ViewSubscriptions news;
+    private final ViewSubscriptions subscriptions;
     private volatile Known known = read(0, new byte[0]);
 
-    public ConfigurationView(ViewSubscriptions news) {
-        this.news = news;
-        news.onView((service, v) -> {
-            if (service.equals(ServiceNames.LAYOUT)) {
+    public ConfigurationView(ViewSubscriptions subscriptions) {
+        this.subscriptions = subscriptions;
+        subscriptions.onView((service, v) -> {
+            if (service.equals(ServiceNames.CONFIGURATION)) {
                 take(v);
             }
         });
     }
 
     private synchronized Known take(ServiceView v) {
-        if (v.layoutVersion() > known.version()) {
-            known = read(v.layoutVersion(), v.layout());
-            LOG.info("beacon: layout {} applies here.", v.layoutVersion());
+        if (v.configurationVersion() > known.version()) {
+            known = read(v.configurationVersion(), v.configuration());
+            LOG.info("beacon: layout {} applies here.", v.configurationVersion());
         }
         return known;
     }
@@ -90,7 +90,9 @@
     }
 
     public Optional<Known> fresh() {
-        return news.fresh(ServiceNames.LAYOUT).map(v -> v.layoutVersion() == known.version() ? known : take(v));
+        return subscriptions
+                .fresh(ServiceNames.CONFIGURATION)
+                .map(v -> v.configurationVersion() == known.version() ? known : take(v));
     }
 
     public Known require() throws ServiceException {
@@ -108,18 +110,18 @@
                                 : "fetch/" + name);
     }
 
-    /** The same by the layout that is proven fresh; all empty where none is. */
+    /** The same by the configuration that is proven fresh; all empty where none is. */
     public Optional<Optional<String>> leavingBucket(String service) {
         return fresh().map(k ->
-                Optional.ofNullable(k.layout().services().get(service)).flatMap(s -> leaving(service, s)));
+                Optional.ofNullable(k.configuration().services().get(service)).flatMap(s -> leaving(service, s)));
     }
 
-    /** The allowance behind a bucket's name; empty where the layout has none or is not proven fresh. */
+    /** The allowance behind a bucket's name; empty where the configuration has none or is not proven fresh. */
     public Optional<RateLimit> allowance(String bucket) {
         return fresh().flatMap(k -> Optional.ofNullable(k.allowances().get(bucket)));
     }
 
-    /** Every shared bucket that the latest layout calls for. */
+    /** Every shared bucket that the latest configuration calls for. */
     public Set<String> buckets() {
         return known.allowances().keySet();
     }
--- a/dataplane/src/main/java/org/woadvale/dataplane/DataPlaneNode.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/DataPlaneNode.java
@@ -47,19 +47,19 @@
     private final Env env;
     private final Settings boot;
     private final CoreClient core;
-    private final ViewSubscriptions news;
-    private final ConfigurationView layouts;
-    private final LocalBuckets purses;
+    private final ViewSubscriptions subscriptions;
+    private final ConfigurationView configurations;
+    private final LocalBuckets localBuckets;
     private final Optional<TokenGranters> holders;
-    private final Optional<MessagePartitions> berths;
-    private final Optional<Dispatchers> launches;
-    private final PartitionReplicas seats;
-    private final IngressNode gangway;
+    private final Optional<MessagePartitions> partitions;
+    private final Optional<Dispatchers> dispatchers;
+    private final PartitionReplicas members;
+    private final IngressNode ingress;
     private final Intake intake;
     private final Fetches fetches;
     private final Queries queries;
     private final String incarnation;
-    private TimerHandle claiming = () -> {};
+    private TimerHandle renewing = () -> {};
     private TimerHandle learning = () -> {};
     private volatile boolean draining;
 
@@ -67,44 +67,46 @@
         this(env, boot, core, post, new NativeDeliveryProtocol());
     }
 
-    public DataPlaneNode(Env env, Settings boot, CoreClient core, DeliveryClient post, DeliveryProtocol speech) {
+    public DataPlaneNode(Env env, Settings boot, CoreClient core, DeliveryClient post, DeliveryProtocol protocol) {
         this.env = env;
         this.boot = boot;
         this.core = core;
         this.incarnation = Long.toHexString(env.random().getAsLong());
-        this.news = new ViewSubscriptions(env, core, boot.hall());
-        this.layouts = new ConfigurationView(news);
-        this.purses = new LocalBuckets(env, news);
-        SubmitForwarder courier = new SubmitForwarder(env, news, boot.hall());
+        this.subscriptions = new ViewSubscriptions(env, core, boot.zone());
+        this.configurations = new ConfigurationView(subscriptions);
+        this.localBuckets = new LocalBuckets(env, subscriptions);
+        SubmitForwarder forwarder = new SubmitForwarder(env, subscriptions, boot.zone());
         this.holders = boot.roles().contains("intake")
-                ? Optional.of(new TokenGranters(env, core, news, layouts::allowance, layouts::buckets))
+                ? Optional.of(
+                        new TokenGranters(env, core, subscriptions, configurations::allowance, configurations::buckets))
                 : Optional.empty();
-        this.berths = boot.roles().contains("store")
+        this.partitions = boot.roles().contains("store")
                 ? Optional.of(new MessagePartitions(
                         env,
-                        news,
+                        subscriptions,
                         STORE_UNITS,
                         PART_UNITS,
                         (long) boot.partMb() << 20,
                         Duration.ofSeconds(boot.keepEndedS())))
                 : Optional.empty();
-        this.seats = new PartitionReplicas(env, news, berths);
-        this.launches = berths.map(b -> new Dispatchers(new DispatchContext(
+        this.members = new PartitionReplicas(env, subscriptions, partitions);
+        this.dispatchers = partitions.map(b -> new Dispatchers(new DispatchContext(
                 env,
-                news,
-                layouts,
-                purses,
+                subscriptions,
+                configurations,
+                localBuckets,
                 b,
                 new Targets(env),
                 post,
-                speech,
-                new Recorder(env, courier),
+                protocol,
+                new Recorder(env, forwarder),
                 Duration.ofMillis(boot.leaseMs()),
-                boot.hall())));
-        this.intake = new Intake(env, layouts, purses, courier);
-        this.fetches = new Fetches(env, news, layouts, courier, boot.hall(), () -> draining);
-        this.queries = new Queries(layouts, courier);
-        this.gangway = new IngressNode(env, layouts, intake, queries, courier, this::status, this::ready, this::drain);
+                boot.zone())));
+        this.intake = new Intake(env, configurations, localBuckets, forwarder);
+        this.fetches = new Fetches(env, subscriptions, configurations, forwarder, boot.zone(), () -> draining);
+        this.queries = new Queries(configurations, forwarder);
+        this.ingress = new IngressNode(
+                env, configurations, intake, queries, forwarder, this::status, this::ready, this::drain);
     }
 
     @Override
@@ -113,41 +115,41 @@
     }
 
     public void route(RpcRouter router) {
-        router.on(ControlMessages.NewsAsk.class, (f, a) -> news.asked(a))
+        router.on(ControlMessages.ViewAsk.class, (f, a) -> subscriptions.asked(a))
                 .on(
                         ControlMessages.CoreAsk.class,
                         (f, a) -> Mono.just(new ControlMessages.CoreReply(core.lighthouses())));
         holders.ifPresent(h -> router.on(AdmissionTokens.PassAsk.class, h::asked));
-        berths.ifPresent(b -> b.route(router));
-        launches.ifPresent(l -> l.route(router));
+        partitions.ifPresent(b -> b.route(router));
+        dispatchers.ifPresent(l -> l.route(router));
     }
 
     @Override
     public void start() throws ServiceException {
-        news.start();
-        purses.start();
+        subscriptions.start();
+        localBuckets.start();
         holders.ifPresent(TokenGranters::start);
-        if (berths.isPresent()) {
-            launches.ifPresent(l -> berths.get().onOpen(l::opened));
-            berths.get().start();
-            launches.ifPresent(Dispatchers::start);
+        if (partitions.isPresent()) {
+            dispatchers.ifPresent(l -> partitions.get().onOpen(l::opened));
+            partitions.get().start();
+            dispatchers.ifPresent(Dispatchers::start);
         }
-        claim();
-        claiming = env.schedules().every(ReplicationTiming.usual().renew(), this::claim);
+        lease();
+        renewing = env.schedules().every(ReplicationTiming.usual().renew(), this::lease);
         learning = env.schedules().every(Duration.ofSeconds(2), core::learn);
     }
 
-    /** A member while it renews its claim: design 6.3. */
-    private void claim() {
+    /** A member while it renews its lease: design 6.3. */
+    private void lease() {
         if (draining) {
             return;
         }
-        MemberLease seat = new MemberLease(boot.hall(), boot.http(), incarnation, seats.unseated());
+        MemberLease memberLease = new MemberLease(boot.zone(), boot.http(), incarnation, members.notVoting());
         boot.roles().forEach(role -> {
             String service = "role/" + role;
             core.ask(
                             ServiceNames.controlPart(service),
-                            new ControlMessages.ClaimAsk(service, env.self(), seat),
+                            new ControlMessages.LeaseAsk(service, env.self(), memberLease),
                             ControlMessages.Done.class)
                     .subscribe(d -> {}, e -> {});
         });
@@ -167,12 +169,12 @@
                         .subscribe(d -> {}, e -> {});
             });
         }
-        return berths.map(MessagePartitions::drain).orElse(true);
+        return partitions.map(MessagePartitions::drain).orElse(true);
     }
 
     /** No delivery that was begun here is still without its end. */
     public boolean idle() {
-        return launches.map(Dispatchers::idle).orElse(true);
+        return dispatchers.map(Dispatchers::idle).orElse(true);
     }
 
     /** The boot values changed while we run. */
@@ -182,29 +184,30 @@
 
     public boolean ready() {
         return !draining
-                && layouts.fresh().isPresent()
-                && !news.latest(ServiceNames.STORES).placement().isEmpty()
-                && berths.map(b -> b.all().values().stream()
+                && configurations.fresh().isPresent()
+                && !subscriptions.latest(ServiceNames.STORES).placement().isEmpty()
+                && partitions
+                        .map(b -> b.all().values().stream()
                                 .allMatch(x -> x.replica().owner().isPresent()))
                         .orElse(true);
     }
 
     public Map<String, Set<String>> groups() {
-        return seats.groups();
+        return members.groups();
     }
 
-    public int unseatedCount() {
-        return seats.unseated().size();
+    public int notVotingCount() {
+        return members.notVoting().size();
     }
 
     /** How many message parts this node owns now. */
     public long owned() {
-        return seats.owned();
+        return members.owned();
     }
 
     /** The term of a message part as known here; zero where it is not. */
     public long term(String part) {
-        return seats.term(part);
+        return members.term(part);
     }
 
     /** The shared buckets that this node holds. */
@@ -213,14 +216,14 @@
     }
 
     public LocalBuckets.Counts passes() {
-        return purses.counts();
+        return localBuckets.counts();
     }
 
-    public ConfigurationView layouts() {
-        return layouts;
+    public ConfigurationView configurations() {
+        return configurations;
     }
 
-    /** The way in for messages, for other doors than the gangway's. design 9.12 */
+    /** The way in for messages, for other doors than the ingress's. design 9.12 */
     public Intake intake() {
         return intake;
     }
@@ -238,31 +241,33 @@
     }
 
     public Mono<Answer> answer(Request q) {
-        return gangway.answer(q);
+        return ingress.answer(q);
     }
 
     public Map<String, Object> status() {
         Map<String, Object> out = new LinkedHashMap<>();
         out.put("address", env.self());
-        out.put("hall", boot.hall());
+        out.put("hall", boot.zone());
         out.put("roles", boot.roles());
         out.put("draining", draining);
-        out.put("layout", layouts.fresh().map(ConfigurationView.Known::version).orElse(-1L));
-        out.put("passes", purses.counts());
+        out.put(
+                "layout",
+                configurations.fresh().map(ConfigurationView.Known::version).orElse(-1L));
+        out.put("passes", localBuckets.counts());
         holders.ifPresent(
                 h -> out.put("holds", Map.of("buckets", h.holds(), "asks", h.asks(), "granted", h.granted())));
-        seats.status(out);
+        members.status(out);
         return out;
     }
 
     @Override
     public void stop() {
-        claiming.cancel();
+        renewing.cancel();
         learning.cancel();
-        launches.ifPresent(Dispatchers::stop);
-        berths.ifPresent(MessagePartitions::stop);
+        dispatchers.ifPresent(Dispatchers::stop);
+        partitions.ifPresent(MessagePartitions::stop);
         holders.ifPresent(TokenGranters::stop);
-        purses.stop();
-        news.stop();
+        localBuckets.stop();
+        subscriptions.stop();
     }
 }
--- a/dataplane/src/main/java/org/woadvale/dataplane/DataPlaneProgram.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/DataPlaneProgram.java
@@ -80,41 +80,41 @@
             Settings b,
             SystemTimers schedules,
             Runnable onGivenUp,
-            DeliveryProtocol speech,
+            DeliveryProtocol protocol,
             Function<DataPlaneNode, List<Component>> doors)
             throws ServiceException {
         Codec codec = Wire.codec(Wire.PILOT, Commands.types());
         RpcRouter router = new RpcRouter();
-        TcpRpcClient beam = new TcpRpcClient(b.address(), b.listenAt(), codec, router, schedules);
-        WriteAheadLog book = logbook(b, schedules);
+        TcpRpcClient rpc = new TcpRpcClient(b.address(), b.listenAt(), codec, router, schedules);
+        WriteAheadLog book = wal(b, schedules);
         book.onFailure(why -> onGivenUp.run());
         SecureRandom random = new SecureRandom();
         Optional<KnownFile> known = b.data().isEmpty() ? Optional.empty() : Optional.of(new KnownFile(b.data()));
         Env env = new Env(
                 new SystemClock(),
                 schedules,
-                beam,
+                rpc,
                 codec,
                 book,
                 random::nextLong,
                 b.roles().contains("store") ? ReplicationTiming.core() : ReplicationTiming.usual());
         CoreClient core = new CoreClient(
-                beam,
+                rpc,
                 random::nextLong,
                 b.seeds(),
                 known.map(KnownFile::read).orElse(List.of()),
                 l -> known.ifPresent(k -> k.write(l)));
-        DataPlaneNode node = new DataPlaneNode(env, b, core, new HttpDeliveryClient(), speech);
+        DataPlaneNode node = new DataPlaneNode(env, b, core, new HttpDeliveryClient(), protocol);
         node.route(router);
         Supervisor tree =
-                new Supervisor("pilot", schedules, onGivenUp).with(beam).with(node);
+                new Supervisor("pilot", schedules, onGivenUp).with(rpc).with(node);
         List<Component> gates = doors.apply(node);
         gates.forEach(tree::with);
         DRAIN.set(() -> drain(node, gates, Duration.ofMillis(b.lingerMs())));
         return tree;
     }
 
-    private static WriteAheadLog logbook(Settings b, SystemTimers schedules) throws ServiceException {
+    private static WriteAheadLog wal(Settings b, SystemTimers schedules) throws ServiceException {
         if (!b.roles().contains("store")) {
             return new DisabledWriteAheadLog();
         }
--- a/dataplane/src/main/java/org/woadvale/dataplane/PartitionReplicas.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/PartitionReplicas.java
@@ -14,27 +14,27 @@
 /** In which message parts this store counts, and which it owns: design 6.5. Empty on a node that is no store. */
 final class PartitionReplicas {
     private final Env env;
-    private final ViewSubscriptions news;
-    private final Optional<MessagePartitions> berths;
+    private final ViewSubscriptions subscriptions;
+    private final Optional<MessagePartitions> partitions;
 
-    PartitionReplicas(Env env, ViewSubscriptions news, Optional<MessagePartitions> berths) {
+    PartitionReplicas(Env env, ViewSubscriptions subscriptions, Optional<MessagePartitions> partitions) {
         this.env = env;
-        this.news = news;
-        this.berths = berths;
+        this.subscriptions = subscriptions;
+        this.partitions = partitions;
     }
 
     /** The group of each message part here. */
     Map<String, Set<String>> groups() {
         Map<String, Set<String>> out = new TreeMap<>();
-        berths.ifPresent(
+        partitions.ifPresent(
                 b -> b.all().forEach((id, x) -> out.put(id, x.replica().group().keySet())));
         return out;
     }
 
     private List<String> mine() {
-        return berths.isEmpty()
+        return partitions.isEmpty()
                 ? List.of()
-                : news.latest(ServiceNames.STORES).placement().entrySet().stream()
+                : subscriptions.latest(ServiceNames.STORES).placement().entrySet().stream()
                         .filter(e -> e.getValue().contains(env.self()))
                         .map(Map.Entry::getKey)
                         .sorted()
@@ -42,7 +42,7 @@
     }
 
     /** The parts that the placement gives to this store, and in which it does not count yet. */
-    List<String> unseated() {
+    List<String> notVoting() {
         Map<String, Set<String>> groups = groups();
         return mine().stream()
                 .filter(p -> !groups.getOrDefault(p, Set.of()).contains(env.self()))
@@ -50,18 +50,22 @@
     }
 
     long owned() {
-        return berths.map(b -> b.all().values().stream()
+        return partitions
+                .map(b -> b.all().values().stream()
                         .filter(x -> x.replica().mayAct())
                         .count())
                 .orElse(0L);
     }
 
     long term(String part) {
-        return berths.map(b -> b.all().get(part)).map(x -> x.replica().term()).orElse(0L);
+        return partitions
+                .map(b -> b.all().get(part))
+                .map(x -> x.replica().term())
+                .orElse(0L);
     }
 
     void status(Map<String, Object> out) {
-        berths.ifPresent(b -> {
+        partitions.ifPresent(b -> {
             Map<String, Object> parts = new LinkedHashMap<>();
             b.all()
                     .forEach((id, x) -> parts.put(
@@ -79,9 +83,9 @@
                                     x.replica().group().keySet())));
             out.put("parts", parts);
             out.put("owned", owned());
-            out.put("seated", !mine().isEmpty() && unseated().isEmpty());
-            out.put("syncs", env.logbook().syncs());
-            out.put("ringFilesWritten", env.logbook().filesWritten());
+            out.put("seated", !mine().isEmpty() && notVoting().isEmpty());
+            out.put("syncs", env.wal().syncs());
+            out.put("ringFilesWritten", env.wal().filesWritten());
         });
     }
 }
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/Clocks.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/Clocks.java
@@ -32,7 +32,7 @@
     Mono<Commands.Until> until(String store, Duration until, Duration limit) {
         return Mono.justOrEmpty(Optional.ofNullable(stores.get(store)))
                 .filter(k -> env.times().mono().minus(k.ours()).compareTo(OLD) < 0)
-                .switchIfEmpty(Mono.defer(() -> env.beam()
+                .switchIfEmpty(Mono.defer(() -> env.rpc()
                         .ask(store, new Commands.ClockAsk(true), Commands.Clock.class, limit)
                         .map(c -> new Known(c.life(), c.at(), env.times().mono()))
                         .doOnNext(k -> stores.put(store, k))))
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/DeliveryPermit.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/DeliveryPermit.java
@@ -9,53 +9,54 @@
 /** What a delivery spends: read units of the store, and a leaving pass where the service is paced. */
 final class DeliveryPermit {
     private static final int READ_UNIT = 4096;
-    private final LocalBuckets purses;
+    private final LocalBuckets localBuckets;
     private final String bucket;
     private final Optional<LocalBucket.Pass> pass;
 
-    private DeliveryPermit(LocalBuckets purses, String bucket, Optional<LocalBucket.Pass> pass) {
-        this.purses = purses;
+    private DeliveryPermit(LocalBuckets localBuckets, String bucket, Optional<LocalBucket.Pass> pass) {
+        this.localBuckets = localBuckets;
         this.bucket = bucket;
         this.pass = pass;
     }
 
-    static Optional<DeliveryPermit> draw(DispatchContext kit, MessagePartition berth, Message m, String service) {
-        Optional<DeliveryPermit> t = draw(kit, service);
+    static Optional<DeliveryPermit> draw(
+            DispatchContext context, MessagePartition partition, Message m, String service) {
+        Optional<DeliveryPermit> t = draw(context, service);
         if (t.isEmpty()) {
             return t;
         }
-        DeliveryPermit ticket = t.get();
-        if (!kit.berths().spend(berth, (m.body().length + READ_UNIT - 1) / READ_UNIT)) {
-            ticket.putBack();
+        DeliveryPermit permit = t.get();
+        if (!context.partitions().spend(partition, (m.body().length + READ_UNIT - 1) / READ_UNIT)) {
+            permit.putBack();
             return Optional.empty();
         }
-        return Optional.of(ticket);
+        return Optional.of(permit);
     }
 
     /** None where the pass is missing, or where it is not known whether one is needed. */
-    static Optional<DeliveryPermit> draw(DispatchContext kit, String service) {
-        return kit.layouts().leavingBucket(service).flatMap(bucket -> {
-            Optional<LocalBucket.Pass> pass = bucket.flatMap(kit.purses()::tryTake);
+    static Optional<DeliveryPermit> draw(DispatchContext context, String service) {
+        return context.configurations().leavingBucket(service).flatMap(bucket -> {
+            Optional<LocalBucket.Pass> pass = bucket.flatMap(context.localBuckets()::tryTake);
             return bucket.isPresent() && pass.isEmpty()
                     ? Optional.empty()
-                    : Optional.of(new DeliveryPermit(kit.purses(), bucket.orElse(""), pass));
+                    : Optional.of(new DeliveryPermit(context.localBuckets(), bucket.orElse(""), pass));
         });
     }
 
     boolean alive() {
-        return pass.map(purses::alive).orElse(true);
+        return pass.map(localBuckets::alive).orElse(true);
     }
 
     /** Spent only while it lives, and told as spent only then: what is out never exceeds the bucket. design 8.2 */
     boolean spend() {
         boolean alive = alive();
         if (alive) {
-            pass.ifPresent(p -> purses.settle(bucket, p));
+            pass.ifPresent(p -> localBuckets.settle(bucket, p));
         }
         return alive;
     }
 
     void putBack() {
-        pass.ifPresent(p -> purses.putBack(bucket, p));
+        pass.ifPresent(p -> localBuckets.putBack(bucket, p));
     }
 }
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/DispatchContext.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/DispatchContext.java
@@ -7,16 +7,16 @@
 import org.woadvale.dataplane.ConfigurationView;
 import org.woadvale.dataplane.queue.MessagePartitions;
 
-/** What every launcher of a store shares; lease is how long a leased message rests after its last word. */
+/** What every dispatcher of a store shares; lease is how long a leased message rests after its last word. */
 public record DispatchContext(
         Env env,
-        ViewSubscriptions news,
-        ConfigurationView layouts,
-        LocalBuckets purses,
-        MessagePartitions berths,
+        ViewSubscriptions subscriptions,
+        ConfigurationView configurations,
+        LocalBuckets localBuckets,
+        MessagePartitions partitions,
         Targets targets,
         DeliveryClient post,
-        DeliveryProtocol speech,
+        DeliveryProtocol protocol,
         Recorder recorder,
         Duration lease,
-        String hall) {}
+        String zone) {}
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/Dispatcher.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/Dispatcher.java
@@ -30,17 +30,17 @@
     /** Retries of a tenant on a lane in a part: a flood that cannot succeed spends only these. */
     private static final RateLimit RETRIES = new RateLimit(5, 10);
 
-    private final DispatchContext kit;
-    private final MessagePartition berth;
+    private final DispatchContext context;
+    private final MessagePartition partition;
     private final Set<String> busy = ConcurrentHashMap.newKeySet();
     private final Map<String, Bucket> retries = new HashMap<>();
     private final Leases leases;
     private int turn;
 
-    public Dispatcher(DispatchContext kit, MessagePartition berth) {
-        this.kit = kit;
-        this.berth = berth;
-        this.leases = new Leases(kit, berth, this);
+    public Dispatcher(DispatchContext context, MessagePartition partition) {
+        this.context = context;
+        this.partition = partition;
+        this.leases = new Leases(context, partition, this);
     }
 
     Leases leases() {
@@ -51,28 +51,28 @@
         return busy.isEmpty();
     }
 
-    DispatchContext kit() {
-        return kit;
+    DispatchContext context() {
+        return context;
     }
 
     String part() {
-        return berth.part();
+        return partition.part();
     }
 
     boolean owns() {
-        return berth.replica().mayAct();
+        return partition.replica().mayAct();
     }
 
     private Instant wall() {
-        return kit.env().times().wall();
+        return context.env().times().wall();
     }
 
-    private Configuration layout() {
-        return kit.layouts().fresh().map(k -> k.layout()).orElse(Configuration.empty());
+    private Configuration configuration() {
+        return context.configurations().fresh().map(k -> k.configuration()).orElse(Configuration.empty());
     }
 
     RouteTerms terms(Message m) {
-        return Optional.ofNullable(layout().lanes().get(m.lane()))
+        return Optional.ofNullable(configuration().lanes().get(m.lane()))
                 .map(RouteTerms::of)
                 .orElse(m.terms());
     }
@@ -87,29 +87,29 @@
     }
 
     boolean resends(Message m) {
-        return terms(m).resend() && !kit.speech().inquires();
+        return terms(m).resend() && !context.protocol().inquires();
     }
 
     boolean dedupes(Message m) {
-        return Optional.ofNullable(layout().services().get(terms(m).service()))
+        return Optional.ofNullable(configuration().services().get(terms(m).service()))
                 .map(Configuration.Service::dedupes)
                 .orElse(false);
     }
 
     /** What was not run is tried elsewhere soon; a little apart, so that not all come at once. */
     Duration shortly() {
-        return SHORTLY.plusNanos(Math.floorMod(kit.env().random().getAsLong(), SHORTLY.toNanos()));
+        return SHORTLY.plusNanos(Math.floorMod(context.env().random().getAsLong(), SHORTLY.toNanos()));
     }
 
     Duration backoff(int tries) {
         Duration d = FIRST_BACKOFF.multipliedBy(1L << 2 * Math.min(5, Math.max(0, tries - 1)));
         d = d.compareTo(LONGEST_BACKOFF) > 0 ? LONGEST_BACKOFF : d;
-        return d.dividedBy(2).plusNanos(Math.floorMod(kit.env().random().getAsLong(), d.toNanos()));
+        return d.dividedBy(2).plusNanos(Math.floorMod(context.env().random().getAsLong(), d.toNanos()));
     }
 
     /** Only views of proven age may say that a processor is gone. */
-    ProcessorStatus whereabouts(Message m) {
-        Optional<Configuration> l = kit.layouts().fresh().map(k -> k.layout());
+    ProcessorStatus processorStatus(Message m) {
+        Optional<Configuration> l = context.configurations().fresh().map(k -> k.configuration());
         if (l.isEmpty()) {
             return ProcessorStatus.of(ProcessorStatus.Kind.NOT_KNOWN_NOW);
         }
@@ -122,7 +122,7 @@
         if (s.isEmpty() && m.processor().equals(ProcessorSelector.ENDPOINT)) {
             return ProcessorStatus.gone(m);
         }
-        return kit.news()
+        return context.subscriptions()
                 .fresh(ServiceNames.processors(service))
                 .map(v -> Optional.ofNullable(v.processors().get(m.processor()))
                         .map(p -> ProcessorStatus.listed(m, p.address()))
@@ -132,7 +132,7 @@
 
     /** Asking an outside endpoint counts as one of its requests, so it spends a leaving pass. */
     Optional<DeliveryPermit> mayInquire(Message m) {
-        return DeliveryPermit.draw(kit, terms(m).service());
+        return DeliveryPermit.draw(context, terms(m).service());
     }
 
     /** Called by the store's one schedule. */
@@ -141,7 +141,7 @@
             leases.clear();
             return;
         }
-        if (kit.layouts().fresh().isEmpty()) {
+        if (context.configurations().fresh().isEmpty()) {
             return;
         }
         adoptRunning();
@@ -160,7 +160,7 @@
 
     /** Running here by the log, but not by us: the owner changed, so the outcome is unclear. */
     private void adoptRunning() {
-        for (Message m : berth.replica().look(i -> berth.machine().running())) {
+        for (Message m : partition.replica().look(i -> partition.machine().running())) {
             if (m.leased()) {
                 leases.look(m);
             } else if (busy.add(m.handle())) {
@@ -174,9 +174,9 @@
 
     private Map<String, List<Message>> due() {
         Instant now = wall();
-        return berth.replica().look(i -> {
+        return partition.replica().look(i -> {
             Map<String, List<Message>> out = new TreeMap<>();
-            ReadyQueue s = berth.machine().startable();
+            ReadyQueue s = partition.machine().startable();
             s.lanes().forEach(lane -> {
                 List<Message> list = s.due(lane, now, LOOK_AHEAD, turn, m -> !busy.contains(m.handle()));
                 if (!list.isEmpty()) {
@@ -193,7 +193,7 @@
             expire(m);
             return true;
         }
-        Optional<Targets.Target> t = kit.targets()
+        Optional<Targets.Target> t = context.targets()
                 .draw(
                         ProcessorSelector.targets(this, terms(m).service()),
                         ProcessorSelector.most(this, terms(m).service()));
@@ -201,29 +201,31 @@
             return false;
         }
         if (m.tries() > 0 && !retryAllowed(m.lane() + "/" + m.tenant())) {
-            kit.targets().unused(t.get());
+            context.targets().unused(t.get());
             return true;
         }
-        Optional<DeliveryPermit> ticket = DeliveryPermit.draw(kit, berth, m, terms(m).service());
-        if (ticket.isEmpty()) {
-            kit.targets().unused(t.get());
+        Optional<DeliveryPermit> permit = DeliveryPermit.draw(context, partition, m, terms(m).service());
+        if (permit.isEmpty()) {
+            context.targets().unused(t.get());
             return false;
         }
         busy.add(m.handle());
-        launch(m, ticket.get(), t.get()).doFinally(s -> busy.remove(m.handle())).subscribe(x -> {}, e -> {});
+        dispatch(m, permit.get(), t.get())
+                .doFinally(s -> busy.remove(m.handle()))
+                .subscribe(x -> {}, e -> {});
         return true;
     }
 
     synchronized boolean retryAllowed(String lane) {
         Bucket b = retries.computeIfAbsent(
-                lane, k -> Bucket.full(RETRIES, kit.env().times().mono()));
-        b.fill(kit.env().times().mono(), 0);
+                lane, k -> Bucket.full(RETRIES, context.env().times().mono()));
+        b.fill(context.env().times().mono(), 0);
         return b.take(1);
     }
 
     private void expire(Message m) {
         if (busy.add(m.handle())) {
-            kit.recorder()
+            context.recorder()
                     .record(
                             part(),
                             new Commands.End(
@@ -235,23 +237,24 @@
     }
 
     /** The attempt is committed before anything is sent; then all is checked again. */
-    private Mono<Boolean> launch(Message m, DeliveryPermit ticket, Targets.Target t) {
+    private Mono<Boolean> dispatch(Message m, DeliveryPermit permit, Targets.Target t) {
         Commands.Start start = new Commands.Start(
                 m.handle(), m.attempt() + 1, t.id(), wall().plusMillis(terms(m).attemptMs()), wall(), t.address());
-        return berth.replica()
+        return partition
+                .replica()
                 .propose(start, Commands.Changed.class)
                 .doOnError(e -> {
-                    ticket.putBack();
-                    kit.targets().unused(t);
+                    permit.putBack();
+                    context.targets().unused(t);
                 })
                 .flatMap(c -> {
                     Run run = new Run(this, c.message(), t);
                     if (!c.done()) {
-                        ticket.putBack();
-                        kit.targets().unused(t);
+                        permit.putBack();
+                        context.targets().unused(t);
                         return Mono.just(false);
                     }
-                    return run.push(ticket);
+                    return run.push(permit);
                 });
     }
 }
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/Dispatchers.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/Dispatchers.java
@@ -20,35 +20,35 @@
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
-/** All launchers of a store, and the fetching side of delivery: design 9.3 and 9.4. */
+/** All dispatchersByPart of a store, and the fetching side of delivery: design 9.3 and 9.4. */
 public final class Dispatchers {
     private static final int SCAN = 64;
-    private final DispatchContext kit;
+    private final DispatchContext context;
     private static final Duration LOOK = Duration.ofMillis(20);
-    private final WaitingPulls moorings;
+    private final WaitingPulls waitingPulls;
     private TimerHandle looking = () -> {};
     private final AtomicInteger turns = new AtomicInteger();
-    private final Map<String, Dispatcher> launchers = new ConcurrentHashMap<>();
+    private final Map<String, Dispatcher> dispatchersByPart = new ConcurrentHashMap<>();
 
-    public Dispatchers(DispatchContext kit) {
-        this.kit = kit;
-        this.moorings = new WaitingPulls(kit, launchers);
+    public Dispatchers(DispatchContext context) {
+        this.context = context;
+        this.waitingPulls = new WaitingPulls(context, dispatchersByPart);
     }
 
     public void opened(MessagePartition b) {
-        Dispatcher l = new Dispatcher(kit, b);
-        launchers.put(b.part(), l);
+        Dispatcher l = new Dispatcher(context, b);
+        dispatchersByPart.put(b.part(), l);
     }
 
     public void start() {
-        looking = kit.env().schedules().every(LOOK, () -> {
-            moorings.look();
-            launchers.values().forEach(Dispatcher::look);
+        looking = context.env().schedules().every(LOOK, () -> {
+            waitingPulls.look();
+            dispatchersByPart.values().forEach(Dispatcher::look);
         });
     }
 
     public boolean idle() {
-        return launchers.values().stream().allMatch(Dispatcher::idle);
+        return dispatchersByPart.values().stream().allMatch(Dispatcher::idle);
     }
 
     public void stop() {
@@ -56,15 +56,16 @@
     }
 
     public void route(RpcRouter router) {
-        moorings.route(router);
+        waitingPulls.route(router);
         router.on(
                         Commands.FetchAsk.class,
-                        (f, a) -> kit.berths()
+                        (f, a) -> context.partitions()
                                 .at(a.part())
-                                .flatMap(b -> kit.berths().timely(a.until()).then(Mono.defer(() -> fetch(b, a)))))
+                                .flatMap(b ->
+                                        context.partitions().timely(a.until()).then(Mono.defer(() -> fetch(b, a)))))
                 .on(
                         Commands.OutcomeAsk.class,
-                        (f, a) -> kit.berths().at(a.part()).flatMap(b -> outcome(b, a)));
+                        (f, a) -> context.partitions().at(a.part()).flatMap(b -> outcome(b, a)));
     }
 
     /** A processor speaks only for its own service and its own attempts; an empty service is one of us. */
@@ -119,7 +120,7 @@
 
     /** What this very fetch was given, for a processor that did not get the answer: the same attempts. */
     private List<Message> handedBefore(MessagePartition b, Commands.FetchAsk a) {
-        var now = kit.env().times().wall();
+        var now = context.env().times().wall();
         return b.replica()
                 .look(i -> b.machine().running().stream()
                         .filter(m -> m.processor().equals(a.processor())
@@ -129,7 +130,7 @@
     }
 
     private boolean mayReceive(Commands.FetchAsk a) {
-        Optional<Processor> p = kit.news()
+        Optional<Processor> p = context.subscriptions()
                 .fresh(ServiceNames.processors(a.service()))
                 .map(v -> v.processors().get(a.processor()));
         return p.isPresent() && !p.get().leaving() && p.get().address().isEmpty();
@@ -137,7 +138,7 @@
 
     private List<Message> candidates(MessagePartition b, String service) {
         int turn = turns.incrementAndGet();
-        var now = kit.env().times().wall();
+        var now = context.env().times().wall();
         List<Message> out = new ArrayList<>();
         b.replica().look(i -> {
             b.machine()
@@ -152,22 +153,22 @@
     }
 
     private RouteTerms terms(Message m) {
-        return kit.layouts()
+        return context.configurations()
                 .fresh()
-                .flatMap(k -> Optional.ofNullable(k.layout().lanes().get(m.lane())))
+                .flatMap(k -> Optional.ofNullable(k.configuration().lanes().get(m.lane())))
                 .map(RouteTerms::of)
                 .orElse(m.terms());
     }
 
-    /** The attempt is committed before the answer; all is checked again at hand-out. */
+    /** The attempt is committed before the answer; all is checked again at processor-out. */
     private Mono<Message> start(MessagePartition b, Message m, Commands.FetchAsk a) {
-        var now = kit.env().times().wall();
+        var now = context.env().times().wall();
         if (now.isAfter(m.from().plusMillis(terms(m).timeLimitMs()))
-                || kit.layouts().fresh().isEmpty()) {
+                || context.configurations().fresh().isEmpty()) {
             return Mono.empty();
         }
-        Optional<DeliveryPermit> ticket = DeliveryPermit.draw(kit, b, m, a.service());
-        if (ticket.isEmpty()) {
+        Optional<DeliveryPermit> permit = DeliveryPermit.draw(context, b, m, a.service());
+        if (permit.isEmpty()) {
             return Mono.empty();
         }
         Commands.Start s = new Commands.Start(
@@ -179,18 +180,20 @@
                 ProcessorStatus.FETCHED + a.fetch());
         return b.replica()
                 .propose(s, Commands.Changed.class)
-                .doOnError(e -> ticket.get().putBack())
+                .doOnError(e -> permit.get().putBack())
                 .onErrorResume(e -> Mono.empty())
                 .flatMap(c -> {
                     if (!c.done()) {
-                        ticket.get().putBack();
+                        permit.get().putBack();
                         return Mono.empty();
                     }
-                    if (!mayReceive(a) || !b.replica().mayAct() || !ticket.get().spend()) {
-                        ticket.get().putBack();
+                    if (!mayReceive(a) || !b.replica().mayAct() || !permit.get().spend()) {
+                        permit.get().putBack();
                         Commands.End e = new Commands.End(
                                 m.handle(), m.attempt() + 1, Commands.Ending.NOT_SENT, "not sent", now, now);
-                        return kit.recorder().record(b.part(), e, a.processor()).then(Mono.<Message>empty());
+                        return context.recorder()
+                                .record(b.part(), e, a.processor())
+                                .then(Mono.<Message>empty());
                     }
                     return Mono.just(c.message());
                 });
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/Leases.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/Leases.java
@@ -26,72 +26,78 @@
 
     private record Held(int attempt, Duration lastWord, boolean lapsing) {}
 
-    private final DispatchContext kit;
-    private final MessagePartition berth;
-    private final Dispatcher launcher;
+    private final DispatchContext context;
+    private final MessagePartition partition;
+    private final Dispatcher dispatcher;
     private final Map<String, Held> held = new HashMap<>();
 
-    Leases(DispatchContext kit, MessagePartition berth, Dispatcher launcher) {
-        this.kit = kit;
-        this.berth = berth;
-        this.launcher = launcher;
+    Leases(DispatchContext context, MessagePartition partition, Dispatcher dispatcher) {
+        this.context = context;
+        this.partition = partition;
+        this.dispatcher = dispatcher;
     }
 
     private Duration now() {
-        return kit.env().times().mono();
+        return context.env().times().mono();
     }
 
     private Instant wall() {
-        return kit.env().times().wall();
+        return context.env().times().wall();
     }
 
     /** Due messages of a service here, for those that fetch it; the first place among tenants goes round. */
     List<Message> due(String service, int most, int turn) {
         Instant now = wall();
-        return berth.replica().look(i -> {
+        return partition.replica().look(i -> {
             List<Message> out = new ArrayList<>();
-            ReadyQueue s = berth.machine().startable();
+            ReadyQueue s = partition.machine().startable();
             s.lanes()
                     .forEach(lane -> out.addAll(s.due(
                             lane,
                             now,
                             most,
                             turn,
-                            m -> launcher.terms(m).service().equals(service))));
+                            m -> dispatcher.terms(m).service().equals(service))));
             return out;
         });
     }
 
     /** The attempt is committed, then all is looked at again; empty where it was not handed out. */
     Mono<Message> begin(Message m, String processor) {
-        String service = launcher.terms(m).service();
-        if (wall().isAfter(launcher.timeIsUp(m))
-                || kit.layouts().fresh().isEmpty()
-                || m.tries() > 0 && !launcher.retryAllowed(m.lane() + "/" + m.tenant())) {
+        String service = dispatcher.terms(m).service();
+        if (wall().isAfter(dispatcher.timeIsUp(m))
+                || context.configurations().fresh().isEmpty()
+                || m.tries() > 0 && !dispatcher.retryAllowed(m.lane() + "/" + m.tenant())) {
             return Mono.empty();
         }
-        Optional<DeliveryPermit> ticket = DeliveryPermit.draw(kit, berth, m, service);
-        if (ticket.isEmpty()) {
+        Optional<DeliveryPermit> permit = DeliveryPermit.draw(context, partition, m, service);
+        if (permit.isEmpty()) {
             return Mono.empty();
         }
         Commands.Start s = new Commands.Start(
-                m.handle(), m.attempt() + 1, processor, wall().plus(kit.lease()), wall(), Message.LEASED + processor);
-        return berth.replica()
+                m.handle(),
+                m.attempt() + 1,
+                processor,
+                wall().plus(context.lease()),
+                wall(),
+                Message.LEASED + processor);
+        return partition
+                .replica()
                 .propose(s, Commands.Changed.class)
-                .doOnError(e -> ticket.get().putBack())
+                .doOnError(e -> permit.get().putBack())
                 .flatMap(c -> {
                     if (c.done()
-                            && launcher.owns()
-                            && kit.layouts().fresh().isPresent()
-                            && ticket.get().spend()) {
+                            && dispatcher.owns()
+                            && context.configurations().fresh().isPresent()
+                            && permit.get().spend()) {
                         touch(m.handle(), c.message().attempt());
                         return Mono.just(c.message());
                     }
-                    ticket.get().putBack();
+                    permit.get().putBack();
                     return c.done()
-                            ? kit.recorder()
+                            ? context.recorder()
                                     .record(
-                                            berth.part(),
+                                            partition.part(),
                                             new Commands.End(
                                                     m.handle(),
                                                     m.attempt() + 1,
@@ -119,7 +125,8 @@
         if (lapses(m)) {
             Commands.End e = new Commands.End(
                     m.handle(), m.attempt(), Commands.Ending.LAPSED, "the lease lapsed", wall(), wall());
-            berth.replica()
+            partition
+                    .replica()
                     .propose(e, Commands.Changed.class)
                     .subscribe(c -> forget(m.handle()), x -> forget(m.handle()));
         }
@@ -132,7 +139,7 @@
             held.put(m.handle(), new Held(m.attempt(), now(), false));
             return false;
         }
-        if (h.lapsing() || now().minus(h.lastWord()).compareTo(kit.lease().plus(MARGIN)) <= 0) {
+        if (h.lapsing() || now().minus(h.lastWord()).compareTo(context.lease().plus(MARGIN)) <= 0) {
             return false;
         }
         held.put(m.handle(), new Held(h.attempt(), h.lastWord(), true));
@@ -150,8 +157,10 @@
 
     /** True if the processor still has it and may go on for a whole lease. */
     Mono<Boolean> extend(Commands.LeaseAsk a) {
-        return berth.replica()
-                .read(i -> berth.machine()
+        return partition
+                .replica()
+                .read(i -> partition
+                                .machine()
                                 .get(a.handle())
                                 .filter(x ->
                                         x.leased() && x.state() == MessageState.RUNNING && x.attempt() == a.attempt())
@@ -166,33 +175,37 @@
 
     /** The same end said again has the same answer; the end of an earlier lease is refused. */
     Mono<Commands.Changed> end(Commands.End e) {
-        return berth.replica().read(i -> berth.machine().get(e.handle())).flatMap(found -> {
-            Optional<Message> m = found.filter(Message::leased);
-            if (m.isPresent() && m.get().tookEnd(e.attempt())) {
-                return Mono.just(new Commands.Changed(true, m.get()));
-            }
-            if (m.isEmpty()
-                    || m.get().attempt() != e.attempt()
-                    || m.get().state().ended()) {
-                return Mono.error(gone());
-            }
-            return berth.replica()
-                    .propose(settled(e, m.get()), Commands.Changed.class)
-                    .flatMap(c -> {
-                        forget(e.handle());
-                        return c.done() || c.message().tookEnd(e.attempt())
-                                ? Mono.just(new Commands.Changed(true, c.message()))
-                                : Mono.error(gone());
-                    });
-        });
+        return partition
+                .replica()
+                .read(i -> partition.machine().get(e.handle()))
+                .flatMap(found -> {
+                    Optional<Message> m = found.filter(Message::leased);
+                    if (m.isPresent() && m.get().tookEnd(e.attempt())) {
+                        return Mono.just(new Commands.Changed(true, m.get()));
+                    }
+                    if (m.isEmpty()
+                            || m.get().attempt() != e.attempt()
+                            || m.get().state().ended()) {
+                        return Mono.error(gone());
+                    }
+                    return partition
+                            .replica()
+                            .propose(settled(e, m.get()), Commands.Changed.class)
+                            .flatMap(c -> {
+                                forget(e.handle());
+                                return c.done() || c.message().tookEnd(e.attempt())
+                                        ? Mono.just(new Commands.Changed(true, c.message()))
+                                        : Mono.error(gone());
+                            });
+                });
     }
 
     /** Clock and attempts are the owner's to count. */
     private Commands.End settled(Commands.End e, Message m) {
-        boolean over = e.ending() == Commands.Ending.RETRY && !launcher.triesLeft(m);
+        boolean over = e.ending() == Commands.Ending.RETRY && !dispatcher.triesLeft(m);
         Instant due = e.ending() == Commands.Ending.RETRY
-                ? wall().plus(launcher.backoff(m.tries()))
-                : wall().plus(launcher.shortly());
+                ? wall().plus(dispatcher.backoff(m.tries()))
+                : wall().plus(dispatcher.shortly());
         return new Commands.End(
                 e.handle(),
                 e.attempt(),
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/ProcessorSelector.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/ProcessorSelector.java
@@ -22,18 +22,20 @@
     static ToIntFunction<Targets.Target> most(Dispatcher l, String service) {
         int stores = (int) Math.max(
                 1,
-                l.kit().news().latest(ServiceNames.STORES).placement().values().stream()
+                l.context().subscriptions().latest(ServiceNames.STORES).placement().values().stream()
                         .flatMap(List::stream)
                         .distinct()
                         .count());
-        int streams = l.kit()
-                .layouts()
+        int streams = l.context()
+                .configurations()
                 .fresh()
-                .map(k -> k.layout().services().get(service))
+                .map(k -> k.configuration().services().get(service))
                 .map(Configuration.Service::streams)
                 .orElse(0);
-        Map<String, Processor> listed =
-                l.kit().news().latest(ServiceNames.processors(service)).processors();
+        Map<String, Processor> listed = l.context()
+                .subscriptions()
+                .latest(ServiceNames.processors(service))
+                .processors();
         return t -> {
             int bySlots = Optional.ofNullable(listed.get(t.id()))
                     .map(p -> (p.slots() * 2 + stores - 1) / stores)
@@ -44,8 +46,10 @@
     }
 
     static List<Targets.Target> targets(Dispatcher l, String service) {
-        Optional<Configuration.Service> s =
-                l.kit().layouts().fresh().map(k -> k.layout().services().get(service));
+        Optional<Configuration.Service> s = l.context()
+                .configurations()
+                .fresh()
+                .map(k -> k.configuration().services().get(service));
         if (s.isEmpty()) {
             return List.of();
         }
@@ -56,8 +60,8 @@
         if (s.get().kind() == Configuration.Kind.FETCHERS) {
             return out;
         }
-        l.kit()
-                .news()
+        l.context()
+                .subscriptions()
                 .fresh(ServiceNames.processors(service))
                 .ifPresent(v -> v.processors().forEach((id, p) -> {
                     if (!p.leaving() && !p.address().isEmpty()) {
@@ -65,7 +69,8 @@
                                 service + "/" + id,
                                 id,
                                 p.address(),
-                                p.hall().isEmpty() || p.hall().equals(l.kit().hall())));
+                                p.zone().isEmpty()
+                                        || p.zone().equals(l.context().zone())));
                     }
                 }));
         return out;
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/Recorder.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/Recorder.java
@@ -16,11 +16,11 @@
     private static final Duration AGAIN = Duration.ofMillis(200);
     private static final Duration GIVE_UP = Duration.ofMinutes(10);
     private final Env env;
-    private final SubmitForwarder courier;
+    private final SubmitForwarder forwarder;
 
-    public Recorder(Env env, SubmitForwarder courier) {
+    public Recorder(Env env, SubmitForwarder forwarder) {
         this.env = env;
-        this.courier = courier;
+        this.forwarder = forwarder;
     }
 
     public Mono<Boolean> record(String part, Commands.End end, String processor) {
@@ -29,7 +29,8 @@
 
     private Mono<Boolean> record(String part, Commands.End end, String processor, Duration until) {
         Commands.OutcomeAsk ask = new Commands.OutcomeAsk(part, end, processor, "");
-        return courier.ask(part, ask, Commands.Changed.class, EACH)
+        return forwarder
+                .ask(part, ask, Commands.Changed.class, EACH)
                 .map(Commands.Changed::done)
                 .onErrorResume(e -> {
                     ServiceException f = ServiceException.of(e);
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/Run.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/Run.java
@@ -28,42 +28,42 @@
     }
 
     private Instant wall() {
-        return l.kit().env().times().wall();
+        return l.context().env().times().wall();
     }
 
     /** Claim, list and pass are looked at when the stream is open; only then the work may happen. */
-    Mono<Boolean> push(DeliveryPermit ticket) {
-        Duration begun = l.kit().env().times().mono();
+    Mono<Boolean> push(DeliveryPermit permit) {
+        Duration begun = l.context().env().times().mono();
         // the calendar may have jumped since the attempt was committed
         Duration left = Duration.between(wall(), m.deadline());
         Duration most = Duration.ofMillis(l.terms(m).attemptMs());
         Duration limit = left.isNegative() ? Duration.ofMillis(1) : left.compareTo(most) > 0 ? most : left;
-        SendGuard slip = new SendGuard();
-        return l.kit()
+        SendGuard sendGuard = new SendGuard();
+        return l.context()
                 .post()
-                .send(l.kit()
-                        .speech()
+                .send(l.context()
+                        .protocol()
                         .push(
                                 m,
                                 target,
                                 limit,
-                                () -> slip.leave(() -> l.owns()
+                                () -> sendGuard.leave(() -> l.owns()
                                         && ProcessorSelector.targets(
                                                         l, l.terms(m).service())
                                                 .contains(target)
-                                        && ticket.spend())))
-                .map(r -> l.kit().speech().read(m, r))
+                                        && permit.spend())))
+                .map(r -> l.context().protocol().read(m, r))
                 .onErrorResume(e -> Mono.just(new Verdict(Verdict.Kind.UNCLEAR, String.valueOf(e.getMessage()))))
                 .flatMap(v -> {
                     boolean answered = v.kind() != Verdict.Kind.UNCLEAR && v.kind() != Verdict.Kind.NOT_KNOWN;
-                    l.kit()
+                    l.context()
                             .targets()
                             .ended(
                                     target,
                                     answered && v.kind() != Verdict.Kind.LATER,
-                                    l.kit().env().times().mono().minus(begun));
-                    if (slip.close()) {
-                        ticket.putBack();
+                                    l.context().env().times().mono().minus(begun));
+                    if (sendGuard.close()) {
+                        permit.putBack();
                         return end(Commands.Ending.NOT_SENT, "not sent: " + v.word(), wall().plus(l.shortly()));
                     }
                     return settle(v);
@@ -85,7 +85,7 @@
 
     Mono<Boolean> end(Commands.Ending ending, String word, Instant due) {
         Commands.End e = new Commands.End(m.handle(), m.attempt(), ending, word, due, wall());
-        return l.kit().recorder().record(l.part(), e, m.processor());
+        return l.context().recorder().record(l.part(), e, m.processor());
     }
 
     /**
@@ -97,20 +97,20 @@
                 ? l.shortly()
                 : Duration.between(wall(), m.deadline()).plus(AFTER_DEADLINE);
         return org.woadvale.common.runtime.Delays.pause(
-                        l.kit().env().schedules(), wait.isNegative() ? Duration.ZERO : wait)
+                        l.context().env().schedules(), wait.isNegative() ? Duration.ZERO : wait)
                 .then(Mono.defer(() -> end(Commands.Ending.LAPSED, "sent again: " + why, wall().plus(l.shortly()))));
     }
 
-    /** Running by the log, but begun by an earlier owner, which may still hand over the answer that it got. */
+    /** Running by the log, but begun by an earlier owner, which may still processor over the answer that it got. */
     Mono<Boolean> adopted() {
         return l.resends(m)
-                ? org.woadvale.common.runtime.Delays.pause(l.kit().env().schedules(), ADOPTED)
+                ? org.woadvale.common.runtime.Delays.pause(l.context().env().schedules(), ADOPTED)
                         .then(Mono.defer(() -> resend("the owner changed")))
                 : inquire();
     }
 
     private Mono<Boolean> inquireLater() {
-        return org.woadvale.common.runtime.Delays.pause(l.kit().env().schedules(), ASK_AGAIN)
+        return org.woadvale.common.runtime.Delays.pause(l.context().env().schedules(), ASK_AGAIN)
                 .then(Mono.defer(this::inquire));
     }
 
@@ -120,7 +120,7 @@
             return Mono.just(false);
         }
         boolean late = wall().isAfter(m.deadline());
-        ProcessorStatus where = l.whereabouts(m);
+        ProcessorStatus where = l.processorStatus(m);
         if (late && where.kind() == ProcessorStatus.Kind.GONE) {
             return unclear("the processor is gone");
         }
@@ -130,18 +130,18 @@
         if (wall().isAfter(l.timeIsUp(m)) && mayEndUnproven(where)) {
             return end(Commands.Ending.FAILED, Message.UNCLEAR + "time limit reached", wall());
         }
-        Optional<DeliveryPermit> ticket = where.canBeAsked() ? l.mayInquire(m) : Optional.empty();
-        if (ticket.isEmpty()) {
+        Optional<DeliveryPermit> permit = where.canBeAsked() ? l.mayInquire(m) : Optional.empty();
+        if (permit.isEmpty()) {
             return inquireLater();
         }
-        return l.kit()
+        return l.context()
                 .post()
                 .send(new DeliveryClient.Call(
                         "GET",
                         where.address() + "/runs/" + m.handle() + "?attempt=" + m.attempt(),
                         new byte[0],
                         ASK_LIMIT,
-                        () -> l.owns() && ticket.get().spend()))
+                        () -> l.owns() && permit.get().spend()))
                 .map(r -> Verdict.ofInquiry(r, m.handle()))
                 .onErrorResume(e -> Mono.just(new Verdict(Verdict.Kind.UNCLEAR, "no answer")))
                 .flatMap(v -> {
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/SubmitForwarder.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/SubmitForwarder.java
@@ -21,34 +21,36 @@
     private static final Duration EACH = Duration.ofMillis(400);
     private static final Duration PAUSE = Duration.ofMillis(20);
     private final Env env;
-    private final ViewSubscriptions news;
+    private final ViewSubscriptions subscriptions;
     private final Map<String, String> owners = new ConcurrentHashMap<>();
-    private final String hall;
+    private final String zone;
     private final StoreHealth health;
     private final Clocks clocks;
 
-    public SubmitForwarder(Env env, ViewSubscriptions news, String hall) {
-        this.hall = hall;
+    public SubmitForwarder(Env env, ViewSubscriptions subscriptions, String zone) {
+        this.zone = zone;
         this.env = env;
-        this.news = news;
+        this.subscriptions = subscriptions;
         this.clocks = new Clocks(env);
         this.health = new StoreHealth(env);
     }
 
     /**
-     * A part for what any part may hold: among those whose owner is in touch, rather one of our own hall; drawn by the
+     * A part for what any part may hold: among those whose owner is in touch, rather one of our own zone; drawn by the
      * given id. design 9.13
      */
     public String anyPart(String id) {
-        Map<String, List<String>> placement = news.latest(ServiceNames.STORES).placement();
-        Map<String, MemberLease> seats = news.latest(ServiceNames.STORES).seats();
+        Map<String, List<String>> placement =
+                subscriptions.latest(ServiceNames.STORES).placement();
+        Map<String, MemberLease> members =
+                subscriptions.latest(ServiceNames.STORES).members();
         List<String> sound = new ArrayList<>();
         List<String> near = new ArrayList<>();
         placement.forEach((part, copies) -> {
             String owner = owners.getOrDefault(part, copies.isEmpty() ? "" : copies.get(0));
-            if (!health.troubled(part) && !health.silent(owner) && seats.containsKey(owner)) {
+            if (!health.troubled(part) && !health.silent(owner) && members.containsKey(owner)) {
                 sound.add(part);
-                if (seats.get(owner).hall().equals(hall)) {
+                if (members.get(owner).zone().equals(zone)) {
                     near.add(part);
                 }
             }
@@ -61,7 +63,7 @@
 
     /** The known owner first, then the copies in turn; those that do not answer only if there are no others. */
     private String guess(String part, int turn) {
-        List<String> all = news.latest(ServiceNames.STORES).placement().getOrDefault(part, List.of());
+        List<String> all = subscriptions.latest(ServiceNames.STORES).placement().getOrDefault(part, List.of());
         List<String> copies = all.stream().filter(c -> !health.ailing(c)).toList();
         String known = owners.getOrDefault(part, "");
         if (turn == 0 && !known.isEmpty() && !health.ailing(known)) {
@@ -102,7 +104,7 @@
         return clocks.until(store, until, EACH)
                 .map(body)
                 .onErrorMap(SubmitForwarder::notSent)
-                .flatMap(b -> env.beam().ask(store, b, type, limit.plus(EACH)))
+                .flatMap(b -> env.rpc().ask(store, b, type, limit.plus(EACH)))
                 .doOnError(e -> clocks.forget(store));
     }
 
@@ -126,7 +128,7 @@
                     new ServiceException(ErrorKind.UNAVAILABLE, "No store is placed for the part " + part + "."));
         }
         return body.apply(to)
-                .flatMap(b -> health.watched(to, env.beam().ask(to, b, type, EACH)))
+                .flatMap(b -> health.watched(to, env.rpc().ask(to, b, type, EACH)))
                 .doOnNext(t -> {
                     owners.put(part, to);
                     health.well(part, to);
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/Targets.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/Targets.java
@@ -14,7 +14,7 @@
 public final class Targets {
     private static final int MAX_IN_FLIGHT = 16;
     private static final int FAILING = 3;
-    /** Work goes to another hall only where that pays: bytes between halls are dear. */
+    /** Work goes to another zone only where that pays: bytes between zones are dear. */
     private static final double FAR = 2;
 
     private static final Duration FIRST_PAUSE = Duration.ofMillis(250);
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/WaitingPulls.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/WaitingPulls.java
@@ -26,21 +26,21 @@
 
     private record Moored(Commands.PullAsk ask, Duration until, Sinks.One<Object> out) {}
 
-    private final DispatchContext kit;
-    private final Map<String, Dispatcher> launchers;
+    private final DispatchContext context;
+    private final Map<String, Dispatcher> dispatchersByPart;
     private final Map<String, Deque<Moored>> waiting = new HashMap<>();
     private final Set<String> starting = ConcurrentHashMap.newKeySet();
     private int turn;
 
-    WaitingPulls(DispatchContext kit, Map<String, Dispatcher> launchers) {
-        this.kit = kit;
-        this.launchers = launchers;
+    WaitingPulls(DispatchContext context, Map<String, Dispatcher> dispatchersByPart) {
+        this.context = context;
+        this.dispatchersByPart = dispatchersByPart;
     }
 
     void route(RpcRouter router) {
         router.on(
                         Commands.PullAsk.class,
-                        (f, a) -> kit.berths().timely(a.until()).then(Mono.defer(() -> moor(a))))
+                        (f, a) -> context.partitions().timely(a.until()).then(Mono.defer(() -> moor(a))))
                 .on(
                         Commands.LeaseAsk.class,
                         (f, a) -> leases(a.part())
@@ -50,13 +50,13 @@
     }
 
     private Mono<Leases> leases(String part) {
-        return Mono.justOrEmpty(Optional.ofNullable(launchers.get(part)).map(Dispatcher::leases))
+        return Mono.justOrEmpty(Optional.ofNullable(dispatchersByPart.get(part)).map(Dispatcher::leases))
                 .switchIfEmpty(
                         Mono.error(new ServiceException(ErrorKind.NOT_OWNER, "The part " + part + " is not here.")));
     }
 
     private Duration now() {
-        return kit.env().times().mono();
+        return context.env().times().mono();
     }
 
     private Mono<Object> moor(Commands.PullAsk a) {
@@ -85,11 +85,11 @@
         services.forEach(this::serve);
     }
 
-    /** Those of our own hall first: bytes between halls are dear. */
+    /** Those of our own zone first: bytes between zones are dear. */
     private synchronized Optional<Moored> take(String service) {
         Deque<Moored> line = waiting.getOrDefault(service, new ArrayDeque<>());
         Optional<Moored> near =
-                line.stream().filter(m -> m.ask().hall().equals(kit.hall())).findFirst();
+                line.stream().filter(m -> m.ask().zone().equals(context.zone())).findFirst();
         near.ifPresent(line::remove);
         return near.or(() -> Optional.ofNullable(line.poll()));
     }
@@ -103,7 +103,7 @@
     }
 
     private void serve(String service) {
-        List<Dispatcher> all = new ArrayList<>(launchers.values());
+        List<Dispatcher> all = new ArrayList<>(dispatchersByPart.values());
         Collections.rotate(all, turn++);
         for (Dispatcher l : all) {
             int most = count(service);
