--- a/dataplane/src/main/java/org/woadvale/dataplane/ingress/Fetches.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/ingress/Fetches.java
@@ -27,7 +27,7 @@
     private static final Duration LIMIT = Duration.ofSeconds(2);
     /** A fetch waits at one store for so long, then at the next. */
     private static final Duration TURN = Duration.ofMillis(100);
-    /** At a store of its own hall. */
+    /** At a store of its own zone. */
     private static final Duration NEAR = Duration.ofMillis(300);
 
     private static final Duration AGAIN = Duration.ofMillis(100);
@@ -58,24 +58,24 @@
     }
 
     private final Env env;
-    private final ViewSubscriptions news;
-    private final ConfigurationView layouts;
-    private final SubmitForwarder courier;
-    private final String hall;
+    private final ViewSubscriptions subscriptions;
+    private final ConfigurationView configurations;
+    private final SubmitForwarder forwarder;
+    private final String zone;
     private final BooleanSupplier draining;
 
     public Fetches(
             Env env,
-            ViewSubscriptions news,
-            ConfigurationView layouts,
-            SubmitForwarder courier,
-            String hall,
+            ViewSubscriptions subscriptions,
+            ConfigurationView configurations,
+            SubmitForwarder forwarder,
+            String zone,
             BooleanSupplier draining) {
-        this.hall = hall;
+        this.zone = zone;
         this.env = env;
-        this.news = news;
-        this.layouts = layouts;
-        this.courier = courier;
+        this.subscriptions = subscriptions;
+        this.configurations = configurations;
+        this.forwarder = forwarder;
         this.draining = draining;
     }
 
@@ -108,8 +108,9 @@
             return Mono.empty();
         }
         List<String> stores = stores();
-        boolean known = layouts.fresh()
-                .map(k -> k.layout().services().get(service))
+        boolean known = configurations
+                .fresh()
+                .map(k -> k.configuration().services().get(service))
                 .filter(s -> s.kind() == Configuration.Kind.FETCHERS)
                 .isPresent();
         Mono<Message> next = Mono.defer(() -> turn(service, processor, until, first, n + 1, gone));
@@ -118,9 +119,10 @@
         }
         String store = stores.get((n - first) % stores.size());
         Duration here = least(left, near(store) ? NEAR : TURN);
-        return courier.at(
+        return forwarder
+                .at(
                         store,
-                        u -> new Commands.PullAsk(service, processor, u, here.toMillis(), hall),
+                        u -> new Commands.PullAsk(service, processor, u, here.toMillis(), zone),
                         Commands.Pulled.class,
                         here)
                 .flatMap(p -> p.messages().isEmpty()
@@ -136,16 +138,17 @@
     }
 
     private boolean near(String store) {
-        return Optional.ofNullable(news.latest(ServiceNames.STORES).seats().get(store))
-                .filter(s -> s.hall().equals(hall))
+        return Optional.ofNullable(
+                        subscriptions.latest(ServiceNames.STORES).members().get(store))
+                .filter(s -> s.zone().equals(zone))
                 .isPresent();
     }
 
-    /** Those of our own hall first. */
+    /** Those of our own zone first. */
     private List<String> stores() {
         TreeSet<String> all = new TreeSet<>();
-        news.latest(ServiceNames.STORES).placement().values().forEach(all::addAll);
-        all.retainAll(news.latest(ServiceNames.STORES).seats().keySet());
+        subscriptions.latest(ServiceNames.STORES).placement().values().forEach(all::addAll);
+        all.retainAll(subscriptions.latest(ServiceNames.STORES).members().keySet());
         List<String> out = new ArrayList<>(all);
         out.sort(java.util.Comparator.comparing(s -> !near(s)));
         return out;
@@ -153,7 +156,8 @@
 
     /** Fails with CONFLICT where the lease is gone. */
     public Mono<Boolean> extend(Lease l) {
-        return courier.ask(
+        return forwarder
+                .ask(
                         l.part(),
                         new Commands.LeaseAsk(l.part(), l.handle(), l.attempt()),
                         ControlMessages.Done.class,
@@ -166,7 +170,8 @@
     public Mono<Boolean> end(Lease l, Commands.Ending ending, String word) {
         Instant now = env.times().wall();
         Commands.End e = new Commands.End(l.handle(), l.attempt(), ending, word, now, now);
-        return courier.ask(l.part(), new Commands.LeaseEndAsk(l.part(), e), Commands.Changed.class, LIMIT)
+        return forwarder
+                .ask(l.part(), new Commands.LeaseEndAsk(l.part(), e), Commands.Changed.class, LIMIT)
                 .map(Commands.Changed::done)
                 .onErrorMap(Fetches::gone);
     }
--- a/dataplane/src/main/java/org/woadvale/dataplane/ingress/IngressNode.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/ingress/IngressNode.java
@@ -25,7 +25,7 @@
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
-/** HTTP of an intake: hand-ins, status, fetches and outcomes. design 9.6 */
+/** HTTP of an intake: processor-ins, status, fetches and outcomes. design 9.6 */
 public final class IngressNode {
     public static final int MAX_BODY = Intake.MAX_BODY;
     /** With a view of up to 2 s and the last try's own limit still within 5 s of a key's withdrawal. */
@@ -36,7 +36,7 @@
 
     private final Env env;
     private final RouteMatcher doors;
-    private final SubmitForwarder courier;
+    private final SubmitForwarder forwarder;
     private final Intake intake;
     private final Queries queries;
     private final Supplier<Map<String, Object>> status;
@@ -45,16 +45,16 @@
 
     public IngressNode(
             Env env,
-            ConfigurationView layouts,
+            ConfigurationView configurations,
             Intake intake,
             Queries queries,
-            SubmitForwarder courier,
+            SubmitForwarder forwarder,
             Supplier<Map<String, Object>> status,
             Supplier<Boolean> ready,
             Supplier<Boolean> drain) {
         this.env = env;
-        this.doors = new RouteMatcher(layouts);
-        this.courier = courier;
+        this.doors = new RouteMatcher(configurations);
+        this.forwarder = forwarder;
         this.intake = intake;
         this.queries = queries;
         this.status = status;
@@ -87,7 +87,7 @@
                 return Mono.just(Answer.json(200, Map.of("drained", drain.get())));
             case "POST v1/lanes 4":
                 if (s.get(3).equals("messages")) {
-                    return intake.handIn(q, s.get(2));
+                    return intake.submit(q, s.get(2));
                 }
                 break;
             case "GET v1/messages 3":
@@ -144,8 +144,8 @@
             throw new ServiceException(ErrorKind.BAD_REQUEST, "state must be waiting, running, done or failed.");
         }
         return Flux.fromIterable(ServiceNames.messageParts())
-                .flatMap(p ->
-                        courier.ask(p, new Commands.ListAsk(p, key.tenant(), state, 100), Commands.Listed.class, LIMIT))
+                .flatMap(p -> forwarder.ask(
+                        p, new Commands.ListAsk(p, key.tenant(), state, 100), Commands.Listed.class, LIMIT))
                 .collectList()
                 .map(lists -> {
                     List<Map<String, Object>> rows = new ArrayList<>();
@@ -180,7 +180,8 @@
     }
 
     private Mono<Commands.Fetched> fetch(String part, String service, PullRequest in, boolean again) {
-        return courier.timely(
+        return forwarder
+                .timely(
                         part,
                         u -> new Commands.FetchAsk(part, service, in.processor(), in.most(), u, in.fetch(), again),
                         Commands.Fetched.class,
@@ -255,7 +256,8 @@
             default -> Commands.Ending.RETRY;
         };
         Commands.End end = new Commands.End(handle, in.attempt(), ending, in.receipt(), now.plusMillis(500), now);
-        return courier.ask(
+        return forwarder
+                .ask(
                         part,
                         new Commands.OutcomeAsk(part, end, in.processor(), key.service()),
                         Commands.Changed.class,
--- a/dataplane/src/main/java/org/woadvale/dataplane/ingress/Intake.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/ingress/Intake.java
@@ -24,7 +24,7 @@
 import org.woadvale.dataplane.queue.RouteTerms;
 import reactor.core.publisher.Mono;
 
-/** A hand-in's way: checked, then a pass, then the store; three stages with bounded queues. design 9.6 */
+/** A processor-in's way: checked, then a pass, then the store; three stages with bounded queues. design 9.6 */
 public final class Intake {
     static final int MAX_BODY = 16 << 10;
     private static final Duration LIMIT = Duration.ofMillis(4000);
@@ -42,22 +42,22 @@
 
     private final Env env;
     private final RouteMatcher doors;
-    private final LocalBuckets purses;
-    private final SubmitForwarder courier;
+    private final LocalBuckets localBuckets;
+    private final SubmitForwarder forwarder;
     private final Stage<Checked, Admitted> passing;
-    private final Stage<Admitted, Commands.Accepted> handingOver;
+    private final Stage<Admitted, Commands.Accepted> forwarding;
 
-    public Intake(Env env, ConfigurationView layouts, LocalBuckets purses, SubmitForwarder courier) {
+    public Intake(Env env, ConfigurationView configurations, LocalBuckets localBuckets, SubmitForwarder forwarder) {
         this.env = env;
-        this.doors = new RouteMatcher(layouts);
-        this.purses = purses;
-        this.courier = courier;
+        this.doors = new RouteMatcher(configurations);
+        this.localBuckets = localBuckets;
+        this.forwarder = forwarder;
         this.passing = new Stage<>("passes", DEPTH, WIDTH * 4, this::pass);
-        this.handingOver = new Stage<>("hand-over", DEPTH, WIDTH, this::handOver);
+        this.forwarding = new Stage<>("hand-over", DEPTH, WIDTH, this::transferLeadership);
     }
 
     /** The product's own way in: JSON, answered by the handle. */
-    Mono<Answer> handIn(Request q, String lane) {
+    Mono<Answer> submit(Request q, String lane) {
         try {
             Submission o = offer(q, lane);
             return take(o).map(x -> accepted(o, x));
@@ -85,7 +85,7 @@
     public Mono<Commands.Accepted> take(Submission o) {
         try {
             return passing.submit(check(o))
-                    .flatMap(a -> handingOver.submit(a).doOnError(e -> {
+                    .flatMap(a -> forwarding.submit(a).doOnError(e -> {
                         if (ServiceException.of(e).kind() == ErrorKind.QUEUE_FULL) {
                             putBack(a);
                         }
@@ -127,7 +127,8 @@
                         new LocalBucket.Pass(
                                 AdmissionTokens.NO_GRANT, env.times().mono().plus(AdmissionTokens.LIFE)),
                         part))
-                : purses.take(
+                : localBuckets
+                        .take(
                                 ServiceNames.tenantBucket(c.tenant()),
                                 c.offer().patience().dividedBy(16))
                         .map(p -> new Admitted(c, p, part));
@@ -140,7 +141,7 @@
     private String part(Checked c) {
         Submission o = c.offer();
         return o.orderKey().isEmpty() && c.free()
-                ? courier.anyPart(o.id())
+                ? forwarder.anyPart(o.id())
                 : ServiceNames.messagePart(o.lane(), o.orderKey().isEmpty() ? o.id() : o.orderKey());
     }
 
@@ -149,11 +150,11 @@
     }
 
     private void putBack(Admitted a) {
-        purses.putBack(bucket(a), a.pass());
+        localBuckets.putBack(bucket(a), a.pass());
     }
 
-    /** Key, lane and pass are looked at once more, right before each hand-over: design 9.7. */
-    private Mono<Commands.Accepted> handOver(Admitted a) {
+    /** Key, lane and pass are looked at once more, right before each processor-over: design 9.7. */
+    private Mono<Commands.Accepted> transferLeadership(Admitted a) {
         return attempt(a, env.times().mono().plus(givenUp(a.c().offer())), false);
     }
 
@@ -171,7 +172,7 @@
                 .equals(a.c().tenant())) {
             throw new ServiceException(ErrorKind.UNAUTHORISED, "The key is another tenant's by now.");
         }
-        if (!purses.alive(a.pass())) {
+        if (!localBuckets.alive(a.pass())) {
             throw new ServiceException(ErrorKind.THROTTLED, "The pass died while waiting.");
         }
         return lane;
@@ -195,7 +196,7 @@
 
     /**
      * A pass covers an acceptance only while it lives: what is not decided by then is asked again, with the same
-     * message id, under a new pass and by the layout of that time. design 8.5
+     * message id, under a new pass and by the configuration of that time. design 8.5
      */
     private Mono<Commands.Accepted> attempt(Admitted a, Duration until, boolean unknown) {
         Commands.Accept accept;
@@ -207,8 +208,8 @@
         }
         String part = a.part();
         Duration life = a.pass().until().minus(env.times().mono());
-        return courier.timely(
-                        part, u -> new Commands.AcceptAsk(part, accept, u), Commands.Accepted.class, waits(a, life))
+        return forwarder
+                .timely(part, u -> new Commands.AcceptAsk(part, accept, u), Commands.Accepted.class, waits(a, life))
                 .doOnNext(x -> settle(a, x))
                 .onErrorResume(e -> {
                     ServiceException f = ServiceException.of(e);
@@ -216,14 +217,14 @@
                     if (f.kind().definite()) {
                         putBack(a);
                     } else {
-                        purses.settle(bucket(a), a.pass());
+                        localBuckets.settle(bucket(a), a.pass());
                     }
                     Optional<String> other = nowUnknown ? Optional.empty() : elsewhere(a, f);
                     if (other.isPresent()) {
                         return pass(a.c(), other.get()).flatMap(next -> attempt(next, until, false));
                     }
                     boolean again = (nowUnknown || f.kind() == ErrorKind.UNAVAILABLE && !a.c().free())
-                            && !purses.alive(a.pass())
+                            && !localBuckets.alive(a.pass())
                             && env.times().mono().compareTo(until) < 0;
                     return again
                             ? Delays.pause(env.schedules(), PAUSE)
@@ -234,16 +235,16 @@
                 });
     }
 
-    /** A part that may change hands in order is waited for shortly; one that is in trouble is not. design 9.13 */
+    /** A part that may change processors in order is waited for shortly; one that is in trouble is not. design 9.13 */
     private Duration waits(Admitted a, Duration life) {
-        return !a.c().free() ? life : courier.troubled(a.part()) ? HOPELESS : SHORT;
+        return !a.c().free() ? life : forwarder.troubled(a.part()) ? HOPELESS : SHORT;
     }
 
     /** It was certainly not taken there, so another part may take it. */
     private Optional<String> elsewhere(Admitted a, ServiceException f) {
         return Optional.of(a)
                 .filter(x -> x.c().free() && x.c().offer().orderKey().isEmpty() && f.kind() == ErrorKind.UNAVAILABLE)
-                .map(x -> courier.anyPart(x.c().offer().id()))
+                .map(x -> forwarder.anyPart(x.c().offer().id()))
                 .filter(p -> !p.equals(a.part()));
     }
 
@@ -255,12 +256,12 @@
                 : e;
     }
 
-    /** A repeated hand-in was accepted before and has paid then. */
+    /** A repeated processor-in was accepted before and has paid then. */
     private void settle(Admitted a, Commands.Accepted x) {
         if (x.repeated()) {
             putBack(a);
         } else {
-            purses.settle(bucket(a), a.pass());
+            localBuckets.settle(bucket(a), a.pass());
         }
     }
 
--- a/dataplane/src/main/java/org/woadvale/dataplane/ingress/Queries.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/ingress/Queries.java
@@ -15,12 +15,12 @@
 public final class Queries {
     private static final Duration LIMIT = Duration.ofMillis(1800);
     private static final String HANDLE = "m[0-9]{1,4}-[0-9]{1,18}";
-    private final ConfigurationView layouts;
-    private final SubmitForwarder courier;
+    private final ConfigurationView configurations;
+    private final SubmitForwarder forwarder;
 
-    public Queries(ConfigurationView layouts, SubmitForwarder courier) {
-        this.layouts = layouts;
-        this.courier = courier;
+    public Queries(ConfigurationView configurations, SubmitForwarder forwarder) {
+        this.configurations = configurations;
+        this.forwarder = forwarder;
     }
 
     static String partOf(String handle) throws ServiceException {
@@ -35,13 +35,14 @@
     public Mono<Message> message(String secret, String handle) {
         return Mono.defer(() -> {
             try {
-                Configuration.Key key = layouts.require()
+                Configuration.Key key = configurations
+                        .require()
                         .key(secret)
                         .filter(k -> k.role() == Configuration.Role.CALLER)
                         .orElseThrow(() -> new ServiceException(
                                 ErrorKind.UNAUTHORISED, "The key is missing, wrong or withdrawn."));
                 String part = partOf(handle);
-                return courier.ask(part, new Commands.StatusAsk(part, handle, key.tenant()), Message.class, LIMIT);
+                return forwarder.ask(part, new Commands.StatusAsk(part, handle, key.tenant()), Message.class, LIMIT);
             } catch (ServiceException e) {
                 return Mono.error(e);
             }
--- a/dataplane/src/main/java/org/woadvale/dataplane/ingress/RouteMatcher.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/ingress/RouteMatcher.java
@@ -12,14 +12,14 @@
 
 /** Keys and inputs are checked on every request, on open streams too: design 7.2 and 9.6. */
 final class RouteMatcher {
-    private final ConfigurationView layouts;
+    private final ConfigurationView configurations;
 
-    RouteMatcher(ConfigurationView layouts) {
-        this.layouts = layouts;
+    RouteMatcher(ConfigurationView configurations) {
+        this.configurations = configurations;
     }
 
     Configuration.Key key(Request q, Configuration.Role role) throws ServiceException {
-        ConfigurationView.Known k = layouts.require();
+        ConfigurationView.Known k = configurations.require();
         Optional<Configuration.Key> key = q.secret().flatMap(k::key);
         if (key.isEmpty()) {
             throw new ServiceException(ErrorKind.UNAUTHORISED, "The key is missing, wrong or withdrawn.");
@@ -34,7 +34,7 @@
 
     /** Empty where the lane asks for no key. */
     Optional<Configuration.Key> callerKey(String secret, String lane) throws ServiceException {
-        ConfigurationView.Known k = layouts.require();
+        ConfigurationView.Known k = configurations.require();
         Optional<Configuration.Key> key = k.key(secret).filter(x -> x.role() == Configuration.Role.CALLER);
         if (key.isEmpty() && !lane(lane).keyless()) {
             throw new ServiceException(ErrorKind.UNAUTHORISED, "The key is missing, wrong or withdrawn.");
@@ -43,7 +43,8 @@
     }
 
     Configuration.Lane lane(String name) throws ServiceException {
-        return Optional.ofNullable(layouts.require().layout().lanes().get(name))
+        return Optional.ofNullable(
+                        configurations.require().configuration().lanes().get(name))
                 .orElseThrow(() -> new ServiceException(ErrorKind.UNKNOWN_LANE, "There is no lane " + name + "."));
     }
 
--- a/dataplane/src/main/java/org/woadvale/dataplane/ingress/SubmitRequest.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/ingress/SubmitRequest.java
@@ -7,7 +7,7 @@
 import jakarta.validation.constraints.Pattern;
 import jakarta.validation.constraints.Size;
 
-/** What a caller hands in. */
+/** What a caller processors in. */
 public record SubmitRequest(
         @NotNull @Pattern(regexp = "[A-Za-z0-9][A-Za-z0-9._:-]{0,127}")
         String id,
--- a/dataplane/src/main/java/org/woadvale/dataplane/queue/Commands.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/queue/Commands.java
@@ -90,7 +90,7 @@
     public record OutcomeAsk(String part, End end, String processor, String service) {}
 
     /** A fetch that waits at a store for work of a service, from any of the parts owned there. design 9.10 */
-    public record PullAsk(String service, String processor, Until until, long waitMs, String hall) {}
+    public record PullAsk(String service, String processor, Until until, long waitMs, String zone) {}
 
     /** One message that was started, or none. */
     public record Pulled(List<Message> messages) {}
--- a/dataplane/src/main/java/org/woadvale/dataplane/queue/Message.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/queue/Message.java
@@ -5,7 +5,7 @@
 import org.woadvale.common.rpc.Since;
 
 /**
- * One message as its part knows it. Done ones keep no body. The envelope is opaque here: whoever hands in and whoever
+ * One message as its part knows it. Done ones keep no body. The envelope is opaque here: whoever processors in and whoever
  * delivers agree on it. Ends: a bit for each attempt whose end was taken, up to the 62nd.
  */
 public record Message(
--- a/dataplane/src/main/java/org/woadvale/dataplane/queue/MessagePartitions.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/queue/MessagePartitions.java
@@ -34,8 +34,8 @@
     public record MessagePartition(String part, Replica replica, MessageStateMachine machine, Bucket units) {}
 
     private final Env env;
-    private final ViewSubscriptions news;
-    private final Map<String, MessagePartition> berths = new ConcurrentHashMap<>();
+    private final ViewSubscriptions subscriptions;
+    private final Map<String, MessagePartition> partitions = new ConcurrentHashMap<>();
     private final Bucket nodeUnits;
     private final RateLimit partAllowance;
     private final long partBytes;
@@ -47,11 +47,16 @@
 
     /** A part takes no more beyond its size; and its view, with room for the log's tail, must fit into a ring file. */
     public MessagePartitions(
-            Env env, ViewSubscriptions news, RateLimit node, RateLimit part, long partBytes, Duration retention) {
+            Env env,
+            ViewSubscriptions subscriptions,
+            RateLimit node,
+            RateLimit part,
+            long partBytes,
+            Duration retention) {
         this.retention = retention;
         this.partBytes = partBytes;
         this.env = env;
-        this.news = news;
+        this.subscriptions = subscriptions;
         this.nodeUnits = Bucket.full(node, env.times().mono());
         this.partAllowance = part;
         this.life = Long.toHexString(env.random().getAsLong());
@@ -80,7 +85,7 @@
     }
 
     public Mono<MessagePartition> at(String part) {
-        return Mono.justOrEmpty(berths.get(part))
+        return Mono.justOrEmpty(partitions.get(part))
                 .switchIfEmpty(
                         Mono.error(new ServiceException(ErrorKind.NOT_OWNER, "The part " + part + " is not here.")));
     }
@@ -96,8 +101,8 @@
     private Mono<Commands.Accepted> accept(MessagePartition b, Commands.Accept a) {
         int units = Math.max(1, (a.body().length + 1023) / 1024);
         boolean room = b.replica().look(i -> b.machine().weight())
-                        < Math.min(partBytes, env.logbook().largest() / 2)
-                && !env.logbook().nearlyFull();
+                        < Math.min(partBytes, env.wal().largest() / 2)
+                && !env.wal().nearlyFull();
         if (!b.replica().mayAct()) {
             // it may own the part a moment later: then all of this is looked at again
             return b.replica().read(i -> i).flatMap(i -> accept(b, a));
@@ -150,7 +155,7 @@
     }
 
     public void start() throws ServiceException {
-        for (String part : env.logbook().recovered().keySet()) {
+        for (String part : env.wal().recovered().keySet()) {
             if (part.startsWith("m")) {
                 open(part, List.of());
             }
@@ -161,18 +166,18 @@
     private void open(String part, List<String> wanted) throws ServiceException {
         MessageStateMachine m = new MessageStateMachine(part, env.codec());
         Replica r = new Replica(part, wanted, m, env);
-        r.start(env.logbook().recovered().getOrDefault(part, List.of()));
+        r.start(env.wal().recovered().getOrDefault(part, List.of()));
         MessagePartition b = new MessagePartition(
                 part, r, m, Bucket.full(partAllowance, env.times().mono()));
-        berths.put(part, b);
+        partitions.put(part, b);
         onOpen.accept(b);
     }
 
     private void look() {
         Map<String, List<String>> placement =
-                new HashMap<>(news.latest(ServiceNames.STORES).placement());
+                new HashMap<>(subscriptions.latest(ServiceNames.STORES).placement());
         placement.forEach((part, copies) -> {
-            Optional<MessagePartition> b = Optional.ofNullable(berths.get(part));
+            Optional<MessagePartition> b = Optional.ofNullable(partitions.get(part));
             if (b.isPresent()) {
                 b.get().replica().want(copies);
             } else if (copies.contains(env.self())) {
@@ -183,7 +188,7 @@
                 }
             }
         });
-        berths.values().forEach(b -> {
+        partitions.values().forEach(b -> {
             forget(b);
             spread(b, placement.getOrDefault(b.part(), List.of()));
         });
@@ -210,10 +215,10 @@
             return;
         }
         b.replica()
-                .heir()
+                .successor()
                 .filter(h -> draining || (!copies.isEmpty() && h.equals(copies.get(0))))
                 .ifPresent(h -> {
-                    if (b.replica().handOver(h)) {
+                    if (b.replica().transferLeadership(h)) {
                         LOG.info("berth: hands {} over to {}.", b.part(), h);
                     }
                 });
@@ -221,17 +226,17 @@
 
     public boolean drain() {
         draining = true;
-        berths.values().forEach(b -> b.replica().unwilling());
-        berths.values().forEach(b -> spread(b, List.of()));
-        return berths.values().stream().noneMatch(b -> b.replica().phase() == Phase.OWNING);
+        partitions.values().forEach(b -> b.replica().unwilling());
+        partitions.values().forEach(b -> spread(b, List.of()));
+        return partitions.values().stream().noneMatch(b -> b.replica().phase() == Phase.OWNING);
     }
 
     public Map<String, MessagePartition> all() {
-        return berths;
+        return partitions;
     }
 
     public void stop() {
         looking.cancel();
-        berths.values().forEach(b -> b.replica().stop());
+        partitions.values().forEach(b -> b.replica().stop());
     }
 }
--- a/operator/src/main/java/org/woadvale/operator/Runner.java
+++ b/operator/src/main/java/org/woadvale/operator/Runner.java
@@ -19,14 +19,14 @@
 final class Runner {
     private static final Duration AGAIN = Duration.ofMillis(300);
     private final Wire wire;
-    private final OperatorIo hands;
+    private final OperatorIo processors;
     private final String key;
     private final boolean dry;
     private final List<String> record = new ArrayList<>();
 
-    Runner(Wire wire, OperatorIo hands, String key, boolean dry) {
+    Runner(Wire wire, OperatorIo processors, String key, boolean dry) {
         this.wire = wire;
-        this.hands = hands;
+        this.processors = processors;
         this.key = key;
         this.dry = dry;
     }
@@ -37,7 +37,7 @@
 
     private void note(String line) {
         record.add(line);
-        hands.say(line);
+        processors.say(line);
     }
 
     /** True when every step succeeded. */
@@ -96,7 +96,7 @@
             case ASK, WAIT -> keep(s, until(s, v), v);
             case REMOVE -> remove(s, v);
             case PERSON -> {
-                if (!hands.done(v.fill(s.title()))) {
+                if (!processors.done(v.fill(s.title()))) {
                     throw new ServiceException(ErrorKind.CONFLICT, "not confirmed");
                 }
             }
@@ -139,7 +139,7 @@
 
     /** A wait asks until it holds; an action is asked again only where the answer was to come back later. */
     private Wire.Got until(Runbook.Step s, Values v) throws ServiceException {
-        Duration end = hands.now().plusMillis(s.withinMs());
+        Duration end = processors.now().plusMillis(s.withinMs());
         while (true) {
             try {
                 return once(s, v);
@@ -147,10 +147,10 @@
                 if (s.kind() == Runbook.Kind.ASK && !e.kind().retryable()) {
                     throw e;
                 }
-                if (hands.now().compareTo(end) >= 0) {
+                if (processors.now().compareTo(end) >= 0) {
                     throw new ServiceException(e.kind(), "not within " + s.withinMs() + " ms: " + e.getMessage());
                 }
-                hands.rest(AGAIN);
+                processors.rest(AGAIN);
             }
         }
     }
--- a/operator/src/test/java/org/woadvale/operator/OperatorProgramTest.java
+++ b/operator/src/test/java/org/woadvale/operator/OperatorProgramTest.java
@@ -75,7 +75,7 @@
 
     private static final Map<String, String> KEY =
             Map.of("lighthouse", "http://l", "intake", "http://i", "key", "old", "request", "r1");
-    private static final String LAYOUT = "{\"keys\":{\"old\":{},\"new\":{}},\"lanes\":{}}";
+    private static final String CONFIGURATION = "{\"keys\":{\"old\":{},\"new\":{}},\"lanes\":{}}";
 
     @ParameterizedTest
     @ValueSource(
@@ -99,7 +99,7 @@
     @Test
     void withdrawnKeyLeavesTheRestAsItWas() throws ServiceException {
         Script s = new Script()
-                .on("GET http://l/v1/layout", 200, LAYOUT)
+                .on("GET http://l/v1/layout", 200, CONFIGURATION)
                 .on("PUT http://l/v1/layout", 200, "{\"version\":5}")
                 .on("GET http://i/v1/status", 200, "{\"layout\":4}")
                 .on("GET http://i/v1/status", 200, "{\"layout\":5}");
@@ -111,7 +111,7 @@
     @Test
     void lostRaceStopsTheRunAndSaysWhy() throws ServiceException {
         Script s = new Script()
-                .on("GET http://l/v1/layout", 200, LAYOUT)
+                .on("GET http://l/v1/layout", 200, CONFIGURATION)
                 .on("PUT http://l/v1/layout", 412, "{\"kind\":\"stale_base\"}");
         assertFalse(s.run("withdraw-key", false, KEY));
         assertTrue(s.said.get(s.said.size() - 1).contains("stale_base"), s.said.toString());
@@ -121,7 +121,7 @@
     @Test
     void actionThatIsToComeBackLaterIsAskedAgain() throws ServiceException {
         Script s = new Script()
-                .on("GET http://l/v1/layout", 200, LAYOUT)
+                .on("GET http://l/v1/layout", 200, CONFIGURATION)
                 .on("PUT http://l/v1/layout", 503, "{}")
                 .on("PUT http://l/v1/layout", 504, "{}")
                 .on("PUT http://l/v1/layout", 200, "{\"version\":5}")
@@ -132,7 +132,7 @@
 
     @Test
     void dryRunChangesNothing() throws ServiceException {
-        Script s = new Script().on("GET http://l/v1/layout", 200, LAYOUT);
+        Script s = new Script().on("GET http://l/v1/layout", 200, CONFIGURATION);
         assertTrue(s.run("withdraw-key", true, KEY));
         assertEquals(List.of("GET http://l/v1/layout"), s.asked);
     }
@@ -154,7 +154,7 @@
     @Test
     void waitHasADeadline() throws ServiceException {
         Script s = new Script()
-                .on("GET http://l/v1/layout", 200, LAYOUT)
+                .on("GET http://l/v1/layout", 200, CONFIGURATION)
                 .on("PUT http://l/v1/layout", 200, "{\"version\":5}")
                 .on("GET http://i/v1/status", 200, "{\"layout\":4}");
         assertFalse(s.run("withdraw-key", false, KEY));
--- a/testkit/src/main/java/org/woadvale/testkit/capacity/FleetRuns.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/FleetRuns.java
@@ -13,11 +13,11 @@
     private static final Duration AWAY = Duration.ofSeconds(6);
     private static final long FIXED = 300L << 20;
     private static final long A_NODE = 600 << 10;
-    private static final long A_SEAT = 900;
+    private static final long A_MEMBER = 900;
     private static final long A_PROCESSOR = 1500;
     private static final int MARKS = 10;
     private static final int MOST_NODES = 60_000;
-    /** Of a layout. design 6.1 */
+    /** Of a configuration. design 6.1 */
     private static final int MOST_TENANTS = 1000;
 
     private static final int MOST_LISTED = 20_000;
@@ -48,12 +48,12 @@
     private static long fleet(long nodes, long tenants, long destinations) {
         return FIXED
                 + nodes * A_NODE
-                + nodes * nodes * A_SEAT
+                + nodes * nodes * A_MEMBER
                 + nodes * tenants * A_BUCKET
                 + nodes * destinations * A_PROCESSOR / 2;
     }
 
-    /** Every node knows every other; one is restarted, and one layout is changed. */
+    /** Every node knows every other; one is restarted, and one configuration is changed. */
     static Mechanism nodes() {
         return nodes(List.of(60, 120, 240, 480), 8);
     }
@@ -90,7 +90,7 @@
         return new Kind("tenants", List.of(8, 16, 32, 64, 128), MOST_TENANTS, n -> fleet(36, n, 16), n -> {
             HollowFleet f = new HollowFleet(Shape.usual().tenants(n));
             Map<String, Double> out = steady(f, 36);
-            out.put("layout KB", f.layoutBytes() / 1024.0);
+            out.put("layout KB", f.configurationBytes() / 1024.0);
             return out;
         });
     }
@@ -104,12 +104,13 @@
                     Map<String, Double> out = new LinkedHashMap<>();
                     out.put("heap of a node KB", f.heapOfNodes() / 1024.0 / 12);
                     Map<String, Count> nodes = f.nodeCounts();
-                    Map<String, Count> lamps = f.lampCounts();
+                    Map<String, Count> controlNodes = f.controlNodeCounts();
                     f.sim.run(WINDOW);
                     Count quietNodes = Count.sum(f.nodeCounts().values()).minus(Count.sum(nodes.values()));
-                    Count quietLamps = Count.sum(f.lampCounts().values()).minus(Count.sum(lamps.values()));
+                    Count quietControlNodes =
+                            Count.sum(f.controlNodeCounts().values()).minus(Count.sum(controlNodes.values()));
                     nodes = f.nodeCounts();
-                    lamps = f.lampCounts();
+                    controlNodes = f.controlNodeCounts();
                     Duration took = Duration.ZERO;
                     for (int i = 0; i < MARKS; i++) {
                         took = took.plus(f.mark(i % 2 == 0));
@@ -125,9 +126,9 @@
                                     / stores);
                     out.put(
                             "processor ms of the core for one mark",
-                            Count.sum(f.lampCounts().values())
-                                            .minus(Count.sum(lamps.values()))
-                                            .minus(quietLamps)
+                            Count.sum(f.controlNodeCounts().values())
+                                            .minus(Count.sum(controlNodes.values()))
+                                            .minus(quietControlNodes)
                                             .cpuS()
                                     * 1000
                                     / MARKS);
@@ -144,12 +145,12 @@
                 });
     }
 
-    /** ConfigurationView changed within a window, evenly; a layout of 64 tenants. */
+    /** ConfigurationView changed within a window, evenly; a configuration of 64 tenants. */
     static Mechanism changes() {
         return new Kind("changes in 10 s", List.of(1, 2, 4, 8, 16), MOST_CHANGES, n -> fleet(36, 64, 16), n -> {
             HollowFleet f = new HollowFleet(Shape.usual().tenants(64));
             Map<String, Count> nodes = f.nodeCounts();
-            Map<String, Count> lamps = f.lampCounts();
+            Map<String, Count> controlNodes = f.controlNodeCounts();
             double worst = 0;
             for (int i = 0; i < n; i++) {
                 Duration took = f.changeEverywhere();
@@ -158,9 +159,9 @@
                 f.sim.run(left.isNegative() ? Duration.ZERO : left);
             }
             Map<String, Double> out = new LinkedHashMap<>();
-            put(out, f, nodes, lamps, 36);
+            put(out, f, nodes, controlNodes, 36);
             out.put("a change everywhere, longest s", worst);
-            out.put("layout KB", f.layoutBytes() / 1024.0);
+            out.put("layout KB", f.configurationBytes() / 1024.0);
             return out;
         });
     }
@@ -179,7 +180,7 @@
 
     private static Map<String, Double> steady(HollowFleet f, int nodes) {
         Map<String, Count> n = f.nodeCounts();
-        Map<String, Count> l = f.lampCounts();
+        Map<String, Count> l = f.controlNodeCounts();
         f.sim.run(WINDOW);
         Map<String, Double> out = new LinkedHashMap<>();
         put(out, f, n, l, nodes);
@@ -188,12 +189,13 @@
 
     /** Means over the nodes, the busiest node, all lighthouses together and the busiest of them; bytes both ways. */
     private static void put(
-            Map<String, Double> out, HollowFleet f, Map<String, Count> nodes, Map<String, Count> lamps, int n) {
+            Map<String, Double> out, HollowFleet f, Map<String, Count> nodes, Map<String, Count> controlNodes, int n) {
         double s = WINDOW.toSeconds();
         Map<String, Count> now = f.nodeCounts();
-        Map<String, Count> core = f.lampCounts();
+        Map<String, Count> core = f.controlNodeCounts();
         Count mean = Count.sum(now.values()).minus(Count.sum(nodes.values())).times(1 / s / n);
-        Count all = Count.sum(core.values()).minus(Count.sum(lamps.values())).times(1 / s);
+        Count all =
+                Count.sum(core.values()).minus(Count.sum(controlNodes.values())).times(1 / s);
         out.put("frames of a node /s", mean.frames());
         out.put("bytes of a node /s", mean.bytes());
         out.put("processor ms of a node /s", mean.cpuS() * 1000);
@@ -215,7 +217,7 @@
         out.put(
                 "asks of the busiest lighthouse /s",
                 core.keySet().stream()
-                        .mapToDouble(a -> core.get(a).minus(lamps.get(a)).asks() / s)
+                        .mapToDouble(a -> core.get(a).minus(controlNodes.get(a)).asks() / s)
                         .max()
                         .orElse(0));
     }
--- a/testkit/src/main/java/org/woadvale/testkit/capacity/HollowFleet.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/HollowFleet.java
@@ -41,16 +41,16 @@
     final Sim sim = new Sim(1);
     private final HollowNet net = new HollowNet(sim);
     private final Shape shape;
-    private final Codec lampCodec = Wire.codec(Wire.LIGHTHOUSE, Operators.types());
+    private final Codec controlCodec = Wire.codec(Wire.LIGHTHOUSE, Operators.types());
     private final Codec pilotCodec = Wire.codec(Wire.PILOT, Commands.types());
     private final List<String> seeds = List.of("10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1");
-    private final Map<String, HollowHost> lamps = new LinkedHashMap<>();
+    private final Map<String, HollowHost> controlNodes = new LinkedHashMap<>();
     private final Map<String, HollowHost> hosts = new LinkedHashMap<>();
     private final Map<String, HollowNode> nodes = new LinkedHashMap<>();
     private final Map<String, Integer> places = new LinkedHashMap<>();
     private final CoreClient operator;
     private final long heapBefore;
-    private long layout;
+    private long configuration;
     private long changes;
 
     /** Serving when it returns: everyone knows everyone and each tenant's bucket is held. */
@@ -61,10 +61,10 @@
         }
         HollowHost desk = new HollowHost("10.0.9.1:1", sim);
         net.add(desk);
-        operator = new CoreClient(net.beam(desk, lampCodec), sim.random()::nextLong, seeds, List.of(), l -> {});
+        operator = new CoreClient(net.rpc(desk, controlCodec), sim.random()::nextLong, seeds, List.of(), l -> {});
         sim.run(REST);
         change();
-        await(() -> layout == 1, "the layout was not taken");
+        await(() -> configuration == 1, "the layout was not taken");
         list();
         heapBefore = Heap.used();
         for (int i = 0; i < shape.nodes(); i++) {
@@ -74,7 +74,9 @@
         }
         sim.run(Duration.ofMillis(500));
         await(
-                () -> nodes.values().stream().allMatch(n -> n.members() == shape.nodes() && n.layoutVersion() == layout)
+                () -> nodes.values().stream()
+                                .allMatch(
+                                        n -> n.members() == shape.nodes() && n.configurationVersion() == configuration)
                         && held() == shape.tenants(),
                 "the fleet did not get ready");
         sim.run(REST);
@@ -87,15 +89,15 @@
     private void light(String address) throws ServiceException {
         HollowHost h = new HollowHost(address, sim);
         net.add(h);
-        lamps.put(address, h);
+        controlNodes.put(address, h);
         RpcRouter router = new RpcRouter();
         h.serve(router);
-        RpcClient beam = net.beam(h, lampCodec);
+        RpcClient rpc = net.rpc(h, controlCodec);
         RingWriteAheadLog book = RingWriteAheadLog.open(new SimDisk(sim), h, RING_FILES, RING_BYTES);
         book.onFailure(why -> h.kill());
-        Env env = new Env(h, h, beam, lampCodec, book, sim.random()::nextLong, ReplicationTiming.core());
+        Env env = new Env(h, h, rpc, controlCodec, book, sim.random()::nextLong, ReplicationTiming.core());
         ControlNode n =
-                new ControlNode(env, new CoreClient(beam, sim.random()::nextLong, seeds, List.of(), l -> {}), seeds);
+                new ControlNode(env, new CoreClient(rpc, sim.random()::nextLong, seeds, List.of(), l -> {}), seeds);
         n.route(router);
         new Operators(n, "").route(router);
         n.start();
@@ -108,7 +110,7 @@
         hosts.put(address, h);
         String role = i % Shape.STORE_EVERY == 0 ? ServiceNames.STORES : ServiceNames.INTAKES;
         HollowNode n =
-                new HollowNode(h, net.beam(h, pilotCodec), pilotCodec, sim, "hall" + i % Shape.HALLS, seeds, role);
+                new HollowNode(h, net.rpc(h, pilotCodec), pilotCodec, sim, "hall" + i % Shape.ZONES, seeds, role);
         nodes.put(address, n);
         h.work(() -> n.start(List.of(LIST)));
     }
@@ -127,20 +129,26 @@
         return nodes.values().stream().mapToInt(HollowNode::holds).sum();
     }
 
-    /** One more layout: the same but for the burst of all tenants. Its version is the count of changes that were taken. */
+    /** One more configuration: the same but for the burst of all tenants. Its version is the count of changes that were taken. */
     void change() {
         byte[] json = Configurations.write(
-                new TestConfiguration(shape.tenants(), 0, RATE, (int) (RATE + changes), 1).layout(i -> ""));
-        ControlMessages.PutLayout put = new ControlMessages.PutLayout("change" + changes++, layout, json, "capacity");
+                new TestConfiguration(shape.tenants(), 0, RATE, (int) (RATE + changes), 1).configuration(i -> ""));
+        ControlMessages.PutConfiguration put =
+                new ControlMessages.PutConfiguration("change" + changes++, configuration, json, "capacity");
         operator.ask(
-                        ServiceNames.controlPart(ServiceNames.LAYOUT),
-                        new Operators.LayoutPut(put),
-                        ControlMessages.LayoutTaken.class)
-                .subscribe(t -> layout = t.version(), e -> {});
+                        ServiceNames.controlPart(ServiceNames.CONFIGURATION),
+                        new Operators.ConfigurationPut(put),
+                        ControlMessages.ConfigurationTaken.class)
+                .subscribe(t -> configuration = t.version(), e -> {});
     }
 
-    int layoutBytes() {
-        return nodes.values().iterator().next().latest(ServiceNames.LAYOUT).layout().length;
+    int configurationBytes() {
+        return nodes.values()
+                .iterator()
+                .next()
+                .latest(ServiceNames.CONFIGURATION)
+                .configuration()
+                .length;
     }
 
     private void list() throws ServiceException {
@@ -177,13 +185,14 @@
         return sim.now().minus(from);
     }
 
-    /** One change of the layout; how long until every node uses it, in steps of 10 ms. */
+    /** One change of the configuration; how long until every node uses it, in steps of 10 ms. */
     Duration changeEverywhere() throws ServiceException {
         Duration from = sim.now();
-        long before = layout;
+        long before = configuration;
         change();
         await(
-                () -> layout > before && nodes.values().stream().allMatch(n -> n.layoutVersion() == layout),
+                () -> configuration > before
+                        && nodes.values().stream().allMatch(n -> n.configurationVersion() == configuration),
                 "a change did not arrive everywhere");
         return sim.now().minus(from);
     }
@@ -198,7 +207,7 @@
         return places.keySet().stream().skip(1).findFirst().orElseThrow();
     }
 
-    /** An intake is gone until its claim has lapsed, and comes back; how long until every node knows the new one. */
+    /** An intake is gone until its lease has lapsed, and comes back; how long until every node knows the new one. */
     Duration restart(Duration away) throws ServiceException {
         String a = restarting();
         nodes.remove(a).stop();
@@ -232,8 +241,8 @@
                 .sum();
     }
 
-    Map<String, Count> lampCounts() {
-        return counts(lamps.values());
+    Map<String, Count> controlNodeCounts() {
+        return counts(controlNodes.values());
     }
 
     Map<String, Count> nodeCounts() {
--- a/testkit/src/main/java/org/woadvale/testkit/capacity/HollowNet.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/HollowNet.java
@@ -28,19 +28,19 @@
         hosts.put(h.address, h);
     }
 
-    RpcClient beam(HollowHost self, Codec codec) {
-        return new HollowBeam(self, codec);
+    RpcClient rpc(HollowHost self, Codec codec) {
+        return new HollowRpc(self, codec);
     }
 
     private Duration delay() {
         return sim.between(100, 1500);
     }
 
-    private final class HollowBeam implements RpcClient {
+    private final class HollowRpc implements RpcClient {
         private final HollowHost self;
         private final Codec codec;
 
-        HollowBeam(HollowHost self, Codec codec) {
+        HollowRpc(HollowHost self, Codec codec) {
             this.self = self;
             this.codec = codec;
         }
@@ -50,7 +50,7 @@
             return self.address;
         }
 
-        /** Fails as the real one does: unreachable, unknown outcome, or the neighbour's own fault. */
+        /** Fails as the real one does: unreachable, unknown outcome, or the peer's own fault. */
         @Override
         public <T> Mono<T> ask(String to, Object body, Class<T> answer, Duration limit) {
             return Mono.defer(() -> {
--- a/testkit/src/main/java/org/woadvale/testkit/capacity/HollowNode.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/HollowNode.java
@@ -25,7 +25,7 @@
 import reactor.core.publisher.Mono;
 
 /**
- * What a pilot does for control and nothing else: the shipped news, passes and claims, put together as DataPlaneNode does
+ * What a pilot does for control and nothing else: the shipped subscriptions, passes and leases, put together as DataPlaneNode does
  * (design 6.3, 7, 8), without callers' HTTP, messages or a disk.
  */
 final class HollowNode {
@@ -34,35 +34,30 @@
 
     private final Env env;
     private final CoreClient core;
-    private final ViewSubscriptions news;
-    private final ConfigurationView layouts;
-    private final LocalBuckets purses;
+    private final ViewSubscriptions subscriptions;
+    private final ConfigurationView configurations;
+    private final LocalBuckets localBuckets;
     private final Optional<TokenGranters> holders;
     private final String role;
-    private final MemberLease seat;
+    private final MemberLease memberLease;
     private final List<TimerHandle> running = new java.util.ArrayList<>();
 
-    HollowNode(HollowHost host, RpcClient beam, Codec codec, Sim sim, String hall, List<String> seeds, String role) {
+    HollowNode(HollowHost host, RpcClient rpc, Codec codec, Sim sim, String zone, List<String> seeds, String role) {
         this.env = new Env(
-                host,
-                host,
-                beam,
-                codec,
-                new DisabledWriteAheadLog(),
-                sim.random()::nextLong,
-                ReplicationTiming.usual());
-        this.core = new CoreClient(beam, sim.random()::nextLong, seeds, List.of(), l -> {});
+                host, host, rpc, codec, new DisabledWriteAheadLog(), sim.random()::nextLong, ReplicationTiming.usual());
+        this.core = new CoreClient(rpc, sim.random()::nextLong, seeds, List.of(), l -> {});
         this.role = role;
-        this.seat = new MemberLease(
-                hall, host.address, Long.toHexString(sim.random().nextLong()), List.of());
-        this.news = new ViewSubscriptions(env, core, hall);
-        this.layouts = new ConfigurationView(news);
-        this.purses = new LocalBuckets(env, news);
+        this.memberLease = new MemberLease(
+                zone, host.address, Long.toHexString(sim.random().nextLong()), List.of());
+        this.subscriptions = new ViewSubscriptions(env, core, zone);
+        this.configurations = new ConfigurationView(subscriptions);
+        this.localBuckets = new LocalBuckets(env, subscriptions);
         this.holders = role.equals(ServiceNames.INTAKES)
-                ? Optional.of(new TokenGranters(env, core, news, layouts::allowance, layouts::buckets))
+                ? Optional.of(
+                        new TokenGranters(env, core, subscriptions, configurations::allowance, configurations::buckets))
                 : Optional.empty();
         RpcRouter router = new RpcRouter();
-        router.on(ControlMessages.NewsAsk.class, (f, a) -> news.asked(a))
+        router.on(ControlMessages.ViewAsk.class, (f, a) -> subscriptions.asked(a))
                 .on(
                         ControlMessages.CoreAsk.class,
                         (f, a) -> Mono.just(new ControlMessages.CoreReply(core.lighthouses())));
@@ -72,11 +67,11 @@
 
     /** A store follows the lists of the processors that it sends to, as Dispatchers does in each round. */
     void start(List<String> followed) {
-        news.start();
-        purses.start();
+        subscriptions.start();
+        localBuckets.start();
         holders.ifPresent(TokenGranters::start);
-        claim();
-        running.add(env.schedules().every(env.pace().renew(), this::claim));
+        lease();
+        running.add(env.schedules().every(env.timing().renew(), this::lease));
         running.add(env.schedules().every(LEARN, core::learn));
         if (holders.isEmpty() && !followed.isEmpty()) {
             follow(followed);
@@ -85,24 +80,24 @@
     }
 
     private void follow(List<String> services) {
-        services.forEach(news::latest);
+        services.forEach(subscriptions::latest);
     }
 
-    private void claim() {
+    private void lease() {
         core.ask(
                         ServiceNames.controlPart(role),
-                        new ControlMessages.ClaimAsk(role, env.self(), seat),
+                        new ControlMessages.LeaseAsk(role, env.self(), memberLease),
                         ControlMessages.Done.class)
                 .subscribe(d -> {}, e -> {});
     }
 
     /** One pass for one message, settled at once. design 8.3 */
     void draw(String bucket) {
-        purses.take(bucket, LocalBuckets.WAIT).subscribe(p -> purses.settle(bucket, p), e -> {});
+        localBuckets.take(bucket, LocalBuckets.WAIT).subscribe(p -> localBuckets.settle(bucket, p), e -> {});
     }
 
     LocalBuckets.Counts passes() {
-        return purses.counts();
+        return localBuckets.counts();
     }
 
     /** Only stores follow the lists. */
@@ -115,33 +110,33 @@
     }
 
     ServiceView latest(String service) {
-        return news.latest(service);
+        return subscriptions.latest(service);
     }
 
-    /** The layout that this node may use now; -1 where none is proven fresh. design 7.2 */
-    long layoutVersion() {
-        return layouts.fresh().map(ConfigurationView.Known::version).orElse(-1L);
+    /** The configuration that this node may use now; -1 where none is proven fresh. design 7.2 */
+    long configurationVersion() {
+        return configurations.fresh().map(ConfigurationView.Known::version).orElse(-1L);
     }
 
     int members() {
-        return news.latest(ServiceNames.INTAKES).seats().size()
-                + news.latest(ServiceNames.STORES).seats().size();
+        return subscriptions.latest(ServiceNames.INTAKES).members().size()
+                + subscriptions.latest(ServiceNames.STORES).members().size();
     }
 
     /** The incarnation that the node's own view of its role shows for a member; empty where it has none. */
     String incarnationOf(String service, String node) {
-        Map<String, MemberLease> seats = news.latest(service).seats();
-        return seats.containsKey(node) ? seats.get(node).incarnation() : "";
+        Map<String, MemberLease> members = subscriptions.latest(service).members();
+        return members.containsKey(node) ? members.get(node).incarnation() : "";
     }
 
     String incarnation() {
-        return seat.incarnation();
+        return memberLease.incarnation();
     }
 
     void stop() {
         running.forEach(TimerHandle::cancel);
         holders.ifPresent(TokenGranters::stop);
-        purses.stop();
-        news.stop();
+        localBuckets.stop();
+        subscriptions.stop();
     }
 }
--- a/testkit/src/main/java/org/woadvale/testkit/capacity/Parts.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/Parts.java
@@ -23,7 +23,7 @@
 import org.woadvale.testkit.simulation.SimDisk;
 import reactor.core.publisher.Mono;
 
-/** Replicas of many message parts on three stores, all at rest: what owning and following a part costs. design 5 */
+/** Replicas of many message parts on three stores, all at rest: what leading and following a part costs. design 5 */
 final class Parts implements Mechanism {
     private static final List<String> STORES = List.of("10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1");
     private static final Duration WINDOW = Duration.ofSeconds(10);
@@ -93,7 +93,7 @@
     private static Map<String, Replica> store(HollowHost h, HollowNet net, Sim sim, int parts) throws ServiceException {
         Codec codec = Wire.codec(Wire.PILOT, Commands.types());
         RingWriteAheadLog book = RingWriteAheadLog.open(new SimDisk(sim), h, RING_FILES, RING_BYTES);
-        Env env = new Env(h, h, net.beam(h, codec), codec, book, sim.random()::nextLong, ReplicationTiming.usual());
+        Env env = new Env(h, h, net.rpc(h, codec), codec, book, sim.random()::nextLong, ReplicationTiming.usual());
         Map<String, Replica> mine = new HashMap<>();
         for (int i = 0; i < parts; i++) {
             List<String> copies = new ArrayList<>(STORES);
--- a/testkit/src/main/java/org/woadvale/testkit/capacity/Wires.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/Wires.java
@@ -20,7 +20,7 @@
 import reactor.core.publisher.Mono;
 
 /**
- * LeaseManager renewed over the shipped TCP beam on loopback, both ends in this process: what the sockets cost that hollow
+ * LeaseManager renewed over the shipped TCP rpc on loopback, both ends in this process: what the sockets cost that hollow
  * machines do not have. Real time; the processor time is the whole process's. design 3
  */
 final class Wires implements Mechanism {
--- a/testkit/src/main/java/org/woadvale/testkit/cluster/ClientLoad.java
+++ b/testkit/src/main/java/org/woadvale/testkit/cluster/ClientLoad.java
@@ -23,7 +23,7 @@
     }
 
     /** The handle of the message taken; a 202 without one is no answer. */
-    public String handIn(String lane, String id) throws ApiException {
+    public String submit(String lane, String id) throws ApiException {
         SubmitRequest in = new SubmitRequest().id(id).body(Map.of("text", "by the generated client"));
         return Optional.ofNullable(api.handIn(lane, in))
                 .map(Taken::getHandle)
--- a/testkit/src/main/java/org/woadvale/testkit/cluster/Drills.java
+++ b/testkit/src/main/java/org/woadvale/testkit/cluster/Drills.java
@@ -34,7 +34,7 @@
         ALL.put("cut-intake", (f, t, l) -> cutOff(f.intakes.get(0), f, t, l));
         ALL.put("cut-store", (f, t, l) -> cutOff(f.stores.get(0), f, t, l));
         ALL.put("cut-lighthouse", (f, t, l) -> cutOff(f.lighthouses.get(0), f, t, l));
-        ALL.put("hall-off", Drills::hallOff);
+        ALL.put("hall-off", Drills::zoneOff);
         ALL.put("slow-endpoints", Drills::slowEndpoints);
         ALL.put("wrap", (f, t, l) -> l.run(Duration.ofSeconds(90), 270));
         ALL.put("upgrade", Drills::upgrade);
@@ -74,14 +74,14 @@
         traffic.join();
     }
 
-    private static void hallOff(Fleet f, StubEnvironment t, Load l) throws IOException {
+    private static void zoneOff(Fleet f, StubEnvironment t, Load l) throws IOException {
         CompletableFuture<Void> traffic = traffic(l, 24);
         StubEnvironment.sleep(5000);
-        java.util.List<NodeProcess> hall = f.inHall(0, t.shape);
-        hall.forEach(NodeProcess::kill);
-        System.out.println("Hall 0 is off: " + hall.stream().map(v -> v.name).toList());
+        java.util.List<NodeProcess> zone = f.inZone(0, t.shape);
+        zone.forEach(NodeProcess::kill);
+        System.out.println("Hall 0 is off: " + zone.stream().map(v -> v.name).toList());
         StubEnvironment.sleep(7000);
-        for (NodeProcess v : hall) {
+        for (NodeProcess v : zone) {
             v.start();
         }
         traffic.join();
@@ -163,7 +163,7 @@
         f.stores.get(0).start();
     }
 
-    /** Everything is killed, everything is started; served means a hand-in was accepted. */
+    /** Everything is killed, everything is started; served means a processor-in was accepted. */
     private static void outage(Fleet f, StubEnvironment t, Load l) throws IOException {
         l.run(Duration.ofSeconds(5), RATE);
         f.killAll();
--- a/testkit/src/main/java/org/woadvale/testkit/cluster/Fleet.java
+++ b/testkit/src/main/java/org/woadvale/testkit/cluster/Fleet.java
@@ -40,32 +40,32 @@
                     root,
                     seeds.get(i),
                     free(),
-                    hall(i, shape),
+                    zone(i, shape),
                     seeds,
                     List.of(),
                     true,
                     false));
         }
         for (int i = 0; i < shape.stores; i++) {
-            stores.add(pilot("store" + i, hall(i, shape), "store"));
+            stores.add(pilot("store" + i, zone(i, shape), "store"));
         }
         for (int i = 0; i < shape.intakes; i++) {
-            intakes.add(pilot("intake" + i, hall(i, shape), "intake"));
+            intakes.add(pilot("intake" + i, zone(i, shape), "intake"));
         }
     }
 
-    private static String hall(int i, Shape shape) {
-        return "hall" + i % shape.halls;
+    private static String zone(int i, Shape shape) {
+        return "hall" + i % shape.zones;
     }
 
-    public NodeProcess pilot(String name, String hall, String role) throws IOException {
+    public NodeProcess pilot(String name, String zone, String role) throws IOException {
         return new NodeProcess(
                 name,
                 DataPlaneProgram.class.getName(),
                 root,
                 free(),
                 free(),
-                hall,
+                zone,
                 seeds,
                 List.of(role),
                 role.equals("store"),
@@ -101,10 +101,10 @@
         return cuts;
     }
 
-    public List<NodeProcess> inHall(int n, Shape shape) {
+    public List<NodeProcess> inZone(int n, Shape shape) {
         return Stream.of(lighthouses, stores, intakes)
                 .flatMap(l -> java.util.stream.IntStream.range(0, l.size())
-                        .filter(i -> i % shape.halls == n)
+                        .filter(i -> i % shape.zones == n)
                         .mapToObj(l::get))
                 .toList();
     }
--- a/testkit/src/main/java/org/woadvale/testkit/cluster/Load.java
+++ b/testkit/src/main/java/org/woadvale/testkit/cluster/Load.java
@@ -43,7 +43,7 @@
         while (town.times.mono().minus(begun).compareTo(howLong) < 0) {
             long due = town.times.mono().minus(begun).toNanos() * perSecond / 1_000_000_000L;
             while (sent < due) {
-                one(random.nextInt(town.scenery.tenants()));
+                one(random.nextInt(town.testConfiguration.tenants()));
                 sent++;
             }
             if (town.times.mono().minus(asked).compareTo(ASK_EACH) > 0) {
@@ -55,9 +55,9 @@
         }
     }
 
-    /** A hand-in of a mixed kind at an intake that is up. */
-    public CompletableFuture<Observations.HandedIn> one(int tenant) {
-        List<String> lanes = town.scenery.lanes();
+    /** A processor-in of a mixed kind at an intake that is up. */
+    public CompletableFuture<Observations.Submitted> one(int tenant) {
+        List<String> lanes = town.testConfiguration.lanes();
         String lane = random.nextInt(3) == 0 ? "accept" : lanes.get(random.nextInt(lanes.size()));
         Map<String, Object> body = new LinkedHashMap<>();
         String id = "c" + ids.incrementAndGet();
@@ -68,14 +68,14 @@
         }
         body.put("delayMs", random.nextInt(10) == 0 ? 500 + random.nextInt(1500) : 0);
         body.put("body", Map.of("text", "x".repeat(200 + random.nextInt(1000))));
-        return handIn(tenant, id, lane, order, Configurations.write(body), 3);
+        return submit(tenant, id, lane, order, Configurations.write(body), 3);
     }
 
-    /** One hand-in and one read under a key at one intake, on the client's kept-alive connections. */
+    /** One processor-in and one read under a key at one intake, on the client's kept-alive connections. */
     public void use(String secret, NodeProcess intake) {
         String id = "k" + ids.incrementAndGet();
         byte[] body = Configurations.write(Map.of("id", id, "body", Map.of()));
-        open.add(handIn(0, id, "hold", "", body, 0, intake, secret));
+        open.add(submit(0, id, "hold", "", body, 0, intake, secret));
         open.add(town.client
                 .send("GET", intake.http, "/v1/messages?state=failed", secret, new byte[0], Map.of())
                 .handle((g, e) -> {
@@ -86,9 +86,9 @@
                 }));
     }
 
-    private CompletableFuture<Observations.HandedIn> handIn(
+    private CompletableFuture<Observations.Submitted> submit(
             int tenant, String id, String lane, String order, byte[] body, int tries) {
-        return handIn(
+        return submit(
                 tenant,
                 id,
                 lane,
@@ -99,10 +99,10 @@
                 TestConfiguration.callerKey(tenant));
     }
 
-    private CompletableFuture<Observations.HandedIn> handIn(
+    private CompletableFuture<Observations.Submitted> submit(
             int tenant, String id, String lane, String order, byte[] body, int tries, NodeProcess v, String key) {
         Duration sent = town.times.mono();
-        CompletableFuture<Observations.HandedIn> f = town.client
+        CompletableFuture<Observations.Submitted> f = town.client
                 .send("POST", v.http, "/v1/lanes/" + lane + "/messages", key, body, Map.of())
                 .handle((g, e) -> {
                     Sampling t = e == null ? Sampling.of(g) : Sampling.NONE;
@@ -110,7 +110,7 @@
                     if (t.broken()) {
                         broken.add(id + ": " + g.told());
                     }
-                    Observations.HandedIn h = new Observations.HandedIn(
+                    Observations.Submitted h = new Observations.Submitted(
                             TestConfiguration.tenant(tenant),
                             id,
                             lane,
@@ -122,7 +122,7 @@
                             t.kind(),
                             t.handle(),
                             t.repeated());
-                    town.seen.saw(town.seen.handedIn, h);
+                    town.seen.saw(town.seen.submitted, h);
                     if (t.said() == Observations.Said.ACCEPTED) {
                         owners.put(t.handle(), tenant);
                         left.put(t.handle(), "not asked yet");
@@ -130,7 +130,7 @@
                     return h;
                 })
                 .thenCompose(h -> h.said() == Observations.Said.UNKNOWN && tries > 0
-                        ? handIn(tenant, id, lane, order, body, tries - 1)
+                        ? submit(tenant, id, lane, order, body, tries - 1)
                         : CompletableFuture.completedFuture(h));
         open.add(f);
         return f;
--- a/testkit/src/main/java/org/woadvale/testkit/cluster/NodeProcess.java
+++ b/testkit/src/main/java/org/woadvale/testkit/cluster/NodeProcess.java
@@ -10,7 +10,7 @@
 import java.util.Optional;
 import org.woadvale.common.config.Configurations;
 
-/** One real process of the fleet; only the fleet launcher starts processes. */
+/** One real process of the fleet; only the fleet dispatcher starts processes. */
 public final class NodeProcess {
     public final String name;
     public final String address;
@@ -27,7 +27,7 @@
             Path root,
             String address,
             String http,
-            String hall,
+            String zone,
             List<String> seeds,
             List<String> roles,
             boolean disk,
@@ -42,7 +42,7 @@
         Map<String, Object> boot = new LinkedHashMap<>();
         boot.put("address", address);
         boot.put("http", http);
-        boot.put("hall", hall);
+        boot.put("hall", zone);
         boot.put("seeds", seeds);
         boot.put("roles", roles);
         boot.put("data", disk ? folder.resolve("data").toString() : "");
--- a/testkit/src/main/java/org/woadvale/testkit/cluster/Relay.java
+++ b/testkit/src/main/java/org/woadvale/testkit/cluster/Relay.java
@@ -11,7 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
-/** A plain TCP relay before one process: links between named neighbours can be cut; what is on its way waits. */
+/** A plain TCP relay before one process: links between named peers can be cut; what is on its way waits. */
 public final class Relay implements AutoCloseable {
     /** Which links are cut, for all relays of a fleet. */
     public static final class Cuts {
--- a/testkit/src/main/java/org/woadvale/testkit/cluster/Shape.java
+++ b/testkit/src/main/java/org/woadvale/testkit/cluster/Shape.java
@@ -11,15 +11,15 @@
     final int intakes;
     final int stores;
     final int lighthouses;
-    final int halls;
+    final int zones;
     final int processors;
     final int endpoints;
 
-    Shape(int intakes, int stores, int lighthouses, int halls, int processors, int endpoints) {
+    Shape(int intakes, int stores, int lighthouses, int zones, int processors, int endpoints) {
         this.intakes = intakes;
         this.stores = stores;
         this.lighthouses = lighthouses;
-        this.halls = halls;
+        this.zones = zones;
         this.processors = processors;
         this.endpoints = endpoints;
     }
--- a/testkit/src/main/java/org/woadvale/testkit/cluster/StubEnvironment.java
+++ b/testkit/src/main/java/org/woadvale/testkit/cluster/StubEnvironment.java
@@ -21,12 +21,12 @@
 import org.woadvale.testkit.stub.Observations;
 import org.woadvale.testkit.stub.TestConfiguration;
 
-/** The stand-ins around a real fleet: back ends, platform and head office. */
+/** The stand-ins around a real fleet: back ends, platform and head operator. */
 public final class StubEnvironment implements AutoCloseable {
     public final Observations seen = new Observations();
     public final Clock times = new SystemClock();
     public final Client client = new Client();
-    public final TestConfiguration scenery;
+    public final TestConfiguration testConfiguration;
     public final Shape shape;
     public final Map<String, Backend> backends = new LinkedHashMap<>();
     private final Map<String, String> addresses = new LinkedHashMap<>();
@@ -35,11 +35,12 @@
     private final Fleet fleet;
     private long present;
 
-    public StubEnvironment(Fleet fleet, Shape shape, TestConfiguration scenery) throws IOException, ServiceException {
+    public StubEnvironment(Fleet fleet, Shape shape, TestConfiguration testConfiguration)
+            throws IOException, ServiceException {
         this.fleet = fleet;
-        this.scenery = scenery;
+        this.testConfiguration = testConfiguration;
         this.shape = shape;
-        scenery.allow(seen);
+        testConfiguration.allow(seen);
         for (int i = 0; i < shape.processors; i++) {
             backend("p" + i, i % 2 == 0 ? TestConfiguration.GROUP : TestConfiguration.ORDERED_GROUP, false);
         }
@@ -76,7 +77,7 @@
         throw new IllegalStateException("no lighthouse answered " + method + " " + path);
     }
 
-    public long putLayout(Configuration l, long base, String requestId) {
+    public long putConfiguration(Configuration l, long base, String requestId) {
         byte[] json = Configurations.write(l);
         if (!System.getProperty("older", "").isEmpty()) {
             // the older build does not know this field
@@ -89,8 +90,8 @@
         boolean taken = g.status() == 200;
         long version = taken ? g.json().path("version").asLong() : -1;
         seen.saw(
-                seen.layouts,
-                new Observations.LayoutSaid(
+                seen.configurations,
+                new Observations.ConfigurationSaid(
                         requestId,
                         version,
                         taken,
@@ -107,7 +108,7 @@
 
     /** A key of tenant 0 comes or goes; what follows is by the version that results. */
     public void putKey(String secret, boolean there) {
-        Configuration l = Edit.keys(layout(), m -> {
+        Configuration l = Edit.keys(configuration(), m -> {
             if (there) {
                 m.put(
                         secret,
@@ -118,14 +119,14 @@
                                 Configurations.sha256(secret)));
             }
         });
-        putLayout(l, present, "key-" + there);
+        putConfiguration(l, present, "key-" + there);
         if (!there) {
             seen.saw(seen.keys, new Observations.KeyWithdrawn(secret, times.mono()));
         }
     }
 
-    public Configuration layout() {
-        return scenery.layout(i -> "http://" + addresses.get(TestConfiguration.endpoint(i)));
+    public Configuration configuration() {
+        return testConfiguration.configuration(i -> "http://" + addresses.get(TestConfiguration.endpoint(i)));
     }
 
     public void listProcessors() {
--- a/testkit/src/main/java/org/woadvale/testkit/cluster/TestkitProgram.java
+++ b/testkit/src/main/java/org/woadvale/testkit/cluster/TestkitProgram.java
@@ -50,8 +50,8 @@
         System.out.println("Data and logs: " + root);
         boolean ok;
         try (Fleet fleet = new Fleet(shape, root)) {
-            TestConfiguration scenery = new TestConfiguration(TENANTS, shape.endpoints, 45, 60, 26);
-            try (StubEnvironment town = new StubEnvironment(fleet, shape, scenery)) {
+            TestConfiguration testConfiguration = new TestConfiguration(TENANTS, shape.endpoints, 45, 60, 26);
+            try (StubEnvironment town = new StubEnvironment(fleet, shape, testConfiguration)) {
                 if (drill) {
                     Drills.before(args[1]).run(fleet);
                 }
@@ -75,7 +75,7 @@
     private static void smoke(Fleet fleet, StubEnvironment town, Load load) {
         ClientLoad s = new ClientLoad(fleet.intakes.get(0).http, TestConfiguration.callerKey(0));
         try {
-            String handle = s.handIn("hold", "smoke");
+            String handle = s.submit("hold", "smoke");
             town.await("the end of " + handle, Duration.ofSeconds(20), () -> s.over(handle));
             System.out.println("By the generated client: " + handle + " is "
                     + s.show(handle).getState() + ", proof " + s.show(handle).getProof() + ".");
@@ -92,7 +92,7 @@
     static Duration begin(Fleet fleet, StubEnvironment town) throws IOException {
         Duration begun = town.times.mono();
         fleet.startAll();
-        town.putLayout(town.layout(), 0, "first");
+        town.putConfiguration(town.configuration(), 0, "first");
         town.listProcessors();
         town.await(
                 "readiness",
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/BareReplicas.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/BareReplicas.java
@@ -98,7 +98,7 @@
 
     /** CONFIG, DRAIN: from a moment on the views that are known are taken for confirmed. */
     static Seams newsStands(BooleanSupplier frozen) {
-        return Seams.none().withBeam((a, b) -> {
+        return Seams.none().withRpc((a, b) -> {
             Map<String, ServiceView> last = new HashMap<>();
             return new RpcClient() {
                 @Override
@@ -108,7 +108,7 @@
 
                 @Override
                 public <T> Mono<T> ask(String to, Object body, Class<T> answer, Duration limit) {
-                    if (!(body instanceof ControlMessages.NewsAsk n)
+                    if (!(body instanceof ControlMessages.ViewAsk n)
                             || frozen.getAsBoolean()
                                     && !last.keySet().containsAll(n.known().keySet())) {
                         return b.ask(to, body, answer, limit);
@@ -116,7 +116,7 @@
                     return frozen.getAsBoolean()
                             ? Mono.just(answer.cast(NaiveVariants.anew(n, last)))
                             : b.ask(to, body, answer, limit)
-                                    .doOnNext(t -> ((ControlMessages.NewsReply) t)
+                                    .doOnNext(t -> ((ControlMessages.ViewReply) t)
                                             .views()
                                             .forEach(v -> last.put(v.service(), v)));
                 }
@@ -127,7 +127,7 @@
     /** TWICE: whoever has a lease of a message, has its present one. */
     static Seams anyLeaseWillDo() {
         Map<String, Integer> present = new ConcurrentHashMap<>();
-        return Seams.none().withBeam((a, b) -> new RpcClient() {
+        return Seams.none().withRpc((a, b) -> new RpcClient() {
             @Override
             public String self() {
                 return b.self();
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/Callers.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Callers.java
@@ -17,7 +17,7 @@
 import org.woadvale.testkit.stub.Observations;
 import org.woadvale.testkit.stub.TestConfiguration;
 
-/** Callers of a simulated fleet: they hand in, ask again while they do not know, and ask what became of it. */
+/** Callers of a simulated fleet: they processor in, ask again while they do not know, and ask what became of it. */
 public class Callers {
     private static final Duration REMEMBERED = Duration.ofSeconds(90);
     public final World w;
@@ -44,14 +44,14 @@
     private void next(double perSecond) {
         w.sim.after(Duration.ofNanos((long) (-Math.log(1 - w.sim.random().nextDouble()) / perSecond * 1e9)), () -> {
             if (trafficOn) {
-                one(w.sim.random().nextInt(w.scenery.tenants()));
+                one(w.sim.random().nextInt(w.testConfiguration.tenants()));
                 next(perSecond);
             }
         });
     }
 
     public void one(int tenant) {
-        List<String> lanes = w.scenery.lanes();
+        List<String> lanes = w.testConfiguration.lanes();
         String lane = w.sim.luck(0.4) ? "accept" : lanes.get(w.sim.random().nextInt(lanes.size()));
         String order = lane.equals("accept") ? "applicant" + w.sim.random().nextInt(6) : "";
         Map<String, Object> body = new LinkedHashMap<>();
@@ -62,7 +62,7 @@
         }
         body.put("delayMs", w.sim.luck(0.1) ? 1000 : 0);
         body.put("body", Map.of("text", "x".repeat(300)));
-        handIn(tenant, id, lane, order, Configurations.write(body), w.intakes, 5);
+        submit(tenant, id, lane, order, Configurations.write(body), w.intakes, 5);
     }
 
     /** A message of the lane without ordering. */
@@ -72,7 +72,7 @@
 
     public void plainAt(int tenant, List<String> intakes) {
         String id = "c" + ids++;
-        handIn(
+        submit(
                 tenant,
                 id,
                 "hold",
@@ -85,8 +85,8 @@
     /** A message for an outside endpoint. */
     public void check(int endpoint) {
         String id = "c" + ids++;
-        handIn(
-                (int) (ids % w.scenery.tenants()),
+        submit(
+                (int) (ids % w.testConfiguration.tenants()),
                 id,
                 "check" + endpoint,
                 "",
@@ -95,7 +95,7 @@
                 5);
     }
 
-    /** Messages whose hand-in was never answered, but whose run was seen; older ones may be forgotten by now. */
+    /** Messages whose processor-in was never answered, but whose run was seen; older ones may be forgotten by now. */
     public void followWhatRan() {
         Duration from = w.sim.now().minus(REMEMBERED);
         w.seen.copy(w.seen.ran).stream()
@@ -104,7 +104,7 @@
     }
 
     /** A caller asks again with the same id while the outcome is unknown. */
-    public void handIn(int tenant, String id, String lane, String order, byte[] body, List<String> at, int tries) {
+    public void submit(int tenant, String id, String lane, String order, byte[] body, List<String> at, int tries) {
         Duration sent = w.sim.now();
         Request q = new Request(
                 "POST",
@@ -126,8 +126,8 @@
             boolean repeated = said == Observations.Said.ACCEPTED
                     && json(a.get()).path("repeated").asBoolean();
             w.seen.saw(
-                    w.seen.handedIn,
-                    new Observations.HandedIn(
+                    w.seen.submitted,
+                    new Observations.Submitted(
                             TestConfiguration.tenant(tenant),
                             id,
                             lane,
@@ -142,7 +142,7 @@
             if (said == Observations.Said.ACCEPTED) {
                 follow(handle, tenant);
             } else if (said == Observations.Said.UNKNOWN && tries > 0) {
-                handIn(tenant, id, lane, order, body, at, tries - 1);
+                submit(tenant, id, lane, order, body, at, tries - 1);
             }
         });
     }
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/Capacity.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Capacity.java
@@ -14,13 +14,13 @@
 import org.woadvale.dataplane.queue.RouteTerms;
 import org.woadvale.testkit.stub.TestConfiguration;
 
-/** How much a part holds, and how long making a view of a full one takes against a claim. */
+/** How much a part holds, and how long making a view of a full one takes against a lease. */
 public final class Capacity {
     private static final int BODY = 1250;
 
     private Capacity() {}
 
-    /** All processors are down: how long hand-ins of 1.25 KB at 270 a second are taken, parts of 2 MB. */
+    /** All processors are down: how long processor-ins of 1.25 KB at 270 a second are taken, parts of 2 MB. */
     private static void down() throws ServiceException {
         FleetSimulation v =
                 new FleetSimulation(1, 8, 3, 4, new TestConfiguration(8, 2, 45, 60, 26), World.LARGE_RING).embark();
@@ -30,7 +30,7 @@
             int n = i;
             v.w.sim.after(Duration.ofNanos(i * 1_000_000_000L / 270), () -> {
                 String id = "d" + n;
-                v.handIn(
+                v.submit(
                         n % 8,
                         id,
                         "hold",
@@ -41,7 +41,7 @@
             });
         }
         boolean full = v.w.sim.runUntil(
-                () -> v.w.seen.handedIn.stream().anyMatch(h -> h.kind().equals("queue_full")), Duration.ofSeconds(90));
+                () -> v.w.seen.submitted.stream().anyMatch(h -> h.kind().equals("queue_full")), Duration.ofSeconds(90));
         System.out.println("All processors down, 270 x 1.25 KB a second, parts of 2 MB: "
                 + (full ? "first queue_full after " : "none full within ")
                 + v.w.sim.now().minus(from).toSeconds() + " s; "
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/Day.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Day.java
@@ -16,9 +16,9 @@
 import org.woadvale.testkit.stub.Observations;
 import org.woadvale.testkit.stub.TestConfiguration;
 
-/** Two operators put layouts all day, racing, while lighthouses die and come back; how long each yes or no takes. */
+/** Two operators put configurations all day, racing, while lighthouses die and come back; how long each yes or no takes. */
 public final class Day {
-    private record Said(String id, byte[] layout, long base, long version) {}
+    private record Said(String id, byte[] configuration, long base, long version) {}
 
     private static final Duration DOWN = Duration.ofSeconds(5);
     private final FleetSimulation v;
@@ -36,11 +36,11 @@
         w = v.w;
     }
 
-    /** Each operator changes something every so often; a lighthouse goes down every so often. */
+    /** Each operator changes something every so often; a control node goes down every so often. */
     public Day run(Duration length, Duration between, Duration kills) throws ServiceException {
         Duration end = w.sim.now().plus(length);
-        operator("a", v.layout, 1, between, end);
-        operator("b", v.layout, 1, between, end);
+        operator("a", v.configuration, 1, between, end);
+        operator("b", v.configuration, 1, between, end);
         Duration nextKill = w.sim.now().plus(kills);
         while (w.sim.now().compareTo(end) < 0) {
             w.sim.run(Duration.ofSeconds(10));
@@ -99,8 +99,8 @@
                 long version = Callers.json(a.get()).path("version").asLong();
                 taken.add(new Said(id, json, base, version));
                 w.seen.saw(
-                        w.seen.layouts,
-                        new Observations.LayoutSaid(id, version, true, true, w.sim.now(), digest(json)));
+                        w.seen.configurations,
+                        new Observations.ConfigurationSaid(id, version, true, true, w.sim.now(), digest(json)));
             } else if (a.get().status() != 412) {
                 wrong.add(id + " was answered " + a.get().status());
             }
@@ -116,7 +116,7 @@
     private void repeat(Said s) {
         w.request(
                 w.lighthouses.get(w.sim.random().nextInt(3)),
-                request(s.id(), s.layout(), s.base()),
+                request(s.id(), s.configuration(), s.base()),
                 Duration.ofSeconds(4),
                 a -> a.filter(x -> x.status() < 500).ifPresent(x -> {
                     repeats++;
@@ -134,7 +134,7 @@
                 a -> {
                     Optional<Configuration> l = a.filter(x -> x.status() == 200).flatMap(x -> {
                         try {
-                            return Optional.of(Configurations.layout(x.body()));
+                            return Optional.of(Configurations.configuration(x.body()));
                         } catch (ServiceException e) {
                             return Optional.empty();
                         }
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/Entry.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Entry.java
@@ -11,21 +11,21 @@
     private static final Duration PERIOD = Duration.ofSeconds(1);
     private static final Duration LOOK = Duration.ofMillis(800);
     private static final int MISSES = 2;
-    private final NetworkSimulation roads;
+    private final NetworkSimulation network;
     private final Map<String, Integer> missed = new HashMap<>();
 
-    Entry(NetworkSimulation roads) {
-        this.roads = roads;
+    Entry(NetworkSimulation network) {
+        this.network = network;
         look();
     }
 
     private void look() {
-        roads.intakes.forEach(n -> roads.request(
+        network.intakes.forEach(n -> network.request(
                 n,
                 new Request("GET", "/-/readiness", Map.of(), new byte[0]),
                 LOOK,
                 a -> missed.merge(n, 1, (x, y) -> a.isPresent() && a.get().status() == 200 ? 0 : x + 1)));
-        roads.sim.after(PERIOD, this::look);
+        network.sim.after(PERIOD, this::look);
     }
 
     private boolean in(String node) {
@@ -33,21 +33,22 @@
     }
 
     /** Fewer than half of a zone's nodes in: all of them; none in: those of other zones. */
-    String forClient(int client, String hall) {
-        List<String> zone =
-                roads.intakes.stream().filter(n -> roads.hall(n).equals(hall)).toList();
-        List<String> in = zone.stream().filter(this::in).toList();
-        List<String> from = in.isEmpty() ? elsewhere() : in.size() * 2 < zone.size() ? zone : in;
+    String forClient(int client, String zone) {
+        List<String> nodesOfZone = network.intakes.stream()
+                .filter(n -> network.zone(n).equals(zone))
+                .toList();
+        List<String> in = nodesOfZone.stream().filter(this::in).toList();
+        List<String> from = in.isEmpty() ? elsewhere() : in.size() * 2 < nodesOfZone.size() ? nodesOfZone : in;
         return from.get(Math.floorMod(Integer.toString(client).hashCode() * 0x9E3779B9 >>> 7, from.size()));
     }
 
     String any() {
         List<String> from = elsewhere();
-        return from.get(roads.sim.random().nextInt(from.size()));
+        return from.get(network.sim.random().nextInt(from.size()));
     }
 
     private List<String> elsewhere() {
-        List<String> in = roads.intakes.stream().filter(this::in).toList();
-        return in.isEmpty() ? roads.intakes : in;
+        List<String> in = network.intakes.stream().filter(this::in).toList();
+        return in.isEmpty() ? network.intakes : in;
     }
 }
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/FailureScenarios.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/FailureScenarios.java
@@ -110,19 +110,19 @@
         return over(v);
     }
 
-    /** The nodes of a hall hear nothing from the core any more; among themselves they do. */
-    private static void outOfTouch(FleetSimulation v, int hall) {
-        for (String n : List.of(v.w.intakes.get(hall), v.w.stores.get(hall))) {
+    /** The nodes of a zone hear nothing from the core any more; among themselves they do. */
+    private static void outOfTouch(FleetSimulation v, int zone) {
+        for (String n : List.of(v.w.intakes.get(zone), v.w.stores.get(zone))) {
             v.w.lighthouses.forEach(l -> v.w.net.cut(l, n));
         }
     }
 
-    /** Its intake goes on getting passes for the tenant that is used here, so that nothing but old news can stop it. */
+    /** Its intake goes on getting passes for the tenant that is used here, so that nothing but old subscriptions can stop it. */
     private static int hallOfAnotherThanTheHolder(FleetSimulation v) {
         return v.w.pilot(v.w.intakes.get(0)).holds().contains("tenant/" + TestConfiguration.tenant(2)) ? 1 : 0;
     }
 
-    /** 07: a key is withdrawn while a hall is out of touch; it goes on being used, also for reads. */
+    /** 07: a key is withdrawn while a zone is out of touch; it goes on being used, also for reads. */
     static FleetSimulation keyWithdrawnOutOfTouch(long seed, Seams seams) throws ServiceException {
         FleetSimulation v = begun(seed, SMALL, seams);
         new HeadOffice(v).withdraw();
@@ -133,7 +133,7 @@
         return over(v);
     }
 
-    /** 08: a lane is added and taken away again while a hall is out of touch. */
+    /** 08: a lane is added and taken away again while a zone is out of touch. */
     static FleetSimulation lanesChangedOutOfTouch(long seed, Seams seams) throws ServiceException {
         FleetSimulation v = begun(seed, SMALL, seams);
         HeadOffice head = new HeadOffice(v);
@@ -147,12 +147,12 @@
         return over(v);
     }
 
-    /** 09: the owner of the layout is cut off from the other lighthouses; another layout is taken; then it is read there. */
+    /** 09: the owner of the configuration is cut off from the other lighthouses; another configuration is taken; then it is read there. */
     static FleetSimulation ownerOfTheLayoutCutOff(long seed, Seams seams, AtomicReference<String> cut)
             throws ServiceException {
         FleetSimulation v = begun(seed, SMALL, seams);
         String owner = v.w.lighthouses.stream()
-                .filter(l -> v.w.lamp(l).replica("c0").mayAct())
+                .filter(l -> v.w.controlNode(l).replica("c0").mayAct())
                 .findFirst()
                 .orElseThrow();
         v.w.net.cutOff(owner);
@@ -172,7 +172,7 @@
         return over(v);
     }
 
-    /** 10: processors are marked as leaving while no store hears the core; some have their news from themselves only. */
+    /** 10: processors are marked as leaving while no store hears the core; some have their subscriptions from themselves only. */
     static FleetSimulation markedOutOfTouch(long seed, Seams seams) throws ServiceException {
         FleetSimulation v = begun(seed, SMALL, seams);
         v.traffic(40);
@@ -196,8 +196,8 @@
     }
 
     /**
-     * 12: two full outages in a row; back means every tenant and every part. From the second a lighthouse and a store
-     * come back late, so their parts have to wait out their claims.
+     * 12: two full outages in a row; back means every tenant and every part. From the second a control node and a store
+     * come back late, so their parts have to wait out their leases.
      */
     static FleetSimulation twoOutages(long seed, Seams seams) throws ServiceException {
         FleetSimulation v = begun(seed, SMALL, seams);
@@ -221,24 +221,24 @@
         return over(v);
     }
 
-    /** Until a hand-in of every tenant in every part, sent since, was accepted. */
+    /** Until a processor-in of every tenant in every part, sent since, was accepted. */
     static Duration awaitReturn(FleetSimulation v) {
         Duration restarted = v.w.sim.now();
         v.w.sim.runUntil(
                 () -> {
-                    for (int t = 0; t < v.w.scenery.tenants(); t++) {
+                    for (int t = 0; t < v.w.testConfiguration.tenants(); t++) {
                         for (int n = 0; n < 2; n++) {
                             v.plain(t);
                         }
                     }
-                    long seen = v.w.seen.handedIn.stream()
+                    long seen = v.w.seen.submitted.stream()
                             .filter(h -> h.said() == Observations.Said.ACCEPTED
                                     && h.sent().compareTo(restarted) > 0)
                             .map(h -> h.tenant()
                                     + h.handle().substring(0, h.handle().indexOf('-')))
                             .distinct()
                             .count();
-                    return seen >= (long) ServiceNames.MESSAGE_PARTS * v.w.scenery.tenants();
+                    return seen >= (long) ServiceNames.MESSAGE_PARTS * v.w.testConfiguration.tenants();
                 },
                 Duration.ofSeconds(40));
         v.w.seen.saw(v.w.seen.outages, new Observations.Outage(restarted, v.w.sim.now()));
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/Fairness.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Fairness.java
@@ -27,8 +27,8 @@
 
     /** Tenant 0 sends many times the others' load; trouble makes the back ends slow or useless for it. */
     public static Others run(long seed, double flood, Backend.Manner manner, Duration allDown) throws ServiceException {
-        TestConfiguration scenery = new TestConfiguration(4, 2, 40, 60, 26);
-        FleetSimulation v = new FleetSimulation(seed, 3, 3, 4, scenery, World.LARGE_RING).embark();
+        TestConfiguration testConfiguration = new TestConfiguration(4, 2, 40, 60, 26);
+        FleetSimulation v = new FleetSimulation(seed, 3, 3, 4, testConfiguration, World.LARGE_RING).embark();
         v.w.sim.run(Duration.ofSeconds(3));
         v.w.backends.entrySet().stream()
                 .filter(e -> e.getKey().startsWith("p"))
@@ -65,7 +65,7 @@
         long accepted = 0;
         long all = 0;
         long full = 0;
-        for (Observations.HandedIn h : v.w.seen.handedIn) {
+        for (Observations.Submitted h : v.w.seen.submitted) {
             full += h.kind().equals("queue_full") ? 1 : 0;
             if (!h.tenant().equals(TestConfiguration.tenant(0))) {
                 all++;
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/FaultInjection.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/FaultInjection.java
@@ -2,7 +2,7 @@
 
 import org.woadvale.common.runtime.ServiceException;
 
-/** One failure of a storm. */
+/** One failure of a faultStorm. */
 interface FaultInjection {
     void strike() throws ServiceException;
 }
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/FaultStorm.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/FaultStorm.java
@@ -22,18 +22,24 @@
 
         final int intakes;
         final int stores;
-        final int halls;
+        final int zones;
         final int processors;
         final double perSecond;
-        final TestConfiguration scenery;
+        final TestConfiguration testConfiguration;
 
-        Size(int intakes, int stores, int halls, int processors, double perSecond, TestConfiguration scenery) {
+        Size(
+                int intakes,
+                int stores,
+                int zones,
+                int processors,
+                double perSecond,
+                TestConfiguration testConfiguration) {
             this.intakes = intakes;
             this.stores = stores;
-            this.halls = halls;
+            this.zones = zones;
             this.processors = processors;
             this.perSecond = perSecond;
-            this.scenery = scenery;
+            this.testConfiguration = testConfiguration;
         }
 
         /** The small fleet has three or four stores, by seed. */
@@ -46,7 +52,7 @@
     private final World w;
     private final Size size;
     private final Random random;
-    private final Map<String, FaultInjection> blows = new LinkedHashMap<>();
+    private final Map<String, FaultInjection> faults = new LinkedHashMap<>();
     private final List<String> log = new ArrayList<>();
 
     public FaultStorm(long seed) throws ServiceException {
@@ -61,20 +67,20 @@
                 size.intakes,
                 size.stores(seed),
                 size.processors,
-                size.scenery,
+                size.testConfiguration,
                 size == Size.SMALL ? World.SMALL_RING : World.LARGE_RING,
-                size.halls,
+                size.zones,
                 Seams.none());
         w = v.w;
         v.watch();
-        new MachineFaults(v, random, log).into(blows);
-        new ProcessorFaults(v, random, seed % 4 == 3).into(blows);
+        new MachineFaults(v, random, log).into(faults);
+        new ProcessorFaults(v, random, seed % 4 == 3).into(faults);
     }
 
     private void strike(List<String> names) throws ServiceException {
         String name = names.get(random.nextInt(names.size()));
         log.add(w.sim.now().toMillis() + " " + name);
-        blows.get(name).strike();
+        faults.get(name).strike();
     }
 
     /** The violations seen; empty when all went well. */
@@ -87,7 +93,7 @@
         v.list("f2", false);
         v.list("f3", false);
         v.traffic(size.perSecond);
-        List<String> names = List.copyOf(blows.keySet());
+        List<String> names = List.copyOf(faults.keySet());
         Duration end = w.sim.now().plus(length);
         while (w.sim.now().compareTo(end) < 0) {
             w.sim.run(Duration.ofMillis(300 + random.nextInt(2500)));
@@ -123,7 +129,7 @@
         return v.kinds();
     }
 
-    /** storm FROM TO [SIZE [SECONDS]]: a sweep over seeds; exits non-zero if any failed. */
+    /** fault storm FROM TO [SIZE [SECONDS]]: a sweep over seeds; exits non-zero if any failed. */
     public static void main(String[] args) {
         long from = args.length > 0 ? Long.parseLong(args[0]) : 1;
         long to = args.length > 1 ? Long.parseLong(args[1]) : 20;
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/FleetSimulation.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/FleetSimulation.java
@@ -14,11 +14,11 @@
 import org.woadvale.testkit.stub.Observations;
 import org.woadvale.testkit.stub.TestConfiguration;
 
-/** Platform and head office of a simulated fleet, and its callers. */
+/** Platform and head operator of a simulated fleet, and its callers. */
 public final class FleetSimulation extends Callers {
     private final Map<String, String> secrets = new TreeMap<>();
     private final Map<String, Fetcher> fetchers = new TreeMap<>();
-    public Configuration layout;
+    public Configuration configuration;
     public long version;
     long puts;
 
@@ -26,15 +26,22 @@
         this(seed, intakes, stores, processors, new TestConfiguration(3, 2, 20, 30, 26), World.SMALL_RING);
     }
 
-    public FleetSimulation(long seed, int intakes, int stores, int processors, TestConfiguration scenery, int ringBytes)
+    public FleetSimulation(
+            long seed, int intakes, int stores, int processors, TestConfiguration testConfiguration, int ringBytes)
             throws ServiceException {
-        this(seed, intakes, stores, processors, scenery, ringBytes, Seams.none());
+        this(seed, intakes, stores, processors, testConfiguration, ringBytes, Seams.none());
     }
 
     public FleetSimulation(
-            long seed, int intakes, int stores, int processors, TestConfiguration scenery, int ringBytes, Seams seams)
+            long seed,
+            int intakes,
+            int stores,
+            int processors,
+            TestConfiguration testConfiguration,
+            int ringBytes,
+            Seams seams)
             throws ServiceException {
-        this(seed, intakes, stores, processors, scenery, ringBytes, 3, seams);
+        this(seed, intakes, stores, processors, testConfiguration, ringBytes, 3, seams);
     }
 
     public FleetSimulation(
@@ -42,34 +49,34 @@
             int intakes,
             int stores,
             int processors,
-            TestConfiguration scenery,
+            TestConfiguration testConfiguration,
             int ringBytes,
-            int halls,
+            int zones,
             Seams seams)
             throws ServiceException {
-        super(new World(seed, intakes, stores, scenery, ringBytes, halls, seams));
+        super(new World(seed, intakes, stores, testConfiguration, ringBytes, zones, seams));
         for (int i = 0; i < processors; i++) {
             w.addBackend("p" + i, service(i), false);
         }
-        for (int i = 0; i < scenery.endpoints(); i++) {
+        for (int i = 0; i < testConfiguration.endpoints(); i++) {
             w.addBackend(TestConfiguration.endpoint(i), TestConfiguration.endpoint(i), true);
         }
-        layout = scenery.layout(i -> "http://" + w.post.address(TestConfiguration.endpoint(i)));
+        configuration = testConfiguration.configuration(i -> "http://" + w.post.address(TestConfiguration.endpoint(i)));
     }
 
     static String service(int processor) {
         return processor % 2 == 0 ? TestConfiguration.GROUP : TestConfiguration.ORDERED_GROUP;
     }
 
-    /** Puts the first layout, lists the processors and waits until every intake is ready. */
+    /** Puts the first configuration, lists the processors and waits until every intake is ready. */
     public FleetSimulation embark() {
-        put(layout, 0, "first", g -> {});
+        put(configuration, 0, "first", g -> {});
         w.backends.keySet().stream().filter(b -> b.startsWith("p")).forEach(b -> list(b, false));
         require(w.sim.runUntil(w::ready, Duration.ofSeconds(40)), "the fleet did not get ready");
         return this;
     }
 
-    /** The secret that the layout had for a group until now; it has another from here on. */
+    /** The secret that the configuration had for a group until now; it has another from here on. */
     String fetchSecret(String group, String next) {
         String old = secrets.getOrDefault(group, TestConfiguration.fetchKey(group));
         secrets.put(group, next);
@@ -116,8 +123,8 @@
             boolean taken = a.status() == 200;
             long v = taken ? json(a).path("version").asLong() : -1;
             w.seen.saw(
-                    w.seen.layouts,
-                    new Observations.LayoutSaid(
+                    w.seen.configurations,
+                    new Observations.ConfigurationSaid(
                             id,
                             v,
                             taken,
@@ -126,7 +133,7 @@
                             Configurations.sha256(new String(json, java.nio.charset.StandardCharsets.UTF_8))));
             if (taken && v > version) {
                 version = v;
-                layout = l;
+                configuration = l;
             }
             then.accept(a);
         });
@@ -134,7 +141,7 @@
 
     private static boolean valid(byte[] json) {
         try {
-            Configurations.layout(json);
+            Configurations.configuration(json);
             return true;
         } catch (ServiceException e) {
             return false;
@@ -145,16 +152,16 @@
         readAt(anyLighthouse());
     }
 
-    void readAt(String lighthouse) {
+    void readAt(String controlNode) {
         Duration asked = w.sim.now();
         w.request(
-                lighthouse,
+                controlNode,
                 new Request("GET", "/v1/layout", Map.of(), new byte[0]),
                 Duration.ofSeconds(4),
                 a -> a.filter(x -> x.status() == 200)
                         .ifPresent(x -> w.seen.saw(
                                 w.seen.reads,
-                                new Observations.LayoutRead(
+                                new Observations.ConfigurationRead(
                                         Long.parseLong(x.headers().get("ETag").replace("\"", "")),
                                         Configurations.sha256(
                                                 new String(x.body(), java.nio.charset.StandardCharsets.UTF_8)),
@@ -187,10 +194,10 @@
         operate(listing(processor, leaving), a -> marked(processor, leaving));
     }
 
-    /** The same by a lighthouse of one's choice, asked once. */
-    void listAt(String lighthouse, String processor, boolean leaving) {
+    /** The same by a control node of one's choice, asked once. */
+    void listAt(String controlNode, String processor, boolean leaving) {
         w.request(
-                lighthouse,
+                controlNode,
                 listing(processor, leaving),
                 Duration.ofSeconds(4),
                 a -> a.filter(x -> x.status() == 200).ifPresent(x -> marked(processor, leaving)));
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/Harness.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Harness.java
@@ -24,8 +24,8 @@
         return host.disk;
     }
 
-    public RpcClient beam(Codec codec) {
-        return net.beam(host, codec);
+    public RpcClient rpc(Codec codec) {
+        return net.rpc(host, codec);
     }
 
     public void boot(RpcRouter r) {
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/HeadOffice.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/HeadOffice.java
@@ -14,7 +14,7 @@
 import org.woadvale.testkit.stub.Observations;
 import org.woadvale.testkit.stub.TestConfiguration;
 
-/** The head office: changes layouts, races itself, sends bad ones, withdraws keys; and looks at the effect. */
+/** The head operator: changes configurations, races itself, sends bad ones, withdraws keys; and looks at the effect. */
 final class HeadOffice {
     private static final Duration PROBE_FOR = Duration.ofSeconds(7);
     private final FleetSimulation v;
@@ -52,12 +52,12 @@
     }
 
     void changeAt(List<String> lighthouses) {
-        Optional<String> extra = v.layout.lanes().keySet().stream()
+        Optional<String> extra = v.configuration.lanes().keySet().stream()
                 .filter(x -> x.startsWith("extra"))
                 .findFirst();
         boolean remove = extra.isPresent() && n % 2 == 1;
         String lane = remove ? extra.get() : "extra" + n;
-        Configuration next = remove ? withoutLane(v.layout, lane) : withLane(v.layout, lane);
+        Configuration next = remove ? withoutLane(v.configuration, lane) : withLane(v.configuration, lane);
         v.put(next, v.version, "change" + n++, lighthouses, a -> {
             if (a.status() == 200) {
                 long puts = v.puts;
@@ -68,7 +68,7 @@
     }
 
     /**
-     * OperatorIo in on the lane for a while; the next layout sent ends the probe, since it may apply before its answer
+     * OperatorIo in on the lane for a while; the next configuration sent ends the probe, since it may apply before its answer
      * is seen.
      */
     private void probe(String intake, String lane, boolean wanted, long puts, Duration acknowledged, Duration until) {
@@ -90,7 +90,9 @@
                     ? kind.equals("unknown_lane")
                     : a.isPresent() && a.get().status() == 202;
             if (ignored && v.puts == puts) {
-                w.seen.saw(w.seen.ignored, new Observations.LayoutNeeded(lane + " at " + intake, acknowledged, sent));
+                w.seen.saw(
+                        w.seen.ignored,
+                        new Observations.ConfigurationNeeded(lane + " at " + intake, acknowledged, sent));
             }
         });
         w.sim.after(Duration.ofMillis(400), () -> probe(intake, lane, wanted, puts, acknowledged, until));
@@ -99,19 +101,23 @@
     /** Two operators, one base: at most one is taken. */
     void race() {
         long base = v.version;
-        v.put(withLane(v.layout, "race" + n), base, "race-a" + n, a -> {});
-        v.put(withLane(v.layout, "other" + n), base, "race-b" + n, a -> {});
+        v.put(withLane(v.configuration, "race" + n), base, "race-a" + n, a -> {});
+        v.put(withLane(v.configuration, "other" + n), base, "race-b" + n, a -> {});
         n++;
     }
 
     /** A tenant is allowed more or less; back to the usual at the next. */
     void allowance() {
-        int t = w.sim.random().nextInt(w.scenery.tenants());
-        boolean usual = v.layout.tenants().get(TestConfiguration.tenant(t)).ratePerS() != w.scenery.ratePerS();
-        double rate = usual ? w.scenery.ratePerS() : w.scenery.ratePerS() * (w.sim.luck(0.5) ? 0.3 : 1.5);
-        int burst = usual ? w.scenery.burst() : (int) Math.max(1, w.scenery.burst() * rate / w.scenery.ratePerS());
+        int t = w.sim.random().nextInt(w.testConfiguration.tenants());
+        boolean usual =
+                v.configuration.tenants().get(TestConfiguration.tenant(t)).ratePerS() != w.testConfiguration.ratePerS();
+        double rate =
+                usual ? w.testConfiguration.ratePerS() : w.testConfiguration.ratePerS() * (w.sim.luck(0.5) ? 0.3 : 1.5);
+        int burst = usual
+                ? w.testConfiguration.burst()
+                : (int) Math.max(1, w.testConfiguration.burst() * rate / w.testConfiguration.ratePerS());
         Duration sent = w.sim.now();
-        v.put(Edit.tenant(v.layout, TestConfiguration.tenant(t), rate, burst), v.version, "allow" + n++, a -> {
+        v.put(Edit.tenant(v.configuration, TestConfiguration.tenant(t), rate, burst), v.version, "allow" + n++, a -> {
             if (a.status() == 200) {
                 w.seen.allowed(TestConfiguration.tenant(t), new Observations.Limit(rate, burst, sent, w.sim.now()));
             }
@@ -119,11 +125,12 @@
     }
 
     void rate() {
-        String e = TestConfiguration.endpoint(w.sim.random().nextInt(w.scenery.endpoints()));
-        double rate =
-                w.sim.luck(0.5) ? w.scenery.endpointRate() : 10 + w.sim.random().nextInt(20);
+        String e = TestConfiguration.endpoint(w.sim.random().nextInt(w.testConfiguration.endpoints()));
+        double rate = w.sim.luck(0.5)
+                ? w.testConfiguration.endpointRate()
+                : 10 + w.sim.random().nextInt(20);
         Duration sent = w.sim.now();
-        v.put(Edit.services(v.layout, m -> m.put(e, Edit.rate(m.get(e), rate))), v.version, "rate" + n++, a -> {
+        v.put(Edit.services(v.configuration, m -> m.put(e, Edit.rate(m.get(e), rate))), v.version, "rate" + n++, a -> {
             if (a.status() == 200) {
                 w.seen.paced(e, new Observations.Limit(rate, 0, sent, w.sim.now()));
             }
@@ -135,20 +142,21 @@
         long limit = w.sim.luck(0.5) ? TestConfiguration.TIME_LIMIT_MS : 30000;
         w.seen.lane(lane, new Observations.LaneLimits(limit, TestConfiguration.ATTEMPTS));
         v.put(
-                Edit.lanes(v.layout, m -> m.put(lane, Edit.limits(m.get(lane), limit, TestConfiguration.ATTEMPTS))),
+                Edit.lanes(
+                        v.configuration, m -> m.put(lane, Edit.limits(m.get(lane), limit, TestConfiguration.ATTEMPTS))),
                 v.version,
                 "limit" + n++,
                 a -> {});
     }
 
     void bad() {
-        Map<String, Configuration.Lane> lanes = new HashMap<>(v.layout.lanes());
+        Map<String, Configuration.Lane> lanes = new HashMap<>(v.configuration.lanes());
         lanes.put(
                 "broken",
                 new Configuration.Lane(
                         "nowhere", Configuration.Ordering.NONE, 30000, 5, 3000, Configuration.IfUnclear.FAIL));
         v.put(
-                new Configuration(v.layout.tenants(), v.layout.services(), lanes, v.layout.keys()),
+                new Configuration(v.configuration.tenants(), v.configuration.services(), lanes, v.configuration.keys()),
                 v.version,
                 "bad" + n++,
                 a -> {});
@@ -157,18 +165,22 @@
     /** The last tenant's key goes, and is tried on every intake long after; later it comes back under a new secret. */
     void withdraw() {
         String secret = "short-lived-" + n;
-        Map<String, Configuration.Key> with = new TreeMap<>(v.layout.keys());
+        Map<String, Configuration.Key> with = new TreeMap<>(v.configuration.keys());
         with.put(
                 "short",
                 new Configuration.Key(
                         Configuration.Role.CALLER, TestConfiguration.tenant(2), "", Configurations.sha256(secret)));
         String id = "key" + n++;
-        v.put(new Configuration(v.layout.tenants(), v.layout.services(), v.layout.lanes(), with), v.version, id, a -> {
-            if (a.status() == 200) {
-                w.sim.after(Duration.ofSeconds(2), () -> drop(secret, id));
-                w.intakes.forEach(i -> use(i, secret, w.sim.now().plus(Duration.ofSeconds(14))));
-            }
-        });
+        v.put(
+                new Configuration(v.configuration.tenants(), v.configuration.services(), v.configuration.lanes(), with),
+                v.version,
+                id,
+                a -> {
+                    if (a.status() == 200) {
+                        w.sim.after(Duration.ofSeconds(2), () -> drop(secret, id));
+                        w.intakes.forEach(i -> use(i, secret, w.sim.now().plus(Duration.ofSeconds(14))));
+                    }
+                });
     }
 
     /** A group's processor key is exchanged; its processors go on with the old one for a while. */
@@ -177,7 +189,7 @@
         String fresh = "fetch-secret-" + n++;
         v.put(
                 Edit.keys(
-                        v.layout,
+                        v.configuration,
                         m -> m.put(
                                 "fetch-" + group,
                                 new Configuration.Key(
@@ -194,10 +206,11 @@
     }
 
     private void drop(String secret, String id) {
-        Map<String, Configuration.Key> without = new TreeMap<>(v.layout.keys());
+        Map<String, Configuration.Key> without = new TreeMap<>(v.configuration.keys());
         without.remove("short");
         v.put(
-                new Configuration(v.layout.tenants(), v.layout.services(), v.layout.lanes(), without),
+                new Configuration(
+                        v.configuration.tenants(), v.configuration.services(), v.configuration.lanes(), without),
                 v.version,
                 id + "-drop",
                 a -> {
@@ -239,8 +252,8 @@
                         : Observations.Said.REFUSED;
         String handle = ok ? FleetSimulation.json(a.get()).path("handle").asText() : "";
         w.seen.saw(
-                w.seen.handedIn,
-                new Observations.HandedIn(
+                w.seen.submitted,
+                new Observations.Submitted(
                         TestConfiguration.tenant(2),
                         id,
                         "hold",
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/Host.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Host.java
@@ -13,7 +13,7 @@
     final String address;
     final Sim sim;
     final SimDisk disk;
-    private final double pace;
+    private final double timing;
     private RpcRouter router = new RpcRouter();
     private boolean alive;
     private long life;
@@ -25,7 +25,7 @@
         this.address = address;
         this.sim = sim;
         this.disk = new SimDisk(sim);
-        this.pace = 1 + (sim.random().nextDouble() - 0.5) * 0.01;
+        this.timing = 1 + (sim.random().nextDouble() - 0.5) * 0.01;
     }
 
     void boot(RpcRouter r) {
@@ -77,7 +77,7 @@
 
     @Override
     public Duration mono() {
-        return Duration.ofNanos((long) (sim.now().minus(started).toNanos() * pace));
+        return Duration.ofNanos((long) (sim.now().minus(started).toNanos() * timing));
     }
 
     @Override
@@ -100,7 +100,7 @@
     public TimerHandle after(Duration delay, Runnable task) {
         boolean[] cancelled = {false};
         long bornIn = life;
-        sim.after(Duration.ofNanos((long) (delay.toNanos() / pace)), () -> guarded(bornIn, cancelled, task));
+        sim.after(Duration.ofNanos((long) (delay.toNanos() / timing)), () -> guarded(bornIn, cancelled, task));
         return () -> cancelled[0] = true;
     }
 
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/MachineFaults.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/MachineFaults.java
@@ -26,22 +26,22 @@
         this.noLossBefore = w.sim.now();
     }
 
-    void into(Map<String, FaultInjection> blows) {
-        blows.put("kill", this::kill);
-        blows.put("power loss", this::powerLoss);
-        blows.put("pause", this::pause);
-        blows.put("cut off", this::cutOff);
-        blows.put("one-way cut", () -> healing(() -> w.net.cutOneWay(any(w.all()), any(w.all()))));
-        blows.put("stalled streams", () -> healing(() -> w.net.stall(any(w.intakes), any(w.stores))));
-        blows.put("bad weather", () -> w.net.weather(0.05, 0.02));
-        blows.put("lost disk", this::wipe);
-        blows.put("store lost for good", this::loseStore);
-        blows.put("lighthouse lost for good", this::loseLighthouse);
-        blows.put("drain", () -> drain(any(w.stores)));
-        blows.put("holder drained", () -> drain(any(w.intakes)));
-        blows.put("stores in turn", this::inTurn);
-        blows.put("hall off", this::hallOff);
-        blows.put("outage", this::outage);
+    void into(Map<String, FaultInjection> faults) {
+        faults.put("kill", this::kill);
+        faults.put("power loss", this::powerLoss);
+        faults.put("pause", this::pause);
+        faults.put("cut off", this::cutOff);
+        faults.put("one-way cut", () -> healing(() -> w.net.cutOneWay(any(w.all()), any(w.all()))));
+        faults.put("stalled streams", () -> healing(() -> w.net.stall(any(w.intakes), any(w.stores))));
+        faults.put("bad weather", () -> w.net.weather(0.05, 0.02));
+        faults.put("lost disk", this::wipe);
+        faults.put("store lost for good", this::loseStore);
+        faults.put("lighthouse lost for good", this::loseLighthouse);
+        faults.put("drain", () -> drain(any(w.stores)));
+        faults.put("holder drained", () -> drain(any(w.intakes)));
+        faults.put("stores in turn", this::inTurn);
+        faults.put("hall off", this::zoneOff);
+        faults.put("outage", this::outage);
     }
 
     private String any(List<String> from) {
@@ -151,12 +151,12 @@
         }
     }
 
-    /** All machines of a hall lose power together and come back together. */
-    private void hallOff() {
-        String hall = w.hall(any(w.all()));
+    /** All machines of a zone lose power together and come back together. */
+    private void zoneOff() {
+        String zone = w.zone(any(w.all()));
         List<String> there =
-                w.all().stream().filter(h -> w.hall(h).equals(hall)).toList();
-        log.add("off " + hall);
+                w.all().stream().filter(h -> w.zone(h).equals(zone)).toList();
+        log.add("off " + zone);
         there.forEach(h -> w.host(h).powerLoss());
         later(some(), () -> {
             for (String h : there) {
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/Machines.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Machines.java
@@ -27,20 +27,20 @@
     public final List<String> intakes = new ArrayList<>();
     final Map<String, Host> hosts = new LinkedHashMap<>();
     final Set<String> lost = new HashSet<>();
-    private final Map<String, String> halls = new HashMap<>();
-    private final int hallCount;
+    private final Map<String, String> zones = new HashMap<>();
+    private final int zoneCount;
 
-    Machines(Sim sim, int hallCount) {
+    Machines(Sim sim, int zoneCount) {
         this.sim = sim;
         this.net = new SimNet(sim);
-        this.hallCount = hallCount;
+        this.zoneCount = zoneCount;
     }
 
-    String host(String address, int hall) {
+    String host(String address, int zone) {
         Host h = new Host(address, sim);
         hosts.put(address, h);
         net.add(h);
-        halls.put(address, "hall" + hall % hallCount);
+        zones.put(address, "hall" + zone % zoneCount);
         return address;
     }
 
@@ -66,8 +66,8 @@
         return lighthouses.stream().filter(s -> !lost.contains(s)).toList();
     }
 
-    public String hall(String address) {
-        return halls.get(address);
+    public String zone(String address) {
+        return zones.get(address);
     }
 
     public void kill(String address) {
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/Measure.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Measure.java
@@ -38,12 +38,13 @@
             long seed,
             int intakes,
             int stores,
-            TestConfiguration scenery,
+            TestConfiguration testConfiguration,
             double perSecond,
             Duration length,
             java.util.function.Consumer<FleetSimulation> fault)
             throws ServiceException {
-        FleetSimulation v = new FleetSimulation(seed, intakes, stores, 12, scenery, World.LARGE_RING).embark();
+        FleetSimulation v =
+                new FleetSimulation(seed, intakes, stores, 12, testConfiguration, World.LARGE_RING).embark();
         v.w.sim.run(Duration.ofSeconds(3));
         long frames = v.w.net.frames();
         long syncs = syncs(v);
@@ -90,10 +91,10 @@
                 bad);
     }
 
-    /** Power lost everywhere, all started again at once: time until a hand-in of the given tenant is accepted. */
-    public static Duration outage(long seed, int intakes, int stores, TestConfiguration scenery)
+    /** Power lost everywhere, all started again at once: time until a processor-in of the given tenant is accepted. */
+    public static Duration outage(long seed, int intakes, int stores, TestConfiguration testConfiguration)
             throws ServiceException {
-        FleetSimulation v = new FleetSimulation(seed, intakes, stores, 4, scenery, World.LARGE_RING).embark();
+        FleetSimulation v = new FleetSimulation(seed, intakes, stores, 4, testConfiguration, World.LARGE_RING).embark();
         v.traffic(60);
         v.w.sim.run(Duration.ofSeconds(5));
         v.calm();
@@ -107,7 +108,7 @@
                 v.w.sim.runUntil(
                         () -> {
                             v.plain(0);
-                            return v.w.seen.handedIn.stream()
+                            return v.w.seen.submitted.stream()
                                     .anyMatch(h -> h.said() == Observations.Said.ACCEPTED
                                             && h.sent().compareTo(begun) > 0);
                         },
@@ -127,10 +128,10 @@
     private static double worstShare(Observations s) {
         double worst = 0;
         for (Map.Entry<String, List<Observations.Limit>> e : s.allowances().entrySet()) {
-            List<Duration> at = s.copy(s.handedIn).stream()
+            List<Duration> at = s.copy(s.submitted).stream()
                     .filter(h ->
                             h.tenant().equals(e.getKey()) && h.said() == Observations.Said.ACCEPTED && !h.repeated())
-                    .map(Observations.HandedIn::answered)
+                    .map(Observations.Submitted::answered)
                     .sorted()
                     .toList();
             double n = NeverList.worst(at);
@@ -162,7 +163,7 @@
             v.w.sim.run(Duration.ofSeconds(8));
             FleetSimulation.require(
                     v.settle(Duration.ofSeconds(60)) && v.violations().isEmpty(), "not sound");
-            List<Observations.HandedIn> after = v.w.seen.handedIn.stream()
+            List<Observations.Submitted> after = v.w.seen.submitted.stream()
                     .filter(h -> h.sent().compareTo(from) >= 0)
                     .toList();
             refused.add(after.stream().filter(h -> h.kind().equals("throttled")).count());
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/NaiveVariants.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/NaiveVariants.java
@@ -29,7 +29,7 @@
 
     private NaiveVariants() {}
 
-    private static RpcClient beam(RpcClient b, Asking how) {
+    private static RpcClient rpc(RpcClient b, Asking how) {
         return new RpcClient() {
             @Override
             public String self() {
@@ -92,7 +92,7 @@
     /** 03: an answer that did not come in time is taken for "nothing was sent". */
     static Seams silenceIsNo() {
         return Seams.none()
-                .withBeam((a, b) -> beam(b, new Asking() {
+                .withRpc((a, b) -> rpc(b, new Asking() {
                     @Override
                     public <T> Mono<T> ask(RpcClient x, String to, Object body, Class<T> answer, Duration limit) {
                         return x.ask(to, body, answer, limit)
@@ -113,11 +113,11 @@
                                 : Mono.error(e)));
     }
 
-    /** 05: hand-ins without a time by which they must have come; a store's life is learned once and for all. */
+    /** 05: processor-ins without a time by which they must have come; a store's life is learned once and for all. */
     static Seams timelessHandIns() {
-        return Seams.none().withBeam((a, b) -> {
+        return Seams.none().withRpc((a, b) -> {
             Map<String, Object> clocks = new HashMap<>();
-            return beam(b, new Asking() {
+            return rpc(b, new Asking() {
                 @Override
                 public <T> Mono<T> ask(RpcClient x, String to, Object body, Class<T> answer, Duration limit) {
                     if (body instanceof Commands.ClockAsk) {
@@ -149,19 +149,19 @@
                 }));
     }
 
-    /** 07, 08, 10: who cannot be reached for news is taken to have none: the last answer is still good. */
+    /** 07, 08, 10: who cannot be reached for subscriptions is taken to have none: the last answer is still good. */
     static Seams noNewsIsGoodNews() {
-        return Seams.none().withBeam((a, b) -> {
+        return Seams.none().withRpc((a, b) -> {
             Map<String, ServiceView> last = new HashMap<>();
-            return beam(b, new Asking() {
+            return rpc(b, new Asking() {
                 @Override
                 public <T> Mono<T> ask(RpcClient x, String to, Object body, Class<T> answer, Duration limit) {
-                    if (!(body instanceof ControlMessages.NewsAsk n)) {
+                    if (!(body instanceof ControlMessages.ViewAsk n)) {
                         return x.ask(to, body, answer, limit);
                     }
                     return x.ask(to, body, answer, limit)
                             .doOnNext(
-                                    t -> ((ControlMessages.NewsReply) t).views().forEach(v -> last.put(v.service(), v)))
+                                    t -> ((ControlMessages.ViewReply) t).views().forEach(v -> last.put(v.service(), v)))
                             .onErrorResume(e -> silent(e)
                                             && last.keySet()
                                                     .containsAll(n.known().keySet())
@@ -177,7 +177,7 @@
                 || ServiceException.of(e).kind() == ErrorKind.UNREACHABLE;
     }
 
-    static ControlMessages.NewsReply anew(ControlMessages.NewsAsk n, Map<String, ServiceView> last) {
+    static ControlMessages.ViewReply anew(ControlMessages.ViewAsk n, Map<String, ServiceView> last) {
         Map<String, Duration> ages = new HashMap<>();
         java.util.List<ServiceView> views = new java.util.ArrayList<>();
         n.known()
@@ -188,7 +188,7 @@
                                 views.add(v);
                             }
                         }));
-        return new ControlMessages.NewsReply(views, ages);
+        return new ControlMessages.ViewReply(views, ages);
     }
 
     /** 09: a machine whose clock stands still for as long as told, as if it had been suspended. */
@@ -227,11 +227,11 @@
         }
     }
 
-    /** 12: claims so long that nobody ever loses one by mistake. */
-    static Seams longClaims() {
+    /** 12: leases so long that nobody ever loses one by mistake. */
+    static Seams longLeases() {
         Function<Duration, Duration> longer = d -> d.multipliedBy(10);
         return Seams.none()
-                .withPace(
-                        p -> new ReplicationTiming(longer.apply(p.claim()), p.renew(), p.look(), p.ask(), p.spread()));
+                .withTiming(
+                        p -> new ReplicationTiming(longer.apply(p.lease()), p.renew(), p.look(), p.ask(), p.spread()));
     }
 }
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/NetworkSimulation.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/NetworkSimulation.java
@@ -40,12 +40,12 @@
 
     private static final int RING_FILES = 8;
     private static final int KEEP_ENDED_S = 130;
-    private static final int HALLS = 3;
+    private static final int ZONES = 3;
     private static final Duration ROLL = Duration.ofMillis(700);
 
-    public final ProcessorSimulation quays = new ProcessorSimulation(this);
+    public final ProcessorSimulation processorSimulation = new ProcessorSimulation(this);
     private final List<String> seeds;
-    private final Map<String, ControlNode> lamps = new HashMap<>();
+    private final Map<String, ControlNode> controlNodes = new HashMap<>();
     private final Map<String, DataPlaneNode> pilots = new HashMap<>();
     private final Map<String, Function<Request, Mono<Answer>>> doors = new HashMap<>();
     private final Seams seams;
@@ -53,7 +53,7 @@
             path -> Mono.error(new ServiceException(ErrorKind.UNAVAILABLE, "no list yet"));
 
     public NetworkSimulation(long seed, int fronts, int storeCount, Seams seams) throws ServiceException {
-        super(new Sim(seed), HALLS);
+        super(new Sim(seed), ZONES);
         this.seams = seams;
         for (int i = 0; i < 3; i++) {
             lighthouses.add(host("10.0.0." + (i + 1) + ":1", i));
@@ -90,31 +90,32 @@
 
     public void start(String address) throws ServiceException {
         Host h = hosts.get(address);
-        boolean lamp = lighthouses.contains(address);
+        boolean controlNode = lighthouses.contains(address);
         boolean store = stores.contains(address);
         RpcRouter router = new RpcRouter();
-        Codec codec = lamp ? Wire.codec(Wire.LIGHTHOUSE, Operators.types()) : Wire.codec(Wire.PILOT, Commands.types());
+        Codec codec =
+                controlNode ? Wire.codec(Wire.LIGHTHOUSE, Operators.types()) : Wire.codec(Wire.PILOT, Commands.types());
         h.boot(router);
-        RpcClient beam = seams.beam().apply(address, net.beam(h, codec));
-        WriteAheadLog book = lamp || store
+        RpcClient rpc = seams.rpc().apply(address, net.rpc(h, codec));
+        WriteAheadLog book = controlNode || store
                 ? RingWriteAheadLog.open(seams.disk().apply(address, h.disk), h, RING_FILES, World.LARGE_RING)
                 : new DisabledWriteAheadLog();
         book.onFailure(why -> h.kill());
         Env env = new Env(
                 seams.times().apply(address, h),
                 h,
-                beam,
+                rpc,
                 codec,
                 book,
                 sim.random()::nextLong,
-                seams.pace().apply(lamp ? ReplicationTiming.core() : ReplicationTiming.usual()));
-        CoreClient core = new CoreClient(beam, sim.random()::nextLong, seeds, List.of(), l -> {});
-        if (lamp) {
+                seams.timing().apply(controlNode ? ReplicationTiming.core() : ReplicationTiming.usual()));
+        CoreClient core = new CoreClient(rpc, sim.random()::nextLong, seeds, List.of(), l -> {});
+        if (controlNode) {
             ControlNode n = new ControlNode(env, core, seeds);
             n.route(router);
             Operators o = new Operators(n, "");
             o.route(router);
-            lamps.put(address, n);
+            controlNodes.put(address, n);
             doors.put(address, PlatformApi.control(o));
             n.start();
             new ProcessorRegistry(env, n, PlatformApi.registry(pagesFor(h)), ROLL).start();
@@ -122,7 +123,7 @@
             Settings boot = new Settings(
                     address,
                     address,
-                    hall(address),
+                    zone(address),
                     seeds,
                     Set.of(store ? "store" : "intake"),
                     store ? "x" : "",
@@ -136,7 +137,7 @@
                     KEEP_ENDED_S,
                     0);
             DataPlaneNode n = new DataPlaneNode(
-                    env, boot, core, seams.post().apply(address, quays.from(h)), PlatformApi.speech());
+                    env, boot, core, seams.post().apply(address, processorSimulation.from(h)), PlatformApi.protocol());
             n.route(router);
             pilots.put(address, n);
             doors.put(address, PlatformApi.front(n));
@@ -154,8 +155,8 @@
         return pilots.get(address);
     }
 
-    public ControlNode lamp(String address) {
-        return lamps.get(address);
+    public ControlNode controlNode(String address) {
+        return controlNodes.get(address);
     }
 
     /** A request of a client, a fetching processor or the operator to one node. */
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/OperatorSimulation.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/OperatorSimulation.java
@@ -15,14 +15,14 @@
 final class OperatorSimulation {
     private static final Duration CALL = Duration.ofSeconds(2);
     private static final Duration LONGEST = Duration.ofMillis(1600);
-    private final NetworkSimulation roads;
+    private final NetworkSimulation network;
     private final ObservationLog seen;
     private ConfigurationStub now;
     private int n;
     private int open;
 
-    OperatorSimulation(NetworkSimulation roads, ObservationLog seen, ConfigurationStub first) {
-        this.roads = roads;
+    OperatorSimulation(NetworkSimulation network, ObservationLog seen, ConfigurationStub first) {
+        this.network = network;
         this.seen = seen;
         this.now = first;
     }
@@ -36,10 +36,10 @@
         return open == 0;
     }
 
-    /** Sent as it was, to any lighthouse, until the answer is clear. */
+    /** Sent as it was, to any control node, until the answer is clear. */
     void put(ConfigurationStub p, String text, long base, boolean valid) {
         open++;
-        put(p, text, base, valid, roads.sim.now(), Duration.ofMillis(100));
+        put(p, text, base, valid, network.sim.now(), Duration.ofMillis(100));
     }
 
     void put(ConfigurationStub p, long base) {
@@ -47,21 +47,21 @@
     }
 
     private void put(ConfigurationStub p, String text, long base, boolean valid, Duration sent, Duration pause) {
-        String to = roads.lighthouses.get(roads.sim.random().nextInt(roads.lighthouses.size()));
+        String to = network.lighthouses.get(network.sim.random().nextInt(network.lighthouses.size()));
         Request q = new Request(
                 "PUT",
                 "/-/configuration",
                 Map.of("if-match", Long.toString(base)),
                 text.getBytes(StandardCharsets.UTF_8));
-        roads.request(to, q, CALL, a -> {
+        network.request(to, q, CALL, a -> {
             int status = a.map(Answer::status).orElse(0);
             if (status == 0 || status >= 500 || status == 429 || status == 408) {
                 Duration next = pause.multipliedBy(2).compareTo(LONGEST) > 0 ? LONGEST : pause.multipliedBy(2);
-                roads.sim.after(pause, () -> put(p, text, base, valid, sent, next));
+                network.sim.after(pause, () -> put(p, text, base, valid, sent, next));
                 return;
             }
             open--;
-            seen.papers.add(new ObservationLog.Paper(p, text, base, valid, sent, status, roads.sim.now()));
+            seen.configurationStub.add(new ObservationLog.Paper(p, text, base, valid, sent, status, network.sim.now()));
             if (status == 200 && valid && p.configRevision() > now.configRevision()) {
                 now = p;
             }
@@ -73,12 +73,12 @@
     }
 
     private long next() {
-        return now.configRevision() + 1 + roads.sim.random().nextInt(4);
+        return now.configRevision() + 1 + network.sim.random().nextInt(4);
     }
 
     private ConfigurationStub more(String name) {
         List<ConfigurationStub.Route> all = new ArrayList<>(now.routes());
-        ConfigurationStub.Route like = all.get(roads.sim.random().nextInt(3));
+        ConfigurationStub.Route like = all.get(network.sim.random().nextInt(3));
         all.add(new ConfigurationStub.Route(
                 name,
                 like.host(),
@@ -99,7 +99,7 @@
     /** A route comes, or one that came goes; now and then a time-out changes. */
     void change() {
         Optional<ConfigurationStub.Route> old = added();
-        if (old.isPresent() && roads.sim.luck(0.5)) {
+        if (old.isPresent() && network.sim.luck(0.5)) {
             put(
                     now.routes(now.routes().stream()
                                     .filter(r -> !r.equals(old.get()))
@@ -162,7 +162,7 @@
     /** A tenant's second key goes, or a new one comes. */
     void keys() {
         List<ConfigurationStub.Tenant> all = new ArrayList<>(now.tenants());
-        int i = roads.sim.random().nextInt(all.size());
+        int i = network.sim.random().nextInt(all.size());
         ConfigurationStub.Tenant t = all.get(i);
         List<String> keys = new ArrayList<>(t.accessKeys());
         if (keys.size() > 1) {
@@ -176,11 +176,11 @@
 
     /** ControlMessages for it as it stands; the last reading of a day counts. */
     void read() {
-        String to = roads.lighthouses.get(roads.sim.random().nextInt(roads.lighthouses.size()));
-        roads.request(to, new Request("GET", "/-/configuration", Map.of(), new byte[0]), CALL, a -> {
+        String to = network.lighthouses.get(network.sim.random().nextInt(network.lighthouses.size()));
+        network.request(to, new Request("GET", "/-/configuration", Map.of(), new byte[0]), CALL, a -> {
             if (a.isPresent() && a.get().status() == 200) {
                 seen.readBack.add(new ObservationLog.ReadBack(
-                        200, new String(a.get().body(), StandardCharsets.UTF_8), roads.sim.now()));
+                        200, new String(a.get().body(), StandardCharsets.UTF_8), network.sim.now()));
             }
         });
     }
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/Pairs.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Pairs.java
@@ -45,7 +45,7 @@
 
     private Pairs() {}
 
-    private static Pair layout() {
+    private static Pair configuration() {
         AtomicReference<String> cut = new AtomicReference<>("");
         return new Pair(
                 "09",
@@ -105,7 +105,7 @@
                         "age of news",
                         FailureScenarios::lanesChangedOutOfTouch,
                         NaiveVariants.noNewsIsGoodNews()),
-                layout(),
+                configuration(),
                 new Pair(
                         "10",
                         "processors marked, stores out of touch",
@@ -123,7 +123,7 @@
                         "two full outages",
                         "short claims",
                         FailureScenarios::twoOutages,
-                        NaiveVariants.longClaims()));
+                        NaiveVariants.longLeases()));
     }
 
     /** pairs FROM TO: the table; exits non-zero if a shipped run broke anything or a pair did not break its line. */
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/PlatformScenarios.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/PlatformScenarios.java
@@ -137,74 +137,75 @@
 
     private static void served(PlatformSimulation p, double perSecond, int seconds) {
         p.traffic(perSecond);
-        p.roads.sim.run(Duration.ofSeconds(seconds));
+        p.network.sim.run(Duration.ofSeconds(seconds));
         p.calm();
     }
 
     private static void trouble(PlatformSimulation p, int seconds) {
         p.seen.troubles.add(new ObservationLog.Trouble(
-                "scene", p.roads.sim.now(), p.roads.sim.now().plusSeconds(seconds)));
+                "scene", p.network.sim.now(), p.network.sim.now().plusSeconds(seconds)));
     }
 
     private static void powerLost(PlatformSimulation p) throws ServiceException {
         p.traffic(20);
         for (int ms = 0; ms < 3000; ms += 50) {
             int n = ms;
-            p.roads.sim.after(
+            p.network.sim.after(
                     Duration.ofMillis(ms),
                     () -> p.send("/open/later" + n, "key" + n / 50 % 4, "", 20_000, p.entry.any()));
         }
-        p.roads.sim.run(Duration.ofSeconds(4));
+        p.network.sim.run(Duration.ofSeconds(4));
         p.calm();
         trouble(p, 12);
-        p.roads.all().forEach(h -> p.roads.host(h).powerLoss());
-        p.roads.sim.run(Duration.ofSeconds(1));
-        for (String h : p.roads.all()) {
-            p.roads.restart(h);
+        p.network.all().forEach(h -> p.network.host(h).powerLoss());
+        p.network.sim.run(Duration.ofSeconds(1));
+        for (String h : p.network.all()) {
+            p.network.restart(h);
         }
-        p.roads.sim.run(Duration.ofSeconds(8));
+        p.network.sim.run(Duration.ofSeconds(8));
     }
 
     private static void answersDoNotComeBack(PlatformSimulation p) {
         trouble(p, 12);
         p.traffic(40);
-        p.roads.stores.forEach(s -> p.roads.net.cutOneWay(s, p.roads.intakes.get(0)));
-        p.roads.sim.run(Duration.ofSeconds(3));
+        p.network.stores.forEach(s -> p.network.net.cutOneWay(s, p.network.intakes.get(0)));
+        p.network.sim.run(Duration.ofSeconds(3));
         p.calm();
-        p.roads.sim.run(Duration.ofSeconds(7));
-        p.roads.net.heal();
+        p.network.sim.run(Duration.ofSeconds(7));
+        p.network.net.heal();
     }
 
     private static void breakingOff(PlatformSimulation p) {
-        p.hands
+        p.processors
                 .values()
-                .forEach(h -> h.behave(new ClientHabits(Duration.ofMillis(50), Duration.ofMillis(400), 0.2, 0.4, 0.1)));
+                .forEach(h ->
+                        h.behave(new ProcessorHabits(Duration.ofMillis(50), Duration.ofMillis(400), 0.2, 0.4, 0.1)));
         served(p, 25, 6);
-        p.roads.sim.run(Duration.ofSeconds(2));
-        p.hands.values().forEach(h -> h.behave(ClientHabits.good()));
+        p.network.sim.run(Duration.ofSeconds(2));
+        p.processors.values().forEach(h -> h.behave(ProcessorHabits.good()));
     }
 
     private static void muteProcessors(PlatformSimulation p) {
         p.pullers.values().forEach(x -> {
             x.mute();
-            x.behave(new ClientHabits(Duration.ofMillis(2500), Duration.ofMillis(6000), 0, 0, 0));
+            x.behave(new ProcessorHabits(Duration.ofMillis(2500), Duration.ofMillis(6000), 0, 0, 0));
         });
         served(p, 10, 4);
-        p.roads.sim.run(Duration.ofSeconds(12));
-        p.pullers.values().forEach(x -> x.behave(ClientHabits.good()));
+        p.network.sim.run(Duration.ofSeconds(12));
+        p.pullers.values().forEach(x -> x.behave(ProcessorHabits.good()));
     }
 
     /** Gone without a word, still on the list, and somebody else is there. */
     private static void reusedAddress(PlatformSimulation p) {
         p.traffic(40);
-        p.roads.sim.run(Duration.ofSeconds(1));
-        List<ScriptedClient> plain = p.hands.values().stream()
+        p.network.sim.run(Duration.ofSeconds(1));
+        List<ScriptedProcessor> plain = p.processors.values().stream()
                 .filter(h -> h.service().equals("plain"))
                 .toList();
         plain.forEach(h -> p.moveIn(h, "book"));
-        p.roads.sim.run(Duration.ofSeconds(3));
-        p.hand("plain", "10.9.5.1:8080");
-        p.roads.sim.run(Duration.ofSeconds(3));
+        p.network.sim.run(Duration.ofSeconds(3));
+        p.processor("plain", "10.9.5.1:8080");
+        p.network.sim.run(Duration.ofSeconds(3));
         p.calm();
     }
 
@@ -212,66 +213,68 @@
         String far = "172.20.0.3:8748";
         for (int ms = 0; ms < 9000; ms += 25) {
             int n = ms;
-            p.roads.sim.after(
+            p.network.sim.after(
                     Duration.ofMillis(ms), () -> p.send("/check/" + n, "key" + n / 25 % 4, "", 0, p.entry.any()));
         }
         for (int ms = 0; ms < 1200; ms += 50) {
             Duration left = Duration.ofMillis(1200 - ms);
-            p.roads.sim.after(Duration.ofMillis(5000 + ms), () -> p.roads.quays.slowStreams(far, left));
+            p.network.sim.after(
+                    Duration.ofMillis(5000 + ms), () -> p.network.processorSimulation.slowStreams(far, left));
         }
-        p.roads.sim.after(Duration.ofMillis(6200), () -> p.roads.quays.slowStreams(far, Duration.ZERO));
-        p.roads.sim.run(Duration.ofSeconds(40));
+        p.network.sim.after(
+                Duration.ofMillis(6200), () -> p.network.processorSimulation.slowStreams(far, Duration.ZERO));
+        p.network.sim.run(Duration.ofSeconds(40));
     }
 
     private static void stalled(PlatformSimulation p) {
-        String i = p.roads.intakes.get(0);
+        String i = p.network.intakes.get(0);
         for (int n = 0; n < 20; n++) {
             p.send("/open/w" + n, "key1", "", 0, i);
         }
-        p.roads.sim.run(Duration.ofSeconds(1));
+        p.network.sim.run(Duration.ofSeconds(1));
         trouble(p, 60);
-        p.roads.stores.forEach(s -> p.roads.net.stall(i, s));
+        p.network.stores.forEach(s -> p.network.net.stall(i, s));
         for (int ms = 0; ms < 50000; ms += 50) {
             int n = ms;
-            p.roads.sim.after(Duration.ofMillis(ms), () -> p.send("/open/" + n, "key0", "", 0, i));
+            p.network.sim.after(Duration.ofMillis(ms), () -> p.send("/open/" + n, "key0", "", 0, i));
         }
-        p.roads.sim.run(Duration.ofSeconds(50));
-        p.roads.net.heal();
-        p.roads.sim.run(Duration.ofSeconds(2));
+        p.network.sim.run(Duration.ofSeconds(50));
+        p.network.net.heal();
+        p.network.sim.run(Duration.ofSeconds(2));
     }
 
     private static void keyWithdrawn(PlatformSimulation p, AtomicBoolean frozen) {
         frozen.set(true);
         for (int i = 0; i < 4; i++) {
-            p.office.keys();
-            p.roads.sim.run(Duration.ofSeconds(1));
+            p.operator.keys();
+            p.network.sim.run(Duration.ofSeconds(1));
         }
-        p.roads.sim.run(Duration.ofSeconds(6));
+        p.network.sim.run(Duration.ofSeconds(6));
         for (int i = 0; i < 20; i++) {
             p.send("/open/" + i, "spare" + i % 4, "", 0, p.entry.any());
         }
-        p.roads.sim.run(Duration.ofSeconds(3));
+        p.network.sim.run(Duration.ofSeconds(3));
         frozen.set(false);
     }
 
     private static void routeAdded(PlatformSimulation p, AtomicBoolean frozen) {
         frozen.set(true);
-        p.office.change();
-        p.roads.sim.run(Duration.ofSeconds(5));
-        p.roads.intakes.forEach(i -> p.send("/new0/1", "key0", "", 0, i));
-        p.roads.sim.run(Duration.ofSeconds(2));
+        p.operator.change();
+        p.network.sim.run(Duration.ofSeconds(5));
+        p.network.intakes.forEach(i -> p.send("/new0/1", "key0", "", 0, i));
+        p.network.sim.run(Duration.ofSeconds(2));
         frozen.set(false);
     }
 
     private static void processorLeaves(PlatformSimulation p, AtomicBoolean frozen) {
         p.traffic(40);
-        p.roads.sim.run(Duration.ofSeconds(1));
+        p.network.sim.run(Duration.ofSeconds(1));
         frozen.set(true);
-        p.leave(p.hands.values().stream()
+        p.leave(p.processors.values().stream()
                 .filter(h -> h.service().equals("plain"))
                 .findFirst()
                 .orElseThrow());
-        p.roads.sim.run(Duration.ofSeconds(6));
+        p.network.sim.run(Duration.ofSeconds(6));
         p.calm();
         frozen.set(false);
     }
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/PlatformSimulation.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/PlatformSimulation.java
@@ -25,14 +25,14 @@
     private static final int CLIENTS = 40;
     private static final double RATE = 25;
 
-    public final NetworkSimulation roads;
+    public final NetworkSimulation network;
     public final ObservationLog seen = new ObservationLog();
-    final ProcessorList roster;
+    final ProcessorList processorList;
     final Entry entry;
-    final OperatorSimulation office;
-    final Map<String, ScriptedClient> hands = new LinkedHashMap<>();
+    final OperatorSimulation operator;
+    final Map<String, ScriptedProcessor> processors = new LinkedHashMap<>();
     final Map<String, Puller> pullers = new LinkedHashMap<>();
-    private final Map<String, ScriptedClient.Table> tables = new TreeMap<>();
+    private final Map<String, ScriptedProcessor.Table> tables = new TreeMap<>();
     private final Map<String, String> addresses = new TreeMap<>();
     private final Map<Integer, Integer> answers = new TreeMap<>();
     private int ids;
@@ -40,19 +40,19 @@
     private boolean traffic;
 
     public PlatformSimulation(long seed, int fronts, int stores, Seams seams) throws ServiceException {
-        roads = new NetworkSimulation(seed, fronts, stores, seams);
-        roster = new ProcessorList(roads.sim, LAG, LIST_RATE);
-        roads.list(roster::page);
-        entry = new Entry(roads);
-        office = new OperatorSimulation(roads, seen, papers());
-        roads.quays.onRead((q, a) -> {
+        network = new NetworkSimulation(seed, fronts, stores, seams);
+        processorList = new ProcessorList(network.sim, LAG, LIST_RATE);
+        network.list(processorList::page);
+        entry = new Entry(network);
+        operator = new OperatorSimulation(network, seen, configurationStub());
+        network.processorSimulation.onRead((q, a) -> {
             if (a.status() / 100 == 2 && a.headers().containsKey("X-Server-Seal")) {
-                seen.read.add(new ObservationLog.Read(q.headers().getOrDefault("x-attempt-id", ""), roads.sim.now()));
+                seen.read.add(new ObservationLog.Read(q.headers().getOrDefault("x-attempt-id", ""), network.sim.now()));
             }
         });
     }
 
-    static ConfigurationStub papers() {
+    static ConfigurationStub configurationStub() {
         List<ConfigurationStub.Route> routes = List.of(
                 route("hold", "desk", false, 3),
                 route("accept", "book", true, 4),
@@ -77,75 +77,77 @@
 
     /** The first configuration, the processors, and readiness. */
     public PlatformSimulation embark() {
-        office.begin();
+        operator.begin();
         for (int i = 0; i < 3; i++) {
-            hand("book", "10.9.0." + i + ":8080");
-            hand("plain", "10.9.1." + i + ":8080");
+            processor("book", "10.9.0." + i + ":8080");
+            processor("plain", "10.9.1." + i + ":8080");
             puller();
         }
-        hands.put(
-                "far", place(new ScriptedClient(roads, seen, "far", "far", 6, table("far"), true), "172.20.0.3:8748"));
+        processors.put(
+                "far",
+                place(new ScriptedProcessor(network, seen, "far", "far", 6, table("far"), true), "172.20.0.3:8748"));
         FleetSimulation.require(
-                roads.sim.runUntil(roads::ready, Duration.ofSeconds(40)), "the fleet did not get ready");
-        roads.sim.run(Duration.ofSeconds(2));
+                network.sim.runUntil(network::ready, Duration.ofSeconds(40)), "the fleet did not get ready");
+        network.sim.run(Duration.ofSeconds(2));
         return this;
     }
 
-    private ScriptedClient.Table table(String service) {
-        return tables.computeIfAbsent(service, s -> new ScriptedClient.Table());
+    private ScriptedProcessor.Table table(String service) {
+        return tables.computeIfAbsent(service, s -> new ScriptedProcessor.Table());
     }
 
-    private ScriptedClient place(ScriptedClient h, String address) {
-        roads.quays.place(address, h::take);
+    private ScriptedProcessor place(ScriptedProcessor h, String address) {
+        network.processorSimulation.place(address, h::take);
         addresses.put(h.id(), address);
         return h;
     }
 
-    ScriptedClient hand(String service, String address) {
+    ScriptedProcessor processor(String service, String address) {
         String id = "i-" + lives++;
-        ScriptedClient h =
-                place(new ScriptedClient(roads, seen, id, service, 6, table(service), service.equals("book")), address);
-        hands.put(id, h);
-        roster.put(id, service, address, 6, "ready");
+        ScriptedProcessor h = place(
+                new ScriptedProcessor(network, seen, id, service, 6, table(service), service.equals("book")), address);
+        processors.put(id, h);
+        processorList.put(id, service, address, 6, "ready");
         return h;
     }
 
     Puller puller() {
         String id = "p-" + lives++;
-        Puller p = new Puller(roads, entry, seen, id, "desk").start(4);
+        Puller p = new Puller(network, entry, seen, id, "desk").start(4);
         pullers.put(id, p);
         return p;
     }
 
     /** It is gone at once; the list shows it for some seconds more, and its address is another's soon. */
-    void crash(ScriptedClient h) {
+    void crash(ScriptedProcessor h) {
         h.die();
-        hands.remove(h.id());
+        processors.remove(h.id());
         String address = addresses.get(h.id());
-        roads.quays.leave(address);
-        roads.sim.after(Duration.ofSeconds(3), () -> roster.drop(h.id()));
-        roads.sim.after(Duration.ofSeconds(5), () -> hand(h.service(), address));
+        network.processorSimulation.leave(address);
+        network.sim.after(Duration.ofSeconds(3), () -> processorList.drop(h.id()));
+        network.sim.after(Duration.ofSeconds(5), () -> processor(h.service(), address));
     }
 
     /** It is gone without a word, and a processor of another service is at its address. */
-    void moveIn(ScriptedClient gone, String service) {
+    void moveIn(ScriptedProcessor gone, String service) {
         gone.die();
-        hands.remove(gone.id());
-        hand(service, addresses.get(gone.id()));
-        roads.sim.after(Duration.ofSeconds(3), () -> roster.drop(gone.id()));
+        processors.remove(gone.id());
+        processor(service, addresses.get(gone.id()));
+        network.sim.after(Duration.ofSeconds(3), () -> processorList.drop(gone.id()));
     }
 
     /** In order: shown as draining, served for a while, and gone. */
-    void leave(ScriptedClient h) {
-        hands.remove(h.id());
+    void leave(ScriptedProcessor h) {
+        processors.remove(h.id());
         String address = addresses.get(h.id());
-        seen.draining.add(new ObservationLog.Draining(h.id(), roster.put(h.id(), h.service(), address, 6, "draining")));
-        roads.sim.after(Duration.ofMillis(4500), () -> {
+        seen.draining.add(
+                new ObservationLog.Draining(h.id(), processorList.put(h.id(), h.service(), address, 6, "draining")));
+        network.sim.after(Duration.ofMillis(4500), () -> {
             h.die();
-            roads.quays.leave(address);
-            roster.drop(h.id());
+            network.processorSimulation.leave(address);
+            processorList.drop(h.id());
         });
-        hand(h.service(), address + "1");
+        processor(h.service(), address + "1");
     }
 
     void traffic(double perSecond) {
@@ -158,8 +160,8 @@
     }
 
     private void next(double perSecond) {
-        roads.sim.after(
-                Duration.ofNanos((long) (-Math.log(1 - roads.sim.random().nextDouble()) / perSecond * 1e9)), () -> {
+        network.sim.after(
+                Duration.ofNanos((long) (-Math.log(1 - network.sim.random().nextDouble()) / perSecond * 1e9)), () -> {
                     if (traffic) {
                         client();
                         next(perSecond);
@@ -169,28 +171,32 @@
 
     /** A client on any route that there is, or was just added or removed, with any key that there is or was. */
     private void client() {
-        List<ConfigurationStub.Route> routes = office.now().routes();
-        boolean usual = roads.sim.luck(0.9);
-        ConfigurationStub.Route r = usual || seen.papers.isEmpty()
-                ? routes.get(roads.sim.random().nextInt(routes.size()))
-                : any(any(seen.papers).papers().routes());
-        int t = roads.sim.random().nextInt(4);
+        List<ConfigurationStub.Route> routes = operator.now().routes();
+        boolean usual = network.sim.luck(0.9);
+        ConfigurationStub.Route r = usual || seen.configurationStub.isEmpty()
+                ? routes.get(network.sim.random().nextInt(routes.size()))
+                : any(any(seen.configurationStub).configurationStub().routes());
+        int t = network.sim.random().nextInt(4);
         String key = usual
                 ? "key" + t
-                : any(any(seen.papers).papers().tenants().get(t).accessKeys());
-        String order = r.inOrder() ? "k" + roads.sim.random().nextInt(5) : "";
+                : any(any(seen.configurationStub)
+                        .configurationStub()
+                        .tenants()
+                        .get(t)
+                        .accessKeys());
+        String order = r.inOrder() ? "k" + network.sim.random().nextInt(5) : "";
         send(
                 r.pathPrefix() + ids,
                 key,
                 order,
-                roads.sim.luck(0.1) ? 1000 : 0,
+                network.sim.luck(0.1) ? 1000 : 0,
                 entry.forClient(
-                        roads.sim.random().nextInt(CLIENTS),
-                        "hall" + roads.sim.random().nextInt(3)));
+                        network.sim.random().nextInt(CLIENTS),
+                        "hall" + network.sim.random().nextInt(3)));
     }
 
     private <T> T any(List<T> list) {
-        return list.get(roads.sim.random().nextInt(list.size()));
+        return list.get(network.sim.random().nextInt(list.size()));
     }
 
     /** One try; each is a message of its own. */
@@ -205,36 +211,36 @@
         if (delayMs > 0) {
             h.put("x-delay-ms", Long.toString(delayMs));
         }
-        seen.sent.add(new ObservationLog.Sent(id, HOST, path, key, order, body, delayMs, node, roads.sim.now()));
-        roads.request(node, new Request("POST", path, h, body.getBytes(StandardCharsets.UTF_8)), CLIENT, a -> {
+        seen.sent.add(new ObservationLog.Sent(id, HOST, path, key, order, body, delayMs, node, network.sim.now()));
+        network.request(node, new Request("POST", path, h, body.getBytes(StandardCharsets.UTF_8)), CLIENT, a -> {
             int status = a.map(Answer::status).orElse(0);
             answers.merge(status, 1, Integer::sum);
             seen.said.add(new ObservationLog.Said(
                     id,
                     status,
                     a.map(x -> x.headers().getOrDefault("X-Message-Ref", id)).orElse(""),
-                    roads.sim.now()));
+                    network.sim.now()));
         });
     }
 
     /** All accepted messages are asked for, again after each failure; then the operator reads. */
     public List<String> end(Duration completion) {
         calm();
-        roads.sim.run(completion);
+        network.sim.run(completion);
         FleetSimulation.require(
-                roads.sim.runUntil(office::idle, Duration.ofSeconds(30)), "the operator got no clear answer");
+                network.sim.runUntil(operator::idle, Duration.ofSeconds(30)), "the operator got no clear answer");
         Map<String, ObservationLog.Sent> sent = new LinkedHashMap<>();
         seen.sent.forEach(s -> sent.put(s.id(), s));
         seen.said.stream().filter(s -> s.status() == 202).forEach(s -> show(sent.get(s.id()), s.ref(), 5));
-        roads.sim.run(Duration.ofSeconds(12));
-        office.read();
-        roads.sim.run(Duration.ofSeconds(3));
+        network.sim.run(Duration.ofSeconds(12));
+        operator.read();
+        network.sim.run(Duration.ofSeconds(3));
         return new Rules(seen).violations();
     }
 
     private String keyOf(ObservationLog.Sent s) {
-        return seen.papers.stream()
-                .flatMap(p -> p.papers().tenant(s.key()).stream())
+        return seen.configurationStub.stream()
+                .flatMap(p -> p.configurationStub().tenant(s.key()).stream())
                 .findFirst()
                 .map(t -> t.accessKeys().get(0))
                 .orElse(s.key());
@@ -243,11 +249,11 @@
     private void show(ObservationLog.Sent s, String ref, int tries) {
         Map<String, String> h = Map.of("host", HOST, "authorization", "Token " + keyOf(s));
         Duration limit = Duration.ofSeconds(2);
-        roads.request(
+        network.request(
                 entry.any(),
                 new Request("GET", "/-/message/" + ref, h, new byte[0]),
                 limit,
-                a -> roads.request(
+                a -> network.request(
                         entry.any(), new Request("GET", "/-/message-body/" + ref, h, new byte[0]), limit, b -> {
                             boolean good = a.isPresent()
                                     && b.isPresent()
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/ProcessorFaults.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/ProcessorFaults.java
@@ -6,7 +6,7 @@
 import java.util.Random;
 import org.woadvale.testkit.stub.Backend;
 
-/** What comes from outside: callers, processors, endpoints, head office, and the calendar. */
+/** What comes from outside: callers, processors, endpoints, head operator, and the calendar. */
 final class ProcessorFaults {
     private final FleetSimulation v;
     private final World w;
@@ -22,31 +22,31 @@
         this.calendarsJump = calendarsJump;
     }
 
-    void into(Map<String, FaultInjection> blows) {
-        blows.put("answers lost", () -> w.post.answerLoss(0.2));
-        blows.put("back end down", () -> down(anyBackend()));
-        blows.put("all back ends down", () -> List.copyOf(w.backends.keySet()).forEach(this::down));
-        blows.put("back end slow", () -> manner(new Backend.Manner(Duration.ofMillis(1500), 0, 0.2, 0.1)));
-        blows.put("errors after the work", () -> manner(new Backend.Manner(Duration.ofMillis(5), 0, 0, 0, 0.5, "")));
-        blows.put("hopeless jobs", () -> manner(new Backend.Manner(Duration.ofMillis(5), 0.5, 0.5, 0)));
-        blows.put("streams open slowly", this::slowStreams);
-        blows.put("something in between", this::middlebox);
-        blows.put("processor replaced", () -> replace("p" + random.nextInt(4)));
-        blows.put("processors replaced one by one", this::replaceAll);
-        blows.put("processor vanishes", this::vanish);
-        blows.put("fetcher crashes", () -> fetcher().crashAndReturn());
-        blows.put("fetcher loses answers", () -> fetcher().behave(Duration.ofMillis(20), 0.3));
-        blows.put("processor leaves", () -> v.list((random.nextInt(3) == 0 ? "f2" : "p" + random.nextInt(2)), true));
-        blows.put("flood", this::flood);
-        blows.put("layout", head::change);
-        blows.put("racing layouts", head::race);
-        blows.put("bad layout", head::bad);
-        blows.put("key withdrawn", head::withdraw);
-        blows.put("processor key exchanged", head::rotate);
-        blows.put("allowance changed", head::allowance);
-        blows.put("rate changed", head::rate);
-        blows.put("time limit changed", head::timeLimit);
-        blows.put("calendar jumps", this::jump);
+    void into(Map<String, FaultInjection> faults) {
+        faults.put("answers lost", () -> w.post.answerLoss(0.2));
+        faults.put("back end down", () -> down(anyBackend()));
+        faults.put("all back ends down", () -> List.copyOf(w.backends.keySet()).forEach(this::down));
+        faults.put("back end slow", () -> manner(new Backend.Manner(Duration.ofMillis(1500), 0, 0.2, 0.1)));
+        faults.put("errors after the work", () -> manner(new Backend.Manner(Duration.ofMillis(5), 0, 0, 0, 0.5, "")));
+        faults.put("hopeless jobs", () -> manner(new Backend.Manner(Duration.ofMillis(5), 0.5, 0.5, 0)));
+        faults.put("streams open slowly", this::slowStreams);
+        faults.put("something in between", this::middlebox);
+        faults.put("processor replaced", () -> replace("p" + random.nextInt(4)));
+        faults.put("processors replaced one by one", this::replaceAll);
+        faults.put("processor vanishes", this::vanish);
+        faults.put("fetcher crashes", () -> fetcher().crashAndReturn());
+        faults.put("fetcher loses answers", () -> fetcher().behave(Duration.ofMillis(20), 0.3));
+        faults.put("processor leaves", () -> v.list((random.nextInt(3) == 0 ? "f2" : "p" + random.nextInt(2)), true));
+        faults.put("flood", this::flood);
+        faults.put("layout", head::change);
+        faults.put("racing layouts", head::race);
+        faults.put("bad layout", head::bad);
+        faults.put("key withdrawn", head::withdraw);
+        faults.put("processor key exchanged", head::rotate);
+        faults.put("allowance changed", head::allowance);
+        faults.put("rate changed", head::rate);
+        faults.put("time limit changed", head::timeLimit);
+        faults.put("calendar jumps", this::jump);
     }
 
     private Duration some() {
@@ -114,7 +114,7 @@
         }
     }
 
-    /** The brief's machines have calendars that differ; only every fourth storm, since stamps tell nothing then. */
+    /** The brief's machines have calendars that differ; only every fourth fault storm, since stamps tell nothing then. */
     private void jump() {
         if (calendarsJump) {
             List<String> all = w.all();
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/ClientHabits.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/ProcessorHabits.java
@@ -3,13 +3,13 @@
 import java.time.Duration;
 
 /** How processors take a run: some messages always fail, the rest is luck. Chances from 0 to 1. */
-record ClientHabits(Duration least, Duration most, double fails, double breaksOff, double turnsAway) {
-    static ClientHabits good() {
-        return new ClientHabits(Duration.ofMillis(10), Duration.ofMillis(200), 0.02, 0, 0);
+record ProcessorHabits(Duration least, Duration most, double fails, double breaksOff, double turnsAway) {
+    static ProcessorHabits good() {
+        return new ProcessorHabits(Duration.ofMillis(10), Duration.ofMillis(200), 0.02, 0, 0);
     }
 
-    static ClientHabits rough() {
-        return new ClientHabits(Duration.ofMillis(10), Duration.ofMillis(1800), 0.1, 0.1, 0.1);
+    static ProcessorHabits rough() {
+        return new ProcessorHabits(Duration.ofMillis(10), Duration.ofMillis(1800), 0.1, 0.1, 0.1);
     }
 
     private static boolean share(String id, int salt, int of) {
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/ProcessorSimulation.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/ProcessorSimulation.java
@@ -20,15 +20,15 @@
 
 /** Addresses at which processors take work, and the way there from the stores. */
 public final class ProcessorSimulation {
-    private final NetworkSimulation roads;
+    private final NetworkSimulation network;
     private final Map<String, Function<Request, Mono<Answer>>> at = new HashMap<>();
     private final Set<String> silent = new HashSet<>();
     private BiConsumer<Request, Answer> onRead = (q, a) -> {};
     private final Map<String, Duration> slowStreams = new HashMap<>();
     private double answerLoss;
 
-    ProcessorSimulation(NetworkSimulation roads) {
-        this.roads = roads;
+    ProcessorSimulation(NetworkSimulation network) {
+        this.network = network;
     }
 
     /** Whoever was at the address before is there no more. */
@@ -73,14 +73,14 @@
             String address = rest.substring(0, rest.indexOf('/'));
             Request q =
                     new Request(call.method(), rest.substring(rest.indexOf('/')), lower(call.headers()), call.body());
-            roads.sim.after(
-                    roads.net.delay().plus(slowStreams.getOrDefault(address, Duration.ZERO)),
+            network.sim.after(
+                    network.net.delay().plus(slowStreams.getOrDefault(address, Duration.ZERO)),
                     () -> h.soon(() -> {
                         if (!at.containsKey(address) || !call.still().getAsBoolean()) {
                             sink.tryEmitError(new ServiceException(ErrorKind.UNREACHABLE, "refused"));
                             return;
                         }
-                        roads.sim.after(roads.net.delay(), () -> arrive(h, address, q, sink));
+                        network.sim.after(network.net.delay(), () -> arrive(h, address, q, sink));
                     }));
             return sink.asMono();
         });
@@ -102,9 +102,9 @@
                 .apply(q)
                 .subscribe(
                         a -> {
-                            if (!silent.contains(address) && !roads.sim.luck(answerLoss)) {
-                                roads.sim.after(
-                                        roads.net.delay(),
+                            if (!silent.contains(address) && !network.sim.luck(answerLoss)) {
+                                network.sim.after(
+                                        network.net.delay(),
                                         () -> h.soon(() -> {
                                             if (sink.tryEmitValue(new DeliveryClient.Reply(
                                                             a.status(), lower(a.headers()), a.body()))
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/Puller.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Puller.java
@@ -12,19 +12,19 @@
     private static final Duration WAIT = Duration.ofMillis(1000);
     private static final Duration CALL = Duration.ofMillis(2500);
     private static final Duration AGAIN = Duration.ofMillis(200);
-    private final NetworkSimulation roads;
+    private final NetworkSimulation network;
     private final Entry entry;
     private final ObservationLog seen;
     private final String id;
     private final String service;
-    private ClientHabits habits = ClientHabits.good();
+    private ProcessorHabits habits = ProcessorHabits.good();
     private boolean alive = true;
     private boolean leaving;
     private boolean mute;
     private int runs;
 
-    Puller(NetworkSimulation roads, Entry entry, ObservationLog seen, String id, String service) {
-        this.roads = roads;
+    Puller(NetworkSimulation network, Entry entry, ObservationLog seen, String id, String service) {
+        this.network = network;
         this.entry = entry;
         this.seen = seen;
         this.id = id;
@@ -33,12 +33,12 @@
 
     Puller start(int slots) {
         for (int i = 0; i < slots; i++) {
-            roads.sim.after(roads.sim.between(0, 200_000), this::pull);
+            network.sim.after(network.sim.between(0, 200_000), this::pull);
         }
         return this;
     }
 
-    void behave(ClientHabits h) {
+    void behave(ProcessorHabits h) {
         habits = h;
     }
 
@@ -65,22 +65,22 @@
                 "/-/pull/" + service,
                 Map.of("x-instance-id", id, "x-poll-wait-ms", Long.toString(WAIT.toMillis())),
                 new byte[0]);
-        roads.request(entry.any(), q, CALL, a -> {
+        network.request(entry.any(), q, CALL, a -> {
             if (!alive) {
                 return;
             }
             if (a.isPresent() && a.get().status() == 200) {
                 work(a.get());
             } else {
-                roads.sim.after(a.isPresent() && a.get().status() == 204 ? Duration.ofMillis(1) : AGAIN, this::pull);
+                network.sim.after(a.isPresent() && a.get().status() == 204 ? Duration.ofMillis(1) : AGAIN, this::pull);
             }
         });
     }
 
     private void work(Answer job) {
         String message = job.headers().get("X-Attempt-Id");
-        Duration began = roads.sim.now();
-        boolean turnedAway = roads.sim.luck(habits.turnsAway());
+        Duration began = network.sim.now();
+        boolean turnedAway = network.sim.luck(habits.turnsAway());
         if (turnedAway) {
             end(job, 503, "");
             return;
@@ -96,14 +96,14 @@
                 began));
         boolean[] over = {false};
         extendLater(job, over);
-        roads.sim.after(habits.work(roads.sim), () -> {
+        network.sim.after(habits.work(network.sim), () -> {
             over[0] = true;
             if (!alive) {
                 return;
             }
-            int outcome = habits.outcome(message, roads.sim);
+            int outcome = habits.outcome(message, network.sim);
             String seal = outcome == 200 ? id + "." + runs++ : "";
-            seen.ended.add(new ObservationLog.Ended(message, outcome, seal, began, roads.sim.now()));
+            seen.ended.add(new ObservationLog.Ended(message, outcome, seal, began, network.sim.now()));
             if (outcome == 0) {
                 pull();
             } else {
@@ -117,9 +117,9 @@
     }
 
     private void extendLater(Answer job, boolean[] over) {
-        roads.sim.after(NetworkSimulation.LEASE.dividedBy(3), () -> {
+        network.sim.after(NetworkSimulation.LEASE.dividedBy(3), () -> {
             if (alive && !mute && !over[0]) {
-                roads.request(
+                network.request(
                         entry.any(),
                         new Request(
                                 "POST", "/-/job-extend/" + job.headers().get("X-Attempt-Id"), lease(job), new byte[0]),
@@ -139,17 +139,17 @@
         h.put("x-job-outcome", Integer.toString(outcome));
         h.put("x-server-seal", seal);
         String message = job.headers().get("X-Attempt-Id");
-        roads.request(entry.any(), new Request("POST", "/-/job-end/" + message, h, new byte[0]), CALL, a -> {
+        network.request(entry.any(), new Request("POST", "/-/job-end/" + message, h, new byte[0]), CALL, a -> {
             int status = a.map(Answer::status).orElse(0);
             if (status == 0 || status >= 500) {
-                roads.sim.after(AGAIN, () -> end(job, outcome, seal));
+                network.sim.after(AGAIN, () -> end(job, outcome, seal));
                 return;
             }
             if (status == 200) {
                 seen.endsTaken.add(new ObservationLog.EndTaken(
-                        message, job.headers().get("X-Lease-Id"), outcome, roads.sim.now()));
+                        message, job.headers().get("X-Lease-Id"), outcome, network.sim.now()));
                 if (outcome == 200) {
-                    seen.read.add(new ObservationLog.Read(message, roads.sim.now()));
+                    seen.read.add(new ObservationLog.Read(message, network.sim.now()));
                 }
             }
             pull();
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/ScriptedClient.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/ScriptedProcessor.java
@@ -11,7 +11,7 @@
 import reactor.core.publisher.Mono;
 
 /** One life of a processor that is pushed to: slots, a short queue, seals. docs/platform.md 5 */
-final class ScriptedClient {
+final class ScriptedProcessor {
     /** What the processors of a service that dedupes share: successes by id, and who is at work. */
     static final class Table {
         private final Map<String, String> seals = new HashMap<>();
@@ -19,27 +19,27 @@
     }
 
     private static final int QUEUE = 8;
-    private final NetworkSimulation roads;
+    private final NetworkSimulation network;
     private final ObservationLog seen;
     private final String id;
     private final String service;
     private final int slots;
     private final Table table;
     private final boolean dedupes;
-    private ClientHabits habits = ClientHabits.good();
+    private ProcessorHabits habits = ProcessorHabits.good();
     private int busy;
     private int runs;
     private boolean alive = true;
 
-    ScriptedClient(
-            NetworkSimulation roads,
+    ScriptedProcessor(
+            NetworkSimulation network,
             ObservationLog seen,
             String id,
             String service,
             int slots,
             Table table,
             boolean dedupes) {
-        this.roads = roads;
+        this.network = network;
         this.seen = seen;
         this.id = id;
         this.service = service;
@@ -56,7 +56,7 @@
         return service;
     }
 
-    void behave(ClientHabits h) {
+    void behave(ProcessorHabits h) {
         habits = h;
     }
 
@@ -78,7 +78,7 @@
         String message = header(q, "x-attempt-id");
         String expected = header(q, "x-expect-instance");
         boolean other = !expected.isEmpty() && !expected.equals(id);
-        seen.arrived.add(new ObservationLog.Arrived(message, service, id, other, roads.sim.now()));
+        seen.arrived.add(new ObservationLog.Arrived(message, service, id, other, network.sim.now()));
         if (!alive) {
             return Mono.never();
         }
@@ -94,18 +94,18 @@
         if (dedupes && table.running.contains(message)) {
             return Mono.just(answer(q, 409, true));
         }
-        if (busy >= slots + QUEUE || roads.sim.luck(habits.turnsAway())) {
+        if (busy >= slots + QUEUE || network.sim.luck(habits.turnsAway())) {
             return Mono.just(answer(q, 503, true));
         }
         return run(q, message);
     }
 
     private Mono<Answer> run(Request q, String message) {
-        Duration began = roads.sim.now();
+        Duration began = network.sim.now();
         Duration limit = Duration.ofMillis(Long.parseLong(header(q, "x-deadline-ms")));
-        Duration work = habits.work(roads.sim).plusMillis(busy >= slots ? 50 : 0);
+        Duration work = habits.work(network.sim).plusMillis(busy >= slots ? 50 : 0);
         boolean tooLong = work.compareTo(limit) > 0;
-        int outcome = tooLong ? 504 : habits.outcome(message, roads.sim);
+        int outcome = tooLong ? 504 : habits.outcome(message, network.sim);
         String seal = outcome == 200 ? id + "." + runs++ : "";
         busy++;
         table.running.add(message);
@@ -118,7 +118,7 @@
                 q.path(),
                 new String(q.body()),
                 began));
-        return Mono.create(sink -> roads.sim.after(tooLong ? limit : work, () -> {
+        return Mono.create(sink -> network.sim.after(tooLong ? limit : work, () -> {
             busy--;
             table.running.remove(message);
             if (!alive) {
@@ -127,7 +127,7 @@
             if (!seal.isEmpty()) {
                 table.seals.put(message, seal);
             }
-            seen.ended.add(new ObservationLog.Ended(message, outcome, seal, began, roads.sim.now()));
+            seen.ended.add(new ObservationLog.Ended(message, outcome, seal, began, network.sim.now()));
             if (outcome > 0) {
                 Answer a = answer(q, outcome, false);
                 sink.success(seal.isEmpty() ? a : a.with("X-Server-Seal", seal));
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/Seams.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Seams.java
@@ -10,33 +10,33 @@
 
 /** Where a stand-in may take the place of what the shipped nodes are given; by address. design 12.3 */
 public record Seams(
-        BiFunction<String, RpcClient, RpcClient> beam,
+        BiFunction<String, RpcClient, RpcClient> rpc,
         BiFunction<String, Disk, Disk> disk,
         BiFunction<String, Clock, Clock> times,
         BiFunction<String, DeliveryClient, DeliveryClient> post,
-        UnaryOperator<ReplicationTiming> pace) {
+        UnaryOperator<ReplicationTiming> timing) {
 
     public static Seams none() {
         return new Seams((a, b) -> b, (a, d) -> d, (a, t) -> t, (a, p) -> p, p -> p);
     }
 
-    public Seams withBeam(BiFunction<String, RpcClient, RpcClient> b) {
-        return new Seams(b, disk, times, post, pace);
+    public Seams withRpc(BiFunction<String, RpcClient, RpcClient> b) {
+        return new Seams(b, disk, times, post, timing);
     }
 
     public Seams withDisk(BiFunction<String, Disk, Disk> d) {
-        return new Seams(beam, d, times, post, pace);
+        return new Seams(rpc, d, times, post, timing);
     }
 
     public Seams withTimes(BiFunction<String, Clock, Clock> t) {
-        return new Seams(beam, disk, t, post, pace);
+        return new Seams(rpc, disk, t, post, timing);
     }
 
     public Seams withPost(BiFunction<String, DeliveryClient, DeliveryClient> p) {
-        return new Seams(beam, disk, times, p, pace);
+        return new Seams(rpc, disk, times, p, timing);
     }
 
-    public Seams withPace(UnaryOperator<ReplicationTiming> p) {
-        return new Seams(beam, disk, times, post, p);
+    public Seams withTiming(UnaryOperator<ReplicationTiming> p) {
+        return new Seams(rpc, disk, times, post, p);
     }
 }
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/SeededPlatformDays.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/SeededPlatformDays.java
@@ -37,15 +37,15 @@
         random = new Random(seed * 17 + 3);
         calm = seed % 3 == 0;
         p = new PlatformSimulation(seed, 3 + (int) (seed % 3), 3, seams);
-        r = p.roads;
-        planned.put("change", p.office::change);
-        planned.put("race", p.office::race);
-        planned.put("bad", p.office::bad);
-        planned.put("keys", p.office::keys);
+        r = p.network;
+        planned.put("change", p.operator::change);
+        planned.put("race", p.operator::race);
+        planned.put("bad", p.operator::bad);
+        planned.put("keys", p.operator::keys);
         planned.put("leave", () -> p.leave(any(listed())));
         planned.put("stop", () -> stop(any(r.intakes)));
         planned.put("stop store", () -> stop(any(r.stores)));
-        planned.put("read", p.office::read);
+        planned.put("read", p.operator::read);
         unplanned.put("kill", () -> kill(any(r.all())));
         unplanned.put("power", () -> power(any(r.all())));
         unplanned.put("freeze", () -> freeze(any(r.all())));
@@ -63,8 +63,8 @@
         return list.get(random.nextInt(list.size()));
     }
 
-    private List<ScriptedClient> listed() {
-        return p.hands.values().stream().filter(h -> !h.id().equals("far")).toList();
+    private List<ScriptedProcessor> listed() {
+        return p.processors.values().stream().filter(h -> !h.id().equals("far")).toList();
     }
 
     private void trouble(String what, Duration length) {
@@ -146,24 +146,24 @@
     }
 
     private void rough() {
-        p.hands.values().forEach(h -> h.behave(ClientHabits.rough()));
-        p.pullers.values().forEach(h -> h.behave(ClientHabits.rough()));
+        p.processors.values().forEach(h -> h.behave(ProcessorHabits.rough()));
+        p.pullers.values().forEach(h -> h.behave(ProcessorHabits.rough()));
         r.sim.after(Duration.ofSeconds(4), () -> {
-            p.hands.values().forEach(h -> h.behave(ClientHabits.good()));
-            p.pullers.values().forEach(h -> h.behave(ClientHabits.good()));
+            p.processors.values().forEach(h -> h.behave(ProcessorHabits.good()));
+            p.pullers.values().forEach(h -> h.behave(ProcessorHabits.good()));
         });
     }
 
     private void lostAnswers(double share) {
         trouble("lost answers", Duration.ofSeconds(3));
-        r.quays.answerLoss(share);
-        r.sim.after(Duration.ofSeconds(3), () -> r.quays.answerLoss(0));
+        r.processorSimulation.answerLoss(share);
+        r.sim.after(Duration.ofSeconds(3), () -> r.processorSimulation.answerLoss(0));
     }
 
     private void listDown() {
         trouble("list down", Duration.ofSeconds(4));
-        p.roster.down(true);
-        r.sim.after(Duration.ofSeconds(4), () -> p.roster.down(false));
+        p.processorList.down(true);
+        r.sim.after(Duration.ofSeconds(4), () -> p.processorList.down(false));
     }
 
     private void weather() {
@@ -195,7 +195,7 @@
             strike(calm ? planned : unplanned);
             r.sim.run(Duration.ofMillis(3000 + random.nextInt(7000)));
         }
-        p.office.read();
+        p.operator.read();
         strike(calm ? planned : unplanned);
         r.sim.run(Duration.ofSeconds(9));
         return p.end(Duration.ofSeconds(10));
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/SimNet.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/SimNet.java
@@ -57,7 +57,7 @@
         hosts.keySet().stream().filter(h -> !h.equals(who)).forEach(h -> cut(who, h));
     }
 
-    /** Frames between two neighbours wait until all is healed, as in a stream that TCP keeps alive. */
+    /** Frames between two peers wait until all is healed, as in a stream that TCP keeps alive. */
     public void stall(String one, String other) {
         stalled.putIfAbsent(one + ">" + other, new ArrayList<>());
         stalled.putIfAbsent(other + ">" + one, new ArrayList<>());
@@ -109,15 +109,15 @@
         return !reaches(from, to) || sim.luck(loss);
     }
 
-    RpcClient beam(Host self, Codec codec) {
-        return new SimBeam(self, codec);
+    RpcClient rpc(Host self, Codec codec) {
+        return new SimRpc(self, codec);
     }
 
-    private final class SimBeam implements RpcClient {
+    private final class SimRpc implements RpcClient {
         private final Host self;
         private final Codec codec;
 
-        SimBeam(Host self, Codec codec) {
+        SimRpc(Host self, Codec codec) {
             this.self = self;
             this.codec = codec;
         }
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/SimPost.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/SimPost.java
@@ -164,7 +164,7 @@
         slowStreams.put(backend, d);
     }
 
-    /** Back ends are addressed by number, as the layout's rules want. */
+    /** Back ends are addressed by number, as the configuration's rules want. */
     public String address(String backend) {
         return addresses.get(backend);
     }
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/Spread.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Spread.java
@@ -8,11 +8,11 @@
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.testkit.stub.TestConfiguration;
 
-/** How evenly owners and holders lie over the nodes, and how often parts change hands; on the fake clock. */
+/** How evenly owners and holders lie over the nodes, and how often parts change processors; on the fake clock. */
 public final class Spread {
     private Spread() {}
 
-    /** A store is lost for good, a spare is there: how many seats are on their way at once, and until when. */
+    /** A store is lost for good, a spare is there: how many members are on their way at once, and until when. */
     private static void repair() throws ServiceException {
         System.out.println(
                 "| seed | seats on their way at once, at most | all seated after the loss | accepted meanwhile "
@@ -33,7 +33,7 @@
             FleetSimulation.require(
                     v.w.sim.runUntil(
                             () -> {
-                                most[0] = Math.max(most[0], v.w.pilot(spare).unseatedCount());
+                                most[0] = Math.max(most[0], v.w.pilot(spare).notVotingCount());
                                 return v.w.repaired();
                             },
                             Duration.ofSeconds(120)),
@@ -77,17 +77,17 @@
 
     private static void row(FleetSimulation v, String name, String when) {
         List<Long> stores = new ArrayList<>();
-        List<Long> lamps = new ArrayList<>();
+        List<Long> controlNodes = new ArrayList<>();
         List<Integer> holders = new ArrayList<>();
         long terms = 0;
         for (String s : v.w.stores) {
             stores.add(v.w.host(s).alive() ? v.w.pilot(s).owned() : 0);
         }
         for (String l : v.w.lighthouses) {
-            lamps.add(
+            controlNodes.add(
                     v.w.host(l).alive()
                             ? ServiceNames.controlParts().stream()
-                                    .filter(p -> v.w.lamp(l).replica(p).phase() == Phase.OWNING)
+                                    .filter(p -> v.w.controlNode(l).replica(p).phase() == Phase.OWNING)
                                     .count()
                             : 0);
         }
@@ -101,7 +101,7 @@
                     .max()
                     .orElse(0);
         }
-        System.out.println(
-                "| " + name + " | " + when + " | " + stores + " | " + lamps + " | " + holders + " | " + terms + " |");
+        System.out.println("| " + name + " | " + when + " | " + stores + " | " + controlNodes + " | " + holders + " | "
+                + terms + " |");
     }
 }
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/TrafficMeter.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/TrafficMeter.java
@@ -8,7 +8,7 @@
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.testkit.stub.TestConfiguration;
 
-/** What the frames between halls weigh, by what they say: see docs/measurements.md. */
+/** What the frames between zones weigh, by what they say: see docs/measurements.md. */
 public final class TrafficMeter {
     /** About what TCP, IP and the acknowledgement of every other segment add to a frame that travels by itself. */
     private static final int AROUND = 4 + 52 + 26;
@@ -24,7 +24,7 @@
 
     private void watch(FleetSimulation v) {
         v.w.net.watch((from, to, f, bytes) -> {
-            if (!v.w.hall(from).equals(v.w.hall(to))) {
+            if (!v.w.zone(from).equals(v.w.zone(to))) {
                 Load l = loads.computeIfAbsent(f.body().getClass().getSimpleName(), k -> new Load());
                 l.frames++;
                 l.bytes += bytes;
@@ -72,8 +72,8 @@
         }
     }
 
-    private static void busy(int rate, TestConfiguration scenery) throws ServiceException {
-        FleetSimulation busy = new FleetSimulation(1, 8, 3, 12, scenery, World.LARGE_RING).embark();
+    private static void busy(int rate, TestConfiguration testConfiguration) throws ServiceException {
+        FleetSimulation busy = new FleetSimulation(1, 8, 3, 12, testConfiguration, World.LARGE_RING).embark();
         busy.traffic(rate);
         busy.w.sim.run(Duration.ofSeconds(10));
         long before = busy.kinds().getOrDefault("accepted", 0L);
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/World.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/World.java
@@ -34,18 +34,18 @@
 /** A whole fleet of the shipped nodes on fakes: design 12.1. */
 public final class World extends Machines {
     private static final int RING_FILES = 8;
-    /** Small, so that storms meet the ring's end too. */
+    /** Small, so that faultStorms meet the ring's end too. */
     static final int SMALL_RING = 512 << 10;
 
     static final int LARGE_RING = 4 << 20;
 
     public final Observations seen = new Observations();
-    public final TestConfiguration scenery;
+    public final TestConfiguration testConfiguration;
     public final Map<String, Backend> backends = new LinkedHashMap<>();
     public final SimPost post;
     private final int ringBytes;
     private final List<String> seeds;
-    private final Map<String, ControlNode> lamps = new HashMap<>();
+    private final Map<String, ControlNode> controlNodes = new HashMap<>();
     private final Map<String, Operators> operators = new HashMap<>();
     private final Map<String, DataPlaneNode> pilots = new HashMap<>();
     private final Seams seams;
@@ -54,17 +54,17 @@
             long seed,
             int intakeCount,
             int storeCount,
-            TestConfiguration scenery,
+            TestConfiguration testConfiguration,
             int ringBytes,
-            int hallCount,
+            int zoneCount,
             Seams seams)
             throws ServiceException {
-        super(new Sim(seed), hallCount);
+        super(new Sim(seed), zoneCount);
         this.seams = seams;
         this.ringBytes = ringBytes;
         this.post = new SimPost(this);
-        this.scenery = scenery;
-        scenery.allow(seen);
+        this.testConfiguration = testConfiguration;
+        testConfiguration.allow(seen);
         for (int i = 0; i < 3; i++) {
             lighthouses.add(host("10.0.0." + (i + 1) + ":1", i));
         }
@@ -80,7 +80,7 @@
         }
     }
 
-    /** A lighthouse that joins a running core. */
+    /** A control node that joins a running core. */
     public String newLighthouse() throws ServiceException {
         String a = host("10.0.0." + (lighthouses.size() + 1) + ":1", lighthouses.size());
         lighthouses.add(a);
@@ -112,38 +112,39 @@
 
     public void start(String address) throws ServiceException {
         Host h = hosts.get(address);
-        boolean lamp = lighthouses.contains(address);
+        boolean controlNode = lighthouses.contains(address);
         boolean store = stores.contains(address);
         RpcRouter router = new RpcRouter();
-        Codec codec = lamp ? Wire.codec(Wire.LIGHTHOUSE, Operators.types()) : Wire.codec(Wire.PILOT, Commands.types());
+        Codec codec =
+                controlNode ? Wire.codec(Wire.LIGHTHOUSE, Operators.types()) : Wire.codec(Wire.PILOT, Commands.types());
         h.boot(router);
-        RpcClient beam = seams.beam().apply(address, net.beam(h, codec));
-        WriteAheadLog book = lamp || store
+        RpcClient rpc = seams.rpc().apply(address, net.rpc(h, codec));
+        WriteAheadLog book = controlNode || store
                 ? RingWriteAheadLog.open(seams.disk().apply(address, h.disk), h, RING_FILES, ringBytes)
                 : new DisabledWriteAheadLog();
         book.onFailure(why -> h.kill());
         Env env = new Env(
                 seams.times().apply(address, h),
                 h,
-                beam,
+                rpc,
                 codec,
                 book,
                 sim.random()::nextLong,
-                seams.pace().apply(lamp || store ? ReplicationTiming.core() : ReplicationTiming.usual()));
-        CoreClient core = new CoreClient(beam, sim.random()::nextLong, seeds, List.of(), l -> {});
-        if (lamp) {
+                seams.timing().apply(controlNode || store ? ReplicationTiming.core() : ReplicationTiming.usual()));
+        CoreClient core = new CoreClient(rpc, sim.random()::nextLong, seeds, List.of(), l -> {});
+        if (controlNode) {
             ControlNode n = new ControlNode(env, core, seeds.contains(address) ? seeds : List.of());
             n.route(router);
             Operators o = new Operators(n, "");
             o.route(router);
-            lamps.put(address, n);
+            controlNodes.put(address, n);
             operators.put(address, o);
             n.start();
         } else {
             Settings boot = new Settings(
                     address,
                     address,
-                    hall(address),
+                    zone(address),
                     seeds,
                     Set.of(store ? "store" : "intake"),
                     store ? "x" : "",
@@ -179,8 +180,8 @@
         return pilots.get(address);
     }
 
-    public ControlNode lamp(String address) {
-        return lamps.get(address);
+    public ControlNode controlNode(String address) {
+        return controlNodes.get(address);
     }
 
     /** A request from outside to one node; no answer at all if the node dies or stays away. */
@@ -194,7 +195,7 @@
                 then);
     }
 
-    /** What each node that answers says of the layout it uses. */
+    /** What each node that answers says of the configuration it uses. */
     public void seenVersions() {
         pilots.forEach((a, p) -> {
             if (hosts.get(a).alive() && !hosts.get(a).paused()) {
@@ -214,9 +215,9 @@
                                         .noneMatch(g -> g.stream().anyMatch(this::lost)))
                 && presentLighthouses().stream()
                         .allMatch(l -> ServiceNames.controlParts().stream()
-                                .allMatch(p -> lamps.get(l).replica(p).phase() != Phase.BLANK
-                                        && lamps.get(l).replica(p).phase() != Phase.STOPPED
-                                        && lamps.get(l).replica(p).group().keySet().stream()
+                                .allMatch(p -> controlNodes.get(l).replica(p).phase() != Phase.BLANK
+                                        && controlNodes.get(l).replica(p).phase() != Phase.STOPPED
+                                        && controlNodes.get(l).replica(p).group().keySet().stream()
                                                 .noneMatch(this::lost)));
     }
 
