--- a/testkit/src/main/java/org/woadvale/testkit/stub/AnswerFaults.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/AnswerFaults.java
@@ -25,7 +25,7 @@
         s.copy(s.shown).stream()
                 .filter(Observations.Shown::over)
                 .forEach(x -> ended.merge(x.handle(), x.at(), (a, b) -> a.compareTo(b) < 0 ? a : b));
-        List<String> out = new ArrayList<>(s.copy(s.handedIn).stream()
+        List<String> out = new ArrayList<>(s.copy(s.submitted).stream()
                 .filter(h -> h.said() == Observations.Said.ACCEPTED && !ended.containsKey(h.handle()))
                 .map(h -> h.handle() + " was never shown as ended")
                 .distinct()
@@ -51,10 +51,10 @@
 
     /** Definite refusals of an id that was never accepted nor left unknown. */
     List<String> refusedRan() {
-        Function<Observations.HandedIn, String> id = h -> h.tenant() + "/" + h.lane() + "/" + h.id();
-        Map<String, Set<Observations.Said>> said = s.copy(s.handedIn).stream()
-                .collect(
-                        Collectors.groupingBy(id, Collectors.mapping(Observations.HandedIn::said, Collectors.toSet())));
+        Function<Observations.Submitted, String> id = h -> h.tenant() + "/" + h.lane() + "/" + h.id();
+        Map<String, Set<Observations.Said>> said = s.copy(s.submitted).stream()
+                .collect(Collectors.groupingBy(
+                        id, Collectors.mapping(Observations.Submitted::said, Collectors.toSet())));
         return s.copy(s.ran).stream()
                 .map(r -> r.tenant() + "/" + r.lane() + "/" + r.callerId())
                 .distinct()
@@ -79,7 +79,7 @@
         Set<String> ran = s.copy(s.ran).stream().map(Observations.Ran::handle).collect(Collectors.toSet());
         s.copy(s.died).forEach(d -> ran.remove(d.handle()));
         Map<String, Set<String>> byKey = new HashMap<>();
-        s.copy(s.handedIn).stream()
+        s.copy(s.submitted).stream()
                 .filter(h -> !h.orderKey().isEmpty() && h.said() == Observations.Said.ACCEPTED)
                 .forEach(h -> byKey.computeIfAbsent(group(h.tenant(), h.lane(), h.orderKey()), k -> new HashSet<>())
                         .add(h.handle()));
--- a/testkit/src/main/java/org/woadvale/testkit/stub/ConfigurationRules.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/ConfigurationRules.java
@@ -23,9 +23,10 @@
     }
 
     private List<ObservationLog.Paper> acknowledged() {
-        return w.papers.stream()
+        return w.configurationStub.stream()
                 .filter(p -> p.status() == 200 && p.valid())
-                .sorted(java.util.Comparator.comparingLong(p -> p.papers().configRevision()))
+                .sorted(java.util.Comparator.comparingLong(
+                        p -> p.configurationStub().configRevision()))
                 .toList();
     }
 
@@ -41,11 +42,13 @@
                             .filter(p -> p.answered().compareTo(by) < 0)
                             .reduce((a, b) -> b);
                     boolean held = last.isEmpty()
-                            || w.papers.stream()
+                            || w.configurationStub.stream()
                                     .anyMatch(p -> p.valid()
-                                            && p.papers().configRevision()
-                                                    >= last.get().papers().configRevision()
-                                            && holds(p.papers(), s));
+                                            && p.configurationStub().configRevision()
+                                                    >= last.get()
+                                                            .configurationStub()
+                                                            .configRevision()
+                                            && holds(p.configurationStub(), s));
                     if (!held) {
                         out.add(s.id() + " ran, sent at " + s.at() + " under " + s.key() + ", withdrawn at "
                                 + last.get().answered());
@@ -95,10 +98,12 @@
                     && s.at().compareTo(served.get(place).plus(ObservationLog.Bounds.BACK)) > 0
                     && w.killed.stream()
                             .noneMatch(k -> k.node().equals(s.node()) && k.at().compareTo(served.get(place)) > 0)
-                    && w.papers.stream()
+                    && w.configurationStub.stream()
                             .noneMatch(p -> p.valid()
                                     && p.status() != 412
-                                    && p.papers().route(s.host(), s.path()).isEmpty()
+                                    && p.configurationStub()
+                                            .route(s.host(), s.path())
+                                            .isEmpty()
                                     && p.sent().compareTo(a.at()) < 0
                                     && p.answered()
                                                     .plus(ObservationLog.Bounds.APPLY)
@@ -114,9 +119,10 @@
     List<String> taken() {
         List<String> out = new ArrayList<>();
         Map<Long, String> byBase = new HashMap<>();
-        w.papers.stream().filter(p -> p.status() == 200).forEach(p -> {
+        w.configurationStub.stream().filter(p -> p.status() == 200).forEach(p -> {
             if (!p.valid()) {
-                out.add("an invalid one was acknowledged: " + p.papers().configRevision());
+                out.add("an invalid one was acknowledged: "
+                        + p.configurationStub().configRevision());
             }
             Optional.ofNullable(byBase.putIfAbsent(p.base(), p.text()))
                     .filter(t -> !t.equals(p.text()))
@@ -134,16 +140,17 @@
         ObservationLog.Paper newest = all.get(all.size() - 1);
         ObservationLog.ReadBack last = w.readBack.get(w.readBack.size() - 1);
         boolean good = last.status() == 200
-                && w.papers.stream()
+                && w.configurationStub.stream()
                         .anyMatch(p -> p.valid()
                                 && p.text().equals(last.text())
                                 && (p.text().equals(newest.text())
                                         || p.status() == 0
-                                                && p.papers().configRevision()
-                                                        > newest.papers().configRevision()));
+                                                && p.configurationStub().configRevision()
+                                                        > newest.configurationStub()
+                                                                .configRevision()));
         return good
                 ? List.of()
                 : List.of("read at the end: " + last.status() + ", newest acknowledged is "
-                        + newest.papers().configRevision());
+                        + newest.configurationStub().configRevision());
     }
 }
--- a/testkit/src/main/java/org/woadvale/testkit/stub/Edit.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/Edit.java
@@ -5,7 +5,7 @@
 import java.util.function.Consumer;
 import org.woadvale.common.config.Configuration;
 
-/** Changes of a layout by the head office. */
+/** Changes of a configuration by the head operator. */
 public final class Edit {
     private Edit() {}
 
--- a/testkit/src/main/java/org/woadvale/testkit/stub/Ends.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/Ends.java
@@ -32,9 +32,9 @@
 
     /** Any of the configurations ever sent that could rule this request: its route there. */
     Optional<ConfigurationStub.Route> route(ObservationLog.Sent s) {
-        return w.papers.stream()
+        return w.configurationStub.stream()
                 .filter(ObservationLog.Paper::valid)
-                .flatMap(p -> p.papers().route(s.host(), s.path()).stream())
+                .flatMap(p -> p.configurationStub().route(s.host(), s.path()).stream())
                 .findFirst();
     }
 
@@ -75,11 +75,11 @@
             out.add(failed.get(attempts(s) - 1));
         }
         route(s).ifPresent(r -> out.add(s.at().plusMillis((long) (r.retentionS() * 1000))));
-        w.papers.stream()
+        w.configurationStub.stream()
                 .filter(p -> p.valid()
                         && p.status() != 412
                         && p.sent().compareTo(s.at()) > 0
-                        && p.papers().route(s.host(), s.path()).isEmpty())
+                        && p.configurationStub().route(s.host(), s.path()).isEmpty())
                 .map(ObservationLog.Paper::sent)
                 .forEach(out::add);
         return out.stream().min(Duration::compareTo);
--- a/testkit/src/main/java/org/woadvale/testkit/stub/LimitRules.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/LimitRules.java
@@ -24,8 +24,8 @@
         Map<String, List<Duration>> at = new HashMap<>();
         w.sent.stream()
                 .filter(s -> accepted.containsKey(s.id()))
-                .forEach(s -> w.papers.stream()
-                        .flatMap(p -> p.papers().tenant(s.key()).stream())
+                .forEach(s -> w.configurationStub.stream()
+                        .flatMap(p -> p.configurationStub().tenant(s.key()).stream())
                         .map(ConfigurationStub.Tenant::name)
                         .findFirst()
                         .ifPresent(t ->
--- a/testkit/src/main/java/org/woadvale/testkit/stub/NeverList.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/NeverList.java
@@ -26,8 +26,8 @@
         out.put("05 allowance exceeded", windows.allowance());
         out.put("06 endpoint over its rate", windows.rate());
         out.put("07 withdrawn key used", orders.withdrawnKey());
-        out.put("08 layout ignored or gone back", orders.ignoredLayout());
-        out.put("09 bad layout taken or older read", orders.badLayout());
+        out.put("08 layout ignored or gone back", orders.ignoredConfiguration());
+        out.put("09 bad layout taken or older read", orders.badConfiguration());
         out.put("10 leaving processor got work", orders.leaving());
         out.put("11 done without proof", fates.proof());
         out.put("12 slow return after outage", orders.outage());
--- a/testkit/src/main/java/org/woadvale/testkit/stub/ObservationLog.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/ObservationLog.java
@@ -47,7 +47,7 @@
 
     /** A configuration that was sent; status 0: no clear answer. */
     public record Paper(
-            ConfigurationStub papers,
+            ConfigurationStub configurationStub,
             String text,
             long base,
             boolean valid,
@@ -73,7 +73,7 @@
     public final List<Read> read = new ArrayList<>();
     public final List<EndTaken> endsTaken = new ArrayList<>();
     public final List<Shown> shown = new ArrayList<>();
-    public final List<Paper> papers = new ArrayList<>();
+    public final List<Paper> configurationStub = new ArrayList<>();
     public final List<ReadBack> readBack = new ArrayList<>();
     public final List<Draining> draining = new ArrayList<>();
     public final List<Trouble> troubles = new ArrayList<>();
@@ -89,17 +89,17 @@
     /** ConfigurationStub that may rule a request between two moments: what was newest so long before, and all that came since. */
     public List<ConfigurationStub> ruling(Duration from, Duration until) {
         Duration old = from.minus(Bounds.APPLY);
-        long newest = papers.stream()
+        long newest = configurationStub.stream()
                 .filter(p -> p.status() == 200 && p.answered().compareTo(old) < 0)
-                .mapToLong(p -> p.papers().configRevision())
+                .mapToLong(p -> p.configurationStub().configRevision())
                 .max()
                 .orElse(0);
-        return papers.stream()
+        return configurationStub.stream()
                 .filter(p -> p.valid()
                         && (p.status() == 200 || p.status() == 0)
-                        && p.papers().configRevision() >= newest
+                        && p.configurationStub().configRevision() >= newest
                         && p.sent().compareTo(until) <= 0)
-                .map(Paper::papers)
+                .map(Paper::configurationStub)
                 .toList();
     }
 
--- a/testkit/src/main/java/org/woadvale/testkit/stub/Observations.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/Observations.java
@@ -20,8 +20,8 @@
         UNKNOWN
     }
 
-    /** One hand-in by one caller; a repeat of an id is a hand-in of its own. */
-    public record HandedIn(
+    /** One processor-in by one caller; a repeat of an id is a processor-in of its own. */
+    public record Submitted(
             String tenant,
             String id,
             String lane,
@@ -88,14 +88,14 @@
         }
     }
 
-    public record LayoutSaid(
+    public record ConfigurationSaid(
             String requestId, long version, boolean taken, boolean valid, Duration at, String digest) {}
 
-    public record LayoutRead(long version, String digest, Duration asked) {}
+    public record ConfigurationRead(long version, String digest, Duration asked) {}
 
     public record KeyWithdrawn(String key, Duration acknowledged) {}
 
-    /** A request other than a hand-in that was served under a key. */
+    /** A request other than a processor-in that was served under a key. */
     public record KeyServed(String key, String what, Duration answered) {}
 
     public record MarkedLeaving(String processor, Duration acknowledged) {}
@@ -105,9 +105,9 @@
 
     public record RequestAtEndpoint(String service, Duration at) {}
 
-    public record LayoutNeeded(String what, Duration acknowledged, Duration seenIgnored) {}
+    public record ConfigurationNeeded(String what, Duration acknowledged, Duration seenIgnored) {}
 
-    /** The layout version that a node says it uses; a restarted node is the same node. */
+    /** The configuration version that a node says it uses; a restarted node is the same node. */
     public record NodeVersion(String node, long version, Duration at) {}
 
     public record Outage(Duration restarted, Duration served) {}
@@ -122,20 +122,20 @@
         }
     }
 
-    public final List<HandedIn> handedIn = new ArrayList<>();
+    public final List<Submitted> submitted = new ArrayList<>();
     public final List<Ran> ran = new ArrayList<>();
     public final List<Answered> answered = new ArrayList<>();
     public final List<Died> died = new ArrayList<>();
     public final List<TurnedAway> turnedAway = new ArrayList<>();
     public final List<Shown> shown = new ArrayList<>();
-    public final List<LayoutSaid> layouts = new ArrayList<>();
-    public final List<LayoutRead> reads = new ArrayList<>();
+    public final List<ConfigurationSaid> configurations = new ArrayList<>();
+    public final List<ConfigurationRead> reads = new ArrayList<>();
     public final List<KeyWithdrawn> keys = new ArrayList<>();
     public final List<KeyServed> served = new ArrayList<>();
     public final List<MarkedLeaving> leaving = new ArrayList<>();
     public final List<Listed> listed = new ArrayList<>();
     public final List<RequestAtEndpoint> endpoints = new ArrayList<>();
-    public final List<LayoutNeeded> ignored = new ArrayList<>();
+    public final List<ConfigurationNeeded> ignored = new ArrayList<>();
     public final List<NodeVersion> versions = new ArrayList<>();
     public final List<Outage> outages = new ArrayList<>();
     /** Allowances by tenant, rates by endpoint and limits by lane, as the operator set them. */
--- a/testkit/src/main/java/org/woadvale/testkit/stub/Orders.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/Orders.java
@@ -31,7 +31,7 @@
         List<String> out = new ArrayList<>();
         s.copy(s.keys).forEach(k -> {
             Duration end = k.acknowledged().plus(KEY);
-            s.copy(s.handedIn).stream()
+            s.copy(s.submitted).stream()
                     .filter(h -> h.key().equals(k.key())
                             && h.said() == Observations.Said.ACCEPTED
                             && accepted.getOrDefault(h.handle(), h.sent()).compareTo(end) > 0)
@@ -44,7 +44,7 @@
         return out;
     }
 
-    List<String> ignoredLayout() {
+    List<String> ignoredConfiguration() {
         List<String> out = new ArrayList<>(s.copy(s.ignored).stream()
                 .filter(n -> n.seenIgnored().compareTo(n.acknowledged().plus(HEEDED)) > 0)
                 .map(n -> n.what() + " still ignored " + n.seenIgnored().minus(n.acknowledged()))
@@ -59,17 +59,17 @@
         return out;
     }
 
-    List<String> badLayout() {
+    List<String> badConfiguration() {
         List<String> out = new ArrayList<>();
-        List<Observations.LayoutSaid> said = s.copy(s.layouts);
+        List<Observations.ConfigurationSaid> said = s.copy(s.configurations);
         said.stream()
                 .filter(l -> l.taken() && !l.valid())
                 .forEach(l -> out.add(l.requestId() + " is invalid but taken"));
         Map<Long, Set<String>> byVersion = said.stream()
-                .filter(Observations.LayoutSaid::taken)
+                .filter(Observations.ConfigurationSaid::taken)
                 .collect(Collectors.groupingBy(
-                        Observations.LayoutSaid::version,
-                        Collectors.mapping(Observations.LayoutSaid::digest, Collectors.toSet())));
+                        Observations.ConfigurationSaid::version,
+                        Collectors.mapping(Observations.ConfigurationSaid::digest, Collectors.toSet())));
         byVersion.forEach((v, d) -> {
             if (d.size() > 1) {
                 out.add("two layouts were taken as version " + v);
--- a/testkit/src/main/java/org/woadvale/testkit/stub/Rules.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/Rules.java
@@ -22,12 +22,12 @@
         out.put("UNASKED", runs.unasked());
         out.put("ROUTE", runs.route());
         out.put("DRAIN", runs.drain());
-        ConfigurationRules papers = new ConfigurationRules(w);
-        out.put("CONFIG revoked", papers.revoked());
-        out.put("CONFIG ignored", papers.ignored());
-        out.put("CONFIG back", papers.back());
-        out.put("CONFIG taken", papers.taken());
-        out.put("CONFIG read", papers.readBack());
+        ConfigurationRules configurationStub = new ConfigurationRules(w);
+        out.put("CONFIG revoked", configurationStub.revoked());
+        out.put("CONFIG ignored", configurationStub.ignored());
+        out.put("CONFIG back", configurationStub.back());
+        out.put("CONFIG taken", configurationStub.taken());
+        out.put("CONFIG read", configurationStub.readBack());
         LimitRules limits = new LimitRules(w);
         out.put("QUOTA", limits.quota());
         out.put("CEILING", limits.ceiling());
--- a/testkit/src/main/java/org/woadvale/testkit/stub/RunRules.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/RunRules.java
@@ -21,8 +21,8 @@
     }
 
     private String tenant(String key) {
-        return w.papers.stream()
-                .flatMap(p -> p.papers().tenant(key).stream())
+        return w.configurationStub.stream()
+                .flatMap(p -> p.configurationStub().tenant(key).stream())
                 .map(ConfigurationStub.Tenant::name)
                 .findFirst()
                 .orElse("");
@@ -121,13 +121,13 @@
     List<String> route() {
         List<String> out = new ArrayList<>();
         w.began.forEach(b -> ends.sent(b.id()).ifPresent(s -> {
-            boolean allowed = w.papers.stream()
+            boolean allowed = w.configurationStub.stream()
                     .anyMatch(p -> p.valid()
-                            && p.papers()
+                            && p.configurationStub()
                                     .route(s.host(), s.path())
                                     .filter(r -> r.service().equals(b.service())
                                             && (r.keyless()
-                                                    || p.papers()
+                                                    || p.configurationStub()
                                                             .tenant(s.key())
                                                             .isPresent()))
                                     .isPresent());
--- a/testkit/src/main/java/org/woadvale/testkit/stub/TestConfiguration.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/TestConfiguration.java
@@ -8,7 +8,7 @@
 import org.woadvale.common.config.Configuration;
 import org.woadvale.common.config.Configurations;
 
-/** The layout that the stand-ins play with: two processor groups, paced endpoints, eight tenants. */
+/** The configuration that the stand-ins play with: two processor groups, paced endpoints, eight tenants. */
 public record TestConfiguration(int tenants, int endpoints, double ratePerS, int burst, double endpointRate) {
     public static final long TIME_LIMIT_MS = 60000;
     public static final int ATTEMPTS = 8;
@@ -40,7 +40,7 @@
         return out;
     }
 
-    public Configuration layout(java.util.function.IntFunction<String> endpointAddress) {
+    public Configuration configuration(java.util.function.IntFunction<String> endpointAddress) {
         Map<String, Configuration.Tenant> t = new TreeMap<>();
         Map<String, Configuration.Key> k = new TreeMap<>();
         for (int i = 0; i < tenants; i++) {
--- a/testkit/src/main/java/org/woadvale/testkit/stub/Windows.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/Windows.java
@@ -17,7 +17,7 @@
         this.s = s;
     }
 
-    /** Every message that is known to have been taken, whatever its hand-in was answered. */
+    /** Every message that is known to have been taken, whatever its processor-in was answered. */
     List<String> allowance() {
         Map<String, Duration> taken = new HashMap<>();
         Map<String, String> tenants = new HashMap<>();
@@ -25,7 +25,7 @@
             tenants.put(r.handle(), r.tenant());
             taken.merge(r.handle(), r.begun(), Windows::first);
         });
-        s.copy(s.handedIn).stream()
+        s.copy(s.submitted).stream()
                 .filter(h -> h.said() == Observations.Said.ACCEPTED)
                 .forEach(h -> {
                     tenants.put(h.handle(), h.tenant());
--- a/testkit/src/test/java/org/woadvale/operator/FleetTest.java
+++ b/testkit/src/test/java/org/woadvale/operator/FleetTest.java
@@ -38,7 +38,7 @@
 class FleetTest {
     private static final Duration LONG = Duration.ofSeconds(60);
 
-    /** The person of the runbooks: here the fleet launcher. */
+    /** The person of the runbooks: here the fleet dispatcher. */
     private final class Crew implements OperatorIo {
         @Override
         public boolean done(String what) {
@@ -119,7 +119,7 @@
             town = t;
             load = new Load(t, f, 5);
             f.startAll();
-            t.putLayout(t.layout(), 0, "first");
+            t.putConfiguration(t.configuration(), 0, "first");
             t.listProcessors();
             t.await("readiness", LONG, () -> f.all().stream().allMatch(t::ready));
             accepted("after the start");
@@ -132,7 +132,7 @@
             f.stores.get(0).start();
             f.lighthouses.get(0).start();
             t.await("return", LONG, () -> f.all().stream().allMatch(t::ready));
-            changeLayouts();
+            changeConfigurations();
             roll();
             replaceLighthouse(root);
             replaceStore();
@@ -155,14 +155,14 @@
         }
     }
 
-    /** A caller with the client generated from our schema: hands in, sees the proof, is told the kind of a refusal. */
+    /** A caller with the client generated from our schema: processors in, sees the proof, is told the kind of a refusal. */
     private void generatedClient() throws ApiException {
         ClientLoad s = new ClientLoad(fleet.intakes.get(0).http, TestConfiguration.callerKey(1));
-        String handle = s.handIn("hold", "generated");
+        String handle = s.submit("hold", "generated");
         town.await("the end of " + handle, LONG, () -> s.over(handle));
         assertEquals(Message.StateEnum.DONE, s.show(handle).getState());
         assertTrue(s.show(handle).getProof().contains(handle), "the receipt names it");
-        ApiException no = assertThrows(ApiException.class, () -> s.handIn("nowhere", "generated"));
+        ApiException no = assertThrows(ApiException.class, () -> s.submit("nowhere", "generated"));
         assertEquals(404, no.getCode());
         assertTrue(no.getResponseBody().contains("unknown_lane"), no.getResponseBody());
     }
@@ -172,11 +172,12 @@
         town.await("everybody's readiness", LONG, () -> fleet.all().stream().allMatch(town::ready));
     }
 
-    private void changeLayouts() throws Exception {
+    private void changeConfigurations() throws Exception {
         allReady();
-        Map<String, Configuration.Lane> lanes = new TreeMap<>(town.layout().lanes());
+        Map<String, Configuration.Lane> lanes =
+                new TreeMap<>(town.configuration().lanes());
         lanes.put("extra", lanes.get("hold"));
-        Map<String, Configuration.Key> keys = new TreeMap<>(town.layout().keys());
+        Map<String, Configuration.Key> keys = new TreeMap<>(town.configuration().keys());
         keys.put(
                 "guest",
                 new Configuration.Key(
@@ -184,8 +185,8 @@
                         TestConfiguration.tenant(0),
                         "",
                         Configurations.sha256("guest-secret")));
-        Configuration next =
-                new Configuration(town.layout().tenants(), town.layout().services(), lanes, keys);
+        Configuration next = new Configuration(
+                town.configuration().tenants(), town.configuration().services(), lanes, keys);
         String l = http(fleet.lighthouses.get(1));
         String i = http(fleet.intakes.get(0));
         run(
--- a/testkit/src/test/java/org/woadvale/testkit/BriefTableTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/BriefTableTest.java
@@ -18,7 +18,7 @@
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.testkit.cluster.TestkitProgram;
 
-/** The ledger of the brief names only what there is. */
+/** The replicated log of the brief names only what there is. */
 class BriefTableTest {
     private static final Pattern TEST = Pattern.compile("`([A-Z][A-Za-z]*Test)(?:\\.([a-z][A-Za-z]*))?`");
     private static final Pattern DRILL = Pattern.compile("drills? ((?:[a-z]+(?:-[a-z]+)*(?:, )?)+)");
--- a/testkit/src/test/java/org/woadvale/testkit/cluster/CutAnswersTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/cluster/CutAnswersTest.java
@@ -115,9 +115,9 @@
     }
 
     /** The repeat is answered in full; what is asked of no handle is answered with a list, as by an intake. */
-    private static byte[] day(String first, String line, long handIns) {
+    private static byte[] day(String first, String line, long submissions) {
         if (line.startsWith("POST")) {
-            return answer("202 Accepted", handIns == 1 ? first : TAKEN);
+            return answer("202 Accepted", submissions == 1 ? first : TAKEN);
         }
         return answer(
                 "200 OK",
@@ -137,8 +137,9 @@
                 "{\"accepted\":tr"
             })
     void acceptedWithoutAHandleIsAskedAgainAndTold(String first, @TempDir Path root) throws Exception {
-        AtomicLong handIns = new AtomicLong();
-        try (BareIntake b = new BareIntake(l -> day(first, l, l.startsWith("POST") ? handIns.incrementAndGet() : 0));
+        AtomicLong submissions = new AtomicLong();
+        try (BareIntake b =
+                        new BareIntake(l -> day(first, l, l.startsWith("POST") ? submissions.incrementAndGet() : 0));
                 Fleet f = new Fleet(Shape.SMALL, root);
                 StubEnvironment t = new StubEnvironment(f, Shape.SMALL, new TestConfiguration(8, 2, 45, 60, 26))) {
             f.intakes.clear();
@@ -154,12 +155,12 @@
                     false,
                     false));
             Load load = new Load(t, f, 5);
-            Observations.HandedIn h = load.one(0).join();
+            Observations.Submitted h = load.one(0).join();
             assertTrue(load.settle(Duration.ofSeconds(3)), () -> load.states() + " " + load.unended());
             assertEquals(Map.of("failed", 1L), load.states());
             assertEquals(Observations.Said.ACCEPTED, h.said());
             assertEquals("m1-1", h.handle());
-            assertEquals(2, handIns.get());
+            assertEquals(2, submissions.get());
             assertEquals(1, load.broken().size(), load.broken().toString());
             assertTrue(
                     load.broken().get(0).endsWith(" " + first.length() + " bytes: " + first),
--- a/testkit/src/test/java/org/woadvale/testkit/replication/KeeperReturnTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/replication/KeeperReturnTest.java
@@ -12,7 +12,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.woadvale.common.runtime.ServiceException;
 
-/** The former owner need not wait for its own claim, and nobody else may take that way. design 5.3 */
+/** The former owner need not wait for its own lease, and nobody else may take that way. design 5.3 */
 class KeeperReturnTest {
     private static final Duration SOON = Duration.ofMillis(600);
 
--- a/testkit/src/test/java/org/woadvale/testkit/replication/ReplicationTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/replication/ReplicationTest.java
@@ -96,7 +96,7 @@
         assertEquals(said, t.words.get(behind).words);
     }
 
-    /** The disk is blank: the replica must not vote until the others have seated it anew. */
+    /** The disk is blank: the replica must not vote until the others have voting it anew. */
     @Test
     void lostDiskLosesNothing() throws ServiceException {
         Trio t = new Trio(5);
@@ -169,11 +169,11 @@
         String old = t.awaitOwner();
         t.say("one");
         t.sim.run(Duration.ofSeconds(1));
-        String heir = t.replicas.get(old).heir().orElseThrow();
+        String successor = t.replicas.get(old).successor().orElseThrow();
         Duration begun = t.sim.now();
-        assertTrue(t.replicas.get(old).handOver(heir));
+        assertTrue(t.replicas.get(old).transferLeadership(successor));
         assertFalse(t.replicas.get(old).mayAct(), "the claim is given up first");
-        t.sim.runUntil(() -> t.owner().filter(heir::equals).isPresent(), Duration.ofSeconds(3));
+        t.sim.runUntil(() -> t.owner().filter(successor::equals).isPresent(), Duration.ofSeconds(3));
         assertTrue(
                 t.sim.now().minus(begun).compareTo(Duration.ofMillis(500)) < 0,
                 "took " + t.sim.now().minus(begun));
--- a/testkit/src/test/java/org/woadvale/testkit/replication/Trio.java
+++ b/testkit/src/test/java/org/woadvale/testkit/replication/Trio.java
@@ -85,7 +85,7 @@
         RingWriteAheadLog book = RingWriteAheadLog.open(h.disk(), h.host(), 4, 512 << 10);
         book.onFailure(why -> h.kill());
         Env env = new Env(
-                h.host(), h.host(), h.beam(codec), codec, book, sim.random()::nextLong, ReplicationTiming.usual());
+                h.host(), h.host(), h.rpc(codec), codec, book, sim.random()::nextLong, ReplicationTiming.usual());
         Words m = new Words(codec);
         Replica replica = new Replica(PART, wanted, m, env);
         Messages.types().forEach(t -> r.on(t, (from, a) -> replica.handle(from, a)));
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/ControlTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/ControlTest.java
@@ -25,9 +25,9 @@
         s = new Shore(21, 2);
     }
 
-    private Answer get(int lighthouse) {
+    private Answer get(int controlNode) {
         return s.r.ask(
-                        s.r.lighthouses.get(lighthouse),
+                        s.r.lighthouses.get(controlNode),
                         new Request("GET", "/-/configuration", Map.of(), new byte[0]),
                         Duration.ofSeconds(4))
                 .orElseThrow();
@@ -38,14 +38,14 @@
     }
 
     private ConfigurationStub more(long revision, ConfigurationStub.Route... routes) {
-        List<ConfigurationStub.Route> all = new ArrayList<>(s.papers.routes());
+        List<ConfigurationStub.Route> all = new ArrayList<>(s.configurationStub.routes());
         all.addAll(List.of(routes));
-        return s.papers.routes(all).with(revision);
+        return s.configurationStub.routes(all).with(revision);
     }
 
     @Test
     void textIsKeptAndReturnedByteForByte() {
-        String odd = s.papers
+        String odd = s.configurationStub
                 .with(9)
                 .text()
                 .replace("\"limits\":", "  \"limits\" :\n\t")
@@ -71,7 +71,7 @@
     @Test
     void invalidOnesAreRefusedAndNeverInForce() throws ServiceException {
         List<String> bad = List.of(
-                s.papers.with(9).text().substring(0, 300),
+                s.configurationStub.with(9).text().substring(0, 300),
                 more(9, Shore.route("r-x", "/x/", "nobody", false)).text(),
                 more(9, route("r-x", "/x/"), route("r-y", "/x/")).text(),
                 more(9, new ConfigurationStub.Route("r-x", Shore.HOST, "/x/", "desk", 0, 3, false, 90, false))
@@ -92,7 +92,7 @@
         s.run(5000);
         refused(bad);
         assertEquals(404, s.send("/x/1", "b", Map.of()).status());
-        assertEquals(s.papers.text(), new String(get(0).body()));
+        assertEquals(s.configurationStub.text(), new String(get(0).body()));
     }
 
     private void refused(List<String> bad) {
@@ -109,7 +109,7 @@
                                         "PUT",
                                         "/-/configuration",
                                         Map.of(),
-                                        s.papers.with(9).text().getBytes()),
+                                        s.configurationStub.with(9).text().getBytes()),
                                 Duration.ofSeconds(4))
                         .orElseThrow()
                         .status());
@@ -177,7 +177,7 @@
         assertEquals(
                 200,
                 s.put(
-                                s.papers
+                                s.configurationStub
                                         .with(9)
                                         .tenants(List.of(
                                                 new ConfigurationStub.Tenant("tenant-a", List.of("fresh"), 200, 200))),
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/DayTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/DayTest.java
@@ -10,7 +10,7 @@
 
 /** The operators' stream of changes; more than the history keeps, so that old request ids are tried too. */
 class DayTest {
-    /** Before: a request id older than the 256 layouts kept was answered with stale_base after its yes. */
+    /** Before: a request id older than the 256 configurations kept was answered with stale_base after its yes. */
     @Test
     void everyChangeGetsAYesOrNoWithinSecondsAndRepeatsGetTheFirst() throws ServiceException {
         Day d = new Day(1).run(Duration.ofMinutes(6), Duration.ofMillis(600), Duration.ofSeconds(40));
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/LateFramesTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/LateFramesTest.java
@@ -18,7 +18,7 @@
         v.w.sim.run(Duration.ofSeconds(2));
         String part = org.woadvale.common.membership.ServiceNames.controlPart("service/" + FleetSimulation.service(0));
         String owner = v.w.lighthouses.stream()
-                .filter(l -> v.w.lamp(l).replica(part).mayAct())
+                .filter(l -> v.w.controlNode(l).replica(part).mayAct())
                 .findFirst()
                 .orElseThrow();
         String asked = v.w.lighthouses.stream()
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/PlatformSimulationTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/PlatformSimulationTest.java
@@ -14,14 +14,14 @@
     void calmDayBreaksNoRuleAndServesAll() throws ServiceException {
         PlatformSimulation p = new PlatformSimulation(1, 3, 3, Seams.none()).embark();
         p.traffic(30);
-        p.roads.sim.run(Duration.ofSeconds(6));
-        p.office.change();
-        p.office.bad();
-        p.roads.sim.run(Duration.ofSeconds(6));
-        p.office.race();
-        p.office.keys();
-        p.leave(p.hands.values().iterator().next());
-        p.roads.sim.run(Duration.ofSeconds(8));
+        p.network.sim.run(Duration.ofSeconds(6));
+        p.operator.change();
+        p.operator.bad();
+        p.network.sim.run(Duration.ofSeconds(6));
+        p.operator.race();
+        p.operator.keys();
+        p.leave(p.processors.values().iterator().next());
+        p.network.sim.run(Duration.ofSeconds(8));
         assertEquals(List.of(), p.end(Duration.ofSeconds(10)));
         long accepted = p.answers().get(202);
         assertTrue(accepted > 400, p.answers().toString());
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/ProcessorRegistryTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/ProcessorRegistryTest.java
@@ -11,7 +11,7 @@
 import org.woadvale.common.runtime.ServiceException;
 import reactor.core.publisher.Mono;
 
-/** One lighthouse reads the list for all: design 6.7. */
+/** One control node reads the list for all: design 6.7. */
 class ProcessorRegistryTest {
     private static final String KEY = ServiceNames.processors("book");
     private static final String AT = "10.9.0.1:8080";
@@ -19,19 +19,20 @@
     private static ServiceView view(Shore s) {
         String part = ServiceNames.controlPart(KEY);
         String owner = s.r.lighthouses.stream()
-                .filter(l -> s.r.host(l).alive() && s.r.lamp(l).replica(part).mayAct())
+                .filter(l ->
+                        s.r.host(l).alive() && s.r.controlNode(l).replica(part).mayAct())
                 .findFirst()
                 .orElseThrow();
-        return s.r.lamp(owner)
+        return s.r.controlNode(owner)
                 .replica(part)
-                .look(i -> s.r.lamp(owner).machine(part).service(KEY));
+                .look(i -> s.r.controlNode(owner).machine(part).service(KEY));
     }
 
     @Test
     void wholeListIsTakenFromAllPagesAndWrittenOnlyWhereItDiffers() throws ServiceException {
         Shore s = new Shore(1, 1);
         for (int i = 0; i < 8; i++) {
-            s.roster.put("i-" + i, i % 2 == 0 ? "book" : "same", "10.9.0." + i + ":8080", 4, "ready");
+            s.processorList.put("i-" + i, i % 2 == 0 ? "book" : "same", "10.9.0." + i + ":8080", 4, "ready");
         }
         s.run(3000);
         ServiceView first = view(s);
@@ -42,11 +43,11 @@
                         + first.processors().get("i-2").slots());
         s.run(5000);
         assertEquals(first.version(), view(s).version(), "nothing differs, nothing is written");
-        s.roster.put("i-2", "book", "10.9.0.2:8080", 4, "draining");
+        s.processorList.put("i-2", "book", "10.9.0.2:8080", 4, "draining");
         s.run(3000);
         assertTrue(view(s).processors().get("i-2").leaving());
         assertEquals(4, view(s).processors().size());
-        s.roster.drop("i-2");
+        s.processorList.drop("i-2");
         s.run(3000);
         assertEquals(3, view(s).processors().size());
     }
@@ -55,11 +56,11 @@
     void fleetAsksNoOftenerThanOneReaderDoes() throws ServiceException {
         Shore s = new Shore(2, 2);
         s.run(2000);
-        int before = s.roster.calls();
+        int before = s.processorList.calls();
         s.run(14_000);
-        int calls = s.roster.calls() - before;
+        int calls = s.processorList.calls() - before;
         assertTrue(calls >= 15 && calls <= 25, calls + " calls in 14 s");
-        assertEquals(0, s.roster.refused());
+        assertEquals(0, s.processorList.refused());
     }
 
     /** What is being read stays in force while the list cannot be had. */
@@ -67,7 +68,7 @@
     void listThatIsDownChangesNothing() throws ServiceException {
         Shore s = new Shore(3, 1);
         s.processor("i-1", "book", AT, q -> Mono.just(Shore.done(q)));
-        s.roster.down(true);
+        s.processorList.down(true);
         s.run(8000);
         assertEquals(1, view(s).processors().size());
         s.accepted("/push/x", "b", Map.of());
@@ -79,7 +80,7 @@
     void nextOwnerOfTheLayoutsPartReadsOn() throws ServiceException {
         Shore s = new Shore(4, 1);
         String owner = s.r.lighthouses.stream()
-                .filter(l -> s.r.lamp(l).replica("c0").mayAct())
+                .filter(l -> s.r.controlNode(l).replica("c0").mayAct())
                 .findFirst()
                 .orElseThrow();
         s.r.kill(owner);
@@ -95,7 +96,7 @@
         s.accepted("/push/x", "b", Map.of());
         s.run(1500);
         assertEquals(1, s.got.size());
-        Duration shown = s.roster.put("i-1", "book", AT, 4, "draining");
+        Duration shown = s.processorList.put("i-1", "book", AT, 4, "draining");
         for (int i = 0; i < 40; i++) {
             s.accepted("/push/x", "b", Map.of());
             s.run(150);
@@ -117,7 +118,7 @@
         s.accepted("/push/x", "b", Map.of());
         s.run(1500);
         assertEquals("i-1", s.got.get(0).q().headers().get("x-expect-instance"));
-        s.roster.drop("i-1");
+        s.processorList.drop("i-1");
         s.processor("i-7", "same", AT, q -> Mono.just(Shore.done(q)));
         s.accepted("/push/x", "b", Map.of());
         s.run(3000);
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/RateTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/RateTest.java
@@ -53,7 +53,7 @@
         for (long seed = 1; seed <= 1; seed++) {
             assertEquals(List.of(), under(seed, v -> {
                 keepInTheDark(v);
-                Configuration renamed = Edit.services(v.layout, m -> m.put("renamed", m.remove(ENDPOINT)));
+                Configuration renamed = Edit.services(v.configuration, m -> m.put("renamed", m.remove(ENDPOINT)));
                 v.put(
                         Edit.lanes(renamed, m -> m.put("check0", Edit.service(m.get("check0"), "renamed"))),
                         v.version,
@@ -68,7 +68,7 @@
         assertEquals(List.of(), under(1, v -> {
             Duration sent = v.w.sim.now();
             v.put(
-                    Edit.services(v.layout, m -> m.put(ENDPOINT, Edit.rate(m.get(ENDPOINT), 8))),
+                    Edit.services(v.configuration, m -> m.put(ENDPOINT, Edit.rate(m.get(ENDPOINT), 8))),
                     v.version,
                     "lower",
                     a -> v.w.seen.paced(ENDPOINT, new Observations.Limit(8, 0, sent, v.w.sim.now())));
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/RepairTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/RepairTest.java
@@ -20,10 +20,10 @@
         assertEquals(List.of(), v.violations());
     }
 
-    private static boolean allParts(FleetSimulation v, String store, boolean seated) {
+    private static boolean allParts(FleetSimulation v, String store, boolean voting) {
         return v.w.stores.stream()
                 .filter(s -> v.w.host(s).alive())
-                .allMatch(s -> v.w.pilot(s).groups().values().stream().allMatch(g -> g.contains(store) == seated));
+                .allMatch(s -> v.w.pilot(s).groups().values().stream().allMatch(g -> g.contains(store) == voting));
     }
 
     @Test
@@ -47,7 +47,7 @@
         ended(v);
     }
 
-    /** Before: a store that merely joined got nothing. Its hall has another, so it shares that one's copies only. */
+    /** Before: a store that merely joined got nothing. Its zone has another, so it shares that one's copies only. */
     @Test
     void storeThatJoinsGetsItsShareAndThenAllIsQuiet() throws ServiceException {
         FleetSimulation v = new FleetSimulation(9, 3, 3, 4).embark();
@@ -109,15 +109,15 @@
         assertTrue(
                 v.w.sim.runUntil(
                         () -> status.get() == 200
-                                && v.w.lamp(spare)
+                                && v.w.controlNode(spare)
                                         .lighthouses()
                                         .equals(wanted.stream().sorted().toList()),
                         Duration.ofSeconds(60)),
-                "not seated: " + v.w.lamp(spare).lighthouses());
+                "not seated: " + v.w.controlNode(spare).lighthouses());
         v.w.kill(v.w.lighthouses.get(1));
         v.w.sim.run(Duration.ofSeconds(8));
         AtomicInteger taken = new AtomicInteger();
-        v.put(v.layout, v.version, "after", a -> taken.set(a.status()));
+        v.put(v.configuration, v.version, "after", a -> taken.set(a.status()));
         assertTrue(v.w.sim.runUntil(() -> taken.get() == 200, Duration.ofSeconds(20)), "answer " + taken.get());
         ended(v);
     }
@@ -128,7 +128,7 @@
         FleetSimulation v = new FleetSimulation(8, 3, 3, 4).embark();
         v.w.kill(v.w.lighthouses.get(0));
         List<Integer> answers = new java.util.ArrayList<>();
-        byte[] json = Configurations.write(v.layout);
+        byte[] json = Configurations.write(v.configuration);
         v.w.request(
                 v.w.lighthouses.get(1),
                 new Request("PUT", "/v1/layout", Map.of("if-match", "1", "x-request-id", "now"), json),
@@ -138,7 +138,7 @@
         assertEquals(List.of(200), answers);
     }
 
-    /** Before, when restarted holders of buckets waited for their own claims to lapse: 5.6 to 6.2 s. */
+    /** Before, when restarted holders of buckets waited for their own leases to lapse: 5.6 to 6.2 s. */
     @Test
     void fullOutageIsOverWithinItsBudget() throws ServiceException {
         Duration took = Measure.outage(1, 8, 3, new org.woadvale.testkit.stub.TestConfiguration(8, 4, 45, 60, 26));
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/SeedsTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/SeedsTest.java
@@ -21,7 +21,7 @@
 class SeedsTest {
     /**
      * One seed after the other is lost for good and replaced; nobody who runs is told where the new ones are.
-     * 2, 3, 4: the new lighthouse was asked for the exchange and gave a false conflict. 2, 3 again: a lighthouse that
+     * 2, 3, 4: the new control node was asked for the exchange and gave a false conflict. 2, 3 again: a control node that
      * had joined knew the others by luck only, and found no owner for seconds; and the operator of the test spent its
      * time on lighthouses that were lost for good, so it asks those that are there now, for 5 s instead of 8.
      */
@@ -41,11 +41,11 @@
             assertTrue(
                     v.w.sim.runUntil(
                             () -> status.get() == 200
-                                    && v.w.lamp(fresh)
+                                    && v.w.controlNode(fresh)
                                             .lighthouses()
                                             .equals(wanted.stream().sorted().toList()),
                             Duration.ofSeconds(60)),
-                    "not seated: " + v.w.lamp(fresh).lighthouses());
+                    "not seated: " + v.w.controlNode(fresh).lighthouses());
             v.w.sim.run(Duration.ofSeconds(10));
         }
         new HeadOffice(v).changeAt(v.w.presentLighthouses());
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/Shore.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/Shore.java
@@ -27,16 +27,16 @@
     record Got(Request q, Duration at) {}
 
     final NetworkSimulation r;
-    final ProcessorList roster;
+    final ProcessorList processorList;
     final List<Got> got = new ArrayList<>();
-    ConfigurationStub papers = Shore.plain();
+    ConfigurationStub configurationStub = Shore.plain();
     private int ids;
 
     Shore(long seed, int fronts) throws ServiceException {
         r = new NetworkSimulation(seed, fronts, 3, Seams.none());
-        roster = new ProcessorList(r.sim, Duration.ofMillis(800), 44);
-        r.list(roster::page);
-        assertEquals(200, put(papers, 0, 0).status());
+        processorList = new ProcessorList(r.sim, Duration.ofMillis(800), 44);
+        r.list(processorList::page);
+        assertEquals(200, put(configurationStub, 0, 0).status());
         assertTrue(r.sim.runUntil(r::ready, Duration.ofSeconds(40)), "the fleet did not get ready");
     }
 
@@ -70,14 +70,14 @@
         return new ConfigurationStub.Service(name, 0, 100, dedup, pull, at);
     }
 
-    Answer put(ConfigurationStub p, long base, int lighthouse) {
-        return put(p.text(), base, lighthouse);
+    Answer put(ConfigurationStub p, long base, int controlNode) {
+        return put(p.text(), base, controlNode);
     }
 
-    Answer put(String text, long base, int lighthouse) {
+    Answer put(String text, long base, int controlNode) {
         for (int i = 0; i < 20; i++) {
             Optional<Answer> a = r.ask(
-                    r.lighthouses.get((lighthouse + i) % 3),
+                    r.lighthouses.get((controlNode + i) % 3),
                     new Request(
                             "PUT",
                             "/-/configuration",
@@ -94,11 +94,11 @@
     /** A processor at an address, on the list, whose answers are the script's. */
     void processor(
             String id, String service, String address, java.util.function.Function<Request, Mono<Answer>> script) {
-        r.quays.place(address, q -> {
+        r.processorSimulation.place(address, q -> {
             got.add(new Got(q, r.sim.now()));
             return script.apply(q);
         });
-        roster.put(id, service, address, 4, "ready");
+        processorList.put(id, service, address, 4, "ready");
         r.sim.run(SOON);
     }
 
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/UnclearTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/UnclearTest.java
@@ -18,7 +18,7 @@
 class UnclearTest {
     private static final Backend.Manner LOSES = new Backend.Manner(Duration.ofMillis(5), 0, 0, 1);
 
-    private static FleetSimulation voyage(long seed) throws ServiceException {
+    private static FleetSimulation fleet(long seed) throws ServiceException {
         return new FleetSimulation(seed, 2, 3, 2, new TestConfiguration(2, 1, 20, 30, 26), World.LARGE_RING).embark();
     }
 
@@ -29,7 +29,7 @@
 
     /** Processors do the work and lose the answers; then each is replaced: same id, new address, no memory. */
     private static FleetSimulation replacedOneByOne(long seed) throws ServiceException {
-        FleetSimulation v = voyage(seed);
+        FleetSimulation v = fleet(seed);
         v.traffic(10);
         v.w.sim.run(Duration.ofSeconds(3));
         for (String p : List.of("p0", "p1")) {
@@ -54,8 +54,8 @@
     /** The lane's operator knows that the work is harmless twice. */
     @Test
     void laneThatSaysRerunRunsItElsewhere() throws ServiceException {
-        FleetSimulation v = voyage(1);
-        Map<String, Configuration.Lane> lanes = new TreeMap<>(v.layout.lanes());
+        FleetSimulation v = fleet(1);
+        Map<String, Configuration.Lane> lanes = new TreeMap<>(v.configuration.lanes());
         Configuration.Lane hold = lanes.get("hold");
         lanes.put(
                 "hold",
@@ -67,7 +67,7 @@
                         hold.attemptMs(),
                         Configuration.IfUnclear.RERUN));
         v.put(
-                new Configuration(v.layout.tenants(), v.layout.services(), lanes, v.layout.keys()),
+                new Configuration(v.configuration.tenants(), v.configuration.services(), lanes, v.configuration.keys()),
                 v.version,
                 "rerun",
                 a -> {});
--- a/testkit/src/test/java/org/woadvale/testkit/stub/ConfigurationRulesTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/stub/ConfigurationRulesTest.java
@@ -12,8 +12,8 @@
         paper(
                 new ConfigurationStub(
                         2,
-                        papers(1, "a", "order").routes(),
-                        papers(1).services(),
+                        configurationStub(1, "a", "order").routes(),
+                        configurationStub(1).services(),
                         List.of(new ConfigurationStub.Tenant("t", List.of("spare"), 1, 1))),
                 1,
                 true,
@@ -28,7 +28,7 @@
 
     @Test
     void configurationIgnored() {
-        paper(papers(2, "a", "order", "new"), 1, true, 200, 20);
+        paper(configurationStub(2, "a", "order", "new"), 1, true, 200, 20);
         sent("1", "new", "k", "", 22.9);
         said("1", 404, 22.95);
         breaks();
@@ -39,7 +39,7 @@
 
     @Test
     void droppedRouteServed() {
-        paper(papers(2, "order"), 1, true, 200, 20);
+        paper(configurationStub(2, "order"), 1, true, 200, 20);
         sent("1", "a", "k", "", 23.1);
         said("1", 202, 23.2);
         shown("1", "queued", "", 200, "body");
@@ -48,7 +48,7 @@
 
     @Test
     void nodeWentBack() {
-        paper(papers(2, "a", "order", "new"), 1, true, 200, 20);
+        paper(configurationStub(2, "a", "order", "new"), 1, true, 200, 20);
         done("1", "new", "", 20.5);
         sent("2", "new", "k", "", 21);
         said("2", 404, 21.1);
@@ -59,22 +59,26 @@
 
     @Test
     void invalidOrLosingOneTaken() {
-        paper(papers(2, "a", "order"), 1, false, 200, 20);
+        paper(configurationStub(2, "a", "order"), 1, false, 200, 20);
         breaks("CONFIG taken");
-        w.papers.remove(1);
-        paper(papers(2, "a", "order"), 1, true, 200, 20);
-        paper(papers(3, "a", "order"), 1, true, 200, 20);
+        w.configurationStub.remove(1);
+        paper(configurationStub(2, "a", "order"), 1, true, 200, 20);
+        paper(configurationStub(3, "a", "order"), 1, true, 200, 20);
         w.readBack.set(
-                0, new ObservationLog.ReadBack(200, papers(3, "a", "order").text(), s(60)));
+                0,
+                new ObservationLog.ReadBack(
+                        200, configurationStub(3, "a", "order").text(), s(60)));
         assertEquals(List.of("CONFIG taken"), new Rules(w).broken());
     }
 
     @Test
     void olderOneReadBack() {
-        paper(papers(2, "a", "order"), 1, true, 200, 20);
+        paper(configurationStub(2, "a", "order"), 1, true, 200, 20);
         breaks();
-        for (String text :
-                List.of(papers(1, "a", "order").text(), papers(2, "a").text(), "")) {
+        for (String text : List.of(
+                configurationStub(1, "a", "order").text(),
+                configurationStub(2, "a").text(),
+                "")) {
             w.readBack.set(0, new ObservationLog.ReadBack(200, text, s(60)));
             assertEquals(List.of("CONFIG read"), new Rules(w).broken(), text);
         }
--- a/testkit/src/test/java/org/woadvale/testkit/stub/Diary.java
+++ b/testkit/src/test/java/org/woadvale/testkit/stub/Diary.java
@@ -7,7 +7,7 @@
 import java.util.Optional;
 import org.junit.jupiter.api.BeforeEach;
 
-/** A day as it was seen from outside, written by hand. */
+/** A day as it was seen from outside, written by processor. */
 abstract class Diary {
     static final String HOST = "h";
     final ObservationLog w = new ObservationLog();
@@ -16,7 +16,7 @@
         return Duration.ofMillis((long) (seconds * 1000));
     }
 
-    static ConfigurationStub papers(long revision, String... routes) {
+    static ConfigurationStub configurationStub(long revision, String... routes) {
         return new ConfigurationStub(
                 revision,
                 List.of(routes).stream()
@@ -28,12 +28,12 @@
     }
 
     void paper(ConfigurationStub p, long base, boolean valid, int status, double at) {
-        w.papers.add(new ObservationLog.Paper(p, p.text(), base, valid, s(at), status, s(at)));
+        w.configurationStub.add(new ObservationLog.Paper(p, p.text(), base, valid, s(at), status, s(at)));
     }
 
     @BeforeEach
     void first() {
-        paper(papers(1, "a", "order"), 0, true, 200, 1);
+        paper(configurationStub(1, "a", "order"), 0, true, 200, 1);
     }
 
     void sent(String id, String route, String key, String order, double at) {
@@ -71,7 +71,7 @@
     void breaks(String... rules) {
         w.readBack.add(new ObservationLog.ReadBack(
                 200,
-                w.papers.stream()
+                w.configurationStub.stream()
                         .filter(p -> p.status() == 200 && p.valid())
                         .reduce((a, b) -> b)
                         .orElseThrow()
--- a/testkit/src/test/java/org/woadvale/testkit/stub/NeverListTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/stub/NeverListTest.java
@@ -19,8 +19,8 @@
         return Duration.ofMillis((long) (seconds * 1000));
     }
 
-    private static Observations.HandedIn in(String id, String handle, Said said, String key, double at) {
-        return new Observations.HandedIn("t", id, "l", "", key, s(at), s(at), said, "", handle, false);
+    private static Observations.Submitted in(String id, String handle, Said said, String key, double at) {
+        return new Observations.Submitted("t", id, "l", "", key, s(at), s(at), said, "", handle, false);
     }
 
     private static Observations.Ran ran(String handle, String id, String order, String processor, double at) {
@@ -41,13 +41,13 @@
         x.allowed("t", new Observations.Limit(1, 5, s(0), s(0)));
         x.paced("e", new Observations.Limit(2, 0, s(0), s(0)));
         x.lane("l", new Observations.LaneLimits(60000, 3));
-        x.handedIn.add(in("a", "m0-1", Said.ACCEPTED, "k", 1));
-        x.handedIn.add(in("b", "", Said.REFUSED, "k", 1));
+        x.submitted.add(in("a", "m0-1", Said.ACCEPTED, "k", 1));
+        x.submitted.add(in("b", "", Said.REFUSED, "k", 1));
         x.ran.add(ran("m0-1", "a", "o", "p", 2));
         x.answered.add(ok("m0-1", 3));
         x.shown.add(shown("m0-1", "done", "r-m0-1", 4));
-        x.layouts.add(new Observations.LayoutSaid("q", 1, true, true, s(1), "d1"));
-        x.reads.add(new Observations.LayoutRead(1, "d1", s(2)));
+        x.configurations.add(new Observations.ConfigurationSaid("q", 1, true, true, s(1), "d1"));
+        x.reads.add(new Observations.ConfigurationRead(1, "d1", s(2)));
         x.keys.add(new Observations.KeyWithdrawn("k", s(1)));
         x.leaving.add(new Observations.MarkedLeaving("p", s(1)));
         x.outages.add(new Observations.Outage(s(1), s(10)));
@@ -57,7 +57,7 @@
     static Stream<Arguments> planted() {
         Map<String, Consumer<Observations>> m = new TreeMap<>();
         m.put("00 nothing", x -> {});
-        m.put("01", x -> x.handedIn.add(in("c", "m0-2", Said.ACCEPTED, "k", 1)));
+        m.put("01", x -> x.submitted.add(in("c", "m0-2", Said.ACCEPTED, "k", 1)));
         m.put("01 failed for no reason", x -> x.shown.add(shown("m0-4", "failed", "who knows", 4)));
         m.put("01 attempts not used up", x -> {
             x.turnedAway.add(new Observations.TurnedAway("m0-4", 1, s(2)));
@@ -73,13 +73,13 @@
             x.answered.add(ok("m0-2", 3.5));
         });
         m.put("04 an earlier one that had not ended", x -> {
-            x.handedIn.add(
-                    new Observations.HandedIn("t", "c", "l", "o", "k", s(1), s(1), Said.ACCEPTED, "", "m0-0", false));
+            x.submitted.add(
+                    new Observations.Submitted("t", "c", "l", "o", "k", s(1), s(1), Said.ACCEPTED, "", "m0-0", false));
             x.shown.add(new Observations.Shown("m0-0", "failed", "unclear", "l", s(4), s(4), s(1), s(2.5)));
         });
         m.put("05 unknown but taken", x -> {
             for (int i = 10; i < 22; i++) {
-                x.handedIn.add(in("n" + i, "", Said.UNKNOWN, "other", 1));
+                x.submitted.add(in("n" + i, "", Said.UNKNOWN, "other", 1));
                 x.ran.add(ran("m1-" + i, "n" + i, "", "p2", 2));
                 x.answered.add(ok("m1-" + i, 3));
             }
@@ -87,13 +87,13 @@
         m.put("05 after it was lowered", x -> {
             x.allowed("t", new Observations.Limit(0.1, 1, s(10), s(10)));
             for (int i = 10; i < 15; i++) {
-                x.handedIn.add(in("n" + i, "m1-" + i, Said.ACCEPTED, "other", 14));
+                x.submitted.add(in("n" + i, "m1-" + i, Said.ACCEPTED, "other", 14));
                 x.shown.add(shown("m1-" + i, "failed", "unclear", 15));
             }
         });
         m.put("05", x -> {
             for (int i = 10; i < 22; i++) {
-                x.handedIn.add(in("n" + i, "m1-" + i, Said.ACCEPTED, "other", 1));
+                x.submitted.add(in("n" + i, "m1-" + i, Said.ACCEPTED, "other", 1));
                 x.shown.add(shown("m1-" + i, "failed", "unclear", 4));
             }
         });
@@ -103,12 +103,12 @@
             }
         });
         m.put("07", x -> {
-            x.handedIn.add(in("z", "m0-7", Said.ACCEPTED, "k", 6.5));
+            x.submitted.add(in("z", "m0-7", Said.ACCEPTED, "k", 6.5));
             x.shown.add(shown("m0-7", "failed", "unclear", 9));
         });
         m.put("07 served a fetch", x -> x.served.add(new Observations.KeyServed("k", "fetch", s(6.5))));
         m.put("07 accepted late", x -> {
-            x.handedIn.add(in("z", "m0-7", Said.ACCEPTED, "k", 5.5));
+            x.submitted.add(in("z", "m0-7", Said.ACCEPTED, "k", 5.5));
             x.shown.add(new Observations.Shown("m0-7", "failed", "unclear", "l", s(9), s(9), s(6.5), s(7)));
         });
         m.put("08 gone back", x -> {
@@ -116,8 +116,8 @@
             x.versions.add(new Observations.NodeVersion("n", -1, s(2)));
             x.versions.add(new Observations.NodeVersion("n", 3, s(3)));
         });
-        m.put("08", x -> x.ignored.add(new Observations.LayoutNeeded("lane", s(1), s(4.5))));
-        m.put("09", x -> x.reads.add(new Observations.LayoutRead(0, "d0", s(2))));
+        m.put("08", x -> x.ignored.add(new Observations.ConfigurationNeeded("lane", s(1), s(4.5))));
+        m.put("09", x -> x.reads.add(new Observations.ConfigurationRead(0, "d0", s(2))));
         m.put("10", x -> {
             x.ran.add(ran("m0-8", "y", "", "p", 4.5));
             x.answered.add(ok("m0-8", 5));
@@ -150,8 +150,8 @@
     @org.junit.jupiter.api.Test
     void twoLayoutsOfOneVersionAndBadOnesAreFound() {
         Observations x = sound();
-        x.layouts.add(new Observations.LayoutSaid("r", 1, true, true, s(2), "d2"));
-        x.layouts.add(new Observations.LayoutSaid("bad", 2, true, false, s(2), "d3"));
-        assertEquals(2, new Orders(x).badLayout().size());
+        x.configurations.add(new Observations.ConfigurationSaid("r", 1, true, true, s(2), "d2"));
+        x.configurations.add(new Observations.ConfigurationSaid("bad", 2, true, false, s(2), "d3"));
+        assertEquals(2, new Orders(x).badConfiguration().size());
     }
 }
