--- a/common/src/main/java/org/woadvale/common/membership/ControlMessages.java
+++ b/common/src/main/java/org/woadvale/common/membership/ControlMessages.java
@@ -3,32 +3,34 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import org.woadvale.common.rpc.AtMostOnceRequest;
+import org.woadvale.common.rpc.RepeatableRequest;
 import org.woadvale.common.rpc.Since;
 
 /** What processes ask the core, and home nodes: design 6.3 and 7. */
 public final class ControlMessages {
     private ControlMessages() {}
 
-    public record LeaseAsk(String service, String node, MemberLease memberLease) {}
+    public record LeaseAsk(String service, String node, MemberLease memberLease) implements RepeatableRequest {}
 
-    public record LeaveAsk(String service, String node) {}
+    public record LeaveAsk(String service, String node) implements RepeatableRequest {}
 
     /** Renews when term is the present one; otherwise stands for the vacant duty. */
-    public record DutyAsk(String service, String node, long term) {}
+    public record DutyAsk(String service, String node, long term) implements RepeatableRequest {}
 
     public record DutyReply(boolean yours, LeaderDuty duty) {}
 
-    public record DutyRelease(String service, String node, long term, double level) {}
+    public record DutyRelease(String service, String node, long term, double level) implements RepeatableRequest {}
 
     public record Done(boolean ok) {}
 
     /** Versions known by the asker; -1 for none. */
-    public record ViewAsk(Map<String, Long> known) {}
+    public record ViewAsk(Map<String, Long> known) implements RepeatableRequest {}
 
     /** Views that differ, and for each service served the age of its confirmation. */
     public record ViewReply(List<ServiceView> views, Map<String, Duration> ages) {}
 
-    public record CoreAsk(boolean any) {}
+    public record CoreAsk(boolean any) implements RepeatableRequest {}
 
     public record CoreReply(List<String> lighthouses) {}
 
@@ -42,10 +44,10 @@
             String service,
             String id,
             Processor processor,
-            @Since(2) long seen) {}
+            @Since(2) long seen) implements AtMostOnceRequest {}
 
     public record DropProcessor(
-            String service, String id, @Since(2) long seen) {}
+            String service, String id, @Since(2) long seen) implements AtMostOnceRequest {}
 
     public record TakeDuty(
             String service,
@@ -71,13 +73,14 @@
     }
 
     /** A whole list at once, from a registry that has them all: design 6.7. */
-    public record PutProcessors(String service, Map<String, Processor> processors, long seen) {}
+    public record PutProcessors(String service, Map<String, Processor> processors, long seen)
+            implements AtMostOnceRequest {}
 
     public record ConfigurationTaken(long version, boolean repeated) {}
 
     /** One control node for another: the whole list as it should be. */
     public record PutCore(
-            List<String> lighthouses, @Since(2) List<String> instead) {}
+            List<String> lighthouses, @Since(2) List<String> instead) implements RepeatableRequest {}
 
     /** Types that came after the first build: numbered after all others. design 3.2 */
     public static List<Class<?>> later() {
--- a/common/src/main/java/org/woadvale/common/membership/CoreClient.java
+++ b/common/src/main/java/org/woadvale/common/membership/CoreClient.java
@@ -8,12 +8,16 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import org.woadvale.common.rpc.AtMostOnceRequest;
+import org.woadvale.common.rpc.RepeatableRequest;
+import org.woadvale.common.rpc.ResendPolicy;
 import org.woadvale.common.rpc.RpcClient;
+import org.woadvale.common.rpc.RpcRequest;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
 import reactor.core.publisher.Mono;
 
-/** A process's way to the owners of the control parts; every ask is idempotent. */
+/** A process's way to the owners of the control parts, who are found by asking. */
 public final class CoreClient {
     private static final int TRIES = 5;
     private static final Duration EACH = Duration.ofMillis(700);
@@ -78,25 +82,27 @@
         return owners.getOrDefault(part, all.get((int) Math.floorMod(random.getAsLong(), (long) all.size())));
     }
 
-    public <T> Mono<T> ask(String part, Object body, Class<T> type) {
-        return attempt(part, body, type, guess(part), TRIES);
+    /** Sends the request up to five times, also while the outcome of an earlier sending is unknown. */
+    public <T> Mono<T> ask(String part, RepeatableRequest request, Class<T> type) {
+        return attempt(part, request, type, guess(part), TRIES, ResendPolicy.AFTER_UNKNOWN_OUTCOME);
     }
 
-    private <T> Mono<T> attempt(String part, Object body, Class<T> type, String to, int left) {
+    /** Sends the request again only where it was certainly not executed; fails with UNKNOWN_OUTCOME otherwise. */
+    public <T> Mono<T> askOnce(String part, AtMostOnceRequest request, Class<T> type) {
+        return attempt(part, request, type, guess(part), TRIES, ResendPolicy.IF_NOT_EXECUTED);
+    }
+
+    private <T> Mono<T> attempt(String part, RpcRequest body, Class<T> type, String to, int left, ResendPolicy policy) {
         return rpc.ask(to, body, type, EACH).doOnNext(t -> owners.put(part, to)).onErrorResume(e -> {
             ServiceException f = ServiceException.of(e);
             owners.remove(part, to);
-            boolean again = f.kind() == ErrorKind.NOT_OWNER
-                    || f.kind() == ErrorKind.UNREACHABLE
-                    || f.kind() == ErrorKind.UNKNOWN_OUTCOME
-                    || f.kind() == ErrorKind.STOPPING;
-            if (!again || left <= 1) {
+            if (!policy.allows(f.kind()) || left <= 1) {
                 return Mono.error(f);
             }
             String next = f.kind() == ErrorKind.NOT_OWNER && !f.details().isEmpty()
                     ? f.details().get(0)
                     : other(to);
-            return attempt(part, body, type, next, left - 1);
+            return attempt(part, body, type, next, left - 1, policy);
         });
     }
 
--- a/common/src/main/java/org/woadvale/common/ratelimit/AdmissionTokens.java
+++ b/common/src/main/java/org/woadvale/common/ratelimit/AdmissionTokens.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import org.woadvale.common.rpc.RepeatableRequest;
 
 /** What local buckets and holders say to each other: design 8.3. */
 public final class AdmissionTokens {
@@ -18,7 +19,7 @@
     /** Spent so far of a grant, and whether the rest is given back for good. */
     public record Report(long grant, int spent, boolean closed) {}
 
-    public record PassAsk(String bucket, long grant, int least, List<Report> reports) {}
+    public record PassAsk(String bucket, long grant, int least, List<Report> reports) implements RepeatableRequest {}
 
     /** Granted may be zero; then retry tells when to come back. AdmissionTokens live so long, from when they were asked for. */
     public record PassReply(long grant, int granted, Duration retry, long term, Duration life) {}
--- a/common/src/main/java/org/woadvale/common/replication/Messages.java
+++ b/common/src/main/java/org/woadvale/common/replication/Messages.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
+import org.woadvale.common.rpc.RepeatableRequest;
 import org.woadvale.common.rpc.RpcRouter;
 import reactor.core.publisher.Mono;
 
@@ -11,24 +12,26 @@
     private Messages() {}
 
     public record VoteAsk(
-            String part, long term, long lastIndex, long lastTerm, boolean dry, boolean leadershipTransferred) {}
+            String part, long term, long lastIndex, long lastTerm, boolean dry, boolean leadershipTransferred)
+            implements RepeatableRequest {}
 
     public record VoteReply(long term, boolean granted, String identity) {}
 
-    public record AppendAsk(String part, long term, long prevIndex, long prevTerm, List<LogEntry> items, long commit) {}
+    public record AppendAsk(String part, long term, long prevIndex, long prevTerm, List<LogEntry> items, long commit)
+            implements RepeatableRequest {}
 
     public record AppendReply(long term, boolean ok, long match, String identity, boolean willing) {}
 
-    public record ViewPush(String part, long term, Base base) {}
+    public record ViewPush(String part, long term, Base base) implements RepeatableRequest {}
 
-    public record BlankAsk(String part) {}
+    public record BlankAsk(String part) implements RepeatableRequest {}
 
     public record BlankReply(boolean blank, String identity) {}
 
     /** Accepted only by the very identity that reported blank: design 5.5. */
-    public record Found(String part, String identity, Map<String, String> group) {}
+    public record Found(String part, String identity, Map<String, String> group) implements RepeatableRequest {}
 
-    public record Stand(String part, long term) {}
+    public record Stand(String part, long term) implements RepeatableRequest {}
 
     public record Ok(boolean ok) {}
 
--- a/common/src/main/java/org/woadvale/common/rpc/Codec.java
+++ b/common/src/main/java/org/woadvale/common/rpc/Codec.java
@@ -1,14 +1,10 @@
 package org.woadvale.common.rpc;
 
 import com.esotericsoftware.kryo.Kryo;
-import com.esotericsoftware.kryo.KryoException;
 import com.esotericsoftware.kryo.io.Input;
 import com.esotericsoftware.kryo.io.Output;
-import com.esotericsoftware.kryo.serializers.ImmutableCollectionsSerializers;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -23,6 +19,8 @@
 
     public static final int NEWEST = 2;
     public static final int MAX_FRAME = 24 << 20;
+    /** Objects within each other; the deepest message of ours has less than ten. */
+    private static final int MAX_DEPTH = 64;
 
     private final Map<Integer, List<Class<?>>> types;
     private final ThreadLocal<Kryo> kryos = ThreadLocal.withInitial(() -> make(false));
@@ -37,9 +35,8 @@
         Kryo k = new Kryo();
         k.setRegistrationRequired(true);
         k.setReferences(false);
-        k.register(byte[].class, 20);
-        k.register(ArrayList.class, 21);
-        k.register(HashMap.class, 22);
+        k.setMaxDepth(MAX_DEPTH);
+        BoundedSerializers.registerMutable(k);
         k.register(TreeMap.class, 23);
         k.register(Duration.class, 24);
         k.register(Instant.class, 25);
@@ -49,7 +46,7 @@
         register(k, Frame.Refusal.class, 29, first);
         k.register(java.util.LinkedHashMap.class, 30);
         k.register(java.util.TreeSet.class, 31);
-        ImmutableCollectionsSerializers.registerSerializers(k);
+        BoundedSerializers.registerImmutable(k);
         types.forEach((from, list) -> {
             for (int i = 0; i < list.size(); i++) {
                 register(k, list.get(i), from + i, first);
@@ -85,6 +82,7 @@
         return read(firstFormat.get(), firstFormatBytes, type);
     }
 
+    /** Foreign bytes may fail anywhere in any reader of a type: whatever it throws, the frame is unreadable. */
     private static <T> T read(Kryo kryo, byte[] bytes, Class<T> type) throws ServiceException {
         try {
             Object o = kryo.readClassAndObject(new Input(bytes));
@@ -92,7 +90,7 @@
                 throw new ServiceException(ErrorKind.BAD_REQUEST, "Expected " + type.getSimpleName() + " in a frame.");
             }
             return type.cast(o);
-        } catch (KryoException | IllegalArgumentException | IndexOutOfBoundsException | NegativeArraySizeException e) {
+        } catch (RuntimeException e) {
             throw new ServiceException(
                     ErrorKind.BAD_REQUEST, "Unreadable frame: " + e.getClass().getSimpleName() + ".");
         }
--- a/common/src/main/java/org/woadvale/common/rpc/Frame.java
+++ b/common/src/main/java/org/woadvale/common/rpc/Frame.java
@@ -1,7 +1,14 @@
 package org.woadvale.common.rpc;
 
+import java.util.Objects;
+
 /** What travels on a stream after the handshake. */
 public record Frame(long id, Kind kind, Object body) {
+    public Frame {
+        Objects.requireNonNull(kind);
+        Objects.requireNonNull(body);
+    }
+
     public enum Kind {
         ASK,
         ANSWER,
--- a/common/src/main/java/org/woadvale/common/rpc/PendingCalls.java
+++ b/common/src/main/java/org/woadvale/common/rpc/PendingCalls.java
@@ -19,6 +19,7 @@
     private final Map<Long, Sinks.One<Object>> open = new ConcurrentHashMap<>();
     private final AtomicLong ids = new AtomicLong();
     private final Timers schedules;
+    private volatile boolean closed;
 
     public PendingCalls(Timers schedules) {
         this.schedules = schedules;
@@ -26,12 +27,19 @@
 
     public Mono<Object> ask(Object body, Duration limit, Consumer<Frame> send) {
         return Mono.defer(() -> {
+            if (closed) {
+                return Mono.error(notSent());
+            }
             if (open.size() >= MAX_IN_FLIGHT) {
                 return Mono.error(new ServiceException(ErrorKind.QUEUE_FULL, "Too many asks in flight on one stream."));
             }
             long id = ids.incrementAndGet();
             Sinks.One<Object> sink = Sinks.one();
             open.put(id, sink);
+            if (closed) {
+                open.remove(id);
+                return Mono.error(notSent());
+            }
             send.accept(new Frame(id, Frame.Kind.ASK, body));
             return Delays.limit(
                             schedules,
@@ -42,19 +50,40 @@
         });
     }
 
-    public void answered(Frame f) {
-        Optional.ofNullable(open.remove(f.id())).ifPresent(sink -> {
-            if (f.kind() == Frame.Kind.REFUSAL) {
-                Frame.Refusal r = (Frame.Refusal) f.body();
-                sink.tryEmitError(new ServiceException(ErrorKind.valueOf(r.kind()), r.message(), r.details()));
-            } else {
-                sink.tryEmitValue(f.body());
+    private static ServiceException notSent() {
+        return new ServiceException(ErrorKind.UNREACHABLE, "The stream was lost before this was sent.");
+    }
+
+    /**
+     * Takes a response in the order in which it came, so that of two to one call the first counts; the caller goes on
+     * by the executor. A response that no call waits for (a second one, or one that came too late) changes nothing.
+     */
+    public void answered(Frame f, Consumer<Runnable> executor) {
+        Optional.ofNullable(open.remove(f.id()))
+                .ifPresent(sink -> executor.accept(() -> {
+                    if (f.kind() == Frame.Kind.REFUSAL) {
+                        sink.tryEmitError(failure(f.body()));
+                    } else {
+                        sink.tryEmitValue(f.body());
+                    }
+                }));
+    }
+
+    /** A refusal that this build cannot read, such as one of a newer build's kind, says nothing of the outcome. */
+    private static ServiceException failure(Object body) {
+        if (body instanceof Frame.Refusal refusal) {
+            for (ErrorKind kind : ErrorKind.values()) {
+                if (kind.name().equals(refusal.kind())) {
+                    return new ServiceException(kind, refusal.message(), refusal.details());
+                }
             }
-        });
+        }
+        return new ServiceException(ErrorKind.UNKNOWN_OUTCOME, "The peer's refusal cannot be read.");
     }
 
-    /** The stream has gone: every open ask has an unknown outcome. */
+    /** The stream has gone: every open ask has an unknown outcome, and none is sent any more. */
     public void lost() {
+        closed = true;
         open.keySet()
                 .forEach(id -> Optional.ofNullable(open.remove(id))
                         .ifPresent(sink -> sink.tryEmitError(
--- a/common/src/main/java/org/woadvale/common/rpc/RpcConnection.java
+++ b/common/src/main/java/org/woadvale/common/rpc/RpcConnection.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.LengthFieldPrepender;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -22,6 +23,7 @@
 /** One TCP stream: handshake first, frames after; anything else closes it with a log line. design 3.3 */
 final class RpcConnection {
     private static final Logger LOG = LogManager.getLogger("beam");
+    private static final String NAME = "[!-~]{1,64}";
     private static final int MAGIC = 0x574F4144;
     private static final Duration HANDSHAKE = Duration.ofSeconds(2);
 
@@ -37,24 +39,28 @@
     private final RpcRouter router;
     private final Timers schedules;
     private final AtomicLong framesSent;
+    private final Optional<String> called;
     private final PendingCalls exchange;
     private final Sinks.One<Boolean> greeted = Sinks.one();
     private volatile State state = State.GREETING;
     private volatile String peer = "?";
 
+    /** The name that was called, on the calling side: whoever answers under another one is not asked anything. */
     RpcConnection(
             Connection connection,
             String self,
             Codec codec,
             RpcRouter router,
             Timers schedules,
-            AtomicLong framesSent) {
+            AtomicLong framesSent,
+            Optional<String> called) {
         this.connection = connection;
         this.self = self;
         this.codec = codec;
         this.router = router;
         this.schedules = schedules;
         this.framesSent = framesSent;
+        this.called = called;
         this.exchange = new PendingCalls(schedules);
     }
 
@@ -109,7 +115,16 @@
             refuse("versions " + oldest + ".." + newest + " do not meet ours " + Codec.OLDEST + ".." + Codec.NEWEST);
             return;
         }
-        peer = in.toString(StandardCharsets.UTF_8);
+        String name = in.toString(StandardCharsets.UTF_8);
+        if (!name.matches(NAME)) {
+            refuse("foreign name");
+            return;
+        }
+        if (called.filter(c -> !c.equals(name)).isPresent()) {
+            refuse("it is " + name + " that answers at " + called.get());
+            return;
+        }
+        peer = name;
         state = State.OPEN;
         greeted.tryEmitValue(Boolean.TRUE);
     }
@@ -118,7 +133,7 @@
         if (f.kind() == Frame.Kind.ASK) {
             schedules.soon(() -> PendingCalls.serve(router, peer, f).subscribe(this::send));
         } else {
-            schedules.soon(() -> exchange.answered(f));
+            exchange.answered(f, schedules::soon);
         }
     }
 
--- a/common/src/main/java/org/woadvale/common/rpc/RpcRouter.java
+++ b/common/src/main/java/org/woadvale/common/rpc/RpcRouter.java
@@ -11,7 +11,7 @@
 public final class RpcRouter {
     private final Map<Class<?>, BiFunction<String, Object, Mono<?>>> handlers = new ConcurrentHashMap<>();
 
-    public <T> RpcRouter on(Class<T> type, BiFunction<String, T, Mono<?>> handler) {
+    public <T extends RpcRequest> RpcRouter on(Class<T> type, BiFunction<String, T, Mono<?>> handler) {
         handlers.put(type, (from, body) -> handler.apply(from, type.cast(body)));
         return this;
     }
@@ -23,6 +23,7 @@
                     ErrorKind.BAD_REQUEST,
                     "This node does not answer " + body.getClass().getSimpleName() + "."));
         }
-        return Mono.defer(() -> h.apply(from, body));
+        return Mono.<Object>defer(() -> h.apply(from, body))
+                .switchIfEmpty(Mono.error(() -> new ServiceException(ErrorKind.INTERNAL, "No answer was made.")));
     }
 }
--- a/common/src/main/java/org/woadvale/common/rpc/TcpRpcClient.java
+++ b/common/src/main/java/org/woadvale/common/rpc/TcpRpcClient.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import org.apache.logging.log4j.LogManager;
@@ -75,7 +76,7 @@
     }
 
     private void accept(Connection c) {
-        RpcConnection s = new RpcConnection(c, self, codec, router, schedules, framesSent);
+        RpcConnection s = new RpcConnection(c, self, codec, router, schedules, framesSent, Optional.empty());
         incoming.put(s, Boolean.TRUE);
         c.onDispose(() -> incoming.remove(s));
         s.open();
@@ -108,7 +109,7 @@
                 .option(io.netty.channel.ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT.toMillis())
                 .connect()
                 .map(c -> {
-                    RpcConnection s = new RpcConnection(c, self, codec, router, schedules, framesSent);
+                    RpcConnection s = new RpcConnection(c, self, codec, router, schedules, framesSent, Optional.of(to));
                     c.onDispose(() -> {
                         streams.remove(to);
                         s.lost();
--- /dev/null
+++ b/common/src/test/java/org/woadvale/common/membership/CoreClientTest.java
@@ -0,0 +1,78 @@
+package org.woadvale.common.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.woadvale.common.rpc.RpcClient;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import reactor.core.publisher.Mono;
+
+/** What is sent again after which failure; the core is a list of what each sending meets. */
+class CoreClientTest {
+    private static final ControlMessages.CoreAsk READ = new ControlMessages.CoreAsk(true);
+    private static final ControlMessages.PutProcessors CHANGE = CoreClientTest.change();
+    private final List<String> sent = new ArrayList<>();
+
+    private static ControlMessages.PutProcessors change() {
+        return new ControlMessages.PutProcessors("processors/a", Map.of(), 1);
+    }
+
+    private CoreClient core(ErrorKind... failures) {
+        RpcClient rpc = new RpcClient() {
+            @Override
+            public String self() {
+                return "10.0.0.9:1";
+            }
+
+            @Override
+            public <T> Mono<T> ask(String to, Object body, Class<T> answer, Duration limit) {
+                sent.add(to);
+                int n = sent.size();
+                return n <= failures.length
+                        ? Mono.error(new ServiceException(failures[n - 1], "scripted"))
+                        : Mono.just(answer.cast(new ControlMessages.Done(true)));
+            }
+        };
+        return new CoreClient(rpc, () -> 0, List.of("10.0.0.1:1", "10.0.0.2:1"), List.of(), known -> {});
+    }
+
+    private static String outcome(Mono<ControlMessages.Done> call) {
+        return call.map(d -> "done")
+                .onErrorResume(e -> Mono.just(ServiceException.of(e).kind().name()))
+                .block();
+    }
+
+    @Test
+    void repeatableRequestIsSentAgainAfterAnUnknownOutcome() {
+        CoreClient core = core(ErrorKind.UNKNOWN_OUTCOME, ErrorKind.NOT_OWNER);
+        assertEquals("done", outcome(core.ask("c1", READ, ControlMessages.Done.class)));
+        assertEquals(3, sent.size());
+    }
+
+    /** Before: sent again, and refused because its first sending had been taken. */
+    @Test
+    void atMostOnceRequestIsNotSentAgainAfterAnUnknownOutcome() {
+        CoreClient core = core(ErrorKind.UNKNOWN_OUTCOME);
+        assertEquals(ErrorKind.UNKNOWN_OUTCOME.name(), outcome(core.askOnce("c1", CHANGE, ControlMessages.Done.class)));
+        assertEquals(1, sent.size());
+    }
+
+    @Test
+    void atMostOnceRequestIsSentAgainWhereNothingWasExecuted() {
+        CoreClient core = core(ErrorKind.NOT_OWNER, ErrorKind.UNREACHABLE, ErrorKind.STOPPING);
+        assertEquals("done", outcome(core.askOnce("c1", CHANGE, ControlMessages.Done.class)));
+        assertEquals(4, sent.size());
+    }
+
+    @Test
+    void refusalIsHandedToTheCaller() {
+        CoreClient core = core(ErrorKind.CONFLICT);
+        assertEquals(ErrorKind.CONFLICT.name(), outcome(core.ask("c1", READ, ControlMessages.Done.class)));
+        assertEquals(1, sent.size());
+    }
+}
--- /dev/null
+++ b/common/src/test/java/org/woadvale/common/rpc/RpcBytesTest.java
@@ -0,0 +1,124 @@
+package org.woadvale.common.rpc;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.runtime.SystemTimers;
+import reactor.core.publisher.Mono;
+
+/** Bytes that are no whole request of a peer of ours: nothing is executed. */
+class RpcBytesTest {
+    public record Question(String words) implements RepeatableRequest {}
+
+    private static final Codec CODEC = new Codec(Map.of(100, List.of(Question.class)));
+    private final SystemTimers timers = new SystemTimers(2);
+    private final List<String> handled = Collections.synchronizedList(new ArrayList<>());
+    private TcpRpcClient called;
+
+    @BeforeEach
+    void start() throws Exception {
+        RpcRouter router = new RpcRouter().on(Question.class, (from, q) -> {
+            handled.add(q.words());
+            return Mono.just(q);
+        });
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            called = new TcpRpcClient("127.0.0.1:" + s.getLocalPort(), CODEC, router, timers);
+        }
+        called.start();
+    }
+
+    @AfterEach
+    void stop() {
+        called.stop();
+        timers.close();
+    }
+
+    /** All that the called side says to these bytes after its greeting, until it closes. */
+    private byte[] said(byte[] hello, byte[]... rest) throws IOException {
+        int port = Integer.parseInt(called.self().substring(called.self().indexOf(':') + 1));
+        try (Socket s = new Socket("127.0.0.1", port)) {
+            s.setSoTimeout(20_000);
+            DataOutputStream out = new DataOutputStream(s.getOutputStream());
+            ScriptedRpcPeer.write(out, hello);
+            for (byte[] r : rest) {
+                out.write(r);
+            }
+            out.flush();
+            s.shutdownOutput();
+            DataInputStream in = new DataInputStream(s.getInputStream());
+            in.readNBytes(in.readInt());
+            return in.readAllBytes();
+        }
+    }
+
+    private static byte[] framed(byte[] frame, int announced) {
+        return java.nio.ByteBuffer.allocate(4 + frame.length)
+                .putInt(announced)
+                .put(frame)
+                .array();
+    }
+
+    @Test
+    void halfARequestIsNotExecuted() throws Exception {
+        byte[] request = CODEC.write(new Frame(1, Frame.Kind.ASK, new Question("half")));
+        byte[] hello = ScriptedRpcPeer.hello(Codec.OLDEST, Codec.NEWEST, "127.0.0.1:1");
+        said(hello, framed(java.util.Arrays.copyOf(request, request.length - 1), request.length));
+        assertEquals(List.of(), handled);
+    }
+
+    @Test
+    void foreignNameOrVersionIsNotServed() throws Exception {
+        byte[] request = CODEC.write(new Frame(1, Frame.Kind.ASK, new Question("foreign")));
+        byte[] whole = framed(request, request.length);
+        assertEquals(0, said(ScriptedRpcPeer.hello(Codec.OLDEST, Codec.NEWEST, ""), whole).length);
+        assertEquals(0, said(ScriptedRpcPeer.hello(Codec.OLDEST, Codec.NEWEST, "a b\n"), whole).length);
+        assertEquals(0, said(ScriptedRpcPeer.hello(Codec.NEWEST + 1, Codec.NEWEST + 2, "127.0.0.1:1"), whole).length);
+        assertEquals(List.of(), handled);
+    }
+
+    /** A damaged size would otherwise ask for gigabytes, and the process ends when it has none. */
+    @Test
+    void sizeThatTheFrameCannotHoldIsRefused() {
+        byte[] huge = CODEC.write(new Question("x"));
+        byte[] bytes = CODEC.write(new byte[3]);
+        byte[] list = CODEC.write(new ArrayList<>(List.of(1, 2, 3)));
+        byte[] immutable = CODEC.write(List.of(1, 2, 3));
+        for (byte[] sound : List.of(bytes, list, immutable)) {
+            byte[] damaged = java.util.Arrays.copyOf(sound, 6);
+            int sizeAt = 1;
+            damaged[sizeAt] = (byte) 0xff;
+            damaged[sizeAt + 1] = (byte) 0xff;
+            damaged[sizeAt + 2] = (byte) 0xff;
+            damaged[sizeAt + 3] = (byte) 0xff;
+            damaged[sizeAt + 4] = (byte) 0x07;
+            assertFalse(readable(damaged));
+        }
+        assertTrue(readable(huge));
+    }
+
+    private static boolean readable(byte[] frame) {
+        try {
+            CODEC.read(frame, Object.class);
+            return true;
+        } catch (ServiceException e) {
+            assertEquals(ErrorKind.BAD_REQUEST, e.kind());
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/common/src/test/java/org/woadvale/common/rpc/ScriptedRpcPeer.java
@@ -0,0 +1,112 @@
+package org.woadvale.common.rpc;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import org.woadvale.common.runtime.ServiceException;
+
+/** A peer on loopback that greets as it is told and answers each request frame by its script, byte for byte. */
+final class ScriptedRpcPeer implements AutoCloseable {
+    /** What the peer does with a request; it closes the connection on false. */
+    interface Script {
+        boolean answer(int connection, Frame request, DataOutputStream out) throws IOException;
+    }
+
+    private final ServerSocket server;
+    private final Codec codec;
+    private final Script script;
+    private final List<Socket> sockets = Collections.synchronizedList(new ArrayList<>());
+    final List<Frame> requests = Collections.synchronizedList(new ArrayList<>());
+    private final String greetsAs;
+
+    /** Greets under the given name, or under its own address for an empty one; says nothing at all for a blank one. */
+    ScriptedRpcPeer(Codec codec, String greetsAs, Script script) throws IOException {
+        this.server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        this.codec = codec;
+        this.greetsAs = greetsAs.isEmpty() ? address() : greetsAs;
+        this.script = script;
+        daemon(this::accept);
+    }
+
+    String address() {
+        return "127.0.0.1:" + server.getLocalPort();
+    }
+
+    int connections() {
+        return sockets.size();
+    }
+
+    static byte[] hello(int oldest, int newest, String name) {
+        byte[] bytes = name.getBytes(StandardCharsets.UTF_8);
+        return ByteBuffer.allocate(8 + bytes.length)
+                .putInt(0x574F4144)
+                .putShort((short) oldest)
+                .putShort((short) newest)
+                .put(bytes)
+                .array();
+    }
+
+    static void write(DataOutputStream out, byte[] frame) throws IOException {
+        out.writeInt(frame.length);
+        out.write(frame);
+        out.flush();
+    }
+
+    private static void daemon(Runnable r) {
+        Thread t = new Thread(r, "scripted-peer");
+        t.setDaemon(true);
+        t.start();
+    }
+
+    private void accept() {
+        while (!server.isClosed()) {
+            try {
+                Socket s = server.accept();
+                s.setTcpNoDelay(true);
+                sockets.add(s);
+                int connection = sockets.size();
+                daemon(() -> serve(s, connection));
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket s, int connection) {
+        try (s) {
+            DataInputStream in = new DataInputStream(s.getInputStream());
+            DataOutputStream out = new DataOutputStream(s.getOutputStream());
+            if (greetsAs.isBlank()) {
+                in.readNBytes(in.readInt());
+                return;
+            }
+            write(out, hello(Codec.OLDEST, Codec.NEWEST, greetsAs));
+            in.readNBytes(in.readInt());
+            while (true) {
+                Frame request = codec.read(in.readNBytes(in.readInt()), Frame.class);
+                requests.add(request);
+                if (!script.answer(connection, request, out)) {
+                    return;
+                }
+            }
+        } catch (IOException | ServiceException e) {
+            // the caller has gone
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        for (Socket s : List.copyOf(sockets)) {
+            s.close();
+        }
+    }
+}
--- a/common/src/test/java/org/woadvale/common/rpc/TcpRpcClientTest.java
+++ b/common/src/test/java/org/woadvale/common/rpc/TcpRpcClientTest.java
@@ -22,7 +22,7 @@
 
 /** The real streams, on ephemeral loopback ports. */
 class TcpRpcClientTest {
-    public record Question(String words) {}
+    public record Question(String words) implements RepeatableRequest {}
 
     public record Unregistered(String words) {}
 
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/ControlNode.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/ControlNode.java
@@ -15,6 +15,9 @@
 import org.woadvale.common.replication.Messages;
 import org.woadvale.common.replication.Phase;
 import org.woadvale.common.replication.Replica;
+import org.woadvale.common.rpc.AtMostOnceRequest;
+import org.woadvale.common.rpc.RepeatableRequest;
+import org.woadvale.common.rpc.ResendPolicy;
 import org.woadvale.common.rpc.RpcRouter;
 import org.woadvale.common.runtime.Component;
 import org.woadvale.common.runtime.Delays;
@@ -218,22 +221,29 @@
     }
 
     /**
-     * An operator's ask: waits out a part that has no owner just now. Every such ask may be repeated, so one that
-     * was left unknown is asked again for its definite answer. design 6.4
+     * An operator's ask: waits out a part that has no owner just now. One that was left unknown is asked again for
+     * its definite answer. design 6.4
      */
-    <T> Mono<T> ask(String part, Object body, Class<T> type) {
-        return ask(part, body, type, env.times().mono().plus(PATIENCE), false);
+    <T> Mono<T> ask(String part, RepeatableRequest request, Class<T> type) {
+        return patiently(
+                Mono.defer(() -> core.ask(part, request, type)), ResendPolicy.AFTER_UNKNOWN_OUTCOME, deadline(), false);
     }
 
-    private <T> Mono<T> ask(String part, Object body, Class<T> type, Duration until, boolean unknown) {
-        return core.ask(part, body, type).onErrorResume(e -> {
+    /** Waits out a part that has no owner just now; an unknown outcome goes to the caller and nothing is sent again. */
+    <T> Mono<T> askOnce(String part, AtMostOnceRequest request, Class<T> type) {
+        return patiently(
+                Mono.defer(() -> core.askOnce(part, request, type)), ResendPolicy.IF_NOT_EXECUTED, deadline(), false);
+    }
+
+    private Duration deadline() {
+        return env.times().mono().plus(PATIENCE);
+    }
+
+    private <T> Mono<T> patiently(Mono<T> call, ResendPolicy policy, Duration until, boolean unknown) {
+        return call.onErrorResume(e -> {
             ServiceException f = ServiceException.of(e);
             boolean nowUnknown = unknown || f.kind() == ErrorKind.UNKNOWN_OUTCOME;
-            boolean again = f.kind() == ErrorKind.NOT_OWNER
-                    || f.kind() == ErrorKind.UNREACHABLE
-                    || f.kind() == ErrorKind.STOPPING
-                    || f.kind() == ErrorKind.UNKNOWN_OUTCOME;
-            if (!again) {
+            if (!policy.allows(f.kind())) {
                 return Mono.error(f);
             }
             if (env.times().mono().compareTo(until) >= 0) {
@@ -245,7 +255,7 @@
                                 : f);
             }
             return Delays.pause(env.schedules(), AGAIN)
-                    .then(Mono.defer(() -> ask(part, body, type, until, nowUnknown)));
+                    .then(Mono.defer(() -> patiently(call, policy, until, nowUnknown)));
         });
     }
 
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/Operators.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/Operators.java
@@ -11,6 +11,7 @@
 import org.woadvale.common.membership.Processor;
 import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.membership.ServiceView;
+import org.woadvale.common.rpc.RepeatableRequest;
 import org.woadvale.common.rpc.Since;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
@@ -21,9 +22,9 @@
     public static final int MAX_CONFIGURATION = 1 << 20;
 
     /** Carried from the asked control node to the owner of part 0. */
-    public record ConfigurationPut(ControlMessages.PutConfiguration put) {}
+    public record ConfigurationPut(ControlMessages.PutConfiguration put) implements RepeatableRequest {}
 
-    public record ConfigurationGet(long version) {}
+    public record ConfigurationGet(long version) implements RepeatableRequest {}
 
     public record ConfigurationIs(
             long version,
@@ -31,11 +32,11 @@
             byte[] configuration,
             @Since(3) byte[] original) {}
 
-    public record HistoryGet(int most) {}
+    public record HistoryGet(int most) implements RepeatableRequest {}
 
     public record History(List<Long> versions, List<String> requests, List<String> authors) {}
 
-    public record ProcessorsGet(String service) {}
+    public record ProcessorsGet(String service) implements RepeatableRequest {}
 
     public record Processors(Map<String, Processor> processors, long version) {}
 
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/Platform.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/Platform.java
@@ -12,6 +12,7 @@
 import org.woadvale.common.membership.ControlMessages;
 import org.woadvale.common.membership.Processor;
 import org.woadvale.common.membership.ServiceNames;
+import org.woadvale.common.rpc.AtMostOnceRequest;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
 import reactor.core.publisher.Mono;
@@ -69,9 +70,9 @@
     }
 
     /** A change holds on to the list that was read, so that one held up on its way cannot undo a later one. design 6.7 */
-    private Mono<Boolean> change(String service, LongFunction<Object> command, int left) {
+    private Mono<Boolean> change(String service, LongFunction<AtMostOnceRequest> command, int left) {
         return list(service)
-                .flatMap(p -> node.ask(
+                .flatMap(p -> node.askOnce(
                         ServiceNames.controlPart(service), command.apply(p.version() + 1), ControlMessages.Done.class))
                 .flatMap(d -> d.ok()
                         ? Mono.just(true)
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/ProcessorRegistry.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/ProcessorRegistry.java
@@ -114,7 +114,7 @@
                     if (p.processors().equals(list) || !mine()) {
                         return Mono.just(true);
                     }
-                    return node.ask(
+                    return node.askOnce(
                                     ServiceNames.controlPart(key),
                                     new ControlMessages.PutProcessors(key, new HashMap<>(list), p.version() + 1),
                                     ControlMessages.Done.class)
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/SubmitForwarder.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/SubmitForwarder.java
@@ -10,6 +10,10 @@
 import org.woadvale.common.membership.MemberLease;
 import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.replication.Env;
+import org.woadvale.common.rpc.AtMostOnceRequest;
+import org.woadvale.common.rpc.RepeatableRequest;
+import org.woadvale.common.rpc.ResendPolicy;
+import org.woadvale.common.rpc.RpcRequest;
 import org.woadvale.common.runtime.Delays;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
@@ -76,8 +80,16 @@
     /**
      * Goes on until the limit. The answer is definite only if no try before it was left unknown.
      */
-    public <T> Mono<T> ask(String part, Object body, Class<T> type, Duration limit) {
-        return attempt(part, to -> Mono.just(body), type, env.times().mono().plus(limit), 0, false, "");
+    public <T> Mono<T> ask(String part, RepeatableRequest body, Class<T> type, Duration limit) {
+        return attempt(
+                part,
+                to -> Mono.just(body),
+                type,
+                env.times().mono().plus(limit),
+                0,
+                ResendPolicy.AFTER_UNKNOWN_OUTCOME,
+                false,
+                "");
     }
 
     /** Whether asks of the part failed lately: whoever comes now need not wait long to know. */
@@ -86,20 +98,38 @@
     }
 
     /** The same, but nothing that is held up on its way beyond the limit is taken then: design 9.7. */
-    public <T> Mono<T> timely(String part, Function<Commands.Until, Object> body, Class<T> type, Duration limit) {
+    public <T> Mono<T> timely(
+            String part, Function<Commands.Until, RepeatableRequest> body, Class<T> type, Duration limit) {
+        return timely(part, body, type, limit, ResendPolicy.AFTER_UNKNOWN_OUTCOME);
+    }
+
+    /** The same for a request that is not sent again once its outcome is unknown. */
+    public <T> Mono<T> timelyOnce(
+            String part, Function<Commands.Until, AtMostOnceRequest> body, Class<T> type, Duration limit) {
+        return timely(part, body, type, limit, ResendPolicy.IF_NOT_EXECUTED);
+    }
+
+    private <T> Mono<T> timely(
+            String part,
+            Function<Commands.Until, ? extends RpcRequest> body,
+            Class<T> type,
+            Duration limit,
+            ResendPolicy policy) {
         Duration until = env.times().mono().plus(limit);
         return attempt(
                 part,
-                to -> clocks.until(to, until, EACH).map(body).onErrorMap(SubmitForwarder::notSent),
+                to -> clocks.until(to, until, EACH).<RpcRequest>map(body).onErrorMap(SubmitForwarder::notSent),
                 type,
                 until,
                 0,
+                policy,
                 false,
                 "");
     }
 
     /** One ask to one store, not taken later than the limit; its answer may take as long as the limit. */
-    public <T> Mono<T> at(String store, Function<Commands.Until, Object> body, Class<T> type, Duration limit) {
+    public <T> Mono<T> at(
+            String store, Function<Commands.Until, AtMostOnceRequest> body, Class<T> type, Duration limit) {
         Duration until = env.times().mono().plus(limit);
         return clocks.until(store, until, EACH)
                 .map(body)
@@ -116,10 +146,11 @@
 
     private <T> Mono<T> attempt(
             String part,
-            Function<String, Mono<Object>> body,
+            Function<String, Mono<RpcRequest>> body,
             Class<T> type,
             Duration until,
             int turn,
+            ResendPolicy policy,
             boolean unknown,
             String hint) {
         String to = hint.isEmpty() ? guess(part, turn) : hint;
@@ -139,19 +170,15 @@
                     clocks.forget(to);
                     health.failed(part, to, f);
                     boolean nowUnknown = unknown || !f.kind().definite();
-                    boolean again = f.kind() == ErrorKind.NOT_OWNER
-                            || f.kind() == ErrorKind.UNREACHABLE
-                            || f.kind() == ErrorKind.UNKNOWN_OUTCOME
-                            || f.kind() == ErrorKind.STOPPING
-                            || f.kind() == ErrorKind.EXPIRED;
-                    if (!again || env.times().mono().compareTo(until) >= 0) {
+                    if (!policy.allows(f.kind()) || env.times().mono().compareTo(until) >= 0) {
                         return Mono.error(settled(f, nowUnknown));
                     }
                     String next =
                             f.kind() == ErrorKind.NOT_OWNER && !f.details().isEmpty()
                                     ? f.details().get(0)
                                     : "";
-                    Mono<T> more = Mono.defer(() -> attempt(part, body, type, until, turn + 1, nowUnknown, next));
+                    Mono<T> more =
+                            Mono.defer(() -> attempt(part, body, type, until, turn + 1, policy, nowUnknown, next));
                     return next.isEmpty() ? Delays.pause(env.schedules(), PAUSE).then(more) : more;
                 });
     }
--- a/dataplane/src/main/java/org/woadvale/dataplane/ingress/IngressNode.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/ingress/IngressNode.java
@@ -181,7 +181,7 @@
 
     private Mono<Commands.Fetched> fetch(String part, String service, PullRequest in, boolean again) {
         return forwarder
-                .timely(
+                .timelyOnce(
                         part,
                         u -> new Commands.FetchAsk(part, service, in.processor(), in.most(), u, in.fetch(), again),
                         Commands.Fetched.class,
--- a/dataplane/src/main/java/org/woadvale/dataplane/queue/Commands.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/queue/Commands.java
@@ -4,6 +4,8 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
+import org.woadvale.common.rpc.AtMostOnceRequest;
+import org.woadvale.common.rpc.RepeatableRequest;
 import org.woadvale.common.rpc.Since;
 
 /** What is written in the logs of message parts, and asked between pilots. */
@@ -69,37 +71,39 @@
     /** By the clock of the asked process in this life of it: what comes later is refused. design 9.7 */
     public record Until(String life, Duration by) {}
 
-    public record ClockAsk(boolean any) {}
+    public record ClockAsk(boolean any) implements RepeatableRequest {}
 
     public record Clock(String life, Duration at) {}
 
-    public record AcceptAsk(String part, Accept accept, Until until) {}
+    public record AcceptAsk(String part, Accept accept, Until until) implements RepeatableRequest {}
 
-    public record StatusAsk(String part, String handle, String tenant) {}
+    public record StatusAsk(String part, String handle, String tenant) implements RepeatableRequest {}
 
-    public record ListAsk(String part, String tenant, String state, int most) {}
+    public record ListAsk(String part, String tenant, String state, int most) implements RepeatableRequest {}
 
     public record Listed(List<Message> messages) {}
 
     public record FetchAsk(
-            String part, String service, String processor, int most, Until until, String fetch, boolean again) {}
+            String part, String service, String processor, int most, Until until, String fetch, boolean again)
+            implements AtMostOnceRequest {}
 
     public record Fetched(List<Message> messages) {}
 
     /** Also how a deposed owner gives an answer to the new one. */
-    public record OutcomeAsk(String part, End end, String processor, String service) {}
+    public record OutcomeAsk(String part, End end, String processor, String service) implements RepeatableRequest {}
 
     /** A fetch that waits at a store for work of a service, from any of the parts owned there. design 9.10 */
-    public record PullAsk(String service, String processor, Until until, long waitMs, String zone) {}
+    public record PullAsk(String service, String processor, Until until, long waitMs, String zone)
+            implements AtMostOnceRequest {}
 
     /** One message that was started, or none. */
     public record Pulled(List<Message> messages) {}
 
     /** The processor needs longer: the last word of a lease, kept by the owner in memory. design 9.10 */
-    public record LeaseAsk(String part, String handle, int attempt) {}
+    public record LeaseAsk(String part, String handle, int attempt) implements RepeatableRequest {}
 
     /** The end of a lease; said again it has the same answer. */
-    public record LeaseEndAsk(String part, End end) {}
+    public record LeaseEndAsk(String part, End end) implements RepeatableRequest {}
 
     public record State(Map<String, Message> messages, long seq) {}
 
--- a/testkit/src/main/java/org/woadvale/testkit/capacity/HollowFleet.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/HollowFleet.java
@@ -165,7 +165,7 @@
 
     private void put(int i, boolean leaving, int[] taken) {
         Processor p = new Processor("http://10.200." + i / 250 % 250 + "." + i % 250 + ":8080", leaving);
-        operator.ask(
+        operator.askOnce(
                         ServiceNames.controlPart(LIST),
                         new ControlMessages.PutProcessor(LIST, "processor-" + i, p, 0),
                         ControlMessages.Done.class)
--- a/testkit/src/test/java/org/woadvale/testkit/replication/Trio.java
+++ b/testkit/src/test/java/org/woadvale/testkit/replication/Trio.java
@@ -88,7 +88,7 @@
                 h.host(), h.host(), h.rpc(codec), codec, book, sim.random()::nextLong, ReplicationTiming.usual());
         Words m = new Words(codec);
         Replica replica = new Replica(PART, wanted, m, env);
-        Messages.types().forEach(t -> r.on(t, (from, a) -> replica.handle(from, a)));
+        Messages.route(r, part -> Mono.just(replica));
         words.put(n, m);
         replicas.put(n, replica);
         replica.start(book.recovered().getOrDefault(PART, List.of()));
