An answer of a processor that does not name its message, and it alone, is nobody's answer

Cause: an answer without the repeated id, or with two ids of which the last was ours, counted as the message's; so did an interim answer (103), whose real answer then stood where the next one's should. A spoiled answer could so end a message as "not run" that ran.

Ruled out, by scripted processors: a second answer, whole or in part, a late one after a time-out, a close or reset before, within or after an answer, a kept connection that dies as it is used, chunks without an end. Nothing is sent twice by the HTTP client, and a connection whose call timed out is not used again. The platform's list likewise (InstancesTest).

Change: exactly one value of the echoed header is asked for; otherwise the outcome is unknown and the connection closed.

Tests: ProcessorAnswersTest (three of nine failed before), InstancesTest (passed before).

--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/DeliveryClient.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/DeliveryClient.java
@@ -16,8 +16,8 @@
     }
 
     /**
-     * Whether it may still be sent is asked once the stream is open, right before the first byte. An
-     * answer that has a header of the echo (lower case) with another value belongs to another request. design 9.3
+     * Whether it may still be sent is asked once the stream is open, right before the first byte. An answer without
+     * the headers of the echo (lower case), or with another or a second value, belongs to another request. design 9.3
      */
     record Call(
             String method,
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/HttpDeliveryClient.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/HttpDeliveryClient.java
@@ -8,6 +8,7 @@
 import java.net.SocketAddress;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -66,12 +67,15 @@
                 .onErrorMap(HttpDeliveryClient::fault);
     }
 
-    /** An answer to another request shows that the stream is out of step: nothing more is sent on it. */
+    /**
+     * An answer that does not name our request, and it alone, shows that the stream is out of step: nothing more is
+     * sent on it. An interim answer is one of these.
+     */
     private Reply reply(Call c, HttpClientResponse r, Connection stream, byte[] body) {
         Map<String, String> headers = new HashMap<>();
         r.responseHeaders().forEach(e -> headers.put(e.getKey().toLowerCase(Locale.ROOT), e.getValue()));
         boolean ours = c.echo().entrySet().stream()
-                .allMatch(e -> headers.getOrDefault(e.getKey(), e.getValue()).equals(e.getValue()));
+                .allMatch(e -> r.responseHeaders().getAll(e.getKey()).equals(List.of(e.getValue())));
         if (!ours) {
             stream.channel().close();
             throw reactor.core.Exceptions.propagate(
