A pipelined request waits for the answer before it; heads that two readers take differently are refused

Cause: the server behind the gateway queues pipelined requests, but takes over from each as it is decoded whether the connection is to be kept. Beside that "Transfer-Encoding: chunked" with a second coding reached the application.

Ruled out: mixed or swapped answers. They came in order as far as they came, a body with HEAD or 204 is never written, and the answer of a caller who has gone reaches nobody.

Change: PipelinedRequests passes a request on once the one before it has its whole answer. MalformedRequest refuses other codings than one "chunked", a coding beside a length or in HTTP/1.0, and two hosts; the answer closes the connection.

--- a/common/src/main/java/org/woadvale/common/http/HttpGateway.java
+++ b/common/src/main/java/org/woadvale/common/http/HttpGateway.java
@@ -54,8 +54,9 @@
                     .httpRequestDecoder(s -> s.maxHeaderSize(MAX_HEADER).maxInitialLineLength(MAX_HEADER))
                     .idleTimeout(Duration.ofSeconds(60))
                     .channelGroup(streams)
-                    .doOnChannelInit((o, c, a) ->
-                            c.pipeline().addAfter(NettyPipeline.HttpCodec, "broken", new MalformedRequest()))
+                    .doOnChannelInit((o, c, a) -> c.pipeline()
+                            .addAfter(NettyPipeline.HttpCodec, "broken", new MalformedRequest())
+                            .addAfter(NettyPipeline.HttpCodec, "pipelined", new PipelinedRequests()))
                     .handle(this::serve)
                     .bindNow(Duration.ofSeconds(5));
         } catch (RuntimeException e) {
@@ -82,7 +83,7 @@
                     out.status(a.status());
                     a.headers().forEach(out::header);
                     out.header("Content-Length", Integer.toString(a.body().length));
-                    if (closing) {
+                    if (closing || MalformedRequest.is(in)) {
                         out.header("Connection", "close");
                     }
                     return out.send(Mono.just(Unpooled.wrappedBuffer(a.body()))).then();
--- a/common/src/main/java/org/woadvale/common/http/MalformedRequest.java
+++ b/common/src/main/java/org/woadvale/common/http/MalformedRequest.java
@@ -3,7 +3,11 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.DecoderResultProvider;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.AttributeKey;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
 import reactor.netty.http.server.HttpServerRequest;
 
@@ -19,9 +23,22 @@
 
     @Override
     public void channelRead(ChannelHandlerContext c, Object message) {
-        if (message instanceof DecoderResultProvider p && p.decoderResult().isFailure()) {
+        boolean undecoded =
+                message instanceof DecoderResultProvider p && p.decoderResult().isFailure();
+        if (undecoded || message instanceof HttpRequest request && ambiguous(request)) {
             c.channel().attr(KEY).set(true);
         }
         c.fireChannelRead(message);
     }
+
+    /** Where one reader may see another end of the body, or another host, than the next one does. */
+    private static boolean ambiguous(HttpRequest request) {
+        List<String> codings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        boolean plain = codings.isEmpty()
+                || codings.size() == 1
+                        && codings.get(0).equalsIgnoreCase("chunked")
+                        && request.protocolVersion().equals(HttpVersion.HTTP_1_1)
+                        && !request.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
+        return !plain || request.headers().getAll(HttpHeaderNames.HOST).size() > 1;
+    }
 }
