--- a/common/src/test/java/org/woadvale/common/http/GatewayAnswersTest.java
+++ b/common/src/test/java/org/woadvale/common/http/GatewayAnswersTest.java
@@ -87,7 +87,6 @@
     private String said(String text) throws IOException {
         try (Socket s = open()) {
             say(s, text);
-            s.shutdownOutput();
             return rest(s);
         }
     }
--- /dev/null
+++ b/common/src/test/java/org/woadvale/common/http/GatewayPropertiesTest.java
@@ -0,0 +1,145 @@
+package org.woadvale.common.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import net.jqwik.api.lifecycle.AfterContainer;
+import net.jqwik.api.lifecycle.BeforeContainer;
+import org.woadvale.common.runtime.ServiceException;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Schedulers;
+
+/** Callers who send any requests, cut into any pieces, and any damage to them. The seeds are fixed. */
+class GatewayPropertiesTest {
+    private static final String SEED = "18";
+    private static final Pattern HEAD =
+            Pattern.compile("HTTP/1\\.1 ([0-9]{3}) [^\r]*\r\n(.*?)\r\n\r\n", Pattern.DOTALL);
+    private static final Pattern LENGTH = Pattern.compile("(?i)content-length: ([0-9]+)");
+    private static HttpGateway gateway;
+    private static int port;
+
+    /** The answer is the request said again, by another thread than the one that read it. */
+    @BeforeContainer
+    static void start() throws IOException, ServiceException {
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            port = s.getLocalPort();
+        }
+        gateway = new HttpGateway(
+                "127.0.0.1:" + port,
+                10_000,
+                q -> Mono.fromSupplier(() -> new Answer(200, Map.of("X-Path", q.path()), q.body()))
+                        .subscribeOn(Schedulers.parallel()));
+        gateway.start();
+    }
+
+    @AfterContainer
+    static void stop() {
+        gateway.stop();
+    }
+
+    private static byte[] request(int number, byte[] body, boolean chunked, boolean last) throws IOException {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        String head = "POST /" + number + " HTTP/1.1\r\nHost: h\r\n" + (last ? "Connection: close\r\n" : "")
+                + (chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "Content-Length: " + body.length + "\r\n\r\n");
+        out.write(head.getBytes(StandardCharsets.ISO_8859_1));
+        if (chunked && body.length > 0) {
+            out.write((Integer.toHexString(body.length) + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+            out.write(body);
+            out.write("\r\n".getBytes(StandardCharsets.ISO_8859_1));
+        } else if (!chunked) {
+            out.write(body);
+        }
+        if (chunked) {
+            out.write("0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+        }
+        return out.toByteArray();
+    }
+
+    private static byte[] requests(List<byte[]> bodies) throws IOException {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        for (int i = 0; i < bodies.size(); i++) {
+            out.write(request(i, bodies.get(i), i % 2 == 1, i == bodies.size() - 1));
+        }
+        return out.toByteArray();
+    }
+
+    private static byte[] said(byte[] bytes, int piece, boolean leaves) throws IOException {
+        try (Socket s = new Socket("127.0.0.1", port)) {
+            s.setSoTimeout(20_000);
+            s.setTcpNoDelay(true);
+            try {
+                for (int i = 0; i < bytes.length; i += piece) {
+                    s.getOutputStream().write(bytes, i, Math.min(piece, bytes.length - i));
+                }
+                if (leaves) {
+                    s.shutdownOutput();
+                }
+                return s.getInputStream().readAllBytes();
+            } catch (IOException e) {
+                // the gateway has refused and closed before it had read everything
+                return new byte[0];
+            }
+        }
+    }
+
+    /** Status and body of each whole answer; fails on bytes that are no answer, nor the beginning of one at the end. */
+    private static List<String> answers(byte[] bytes) {
+        String text = new String(bytes, StandardCharsets.ISO_8859_1);
+        List<String> out = new ArrayList<>();
+        Matcher head = HEAD.matcher(text);
+        int at = 0;
+        while (at < text.length()) {
+            assertTrue(text.startsWith("HTTP/1.1 ", at), "no answer at " + at + " of " + text);
+            if (!head.find(at)) {
+                return out;
+            }
+            Matcher length = LENGTH.matcher(head.group(2));
+            int size = length.find() ? Integer.parseInt(length.group(1)) : 0;
+            if (head.end() + size > text.length()) {
+                return out;
+            }
+            out.add(head.group(1) + " " + text.substring(head.end(), head.end() + size));
+            at = head.end() + size;
+        }
+        return out;
+    }
+
+    @Property(tries = 60, seed = SEED)
+    void eachRequestHasItsAnswerInItsPlace(
+            @ForAll @Size(min = 1, max = 6) List<@Size(max = 300) byte[]> bodies,
+            @ForAll @IntRange(min = 1, max = 200) int piece)
+            throws IOException {
+        List<String> expected = bodies.stream()
+                .map(b -> "200 " + new String(b, StandardCharsets.ISO_8859_1))
+                .toList();
+        assertEquals(expected, answers(said(requests(bodies), piece, false)));
+    }
+
+    /** Whatever is damaged: only answers come, not more than there were requests and one refusal. */
+    @Property(tries = 150, seed = SEED)
+    void damagedRequestsGetWholeAnswersOrNone(
+            @ForAll @Size(min = 1, max = 4) List<@Size(max = 40) byte[]> bodies,
+            @ForAll @IntRange(max = 10_000) int place,
+            @ForAll byte damage)
+            throws IOException {
+        byte[] bytes = requests(bodies);
+        bytes[place % bytes.length] ^= (byte) (damage | 1);
+        List<String> answers = answers(said(bytes, bytes.length, true));
+        assertTrue(answers.size() <= bodies.size() + 1, answers.toString());
+    }
+}
