--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/ControlNode.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/ControlNode.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,7 +16,6 @@
 import org.woadvale.common.replication.Replica;
 import org.woadvale.common.rpc.RpcRouter;
 import org.woadvale.common.runtime.Component;
-import org.woadvale.common.runtime.Delays;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.common.runtime.TimerHandle;
@@ -28,14 +26,12 @@
     private record Part(Replica replica, ControlStateMachine machine, LeaseManager leases) {}
 
     private static final int HISTORY = 4 << 20;
-    private static final Duration PATIENCE = Duration.ofMillis(2500);
-    private static final Duration CHANGES_HANDS = Duration.ofSeconds(1);
-    private static final Duration AGAIN = Duration.ofMillis(150);
 
     private final Env env;
     private final CoreClient core;
     private final Map<String, Part> parts = new LinkedHashMap<>();
-    private final Map<String, Duration> owned = new java.util.concurrent.ConcurrentHashMap<>();
+    private final LeaderSightings leaders = new LeaderSightings();
+    private final RetryingCoreClient retrying;
     private final ReplicaPlacement placing = new ReplicaPlacement();
     private TimerHandle looking = () -> {};
     private TimerHandle learning = () -> {};
@@ -45,6 +41,7 @@
     public ControlNode(Env env, CoreClient core, List<String> wantedCore) {
         this.env = env;
         this.core = core;
+        this.retrying = new RetryingCoreClient(env, core);
         for (String p : ServiceNames.controlParts()) {
             ControlStateMachine m = new ControlStateMachine(
                     env.codec(), Math.min(HISTORY, env.wal().largest() / 4));
@@ -109,20 +106,7 @@
     private Mono<ControlMessages.ViewReply> subscriptions(ControlMessages.ViewAsk ask) {
         String id = ServiceNames.controlPart(
                 ask.known().keySet().stream().findFirst().orElse(ServiceNames.CONFIGURATION));
-        return part(id).flatMap(p -> p.replica().read(i -> {
-            List<ServiceView> views = new ArrayList<>();
-            Map<String, Duration> ages = new HashMap<>();
-            ask.known().forEach((s, version) -> {
-                if (ServiceNames.controlPart(s).equals(id)) {
-                    ServiceView v = p.machine().service(s);
-                    ages.put(s, Duration.ZERO);
-                    if (v.version() != version) {
-                        views.add(v);
-                    }
-                }
-            });
-            return new ControlMessages.ViewReply(views, ages);
-        }));
+        return part(id).flatMap(p -> p.replica().read(i -> ServiceViewQuery.changed(id, p.machine(), ask)));
     }
 
     public List<String> lighthouses() {
@@ -205,48 +189,18 @@
     }
 
     private void seeOwners() {
-        parts.forEach((id, p) ->
-                p.replica().owner().ifPresent(o -> owned.put(id, env.times().mono())));
+        parts.forEach((id, p) -> leaders.observe(id, p.replica(), env.times().mono()));
     }
 
     /** A part that changes processors in order is without an owner for a moment; that is no reason to turn operators away. */
     public boolean ready() {
         seeOwners();
-        Duration from = env.times().mono().minus(CHANGES_HANDS);
-        return parts.keySet().stream()
-                .allMatch(p -> owned.containsKey(p) && owned.get(p).compareTo(from) > 0);
+        return leaders.allRecent(parts.keySet(), env.times().mono());
     }
 
-    /**
-     * An operator's ask: waits out a part that has no owner just now. Every such ask may be repeated, so one that
-     * was left unknown is asked again for its definite answer. design 6.4
-     */
+    /** An operator's request, repeated while the part has no leader. */
     <T> Mono<T> ask(String part, Object body, Class<T> type) {
-        return ask(part, body, type, env.times().mono().plus(PATIENCE), false);
-    }
-
-    private <T> Mono<T> ask(String part, Object body, Class<T> type, Duration until, boolean unknown) {
-        return core.ask(part, body, type).onErrorResume(e -> {
-            ServiceException f = ServiceException.of(e);
-            boolean nowUnknown = unknown || f.kind() == ErrorKind.UNKNOWN_OUTCOME;
-            boolean again = f.kind() == ErrorKind.NOT_OWNER
-                    || f.kind() == ErrorKind.UNREACHABLE
-                    || f.kind() == ErrorKind.STOPPING
-                    || f.kind() == ErrorKind.UNKNOWN_OUTCOME;
-            if (!again) {
-                return Mono.error(f);
-            }
-            if (env.times().mono().compareTo(until) >= 0) {
-                return Mono.error(
-                        nowUnknown
-                                ? new ServiceException(
-                                        ErrorKind.UNKNOWN_OUTCOME,
-                                        "It is not known whether this was taken; ask again with the same request id.")
-                                : f);
-            }
-            return Delays.pause(env.schedules(), AGAIN)
-                    .then(Mono.defer(() -> ask(part, body, type, until, nowUnknown)));
-        });
+        return retrying.ask(part, body, type);
     }
 
     public Replica replica(String part) {
--- /dev/null
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/ServiceViewQuery.java
@@ -0,0 +1,35 @@
+package org.woadvale.controlplane.partition;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.woadvale.common.membership.ControlMessages;
+import org.woadvale.common.membership.ServiceNames;
+import org.woadvale.common.membership.ServiceView;
+
+/** Selects the service views of one control partition that a subscriber does not have yet. */
+final class ServiceViewQuery {
+    private ServiceViewQuery() {}
+
+    /**
+     * The views whose version differs from the one asked with; services of other partitions are left out. Must run
+     * within a linearizable read of the partition: the reported ages are zero.
+     */
+    static ControlMessages.ViewReply changed(
+            String partition, ControlStateMachine machine, ControlMessages.ViewAsk request) {
+        List<ServiceView> views = new ArrayList<>();
+        Map<String, Duration> ages = new HashMap<>();
+        request.known().forEach((service, knownVersion) -> {
+            if (ServiceNames.controlPart(service).equals(partition)) {
+                ServiceView view = machine.service(service);
+                ages.put(service, Duration.ZERO);
+                if (view.version() != knownVersion) {
+                    views.add(view);
+                }
+            }
+        });
+        return new ControlMessages.ViewReply(views, ages);
+    }
+}
