--- a/dataplane/src/main/java/org/woadvale/dataplane/DataPlaneNode.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/DataPlaneNode.java
@@ -16,7 +16,6 @@
 import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.ratelimit.AdmissionTokens;
 import org.woadvale.common.ratelimit.LocalBuckets;
-import org.woadvale.common.ratelimit.RateLimit;
 import org.woadvale.common.ratelimit.TokenGranters;
 import org.woadvale.common.replication.Env;
 import org.woadvale.common.replication.ReplicationTiming;
@@ -26,24 +25,16 @@
 import org.woadvale.common.runtime.TimerHandle;
 import org.woadvale.dataplane.delivery.DeliveryClient;
 import org.woadvale.dataplane.delivery.DeliveryProtocol;
-import org.woadvale.dataplane.delivery.DispatchContext;
-import org.woadvale.dataplane.delivery.Dispatchers;
 import org.woadvale.dataplane.delivery.NativeDeliveryProtocol;
-import org.woadvale.dataplane.delivery.Recorder;
 import org.woadvale.dataplane.delivery.SubmitForwarder;
-import org.woadvale.dataplane.delivery.Targets;
 import org.woadvale.dataplane.ingress.Fetches;
 import org.woadvale.dataplane.ingress.IngressNode;
 import org.woadvale.dataplane.ingress.Intake;
 import org.woadvale.dataplane.ingress.Queries;
-import org.woadvale.dataplane.queue.MessagePartitions;
 import reactor.core.publisher.Mono;
 
 /** A pilot: intake, store or both, as its boot file says. design 1 */
 public final class DataPlaneNode implements Component {
-    private static final RateLimit STORE_UNITS = new RateLimit(8000, 16000);
-    private static final RateLimit PART_UNITS = new RateLimit(2000, 8000);
-
     private final Env env;
     private final Settings boot;
     private final CoreClient core;
@@ -51,9 +42,9 @@
     private final ConfigurationView configurations;
     private final LocalBuckets localBuckets;
     private final Optional<TokenGranters> holders;
-    private final Optional<MessagePartitions> partitions;
-    private final Optional<Dispatchers> dispatchers;
+    private final Optional<StoreRole> store;
     private final PartitionReplicas members;
+    private final RoleMembership membership;
     private final IngressNode ingress;
     private final Intake intake;
     private final Fetches fetches;
@@ -80,28 +71,13 @@
                 ? Optional.of(
                         new TokenGranters(env, core, subscriptions, configurations::allowance, configurations::buckets))
                 : Optional.empty();
-        this.partitions = boot.roles().contains("store")
-                ? Optional.of(new MessagePartitions(
-                        env,
-                        subscriptions,
-                        STORE_UNITS,
-                        PART_UNITS,
-                        (long) boot.partMb() << 20,
-                        Duration.ofSeconds(boot.keepEndedS())))
+        this.store = boot.roles().contains(StoreRole.NAME)
+                ? Optional.of(new StoreRole(
+                        env, boot, subscriptions, configurations, localBuckets, forwarder, post, protocol))
                 : Optional.empty();
-        this.members = new PartitionReplicas(env, subscriptions, partitions);
-        this.dispatchers = partitions.map(b -> new Dispatchers(new DispatchContext(
-                env,
-                subscriptions,
-                configurations,
-                localBuckets,
-                b,
-                new Targets(env),
-                post,
-                protocol,
-                new Recorder(env, forwarder),
-                Duration.ofMillis(boot.leaseMs()),
-                boot.zone())));
+        this.members = new PartitionReplicas(env, subscriptions, store.map(StoreRole::partitions));
+        this.membership = new RoleMembership(
+                env, boot, core, () -> new MemberLease(boot.zone(), boot.http(), incarnation, members.notVoting()));
         this.intake = new Intake(env, configurations, localBuckets, forwarder);
         this.fetches = new Fetches(env, subscriptions, configurations, forwarder, boot.zone(), () -> draining);
         this.queries = new Queries(configurations, forwarder);
@@ -120,8 +96,7 @@
                         ControlMessages.CoreAsk.class,
                         (f, a) -> Mono.just(new ControlMessages.CoreReply(core.lighthouses())));
         holders.ifPresent(h -> router.on(AdmissionTokens.PassAsk.class, h::asked));
-        partitions.ifPresent(b -> b.route(router));
-        dispatchers.ifPresent(l -> l.route(router));
+        store.ifPresent(s -> s.route(router));
     }
 
     @Override
@@ -129,10 +104,8 @@
         subscriptions.start();
         localBuckets.start();
         holders.ifPresent(TokenGranters::start);
-        if (partitions.isPresent()) {
-            dispatchers.ifPresent(l -> partitions.get().onOpen(l::opened));
-            partitions.get().start();
-            dispatchers.ifPresent(Dispatchers::start);
+        if (store.isPresent()) {
+            store.get().start();
         }
         lease();
         renewing = env.schedules().every(ReplicationTiming.usual().renew(), this::lease);
@@ -144,15 +117,7 @@
         if (draining) {
             return;
         }
-        MemberLease memberLease = new MemberLease(boot.zone(), boot.http(), incarnation, members.notVoting());
-        boot.roles().forEach(role -> {
-            String service = "role/" + role;
-            core.ask(
-                            ServiceNames.controlPart(service),
-                            new ControlMessages.LeaseAsk(service, env.self(), memberLease),
-                            ControlMessages.Done.class)
-                    .subscribe(d -> {}, e -> {});
-        });
+        membership.renew();
     }
 
     /** Duties and parts are given away first; true once nothing is left here. */
@@ -160,21 +125,14 @@
         if (!draining) {
             draining = true;
             holders.ifPresent(TokenGranters::drain);
-            boot.roles().stream().filter(r -> r.equals("intake")).forEach(role -> {
-                String service = "role/" + role;
-                core.ask(
-                                ServiceNames.controlPart(service),
-                                new ControlMessages.LeaveAsk(service, env.self()),
-                                ControlMessages.Done.class)
-                        .subscribe(d -> {}, e -> {});
-            });
+            membership.leave("intake");
         }
-        return partitions.map(MessagePartitions::drain).orElse(true);
+        return store.map(StoreRole::drain).orElse(true);
     }
 
     /** No delivery that was begun here is still without its end. */
     public boolean idle() {
-        return dispatchers.map(Dispatchers::idle).orElse(true);
+        return store.map(StoreRole::idle).orElse(true);
     }
 
     /** The boot values changed while we run. */
@@ -186,10 +144,7 @@
         return !draining
                 && configurations.fresh().isPresent()
                 && !subscriptions.latest(ServiceNames.STORES).placement().isEmpty()
-                && partitions
-                        .map(b -> b.all().values().stream()
-                                .allMatch(x -> x.replica().owner().isPresent()))
-                        .orElse(true);
+                && store.map(StoreRole::ready).orElse(true);
     }
 
     public Map<String, Set<String>> groups() {
@@ -264,8 +219,7 @@
     public void stop() {
         renewing.cancel();
         learning.cancel();
-        dispatchers.ifPresent(Dispatchers::stop);
-        partitions.ifPresent(MessagePartitions::stop);
+        store.ifPresent(StoreRole::stop);
         holders.ifPresent(TokenGranters::stop);
         localBuckets.stop();
         subscriptions.stop();
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/Dispatcher.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/Dispatcher.java
@@ -1,6 +1,5 @@
 package org.woadvale.dataplane.delivery;
 
-import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -18,15 +17,11 @@
 import org.woadvale.dataplane.queue.Message;
 import org.woadvale.dataplane.queue.MessagePartitions.MessagePartition;
 import org.woadvale.dataplane.queue.ReadyQueue;
-import org.woadvale.dataplane.queue.RouteTerms;
 import reactor.core.publisher.Mono;
 
 /** Lets the messages of one part out, while this node owns it: design 9.3. */
 public final class Dispatcher {
     private static final int LOOK_AHEAD = 64;
-    private static final Duration SHORTLY = Duration.ofMillis(20);
-    private static final Duration FIRST_BACKOFF = Duration.ofMillis(50);
-    private static final Duration LONGEST_BACKOFF = Duration.ofSeconds(20);
     /** Retries of a tenant on a lane in a part: a flood that cannot succeed spends only these. */
     private static final RateLimit RETRIES = new RateLimit(5, 10);
 
@@ -34,12 +29,14 @@
     private final MessagePartition partition;
     private final Set<String> busy = ConcurrentHashMap.newKeySet();
     private final Map<String, Bucket> retries = new HashMap<>();
+    private final DeliveryPolicy policy;
     private final Leases leases;
     private int turn;
 
     public Dispatcher(DispatchContext context, MessagePartition partition) {
         this.context = context;
         this.partition = partition;
+        this.policy = new DeliveryPolicy(context);
         this.leases = new Leases(context, partition, this);
     }
 
@@ -67,44 +64,8 @@
         return context.env().times().wall();
     }
 
-    private Configuration configuration() {
-        return context.configurations().fresh().map(k -> k.configuration()).orElse(Configuration.empty());
-    }
-
-    RouteTerms terms(Message m) {
-        return Optional.ofNullable(configuration().lanes().get(m.lane()))
-                .map(RouteTerms::of)
-                .orElse(m.terms());
-    }
-
-    /** Counted from when the message was due first: a delay asked for does not eat it up. */
-    Instant timeIsUp(Message m) {
-        return m.from().plusMillis(terms(m).timeLimitMs());
-    }
-
-    boolean triesLeft(Message m) {
-        return m.tries() < terms(m).attempts();
-    }
-
-    boolean resends(Message m) {
-        return terms(m).resend() && !context.protocol().inquires();
-    }
-
-    boolean dedupes(Message m) {
-        return Optional.ofNullable(configuration().services().get(terms(m).service()))
-                .map(Configuration.Service::dedupes)
-                .orElse(false);
-    }
-
-    /** What was not run is tried elsewhere soon; a little apart, so that not all come at once. */
-    Duration shortly() {
-        return SHORTLY.plusNanos(Math.floorMod(context.env().random().getAsLong(), SHORTLY.toNanos()));
-    }
-
-    Duration backoff(int tries) {
-        Duration d = FIRST_BACKOFF.multipliedBy(1L << 2 * Math.min(5, Math.max(0, tries - 1)));
-        d = d.compareTo(LONGEST_BACKOFF) > 0 ? LONGEST_BACKOFF : d;
-        return d.dividedBy(2).plusNanos(Math.floorMod(context.env().random().getAsLong(), d.toNanos()));
+    DeliveryPolicy policy() {
+        return policy;
     }
 
     /** Only views of proven age may say that a processor is gone. */
@@ -113,7 +74,7 @@
         if (l.isEmpty()) {
             return ProcessorStatus.of(ProcessorStatus.Kind.NOT_KNOWN_NOW);
         }
-        String service = terms(m).service();
+        String service = policy.terms(m).service();
         Optional<Configuration.Service> s =
                 Optional.ofNullable(l.get().services().get(service));
         if (s.isPresent() && s.get().kind() == Configuration.Kind.ENDPOINT) {
@@ -132,7 +93,7 @@
 
     /** Asking an outside endpoint counts as one of its requests, so it spends a leaving pass. */
     Optional<DeliveryPermit> mayInquire(Message m) {
-        return DeliveryPermit.draw(context, terms(m).service());
+        return DeliveryPermit.draw(context, policy.terms(m).service());
     }
 
     /** Called by the store's one schedule. */
@@ -189,14 +150,14 @@
 
     /** False when the lane can send nothing more now. */
     private boolean begin(Message m) {
-        if (wall().isAfter(timeIsUp(m))) {
+        if (wall().isAfter(policy.expiry(m))) {
             expire(m);
             return true;
         }
         Optional<Targets.Target> t = context.targets()
                 .draw(
-                        ProcessorSelector.targets(this, terms(m).service()),
-                        ProcessorSelector.most(this, terms(m).service()));
+                        ProcessorSelector.targets(this, policy.terms(m).service()),
+                        ProcessorSelector.most(this, policy.terms(m).service()));
         if (t.isEmpty()) {
             return false;
         }
@@ -204,7 +165,8 @@
             context.targets().unused(t.get());
             return true;
         }
-        Optional<DeliveryPermit> permit = DeliveryPermit.draw(context, partition, m, terms(m).service());
+        Optional<DeliveryPermit> permit =
+                DeliveryPermit.draw(context, partition, m, policy.terms(m).service());
         if (permit.isEmpty()) {
             context.targets().unused(t.get());
             return false;
@@ -239,7 +201,12 @@
     /** The attempt is committed before anything is sent; then all is checked again. */
     private Mono<Boolean> dispatch(Message m, DeliveryPermit permit, Targets.Target t) {
         Commands.Start start = new Commands.Start(
-                m.handle(), m.attempt() + 1, t.id(), wall().plusMillis(terms(m).attemptMs()), wall(), t.address());
+                m.handle(),
+                m.attempt() + 1,
+                t.id(),
+                wall().plusMillis(policy.terms(m).attemptMs()),
+                wall(),
+                t.address());
         return partition
                 .replica()
                 .propose(start, Commands.Changed.class)
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/Leases.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/Leases.java
@@ -57,15 +57,15 @@
                             now,
                             most,
                             turn,
-                            m -> dispatcher.terms(m).service().equals(service))));
+                            m -> dispatcher.policy().terms(m).service().equals(service))));
             return out;
         });
     }
 
     /** The attempt is committed, then all is looked at again; empty where it was not handed out. */
     Mono<Message> begin(Message m, String processor) {
-        String service = dispatcher.terms(m).service();
-        if (wall().isAfter(dispatcher.timeIsUp(m))
+        String service = dispatcher.policy().terms(m).service();
+        if (wall().isAfter(dispatcher.policy().expiry(m))
                 || context.configurations().fresh().isEmpty()
                 || m.tries() > 0 && !dispatcher.retryAllowed(m.lane() + "/" + m.tenant())) {
             return Mono.empty();
@@ -202,10 +202,11 @@
 
     /** Clock and attempts are the owner's to count. */
     private Commands.End settled(Commands.End e, Message m) {
-        boolean over = e.ending() == Commands.Ending.RETRY && !dispatcher.triesLeft(m);
+        boolean over =
+                e.ending() == Commands.Ending.RETRY && !dispatcher.policy().triesLeft(m);
         Instant due = e.ending() == Commands.Ending.RETRY
-                ? wall().plus(dispatcher.backoff(m.tries()))
-                : wall().plus(dispatcher.shortly());
+                ? wall().plus(dispatcher.policy().backoff(m.tries()))
+                : wall().plus(dispatcher.policy().soon());
         return new Commands.End(
                 e.handle(),
                 e.attempt(),
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/Run.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/Run.java
@@ -36,7 +36,7 @@
         Duration begun = l.context().env().times().mono();
         // the calendar may have jumped since the attempt was committed
         Duration left = Duration.between(wall(), m.deadline());
-        Duration most = Duration.ofMillis(l.terms(m).attemptMs());
+        Duration most = Duration.ofMillis(l.policy().terms(m).attemptMs());
         Duration limit = left.isNegative() ? Duration.ofMillis(1) : left.compareTo(most) > 0 ? most : left;
         SendGuard sendGuard = new SendGuard();
         return l.context()
@@ -49,7 +49,7 @@
                                 limit,
                                 () -> sendGuard.leave(() -> l.owns()
                                         && ProcessorSelector.targets(
-                                                        l, l.terms(m).service())
+                                                        l, l.policy().terms(m).service())
                                                 .contains(target)
                                         && permit.spend())))
                 .map(r -> l.context().protocol().read(m, r))
@@ -64,7 +64,10 @@
                                     l.context().env().times().mono().minus(begun));
                     if (sendGuard.close()) {
                         permit.putBack();
-                        return end(Commands.Ending.NOT_SENT, "not sent: " + v.word(), wall().plus(l.shortly()));
+                        return end(
+                                Commands.Ending.NOT_SENT,
+                                "not sent: " + v.word(),
+                                wall().plus(l.policy().soon()));
                     }
                     return settle(v);
                 });
@@ -75,11 +78,15 @@
             case DONE -> end(Commands.Ending.DONE, v.word(), wall());
             case REFUSED -> end(Commands.Ending.FAILED, v.word(), wall());
             case LATER ->
-                l.triesLeft(m)
-                        ? end(Commands.Ending.RETRY, v.word(), wall().plus(l.backoff(m.tries())))
+                l.policy().triesLeft(m)
+                        ? end(
+                                Commands.Ending.RETRY,
+                                v.word(),
+                                wall().plus(l.policy().backoff(m.tries())))
                         : end(Commands.Ending.FAILED, "attempts used up; last: " + v.word(), wall());
-            case NOT_KNOWN -> end(Commands.Ending.NOT_SENT, v.word(), wall().plus(l.backoff(1)));
-            case UNCLEAR, RUNNING -> l.resends(m) ? resend(v.word()) : inquireLater();
+            case NOT_KNOWN ->
+                end(Commands.Ending.NOT_SENT, v.word(), wall().plus(l.policy().backoff(1)));
+            case UNCLEAR, RUNNING -> l.policy().resends(m) ? resend(v.word()) : inquireLater();
         };
     }
 
@@ -93,17 +100,20 @@
      * gives a repeat its first success again. design 9.11
      */
     Mono<Boolean> resend(String why) {
-        Duration wait = l.dedupes(m)
-                ? l.shortly()
+        Duration wait = l.policy().deduplicates(m)
+                ? l.policy().soon()
                 : Duration.between(wall(), m.deadline()).plus(AFTER_DEADLINE);
         return org.woadvale.common.runtime.Delays.pause(
                         l.context().env().schedules(), wait.isNegative() ? Duration.ZERO : wait)
-                .then(Mono.defer(() -> end(Commands.Ending.LAPSED, "sent again: " + why, wall().plus(l.shortly()))));
+                .then(Mono.defer(() -> end(
+                        Commands.Ending.LAPSED,
+                        "sent again: " + why,
+                        wall().plus(l.policy().soon()))));
     }
 
     /** Running by the log, but begun by an earlier owner, which may still processor over the answer that it got. */
     Mono<Boolean> adopted() {
-        return l.resends(m)
+        return l.policy().resends(m)
                 ? org.woadvale.common.runtime.Delays.pause(l.context().env().schedules(), ADOPTED)
                         .then(Mono.defer(() -> resend("the owner changed")))
                 : inquire();
@@ -124,10 +134,12 @@
         if (late && where.kind() == ProcessorStatus.Kind.GONE) {
             return unclear("the processor is gone");
         }
-        if (late && where.kind() == ProcessorStatus.Kind.FETCHES && l.terms(m).rerun()) {
+        if (late
+                && where.kind() == ProcessorStatus.Kind.FETCHES
+                && l.policy().terms(m).rerun()) {
             return unclear("no outcome before the deadline");
         }
-        if (wall().isAfter(l.timeIsUp(m)) && mayEndUnproven(where)) {
+        if (wall().isAfter(l.policy().expiry(m)) && mayEndUnproven(where)) {
             return end(Commands.Ending.FAILED, Message.UNCLEAR + "time limit reached", wall());
         }
         Optional<DeliveryPermit> permit = where.canBeAsked() ? l.mayInquire(m) : Optional.empty();
@@ -163,12 +175,12 @@
     /** Nobody can say any more whether it was done: the lane's operator has said what then. */
     private Mono<Boolean> unclear(String why) {
         LOG.warn("launch: it stays unclear whether {} was done: {}.", m.handle(), why);
-        return l.terms(m).rerun() ? retry(why) : end(Commands.Ending.FAILED, Message.UNCLEAR + why, wall());
+        return l.policy().terms(m).rerun() ? retry(why) : end(Commands.Ending.FAILED, Message.UNCLEAR + why, wall());
     }
 
     private Mono<Boolean> retry(String word) {
-        return l.triesLeft(m)
-                ? end(Commands.Ending.RETRY, word, wall().plus(l.backoff(1)))
+        return l.policy().triesLeft(m)
+                ? end(Commands.Ending.RETRY, word, wall().plus(l.policy().backoff(1)))
                 : end(Commands.Ending.FAILED, "attempts used up; last: " + word, wall());
     }
 }
--- /dev/null
+++ b/dataplane/src/main/java/org/woadvale/dataplane/ingress/CheckedSubmission.java
@@ -0,0 +1,31 @@
+package org.woadvale.dataplane.ingress;
+
+import java.time.Instant;
+import org.woadvale.common.config.Configuration;
+import org.woadvale.dataplane.queue.Commands;
+import org.woadvale.dataplane.queue.RouteTerms;
+
+/**
+ * A submission whose key and lane were found valid.
+ *
+ * @param tenant the key's tenant, empty where the lane asks for no key
+ * @param hash tells a repeat from other content under the same id
+ * @param anyPartition whether any partition may take it, since a repeat of it is a message of its own
+ */
+record CheckedSubmission(Submission submission, String tenant, String hash, boolean anyPartition) {
+
+    /** The command that accepts it now, on the terms that the lane has now. */
+    Commands.Accept command(Configuration.Lane lane, Instant now) {
+        return new Commands.Accept(
+                tenant,
+                submission.lane(),
+                submission.id(),
+                submission.orderKey(),
+                submission.body(),
+                hash,
+                RouteTerms.of(lane),
+                now.plusMillis(submission.delayMs()),
+                now,
+                submission.envelope());
+    }
+}
--- a/dataplane/src/main/java/org/woadvale/dataplane/ingress/Intake.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/ingress/Intake.java
@@ -1,14 +1,8 @@
 package org.woadvale.dataplane.ingress;
 
 import java.time.Duration;
-import java.time.Instant;
-import java.util.LinkedHashMap;
-import java.util.Map;
 import java.util.Optional;
 import org.woadvale.common.config.Configuration;
-import org.woadvale.common.config.Configurations;
-import org.woadvale.common.http.Answer;
-import org.woadvale.common.http.Request;
 import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.ratelimit.AdmissionTokens;
 import org.woadvale.common.ratelimit.LocalBucket;
@@ -21,73 +15,49 @@
 import org.woadvale.dataplane.ConfigurationView;
 import org.woadvale.dataplane.delivery.SubmitForwarder;
 import org.woadvale.dataplane.queue.Commands;
-import org.woadvale.dataplane.queue.RouteTerms;
 import reactor.core.publisher.Mono;
 
-/** A processor-in's way: checked, then a pass, then the store; three stages with bounded queues. design 9.6 */
+/** Takes submissions in: checked, then given a rate limit token, then forwarded; stages with bounded queues. design 9.6 */
 public final class Intake {
-    static final int MAX_BODY = 16 << 10;
-    private static final Duration LIMIT = Duration.ofMillis(4000);
-    private static final Duration PAUSE = Duration.ofMillis(50);
-    /** Where another part may take it, no owner is waited for. */
-    private static final Duration SHORT = Duration.ofMillis(100);
+    /** How long a submission may take altogether. */
+    static final Duration LIMIT = Duration.ofMillis(4000);
 
-    private static final Duration HOPELESS = Duration.ofMillis(15);
-    private static final int DEPTH = 1024;
-    private static final int WIDTH = 256;
+    private static final Duration RETRY_PAUSE = Duration.ofMillis(50);
+    /** Where another partition may take it, no leader is waited for. */
+    private static final Duration SHORT_WAIT = Duration.ofMillis(100);
 
-    private record Checked(Submission offer, String tenant, String hash, boolean free) {}
+    private static final Duration TROUBLED_WAIT = Duration.ofMillis(15);
+    /** A token is waited for at most this fraction of the caller's patience. */
+    private static final int TOKEN_WAIT_FRACTION = 16;
 
-    private record Admitted(Checked c, LocalBucket.Pass pass, String part) {}
+    private static final int QUEUE_DEPTH = 1024;
+    private static final int FORWARDED_AT_ONCE = 256;
+    private static final int ADMITTED_AT_ONCE = 4 * FORWARDED_AT_ONCE;
 
     private final Env env;
-    private final RouteMatcher doors;
+    private final SubmissionValidator validator;
     private final LocalBuckets localBuckets;
     private final SubmitForwarder forwarder;
-    private final Stage<Checked, Admitted> passing;
-    private final Stage<Admitted, Commands.Accepted> forwarding;
+    private final Stage<CheckedSubmission, AdmittedSubmission> admission;
+    private final Stage<AdmittedSubmission, Commands.Accepted> forwarding;
 
     public Intake(Env env, ConfigurationView configurations, LocalBuckets localBuckets, SubmitForwarder forwarder) {
         this.env = env;
-        this.doors = new RouteMatcher(configurations);
+        this.validator = new SubmissionValidator(new RouteMatcher(configurations));
         this.localBuckets = localBuckets;
         this.forwarder = forwarder;
-        this.passing = new Stage<>("passes", DEPTH, WIDTH * 4, this::pass);
-        this.forwarding = new Stage<>("hand-over", DEPTH, WIDTH, this::transferLeadership);
-    }
-
-    /** The product's own way in: JSON, answered by the handle. */
-    Mono<Answer> submit(Request q, String lane) {
-        try {
-            Submission o = offer(q, lane);
-            return take(o).map(x -> accepted(o, x));
-        } catch (ServiceException e) {
-            return Mono.error(e);
-        }
-    }
-
-    private Submission offer(Request q, String lane) throws ServiceException {
-        doors.key(q, Configuration.Role.CALLER);
-        doors.lane(lane);
-        SubmitRequest in = doors.body(q, SubmitRequest.class);
-        return new Submission(
-                q.secret().orElse(""),
-                lane,
-                in.id(),
-                in.orderingKey(),
-                in.delayMs(),
-                Map.of(),
-                Configurations.write(in.body()),
-                LIMIT);
+        this.admission = new Stage<>("passes", QUEUE_DEPTH, ADMITTED_AT_ONCE, this::admit);
+        this.forwarding = new Stage<>("hand-over", QUEUE_DEPTH, FORWARDED_AT_ONCE, this::forward);
     }
 
     /** Accepted, or a fault whose kind says whether it may have been taken. design 9.6 */
-    public Mono<Commands.Accepted> take(Submission o) {
+    public Mono<Commands.Accepted> take(Submission submission) {
         try {
-            return passing.submit(check(o))
-                    .flatMap(a -> forwarding.submit(a).doOnError(e -> {
-                        if (ServiceException.of(e).kind() == ErrorKind.QUEUE_FULL) {
-                            putBack(a);
+            return admission
+                    .submit(validator.check(submission))
+                    .flatMap(admitted -> forwarding.submit(admitted).doOnError(error -> {
+                        if (ServiceException.of(error).kind() == ErrorKind.QUEUE_FULL) {
+                            putBack(admitted);
                         }
                     }));
         } catch (ServiceException e) {
@@ -95,182 +65,141 @@
         }
     }
 
-    private Checked check(Submission o) throws ServiceException {
-        Optional<Configuration.Key> key = doors.callerKey(o.secret(), o.lane());
-        Configuration.Lane l = doors.lane(o.lane());
-        if (l.doors().isEmpty()
-                && l.ordering() == Configuration.Ordering.KEY
-                && o.orderKey().isEmpty()) {
-            throw new ServiceException(ErrorKind.BAD_REQUEST, "The lane " + o.lane() + " needs an orderingKey.");
-        }
-        if (l.doors().isEmpty()
-                && l.ordering() == Configuration.Ordering.NONE
-                && !o.orderKey().isEmpty()) {
-            throw new ServiceException(
-                    ErrorKind.BAD_REQUEST, "The lane " + o.lane() + " has no ordering; leave out orderingKey.");
-        }
-        return new Checked(
-                o,
-                key.map(Configuration.Key::tenant).orElse(""),
-                o.hash(),
-                !l.doors().isEmpty());
-    }
-
-    private Mono<Admitted> pass(Checked c) {
-        return pass(c, part(c));
+    private Mono<AdmittedSubmission> admit(CheckedSubmission checked) {
+        return admit(checked, partition(checked));
     }
 
-    private Mono<Admitted> pass(Checked c, String part) {
-        return c.tenant().isEmpty()
-                ? Mono.just(new Admitted(
-                        c,
-                        new LocalBucket.Pass(
-                                AdmissionTokens.NO_GRANT, env.times().mono().plus(AdmissionTokens.LIFE)),
-                        part))
-                : localBuckets
-                        .take(
-                                ServiceNames.tenantBucket(c.tenant()),
-                                c.offer().patience().dividedBy(16))
-                        .map(p -> new Admitted(c, p, part));
+    private Mono<AdmittedSubmission> admit(CheckedSubmission checked, String partition) {
+        if (checked.tenant().isEmpty()) {
+            Duration until = env.times().mono().plus(AdmissionTokens.LIFE);
+            LocalBucket.Pass unlimited = new LocalBucket.Pass(AdmissionTokens.NO_GRANT, until);
+            return Mono.just(new AdmittedSubmission(checked, unlimited, partition));
+        }
+        Duration longestWait = checked.submission().patience().dividedBy(TOKEN_WAIT_FRACTION);
+        return localBuckets
+                .take(ServiceNames.tenantBucket(checked.tenant()), longestWait)
+                .map(token -> new AdmittedSubmission(checked, token, partition));
     }
 
     /**
      * By the ordering key, or by the id, which every repeat has. Where a repeat is never handed in anew (lanes with
      * doors) any part does: one whose owner is near and in touch. design 9.13
      */
-    private String part(Checked c) {
-        Submission o = c.offer();
-        return o.orderKey().isEmpty() && c.free()
-                ? forwarder.anyPart(o.id())
-                : ServiceNames.messagePart(o.lane(), o.orderKey().isEmpty() ? o.id() : o.orderKey());
-    }
-
-    private String bucket(Admitted a) {
-        return ServiceNames.tenantBucket(a.c().tenant());
+    private String partition(CheckedSubmission checked) {
+        Submission submission = checked.submission();
+        if (!submission.orderKey().isEmpty()) {
+            return ServiceNames.messagePart(submission.lane(), submission.orderKey());
+        }
+        return checked.anyPartition()
+                ? forwarder.anyPart(submission.id())
+                : ServiceNames.messagePart(submission.lane(), submission.id());
     }
 
-    private void putBack(Admitted a) {
-        localBuckets.putBack(bucket(a), a.pass());
+    private void putBack(AdmittedSubmission admitted) {
+        localBuckets.putBack(admitted.bucket(), admitted.token());
     }
 
-    /** Key, lane and pass are looked at once more, right before each processor-over: design 9.7. */
-    private Mono<Commands.Accepted> transferLeadership(Admitted a) {
-        return attempt(a, env.times().mono().plus(givenUp(a.c().offer())), false);
+    /** Key, lane and token are looked at once more, right before each try: design 9.7. */
+    private Mono<Commands.Accepted> forward(AdmittedSubmission admitted) {
+        Duration until = env.times().mono().plus(limit(admitted.checked().submission()));
+        return attempt(admitted, until, false);
     }
 
     /** What is not decided by half of the caller's patience is answered then, while there is time to come back. */
-    private static Duration givenUp(Submission o) {
-        Duration half = o.patience().dividedBy(2);
-        return o.patience().compareTo(LIMIT) >= 0 ? LIMIT : half;
-    }
-
-    private Configuration.Lane lookAgain(Admitted a) throws ServiceException {
-        Configuration.Lane lane = doors.lane(a.c().offer().lane());
-        if (!doors.callerKey(a.c().offer().secret(), a.c().offer().lane())
-                .map(Configuration.Key::tenant)
-                .orElse("")
-                .equals(a.c().tenant())) {
-            throw new ServiceException(ErrorKind.UNAUTHORISED, "The key is another tenant's by now.");
-        }
-        if (!localBuckets.alive(a.pass())) {
-            throw new ServiceException(ErrorKind.THROTTLED, "The pass died while waiting.");
-        }
-        return lane;
-    }
-
-    private Commands.Accept accept(Checked c, Configuration.Lane lane) {
-        Instant now = env.times().wall();
-        Submission o = c.offer();
-        return new Commands.Accept(
-                c.tenant(),
-                o.lane(),
-                o.id(),
-                o.orderKey(),
-                o.body(),
-                c.hash(),
-                RouteTerms.of(lane),
-                now.plusMillis(o.delayMs()),
-                now,
-                o.envelope());
+    private static Duration limit(Submission submission) {
+        Duration patience = submission.patience();
+        return patience.compareTo(LIMIT) >= 0 ? LIMIT : patience.dividedBy(2);
     }
 
     /**
-     * A pass covers an acceptance only while it lives: what is not decided by then is asked again, with the same
-     * message id, under a new pass and by the configuration of that time. design 8.5
+     * A token covers an acceptance only while it lives: what is not decided by then is asked again, with the same
+     * message id, under a new token and by the configuration of that time. design 8.5
      */
-    private Mono<Commands.Accepted> attempt(Admitted a, Duration until, boolean unknown) {
-        Commands.Accept accept;
+    private Mono<Commands.Accepted> attempt(AdmittedSubmission admitted, Duration until, boolean outcomeUnknown) {
+        Commands.Accept command;
         try {
-            accept = accept(a.c(), lookAgain(a));
+            command = command(admitted);
         } catch (ServiceException e) {
-            putBack(a);
-            return Mono.error(settled(e, unknown));
+            putBack(admitted);
+            return Mono.error(definite(e, outcomeUnknown));
         }
-        String part = a.part();
-        Duration life = a.pass().until().minus(env.times().mono());
+        String partition = admitted.partition();
+        Duration tokenLife = admitted.token().until().minus(env.times().mono());
         return forwarder
-                .timely(part, u -> new Commands.AcceptAsk(part, accept, u), Commands.Accepted.class, waits(a, life))
-                .doOnNext(x -> settle(a, x))
-                .onErrorResume(e -> {
-                    ServiceException f = ServiceException.of(e);
-                    boolean nowUnknown = unknown || !f.kind().definite();
-                    if (f.kind().definite()) {
-                        putBack(a);
-                    } else {
-                        localBuckets.settle(bucket(a), a.pass());
-                    }
-                    Optional<String> other = nowUnknown ? Optional.empty() : elsewhere(a, f);
-                    if (other.isPresent()) {
-                        return pass(a.c(), other.get()).flatMap(next -> attempt(next, until, false));
-                    }
-                    boolean again = (nowUnknown || f.kind() == ErrorKind.UNAVAILABLE && !a.c().free())
-                            && !localBuckets.alive(a.pass())
-                            && env.times().mono().compareTo(until) < 0;
-                    return again
-                            ? Delays.pause(env.schedules(), PAUSE)
-                                    .then(pass(a.c(), a.part()))
-                                    .flatMap(next -> attempt(next, until, nowUnknown))
-                                    .onErrorMap(x -> settled(x, nowUnknown))
-                            : Mono.error(settled(f, nowUnknown));
-                });
+                .timely(
+                        partition,
+                        deadline -> new Commands.AcceptAsk(partition, command, deadline),
+                        Commands.Accepted.class,
+                        leaderWait(admitted, tokenLife))
+                .doOnNext(accepted -> settle(admitted, accepted))
+                .onErrorResume(error -> failed(admitted, until, outcomeUnknown, ServiceException.of(error)));
+    }
+
+    private Commands.Accept command(AdmittedSubmission admitted) throws ServiceException {
+        Configuration.Lane lane = validator.recheck(admitted.checked());
+        if (!localBuckets.alive(admitted.token())) {
+            throw new ServiceException(ErrorKind.THROTTLED, "The pass died while waiting.");
+        }
+        return admitted.checked().command(lane, env.times().wall());
     }
 
-    /** A part that may change processors in order is waited for shortly; one that is in trouble is not. design 9.13 */
-    private Duration waits(Admitted a, Duration life) {
-        return !a.c().free() ? life : forwarder.troubled(a.part()) ? HOPELESS : SHORT;
+    private Mono<Commands.Accepted> failed(
+            AdmittedSubmission admitted, Duration until, boolean outcomeUnknown, ServiceException failure) {
+        boolean unknownByNow = outcomeUnknown || !failure.kind().definite();
+        if (failure.kind().definite()) {
+            putBack(admitted);
+        } else {
+            localBuckets.settle(admitted.bucket(), admitted.token());
+        }
+        CheckedSubmission checked = admitted.checked();
+        Optional<String> other = unknownByNow ? Optional.empty() : otherPartition(admitted, failure);
+        if (other.isPresent()) {
+            return admit(checked, other.get()).flatMap(next -> attempt(next, until, false));
+        }
+        boolean mayRepeat = unknownByNow || failure.kind() == ErrorKind.UNAVAILABLE && !checked.anyPartition();
+        boolean inTime = env.times().mono().compareTo(until) < 0;
+        if (!mayRepeat || localBuckets.alive(admitted.token()) || !inTime) {
+            return Mono.error(definite(failure, unknownByNow));
+        }
+        return Delays.pause(env.schedules(), RETRY_PAUSE)
+                .then(admit(checked, admitted.partition()))
+                .flatMap(next -> attempt(next, until, unknownByNow))
+                .onErrorMap(error -> definite(error, unknownByNow));
+    }
+
+    /** A partition that may change leaders in order is waited for shortly; one in trouble is not. design 9.13 */
+    private Duration leaderWait(AdmittedSubmission admitted, Duration tokenLife) {
+        if (!admitted.checked().anyPartition()) {
+            return tokenLife;
+        }
+        return forwarder.troubled(admitted.partition()) ? TROUBLED_WAIT : SHORT_WAIT;
     }
 
-    /** It was certainly not taken there, so another part may take it. */
-    private Optional<String> elsewhere(Admitted a, ServiceException f) {
-        return Optional.of(a)
-                .filter(x -> x.c().free() && x.c().offer().orderKey().isEmpty() && f.kind() == ErrorKind.UNAVAILABLE)
-                .map(x -> forwarder.anyPart(x.c().offer().id()))
-                .filter(p -> !p.equals(a.part()));
+    /** Another partition, where the submission was certainly not taken and any partition may take it. */
+    private Optional<String> otherPartition(AdmittedSubmission admitted, ServiceException failure) {
+        Submission submission = admitted.checked().submission();
+        boolean movable = admitted.checked().anyPartition()
+                && submission.orderKey().isEmpty()
+                && failure.kind() == ErrorKind.UNAVAILABLE;
+        return movable
+                ? Optional.of(forwarder.anyPart(submission.id())).filter(p -> !p.equals(admitted.partition()))
+                : Optional.empty();
     }
 
     /** A definite refusal now says nothing of an earlier unknown try. */
-    private static Throwable settled(Throwable e, boolean unknown) {
-        return unknown && ServiceException.of(e).kind().definite()
+    private static Throwable definite(Throwable error, boolean outcomeUnknown) {
+        return outcomeUnknown && ServiceException.of(error).kind().definite()
                 ? new ServiceException(
                         ErrorKind.UNKNOWN_OUTCOME, "It is not known whether this was taken; ask with the same id.")
-                : e;
+                : error;
     }
 
-    /** A repeated processor-in was accepted before and has paid then. */
-    private void settle(Admitted a, Commands.Accepted x) {
-        if (x.repeated()) {
-            putBack(a);
+    /** A repeated submission was accepted before and has paid then. */
+    private void settle(AdmittedSubmission admitted, Commands.Accepted accepted) {
+        if (accepted.repeated()) {
+            putBack(admitted);
         } else {
-            localBuckets.settle(bucket(a), a.pass());
+            localBuckets.settle(admitted.bucket(), admitted.token());
         }
     }
-
-    private static Answer accepted(Submission o, Commands.Accepted x) {
-        Map<String, Object> body = new LinkedHashMap<>();
-        body.put("accepted", true);
-        body.put("handle", x.handle());
-        body.put("id", o.id());
-        body.put("repeated", x.repeated());
-        return Answer.json(202, body);
-    }
 }
--- /dev/null
+++ b/dataplane/src/main/java/org/woadvale/dataplane/ingress/ProcessorApi.java
@@ -0,0 +1,165 @@
+package org.woadvale.dataplane.ingress;
+
+import com.fasterxml.jackson.databind.util.RawValue;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.woadvale.common.config.Configuration;
+import org.woadvale.common.http.Answer;
+import org.woadvale.common.http.Request;
+import org.woadvale.common.membership.ServiceNames;
+import org.woadvale.common.replication.Env;
+import org.woadvale.common.runtime.Delays;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.dataplane.delivery.SubmitForwarder;
+import org.woadvale.dataplane.queue.Commands;
+import org.woadvale.dataplane.queue.Message;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/** The HTTP requests of processors: pulls of messages and reports of their outcomes. design 9.3, 9.6 */
+final class ProcessorApi {
+    /** With a view of up to 2 s and the last try's own limit still within 5 s of a key's withdrawal. */
+    private static final Duration OUTCOME_LIMIT = Duration.ofSeconds(2);
+
+    private static final Duration PULL_LIMIT = Duration.ofMillis(200);
+    private static final Duration PULL_INTERVAL = Duration.ofMillis(100);
+    private static final Duration RETRY_DELAY = Duration.ofMillis(500);
+    private static final int OK = 200;
+
+    /** A processor's pull of one service's messages, and until when (monotonic time) it may wait for one. */
+    private record Pull(Request request, String service, PullRequest terms, Duration until) {}
+
+    private final Env env;
+    private final RouteMatcher matcher;
+    private final SubmitForwarder forwarder;
+
+    ProcessorApi(Env env, RouteMatcher matcher, SubmitForwarder forwarder) {
+        this.env = env;
+        this.matcher = matcher;
+        this.forwarder = forwarder;
+    }
+
+    /** Messages for a processor, with an empty list once its wait is over; a repeated pull gets its first answer again. */
+    Mono<Answer> pull(Request request, String service) throws ServiceException {
+        checkKey(request, service);
+        PullRequest terms = matcher.body(request, PullRequest.class);
+        int first = (int) Math.floorMod(env.random().getAsLong(), (long) ServiceNames.MESSAGE_PARTS);
+        Mono<Answer> fresh = Mono.defer(() -> pullRound(
+                new Pull(request, service, terms, env.times().mono().plus(Duration.ofMillis(terms.waitMs()))), first));
+        if (!terms.again() || terms.fetch().isEmpty()) {
+            return fresh;
+        }
+        return Flux.fromIterable(ServiceNames.messageParts())
+                .concatMap(partition -> pullFrom(partition, service, terms, true))
+                .concatMapIterable(Commands.Fetched::messages)
+                .collectList()
+                .flatMap(earlier -> earlier.isEmpty() ? fresh : Mono.just(answer(earlier)));
+    }
+
+    /** Partition by partition; the key is checked again before every round, so a withdrawn one gets nothing. */
+    private Mono<Answer> pullRound(Pull pull, int first) {
+        return Mono.defer(() -> {
+            try {
+                checkKey(pull.request(), pull.service());
+            } catch (ServiceException e) {
+                return Mono.error(e);
+            }
+            return Flux.range(0, ServiceNames.MESSAGE_PARTS)
+                    .map(i -> "m" + (first + i) % ServiceNames.MESSAGE_PARTS)
+                    .concatMap(partition -> pullFrom(partition, pull.service(), pull.terms(), false), 1)
+                    .filter(fetched -> !fetched.messages().isEmpty())
+                    .next()
+                    .map(fetched -> answer(fetched.messages()))
+                    .switchIfEmpty(Mono.defer(() -> nothingFound(pull, first)));
+        });
+    }
+
+    private Mono<Answer> nothingFound(Pull pull, int first) {
+        if (env.times().mono().compareTo(pull.until()) >= 0) {
+            return Mono.just(answer(List.of()));
+        }
+        return Delays.pause(env.schedules(), PULL_INTERVAL).then(pullRound(pull, first + 1));
+    }
+
+    private Mono<Commands.Fetched> pullFrom(String partition, String service, PullRequest terms, boolean again) {
+        return forwarder
+                .timely(
+                        partition,
+                        until -> new Commands.FetchAsk(
+                                partition, service, terms.processor(), terms.most(), until, terms.fetch(), again),
+                        Commands.Fetched.class,
+                        PULL_LIMIT)
+                .onErrorResume(error ->
+                        ServiceException.of(error).kind() == ErrorKind.FORBIDDEN ? Mono.error(error) : Mono.empty());
+    }
+
+    private void checkKey(Request request, String service) throws ServiceException {
+        if (!matcher.key(request, Configuration.Role.PROCESSOR).service().equals(service)) {
+            throw new ServiceException(ErrorKind.FORBIDDEN, "This key is for another service.");
+        }
+    }
+
+    private static Answer answer(List<Message> messages) {
+        List<Map<String, Object>> rows =
+                messages.stream().map(ProcessorApi::row).toList();
+        return Answer.json(OK, Map.of("messages", rows));
+    }
+
+    private static Map<String, Object> row(Message message) {
+        return Map.of(
+                "messageId",
+                message.handle(),
+                "attempt",
+                message.attempt(),
+                "callerId",
+                message.id(),
+                "tenant",
+                message.tenant(),
+                "lane",
+                message.lane(),
+                "orderingKey",
+                message.orderKey(),
+                "deadline",
+                message.deadline().toString(),
+                "body",
+                new RawValue(new String(message.body(), StandardCharsets.UTF_8)));
+    }
+
+    /** Records the end of an attempt, if the attempt is still the present one. */
+    Mono<Answer> outcome(Request request, String handle) throws ServiceException {
+        Configuration.Key key = matcher.key(request, Configuration.Role.PROCESSOR);
+        OutcomeRequest outcome = matcher.body(request, OutcomeRequest.class);
+        if (outcome.outcome().equals("done") && outcome.receipt().isBlank()) {
+            throw new ServiceException(ErrorKind.BAD_REQUEST, "Done needs a receipt.");
+        }
+        String partition = Queries.partOf(handle);
+        Instant now = env.times().wall();
+        Commands.End end = new Commands.End(
+                handle, outcome.attempt(), ending(outcome), outcome.receipt(), now.plus(RETRY_DELAY), now);
+        return forwarder
+                .ask(
+                        partition,
+                        new Commands.OutcomeAsk(partition, end, outcome.processor(), key.service()),
+                        Commands.Changed.class,
+                        OUTCOME_LIMIT)
+                .map(ProcessorApi::recorded);
+    }
+
+    private static Commands.Ending ending(OutcomeRequest outcome) {
+        return switch (outcome.outcome()) {
+            case "done" -> Commands.Ending.DONE;
+            case "failed" -> Commands.Ending.FAILED;
+            default -> Commands.Ending.RETRY;
+        };
+    }
+
+    private static Answer recorded(Commands.Changed changed) {
+        String state = changed.message().state().name().toLowerCase(Locale.ROOT);
+        return Answer.json(OK, Map.of("recorded", changed.done(), "state", state));
+    }
+}
--- /dev/null
+++ b/dataplane/src/main/java/org/woadvale/dataplane/ingress/SubmissionValidator.java
@@ -0,0 +1,56 @@
+package org.woadvale.dataplane.ingress;
+
+import java.util.Optional;
+import org.woadvale.common.config.Configuration;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+
+/** Checks submissions against the configuration: key, tenant, lane and ordering key. design 9.7 */
+final class SubmissionValidator {
+    private final RouteMatcher matcher;
+
+    SubmissionValidator(RouteMatcher matcher) {
+        this.matcher = matcher;
+    }
+
+    /** Fails where the key is not valid, there is no such lane, or the ordering key does not suit the lane. */
+    CheckedSubmission check(Submission submission) throws ServiceException {
+        Optional<Configuration.Key> key = matcher.callerKey(submission.secret(), submission.lane());
+        Configuration.Lane lane = matcher.lane(submission.lane());
+        checkOrderingKey(submission, lane);
+        return new CheckedSubmission(
+                submission,
+                key.map(Configuration.Key::tenant).orElse(""),
+                submission.hash(),
+                !lane.doors().isEmpty());
+    }
+
+    private static void checkOrderingKey(Submission submission, Configuration.Lane lane) throws ServiceException {
+        if (!lane.doors().isEmpty()) {
+            return;
+        }
+        boolean hasKey = !submission.orderKey().isEmpty();
+        if (lane.ordering() == Configuration.Ordering.KEY && !hasKey) {
+            throw new ServiceException(
+                    ErrorKind.BAD_REQUEST, "The lane " + submission.lane() + " needs an orderingKey.");
+        }
+        if (lane.ordering() == Configuration.Ordering.NONE && hasKey) {
+            throw new ServiceException(
+                    ErrorKind.BAD_REQUEST,
+                    "The lane " + submission.lane() + " has no ordering; leave out orderingKey.");
+        }
+    }
+
+    /** The lane as it is configured now; fails where the key is not the same tenant's any more. */
+    Configuration.Lane recheck(CheckedSubmission checked) throws ServiceException {
+        Submission submission = checked.submission();
+        Configuration.Lane lane = matcher.lane(submission.lane());
+        String tenant = matcher.callerKey(submission.secret(), submission.lane())
+                .map(Configuration.Key::tenant)
+                .orElse("");
+        if (!tenant.equals(checked.tenant())) {
+            throw new ServiceException(ErrorKind.UNAUTHORISED, "The key is another tenant's by now.");
+        }
+        return lane;
+    }
+}
--- /dev/null
+++ b/dataplane/src/main/java/org/woadvale/dataplane/ingress/SubmitApi.java
@@ -0,0 +1,59 @@
+package org.woadvale.dataplane.ingress;
+
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.woadvale.common.config.Configuration;
+import org.woadvale.common.config.Configurations;
+import org.woadvale.common.http.Answer;
+import org.woadvale.common.http.Request;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.dataplane.queue.Commands;
+import reactor.core.publisher.Mono;
+
+/** The HTTP request that submits a message as JSON and is answered with the message's handle. design 9.6 */
+final class SubmitApi {
+    /** Of a request's body, in bytes. */
+    static final int MAX_BODY = 16 << 10;
+
+    private static final Duration CALLER_PATIENCE = Intake.LIMIT;
+    private static final int ACCEPTED = 202;
+
+    private final RouteMatcher matcher;
+    private final Intake intake;
+
+    SubmitApi(RouteMatcher matcher, Intake intake) {
+        this.matcher = matcher;
+        this.intake = intake;
+    }
+
+    /** Fails as {@link Intake#take} does, or where the request itself is wrong. */
+    Mono<Answer> submit(Request request, String lane) throws ServiceException {
+        Submission submission = submission(request, lane);
+        return intake.take(submission).map(accepted -> answer(submission, accepted));
+    }
+
+    private Submission submission(Request request, String lane) throws ServiceException {
+        matcher.key(request, Configuration.Role.CALLER);
+        matcher.lane(lane);
+        SubmitRequest body = matcher.body(request, SubmitRequest.class);
+        return new Submission(
+                request.secret().orElse(""),
+                lane,
+                body.id(),
+                body.orderingKey(),
+                body.delayMs(),
+                Map.of(),
+                Configurations.write(body.body()),
+                CALLER_PATIENCE);
+    }
+
+    private static Answer answer(Submission submission, Commands.Accepted accepted) {
+        Map<String, Object> body = new LinkedHashMap<>();
+        body.put("accepted", true);
+        body.put("handle", accepted.handle());
+        body.put("id", submission.id());
+        body.put("repeated", accepted.repeated());
+        return Answer.json(ACCEPTED, body);
+    }
+}
--- a/dataplane/src/main/java/org/woadvale/dataplane/queue/MessageStateMachine.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/queue/MessageStateMachine.java
@@ -1,38 +1,20 @@
 package org.woadvale.dataplane.queue;
 
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
-import java.util.TreeSet;
 import org.woadvale.common.replication.StateMachine;
 import org.woadvale.common.rpc.Codec;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
 
-/** The messages of one part: design 9. */
+/** Applies the commands on one partition's messages, in log order and alike on every replica. design 9 */
 public final class MessageStateMachine implements StateMachine {
-    private static final int ENDED_WEIGHT = 400;
-    private static final int MOST_UNCLEAR = 1000;
-
     private final String part;
     private final Codec codec;
-    private final Map<String, Message> messages = new HashMap<>();
-    private final Map<String, String> byId = new HashMap<>();
-    private final Map<String, TreeMap<Long, String>> order = new HashMap<>();
-    private final ReadyQueue startable = new ReadyQueue();
-    private final Map<String, Message> running = new TreeMap<>();
-    private final TreeSet<Message> ended =
-            new TreeSet<>(Comparator.comparing(Message::ended).thenComparing(Message::seq));
-    private final TreeSet<Message> unclear =
-            new TreeSet<>(Comparator.comparing(Message::ended).thenComparing(Message::seq));
+    private final MessageIndex index = new MessageIndex();
     private long seq;
-    private long liveBytes;
-    private long keptBytes;
 
     public MessageStateMachine(String part, Codec codec) {
         this.part = part;
@@ -40,32 +22,32 @@
     }
 
     public Optional<Message> get(String handle) {
-        return Optional.ofNullable(messages.get(handle));
+        return index.get(handle);
     }
 
     public long liveBytes() {
-        return liveBytes;
+        return index.liveBytes();
     }
 
     /** About what a view of the part weighs, ended messages included. */
     public long weight() {
-        return liveBytes + keptBytes;
+        return index.liveBytes() + index.endedBytes();
     }
 
     public int count() {
-        return messages.size();
+        return index.all().size();
     }
 
     public List<Message> running() {
-        return List.copyOf(running.values());
+        return index.running();
     }
 
     public ReadyQueue startable() {
-        return startable;
+        return index.ready();
     }
 
     public List<Message> list(String tenant, MessageState state, int most) {
-        return messages.values().stream()
+        return index.all().stream()
                 .filter(m -> m.tenant().equals(tenant) && m.state() == state)
                 .sorted(Comparator.comparing(Message::seq).reversed())
                 .limit(most)
@@ -74,15 +56,11 @@
 
     /** When ended messages before a time are to be forgotten: is there any? */
     public boolean anyEndedBefore(Instant t, Instant unclearBefore) {
-        return before(ended, t) || before(unclear, unclearBefore) || unclear.size() > MOST_UNCLEAR;
-    }
-
-    private static boolean before(TreeSet<Message> line, Instant t) {
-        return !line.isEmpty() && line.first().ended().isBefore(t);
+        return index.anyToForget(t, unclearBefore);
     }
 
     @Override
-    public Object apply(long index, Object c) {
+    public Object apply(long logIndex, Object c) {
         if (c instanceof Commands.Accept a) {
             return accept(a);
         } else if (c instanceof Commands.Start s) {
@@ -100,7 +78,7 @@
         long n = seq + 1;
         String handle = part + "-" + n;
         Message m = Message.accepted(handle, n, a);
-        Optional<Message> known = Optional.ofNullable(byId.get(m.idGroup())).map(messages::get);
+        Optional<Message> known = index.byId(m.idGroup());
         if (known.isPresent()) {
             Message k = known.get();
             if (!k.hash().equals(a.hash())) {
@@ -110,20 +88,22 @@
             return new Commands.Accepted(k.handle(), k.state().name(), true);
         }
         seq = n;
-        byId.put(m.idGroup(), handle);
-        if (m.ordered()) {
-            order.computeIfAbsent(m.orderGroup(), g -> new TreeMap<>()).put(n, handle);
-        }
-        put(Optional.empty(), m);
+        index.add(m);
         return new Commands.Accepted(handle, m.state().name(), false);
     }
 
     private Object start(Commands.Start s) {
-        Message m = messages.get(s.handle());
-        if (m == null || m.state() != MessageState.WAITING || s.attempt() != m.attempt() + 1 || !first(m)) {
-            return m == null
-                    ? new ServiceException(ErrorKind.NOT_FOUND, "No such message.")
-                    : new Commands.Changed(false, m);
+        Optional<Message> found = index.get(s.handle());
+        return found.isPresent() ? start(found.get(), s) : noSuchMessage();
+    }
+
+    private static ServiceException noSuchMessage() {
+        return new ServiceException(ErrorKind.NOT_FOUND, "No such message.");
+    }
+
+    private Commands.Changed start(Message m, Commands.Start s) {
+        if (m.state() != MessageState.WAITING || s.attempt() != m.attempt() + 1 || !index.firstOfItsKey(m)) {
+            return new Commands.Changed(false, m);
         }
         Message next = m.to(
                 MessageState.RUNNING,
@@ -135,19 +115,16 @@
                 "",
                 s.at(),
                 s.where());
-        put(Optional.of(m), next);
+        index.put(Optional.of(m), next);
         return new Commands.Changed(true, next);
     }
 
-    private boolean first(Message m) {
-        return !m.ordered() || order.get(m.orderGroup()).firstKey() == m.seq();
+    private Object end(Commands.End e) {
+        Optional<Message> found = index.get(e.handle());
+        return found.isPresent() ? end(found.get(), e) : noSuchMessage();
     }
 
-    private Object end(Commands.End e) {
-        Message m = messages.get(e.handle());
-        if (m == null) {
-            return new ServiceException(ErrorKind.NOT_FOUND, "No such message.");
-        }
+    private Commands.Changed end(Message m, Commands.End e) {
         boolean present = m.state() == MessageState.RUNNING && m.attempt() == e.attempt();
         // of two leases only the later may end a message: design 9.10
         boolean lateSuccess = e.ending() == Commands.Ending.DONE
@@ -176,101 +153,25 @@
                 e.at(),
                 m.where());
         Message noted = e.ending() == Commands.Ending.LAPSED ? next : next.endTaken(e.attempt());
-        put(Optional.of(m), noted);
+        index.put(Optional.of(m), noted);
         return new Commands.Changed(true, noted);
     }
 
     private Object forget(Commands.Forget f) {
-        int n = 0;
-        while (before(ended, f.endedBefore())) {
-            drop(ended.pollFirst());
-            n++;
-        }
-        while (before(unclear, f.unclearBefore()) || unclear.size() > MOST_UNCLEAR) {
-            drop(unclear.pollFirst());
-            n++;
-        }
-        return new Commands.Forgotten(n);
-    }
-
-    private void drop(Message m) {
-        messages.remove(m.handle());
-        byId.remove(m.idGroup());
-        keptBytes -= ENDED_WEIGHT + m.body().length;
-    }
-
-    private void keepEnded(Message m) {
-        (m.unclear() ? unclear : ended).add(m);
-        keptBytes += ENDED_WEIGHT + m.body().length;
-    }
-
-    /** Keeps every index in step with the one map. */
-    private void put(Optional<Message> before, Message m) {
-        before.ifPresent(b -> {
-            liveBytes -= b.size();
-            running.remove(b.handle());
-            startable.remove(b);
-        });
-        messages.put(m.handle(), m);
-        if (m.state().ended()) {
-            keepEnded(m);
-            leaveOrder(m);
-            return;
-        }
-        liveBytes += m.size();
-        if (m.state() == MessageState.RUNNING) {
-            running.put(m.handle(), m);
-        } else if (first(m)) {
-            startable.add(m);
-        }
-    }
-
-    private void leaveOrder(Message m) {
-        if (!m.ordered()) {
-            return;
-        }
-        TreeMap<Long, String> line = order.get(m.orderGroup());
-        line.remove(m.seq());
-        if (line.isEmpty()) {
-            order.remove(m.orderGroup());
-            return;
-        }
-        Message head = messages.get(line.firstEntry().getValue());
-        if (head.state() == MessageState.WAITING) {
-            startable.add(head);
-        }
+        return new Commands.Forgotten(index.forgetEnded(f.endedBefore(), f.unclearBefore()));
     }
 
     @Override
     public byte[] view() {
-        return codec.write(new Commands.State(new HashMap<>(messages), seq));
+        return codec.write(new Commands.State(index.snapshot(), seq));
     }
 
     @Override
     public void restore(byte[] view) {
         try {
-            Commands.State s = codec.read(view, Commands.State.class);
-            List.of(messages, byId, order, running).forEach(Map::clear);
-            startable.clear();
-            List.of(ended, unclear).forEach(TreeSet::clear);
-            seq = s.seq();
-            liveBytes = 0;
-            keptBytes = 0;
-            List<Message> all = new ArrayList<>(s.messages().values());
-            all.sort(Comparator.comparing(Message::seq));
-            all.stream()
-                    .filter(m -> m.ordered() && !m.state().ended())
-                    .forEach(m -> order.computeIfAbsent(m.orderGroup(), g -> new TreeMap<>())
-                            .put(m.seq(), m.handle()));
-            all.forEach(m -> {
-                byId.put(m.idGroup(), m.handle());
-                if (m.state().ended()) {
-                    messages.put(m.handle(), m);
-                    keepEnded(m);
-                } else {
-                    put(Optional.empty(), m);
-                }
-            });
+            Commands.State state = codec.read(view, Commands.State.class);
+            seq = state.seq();
+            index.restore(state.messages().values());
         } catch (ServiceException e) {
             throw new IllegalStateException("unreadable view", e);
         }
