--- a/testkit/src/main/java/org/woadvale/testkit/capacity/HollowFleet.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/HollowFleet.java
@@ -7,10 +7,7 @@
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
-import org.woadvale.common.config.Configurations;
-import org.woadvale.common.membership.ControlMessages;
 import org.woadvale.common.membership.CoreClient;
-import org.woadvale.common.membership.Processor;
 import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.membership.Wire;
 import org.woadvale.common.replication.Env;
@@ -35,7 +32,6 @@
     private static final Duration REST = Duration.ofSeconds(4);
     private static final int RING_FILES = 6;
     private static final int RING_BYTES = 4 << 20;
-    private static final int RATE = 100_000;
     private static final int AT_ONCE = 100;
 
     final Sim sim = new Sim(1);
@@ -48,10 +44,8 @@
     private final Map<String, HollowHost> hosts = new LinkedHashMap<>();
     private final Map<String, HollowNode> nodes = new LinkedHashMap<>();
     private final Map<String, Integer> places = new LinkedHashMap<>();
-    private final CoreClient operator;
+    private final HollowOperator operator;
     private final long heapBefore;
-    private long configuration;
-    private long changes;
 
     /** Serving when it returns: everyone knows everyone and each tenant's bucket is held. */
     HollowFleet(Shape shape) throws ServiceException {
@@ -61,10 +55,12 @@
         }
         HollowHost desk = new HollowHost("10.0.9.1:1", sim);
         net.add(desk);
-        operator = new CoreClient(net.rpc(desk, controlCodec), sim.random()::nextLong, seeds, List.of(), l -> {});
+        CoreClient core =
+                new CoreClient(net.rpc(desk, controlCodec), sim.random()::nextLong, seeds, List.of(), l -> {});
+        operator = new HollowOperator(core, shape.tenants());
         sim.run(REST);
         change();
-        await(() -> configuration == 1, "the layout was not taken");
+        await(() -> operator.configurationVersion() == 1, "the layout was not taken");
         list();
         heapBefore = Heap.used();
         for (int i = 0; i < shape.nodes(); i++) {
@@ -75,8 +71,8 @@
         sim.run(Duration.ofMillis(500));
         await(
                 () -> nodes.values().stream()
-                                .allMatch(
-                                        n -> n.members() == shape.nodes() && n.configurationVersion() == configuration)
+                                .allMatch(n -> n.members() == shape.nodes()
+                                        && n.configurationVersion() == operator.configurationVersion())
                         && held() == shape.tenants(),
                 "the fleet did not get ready");
         sim.run(REST);
@@ -129,17 +125,9 @@
         return nodes.values().stream().mapToInt(HollowNode::holds).sum();
     }
 
-    /** One more configuration: the same but for the burst of all tenants. Its version is the count of changes that were taken. */
+    /** One more configuration: the same but for the burst of all tenants. */
     void change() {
-        byte[] json = Configurations.write(
-                new TestConfiguration(shape.tenants(), 0, RATE, (int) (RATE + changes), 1).configuration(i -> ""));
-        ControlMessages.PutConfiguration put =
-                new ControlMessages.PutConfiguration("change" + changes++, configuration, json, "capacity");
-        operator.ask(
-                        ServiceNames.controlPart(ServiceNames.CONFIGURATION),
-                        new Operators.ConfigurationPut(put),
-                        ControlMessages.ConfigurationTaken.class)
-                .subscribe(t -> configuration = t.version(), e -> {});
+        operator.change();
     }
 
     int configurationBytes() {
@@ -152,30 +140,20 @@
     }
 
     private void list() throws ServiceException {
-        int[] taken = {0};
         for (int i = 0; i < shape.destinations(); i++) {
-            put(i, false, taken);
+            operator.putProcessor(i, false);
             if (i % AT_ONCE == AT_ONCE - 1) {
                 int upTo = i + 1;
-                await(() -> taken[0] == upTo, "a processor was not listed");
+                await(() -> operator.processorsPut() == upTo, "a processor was not listed");
             }
         }
-        await(() -> taken[0] == shape.destinations(), "a processor was not listed");
-    }
-
-    private void put(int i, boolean leaving, int[] taken) {
-        Processor p = new Processor("http://10.200." + i / 250 % 250 + "." + i % 250 + ":8080", leaving);
-        operator.ask(
-                        ServiceNames.controlPart(LIST),
-                        new ControlMessages.PutProcessor(LIST, "processor-" + i, p, 0),
-                        ControlMessages.Done.class)
-                .subscribe(d -> taken[0]++, e -> {});
+        await(() -> operator.processorsPut() == shape.destinations(), "a processor was not listed");
     }
 
     /** Marks one destination, or takes the mark back; how long until each store that follows the list has the new one. */
     Duration mark(boolean leaving) throws ServiceException {
         Duration from = sim.now();
-        put(0, leaving, new int[1]);
+        operator.putProcessor(0, leaving);
         await(
                 () -> nodes.values().stream()
                         .filter(HollowNode::follows)
@@ -188,11 +166,12 @@
     /** One change of the configuration; how long until every node uses it, in steps of 10 ms. */
     Duration changeEverywhere() throws ServiceException {
         Duration from = sim.now();
-        long before = configuration;
+        long before = operator.configurationVersion();
         change();
         await(
-                () -> configuration > before
-                        && nodes.values().stream().allMatch(n -> n.configurationVersion() == configuration),
+                () -> operator.configurationVersion() > before
+                        && nodes.values().stream()
+                                .allMatch(n -> n.configurationVersion() == operator.configurationVersion()),
                 "a change did not arrive everywhere");
         return sim.now().minus(from);
     }
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/HeadOffice.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/ConfigurationOperator.java
@@ -8,22 +8,23 @@
 import java.util.TreeMap;
 import org.woadvale.common.config.Configuration;
 import org.woadvale.common.config.Configurations;
-import org.woadvale.common.http.Answer;
 import org.woadvale.common.http.Request;
 import org.woadvale.testkit.stub.Edit;
 import org.woadvale.testkit.stub.Observations;
 import org.woadvale.testkit.stub.TestConfiguration;
 
-/** The head operator: changes configurations, races itself, sends bad ones, withdraws keys; and looks at the effect. */
-final class HeadOffice {
+/** An operator who changes the configuration, races himself, sends bad ones, withdraws keys, and checks the effect. */
+final class ConfigurationOperator {
     private static final Duration PROBE_FOR = Duration.ofSeconds(7);
     private final FleetSimulation v;
     private final World w;
+    private final KeyChanges keyChanges;
     private int n;
 
-    HeadOffice(FleetSimulation v) {
+    ConfigurationOperator(FleetSimulation v) {
         this.v = v;
         this.w = v.w;
+        this.keyChanges = new KeyChanges(v, () -> n++);
     }
 
     private Configuration withLane(Configuration l, String lane) {
@@ -68,7 +69,7 @@
     }
 
     /**
-     * OperatorIo in on the lane for a while; the next configuration sent ends the probe, since it may apply before its answer
+     * Submits on the lane for a while; the next configuration sent ends the probe, since it may apply before its answer
      * is seen.
      */
     private void probe(String intake, String lane, boolean wanted, long puts, Duration acknowledged, Duration until) {
@@ -162,111 +163,13 @@
                 a -> {});
     }
 
-    /** The last tenant's key goes, and is tried on every intake long after; later it comes back under a new secret. */
+    /** A caller's key is added, withdrawn, and used on every intake long after. */
     void withdraw() {
-        String secret = "short-lived-" + n;
-        Map<String, Configuration.Key> with = new TreeMap<>(v.configuration.keys());
-        with.put(
-                "short",
-                new Configuration.Key(
-                        Configuration.Role.CALLER, TestConfiguration.tenant(2), "", Configurations.sha256(secret)));
-        String id = "key" + n++;
-        v.put(
-                new Configuration(v.configuration.tenants(), v.configuration.services(), v.configuration.lanes(), with),
-                v.version,
-                id,
-                a -> {
-                    if (a.status() == 200) {
-                        w.sim.after(Duration.ofSeconds(2), () -> drop(secret, id));
-                        w.intakes.forEach(i -> use(i, secret, w.sim.now().plus(Duration.ofSeconds(14))));
-                    }
-                });
+        keyChanges.withdraw();
     }
 
     /** A group's processor key is exchanged; its processors go on with the old one for a while. */
     void rotate() {
-        String group = w.sim.luck(0.5) ? TestConfiguration.GROUP : TestConfiguration.ORDERED_GROUP;
-        String fresh = "fetch-secret-" + n++;
-        v.put(
-                Edit.keys(
-                        v.configuration,
-                        m -> m.put(
-                                "fetch-" + group,
-                                new Configuration.Key(
-                                        Configuration.Role.PROCESSOR, "", group, Configurations.sha256(fresh)))),
-                v.version,
-                "rotate" + n,
-                a -> {
-                    if (a.status() == 200) {
-                        w.seen.saw(
-                                w.seen.keys, new Observations.KeyWithdrawn(v.fetchSecret(group, fresh), w.sim.now()));
-                        w.sim.after(Duration.ofSeconds(8), () -> v.useFetchSecret(group, fresh));
-                    }
-                });
-    }
-
-    private void drop(String secret, String id) {
-        Map<String, Configuration.Key> without = new TreeMap<>(v.configuration.keys());
-        without.remove("short");
-        v.put(
-                new Configuration(
-                        v.configuration.tenants(), v.configuration.services(), v.configuration.lanes(), without),
-                v.version,
-                id + "-drop",
-                a -> {
-                    if (a.status() == 200) {
-                        w.seen.saw(w.seen.keys, new Observations.KeyWithdrawn(secret, w.sim.now()));
-                    }
-                });
-    }
-
-    private void use(String intake, String secret, Duration until) {
-        if (w.sim.now().compareTo(until) > 0) {
-            return;
-        }
-        Duration sent = w.sim.now();
-        String id = "k" + secret + sent.toNanos();
-        Request q = new Request(
-                "POST",
-                "/v1/lanes/hold/messages",
-                Map.of("authorization", "Bearer " + secret),
-                Configurations.write(Map.of("id", id, "delayMs", 0, "body", Map.of())));
-        w.request(intake, q, Duration.ofSeconds(5), a -> saw(a, secret, id, sent));
-        w.request(
-                intake,
-                new Request(
-                        "GET", "/v1/messages?state=failed", Map.of("authorization", "Bearer " + secret), new byte[0]),
-                Duration.ofSeconds(5),
-                a -> a.filter(x -> x.status() == 200)
-                        .ifPresent(x ->
-                                w.seen.saw(w.seen.served, new Observations.KeyServed(secret, "read", w.sim.now()))));
-        w.sim.after(Duration.ofMillis(500), () -> use(intake, secret, until));
-    }
-
-    private void saw(Optional<Answer> a, String secret, String id, Duration sent) {
-        boolean ok = a.isPresent() && a.get().status() == 202;
-        Observations.Said said = ok
-                ? Observations.Said.ACCEPTED
-                : a.isEmpty() || a.get().status() >= 500 && a.get().status() != 503
-                        ? Observations.Said.UNKNOWN
-                        : Observations.Said.REFUSED;
-        String handle = ok ? FleetSimulation.json(a.get()).path("handle").asText() : "";
-        w.seen.saw(
-                w.seen.submitted,
-                new Observations.Submitted(
-                        TestConfiguration.tenant(2),
-                        id,
-                        "hold",
-                        "",
-                        secret,
-                        sent,
-                        w.sim.now(),
-                        said,
-                        "",
-                        handle,
-                        false));
-        if (ok) {
-            v.follow(handle, 2);
-        }
+        keyChanges.rotate();
     }
 }
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/FailureScenarios.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/FailureScenarios.java
@@ -125,7 +125,7 @@
     /** 07: a key is withdrawn while a zone is out of touch; it goes on being used, also for reads. */
     static FleetSimulation keyWithdrawnOutOfTouch(long seed, Seams seams) throws ServiceException {
         FleetSimulation v = begun(seed, SMALL, seams);
-        new HeadOffice(v).withdraw();
+        new ConfigurationOperator(v).withdraw();
         v.w.sim.run(Duration.ofMillis(1800));
         outOfTouch(v, hallOfAnotherThanTheHolder(v));
         v.w.sim.run(Duration.ofSeconds(16));
@@ -136,11 +136,11 @@
     /** 08: a lane is added and taken away again while a zone is out of touch. */
     static FleetSimulation lanesChangedOutOfTouch(long seed, Seams seams) throws ServiceException {
         FleetSimulation v = begun(seed, SMALL, seams);
-        HeadOffice head = new HeadOffice(v);
-        head.change();
+        ConfigurationOperator operator = new ConfigurationOperator(v);
+        operator.change();
         v.w.sim.run(Duration.ofSeconds(4));
         outOfTouch(v, hallOfAnotherThanTheHolder(v));
-        head.change();
+        operator.change();
         v.w.sim.run(Duration.ofSeconds(9));
         v.w.net.heal();
         v.w.sim.run(Duration.ofSeconds(3));
@@ -160,7 +160,7 @@
         v.w.sim.run(Duration.ofSeconds(4));
         List<String> others =
                 v.w.lighthouses.stream().filter(l -> !l.equals(owner)).toList();
-        new HeadOffice(v).changeAt(others);
+        new ConfigurationOperator(v).changeAt(others);
         v.w.sim.run(Duration.ofSeconds(3));
         for (int i = 0; i < 4; i++) {
             v.readAt(owner);
--- /dev/null
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/PlatformClients.java
@@ -0,0 +1,174 @@
+package org.woadvale.testkit.simulation;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.woadvale.common.http.Answer;
+import org.woadvale.common.http.Request;
+import org.woadvale.testkit.stub.ConfigurationStub;
+import org.woadvale.testkit.stub.ObservationLog;
+
+/** Clients on the simulated platform: they send messages at random times, and later ask what became of the accepted ones. */
+final class PlatformClients {
+    private static final int CLIENTS = 40;
+    private static final int TENANTS = 4;
+    private static final int ORDER_KEYS = 5;
+    private static final int ZONES = 3;
+    private static final Duration PATIENCE = Duration.ofSeconds(6);
+    private static final String DEADLINE_MS = "1200";
+    private static final double USUAL_SHARE = 0.9;
+    private static final double DELAYED_SHARE = 0.1;
+    private static final long DELAY_MS = 1000;
+    private static final Duration READ_LIMIT = Duration.ofSeconds(2);
+    private static final int READ_RETRIES = 5;
+
+    private final NetworkSimulation network;
+    private final Entry entry;
+    private final OperatorSimulation operator;
+    private final ObservationLog seen;
+    private final Map<Integer, Integer> answers = new TreeMap<>();
+    private int ids;
+    private boolean running;
+
+    PlatformClients(NetworkSimulation network, Entry entry, OperatorSimulation operator, ObservationLog seen) {
+        this.network = network;
+        this.entry = entry;
+        this.operator = operator;
+        this.seen = seen;
+    }
+
+    /** How many answers of each HTTP status there were; zero stands for none in time. */
+    Map<Integer, Integer> answers() {
+        return answers;
+    }
+
+    /** Sends messages as a Poisson process until stopped. */
+    void start(double perSecond) {
+        running = true;
+        scheduleNext(perSecond);
+    }
+
+    void stop() {
+        running = false;
+    }
+
+    private void scheduleNext(double perSecond) {
+        double seconds = -Math.log(1 - network.sim.random().nextDouble()) / perSecond;
+        network.sim.after(Duration.ofNanos((long) (seconds * 1e9)), () -> {
+            if (running) {
+                sendAny();
+                scheduleNext(perSecond);
+            }
+        });
+    }
+
+    /** On any route that there is, or was just added or removed, with any key that there is or was. */
+    private void sendAny() {
+        List<ConfigurationStub.Route> routes = operator.now().routes();
+        boolean usual = network.sim.luck(USUAL_SHARE);
+        ConfigurationStub.Route route = usual || seen.configurationStub.isEmpty()
+                ? any(routes)
+                : any(any(seen.configurationStub).configurationStub().routes());
+        int tenant = network.sim.random().nextInt(TENANTS);
+        String key = usual ? "key" + tenant : anyKeyEver(tenant);
+        String order = route.inOrder() ? "k" + network.sim.random().nextInt(ORDER_KEYS) : "";
+        long delayMs = network.sim.luck(DELAYED_SHARE) ? DELAY_MS : 0;
+        int client = network.sim.random().nextInt(CLIENTS);
+        String zone = "hall" + network.sim.random().nextInt(ZONES);
+        send(route.pathPrefix() + ids, key, order, delayMs, entry.forClient(client, zone));
+    }
+
+    private String anyKeyEver(int tenant) {
+        ConfigurationStub configuration = any(seen.configurationStub).configurationStub();
+        return any(configuration.tenants().get(tenant).accessKeys());
+    }
+
+    private <T> T any(List<T> list) {
+        return list.get(network.sim.random().nextInt(list.size()));
+    }
+
+    /** One try; each is a message of its own. */
+    void send(String path, String key, String order, long delayMs, String node) {
+        String id = "a" + ids++;
+        String body = "body of " + id;
+        String host = PlatformSimulation.HOST;
+        Map<String, String> headers = new LinkedHashMap<>(Map.of(
+                "host", host, "x-attempt-id", id, "authorization", "Token " + key, "x-deadline-ms", DEADLINE_MS));
+        if (!order.isEmpty()) {
+            headers.put("x-order-key", order);
+        }
+        if (delayMs > 0) {
+            headers.put("x-delay-ms", Long.toString(delayMs));
+        }
+        seen.sent.add(new ObservationLog.Sent(id, host, path, key, order, body, delayMs, node, network.sim.now()));
+        Request request = new Request("POST", path, headers, body.getBytes(StandardCharsets.UTF_8));
+        network.request(node, request, PATIENCE, answer -> answered(id, answer));
+    }
+
+    private void answered(String id, Optional<Answer> answer) {
+        int status = answer.map(Answer::status).orElse(0);
+        answers.merge(status, 1, Integer::sum);
+        String ref =
+                answer.map(a -> a.headers().getOrDefault("X-Message-Ref", id)).orElse("");
+        seen.said.add(new ObservationLog.Said(id, status, ref, network.sim.now()));
+    }
+
+    /** Reads state and body of each message that was accepted, again after each failure. */
+    void askForAccepted() {
+        Map<String, ObservationLog.Sent> sent = new LinkedHashMap<>();
+        seen.sent.forEach(s -> sent.put(s.id(), s));
+        seen.said.stream()
+                .filter(said -> said.status() == 202)
+                .forEach(said -> read(sent.get(said.id()), said.ref(), READ_RETRIES));
+    }
+
+    private void read(ObservationLog.Sent sent, String ref, int retries) {
+        get(
+                "/-/message/" + ref,
+                sent,
+                state -> get("/-/message-body/" + ref, sent, body -> {
+                    if (!served(state) || !served(body)) {
+                        if (retries > 0) {
+                            read(sent, ref, retries - 1);
+                            return;
+                        }
+                    }
+                    seen.shown.add(shown(sent, state, body));
+                }));
+    }
+
+    private void get(String path, ObservationLog.Sent sent, Consumer<Optional<Answer>> then) {
+        Map<String, String> headers = Map.of("host", PlatformSimulation.HOST, "authorization", "Token " + keyOf(sent));
+        network.request(entry.any(), new Request("GET", path, headers, new byte[0]), READ_LIMIT, then);
+    }
+
+    private static boolean served(Optional<Answer> answer) {
+        return answer.filter(a -> a.status() < 500).isPresent();
+    }
+
+    private static ObservationLog.Shown shown(ObservationLog.Sent sent, Optional<Answer> state, Optional<Answer> body) {
+        return new ObservationLog.Shown(
+                sent.id(),
+                state.map(Answer::status).orElse(0),
+                state.map(a -> Callers.json(a).path("state").asText()).orElse(""),
+                state.map(a -> Callers.json(a).path("seal").asText()).orElse(""),
+                body.map(Answer::status).orElse(0),
+                body.filter(a -> a.status() == 200)
+                        .map(a -> new String(a.body(), StandardCharsets.UTF_8))
+                        .orElse(""));
+    }
+
+    /** The present key of the tenant whose key it was sent with. */
+    private String keyOf(ObservationLog.Sent sent) {
+        return seen.configurationStub.stream()
+                .flatMap(known -> known.configurationStub().tenant(sent.key()).stream())
+                .findFirst()
+                .map(tenant -> tenant.accessKeys().get(0))
+                .orElse(sent.key());
+    }
+}
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/PlatformSimulation.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/PlatformSimulation.java
@@ -1,6 +1,5 @@
 package org.woadvale.testkit.simulation;
 
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -8,8 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-import org.woadvale.common.http.Answer;
-import org.woadvale.common.http.Request;
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.testkit.stub.ConfigurationStub;
 import org.woadvale.testkit.stub.ObservationLog;
@@ -20,9 +17,6 @@
     static final String HOST = "lode.example";
     private static final Duration LAG = Duration.ofMillis(800);
     private static final double LIST_RATE = 44;
-    private static final Duration CLIENT = Duration.ofSeconds(6);
-    private static final String DEADLINE_MS = "1200";
-    private static final int CLIENTS = 40;
     private static final double RATE = 25;
 
     public final NetworkSimulation network;
@@ -30,14 +24,12 @@
     final ProcessorList processorList;
     final Entry entry;
     final OperatorSimulation operator;
+    final PlatformClients clients;
     final Map<String, ScriptedProcessor> processors = new LinkedHashMap<>();
     final Map<String, Puller> pullers = new LinkedHashMap<>();
     private final Map<String, ScriptedProcessor.Table> tables = new TreeMap<>();
     private final Map<String, String> addresses = new TreeMap<>();
-    private final Map<Integer, Integer> answers = new TreeMap<>();
-    private int ids;
     private int lives;
-    private boolean traffic;
 
     public PlatformSimulation(long seed, int fronts, int stores, Seams seams) throws ServiceException {
         network = new NetworkSimulation(seed, fronts, stores, seams);
@@ -45,6 +37,7 @@
         network.list(processorList::page);
         entry = new Entry(network);
         operator = new OperatorSimulation(network, seen, configurationStub());
+        clients = new PlatformClients(network, entry, operator, seen);
         network.processorSimulation.onRead((q, a) -> {
             if (a.status() / 100 == 2 && a.headers().containsKey("X-Server-Seal")) {
                 seen.read.add(new ObservationLog.Read(q.headers().getOrDefault("x-attempt-id", ""), network.sim.now()));
@@ -150,134 +143,20 @@
         processor(h.service(), address + "1");
     }
 
-    void traffic(double perSecond) {
-        traffic = true;
-        next(perSecond);
-    }
-
-    void calm() {
-        traffic = false;
-    }
-
-    private void next(double perSecond) {
-        network.sim.after(
-                Duration.ofNanos((long) (-Math.log(1 - network.sim.random().nextDouble()) / perSecond * 1e9)), () -> {
-                    if (traffic) {
-                        client();
-                        next(perSecond);
-                    }
-                });
-    }
-
-    /** A client on any route that there is, or was just added or removed, with any key that there is or was. */
-    private void client() {
-        List<ConfigurationStub.Route> routes = operator.now().routes();
-        boolean usual = network.sim.luck(0.9);
-        ConfigurationStub.Route r = usual || seen.configurationStub.isEmpty()
-                ? routes.get(network.sim.random().nextInt(routes.size()))
-                : any(any(seen.configurationStub).configurationStub().routes());
-        int t = network.sim.random().nextInt(4);
-        String key = usual
-                ? "key" + t
-                : any(any(seen.configurationStub)
-                        .configurationStub()
-                        .tenants()
-                        .get(t)
-                        .accessKeys());
-        String order = r.inOrder() ? "k" + network.sim.random().nextInt(5) : "";
-        send(
-                r.pathPrefix() + ids,
-                key,
-                order,
-                network.sim.luck(0.1) ? 1000 : 0,
-                entry.forClient(
-                        network.sim.random().nextInt(CLIENTS),
-                        "hall" + network.sim.random().nextInt(3)));
-    }
-
-    private <T> T any(List<T> list) {
-        return list.get(network.sim.random().nextInt(list.size()));
-    }
-
-    /** One try; each is a message of its own. */
-    void send(String path, String key, String order, long delayMs, String node) {
-        String id = "a" + ids++;
-        String body = "body of " + id;
-        Map<String, String> h = new LinkedHashMap<>(Map.of(
-                "host", HOST, "x-attempt-id", id, "authorization", "Token " + key, "x-deadline-ms", DEADLINE_MS));
-        if (!order.isEmpty()) {
-            h.put("x-order-key", order);
-        }
-        if (delayMs > 0) {
-            h.put("x-delay-ms", Long.toString(delayMs));
-        }
-        seen.sent.add(new ObservationLog.Sent(id, HOST, path, key, order, body, delayMs, node, network.sim.now()));
-        network.request(node, new Request("POST", path, h, body.getBytes(StandardCharsets.UTF_8)), CLIENT, a -> {
-            int status = a.map(Answer::status).orElse(0);
-            answers.merge(status, 1, Integer::sum);
-            seen.said.add(new ObservationLog.Said(
-                    id,
-                    status,
-                    a.map(x -> x.headers().getOrDefault("X-Message-Ref", id)).orElse(""),
-                    network.sim.now()));
-        });
-    }
-
     /** All accepted messages are asked for, again after each failure; then the operator reads. */
     public List<String> end(Duration completion) {
-        calm();
+        clients.stop();
         network.sim.run(completion);
         FleetSimulation.require(
                 network.sim.runUntil(operator::idle, Duration.ofSeconds(30)), "the operator got no clear answer");
-        Map<String, ObservationLog.Sent> sent = new LinkedHashMap<>();
-        seen.sent.forEach(s -> sent.put(s.id(), s));
-        seen.said.stream().filter(s -> s.status() == 202).forEach(s -> show(sent.get(s.id()), s.ref(), 5));
+        clients.askForAccepted();
         network.sim.run(Duration.ofSeconds(12));
         operator.read();
         network.sim.run(Duration.ofSeconds(3));
         return new Rules(seen).violations();
     }
 
-    private String keyOf(ObservationLog.Sent s) {
-        return seen.configurationStub.stream()
-                .flatMap(p -> p.configurationStub().tenant(s.key()).stream())
-                .findFirst()
-                .map(t -> t.accessKeys().get(0))
-                .orElse(s.key());
-    }
-
-    private void show(ObservationLog.Sent s, String ref, int tries) {
-        Map<String, String> h = Map.of("host", HOST, "authorization", "Token " + keyOf(s));
-        Duration limit = Duration.ofSeconds(2);
-        network.request(
-                entry.any(),
-                new Request("GET", "/-/message/" + ref, h, new byte[0]),
-                limit,
-                a -> network.request(
-                        entry.any(), new Request("GET", "/-/message-body/" + ref, h, new byte[0]), limit, b -> {
-                            boolean good = a.isPresent()
-                                    && b.isPresent()
-                                    && a.get().status() < 500
-                                    && b.get().status() < 500;
-                            if (!good && tries > 0) {
-                                show(s, ref, tries - 1);
-                                return;
-                            }
-                            seen.shown.add(new ObservationLog.Shown(
-                                    s.id(),
-                                    a.map(Answer::status).orElse(0),
-                                    a.map(x -> Callers.json(x).path("state").asText())
-                                            .orElse(""),
-                                    a.map(x -> Callers.json(x).path("seal").asText())
-                                            .orElse(""),
-                                    b.map(Answer::status).orElse(0),
-                                    b.filter(x -> x.status() == 200)
-                                            .map(x -> new String(x.body()))
-                                            .orElse("")));
-                        }));
-    }
-
     public Map<Integer, Integer> answers() {
-        return answers;
+        return clients.answers();
     }
 }
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/ProcessorFaults.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/ProcessorFaults.java
@@ -6,18 +6,18 @@
 import java.util.Random;
 import org.woadvale.testkit.stub.Backend;
 
-/** What comes from outside: callers, processors, endpoints, head operator, and the calendar. */
+/** What comes from outside: callers, processors, endpoints, operator, and the calendar. */
 final class ProcessorFaults {
     private final FleetSimulation v;
     private final World w;
-    private final HeadOffice head;
+    private final ConfigurationOperator operator;
     private final Random random;
     private final boolean calendarsJump;
 
     ProcessorFaults(FleetSimulation v, Random random, boolean calendarsJump) {
         this.v = v;
         this.w = v.w;
-        this.head = new HeadOffice(v);
+        this.operator = new ConfigurationOperator(v);
         this.random = random;
         this.calendarsJump = calendarsJump;
     }
@@ -38,14 +38,14 @@
         faults.put("fetcher loses answers", () -> fetcher().behave(Duration.ofMillis(20), 0.3));
         faults.put("processor leaves", () -> v.list((random.nextInt(3) == 0 ? "f2" : "p" + random.nextInt(2)), true));
         faults.put("flood", this::flood);
-        faults.put("layout", head::change);
-        faults.put("racing layouts", head::race);
-        faults.put("bad layout", head::bad);
-        faults.put("key withdrawn", head::withdraw);
-        faults.put("processor key exchanged", head::rotate);
-        faults.put("allowance changed", head::allowance);
-        faults.put("rate changed", head::rate);
-        faults.put("time limit changed", head::timeLimit);
+        faults.put("layout", operator::change);
+        faults.put("racing layouts", operator::race);
+        faults.put("bad layout", operator::bad);
+        faults.put("key withdrawn", operator::withdraw);
+        faults.put("processor key exchanged", operator::rotate);
+        faults.put("allowance changed", operator::allowance);
+        faults.put("rate changed", operator::rate);
+        faults.put("time limit changed", operator::timeLimit);
         faults.put("calendar jumps", this::jump);
     }
 
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/SeededPlatformDays.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/SeededPlatformDays.java
@@ -185,7 +185,7 @@
     /** The broken rules; empty when all went well. */
     public List<String> run(Duration length) {
         p.embark();
-        p.traffic(30);
+        p.clients.start(30);
         Duration end = r.sim.now().plus(length);
         while (r.sim.now().compareTo(end) < 0) {
             for (int i = random.nextInt(4); i >= 0; i--) {
--- a/testkit/src/test/java/org/woadvale/operator/FleetTest.java
+++ b/testkit/src/test/java/org/woadvale/operator/FleetTest.java
@@ -4,17 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -38,66 +34,10 @@
 class FleetTest {
     private static final Duration LONG = Duration.ofSeconds(60);
 
-    /** The person of the runbooks: here the fleet dispatcher. */
-    private final class Crew implements OperatorIo {
-        @Override
-        public boolean done(String what) {
-            said.add(what);
-            try {
-                byHand.run(what);
-            } catch (IOException e) {
-                return false;
-            }
-            return true;
-        }
-
-        @Override
-        public void say(String line) {
-            said.add(line);
-        }
-
-        @Override
-        public Duration now() {
-            return town.times.mono();
-        }
-
-        @Override
-        public void rest(Duration d) {
-            java.util.concurrent.locks.LockSupport.parkNanos(d.toNanos());
-        }
-    }
-
-    private interface ByHand {
-        void run(String what) throws IOException;
-    }
-
-    private final List<String> said = new ArrayList<>();
-    private ByHand byHand = what -> {};
     private Fleet fleet;
     private StubEnvironment town;
     private Load load;
-
-    private Wire.Got send(String method, String url, Map<String, String> headers, byte[] body) throws IOException {
-        try {
-            String rest = url.substring("http://".length());
-            int slash = rest.indexOf('/');
-            var g = town.client
-                    .send(method, rest.substring(0, slash), rest.substring(slash), "", body, headers)
-                    .join();
-            Map<String, String> h = new HashMap<>();
-            g.headers().forEach((k, v) -> h.put(k.toLowerCase(java.util.Locale.ROOT), v.get(0)));
-            return new Wire.Got(g.status(), h, g.body());
-        } catch (CompletionException e) {
-            throw new IOException(String.valueOf(e.getCause()));
-        }
-    }
-
-    private void run(String book, Map<String, String> values) throws ServiceException {
-        said.clear();
-        assertTrue(
-                new Runner(this::send, new Crew(), "", false).run(Runbooks.load(book), values),
-                () -> book + ": " + String.join("\n", said));
-    }
+    private RunbookHarness runbooks;
 
     private static String http(NodeProcess v) {
         return "http://" + v.http;
@@ -117,6 +57,7 @@
         try (Fleet f = fleet;
                 StubEnvironment t = new StubEnvironment(f, Shape.SMALL, new TestConfiguration(8, 2, 45, 60, 26))) {
             town = t;
+            runbooks = new RunbookHarness(t);
             load = new Load(t, f, 5);
             f.startAll();
             t.putConfiguration(t.configuration(), 0, "first");
@@ -141,7 +82,7 @@
             for (NodeProcess v : f.all()) {
                 v.start();
             }
-            run(
+            runbooks.run(
                     "check-after-outage",
                     Map.of("lighthouses", list(f.lighthouses), "stores", list(f.stores), "intakes", list(f.intakes)));
             accepted("after the outage");
@@ -189,7 +130,7 @@
                 town.configuration().tenants(), town.configuration().services(), lanes, keys);
         String l = http(fleet.lighthouses.get(1));
         String i = http(fleet.intakes.get(0));
-        run(
+        runbooks.run(
                 "put-layout",
                 Map.of(
                         "lighthouse",
@@ -200,7 +141,7 @@
                         "day-1",
                         "layout",
                         new String(Configurations.write(next), StandardCharsets.UTF_8)));
-        run("withdraw-key", Map.of("lighthouse", l, "intake", i, "request", "day-2", "key", "guest"));
+        runbooks.run("withdraw-key", Map.of("lighthouse", l, "intake", i, "request", "day-2", "key", "guest"));
         var refused = town.client
                 .send(
                         "POST",
@@ -212,24 +153,26 @@
                 .join();
         assertEquals(401, refused.status());
         String address = Configurations.JSON
-                .readTree(send("GET", l + "/v1/services/reserve/processors", Map.of(), new byte[0])
+                .readTree(runbooks.send("GET", l + "/v1/services/reserve/processors", Map.of(), new byte[0])
                         .body())
                 .at("/p0/address")
                 .asText();
-        run("drain-processor", Map.of("lighthouse", l, "service", "reserve", "processor", "p0", "address", address));
+        runbooks.run(
+                "drain-processor",
+                Map.of("lighthouse", l, "service", "reserve", "processor", "p0", "address", address));
     }
 
     private void roll() throws ServiceException {
         allReady();
-        byHand = what -> {
+        runbooks.byHand(step -> {
             NodeProcess v = fleet.all().stream()
-                    .filter(x -> what.endsWith(x.http))
+                    .filter(x -> step.endsWith(x.http))
                     .findFirst()
                     .orElseThrow();
             v.stop();
             v.start();
-        };
-        run("rolling-restart", Map.of("nodes", list(List.of(fleet.stores.get(1), fleet.intakes.get(1)))));
+        });
+        runbooks.run("rolling-restart", Map.of("nodes", list(List.of(fleet.stores.get(1), fleet.intakes.get(1)))));
     }
 
     private void replaceLighthouse(Path root) throws Exception {
@@ -249,8 +192,8 @@
                 true,
                 true);
         fleet.lighthouses.set(2, fresh);
-        byHand = what -> fresh.start();
-        run(
+        runbooks.byHand(step -> fresh.start());
+        runbooks.run(
                 "replace-lighthouse",
                 Map.of(
                         "lighthouse",
@@ -271,8 +214,8 @@
         fleet.stores.get(2).kill();
         NodeProcess fresh = fleet.pilot("store3", "hall2", "store");
         fleet.stores.set(2, fresh);
-        byHand = what -> fresh.start();
-        run("replace-store", Map.of("lighthouse", http(fleet.lighthouses.get(0)), "store", http(fresh)));
+        runbooks.byHand(step -> fresh.start());
+        runbooks.run("replace-store", Map.of("lighthouse", http(fleet.lighthouses.get(0)), "store", http(fresh)));
         accepted("with a new store");
     }
 }
--- /dev/null
+++ b/testkit/src/test/java/org/woadvale/operator/RunbookHarness.java
@@ -0,0 +1,89 @@
+package org.woadvale.operator;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.locks.LockSupport;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.testkit.cluster.StubEnvironment;
+
+/** Runs the shipped runbooks against a test fleet, and does by program what they ask the operator to do by hand. */
+final class RunbookHarness {
+    /** A step that the operator does by hand; fails if it cannot be done. */
+    interface ManualStep {
+        void run(String instruction) throws IOException;
+    }
+
+    private final class ScriptedOperator implements OperatorIo {
+        @Override
+        public boolean done(String instruction) {
+            transcript.add(instruction);
+            try {
+                manualStep.run(instruction);
+            } catch (IOException e) {
+                return false;
+            }
+            return true;
+        }
+
+        @Override
+        public void say(String line) {
+            transcript.add(line);
+        }
+
+        @Override
+        public Duration now() {
+            return environment.times.mono();
+        }
+
+        @Override
+        public void rest(Duration duration) {
+            LockSupport.parkNanos(duration.toNanos());
+        }
+    }
+
+    private final StubEnvironment environment;
+    private final List<String> transcript = new ArrayList<>();
+    private ManualStep manualStep = instruction -> {};
+
+    RunbookHarness(StubEnvironment environment) {
+        this.environment = environment;
+    }
+
+    /** What is done for the manual steps of the runbooks from now on. */
+    void byHand(ManualStep step) {
+        manualStep = step;
+    }
+
+    /** Runs a runbook to its end; fails the test, with everything that was said, if a step of it fails. */
+    void run(String name, Map<String, String> values) throws ServiceException {
+        transcript.clear();
+        assertTrue(
+                new Runner(this::send, new ScriptedOperator(), "", false).run(Runbooks.load(name), values),
+                () -> name + ": " + String.join("\n", transcript));
+    }
+
+    Wire.Got send(String method, String url, Map<String, String> headers, byte[] body) throws IOException {
+        String rest = url.substring("http://".length());
+        int slash = rest.indexOf('/');
+        try {
+            var answer = environment
+                    .client
+                    .send(method, rest.substring(0, slash), rest.substring(slash), "", body, headers)
+                    .join();
+            Map<String, String> firstValues = new HashMap<>();
+            answer.headers()
+                    .forEach((header, values) -> firstValues.put(header.toLowerCase(Locale.ROOT), values.get(0)));
+            return new Wire.Got(answer.status(), firstValues, answer.body());
+        } catch (CompletionException e) {
+            throw new IOException(String.valueOf(e.getCause()));
+        }
+    }
+}
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/NeverSteps.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/NeverSteps.java
@@ -16,12 +16,12 @@
 public class NeverSteps {
     private static final long SEED = 42;
     private FleetSimulation v;
-    private HeadOffice head;
+    private ConfigurationOperator operator;
 
     @Given("a fleet of {int} intakes and {int} stores under {int} messages a second")
     public void fleet(int intakes, int stores, int perSecond) throws ServiceException {
         v = new FleetSimulation(SEED, intakes, stores, 4).embark();
-        head = new HeadOffice(v);
+        operator = new ConfigurationOperator(v);
         v.traffic(perSecond);
         v.w.sim.run(Duration.ofSeconds(4));
     }
@@ -78,7 +78,7 @@
 
     @When("a key is withdrawn while an intake is cut off")
     public void withdraw() {
-        head.withdraw();
+        operator.withdraw();
         v.w.sim.run(Duration.ofMillis(1500));
         v.w.net.cutOff(v.w.intakes.get(2));
         v.w.sim.run(Duration.ofSeconds(12));
@@ -88,12 +88,12 @@
     @When("two layouts race and a bad one comes along")
     public void race() {
         long before = v.version;
-        head.race();
-        head.bad();
+        operator.race();
+        operator.bad();
         v.w.sim.run(Duration.ofSeconds(3));
         assertEquals(before + 1, v.version, "exactly one of the two may win");
         v.read();
-        head.change();
+        operator.change();
     }
 
     @When("a processor is marked as leaving")
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/PlatformScenariosTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/PlatformScenariosTest.java
@@ -10,13 +10,13 @@
 
 /** As shipped nothing is broken; without the one mechanism that keeps it, the rule is. */
 class PlatformScenariosTest {
-    static List<PlatformScenarios.Pair> pairs() {
+    static List<RuleScenario> scenarios() {
         return PlatformScenarios.all();
     }
 
     @ParameterizedTest
-    @MethodSource("pairs")
-    void shippedHoldsAndWithoutItsMechanismTheRuleBreaks(PlatformScenarios.Pair p) throws ServiceException {
+    @MethodSource("scenarios")
+    void shippedHoldsAndWithoutItsMechanismTheRuleBreaks(RuleScenario p) throws ServiceException {
         assertEquals(List.of(), p.shipped(1), p.failure);
         List<String> broken = p.brokenWithout(1);
         assertTrue(broken.contains(p.rule), p.failure + " without " + p.leftOut + ": " + broken);
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/PlatformSimulationTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/PlatformSimulationTest.java
@@ -13,7 +13,7 @@
     @Test
     void calmDayBreaksNoRuleAndServesAll() throws ServiceException {
         PlatformSimulation p = new PlatformSimulation(1, 3, 3, Seams.none()).embark();
-        p.traffic(30);
+        p.clients.start(30);
         p.network.sim.run(Duration.ofSeconds(6));
         p.operator.change();
         p.operator.bad();
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/SeedsTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/SeedsTest.java
@@ -48,7 +48,7 @@
                     "not seated: " + v.w.controlNode(fresh).lighthouses());
             v.w.sim.run(Duration.ofSeconds(10));
         }
-        new HeadOffice(v).changeAt(v.w.presentLighthouses());
+        new ConfigurationOperator(v).changeAt(v.w.presentLighthouses());
         v.w.sim.run(Duration.ofSeconds(5));
         assertEquals(2, v.version, "the layout was changed by the new core");
         v.w.seenVersions();
