--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/ControlNode.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/ControlNode.java
@@ -169,7 +169,7 @@
         }
     }
 
-    /** Owners processor over before they stop. */
+    /** Owners hand over before they stop. */
     public boolean drain() {
         draining = true;
         parts.values().forEach(p -> p.replica().unwilling());
@@ -192,7 +192,7 @@
         parts.forEach((id, p) -> leaders.observe(id, p.replica(), env.times().mono()));
     }
 
-    /** A part that changes processors in order is without an owner for a moment; that is no reason to turn operators away. */
+    /** A part that changes hands in order is without an owner for a moment; that is no reason to turn operators away. */
     public boolean ready() {
         seeOwners();
         return leaders.allRecent(parts.keySet(), env.times().mono());
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/Run.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/Run.java
@@ -111,7 +111,7 @@
                         wall().plus(l.policy().soon()))));
     }
 
-    /** Running by the log, but begun by an earlier owner, which may still processor over the answer that it got. */
+    /** Running by the log, but begun by an earlier owner, which may still hand over the answer that it got. */
     Mono<Boolean> adopted() {
         return l.policy().resends(m)
                 ? org.woadvale.common.runtime.Delays.pause(l.context().env().schedules(), ADOPTED)
--- a/operator/src/main/java/org/woadvale/operator/Runbook.java
+++ b/operator/src/main/java/org/woadvale/operator/Runbook.java
@@ -22,7 +22,7 @@
         steps = steps == null ? List.of() : List.copyOf(steps);
     }
 
-    /** REQUIRE: must hold now. ASK: an action. WAIT: until it holds. REMOVE: edits a kept document. PERSON: by processor. */
+    /** REQUIRE: must hold now. ASK: an action. WAIT: until it holds. REMOVE: edits a kept document. PERSON: by hand. */
     public enum Kind {
         REQUIRE,
         ASK,
--- a/testkit/src/main/java/org/woadvale/testkit/cluster/Drills.java
+++ b/testkit/src/main/java/org/woadvale/testkit/cluster/Drills.java
@@ -163,7 +163,7 @@
         f.stores.get(0).start();
     }
 
-    /** Everything is killed, everything is started; served means a processor-in was accepted. */
+    /** Everything is killed, everything is started; served means a submission was accepted. */
     private static void outage(Fleet f, StubEnvironment t, Load l) throws IOException {
         l.run(Duration.ofSeconds(5), RATE);
         f.killAll();
--- a/testkit/src/main/java/org/woadvale/testkit/cluster/Load.java
+++ b/testkit/src/main/java/org/woadvale/testkit/cluster/Load.java
@@ -55,7 +55,7 @@
         }
     }
 
-    /** A processor-in of a mixed kind at an intake that is up. */
+    /** A submission of a mixed kind at an intake that is up. */
     public CompletableFuture<Observations.Submitted> one(int tenant) {
         List<String> lanes = town.testConfiguration.lanes();
         String lane = random.nextInt(3) == 0 ? "accept" : lanes.get(random.nextInt(lanes.size()));
@@ -71,7 +71,7 @@
         return submit(tenant, id, lane, order, Configurations.write(body), 3);
     }
 
-    /** One processor-in and one read under a key at one intake, on the client's kept-alive connections. */
+    /** One submission and one read under a key at one intake, on the client's kept-alive connections. */
     public void use(String secret, NodeProcess intake) {
         String id = "k" + ids.incrementAndGet();
         byte[] body = Configurations.write(Map.of("id", id, "body", Map.of()));
--- a/testkit/src/main/java/org/woadvale/testkit/cluster/StubEnvironment.java
+++ b/testkit/src/main/java/org/woadvale/testkit/cluster/StubEnvironment.java
@@ -21,7 +21,7 @@
 import org.woadvale.testkit.stub.Observations;
 import org.woadvale.testkit.stub.TestConfiguration;
 
-/** The stand-ins around a real fleet: back ends, platform and head operator. */
+/** The stand-ins around a real fleet: back ends, platform and operator. */
 public final class StubEnvironment implements AutoCloseable {
     public final Observations seen = new Observations();
     public final Clock times = new SystemClock();
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/Callers.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Callers.java
@@ -95,7 +95,7 @@
                 5);
     }
 
-    /** Messages whose processor-in was never answered, but whose run was seen; older ones may be forgotten by now. */
+    /** Messages whose submission was never answered, but whose run was seen; older ones may be forgotten by now. */
     public void followWhatRan() {
         Duration from = w.sim.now().minus(REMEMBERED);
         w.seen.copy(w.seen.ran).stream()
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/Capacity.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Capacity.java
@@ -20,7 +20,7 @@
 
     private Capacity() {}
 
-    /** All processors are down: how long processor-ins of 1.25 KB at 270 a second are taken, parts of 2 MB. */
+    /** All processors are down: how long submissions of 1.25 KB at 270 a second are taken, parts of 2 MB. */
     private static void down() throws ServiceException {
         FleetSimulation v =
                 new FleetSimulation(1, 8, 3, 4, new TestConfiguration(8, 2, 45, 60, 26), World.LARGE_RING).embark();
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/FailureScenarios.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/FailureScenarios.java
@@ -221,7 +221,7 @@
         return over(v);
     }
 
-    /** Until a processor-in of every tenant in every part, sent since, was accepted. */
+    /** Until a submission of every tenant in every part, sent since, was accepted. */
     static Duration awaitReturn(FleetSimulation v) {
         Duration restarted = v.w.sim.now();
         v.w.sim.runUntil(
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/FleetSimulation.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/FleetSimulation.java
@@ -14,7 +14,7 @@
 import org.woadvale.testkit.stub.Observations;
 import org.woadvale.testkit.stub.TestConfiguration;
 
-/** Platform and head operator of a simulated fleet, and its callers. */
+/** Platform and operator of a simulated fleet, and its callers. */
 public final class FleetSimulation extends Callers {
     private final Map<String, String> secrets = new TreeMap<>();
     private final Map<String, Fetcher> fetchers = new TreeMap<>();
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/Measure.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Measure.java
@@ -91,7 +91,7 @@
                 bad);
     }
 
-    /** Power lost everywhere, all started again at once: time until a processor-in of the given tenant is accepted. */
+    /** Power lost everywhere, all started again at once: time until a submission of the given tenant is accepted. */
     public static Duration outage(long seed, int intakes, int stores, TestConfiguration testConfiguration)
             throws ServiceException {
         FleetSimulation v = new FleetSimulation(seed, intakes, stores, 4, testConfiguration, World.LARGE_RING).embark();
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/NaiveVariants.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/NaiveVariants.java
@@ -113,7 +113,7 @@
                                 : Mono.error(e)));
     }
 
-    /** 05: processor-ins without a time by which they must have come; a store's life is learned once and for all. */
+    /** 05: submissions without a time by which they must have come; a store's life is learned once and for all. */
     static Seams timelessHandIns() {
         return Seams.none().withRpc((a, b) -> {
             Map<String, Object> clocks = new HashMap<>();
--- a/testkit/src/main/java/org/woadvale/testkit/stub/Edit.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/Edit.java
@@ -5,7 +5,7 @@
 import java.util.function.Consumer;
 import org.woadvale.common.config.Configuration;
 
-/** Changes of a configuration by the head operator. */
+/** Changes of a configuration by the operator. */
 public final class Edit {
     private Edit() {}
 
--- a/testkit/src/main/java/org/woadvale/testkit/stub/Observations.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/Observations.java
@@ -20,7 +20,7 @@
         UNKNOWN
     }
 
-    /** One processor-in by one caller; a repeat of an id is a processor-in of its own. */
+    /** One submission by one caller; a repeat of an id is a submission of its own. */
     public record Submitted(
             String tenant,
             String id,
@@ -95,7 +95,7 @@
 
     public record KeyWithdrawn(String key, Duration acknowledged) {}
 
-    /** A request other than a processor-in that was served under a key. */
+    /** A request other than a submission that was served under a key. */
     public record KeyServed(String key, String what, Duration answered) {}
 
     public record MarkedLeaving(String processor, Duration acknowledged) {}
--- a/testkit/src/main/java/org/woadvale/testkit/stub/Windows.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/Windows.java
@@ -17,7 +17,7 @@
         this.s = s;
     }
 
-    /** Every message that is known to have been taken, whatever its processor-in was answered. */
+    /** Every message that is known to have been taken, whatever its submission was answered. */
     List<String> allowance() {
         Map<String, Duration> taken = new HashMap<>();
         Map<String, String> tenants = new HashMap<>();
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/AdmissionTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/AdmissionTest.java
@@ -45,7 +45,7 @@
         assertTrue(f.worstShare() <= 1.0, "worst window " + f.worstShare());
     }
 
-    /** Before: 50 to 101 processor-ins of 1500 met views that were too old; control parts' leases of 2 s were the cause. */
+    /** Before: 50 to 101 submissions of 1500 met views that were too old; control parts' leases of 2 s were the cause. */
     @Test
     void killedOwnerOfTheLayoutRefusesNobody() throws ServiceException {
         for (long seed = 1; seed <= 2; seed++) {
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/FaultStormTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/FaultStormTest.java
@@ -14,7 +14,7 @@
  */
 class FaultStormTest {
     /**
-     * 9: processor-ins that waited for a store outlived their passes and were accepted all at once (LateFramesTest).
+     * 9: submissions that waited for a store outlived their passes and were accepted all at once (LateFramesTest).
      * 21, 28, 37: an unclear attempt ran again because a stale view was taken for "the processor is gone".
      * 7, 3110: the checker's own: a mark that the platform had taken back; a lane seen missing while the configuration that
      * removes it was taken but not yet answered. 115: the checker's own: calendars apart, so the end had no stamp.
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/ResendTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/ResendTest.java
@@ -99,7 +99,7 @@
         assertEquals("completed", s.state(handle).path("state").asText());
     }
 
-    /** A planned processor-over while a processor works: its answer is recorded with the new owner, and nothing runs twice. */
+    /** A planned leadership transfer while a processor works: its answer is recorded with the new owner, and nothing runs twice. */
     @Test
     void handOverDuringARunDoesNotRunItTwice() throws ServiceException {
         Shore s = new Shore(7, 1);
--- a/testkit/src/test/java/org/woadvale/testkit/stub/Diary.java
+++ b/testkit/src/test/java/org/woadvale/testkit/stub/Diary.java
@@ -7,7 +7,7 @@
 import java.util.Optional;
 import org.junit.jupiter.api.BeforeEach;
 
-/** A day as it was seen from outside, written by processor. */
+/** A day as it was seen from outside, written by hand. */
 abstract class Diary {
     static final String HOST = "h";
     final ObservationLog w = new ObservationLog();
