A full disk is waited for and no longer ends the process

Ruled out: that our own files filled it. No folder had been set aside, and the ring was whole (32 of 128 MB).

Change: a write that finds the disk full is tried again each 100 ms, the same batch at the same place; nothing is confirmed before. Files are allocated by the first write, so opening takes no space. One damaged folder at most is kept aside, and that is deleted when the ring needs its space. RingWriteAheadLog is split: queue, writer, retention.

Found beside it: a torn first batch over the oldest file of a wrapped ring was taken for damage and condemned a sound folder (RingPowerCutTest fails so without the change in Recovery).

--- a/common/src/main/java/org/woadvale/common/wal/Disk.java
+++ b/common/src/main/java/org/woadvale/common/wal/Disk.java
@@ -11,6 +11,9 @@
     interface Leaf {
         int size() throws IOException;
 
+        /** Takes all the space of the file, so that later writes need none. Must run before the first write. */
+        default void allocate() throws IOException {}
+
         /** Writes the first so many of the bytes. */
         void write(long pos, byte[] bytes, int length) throws IOException;
 
@@ -22,9 +25,14 @@
 
     List<String> list() throws IOException;
 
-    /** A file of at least this size; a new one is all zeros. */
+    /** A file of at least this size; a new one is all zeros. Takes no space before it is allocated. */
     Leaf open(String name, int size) throws IOException;
 
-    /** Takes everything out of the way; a damaged folder is kept aside where the disk can. */
+    /** Takes everything out of the way; a damaged folder is kept aside where the disk can, in place of any former one. */
     void setAside() throws IOException;
+
+    /** Frees the space of what was set aside; true if there was any. */
+    default boolean deleteSetAside() throws IOException {
+        return false;
+    }
 }
--- a/common/src/main/java/org/woadvale/common/wal/FolderDisk.java
+++ b/common/src/main/java/org/woadvale/common/wal/FolderDisk.java
@@ -1,17 +1,19 @@
 package org.woadvale.common.wal;
 
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
-import java.util.Arrays;
 import java.util.List;
 import java.util.stream.Stream;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 
-/** A real data folder. */
+/** A real data folder. At most one damaged folder is kept aside, so that the disk never holds more than two rings. */
 public final class FolderDisk implements Disk {
+    private static final Logger LOG = LogManager.getLogger("wal");
+    private static final String SET_ASIDE = "set-aside-";
     private final Path folder;
 
     public FolderDisk(Path folder) throws IOException {
@@ -30,24 +32,11 @@
     }
 
     @Override
-    public Leaf open(String name, int size) throws IOException {
-        Path p = folder.resolve(name);
-        boolean made = !Files.exists(p);
-        FileChannel ch =
-                FileChannel.open(p, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE);
-        if (made || ch.size() < size) {
-            Leaf blank = new ChannelLeaf(ch);
-            byte[] zeros = new byte[CHUNK];
-            for (int at = 0; at < size; at += CHUNK) {
-                blank.write(at, zeros, Math.min(CHUNK, size - at));
-            }
-            ch.force(true);
-            syncFolder();
-        }
-        return new ChannelLeaf(ch);
+    public Leaf open(String name, int size) {
+        return new FolderFile(folder.resolve(name), size);
     }
 
-    private void syncFolder() throws IOException {
+    static void syncFolder(Path folder) throws IOException {
         try (FileChannel dir = FileChannel.open(folder, StandardOpenOption.READ)) {
             dir.force(true);
         }
@@ -55,43 +44,47 @@
 
     @Override
     public void setAside() throws IOException {
-        Path aside = folder.resolve("set-aside-" + System.currentTimeMillis());
-        Files.createDirectory(aside);
-        for (String name : list()) {
-            Files.move(folder.resolve(name), aside.resolve(name));
+        deleteSetAside();
+        try {
+            Path aside = folder.resolve(SET_ASIDE + System.currentTimeMillis());
+            Files.createDirectory(aside);
+            for (String name : list()) {
+                Files.move(folder.resolve(name), aside.resolve(name));
+            }
+        } catch (IOException e) {
+            if (!(DiskFullException.typed(e) instanceof DiskFullException)) {
+                throw e;
+            }
+            LOG.warn("wal: the disk is full, so the damaged files of {} are deleted and not set aside.", folder);
+            for (String name : list()) {
+                Files.delete(folder.resolve(name));
+            }
         }
-        syncFolder();
+        syncFolder(folder);
     }
 
-    /** Small pieces only: the runtime keeps a buffer outside the heap as large as the largest for each thread. */
-    private record ChannelLeaf(FileChannel ch) implements Leaf {
-        @Override
-        public int size() throws IOException {
-            return (int) ch.size();
+    @Override
+    public boolean deleteSetAside() throws IOException {
+        List<Path> old;
+        try (Stream<Path> s = Files.list(folder)) {
+            old = s.filter(p -> p.getFileName().toString().startsWith(SET_ASIDE))
+                    .toList();
         }
-
-        @Override
-        public void write(long pos, byte[] bytes, int length) throws IOException {
-            for (int at = 0; at < length; ) {
-                at += ch.write(ByteBuffer.wrap(bytes, at, Math.min(CHUNK, length - at)), pos + at);
-            }
+        for (Path aside : old) {
+            LOG.warn("wal: {}, set aside earlier, is deleted to free its space.", aside);
+            deleteFolder(aside);
         }
+        return !old.isEmpty();
+    }
 
-        @Override
-        public void read(long pos, byte[] into, int length) throws IOException {
-            for (int at = 0; at < length; ) {
-                int n = ch.read(ByteBuffer.wrap(into, at, Math.min(CHUNK, length - at)), pos + at);
-                if (n < 0) {
-                    Arrays.fill(into, at, length, (byte) 0);
-                    return;
-                }
-                at += n;
-            }
+    private static void deleteFolder(Path aside) throws IOException {
+        List<Path> files;
+        try (Stream<Path> s = Files.list(aside)) {
+            files = s.toList();
         }
-
-        @Override
-        public void sync() throws IOException {
-            ch.force(false);
+        for (Path file : files) {
+            Files.delete(file);
         }
+        Files.delete(aside);
     }
 }
--- a/common/src/main/java/org/woadvale/common/wal/Recovery.java
+++ b/common/src/main/java/org/woadvale/common/wal/Recovery.java
@@ -25,6 +25,7 @@
     long segment;
     int pos;
     long batch;
+    private boolean oldestBreaksOff;
 
     static Recovery run(List<Disk.Leaf> files) throws Damaged, RecordFormat.Newer, IOException {
         Recovery r = new Recovery();
@@ -49,10 +50,15 @@
             r.checkTail(new ReadWindow(files.get(0)), 0, 0);
             return r;
         }
+        boolean wrapped = newest - oldest + 1 == n;
         for (long s = oldest; s <= newest; s++) {
-            r.segment(new ReadWindow(files.get((int) (s % n))), s, s == newest);
+            r.segment(new ReadWindow(files.get((int) (s % n))), s, s == newest, wrapped && s == oldest);
         }
-        if (newest - oldest + 1 < n) {
+        boolean rolled = r.segment == newest + 1;
+        if (r.oldestBreaksOff && !rolled) {
+            throw new Damaged("segment " + oldest + " breaks off");
+        }
+        if (!wrapped || rolled) {
             r.checkTail(new ReadWindow(files.get((int) ((newest + 1) % n))), newest + 1, 0);
         }
         return r;
@@ -64,11 +70,22 @@
         }
     }
 
-    private void segment(ReadWindow file, long s, boolean last) throws Damaged, RecordFormat.Newer, IOException {
+    /**
+     * The oldest segment of a ring that has wrapped may be half written over by the first batch of the next segment:
+     * that begins only once nothing in the oldest one is needed.
+     */
+    private void segment(ReadWindow file, long s, boolean last, boolean mayBeWrittenOver)
+            throws Damaged, RecordFormat.Newer, IOException {
         int at = 0;
         while (true) {
             Optional<RecordFormat.Found> f = RecordFormat.read(file, at);
             if (f.isEmpty() || f.get().segment() != s) {
+                if (mayBeWrittenOver) {
+                    oldestBreaksOff = true;
+                    parts.clear();
+                    needs.clear();
+                    return;
+                }
                 if (!last) {
                     throw new Damaged("segment " + s + " breaks off at " + at);
                 }
--- a/common/src/main/java/org/woadvale/common/wal/RingWriteAheadLog.java
+++ b/common/src/main/java/org/woadvale/common/wal/RingWriteAheadLog.java
@@ -1,8 +1,8 @@
 package org.woadvale.common.wal;
 
 import java.io.IOException;
+import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -15,69 +15,60 @@
 
 /** One ring of preallocated files; one sync serves everything that waited: design 4. */
 public final class RingWriteAheadLog implements WriteAheadLog {
-    private static final Logger LOG = LogManager.getLogger("logbook");
-
-    /** So many files later a part is asked again. */
-    private static final long ASK_AGAIN = 1;
-
-    private record Job(List<Entry> entries, Runnable done) {}
+    private static final Logger LOG = LogManager.getLogger("wal");
+    /** How long after a write that found the disk full it is tried again. */
+    private static final Duration FULL_DISK_RETRY = Duration.ofMillis(100);
+    /** New work is refused while so many bytes of log entries wait for the disk. */
+    private static final long MAX_WAITING_BYTES = 2L << 20;
 
     private final Timers schedules;
-    private final int size;
-    private final List<Disk.Leaf> leaves = new ArrayList<>();
+    private final int fileSize;
+    private final int files;
     private final Map<String, List<Entry>> recovered;
-    private final Map<String, Long> needs = new HashMap<>();
-    /** In which segment a part was asked for a base that has not been written yet. */
-    private final Map<String, Long> asked = new HashMap<>();
-
-    private final WriteBatch gather = new WriteBatch();
+    private final RingWriter writer;
     private final Map<String, Runnable> pressure = new ConcurrentHashMap<>();
-    private List<Job> waiting = new ArrayList<>();
+    private final PendingWrites pending = new PendingWrites();
     private Consumer<String> failure = why -> {};
-    private long segment;
-    private int pos;
-    private long batch;
     private boolean flushing;
     private boolean failed;
-    private volatile long syncs;
-    private volatile boolean nearlyFull;
+    private boolean diskFull;
+    private long bytesBeingWritten;
+    private volatile boolean ringNearlyFull;
 
-    private RingWriteAheadLog(Disk disk, Timers schedules, int files, int size) throws IOException, RecordFormat.Newer {
+    private RingWriteAheadLog(Disk disk, Timers schedules, int files, int fileSize)
+            throws IOException, RecordFormat.Newer {
         this.schedules = schedules;
-        this.size = size;
-        openAll(disk, files);
-        Recovery r;
+        this.files = files;
+        this.fileSize = fileSize;
+        List<Disk.Leaf> leaves = openAll(disk);
+        Recovery found;
         try {
-            r = Recovery.run(leaves);
+            found = Recovery.run(leaves);
         } catch (Recovery.Damaged e) {
-            LOG.error("logbook: the folder is damaged ({}); set aside, starting blank.", e.getMessage());
+            LOG.error("wal: the folder is damaged ({}); set aside, starting blank.", e.getMessage());
             disk.setAside();
-            openAll(disk, files);
-            r = new Recovery();
+            leaves = openAll(disk);
+            found = new Recovery();
         }
-        recovered = r.parts;
-        needs.putAll(r.needs);
-        segment = r.segment;
-        pos = r.pos;
-        batch = r.batch;
-        if (segment - oldestNeeded() >= leaves.size()) {
+        recovered = found.parts;
+        writer = new RingWriter(disk, leaves, fileSize, found);
+        if (writer.full()) {
             // the file that comes next still holds what is needed: nothing may be written over it. design 4.1
             throw new IOException("the ring is full, and no file can be freed; repair this copy from the others");
         }
-        new ReadWindow(leaves.get(file())).blank(pos);
-        leaves.get(file()).sync();
     }
 
-    private void openAll(Disk disk, int files) throws IOException {
-        leaves.clear();
-        boolean torn = !disk.list().isEmpty()
-                && disk.list().stream().filter(f -> f.startsWith("ring-")).count() < files;
-        for (int i = 0; i < files; i++) {
-            leaves.add(disk.open(String.format("ring-%02d", i), size));
+    private List<Disk.Leaf> openAll(Disk disk) throws IOException {
+        long present =
+                disk.list().stream().filter(name -> name.startsWith("ring-")).count();
+        if (present > 0 && present < files) {
+            LOG.warn("wal: some ring files are missing and are made anew.");
         }
-        if (torn) {
-            LOG.warn("logbook: some ring files were missing and were made anew.");
+        List<Disk.Leaf> opened = new ArrayList<>();
+        for (int i = 0; i < files; i++) {
+            opened.add(disk.open(String.format("ring-%02d", i), fileSize));
         }
+        return opened;
     }
 
     public static RingWriteAheadLog open(Disk disk, Timers schedules, int files, int size) throws ServiceException {
@@ -90,10 +81,6 @@
         }
     }
 
-    private int file() {
-        return (int) (segment % leaves.size());
-    }
-
     @Override
     public Map<String, List<Entry>> recovered() {
         return recovered;
@@ -104,7 +91,7 @@
         if (failed) {
             return;
         }
-        waiting.add(new Job(entries, done));
+        pending.add(new PendingWrites.Group(entries, done));
         if (!flushing) {
             flushing = true;
             schedules.onDisk(this::flush);
@@ -112,105 +99,65 @@
     }
 
     private void flush() {
-        List<Job> jobs;
+        List<PendingWrites.Group> batch;
         synchronized (this) {
-            jobs = waiting;
-            waiting = new ArrayList<>();
+            bytesBeingWritten = pending.entryBytes();
+            batch = pending.takeAll();
         }
+        write(batch);
+    }
+
+    private void write(List<PendingWrites.Group> batch) {
         try {
-            write(jobs);
+            writer.write(batch);
+        } catch (DiskFullException e) {
+            retryLater(batch, e.getMessage());
+            return;
         } catch (IOException e) {
             fail(e.getMessage());
             return;
         }
-        jobs.forEach(j -> schedules.soon(j.done()));
-        synchronized (this) {
-            if (waiting.isEmpty()) {
-                flushing = false;
-            } else {
-                schedules.onDisk(this::flush);
-            }
-        }
+        batch.forEach(group -> schedules.soon(group.done()));
+        written();
         relieve();
     }
 
-    private synchronized void fail(String why) {
-        failed = true;
-        LOG.error("logbook: the disk failed: {}.", why);
-        failure.accept(why);
-    }
-
-    private void write(List<Job> jobs) throws IOException {
-        batch++;
-        boolean any = false;
-        for (Job j : jobs) {
-            for (Entry e : j.entries()) {
-                put(e);
-                any = true;
-            }
-        }
-        if (any) {
-            gather.flush(leaves.get(file()), pos);
-            leaves.get(file()).sync();
-            syncs++;
+    /** A full disk ends nothing: what waits is neither confirmed nor lost until there is room again. design 4.4 */
+    private synchronized void retryLater(List<PendingWrites.Group> batch, String why) {
+        if (!diskFull) {
+            LOG.error("wal: the disk is full ({}); nothing is confirmed until it takes writes again.", why);
         }
+        diskFull = true;
+        schedules.after(FULL_DISK_RETRY, () -> schedules.onDisk(() -> write(batch)));
     }
 
-    private void put(Entry e) throws IOException {
-        int need = RecordFormat.size(e);
-        int rollSize = RecordFormat.HEAD + 18;
-        if (need + rollSize > size) {
-            throw new IOException("a record of " + need + " bytes is larger than a ring file");
-        }
-        if (pos + need + rollSize > size) {
-            gather.add(leaves.get(file()), pos, RecordFormat.roll(segment, batch));
-            gather.flush(leaves.get(file()), pos + rollSize);
-            leaves.get(file()).sync();
-            syncs++;
-            segment++;
-            pos = 0;
-            if (segment - oldestNeeded() >= leaves.size()) {
-                throw new IOException("the ring is full");
-            }
+    private synchronized void written() {
+        if (diskFull) {
+            LOG.info("wal: the disk takes writes again.");
         }
-        byte[] head = RecordFormat.head(segment, batch, e);
-        gather.add(leaves.get(file()), pos, head);
-        gather.add(leaves.get(file()), pos + head.length, e.bytes());
-        pos += need;
-        synchronized (needs) {
-            if (e.kind() == Entry.Kind.BASE) {
-                needs.put(e.part(), segment);
-                asked.remove(e.part());
-            } else {
-                needs.putIfAbsent(e.part(), segment);
-            }
+        diskFull = false;
+        bytesBeingWritten = 0;
+        if (pending.isEmpty()) {
+            flushing = false;
+        } else {
+            schedules.onDisk(this::flush);
         }
     }
 
-    private long oldestNeeded() {
-        synchronized (needs) {
-            return needs.values().stream().mapToLong(Long::longValue).min().orElse(segment);
-        }
+    private synchronized void fail(String why) {
+        failed = true;
+        LOG.error("wal: the disk failed: {}.", why);
+        failure.accept(why);
     }
 
-    /** ControlMessages the parts that hold back the oldest files for new bases. */
+    /** Asks the parts that hold back the oldest files for new snapshots. */
     private void relieve() {
-        long used = segment - oldestNeeded() + 1;
-        nearlyFull = used >= leaves.size() - Math.max(1, leaves.size() / 8);
-        if (used > leaves.size() / 2) {
-            long oldest = oldestNeeded();
-            List<String> holding = new ArrayList<>();
-            synchronized (needs) {
-                needs.forEach((p, s) -> {
-                    // one that was asked has its base on the way: another would only fill the ring. design 4.1
-                    boolean underWay = segment <= asked.getOrDefault(p, -ASK_AGAIN) + ASK_AGAIN;
-                    if (s <= oldest + 1 && !underWay) {
-                        asked.put(p, segment);
-                        holding.add(p);
-                    }
-                });
-            }
-            holding.forEach(p -> schedules.soon(pressure.getOrDefault(p, () -> {})));
+        long used = writer.segmentsInUse();
+        ringNearlyFull = used >= files - Math.max(1, files / 8);
+        if (used > files / 2) {
+            writer.retention()
+                    .partsToAsk(writer.segment())
+                    .forEach(part -> schedules.soon(pressure.getOrDefault(part, () -> {})));
         }
     }
 
@@ -221,7 +168,11 @@
 
     @Override
     public boolean nearlyFull() {
-        return nearlyFull;
+        return ringNearlyFull || waitingBytes() > MAX_WAITING_BYTES;
+    }
+
+    private synchronized long waitingBytes() {
+        return bytesBeingWritten + pending.entryBytes();
     }
 
     @Override
@@ -231,16 +182,16 @@
 
     @Override
     public long syncs() {
-        return syncs;
+        return writer.syncs();
     }
 
     @Override
-    public synchronized long filesWritten() {
-        return segment + 1;
+    public long filesWritten() {
+        return writer.segment() + 1;
     }
 
     @Override
     public int largest() {
-        return size - 256;
+        return fileSize - 256;
     }
 }
--- a/common/src/main/java/org/woadvale/common/wal/WriteBatch.java
+++ b/common/src/main/java/org/woadvale/common/wal/WriteBatch.java
@@ -27,4 +27,9 @@
             held = 0;
         }
     }
+
+    /** Forgets what was added and not written. */
+    void clear() {
+        held = 0;
+    }
 }
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/SimDisk.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/SimDisk.java
@@ -1,11 +1,13 @@
 package org.woadvale.testkit.simulation;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.woadvale.common.wal.Disk;
+import org.woadvale.common.wal.DiskFullException;
 
 /** A disk that forgets unsynced writes when the power goes: each sector may be kept, torn or lost. */
 public final class SimDisk implements Disk {
@@ -27,6 +29,7 @@
     private static final class Platter {
         byte[] synced;
         final List<Write> loose = new ArrayList<>();
+        boolean allocated;
 
         Platter(int size) {
             synced = new byte[size];
@@ -40,6 +43,7 @@
     private final Sim sim;
     private final Map<String, Platter> files = new HashMap<>();
     private long syncs;
+    private boolean full;
 
     public SimDisk(Sim sim) {
         this.sim = sim;
@@ -64,7 +68,13 @@
             }
 
             @Override
-            public void write(long pos, byte[] bytes, int length) {
+            public void allocate() throws IOException {
+                takeSpace(p);
+            }
+
+            @Override
+            public void write(long pos, byte[] bytes, int length) throws IOException {
+                failIfFull();
                 p.loose.add(new Write((int) pos, Arrays.copyOf(bytes, length)));
             }
 
@@ -89,6 +99,24 @@
         };
     }
 
+    /** Takes no more bytes, as long as that lasts: neither new files nor new bytes in old ones. */
+    public void setFull(boolean now) {
+        full = now;
+    }
+
+    private void failIfFull() throws DiskFullException {
+        if (full) {
+            throw new DiskFullException("No space left on device");
+        }
+    }
+
+    private void takeSpace(Platter file) throws DiskFullException {
+        if (!file.allocated) {
+            failIfFull();
+        }
+        file.allocated = true;
+    }
+
     @Override
     public void setAside() {
         files.clear();
--- /dev/null
+++ b/testkit/src/test/java/org/woadvale/testkit/replication/FullDiskTest.java
@@ -0,0 +1,135 @@
+package org.woadvale.testkit.replication;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.woadvale.common.rpc.RpcRouter;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.wal.Entry;
+import org.woadvale.common.wal.RingWriteAheadLog;
+import org.woadvale.testkit.simulation.Harness;
+import org.woadvale.testkit.simulation.Sim;
+import org.woadvale.testkit.simulation.SimNet;
+
+/** A disk that takes no more bytes for a while: nothing is confirmed, nothing is lost, the process goes on. */
+class FullDiskTest {
+    private static final int FILES = 4;
+    private static final int SIZE = 4096;
+    private static final int LARGE_SIZE = 4 << 20;
+    private final Sim sim = new Sim(31);
+    private final Harness h = new Harness("a:1", sim, new SimNet(sim));
+    private final List<String> failures = new ArrayList<>();
+    private final List<Long> confirmed = new ArrayList<>();
+
+    @BeforeEach
+    void boot() {
+        h.boot(new RpcRouter());
+    }
+
+    private RingWriteAheadLog open(int size) throws ServiceException {
+        h.boot(new RpcRouter());
+        RingWriteAheadLog wal = RingWriteAheadLog.open(h.disk(), h.host(), FILES, size);
+        wal.onFailure(failures::add);
+        return wal;
+    }
+
+    private void append(RingWriteAheadLog wal, Entry.Kind kind, long index, int bytes) {
+        wal.append(List.of(new Entry("m1", kind, index, 1, new byte[bytes])), () -> confirmed.add(index));
+    }
+
+    private static List<Long> recovered(RingWriteAheadLog wal) {
+        return wal.recovered().getOrDefault("m1", List.of()).stream()
+                .map(Entry::index)
+                .toList();
+    }
+
+    @Test
+    void aFullDiskConfirmsNothingAndGoesOnWhereItStopped() throws ServiceException {
+        RingWriteAheadLog wal = open(SIZE);
+        append(wal, Entry.Kind.ENTRY, 1, 100);
+        sim.run(Duration.ofMillis(20));
+        h.disk().setFull(true);
+        for (long i = 2; i <= 30; i++) {
+            append(wal, Entry.Kind.ENTRY, i, 100);
+            sim.run(Duration.ofMillis(100));
+        }
+        assertEquals(List.of(1L), confirmed);
+        h.disk().setFull(false);
+        sim.run(Duration.ofMillis(500));
+        assertEquals(30, confirmed.size());
+        assertEquals(List.of(), failures);
+        h.powerLoss();
+        assertEquals(confirmed.stream().sorted().toList(), recovered(open(SIZE)));
+    }
+
+    /** Full and killed in the middle of a batch that reaches over two files. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void aKillWhileTheDiskIsFullLosesNothingConfirmed(long killedAfter) throws ServiceException {
+        RingWriteAheadLog wal = open(SIZE);
+        for (long i = 1; i <= killedAfter * 7; i++) {
+            append(wal, Entry.Kind.ENTRY, i, 100);
+            h.disk().setFull(i % 5 == 0);
+            sim.run(Duration.ofMillis(30));
+        }
+        h.powerLoss();
+        h.disk().setFull(true);
+        List<Long> kept = recovered(open(SIZE));
+        assertTrue(kept.containsAll(confirmed), "confirmed " + confirmed + ", kept " + kept);
+        assertEquals(kept.stream().distinct().toList(), kept);
+        assertEquals(List.of(), failures);
+    }
+
+    @Test
+    void aBlankFolderOnAFullDiskIsMadeOnceThereIsRoom() throws ServiceException {
+        h.disk().setFull(true);
+        RingWriteAheadLog wal = open(SIZE);
+        append(wal, Entry.Kind.BASE, 1, 100);
+        sim.run(Duration.ofSeconds(5));
+        assertEquals(List.of(), confirmed);
+        h.disk().setFull(false);
+        sim.run(Duration.ofMillis(500));
+        assertEquals(List.of(1L), confirmed);
+        assertEquals(List.of(), failures);
+    }
+
+    @Test
+    void newWorkIsRefusedWhileMuchWaitsAndTakenAgainAfterwards() throws ServiceException {
+        RingWriteAheadLog wal = open(LARGE_SIZE);
+        h.disk().setFull(true);
+        for (long i = 1; i <= 20; i++) {
+            append(wal, Entry.Kind.ENTRY, i, 200_000);
+        }
+        sim.run(Duration.ofSeconds(1));
+        assertTrue(wal.nearlyFull());
+        h.disk().setFull(false);
+        sim.run(Duration.ofSeconds(1));
+        assertFalse(wal.nearlyFull());
+        assertEquals(20, confirmed.size());
+    }
+
+    /** What a snapshot replaces is not kept in memory, but whoever waited for it is told. */
+    @Test
+    void waitingSnapshotsReplaceWhatWaitsBeforeThem() throws ServiceException {
+        RingWriteAheadLog wal = open(LARGE_SIZE);
+        h.disk().setFull(true);
+        append(wal, Entry.Kind.ENTRY, 1, 100);
+        sim.run(Duration.ofMillis(20));
+        for (long i = 2; i <= 40; i++) {
+            append(wal, i % 10 == 0 ? Entry.Kind.BASE : Entry.Kind.ENTRY, i, 200_000);
+        }
+        h.disk().setFull(false);
+        sim.run(Duration.ofSeconds(1));
+        assertEquals(40, confirmed.size());
+        h.powerLoss();
+        assertEquals(List.of(40L), recovered(open(LARGE_SIZE)));
+    }
+}
--- /dev/null
+++ b/testkit/src/test/java/org/woadvale/testkit/replication/RingPowerCutTest.java
@@ -0,0 +1,119 @@
+package org.woadvale.testkit.replication;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.woadvale.common.rpc.RpcRouter;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.wal.Disk;
+import org.woadvale.common.wal.Entry;
+import org.woadvale.common.wal.RingWriteAheadLog;
+import org.woadvale.testkit.simulation.Harness;
+import org.woadvale.testkit.simulation.Sim;
+import org.woadvale.testkit.simulation.SimNet;
+
+/** The power goes between a write and its sync, at every place of a ring that has wrapped. */
+class RingPowerCutTest {
+    private static final int FILES = 4;
+    private static final int SIZE = 4096;
+    private static final int SEEDS = 400;
+
+    /** Cuts the power in place of the given sync. */
+    private static final class CutDisk implements Disk {
+        private final Disk disk;
+        private int syncsLeft;
+
+        CutDisk(Disk disk, int syncsLeft) {
+            this.disk = disk;
+            this.syncsLeft = syncsLeft;
+        }
+
+        @Override
+        public List<String> list() throws IOException {
+            return disk.list();
+        }
+
+        @Override
+        public void setAside() throws IOException {
+            throw new IOException("a sound folder was set aside");
+        }
+
+        @Override
+        public Leaf open(String name, int size) throws IOException {
+            Leaf leaf = disk.open(name, size);
+            return new Leaf() {
+                @Override
+                public int size() throws IOException {
+                    return leaf.size();
+                }
+
+                @Override
+                public void write(long pos, byte[] bytes, int length) throws IOException {
+                    leaf.write(pos, bytes, length);
+                }
+
+                @Override
+                public void read(long pos, byte[] into, int length) throws IOException {
+                    leaf.read(pos, into, length);
+                }
+
+                @Override
+                public void sync() throws IOException {
+                    syncsLeft--;
+                    if (syncsLeft <= 0) {
+                        throw new IOException("the power is cut");
+                    }
+                    leaf.sync();
+                }
+            };
+        }
+    }
+
+    /** Before: a first batch torn across the oldest file condemned the whole folder, though nothing in it was lost. */
+    @Test
+    void aTornFirstBatchOverTheOldestFileIsNoDamage() throws ServiceException {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            Sim sim = new Sim(seed);
+            Harness h = new Harness("a:1", sim, new SimNet(sim));
+            List<Long> confirmed = new ArrayList<>();
+            writeUntilThePowerIsCut(sim, h, confirmed, 1 + (int) (seed % 40));
+            h.powerLoss();
+            h.boot(new RpcRouter());
+            List<Long> kept = RingWriteAheadLog.open(new CutDisk(h.disk(), Integer.MAX_VALUE), h.host(), FILES, SIZE)
+                    .recovered()
+                    .getOrDefault("m1", List.of())
+                    .stream()
+                    .map(Entry::index)
+                    .toList();
+            long lastConfirmed =
+                    confirmed.stream().mapToLong(Long::longValue).max().orElse(0);
+            long lastKept = kept.isEmpty() ? 0 : kept.get(kept.size() - 1);
+            assertTrue(lastKept >= lastConfirmed, "seed " + seed + ": confirmed " + confirmed + ", kept " + kept);
+            for (int i = 1; i < kept.size(); i++) {
+                assertEquals(kept.get(i - 1) + 1, kept.get(i), "seed " + seed);
+            }
+        }
+    }
+
+    private static void writeUntilThePowerIsCut(Sim sim, Harness h, List<Long> confirmed, int syncs)
+            throws ServiceException {
+        h.boot(new RpcRouter());
+        RingWriteAheadLog wal = RingWriteAheadLog.open(new CutDisk(h.disk(), syncs), h.host(), FILES, SIZE);
+        List<String> failures = new ArrayList<>();
+        wal.onFailure(failures::add);
+        for (long i = 1; failures.isEmpty(); i++) {
+            long index = i;
+            Entry.Kind kind = i % 4 == 0 ? Entry.Kind.BASE : Entry.Kind.ENTRY;
+            wal.append(
+                    List.of(new Entry("m1", kind, i, 1, new byte[sim.random().nextInt(1500)])),
+                    () -> confirmed.add(index));
+            sim.run(Duration.ofMillis(sim.random().nextInt(6)));
+        }
+        assertEquals(List.of("the power is cut"), failures);
+    }
+}
