The first disk format is read again after the renaming of components

OldBytesTest.logItemsAndBasesOfTheFirstVersionAreRead failed since. Change: @FirstFormatName keeps the name by which a component sorted; set on each stored record whose order had changed (found by comparing every registered type with the build before the renaming).

--- a/common/src/main/java/org/woadvale/common/membership/ControlMessages.java
+++ b/common/src/main/java/org/woadvale/common/membership/ControlMessages.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import org.woadvale.common.rpc.FirstFormatName;
 import org.woadvale.common.rpc.Since;
 
 /** What processes ask the core, and home nodes: design 6.3 and 7. */
@@ -33,7 +34,10 @@
     public record CoreReply(List<String> lighthouses) {}
 
     // commands in the logs of control parts
-    public record PutMember(String service, String node, MemberLease memberLease) {}
+    public record PutMember(
+            String service,
+            String node,
+            @FirstFormatName("seat") MemberLease memberLease) {}
 
     public record DropMember(String service, String node, String incarnation) {}
 
--- a/common/src/main/java/org/woadvale/common/membership/MemberLease.java
+++ b/common/src/main/java/org/woadvale/common/membership/MemberLease.java
@@ -1,11 +1,12 @@
 package org.woadvale.common.membership;
 
 import java.util.List;
+import org.woadvale.common.rpc.FirstFormatName;
 import org.woadvale.common.rpc.Since;
 
 /** A member's place in a service: a role is a service too. */
 public record MemberLease(
-        String zone,
+        @FirstFormatName("hall") String zone,
         String http,
         String incarnation,
         @Since(2) List<String> notVoting) {}
--- a/common/src/main/java/org/woadvale/common/replication/Messages.java
+++ b/common/src/main/java/org/woadvale/common/replication/Messages.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
+import org.woadvale.common.rpc.FirstFormatName;
 import org.woadvale.common.rpc.RpcRouter;
 import reactor.core.publisher.Mono;
 
@@ -37,7 +38,7 @@
             String identity,
             long term,
             String votedFor,
-            boolean voter,
+            @FirstFormatName("sworn") boolean voter,
             long index,
             long indexTerm,
             Map<String, String> group,
--- a/common/src/main/java/org/woadvale/common/rpc/RecordBytes.java
+++ b/common/src/main/java/org/woadvale/common/rpc/RecordBytes.java
@@ -98,7 +98,7 @@
         int[] order = java.util.stream.IntStream.range(0, parts.length)
                 .boxed()
                 .filter(i -> !parts[i].isAnnotationPresent(Since.class))
-                .sorted(Comparator.comparing(i -> parts[i].getName()))
+                .sorted(Comparator.comparing(i -> firstFormatName(parts[i])))
                 .mapToInt(Integer::intValue)
                 .toArray();
         for (int i : order) {
@@ -109,6 +109,12 @@
         }
     }
 
+    private static String firstFormatName(RecordComponent component) {
+        return Optional.ofNullable(component.getAnnotation(FirstFormatName.class))
+                .map(FirstFormatName::value)
+                .orElse(component.getName());
+    }
+
     /** What a component is that the writer did not know yet. */
     private static Object nothing(Class<?> c) {
         if (c.isEnum()) {
--- a/testkit/src/test/java/org/woadvale/testkit/replication/OldBytesTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/replication/OldBytesTest.java
@@ -46,6 +46,19 @@
         assertEquals(List.of(5L, 2L, 3L), List.of(b.index(), b.indexTerm(), b.term()));
     }
 
+    /** Stored as (alpha, gamma, zone), in the order of the names of that time. */
+    private record Renamed(
+            String alpha,
+            @org.woadvale.common.rpc.FirstFormatName("zone") String beta,
+            String gamma) {}
+
+    @Test
+    void renamedComponentsAreReadInTheirFormerOrder() throws ServiceException {
+        Codec codec = new Codec(Map.of(100, List.of(Renamed.class)));
+        byte[] stored = HexFormat.of().parseHex("668261" + "8267" + "827a");
+        assertEquals(new Renamed("a", "z", "g"), codec.readFirst(stored, Renamed.class));
+    }
+
     /** One build knows a component more than the other; either reads what the other wrote. */
     private record Short(String a, int b) {}
 
