The core exchanges a lost or leaving member by itself; its list has an epoch

Cause: only PUT /v1/core put a new control machine into the core (proved: with no call, a successor was in no group at all, and the loss of a second member stopped everything). And any other list of core members was taken from any process, whatever its age.

Change (design 6.10): the list is changed only by a committed command that names the epoch it was made from. Control machines announce themselves to the leader of c0, which puts a standby machine in the place of a member that leaves (SIGTERM) or was out of contact for a lease, one at a time and never without a standby. A leaver stays, three seconds at most, until no group has it. A list of a lower epoch is never taken; the epoch travels with the answers to polls and is kept in the data folder.

Ruled out: replacing on silence alone (the core would shrink); a lease in the log for each control machine (writes at rest).

--- a/common/src/main/java/org/woadvale/common/cli/KnownFile.java
+++ b/common/src/main/java/org/woadvale/common/cli/KnownFile.java
@@ -4,37 +4,50 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
 import java.util.List;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.woadvale.common.membership.CoreMembers;
 
 /** Neighbours learned, kept beside the ring so that the seeds may be down at the next start. */
 public final class KnownFile {
     private static final Logger LOG = LogManager.getLogger("helm");
+    private static final String EPOCH = "epoch ";
     private final Path file;
 
     public KnownFile(String folder) {
         this.file = Path.of(folder, "neighbours");
     }
 
-    public List<String> read() {
+    /** The list that was written last; a file of a build without epochs counts as hearsay. */
+    public CoreMembers read() {
         try {
-            return Files.exists(file)
-                    ? Files.readAllLines(file).stream()
-                            .filter(l -> l.matches("[0-9.]+:[0-9]+"))
-                            .toList()
-                    : List.of();
+            return Files.exists(file) ? parsed(Files.readAllLines(file)) : CoreMembers.unknown();
         } catch (IOException e) {
             LOG.warn("helm: the list of neighbours is unreadable.");
-            return List.of();
+            return CoreMembers.unknown();
         }
     }
 
-    public void write(List<String> known) {
+    private static CoreMembers parsed(List<String> lines) {
+        long epoch = lines.stream()
+                .filter(line -> line.matches(EPOCH + "[0-9]{1,18}"))
+                .mapToLong(line -> Long.parseLong(line.substring(EPOCH.length())))
+                .max()
+                .orElse(0);
+        return new CoreMembers(
+                epoch, lines.stream().filter(l -> l.matches("[0-9.]+:[0-9]+")).toList());
+    }
+
+    /** Replaces the list as a whole; the epoch has a line of its own that builds without epochs pass over. */
+    public void write(CoreMembers known) {
         try {
             Files.createDirectories(file.getParent());
             Path next = file.resolveSibling("neighbours.next");
-            Files.write(next, known);
+            List<String> lines = new ArrayList<>(known.members());
+            lines.add(EPOCH + known.epoch());
+            Files.write(next, lines);
             try (var ch = java.nio.channels.FileChannel.open(next, java.nio.file.StandardOpenOption.WRITE)) {
                 ch.force(true);
             }
--- a/common/src/main/java/org/woadvale/common/discovery/ViewSubscriptions.java
+++ b/common/src/main/java/org/woadvale/common/discovery/ViewSubscriptions.java
@@ -156,7 +156,12 @@
         byPart.forEach((part, known) -> {
             Duration sent = now();
             core.ask(part, new ControlMessages.ViewAsk(known), ControlMessages.ViewReply.class)
-                    .subscribe(r -> took(r, sent), e -> {});
+                    .subscribe(
+                            r -> {
+                                took(r, sent);
+                                core.seenEpoch(r.coreEpoch(), core.guess(part));
+                            },
+                            e -> {});
         });
         byHome.forEach((home, known) -> {
             Duration sent = now();
@@ -165,9 +170,10 @@
                     .subscribe(
                             r -> {
                                 took(r, sent);
+                                core.seenEpoch(r.coreEpoch(), home);
                                 distrust(known, r);
                             },
-                            e -> distrust(known, new ControlMessages.ViewReply(List.of(), Map.of())));
+                            e -> distrust(known, new ControlMessages.ViewReply(List.of(), Map.of(), 0)));
         });
     }
 
@@ -221,7 +227,7 @@
                     }
                 }
             });
-            return new ControlMessages.ViewReply(views, ages);
+            return new ControlMessages.ViewReply(views, ages, core.members().epoch());
         }));
     }
 }
--- a/common/src/main/java/org/woadvale/common/membership/ControlMessages.java
+++ b/common/src/main/java/org/woadvale/common/membership/ControlMessages.java
@@ -26,12 +26,20 @@
     /** Versions known by the asker; -1 for none. */
     public record ViewAsk(Map<String, Long> known) {}
 
-    /** Views that differ, and for each service served the age of its confirmation. */
-    public record ViewReply(List<ServiceView> views, Map<String, Duration> ages) {}
+    /**
+     * Views that differ, and for each service served the age of its confirmation; and the epoch of the list of the
+     * core's members that the answering process knows.
+     */
+    public record ViewReply(
+            List<ServiceView> views,
+            Map<String, Duration> ages,
+            @Since(3) long coreEpoch) {}
 
     public record CoreAsk(boolean any) {}
 
-    public record CoreReply(List<String> lighthouses) {}
+    /** The members of the core; the epoch tells which of two lists is newer, 0 for a list by hearsay. design 6.10 */
+    public record CoreReply(
+            List<String> lighthouses, @Since(3) long epoch) {}
 
     // commands in the logs of control parts
     public record PutMember(
@@ -83,9 +91,18 @@
     public record PutCore(
             List<String> lighthouses, @Since(2) List<String> instead) {}
 
+    /** A control machine tells the leader of the core's list that it runs, so that it may take a lost member's place. */
+    public record StandbyAsk(String node, String zone) {}
+
+    /** A member is about to stop; the answer says whether it should stay until its successor counts everywhere. */
+    public record LeaveCoreAsk(String node) {}
+
+    /** Taken only while the list has the epoch that the change was made from. design 6.10 */
+    public record ChangeCore(List<String> members, long epoch) {}
+
     /** Types that came after the first build: numbered after all others. design 3.2 */
     public static List<Class<?>> later() {
-        return List.of(PutProcessors.class);
+        return List.of(PutProcessors.class, StandbyAsk.class, LeaveCoreAsk.class, ChangeCore.class);
     }
 
     public static List<Class<?>> types() {
--- a/common/src/main/java/org/woadvale/common/membership/CoreClient.java
+++ b/common/src/main/java/org/woadvale/common/membership/CoreClient.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.woadvale.common.rpc.RpcClient;
@@ -20,32 +21,39 @@
     private final RpcClient rpc;
     private final LongSupplier random;
     private volatile List<String> seeds;
-    private final Consumer<List<String>> remember;
+    private final Consumer<CoreMembers> remember;
     private final Map<String, String> owners = new ConcurrentHashMap<>();
-    private volatile List<String> lighthouses;
+    private final AtomicReference<CoreMembers> members;
 
     public CoreClient(
-            RpcClient rpc,
-            LongSupplier random,
-            List<String> seeds,
-            List<String> known,
-            Consumer<List<String>> remember) {
+            RpcClient rpc, LongSupplier random, List<String> seeds, CoreMembers known, Consumer<CoreMembers> remember) {
         this.rpc = rpc;
         this.random = random;
         this.seeds = List.copyOf(seeds);
         this.remember = remember;
-        this.lighthouses = known.isEmpty() ? List.copyOf(seeds) : List.copyOf(known);
+        this.members = new AtomicReference<>(known.members().isEmpty() ? new CoreMembers(0, seeds) : known);
     }
 
     public List<String> lighthouses() {
-        return lighthouses;
+        return members.get().members();
     }
 
-    /** A control node knows the others by the groups of its own parts, and need not ask. design 6.6 */
-    public void known(List<String> now) {
-        if (!now.isEmpty() && !now.equals(lighthouses)) {
-            lighthouses = List.copyOf(now);
-            remember.accept(lighthouses);
+    /** The newest list that is known here, with its epoch. */
+    public CoreMembers members() {
+        return members.get();
+    }
+
+    /** What this process answers to whoever asks for the members of the core. */
+    public ControlMessages.CoreReply reply() {
+        CoreMembers known = members.get();
+        return new ControlMessages.CoreReply(known.members(), known.epoch());
+    }
+
+    /** Takes a list that is newer than the known one; an older one, or one by hearsay, changes nothing. design 6.10 */
+    public void known(CoreMembers heard) {
+        CoreMembers before = members.getAndUpdate(now -> now.later(heard));
+        if (before.later(heard) != before) {
+            remember.accept(members.get());
         }
     }
 
@@ -56,25 +64,28 @@
 
     /** Any process answers who the lighthouses are; so the seeds may be down later. */
     public void learn() {
-        List<String> from = new ArrayList<>(new TreeSet<>(lighthouses));
+        List<String> from = new ArrayList<>(new TreeSet<>(lighthouses()));
         from.addAll(seeds);
         String n = from.get((int) Math.floorMod(random.getAsLong(), (long) from.size()));
-        if (n.equals(rpc.self())) {
-            return;
+        if (!n.equals(rpc.self())) {
+            learnFrom(n);
         }
-        rpc.ask(n, new ControlMessages.CoreAsk(true), ControlMessages.CoreReply.class, EACH)
-                .subscribe(
-                        r -> {
-                            if (!r.lighthouses().isEmpty() && !r.lighthouses().equals(lighthouses)) {
-                                lighthouses = List.copyOf(r.lighthouses());
-                                remember.accept(lighthouses);
-                            }
-                        },
-                        e -> {});
+    }
+
+    /** An answer of that process showed that it knows a list of that epoch: asked for it if it is newer than ours. */
+    public void seenEpoch(long epoch, String process) {
+        if (epoch > members.get().epoch()) {
+            learnFrom(process);
+        }
+    }
+
+    private void learnFrom(String process) {
+        rpc.ask(process, new ControlMessages.CoreAsk(true), ControlMessages.CoreReply.class, EACH)
+                .subscribe(r -> known(new CoreMembers(r.epoch(), r.lighthouses())), e -> {});
     }
 
     public String guess(String part) {
-        List<String> all = lighthouses;
+        List<String> all = lighthouses();
         return owners.getOrDefault(part, all.get((int) Math.floorMod(random.getAsLong(), (long) all.size())));
     }
 
@@ -101,7 +112,7 @@
     }
 
     private String other(String not) {
-        List<String> rest = new ArrayList<>(lighthouses);
+        List<String> rest = new ArrayList<>(lighthouses());
         rest.remove(not);
         return rest.isEmpty() ? not : rest.get((int) Math.floorMod(random.getAsLong(), (long) rest.size()));
     }
--- /dev/null
+++ b/common/src/main/java/org/woadvale/common/membership/CoreMembers.java
@@ -0,0 +1,26 @@
+package org.woadvale.common.membership;
+
+import java.util.List;
+
+/**
+ * The control machines that make up the core, by address.
+ *
+ * @param epoch the log index of the committed entry that set this list, so a list with a lower epoch is older; 0 for a
+ *     list from settings or from a build without epochs
+ * @param members addresses, each once
+ */
+public record CoreMembers(long epoch, List<String> members) {
+    public CoreMembers {
+        members = List.copyOf(members);
+    }
+
+    /** What a process knows that was never told. */
+    public static CoreMembers unknown() {
+        return new CoreMembers(0, List.of());
+    }
+
+    /** The later of two lists; this one when neither is later, or when the other names nobody. */
+    public CoreMembers later(CoreMembers other) {
+        return other.epoch > epoch && !other.members.isEmpty() ? other : this;
+    }
+}
--- a/common/src/main/java/org/woadvale/common/replication/Leader.java
+++ b/common/src/main/java/org/woadvale/common/replication/Leader.java
@@ -36,6 +36,17 @@
         followers.clear();
     }
 
+    /** When each follower was last sent something that it answered; those that never answered are left out. */
+    Map<String, Duration> contacts() {
+        Map<String, Duration> out = new TreeMap<>();
+        followers.forEach((node, f) -> {
+            if (!f.confirmed.isZero()) {
+                out.put(node, f.confirmed);
+            }
+        });
+        return out;
+    }
+
     boolean mayAct() {
         return leaseRuns() && r.progress.commit() >= firstOwn;
     }
--- a/common/src/main/java/org/woadvale/common/replication/Replica.java
+++ b/common/src/main/java/org/woadvale/common/replication/Replica.java
@@ -159,6 +159,16 @@
         return shard.get(groups::committed);
     }
 
+    /** The leader's last contact with each follower, by its monotonic clock; empty on any other replica. */
+    public Map<String, Duration> contacts() {
+        return shard.get(() -> phase == Phase.OWNING ? leading.contacts() : Map.of());
+    }
+
+    /** When this replica last heard a leader, by the local monotonic clock. */
+    public Duration leaderHeardAt() {
+        return shard.get(() -> leaseHeardUntil.minus(env.timing().lease()));
+    }
+
     public void onChange(Runnable r) {
         onChange = r;
     }
--- a/controlplane/src/main/java/org/woadvale/controlplane/ControlPlaneProgram.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/ControlPlaneProgram.java
@@ -36,6 +36,10 @@
 public final class ControlPlaneProgram {
     private static final AtomicReference<Runnable> DRAIN = new AtomicReference<>(() -> {});
 
+    private static final Duration DRAIN_LOOK = Duration.ofMillis(50);
+    /** Three seconds at most: a successor that is there counts everywhere by then, and the grace period is longer. */
+    private static final int DRAIN_LOOKS = 60;
+
     private static final Duration ROLL = Duration.ofMillis(700);
 
     private ControlPlaneProgram() {}
@@ -99,7 +103,7 @@
         KnownFile known = new KnownFile(b.data());
         Env env = new Env(new SystemClock(), schedules, rpc, codec, book, random::nextLong, ReplicationTiming.core());
         CoreClient core = new CoreClient(rpc, random::nextLong, b.seeds(), known.read(), known::write);
-        ControlNode node = new ControlNode(env, core, b.join() ? List.of() : b.seeds());
+        ControlNode node = new ControlNode(env, core, b.join() ? List.of() : b.seeds(), b.zone());
         node.route(router);
         Operators operators = new Operators(node, b.operatorKeySha256());
         operators.route(router);
@@ -112,8 +116,8 @@
     }
 
     private static void drain(ControlNode node) {
-        for (int i = 0; i < 30 && !node.drain(); i++) {
-            java.util.concurrent.locks.LockSupport.parkNanos(50_000_000L);
+        for (int i = 0; i < DRAIN_LOOKS && !node.drain(); i++) {
+            java.util.concurrent.locks.LockSupport.parkNanos(DRAIN_LOOK.toNanos());
         }
     }
 }
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/ControlNode.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/ControlNode.java
@@ -8,6 +8,7 @@
 import java.util.TreeSet;
 import org.woadvale.common.membership.ControlMessages;
 import org.woadvale.common.membership.CoreClient;
+import org.woadvale.common.membership.CoreMembers;
 import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.membership.ServiceView;
 import org.woadvale.common.replication.Env;
@@ -33,12 +34,13 @@
     private final LeaderSightings leaders = new LeaderSightings();
     private final RetryingCoreClient retrying;
     private final ReplicaPlacement placing = new ReplicaPlacement();
+    private final CoreMembership membership;
     private TimerHandle looking = () -> {};
     private TimerHandle learning = () -> {};
     private volatile boolean draining;
 
     /** A control node that joins a running core is voting by the owners once {@code wantedCore} names it. */
-    public ControlNode(Env env, CoreClient core, List<String> wantedCore) {
+    public ControlNode(Env env, CoreClient core, List<String> wantedCore, String zone) {
         this.env = env;
         this.core = core;
         this.retrying = new RetryingCoreClient(env, core);
@@ -48,6 +50,8 @@
             Replica r = new Replica(p, turned(wantedCore, p), m, env);
             parts.put(p, new Part(r, m, new LeaseManager(r, m, env)));
         }
+        Part c0 = parts.get(ServiceNames.controlPart(ServiceNames.CORE));
+        this.membership = new CoreMembership(env, core, zone, c0.replica(), c0.machine(), this::replicas);
     }
 
     /** Each part has another first control node, so owners are spread. */
@@ -77,7 +81,9 @@
                         ControlMessages.DutyRelease.class,
                         (f, a) -> of(a.service()).flatMap(p -> p.leases().release(a)))
                 .on(ControlMessages.ViewAsk.class, (f, a) -> subscriptions(a))
-                .on(ControlMessages.CoreAsk.class, (f, a) -> Mono.just(new ControlMessages.CoreReply(lighthouses())))
+                .on(ControlMessages.CoreAsk.class, (f, a) -> Mono.just(core.reply()))
+                .on(ControlMessages.StandbyAsk.class, (f, a) -> membership.announced(a))
+                .on(ControlMessages.LeaveCoreAsk.class, (f, a) -> membership.leaving(a))
                 .on(ControlMessages.PutCore.class, (f, a) -> change(ServiceNames.CORE, a))
                 .on(ControlMessages.PutProcessor.class, (f, a) -> change(a.service(), a))
                 .on(ControlMessages.DropProcessor.class, (f, a) -> change(a.service(), a))
@@ -106,7 +112,9 @@
     private Mono<ControlMessages.ViewReply> subscriptions(ControlMessages.ViewAsk ask) {
         String id = ServiceNames.controlPart(
                 ask.known().keySet().stream().findFirst().orElse(ServiceNames.CONFIGURATION));
-        return part(id).flatMap(p -> p.replica().read(i -> ServiceViewQuery.changed(id, p.machine(), ask)));
+        return part(id).flatMap(p -> p.replica()
+                .read(i -> ServiceViewQuery.changed(
+                        id, p.machine(), ask, core.members().epoch())));
     }
 
     public List<String> lighthouses() {
@@ -115,6 +123,11 @@
         return all.isEmpty() ? core.lighthouses() : new ArrayList<>(all);
     }
 
+    /** The newest committed list of the core's members that is known here. */
+    public CoreMembers members() {
+        return core.members();
+    }
+
     @Override
     public void start() throws ServiceException {
         for (Map.Entry<String, Part> e : parts.entrySet()) {
@@ -122,24 +135,26 @@
         }
         looking = env.schedules().every(Duration.ofMillis(250), this::look);
         learning = env.schedules().every(Duration.ofSeconds(2), core::learn);
+        membership.look();
     }
 
-    /** Who the lighthouses should be, as far as part c0 is known here. */
+    private List<Replica> replicas() {
+        return parts.values().stream().map(Part::replica).toList();
+    }
+
+    /** Who the members of the core should be, as far as part c0 is known here. */
     private void follow() {
-        Part c0 = parts.get(ServiceNames.controlPart(ServiceNames.CORE));
-        List<String> wanted = c0.replica()
-                .look(i -> c0.machine().service(ServiceNames.CORE))
-                .placement()
-                .getOrDefault(ServiceNames.CORE, List.of());
-        if (!wanted.isEmpty()) {
-            parts.forEach((id, p) -> p.replica().want(turned(wanted, id)));
+        CoreMembers wanted = membership.committed();
+        core.known(wanted);
+        if (!wanted.members().isEmpty()) {
+            parts.forEach((id, p) -> p.replica().want(turned(wanted.members(), id)));
         }
     }
 
     private void look() {
+        membership.look();
         follow();
         seeOwners();
-        core.known(lighthouses());
         parts.values().forEach(p -> p.leases().reap());
         Part stores = parts.get(ServiceNames.controlPart(ServiceNames.STORES));
         if (stores.replica().phase() == Phase.OWNING && stores.replica().mayAct()) {
@@ -162,7 +177,7 @@
     private void spread() {
         for (Map.Entry<String, Part> e : parts.entrySet()) {
             Replica r = e.getValue().replica();
-            String first = turned(lighthouses(), e.getKey()).get(0);
+            String first = turned(core.lighthouses(), e.getKey()).get(0);
             if (r.successor().filter(first::equals).isPresent() && r.transferLeadership(first)) {
                 return;
             }
@@ -174,7 +189,8 @@
         draining = true;
         parts.values().forEach(p -> p.replica().unwilling());
         transferLeadership();
-        return parts.values().stream().noneMatch(p -> p.replica().phase() == Phase.OWNING);
+        boolean exchanging = membership.leave();
+        return !exchanging && parts.values().stream().noneMatch(p -> p.replica().phase() == Phase.OWNING);
     }
 
     private void transferLeadership() {
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/ControlStateMachine.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/ControlStateMachine.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import org.woadvale.common.membership.ControlMessages;
+import org.woadvale.common.membership.CoreMembers;
 import org.woadvale.common.membership.LeaderDuty;
 import org.woadvale.common.membership.MemberLease;
 import org.woadvale.common.membership.Processor;
@@ -93,18 +94,9 @@
                     && !now.equals(Set.copyOf(p.lighthouses()))) {
                 return new ControlMessages.Done(false);
             }
-            services.put(
-                    ServiceNames.CORE,
-                    new ServiceView(
-                            ServiceNames.CORE,
-                            index,
-                            v.members(),
-                            v.processors(),
-                            v.duty(),
-                            Map.of(ServiceNames.CORE, p.lighthouses()),
-                            v.configuration(),
-                            v.configurationVersion()));
-            return new ControlMessages.Done(true);
+            return core(index, p.lighthouses());
+        } else if (c instanceof ControlMessages.ChangeCore p) {
+            return p.epoch() == coreMembers().epoch() ? core(index, p.members()) : new ControlMessages.Done(false);
         } else if (c instanceof ControlMessages.PutConfiguration p) {
             return putConfiguration(index, p);
         }
@@ -112,6 +104,28 @@
                 ErrorKind.BAD_REQUEST, "Unknown command " + c.getClass().getSimpleName() + ".");
     }
 
+    /** The members of the core as last committed; the epoch is 0 and the list empty until one was. */
+    public CoreMembers coreMembers() {
+        ServiceView core = service(ServiceNames.CORE);
+        return new CoreMembers(core.version(), core.placement().getOrDefault(ServiceNames.CORE, List.of()));
+    }
+
+    private Object core(long index, List<String> members) {
+        ServiceView v = service(ServiceNames.CORE);
+        services.put(
+                ServiceNames.CORE,
+                new ServiceView(
+                        ServiceNames.CORE,
+                        index,
+                        v.members(),
+                        v.processors(),
+                        v.duty(),
+                        Map.of(ServiceNames.CORE, members),
+                        v.configuration(),
+                        v.configurationVersion()));
+        return new ControlMessages.Done(true);
+    }
+
     private Object members(long index, String service, Map<String, MemberLease> members) {
         ServiceView v = service(service);
         services.put(
--- /dev/null
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/CoreMembership.java
@@ -0,0 +1,239 @@
+package org.woadvale.controlplane.partition;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Supplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.woadvale.common.membership.ControlMessages;
+import org.woadvale.common.membership.CoreClient;
+import org.woadvale.common.membership.CoreMembers;
+import org.woadvale.common.membership.ServiceNames;
+import org.woadvale.common.replication.Env;
+import org.woadvale.common.replication.Replica;
+import org.woadvale.common.replication.ReplicationTiming;
+import reactor.core.publisher.Mono;
+
+/**
+ * Who the members of the core are. Every control machine announces itself; the leader of part c0 puts a standby machine
+ * in the place of a member that is gone or leaves, one at a time, by a committed command. design 6.10
+ */
+final class CoreMembership {
+    private static final Logger LOG = LogManager.getLogger("core");
+    /** A member that was not in contact with the leader for so long is taken to be gone, if another stands by. */
+    private static final Duration ABSENT_AFTER = ReplicationTiming.core().lease();
+    /** An announcement counts for so long; it is repeated at each look while it matters. */
+    private static final Duration ANNOUNCEMENT_VALID = Duration.ofSeconds(1);
+    /** A leader that did not look for so long was frozen, and begins to watch its followers anew. */
+    private static final Duration LONGEST_LOOK_GAP = Duration.ofMillis(600);
+    /** How long a leaving member waits to hear whether a successor is there. */
+    private static final Duration LEAVE_ANSWER = Duration.ofMillis(500);
+
+    private static final Duration LEAVE_REPEAT = Duration.ofMillis(200);
+
+    private record Announcement(String zone, Duration heard) {}
+
+    /** The leader that this machine followed last, and when it heard it last. */
+    private record FormerLeader(String node, Duration heard) {}
+
+    private final Env env;
+    private final CoreClient core;
+    private final String zone;
+    private final Replica c0;
+    private final ControlStateMachine machine;
+    private final Supplier<List<Replica>> replicas;
+    // no lock: two decisions made at once carry the same epoch, and one of them is taken
+    private final Map<String, Announcement> announcements = new ConcurrentHashMap<>();
+    private final Map<String, Duration> leavers = new ConcurrentHashMap<>();
+    private final AtomicBoolean proposing = new AtomicBoolean();
+    private volatile Duration lastLook = Duration.ZERO;
+    private volatile Duration watchingSince = Duration.ZERO;
+    private volatile FormerLeader formerLeader = new FormerLeader("", Duration.ZERO);
+    private volatile String announcedTo = "";
+    private volatile Optional<Duration> leavingSince = Optional.empty();
+    private volatile Duration leaveAsked = Duration.ZERO;
+    private volatile Optional<Boolean> successorComes = Optional.empty();
+
+    CoreMembership(
+            Env env,
+            CoreClient core,
+            String zone,
+            Replica c0,
+            ControlStateMachine machine,
+            Supplier<List<Replica>> replicas) {
+        this.env = env;
+        this.core = core;
+        this.zone = zone;
+        this.c0 = c0;
+        this.machine = machine;
+        this.replicas = replicas;
+    }
+
+    /** The list as committed in part c0, as far as that is applied here. */
+    CoreMembers committed() {
+        return c0.look(i -> machine.coreMembers());
+    }
+
+    /** Called at each look of the node: announces this machine where that is needed, and decides as the leader. */
+    void look() {
+        boolean frozen = now().minus(lastLook).compareTo(LONGEST_LOOK_GAP) > 0;
+        if (frozen || !c0.mayAct()) {
+            watchingSince = now();
+        }
+        lastLook = now();
+        c0.owner()
+                .filter(leader -> !leader.equals(env.self()))
+                .ifPresent(leader -> formerLeader = new FormerLeader(leader, c0.leaderHeardAt()));
+        decide();
+        if (leavingSince.isEmpty()) {
+            announce();
+        }
+    }
+
+    /** Only a machine that is no member repeats itself; a member tells each new leader once where it stands. */
+    private void announce() {
+        String leader = c0.owner().orElse("");
+        boolean member = core.lighthouses().contains(env.self());
+        if (member && (leader.isEmpty() || leader.equals(announcedTo))) {
+            return;
+        }
+        core.ask(
+                        ServiceNames.controlPart(ServiceNames.CORE),
+                        new ControlMessages.StandbyAsk(env.self(), zone),
+                        ControlMessages.CoreReply.class)
+                .subscribe(
+                        r -> {
+                            core.known(new CoreMembers(r.epoch(), r.lighthouses()));
+                            announcedTo = leader;
+                        },
+                        e -> {});
+    }
+
+    /** On the leader of part c0: a control machine runs. */
+    Mono<ControlMessages.CoreReply> announced(ControlMessages.StandbyAsk ask) {
+        return c0.read(i -> machine.coreMembers()).map(present -> {
+            announcements.put(ask.node(), new Announcement(ask.zone(), now()));
+            leavers.remove(ask.node());
+            decide();
+            return new ControlMessages.CoreReply(present.members(), present.epoch());
+        });
+    }
+
+    /** On the leader of part c0: a member is about to stop. Yes as long as it should wait for its successor. */
+    Mono<ControlMessages.Done> leaving(ControlMessages.LeaveCoreAsk ask) {
+        return c0.read(i -> machine.coreMembers()).map(present -> {
+            leavers.put(ask.node(), now());
+            decide();
+            boolean voting = groups().stream().anyMatch(g -> g.contains(ask.node()));
+            boolean justElected = now().minus(watchingSince).compareTo(LEAVE_ANSWER) < 0;
+            boolean comes = justElected
+                    || !present.members().contains(ask.node())
+                    || standby(present, ask.node()).isPresent();
+            return new ControlMessages.Done(voting && comes);
+        });
+    }
+
+    /** On a member that drains: tells the leader, and says whether it should stay for its successor's sake. */
+    boolean leave() {
+        Duration since = leavingSince.orElse(now());
+        leavingSince = Optional.of(since);
+        if (leaveAsked.isZero() || now().minus(leaveAsked).compareTo(LEAVE_REPEAT) >= 0) {
+            leaveAsked = now();
+            core.ask(
+                            ServiceNames.controlPart(ServiceNames.CORE),
+                            new ControlMessages.LeaveCoreAsk(env.self()),
+                            ControlMessages.Done.class)
+                    .subscribe(d -> successorComes = Optional.of(d.ok()), e -> {});
+        }
+        return successorComes.orElse(now().minus(since).compareTo(LEAVE_ANSWER) < 0);
+    }
+
+    private Duration now() {
+        return env.times().mono();
+    }
+
+    /** The members of each control partition's group, as far as they are known here. */
+    private List<Set<String>> groups() {
+        return replicas.get().stream().map(r -> r.group().keySet()).toList();
+    }
+
+    /** At most one exchange at a time, and only by a leader that a majority follows. */
+    private void decide() {
+        if (proposing.get() || !c0.mayAct()) {
+            return;
+        }
+        CoreMembers present = committed();
+        if (present.members().isEmpty()) {
+            propose(new ArrayList<>(new TreeSet<>(c0.group().keySet())), present.epoch(), "founded");
+            return;
+        }
+        Optional<String> leaver = leaver(present);
+        Optional<String> joiner = leaver.flatMap(l -> standby(present, l));
+        if (joiner.isPresent()) {
+            TreeSet<String> next = new TreeSet<>(present.members());
+            next.remove(leaver.get());
+            next.add(joiner.get());
+            propose(new ArrayList<>(next), present.epoch(), joiner.get() + " for " + leaver.get());
+        }
+    }
+
+    private void propose(List<String> members, long epoch, String why) {
+        proposing.set(true);
+        LOG.info("core: members {}, {}.", members, why);
+        c0.propose(new ControlMessages.ChangeCore(members, epoch), ControlMessages.Done.class)
+                .doFinally(s -> proposing.set(false))
+                .subscribe(d -> {}, e -> {});
+    }
+
+    /** Who is to be replaced: a member that said so, or else the one that was out of contact for longest. */
+    private Optional<String> leaver(CoreMembers present) {
+        List<Set<String>> groups = groups();
+        boolean exchanging = groups.stream().anyMatch(g -> !g.equals(Set.copyOf(present.members())));
+        return present.members().stream()
+                // while one exchange is under way only its own newcomer may be given up for another
+                .filter(m -> !exchanging || groups.stream().anyMatch(g -> !g.isEmpty() && !g.contains(m)))
+                .filter(m -> leaves(m) || absent(m))
+                .max(Comparator.comparing(this::leaves).thenComparing(this::silence));
+    }
+
+    private boolean leaves(String member) {
+        Duration said = leavers.getOrDefault(member, Duration.ZERO);
+        return !said.isZero() && now().minus(said).compareTo(ANNOUNCEMENT_VALID) < 0;
+    }
+
+    private boolean absent(String member) {
+        return !member.equals(env.self()) && silence(member).compareTo(ABSENT_AFTER) > 0;
+    }
+
+    /** A new leader counts anew, but for the one before it: that one was silent for a lease, or nobody was elected. */
+    private Duration silence(String member) {
+        Optional<Duration> contact = Optional.ofNullable(c0.contacts().get(member));
+        if (contact.isEmpty() && member.equals(formerLeader.node())) {
+            return now().minus(formerLeader.heard());
+        }
+        return now().minus(contact.filter(at -> at.compareTo(watchingSince) > 0).orElse(watchingSince));
+    }
+
+    /** A machine that runs and is no member, by preference in a zone that no remaining member is in. */
+    private Optional<String> standby(CoreMembers present, String leaver) {
+        Set<String> taken = new TreeSet<>();
+        present.members().stream()
+                .filter(m -> !m.equals(leaver) && announcements.containsKey(m))
+                .forEach(m -> taken.add(announcements.get(m).zone()));
+        return announcements.entrySet().stream()
+                .filter(e -> !present.members().contains(e.getKey()) && !leaves(e.getKey()))
+                .filter(e -> now().minus(e.getValue().heard()).compareTo(ANNOUNCEMENT_VALID) < 0)
+                .min(Comparator.<Map.Entry<String, Announcement>, Boolean>comparing(
+                                e -> taken.contains(e.getValue().zone()))
+                        .thenComparing(Map.Entry::getKey))
+                .map(Map.Entry::getKey);
+    }
+}
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/ServiceViewQuery.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/ServiceViewQuery.java
@@ -18,7 +18,7 @@
      * within a linearizable read of the partition: the reported ages are zero.
      */
     static ControlMessages.ViewReply changed(
-            String partition, ControlStateMachine machine, ControlMessages.ViewAsk request) {
+            String partition, ControlStateMachine machine, ControlMessages.ViewAsk request, long coreEpoch) {
         List<ServiceView> views = new ArrayList<>();
         Map<String, Duration> ages = new HashMap<>();
         request.known().forEach((service, knownVersion) -> {
@@ -30,6 +30,6 @@
                 }
             }
         });
-        return new ControlMessages.ViewReply(views, ages);
+        return new ControlMessages.ViewReply(views, ages, coreEpoch);
     }
 }
--- a/dataplane/src/main/java/org/woadvale/dataplane/DataPlaneNode.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/DataPlaneNode.java
@@ -12,6 +12,7 @@
 import org.woadvale.common.http.Request;
 import org.woadvale.common.membership.ControlMessages;
 import org.woadvale.common.membership.CoreClient;
+import org.woadvale.common.membership.CoreMembers;
 import org.woadvale.common.membership.MemberLease;
 import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.ratelimit.AdmissionTokens;
@@ -92,9 +93,7 @@
 
     public void route(RpcRouter router) {
         router.on(ControlMessages.ViewAsk.class, (f, a) -> subscriptions.asked(a))
-                .on(
-                        ControlMessages.CoreAsk.class,
-                        (f, a) -> Mono.just(new ControlMessages.CoreReply(core.lighthouses())));
+                .on(ControlMessages.CoreAsk.class, (f, a) -> Mono.just(core.reply()));
         holders.ifPresent(h -> router.on(AdmissionTokens.PassAsk.class, h::asked));
         store.ifPresent(s -> s.route(router));
     }
@@ -155,6 +154,11 @@
         return members.notVoting().size();
     }
 
+    /** The newest list of the core's members that is known here. */
+    public CoreMembers core() {
+        return core.members();
+    }
+
     /** How many message parts this node owns now. */
     public long owned() {
         return members.owned();
--- a/dataplane/src/main/java/org/woadvale/dataplane/DataPlaneProgram.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/DataPlaneProgram.java
@@ -14,6 +14,7 @@
 import org.woadvale.common.config.Settings;
 import org.woadvale.common.http.HttpGateway;
 import org.woadvale.common.membership.CoreClient;
+import org.woadvale.common.membership.CoreMembers;
 import org.woadvale.common.membership.Wire;
 import org.woadvale.common.replication.Env;
 import org.woadvale.common.replication.ReplicationTiming;
@@ -102,7 +103,7 @@
                 rpc,
                 random::nextLong,
                 b.seeds(),
-                known.map(KnownFile::read).orElse(List.of()),
+                known.map(KnownFile::read).orElse(CoreMembers.unknown()),
                 l -> known.ifPresent(k -> k.write(l)));
         DataPlaneNode node = new DataPlaneNode(env, b, core, new HttpDeliveryClient(), protocol);
         node.route(router);
--- a/testkit/src/main/java/org/woadvale/testkit/capacity/HollowFleet.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/HollowFleet.java
@@ -8,6 +8,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 import org.woadvale.common.membership.CoreClient;
+import org.woadvale.common.membership.CoreMembers;
 import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.membership.Wire;
 import org.woadvale.common.replication.Env;
@@ -55,8 +56,8 @@
         }
         HollowHost desk = new HollowHost("10.0.9.1:1", sim);
         net.add(desk);
-        CoreClient core =
-                new CoreClient(net.rpc(desk, controlCodec), sim.random()::nextLong, seeds, List.of(), l -> {});
+        CoreClient core = new CoreClient(
+                net.rpc(desk, controlCodec), sim.random()::nextLong, seeds, CoreMembers.unknown(), l -> {});
         operator = new HollowOperator(core, shape.tenants());
         sim.run(REST);
         change();
@@ -92,8 +93,8 @@
         RingWriteAheadLog book = RingWriteAheadLog.open(new SimDisk(sim), h, RING_FILES, RING_BYTES);
         book.onFailure(why -> h.kill());
         Env env = new Env(h, h, rpc, controlCodec, book, sim.random()::nextLong, ReplicationTiming.core());
-        ControlNode n =
-                new ControlNode(env, new CoreClient(rpc, sim.random()::nextLong, seeds, List.of(), l -> {}), seeds);
+        ControlNode n = new ControlNode(
+                env, new CoreClient(rpc, sim.random()::nextLong, seeds, CoreMembers.unknown(), l -> {}), seeds, "");
         n.route(router);
         new Operators(n, "").route(router);
         n.start();
--- a/testkit/src/main/java/org/woadvale/testkit/capacity/HollowNode.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/HollowNode.java
@@ -7,6 +7,7 @@
 import org.woadvale.common.discovery.ViewSubscriptions;
 import org.woadvale.common.membership.ControlMessages;
 import org.woadvale.common.membership.CoreClient;
+import org.woadvale.common.membership.CoreMembers;
 import org.woadvale.common.membership.MemberLease;
 import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.membership.ServiceView;
@@ -45,7 +46,7 @@
     HollowNode(HollowHost host, RpcClient rpc, Codec codec, Sim sim, String zone, List<String> seeds, String role) {
         this.env = new Env(
                 host, host, rpc, codec, new DisabledWriteAheadLog(), sim.random()::nextLong, ReplicationTiming.usual());
-        this.core = new CoreClient(rpc, sim.random()::nextLong, seeds, List.of(), l -> {});
+        this.core = new CoreClient(rpc, sim.random()::nextLong, seeds, CoreMembers.unknown(), l -> {});
         this.role = role;
         this.memberLease = new MemberLease(
                 zone, host.address, Long.toHexString(sim.random().nextLong()), List.of());
@@ -58,9 +59,7 @@
                 : Optional.empty();
         RpcRouter router = new RpcRouter();
         router.on(ControlMessages.ViewAsk.class, (f, a) -> subscriptions.asked(a))
-                .on(
-                        ControlMessages.CoreAsk.class,
-                        (f, a) -> Mono.just(new ControlMessages.CoreReply(core.lighthouses())));
+                .on(ControlMessages.CoreAsk.class, (f, a) -> Mono.just(core.reply()));
         holders.ifPresent(h -> router.on(AdmissionTokens.PassAsk.class, h::asked));
         host.serve(router);
     }
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/NaiveVariants.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/NaiveVariants.java
@@ -188,7 +188,7 @@
                                 views.add(v);
                             }
                         }));
-        return new ControlMessages.ViewReply(views, ages);
+        return new ControlMessages.ViewReply(views, ages, 0);
     }
 
     /** 09: a machine whose clock stands still for as long as told, as if it had been suspended. */
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/NetworkSimulation.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/NetworkSimulation.java
@@ -12,6 +12,7 @@
 import org.woadvale.common.http.Answer;
 import org.woadvale.common.http.Request;
 import org.woadvale.common.membership.CoreClient;
+import org.woadvale.common.membership.CoreMembers;
 import org.woadvale.common.membership.Wire;
 import org.woadvale.common.replication.Env;
 import org.woadvale.common.replication.Phase;
@@ -109,9 +110,9 @@
                 book,
                 sim.random()::nextLong,
                 seams.timing().apply(controlNode ? ReplicationTiming.core() : ReplicationTiming.usual()));
-        CoreClient core = new CoreClient(rpc, sim.random()::nextLong, seeds, List.of(), l -> {});
+        CoreClient core = new CoreClient(rpc, sim.random()::nextLong, seeds, CoreMembers.unknown(), l -> {});
         if (controlNode) {
-            ControlNode n = new ControlNode(env, core, seeds);
+            ControlNode n = new ControlNode(env, core, seeds, zone(address));
             n.route(router);
             Operators o = new Operators(n, "");
             o.route(router);
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/World.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/World.java
@@ -11,6 +11,7 @@
 import org.woadvale.common.http.Answer;
 import org.woadvale.common.http.Request;
 import org.woadvale.common.membership.CoreClient;
+import org.woadvale.common.membership.CoreMembers;
 import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.membership.Wire;
 import org.woadvale.common.replication.Env;
@@ -45,6 +46,9 @@
     public final SimPost post;
     private final int ringBytes;
     private final List<String> seeds;
+    /** The seeds in the settings of machines that are started from now on. */
+    private List<String> joinSeeds;
+
     private final Map<String, ControlNode> controlNodes = new HashMap<>();
     private final Map<String, Operators> operators = new HashMap<>();
     private final Map<String, DataPlaneNode> pilots = new HashMap<>();
@@ -69,6 +73,7 @@
             lighthouses.add(host("10.0.0." + (i + 1) + ":1", i));
         }
         seeds = List.copyOf(lighthouses);
+        joinSeeds = seeds;
         for (int i = 0; i < storeCount; i++) {
             stores.add(host("10.0.1." + (i + 1) + ":1", i));
         }
@@ -80,7 +85,13 @@
         }
     }
 
-    /** A control node that joins a running core. */
+    /** A control node that joins a running core, with settings that name present members as seeds. */
+    public String newControlNode() throws ServiceException {
+        joinSeeds = presentLighthouses().stream().limit(seeds.size()).toList();
+        return newLighthouse();
+    }
+
+    /** A control node that joins a running core, with the settings of the first start. */
     public String newLighthouse() throws ServiceException {
         String a = host("10.0.0." + (lighthouses.size() + 1) + ":1", lighthouses.size());
         lighthouses.add(a);
@@ -131,9 +142,9 @@
                 book,
                 sim.random()::nextLong,
                 seams.timing().apply(controlNode || store ? ReplicationTiming.core() : ReplicationTiming.usual()));
-        CoreClient core = new CoreClient(rpc, sim.random()::nextLong, seeds, List.of(), l -> {});
+        CoreClient core = new CoreClient(rpc, sim.random()::nextLong, joinSeeds, CoreMembers.unknown(), l -> {});
         if (controlNode) {
-            ControlNode n = new ControlNode(env, core, seeds.contains(address) ? seeds : List.of());
+            ControlNode n = new ControlNode(env, core, seeds.contains(address) ? seeds : List.of(), zone(address));
             n.route(router);
             Operators o = new Operators(n, "");
             o.route(router);
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/SeedsTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/SeedsTest.java
@@ -5,6 +5,7 @@
 
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -15,6 +16,10 @@
 import org.woadvale.common.cli.KnownFile;
 import org.woadvale.common.config.Configurations;
 import org.woadvale.common.http.Request;
+import org.woadvale.common.membership.CoreClient;
+import org.woadvale.common.membership.CoreMembers;
+import org.woadvale.common.membership.Wire;
+import org.woadvale.common.rpc.RpcClient;
 import org.woadvale.common.runtime.ServiceException;
 
 /** The seeds are needed at the first start only. */
@@ -59,7 +64,27 @@
 
     @Test
     void whatWasLearnedIsKeptInTheDataFolder(@TempDir Path folder) {
-        new KnownFile(folder.toString()).write(List.of("10.0.0.1:1", "10.0.0.2:1"));
-        assertEquals(List.of("10.0.0.1:1", "10.0.0.2:1"), new KnownFile(folder.toString()).read());
+        CoreMembers learned = new CoreMembers(17, List.of("10.0.0.1:1", "10.0.0.2:1"));
+        new KnownFile(folder.toString()).write(learned);
+        assertEquals(learned, new KnownFile(folder.toString()).read());
+    }
+
+    /** Before: any other list was taken, so one process that held an old list spread it. */
+    @Test
+    void anOlderListIsNeverTaken() {
+        CoreMembers newer = new CoreMembers(9, List.of("10.0.0.2:1", "10.0.0.4:1"));
+        List<CoreMembers> written = new ArrayList<>();
+        Sim sim = new Sim(1);
+        RpcClient rpc = new SimNet(sim).rpc(new Host("10.0.0.9:1", sim), Wire.codec(Wire.PILOT, List.of()));
+        CoreClient core = new CoreClient(rpc, () -> 0, List.of("10.0.0.1:1"), newer, written::add);
+        core.known(new CoreMembers(8, List.of("10.0.0.1:1")));
+        core.known(new CoreMembers(0, List.of("10.0.0.1:1")));
+        core.known(new CoreMembers(12, List.of()));
+        assertEquals(newer, core.members());
+        assertEquals(List.of(), written);
+        CoreMembers newest = new CoreMembers(10, List.of("10.0.0.4:1"));
+        core.known(newest);
+        assertEquals(newest, core.members());
+        assertEquals(List.of(newest), written);
     }
 }
