Explorer of the replication engine, random walks, linearizability checker

Enumeration by deviations from the calm course with visited states cut off; seeded random walks with clocks that differ; eleven invariants; register and configuration histories checked for linearizability. The engine is unchanged: ReplicaProbe lies in its package, in testkit.

Shown able to fail: unsynced log, forgotten votes, long lease, lease clock that stops in a freeze, votes for shorter logs; each is found by a walk of 600 steps at a fixed seed (MutantsTest).

Ruled out on the way: two reports of "other founders" were the checker's (a founder that lost power or its disk may found the same group again; a replica behind two membership entries does not show the founding group).

--- a/testkit/src/main/java/org/woadvale/testkit/cluster/TestkitProgram.java
+++ b/testkit/src/main/java/org/woadvale/testkit/cluster/TestkitProgram.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.testkit.capacity.CapacityCommand;
+import org.woadvale.testkit.explore.ExploreCommand;
 import org.woadvale.testkit.simulation.SeededPlatformDays;
 import org.woadvale.testkit.stub.NeverList;
 import org.woadvale.testkit.stub.TestConfiguration;
@@ -28,6 +29,8 @@
             System.out.println(
                     "capacity [--only MECHANISM] [--nodes 30,60,120,240] [--largest 960]  slopes for docs/CAPACITY.md");
             System.out.println("platform --seeds A..B [SECONDS]  simulated days behind the platform's doors");
+            System.out.println("explore [--nodes 3] [--depth 60] [--deviations D] [--seconds S] [--seed N] "
+                    + "[--start empty|led] [--mutant NAME]  schedules of the replication engine");
             System.out.println("SHAPE is small, lankavidya or rotterdam.");
             System.exit(args.length == 0 ? 2 : 0);
         }
@@ -44,6 +47,9 @@
                             ? 0
                             : 1);
         }
+        if (args[0].equals("explore")) {
+            System.exit(new ExploreCommand(System.out).run(java.util.Arrays.copyOfRange(args, 1, args.length)));
+        }
         boolean drill = args[0].equals("drill");
         Shape shape = Shape.of(args.length > (drill ? 2 : 1) ? args[drill ? 2 : 1] : "small");
         Path root = Files.createTempDirectory("harbour");
--- /dev/null
+++ b/testkit/src/main/java/org/woadvale/testkit/explore/DurableRecords.java
@@ -0,0 +1,74 @@
+package org.woadvale.testkit.explore;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.woadvale.common.replication.LogEntry;
+import org.woadvale.common.replication.Messages;
+import org.woadvale.common.rpc.Codec;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.common.wal.Entry;
+
+/** Which entries have ever been synced, and under which identity. */
+final class DurableRecords {
+    private record Mark(String identity, long index, long term) {}
+
+    private final Codec codec;
+    private final Set<Mark> marks = new HashSet<>();
+    /** By identity: everything up to this index lies in a synced snapshot. */
+    private final Map<String, Long> snapshots = new HashMap<>();
+
+    private final Map<String, Entry> bases = new HashMap<>();
+    private final Map<String, String> identities = new HashMap<>();
+    private final Map<String, Integer> seen = new HashMap<>();
+
+    DurableRecords(Codec codec) {
+        this.codec = codec;
+    }
+
+    void observe(ModelNode node) {
+        List<Entry> records = node.disk().durable();
+        if (records.isEmpty()) {
+            seen.put(node.name(), 0);
+            return;
+        }
+        Entry base = records.get(0);
+        if (base.kind() == Entry.Kind.BASE && bases.get(node.name()) != base) {
+            observeBase(node.name(), base);
+        }
+        for (int i = seen.getOrDefault(node.name(), 0); i < records.size(); i++) {
+            Entry entry = records.get(i);
+            if (entry.kind() == Entry.Kind.ENTRY) {
+                marks.add(new Mark(identities.getOrDefault(node.name(), ""), entry.index(), entry.term()));
+            }
+        }
+        seen.put(node.name(), records.size());
+    }
+
+    private void observeBase(String node, Entry entry) {
+        Messages.Base base = decode(entry);
+        bases.put(node, entry);
+        identities.put(node, base.identity());
+        seen.put(node, 1);
+        snapshots.merge(base.identity(), base.index(), Math::max);
+        long index = base.index();
+        for (LogEntry item : base.tail()) {
+            index++;
+            marks.add(new Mark(base.identity(), index, item.term()));
+        }
+    }
+
+    private Messages.Base decode(Entry entry) {
+        try {
+            return codec.read(entry.bytes(), Messages.Base.class);
+        } catch (ServiceException e) {
+            throw new IllegalStateException("unreadable base", e);
+        }
+    }
+
+    boolean held(String identity, long index, long term) {
+        return snapshots.getOrDefault(identity, 0L) >= index || marks.contains(new Mark(identity, index, term));
+    }
+}
--- /dev/null
+++ b/testkit/src/main/java/org/woadvale/testkit/explore/Mutants.java
@@ -0,0 +1,187 @@
+package org.woadvale.testkit.explore;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
+import org.woadvale.common.replication.Messages;
+import org.woadvale.common.replication.ReplicationTiming;
+import org.woadvale.common.rpc.RpcClient;
+import org.woadvale.common.wal.Entry;
+import org.woadvale.common.wal.WriteAheadLog;
+import reactor.core.publisher.Mono;
+
+/** Engines with one rule left out; each breaks an invariant, or the invariant could not be trusted. */
+final class Mutants {
+    private static final Map<String, Supplier<Mutant>> ALL = Map.of(
+            "unsynced-log", Mutants::unsyncedLog,
+            "forgotten-votes", Mutants::forgottenVotes,
+            "long-lease", Mutants::longLease,
+            "stopping-clock", Mutants::stoppingClock,
+            "vote-for-shorter-log", Mutants::voteForShorterLog);
+
+    private Mutants() {}
+
+    /** A new engine without the rule of that name. */
+    static Mutant named(String name) {
+        if (!ALL.containsKey(name)) {
+            throw new IllegalArgumentException("no mutant " + name + "; there are " + new TreeSet<>(ALL.keySet()));
+        }
+        return ALL.get(name).get();
+    }
+
+    /** The log says "synced" at once. */
+    static Mutant unsyncedLog() {
+        return new Mutant() {
+            @Override
+            public WriteAheadLog log(ModelNode node, WriteAheadLog log) {
+                return new ForwardingLog(log) {
+                    @Override
+                    public void append(List<Entry> entries, Runnable done) {
+                        super.append(entries, () -> {});
+                        node.timers().soon(done);
+                    }
+                };
+            }
+        };
+    }
+
+    /** Votes are not written. */
+    static Mutant forgottenVotes() {
+        return new Mutant() {
+            @Override
+            public WriteAheadLog log(ModelNode node, WriteAheadLog log) {
+                return new ForwardingLog(log) {
+                    @Override
+                    public void append(List<Entry> entries, Runnable done) {
+                        super.append(
+                                entries.stream()
+                                        .filter(entry -> entry.kind() != Entry.Kind.VOTE)
+                                        .toList(),
+                                done);
+                    }
+                };
+            }
+        };
+    }
+
+    /** One node's lease is longer than the others wait. */
+    static Mutant longLease() {
+        return new Mutant() {
+            @Override
+            public ReplicationTiming timing(ModelNode node, ReplicationTiming timing) {
+                return node.name().equals("a")
+                        ? new ReplicationTiming(
+                                timing.lease().multipliedBy(3),
+                                timing.renew(),
+                                timing.look(),
+                                timing.ask(),
+                                timing.spread())
+                        : timing;
+            }
+        };
+    }
+
+    /** The clock that the lease is measured by stands still while a node is frozen. */
+    static Mutant stoppingClock() {
+        return new Mutant() {
+            @Override
+            public Duration clock(ModelNode node, Duration localTime) {
+                return localTime.minus(node.frozenInAll());
+            }
+        };
+    }
+
+    /** A candidate's log is taken for complete whatever it holds. */
+    static Mutant voteForShorterLog() {
+        return new Mutant() {
+            @Override
+            public RpcClient rpc(ModelNode node, RpcClient rpc) {
+                return new ChangingRpc(
+                        rpc,
+                        body -> body instanceof Messages.VoteAsk ask
+                                ? new Messages.VoteAsk(
+                                        ask.part(),
+                                        ask.term(),
+                                        Integer.MAX_VALUE,
+                                        Integer.MAX_VALUE,
+                                        ask.dry(),
+                                        ask.leadershipTransferred())
+                                : body);
+            }
+        };
+    }
+
+    /** Sends each request in another form. */
+    private static final class ChangingRpc implements RpcClient {
+        private final RpcClient rpc;
+        private final UnaryOperator<Object> change;
+
+        ChangingRpc(RpcClient rpc, UnaryOperator<Object> change) {
+            this.rpc = rpc;
+            this.change = change;
+        }
+
+        @Override
+        public String self() {
+            return rpc.self();
+        }
+
+        @Override
+        public <T> Mono<T> ask(String to, Object body, Class<T> answer, Duration limit) {
+            return rpc.ask(to, change.apply(body), answer, limit);
+        }
+    }
+
+    /** Hands everything on. */
+    private abstract static class ForwardingLog implements WriteAheadLog {
+        private final WriteAheadLog log;
+
+        ForwardingLog(WriteAheadLog log) {
+            this.log = log;
+        }
+
+        @Override
+        public Map<String, List<Entry>> recovered() {
+            return log.recovered();
+        }
+
+        @Override
+        public void append(List<Entry> entries, Runnable done) {
+            log.append(entries, done);
+        }
+
+        @Override
+        public void onPressure(String part, Runnable giveBase) {
+            log.onPressure(part, giveBase);
+        }
+
+        @Override
+        public boolean nearlyFull() {
+            return log.nearlyFull();
+        }
+
+        @Override
+        public void onFailure(Consumer<String> why) {
+            log.onFailure(why);
+        }
+
+        @Override
+        public long syncs() {
+            return log.syncs();
+        }
+
+        @Override
+        public long filesWritten() {
+            return log.filesWritten();
+        }
+
+        @Override
+        public int largest() {
+            return log.largest();
+        }
+    }
+}
--- /dev/null
+++ b/testkit/src/main/java/org/woadvale/testkit/explore/RegisterMachine.java
@@ -0,0 +1,59 @@
+package org.woadvale.testkit.explore;
+
+import java.nio.charset.StandardCharsets;
+import org.woadvale.common.replication.StateMachine;
+
+/** The replicated state of the model: a register with compare-and-set, as configurations are. */
+final class RegisterMachine implements StateMachine {
+    /** The answer to a put whose base was not the present value. */
+    static final String REFUSED = "refused";
+
+    /** Begins the answer to a put that was applied; how many were accepted by then follows. */
+    static final String ACCEPTED = "accepted ";
+
+    static final String INITIAL = "0";
+    private static final String SEPARATOR = ">";
+    private String value = INITIAL;
+    private long accepted;
+
+    static String put(String base, String next) {
+        return base + SEPARATOR + next;
+    }
+
+    String value() {
+        return value;
+    }
+
+    /** How many puts were accepted; never goes back in a correct system. */
+    long accepted() {
+        return accepted;
+    }
+
+    /** Two replicas that applied the same commands have the same content. */
+    String content() {
+        return accepted + SEPARATOR + value;
+    }
+
+    @Override
+    public Object apply(long index, Object command) {
+        String[] parts = ((String) command).split(SEPARATOR);
+        if (!parts[0].equals(value)) {
+            return REFUSED;
+        }
+        value = parts[1];
+        accepted++;
+        return ACCEPTED + accepted;
+    }
+
+    @Override
+    public byte[] view() {
+        return content().getBytes(StandardCharsets.UTF_8);
+    }
+
+    @Override
+    public void restore(byte[] view) {
+        String[] parts = new String(view, StandardCharsets.UTF_8).split(SEPARATOR);
+        accepted = Long.parseLong(parts[0]);
+        value = parts[1];
+    }
+}
