Orders and internal calls that come again have their first decision

Cause: an order was known by its text alone, and a refusal was not known at all. An order refused on one base was answered 200 once its text had been taken on another; one refused because its base was not reached yet was taken when it came again after that. Inside the fleet, CoreClient sends again after an unknown outcome: a processor list was then refused as older than its own success, and a duty was taken twice.

Ruled out by tests that passed before as well: repeats after 300 later changes through every member, after the loss of the leader, a wiped disk of each member in turn, a restart of the whole core; copies at three members at once while the leader dies with the first one appended; bodies cut short or with trailing bytes and broken If-Match headers.

PutProcessor, DropProcessor, PutProcessors and TakeDuty carry a request id, and the last 256 outcomes of a partition are part of its state. DutyAsk with a term only renews. Each refusal of an order is one line in the log.

--- a/common/src/main/java/org/woadvale/common/config/Configurations.java
+++ b/common/src/main/java/org/woadvale/common/config/Configurations.java
@@ -153,10 +153,15 @@
     }
 
     public static String sha256(String secret) {
+        return sha256(secret.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+    }
+
+    /** The digest of the bytes as they are, in hexadecimal digits. */
+    public static String sha256(byte[] bytes) {
         try {
-            byte[] d = java.security.MessageDigest.getInstance("SHA-256")
-                    .digest(secret.getBytes(java.nio.charset.StandardCharsets.UTF_8));
-            return java.util.HexFormat.of().formatHex(d);
+            return java.util.HexFormat.of()
+                    .formatHex(
+                            java.security.MessageDigest.getInstance("SHA-256").digest(bytes));
         } catch (java.security.NoSuchAlgorithmException e) {
             throw new IllegalStateException(e);
         }
--- a/common/src/main/java/org/woadvale/common/membership/ControlMessages.java
+++ b/common/src/main/java/org/woadvale/common/membership/ControlMessages.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.UUID;
 import org.woadvale.common.rpc.FirstFormatName;
 import org.woadvale.common.rpc.Since;
 
@@ -14,8 +15,15 @@
 
     public record LeaveAsk(String service, String node) {}
 
-    /** Renews when term is the present one; otherwise stands for the vacant duty. */
-    public record DutyAsk(String service, String node, long term) {}
+    /**
+     * Renews the duty in its term, and does nothing if another term is the present one. A term of 0 stands for the duty;
+     * sent again as it was, it has the outcome of its first copy, told by the request id. design 6.11
+     */
+    public record DutyAsk(
+            String service,
+            String node,
+            long term,
+            @Since(4) long requestId) {}
 
     public record DutyReply(boolean yours, LeaderDuty duty) {}
 
@@ -54,16 +62,21 @@
             String service,
             String id,
             Processor processor,
-            @Since(2) long seen) {}
+            @Since(2) long seen,
+            @Since(4) long requestId) {}
 
     public record DropProcessor(
-            String service, String id, @Since(2) long seen) {}
+            String service,
+            String id,
+            @Since(2) long seen,
+            @Since(4) long requestId) {}
 
     public record TakeDuty(
             String service,
             String node,
             long expectedTerm,
-            @Since(2) boolean lapsed) {}
+            @Since(2) boolean lapsed,
+            @Since(4) long requestId) {}
 
     public record ReleaseDuty(String service, String node, long term, double level) {}
 
@@ -83,7 +96,16 @@
     }
 
     /** A whole list at once, from a registry that has them all: design 6.7. */
-    public record PutProcessors(String service, Map<String, Processor> processors, long seen) {}
+    public record PutProcessors(
+            String service,
+            Map<String, Processor> processors,
+            long seen,
+            @Since(4) long requestId) {}
+
+    /** A number for a call that may be sent again; the control partitions answer its repeats alike. design 6.11 */
+    public static long newRequestId() {
+        return UUID.randomUUID().getMostSignificantBits();
+    }
 
     public record ConfigurationTaken(long version, boolean repeated) {}
 
--- a/common/src/main/java/org/woadvale/common/ratelimit/TokenGranters.java
+++ b/common/src/main/java/org/woadvale/common/ratelimit/TokenGranters.java
@@ -119,7 +119,8 @@
         Duration sent = now();
         shard.leave(() -> core.ask(
                         ServiceNames.controlPart(b),
-                        new ControlMessages.DutyAsk(b, env.self(), term),
+                        new ControlMessages.DutyAsk(
+                                b, env.self(), term, term == 0 ? ControlMessages.newRequestId() : 0),
                         ControlMessages.DutyReply.class)
                 .doFinally(s -> env.schedules().after(Duration.ofMillis(250), () -> shard.run(() -> asking.remove(b))))
                 .subscribe(r -> shard.run(() -> answered(b, r, sent)), e -> {}));
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/ControlNode.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/ControlNode.java
@@ -26,7 +26,7 @@
 public final class ControlNode implements Component {
     private record Part(Replica replica, ControlStateMachine machine, LeaseManager leases) {}
 
-    private static final int HISTORY = 4 << 20;
+    private static final int HISTORY_BYTES = 512 << 10;
 
     private final Env env;
     private final CoreClient core;
@@ -46,7 +46,7 @@
         this.retrying = new RetryingCoreClient(env, core);
         for (String p : ServiceNames.controlParts()) {
             ControlStateMachine m = new ControlStateMachine(
-                    env.codec(), Math.min(HISTORY, env.wal().largest() / 4));
+                    env.codec(), Math.min(HISTORY_BYTES, env.wal().largest() / 4));
             Replica r = new Replica(p, turned(wantedCore, p), m, env);
             parts.put(p, new Part(r, m, new LeaseManager(r, m, env)));
         }
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/ControlStateMachine.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/ControlStateMachine.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import org.woadvale.common.membership.ControlMessages;
@@ -24,11 +25,14 @@
     public record State(
             Map<String, ServiceView> services,
             List<ConfigurationLog.Step> steps,
-            @Since(2) List<ConfigurationLog.Known> known) {}
+            @Since(2) List<ConfigurationLog.Known> known,
+            @Since(4) List<ConfigurationLog.RefusedOrder> refused,
+            @Since(4) List<AppliedRequests.Outcome> applied) {}
 
     private final Codec codec;
     private final Map<String, ServiceView> services = new TreeMap<>();
     private final ConfigurationLog configurations;
+    private final AppliedRequests applied = new AppliedRequests();
 
     /** The history of configurations has so many bytes at the most: a whole view must fit into a ring file. */
     public ControlStateMachine(Codec codec, int historyBytes) {
@@ -48,6 +52,10 @@
         return configurations;
     }
 
+    AppliedRequests appliedRequests() {
+        return applied;
+    }
+
     @Override
     public Object apply(long index, Object c) {
         if (c instanceof ControlMessages.PutMember p) {
@@ -67,13 +75,13 @@
         } else if (c instanceof ControlMessages.PutProcessor p) {
             Map<String, Processor> m = new HashMap<>(service(p.service()).processors());
             m.put(p.id(), p.processor());
-            return processors(index, p.service(), m, p.seen());
+            return processors(index, p.service(), m, p.seen(), p.requestId());
         } else if (c instanceof ControlMessages.DropProcessor d) {
             Map<String, Processor> m = new HashMap<>(service(d.service()).processors());
             m.remove(d.id());
-            return processors(index, d.service(), m, d.seen());
+            return processors(index, d.service(), m, d.seen(), d.requestId());
         } else if (c instanceof ControlMessages.PutProcessors p) {
-            return processors(index, p.service(), new HashMap<>(p.processors()), p.seen());
+            return processors(index, p.service(), new HashMap<>(p.processors()), p.seen(), p.requestId());
         } else if (c instanceof ControlMessages.TakeDuty t) {
             return takeDuty(index, t);
         } else if (c instanceof ControlMessages.ReleaseDuty d) {
@@ -111,124 +119,81 @@
     }
 
     private Object core(long index, List<String> members) {
-        ServiceView v = service(ServiceNames.CORE);
         services.put(
                 ServiceNames.CORE,
-                new ServiceView(
-                        ServiceNames.CORE,
-                        index,
-                        v.members(),
-                        v.processors(),
-                        v.duty(),
-                        Map.of(ServiceNames.CORE, members),
-                        v.configuration(),
-                        v.configurationVersion()));
+                service(ServiceNames.CORE).withPlacement(index, Map.of(ServiceNames.CORE, members)));
         return new ControlMessages.Done(true);
     }
 
     private Object members(long index, String service, Map<String, MemberLease> members) {
-        ServiceView v = service(service);
-        services.put(
-                service,
-                new ServiceView(
-                        service,
-                        index,
-                        members,
-                        v.processors(),
-                        v.duty(),
-                        v.placement(),
-                        v.configuration(),
-                        v.configurationVersion()));
+        services.put(service, service(service).withMembers(index, members));
         return new ControlMessages.Done(true);
     }
 
-    private Object processors(long index, String service, Map<String, Processor> m, long seen) {
-        ServiceView v = service(service);
-        if (seen != 0 && seen != v.version() + 1) {
-            return new ControlMessages.Done(false);
+    /** A list is taken only if it was made from the present one; a repeat has the outcome of its first copy. */
+    private Object processors(long index, String service, Map<String, Processor> list, long seen, long requestId) {
+        Optional<AppliedRequests.Outcome> before = applied.outcome(requestId);
+        if (before.isPresent()) {
+            return new ControlMessages.Done(before.get().accepted());
         }
-        services.put(
-                service,
-                new ServiceView(
-                        service,
-                        index,
-                        v.members(),
-                        m,
-                        v.duty(),
-                        v.placement(),
-                        v.configuration(),
-                        v.configurationVersion()));
-        return new ControlMessages.Done(true);
+        ServiceView view = service(service);
+        boolean accepted = seen == 0 || seen == view.version() + 1;
+        if (accepted) {
+            services.put(service, view.withProcessors(index, list));
+        }
+        applied.remember(new AppliedRequests.Outcome(requestId, accepted, 0));
+        return new ControlMessages.Done(accepted);
     }
 
-    private void duty(long index, String service, LeaderDuty d) {
-        ServiceView v = service(service);
-        services.put(
-                service,
-                new ServiceView(
-                        service,
-                        index,
-                        v.members(),
-                        v.processors(),
-                        d,
-                        v.placement(),
-                        v.configuration(),
-                        v.configurationVersion()));
-    }
-
-    private Object takeDuty(long index, ControlMessages.TakeDuty t) {
-        LeaderDuty now = service(t.service()).duty();
-        if (now.term() != t.expectedTerm()) {
+    private void duty(long index, String service, LeaderDuty duty) {
+        services.put(service, service(service).withDuty(index, duty));
+    }
+
+    private Object takeDuty(long index, ControlMessages.TakeDuty take) {
+        LeaderDuty now = service(take.service()).duty();
+        if (take.requestId() != 0 && applied.outcome(take.requestId()).isPresent()) {
+            boolean still = now.holder().equals(take.node()) && now.term() == applied.dutyTerm(take.requestId());
+            return new ControlMessages.DutyReply(still, now);
+        }
+        if (now.term() != take.expectedTerm()) {
+            applied.remember(new AppliedRequests.Outcome(take.requestId(), false, 0));
             return new ControlMessages.DutyReply(false, now);
         }
         // design 8.4: a crashed holder's level is lost; only a level given up by the holder itself is handed on
-        LeaderDuty next =
-                new LeaderDuty(t.node(), now.term() + 1, now.vacant() ? now.level() : 0, t.lapsed() && !now.vacant());
-        duty(index, t.service(), next);
+        LeaderDuty next = new LeaderDuty(
+                take.node(), now.term() + 1, now.vacant() ? now.level() : 0, take.lapsed() && !now.vacant());
+        duty(index, take.service(), next);
+        applied.remember(new AppliedRequests.Outcome(take.requestId(), true, next.term()));
         return new ControlMessages.DutyReply(true, next);
     }
 
-    private Object place(long index, ControlMessages.Place p) {
-        ServiceView v = service(ServiceNames.STORES);
-        if (v.version() != p.expectedVersion()) {
+    private Object place(long index, ControlMessages.Place place) {
+        ServiceView view = service(ServiceNames.STORES);
+        if (view.version() != place.expectedVersion()) {
             return new ControlMessages.Done(false);
         }
-        services.put(
-                ServiceNames.STORES,
-                new ServiceView(
-                        ServiceNames.STORES,
-                        index,
-                        v.members(),
-                        v.processors(),
-                        v.duty(),
-                        p.placement(),
-                        v.configuration(),
-                        v.configurationVersion()));
+        services.put(ServiceNames.STORES, view.withPlacement(index, place.placement()));
         return new ControlMessages.Done(true);
     }
 
-    private Object putConfiguration(long index, ControlMessages.PutConfiguration p) {
-        Object out = configurations.put(p);
-        if (out instanceof ControlMessages.ConfigurationTaken t && !t.repeated()) {
-            ServiceView v = service(ServiceNames.CONFIGURATION);
+    private Object putConfiguration(long index, ControlMessages.PutConfiguration put) {
+        Object out = configurations.put(put);
+        if (out instanceof ControlMessages.ConfigurationTaken taken && !taken.repeated()) {
             services.put(
                     ServiceNames.CONFIGURATION,
-                    new ServiceView(
-                            ServiceNames.CONFIGURATION,
-                            index,
-                            v.members(),
-                            v.processors(),
-                            v.duty(),
-                            v.placement(),
-                            p.configuration(),
-                            t.version()));
+                    service(ServiceNames.CONFIGURATION).withConfiguration(index, put.configuration(), taken.version()));
         }
         return out;
     }
 
     @Override
     public byte[] view() {
-        return codec.write(new State(new HashMap<>(services), configurations.steps(), configurations.known()));
+        return codec.write(new State(
+                new HashMap<>(services),
+                configurations.steps(),
+                configurations.known(),
+                configurations.refused(),
+                applied.all()));
     }
 
     @Override
@@ -237,7 +202,8 @@
             State s = codec.read(view, State.class);
             services.clear();
             services.putAll(s.services());
-            configurations.restore(s.steps(), s.known());
+            configurations.restore(s.steps(), s.known(), s.refused());
+            applied.restore(s.applied());
         } catch (ServiceException e) {
             throw new IllegalStateException("unreadable view", e);
         }
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/LeaseManager.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/LeaseManager.java
@@ -107,15 +107,23 @@
                         ? Mono.just(new ControlMessages.DutyReply(true, d))
                         : Mono.just(new ControlMessages.DutyReply(false, d));
             }
+            if (a.term() != 0) {
+                return Mono.just(new ControlMessages.DutyReply(false, d));
+            }
+            boolean givenAway = shard.get(() -> given.getOrDefault(key, 0L) == d.term());
+            if (!givenAway && isRepeat(a, d)) {
+                hear(key);
+                return Mono.just(new ControlMessages.DutyReply(replica.mayAct(), d));
+            }
             // design 8.4: a holder that knows of no term has restarted, so nobody grants in its old term any more
-            boolean restarted = d.holder().equals(a.node()) && a.term() == 0;
+            boolean restarted = d.holder().equals(a.node());
             boolean lapsed = !d.vacant() && lapsed(key);
             if (!d.vacant() && !restarted && !lapsed) {
                 return Mono.just(new ControlMessages.DutyReply(false, d));
             }
             shard.run(() -> given.put(key, d.term()));
             return replica.propose(
-                            new ControlMessages.TakeDuty(a.service(), a.node(), d.term(), lapsed),
+                            new ControlMessages.TakeDuty(a.service(), a.node(), d.term(), lapsed, a.requestId()),
                             ControlMessages.DutyReply.class)
                     .doOnNext(r -> {
                         if (r.yours()) {
@@ -130,6 +138,12 @@
         });
     }
 
+    /** The ask is a copy of the one that took the duty as it stands. design 6.11 */
+    private boolean isRepeat(ControlMessages.DutyAsk ask, LeaderDuty duty) {
+        return duty.holder().equals(ask.node())
+                && replica.look(i -> machine.appliedRequests().dutyTerm(ask.requestId())) == duty.term();
+    }
+
     Mono<ControlMessages.Done> release(ControlMessages.DutyRelease r) {
         return owned(i -> replica.propose(
                 new ControlMessages.ReleaseDuty(r.service(), r.node(), r.term(), r.level()),
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/Operators.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/Operators.java
@@ -50,7 +50,9 @@
                 History.class,
                 ProcessorsGet.class,
                 Processors.class,
-                ConfigurationLog.Known.class);
+                ConfigurationLog.Known.class,
+                ConfigurationLog.RefusedOrder.class,
+                AppliedRequests.Outcome.class);
     }
 
     private final ControlNode node;
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/Platform.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/Platform.java
@@ -97,7 +97,11 @@
             return list(service).map(p -> Answer.json(200, p.processors()));
         }
         if (q.method().equals("DELETE")) {
-            return change(service, v -> new ControlMessages.DropProcessor(service, s.get(4), v), CHANGES)
+            return change(
+                            service,
+                            v -> new ControlMessages.DropProcessor(
+                                    service, s.get(4), v, ControlMessages.newRequestId()),
+                            CHANGES)
                     .thenReturn(Answer.json(200, Map.of("removed", s.get(4))));
         }
         try {
@@ -107,7 +111,11 @@
                 throw new ServiceException(ErrorKind.BAD_REQUEST, "address must be http://IP:port or empty.");
             }
             Processor p = new Processor(address, body.path("leaving").asBoolean(false));
-            return change(service, v -> new ControlMessages.PutProcessor(service, s.get(4), p, v), CHANGES)
+            return change(
+                            service,
+                            v -> new ControlMessages.PutProcessor(
+                                    service, s.get(4), p, v, ControlMessages.newRequestId()),
+                            CHANGES)
                     .thenReturn(Answer.json(200, Map.of("id", s.get(4), "address", address, "leaving", p.leaving())));
         } catch (ServiceException e) {
             return Mono.error(e);
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/ProcessorRegistry.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/ProcessorRegistry.java
@@ -116,7 +116,8 @@
                     }
                     return node.ask(
                                     ServiceNames.controlPart(key),
-                                    new ControlMessages.PutProcessors(key, new HashMap<>(list), p.version() + 1),
+                                    new ControlMessages.PutProcessors(
+                                            key, new HashMap<>(list), p.version() + 1, ControlMessages.newRequestId()),
                                     ControlMessages.Done.class)
                             .map(ControlMessages.Done::ok);
                 });
--- a/controlplane/src/test/java/org/woadvale/controlplane/partition/ConfigurationLogTest.java
+++ b/controlplane/src/test/java/org/woadvale/controlplane/partition/ConfigurationLogTest.java
@@ -75,7 +75,7 @@
         put("a", 0, 5, "A");
         put("b", 5, 7, "B");
         ConfigurationLog other = new ConfigurationLog(1 << 20);
-        other.restore(log.steps(), log.known());
+        other.restore(log.steps(), log.known(), log.refused());
         assertEquals(7, other.version());
         assertArrayEquals(bytes("B"), other.steps().get(1).original());
         assertEquals(
@@ -100,4 +100,57 @@
                 small.put(
                         new ControlMessages.PutConfiguration("id1", 0, bytes("{}"), "me", 3, bytes("x".repeat(300)))));
     }
+
+    private static ConfigurationLog restored(ConfigurationLog from) {
+        ConfigurationLog other = new ConfigurationLog(1 << 20);
+        other.restore(from.steps(), from.known(), from.refused());
+        return other;
+    }
+
+    /** An order that built on a version to come was refused; reaching that version does not bring it into force. */
+    @Test
+    void orderRefusedAheadOfItsBaseStaysRefused() {
+        put("a", 0, 5, "A");
+        assertEquals(ErrorKind.STALE_BASE, kind(put("early", 7, 9, "E")));
+        assertEquals(new ControlMessages.ConfigurationTaken(7, false), put("b", 5, 7, "B"));
+        assertEquals(ErrorKind.STALE_BASE, kind(put("early", 7, 9, "E")));
+        Object inRestored =
+                restored(log).put(new ControlMessages.PutConfiguration("early", 7, bytes("{}"), "me", 9, bytes("E")));
+        assertEquals(ErrorKind.STALE_BASE, kind(inRestored));
+        assertEquals(new ControlMessages.ConfigurationTaken(9, false), put("other", 7, 9, "O"));
+    }
+
+    @Test
+    void repeatIsYesAfterSixHundredLaterChangesAlsoWhereTheStateWasRestored() {
+        put("first", 0, 2, "F");
+        for (int i = 1; i <= 600; i++) {
+            put("id" + i, i * 2L, i * 2L + 2, "text " + i);
+        }
+        ControlMessages.ConfigurationTaken yes = new ControlMessages.ConfigurationTaken(2, true);
+        assertEquals(yes, put("first", 0, 2, "F"));
+        assertEquals(
+                yes,
+                restored(log).put(new ControlMessages.PutConfiguration("first", 0, bytes("{}"), "me", 2, bytes("F"))));
+        assertEquals(1202, log.version());
+    }
+
+    /** A build before named an order by the digest of its text alone: its orders are known under that name. */
+    @Test
+    void orderOfABuildBeforeIsKnownByItsText() {
+        String digest = org.woadvale.common.config.Configurations.sha256(bytes("A"));
+        put(digest, 0, 5, "A");
+        assertEquals(new ControlMessages.ConfigurationTaken(5, true), put("new name", 0, 5, "A"));
+    }
+
+    @Test
+    void memoriesAreBounded() {
+        for (int i = 1; i <= ConfigurationLog.MOST_KNOWN + 50; i++) {
+            put("id" + i, i - 1L, i, "");
+        }
+        for (int i = 0; i < ConfigurationLog.MOST_REFUSED + 50; i++) {
+            put("early" + i, 1_000_000, 1_000_001, "");
+        }
+        assertEquals(ConfigurationLog.MOST_KNOWN, log.known().size());
+        assertEquals(ConfigurationLog.MOST_REFUSED, log.refused().size());
+    }
 }
--- a/testkit/src/main/java/org/woadvale/testkit/capacity/HollowOperator.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/HollowOperator.java
@@ -55,7 +55,7 @@
         Processor processor = new Processor(address, leaving);
         core.ask(
                         ServiceNames.controlPart(list),
-                        new ControlMessages.PutProcessor(list, "processor-" + number, processor, 0),
+                        new ControlMessages.PutProcessor(list, "processor-" + number, processor, 0, 0),
                         ControlMessages.Done.class)
                 .subscribe(done -> processorsPut++, error -> {});
     }
--- /dev/null
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/InternalRepeatTest.java
@@ -0,0 +1,110 @@
+package org.woadvale.testkit.simulation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.woadvale.common.membership.ControlMessages;
+import org.woadvale.common.membership.CoreClient;
+import org.woadvale.common.membership.CoreMembers;
+import org.woadvale.common.membership.Processor;
+import org.woadvale.common.membership.ServiceNames;
+import org.woadvale.common.membership.Wire;
+import org.woadvale.common.rpc.RpcClient;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+import org.woadvale.controlplane.partition.Operators;
+import reactor.core.publisher.Mono;
+
+/** A caller inside the fleet whose first answer is lost does not take its own success for a refusal: design 6.11. */
+class InternalRepeatTest {
+    private static final String BUCKET = "bucket/of-nobody";
+    private static final String LIST = ServiceNames.processors("book");
+
+    private Shore shore;
+    private String caller;
+
+    @BeforeEach
+    void begin() throws ServiceException {
+        shore = new Shore(41, 1);
+        caller = shore.r.intakes.get(0);
+    }
+
+    /** Loses the first answer that is not a refusal. */
+    private static final class FirstAnswerLost implements RpcClient {
+        private final RpcClient rpc;
+        private boolean lost;
+
+        FirstAnswerLost(RpcClient rpc) {
+            this.rpc = rpc;
+        }
+
+        @Override
+        public String self() {
+            return rpc.self();
+        }
+
+        @Override
+        public <T> Mono<T> ask(String to, Object body, Class<T> answer, Duration limit) {
+            return rpc.ask(to, body, answer, limit).flatMap(a -> {
+                if (lost) {
+                    return Mono.just(a);
+                }
+                lost = true;
+                return Mono.error(new ServiceException(ErrorKind.UNKNOWN_OUTCOME, "The answer was lost."));
+            });
+        }
+    }
+
+    private <T> T ask(String service, Object body, Class<T> type) {
+        RpcClient lossy = new FirstAnswerLost(
+                shore.r.net.rpc(shore.r.host(caller), Wire.codec(Wire.LIGHTHOUSE, Operators.types())));
+        CoreClient core = new CoreClient(lossy, () -> 1L, shore.r.lighthouses, CoreMembers.unknown(), l -> {});
+        AtomicReference<T> out = new AtomicReference<>();
+        core.ask(ServiceNames.controlPart(service), body, type).subscribe(out::set, e -> {
+            throw new AssertionError(e);
+        });
+        assertTrue(shore.r.sim.runUntil(() -> out.get() != null, Duration.ofSeconds(5)), "no answer");
+        return out.get();
+    }
+
+    private ControlMessages.DutyReply duty(long term, long requestId) {
+        return ask(
+                BUCKET, new ControlMessages.DutyAsk(BUCKET, caller, term, requestId), ControlMessages.DutyReply.class);
+    }
+
+    @Test
+    void dutyIsTakenOnceThoughItWasAskedForTwice() {
+        ControlMessages.DutyReply first = duty(0, 5);
+        assertTrue(first.yours());
+        assertEquals(1, first.duty().term());
+    }
+
+    @Test
+    void askWithATermOnlyRenews() {
+        assertEquals(1, duty(0, 5).duty().term());
+        assertTrue(duty(1, 0).yours());
+        ControlMessages.DutyReply next = duty(0, 6);
+        assertEquals(2, next.duty().term(), "a holder that knows of no term has restarted");
+        ControlMessages.DutyReply former = duty(1, 0);
+        assertFalse(former.yours());
+        assertEquals(2, former.duty().term(), "nothing was taken");
+    }
+
+    @Test
+    void writtenListIsAYes() {
+        Processor processor = new Processor("http://10.9.9.9:1", false);
+        Operators.Processors now = ask(LIST, new Operators.ProcessorsGet(LIST), Operators.Processors.class);
+        ControlMessages.Done done = ask(
+                LIST,
+                new ControlMessages.PutProcessors(LIST, Map.of("p", processor), now.version() + 1, 9),
+                ControlMessages.Done.class);
+        assertTrue(done.ok(), "its own success is no refusal");
+    }
+}
