--- a/testkit/src/main/java/org/woadvale/testkit/simulation/OperatorSimulation.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/OperatorSimulation.java
@@ -47,14 +47,17 @@
     }
 
     private void put(ConfigurationStub p, String text, long base, boolean valid, Duration sent, Duration pause) {
-        String to = network.lighthouses.get(network.sim.random().nextInt(network.lighthouses.size()));
+        String to = anyControlNode();
         Request q = new Request(
                 "PUT",
                 "/-/configuration",
                 Map.of("if-match", Long.toString(base)),
                 text.getBytes(StandardCharsets.UTF_8));
+        Duration tried = network.sim.now();
         network.request(to, q, CALL, a -> {
             int status = a.map(Answer::status).orElse(0);
+            seen.orderCalls.add(
+                    new ObservationLog.OrderCall(text, base, p.configRevision(), tried, network.sim.now(), status));
             if (status == 0 || status >= 500 || status == 429 || status == 408) {
                 Duration next = pause.multipliedBy(2).compareTo(LONGEST) > 0 ? LONGEST : pause.multipliedBy(2);
                 network.sim.after(pause, () -> put(p, text, base, valid, sent, next));
@@ -174,13 +177,45 @@
         put(now.tenants(all).with(next()), now.configRevision());
     }
 
-    /** ControlMessages for it as it stands; the last reading of a day counts. */
+    /** An order of before, acknowledged or refused, is sent once more as it was; the answer is for the history only. */
+    void repeat() {
+        if (seen.orderCalls.isEmpty()) {
+            return;
+        }
+        ObservationLog.OrderCall before =
+                seen.orderCalls.get(network.sim.random().nextInt(seen.orderCalls.size()));
+        Request request = new Request(
+                "PUT",
+                "/-/configuration",
+                Map.of("if-match", Long.toString(before.base())),
+                before.text().getBytes(StandardCharsets.UTF_8));
+        Duration sent = network.sim.now();
+        network.request(
+                anyControlNode(),
+                request,
+                CALL,
+                a -> seen.orderCalls.add(new ObservationLog.OrderCall(
+                        before.text(),
+                        before.base(),
+                        before.revision(),
+                        sent,
+                        network.sim.now(),
+                        a.map(Answer::status).orElse(0))));
+    }
+
+    private String anyControlNode() {
+        return network.lighthouses.get(network.sim.random().nextInt(network.lighthouses.size()));
+    }
+
+    /** Asks for the configuration as it stands; the last reading of a day counts. */
     void read() {
-        String to = network.lighthouses.get(network.sim.random().nextInt(network.lighthouses.size()));
+        String to = anyControlNode();
+        Duration asked = network.sim.now();
         network.request(to, new Request("GET", "/-/configuration", Map.of(), new byte[0]), CALL, a -> {
             if (a.isPresent() && a.get().status() == 200) {
-                seen.readBack.add(new ObservationLog.ReadBack(
-                        200, new String(a.get().body(), StandardCharsets.UTF_8), network.sim.now()));
+                String text = new String(a.get().body(), StandardCharsets.UTF_8);
+                seen.readBack.add(new ObservationLog.ReadBack(200, text, network.sim.now()));
+                seen.configurationReads.add(new ObservationLog.ConfigurationRead(text, asked, network.sim.now()));
             }
         });
     }
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/SeededPlatformDays.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/SeededPlatformDays.java
@@ -46,6 +46,7 @@
         planned.put("stop", () -> stop(any(r.intakes)));
         planned.put("stop store", () -> stop(any(r.stores)));
         planned.put("read", p.operator::read);
+        planned.put("repeat", p.operator::repeat);
         unplanned.put("kill", () -> kill(any(r.all())));
         unplanned.put("power", () -> power(any(r.all())));
         unplanned.put("freeze", () -> freeze(any(r.all())));
--- a/testkit/src/main/java/org/woadvale/testkit/stub/ObservationLog.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/ObservationLog.java
@@ -55,6 +55,12 @@
             int status,
             Duration answered) {}
 
+    /** One try of an order, known by its text and base; status 0: no answer. */
+    public record OrderCall(String text, long base, long revision, Duration sent, Duration answered, int status) {}
+
+    /** A reading of the configuration that was answered with 200. */
+    public record ConfigurationRead(String text, Duration sent, Duration answered) {}
+
     public record ReadBack(int status, String text, Duration at) {}
 
     /** From when on the list shows it as draining or no more. */
@@ -74,6 +80,8 @@
     public final List<EndTaken> endsTaken = new ArrayList<>();
     public final List<Shown> shown = new ArrayList<>();
     public final List<Paper> configurationStub = new ArrayList<>();
+    public final List<OrderCall> orderCalls = new ArrayList<>();
+    public final List<ConfigurationRead> configurationReads = new ArrayList<>();
     public final List<ReadBack> readBack = new ArrayList<>();
     public final List<Draining> draining = new ArrayList<>();
     public final List<Trouble> troubles = new ArrayList<>();
--- a/testkit/src/main/java/org/woadvale/testkit/stub/Rules.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/Rules.java
@@ -28,6 +28,11 @@
         out.put("CONFIG back", configurationStub.back());
         out.put("CONFIG taken", configurationStub.taken());
         out.put("CONFIG read", configurationStub.readBack());
+        OrderRules orders = new OrderRules(w);
+        out.put("CONFIG orders decided twice", orders.decidedTwice());
+        out.put("CONFIG orders successions", orders.successions());
+        out.put("CONFIG orders refused in force", orders.refusedInForce());
+        out.put("CONFIG orders stale reads", orders.staleReads());
         LimitRules limits = new LimitRules(w);
         out.put("QUOTA", limits.quota());
         out.put("CEILING", limits.ceiling());
