Configurations travel deflated in view replies

Change: ViewAsk says that the asker can inflate; configurations of 512 bytes and more then travel deflated (level 1), deflated once a version at the leader and at each home, outside the locks. A build before gets the plain text.

--- /dev/null
+++ b/common/src/main/java/org/woadvale/common/discovery/ViewCompression.java
@@ -0,0 +1,116 @@
+package org.woadvale.common.discovery;
+
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.zip.DataFormatException;
+import java.util.zip.Deflater;
+import java.util.zip.Inflater;
+import org.woadvale.common.membership.ControlMessages;
+import org.woadvale.common.membership.ServiceView;
+import org.woadvale.common.runtime.ErrorKind;
+import org.woadvale.common.runtime.ServiceException;
+
+/**
+ * Configurations travel deflated in view replies to nodes that say that they can inflate them. A version is deflated
+ * once, however many nodes ask for it. Thread-safe. design 7.3
+ */
+public final class ViewCompression {
+    static final int WORTHWHILE_BYTES = 512;
+    private static final int LARGEST_BYTES = 16 << 20;
+    private static final int BUFFER_BYTES = 8 << 10;
+
+    private record Deflated(long version, byte[] bytes) {}
+
+    private volatile Deflated latest = new Deflated(-1, new byte[0]);
+
+    /** The reply with its configurations deflated, where the asker reads that and it is smaller. */
+    public ControlMessages.ViewReply pack(ControlMessages.ViewAsk ask, ControlMessages.ViewReply reply) {
+        if (!ask.inflates() || reply.views().stream().noneMatch(ViewCompression::isWorthwhile)) {
+            return reply;
+        }
+        List<ServiceView> views = new ArrayList<>();
+        Map<String, byte[]> deflated = new HashMap<>();
+        for (ServiceView view : reply.views()) {
+            if (isWorthwhile(view)) {
+                deflated.put(view.service(), deflated(view));
+                views.add(view.withConfiguration(view.version(), new byte[0], view.configurationVersion()));
+            } else {
+                views.add(view);
+            }
+        }
+        return new ControlMessages.ViewReply(views, reply.ages(), reply.coreEpoch(), deflated);
+    }
+
+    /** The reply as it was before it was packed; fails with BAD_REQUEST if the bytes cannot be inflated. */
+    public static ControlMessages.ViewReply unpack(ControlMessages.ViewReply reply) throws ServiceException {
+        if (reply.deflated().isEmpty()) {
+            return reply;
+        }
+        List<ServiceView> views = new ArrayList<>();
+        for (ServiceView view : reply.views()) {
+            byte[] bytes = reply.deflated().get(view.service());
+            views.add(
+                    bytes == null
+                            ? view
+                            : view.withConfiguration(view.version(), inflate(bytes), view.configurationVersion()));
+        }
+        return new ControlMessages.ViewReply(views, reply.ages(), reply.coreEpoch());
+    }
+
+    private static boolean isWorthwhile(ServiceView view) {
+        return view.configuration().length >= WORTHWHILE_BYTES;
+    }
+
+    private byte[] deflated(ServiceView view) {
+        Deflated known = latest;
+        if (known.version() != view.version()) {
+            known = new Deflated(view.version(), deflate(view.configuration()));
+            latest = known;
+        }
+        return known.bytes();
+    }
+
+    private static byte[] deflate(byte[] bytes) {
+        Deflater deflater = new Deflater(Deflater.BEST_SPEED);
+        try {
+            deflater.setInput(bytes);
+            deflater.finish();
+            ByteArrayOutputStream out = new ByteArrayOutputStream();
+            byte[] buffer = new byte[BUFFER_BYTES];
+            while (!deflater.finished()) {
+                out.write(buffer, 0, deflater.deflate(buffer));
+            }
+            return out.toByteArray();
+        } finally {
+            deflater.end();
+        }
+    }
+
+    private static byte[] inflate(byte[] bytes) throws ServiceException {
+        Inflater inflater = new Inflater();
+        try {
+            inflater.setInput(bytes);
+            ByteArrayOutputStream out = new ByteArrayOutputStream();
+            byte[] buffer = new byte[BUFFER_BYTES];
+            while (!inflater.finished()) {
+                int length = inflater.inflate(buffer);
+                if (length == 0 || out.size() > LARGEST_BYTES) {
+                    throw unreadable();
+                }
+                out.write(buffer, 0, length);
+            }
+            return out.toByteArray();
+        } catch (DataFormatException e) {
+            throw unreadable();
+        } finally {
+            inflater.end();
+        }
+    }
+
+    private static ServiceException unreadable() {
+        return new ServiceException(ErrorKind.BAD_REQUEST, "A deflated configuration cannot be read.");
+    }
+}
--- a/common/src/main/java/org/woadvale/common/discovery/ViewSubscriptions.java
+++ b/common/src/main/java/org/woadvale/common/discovery/ViewSubscriptions.java
@@ -44,6 +44,7 @@
     private final CoreClient core;
     private final String zone;
     private final LockedShard shard = new LockedShard();
+    private final ViewCompression compression = new ViewCompression();
     private final Map<String, Followed> all = new HashMap<>();
     private final List<BiConsumer<String, ServiceView>> listeners = new ArrayList<>();
     private TimerHandle polling = () -> {};
@@ -99,11 +100,7 @@
         });
         if (!known.isEmpty()) {
             Duration sent = now();
-            core.ask(
-                            ServiceNames.controlPart(service),
-                            new ControlMessages.ViewAsk(known),
-                            ControlMessages.ViewReply.class)
-                    .subscribe(r -> took(r, sent), e -> {});
+            askCore(ServiceNames.controlPart(service), known).subscribe(r -> took(r, sent), e -> {});
         }
     }
 
@@ -155,7 +152,7 @@
         });
         byPart.forEach((part, known) -> {
             Duration sent = now();
-            core.ask(part, new ControlMessages.ViewAsk(known), ControlMessages.ViewReply.class)
+            askCore(part, known)
                     .subscribe(
                             r -> {
                                 took(r, sent);
@@ -167,6 +164,7 @@
             Duration sent = now();
             env.rpc()
                     .ask(home, new ControlMessages.ViewAsk(known), ControlMessages.ViewReply.class, HOME_ASK)
+                    .flatMap(ViewSubscriptions::unpacked)
                     .subscribe(
                             r -> {
                                 took(r, sent);
@@ -177,6 +175,15 @@
         });
     }
 
+    private Mono<ControlMessages.ViewReply> askCore(String part, Map<String, Long> known) {
+        return core.ask(part, new ControlMessages.ViewAsk(known), ControlMessages.ViewReply.class)
+                .flatMap(ViewSubscriptions::unpacked);
+    }
+
+    private static Mono<ControlMessages.ViewReply> unpacked(ControlMessages.ViewReply reply) {
+        return Mono.fromCallable(() -> ViewCompression.unpack(reply));
+    }
+
     /** A home that does not serve, or serves old subscriptions, is passed over for a while. */
     private void distrust(Map<String, Long> asked, ControlMessages.ViewReply r) {
         shard.run(() -> asked.keySet().forEach(s -> {
@@ -215,7 +222,11 @@
 
     /** As a home node: what is held, with its age; what is not held yet is followed from now on. */
     public Mono<ControlMessages.ViewReply> asked(ControlMessages.ViewAsk ask) {
-        return Mono.fromSupplier(() -> shard.get(() -> {
+        return Mono.fromSupplier(() -> held(ask)).map(reply -> compression.pack(ask, reply));
+    }
+
+    private ControlMessages.ViewReply held(ControlMessages.ViewAsk ask) {
+        return shard.get(() -> {
             List<ServiceView> views = new ArrayList<>();
             Map<String, Duration> ages = new HashMap<>();
             ask.known().forEach((s, version) -> {
@@ -228,6 +239,6 @@
                 }
             });
             return new ControlMessages.ViewReply(views, ages, core.members().epoch());
-        }));
+        });
     }
 }
--- a/common/src/main/java/org/woadvale/common/membership/ControlMessages.java
+++ b/common/src/main/java/org/woadvale/common/membership/ControlMessages.java
@@ -31,17 +31,27 @@
 
     public record Done(boolean ok) {}
 
-    /** Versions known by the asker; -1 for none. */
-    public record ViewAsk(Map<String, Long> known) {}
+    /** Versions known by the asker; -1 for none. It may read deflated configurations. */
+    public record ViewAsk(Map<String, Long> known, @Since(4) boolean inflates) {
+        public ViewAsk(Map<String, Long> known) {
+            this(known, true);
+        }
+    }
 
     /**
      * Views that differ, and for each service served the age of its confirmation; and the epoch of the list of the
-     * core's members that the answering process knows.
+     * core's members that the answering process knows. A configuration that travels deflated, by service, is
+     * empty in its view.
      */
     public record ViewReply(
             List<ServiceView> views,
             Map<String, Duration> ages,
-            @Since(3) long coreEpoch) {}
+            @Since(3) long coreEpoch,
+            @Since(4) Map<String, byte[]> deflated) {
+        public ViewReply(List<ServiceView> views, Map<String, Duration> ages, long coreEpoch) {
+            this(views, ages, coreEpoch, Map.of());
+        }
+    }
 
     public record CoreAsk(boolean any) {}
 
--- /dev/null
+++ b/common/src/test/java/org/woadvale/common/discovery/ViewCompressionTest.java
@@ -0,0 +1,76 @@
+package org.woadvale.common.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.woadvale.common.membership.ControlMessages;
+import org.woadvale.common.membership.ServiceView;
+import org.woadvale.common.runtime.ServiceException;
+
+/** What is packed is unpacked as it was; who cannot read it gets it whole. */
+class ViewCompressionTest {
+    private static final String CONFIGURATION = "configuration";
+    private static final Map<String, Duration> AGES = Map.of(CONFIGURATION, Duration.ZERO, "other", Duration.ZERO);
+    private static final ControlMessages.ViewAsk ASK = new ControlMessages.ViewAsk(Map.of());
+    private final ViewCompression compression = new ViewCompression();
+
+    private static ControlMessages.ViewReply reply(byte[] configuration) {
+        ServiceView large = ServiceView.blank(CONFIGURATION).withConfiguration(7, configuration, 3);
+        return new ControlMessages.ViewReply(List.of(large, ServiceView.blank("other")), AGES, 17);
+    }
+
+    private static byte[] text(int bytes) {
+        return "{\"route\":17},".repeat(bytes / 13 + 1).substring(0, bytes).getBytes();
+    }
+
+    @Test
+    void packedReplyIsUnpackedAsItWas() throws ServiceException {
+        for (int bytes : new int[] {512, 9000, 262_144, 1 << 20}) {
+            ControlMessages.ViewReply packed = new ViewCompression().pack(ASK, reply(text(bytes)));
+            assertTrue(packed.deflated().get(CONFIGURATION).length < bytes / 2, bytes + " bytes");
+            assertEquals(0, packed.views().get(0).configuration().length);
+            ControlMessages.ViewReply unpacked = ViewCompression.unpack(packed);
+            assertArrayEquals(text(bytes), unpacked.views().get(0).configuration());
+            assertEquals(3, unpacked.views().get(0).configurationVersion());
+            assertEquals("other", unpacked.views().get(1).service());
+            assertEquals(AGES, unpacked.ages());
+            assertEquals(17, unpacked.coreEpoch());
+        }
+    }
+
+    @Test
+    void smallOnesAndOlderAskersGetTheReplyAsItIs() throws ServiceException {
+        ControlMessages.ViewReply small = reply(text(100));
+        assertSame(small, compression.pack(ASK, small));
+        ControlMessages.ViewReply large = reply(text(9000));
+        assertSame(large, compression.pack(new ControlMessages.ViewAsk(Map.of(), false), large));
+        assertSame(large, ViewCompression.unpack(large));
+    }
+
+    @Test
+    void versionIsDeflatedOnce() {
+        byte[] first = compression.pack(ASK, reply(text(9000))).deflated().get(CONFIGURATION);
+        byte[] again = compression.pack(ASK, reply(text(9000))).deflated().get(CONFIGURATION);
+        assertSame(first, again);
+    }
+
+    @Test
+    void brokenBytesAreRefused() {
+        ControlMessages.ViewReply packed = compression.pack(ASK, reply(text(9000)));
+        byte[] half = Arrays.copyOf(packed.deflated().get(CONFIGURATION), 20);
+        for (byte[] broken : List.of(new byte[0], new byte[] {1, 2, 3}, half)) {
+            ControlMessages.ViewReply bad =
+                    new ControlMessages.ViewReply(
+                    packed.views(), packed.ages(), 17, Map.of(CONFIGURATION, broken));
+            assertThrows(ServiceException.class, () -> ViewCompression.unpack(bad));
+        }
+    }
+}
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/ControlNode.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/ControlNode.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeSet;
+import org.woadvale.common.discovery.ViewCompression;
 import org.woadvale.common.membership.ControlMessages;
 import org.woadvale.common.membership.CoreClient;
 import org.woadvale.common.membership.CoreMembers;
@@ -35,6 +36,7 @@
     private final RetryingCoreClient retrying;
     private final ReplicaPlacement placing = new ReplicaPlacement();
     private final CoreMembership membership;
+    private final ViewCompression compression = new ViewCompression();
     private TimerHandle looking = () -> {};
     private TimerHandle learning = () -> {};
     private volatile boolean draining;
@@ -80,7 +82,7 @@
                 .on(
                         ControlMessages.DutyRelease.class,
                         (f, a) -> of(a.service()).flatMap(p -> p.leases().release(a)))
-                .on(ControlMessages.ViewAsk.class, (f, a) -> subscriptions(a))
+                .on(ControlMessages.ViewAsk.class, (f, a) -> subscriptions(a).map(r -> compression.pack(a, r)))
                 .on(ControlMessages.CoreAsk.class, (f, a) -> Mono.just(core.reply()))
                 .on(ControlMessages.StandbyAsk.class, (f, a) -> membership.announced(a))
                 .on(ControlMessages.LeaveCoreAsk.class, (f, a) -> membership.leaving(a))
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/BareReplicas.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/BareReplicas.java
@@ -115,7 +115,7 @@
                     }
                     return frozen.getAsBoolean()
                             ? Mono.just(answer.cast(NaiveVariants.anew(n, last)))
-                            : b.ask(to, body, answer, limit)
+                            : b.ask(to, new ControlMessages.ViewAsk(n.known(), false), answer, limit)
                                     .doOnNext(t -> ((ControlMessages.ViewReply) t)
                                             .views()
                                             .forEach(v -> last.put(v.service(), v)));
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/NaiveVariants.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/NaiveVariants.java
@@ -159,7 +159,7 @@
                     if (!(body instanceof ControlMessages.ViewAsk n)) {
                         return x.ask(to, body, answer, limit);
                     }
-                    return x.ask(to, body, answer, limit)
+                    return x.ask(to, new ControlMessages.ViewAsk(n.known(), false), answer, limit)
                             .doOnNext(
                                     t -> ((ControlMessages.ViewReply) t).views().forEach(v -> last.put(v.service(), v)))
                             .onErrorResume(e -> silent(e)
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/OrderRepeatTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/OrderRepeatTest.java
@@ -8,6 +8,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.woadvale.common.http.Answer;
@@ -19,6 +22,7 @@
 class OrderRepeatTest {
     private static final Duration CALL = Duration.ofSeconds(4);
     private static final int LATER_CHANGES = 300;
+    private static final int ORDERS_AT_ONCE = 8;
 
     private Shore shore;
     private long version;
@@ -128,6 +132,31 @@
         }
     }
 
+    /** Eight operators on one base, each order at all members at once: one order has a yes everywhere, seven a no. */
+    @Test
+    void ofEightOrdersAtOnceOneIsTakenWhereverItIsSent() {
+        List<String> texts = new ArrayList<>();
+        Map<String, Set<Integer>> statuses = new TreeMap<>();
+        for (int i = 0; i < ORDERS_AT_ONCE; i++) {
+            String text = text(version + 2, "r-operator" + i);
+            texts.add(text);
+            for (String node : shore.r.lighthouses) {
+                shore.r.request(
+                        node,
+                        request(text, version),
+                        CALL,
+                        a -> statuses.computeIfAbsent(text, t -> new TreeSet<>())
+                                .add(a.map(Answer::status).orElse(0)));
+            }
+        }
+        shore.run(CALL.toMillis());
+        List<String> taken =
+                texts.stream().filter(t -> statuses.get(t).equals(Set.of(200))).toList();
+        assertEquals(1, taken.size(), statuses.values().toString());
+        texts.stream().filter(t -> !taken.contains(t)).forEach(t -> assertEquals(Set.of(412), statuses.get(t)));
+        assertEquals(taken.get(0), readBack(2));
+    }
+
     /** The same text on another base is another order: refused once, it stays refused though the text was taken. */
     @Test
     void refusedOrderStaysRefusedThoughItsTextWasTakenOnAnotherBase() {
