--- a/common/src/main/java/org/woadvale/common/membership/ControlMessages.java
+++ b/common/src/main/java/org/woadvale/common/membership/ControlMessages.java
@@ -3,7 +3,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
-import org.woadvale.common.rpc.AtMostOnceRequest;
+import java.util.UUID;
+import org.woadvale.common.rpc.FirstFormatName;
 import org.woadvale.common.rpc.RepeatableRequest;
 import org.woadvale.common.rpc.Since;
 
@@ -15,8 +16,15 @@
 
     public record LeaveAsk(String service, String node) implements RepeatableRequest {}
 
-    /** Renews when term is the present one; otherwise stands for the vacant duty. */
-    public record DutyAsk(String service, String node, long term) implements RepeatableRequest {}
+    /**
+     * Renews the duty in its term, and does nothing if another term is the present one. A term of 0 stands for the duty;
+     * sent again as it was, it has the outcome of its first copy, told by the request id. design 6.11
+     */
+    public record DutyAsk(
+            String service,
+            String node,
+            long term,
+            @Since(4) long requestId) implements RepeatableRequest {}
 
     public record DutyReply(boolean yours, LeaderDuty duty) {}
 
@@ -24,18 +32,39 @@
 
     public record Done(boolean ok) {}
 
-    /** Versions known by the asker; -1 for none. */
-    public record ViewAsk(Map<String, Long> known) implements RepeatableRequest {}
+    /** Versions known by the asker; -1 for none. It may read deflated configurations. */
+    public record ViewAsk(Map<String, Long> known, @Since(4) boolean inflates) implements RepeatableRequest {
+        public ViewAsk(Map<String, Long> known) {
+            this(known, true);
+        }
+    }
 
-    /** Views that differ, and for each service served the age of its confirmation. */
-    public record ViewReply(List<ServiceView> views, Map<String, Duration> ages) {}
+    /**
+     * Views that differ, and for each service served the age of its confirmation; and the epoch of the list of the
+     * core's members that the answering process knows. A configuration that travels deflated, by service, is
+     * empty in its view.
+     */
+    public record ViewReply(
+            List<ServiceView> views,
+            Map<String, Duration> ages,
+            @Since(3) long coreEpoch,
+            @Since(4) Map<String, byte[]> deflated) {
+        public ViewReply(List<ServiceView> views, Map<String, Duration> ages, long coreEpoch) {
+            this(views, ages, coreEpoch, Map.of());
+        }
+    }
 
     public record CoreAsk(boolean any) implements RepeatableRequest {}
 
-    public record CoreReply(List<String> lighthouses) {}
+    /** The members of the core; the epoch tells which of two lists is newer, 0 for a list by hearsay. design 6.10 */
+    public record CoreReply(
+            List<String> lighthouses, @Since(3) long epoch) {}
 
     // commands in the logs of control parts
-    public record PutMember(String service, String node, MemberLease memberLease) {}
+    public record PutMember(
+            String service,
+            String node,
+            @FirstFormatName("seat") MemberLease memberLease) {}
 
     public record DropMember(String service, String node, String incarnation) {}
 
@@ -44,16 +73,21 @@
             String service,
             String id,
             Processor processor,
-            @Since(2) long seen) implements AtMostOnceRequest {}
+            @Since(2) long seen,
+            @Since(4) long requestId) implements RepeatableRequest {}
 
     public record DropProcessor(
-            String service, String id, @Since(2) long seen) implements AtMostOnceRequest {}
+            String service,
+            String id,
+            @Since(2) long seen,
+            @Since(4) long requestId) implements RepeatableRequest {}
 
     public record TakeDuty(
             String service,
             String node,
             long expectedTerm,
-            @Since(2) boolean lapsed) {}
+            @Since(2) boolean lapsed,
+            @Since(4) long requestId) {}
 
     public record ReleaseDuty(String service, String node, long term, double level) {}
 
@@ -73,8 +107,16 @@
     }
 
     /** A whole list at once, from a registry that has them all: design 6.7. */
-    public record PutProcessors(String service, Map<String, Processor> processors, long seen)
-            implements AtMostOnceRequest {}
+    public record PutProcessors(
+            String service,
+            Map<String, Processor> processors,
+            long seen,
+            @Since(4) long requestId) implements RepeatableRequest {}
+
+    /** A number for a call that may be sent again; the control partitions answer its repeats alike. design 6.11 */
+    public static long newRequestId() {
+        return UUID.randomUUID().getMostSignificantBits();
+    }
 
     public record ConfigurationTaken(long version, boolean repeated) {}
 
@@ -82,9 +124,18 @@
     public record PutCore(
             List<String> lighthouses, @Since(2) List<String> instead) implements RepeatableRequest {}
 
+    /** A control machine tells the leader of the core's list that it runs, so that it may take a lost member's place. */
+    public record StandbyAsk(String node, String zone) implements RepeatableRequest {}
+
+    /** A member is about to stop; the answer says whether it should stay until its successor counts everywhere. */
+    public record LeaveCoreAsk(String node) implements RepeatableRequest {}
+
+    /** Taken only while the list has the epoch that the change was made from. design 6.10 */
+    public record ChangeCore(List<String> members, long epoch) {}
+
     /** Types that came after the first build: numbered after all others. design 3.2 */
     public static List<Class<?>> later() {
-        return List.of(PutProcessors.class);
+        return List.of(PutProcessors.class, StandbyAsk.class, LeaveCoreAsk.class, ChangeCore.class);
     }
 
     public static List<Class<?>> types() {
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/ControlNode.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/ControlNode.java
@@ -2,25 +2,23 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeSet;
+import org.woadvale.common.discovery.ViewCompression;
 import org.woadvale.common.membership.ControlMessages;
 import org.woadvale.common.membership.CoreClient;
+import org.woadvale.common.membership.CoreMembers;
 import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.membership.ServiceView;
 import org.woadvale.common.replication.Env;
 import org.woadvale.common.replication.Messages;
 import org.woadvale.common.replication.Phase;
 import org.woadvale.common.replication.Replica;
-import org.woadvale.common.rpc.AtMostOnceRequest;
 import org.woadvale.common.rpc.RepeatableRequest;
-import org.woadvale.common.rpc.ResendPolicy;
 import org.woadvale.common.rpc.RpcRouter;
 import org.woadvale.common.runtime.Component;
-import org.woadvale.common.runtime.Delays;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
 import org.woadvale.common.runtime.TimerHandle;
@@ -30,30 +28,33 @@
 public final class ControlNode implements Component {
     private record Part(Replica replica, ControlStateMachine machine, LeaseManager leases) {}
 
-    private static final int HISTORY = 4 << 20;
-    private static final Duration PATIENCE = Duration.ofMillis(2500);
-    private static final Duration CHANGES_HANDS = Duration.ofSeconds(1);
-    private static final Duration AGAIN = Duration.ofMillis(150);
+    private static final int HISTORY_BYTES = 512 << 10;
 
     private final Env env;
     private final CoreClient core;
     private final Map<String, Part> parts = new LinkedHashMap<>();
-    private final Map<String, Duration> owned = new java.util.concurrent.ConcurrentHashMap<>();
+    private final LeaderSightings leaders = new LeaderSightings();
+    private final RetryingCoreClient retrying;
     private final ReplicaPlacement placing = new ReplicaPlacement();
+    private final CoreMembership membership;
+    private final ViewCompression compression = new ViewCompression();
     private TimerHandle looking = () -> {};
     private TimerHandle learning = () -> {};
     private volatile boolean draining;
 
     /** A control node that joins a running core is voting by the owners once {@code wantedCore} names it. */
-    public ControlNode(Env env, CoreClient core, List<String> wantedCore) {
+    public ControlNode(Env env, CoreClient core, List<String> wantedCore, String zone) {
         this.env = env;
         this.core = core;
+        this.retrying = new RetryingCoreClient(env, core);
         for (String p : ServiceNames.controlParts()) {
             ControlStateMachine m = new ControlStateMachine(
-                    env.codec(), Math.min(HISTORY, env.wal().largest() / 4));
+                    env.codec(), Math.min(HISTORY_BYTES, env.wal().largest() / 4));
             Replica r = new Replica(p, turned(wantedCore, p), m, env);
             parts.put(p, new Part(r, m, new LeaseManager(r, m, env)));
         }
+        Part c0 = parts.get(ServiceNames.controlPart(ServiceNames.CORE));
+        this.membership = new CoreMembership(env, core, zone, c0.replica(), c0.machine(), this::replicas);
     }
 
     /** Each part has another first control node, so owners are spread. */
@@ -82,8 +83,10 @@
                 .on(
                         ControlMessages.DutyRelease.class,
                         (f, a) -> of(a.service()).flatMap(p -> p.leases().release(a)))
-                .on(ControlMessages.ViewAsk.class, (f, a) -> subscriptions(a))
-                .on(ControlMessages.CoreAsk.class, (f, a) -> Mono.just(new ControlMessages.CoreReply(lighthouses())))
+                .on(ControlMessages.ViewAsk.class, (f, a) -> subscriptions(a).map(r -> compression.pack(a, r)))
+                .on(ControlMessages.CoreAsk.class, (f, a) -> Mono.just(core.reply()))
+                .on(ControlMessages.StandbyAsk.class, (f, a) -> membership.announced(a))
+                .on(ControlMessages.LeaveCoreAsk.class, (f, a) -> membership.leaving(a))
                 .on(ControlMessages.PutCore.class, (f, a) -> change(ServiceNames.CORE, a))
                 .on(ControlMessages.PutProcessor.class, (f, a) -> change(a.service(), a))
                 .on(ControlMessages.DropProcessor.class, (f, a) -> change(a.service(), a))
@@ -112,20 +115,9 @@
     private Mono<ControlMessages.ViewReply> subscriptions(ControlMessages.ViewAsk ask) {
         String id = ServiceNames.controlPart(
                 ask.known().keySet().stream().findFirst().orElse(ServiceNames.CONFIGURATION));
-        return part(id).flatMap(p -> p.replica().read(i -> {
-            List<ServiceView> views = new ArrayList<>();
-            Map<String, Duration> ages = new HashMap<>();
-            ask.known().forEach((s, version) -> {
-                if (ServiceNames.controlPart(s).equals(id)) {
-                    ServiceView v = p.machine().service(s);
-                    ages.put(s, Duration.ZERO);
-                    if (v.version() != version) {
-                        views.add(v);
-                    }
-                }
-            });
-            return new ControlMessages.ViewReply(views, ages);
-        }));
+        return part(id).flatMap(p -> p.replica()
+                .read(i -> ServiceViewQuery.changed(
+                        id, p.machine(), ask, core.members().epoch())));
     }
 
     public List<String> lighthouses() {
@@ -134,6 +126,11 @@
         return all.isEmpty() ? core.lighthouses() : new ArrayList<>(all);
     }
 
+    /** The newest committed list of the core's members that is known here. */
+    public CoreMembers members() {
+        return core.members();
+    }
+
     @Override
     public void start() throws ServiceException {
         for (Map.Entry<String, Part> e : parts.entrySet()) {
@@ -141,24 +138,26 @@
         }
         looking = env.schedules().every(Duration.ofMillis(250), this::look);
         learning = env.schedules().every(Duration.ofSeconds(2), core::learn);
+        membership.look();
     }
 
-    /** Who the lighthouses should be, as far as part c0 is known here. */
+    private List<Replica> replicas() {
+        return parts.values().stream().map(Part::replica).toList();
+    }
+
+    /** Who the members of the core should be, as far as part c0 is known here. */
     private void follow() {
-        Part c0 = parts.get(ServiceNames.controlPart(ServiceNames.CORE));
-        List<String> wanted = c0.replica()
-                .look(i -> c0.machine().service(ServiceNames.CORE))
-                .placement()
-                .getOrDefault(ServiceNames.CORE, List.of());
-        if (!wanted.isEmpty()) {
-            parts.forEach((id, p) -> p.replica().want(turned(wanted, id)));
+        CoreMembers wanted = membership.committed();
+        core.known(wanted);
+        if (!wanted.members().isEmpty()) {
+            parts.forEach((id, p) -> p.replica().want(turned(wanted.members(), id)));
         }
     }
 
     private void look() {
+        membership.look();
         follow();
         seeOwners();
-        core.known(lighthouses());
         parts.values().forEach(p -> p.leases().reap());
         Part stores = parts.get(ServiceNames.controlPart(ServiceNames.STORES));
         if (stores.replica().phase() == Phase.OWNING && stores.replica().mayAct()) {
@@ -181,19 +180,20 @@
     private void spread() {
         for (Map.Entry<String, Part> e : parts.entrySet()) {
             Replica r = e.getValue().replica();
-            String first = turned(lighthouses(), e.getKey()).get(0);
+            String first = turned(core.lighthouses(), e.getKey()).get(0);
             if (r.successor().filter(first::equals).isPresent() && r.transferLeadership(first)) {
                 return;
             }
         }
     }
 
-    /** Owners processor over before they stop. */
+    /** Owners hand over before they stop. */
     public boolean drain() {
         draining = true;
         parts.values().forEach(p -> p.replica().unwilling());
         transferLeadership();
-        return parts.values().stream().noneMatch(p -> p.replica().phase() == Phase.OWNING);
+        boolean exchanging = membership.leave();
+        return !exchanging && parts.values().stream().noneMatch(p -> p.replica().phase() == Phase.OWNING);
     }
 
     private void transferLeadership() {
@@ -208,55 +208,18 @@
     }
 
     private void seeOwners() {
-        parts.forEach((id, p) ->
-                p.replica().owner().ifPresent(o -> owned.put(id, env.times().mono())));
+        parts.forEach((id, p) -> leaders.observe(id, p.replica(), env.times().mono()));
     }
 
-    /** A part that changes processors in order is without an owner for a moment; that is no reason to turn operators away. */
+    /** A part that changes hands in order is without an owner for a moment; that is no reason to turn operators away. */
     public boolean ready() {
         seeOwners();
-        Duration from = env.times().mono().minus(CHANGES_HANDS);
-        return parts.keySet().stream()
-                .allMatch(p -> owned.containsKey(p) && owned.get(p).compareTo(from) > 0);
+        return leaders.allRecent(parts.keySet(), env.times().mono());
     }
 
-    /**
-     * An operator's ask: waits out a part that has no owner just now. One that was left unknown is asked again for
-     * its definite answer. design 6.4
-     */
+    /** An operator's request, repeated while the part has no leader. */
     <T> Mono<T> ask(String part, RepeatableRequest request, Class<T> type) {
-        return patiently(
-                Mono.defer(() -> core.ask(part, request, type)), ResendPolicy.AFTER_UNKNOWN_OUTCOME, deadline(), false);
-    }
-
-    /** Waits out a part that has no owner just now; an unknown outcome goes to the caller and nothing is sent again. */
-    <T> Mono<T> askOnce(String part, AtMostOnceRequest request, Class<T> type) {
-        return patiently(
-                Mono.defer(() -> core.askOnce(part, request, type)), ResendPolicy.IF_NOT_EXECUTED, deadline(), false);
-    }
-
-    private Duration deadline() {
-        return env.times().mono().plus(PATIENCE);
-    }
-
-    private <T> Mono<T> patiently(Mono<T> call, ResendPolicy policy, Duration until, boolean unknown) {
-        return call.onErrorResume(e -> {
-            ServiceException f = ServiceException.of(e);
-            boolean nowUnknown = unknown || f.kind() == ErrorKind.UNKNOWN_OUTCOME;
-            if (!policy.allows(f.kind())) {
-                return Mono.error(f);
-            }
-            if (env.times().mono().compareTo(until) >= 0) {
-                return Mono.error(
-                        nowUnknown
-                                ? new ServiceException(
-                                        ErrorKind.UNKNOWN_OUTCOME,
-                                        "It is not known whether this was taken; ask again with the same request id.")
-                                : f);
-            }
-            return Delays.pause(env.schedules(), AGAIN)
-                    .then(Mono.defer(() -> patiently(call, policy, until, nowUnknown)));
-        });
+        return retrying.ask(part, request, type);
     }
 
     public Replica replica(String part) {
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/Platform.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/Platform.java
@@ -12,7 +12,7 @@
 import org.woadvale.common.membership.ControlMessages;
 import org.woadvale.common.membership.Processor;
 import org.woadvale.common.membership.ServiceNames;
-import org.woadvale.common.rpc.AtMostOnceRequest;
+import org.woadvale.common.rpc.RepeatableRequest;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
 import reactor.core.publisher.Mono;
@@ -70,9 +70,9 @@
     }
 
     /** A change holds on to the list that was read, so that one held up on its way cannot undo a later one. design 6.7 */
-    private Mono<Boolean> change(String service, LongFunction<AtMostOnceRequest> command, int left) {
+    private Mono<Boolean> change(String service, LongFunction<RepeatableRequest> command, int left) {
         return list(service)
-                .flatMap(p -> node.askOnce(
+                .flatMap(p -> node.ask(
                         ServiceNames.controlPart(service), command.apply(p.version() + 1), ControlMessages.Done.class))
                 .flatMap(d -> d.ok()
                         ? Mono.just(true)
@@ -98,7 +98,11 @@
             return list(service).map(p -> Answer.json(200, p.processors()));
         }
         if (q.method().equals("DELETE")) {
-            return change(service, v -> new ControlMessages.DropProcessor(service, s.get(4), v), CHANGES)
+            return change(
+                            service,
+                            v -> new ControlMessages.DropProcessor(
+                                    service, s.get(4), v, ControlMessages.newRequestId()),
+                            CHANGES)
                     .thenReturn(Answer.json(200, Map.of("removed", s.get(4))));
         }
         try {
@@ -108,7 +112,11 @@
                 throw new ServiceException(ErrorKind.BAD_REQUEST, "address must be http://IP:port or empty.");
             }
             Processor p = new Processor(address, body.path("leaving").asBoolean(false));
-            return change(service, v -> new ControlMessages.PutProcessor(service, s.get(4), p, v), CHANGES)
+            return change(
+                            service,
+                            v -> new ControlMessages.PutProcessor(
+                                    service, s.get(4), p, v, ControlMessages.newRequestId()),
+                            CHANGES)
                     .thenReturn(Answer.json(200, Map.of("id", s.get(4), "address", address, "leaving", p.leaving())));
         } catch (ServiceException e) {
             return Mono.error(e);
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/ProcessorRegistry.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/ProcessorRegistry.java
@@ -114,9 +114,10 @@
                     if (p.processors().equals(list) || !mine()) {
                         return Mono.just(true);
                     }
-                    return node.askOnce(
+                    return node.ask(
                                     ServiceNames.controlPart(key),
-                                    new ControlMessages.PutProcessors(key, new HashMap<>(list), p.version() + 1),
+                                    new ControlMessages.PutProcessors(
+                                            key, new HashMap<>(list), p.version() + 1, ControlMessages.newRequestId()),
                                     ControlMessages.Done.class)
                             .map(ControlMessages.Done::ok);
                 });
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/SeededPlatformDays.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/SeededPlatformDays.java
@@ -46,6 +46,7 @@
         planned.put("stop", () -> stop(any(r.intakes)));
         planned.put("stop store", () -> stop(any(r.stores)));
         planned.put("read", p.operator::read);
+        planned.put("repeat", p.operator::repeat);
         unplanned.put("kill", () -> kill(any(r.all())));
         unplanned.put("power", () -> power(any(r.all())));
         unplanned.put("freeze", () -> freeze(any(r.all())));
@@ -185,7 +186,7 @@
     /** The broken rules; empty when all went well. */
     public List<String> run(Duration length) {
         p.embark();
-        p.traffic(30);
+        p.clients.start(30);
         Duration end = r.sim.now().plus(length);
         while (r.sim.now().compareTo(end) < 0) {
             for (int i = random.nextInt(4); i >= 0; i--) {
