--- a/common/src/main/java/org/woadvale/common/membership/ControlMessages.java
+++ b/common/src/main/java/org/woadvale/common/membership/ControlMessages.java
@@ -5,15 +5,16 @@
 import java.util.Map;
 import java.util.UUID;
 import org.woadvale.common.rpc.FirstFormatName;
+import org.woadvale.common.rpc.RepeatableRequest;
 import org.woadvale.common.rpc.Since;
 
 /** What processes ask the core, and home nodes: design 6.3 and 7. */
 public final class ControlMessages {
     private ControlMessages() {}
 
-    public record LeaseAsk(String service, String node, MemberLease memberLease) {}
+    public record LeaseAsk(String service, String node, MemberLease memberLease) implements RepeatableRequest {}
 
-    public record LeaveAsk(String service, String node) {}
+    public record LeaveAsk(String service, String node) implements RepeatableRequest {}
 
     /**
      * Renews the duty in its term, and does nothing if another term is the present one. A term of 0 stands for the duty;
@@ -23,16 +24,16 @@
             String service,
             String node,
             long term,
-            @Since(4) long requestId) {}
+            @Since(4) long requestId) implements RepeatableRequest {}
 
     public record DutyReply(boolean yours, LeaderDuty duty) {}
 
-    public record DutyRelease(String service, String node, long term, double level) {}
+    public record DutyRelease(String service, String node, long term, double level) implements RepeatableRequest {}
 
     public record Done(boolean ok) {}
 
     /** Versions known by the asker; -1 for none. It may read deflated configurations. */
-    public record ViewAsk(Map<String, Long> known, @Since(4) boolean inflates) {
+    public record ViewAsk(Map<String, Long> known, @Since(4) boolean inflates) implements RepeatableRequest {
         public ViewAsk(Map<String, Long> known) {
             this(known, true);
         }
@@ -53,7 +54,7 @@
         }
     }
 
-    public record CoreAsk(boolean any) {}
+    public record CoreAsk(boolean any) implements RepeatableRequest {}
 
     /** The members of the core; the epoch tells which of two lists is newer, 0 for a list by hearsay. design 6.10 */
     public record CoreReply(
@@ -73,13 +74,13 @@
             String id,
             Processor processor,
             @Since(2) long seen,
-            @Since(4) long requestId) {}
+            @Since(4) long requestId) implements RepeatableRequest {}
 
     public record DropProcessor(
             String service,
             String id,
             @Since(2) long seen,
-            @Since(4) long requestId) {}
+            @Since(4) long requestId) implements RepeatableRequest {}
 
     public record TakeDuty(
             String service,
@@ -110,7 +111,7 @@
             String service,
             Map<String, Processor> processors,
             long seen,
-            @Since(4) long requestId) {}
+            @Since(4) long requestId) implements RepeatableRequest {}
 
     /** A number for a call that may be sent again; the control partitions answer its repeats alike. design 6.11 */
     public static long newRequestId() {
@@ -121,13 +122,13 @@
 
     /** One control node for another: the whole list as it should be. */
     public record PutCore(
-            List<String> lighthouses, @Since(2) List<String> instead) {}
+            List<String> lighthouses, @Since(2) List<String> instead) implements RepeatableRequest {}
 
     /** A control machine tells the leader of the core's list that it runs, so that it may take a lost member's place. */
-    public record StandbyAsk(String node, String zone) {}
+    public record StandbyAsk(String node, String zone) implements RepeatableRequest {}
 
     /** A member is about to stop; the answer says whether it should stay until its successor counts everywhere. */
-    public record LeaveCoreAsk(String node) {}
+    public record LeaveCoreAsk(String node) implements RepeatableRequest {}
 
     /** Taken only while the list has the epoch that the change was made from. design 6.10 */
     public record ChangeCore(List<String> members, long epoch) {}
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/ControlNode.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/ControlNode.java
@@ -16,6 +16,7 @@
 import org.woadvale.common.replication.Messages;
 import org.woadvale.common.replication.Phase;
 import org.woadvale.common.replication.Replica;
+import org.woadvale.common.rpc.RepeatableRequest;
 import org.woadvale.common.rpc.RpcRouter;
 import org.woadvale.common.runtime.Component;
 import org.woadvale.common.runtime.ErrorKind;
@@ -217,8 +218,8 @@
     }
 
     /** An operator's request, repeated while the part has no leader. */
-    <T> Mono<T> ask(String part, Object body, Class<T> type) {
-        return retrying.ask(part, body, type);
+    <T> Mono<T> ask(String part, RepeatableRequest request, Class<T> type) {
+        return retrying.ask(part, request, type);
     }
 
     public Replica replica(String part) {
--- a/dataplane/src/main/java/org/woadvale/dataplane/RoleMembership.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/RoleMembership.java
@@ -7,6 +7,7 @@
 import org.woadvale.common.membership.MemberLease;
 import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.replication.Env;
+import org.woadvale.common.rpc.RepeatableRequest;
 
 /** Registers this node with the control plane as a member of each of its roles. design 6.3 */
 final class RoleMembership {
@@ -43,7 +44,7 @@
         return "role/" + role;
     }
 
-    private void send(String service, Object request) {
+    private void send(String service, RepeatableRequest request) {
         core.ask(ServiceNames.controlPart(service), request, ControlMessages.Done.class)
                 .subscribe(done -> {}, error -> {});
     }
--- a/dataplane/src/main/java/org/woadvale/dataplane/ingress/ProcessorApi.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/ingress/ProcessorApi.java
@@ -88,7 +88,7 @@
 
     private Mono<Commands.Fetched> pullFrom(String partition, String service, PullRequest terms, boolean again) {
         return forwarder
-                .timely(
+                .timelyOnce(
                         partition,
                         until -> new Commands.FetchAsk(
                                 partition, service, terms.processor(), terms.most(), until, terms.fetch(), again),
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/InternalRepeatTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/InternalRepeatTest.java
@@ -5,7 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.BeforeEach;
@@ -16,6 +15,7 @@
 import org.woadvale.common.membership.Processor;
 import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.membership.Wire;
+import org.woadvale.common.rpc.RepeatableRequest;
 import org.woadvale.common.rpc.RpcClient;
 import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
@@ -62,7 +62,7 @@
         }
     }
 
-    private <T> T ask(String service, Object body, Class<T> type) {
+    private <T> T ask(String service, RepeatableRequest body, Class<T> type) {
         RpcClient lossy = new FirstAnswerLost(
                 shore.r.net.rpc(shore.r.host(caller), Wire.codec(Wire.LIGHTHOUSE, Operators.types())));
         CoreClient core = new CoreClient(lossy, () -> 1L, shore.r.lighthouses, CoreMembers.unknown(), l -> {});
