--- a/testkit/src/main/java/org/woadvale/testkit/explore/ModelCluster.java
+++ b/testkit/src/main/java/org/woadvale/testkit/explore/ModelCluster.java
@@ -78,6 +78,7 @@
             case CHANGE_MEMBERS -> exchange(action.node());
             case TRANSFER -> transfer(node(action.node()));
             case COMPACT -> node(action.node()).compact();
+            default -> throw new IllegalStateException("not an action: " + action.kind());
         }
     }
 
--- a/testkit/src/test/java/org/woadvale/testkit/replication/OldBytesTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/replication/OldBytesTest.java
@@ -62,7 +62,7 @@
     /** One build knows a component more than the other; either reads what the other wrote. */
     private record Short(String a, int b) {}
 
-    private record Long_(
+    private record LongRecord(
             String a,
             int b,
             @org.woadvale.common.rpc.Since(3) List<String> c,
@@ -71,8 +71,10 @@
     @Test
     void twoBuildsReadEachOther() throws ServiceException {
         Codec older = new Codec(Map.of(100, List.of(Short.class, Messages.Ok.class)));
-        Codec newer = new Codec(Map.of(100, List.of(Long_.class, Messages.Ok.class)));
-        assertEquals(new Long_("x", 7, List.of(), false), newer.read(older.write(new Short("x", 7)), Long_.class));
-        assertEquals(new Short("x", 7), older.read(newer.write(new Long_("x", 7, List.of("more"), true)), Short.class));
+        Codec newer = new Codec(Map.of(100, List.of(LongRecord.class, Messages.Ok.class)));
+        assertEquals(
+                new LongRecord("x", 7, List.of(), false), newer.read(older.write(new Short("x", 7)), LongRecord.class));
+        assertEquals(
+                new Short("x", 7), older.read(newer.write(new LongRecord("x", 7, List.of("more"), true)), Short.class));
     }
 }
