--- a/common/src/test/java/org/woadvale/common/discovery/ViewCompressionTest.java
+++ b/common/src/test/java/org/woadvale/common/discovery/ViewCompressionTest.java
@@ -68,8 +68,7 @@
         byte[] half = Arrays.copyOf(packed.deflated().get(CONFIGURATION), 20);
         for (byte[] broken : List.of(new byte[0], new byte[] {1, 2, 3}, half)) {
             ControlMessages.ViewReply bad =
-                    new ControlMessages.ViewReply(
-                    packed.views(), packed.ages(), 17, Map.of(CONFIGURATION, broken));
+                    new ControlMessages.ViewReply(packed.views(), packed.ages(), 17, Map.of(CONFIGURATION, broken));
             assertThrows(ServiceException.class, () -> ViewCompression.unpack(bad));
         }
     }
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/ControlStateMachine.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/ControlStateMachine.java
@@ -120,8 +120,7 @@
 
     private Object core(long index, List<String> members) {
         services.put(
-                ServiceNames.CORE,
-                service(ServiceNames.CORE).withPlacement(index, Map.of(ServiceNames.CORE, members)));
+                ServiceNames.CORE, service(ServiceNames.CORE).withPlacement(index, Map.of(ServiceNames.CORE, members)));
         return new ControlMessages.Done(true);
     }
 
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/InternalRepeatTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/InternalRepeatTest.java
@@ -5,7 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.BeforeEach;
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/OrderHistoryTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/OrderHistoryTest.java
@@ -18,7 +18,9 @@
     private static List<String> brokenOrders(long seed, Seams seams) {
         try {
             return new SeededPlatformDays(seed, seams)
-                    .run(LENGTH).stream().filter(v -> v.startsWith("CONFIG orders")).toList();
+                    .run(LENGTH).stream()
+                            .filter(v -> v.startsWith("CONFIG orders"))
+                            .toList();
         } catch (ServiceException e) {
             throw new IllegalStateException(e);
         }
