--- a/common/src/main/java/org/woadvale/common/membership/Wire.java
+++ b/common/src/main/java/org/woadvale/common/membership/Wire.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import org.woadvale.common.ratelimit.AdmissionTokens;
 import org.woadvale.common.replication.Messages;
+import org.woadvale.common.replication.SnapshotMessages;
 import org.woadvale.common.rpc.Codec;
 
 /** The numbers of the types on inner streams; in each list, only ever add at the end. design 3.2 */
@@ -21,6 +22,7 @@
         shared.addAll(ControlMessages.types());
         shared.addAll(AdmissionTokens.types());
         shared.addAll(ControlMessages.later());
+        shared.addAll(SnapshotMessages.types());
         return new Codec(Map.of(SHARED, shared, ownFirst, own));
     }
 }
--- a/common/src/main/java/org/woadvale/common/replication/FollowerLog.java
+++ b/common/src/main/java/org/woadvale/common/replication/FollowerLog.java
@@ -3,6 +3,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.woadvale.common.replication.SnapshotMessages.PieceStatus;
+import org.woadvale.common.replication.SnapshotMessages.SnapshotPiece;
+import org.woadvale.common.replication.SnapshotMessages.SnapshotReply;
+import org.woadvale.common.runtime.ServiceException;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 
@@ -10,9 +14,11 @@
 final class FollowerLog {
     private final Replica r;
     private Optional<Sinks.One<Object>> noting = Optional.empty();
+    private final SnapshotReceiver receiver;
 
     FollowerLog(Replica r) {
         this.r = r;
+        this.receiver = new SnapshotReceiver(r.env.wal().largest());
     }
 
     private Messages.AppendReply reply(boolean ok, long match) {
@@ -55,6 +61,65 @@
         return noted(take(from, p));
     }
 
+    Mono<Object> piece(String from, SnapshotPiece piece) {
+        return noted(take(from, piece));
+    }
+
+    private SnapshotReply reply(PieceStatus status, long nextOffset, long match) {
+        return new SnapshotReply(r.term, status, nextOffset, match, r.identity, r.willing);
+    }
+
+    private Mono<Object> take(String from, SnapshotPiece piece) {
+        if (!heard(from, piece.term())) {
+            return Mono.just(reply(PieceStatus.OUTDATED_TERM, 0, 0));
+        }
+        if (piece.id().index() <= r.progress.applied()) {
+            return Mono.just(reply(PieceStatus.INSTALLED, 0, Math.min(r.progress.applied(), r.store.synced())));
+        }
+        SnapshotReceiver.Progress progress = receiver.take(piece);
+        if (progress.whole().isEmpty()) {
+            return Mono.just(reply(progress.status(), progress.nextOffset(), 0));
+        }
+        try {
+            byte[] whole = progress.whole().orElseThrow().bytes();
+            return install(from, piece, r.env.codec().read(whole, Messages.Base.class));
+        } catch (ServiceException e) {
+            Replica.LOG.error("keeper: {} at {} cannot read a snapshot from {}.", r.part, r.env.self(), from);
+            return Mono.just(reply(PieceStatus.CORRUPT, 0, 0));
+        }
+    }
+
+    private Mono<Object> install(String from, SnapshotPiece piece, Messages.Base base) {
+        long index = piece.id().index();
+        if (base.index() != index || base.indexTerm() != piece.id().indexTerm()) {
+            return Mono.just(reply(PieceStatus.CORRUPT, 0, 0));
+        }
+        Replica.LOG.info("keeper: {} at {} takes a snapshot up to {} from {}.", r.part, r.env.self(), index, from);
+        Sinks.One<Object> out = Sinks.one();
+        r.store.install(base, () -> {
+            SnapshotReply answer = reply(PieceStatus.INSTALLED, 0, Math.min(index, r.store.synced()));
+            r.shard.leave(() -> out.tryEmitValue(answer));
+        });
+        r.bootstrap.considerPromotion();
+        return out.asMono();
+    }
+
+    /** Only the leader of this term can say so, and only of the identity that it heard. design 5.8 */
+    Mono<Object> revoked(String from, SnapshotMessages.IdentityRevoked message) {
+        boolean concerned = message.term() == r.term
+                && from.equals(r.owner)
+                && message.identity().equals(r.identity);
+        boolean follows = r.phase == Phase.FOLLOWING || r.phase == Phase.BLANK;
+        if (!concerned || !follows) {
+            return Mono.just(new Messages.Ok(false));
+        }
+        Replica.LOG.error("keeper: {} at {} had lost what it confirmed; it counts as lost.", r.part, r.env.self());
+        Sinks.One<Object> out = Sinks.one();
+        r.store.takeNewIdentity(() -> r.shard.leave(() -> out.tryEmitValue(new Messages.Ok(true))));
+        r.become(Phase.BLANK, "its identity was revoked");
+        return out.asMono();
+    }
+
     private Mono<Object> take(String from, Messages.AppendAsk a) {
         if (!heard(from, a.term())) {
             return Mono.just(reply(false, 0));
--- a/common/src/main/java/org/woadvale/common/replication/Leader.java
+++ b/common/src/main/java/org/woadvale/common/replication/Leader.java
@@ -83,6 +83,14 @@
                         .send(false));
     }
 
+    /** The first index that a follower on its way from a snapshot still needs, or the given one. */
+    long logNeededFrom(long otherwise) {
+        return followers.values().stream()
+                .flatMap(f -> f.needsLogFrom().stream())
+                .mapToLong(Long::longValue)
+                .reduce(otherwise, Math::min);
+    }
+
     /** The group and those that are to join it. */
     private Set<String> followers() {
         Set<String> all = new TreeSet<>(r.peers());
@@ -144,8 +152,7 @@
         Map<String, String> members = r.groups.committed();
         for (Map.Entry<String, FollowerProgress> e : followers.entrySet()) {
             FollowerProgress f = e.getValue();
-            boolean caughtUp = !f.identity.isEmpty() && f.match + 64 >= r.progress.commit() && f.match > 0;
-            if (!caughtUp || f.identity.equals(members.get(e.getKey()))) {
+            if (!f.caughtUp() || f.identity.equals(members.get(e.getKey()))) {
                 continue;
             }
             Map<String, String> next = new TreeMap<>(members);
--- a/common/src/main/java/org/woadvale/common/replication/Messages.java
+++ b/common/src/main/java/org/woadvale/common/replication/Messages.java
@@ -55,7 +55,13 @@
                 .on(ViewPush.class, (f, a) -> at.apply(a.part()).flatMap(r -> r.handle(f, a)))
                 .on(Stand.class, (f, a) -> at.apply(a.part()).flatMap(r -> r.handle(f, a)))
                 .on(BlankAsk.class, (f, a) -> at.apply(a.part()).flatMap(r -> r.handle(f, a)))
-                .on(Found.class, (f, a) -> at.apply(a.part()).flatMap(r -> r.handle(f, a)));
+                .on(Found.class, (f, a) -> at.apply(a.part()).flatMap(r -> r.handle(f, a)))
+                .on(
+                        SnapshotMessages.SnapshotPiece.class,
+                        (f, a) -> at.apply(a.part()).flatMap(r -> r.handle(f, a)))
+                .on(
+                        SnapshotMessages.IdentityRevoked.class,
+                        (f, a) -> at.apply(a.part()).flatMap(r -> r.handle(f, a)));
     }
 
     public static List<Class<?>> types() {
--- a/common/src/main/java/org/woadvale/common/replication/Replica.java
+++ b/common/src/main/java/org/woadvale/common/replication/Replica.java
@@ -235,6 +235,10 @@
                 return following.append(from, a);
             } else if (body instanceof Messages.ViewPush a) {
                 return following.view(from, a);
+            } else if (body instanceof SnapshotMessages.SnapshotPiece a) {
+                return following.piece(from, a);
+            } else if (body instanceof SnapshotMessages.IdentityRevoked a) {
+                return following.revoked(from, a);
             } else if (body instanceof Messages.Stand a) {
                 return election.told(from, a);
             }
--- a/common/src/main/java/org/woadvale/common/replication/ReplicaStorage.java
+++ b/common/src/main/java/org/woadvale/common/replication/ReplicaStorage.java
@@ -1,5 +1,7 @@
 package org.woadvale.common.replication;
 
+import java.lang.ref.WeakReference;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -10,8 +12,13 @@
 final class ReplicaStorage {
     private static final long LARGE = 4L << 20;
     private static final int MANY = 8192;
+    /** So many bytes of the log are kept for followers that are on their way from a snapshot. */
+    private static final long KEPT_FOR_FOLLOWERS = 4L << 20;
+
     private final Replica r;
     private long synced;
+    /** Shared by all followers that need one; gone with the last of them. */
+    private WeakReference<SnapshotContent> latestSnapshot = new WeakReference<>(null);
 
     ReplicaStorage(Replica r) {
         this.r = r;
@@ -23,7 +30,7 @@
 
     void recover(List<Entry> entries) throws ServiceException {
         if (entries.isEmpty()) {
-            r.identity = Long.toHexString(r.env.random().getAsLong());
+            r.identity = ReplicaIdentity.make(r.env.random(), r.env.self());
             giveBase();
             return;
         }
@@ -39,11 +46,21 @@
             }
         }
         synced = r.replicatedLog.lastIndex();
-        if (r.voter) {
+        if (!ReplicaIdentity.belongsTo(r.identity, r.env.self())) {
+            Replica.LOG.error("keeper: the disk of {} was written as {}: it counts as lost.", r.env.self(), r.identity);
+            takeNewIdentity(() -> {});
+        } else if (r.voter) {
             r.become(Phase.FOLLOWING, "recovered");
         }
     }
 
+    /** What is stored may be used to catch up, but this replica neither votes nor counts until it is promoted again. */
+    void takeNewIdentity(Runnable then) {
+        r.identity = ReplicaIdentity.make(r.env.random(), r.env.self());
+        r.voter = false;
+        giveBase(then);
+    }
+
     private void load(Messages.Base b) {
         r.identity = b.identity();
         r.term = b.term();
@@ -93,7 +110,7 @@
     /** Adds to the memory log and to the disk; then runs once synced, unless the entry was cut since. */
     void append(List<LogEntry> items, Runnable then) {
         long first = r.replicatedLog.lastIndex() + 1;
-        List<Entry> out = new java.util.ArrayList<>();
+        List<Entry> out = new ArrayList<>();
         for (LogEntry item : items) {
             long index = r.replicatedLog.lastIndex() + 1;
             enter(index, item);
@@ -157,17 +174,37 @@
                 List.copyOf(tail.subList(skip, tail.size())));
     }
 
-    /** A new base makes every earlier record of the part needless. */
+    /** The state up to what is applied, without what only concerns this replica. */
+    Messages.Base snapshotBase() {
+        Messages.Base own = base();
+        return new Messages.Base(
+                "", r.term, "", false, own.index(), own.indexTerm(), own.group(), own.machine(), List.of());
+    }
+
+    /** The same snapshot as long as the log goes on from it: a follower that is on its way gets no other one. */
+    SnapshotContent snapshotForFollowers() {
+        SnapshotContent latest = latestSnapshot.get();
+        if (latest == null || latest.index() < r.replicatedLog.baseIndex()) {
+            Messages.Base base = snapshotBase();
+            latest = SnapshotContent.of(
+                    base.index(), base.indexTerm(), r.env.codec().write(base));
+            latestSnapshot = new WeakReference<>(latest);
+        }
+        return latest;
+    }
+
     void giveBase() {
         giveBase(() -> {});
     }
 
+    /** A new base makes every earlier record of the part needless. */
     void giveBase(Runnable then) {
         if (r.phase == Phase.STOPPED) {
             return;
         }
         Messages.Base b = base();
-        r.replicatedLog.forgetTo(b.index());
+        long keptFrom = r.replicatedLog.bytes() > KEPT_FOR_FOLLOWERS ? b.index() : r.leading.logNeededFrom(b.index());
+        r.replicatedLog.compacted(b.index(), keptFrom);
         long last = r.replicatedLog.lastIndex();
         long lastTerm = r.replicatedLog.lastTerm();
         r.env.wal()
@@ -199,11 +236,11 @@
     }
 
     void compactIfLarge() {
-        if (r.replicatedLog.bytes() > Math.min(LARGE, r.env.wal().largest() / 4)
-                || r.replicatedLog.lastIndex() - r.replicatedLog.baseIndex() > MANY) {
-            if (r.progress.applied() > r.replicatedLog.baseIndex()) {
-                giveBase();
-            }
+        ReplicatedLog log = r.replicatedLog;
+        boolean large = log.bytesAfterCompacted() > Math.min(LARGE, r.env.wal().largest() / 4)
+                || log.lastIndex() - log.compactedIndex() > MANY;
+        if (large && r.progress.applied() > log.compactedIndex()) {
+            giveBase();
         }
     }
 }
--- a/common/src/main/java/org/woadvale/common/replication/ReplicatedLog.java
+++ b/common/src/main/java/org/woadvale/common/replication/ReplicatedLog.java
@@ -5,11 +5,16 @@
 
 /** The log of a part in memory, from its base on. */
 final class ReplicatedLog {
-    private static final int BATCH_BYTES = 512 << 10;
+    static final int BATCH_BYTES = 512 << 10;
+    static final int SMALLEST_BATCH = 16 << 10;
     private long baseIndex;
     private long baseTerm;
     private final List<LogEntry> items = new ArrayList<>();
     private long bytes;
+    /** What the latest snapshot on disk covers; followers on their way may need entries before it. */
+    private long compactedIndex;
+
+    private long bytesAfterCompacted;
 
     long baseIndex() {
         return baseIndex;
@@ -27,6 +32,23 @@
         return bytes;
     }
 
+    long compactedIndex() {
+        return compactedIndex;
+    }
+
+    long bytesAfterCompacted() {
+        return bytesAfterCompacted;
+    }
+
+    /** A snapshot on disk covers all up to the index; entries from the other index on are kept in memory. */
+    void compacted(long index, long keptFrom) {
+        forgetTo(Math.max(baseIndex, Math.min(index, keptFrom)));
+        compactedIndex = index;
+        bytesAfterCompacted = items.subList((int) (index - baseIndex), items.size()).stream()
+                .mapToLong(entry -> entry.bytes().length)
+                .sum();
+    }
+
     boolean holds(long index) {
         return index >= baseIndex && index <= lastIndex();
     }
@@ -42,15 +64,18 @@
     void append(LogEntry item) {
         items.add(item);
         bytes += item.bytes().length;
+        bytesAfterCompacted += item.bytes().length;
     }
 
     void cutFrom(long index) {
         while (lastIndex() >= index) {
-            bytes -= items.remove(items.size() - 1).bytes().length;
+            int removed = items.remove(items.size() - 1).bytes().length;
+            bytes -= removed;
+            bytesAfterCompacted -= removed;
         }
     }
 
-    void forgetTo(long index) {
+    private void forgetTo(long index) {
         baseTerm = termAt(index);
         int n = (int) (index - baseIndex);
         items.subList(0, n).forEach(i -> bytes -= i.bytes().length);
@@ -63,13 +88,16 @@
         baseTerm = term;
         items.clear();
         bytes = 0;
+        compactedIndex = index;
+        bytesAfterCompacted = 0;
         tail.forEach(this::append);
     }
 
-    List<LogEntry> after(long index) {
+    /** Entries after the index, at least one if there is any, until they reach so many bytes. */
+    List<LogEntry> after(long index, int enoughBytes) {
         List<LogEntry> out = new ArrayList<>();
         long size = 0;
-        for (long i = index + 1; i <= lastIndex() && size < BATCH_BYTES; i++) {
+        for (long i = index + 1; i <= lastIndex() && size < enoughBytes; i++) {
             out.add(get(i));
             size += get(i).bytes().length + 32;
         }
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/Harness.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Harness.java
@@ -47,4 +47,9 @@
     public void pause(Duration d) {
         host.pause(d);
     }
+
+    /** Each call to the disk takes so many times as long from now on. */
+    public void slowDisk(int factor) {
+        host.slowDisk(factor);
+    }
 }
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/Host.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Host.java
@@ -9,6 +9,9 @@
 
 /** One machine: its clocks run a little off, it can be killed, paused, and lose its power. */
 public final class Host implements Clock, Timers {
+    /** The smaller disks of the users' machines write 120 MB a second. */
+    private static final long DISK_NANOS_PER_BYTE = 8;
+
     static final Instant EPOCH = Instant.parse("2030-01-01T00:00:00Z");
     final String address;
     final Sim sim;
@@ -20,6 +23,9 @@
     private Duration pausedUntil = Duration.ZERO;
     private Duration started = Duration.ZERO;
     private Duration calendarOff = Duration.ZERO;
+    private int diskFactor = 1;
+    private boolean inDiskTask;
+    private long writtenBefore;
 
     Host(String address, Sim sim) {
         this.address = address;
@@ -55,6 +61,18 @@
         calendarOff = calendarOff.plus(d);
     }
 
+    /** What follows a write on a slow disk waits for its bytes too. */
+    private Duration diskTime() {
+        boolean waits = inDiskTask && diskFactor > 1;
+        long nanos = waits ? (disk.written() - writtenBefore) * DISK_NANOS_PER_BYTE * diskFactor : 0;
+        return Duration.ofNanos(nanos);
+    }
+
+    /** Each call to the disk takes so many times as long from now on. */
+    void slowDisk(int factor) {
+        diskFactor = factor;
+    }
+
     boolean calendarOff() {
         return !calendarOff.isZero();
     }
@@ -100,7 +118,8 @@
     public TimerHandle after(Duration delay, Runnable task) {
         boolean[] cancelled = {false};
         long bornIn = life;
-        sim.after(Duration.ofNanos((long) (delay.toNanos() / timing)), () -> guarded(bornIn, cancelled, task));
+        Duration whole = delay.plus(diskTime());
+        sim.after(Duration.ofNanos((long) (whole.toNanos() / timing)), () -> guarded(bornIn, cancelled, task));
         return () -> cancelled[0] = true;
     }
 
@@ -111,6 +130,14 @@
 
     @Override
     public void onDisk(Runnable task) {
-        after(sim.between(500, 4000), task);
+        after(sim.between(500, 4000).multipliedBy(diskFactor), () -> {
+            writtenBefore = disk.written();
+            inDiskTask = true;
+            try {
+                task.run();
+            } finally {
+                inDiskTask = false;
+            }
+        });
     }
 }
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/SimDisk.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/SimDisk.java
@@ -44,6 +44,7 @@
     private final Map<String, Platter> files = new HashMap<>();
     private long syncs;
     private boolean full;
+    private long written;
 
     public SimDisk(Sim sim) {
         this.sim = sim;
@@ -53,6 +54,10 @@
         return syncs;
     }
 
+    long written() {
+        return written;
+    }
+
     @Override
     public List<String> list() {
         return files.keySet().stream().sorted().toList();
@@ -75,6 +80,7 @@
             @Override
             public void write(long pos, byte[] bytes, int length) throws IOException {
                 failIfFull();
+                written += length;
                 p.loose.add(new Write((int) pos, Arrays.copyOf(bytes, length)));
             }
 
@@ -127,6 +133,24 @@
         files.clear();
     }
 
+    /** The synced bytes as they are now. */
+    public SimDisk copy() {
+        SimDisk copied = new SimDisk(sim);
+        copied.become(this);
+        return copied;
+    }
+
+    /** Another disk, or an earlier state of this one, in its place; both keep their bytes to themselves. */
+    public void become(SimDisk other) {
+        files.clear();
+        other.files.forEach((name, platter) -> {
+            Platter same = new Platter(platter.synced.length);
+            System.arraycopy(platter.synced, 0, same.synced, 0, same.synced.length);
+            same.allocated = platter.allocated;
+            files.put(name, same);
+        });
+    }
+
     /** Bytes go bad in the middle of what was synced. */
     public void damage(String name, int at) {
         files.get(name).synced[at] ^= 0x55;
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/SimNet.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/SimNet.java
@@ -31,6 +31,8 @@
     /** Frames that wait in a stream whose other end does not take them: they are late, not lost. */
     private final Map<String, List<Runnable>> stalled = new HashMap<>();
 
+    private final SlowLinks slowLinks = new SlowLinks();
+
     private double loss;
     private double twice;
     private long frames;
@@ -80,12 +82,12 @@
         late.forEach(r -> sim.after(delay(), r));
     }
 
-    private void travel(String from, String to, Runnable arrive) {
+    private void travel(String from, String to, int bytes, Runnable arrive) {
         List<Runnable> line = stalled.get(from + ">" + to);
         if (line != null) {
             line.add(arrive);
         } else {
-            sim.after(delay(), arrive);
+            sim.after(delay().plus(slowLinks.queue(from, to, bytes, sim.now())), arrive);
         }
     }
 
@@ -93,6 +95,11 @@
         return !cuts.contains(from + ">" + to);
     }
 
+    /** The link takes so many bytes a second from now on, in this direction. */
+    public void slowLink(String from, String to, long bytesPerSecond) {
+        slowLinks.slow(from, to, bytesPerSecond);
+    }
+
     public void watch(Eye e) {
         eye = e;
     }
@@ -160,7 +167,7 @@
             if (!to.equals(self.address) && lost(self.address, to)) {
                 return;
             }
-            travel(self.address, to, () -> {
+            travel(self.address, to, bytes.length, () -> {
                 if (target.isEmpty() || !target.get().alive()) {
                     back(
                             life,
@@ -186,7 +193,11 @@
             byte[] bytes = codec.write(f);
             eye.sent(from.address, self.address, f, bytes.length);
             if (from.alive() && (from == self || !lost(from.address, self.address))) {
-                travel(from.address, self.address, () -> back(life, () -> sink.tryEmitValue(read(bytes))));
+                travel(
+                        from.address,
+                        self.address,
+                        bytes.length,
+                        () -> back(life, () -> sink.tryEmitValue(read(bytes))));
             }
         }
 
--- a/testkit/src/test/java/org/woadvale/testkit/replication/Trio.java
+++ b/testkit/src/test/java/org/woadvale/testkit/replication/Trio.java
@@ -57,6 +57,7 @@
     }
 
     static final String PART = "m0";
+    private final int ringFileSize;
     final Sim sim;
     final SimNet net;
     final Codec codec = Wire.codec(Wire.PILOT, List.of());
@@ -66,6 +67,11 @@
     List<String> wanted = List.of("a:1", "b:1", "c:1");
 
     Trio(long seed) throws ServiceException {
+        this(seed, 512 << 10);
+    }
+
+    Trio(long seed, int ringFileSize) throws ServiceException {
+        this.ringFileSize = ringFileSize;
         sim = new Sim(seed);
         net = new SimNet(sim);
         for (String n : wanted) {
@@ -82,7 +88,7 @@
         Harness h = hosts.get(n);
         RpcRouter r = new RpcRouter();
         h.boot(r);
-        RingWriteAheadLog book = RingWriteAheadLog.open(h.disk(), h.host(), 4, 512 << 10);
+        RingWriteAheadLog book = RingWriteAheadLog.open(h.disk(), h.host(), 4, ringFileSize);
         book.onFailure(why -> h.kill());
         Env env = new Env(
                 h.host(), h.host(), h.rpc(codec), codec, book, sim.random()::nextLong, ReplicationTiming.usual());
