--- a/common/src/main/java/org/woadvale/common/wal/Recovery.java
+++ b/common/src/main/java/org/woadvale/common/wal/Recovery.java
@@ -55,15 +55,30 @@
             r.segment(new ReadWindow(files.get((int) (s % n))), s, s == newest, wrapped && s == oldest);
         }
         boolean rolled = r.segment == newest + 1;
-        if (r.oldestBreaksOff && !rolled) {
-            throw new Damaged("segment " + oldest + " breaks off");
-        }
+        r.checkOldest(oldest, Math.max(0, newest - n + 1), rolled && newest + 1 >= n);
         if (!wrapped || rolled) {
             r.checkTail(new ReadWindow(files.get((int) ((newest + 1) % n))), newest + 1, 0);
         }
         return r;
     }
 
+    /** All segments that the ring can hold must be there, but for the oldest while the next one is written over it. */
+    private void checkOldest(long oldest, long expected, boolean writtenOver) throws Damaged {
+        boolean missing = oldestBreaksOff || oldest > expected;
+        if (!missing) {
+            return;
+        }
+        if (!writtenOver || oldest > expected + 1) {
+            throw new Damaged("segment " + expected + " is missing or breaks off");
+        }
+        for (List<Entry> part : parts.values()) {
+            if (part.get(0).kind() != Entry.Kind.BASE) {
+                throw new Damaged("segment " + expected + " was still needed by "
+                        + part.get(0).part());
+            }
+        }
+    }
+
     private static void mustBeUnused(ReadWindow file, int i) throws Damaged, IOException {
         if (!file.zero(0, file.size())) {
             throw new Damaged("file " + i + " is unreadable");
