--- a/common/src/main/java/org/woadvale/common/membership/Wire.java
+++ b/common/src/main/java/org/woadvale/common/membership/Wire.java
@@ -13,6 +13,7 @@
     public static final int LIGHTHOUSE = 300;
     public static final int PILOT = 400;
     private static final int SHARED = 100;
+    private static final int SNAPSHOTS = 250;
 
     private Wire() {}
 
@@ -22,7 +23,6 @@
         shared.addAll(ControlMessages.types());
         shared.addAll(AdmissionTokens.types());
         shared.addAll(ControlMessages.later());
-        shared.addAll(SnapshotMessages.types());
-        return new Codec(Map.of(SHARED, shared, ownFirst, own));
+        return new Codec(Map.of(SHARED, shared, SNAPSHOTS, SnapshotMessages.types(), ownFirst, own));
     }
 }
