--- a/common/src/main/java/org/woadvale/common/replication/FollowerLog.java
+++ b/common/src/main/java/org/woadvale/common/replication/FollowerLog.java
@@ -6,6 +6,7 @@
 import org.woadvale.common.replication.SnapshotMessages.PieceStatus;
 import org.woadvale.common.replication.SnapshotMessages.SnapshotPiece;
 import org.woadvale.common.replication.SnapshotMessages.SnapshotReply;
+import org.woadvale.common.runtime.ErrorKind;
 import org.woadvale.common.runtime.ServiceException;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
@@ -61,8 +62,14 @@
         return noted(take(from, p));
     }
 
-    Mono<Object> piece(String from, SnapshotPiece piece) {
-        return noted(take(from, piece));
+    Mono<Object> snapshot(String from, Object body) {
+        if (body instanceof SnapshotPiece piece) {
+            return noted(take(from, piece));
+        }
+        if (body instanceof SnapshotMessages.IdentityRevoked message) {
+            return revoked(from, message);
+        }
+        return Mono.error(new ServiceException(ErrorKind.BAD_REQUEST, "A replica does not answer this."));
     }
 
     private SnapshotReply reply(PieceStatus status, long nextOffset, long match) {
@@ -105,7 +112,7 @@
     }
 
     /** Only the leader of this term can say so, and only of the identity that it heard. design 5.8 */
-    Mono<Object> revoked(String from, SnapshotMessages.IdentityRevoked message) {
+    private Mono<Object> revoked(String from, SnapshotMessages.IdentityRevoked message) {
         boolean concerned = message.term() == r.term
                 && from.equals(r.owner)
                 && message.identity().equals(r.identity);
--- a/common/src/main/java/org/woadvale/common/replication/GroupMembership.java
+++ b/common/src/main/java/org/woadvale/common/replication/GroupMembership.java
@@ -1,5 +1,6 @@
 package org.woadvale.common.replication;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -31,6 +32,10 @@
         return all;
     }
 
+    List<String> membersBut(String node) {
+        return members().stream().filter(member -> !member.equals(node)).toList();
+    }
+
     void reset(Map<String, String> members) {
         committed = new TreeMap<>(members);
         change = Optional.empty();
--- a/common/src/main/java/org/woadvale/common/replication/Replica.java
+++ b/common/src/main/java/org/woadvale/common/replication/Replica.java
@@ -1,7 +1,6 @@
 package org.woadvale.common.replication;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -235,10 +234,8 @@
                 return following.append(from, a);
             } else if (body instanceof Messages.ViewPush a) {
                 return following.view(from, a);
-            } else if (body instanceof SnapshotMessages.SnapshotPiece a) {
-                return following.piece(from, a);
-            } else if (body instanceof SnapshotMessages.IdentityRevoked a) {
-                return following.revoked(from, a);
+            } else if (SnapshotMessages.types().contains(body.getClass())) {
+                return following.snapshot(from, body);
             } else if (body instanceof Messages.Stand a) {
                 return election.told(from, a);
             }
@@ -247,8 +244,6 @@
     }
 
     List<String> peers() {
-        List<String> all = new ArrayList<>(groups.members());
-        all.remove(env.self());
-        return all;
+        return groups.membersBut(env.self());
     }
 }
