--- a/testkit/src/main/java/org/woadvale/testkit/explore/Explorer.java
+++ b/testkit/src/main/java/org/woadvale/testkit/explore/Explorer.java
@@ -93,10 +93,10 @@
         try {
             ModelCluster cluster = replay(trace);
             while (depths.size() < bounds.states() && isNew(cluster, trace)) {
-                next.add(trace);
                 if (trace.depth() >= bounds.depth()) {
                     return;
                 }
+                next.add(trace);
                 Action action = ActionMenu.of(cluster).get(0);
                 trace = trace.then(action, false);
                 steps++;
--- a/testkit/src/test/java/org/woadvale/testkit/explore/ExplorerTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/explore/ExplorerTest.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.extension.ExtendWith;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Enumerations bounded by states, so that each run is the same. design 12.4 */
 @ExtendWith(QuietEngine.class)
@@ -22,6 +24,12 @@
         assertTrue(report.complete(), report.toString());
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {3, 4, 5})
+    void theCalmCourseLeadsEveryGroup(int members) {
+        assertTrue(StartState.LED.actions(ModelSettings.of(members)).size() > members);
+    }
+
     @Test
     void oneDeviationAnywhereInTheFounding() {
         ExploreReport report = explore(StartState.EMPTY, ExploreBounds.of(50, 2, 3_000));
