--- a/common/src/main/java/org/woadvale/common/discovery/ViewSubscriptions.java
+++ b/common/src/main/java/org/woadvale/common/discovery/ViewSubscriptions.java
@@ -26,20 +26,6 @@
     private static final Duration HURRY = Duration.ofMillis(100);
     private static final Duration DISTRUST = Duration.ofSeconds(1);
 
-    private static final class Followed {
-        ServiceView view;
-        boolean any;
-        Duration confirmed = Duration.ZERO;
-        Duration wantedUntil = Duration.ZERO;
-        boolean always;
-        Duration hurried = Duration.ZERO;
-        Duration directUntil = Duration.ZERO;
-
-        Followed(String service) {
-            view = ServiceView.blank(service);
-        }
-    }
-
     private final Env env;
     private final CoreClient core;
     private final String zone;
@@ -99,11 +85,23 @@
             return Map.of(service, f.any ? f.view.version() : -1L);
         });
         if (!known.isEmpty()) {
-            Duration sent = now();
-            askCore(ServiceNames.controlPart(service), known).subscribe(r -> took(r, sent), e -> {});
+            fetch(service, known);
         }
     }
 
+    /** A newer version is known to exist: it is fetched from the core at once. */
+    public void refresh(String service, long version) {
+        long known = latest(service).version();
+        if (known < version) {
+            fetch(service, Map.of(service, known));
+        }
+    }
+
+    private void fetch(String service, Map<String, Long> known) {
+        Duration sent = now();
+        askCore(ServiceNames.controlPart(service), known).subscribe(r -> took(r, sent), e -> {});
+    }
+
     private Followed want(String service) {
         Followed f = all.computeIfAbsent(service, Followed::new);
         f.wantedUntil = now().plus(INTEREST);
--- a/common/src/main/java/org/woadvale/common/membership/ControlMessages.java
+++ b/common/src/main/java/org/woadvale/common/membership/ControlMessages.java
@@ -124,6 +124,9 @@
     public record PutCore(
             List<String> lighthouses, @Since(2) List<String> instead) implements RepeatableRequest {}
 
+    /** Tells a store that the placement has a newer version, which it need not find out by its next poll. */
+    public record PlacementChanged(long version) implements RepeatableRequest {}
+
     /** A control machine tells the leader of the core's list that it runs, so that it may take a lost member's place. */
     public record StandbyAsk(String node, String zone) implements RepeatableRequest {}
 
@@ -135,7 +138,13 @@
 
     /** Types that came after the first build: numbered after all others. design 3.2 */
     public static List<Class<?>> later() {
-        return List.of(PutProcessors.class, StandbyAsk.class, LeaveCoreAsk.class, ChangeCore.class);
+        return List.of(
+                PutProcessors.class,
+                StandbyAsk.class,
+                LeaveCoreAsk.class,
+                ChangeCore.class,
+                LedGroup.class,
+                PlacementChanged.class);
     }
 
     public static List<Class<?>> types() {
--- /dev/null
+++ b/common/src/main/java/org/woadvale/common/replication/DepartingMembers.java
@@ -0,0 +1,37 @@
+package org.woadvale.common.replication;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** Members that a committed change has removed: the leader sends to them on until they know of it. design 6.9 */
+final class DepartingMembers {
+    private record Departure(long confirmedAt, Duration since) {}
+
+    private final Map<String, Departure> departures = new TreeMap<>();
+
+    /** The entry at this index tells those followers that do not stay that they are removed. */
+    void addAllBut(Set<String> staying, Set<String> followers, long confirmedAt, Duration now) {
+        followers.stream()
+                .filter(node -> !staying.contains(node))
+                .forEach(node -> departures.put(node, new Departure(confirmedAt, now)));
+    }
+
+    /** Those that have not synced the entry, and left after the given time. */
+    Set<String> untold(Map<String, FollowerProgress> followers, Duration oldest) {
+        departures
+                .entrySet()
+                .removeIf(departure -> departure.getValue().since().compareTo(oldest) < 0
+                        || knows(followers, departure.getKey(), departure.getValue()));
+        return departures.keySet();
+    }
+
+    private static boolean knows(Map<String, FollowerProgress> followers, String node, Departure departure) {
+        return !followers.containsKey(node) || followers.get(node).match >= departure.confirmedAt();
+    }
+
+    void clear() {
+        departures.clear();
+    }
+}
--- a/common/src/main/java/org/woadvale/common/replication/Election.java
+++ b/common/src/main/java/org/woadvale/common/replication/Election.java
@@ -60,7 +60,7 @@
         votes = new TreeMap<>(Map.of(r.env.self(), r.identity));
         Messages.VoteAsk ask = new Messages.VoteAsk(
                 r.part, term, r.replicatedLog.lastIndex(), r.replicatedLog.lastTerm(), dry, leadershipTransferred);
-        for (String n : r.peers()) {
+        for (String n : r.groups.membersBut(r.env.self())) {
             r.shard.leave(() -> r.env.rpc()
                     .ask(n, ask, Messages.VoteReply.class, r.env.timing().ask())
                     .subscribe(v -> r.shard.run(() -> answered(n, ask, v)), e -> {}));
--- a/common/src/main/java/org/woadvale/common/replication/FollowerProgress.java
+++ b/common/src/main/java/org/woadvale/common/replication/FollowerProgress.java
@@ -53,15 +53,18 @@
         this.since = r.now();
     }
 
+    boolean upToDateAs(String memberIdentity) {
+        return match > 0 && identity.equals(memberIdentity);
+    }
+
     private boolean current() {
         return r.phase == Phase.OWNING && r.term == term;
     }
 
     /** A renewal is due each renew time; entries go at once. */
     void send(boolean look) {
-        Duration pause = holdsUnsynced && !trouble
-                ? r.env.timing().look()
-                : r.env.timing().renew();
+        boolean soon = match == 0 && Joining.recently(r, to, since) || holdsUnsynced && !trouble;
+        Duration pause = soon ? r.env.timing().look() : r.env.timing().renew();
         boolean due = sent.isZero() || r.now().compareTo(sent.plus(pause)) >= 0;
         boolean behind = next <= r.replicatedLog.lastIndex() && !trouble && (!look || match > 0 || due);
         if (inFlight || !current() || !(due || behind)) {
--- a/common/src/main/java/org/woadvale/common/replication/Leader.java
+++ b/common/src/main/java/org/woadvale/common/replication/Leader.java
@@ -14,7 +14,11 @@
 final class Leader {
     private final Replica r;
     private final Map<String, FollowerProgress> followers = new TreeMap<>();
+    private final DepartingMembers departing = new DepartingMembers();
     private long firstOwn;
+    /** The entry that changes the group and is not known to be committed; zero for none. */
+    private long changeIndex;
+
     private boolean relinquished;
 
     Leader(Replica r) {
@@ -23,8 +27,10 @@
 
     void begun() {
         followers.clear();
+        departing.clear();
         relinquished = false;
         firstOwn = r.replicatedLog.lastIndex() + 1;
+        changeIndex = r.groups.changing() ? firstOwn : 0;
         if (r.groups.changing()) {
             append(new LogEntry(r.term, LogEntry.Kind.NOTHING, new byte[0]));
         } else {
@@ -34,6 +40,7 @@
 
     void ended() {
         followers.clear();
+        departing.clear();
     }
 
     /** When each follower was last sent something that it answered; those that never answered are left out. */
@@ -93,8 +100,9 @@
 
     /** The group and those that are to join it. */
     private Set<String> followers() {
-        Set<String> all = new TreeSet<>(r.peers());
+        Set<String> all = new TreeSet<>(r.groups.membersBut(r.env.self()));
         r.wanted.stream().filter(w -> !w.equals(r.env.self())).forEach(all::add);
+        all.addAll(departing.untold(followers, r.now().minus(r.env.timing().lease())));
         return all;
     }
 
@@ -119,11 +127,34 @@
             });
             if (m >= firstOwn && r.groups.majority(agreeing)) {
                 r.progress.commitTo(m);
+                confirmChange();
                 return;
             }
         }
     }
 
+    /** A committed change is appended again: whoever holds that entry knows of the commit, also after a restart. design 6.9 */
+    private void confirmChange() {
+        if (changeIndex == 0 || r.progress.commit() < changeIndex) {
+            return;
+        }
+        changeIndex = 0;
+        Map<String, String> members = r.groups.committed();
+        Set<String> staying = new TreeSet<>(members.keySet());
+        staying.addAll(r.wanted);
+        departing.addAllBut(staying, followers.keySet(), r.replicatedLog.lastIndex() + 1, r.now());
+        append(new LogEntry(r.term, LogEntry.Kind.GROUP, r.env.codec().write(members)));
+    }
+
+    /** No change is under way, and each other member was brought up to date under the identity that counts. */
+    boolean settled() {
+        return !r.groups.changing()
+                && r.groups.committed().entrySet().stream()
+                        .allMatch(member -> member.getKey().equals(r.env.self())
+                                || followers.containsKey(member.getKey())
+                                        && followers.get(member.getKey()).upToDateAs(member.getValue()));
+    }
+
     void look() {
         Set<String> now = followers();
         followers.keySet().retainAll(now);
@@ -131,7 +162,7 @@
                 .computeIfAbsent(n, k -> new FollowerProgress(r, this, k))
                 .send(true));
         if (!r.groups.latest().containsKey(r.env.self()) && !r.groups.changing()) {
-            r.become(Phase.FOLLOWING, "no longer seated");
+            stepDown();
         } else if (r.now().compareTo(leaseEnd().plus(r.env.timing().lease())) > 0
                 && r.now().compareTo(begunAt().plus(r.env.timing().lease())) > 0) {
             r.become(Phase.FOLLOWING, "the claim lapsed");
@@ -140,6 +171,13 @@
         }
     }
 
+    /** Removed from its group: another member takes over at once, or the others elect one. */
+    private void stepDown() {
+        if (!relinquished && !successor().map(this::transferLeadership).orElse(false)) {
+            r.become(Phase.FOLLOWING, "no longer a member");
+        }
+    }
+
     private Duration begunAt() {
         return followers.values().stream()
                 .map(f -> f.since)
@@ -160,13 +198,15 @@
                 Optional<String> leaving = members.keySet().stream()
                         .filter(s -> !r.wanted.contains(s))
                         .findFirst();
-                if (leaving.isEmpty()) {
+                boolean grows = members.size() < r.wanted.size();
+                if (!r.wanted.contains(e.getKey()) || leaving.isEmpty() && !grows) {
                     continue;
                 }
-                next.remove(leaving.get());
+                leaving.ifPresent(next::remove);
             }
             next.put(e.getKey(), f.identity);
             Replica.LOG.info("keeper: {} seats {} in its group.", r.part, e.getKey());
+            changeIndex = r.replicatedLog.lastIndex() + 1;
             append(new LogEntry(r.term, LogEntry.Kind.GROUP, r.env.codec().write(next)));
             return;
         }
--- a/common/src/main/java/org/woadvale/common/replication/Replica.java
+++ b/common/src/main/java/org/woadvale/common/replication/Replica.java
@@ -158,6 +158,10 @@
         return shard.get(groups::committed);
     }
 
+    public GroupStatus status() {
+        return shard.get(() -> GroupStatus.of(this));
+    }
+
     /** The leader's last contact with each follower, by its monotonic clock; empty on any other replica. */
     public Map<String, Duration> contacts() {
         return shard.get(() -> phase == Phase.OWNING ? leading.contacts() : Map.of());
@@ -242,8 +246,4 @@
             return bootstrap.asked(body);
         }));
     }
-
-    List<String> peers() {
-        return groups.membersBut(env.self());
-    }
 }
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/ControlNode.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/ControlNode.java
@@ -11,7 +11,6 @@
 import org.woadvale.common.membership.CoreClient;
 import org.woadvale.common.membership.CoreMembers;
 import org.woadvale.common.membership.ServiceNames;
-import org.woadvale.common.membership.ServiceView;
 import org.woadvale.common.replication.Env;
 import org.woadvale.common.replication.Messages;
 import org.woadvale.common.replication.Phase;
@@ -35,7 +34,7 @@
     private final Map<String, Part> parts = new LinkedHashMap<>();
     private final LeaderSightings leaders = new LeaderSightings();
     private final RetryingCoreClient retrying;
-    private final ReplicaPlacement placing = new ReplicaPlacement();
+    private final PlacementDriver placement;
     private final CoreMembership membership;
     private final ViewCompression compression = new ViewCompression();
     private TimerHandle looking = () -> {};
@@ -55,6 +54,8 @@
         }
         Part c0 = parts.get(ServiceNames.controlPart(ServiceNames.CORE));
         this.membership = new CoreMembership(env, core, zone, c0.replica(), c0.machine(), this::replicas);
+        Part stores = parts.get(ServiceNames.controlPart(ServiceNames.STORES));
+        this.placement = new PlacementDriver(env, stores.replica(), stores.machine());
     }
 
     /** Each part has another first control node, so owners are spread. */
@@ -73,7 +74,9 @@
         Messages.route(router, id -> part(id).map(Part::replica))
                 .on(
                         ControlMessages.LeaseAsk.class,
-                        (f, a) -> of(a.service()).flatMap(p -> p.leases().lease(a)))
+                        (f, a) -> of(a.service())
+                                .flatMap(p -> p.leases().lease(a))
+                                .doOnNext(done -> heard(a.service())))
                 .on(
                         ControlMessages.LeaveAsk.class,
                         (f, a) -> of(a.service()).flatMap(p -> p.leases().leave(a)))
@@ -98,6 +101,12 @@
         core.reseed(seeds);
     }
 
+    private void heard(String service) {
+        if (service.equals(ServiceNames.STORES)) {
+            placement.heard();
+        }
+    }
+
     private Mono<Part> part(String id) {
         return Mono.justOrEmpty(parts.get(id))
                 .switchIfEmpty(Mono.error(new ServiceException(ErrorKind.NOT_FOUND, "No control part " + id + ".")));
@@ -159,16 +168,7 @@
         follow();
         seeOwners();
         parts.values().forEach(p -> p.leases().reap());
-        Part stores = parts.get(ServiceNames.controlPart(ServiceNames.STORES));
-        if (stores.replica().phase() == Phase.OWNING && stores.replica().mayAct()) {
-            ServiceView v = stores.replica().look(i -> stores.machine().service(ServiceNames.STORES));
-            Map<String, List<String>> next = placing.next(v, env.times().mono());
-            if (!next.equals(v.placement())) {
-                stores.replica()
-                        .propose(new ControlMessages.Place(next, v.version()), ControlMessages.Done.class)
-                        .subscribe(d -> {}, e -> {});
-            }
-        }
+        placement.look();
         if (draining) {
             transferLeadership();
         } else {
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/ReplicaPlacement.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/ReplicaPlacement.java
@@ -10,25 +10,26 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import org.woadvale.common.membership.LedGroup;
 import org.woadvale.common.membership.MemberLease;
 import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.membership.ServiceView;
 
-/** Draws three stores in different zones for each message part; moves as little as it can, a few at a time. design 6.5 */
+/** Draws three stores in different zones for each message partition, and replaces those that go. design 6.5, 6.9 */
 final class ReplicaPlacement {
     static final int COPIES = 3;
-    /** A store is replaced only after it has been away for so long. */
+    /** Without a newcomer a store is replaced only after it has been away for so long. */
     static final Duration GIVEN_UP = Duration.ofSeconds(10);
-    /** So many members may be on their way at once; one that does not arrive stops counting after a while. */
-    static final int MOST_MOVING = 2;
 
-    private static final Duration TOLD = Duration.ofMillis(1500);
     private static final Duration MOVE_LIMIT = Duration.ofSeconds(60);
 
     private record Move(String to, Duration since) {}
 
     private final Map<String, Duration> lastSeen = new HashMap<>();
     private final Map<String, Move> moving = new HashMap<>();
+    /** Stores whose successor was there when they went: what they still hold moves without another wait. */
+    private final Set<String> succeeded = new HashSet<>();
+
     private final ReplicaBalancer evening = new ReplicaBalancer();
     private Duration firstFull = Duration.ZERO;
 
@@ -39,55 +40,77 @@
         if (present.isEmpty()) {
             return first(v.members(), now);
         }
-        moving.entrySet().removeIf(e -> arrived(v, e.getKey(), e.getValue(), now));
+        moving.entrySet().removeIf(e -> ended(v, e.getKey(), e.getValue(), now));
         evening.look(v.members().keySet(), now);
-        if (moving.size() >= MOST_MOVING) {
-            return present;
-        }
+        noteSucceeded(v);
         Map<String, List<String>> out = new TreeMap<>(present);
         for (String part : ServiceNames.messageParts()) {
-            Optional<List<String>> repaired = repaired(v, part, out, now);
-            if (repaired.isPresent() && !moving.containsKey(part)) {
-                List<String> copies = repaired.get();
-                String to = copies.stream()
-                        .filter(c -> !present.get(part).contains(c))
-                        .findFirst()
-                        .orElseThrow();
-                moving.put(part, new Move(to, now));
-                out.put(part, copies);
-                return out;
+            if (!moving.containsKey(part)) {
+                repaired(v, part, out, now).ifPresent(change -> begin(change, out, now));
             }
         }
-        if (moving.isEmpty()) {
-            evening.next(v, now).ifPresent(change -> {
-                change.to().ifPresent(to -> moving.put(change.part(), new Move(to, now)));
-                out.put(change.part(), change.copies());
-            });
+        if (moving.isEmpty() && v.members().values().stream().noneMatch(MemberLease::leaving)) {
+            evening.next(v, now).ifPresent(change -> begin(change, out, now));
         }
         return out;
     }
 
-    /** The store has been told, and says that it counts in the part; or it is given up. */
-    private static boolean arrived(ServiceView v, String part, Move m, Duration now) {
-        Duration age = now.minus(m.since());
-        boolean counts = Optional.ofNullable(v.members().get(m.to()))
-                .map(s -> !s.notVoting().contains(part))
-                .orElse(false);
-        return age.compareTo(MOVE_LIMIT) > 0 || age.compareTo(TOLD) > 0 && counts;
+    private void begin(ReplicaBalancer.Change change, Map<String, List<String>> out, Duration now) {
+        change.to().ifPresent(to -> moving.put(change.part(), new Move(to, now)));
+        out.put(change.part(), change.copies());
+    }
+
+    /** The newcomer counts in the group; or the move was not written; or the newcomer is gone, or never arrived. */
+    private static boolean ended(ServiceView v, String part, Move move, Duration now) {
+        return !v.placement().getOrDefault(part, List.of()).contains(move.to())
+                || !v.members().containsKey(move.to())
+                || now.minus(move.since()).compareTo(MOVE_LIMIT) > 0
+                || group(v, part).map(g -> g.members().contains(move.to())).orElse(false);
+    }
+
+    /** The group of a partition by the report of the highest term. */
+    private static Optional<LedGroup> group(ServiceView v, String part) {
+        return v.members().values().stream()
+                .flatMap(lease -> Optional.ofNullable(lease.groups().get(part)).stream())
+                .max(Comparator.comparingLong(LedGroup::term));
+    }
+
+    /** A store that leaves or is gone while a newcomer stands ready has been replaced by it: nothing is waited for. */
+    private void noteSucceeded(ServiceView v) {
+        Set<String> placed = new HashSet<>();
+        v.placement().values().forEach(placed::addAll);
+        succeeded.removeIf(store -> !placed.contains(store) || serves(v, store));
+        boolean newcomer = v.members().values().stream().anyMatch(lease -> lease.newcomer() && !lease.leaving());
+        if (newcomer) {
+            placed.stream().filter(store -> !serves(v, store)).forEach(succeeded::add);
+        }
+    }
+
+    private static boolean serves(ServiceView v, String store) {
+        return Optional.ofNullable(v.members().get(store))
+                .filter(lease -> !lease.leaving())
+                .isPresent();
+    }
+
+    private boolean gone(String store, Duration now) {
+        lastSeen.putIfAbsent(store, now);
+        return succeeded.contains(store) || now.minus(lastSeen.get(store)).compareTo(GIVEN_UP) > 0;
     }
 
-    private Optional<List<String>> repaired(ServiceView v, String part, Map<String, List<String>> out, Duration now) {
+    private Optional<ReplicaBalancer.Change> repaired(
+            ServiceView v, String part, Map<String, List<String>> out, Duration now) {
         List<String> copies = new ArrayList<>(out.get(part));
         for (int i = 0; i < copies.size(); i++) {
-            String gone = copies.get(i);
-            lastSeen.putIfAbsent(gone, now);
-            if (now.minus(lastSeen.get(gone)).compareTo(GIVEN_UP) > 0) {
+            if (gone(copies.get(i), now)) {
                 List<String> rest = new ArrayList<>(copies);
-                rest.remove(gone);
-                List<String> spare = candidates(v.members(), rest, out);
+                rest.remove(i);
+                List<String> spare = candidates(v.members(), rest, out).stream()
+                        .filter(store -> serves(v, store) && !copies.contains(store))
+                        .toList();
                 if (!spare.isEmpty()) {
                     copies.set(i, spare.get(0));
-                    return Optional.of(List.copyOf(copies));
+                    return Optional.of(
+                            new ReplicaBalancer.Change(part, List.copyOf(copies), Optional.of(spare.get(0))));
                 }
             }
         }
--- a/dataplane/src/main/java/org/woadvale/dataplane/DataPlaneNode.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/DataPlaneNode.java
@@ -13,13 +13,11 @@
 import org.woadvale.common.membership.ControlMessages;
 import org.woadvale.common.membership.CoreClient;
 import org.woadvale.common.membership.CoreMembers;
-import org.woadvale.common.membership.MemberLease;
 import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.ratelimit.AdmissionTokens;
 import org.woadvale.common.ratelimit.LocalBuckets;
 import org.woadvale.common.ratelimit.TokenGranters;
 import org.woadvale.common.replication.Env;
-import org.woadvale.common.replication.ReplicationTiming;
 import org.woadvale.common.rpc.RpcRouter;
 import org.woadvale.common.runtime.Component;
 import org.woadvale.common.runtime.ServiceException;
@@ -45,13 +43,11 @@
     private final Optional<TokenGranters> holders;
     private final Optional<StoreRole> store;
     private final PartitionReplicas members;
-    private final RoleMembership membership;
     private final IngressNode ingress;
     private final Intake intake;
     private final Fetches fetches;
     private final Queries queries;
-    private final String incarnation;
-    private TimerHandle renewing = () -> {};
+    private final LeaseRenewal lease;
     private TimerHandle learning = () -> {};
     private volatile boolean draining;
 
@@ -63,7 +59,6 @@
         this.env = env;
         this.boot = boot;
         this.core = core;
-        this.incarnation = Long.toHexString(env.random().getAsLong());
         this.subscriptions = new ViewSubscriptions(env, core, boot.zone());
         this.configurations = new ConfigurationView(subscriptions);
         this.localBuckets = new LocalBuckets(env, subscriptions);
@@ -77,8 +72,7 @@
                         env, boot, subscriptions, configurations, localBuckets, forwarder, post, protocol))
                 : Optional.empty();
         this.members = new PartitionReplicas(env, subscriptions, store.map(StoreRole::partitions));
-        this.membership = new RoleMembership(
-                env, boot, core, () -> new MemberLease(boot.zone(), boot.http(), incarnation, members.notVoting()));
+        this.lease = new LeaseRenewal(env, boot, core, subscriptions, members);
         this.intake = new Intake(env, configurations, localBuckets, forwarder);
         this.fetches = new Fetches(env, subscriptions, configurations, forwarder, boot.zone(), () -> draining);
         this.queries = new Queries(configurations, forwarder);
@@ -96,6 +90,10 @@
                 .on(ControlMessages.CoreAsk.class, (f, a) -> Mono.just(core.reply()));
         holders.ifPresent(h -> router.on(AdmissionTokens.PassAsk.class, h::asked));
         store.ifPresent(s -> s.route(router));
+        router.on(ControlMessages.PlacementChanged.class, (f, a) -> {
+            subscriptions.refresh(ServiceNames.STORES, a.version());
+            return Mono.just(new ControlMessages.Done(true));
+        });
     }
 
     @Override
@@ -106,27 +104,25 @@
         if (store.isPresent()) {
             store.get().start();
         }
-        lease();
-        renewing = env.schedules().every(ReplicationTiming.usual().renew(), this::lease);
+        lease.start();
         learning = env.schedules().every(Duration.ofSeconds(2), core::learn);
     }
 
-    /** A member while it renews its lease: design 6.3. */
-    private void lease() {
-        if (draining) {
-            return;
-        }
-        membership.renew();
-    }
-
-    /** Duties and parts are given away first; true once nothing is left here. */
+    /**
+     * Duties and partitions are given away first; a store that has a successor also waits until its replicas there
+     * count. True once nothing is left here. design 6.9
+     */
     public boolean drain() {
         if (!draining) {
             draining = true;
             holders.ifPresent(TokenGranters::drain);
-            membership.leave("intake");
+            lease.leave();
         }
-        return store.map(StoreRole::drain).orElse(true);
+        boolean drained = store.map(StoreRole::drain).orElse(true) && !lease.successorAtWork();
+        if (drained) {
+            lease.left();
+        }
+        return drained;
     }
 
     /** No delivery that was begun here is still without its end. */
@@ -159,6 +155,11 @@
         return core.members();
     }
 
+    /** Each message partition here counts in its group. */
+    public boolean promotedEverywhere() {
+        return members.votingEverywhere();
+    }
+
     /** How many message parts this node owns now. */
     public long owned() {
         return members.owned();
@@ -221,7 +222,7 @@
 
     @Override
     public void stop() {
-        renewing.cancel();
+        lease.stop();
         learning.cancel();
         store.ifPresent(StoreRole::stop);
         holders.ifPresent(TokenGranters::stop);
--- a/dataplane/src/main/java/org/woadvale/dataplane/DataPlaneProgram.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/DataPlaneProgram.java
@@ -41,8 +41,8 @@
 public final class DataPlaneProgram {
     private static final AtomicReference<Runnable> DRAIN = new AtomicReference<>(() -> {});
 
-    private static final Duration MOVES = Duration.ofMillis(1500);
-    private static final Duration RUNS = Duration.ofMillis(2000);
+    private static final Duration MOVES = Duration.ofMillis(3500);
+    private static final Duration RUNS = Duration.ofMillis(1500);
     private static final Duration STEP = Duration.ofMillis(50);
 
     private DataPlaneProgram() {}
--- a/dataplane/src/main/java/org/woadvale/dataplane/PartitionReplicas.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/PartitionReplicas.java
@@ -7,8 +7,10 @@
 import java.util.Set;
 import java.util.TreeMap;
 import org.woadvale.common.discovery.ViewSubscriptions;
+import org.woadvale.common.membership.LedGroup;
 import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.replication.Env;
+import org.woadvale.common.replication.GroupStatus;
 import org.woadvale.dataplane.queue.MessagePartitions;
 
 /** In which message parts this store counts, and which it owns: design 6.5. Empty on a node that is no store. */
@@ -49,6 +51,31 @@
                 .toList();
     }
 
+    /** What this store tells of the groups that it leads. */
+    Map<String, LedGroup> ledGroups() {
+        Map<String, LedGroup> led = new TreeMap<>();
+        partitions.ifPresent(all -> all.all().forEach((id, partition) -> {
+            GroupStatus status = partition.replica().status();
+            if (status.leading()) {
+                led.put(id, new LedGroup(status.term(), status.members(), status.settled()));
+            }
+        }));
+        return led;
+    }
+
+    /** This store counts in no group, as far as it knows. */
+    boolean inNoGroup() {
+        return groups().values().stream().noneMatch(group -> group.contains(env.self()));
+    }
+
+    /** Each replica here counts in its group under its present identity. */
+    boolean votingEverywhere() {
+        return partitions
+                .map(all -> all.all().values().stream()
+                        .allMatch(partition -> partition.replica().status().voting()))
+                .orElse(true);
+    }
+
     long owned() {
         return partitions
                 .map(b -> b.all().values().stream()
--- a/dataplane/src/main/java/org/woadvale/dataplane/queue/MessagePartitions.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/queue/MessagePartitions.java
@@ -160,6 +160,11 @@
                 open(part, List.of());
             }
         }
+        subscriptions.onView((service, view) -> {
+            if (service.equals(ServiceNames.STORES)) {
+                look();
+            }
+        });
         looking = env.schedules().every(Duration.ofMillis(200), this::look);
     }
 
@@ -173,7 +178,7 @@
         onOpen.accept(b);
     }
 
-    private void look() {
+    private synchronized void look() {
         Map<String, List<String>> placement =
                 new HashMap<>(subscriptions.latest(ServiceNames.STORES).placement());
         placement.forEach((part, copies) -> {
