--- a/common/src/main/java/org/woadvale/common/replication/SnapshotSender.java
+++ b/common/src/main/java/org/woadvale/common/replication/SnapshotSender.java
@@ -5,6 +5,9 @@
 
 /** Sends one snapshot to one follower, piece by piece; a lost call is followed by a smaller piece from the same place. */
 final class SnapshotSender {
+    /** An answer within this part of a call's time is fast. */
+    private static final int FAST_SHARE = 4;
+
     static final int LARGEST_PIECE = 256 << 10;
     static final int SMALLEST_PIECE = 16 << 10;
 
@@ -33,7 +36,7 @@
     void answered(SnapshotMessages.SnapshotReply reply, Duration took) {
         boolean inside = reply.nextOffset() >= 0 && reply.nextOffset() < content.bytes().length;
         offset = inside ? (int) reply.nextOffset() : 0;
-        if (took.multipliedBy(4).compareTo(callTime) < 0) {
+        if (took.multipliedBy(FAST_SHARE).compareTo(callTime) < 0) {
             pieceBytes = Math.min(LARGEST_PIECE, pieceBytes * 2);
         }
     }
