--- a/common/src/main/java/org/woadvale/common/membership/Wire.java
+++ b/common/src/main/java/org/woadvale/common/membership/Wire.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import org.woadvale.common.ratelimit.AdmissionTokens;
 import org.woadvale.common.replication.Messages;
+import org.woadvale.common.replication.SnapshotMessages;
 import org.woadvale.common.rpc.Codec;
 
 /** The numbers of the types on inner streams; in each list, only ever add at the end. design 3.2 */
@@ -12,6 +13,7 @@
     public static final int LIGHTHOUSE = 300;
     public static final int PILOT = 400;
     private static final int SHARED = 100;
+    private static final int SNAPSHOTS = 250;
 
     private Wire() {}
 
@@ -21,6 +23,6 @@
         shared.addAll(ControlMessages.types());
         shared.addAll(AdmissionTokens.types());
         shared.addAll(ControlMessages.later());
-        return new Codec(Map.of(SHARED, shared, ownFirst, own));
+        return new Codec(Map.of(SHARED, shared, SNAPSHOTS, SnapshotMessages.types(), ownFirst, own));
     }
 }
