--- a/common/src/main/java/org/woadvale/common/replication/SnapshotMessages.java
+++ b/common/src/main/java/org/woadvale/common/replication/SnapshotMessages.java
@@ -10,7 +10,8 @@
     /** Which snapshot a piece belongs to; a follower that holds pieces of another one drops them. */
     public record SnapshotId(long index, long indexTerm, long totalBytes, int checksum) {}
 
-    public record SnapshotPiece(String part, long term, SnapshotId id, long offset, byte[] bytes) implements RepeatableRequest {}
+    public record SnapshotPiece(String part, long term, SnapshotId id, long offset, byte[] bytes)
+            implements RepeatableRequest {}
 
     public enum PieceStatus {
         /** Taken, or held already: the next piece begins at the offset of the answer. */
