--- a/testkit/src/test/java/org/woadvale/testkit/CallsTableTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/CallsTableTest.java
@@ -16,6 +16,7 @@
 import org.woadvale.common.membership.ControlMessages;
 import org.woadvale.common.ratelimit.AdmissionTokens;
 import org.woadvale.common.replication.Messages;
+import org.woadvale.common.replication.SnapshotMessages;
 import org.woadvale.common.rpc.AtMostOnceRequest;
 import org.woadvale.common.rpc.RpcRequest;
 import org.woadvale.controlplane.partition.Operators;
@@ -43,6 +44,7 @@
     private static List<Class<?>> requests() {
         List<Class<?>> out = new ArrayList<>();
         out.addAll(Messages.types());
+        out.addAll(SnapshotMessages.types());
         out.addAll(ControlMessages.types());
         out.addAll(ControlMessages.later());
         out.addAll(AdmissionTokens.types());
