A control machine without contact to a majority says so at once

Cause: an asked machine kept an operator's request for 2.5 s and longer while no leader answered, and the operator is gone after one; a core machine's /-/readiness was always 200; an answer that was built before a freeze left after it; a member that was replaced while it was away learned of it by luck only.

Both readiness pages are 503 after 1.8 s without contact. A member without a leader asks for the present list at each look.

--- a/common/src/main/java/org/woadvale/common/replication/Leader.java
+++ b/common/src/main/java/org/woadvale/common/replication/Leader.java
@@ -82,6 +82,13 @@
         return Duration.ZERO;
     }
 
+    /** When the latest renewal was sent that a majority has confirmed; on others, when a leader was heard. */
+    Duration contactAt() {
+        return r.phase == Phase.OWNING
+                ? leaseEnd().minus(r.env.timing().ownLease())
+                : r.leaseHeardUntil.minus(r.env.timing().lease());
+    }
+
     void append(LogEntry item) {
         r.store.append(List.of(item), this::count);
         followers()
--- a/common/src/main/java/org/woadvale/common/replication/Replica.java
+++ b/common/src/main/java/org/woadvale/common/replication/Replica.java
@@ -167,9 +167,9 @@
         return shard.get(() -> phase == Phase.OWNING ? leading.contacts() : Map.of());
     }
 
-    /** When this replica last heard a leader, by the local monotonic clock. */
-    public Duration leaderHeardAt() {
-        return shard.get(() -> leaseHeardUntil.minus(env.timing().lease()));
+    /** When this replica was last in contact, by the local monotonic clock: a leader with a majority, others with it. */
+    public Duration contactAt() {
+        return shard.get(() -> leading.contactAt());
     }
 
     public void onChange(Runnable r) {
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/ControlNode.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/ControlNode.java
@@ -37,6 +37,7 @@
     private final PlacementDriver placement;
     private final CoreMembership membership;
     private final ViewCompression compression = new ViewCompression();
+    private final MajorityContact contact;
     private TimerHandle looking = () -> {};
     private TimerHandle learning = () -> {};
     private volatile boolean draining;
@@ -45,7 +46,6 @@
     public ControlNode(Env env, CoreClient core, List<String> wantedCore, String zone) {
         this.env = env;
         this.core = core;
-        this.retrying = new RetryingCoreClient(env, core);
         for (String p : ServiceNames.controlParts()) {
             ControlStateMachine m = new ControlStateMachine(
                     env.codec(), Math.min(HISTORY_BYTES, env.wal().largest() / 4));
@@ -56,6 +56,8 @@
         this.membership = new CoreMembership(env, core, zone, c0.replica(), c0.machine(), this::replicas);
         Part stores = parts.get(ServiceNames.controlPart(ServiceNames.STORES));
         this.placement = new PlacementDriver(env, stores.replica(), stores.machine());
+        this.contact = new MajorityContact(env, core, c0.replica(), membership::answeredAt);
+        this.retrying = new RetryingCoreClient(env, core, contact::now);
     }
 
     /** Each part has another first control node, so owners are spread. */
@@ -214,7 +216,7 @@
     /** A part that changes hands in order is without an owner for a moment; that is no reason to turn operators away. */
     public boolean ready() {
         seeOwners();
-        return leaders.allRecent(parts.keySet(), env.times().mono());
+        return contact.ready(leaders.allRecent(parts.keySet(), env.times().mono()));
     }
 
     /** An operator's request, repeated while the part has no leader. */
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/CoreMembership.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/CoreMembership.java
@@ -58,6 +58,7 @@
     private volatile Duration watchingSince = Duration.ZERO;
     private volatile FormerLeader formerLeader = new FormerLeader("", Duration.ZERO);
     private volatile String announcedTo = "";
+    private volatile Duration answeredAt = Duration.ZERO;
     private volatile Optional<Duration> leavingSince = Optional.empty();
     private volatile Duration leaveAsked = Duration.ZERO;
     private volatile Optional<Boolean> successorComes = Optional.empty();
@@ -91,7 +92,7 @@
         lastLook = now();
         c0.owner()
                 .filter(leader -> !leader.equals(env.self()))
-                .ifPresent(leader -> formerLeader = new FormerLeader(leader, c0.leaderHeardAt()));
+                .ifPresent(leader -> formerLeader = new FormerLeader(leader, c0.contactAt()));
         decide();
         if (leavingSince.isEmpty()) {
             announce();
@@ -102,9 +103,13 @@
     private void announce() {
         String leader = c0.owner().orElse("");
         boolean member = core.lighthouses().contains(env.self());
+        if (member && leader.isEmpty()) {
+            core.learn(); // it may have been replaced while it was away
+        }
         if (member && (leader.isEmpty() || leader.equals(announcedTo))) {
             return;
         }
+        Duration sent = now();
         core.ask(
                         ServiceNames.controlPart(ServiceNames.CORE),
                         new ControlMessages.StandbyAsk(env.self(), zone),
@@ -113,10 +118,16 @@
                         r -> {
                             core.known(new CoreMembers(r.epoch(), r.lighthouses()));
                             announcedTo = leader;
+                            answeredAt = sent;
                         },
                         e -> {});
     }
 
+    /** When the latest announcement was sent that the leader of part c0 has answered; zero if none was. */
+    Duration answeredAt() {
+        return answeredAt;
+    }
+
     /** On the leader of part c0: a control machine runs. */
     Mono<ControlMessages.CoreReply> announced(ControlMessages.StandbyAsk ask) {
         return c0.read(i -> machine.coreMembers()).map(present -> {
--- /dev/null
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/MajorityContact.java
@@ -0,0 +1,63 @@
+package org.woadvale.controlplane.partition;
+
+import java.time.Duration;
+import java.util.function.Supplier;
+import org.woadvale.common.membership.CoreClient;
+import org.woadvale.common.replication.Env;
+import org.woadvale.common.replication.Phase;
+import org.woadvale.common.replication.Replica;
+
+/**
+ * Whether this control machine is in contact with a majority of the core: as the leader of part c0 with its voters, as
+ * a member with that leader, as a standby machine by the answers to its announcements. Costs no messages. design 6.12
+ */
+final class MajorityContact {
+    /** Renewals and announcements come at least every 300 ms; two that are missing mean no contact. */
+    private static final Duration REQUESTS = Duration.ofMillis(600);
+    /** The platform asks once a second; a change of leader is no reason to leave the list. */
+    private static final Duration READINESS = Duration.ofMillis(1800);
+
+    private final Env env;
+    private final CoreClient core;
+    private final Replica c0;
+    private final Supplier<Duration> announcementAnsweredAt;
+
+    MajorityContact(Env env, CoreClient core, Replica c0, Supplier<Duration> announcementAnsweredAt) {
+        this.env = env;
+        this.core = core;
+        this.c0 = c0;
+        this.announcementAnsweredAt = announcementAnsweredAt;
+    }
+
+    /** Recent enough to take requests. */
+    boolean now() {
+        return within(REQUESTS);
+    }
+
+    /** Recent enough to be ready; a member also needs a leader of each partition. */
+    boolean ready(boolean partitionsLed) {
+        return within(READINESS) && (partitionsLed || !member());
+    }
+
+    private boolean within(Duration limit) {
+        return memberContact(limit) || standbyContact(limit);
+    }
+
+    private boolean memberContact(Duration limit) {
+        boolean led = c0.owner().isPresent() && (c0.phase() != Phase.OWNING || c0.mayAct());
+        return led && member() && age(c0.contactAt()).compareTo(limit) < 0;
+    }
+
+    private boolean standbyContact(Duration limit) {
+        Duration at = announcementAnsweredAt.get();
+        return !member() && !at.isZero() && age(at).compareTo(limit) < 0;
+    }
+
+    private boolean member() {
+        return core.lighthouses().contains(env.self());
+    }
+
+    private Duration age(Duration at) {
+        return env.times().mono().minus(at);
+    }
+}
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/Operators.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/Operators.java
@@ -124,6 +124,13 @@
                 : f;
     }
 
+    /** A read that got no answer in time has changed nothing. */
+    private static ServiceException unread(ServiceException f) {
+        return f.kind() == ErrorKind.UNKNOWN_OUTCOME
+                ? new ServiceException(ErrorKind.UNAVAILABLE, "No answer of a leader came in time.")
+                : f;
+    }
+
     private Mono<Answer> route(Request q) {
         List<String> s = q.segments();
         String op = q.method() + " " + String.join("/", s.subList(0, Math.min(2, s.size())));
@@ -189,7 +196,8 @@
 
     /** A kept configuration by its version, the newest for -1. */
     public Mono<ConfigurationIs> configuration(long version) {
-        return node.ask("c0", new ConfigurationGet(version), ConfigurationIs.class);
+        return node.ask("c0", new ConfigurationGet(version), ConfigurationIs.class)
+                .onErrorMap(e -> unread(ServiceException.of(e)));
     }
 
     private Mono<Answer> get(List<String> s) {
