The stand-in for a processor finishes its work though its caller has gone

A store killed while its push ran ended the connection, the HTTP server cancelled the answer, and the stand-in never counted the work as over: it said "running" for ever, and the store rightly waited, as a listed processor may still be running the ordered message. The work now goes on without its caller. BackendTest fails without the change (running instead of done).

--- a/testkit/src/main/java/org/woadvale/testkit/stub/Backend.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/Backend.java
@@ -140,7 +140,12 @@
                         times.mono()));
         running.merge(handle, 1, Integer::sum);
         int begunIn = life;
-        return Delays.pause(schedules, now.work()).flatMap(x -> worked(handle, attempt, now, begunIn));
+        Mono<Answer> answer = Delays.pause(schedules, now.work())
+                .flatMap(x -> worked(handle, attempt, now, begunIn))
+                .cache();
+        // once begun, the work goes on though whoever asked for it has gone
+        answer.subscribe(x -> {}, e -> {});
+        return answer;
     }
 
     private synchronized Mono<Answer> worked(String handle, int attempt, Manner now, int begunIn) {
--- /dev/null
+++ b/testkit/src/test/java/org/woadvale/testkit/stub/BackendTest.java
@@ -0,0 +1,76 @@
+package org.woadvale.testkit.stub;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.woadvale.common.config.Configurations;
+import org.woadvale.common.http.Request;
+import org.woadvale.common.runtime.Clock;
+import org.woadvale.common.runtime.TimerHandle;
+import org.woadvale.common.runtime.Timers;
+import reactor.core.Disposable;
+
+/** The stand-in for a processor keeps the promises of docs/api.md, also to a caller that has gone. */
+class BackendTest {
+    private static final Clock CLOCK = new Clock() {
+        @Override
+        public Duration mono() {
+            return Duration.ZERO;
+        }
+
+        @Override
+        public Instant wall() {
+            return Instant.EPOCH;
+        }
+    };
+
+    private final List<Runnable> timers = new ArrayList<>();
+    private final Backend backend =
+            new Backend("p0", "reserve", false, new Observations(), CLOCK, new CollectedTimers(), () -> 0L);
+
+    /** Timers that fire when the test says so. */
+    private final class CollectedTimers implements Timers {
+        @Override
+        public TimerHandle after(Duration delay, Runnable task) {
+            timers.add(task);
+            return () -> timers.remove(task);
+        }
+
+        @Override
+        public void soon(Runnable task) {
+            timers.add(task);
+        }
+
+        @Override
+        public void onDisk(Runnable task) {
+            timers.add(task);
+        }
+    }
+
+    private static Request request(String method, String path, Object body) {
+        return new Request(method, path, Map.of(), Configurations.write(body));
+    }
+
+    private String state() throws Exception {
+        byte[] answer = backend.answer(request("GET", "/runs/m1-1?attempt=1", Map.of()))
+                .block()
+                .body();
+        return Configurations.JSON.readTree(answer).path("state").asText();
+    }
+
+    /** The store that sent it is killed while it runs: its connection ends, the work does not. */
+    @Test
+    void workEndsThoughItsCallerHasGone() throws Exception {
+        Disposable call = backend.answer(request("POST", "/messages", Map.of("messageId", "m1-1", "attempt", 1)))
+                .subscribe();
+        assertEquals("running", state());
+        call.dispose();
+        List.copyOf(timers).forEach(Runnable::run);
+        assertEquals("done", state());
+    }
+}
