--- a/common/src/main/java/org/woadvale/common/http/HttpGateway.java
+++ b/common/src/main/java/org/woadvale/common/http/HttpGateway.java
@@ -26,6 +26,10 @@
 public final class HttpGateway implements Component {
     private static final Logger LOG = LogManager.getLogger("gate");
     private static final int MAX_HEADER = 16 << 10;
+    /** After this time without a request a kept-alive connection is closed. */
+    private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
+
+    private static final Duration BIND_TIMEOUT = Duration.ofSeconds(5);
     private final String address;
     private final int maxBody;
     private final Function<Request, Mono<Answer>> app;
@@ -52,13 +56,13 @@
                     .host(address.substring(0, colon))
                     .port(Integer.parseInt(address.substring(colon + 1)))
                     .httpRequestDecoder(s -> s.maxHeaderSize(MAX_HEADER).maxInitialLineLength(MAX_HEADER))
-                    .idleTimeout(Duration.ofSeconds(60))
+                    .idleTimeout(IDLE_TIMEOUT)
                     .channelGroup(streams)
                     .doOnChannelInit((o, c, a) -> c.pipeline()
                             .addAfter(NettyPipeline.HttpCodec, "broken", new MalformedRequest())
                             .addAfter(NettyPipeline.HttpCodec, "pipelined", new PipelinedRequests()))
                     .handle(this::serve)
-                    .bindNow(Duration.ofSeconds(5));
+                    .bindNow(BIND_TIMEOUT);
         } catch (RuntimeException e) {
             throw new ServiceException(
                     ErrorKind.UNAVAILABLE, "Cannot listen for HTTP on " + address + ": " + e.getMessage());
--- a/common/src/main/java/org/woadvale/common/replication/SnapshotMessages.java
+++ b/common/src/main/java/org/woadvale/common/replication/SnapshotMessages.java
@@ -10,9 +10,11 @@
     /** Which snapshot a piece belongs to; a follower that holds pieces of another one drops them. */
     public record SnapshotId(long index, long indexTerm, long totalBytes, int checksum) {}
 
+    /** The bytes of a snapshot from an offset on, sent by the leader of a term. */
     public record SnapshotPiece(String part, long term, SnapshotId id, long offset, byte[] bytes)
             implements RepeatableRequest {}
 
+    /** What a follower did with a piece. */
     public enum PieceStatus {
         /** Taken, or held already: the next piece begins at the offset of the answer. */
         ACCEPTED,
@@ -28,6 +30,7 @@
         INSTALLED
     }
 
+    /** The follower's term, what it did with the piece, and the offset in bytes at which the next one begins. */
     public record SnapshotReply(
             long term, PieceStatus status, long nextOffset, long match, String identity, boolean willing) {}
 
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/SubmitForwarder.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/SubmitForwarder.java
@@ -81,15 +81,10 @@
      * Goes on until the limit. The answer is definite only if no try before it was left unknown.
      */
     public <T> Mono<T> ask(String part, RepeatableRequest body, Class<T> type, Duration limit) {
-        return attempt(
-                part,
-                to -> Mono.just(body),
-                type,
-                env.times().mono().plus(limit),
-                0,
-                ResendPolicy.AFTER_UNKNOWN_OUTCOME,
-                false,
-                "");
+        Duration until = env.times().mono().plus(limit);
+        Forwarding<T> forwarding =
+                new Forwarding<>(part, to -> Mono.just(body), type, until, ResendPolicy.AFTER_UNKNOWN_OUTCOME);
+        return attempt(forwarding, 0, false, "");
     }
 
     /** Whether asks of the part failed lately: whoever comes now need not wait long to know. */
@@ -116,15 +111,13 @@
             Duration limit,
             ResendPolicy policy) {
         Duration until = env.times().mono().plus(limit);
-        return attempt(
+        Forwarding<T> forwarding = new Forwarding<>(
                 part,
                 to -> clocks.until(to, until, EACH).<RpcRequest>map(body).onErrorMap(SubmitForwarder::notSent),
                 type,
                 until,
-                0,
-                policy,
-                false,
-                "");
+                policy);
+        return attempt(forwarding, 0, false, "");
     }
 
     /** One ask to one store, not taken later than the limit; its answer may take as long as the limit. */
@@ -144,22 +137,21 @@
         return f.kind().definite() ? f : new ServiceException(ErrorKind.UNREACHABLE, f.getMessage());
     }
 
-    private <T> Mono<T> attempt(
-            String part,
-            Function<String, Mono<RpcRequest>> body,
-            Class<T> type,
-            Duration until,
-            int turn,
-            ResendPolicy policy,
-            boolean unknown,
-            String hint) {
+    /** What stays the same in all attempts: the body is made for the store that is asked. */
+    private record Forwarding<T>(
+            String part, Function<String, Mono<RpcRequest>> body, Class<T> type, Duration until, ResendPolicy policy) {}
+
+    private <T> Mono<T> attempt(Forwarding<T> forwarding, int turn, boolean unknown, String hint) {
+        String part = forwarding.part();
         String to = hint.isEmpty() ? guess(part, turn) : hint;
         if (to.isEmpty()) {
             return Mono.error(
                     new ServiceException(ErrorKind.UNAVAILABLE, "No store is placed for the part " + part + "."));
         }
-        return body.apply(to)
-                .flatMap(b -> health.watched(to, env.rpc().ask(to, b, type, EACH)))
+        return forwarding
+                .body()
+                .apply(to)
+                .flatMap(b -> health.watched(to, env.rpc().ask(to, b, forwarding.type(), EACH)))
                 .doOnNext(t -> {
                     owners.put(part, to);
                     health.well(part, to);
@@ -170,15 +162,15 @@
                     clocks.forget(to);
                     health.failed(part, to, f);
                     boolean nowUnknown = unknown || !f.kind().definite();
-                    if (!policy.allows(f.kind()) || env.times().mono().compareTo(until) >= 0) {
+                    if (!forwarding.policy().allows(f.kind())
+                            || env.times().mono().compareTo(forwarding.until()) >= 0) {
                         return Mono.error(settled(f, nowUnknown));
                     }
                     String next =
                             f.kind() == ErrorKind.NOT_OWNER && !f.details().isEmpty()
                                     ? f.details().get(0)
                                     : "";
-                    Mono<T> more =
-                            Mono.defer(() -> attempt(part, body, type, until, turn + 1, policy, nowUnknown, next));
+                    Mono<T> more = Mono.defer(() -> attempt(forwarding, turn + 1, nowUnknown, next));
                     return next.isEmpty() ? Delays.pause(env.schedules(), PAUSE).then(more) : more;
                 });
     }
