FleetTest waits for a ready core before its first configuration

On a machine at load 75 a run failed with "no lighthouse answered PUT /v1/layout": the control nodes were still starting when the bounded retries of the first order were over. The test now waits for their readiness, as it does for the other nodes, before it sends the order; the order's own retries are as they were.

--- a/testkit/src/test/java/org/woadvale/operator/FleetTest.java
+++ b/testkit/src/test/java/org/woadvale/operator/FleetTest.java
@@ -60,6 +60,7 @@
             runbooks = new RunbookHarness(t);
             load = new Load(t, f, 5);
             f.startAll();
+            t.await("the core's readiness", LONG, () -> f.lighthouses.stream().allMatch(t::ready));
             t.putConfiguration(t.configuration(), 0, "first");
             t.listProcessors();
             t.await("readiness", LONG, () -> f.all().stream().allMatch(t::ready));
