--- a/common/src/main/java/org/woadvale/common/replication/Leader.java
+++ b/common/src/main/java/org/woadvale/common/replication/Leader.java
@@ -192,31 +192,13 @@
                 .orElse(Duration.ZERO);
     }
 
-    /** One change at a time: a lost disk's new identity, or a wanted member for one not wanted. design 5.6 */
+    /** One change at a time. design 5.6 */
     private void changeMembership() {
-        Map<String, String> members = r.groups.committed();
-        for (Map.Entry<String, FollowerProgress> e : followers.entrySet()) {
-            FollowerProgress f = e.getValue();
-            if (!f.caughtUp() || f.identity.equals(members.get(e.getKey()))) {
-                continue;
-            }
-            Map<String, String> next = new TreeMap<>(members);
-            if (!members.containsKey(e.getKey())) {
-                Optional<String> leaving = members.keySet().stream()
-                        .filter(s -> !r.wanted.contains(s))
-                        .findFirst();
-                boolean grows = members.size() < r.wanted.size();
-                if (!r.wanted.contains(e.getKey()) || leaving.isEmpty() && !grows) {
-                    continue;
-                }
-                leaving.ifPresent(next::remove);
-            }
-            next.put(e.getKey(), f.identity);
-            Replica.LOG.info("keeper: {} seats {} in its group.", r.part, e.getKey());
+        MembershipChange.next(r.groups.committed(), r.wanted, followers).ifPresent(change -> {
+            Replica.LOG.info("keeper: {} seats {} in its group.", r.part, change.joining());
             changeIndex = r.replicatedLog.lastIndex() + 1;
-            append(new LogEntry(r.term, LogEntry.Kind.GROUP, r.env.codec().write(next)));
-            return;
-        }
+            append(new LogEntry(r.term, LogEntry.Kind.GROUP, r.env.codec().write(change.members())));
+        });
     }
 
     Optional<String> successor() {
--- /dev/null
+++ b/common/src/main/java/org/woadvale/common/replication/MembershipChange.java
@@ -0,0 +1,42 @@
+package org.woadvale.common.replication;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * The next change of a group: a follower that has caught up takes its place in it. design 5.6
+ *
+ * @param joining the node that joins, or that is a member already and comes back with another identity
+ * @param members the whole group after the change, node to identity
+ */
+record MembershipChange(String joining, Map<String, String> members) {
+    /** A lost disk's new identity, or a wanted member for one not wanted; empty if there is nothing to change. */
+    static Optional<MembershipChange> next(
+            Map<String, String> members, List<String> wanted, Map<String, FollowerProgress> followers) {
+        return followers.entrySet().stream()
+                .filter(follower -> follower.getValue().caughtUp())
+                .flatMap(follower -> joining(members, wanted, follower.getKey(), follower.getValue().identity).stream())
+                .findFirst();
+    }
+
+    private static Optional<MembershipChange> joining(
+            Map<String, String> members, List<String> wanted, String node, String identity) {
+        if (identity.equals(members.get(node))) {
+            return Optional.empty();
+        }
+        Map<String, String> next = new TreeMap<>(members);
+        if (!members.containsKey(node)) {
+            Optional<String> leaving =
+                    members.keySet().stream().filter(m -> !wanted.contains(m)).findFirst();
+            boolean grows = members.size() < wanted.size();
+            if (!wanted.contains(node) || leaving.isEmpty() && !grows) {
+                return Optional.empty();
+            }
+            leaving.ifPresent(next::remove);
+        }
+        next.put(node, identity);
+        return Optional.of(new MembershipChange(node, next));
+    }
+}
--- a/common/src/main/java/org/woadvale/common/replication/Replica.java
+++ b/common/src/main/java/org/woadvale/common/replication/Replica.java
@@ -146,6 +146,7 @@
         return shard.get(() -> term);
     }
 
+    /** The present phase; it may be another as soon as this returns. */
     public Phase phase() {
         return shard.get(() -> phase);
     }
