Contact time has a class of its own; tests of an exchange wait for votes

RepairTest and SeedsTest took the list of members for the seat: a standby machine knows the list as soon as it is announced, so the next loss came before it voted anywhere. They now ask for its vote in all partitions as well, which is stricter.

--- a/common/src/main/java/org/woadvale/common/replication/Leader.java
+++ b/common/src/main/java/org/woadvale/common/replication/Leader.java
@@ -63,7 +63,7 @@
     }
 
     /** Counted from the sending of the latest renewal that a majority has confirmed. */
-    private Duration leaseEnd() {
+    Duration leaseEnd() {
         List<Duration> sent = new ArrayList<>(
                 followers.values().stream().map(f -> f.confirmed).toList());
         sent.add(r.now());
@@ -82,13 +82,6 @@
         return Duration.ZERO;
     }
 
-    /** When the latest renewal was sent that a majority has confirmed; on others, when a leader was heard. */
-    Duration contactAt() {
-        return r.phase == Phase.OWNING
-                ? leaseEnd().minus(r.env.timing().ownLease())
-                : r.leaseHeardUntil.minus(r.env.timing().lease());
-    }
-
     void append(LogEntry item) {
         r.store.append(List.of(item), this::count);
         followers()
--- /dev/null
+++ b/common/src/main/java/org/woadvale/common/replication/MajorityContactTime.java
@@ -0,0 +1,18 @@
+package org.woadvale.common.replication;
+
+import java.time.Duration;
+
+/** When a replica was last in contact with a majority, as far as it can know without asking. */
+final class MajorityContactTime {
+    private MajorityContactTime() {}
+
+    /**
+     * By the local monotonic clock: on a leader, when the latest renewal was sent that a majority has confirmed; on
+     * others, when a leader was heard. Must run inside the replica's shard.
+     */
+    static Duration of(Replica replica) {
+        return replica.phase == Phase.OWNING
+                ? replica.leading.leaseEnd().minus(replica.env.timing().ownLease())
+                : replica.leaseHeardUntil.minus(replica.env.timing().lease());
+    }
+}
--- a/common/src/main/java/org/woadvale/common/replication/Replica.java
+++ b/common/src/main/java/org/woadvale/common/replication/Replica.java
@@ -169,7 +169,7 @@
 
     /** When this replica was last in contact, by the local monotonic clock: a leader with a majority, others with it. */
     public Duration contactAt() {
-        return shard.get(() -> leading.contactAt());
+        return shard.get(() -> MajorityContactTime.of(this));
     }
 
     public void onChange(Runnable r) {
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/RepairTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/RepairTest.java
@@ -109,6 +109,7 @@
         assertTrue(
                 v.w.sim.runUntil(
                         () -> status.get() == 200
+                                && CoreExchange.votesEverywhere(v.w, spare)
                                 && v.w.controlNode(spare)
                                         .lighthouses()
                                         .equals(wanted.stream().sorted().toList()),
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/SeedsTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/SeedsTest.java
@@ -46,6 +46,7 @@
             assertTrue(
                     v.w.sim.runUntil(
                             () -> status.get() == 200
+                                    && CoreExchange.votesEverywhere(v.w, fresh)
                                     && v.w.controlNode(fresh)
                                             .lighthouses()
                                             .equals(wanted.stream().sorted().toList()),
