--- a/testkit/src/test/java/org/woadvale/testkit/simulation/LateFramesTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/LateFramesTest.java
@@ -21,8 +21,10 @@
                 .filter(l -> v.w.controlNode(l).replica(part).mayAct())
                 .findFirst()
                 .orElseThrow();
+        // not the leader of c0: a machine that does not hear that one has no contact, and turns requests away (6.12)
         String asked = v.w.lighthouses.stream()
-                .filter(l -> !l.equals(owner))
+                .filter(l ->
+                        !l.equals(owner) && !v.w.controlNode(l).replica("c0").mayAct())
                 .findFirst()
                 .orElseThrow();
         for (int k = 1; k <= 6; k++) {
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/PlatformScenariosTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/PlatformScenariosTest.java
@@ -10,15 +10,21 @@
 
 /** As shipped nothing is broken; without the one mechanism that keeps it, the rule is. */
 class PlatformScenariosTest {
+    private static final long MOST_SEEDS = 3;
+
     static List<RuleScenario> scenarios() {
         return PlatformScenarios.all();
     }
 
+    /** Whether the break shows depends on what is under way at the moment: it must in one of the first seeds. */
     @ParameterizedTest
     @MethodSource("scenarios")
     void shippedHoldsAndWithoutItsMechanismTheRuleBreaks(RuleScenario p) throws ServiceException {
-        assertEquals(List.of(), p.shipped(1), p.failure);
-        List<String> broken = p.brokenWithout(1);
+        List<String> broken = List.of();
+        for (long seed = 1; seed <= MOST_SEEDS && !broken.contains(p.rule); seed++) {
+            assertEquals(List.of(), p.shipped(seed), p.failure + ", seed " + seed);
+            broken = p.brokenWithout(seed);
+        }
         assertTrue(broken.contains(p.rule), p.failure + " without " + p.leftOut + ": " + broken);
     }
 }
