--- a/common/src/main/java/org/woadvale/common/cli/KnownFile.java
+++ b/common/src/main/java/org/woadvale/common/cli/KnownFile.java
@@ -10,7 +10,7 @@
 import org.apache.logging.log4j.Logger;
 import org.woadvale.common.membership.CoreMembers;
 
-/** Neighbours learned, kept beside the ring so that the seeds may be down at the next start. */
+/** Peers learned, kept beside the ring so that the seeds may be down at the next start. */
 public final class KnownFile {
     private static final Logger LOG = LogManager.getLogger("helm");
     private static final String EPOCH = "epoch ";
--- a/common/src/main/java/org/woadvale/common/membership/CoreClient.java
+++ b/common/src/main/java/org/woadvale/common/membership/CoreClient.java
@@ -64,7 +64,7 @@
         seeds = List.copyOf(other);
     }
 
-    /** Any process answers who the lighthouses are; so the seeds may be down later. */
+    /** Any process answers who the control nodes are; so the seeds may be down later. */
     public void learn() {
         List<String> from = new ArrayList<>(new TreeSet<>(lighthouses()));
         from.addAll(seeds);
--- a/common/src/main/java/org/woadvale/common/membership/ServiceNames.java
+++ b/common/src/main/java/org/woadvale/common/membership/ServiceNames.java
@@ -8,7 +8,7 @@
 /** Names of services and parts, and the draws by hash that everyone makes alike: design 6.2. */
 public final class ServiceNames {
     public static final String CONFIGURATION = "layout";
-    /** Who the lighthouses should be; kept with the configuration. */
+    /** Who the control nodes should be; kept with the configuration. */
     public static final String CORE = "core";
 
     public static final String INTAKES = "role/intake";
--- a/controlplane/src/main/java/org/woadvale/controlplane/partition/Platform.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/partition/Platform.java
@@ -17,7 +17,7 @@
 import org.woadvale.common.runtime.ServiceException;
 import reactor.core.publisher.Mono;
 
-/** HTTP for the platform: processor lists, leaving marks, and who the lighthouses are. design 6.4 */
+/** HTTP for the platform: processor lists, leaving marks, and who the control nodes are. design 6.4 */
 final class Platform {
     private static final String ADDRESS = "[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}";
     private static final int CHANGES = 8;
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/Run.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/Run.java
@@ -31,7 +31,7 @@
         return l.context().env().times().wall();
     }
 
-    /** Claim, list and pass are looked at when the stream is open; only then the work may happen. */
+    /** Lease, list and pass are looked at when the stream is open; only then the work may happen. */
     Mono<Boolean> push(DeliveryPermit permit) {
         Duration begun = l.context().env().times().mono();
         // the calendar may have jumped since the attempt was committed
--- a/dataplane/src/main/java/org/woadvale/dataplane/queue/Commands.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/queue/Commands.java
@@ -8,7 +8,7 @@
 import org.woadvale.common.rpc.RepeatableRequest;
 import org.woadvale.common.rpc.Since;
 
-/** What is written in the logs of message parts, and asked between pilots. */
+/** What is written in the logs of message parts, and asked between data plane nodes. */
 public final class Commands {
     private Commands() {}
 
@@ -67,7 +67,7 @@
 
     public record Forgotten(int count) {}
 
-    // asks between pilots
+    // asks between data plane nodes
     /** By the clock of the asked process in this life of it: what comes later is refused. design 9.7 */
     public record Until(String life, Duration by) {}
 
--- a/testkit/src/main/java/org/woadvale/testkit/capacity/FleetRuns.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/FleetRuns.java
@@ -187,7 +187,7 @@
         return out;
     }
 
-    /** Means over the nodes, the busiest node, all lighthouses together and the busiest of them; bytes both ways. */
+    /** Means over the nodes, the busiest node, all control nodes together and the busiest of them; bytes both ways. */
     private static void put(
             Map<String, Double> out, HollowFleet f, Map<String, Count> nodes, Map<String, Count> controlNodes, int n) {
         double s = WINDOW.toSeconds();
--- a/testkit/src/main/java/org/woadvale/testkit/capacity/HollowFleet.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/HollowFleet.java
@@ -26,7 +26,7 @@
 import org.woadvale.testkit.simulation.SimDisk;
 import org.woadvale.testkit.stub.TestConfiguration;
 
-/** Three shipped lighthouses and many hollow nodes in one process, on the fake clock. design 12.1 */
+/** Three shipped control nodes and many hollow nodes in one process, on the fake clock. design 12.1 */
 final class HollowFleet {
     static final String LIST = ServiceNames.processors(TestConfiguration.GROUP);
     private static final Duration PATIENCE = Duration.ofSeconds(60);
--- a/testkit/src/main/java/org/woadvale/testkit/cluster/StubEnvironment.java
+++ b/testkit/src/main/java/org/woadvale/testkit/cluster/StubEnvironment.java
@@ -59,7 +59,7 @@
         addresses.put(id, address);
     }
 
-    /** ControlMessages lighthouses in turn until one gives a clear answer. */
+    /** ControlMessages control nodes in turn until one gives a clear answer. */
     public Client.Got operate(String method, String path, byte[] body, Map<String, String> headers) {
         for (int i = 0; i < 60; i++) {
             NodeProcess v = fleet.lighthouses.get(i % fleet.lighthouses.size());
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/FailureScenarios.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/FailureScenarios.java
@@ -147,7 +147,7 @@
         return over(v);
     }
 
-    /** 09: the owner of the configuration is cut off from the other lighthouses; another configuration is taken; then it is read there. */
+    /** 09: the owner of the configuration is cut off from the other control nodes; another configuration is taken; then it is read there. */
     static FleetSimulation ownerOfTheLayoutCutOff(long seed, Seams seams, AtomicReference<String> cut)
             throws ServiceException {
         FleetSimulation v = begun(seed, SMALL, seams);
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/ControlTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/ControlTest.java
@@ -115,7 +115,7 @@
                         .status());
     }
 
-    /** Two operators at once on one base, at different lighthouses. */
+    /** Two operators at once on one base, at different control nodes. */
     @Test
     void ofTwoAtOnceOneWins() {
         for (int round = 0; round < 5; round++) {
