--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -4,4 +4,12 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 export TROUBLE="${TROUBLE:-1}"
-exec java -Xmx256m -cp target/review review.LongHeadsCase "$here"
+java -Xmx256m -cp target/review review.LongHeadsCase "$here" &
+case_pid=$!
+trap 'kill "$case_pid" 2>/dev/null' TERM INT
+wait "$case_pid"
+case $? in
+    0) exit 0 ;;
+    11) exit 1 ;;
+    *) exit 2 ;;
+esac
--- a/review/src/review/Case.java
+++ b/review/src/review/Case.java
@@ -8,6 +8,8 @@
     static final int BROKEN = 1;
     static final int NOT_RUN = 2;
     private static final double LONGEST_S = 115;
+    /** What the process exits with where the rule was broken: no failure to start a JVM has this code. */
+    private static final int EXIT_BROKEN = 11;
 
     Record record;
     Deployment deployment;
@@ -33,7 +35,7 @@
             record.line("the case could not run: " + e);
         }
         record.line("exit " + result);
-        System.exit(result);
+        System.exit(result == BROKEN ? EXIT_BROKEN : result);
     }
 
     private void stopInTime() {
