--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-javac -encoding UTF-8 -source 17 -target 17 -d target/review review/src/review/*.java
+javac -encoding UTF-8 -source 17 -target 17 -d target/review review/src/test/java/review/*.java
--- a/review/src/review/ConfigurationRaceCase.java
+++ b/review/src/test/java/review/ConfigurationRaceCase.java
@@ -12,8 +12,8 @@
 /** Operators change a large configuration at once, on top of the same version. */
 final class ConfigurationRaceCase extends Case {
     private static final int KEYS = 9900;
-    private static final int AT_ONCE = 4;
-    private static final double CHANGES_S = 75;
+    private static final int AT_ONCE = 8;
+    private static final double CHANGES_S = 80;
     private static final double LONGEST_ORDER_S = 5;
     private static final int ENDS_IN_A_DAY = 3;
 
@@ -52,7 +52,7 @@
         double until = record.seconds() + CHANGES_S;
         for (int round = 1; record.seconds() < until; round++) {
             version = round(version, round);
-            Thread.sleep(trouble ? 500 : 3000);
+            Thread.sleep(trouble ? 100 : 3000);
         }
         over = true;
         watch.join(5000);
