--- a/review/src/test/java/review/Deployment.java
+++ b/review/src/test/java/review/Deployment.java
@@ -210,6 +210,12 @@
             Files.createDirectories(data(node));
             yaml.append("dataDir: \"").append(data(node)).append("\"\n");
         }
+        appendRules(yaml);
+        Files.write(node.folder.resolve("node.yaml"), yaml.toString().getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** What is alike on all machines: losses that are tolerated, bounds, the platform's address. */
+    private void appendRules(StringBuilder yaml) {
         yaml.append("discovery: \"platform\"\nentry: \"virtual_ip\"\nbeatIntervalMs: 1200\n");
         yaml.append("contracts: [\"base\", \"drain\", \"config\", \"cost\", \"ingest\", \"recover\", \"tenants\","
                 + " \"quota\"]\n");
@@ -223,7 +229,6 @@
                 + "  ceilingWindowS: 5\n  ceilingOverrun: 1.1\n");
         yaml.append("platformApi:\n  address: \"").append(text(platform()))
                 .append("\"\n  ratePerS: 44.0\n  duties: []\n  maxLagMs: 800\n");
-        Files.write(node.folder.resolve("node.yaml"), yaml.toString().getBytes(StandardCharsets.UTF_8));
     }
 
     static String text(InetSocketAddress address) {
--- a/review/src/test/java/review/RepeatedEndCase.java
+++ b/review/src/test/java/review/RepeatedEndCase.java
@@ -37,13 +37,7 @@
         double until = record.seconds() + LONGEST_PULLING_S;
         for (int turn = 0; record.seconds() < until; turn++) {
             Deployment.Node front = deployment.fronts.get(turn % deployment.fronts.size());
-            Http.Answer job = Http.send(
-                    deployment.front(front),
-                    "POST",
-                    "/-/pull/" + SERVICE,
-                    Map.of("X-Instance-Id", "i-7f3a91c2", "X-Poll-Wait-Ms", "1000"),
-                    new byte[0],
-                    5000);
+            Http.Answer job = pull(front);
             if (job.status() != 200) {
                 record.line("pull at " + front.name + " -> " + job.status() + " " + job.failure());
                 continue;
@@ -55,17 +49,32 @@
                 continue;
             }
             record.line("the job runs; given back before: " + givenBack);
-            Http.Answer first = end(front, lease, "200", "3e1b.07.5a2.600.0.c9f2a4d1");
-            if (first.status() != 200) {
-                return NOT_RUN;
-            }
-            Http.Answer second = end(front, lease, "200", "3e1b.07.5a2.600.0.c9f2a4d1");
-            client.ask("message", accepted.header("X-Message-Ref"), 3);
-            return second.status() == 409 || second.status() >= 400 && second.status() < 500 ? BROKEN : HELD;
+            return endTwice(client, accepted.header("X-Message-Ref"), front, lease);
         }
         return NOT_RUN;
     }
 
+    private Http.Answer pull(Deployment.Node front) {
+        return Http.send(
+                deployment.front(front),
+                "POST",
+                "/-/pull/" + SERVICE,
+                Map.of("X-Instance-Id", "i-7f3a91c2", "X-Poll-Wait-Ms", "1000"),
+                new byte[0],
+                5000);
+    }
+
+    /** The end is taken, and comes again at once. */
+    private int endTwice(Client client, String reference, Deployment.Node front, String lease) throws Exception {
+        Http.Answer first = end(front, lease, "200", "3e1b.07.5a2.600.0.c9f2a4d1");
+        if (first.status() != 200) {
+            return NOT_RUN;
+        }
+        Http.Answer second = end(front, lease, "200", "3e1b.07.5a2.600.0.c9f2a4d1");
+        client.ask("message", reference, 3);
+        return second.status() >= 400 && second.status() < 500 ? BROKEN : HELD;
+    }
+
     private Http.Answer end(Deployment.Node front, String lease, String outcome, String seal) {
         Map<String, String> headers = new HashMap<>();
         headers.put("X-Lease-Id", lease);
--- a/review/src/test/java/review/TwoDisksCase.java
+++ b/review/src/test/java/review/TwoDisksCase.java
@@ -42,20 +42,29 @@
             return NOT_RUN;
         }
         if (trouble) {
-            List<Deployment.Node> lost = deployment.stores.subList(1, 3);
-            for (Deployment.Node node : lost) {
-                deployment.kill(node);
-            }
-            for (Deployment.Node node : lost) {
-                deployment.loseDisk(node);
-            }
-            Thread.sleep(2000);
-            for (Deployment.Node node : lost) {
-                deployment.start(node, false);
-            }
+            loseTwoDisks();
         }
         // more than recoveryS 15 and catchUpS 6 after the machines are back
         Thread.sleep(trouble ? 30_000 : 5_000);
+        return judge(client, accepted);
+    }
+
+    private void loseTwoDisks() throws Exception {
+        List<Deployment.Node> lost = deployment.stores.subList(1, 3);
+        for (Deployment.Node node : lost) {
+            deployment.kill(node);
+        }
+        for (Deployment.Node node : lost) {
+            deployment.loseDisk(node);
+        }
+        Thread.sleep(2000);
+        for (Deployment.Node node : lost) {
+            deployment.start(node, false);
+        }
+    }
+
+    /** Every body must be returned, by whatever front node. */
+    private int judge(Client client, Map<String, byte[]> accepted) throws Exception {
         int lost = 0;
         for (Map.Entry<String, byte[]> message : accepted.entrySet()) {
             Http.Answer body = client.ask("message-body", message.getKey(), lost > 2 ? 1 : 8);
