--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/DeliveryLeases.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/DeliveryLeases.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,7 +12,6 @@
 import org.woadvale.dataplane.queue.MessageCommands;
 import org.woadvale.dataplane.queue.MessagePartitions.MessagePartition;
 import org.woadvale.dataplane.queue.MessageState;
-import org.woadvale.dataplane.queue.ReadyQueue;
 import reactor.core.publisher.Mono;
 
 /**
@@ -48,19 +46,13 @@
     /** Due messages of a service here, for those that pull it; the first place among tenants goes round. */
     List<Message> due(String service, int most, int turn) {
         Instant now = wallTime();
-        return partition.replica().inspect(i -> {
-            List<Message> out = new ArrayList<>();
-            ReadyQueue ready = partition.stateMachine().ready();
-            ready.lanes()
-                    .forEach(lane -> out.addAll(ready.due(
-                            lane,
-                            now,
-                            most,
-                            turn,
-                            message ->
-                                    dispatcher.policy().terms(message).service().equals(service))));
-            return out;
-        });
+        DeliveryPolicy policy = dispatcher.policy();
+        return partition
+                .replica()
+                .inspect(i -> partition
+                        .stateMachine()
+                        .ready()
+                        .dueOfAllLanes(now, most, turn, message -> policy.isOfService(message, service)));
     }
 
     /** The attempt is committed, then all is checked again; empty where it was not handed out. */
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/DeliveryPolicy.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/DeliveryPolicy.java
@@ -39,6 +39,11 @@
                 .orElse(message.terms());
     }
 
+    /** Whether the message is for the given service, by the present terms of its lane. */
+    boolean isOfService(Message message, String service) {
+        return terms(message).service().equals(service);
+    }
+
     /**
      * When the message fails unless delivered; counted from when it was first due, so that a delay asked for is extra.
      */
--- a/dataplane/src/main/java/org/woadvale/dataplane/queue/ReadyQueue.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/queue/ReadyQueue.java
@@ -17,16 +17,16 @@
     private final Map<String, Map<String, TreeSet<Message>>> lanes = new TreeMap<>();
 
     void add(Message message) {
-        lanes.computeIfAbsent(message.lane(), line -> new TreeMap<>())
+        lanes.computeIfAbsent(message.lane(), name -> new TreeMap<>())
                 .computeIfAbsent(message.tenant(), t -> new TreeSet<>(BY_DUE))
                 .add(message);
     }
 
     void remove(Message message) {
         Map<String, TreeSet<Message>> tenants = lanes.getOrDefault(message.lane(), Map.of());
-        TreeSet<Message> line = tenants.getOrDefault(message.tenant(), new TreeSet<>(BY_DUE));
-        line.remove(message);
-        if (line.isEmpty() && !tenants.isEmpty()) {
+        TreeSet<Message> messages = tenants.getOrDefault(message.tenant(), new TreeSet<>(BY_DUE));
+        messages.remove(message);
+        if (messages.isEmpty() && !tenants.isEmpty()) {
             tenants.remove(message.tenant());
         }
         if (tenants.isEmpty()) {
@@ -43,27 +43,34 @@
         return List.copyOf(lanes.keySet());
     }
 
-    /** The due ones of a lane, one of each tenant in turn: a long line of one tenant hides nobody's. */
+    /** The due ones of a lane, one of each tenant in turn: many messages of one tenant hide no other tenant's. */
     public List<Message> due(String lane, Instant now, int most, int turn, Predicate<Message> desired) {
-        List<List<Message>> lines = new ArrayList<>();
+        List<List<Message>> byTenant = new ArrayList<>();
         Map<String, TreeSet<Message>> tenants = lanes.getOrDefault(lane, Map.of());
         int each = Math.max(1, most / Math.max(1, tenants.size()));
         tenants.values()
-                .forEach(line -> lines.add(line.stream()
+                .forEach(messages -> byTenant.add(messages.stream()
                         .takeWhile(message -> !message.due().isAfter(now))
                         .filter(desired)
                         .limit(each)
                         .toList()));
         // the first place goes round, for when there is room for one only
-        Collections.rotate(lines, turn);
+        Collections.rotate(byTenant, turn);
         List<Message> out = new ArrayList<>();
         for (int i = 0; i < each; i++) {
-            for (List<Message> line : lines) {
-                if (i < line.size()) {
-                    out.add(line.get(i));
+            for (List<Message> ofTenant : byTenant) {
+                if (i < ofTenant.size()) {
+                    out.add(ofTenant.get(i));
                 }
             }
         }
         return out;
     }
+
+    /** The due ones of all lanes, lane by lane, as {@link #due} has them. */
+    public List<Message> dueOfAllLanes(Instant now, int mostPerLane, int turn, Predicate<Message> desired) {
+        List<Message> due = new ArrayList<>();
+        lanes().forEach(lane -> due.addAll(due(lane, now, mostPerLane, turn, desired)));
+        return due;
+    }
 }
