Groups have 2f+1 members by the fault tolerance of the settings

Cause: every message partition had three replicas and the core three members, whatever the settings said; the tolerated losses were not read at all. Two lost disks are then a majority of a group wherever both were in it.

Change: FaultTolerance (machines, zones, regions) decides the size of a group and how its members are spread. Placement founds groups of that size, or of the largest odd number of stores that are there, grows them one replica at a time, and lets a list that was never founded do without a store that is gone. The core grows from its three seeds by standby machines, one at a time; a member that was just added is not taken for one that has been silent. The balancer keeps the zone with most replicas from getting more, where it looked at the number of zones only. PUT /v1/core takes as many members as there are. Fleets that bear one loss have groups of three as before.

--- a/common/src/main/java/org/woadvale/common/config/Settings.java
+++ b/common/src/main/java/org/woadvale/common/config/Settings.java
@@ -1,6 +1,7 @@
 package org.woadvale.common.config;
 
 import com.fasterxml.jackson.annotation.JsonAlias;
+import jakarta.validation.Valid;
 import jakarta.validation.constraints.Max;
 import jakarta.validation.constraints.Min;
 import jakarta.validation.constraints.NotNull;
@@ -16,6 +17,7 @@
 import org.woadvale.common.error.ErrorKind;
 import org.woadvale.common.error.InvalidRequestException;
 import org.woadvale.common.error.ServiceException;
+import org.woadvale.common.membership.FaultTolerance;
 import org.woadvale.common.membership.ServiceNames;
 
 /** What a process learns of its place (docs/design.md, section 10.1). */
@@ -47,7 +49,8 @@
 
         @Min(0) @Max(3600000) long leaseMs,
         @Min(0) @Max(604800) int keepEndedS,
-        @Min(0) @Max(60000) long lingerMs) {
+        @Min(0) @Max(60000) long lingerMs,
+        @Valid FaultTolerance faultTolerance) {
 
     private static final String OCTET = "(25[0-5]|2[0-4][0-9]|1?[0-9]{1,2})";
     private static final String PORT = "(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}|[1-5]?[0-9]{1,4})";
@@ -77,9 +80,10 @@
         operatorKeySha256 = operatorKeySha256 == null ? "" : operatorKeySha256;
         leaseMs = leaseMs == 0 ? USUAL_LEASE_MS : leaseMs;
         keepEndedS = keepEndedS == 0 ? USUAL_KEEP_ENDED_S : keepEndedS;
+        faultTolerance = faultTolerance == null ? FaultTolerance.ONE_MACHINE : faultTolerance;
     }
 
-    /** Settings with the usual lease, retention and linger times. */
+    /** Settings with the usual lease, retention and linger times, for fleets that bear the loss of one machine. */
     public Settings(
             String address,
             String http,
@@ -108,7 +112,8 @@
                 listen,
                 0,
                 0,
-                0);
+                0,
+                FaultTolerance.ONE_MACHINE);
     }
 
     /** The settings in a file; fails with each fault by its field. */
@@ -191,7 +196,8 @@
                 listen,
                 leaseMs,
                 keepEndedS,
-                lingerMs));
+                lingerMs,
+                faultTolerance));
     }
 
     private static String or(String flag, String given) {
--- a/controlplane/src/main/java/org/woadvale/controlplane/ControlPlaneProgram.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/ControlPlaneProgram.java
@@ -121,8 +121,12 @@
                 new SystemClock(), timers, rpc, codec, wal, random::nextLong, ReplicationTiming.partitions());
         CoreClient core =
                 new CoreClient(rpc, random::nextLong, settings.seeds(), membersFile.read(), membersFile::write);
-        ControlNode node =
-                new ControlNode(environment, core, settings.join() ? List.of() : settings.seeds(), settings.zone());
+        ControlNode node = new ControlNode(
+                environment,
+                core,
+                settings.join() ? List.of() : settings.seeds(),
+                settings.zone(),
+                settings.faultTolerance());
         node.route(router);
         OperatorHttpHandler operators = new OperatorHttpHandler(node, settings.operatorKeySha256());
         operators.route(router);
--- a/controlplane/src/main/java/org/woadvale/controlplane/api/CoreHttpHandler.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/api/CoreHttpHandler.java
@@ -23,7 +23,6 @@
 final class CoreHttpHandler {
     private static final int OK = 200;
     private static final String ADDRESS = "[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}";
-    private static final int MEMBERS = 3;
     private static final String PARTITION = ServiceNames.controlPart(ServiceNames.CORE);
     /** The field of the body that lists the members. */
     private static final String FIELD = "lighthouses";
@@ -40,11 +39,16 @@
 
     private Mono<Response> put(Request request) throws ServiceException {
         List<String> members = members(request);
+        List<String> present = node.controlNodes();
         if (node.replica(PARTITION).members().isEmpty()) {
             throw new UnavailableException("This control node has not joined yet; ask another.");
         }
-        List<String> present = node.controlNodes();
-        if (members.stream().filter(present::contains).count() < MEMBERS - 1) {
+        if (members.size() != present.size()) {
+            throw new InvalidRequestException(
+                    FIELD + " must be as many internal addresses as the core has members, which are "
+                            + String.join(", ", present) + ".");
+        }
+        if (members.stream().filter(present::contains).count() < present.size() - 1) {
             throw new ConflictException("Only one control node may be exchanged at a time; the present ones are "
                     + String.join(", ", present) + ".");
         }
@@ -60,8 +64,8 @@
                 .path(FIELD)
                 .forEach(member -> members.add(member.asText()));
         boolean addresses = members.stream().allMatch(member -> member.matches(ADDRESS));
-        if (members.size() != MEMBERS || new HashSet<>(members).size() != MEMBERS || !addresses) {
-            throw new InvalidRequestException(FIELD + " must be three different internal addresses.");
+        if (members.isEmpty() || new HashSet<>(members).size() != members.size() || !addresses) {
+            throw new InvalidRequestException(FIELD + " must be different internal addresses.");
         }
         return members;
     }
--- a/controlplane/src/main/java/org/woadvale/controlplane/membership/Announcements.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/membership/Announcements.java
@@ -2,12 +2,13 @@
 
 import java.time.Duration;
 import java.util.Comparator;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
-import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Stream;
 import org.woadvale.common.membership.CoreMembers;
+import org.woadvale.common.membership.FaultTolerance;
 import org.woadvale.common.runtime.Clock;
 
 /**
@@ -20,12 +21,14 @@
     private record Announcement(String zone, Duration receivedAt) {}
 
     private final Clock clock;
+    private final FaultTolerance faultTolerance;
     // no lock: two decisions made at once carry the same epoch, and one of them is accepted
     private final Map<String, Announcement> running = new ConcurrentHashMap<>();
     private final Map<String, Duration> leaving = new ConcurrentHashMap<>();
 
-    Announcements(Clock clock) {
+    Announcements(Clock clock, FaultTolerance faultTolerance) {
         this.clock = clock;
+        this.faultTolerance = faultTolerance;
     }
 
     void onRunning(String node, String zone) {
@@ -45,18 +48,38 @@
         return !at.isZero() && clock.monotonicTime().minus(at).compareTo(VALID_FOR) < 0;
     }
 
-    /** A machine that runs and is no member, by preference in a zone that no remaining member is in. */
+    /** A machine that runs and is no member, by preference in a zone with few of the members that stay. */
     Optional<String> findStandby(CoreMembers present, String leaver) {
-        Set<String> takenZones = new TreeSet<>();
-        present.members().stream()
-                .filter(member -> !member.equals(leaver) && running.containsKey(member))
-                .forEach(member -> takenZones.add(running.get(member).zone()));
+        return findStandby(
+                present,
+                present.members().stream()
+                        .filter(member -> !member.equals(leaver))
+                        .toList());
+    }
+
+    /** A machine that runs and is no member, by preference in a zone with few of the members. */
+    Optional<String> findStandby(CoreMembers present) {
+        return findStandby(present, present.members());
+    }
+
+    private Optional<String> findStandby(CoreMembers present, List<String> staying) {
+        List<String> zones = staying.stream()
+                .filter(running::containsKey)
+                .map(member -> running.get(member).zone())
+                .toList();
+        Comparator<Map.Entry<String, Announcement>> byZone =
+                Comparator.comparing(machine -> machine.getValue().zone(), faultTolerance.leastUsedZone(zones));
+        return standbys(present).min(byZone.thenComparing(Map.Entry::getKey)).map(Map.Entry::getKey);
+    }
+
+    /** How many machines run and are no members. */
+    int countStandbys(CoreMembers present) {
+        return (int) standbys(present).count();
+    }
+
+    private Stream<Map.Entry<String, Announcement>> standbys(CoreMembers present) {
         return running.entrySet().stream()
                 .filter(machine -> !present.members().contains(machine.getKey()) && !isLeaving(machine.getKey()))
-                .filter(machine -> isRecent(machine.getValue().receivedAt()))
-                .min(Comparator.<Map.Entry<String, Announcement>, Boolean>comparing(machine ->
-                                takenZones.contains(machine.getValue().zone()))
-                        .thenComparing(Map.Entry::getKey))
-                .map(Map.Entry::getKey);
+                .filter(machine -> isRecent(machine.getValue().receivedAt()));
     }
 }
--- a/controlplane/src/main/java/org/woadvale/controlplane/membership/CoreMembership.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/membership/CoreMembership.java
@@ -17,6 +17,7 @@
 import org.woadvale.common.membership.ControlMessages.UpdateResult;
 import org.woadvale.common.membership.CoreClient;
 import org.woadvale.common.membership.CoreMembers;
+import org.woadvale.common.membership.FaultTolerance;
 import org.woadvale.common.replication.NodeEnvironment;
 import org.woadvale.common.replication.Replica;
 import org.woadvale.controlplane.state.ControlStateMachine;
@@ -24,8 +25,9 @@
 
 /**
  * Who the members of the core are. Every control machine announces itself; the leader of partition c0 puts a standby
- * machine in the place of a member that is gone or leaves, one at a time, by a committed command that carries the epoch
- * of the list that it was made from. Why this is safe: docs/design.md, section 6.10.
+ * machine in the place of a member that is gone or leaves, and adds standby machines while the core is smaller than the
+ * fault tolerance asks for; one at a time, by a committed command that carries the epoch of the list that it was made
+ * from. Why this is safe: docs/design.md, section 6.10.
  */
 public final class CoreMembership {
     private static final Logger LOG = LogManager.getLogger(CoreMembership.class);
@@ -33,6 +35,7 @@
     private final Replica<ControlCommand, ControlResult> c0;
     private final ControlStateMachine stateMachine;
     private final Supplier<List<Replica<ControlCommand, ControlResult>>> replicas;
+    private final FaultTolerance faultTolerance;
     private final Announcements announcements;
     private final MemberContacts contacts;
     private final CoreAnnouncer announcer;
@@ -41,6 +44,7 @@
     /**
      * Membership as seen by one control node.
      *
+     * @param faultTolerance what the core must bear
      * @param c0 the replica of the partition that holds the list
      * @param replicas the replicas of all control partitions on this node
      */
@@ -48,13 +52,15 @@
             NodeEnvironment environment,
             CoreClient core,
             String zone,
+            FaultTolerance faultTolerance,
             Replica<ControlCommand, ControlResult> c0,
             ControlStateMachine stateMachine,
             Supplier<List<Replica<ControlCommand, ControlResult>>> replicas) {
         this.c0 = c0;
         this.stateMachine = stateMachine;
         this.replicas = replicas;
-        this.announcements = new Announcements(environment.clock());
+        this.faultTolerance = faultTolerance;
+        this.announcements = new Announcements(environment.clock(), faultTolerance);
         this.contacts = new MemberContacts(environment, c0);
         this.announcer = new CoreAnnouncer(environment, core, zone, c0);
     }
@@ -66,8 +72,8 @@
 
     /** Called with each tick of the node: announces this machine where that is needed, and decides as the leader. */
     public void onTick() {
-        contacts.onTick();
-        decideExchange();
+        contacts.onTick(committed().members());
+        decideChange();
         announcer.onTick();
     }
 
@@ -80,7 +86,7 @@
     public Mono<ControlMessages.CoreMembersResponse> onAnnouncement(ControlMessages.AnnounceStandbyRequest request) {
         return c0.read(index -> stateMachine.coreMembers()).map(present -> {
             announcements.onRunning(request.node(), request.zone());
-            decideExchange();
+            decideChange();
             return new ControlMessages.CoreMembersResponse(present.members(), present.epoch());
         });
     }
@@ -89,7 +95,7 @@
     public Mono<UpdateResult> onLeaveRequest(ControlMessages.LeaveCoreRequest request) {
         return c0.read(index -> stateMachine.coreMembers()).map(present -> {
             announcements.onLeaving(request.node());
-            decideExchange();
+            decideChange();
             boolean voting = groups().stream().anyMatch(group -> group.contains(request.node()));
             boolean successorExpected = !contacts.watchedFor(CoreAnnouncer.LEAVE_ANSWER_TIMEOUT)
                     || !present.members().contains(request.node())
@@ -110,8 +116,8 @@
                 .toList();
     }
 
-    /** At most one exchange at a time, and only by a leader that a majority follows. */
-    private void decideExchange() {
+    /** At most one change at a time, and only by a leader that a majority follows. */
+    private void decideChange() {
         if (proposing.get() || !c0.isActiveLeader()) {
             return;
         }
@@ -120,10 +126,13 @@
             propose(new TreeSet<>(c0.members().keySet()), present.epoch(), "bootstrapped");
             return;
         }
-        findLeaver(present)
-                .ifPresent(leaver -> announcements
-                        .findStandby(present, leaver)
-                        .ifPresent(joiner -> exchange(present, leaver, joiner)));
+        Optional<String> leaver = findLeaver(present);
+        Optional<String> successor = leaver.flatMap(member -> announcements.findStandby(present, member));
+        if (successor.isPresent()) {
+            exchange(present, leaver.orElseThrow(), successor.get());
+        } else if (mayGrow(present)) {
+            announcements.findStandby(present).ifPresent(joiner -> grow(present, joiner));
+        }
     }
 
     private void exchange(CoreMembers present, String leaver, String joiner) {
@@ -133,6 +142,24 @@
         propose(members, present.epoch(), joiner + " for " + leaver);
     }
 
+    /** All groups have the members of the list, and with the machines that stand by the core can bear more losses. */
+    private boolean mayGrow(CoreMembers present) {
+        int size = present.members().size();
+        int available = size + announcements.countStandbys(present);
+        return size < faultTolerance.attainableGroupSize(available) && !isChanging(present);
+    }
+
+    private void grow(CoreMembers present, String joiner) {
+        TreeSet<String> members = new TreeSet<>(present.members());
+        members.add(joiner);
+        propose(members, present.epoch(), joiner + " joins, of " + faultTolerance.groupSize() + " members to be");
+    }
+
+    /** Whether some group does not have the members of the list yet. */
+    private boolean isChanging(CoreMembers present) {
+        return groups().stream().anyMatch(group -> !group.equals(Set.copyOf(present.members())));
+    }
+
     private void propose(TreeSet<String> members, long epoch, String reason) {
         proposing.set(true);
         LOG.info("Members of the core become {}: {}.", members, reason);
@@ -144,11 +171,11 @@
     /** Who is to be replaced: a member that said so, or else the one that was out of contact for longest. */
     private Optional<String> findLeaver(CoreMembers present) {
         List<Set<String>> groups = groups();
-        boolean exchanging = groups.stream().anyMatch(group -> !group.equals(Set.copyOf(present.members())));
+        boolean changing = isChanging(present);
         return present.members().stream()
-                // while one exchange is under way only its own newcomer may be given up for another
+                // while one change is under way only its own newcomer may be given up for another
                 .filter(member ->
-                        !exchanging || groups.stream().anyMatch(group -> !group.isEmpty() && !group.contains(member)))
+                        !changing || groups.stream().anyMatch(group -> !group.isEmpty() && !group.contains(member)))
                 .filter(member -> announcements.isLeaving(member) || contacts.isAbsent(member))
                 .max(Comparator.comparing(announcements::isLeaving).thenComparing(contacts::timeSinceContact));
     }
--- a/controlplane/src/main/java/org/woadvale/controlplane/membership/MemberContacts.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/membership/MemberContacts.java
@@ -1,7 +1,10 @@
 package org.woadvale.controlplane.membership;
 
 import java.time.Duration;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import org.woadvale.common.membership.ControlMessages.ControlCommand;
 import org.woadvale.common.membership.ControlMessages.ControlResult;
 import org.woadvale.common.replication.NodeEnvironment;
@@ -23,13 +26,18 @@
     private volatile Duration lastTick = Duration.ZERO;
     private volatile Duration watchingSince = Duration.ZERO;
     private volatile FormerLeader formerLeader = new FormerLeader("", Duration.ZERO);
+    /** When each member was first seen in the list: before, it was not sent to. */
+    private final Map<String, Duration> memberSince = new ConcurrentHashMap<>();
 
     MemberContacts(NodeEnvironment environment, Replica<ControlCommand, ControlResult> c0) {
         this.environment = environment;
         this.c0 = c0;
     }
 
-    void onTick() {
+    /** Looks at how long this machine has been leading, and from when on each of the members counts as one. */
+    void onTick(List<String> members) {
+        memberSince.keySet().retainAll(members);
+        members.forEach(member -> memberSince.putIfAbsent(member, now()));
         boolean frozen = now().minus(lastTick).compareTo(LONGEST_TICK_GAP) > 0;
         if (frozen || !c0.isActiveLeader()) {
             watchingSince = now();
@@ -55,7 +63,12 @@
         if (contact.isEmpty() && member.equals(formerLeader.node())) {
             return now().minus(formerLeader.lastContact());
         }
-        return now().minus(contact.filter(at -> at.compareTo(watchingSince) > 0).orElse(watchingSince));
+        Duration watched = latest(watchingSince, memberSince.getOrDefault(member, now()));
+        return now().minus(latest(watched, contact.orElse(Duration.ZERO)));
+    }
+
+    private static Duration latest(Duration one, Duration other) {
+        return one.compareTo(other) > 0 ? one : other;
     }
 
     private Duration now() {
--- a/controlplane/src/main/java/org/woadvale/controlplane/node/ControlNode.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/node/ControlNode.java
@@ -17,6 +17,7 @@
 import org.woadvale.common.membership.ControlMessages.UpdateResult;
 import org.woadvale.common.membership.CoreClient;
 import org.woadvale.common.membership.CoreMembers;
+import org.woadvale.common.membership.FaultTolerance;
 import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.replication.NodeEnvironment;
 import org.woadvale.common.replication.Replica;
@@ -73,17 +74,24 @@
      *
      * @param desiredMembers the first members of the core; empty for a node that joins a running core, which votes once
      *     the leaders have made it a member
+     * @param faultTolerance what the core's group and the groups of the message partitions must bear
      */
-    public ControlNode(NodeEnvironment environment, CoreClient core, List<String> desiredMembers, String zone) {
+    public ControlNode(
+            NodeEnvironment environment,
+            CoreClient core,
+            List<String> desiredMembers,
+            String zone,
+            FaultTolerance faultTolerance) {
         this.environment = environment;
         this.core = core;
         for (String id : ServiceNames.controlParts()) {
             partitions.put(id, newPartition(id, desiredMembers));
         }
         ControlPartition c0 = partitions.get(ServiceNames.controlPart(ServiceNames.CORE));
-        this.membership = new CoreMembership(environment, core, zone, c0.replica(), c0.stateMachine(), this::replicas);
+        this.membership = new CoreMembership(
+                environment, core, zone, faultTolerance, c0.replica(), c0.stateMachine(), this::replicas);
         ControlPartition stores = partitions.get(ServiceNames.controlPart(ServiceNames.STORES));
-        this.placement = new PlacementDriver(environment, stores.replica(), stores.stateMachine());
+        this.placement = new PlacementDriver(environment, stores.replica(), stores.stateMachine(), faultTolerance);
         this.contact = new MajorityContact(environment, core, c0.replica(), membership::announcementAnsweredAt);
         this.retryingClient = new RetryingCoreClient(environment, core, contact::isInContact);
     }
--- a/controlplane/src/main/java/org/woadvale/controlplane/placement/PlacementDriver.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/placement/PlacementDriver.java
@@ -2,9 +2,12 @@
 
 import java.util.List;
 import java.util.Map;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.woadvale.common.membership.ControlMessages;
 import org.woadvale.common.membership.ControlMessages.ControlCommand;
 import org.woadvale.common.membership.ControlMessages.ControlResult;
+import org.woadvale.common.membership.FaultTolerance;
 import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.membership.ServiceView;
 import org.woadvale.common.replication.NodeEnvironment;
@@ -13,20 +16,28 @@
 
 /** Writes the placement of the message partitions and tells the stores of it, while this node leads it. */
 public final class PlacementDriver {
+    private static final Logger LOG = LogManager.getLogger(PlacementDriver.class);
+
     private final NodeEnvironment environment;
     private final Replica<ControlCommand, ControlResult> replica;
     private final ControlStateMachine stateMachine;
-    private final ReplicaPlacement placement = new ReplicaPlacement();
+    private final FaultTolerance faultTolerance;
+    private final ReplicaPlacement placement;
     private long tickedVersion = -1;
+    /** The smallest number of replicas that a partition had when the log was last told of it. */
+    private int loggedGroupSize;
 
     /** Placement as decided by the replica of the partition that holds it. */
     public PlacementDriver(
             NodeEnvironment environment,
             Replica<ControlCommand, ControlResult> replica,
-            ControlStateMachine stateMachine) {
+            ControlStateMachine stateMachine,
+            FaultTolerance faultTolerance) {
         this.environment = environment;
         this.replica = replica;
         this.stateMachine = stateMachine;
+        this.faultTolerance = faultTolerance;
+        this.placement = new ReplicaPlacement(faultTolerance);
     }
 
     /** A store renewed its lease: if that changed anything, the placement is checked now and not with the next tick. */
@@ -45,6 +56,7 @@
         tickedVersion = stores.version();
         Map<String, List<String>> next =
                 placement.next(stores, environment.clock().monotonicTime());
+        logGroupSize(next);
         if (!next.equals(stores.placement())) {
             replica.propose(
                             new ControlMessages.PutPlacement(next, stores.version()),
@@ -53,6 +65,20 @@
         }
     }
 
+    /** Groups that bear fewer losses than they should are named once for each size, and once more when they are whole. */
+    private void logGroupSize(Map<String, List<String>> partitions) {
+        int smallest = partitions.values().stream().mapToInt(List::size).min().orElse(faultTolerance.groupSize());
+        if (smallest < faultTolerance.groupSize() && smallest != loggedGroupSize) {
+            LOG.warn(
+                    "Message partitions have {} replicas of the {} that the fault tolerance asks for, until more stores come.",
+                    smallest,
+                    faultTolerance.groupSize());
+        } else if (smallest >= faultTolerance.groupSize() && loggedGroupSize > 0) {
+            LOG.info("All message partitions have {} replicas.", smallest);
+        }
+        loggedGroupSize = smallest < faultTolerance.groupSize() ? smallest : 0;
+    }
+
     private void notifyStores() {
         ServiceView stores = replica.inspect(index -> stateMachine.service(ServiceNames.STORES));
         ControlMessages.PlacementChanged notice = new ControlMessages.PlacementChanged(stores.version());
--- a/controlplane/src/main/java/org/woadvale/controlplane/placement/ReplicaBalancer.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/placement/ReplicaBalancer.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.woadvale.common.membership.FaultTolerance;
 import org.woadvale.common.membership.MemberLease;
 import org.woadvale.common.membership.ServiceView;
 
@@ -23,10 +24,15 @@
     /** New replicas of a partition; the store that is to join, or none where only the order changes. */
     record Change(String partition, List<String> replicas, Optional<String> to) {}
 
+    private final FaultTolerance faultTolerance;
     private Set<String> members = Set.of();
     private Duration stableSince = Duration.ZERO;
     private Duration lastChange = Duration.ZERO;
 
+    ReplicaBalancer(FaultTolerance faultTolerance) {
+        this.faultTolerance = faultTolerance;
+    }
+
     void observe(Set<String> now, Duration at) {
         if (!now.equals(members)) {
             members = Set.copyOf(now);
@@ -47,7 +53,7 @@
     }
 
     /**
-     * A replica goes from a fuller store to the emptiest while they differ by two; no partition gets into fewer zones.
+     * A replica goes from a fuller store to the emptiest while they differ by two; no partition is spread worse by it.
      */
     private Optional<Change> moveReplica(ServiceView view) {
         Map<String, Integer> load = load(view.placement());
@@ -63,8 +69,9 @@
                                 && !entry.getValue().contains(least))
                         .map(entry -> new Change(
                                 entry.getKey(), replaced(entry.getValue(), fuller, least), Optional.of(least)))
-                        .filter(change -> zones(view.members(), change.replicas())
-                                >= zones(view.members(), view.placement().get(change.partition()))))
+                        .filter(change -> faultTolerance.spreadAsWell(
+                                zones(view.members(), view.placement().get(change.partition())),
+                                zones(view.members(), change.replicas()))))
                 .findFirst();
     }
 
@@ -74,11 +81,8 @@
         return List.copyOf(changed);
     }
 
-    private static long zones(Map<String, MemberLease> members, List<String> replicas) {
-        return replicas.stream()
-                .map(store -> members.get(store).zone())
-                .distinct()
-                .count();
+    private static List<String> zones(Map<String, MemberLease> members, List<String> replicas) {
+        return replicas.stream().map(store -> members.get(store).zone()).toList();
     }
 
     /** The first replica of a partition is its preferred leader: those are spread in the same way, by order alone. */
--- a/controlplane/src/main/java/org/woadvale/controlplane/placement/ReplicaPlacement.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/placement/ReplicaPlacement.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -10,17 +11,18 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import org.woadvale.common.membership.FaultTolerance;
 import org.woadvale.common.membership.LedGroup;
 import org.woadvale.common.membership.MemberLease;
 import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.membership.ServiceView;
 
 /**
- * Chooses three stores in different zones for each message partition, and replaces those that are gone. Holds only what
- * the leader has seen; a new leader begins anew.
+ * Chooses the stores of each message partition, as many as the fault tolerance asks for and spread over zones, replaces
+ * those that are gone, and adds to a group that is too small once more stores are there. Holds only what the leader has
+ * seen; a new leader begins anew.
  */
 final class ReplicaPlacement {
-    static final int REPLICAS = 3;
     /** Without a newcomer a store is replaced only after it has been away for so long. */
     static final Duration GIVE_UP_AFTER = Duration.ofSeconds(10);
 
@@ -37,9 +39,15 @@
     /** Stores whose successor was there when they went: what they still hold moves without another wait. */
     private final Set<String> succeeded = new HashSet<>();
 
-    private final ReplicaBalancer balancer = new ReplicaBalancer();
+    private final FaultTolerance faultTolerance;
+    private final ReplicaBalancer balancer;
     private Duration allPlacedSince = Duration.ZERO;
 
+    ReplicaPlacement(FaultTolerance faultTolerance) {
+        this.faultTolerance = faultTolerance;
+        this.balancer = new ReplicaBalancer(faultTolerance);
+    }
+
     /** The placement that should be; the present one where nothing is to be done. */
     Map<String, List<String>> next(ServiceView view, Duration now) {
         view.members().keySet().forEach(store -> lastSeen.put(store, now));
@@ -53,7 +61,9 @@
         Map<String, List<String>> next = new TreeMap<>(present);
         for (String partition : ServiceNames.messageParts()) {
             if (!moving.containsKey(partition)) {
-                repaired(view, partition, next, now).ifPresent(change -> begin(change, next, now));
+                repaired(view, partition, next, now)
+                        .or(() -> grown(view, partition, next))
+                        .ifPresent(change -> begin(change, next, now));
             }
         }
         if (moving.isEmpty() && view.members().values().stream().noneMatch(MemberLease::leaving)) {
@@ -108,37 +118,84 @@
 
     private Optional<ReplicaBalancer.Change> repaired(
             ServiceView view, String partition, Map<String, List<String>> next, Duration now) {
-        List<String> replicas = new ArrayList<>(next.get(partition));
-        for (int i = 0; i < replicas.size(); i++) {
-            if (isGone(replicas.get(i), now)) {
-                List<String> rest = new ArrayList<>(replicas);
-                rest.remove(i);
-                List<String> spare = candidates(view.members(), rest, next).stream()
-                        .filter(store -> serves(view, store) && !replicas.contains(store))
-                        .toList();
-                if (!spare.isEmpty()) {
-                    replicas.set(i, spare.get(0));
-                    return Optional.of(
-                            new ReplicaBalancer.Change(partition, List.copyOf(replicas), Optional.of(spare.get(0))));
+        for (String store : next.get(partition)) {
+            if (isGone(store, now)) {
+                Optional<ReplicaBalancer.Change> change =
+                        replaced(view, partition, store, next).or(() -> withoutUnfounded(view, partition, store, next));
+                if (change.isPresent()) {
+                    return change;
                 }
             }
         }
         return Optional.empty();
     }
 
+    private Optional<ReplicaBalancer.Change> replaced(
+            ServiceView view, String partition, String gone, Map<String, List<String>> next) {
+        List<String> replicas = next.get(partition);
+        List<String> rest = except(replicas, gone);
+        return spare(view, replicas, rest, next).map(spare -> {
+            List<String> changed = new ArrayList<>(replicas);
+            Collections.replaceAll(changed, gone, spare);
+            return new ReplicaBalancer.Change(partition, List.copyOf(changed), Optional.of(spare));
+        });
+    }
+
+    /**
+     * A group is founded only by all of its members. One that no store leads yet does without a store that is gone, and
+     * gets another once there is one. A group that was founded before keeps its members whatever the placement says.
+     */
+    private static Optional<ReplicaBalancer.Change> withoutUnfounded(
+            ServiceView view, String partition, String gone, Map<String, List<String>> next) {
+        List<String> rest = except(next.get(partition), gone);
+        boolean unfounded = group(view, partition).isEmpty();
+        return unfounded && rest.size() >= FaultTolerance.SMALLEST_GROUP
+                ? Optional.of(new ReplicaBalancer.Change(partition, rest, Optional.empty()))
+                : Optional.empty();
+    }
+
+    /** One more replica for a group that is smaller than the fault tolerance asks for, if that makes it bear more. */
+    private Optional<ReplicaBalancer.Change> grown(ServiceView view, String partition, Map<String, List<String>> next) {
+        List<String> replicas = next.get(partition);
+        long serving = view.members().keySet().stream()
+                .filter(store -> serves(view, store))
+                .count();
+        if (replicas.size() >= faultTolerance.attainableGroupSize((int) serving)) {
+            return Optional.empty();
+        }
+        return spare(view, replicas, replicas, next).map(spare -> {
+            List<String> changed = new ArrayList<>(replicas);
+            changed.add(spare);
+            return new ReplicaBalancer.Change(partition, List.copyOf(changed), Optional.of(spare));
+        });
+    }
+
+    /** A store that serves and is not among the replicas, spread from those that stay. */
+    private Optional<String> spare(
+            ServiceView view, List<String> replicas, List<String> staying, Map<String, List<String>> next) {
+        return candidates(view.members(), staying, next).stream()
+                .filter(store -> serves(view, store) && !replicas.contains(store))
+                .findFirst();
+    }
+
+    private static List<String> except(List<String> replicas, String store) {
+        return replicas.stream().filter(replica -> !replica.equals(store)).toList();
+    }
+
     private Map<String, List<String>> first(Map<String, MemberLease> members, Duration now) {
-        if (members.size() < REPLICAS) {
+        if (members.size() < FaultTolerance.SMALLEST_GROUP) {
             return Map.of();
         }
-        // a moment after the third store, so that a fourth that starts with them gets its share
+        // a moment after the third store, so that those that start with them get their share
         allPlacedSince = allPlacedSince.isZero() ? now : allPlacedSince;
         if (now.minus(allPlacedSince).compareTo(FIRST_PLACEMENT_DELAY) < 0) {
             return Map.of();
         }
+        int groupSize = faultTolerance.attainableGroupSize(members.size());
         Map<String, List<String>> placement = new TreeMap<>();
         for (String partition : ServiceNames.messageParts()) {
             List<String> replicas = new ArrayList<>();
-            while (replicas.size() < REPLICAS) {
+            while (replicas.size() < groupSize) {
                 replicas.add(candidates(members, replicas, placement).get(0));
             }
             placement.put(partition, leadersSpread(replicas, placement));
@@ -155,17 +212,19 @@
         return List.copyOf(sorted);
     }
 
-    /** Those not yet used, other zones first, then the least loaded. */
-    private static List<String> candidates(
+    /** Those not yet used, the zones with the fewest of the used ones first, then the least loaded. */
+    private List<String> candidates(
             Map<String, MemberLease> members, List<String> used, Map<String, List<String>> placement) {
-        Set<String> zones = new HashSet<>();
-        used.forEach(store ->
-                zones.add(members.containsKey(store) ? members.get(store).zone() : "?"));
+        List<String> zones = used.stream()
+                .filter(members::containsKey)
+                .map(store -> members.get(store).zone())
+                .toList();
         Map<String, Integer> load = ReplicaBalancer.load(placement);
+        Comparator<String> byZone = faultTolerance.leastUsedZone(zones);
         return members.keySet().stream()
                 .filter(store -> !used.contains(store))
-                .sorted(Comparator.<String>comparingInt(
-                                store -> zones.contains(members.get(store).zone()) ? 1 : 0)
+                .sorted(Comparator.<String, String>comparing(
+                                store -> members.get(store).zone(), byZone)
                         .thenComparingInt(store -> load.getOrDefault(store, 0))
                         .thenComparing(store -> store))
                 .toList();
--- a/testkit/src/main/java/org/woadvale/testkit/capacity/HollowFleet.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/HollowFleet.java
@@ -11,6 +11,7 @@
 import org.woadvale.common.error.UnavailableException;
 import org.woadvale.common.membership.CoreClient;
 import org.woadvale.common.membership.CoreMembers;
+import org.woadvale.common.membership.FaultTolerance;
 import org.woadvale.common.membership.RpcTypeNumbers;
 import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.common.replication.NodeEnvironment;
@@ -101,7 +102,8 @@
                 environment,
                 new CoreClient(rpc, sim.random()::nextLong, seeds, CoreMembers.unknown(), members -> {}),
                 seeds,
-                "");
+                "",
+                FaultTolerance.ONE_MACHINE);
         node.route(router);
         new OperatorHttpHandler(node, "").route(router);
         node.start();
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/FleetOverrides.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/FleetOverrides.java
@@ -2,6 +2,7 @@
 
 import java.util.function.BiFunction;
 import java.util.function.UnaryOperator;
+import org.woadvale.common.membership.FaultTolerance;
 import org.woadvale.common.replication.ReplicationTiming;
 import org.woadvale.common.rpc.RpcClient;
 import org.woadvale.common.runtime.Clock;
@@ -16,30 +17,40 @@
         BiFunction<String, Disk, Disk> disk,
         BiFunction<String, Clock, Clock> times,
         BiFunction<String, DeliveryClient, DeliveryClient> post,
-        UnaryOperator<ReplicationTiming> timing) {
+        UnaryOperator<ReplicationTiming> timing,
+        FaultTolerance faultTolerance) {
 
     public static FleetOverrides none() {
         return new FleetOverrides(
-                (a, rpc) -> rpc, (a, disk) -> disk, (a, clock) -> clock, (a, client) -> client, timing -> timing);
+                (a, rpc) -> rpc,
+                (a, disk) -> disk,
+                (a, clock) -> clock,
+                (a, client) -> client,
+                timing -> timing,
+                FaultTolerance.ONE_MACHINE);
     }
 
     public FleetOverrides withRpc(BiFunction<String, RpcClient, RpcClient> b) {
-        return new FleetOverrides(b, disk, times, post, timing);
+        return new FleetOverrides(b, disk, times, post, timing, faultTolerance);
     }
 
     public FleetOverrides withDisk(BiFunction<String, Disk, Disk> d) {
-        return new FleetOverrides(rpc, d, times, post, timing);
+        return new FleetOverrides(rpc, d, times, post, timing, faultTolerance);
     }
 
     public FleetOverrides withTimes(BiFunction<String, Clock, Clock> t) {
-        return new FleetOverrides(rpc, disk, t, post, timing);
+        return new FleetOverrides(rpc, disk, t, post, timing, faultTolerance);
     }
 
     public FleetOverrides withPost(BiFunction<String, DeliveryClient, DeliveryClient> p) {
-        return new FleetOverrides(rpc, disk, times, p, timing);
+        return new FleetOverrides(rpc, disk, times, p, timing, faultTolerance);
     }
 
     public FleetOverrides withTiming(UnaryOperator<ReplicationTiming> p) {
-        return new FleetOverrides(rpc, disk, times, post, p);
+        return new FleetOverrides(rpc, disk, times, post, p, faultTolerance);
+    }
+
+    public FleetOverrides withFaultTolerance(FaultTolerance t) {
+        return new FleetOverrides(rpc, disk, times, post, timing, t);
     }
 }
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/SimulatedFleet.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/SimulatedFleet.java
@@ -12,12 +12,9 @@
 import org.woadvale.common.error.ServiceException;
 import org.woadvale.common.http.Request;
 import org.woadvale.common.http.Response;
-import org.woadvale.common.membership.CoreClient;
 import org.woadvale.common.membership.ServiceNames;
-import org.woadvale.common.replication.NodeEnvironment;
 import org.woadvale.common.replication.ReplicationTiming;
 import org.woadvale.common.replication.Role;
-import org.woadvale.common.rpc.RpcRouter;
 import org.woadvale.controlplane.api.OperatorHttpHandler;
 import org.woadvale.controlplane.node.ControlNode;
 import org.woadvale.dataplane.DataPlaneNode;
@@ -115,44 +112,56 @@
 
     @Override
     public void start(String address) throws ServiceException {
-        boolean controlNode = controlNodes.contains(address);
-        boolean store = stores.contains(address);
-        ReplicationTiming timing = controlNode || store ? ReplicationTiming.partitions() : ReplicationTiming.defaults();
+        boolean replicates = controlNodes.contains(address) || stores.contains(address);
+        ReplicationTiming timing = replicates ? ReplicationTiming.partitions() : ReplicationTiming.defaults();
         NodeStart start = boot(address, seams, ringBytes, timing, joinSeeds);
-        RpcRouter router = start.router();
-        NodeEnvironment environment = start.environment();
-        CoreClient core = start.core();
-        if (controlNode) {
-            ControlNode node =
-                    new ControlNode(environment, core, seeds.contains(address) ? seeds : List.of(), zone(address));
-            node.route(router);
-            OperatorHttpHandler handler = new OperatorHttpHandler(node, "");
-            handler.route(router);
-            controlNodesByAddress.put(address, node);
-            operatorHandlers.put(address, handler);
-            node.start();
+        if (controlNodes.contains(address)) {
+            startControlNode(address, start);
         } else {
-            Settings boot = new Settings(
-                    address,
-                    address,
-                    zone(address),
-                    seeds,
-                    Set.of(store ? "store" : "intake"),
-                    store ? "x" : "",
-                    RING_FILES,
-                    1,
-                    "",
-                    false,
-                    8,
-                    "");
-            DataPlaneNode node = new DataPlaneNode(
-                    environment, boot, core, seams.post().apply(address, post.from(hosts.get(address))));
-            node.route(router);
-            dataPlaneNodes.put(address, node);
-            node.start();
+            startDataPlaneNode(address, start);
         }
     }
 
+    private void startControlNode(String address, NodeStart start) throws ServiceException {
+        ControlNode node = new ControlNode(
+                start.environment(),
+                start.core(),
+                seeds.contains(address) ? seeds : List.of(),
+                zone(address),
+                seams.faultTolerance());
+        node.route(start.router());
+        OperatorHttpHandler handler = new OperatorHttpHandler(node, "");
+        handler.route(start.router());
+        controlNodesByAddress.put(address, node);
+        operatorHandlers.put(address, handler);
+        node.start();
+    }
+
+    private void startDataPlaneNode(String address, NodeStart start) throws ServiceException {
+        boolean store = stores.contains(address);
+        Settings settings = new Settings(
+                address,
+                address,
+                zone(address),
+                seeds,
+                Set.of(store ? "store" : "intake"),
+                store ? "x" : "",
+                RING_FILES,
+                1,
+                "",
+                false,
+                8,
+                "");
+        DataPlaneNode node = new DataPlaneNode(
+                start.environment(),
+                settings,
+                start.core(),
+                seams.post().apply(address, post.from(hosts.get(address))));
+        node.route(start.router());
+        dataPlaneNodes.put(address, node);
+        node.start();
+    }
+
     /** A restart within an event of the simulator. */
     void begin(String address) {
         try {
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/SimulatedPlatformFleet.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/SimulatedPlatformFleet.java
@@ -94,7 +94,7 @@
         NodeEnvironment environment = start.environment();
         CoreClient core = start.core();
         if (controlNode) {
-            ControlNode node = new ControlNode(environment, core, seeds, zone(address));
+            ControlNode node = new ControlNode(environment, core, seeds, zone(address), seams.faultTolerance());
             node.route(router);
             OperatorHttpHandler handler = new OperatorHttpHandler(node, "");
             handler.route(router);
@@ -118,7 +118,8 @@
                     "",
                     LEASE.toMillis(),
                     KEEP_ENDED_S,
-                    0);
+                    0,
+                    seams.faultTolerance());
             DataPlaneNode node = new DataPlaneNode(
                     environment,
                     boot,
