Stores refuse what has no room, and a full ring neither ends them nor stays shut

Cause: the size of a message counted its body and 200 bytes, so the bound on a partition let in many times what the ring is made for. A segment was ended before the next file was known to be free, and such a folder is not opened.

Change: Message.size() is the most bytes that the codec writes for a message, and every bound counts it, what is in the log and not applied too. New work is refused one file earlier. A segment ends only where the next file is free.

--- a/common/src/main/java/org/woadvale/common/replication/CommitTracker.java
+++ b/common/src/main/java/org/woadvale/common/replication/CommitTracker.java
@@ -35,6 +35,11 @@
         return appliedIndex;
     }
 
+    /** Bytes of the entries that the log holds and that are not applied. */
+    long unappliedBytes() {
+        return state.log().bytesAfter(appliedIndex);
+    }
+
     /** The result of the command that is proposed at an index in a term. */
     Mono<R> awaitCommit(long index, long term) {
         Sinks.One<R> sink = Sinks.one();
--- a/common/src/main/java/org/woadvale/common/replication/Replica.java
+++ b/common/src/main/java/org/woadvale/common/replication/Replica.java
@@ -97,6 +97,7 @@
             case LEADER -> leader.onTick();
             default -> {}
         }
+        storage.announceSnapshotBytes();
         storage.compactIfNeeded();
     }
 
@@ -178,6 +179,11 @@
                         : state.leaderLeaseUntil().minus(state.timing().lease()));
     }
 
+    /** Bytes of commands that are in the log and not applied yet: what they add to the state is not counted there. */
+    public long unappliedBytes() {
+        return state.shard().get(commits::unappliedBytes);
+    }
+
     /** Changes who should be in the group, the preferred leader first; a leader acts on it with its next tick. */
     public void setDesiredMembers(List<String> members) {
         state.shard().run(() -> state.setDesiredMembers(members));
--- a/common/src/main/java/org/woadvale/common/replication/ReplicaStorage.java
+++ b/common/src/main/java/org/woadvale/common/replication/ReplicaStorage.java
@@ -23,6 +23,9 @@
     /** So many bytes of the log are kept for followers that are catching up from a snapshot. */
     private static final long KEPT_FOR_FOLLOWERS_BYTES = 4L << 20;
 
+    /** What a snapshot has beside the state and the entries after it: members, identity, and what each entry adds. */
+    private static final long SNAPSHOT_OVERHEAD_BYTES = 16 << 10;
+
     private final ReplicaState state;
     private final CommitTracker<?, ?> commits;
     private final StateMachine<?, ?> stateMachine;
@@ -134,6 +137,16 @@
         storeSnapshot(onSynced);
     }
 
+    /** Tells the write-ahead log how much room the next snapshot takes, if that is known. */
+    void announceSnapshotBytes() {
+        stateMachine
+                .snapshotBytes()
+                .ifPresent(bytes -> state.environment()
+                        .wal()
+                        .expectSnapshotBytes(
+                                state.partition(), SNAPSHOT_OVERHEAD_BYTES + bytes + commits.unappliedBytes()));
+    }
+
     /** Writes a snapshot if the log since the latest one has grown large. */
     void compactIfNeeded() {
         ReplicatedLog log = state.log();
--- a/common/src/main/java/org/woadvale/common/replication/ReplicatedLog.java
+++ b/common/src/main/java/org/woadvale/common/replication/ReplicatedLog.java
@@ -47,7 +47,12 @@
     void compacted(long index, long keptFrom) {
         discardTo(Math.max(baseIndex, Math.min(index, keptFrom)));
         compactedIndex = index;
-        bytesAfterCompacted = items.subList((int) (index - baseIndex), items.size()).stream()
+        bytesAfterCompacted = bytesAfter(index);
+    }
+
+    /** The bytes of the entries after the index. */
+    long bytesAfter(long index) {
+        return items.subList((int) (index - baseIndex), items.size()).stream()
                 .mapToLong(entry -> entry.bytes().length)
                 .sum();
     }
--- a/common/src/main/java/org/woadvale/common/replication/StateMachine.java
+++ b/common/src/main/java/org/woadvale/common/replication/StateMachine.java
@@ -1,5 +1,6 @@
 package org.woadvale.common.replication;
 
+import java.util.OptionalLong;
 import org.woadvale.common.error.ServiceException;
 
 /**
@@ -20,6 +21,11 @@
      */
     R apply(long index, C command) throws ServiceException;
 
+    /** The most bytes that {@link #snapshot} has now, if that is known without making one. */
+    default OptionalLong snapshotBytes() {
+        return OptionalLong.empty();
+    }
+
     /** All of the state, for {@link #restore}. */
     byte[] snapshot();
 
--- a/common/src/main/java/org/woadvale/common/wal/DisabledWriteAheadLog.java
+++ b/common/src/main/java/org/woadvale/common/wal/DisabledWriteAheadLog.java
@@ -21,6 +21,11 @@
         throw new IllegalStateException("this process has no disk");
     }
 
+    @Override
+    public void expectSnapshotBytes(String partition, long bytes) {
+        // there is no ring that could fill
+    }
+
     @Override
     public boolean nearlyFull() {
         return false;
--- a/common/src/main/java/org/woadvale/common/wal/PendingWrites.java
+++ b/common/src/main/java/org/woadvale/common/wal/PendingWrites.java
@@ -1,9 +1,7 @@
 package org.woadvale.common.wal;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 
 /** Records that wait for the disk, in their order. */
 final class PendingWrites {
@@ -16,43 +14,59 @@
                     .mapToLong(record -> record.bytes().length)
                     .sum();
         }
+
+        /** Whether this is a snapshot and nothing else. */
+        boolean isSnapshot() {
+            return entries.size() == 1 && entries.get(0).kind() == WalRecord.Kind.SNAPSHOT;
+        }
+
+        boolean isOnlyOf(String partition) {
+            return entries.stream().allMatch(record -> record.partition().equals(partition));
+        }
     }
 
-    private List<PendingAppend> groups = new ArrayList<>();
+    private final List<PendingAppend> groups = new ArrayList<>();
     private long entryBytes;
 
+    /**
+     * Adds records behind all others. A snapshot stands for all earlier records of its partition: what still waits of
+     * them is never written, and is done once the snapshot is synced.
+     */
     void add(PendingAppend group) {
-        if (!groups.isEmpty()) {
-            dropReplaced(group);
-        }
-        groups.add(group);
-        entryBytes += group.entryBytes();
+        PendingAppend added = group.isSnapshot() ? replacing(group) : group;
+        groups.add(added);
+        entryBytes += added.entryBytes();
     }
 
-    /** A snapshot stands for all earlier records of its partition: what still waits of them is never written. */
-    private void dropReplaced(PendingAppend group) {
-        Set<String> replaced = new HashSet<>();
-        group.entries().stream()
-                .filter(record -> record.kind() == WalRecord.Kind.SNAPSHOT)
-                .forEach(record -> replaced.add(record.partition()));
+    private PendingAppend replacing(PendingAppend snapshot) {
+        String partition = snapshot.entries().get(0).partition();
+        List<PendingAppend> replaced =
+                groups.stream().filter(group -> group.isOnlyOf(partition)).toList();
         if (replaced.isEmpty()) {
-            return;
+            return snapshot;
         }
-        groups.replaceAll(pendingAppend -> new PendingAppend(
-                pendingAppend.entries().stream()
-                        .filter(record -> !replaced.contains(record.partition()))
-                        .toList(),
-                pendingAppend.done()));
-        entryBytes = groups.stream().mapToLong(PendingAppend::entryBytes).sum();
+        groups.removeIf(group -> group.isOnlyOf(partition));
+        entryBytes -= replaced.stream().mapToLong(PendingAppend::entryBytes).sum();
+        return new PendingAppend(snapshot.entries(), () -> {
+            replaced.forEach(group -> group.done().run());
+            snapshot.done().run();
+        });
     }
 
     List<PendingAppend> takeAll() {
-        List<PendingAppend> taken = groups;
-        groups = new ArrayList<>();
+        List<PendingAppend> taken = List.copyOf(groups);
+        groups.clear();
         entryBytes = 0;
         return taken;
     }
 
+    /** Records that were taken and could not be written wait before those that came since. */
+    void putBack(List<PendingAppend> taken) {
+        List<PendingAppend> since = takeAll();
+        taken.forEach(this::add);
+        since.forEach(this::add);
+    }
+
     boolean isEmpty() {
         return groups.isEmpty();
     }
--- a/common/src/main/java/org/woadvale/common/wal/RecordFormat.java
+++ b/common/src/main/java/org/woadvale/common/wal/RecordFormat.java
@@ -19,6 +19,9 @@
     /** Index, term and number of bytes, after the name of the partition. */
     private static final int SUFFIX_BYTES = Long.BYTES + Long.BYTES + Integer.BYTES;
 
+    /** The record that ends a segment. */
+    static final int END_OF_SEGMENT_BYTES = HEADER_BYTES + PREFIX_BYTES;
+
     private static final int CHECKSUM_OFFSET = Integer.BYTES;
     private static final byte END_OF_SEGMENT = 9;
 
--- a/common/src/main/java/org/woadvale/common/wal/Recovery.java
+++ b/common/src/main/java/org/woadvale/common/wal/Recovery.java
@@ -24,6 +24,8 @@
     final Map<String, List<WalRecord>> recordsByPartition = new LinkedHashMap<>();
     /** Segment of the oldest record still needed by each partition. */
     final Map<String, Long> oldestNeeded = new LinkedHashMap<>();
+    /** Bytes of the records still needed by each partition. */
+    final Map<String, Long> bytesNeeded = new LinkedHashMap<>();
 
     long segment;
     int pos;
@@ -107,6 +109,7 @@
                     oldestBreaksOff = true;
                     recordsByPartition.clear();
                     oldestNeeded.clear();
+                    bytesNeeded.clear();
                     return;
                 }
                 if (!last) {
@@ -134,11 +137,13 @@
         if (record.kind() == WalRecord.Kind.SNAPSHOT) {
             recordsByPartition.put(record.partition(), new ArrayList<>());
             oldestNeeded.put(record.partition(), segment);
+            bytesNeeded.remove(record.partition());
         }
         recordsByPartition
                 .computeIfAbsent(record.partition(), p -> new ArrayList<>())
                 .add(record);
         oldestNeeded.putIfAbsent(record.partition(), segment);
+        bytesNeeded.merge(record.partition(), (long) RecordFormat.size(record), Long::sum);
     }
 
     /** A sound record of a later batch beyond the break proves that synced bytes were lost. */
--- a/common/src/main/java/org/woadvale/common/wal/RingWriteAheadLog.java
+++ b/common/src/main/java/org/woadvale/common/wal/RingWriteAheadLog.java
@@ -21,7 +21,7 @@
     private static final Logger LOG = LogManager.getLogger(RingWriteAheadLog.class);
     /** How long after a write that found the disk full it is tried again. */
     private static final Duration FULL_DISK_RETRY = Duration.ofMillis(100);
-    /** When fewer than this part of the files is free, the ring is nearly full. */
+    /** This part of the files is kept for outcomes, votes and members, beside what snapshots need. */
     private static final int SPARE_FRACTION = 8;
     /** What a record and the end of a segment take beside the bytes of the record. */
     private static final int RECORD_OVERHEAD_BYTES = 256;
@@ -36,12 +36,22 @@
     private final RingWriter writer;
     private final Map<String, Runnable> pressure = new ConcurrentHashMap<>();
     private final PendingWrites pending = new PendingWrites();
+    private final Map<String, Long> expectedSnapshotBytes = new ConcurrentHashMap<>();
     private Consumer<String> failure = reason -> {};
     private boolean flushing;
     private boolean failed;
     private boolean diskFull;
+    /** Records wait for room in the ring. */
+    private boolean ringFull;
+    /** Since the last look at what waits for room something was written or appended. */
+    private boolean mayHaveRoom;
+
     private long bytesBeingWritten;
     private volatile boolean ringNearlyFull;
+    /** Free files that are kept for the snapshots that free the oldest ones; used by one thread at a time. */
+    private volatile int reservedFiles;
+    /** New snapshots of all partitions would take fewer files than are in use; used by one thread at a time. */
+    private volatile boolean snapshotsFreeFiles;
 
     private RingWriteAheadLog(Disk disk, Timers timers, int files, int fileSize)
             throws IOException, RecordFormat.NewerFormatException {
@@ -65,6 +75,7 @@
             // section 4.1)
             throw new IOException("the ring is full, and no file can be freed; repair this copy from the others");
         }
+        measureSpace();
     }
 
     private List<Disk.DiskFile> openAll(Disk disk) throws IOException {
@@ -102,7 +113,12 @@
             return;
         }
         pending.add(new PendingWrites.PendingAppend(entries, done));
-        if (!flushing) {
+        mayHaveRoom = true;
+        flushSoon();
+    }
+
+    private synchronized void flushSoon() {
+        if (!flushing && !failed && !pending.isEmpty()) {
             flushing = true;
             timers.onDisk(this::flush);
         }
@@ -111,15 +127,34 @@
     private void flush() {
         List<PendingWrites.PendingAppend> batch;
         synchronized (this) {
+            if (ringFull) {
+                measureSpace();
+            }
             bytesBeingWritten = pending.entryBytes();
-            batch = pending.takeAll();
+            BatchSelection selection = BatchSelection.of(pending.takeAll(), writer, reservedFiles);
+            pending.putBack(selection.deferred());
+            noteDeferred(selection);
+            batch = selection.writable();
+            mayHaveRoom = !batch.isEmpty();
         }
         write(batch);
     }
 
+    private void noteDeferred(BatchSelection selection) {
+        boolean waits = !selection.deferred().isEmpty();
+        if (waits && !ringFull) {
+            LOG.debug("The ring has room for snapshots only; other records wait until these have freed a file.");
+        } else if (!waits && ringFull) {
+            LOG.debug("The ring has room again.");
+        }
+        ringFull = waits;
+    }
+
     private void write(List<PendingWrites.PendingAppend> batch) {
         try {
-            writer.write(batch);
+            if (!batch.isEmpty()) {
+                writer.write(batch);
+            }
         } catch (DiskFullException e) {
             retryLater(batch, e.getMessage());
             return;
@@ -128,8 +163,9 @@
             return;
         }
         batch.forEach(group -> timers.soon(group.done()));
-        written();
+        measureSpace();
         requestSnapshots();
+        written();
     }
 
     /**
@@ -150,10 +186,9 @@
         }
         diskFull = false;
         bytesBeingWritten = 0;
-        if (pending.isEmpty()) {
-            flushing = false;
-        } else {
-            timers.onDisk(this::flush);
+        flushing = false;
+        if (!ringFull || mayHaveRoom) {
+            flushSoon();
         }
     }
 
@@ -163,11 +198,23 @@
         failure.accept(reason);
     }
 
-    /** Asks the partitions that hold back the oldest files for new snapshots. */
+    private void measureSpace() {
+        List<RingReserve.Holding> holdings = writer.retention().holdings(expectedSnapshotBytes, largestRecordBytes());
+        reservedFiles = RingReserve.files(holdings, largestRecordBytes());
+        snapshotsFreeFiles = writer.segmentsInUse() > RingReserve.filesOf(holdings, largestRecordBytes()) + 1;
+        ringNearlyFull = writer.freeFiles() <= filesKept();
+    }
+
+    /** Free files that new work may not take. */
+    private int filesKept() {
+        return reservedFiles + Math.max(1, files / SPARE_FRACTION);
+    }
+
+    /** Asks the partitions that hold back the oldest files for new snapshots, unless the ring holds little else. */
     private void requestSnapshots() {
-        long used = writer.segmentsInUse();
-        ringNearlyFull = used >= files - Math.max(1, files / SPARE_FRACTION);
-        if (used > files / 2) {
+        int free = writer.freeFiles();
+        boolean spaceNeeded = free < files / 2 || free <= filesKept();
+        if (spaceNeeded && (snapshotsFreeFiles || ringFull)) {
             writer.retention()
                     .partitionsToSnapshot(writer.segment())
                     .forEach(partition -> timers.soon(pressure.getOrDefault(partition, () -> {})));
@@ -179,6 +226,15 @@
         pressure.put(partition, giveBase);
     }
 
+    @Override
+    public void expectSnapshotBytes(String partition, long bytes) {
+        Long before = expectedSnapshotBytes.put(partition, bytes);
+        if (before == null || bytes < before) {
+            // what waits for room in the ring may have it now
+            flushSoon();
+        }
+    }
+
     @Override
     public boolean nearlyFull() {
         return ringNearlyFull || waitingBytes() > MAX_WAITING_BYTES;
--- a/common/src/main/java/org/woadvale/common/wal/RingWriter.java
+++ b/common/src/main/java/org/woadvale/common/wal/RingWriter.java
@@ -5,8 +5,6 @@
 
 /** Writes batches of records into the files of a ring. Used by one thread at a time. */
 final class RingWriter {
-    private static final int END_OF_SEGMENT_BYTES = RecordFormat.HEADER_BYTES + 18;
-
     private final Disk disk;
     private final List<Disk.DiskFile> files;
     private final int fileSize;
@@ -22,7 +20,7 @@
         this.disk = disk;
         this.files = files;
         this.fileSize = fileSize;
-        this.retention = new RingRetention(recovered.oldestNeeded);
+        this.retention = new RingRetention(recovered.oldestNeeded, recovered.bytesNeeded);
         this.segment = recovered.segment;
         this.position = recovered.pos;
         this.batch = recovered.batch;
@@ -45,9 +43,22 @@
         return segment - retention.oldest(segment) + 1;
     }
 
-    /** True if the next file to be written still holds what is needed. */
+    /** Files that hold nothing that is needed, beside the one that is being written. */
+    int freeFiles() {
+        return (int) (files.size() - segmentsInUse());
+    }
+
+    /** True if the file that is to be written still holds what is needed. */
     boolean full() {
-        return segmentsInUse() > files.size();
+        return freeFiles() < 0;
+    }
+
+    boolean holdsOldest(String partition) {
+        return retention.holdsOldest(partition, segment);
+    }
+
+    RingPosition nextPosition() {
+        return new RingPosition(0, position, fileSize);
     }
 
     private Disk.DiskFile file() {
@@ -116,10 +127,10 @@
 
     private void put(WalRecord entry) throws IOException {
         int need = RecordFormat.size(entry);
-        if (need + END_OF_SEGMENT_BYTES > fileSize) {
+        if (need + RecordFormat.END_OF_SEGMENT_BYTES > fileSize) {
             throw new IOException("a record of " + need + " bytes is larger than a ring file");
         }
-        if (position + need + END_OF_SEGMENT_BYTES > fileSize) {
+        if (!nextPosition().fits(need)) {
             endSegment();
         }
         byte[] head = RecordFormat.header(segment, batch, entry);
@@ -129,15 +140,16 @@
         retention.written(entry, segment);
     }
 
+    /** A segment ends only where the next file is free: a ring whose next file is needed could not be opened. */
     private void endSegment() throws IOException {
+        if (freeFiles() < 1) {
+            throw new IOException("the ring is full");
+        }
         batchBuffer.add(file(), position, RecordFormat.endOfSegment(segment, batch));
-        batchBuffer.flush(file(), position + END_OF_SEGMENT_BYTES);
+        batchBuffer.flush(file(), position + RecordFormat.END_OF_SEGMENT_BYTES);
         sync();
         segment++;
         position = 0;
-        if (full()) {
-            throw new IOException("the ring is full");
-        }
     }
 
     private void sync() throws IOException {
--- a/common/src/main/java/org/woadvale/common/wal/WriteAheadLog.java
+++ b/common/src/main/java/org/woadvale/common/wal/WriteAheadLog.java
@@ -15,6 +15,12 @@
     /** A partition that holds back the oldest file is asked for a new snapshot. */
     void onSpaceNeeded(String partition, Runnable giveBase);
 
+    /**
+     * A partition's next snapshot is expected to have so many bytes at the most, which is less than the records that it
+     * replaces where messages have ended since. Until it is told, the log goes by those records.
+     */
+    void expectSnapshotBytes(String partition, long bytes);
+
     /** True when only room for outcomes is left. */
     boolean nearlyFull();
 
--- a/dataplane/src/main/java/org/woadvale/dataplane/queue/Message.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/queue/Message.java
@@ -2,6 +2,7 @@
 
 import java.time.Instant;
 import java.util.Map;
+import org.woadvale.common.rpc.EncodedSize;
 import org.woadvale.common.rpc.FirstFormatName;
 import org.woadvale.common.rpc.Since;
 
@@ -33,8 +34,10 @@
         @Since(3) Map<String, String> envelope,
         @Since(3) long ends) {
 
-    /** What a message weighs beside its body. */
-    private static final int OVERHEAD_BYTES = 200;
+    /** A snapshot has the handle twice, in the message and as its key. */
+    private static final int HANDLES = 2;
+    /** The most bytes of its numbers, times and states. */
+    private static final int FIXED_BYTES = 90;
 
     /** The processor of a message that no processor has had. */
     public static final String NO_PROCESSOR = "";
@@ -165,8 +168,23 @@
         return tenant + "\n" + lane + "\n" + id;
     }
 
-    /** What it weighs, in bytes. */
+    /**
+     * The most bytes that it takes in a snapshot, with all texts that callers chose. Every bound on the bytes of
+     * messages counts this figure.
+     */
     public int size() {
-        return body.length + OVERHEAD_BYTES;
+        return FIXED_BYTES
+                + HANDLES * EncodedSize.of(handle)
+                + EncodedSize.of(tenant)
+                + EncodedSize.of(lane)
+                + EncodedSize.of(id)
+                + EncodedSize.of(orderKey)
+                + body.length
+                + EncodedSize.of(hash)
+                + EncodedSize.of(terms.service())
+                + EncodedSize.of(processor)
+                + EncodedSize.of(proof)
+                + EncodedSize.of(destination)
+                + EncodedSize.of(envelope);
     }
 }
--- a/dataplane/src/main/java/org/woadvale/dataplane/queue/MessageIndex.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/queue/MessageIndex.java
@@ -17,8 +17,6 @@
  * safe for use by several threads.
  */
 final class MessageIndex {
-    /** What an ended message takes beside its body, in bytes, about. */
-    private static final int ENDED_BYTES_EACH = 400;
     /** Messages of unclear outcome that are kept beside those that are young enough. */
     private static final int MAX_OUTCOME_UNKNOWN = 1000;
 
@@ -66,7 +64,7 @@
         return liveBytes;
     }
 
-    /** About the bytes of ended messages. */
+    /** The bytes of ended messages that are still kept. */
     long endedBytes() {
         return endedBytes;
     }
@@ -116,7 +114,7 @@
 
     private void keepEnded(Message message) {
         (message.outcomeUnknown() ? outcomeUnknown : ended).add(message);
-        endedBytes += ENDED_BYTES_EACH + message.body().length;
+        endedBytes += message.size();
     }
 
     /** The next message of the ordering key may start. */
@@ -166,7 +164,7 @@
     private void drop(Message message) {
         messages.remove(message.handle());
         handlesById.remove(message.idempotencyGroup());
-        endedBytes -= ENDED_BYTES_EACH + message.body().length;
+        endedBytes -= message.size();
     }
 
     /** Forgets everything and takes over the messages given. */
--- a/dataplane/src/main/java/org/woadvale/dataplane/queue/MessagePartitions.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/queue/MessagePartitions.java
@@ -34,6 +34,9 @@
 public final class MessagePartitions {
     private static final Logger LOG = LogManager.getLogger(MessagePartitions.class);
     private static final int UNIT_BYTES = 1024;
+    /** Left in the bound on a partition for what its snapshot has beside messages, and for outcomes. */
+    private static final int SNAPSHOT_MARGIN_BYTES = 32 << 10;
+
     private static final Duration TICK = Duration.ofMillis(200);
     private static final Duration OUTCOME_UNKNOWN_RETENTION = Duration.ofDays(1);
     private static final int MAX_EXPIRY_LAG_S = 5;
@@ -126,14 +129,11 @@
     /** Node and part buckets in size units first, then the commit. All refusals here are definite. */
     private Mono<MessageCommands.Accepted> accept(MessagePartition partition, MessageCommands.Accept accept) {
         int units = Math.max(1, (accept.body().length + UNIT_BYTES - 1) / UNIT_BYTES);
-        boolean room = partition.replica().inspect(i -> partition.stateMachine().storedBytes())
-                        < Math.min(maxPartitionBytes, environment.wal().largestRecordBytes() / 2)
-                && !environment.wal().nearlyFull();
         if (!partition.replica().isActiveLeader()) {
             // it may own the partition a moment later: then all of this is checked again
             return partition.replica().read(i -> i).flatMap(i -> accept(partition, accept));
         }
-        if (!room) {
+        if (!hasRoom(partition, accept)) {
             return Mono.error(new QueueFullException("The part " + partition.id() + " has no room."));
         }
         if (!spend(partition, units)) {
@@ -142,6 +142,18 @@
         return partition.replica().propose(withLeaderTime(accept), MessageCommands.Accepted.class);
     }
 
+    /**
+     * What is stored and what is under way must fit into a snapshot of which two fit into one file of the ring, and the
+     * ring must have room beyond what its snapshots and the outcomes of messages need.
+     */
+    private boolean hasRoom(MessagePartition partition, MessageCommands.Accept accept) {
+        long stored = partition.replica().inspect(i -> partition.stateMachine().storedBytes());
+        long added = Message.accepted("", 0, accept).size();
+        long bytes = stored + partition.replica().unappliedBytes() + added + SNAPSHOT_MARGIN_BYTES;
+        long limit = Math.min(maxPartitionBytes, environment.wal().largestRecordBytes() / 2);
+        return bytes <= limit && !environment.wal().nearlyFull();
+    }
+
     /** Clock are the leader's: the intake's calendar clock may be off. (docs/design.md, section 9.1) */
     private MessageCommands.Accept withLeaderTime(MessageCommands.Accept accept) {
         Instant now = environment.clock().wallTime();
--- a/dataplane/src/main/java/org/woadvale/dataplane/queue/MessageStateMachine.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/queue/MessageStateMachine.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.woadvale.common.error.ConflictException;
 import org.woadvale.common.error.InvalidRequestException;
 import org.woadvale.common.error.NotFoundException;
@@ -19,6 +20,9 @@
  * 9)
  */
 public final class MessageStateMachine implements StateMachine<MessageCommand, MessageResult> {
+    /** What a snapshot has beside its messages. */
+    private static final int SNAPSHOT_OVERHEAD_BYTES = 64;
+
     private final String partition;
     private final Codec codec;
     private final MessageIndex index = new MessageIndex();
@@ -40,7 +44,7 @@
         return index.liveBytes();
     }
 
-    /** About what a snapshot of the partition weighs, ended messages included. */
+    /** The bytes of all messages in a snapshot of the partition, ended ones included. */
     public long storedBytes() {
         return index.liveBytes() + index.endedBytes();
     }
@@ -191,6 +195,11 @@
         };
     }
 
+    @Override
+    public OptionalLong snapshotBytes() {
+        return OptionalLong.of(SNAPSHOT_OVERHEAD_BYTES + storedBytes());
+    }
+
     @Override
     public byte[] snapshot() {
         return codec.write(new MessageCommands.State(index.snapshot(), lastSequence));
--- a/testkit/src/main/java/org/woadvale/testkit/explore/ForwardingLog.java
+++ b/testkit/src/main/java/org/woadvale/testkit/explore/ForwardingLog.java
@@ -29,6 +29,11 @@
         log.onSpaceNeeded(part, giveBase);
     }
 
+    @Override
+    public void expectSnapshotBytes(String part, long bytes) {
+        log.expectSnapshotBytes(part, bytes);
+    }
+
     @Override
     public boolean nearlyFull() {
         return log.nearlyFull();
--- a/testkit/src/main/java/org/woadvale/testkit/explore/ModelWriteAheadLog.java
+++ b/testkit/src/main/java/org/woadvale/testkit/explore/ModelWriteAheadLog.java
@@ -38,6 +38,11 @@
         snapshot = Optional.of(giveBase);
     }
 
+    @Override
+    public void expectSnapshotBytes(String partition, long bytes) {
+        // there is no ring that could fill
+    }
+
     @Override
     public boolean nearlyFull() {
         return false;
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/SimulatedFleets.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/SimulatedFleets.java
@@ -18,6 +18,7 @@
     private static final Duration DAY = Duration.ofSeconds(20);
     private static final long SEED = 3;
     private static final int REQUESTS_PER_SECOND = 30;
+    private static final int SUBMISSIONS_WITHOUT_STORES = 12;
 
     private SimulatedFleets() {}
 
@@ -61,6 +62,18 @@
             }
         }
         fleet.w.sim.run(Duration.ofSeconds(4));
+        submitWithoutStores(fleet);
+    }
+
+    /** Messages that come while no store runs are refused: one for each tenant and lane by lot. */
+    private static void submitWithoutStores(FleetSimulation fleet) {
+        fleet.w.stores.forEach(fleet.w::kill);
+        fleet.w.sim.run(Duration.ofMillis(300));
+        for (int i = 0; i < SUBMISSIONS_WITHOUT_STORES; i++) {
+            fleet.one(i % fleet.w.testConfiguration.tenants());
+            fleet.w.sim.run(Duration.ofMillis(150));
+        }
+        fleet.w.sim.run(Duration.ofSeconds(8));
     }
 
     /**
--- /dev/null
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/LongHeadsTest.java
@@ -0,0 +1,128 @@
+package org.woadvale.testkit.simulation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.woadvale.common.error.ServiceException;
+import org.woadvale.common.http.Request;
+import org.woadvale.common.http.Response;
+import reactor.core.publisher.Mono;
+
+/**
+ * Messages with long targets wait while no processor is there. Guards against bounds that do not count what is stored:
+ * every store's ring filled up, the processes ended, and no folder could be opened again (review/1).
+ */
+class LongHeadsTest {
+    private static final String TARGET = "/push/" + "x".repeat(15_000) + "/";
+    private static final Duration ANSWER_LIMIT = Duration.ofSeconds(2);
+    private static final int SENT = 400;
+    private static final int FEWEST_ACCEPTED = 60;
+
+    private final Map<String, String> bodies = new LinkedHashMap<>();
+    private final Map<Integer, Integer> statuses = new TreeMap<>();
+
+    private void send(PlatformFixture fixture, int count, boolean restarts) throws ServiceException {
+        for (int i = 0; i < count; i++) {
+            String body = "body " + bodies.size() + " " + i;
+            Map<String, String> headers = Map.of(
+                    "host", PlatformFixture.HOST,
+                    "authorization", "Token " + PlatformFixture.KEY,
+                    "x-attempt-id", "m" + i);
+            Request request = new Request("POST", TARGET + i, headers, body.getBytes());
+            Optional<Response> answer = fixture.r.ask(fixture.r.intakes.get(0), request, ANSWER_LIMIT);
+            statuses.merge(answer.map(Response::status).orElse(0), 1, Integer::sum);
+            answer.filter(response -> response.status() == 202)
+                    .ifPresent(response -> bodies.put(response.headers().get("X-Message-Ref"), body));
+            answer.filter(response -> response.status() == 503)
+                    .ifPresent(response -> assertTrue(
+                            response.headers().keySet().stream().anyMatch("retry-after"::equalsIgnoreCase),
+                            "a refusal says when to come back"));
+            if (restarts && i % 100 == 99) {
+                String store = fixture.r.stores.get(fixture.r.sim.random().nextInt(3));
+                fixture.r.kill(store);
+                fixture.run(300);
+                fixture.r.restart(store);
+                fixture.run(3000);
+            }
+        }
+    }
+
+    private static void everyStoreRuns(PlatformFixture fixture) {
+        assertEquals(
+                fixture.r.stores,
+                fixture.r.stores.stream()
+                        .filter(store -> fixture.r.host(store).alive())
+                        .toList());
+    }
+
+    private List<String> notReturned(PlatformFixture fixture) {
+        List<String> lost = new ArrayList<>();
+        bodies.forEach((handle, body) -> {
+            Response answer = fixture.bytes(handle);
+            if (answer.status() != 200 || !new String(answer.body()).equals(body)) {
+                lost.add(handle + " " + answer.status());
+            }
+        });
+        return lost;
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
+    void storesRefuseWhatHasNoRoomAndLoseNothing(long seed) throws ServiceException {
+        PlatformFixture fixture = new PlatformFixture(seed, 1, SimulatedFleet.SMALL_RING);
+        send(fixture, SENT, false);
+        everyStoreRuns(fixture);
+        assertTrue(bodies.size() >= FEWEST_ACCEPTED, statuses.toString());
+        assertNotEquals(0, statuses.getOrDefault(503, 0), statuses.toString());
+        assertEquals(List.of(), notReturned(fixture));
+        processorsComeBack(fixture);
+        assertEquals(List.of(), queued(fixture));
+        int before = bodies.size();
+        send(fixture, 5, false);
+        assertTrue(bodies.size() > before, "there is room again: " + statuses);
+    }
+
+    /** The same with a store killed and started again every now and then: each folder opens again. */
+    @ParameterizedTest
+    @ValueSource(longs = {11, 12})
+    void fullStoresOpenAgainAfterAKill(long seed) throws ServiceException {
+        PlatformFixture fixture = new PlatformFixture(seed, 1, SimulatedFleet.SMALL_RING);
+        send(fixture, SENT, true);
+        everyStoreRuns(fixture);
+        for (String store : fixture.r.stores) {
+            fixture.r.kill(store);
+        }
+        for (String store : fixture.r.stores) {
+            fixture.r.restart(store);
+        }
+        fixture.run(6000);
+        everyStoreRuns(fixture);
+        assertEquals(List.of(), notReturned(fixture));
+        processorsComeBack(fixture);
+        assertEquals(List.of(), queued(fixture));
+    }
+
+    private static void processorsComeBack(PlatformFixture fixture) {
+        for (int i = 1; i <= 3; i++) {
+            fixture.processor(
+                    "i-" + i, "book", "10.9.0." + i + ":80", request -> Mono.just(PlatformFixture.done(request)));
+        }
+        fixture.run(30_000);
+    }
+
+    private List<String> queued(PlatformFixture fixture) {
+        return bodies.keySet().stream()
+                .filter(handle -> !fixture.state(handle).path("state").asText().equals("completed"))
+                .toList();
+    }
+}
