The end of a job is remembered however many attempts came before it

Cause: the ends that were taken are bits of one number, up to the 62nd attempt. Jobs that are given back use attempts up and nothing bounds their number.

Evidence: LeasesTest.endIsRememberedHoweverOftenTheJobWasGivenBack (150 times) fails on the code before with 409 for an end that was taken, and passes now, after a change of the owner and a restart too.

Change: attempts beyond the 62nd have a bit each in a field of the message that grows with them and counts in its size. Components that came with format 5 are left out at the end of a record while they are empty, so that the bytes of all other messages are those of the format before: the stored frames and folders of StoredBytesTest are unchanged, its samples and texts leave the empty field out.

--- a/common/src/main/java/org/woadvale/common/rpc/RecordSerializer.java
+++ b/common/src/main/java/org/woadvale/common/rpc/RecordSerializer.java
@@ -13,12 +13,14 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.stream.IntStream;
 
 /**
- * A record with the count of its components: older readers drop what they do not know, newer ones fill in.
- * (docs/design.md, section 3.4)
+ * A record with the count of its components: older readers drop what they do not know, newer ones fill in. Components
+ * that came with format 5 or later are left out at the end of a record while they have their default value, so that its
+ * bytes stay those of the format before. (docs/design.md, section 3.4)
  */
 final class RecordSerializer extends Serializer<Object> {
     private static final Map<Class<?>, Object> DEFAULTS = Map.of(
@@ -42,8 +44,14 @@
             Duration.ZERO,
             Instant.class,
             Instant.EPOCH);
+    /** From this format on the last components of a record are not written while they have their default value. */
+    private static final int FIRST_FORMAT_WITH_OMISSION = 5;
+
     private final Class<?> type;
     private final RecordComponent[] components;
+    /** The components before those that may be left out. */
+    private final int alwaysWritten;
+
     private final Constructor<?> constructor;
     private final boolean firstFormat;
 
@@ -51,6 +59,7 @@
     RecordSerializer(Class<?> type, boolean firstFormat) {
         this.type = type;
         this.components = type.getRecordComponents();
+        this.alwaysWritten = countAlwaysWritten(components);
         this.firstFormat = firstFormat;
         try {
             this.constructor = type.getDeclaredConstructor(
@@ -68,16 +77,44 @@
         if (firstFormat) {
             throw new IllegalStateException("the first format is only read");
         }
-        out.writeVarInt(components.length, true);
         try {
-            for (RecordComponent component : components) {
-                kryo.writeClassAndObject(out, component.getAccessor().invoke(value));
+            int count = writtenComponents(value);
+            out.writeVarInt(count, true);
+            for (int index = 0; index < count; index++) {
+                kryo.writeClassAndObject(out, components[index].getAccessor().invoke(value));
             }
         } catch (ReflectiveOperationException e) {
             throw new IllegalStateException(e);
         }
     }
 
+    private int writtenComponents(Object value) throws ReflectiveOperationException {
+        int count = components.length;
+        while (count > alwaysWritten && hasDefaultValue(components[count - 1], value)) {
+            count--;
+        }
+        return count;
+    }
+
+    private static boolean hasDefaultValue(RecordComponent component, Object value)
+            throws ReflectiveOperationException {
+        return Objects.deepEquals(component.getAccessor().invoke(value), defaultValue(component.getType()));
+    }
+
+    private static int countAlwaysWritten(RecordComponent[] components) {
+        int count = components.length;
+        while (count > 0 && isOmissible(components[count - 1])) {
+            count--;
+        }
+        return count;
+    }
+
+    private static boolean isOmissible(RecordComponent component) {
+        return Optional.ofNullable(component.getAnnotation(Since.class))
+                .filter(since -> since.value() >= FIRST_FORMAT_WITH_OMISSION)
+                .isPresent();
+    }
+
     @Override
     public Object read(Kryo kryo, Input in, Class<? extends Object> desired) {
         Object[] args = Arrays.stream(components)
--- a/dataplane/src/main/java/org/woadvale/dataplane/queue/Message.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/queue/Message.java
@@ -1,6 +1,7 @@
 package org.woadvale.dataplane.queue;
 
 import java.time.Instant;
+import java.util.Arrays;
 import java.util.Map;
 import org.woadvale.common.rpc.EncodedSize;
 import org.woadvale.common.rpc.FirstFormatName;
@@ -8,7 +9,8 @@
 
 /**
  * One message as its partition knows it. Done ones keep no body. The envelope is opaque here: whoever submits and
- * whoever delivers agree on it. Ends: a bit for each attempt whose end was taken, up to the 62nd.
+ * whoever delivers agree on it. Of each attempt it is kept whether its end was taken, for ever and without a bound on
+ * their number: the first 62 are bits of {@code ends}, the later ones bits of {@code laterEnds}, in their order.
  */
 public record Message(
         String handle,
@@ -32,7 +34,8 @@
         Instant ended,
         @Since(2) String destination,
         @Since(3) Map<String, String> envelope,
-        @Since(3) long ends) {
+        @Since(3) long ends,
+        @Since(5) byte[] laterEnds) {
 
     /** A snapshot has the handle twice, in the message and as its key. */
     private static final int HANDLES = 2;
@@ -46,7 +49,8 @@
     /** The destination of an attempt under a lease begins with this. (docs/design.md, section 9.10) */
     public static final String LEASED = "lease:";
 
-    private static final int MAX_RECORDED_ENDS = 62;
+    /** The attempts of which {@code ends} has a bit; the bit of attempt zero is not used. */
+    private static final int FIRST_ENDS = 62;
 
     static Message accepted(String handle, long seq, MessageCommands.Accept accept) {
         return new Message(
@@ -71,7 +75,8 @@
                 Instant.MAX,
                 "",
                 accept.envelope(),
-                0);
+                0,
+                new byte[0]);
     }
 
     /** The one function for every change of state. */
@@ -110,11 +115,14 @@
                 next.ended() ? at : Instant.MAX,
                 newWhere,
                 next == MessageState.DONE ? Map.of() : envelope,
-                ends);
+                ends,
+                laterEnds);
     }
 
+    /** The same message, and the end of the attempt was taken; attempt zero is none. */
     Message withRecordedEnd(int of) {
-        long bits = of < 1 || of > MAX_RECORDED_ENDS ? ends : ends | 1L << of;
+        long bits = of < 1 || of > FIRST_ENDS ? ends : ends | 1L << of;
+        byte[] laterBits = of <= FIRST_ENDS ? laterEnds : withBit(laterEnds, of - FIRST_ENDS - 1);
         return new Message(
                 handle,
                 tenant,
@@ -137,12 +145,23 @@
                 ended,
                 destination,
                 envelope,
-                bits);
+                bits,
+                laterBits);
+    }
+
+    private static byte[] withBit(byte[] bits, int index) {
+        byte[] more = Arrays.copyOf(bits, Math.max(bits.length, index / Byte.SIZE + 1));
+        more[index / Byte.SIZE] |= (byte) (1 << index % Byte.SIZE);
+        return more;
+    }
+
+    private static boolean hasBit(byte[] bits, int index) {
+        return index / Byte.SIZE < bits.length && (bits[index / Byte.SIZE] & 1 << index % Byte.SIZE) != 0;
     }
 
     /** Whether a processor's word on the attempt was taken as its end. */
     public boolean hasRecordedEnd(int of) {
-        return of >= 1 && of <= MAX_RECORDED_ENDS && (ends & 1L << of) != 0;
+        return of > FIRST_ENDS ? hasBit(laterEnds, of - FIRST_ENDS - 1) : of >= 1 && (ends & 1L << of) != 0;
     }
 
     /** Whether a processor has it under a lease. */
@@ -185,6 +204,7 @@
                 + EncodedSize.of(processor)
                 + EncodedSize.of(proof)
                 + EncodedSize.of(destination)
-                + EncodedSize.of(envelope);
+                + EncodedSize.of(envelope)
+                + laterEnds.length;
     }
 }
--- a/dataplane/src/test/java/org/woadvale/dataplane/queue/MessageSizeTest.java
+++ b/dataplane/src/test/java/org/woadvale/dataplane/queue/MessageSizeTest.java
@@ -62,6 +62,7 @@
             Message message = message(random, text, envelope);
             isBounded(message);
             isBounded(done(message));
+            isBounded(message.withRecordedEnd(1 + random.nextInt(3000)));
         }
     }
 
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/LeasesTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/LeasesTest.java
@@ -12,6 +12,7 @@
 
 /** Fetched work is held by a lease (docs/design.md, section 9.10). */
 class LeasesTest {
+    private static final int GIVEN_BACK = 150;
     private static final long LEASE_MS = SimulatedPlatformFleet.LEASE.toMillis();
 
     private static PlatformFixture withOne(long seed) throws ServiceException {
@@ -69,6 +70,30 @@
                 "after " + fixture.r.sim.now().minus(word));
     }
 
+    /** Guards against an end that is forgotten because many attempts came before it: it was refused with 409 (review/5). */
+    @Test
+    void endIsRememberedHoweverOftenTheJobWasGivenBack() throws ServiceException {
+        PlatformFixture fixture = withOne(14);
+        Response given = fixture.pull("i-1", 1000);
+        Response first = given;
+        for (int i = 0; i < GIVEN_BACK; i++) {
+            assertEquals(200, fixture.end(given, 503));
+            assertEquals(200, fixture.end(given, 503), "given back again, time " + i);
+            given = fixture.pull("i-1", 1000);
+            assertEquals(200, given.status(), "time " + i);
+        }
+        assertEquals(200, fixture.end(first, 503), "the very first comes once more");
+        assertEquals(200, fixture.end(given, 200));
+        assertEquals(200, fixture.end(given, 200));
+        String owner = fixture.r.owner(part(given)).orElseThrow();
+        fixture.r.kill(owner);
+        fixture.run(6000);
+        fixture.r.restart(owner);
+        fixture.run(6000);
+        assertEquals(200, fixture.end(given, 200), "after a change of the owner and a restart");
+        assertEquals(409, fixture.extend(given));
+    }
+
     @Test
     void endIsTakenOnceAndSaidAgainHasTheSameAnswer() throws ServiceException {
         PlatformFixture fixture = withOne(4);
