PUT /v1/core goes by the committed list, not by all groups together

A lost control machine's successor is named with the runbook replace-lighthouse and answered 400 "must be as many internal addresses as the core has members", four being named.

Cause: the handler counted the members of all groups.

Evidence: RepairTest.lighthouseIsNamedWhileTheCoreExchangesItByItself stops in that moment; with the count over all groups the answer is 400, now 200.

Change: the request is compared with the committed list. That list itself is taken again at any time, another one is refused with 409 while an exchange is under way.

--- a/controlplane/src/main/java/org/woadvale/controlplane/api/CoreHttpHandler.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/api/CoreHttpHandler.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.woadvale.common.config.Configurations;
 import org.woadvale.common.error.ConflictException;
 import org.woadvale.common.error.ErrorKind;
@@ -39,7 +40,7 @@
 
     private Mono<Response> put(Request request) throws ServiceException {
         List<String> members = members(request);
-        List<String> present = node.controlNodes();
+        List<String> present = node.listedControlNodes();
         if (node.replica(PARTITION).members().isEmpty()) {
             throw new UnavailableException("This control node has not joined yet; ask another.");
         }
@@ -52,10 +53,18 @@
             throw new ConflictException("Only one control node may be exchanged at a time; the present ones are "
                     + String.join(", ", present) + ".");
         }
+        boolean another = !Set.copyOf(members).equals(Set.copyOf(present));
+        if (another && node.isExchangingControlNode()) {
+            throw exchangeUnderWay();
+        }
         return node.call(PARTITION, new ControlMessages.PutCore(members, present), ControlMessages.UpdateResult.class)
                 .flatMap(result -> result.accepted()
                         ? Mono.just(Response.json(OK, Map.of(FIELD, members)))
-                        : Mono.error(new ConflictException("Another exchange is under way; look at GET /v1/status.")));
+                        : Mono.error(exchangeUnderWay()));
+    }
+
+    private static ConflictException exchangeUnderWay() {
+        return new ConflictException("Another exchange is under way; look at GET /v1/status.");
     }
 
     private static List<String> members(Request request) throws ServiceException {
--- a/controlplane/src/main/java/org/woadvale/controlplane/membership/CoreMembership.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/membership/CoreMembership.java
@@ -155,6 +155,12 @@
         propose(members, present.epoch(), joiner + " joins, of " + faultTolerance.groupSize() + " members to be");
     }
 
+    /** Whether some group does not have the members of the committed list yet, as far as known here. */
+    public boolean isChanging() {
+        CoreMembers present = committed();
+        return !present.members().isEmpty() && isChanging(present);
+    }
+
     /** Whether some group does not have the members of the list yet. */
     private boolean isChanging(CoreMembers present) {
         return groups().stream().anyMatch(group -> !group.equals(Set.copyOf(present.members())));
--- a/controlplane/src/main/java/org/woadvale/controlplane/node/ControlNode.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/node/ControlNode.java
@@ -201,6 +201,20 @@
         return nodes.isEmpty() ? core.controlNodes() : new ArrayList<>(nodes);
     }
 
+    /**
+     * The members by the committed list, as far as that is applied here; while an exchange is under way that is not
+     * what every group has. Those of the groups while no list was committed.
+     */
+    public List<String> listedControlNodes() {
+        List<String> listed = membership.committed().members();
+        return listed.isEmpty() ? controlNodes() : listed;
+    }
+
+    /** Whether some group does not have the members of the committed list yet, as far as known here. */
+    public boolean isExchangingControlNode() {
+        return membership.isChanging();
+    }
+
     /** The newest committed list of the core's members that is known here. */
     public CoreMembers members() {
         return core.members();
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/RepairTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/RepairTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.woadvale.common.config.Configurations;
@@ -175,6 +176,38 @@
         assertTrue(took.compareTo(Duration.ofMillis(5000)) < 0, "first acceptance after " + took);
     }
 
+    /** Guards against 400 for the list of a planned exchange that the core has begun by itself: groups then differ. */
+    @Test
+    void lighthouseIsNamedWhileTheCoreExchangesItByItself() throws ServiceException {
+        FleetSimulation simulation = new FleetSimulation(8, 3, 3, 4).startAll();
+        simulation.w.sim.run(Duration.ofSeconds(3));
+        List<String> staying = List.copyOf(simulation.w.controlNodes.subList(0, 2));
+        simulation.w.lose(simulation.w.controlNodes.get(2));
+        simulation.w.sim.run(Duration.ofSeconds(2));
+        String spare = simulation.w.newControlNode();
+        Optional<String> asked = Optional.empty();
+        for (int step = 0; step < 10_000 && asked.isEmpty(); step++) {
+            simulation.w.sim.run(Duration.ofMillis(1));
+            asked = staying.stream()
+                    .filter(node ->
+                            simulation.w.controlNode(node).controlNodes().size() == 4)
+                    .findFirst();
+        }
+        assertTrue(asked.isPresent(), "no exchange was seen half done");
+        List<String> wanted = List.of(staying.get(0), staying.get(1), spare);
+        byte[] body = Configurations.write(Map.of("lighthouses", wanted));
+        List<Integer> answers = new ArrayList<>();
+        Request put = new Request("PUT", "/v1/core", Map.of(), body);
+        simulation.w.request(
+                asked.orElseThrow(),
+                put,
+                Duration.ofSeconds(5),
+                optional ->
+                        answers.add(optional.map(response -> response.status()).orElse(0)));
+        simulation.w.sim.run(Duration.ofSeconds(5));
+        assertEquals(List.of(200), answers);
+    }
+
     @Test
     void twoLighthousesAtOnceAreRefused() throws ServiceException {
         FleetSimulation simulation = new FleetSimulation(6, 3, 3, 4).startAll();
