A transferred leadership survives a late heartbeat of the former leader

For callers: a partition without a leader for 0.8 s in calm, when a leadership changes hands in order.

Cause: the leader sends a heartbeat and asks its successor to stand. The heartbeat arrives second, the candidate takes its sender for the leader of the term and gives up; the former leader has given up its lease, so nobody leads until the transfer has timed out and the voters' leases have run out.

Change: a candidate that the term's own leader asked to stand does not give up for that leader's messages of the same term; a later term ends it as before.

--- a/common/src/main/java/org/woadvale/common/replication/LeaderElection.java
+++ b/common/src/main/java/org/woadvale/common/replication/LeaderElection.java
@@ -76,7 +76,10 @@
     /** A pre-vote comes first, so that a replica that nobody would elect does not raise the term. */
     private void startElection(boolean leadershipTransferred) {
         electionDueAt = Duration.ZERO;
-        state.transitionTo(Role.CANDIDATE, "no leader");
+        state.transitionTo(Role.CANDIDATE, leadershipTransferred ? "leadership transferred" : "no leader");
+        if (leadershipTransferred) {
+            state.becomeCandidateByTransfer();
+        }
         state.forgetLeader();
         requestVotes(state.term() + 1, true, leadershipTransferred);
     }
--- a/common/src/main/java/org/woadvale/common/replication/LeaderTracker.java
+++ b/common/src/main/java/org/woadvale/common/replication/LeaderTracker.java
@@ -22,7 +22,8 @@
             return false;
         }
         votes.adoptTerm(term, "a new leader");
-        if (state.role() == Role.CANDIDATE) {
+        // what the leader sent before it gave up its lease may arrive late, and does not end the candidacy it asked for
+        if (state.role() == Role.CANDIDATE && !state.isCandidateByTransfer()) {
             state.transitionTo(Role.FOLLOWER, "another was elected");
         }
         if (!state.votedFor().equals(leader)) {
--- a/common/src/main/java/org/woadvale/common/replication/ReplicaState.java
+++ b/common/src/main/java/org/woadvale/common/replication/ReplicaState.java
@@ -36,6 +36,7 @@
     private boolean voter;
     private String leaderId = "";
     private boolean electable = true;
+    private boolean candidateByTransfer;
     private Duration leaderLeaseUntil;
     private List<String> desiredMembers;
     private BootstrapState bootstrap = BootstrapState.EMPTY;
@@ -108,6 +109,7 @@
         }
         Role before = role;
         role = next;
+        candidateByTransfer = false;
         LOG.debug("Partition {} at {}: {} to {} in term {}, {}.", partition, self(), before, next, term, reason);
         roleListener.onRoleChange(before, next);
     }
@@ -178,6 +180,16 @@
         leaderLeaseUntil = now().plus(timing().lease());
     }
 
+    /** The leader of this term has given its lease up in this candidate's favour. */
+    void becomeCandidateByTransfer() {
+        candidateByTransfer = true;
+    }
+
+    /** Whether this replica stands in the term of a leader that wants it as its successor. */
+    boolean isCandidateByTransfer() {
+        return candidateByTransfer;
+    }
+
     /** Until when, by this node's clock, the lease of a leader that was heard may run. */
     Duration leaderLeaseUntil() {
         return leaderLeaseUntil;
