An emptied replica waits for its leader between its proposals

Seen: an emptied member of a running group proposed first members to the others every 300 ms until its leader had brought it up to date. Cause: every answer that a log exists was passed over. Change: after such an answer it asks again 3 s later. No change for callers; FoundingKillsTest, ReplicationTest, RandomWalkTest pass.

--- a/common/src/main/java/org/woadvale/common/replication/Bootstrap.java
+++ b/common/src/main/java/org/woadvale/common/replication/Bootstrap.java
@@ -21,6 +21,9 @@
     /** Each further desired member waits so much longer, so that one proposal is usually alone. */
     private static final Duration DELAY_BY_RANK = Duration.ofMillis(600);
 
+    /** Where a group exists already, its leader is waited for; it is asked again in case it does not come. */
+    private static final Duration WAIT_FOR_LEADER = Duration.ofSeconds(3);
+
     private final ReplicaState state;
     private final BootstrapVoter voter;
     private Optional<BootstrapProposal> proposal = Optional.empty();
@@ -114,7 +117,11 @@
             voter.found(response.accepted());
             return;
         }
-        if (!isPresent(asked) || response.initialized() || !asked.members().isEmpty()) {
+        if (response.initialized()) {
+            nextAttempt = state.now().plus(WAIT_FOR_LEADER);
+            return;
+        }
+        if (!isPresent(asked) || !asked.members().isEmpty()) {
             return;
         }
         if (!response.promised()) {
