--- a/testkit/src/main/java/org/woadvale/testkit/simulation/FailureScenarios.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/FailureScenarios.java
@@ -93,10 +93,7 @@
     static FleetSimulation stalledStreams(long seed, FleetOverrides seams) throws ServiceException {
         FleetSimulation simulation = begun(seed, SMALL, seams);
         String i = simulation.w.intakes.get(0);
-        for (int n = 0; n < 20; n++) {
-            simulation.plainAt(1, List.of(i));
-        }
-        simulation.w.sim.run(Duration.ofSeconds(1));
+        reachEveryStore(simulation, i);
         simulation.w.stores.forEach(s -> simulation.w.net.stall(i, s));
         for (int ms = 0; ms < 60000; ms += 50) {
             simulation.w.sim.after(Duration.ofMillis(ms), () -> simulation.plainAt(0, List.of(i)));
@@ -107,6 +104,21 @@
         return over(simulation);
     }
 
+    /** An intake has streams to all stores, and knows their clocks, once so many of its messages were accepted. */
+    private static void reachEveryStore(FleetSimulation simulation, String intake) {
+        int messages = 20;
+        for (int n = 0; n < messages; n++) {
+            simulation.plainAt(1, List.of(intake));
+        }
+        simulation.w.sim.run(Duration.ofSeconds(1));
+        for (int n = 0; n < messages && simulation.kinds().getOrDefault("accepted", 0L) < messages; n++) {
+            simulation.plainAt(1, List.of(intake));
+            simulation.w.sim.run(Duration.ofMillis(100));
+        }
+        FleetSimulation.require(
+                simulation.kinds().getOrDefault("accepted", 0L) >= messages, "the intake has not reached the stores");
+    }
+
     /** 06: streams to an endpoint open after anything up to 3 s, all at once in the end. */
     static FleetSimulation streamsThatOpenSlowly(long seed, FleetOverrides seams) throws ServiceException {
         FleetSimulation simulation = begun(seed, new TestConfiguration(3, 1, 60, 60, 26), seams);
--- a/testkit/src/test/java/org/woadvale/testkit/replication/SnapshotTransferTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/replication/SnapshotTransferTest.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -21,17 +22,25 @@
 class SnapshotTransferTest {
     private static final int RING_FILE = 8 << 20;
     private static final int CHANGES = 60;
+    /** For all that is not a piece of the snapshot, three more lost calls among it. */
+    private static final Duration LOSSLESS_CATCH_UP = Duration.ofSeconds(3);
+    /** A call's time-out, and the wait for the next tick. */
+    private static final Duration AFTER_A_LOST_PIECE = Duration.ofMillis(800);
+
+    private static final Duration LOSSY_CATCH_UP = Duration.ofSeconds(40);
     private static final int CHANGE_BYTES = 100_000;
     /** The bound of the users' machines, the shorter of the two. */
     private static final Duration CATCH_UP = Duration.ofMillis(4100);
 
     private final Map<String, Integer> piecesSent = new HashMap<>();
+    private final Map<String, Set<Long>> offsetsSent = new HashMap<>();
 
     private ReplicaGroupFixture afterManyChanges(long seed, int changes) throws ServiceException {
         ReplicaGroupFixture replicas = new ReplicaGroupFixture(seed, RING_FILE);
         replicas.net.watchFrames((from, to, frame, bytes) -> {
-            if (frame.body() instanceof SnapshotMessages.SnapshotChunkRequest) {
+            if (frame.body() instanceof SnapshotMessages.SnapshotChunkRequest chunk) {
                 piecesSent.merge(to, 1, Integer::sum);
+                offsetsSent.computeIfAbsent(to, node -> new HashSet<>()).add(chunk.offset());
                 assertTrue(bytes < 300_000, "a piece of " + bytes + " bytes");
             }
         });
@@ -67,7 +76,14 @@
         String wiped = follower(replicas);
         replicas.net.setLossAndDuplication(0.1, 0.1);
         wipeAndStart(replicas, wiped);
-        assertTrue(replicas.sim.runUntil(() -> counts(replicas, wiped), Duration.ofSeconds(12)), "does not count");
+        Duration begun = replicas.sim.now();
+        assertTrue(replicas.sim.runUntil(() -> counts(replicas, wiped), LOSSY_CATCH_UP), "does not count");
+        int lostPieces = piecesSent.get(wiped) - offsetsSent.get(wiped).size();
+        assertTrue(lostPieces <= offsetsSent.get(wiped).size(), lostPieces + " pieces sent again");
+        Duration took = replicas.sim.now().minus(begun);
+        assertTrue(
+                took.compareTo(LOSSLESS_CATCH_UP.plus(AFTER_A_LOST_PIECE.multipliedBy(lostPieces))) < 0,
+                took + " with " + lostPieces + " pieces sent again");
         replicas.net.setLossAndDuplication(0, 0);
         replicas.sim.run(Duration.ofSeconds(2));
         assertEquals(replicas.words.get(replicas.awaitLeader()).words, replicas.words.get(wiped).words);
