Configurations that are large together no longer end the core's processes

An order has 1.9 MB once translated, the newest is in the state twice, and nothing bounded what was in the log beside it: "a record of 5487947 bytes is larger than a ring file", taken for a failed disk. Seven of eight were appended only to be refused. All texts were translated at once, which took the heap.

Change: translations of 256 KB and more are replicated and kept deflated, nodes get them as before. The leader has one update at a time in the log, answers what needs no record by the present state, 503 with when to come back before it appends what there is no room for, 400 to what could never be stored. Replica.propose refuses any command whose entry cannot be stored. One text is translated at a time. 10,000 routes, services and tenants are allowed, 1,000 before.

--- a/common/src/main/java/org/woadvale/common/config/Configuration.java
+++ b/common/src/main/java/org/woadvale/common/config/Configuration.java
@@ -18,10 +18,20 @@
 
 /** All that operators configure; its JSON has the names of the components. */
 public record Configuration(
-        @NotNull @Size(max = 1000) Map<@Pattern(regexp = NAME) String, @NotNull @Valid Tenant> tenants,
-        @NotNull @Size(max = 1000) Map<@Pattern(regexp = NAME) String, @NotNull @Valid Service> services,
-        @NotNull @Size(max = 1000) Map<@Pattern(regexp = NAME) String, @NotNull @Valid Lane> lanes,
-        @NotNull @Size(max = 10000) Map<@Pattern(regexp = NAME) String, @NotNull @Valid Key> keys) {
+        @NotNull @Size(max = Configuration.MOST_ENTRIES)
+        Map<@Pattern(regexp = NAME) String, @NotNull @Valid Tenant> tenants,
+
+        @NotNull @Size(max = Configuration.MOST_ENTRIES)
+        Map<@Pattern(regexp = NAME) String, @NotNull @Valid Service> services,
+
+        @NotNull @Size(max = Configuration.MOST_ENTRIES)
+        Map<@Pattern(regexp = NAME) String, @NotNull @Valid Lane> lanes,
+
+        @NotNull @Size(max = Configuration.MOST_ENTRIES)
+        Map<@Pattern(regexp = NAME) String, @NotNull @Valid Key> keys) {
+
+    /** So many tenants, services, lanes or keys at the most. */
+    static final int MOST_ENTRIES = 10_000;
 
     static final String NAME = "[a-z0-9][a-z0-9_-]{0,62}";
 
--- a/common/src/main/java/org/woadvale/common/config/Configurations.java
+++ b/common/src/main/java/org/woadvale/common/config/Configurations.java
@@ -56,8 +56,9 @@
         return configuration;
     }
 
-    /** A configuration that was taken: it is used as it is, whatever this build would say of it, or knows of it. */
-    public static Configuration taken(byte[] json) throws ServiceException {
+    /** A configuration that was taken: it is used as the core keeps it, whatever this build would say of it. */
+    public static Configuration taken(byte[] kept) throws ServiceException {
+        byte[] json = PackedConfiguration.unpack(kept);
         try {
             return JSON.readerFor(Configuration.class)
                     .without(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
--- a/common/src/main/java/org/woadvale/common/discovery/ViewCompression.java
+++ b/common/src/main/java/org/woadvale/common/discovery/ViewCompression.java
@@ -1,17 +1,15 @@
 package org.woadvale.common.discovery;
 
-import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.zip.DataFormatException;
-import java.util.zip.Deflater;
-import java.util.zip.Inflater;
-import org.woadvale.common.error.InvalidRequestException;
+import org.woadvale.common.config.Deflation;
+import org.woadvale.common.config.PackedConfiguration;
 import org.woadvale.common.error.ServiceException;
 import org.woadvale.common.membership.ControlMessages;
 import org.woadvale.common.membership.ServiceView;
+import reactor.core.publisher.Mono;
 
 /**
  * Configurations travel deflated in view replies to nodes that say that they can inflate them. A version is deflated
@@ -19,17 +17,32 @@
  */
 public final class ViewCompression {
     static final int WORTHWHILE_BYTES = 512;
-    private static final int LARGEST_BYTES = 16 << 20;
-    private static final int BUFFER_BYTES = 8 << 10;
 
     private record Deflated(long version, byte[] bytes) {}
 
     private volatile Deflated latest = new Deflated(-1, new byte[0]);
 
-    /** The reply with its configurations deflated, where the asker reads that and it is smaller. */
-    public ControlMessages.ServiceViewResponse pack(
+    /** The reply as {@link #pack} makes it, or its failure. */
+    public Mono<ControlMessages.ServiceViewResponse> reply(
             ControlMessages.ServiceViewRequest request, ControlMessages.ServiceViewResponse response) {
-        if (!request.acceptsDeflated() || response.views().stream().noneMatch(ViewCompression::isWorthwhile)) {
+        try {
+            return Mono.just(pack(request, response));
+        } catch (ServiceException e) {
+            return Mono.error(e);
+        }
+    }
+
+    /**
+     * The reply with its configurations deflated, where the asker reads that and it is smaller; as plain text where it
+     * does not. Fails with BAD_REQUEST if what the core keeps cannot be inflated.
+     */
+    ControlMessages.ServiceViewResponse pack(
+            ControlMessages.ServiceViewRequest request, ControlMessages.ServiceViewResponse response)
+            throws ServiceException {
+        if (!request.acceptsDeflated()) {
+            return asText(response);
+        }
+        if (response.views().stream().noneMatch(ViewCompression::isWorthwhile)) {
             return response;
         }
         List<ServiceView> views = new ArrayList<>();
@@ -45,6 +58,19 @@
         return new ControlMessages.ServiceViewResponse(views, response.ages(), response.coreEpoch(), deflated);
     }
 
+    private static ControlMessages.ServiceViewResponse asText(ControlMessages.ServiceViewResponse response)
+            throws ServiceException {
+        if (response.views().stream().noneMatch(view -> PackedConfiguration.isDeflated(view.configuration()))) {
+            return response;
+        }
+        List<ServiceView> views = new ArrayList<>();
+        for (ServiceView view : response.views()) {
+            byte[] text = PackedConfiguration.unpack(view.configuration());
+            views.add(view.withConfiguration(view.version(), text, view.configurationVersion()));
+        }
+        return new ControlMessages.ServiceViewResponse(views, response.ages(), response.coreEpoch());
+    }
+
     /** The reply as it was before it was packed; fails with BAD_REQUEST if the bytes cannot be inflated. */
     public static ControlMessages.ServiceViewResponse unpack(ControlMessages.ServiceViewResponse response)
             throws ServiceException {
@@ -57,7 +83,8 @@
             views.add(
                     bytes == null
                             ? view
-                            : view.withConfiguration(view.version(), inflate(bytes), view.configurationVersion()));
+                            : view.withConfiguration(
+                                    view.version(), Deflation.inflate(bytes), view.configurationVersion()));
         }
         return new ControlMessages.ServiceViewResponse(views, response.ages(), response.coreEpoch());
     }
@@ -67,52 +94,14 @@
     }
 
     private byte[] deflated(ServiceView view) {
+        if (PackedConfiguration.isDeflated(view.configuration())) {
+            return PackedConfiguration.deflated(view.configuration());
+        }
         Deflated known = latest;
         if (known.version() != view.version()) {
-            known = new Deflated(view.version(), deflate(view.configuration()));
+            known = new Deflated(view.version(), Deflation.deflate(view.configuration()));
             latest = known;
         }
         return known.bytes();
     }
-
-    private static byte[] deflate(byte[] bytes) {
-        Deflater deflater = new Deflater(Deflater.BEST_SPEED);
-        try {
-            deflater.setInput(bytes);
-            deflater.finish();
-            ByteArrayOutputStream out = new ByteArrayOutputStream();
-            byte[] buffer = new byte[BUFFER_BYTES];
-            while (!deflater.finished()) {
-                out.write(buffer, 0, deflater.deflate(buffer));
-            }
-            return out.toByteArray();
-        } finally {
-            deflater.end();
-        }
-    }
-
-    private static byte[] inflate(byte[] bytes) throws ServiceException {
-        Inflater inflater = new Inflater();
-        try {
-            inflater.setInput(bytes);
-            ByteArrayOutputStream out = new ByteArrayOutputStream();
-            byte[] buffer = new byte[BUFFER_BYTES];
-            while (!inflater.finished()) {
-                int length = inflater.inflate(buffer);
-                if (length == 0 || out.size() > LARGEST_BYTES) {
-                    throw unreadable();
-                }
-                out.write(buffer, 0, length);
-            }
-            return out.toByteArray();
-        } catch (DataFormatException e) {
-            throw unreadable();
-        } finally {
-            inflater.end();
-        }
-    }
-
-    private static ServiceException unreadable() {
-        return new InvalidRequestException("A deflated configuration cannot be read.");
-    }
 }
--- a/common/src/main/java/org/woadvale/common/discovery/ViewSubscriptions.java
+++ b/common/src/main/java/org/woadvale/common/discovery/ViewSubscriptions.java
@@ -255,7 +255,7 @@
 
     /** As a home node: answers with the views that are here and their age, and subscribes to those that are not. */
     public Mono<ControlMessages.ServiceViewResponse> onViewRequest(ControlMessages.ServiceViewRequest request) {
-        return Mono.fromSupplier(() -> byService(request)).map(response -> compression.pack(request, response));
+        return Mono.fromSupplier(() -> byService(request)).flatMap(response -> compression.reply(request, response));
     }
 
     private ControlMessages.ServiceViewResponse byService(ControlMessages.ServiceViewRequest request) {
--- a/common/src/main/java/org/woadvale/common/replication/Replica.java
+++ b/common/src/main/java/org/woadvale/common/replication/Replica.java
@@ -8,6 +8,7 @@
 import java.util.function.LongFunction;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.woadvale.common.error.InvalidRequestException;
 import org.woadvale.common.error.NotLeaderException;
 import org.woadvale.common.error.ServiceException;
 import org.woadvale.common.error.StoppingException;
@@ -220,7 +221,7 @@
     /**
      * Appends a command to the log and answers with its result once it is committed and applied.
      *
-     * @return fails with NOT_OWNER before anything is written, with UNKNOWN_OUTCOME if the leadership is lost while the
+     * @return fails with NOT_OWNER, or with BAD_REQUEST if it is too large, before anything is written, with UNKNOWN_OUTCOME if the leadership is lost while the
      *     command is in the log, and with the state machine's own failure if it rejects the command
      */
     public <T extends R> Mono<T> propose(C command, Class<T> resultType) {
@@ -230,6 +231,9 @@
                         return Mono.<R>error(notLeader());
                     }
                     byte[] bytes = state.environment().codec().write(command);
+                    if (storage.isTooLarge(bytes.length)) {
+                        return Mono.<R>error(new InvalidRequestException("This is larger than can be stored."));
+                    }
                     Mono<R> result = commits.awaitCommit(state.log().lastIndex() + 1, state.term());
                     leader.append(new LogEntry(state.term(), LogEntry.Kind.COMMAND, bytes));
                     return result;
--- a/common/src/main/java/org/woadvale/common/replication/ReplicaStorage.java
+++ b/common/src/main/java/org/woadvale/common/replication/ReplicaStorage.java
@@ -26,6 +26,9 @@
     /** What a snapshot has beside the state and the entries after it: members, identity, and what each entry adds. */
     private static final long SNAPSHOT_OVERHEAD_BYTES = 16 << 10;
 
+    /** What the record of an entry has beside the command: type numbers, term, kind and lengths. */
+    private static final int ENTRY_OVERHEAD_BYTES = 64;
+
     private final ReplicaState state;
     private final CommitTracker<?, ?> commits;
     private final StateMachine<?, ?> stateMachine;
@@ -54,6 +57,12 @@
         syncedIndex = state.log().lastIndex();
     }
 
+    /** Whether an entry of so many bytes could never be stored by any replica, not even alone in its record. */
+    boolean isTooLarge(int entryBytes) {
+        int largest = state.environment().wal().largestRecordBytes();
+        return largest > 0 && entryBytes + ENTRY_OVERHEAD_BYTES > largest;
+    }
+
     /** Adds to the log in memory and on disk; the task runs once the entries are synced. */
     void append(List<LogEntry> entries, Runnable onSynced) {
         if (entries.isEmpty()) {
--- a/common/src/test/java/org/woadvale/common/discovery/ViewCompressionTest.java
+++ b/common/src/test/java/org/woadvale/common/discovery/ViewCompressionTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
+import org.woadvale.common.config.PackedConfiguration;
 import org.woadvale.common.error.ServiceException;
 import org.woadvale.common.membership.ControlMessages;
 import org.woadvale.common.membership.ServiceView;
@@ -55,15 +56,29 @@
         assertSame(large, ViewCompression.unpack(large));
     }
 
+    /** Large ones are kept deflated by the core: askers get the same bytes, or the text if they cannot inflate. */
     @Test
-    void versionIsDeflatedOnce() {
+    void keptDeflatedOneIsSentAsItIsKeptOrAsText() throws ServiceException {
+        byte[] text = text(PackedConfiguration.WORTHWHILE_BYTES);
+        byte[] kept = PackedConfiguration.pack(text);
+        assertTrue(kept.length < text.length / 2);
+        ControlMessages.ServiceViewResponse packed = compression.pack(ASK, reply(kept));
+        assertArrayEquals(PackedConfiguration.deflated(kept), packed.deflated().get(CONFIGURATION));
+        assertArrayEquals(text, ViewCompression.unpack(packed).views().get(0).configuration());
+        ControlMessages.ServiceViewResponse plain =
+                compression.pack(new ControlMessages.ServiceViewRequest(Map.of(), false), reply(kept));
+        assertArrayEquals(text, plain.views().get(0).configuration());
+    }
+
+    @Test
+    void versionIsDeflatedOnce() throws ServiceException {
         byte[] first = compression.pack(ASK, reply(text(9000))).deflated().get(CONFIGURATION);
         byte[] again = compression.pack(ASK, reply(text(9000))).deflated().get(CONFIGURATION);
         assertSame(first, again);
     }
 
     @Test
-    void brokenBytesAreRefused() {
+    void brokenBytesAreRefused() throws ServiceException {
         ControlMessages.ServiceViewResponse packed = compression.pack(ASK, reply(text(9000)));
         byte[] half = Arrays.copyOf(packed.deflated().get(CONFIGURATION), 20);
         for (byte[] broken : List.of(new byte[0], new byte[] {1, 2, 3}, half)) {
--- a/controlplane/src/main/java/org/woadvale/controlplane/api/ConfigurationService.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/api/ConfigurationService.java
@@ -4,14 +4,19 @@
 import java.util.Optional;
 import org.woadvale.common.config.Configuration;
 import org.woadvale.common.config.Configurations;
+import org.woadvale.common.config.PackedConfiguration;
 import org.woadvale.common.error.NotFoundException;
 import org.woadvale.common.error.OutcomeUnknownException;
 import org.woadvale.common.error.ServiceException;
 import org.woadvale.common.error.UnavailableException;
 import org.woadvale.common.membership.ControlMessages;
 import org.woadvale.common.membership.ControlMessages.ConfigurationAccepted;
+import org.woadvale.common.membership.ControlMessages.ControlCommand;
+import org.woadvale.common.membership.ControlMessages.ControlResult;
 import org.woadvale.common.membership.ServiceNames;
+import org.woadvale.common.replication.Replica;
 import org.woadvale.common.rpc.RpcRouter;
+import org.woadvale.common.runtime.Stage;
 import org.woadvale.controlplane.api.ControlApiMessages.ConfigurationResponse;
 import org.woadvale.controlplane.api.ControlApiMessages.GetConfigurationRequest;
 import org.woadvale.controlplane.api.ControlApiMessages.GetHistoryRequest;
@@ -25,23 +30,39 @@
 public final class ConfigurationService {
     private static final String PARTITION = ServiceNames.controlPart(ServiceNames.CONFIGURATION);
 
+    /** So many updates wait for the one before them to be decided. */
+    private static final int UPDATES_WAITING = 32;
+
     private final ControlNode node;
+    private final Stage<ControlMessages.PutConfiguration, ConfigurationAccepted> updates;
 
     ConfigurationService(ControlNode node) {
         this.node = node;
+        this.updates = new Stage<>("configurations", UPDATES_WAITING, 1, this::decide);
     }
 
     /** What this node answers as the leader of the partition. */
     void route(RpcRouter router) {
-        router.on(
-                        PutConfigurationRequest.class,
-                        (from, request) -> node.replica(PARTITION).propose(request.put(), ConfigurationAccepted.class))
+        router.on(PutConfigurationRequest.class, (from, request) -> updates.submit(request.put()))
                 .on(
                         GetConfigurationRequest.class,
                         (from, request) -> revisions().flatMap(revisions -> find(revisions, request.version())))
                 .on(GetHistoryRequest.class, (from, request) -> revisions().map(ConfigurationService::history));
     }
 
+    /** One update at a time is in the log; what needs no record is decided by the present state alone. */
+    private Mono<ConfigurationAccepted> decide(ControlMessages.PutConfiguration update) {
+        Replica<ControlCommand, ControlResult> replica = node.replica(PARTITION);
+        return replica.read(index -> refusal(update, replica.unappliedBytes()))
+                .flatMap(refusal -> refusal.isPresent()
+                        ? Mono.error(refusal.get())
+                        : replica.propose(update, ConfigurationAccepted.class));
+    }
+
+    private Optional<ServiceException> refusal(ControlMessages.PutConfiguration update, long unappliedBytes) {
+        return node.machine(PARTITION).configurations().refusal(update, node.largestRecordBytes(), unappliedBytes);
+    }
+
     private Mono<List<ConfigurationRevision>> revisions() {
         return node.replica(PARTITION)
                 .read(index -> node.machine(PARTITION).configurations().revisions());
@@ -57,11 +78,21 @@
                 : revisions.stream()
                         .filter(revision -> revision.version() == version)
                         .findFirst();
-        return Mono.justOrEmpty(found.map(revision -> new ConfigurationResponse(
-                        revision.version(), revision.author(), revision.configuration(), revision.original())))
+        return Mono.justOrEmpty(found)
+                .flatMap(ConfigurationService::response)
                 .switchIfEmpty(Mono.error(new NotFoundException("The version " + version + " is not kept.")));
     }
 
+    private static Mono<ConfigurationResponse> response(ConfigurationRevision revision) {
+        try {
+            byte[] text = PackedConfiguration.unpack(revision.configuration());
+            return Mono.just(
+                    new ConfigurationResponse(revision.version(), revision.author(), text, revision.original()));
+        } catch (ServiceException e) {
+            return Mono.error(e);
+        }
+    }
+
     private static HistoryResponse history(List<ConfigurationRevision> revisions) {
         return new HistoryResponse(
                 revisions.stream().map(ConfigurationRevision::version).toList(),
--- a/controlplane/src/main/java/org/woadvale/controlplane/configuration/ConfigurationLog.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/configuration/ConfigurationLog.java
@@ -12,6 +12,7 @@
 import org.woadvale.common.error.InvalidConfigurationException;
 import org.woadvale.common.error.ServiceException;
 import org.woadvale.common.error.StaleVersionException;
+import org.woadvale.common.error.UnavailableException;
 import org.woadvale.common.membership.ControlMessages;
 import org.woadvale.common.rpc.Since;
 
@@ -27,6 +28,11 @@
     /** So many rejected updates are remembered. */
     public static final int MAX_REJECTED = 256;
 
+    /** Names and digests of one update that is remembered, at the most. */
+    private static final int REMEMBERED_UPDATE_BYTES = 160;
+    /** What a snapshot has beside configurations and remembered updates: members, lists, identity. */
+    private static final int SNAPSHOT_OVERHEAD_BYTES = 16 << 10;
+
     /** One accepted configuration; the original is what the operator sent, where that was translated. */
     public record ConfigurationRevision(
             long version,
@@ -149,6 +155,49 @@
         return new ControlMessages.ConfigurationAccepted(next, false);
     }
 
+    /**
+     * Why an update must not go into the log: it is refused whatever comes, or there is no room for it now, or ever.
+     * Empty for what the log decides.
+     *
+     * @param largestRecordBytes the most bytes that a snapshot with the entries after it can have; 0 for no bound
+     * @param unappliedBytes bytes of the entries that are in the log and not applied
+     */
+    public Optional<ServiceException> refusal(
+            ControlMessages.PutConfiguration update, int largestRecordBytes, long unappliedBytes) {
+        if (repeatOf(update, digest(update.configuration(), update.original())).isPresent()) {
+            return Optional.empty();
+        }
+        if (update.base() < version()) {
+            return Optional.of(staleBase(update.base()));
+        }
+        long updateBytes = update.configuration().length + update.original().length;
+        long rest = SNAPSHOT_OVERHEAD_BYTES + rememberedBytes();
+        long stateAfter = rest + updateBytes + update.configuration().length;
+        if (largestRecordBytes > 0 && stateAfter + updateBytes > largestRecordBytes) {
+            return Optional.of(tooLarge(updateBytes));
+        }
+        long stateNow = rest + bytes + newestConfigurationBytes();
+        if (largestRecordBytes > 0 && stateNow + unappliedBytes + updateBytes > largestRecordBytes) {
+            return Optional.of(new UnavailableException("Other updates are being stored; come back later."));
+        }
+        return Optional.empty();
+    }
+
+    /** The newest configuration is in the state twice: as a revision, and as what nodes are told. */
+    private long newestConfigurationBytes() {
+        return revisions.isEmpty() ? 0 : revisions.get(revisions.size() - 1).configuration().length;
+    }
+
+    private long rememberedBytes() {
+        return (long) REMEMBERED_UPDATE_BYTES * (acceptedUpdates.size() + rejectedUpdates.size());
+    }
+
+    private static ServiceException tooLarge(long updateBytes) {
+        return new InvalidConfigurationException(
+                "The configuration is larger than can be stored.",
+                List.of("the document: " + updateBytes + " bytes as it is kept"));
+    }
+
     /** Earlier builds named an update with an original by its content alone. */
     private Optional<AcceptedUpdate> repeatOf(ControlMessages.PutConfiguration update, String digest) {
         Optional<AcceptedUpdate> byId = Optional.ofNullable(acceptedUpdates.get(update.requestId()));
--- a/controlplane/src/main/java/org/woadvale/controlplane/node/ControlNode.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/node/ControlNode.java
@@ -123,7 +123,8 @@
         routeUpdates(router);
         router.on(
                         ControlMessages.ServiceViewRequest.class,
-                        (from, request) -> changedViews(request).map(response -> compression.pack(request, response)))
+                        (from, request) ->
+                                changedViews(request).flatMap(response -> compression.reply(request, response)))
                 .on(ControlMessages.CoreMembersRequest.class, (from, request) -> Mono.just(core.membersResponse()))
                 .on(ControlMessages.AnnounceStandbyRequest.class, (from, request) -> membership.onAnnouncement(request))
                 .on(ControlMessages.LeaveCoreRequest.class, (from, request) -> membership.onLeaveRequest(request));
@@ -192,6 +193,11 @@
                                 core.members().epoch())));
     }
 
+    /** The most bytes that one stored record can have. */
+    public int largestRecordBytes() {
+        return environment.wal().largestRecordBytes();
+    }
+
     /**
      * The members of all control partitions' groups, or those that other nodes have named while this node is in none.
      */
--- a/controlplane/src/main/java/org/woadvale/controlplane/registry/ProcessorRegistry.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/registry/ProcessorRegistry.java
@@ -73,13 +73,13 @@
 
     /** Services that have a list; none as long as no configuration was accepted. */
     private Set<String> listedServices() {
-        byte[] json = node.replica("c0")
+        byte[] kept = node.replica("c0")
                 .inspect(i -> node.machine("c0").service(ServiceNames.CONFIGURATION))
                 .configuration();
         Set<String> names = new TreeSet<>();
-        if (json.length > 0) {
+        if (kept.length > 0) {
             try {
-                Configurations.taken(json).services().forEach((name, service) -> {
+                Configurations.taken(kept).services().forEach((name, service) -> {
                     if (service.kind() == Configuration.Kind.PROCESSORS) {
                         names.add(name);
                     }
