The token of a refused submission is given back once

Cause: Intake gave the token back where the attempt had failed, and again in submit, which took every queue_full for the refusal of its own stage.

Change: Stage.submit runs what is to be done when the stage itself refuses; what its work answers is left to the work.

--- a/common/src/main/java/org/woadvale/common/runtime/Stage.java
+++ b/common/src/main/java/org/woadvale/common/runtime/Stage.java
@@ -31,6 +31,11 @@
 
     /** A full queue is a definite refusal, never silent growth. */
     public Mono<O> submit(I in) {
+        return submit(in, () -> {});
+    }
+
+    /** The same; the task runs if this stage refuses, and not for what its work answers. */
+    public Mono<O> submit(I in, Runnable onRefused) {
         return Mono.defer(() -> {
             Sinks.One<O> out = Sinks.one();
             boolean taken = shard.get(() -> {
@@ -43,6 +48,7 @@
             });
             if (!taken) {
                 refused.incrementAndGet();
+                onRefused.run();
                 return Mono.error(new QueueFullException("The stage " + name + " is full."));
             }
             return out.asMono();
--- a/dataplane/src/main/java/org/woadvale/dataplane/ingress/Intake.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/ingress/Intake.java
@@ -65,11 +65,7 @@
         try {
             return admission
                     .submit(validator.check(submission))
-                    .flatMap(admitted -> forwarding.submit(admitted).doOnError(error -> {
-                        if (ServiceException.of(error).kind() == ErrorKind.QUEUE_FULL) {
-                            putBack(admitted);
-                        }
-                    }));
+                    .flatMap(admitted -> forwarding.submit(admitted, () -> putBack(admitted)));
         } catch (ServiceException failure) {
             return Mono.error(failure);
         }
--- /dev/null
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/RefusedTokensTest.java
@@ -0,0 +1,69 @@
+package org.woadvale.testkit.simulation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Test;
+import org.woadvale.common.error.QueueFullException;
+import org.woadvale.common.error.ServiceException;
+import org.woadvale.common.rpc.RpcClient;
+import org.woadvale.dataplane.queue.MessageCommands;
+import org.woadvale.testkit.stub.TestConfiguration;
+import reactor.core.publisher.Mono;
+
+/** Tokens of submissions that a store has refused. */
+class RefusedTokensTest {
+    private static final int RATE = 20;
+    private static final int BURST = 30;
+    private static final int MILLIS_BETWEEN = 20;
+    private static final Duration FLOOD = Duration.ofSeconds(10);
+
+    private final AtomicLong asked = new AtomicLong();
+
+    /** Every second submission that reaches a store is refused for want of room. */
+    private RpcClient refusing(RpcClient rpc) {
+        return new RpcClient() {
+            @Override
+            public String self() {
+                return rpc.self();
+            }
+
+            @Override
+            public <T> Mono<T> call(String to, Object body, Class<T> type, Duration limit) {
+                boolean refused = body instanceof MessageCommands.AcceptRequest && asked.incrementAndGet() % 2 == 0;
+                return refused
+                        ? rpc.call(to, new MessageCommands.ClockRequest(true), Object.class, limit)
+                                .then(Mono.error(new QueueFullException("The part has no room.")))
+                        : rpc.call(to, body, type, limit);
+            }
+        };
+    }
+
+    /** Guards against a token that is given back twice, by the attempt and by the stage: an allowance spent twice. */
+    @Test
+    void aRefusalForWantOfRoomGivesItsTokenBackOnce() throws ServiceException {
+        FleetOverrides overrides = FleetOverrides.none().withRpc((address, rpc) -> refusing(rpc));
+        FleetSimulation simulation = new FleetSimulation(
+                        3, 1, 3, 2, new TestConfiguration(1, 2, RATE, BURST, 26), SimulatedFleet.LARGE_RING, overrides)
+                .startAll();
+        simulation.w.sim.run(Duration.ofSeconds(3));
+        String intake = simulation.w.intakes.get(0);
+        for (int ms = 0; ms < FLOOD.toMillis(); ms += MILLIS_BETWEEN) {
+            simulation.w.sim.after(Duration.ofMillis(ms), () -> {
+                simulation.plainAt(0, List.of(intake));
+                simulation.plainAt(0, List.of(intake));
+            });
+        }
+        simulation.w.sim.run(FLOOD.plusSeconds(1));
+        long accepted = simulation.kinds().getOrDefault("accepted", 0L);
+        assertTrue(simulation.kinds().getOrDefault("queue_full", 0L) > RATE, "too few were refused");
+        long allowance = BURST + RATE * (FLOOD.toSeconds() + 1);
+        assertTrue(accepted <= allowance, accepted + " accepted of " + allowance);
+        simulation.followWhatRan();
+        assertTrue(simulation.settle(Duration.ofSeconds(60)), "not every accepted message has ended");
+        assertEquals(List.of(), simulation.violations());
+    }
+}
