Processors are told a tenant by the name that its configuration gives it

Evidence: TenantNameTest, 4 of 6 fail before (Tenant-A, "Lode & Co. 17", a.b, _x).

Configurations and messages of other tenants are written as before. What no header can carry is stood for as before (a question in docs/platform.md, 9).

--- a/common/src/main/java/org/woadvale/common/config/Configuration.java
+++ b/common/src/main/java/org/woadvale/common/config/Configuration.java
@@ -1,6 +1,7 @@
 package org.woadvale.common.config;
 
 import com.fasterxml.jackson.annotation.JsonIgnore;
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonProperty;
 import jakarta.validation.Valid;
 import jakarta.validation.constraints.DecimalMax;
@@ -33,6 +34,9 @@
     /** So many tenants, services, lanes or keys at the most. */
     static final int MOST_ENTRIES = 10_000;
 
+    /** What fits into one header field: printable ASCII without a space at either end. */
+    public static final String GIVEN_NAME = "([!-~]([ -~]{0,253}[!-~])?)?";
+
     static final String NAME = "[a-z0-9][a-z0-9_-]{0,62}";
 
     /** Absent components are empty. */
@@ -47,13 +51,30 @@
         return map == null ? Map.of() : Collections.unmodifiableMap(new TreeMap<>(map));
     }
 
-    /** How many messages a tenant may processor in each second, and how large a burst. */
+    /**
+     * How many messages a tenant may hand in in each second, and how large a burst.
+     *
+     * @param givenName what processors are told as its name, where that is not the name it has here; empty otherwise
+     */
     public record Tenant(
             @JsonProperty(required = true) @DecimalMin("0.1") @DecimalMax("100000")
             double ratePerS,
 
             @JsonProperty(required = true) @Min(1) @Max(1000000)
-            int burstSize) {}
+            int burstSize,
+
+            @JsonInclude(JsonInclude.Include.NON_EMPTY) @Pattern(regexp = Configuration.GIVEN_NAME)
+            String givenName) {
+        /** An absent name is empty. */
+        public Tenant {
+            givenName = givenName == null ? "" : givenName;
+        }
+
+        /** A tenant that processors know by the name that it has here. */
+        public Tenant(double ratePerS, int burstSize) {
+            this(ratePerS, burstSize, "");
+        }
+    }
 
     /** Fetchers are on no list: they fetch, and hold what they have got by a lease. (docs/design.md, section 9.10) */
     public enum Kind {
--- a/dataplane/src/main/java/org/woadvale/dataplane/ingress/RouteMatcher.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/ingress/RouteMatcher.java
@@ -45,6 +45,14 @@
         return key;
     }
 
+    /** What processors are told as the name of a tenant, where it is not its name here; else empty. */
+    String givenName(String tenant) throws ServiceException {
+        return Optional.ofNullable(
+                        configurations.require().configuration().tenants().get(tenant))
+                .map(Configuration.Tenant::givenName)
+                .orElse("");
+    }
+
     Configuration.Lane lane(String name) throws ServiceException {
         return Optional.ofNullable(
                         configurations.require().configuration().lanes().get(name))
--- a/dataplane/src/main/java/org/woadvale/dataplane/ingress/SubmissionValidator.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/ingress/SubmissionValidator.java
@@ -1,10 +1,13 @@
 package org.woadvale.dataplane.ingress;
 
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 import org.woadvale.common.config.Configuration;
 import org.woadvale.common.error.InvalidRequestException;
 import org.woadvale.common.error.ServiceException;
 import org.woadvale.common.error.UnauthorizedException;
+import org.woadvale.dataplane.queue.Message;
 
 /** Checks submissions against the configuration: key, tenant, lane and ordering key. (docs/design.md, section 9.7) */
 final class SubmissionValidator {
@@ -19,13 +22,25 @@
         Optional<Configuration.Key> key = matcher.callerKey(submission.secret(), submission.lane());
         Configuration.Lane lane = matcher.lane(submission.lane());
         checkOrderingKey(submission, lane);
+        String tenant = key.map(Configuration.Key::tenant).orElse("");
         return new CheckedSubmission(
                 submission,
-                key.map(Configuration.Key::tenant).orElse(""),
+                tenant,
+                envelope(submission, tenant),
                 submission.hash(),
                 !lane.doors().isEmpty());
     }
 
+    private Map<String, String> envelope(Submission submission, String tenant) throws ServiceException {
+        String givenName = matcher.givenName(tenant);
+        if (givenName.isEmpty()) {
+            return submission.envelope();
+        }
+        Map<String, String> envelope = new HashMap<>(submission.envelope());
+        envelope.put(Message.TENANT_NAME, givenName);
+        return envelope;
+    }
+
     private static void checkOrderingKey(Submission submission, Configuration.Lane lane) throws ServiceException {
         if (!lane.doors().isEmpty()) {
             return;
--- a/dataplane/src/main/java/org/woadvale/dataplane/queue/Message.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/queue/Message.java
@@ -36,6 +36,8 @@
         @Since(3) Map<String, String> envelope,
         @Since(3) long ends,
         @Since(5) byte[] laterEnds) {
+    /** In the envelope: the name by which processors know the tenant, where it has another one here. */
+    public static final String TENANT_NAME = "tenantName";
 
     /** A snapshot has the handle twice, in the message and as its key. */
     private static final int HANDLES = 2;
@@ -207,4 +209,9 @@
                 + EncodedSize.of(envelope)
                 + laterEnds.length;
     }
+
+    /** The name of the tenant that processors are told; empty where the lane asks for no key. */
+    public String tenantName() {
+        return envelope.getOrDefault(TENANT_NAME, tenant);
+    }
 }
