--- a/review/rig-2/StoreMemory.java
+++ b/review/rig-2/StoreMemory.java
@@ -75,7 +75,7 @@
         Runtime.getRuntime().halt(result);
     }
 
-    private static String configuration() {
+    static String configuration() {
         StringBuilder tenants = new StringBuilder();
         for (int i = 0; i < TENANTS; i++) {
             tenants.append(i == 0 ? "" : ",").append("{\"name\":\"branch").append(i);
