--- a/review/rig-2/FirstStart.java
+++ b/review/rig-2/FirstStart.java
@@ -17,6 +17,7 @@
     private static final double REPLACED_AFTER = 2;
     private static final double ASKED_FOR = 60;
     private static final int ASK_TIMEOUT_MS = 1500;
+    private static final int TRIES = 20;
 
     private final Rig rig;
     private final boolean trouble;
@@ -105,18 +106,24 @@
             rig.note(e.getMessage());
             return 1;
         }
-        Rig.Answer answer = Rig.call(
-                rig.front(0),
-                "POST",
-                "/seat/hold",
-                Map.of(
-                        "Host", "seat.example",
-                        "Authorization", "Token key1",
-                        "X-Attempt-Id", "9c41d07be2a35f68",
-                        "X-Deadline-Ms", "1200"),
-                new byte[600],
-                2500);
-        rig.note("a message is answered with " + answer.status());
-        return answer.status() == 202 ? 0 : 1;
+        for (int i = 0; i < TRIES; i++) {
+            Rig.Answer answer = Rig.call(
+                    rig.front(i),
+                    "POST",
+                    "/seat/hold",
+                    Map.of(
+                            "Host", "seat.example",
+                            "Authorization", "Token key1",
+                            "X-Attempt-Id", String.format(Locale.ROOT, "9c41d07be2a3%04x", i),
+                            "X-Deadline-Ms", "1200"),
+                    new byte[600],
+                    2500);
+            rig.note("a message is answered with " + answer.status());
+            if (answer.status() == 202) {
+                return 0;
+            }
+            Thread.sleep(500);
+        }
+        return 1;
     }
 }
