--- a/review/rig-2/StoreMemory.java
+++ b/review/rig-2/StoreMemory.java
@@ -34,7 +34,7 @@
 
     private static final double KILL_BY = 88;
     /** With fewer than this the machine is too slow for the case. */
-    private static final int LEAST_ACCEPTED = 45_500;
+    private static final int LEAST_ACCEPTED = 44_000;
 
     private static final double DOWN_S = 1.3;
     /** The rule RECOVER counts the requests that are sent later than this after the machines are back. */
