Planned stop: the steps of a data plane node's stop in a class of their own

DataPlaneProgram ran them in a blocking loop of its own, so nothing but a real process could show what a planned stop does. PlannedStop is advanced by whoever runs the node: the program polls it, the simulated platform fleet runs it on the fake clock (stopAsPlanned), with the 0.3 s in which a process still reads answers after its components have stopped. Steps and limits are those of before.

--- a/dataplane/src/main/java/org/woadvale/dataplane/DataPlaneProgram.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/DataPlaneProgram.java
@@ -8,7 +8,6 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
-import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import org.woadvale.common.cli.CoreMembersFile;
 import org.woadvale.common.cli.Program;
@@ -43,10 +42,7 @@
 public final class DataPlaneProgram {
     private static final AtomicReference<Runnable> DRAIN = new AtomicReference<>(() -> {});
 
-    private static final Duration DRAIN_TIMEOUT = Duration.ofMillis(3500);
-    private static final Duration IDLE_TIMEOUT = Duration.ofMillis(1500);
     private static final int MEBIBYTE_SHIFT = 20;
-    private static final Duration MIN_LINGER = Duration.ofMillis(100);
     private static final Duration POLL_INTERVAL = Duration.ofMillis(50);
 
     private DataPlaneProgram() {}
@@ -122,7 +118,7 @@
                 new Supervisor("dataplane", timers, onGivenUp).with(rpc).with(node);
         List<Component> gateways = gatewayFactory.apply(node);
         gateways.forEach(supervisor::with);
-        DRAIN.set(() -> drain(node, gateways, Duration.ofMillis(settings.lingerMs())));
+        DRAIN.set(() -> drain(node, gateways, settings));
         return supervisor;
     }
 
@@ -141,28 +137,14 @@
         }
     }
 
-    /**
-     * Moves leadership and leases to other nodes and lets deliveries in flight end before the stop; each wait is
-     * bounded. (docs/design.md, section 10.2)
-     */
-    private static void drain(DataPlaneNode node, List<Component> gateways, Duration linger) {
+    /** Runs the planned stop of the node; returns when its components may stop. (docs/design.md, section 10.2) */
+    private static void drain(DataPlaneNode node, List<Component> gateways, Settings settings) {
         gateways.stream()
                 .filter(HttpGateway.class::isInstance)
                 .forEach(component -> ((HttpGateway) component).closeAfterNextResponse());
-        await(DRAIN_TIMEOUT, node::drain);
-        await(IDLE_TIMEOUT, node::idle);
-        pause(linger.isZero() ? MIN_LINGER : linger);
-    }
-
-    private static void await(Duration timeout, BooleanSupplier condition) {
-        for (long remainingMs = timeout.toMillis();
-                remainingMs > 0 && !condition.getAsBoolean();
-                remainingMs -= POLL_INTERVAL.toMillis()) {
-            pause(POLL_INTERVAL);
+        PlannedStop stop = new PlannedStop(new SystemClock(), node, Duration.ofMillis(settings.lingerMs()));
+        while (!stop.advance()) {
+            LockSupport.parkNanos(POLL_INTERVAL.toNanos());
         }
     }
-
-    private static void pause(Duration duration) {
-        LockSupport.parkNanos(duration.toNanos());
-    }
 }
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/Host.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Host.java
@@ -19,6 +19,7 @@
     private final double clockRate;
     private RpcRouter router = new RpcRouter();
     private boolean alive;
+    private boolean connected;
     private long incarnation;
     private Duration pausedUntil = Duration.ZERO;
     private Duration bootedAt = Duration.ZERO;
@@ -37,6 +38,7 @@
     void boot(RpcRouter newRouter) {
         router = newRouter;
         alive = true;
+        connected = true;
         bootedAt = sim.now();
         pausedUntil = Duration.ZERO;
     }
@@ -44,9 +46,15 @@
     /** The process dies, and its pending tasks never run. */
     void kill() {
         alive = false;
+        connected = false;
         incarnation++;
     }
 
+    /** The process runs on, but calls neither leave nor reach it any more. */
+    void closeConnections() {
+        connected = false;
+    }
+
     void powerLoss() {
         kill();
         disk.powerLoss();
@@ -85,6 +93,10 @@
         return alive;
     }
 
+    boolean connected() {
+        return connected;
+    }
+
     long incarnation() {
         return incarnation;
     }
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/SimNet.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/SimNet.java
@@ -174,7 +174,7 @@
                 return;
             }
             transmit(self.address, to, bytes.length, () -> {
-                if (target.isEmpty() || !target.get().alive()) {
+                if (target.isEmpty() || !target.get().connected() || !self.connected()) {
                     runOnCaller(
                             incarnation, () -> sink.tryEmitError(new UnreachableException("No stream to " + to + ".")));
                     return;
@@ -196,7 +196,7 @@
         private void reply(Host from, Frame frame, Sinks.One<Frame> sink, long incarnation) {
             byte[] bytes = codec.write(frame);
             recordSent(from.address, self.address, frame, bytes);
-            if (from.alive() && (from == self || !lost(from.address, self.address))) {
+            if (from.connected() && (from == self || !lost(from.address, self.address))) {
                 transmit(
                         from.address,
                         self.address,
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/SimulatedPlatformFleet.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/SimulatedPlatformFleet.java
@@ -23,6 +23,7 @@
 import org.woadvale.controlplane.node.ControlNode;
 import org.woadvale.controlplane.registry.ProcessorRegistry;
 import org.woadvale.dataplane.DataPlaneNode;
+import org.woadvale.dataplane.PlannedStop;
 import org.woadvale.platform.PlatformAdapter;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
@@ -37,6 +38,10 @@
 
     private static final int KEEP_ENDED_S = 130;
     private static final int ZONES = 3;
+    private static final Duration STOP_POLL_INTERVAL = Duration.ofMillis(50);
+    /** How long a process runs on after its components were told to stop. */
+    private static final Duration PROCESS_END_TIME = Duration.ofMillis(300);
+
     private static final Duration PROCESSOR_LIST_READ_INTERVAL = Duration.ofMillis(700);
 
     public final ProcessorNetwork processorNetwork = new ProcessorNetwork(this);
@@ -151,6 +156,19 @@
         }
     }
 
+    /** Stops the process of a data plane node as SIGTERM does: the shipped planned stop, then the end of the process. */
+    public void stopAsPlanned(String address) {
+        Host host = hosts.get(address);
+        PlannedStop stop = new PlannedStop(host, dataPlaneNodes.get(address), Duration.ZERO);
+        host.every(STOP_POLL_INTERVAL, () -> {
+            if (stop.advance()) {
+                dataPlaneNodes.get(address).stop();
+                host.closeConnections();
+                host.after(PROCESS_END_TIME, host::kill);
+            }
+        });
+    }
+
     public DataPlaneNode dataPlaneNode(String address) {
         return dataPlaneNodes.get(address);
     }
