Planned stop: deliveries in flight are waited for until their outcomes are recorded

Cause: the stop waited for a fixed 1.5 s, whatever the time-outs of the routes and the grace period are, and then stopped the components while the delivery client still read answers for about 0.3 s. Nobody could record those; the next leader knows only of the start and sends the message again.

Ruled out: a longer fixed wait, and ending deliveries before leadership moves, which would stop the partition for as long as the slowest run.

--- a/common/src/main/java/org/woadvale/common/cli/Program.java
+++ b/common/src/main/java/org/woadvale/common/cli/Program.java
@@ -23,7 +23,6 @@
     public static final String VERSION = "0.1.0";
 
     private static final Logger LOG = LogManager.getLogger(Program.class);
-    private static final int STOP_TIMEOUT_S = 10;
     private static final int TIMER_THREADS = 4;
 
     /** Creates the supervisor of a program. */
@@ -149,7 +148,7 @@
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             shutdownRequested.countDown();
             try {
-                stopped.await(STOP_TIMEOUT_S, TimeUnit.SECONDS);
+                stopped.await(boot.graceMs(), TimeUnit.MILLISECONDS);
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
--- a/common/src/main/java/org/woadvale/common/config/Settings.java
+++ b/common/src/main/java/org/woadvale/common/config/Settings.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -50,7 +51,8 @@
         @Min(0) @Max(3600000) long leaseMs,
         @Min(0) @Max(604800) int keepEndedS,
         @Min(0) @Max(60000) long lingerMs,
-        @Valid FaultTolerance faultTolerance) {
+        @Valid FaultTolerance faultTolerance,
+        @Min(0) @Max(3600000) long graceMs) {
 
     private static final String OCTET = "(25[0-5]|2[0-4][0-9]|1?[0-9]{1,2})";
     private static final String PORT = "(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}|[1-5]?[0-9]{1,4})";
@@ -66,6 +68,7 @@
     private static final int MAX_LOG_MB = 4;
     private static final long DEFAULT_LEASE_MS = 3000;
     private static final int DEFAULT_KEEP_ENDED_S = 120;
+    private static final long DEFAULT_GRACE_MS = 10_000;
     /** Heap for the messages, for a snapshot of them that is being written and for one that is being transferred. */
     private static final double HEAP_MB_PER_PART_MB = 2.5;
 
@@ -81,9 +84,10 @@
         leaseMs = leaseMs == 0 ? DEFAULT_LEASE_MS : leaseMs;
         keepEndedS = keepEndedS == 0 ? DEFAULT_KEEP_ENDED_S : keepEndedS;
         faultTolerance = faultTolerance == null ? FaultTolerance.ONE_MACHINE : faultTolerance;
+        graceMs = graceMs == 0 ? DEFAULT_GRACE_MS : graceMs;
     }
 
-    /** Creates settings with the default lease, retention and linger times and a fault tolerance of one machine. */
+    /** Creates settings with the default lease, retention, linger and grace times and a fault tolerance of one machine. */
     public Settings(
             String address,
             String http,
@@ -113,7 +117,8 @@
                 0,
                 0,
                 0,
-                FaultTolerance.ONE_MACHINE);
+                FaultTolerance.ONE_MACHINE,
+                0);
     }
 
     /** Reads the settings from a file; fails with a message that names the first invalid field. */
@@ -201,7 +206,13 @@
                 leaseMs,
                 keepEndedS,
                 lingerMs,
-                faultTolerance));
+                faultTolerance,
+                graceMs));
+    }
+
+    /** Returns the time from the request to stop until the process is killed if it still runs. */
+    public Duration gracePeriod() {
+        return Duration.ofMillis(graceMs);
     }
 
     private static String orElse(String flag, String setting) {
--- a/dataplane/src/main/java/org/woadvale/dataplane/DataPlaneNode.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/DataPlaneNode.java
@@ -126,8 +126,8 @@
 
     /**
      * Releases the leases and transfers the leadership of the partitions of this node; a store that has a successor
-     * also waits until the successor has replaced it in all groups. Returns true once that is done. (docs/design.md,
-     * section 6.9)
+     * also waits until the successor has replaced it in all groups. Returns true once that is done. The store role is
+     * given up only when no delivery that was begun here is in flight any more. (docs/design.md, section 6.9)
      */
     public boolean drain() {
         if (!draining) {
@@ -136,17 +136,27 @@
             leaseRenewal.leave();
         }
         boolean drained = store.map(StoreRole::drain).orElse(true) && !leaseRenewal.isSuccessorTakingOver();
-        if (drained) {
+        if (drained && idle()) {
             leaseRenewal.leaveStoreRole();
         }
         return drained;
     }
 
-    /** Whether every delivery begun on this node has ended. */
+    /** Whether the outcome of every delivery begun on this node is recorded. */
     public boolean idle() {
         return store.map(StoreRole::idle).orElse(true);
     }
 
+    /** Begins no further delivery; those in flight go on. */
+    public void endDeliveries() {
+        store.ifPresent(StoreRole::endDeliveries);
+    }
+
+    /** Closes the connection of each delivery that has no answer yet; outcomes that were read are still recorded. */
+    public void breakOffDeliveries() {
+        store.ifPresent(StoreRole::breakOffDeliveries);
+    }
+
     /** Replaces the seed addresses of the core while the node runs. */
     public void updateSeeds(List<String> seeds) {
         core.updateSeeds(seeds);
--- a/dataplane/src/main/java/org/woadvale/dataplane/DataPlaneProgram.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/DataPlaneProgram.java
@@ -142,7 +142,8 @@
         gateways.stream()
                 .filter(HttpGateway.class::isInstance)
                 .forEach(component -> ((HttpGateway) component).closeAfterNextResponse());
-        PlannedStop stop = new PlannedStop(new SystemClock(), node, Duration.ofMillis(settings.lingerMs()));
+        PlannedStop stop = new PlannedStop(
+                new SystemClock(), node, settings.gracePeriod(), Duration.ofMillis(settings.lingerMs()));
         while (!stop.advance()) {
             LockSupport.parkNanos(POLL_INTERVAL.toNanos());
         }
--- a/dataplane/src/main/java/org/woadvale/dataplane/StoreRole.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/StoreRole.java
@@ -82,11 +82,21 @@
         return partitions.drain();
     }
 
-    /** Whether every delivery begun here has ended. */
+    /** Whether the outcome of every delivery begun here is recorded. */
     boolean idle() {
         return dispatchers.idle();
     }
 
+    /** Begins no further delivery. */
+    void endDeliveries() {
+        dispatchers.stop();
+    }
+
+    /** Breaks off the deliveries that have no answer yet. */
+    void breakOffDeliveries() {
+        dispatchers.breakOff();
+    }
+
     /** Whether each partition placed here has a known leader. */
     boolean ready() {
         return partitions.all().values().stream()
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/DeliveryAttempt.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/DeliveryAttempt.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.woadvale.common.error.OutcomeUnknownException;
 import org.woadvale.common.runtime.Delays;
 import org.woadvale.dataplane.queue.Message;
 import org.woadvale.dataplane.queue.MessageCommands;
@@ -50,6 +51,8 @@
                         message, target, timeout(), () -> sendGuard.trySend(() -> mayStillSend() && permit.spend()));
         return context.deliveryClient()
                 .send(request)
+                .takeUntilOther(dispatcher.breakOff())
+                .switchIfEmpty(Mono.error(new OutcomeUnknownException("The store stops.")))
                 .map(response -> context.protocol().classifyResponse(message, response))
                 .onErrorResume(
                         e -> Mono.just(new Verdict(Verdict.Kind.OUTCOME_UNKNOWN, String.valueOf(e.getMessage()))))
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/Dispatcher.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/Dispatcher.java
@@ -30,16 +30,21 @@
 
     private final DispatchContext context;
     private final MessagePartition partition;
+    /** Messages that this dispatcher handles now: they are not taken up a second time. */
     private final Set<String> inFlight = ConcurrentHashMap.newKeySet();
+
+    private final AttemptsInFlight attempts = new AttemptsInFlight();
+    private final Mono<Void> breakOff;
     private final Map<String, TokenBucket> retryBuckets = new HashMap<>();
     private final DeliveryPolicy policy;
     private final DeliveryLeases leases;
     private int rotation;
 
-    /** Creates the dispatcher of one partition. */
-    public Dispatcher(DispatchContext context, MessagePartition partition) {
+    /** Creates the dispatcher of one partition; {@code breakOff} completes when deliveries are broken off. */
+    public Dispatcher(DispatchContext context, MessagePartition partition, Mono<Void> breakOff) {
         this.context = context;
         this.partition = partition;
+        this.breakOff = breakOff;
         this.policy = new DeliveryPolicy(context);
         this.leases = new DeliveryLeases(context, partition, this);
     }
@@ -49,7 +54,11 @@
     }
 
     boolean idle() {
-        return inFlight.isEmpty();
+        return attempts.isEmpty();
+    }
+
+    Mono<Void> breakOff() {
+        return breakOff;
     }
 
     DispatchContext context() {
@@ -182,7 +191,7 @@
             return false;
         }
         inFlight.add(message.handle());
-        dispatch(message, permit.get(), target.get())
+        attempts.track(message.handle(), message.attempt() + 1, dispatch(message, permit.get(), target.get()))
                 .doFinally(signal -> inFlight.remove(message.handle()))
                 .subscribe(x -> {}, e -> {});
         return true;
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/Dispatchers.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/Dispatchers.java
@@ -6,6 +6,7 @@
 import org.woadvale.common.rpc.RpcRouter;
 import org.woadvale.common.runtime.TimerHandle;
 import org.woadvale.dataplane.queue.MessagePartitions.MessagePartition;
+import reactor.core.publisher.Sinks;
 
 /**
  * The dispatchers of a store, one per partition, and the timer that drives them. (docs/design.md, sections 9.3 and 9.4)
@@ -18,6 +19,7 @@
     private final WaitingPulls waitingPulls;
     private final FetchHandler fetchHandler;
     private final OutcomeReportHandler outcomeReportHandler;
+    private final Sinks.Empty<Void> breakOff = Sinks.empty();
     private TimerHandle ticking = () -> {};
 
     /** Creates the dispatchers of a store, at first for no partition. */
@@ -30,7 +32,7 @@
 
     /** Adds the dispatcher of a partition that was opened on this store. */
     public void onPartitionOpened(MessagePartition partition) {
-        Dispatcher dispatcher = new Dispatcher(context, partition);
+        Dispatcher dispatcher = new Dispatcher(context, partition, breakOff.asMono());
         dispatchersByPartition.put(partition.id(), dispatcher);
     }
 
@@ -42,7 +44,7 @@
         });
     }
 
-    /** Whether no delivery is in flight. */
+    /** Whether no delivery that was begun here is in flight. */
     public boolean idle() {
         return dispatchersByPartition.values().stream().allMatch(Dispatcher::idle);
     }
@@ -52,6 +54,11 @@
         ticking.cancel();
     }
 
+    /** Breaks off the deliveries that have no answer yet; may be called again. */
+    public void breakOff() {
+        breakOff.tryEmitEmpty();
+    }
+
     /** Registers the handlers for requests of intakes and other stores about deliveries. */
     public void route(RpcRouter router) {
         waitingPulls.route(router);
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/ProcessorNetwork.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/ProcessorNetwork.java
@@ -84,7 +84,7 @@
                         }
                         network.sim.after(network.net.delay(), () -> arrive(host, address, request, sink));
                     }));
-            return sink.asMono();
+            return sink.asMono().doOnCancel(() -> sink.tryEmitError(new OutcomeUnknownException("the caller closed")));
         });
     }
 
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/SimulatedPlatformFleet.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/SimulatedPlatformFleet.java
@@ -36,6 +36,9 @@
     /** How long a leased message is reserved after its last extension; the nodes get it in their boot settings. */
     public static final Duration LEASE = Duration.ofMillis(3000);
 
+    /** From the request to stop a process until the platform kills it. */
+    public static final Duration GRACE_PERIOD = Duration.ofSeconds(6);
+
     private static final int KEEP_ENDED_S = 130;
     private static final int ZONES = 3;
     private static final Duration STOP_POLL_INTERVAL = Duration.ofMillis(50);
@@ -142,7 +145,8 @@
                     LEASE.toMillis(),
                     KEEP_ENDED_S,
                     0,
-                    overrides.faultTolerance());
+                    overrides.faultTolerance(),
+                    GRACE_PERIOD.toMillis());
             DataPlaneNode node = new DataPlaneNode(
                     environment,
                     boot,
@@ -159,7 +163,7 @@
     /** Stops the process of a data plane node as SIGTERM does: the shipped planned stop, then the end of the process. */
     public void stopAsPlanned(String address) {
         Host host = hosts.get(address);
-        PlannedStop stop = new PlannedStop(host, dataPlaneNodes.get(address), Duration.ZERO);
+        PlannedStop stop = new PlannedStop(host, dataPlaneNodes.get(address), GRACE_PERIOD, Duration.ZERO);
         host.every(STOP_POLL_INTERVAL, () -> {
             if (stop.advance()) {
                 dataPlaneNodes.get(address).stop();
--- /dev/null
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/PlannedStopTest.java
@@ -0,0 +1,168 @@
+package org.woadvale.testkit.simulation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.LongStream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.woadvale.common.error.ServiceException;
+import org.woadvale.common.http.Request;
+import org.woadvale.common.http.Response;
+import org.woadvale.testkit.stub.ConfigurationStub;
+import reactor.core.publisher.Mono;
+
+/**
+ * Guards against a planned stop of a store that loses the outcome of an attempt: the next leader knows only of its
+ * start, and ran the message again after a success that the stopping store had read.
+ */
+class PlannedStopTest {
+    private static final int ROUTE_TIMEOUT_MS = 2000;
+    /** A success counts only if its answer is complete 50 ms before the timeout of the route. */
+    private static final int LONGEST_WORK_MS = 1940;
+
+    private static final int SHORTEST_WORK_MS = 1400;
+    /** A route whose runs may outlast the grace period. */
+    private static final int OUTLASTING_TIMEOUT_MS = 8000;
+
+    private static final int LONGEST_OUTLASTING_WORK_MS = 7000;
+    private static final int SHORTEST_OUTLASTING_WORK_MS = 4000;
+    private static final int SLOTS = 40;
+    private static final Duration SUBMISSION_INTERVAL = Duration.ofMillis(50);
+    private static final Duration SUBMISSION_TIMEOUT = Duration.ofSeconds(3);
+    private static final Duration RESTART_PAUSE = Duration.ofSeconds(1);
+    private static final Duration TIME_TO_END_ALL = Duration.ofSeconds(10);
+    private static final long DEFAULT_SEEDS = 3;
+
+    private final Map<String, Duration> successes = new HashMap<>();
+    private final List<String> runAgain = new ArrayList<>();
+    private final Set<String> started = new HashSet<>();
+    private final Map<String, String> accepted = new HashMap<>();
+    private PlatformFixture fixture;
+
+    /** Three seeds by default; {@code -Dstops.seeds=50} runs more. */
+    static LongStream seeds() {
+        return LongStream.rangeClosed(1, Long.getLong("stops.seeds", DEFAULT_SEEDS));
+    }
+
+    /** A fleet with a service that is pushed to and does not recognize repeated messages. */
+    private void fleet(long seed) throws ServiceException {
+        fixture = new PlatformFixture(seed, 2);
+        List<ConfigurationStub.Route> routes = new ArrayList<>(fixture.configurationStub.routes());
+        routes.add(route("r-long", "/long/", ROUTE_TIMEOUT_MS));
+        routes.add(route("r-outlasting", "/outlasting/", OUTLASTING_TIMEOUT_MS));
+        assertEquals(
+                200,
+                fixture.put(fixture.configurationStub.with(9).routes(routes), 3, 0)
+                        .status());
+        fixture.fleet.processorNetwork.onResponseRead((request, response) -> {
+            if (response.status() == 200) {
+                successes.put(id(request), fixture.fleet.sim.now());
+            }
+        });
+        for (int i = 0; i < 3; i++) {
+            String address = "10.9.0." + (i + 1) + ":8080";
+            fixture.fleet.processorNetwork.place(address, this::process);
+            fixture.processorList.put("i-" + i, "book", address, SLOTS, "ready");
+        }
+        fixture.fleet.sim.run(PlatformFixture.LIST_READ_TIME);
+    }
+
+    private static ConfigurationStub.Route route(String name, String prefix, int timeoutMs) {
+        return new ConfigurationStub.Route(name, PlatformFixture.HOST, prefix, "book", timeoutMs, 4, false, 90, false);
+    }
+
+    private static String id(Request request) {
+        return request.headers().get("x-attempt-id");
+    }
+
+    private Mono<Response> process(Request request) {
+        started.add(id(request));
+        if (successes.containsKey(id(request))) {
+            runAgain.add(
+                    id(request) + " at " + fixture.fleet.sim.now() + ", success read at " + successes.get(id(request)));
+        }
+        Duration work = request.path().startsWith("/long/")
+                ? fixture.fleet.sim.between(SHORTEST_WORK_MS * 1000, LONGEST_WORK_MS * 1000)
+                : fixture.fleet.sim.between(SHORTEST_OUTLASTING_WORK_MS * 1000, LONGEST_OUTLASTING_WORK_MS * 1000);
+        return Mono.create(sink -> fixture.fleet.sim.after(work, () -> sink.success(PlatformFixture.success(request))));
+    }
+
+    private void submitFor(Duration duration, String path) {
+        int count = (int) (duration.toMillis() / SUBMISSION_INTERVAL.toMillis());
+        for (int i = 0; i < count; i++) {
+            String id = "long-" + i;
+            String intake = fixture.fleet.intakes.get(i % fixture.fleet.intakes.size());
+            fixture.fleet.sim.after(SUBMISSION_INTERVAL.multipliedBy(i), () -> submit(intake, path, id));
+        }
+    }
+
+    private void submit(String intake, String path, String id) {
+        Map<String, String> headers = new LinkedHashMap<>();
+        headers.put("host", PlatformFixture.HOST);
+        headers.put("authorization", "Token " + PlatformFixture.KEY);
+        headers.put("x-attempt-id", id);
+        fixture.fleet.request(
+                intake,
+                new Request("POST", path, headers, new byte[600]),
+                SUBMISSION_TIMEOUT,
+                response -> response.filter(answer -> answer.status() == 202)
+                        .ifPresent(answer -> accepted.put(id, answer.headers().get("X-Message-Ref"))));
+    }
+
+    /** Stops a store with SIGTERM and starts it again a moment after its process has ended. */
+    private void restart(String store) throws ServiceException {
+        fixture.fleet.stopAsPlanned(store);
+        assertTrue(
+                fixture.fleet.sim.runUntil(
+                        () -> !fixture.fleet.host(store).alive(), SimulatedPlatformFleet.GRACE_PERIOD),
+                store + " runs after the grace period");
+        fixture.fleet.sim.run(RESTART_PAUSE);
+        fixture.fleet.restart(store);
+    }
+
+    private void assertNothingRanAgain() {
+        fixture.fleet.sim.run(TIME_TO_END_ALL);
+        assertEquals(List.of(), runAgain);
+        assertTrue(accepted.size() > 20, "accepted " + accepted.size());
+        Map<String, String> notCompleted = new HashMap<>();
+        accepted.forEach((id, handle) -> {
+            if (!started.contains(id)) {
+                notCompleted.put(id, handle + " " + fixture.messageStatus(handle));
+            }
+        });
+        assertEquals(Map.of(), notCompleted);
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void storesStoppedInTurnRunNothingAgain(long seed) throws ServiceException {
+        fleet(seed);
+        submitFor(Duration.ofSeconds(30), "/long/x");
+        fixture.fleet.sim.run(Duration.ofSeconds(4));
+        for (String store : fixture.fleet.stores) {
+            restart(store);
+            fixture.fleet.sim.run(Duration.ofSeconds(4));
+        }
+        assertNothingRanAgain();
+    }
+
+    /** What is still running when the grace period ends is broken off: no success is read that cannot be recorded. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void answersAreReadOnlyWhileTheyCanBeRecorded(long seed) throws ServiceException {
+        fleet(seed);
+        submitFor(Duration.ofSeconds(4), "/outlasting/x");
+        fixture.fleet.sim.run(Duration.ofSeconds(4));
+        restart(fixture.fleet.stores.get((int) (seed % fixture.fleet.stores.size())));
+        assertNothingRanAgain();
+    }
+}
