--- a/testkit/src/main/java/org/woadvale/testkit/simulation/SeededPlatformDays.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/SeededPlatformDays.java
@@ -128,7 +128,7 @@
         network.sim.after(outage, network.net::heal);
     }
 
-    /** Stops one node at a time as planned: the node drains, gets no new requests, and is killed after 5.5 s. */
+    /** Stops one node at a time as planned, and starts it again once the grace period is over. */
     private void plannedStop(String node) {
         if (network.sim.now().compareTo(nextStop) < 0
                 || network.all().stream()
@@ -137,15 +137,7 @@
             return;
         }
         nextStop = network.sim.now().plus(STOP_INTERVAL);
-        network.dataPlaneNode(node).drain();
-        for (int ms = 200; ms < 2000; ms += 200) {
-            network.sim.after(
-                    Duration.ofMillis(ms), () -> network.dataPlaneNode(node).drain());
-        }
-        network.sim.after(Duration.ofMillis(5500), () -> {
-            recordKill(node);
-            network.kill(node);
-        });
+        network.stopAsPlanned(node, () -> recordKill(node));
         restartAfter(node, Duration.ofMillis(6500));
     }
 
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/SimulatedPlatformFleet.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/SimulatedPlatformFleet.java
@@ -19,6 +19,7 @@
 import org.woadvale.common.replication.ReplicationTiming;
 import org.woadvale.common.replication.Role;
 import org.woadvale.common.rpc.RpcRouter;
+import org.woadvale.common.runtime.TimerHandle;
 import org.woadvale.controlplane.api.OperatorHttpHandler;
 import org.woadvale.controlplane.node.ControlNode;
 import org.woadvale.controlplane.registry.ProcessorRegistry;
@@ -41,6 +42,9 @@
 
     private static final int KEEP_ENDED_S = 130;
     private static final int ZONES = 3;
+    /** How long an intake serves on, and then answers the requests that it has read. */
+    private static final Duration INTAKE_LINGER = Duration.ofMillis(4600);
+
     private static final Duration STOP_POLL_INTERVAL = Duration.ofMillis(50);
     /** How long a process runs on after its components were told to stop. */
     private static final Duration PROCESS_END_TIME = Duration.ofMillis(300);
@@ -162,15 +166,27 @@
 
     /** Stops the process of a data plane node as SIGTERM does: the shipped planned stop, then the end of the process. */
     public void stopAsPlanned(String address) {
+        stopAsPlanned(address, () -> {});
+    }
+
+    /** The same; the task runs when the process ends. */
+    public void stopAsPlanned(String address, Runnable onEnd) {
         Host host = hosts.get(address);
-        PlannedStop stop = new PlannedStop(host, dataPlaneNodes.get(address), GRACE_PERIOD, Duration.ZERO);
-        host.every(STOP_POLL_INTERVAL, () -> {
+        DataPlaneNode node = dataPlaneNodes.get(address);
+        PlannedStop stop =
+                new PlannedStop(host, node, GRACE_PERIOD, intakes.contains(address) ? INTAKE_LINGER : Duration.ZERO);
+        AtomicReference<TimerHandle> polling = new AtomicReference<>(() -> {});
+        polling.set(host.every(STOP_POLL_INTERVAL, () -> {
             if (stop.advance()) {
-                dataPlaneNodes.get(address).stop();
+                polling.get().cancel();
+                node.stop();
                 host.closeConnections();
-                host.after(PROCESS_END_TIME, host::kill);
+                host.after(PROCESS_END_TIME, () -> {
+                    host.kill();
+                    onEnd.run();
+                });
             }
-        });
+        }));
     }
 
     public DataPlaneNode dataPlaneNode(String address) {
