Simulated network: the answer to a doubled frame reaches nobody

Trace: the frame of an AcceptRequest was doubled while frames were lost and doubled; the first copy was being committed when the second arrived after the request's deadline and was answered with expired, which the caller took for a definite no. A connection carries one frame and one answer to a call, so no caller can see that. The copy is still executed, its answer is dropped; the check is as it was.

--- a/testkit/src/main/java/org/woadvale/testkit/simulation/SimNet.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/SimNet.java
@@ -154,7 +154,8 @@
                         long incarnation = self.incarnation();
                         deliver(to, bytes, sink, incarnation);
                         if (sim.chance(duplication)) {
-                            deliver(to, bytes, sink, incarnation);
+                            // a connection carries one answer to a call: that of the copy reaches nobody
+                            deliver(to, bytes, Sinks.one(), incarnation);
                         }
                         return sink.asMono().doFinally(signal -> timer.cancel());
                     })
