--- a/controlplane/src/main/java/org/woadvale/controlplane/ControlPlaneProgram.java
+++ b/controlplane/src/main/java/org/woadvale/controlplane/ControlPlaneProgram.java
@@ -40,11 +40,10 @@
     private static final AtomicReference<Runnable> DRAIN = new AtomicReference<>(() -> {});
 
     private static final Duration DRAIN_CHECK_INTERVAL = Duration.ofMillis(50);
-    /**
-     * Drains for at most 3 s: an available successor has replaced this node in every group by then, and the grace
-     * period is longer.
-     */
-    private static final int MAX_DRAIN_CHECKS = 60;
+    /** An available successor has replaced this node in every group by then. */
+    private static final Duration DRAIN_LIMIT = Duration.ofSeconds(3);
+    /** At most this part of the grace period is waited; open requests are answered in the rest. */
+    private static final int GRACE_PERIOD_DIVISOR = 2;
 
     private static final int MEBIBYTE_SHIFT = 20;
     private static final Duration REGISTRY_PERIOD = Duration.ofMillis(700);
@@ -133,7 +132,7 @@
         node.route(router);
         OperatorHttpHandler operatorHandler = new OperatorHttpHandler(node, settings.operatorKeySha256());
         operatorHandler.route(router);
-        DRAIN.set(() -> drain(node));
+        DRAIN.set(() -> drain(node, settings.gracePeriod()));
         Supervisor supervisor =
                 new Supervisor("controlplane", timers, onGiveUp).with(rpc).with(node);
         processors.ifPresent(processorSource ->
@@ -142,8 +141,11 @@
         return supervisor;
     }
 
-    private static void drain(ControlNode node) {
-        for (int i = 0; i < MAX_DRAIN_CHECKS && !node.drain(); i++) {
+    private static void drain(ControlNode node, Duration gracePeriod) {
+        Duration share = gracePeriod.dividedBy(GRACE_PERIOD_DIVISOR);
+        Duration limit = share.compareTo(DRAIN_LIMIT) < 0 ? share : DRAIN_LIMIT;
+        long began = System.nanoTime();
+        while (!node.drain() && System.nanoTime() - began < limit.toNanos()) {
             LockSupport.parkNanos(DRAIN_CHECK_INTERVAL.toNanos());
         }
     }
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/SeededPlatformDays.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/SeededPlatformDays.java
@@ -51,6 +51,7 @@
         planned.put("leave", () -> simulation.leave(pickOne(listed())));
         planned.put("stop", () -> plannedStop(pickOne(network.intakes)));
         planned.put("stop store", () -> plannedStop(pickOne(network.stores)));
+        planned.put("stop core", () -> plannedStop(pickOne(network.controlNodes)));
         planned.put("read", simulation.operator::read);
         planned.put("repeat", simulation.operator::repeatUpdate);
         unplanned.put("kill", () -> kill(pickOne(network.all())));
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/SimulatedPlatformFleet.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/SimulatedPlatformFleet.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.woadvale.common.config.Settings;
@@ -19,6 +20,7 @@
 import org.woadvale.common.replication.ReplicationTiming;
 import org.woadvale.common.replication.Role;
 import org.woadvale.common.rpc.RpcRouter;
+import org.woadvale.common.runtime.Component;
 import org.woadvale.common.runtime.TimerHandle;
 import org.woadvale.controlplane.api.OperatorHttpHandler;
 import org.woadvale.controlplane.node.ControlNode;
@@ -45,6 +47,9 @@
     /** How long an intake serves on, and then answers the requests that it has read. */
     private static final Duration INTAKE_LINGER = Duration.ofMillis(4600);
 
+    /** How long the program of a control node waits for its leaderships to be handed over. */
+    private static final Duration CONTROL_DRAIN_LIMIT = Duration.ofSeconds(3);
+
     private static final Duration STOP_POLL_INTERVAL = Duration.ofMillis(50);
     /** How long a process runs on after its components were told to stop. */
     private static final Duration PROCESS_END_TIME = Duration.ofMillis(300);
@@ -164,20 +169,35 @@
         }
     }
 
-    /** Stops the process of a data plane node as SIGTERM does: the shipped planned stop, then the end of the process. */
+    /** Stops the process of a node as SIGTERM does: the shipped planned stop, then the end of the process. */
     public void stopAsPlanned(String address) {
         stopAsPlanned(address, () -> {});
     }
 
     /** The same; the task runs when the process ends. */
     public void stopAsPlanned(String address, Runnable onEnd) {
+        if (controlNodes.contains(address)) {
+            ControlNode node = controlNodesByAddress.get(address);
+            Duration limit = hosts.get(address).monotonicTime().plus(CONTROL_DRAIN_LIMIT);
+            stopOnce(
+                    address,
+                    () -> node.drain() || hosts.get(address).monotonicTime().compareTo(limit) >= 0,
+                    node,
+                    onEnd);
+        } else {
+            DataPlaneNode node = dataPlaneNodes.get(address);
+            Duration linger = intakes.contains(address) ? INTAKE_LINGER : Duration.ZERO;
+            PlannedStop stop = new PlannedStop(hosts.get(address), node, GRACE_PERIOD, linger);
+            stopOnce(address, stop::advance, node, onEnd);
+        }
+    }
+
+    /** Stops the components of a node once the condition holds, and then ends its process. */
+    private void stopOnce(String address, BooleanSupplier mayStop, Component node, Runnable onEnd) {
         Host host = hosts.get(address);
-        DataPlaneNode node = dataPlaneNodes.get(address);
-        PlannedStop stop =
-                new PlannedStop(host, node, GRACE_PERIOD, intakes.contains(address) ? INTAKE_LINGER : Duration.ZERO);
         AtomicReference<TimerHandle> polling = new AtomicReference<>(() -> {});
         polling.set(host.every(STOP_POLL_INTERVAL, () -> {
-            if (stop.advance()) {
+            if (mayStop.getAsBoolean()) {
                 polling.get().cancel();
                 node.stop();
                 host.closeConnections();
