A stopping store answers the pulls that wait there, and other stores are asked first

Kin of the planned stop, found by reading its change: since a store waits for its deliveries, it stopped its dispatch timer up to some seconds before its end, and with it the timer that answers waiting pulls; and it stays in the list of stores for that long, so that pulls went on waiting there first though it leads nothing any more.

Change: only deliveries are no longer begun; the timer goes on until the components stop.

--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/Dispatchers.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/Dispatchers.java
@@ -22,6 +22,7 @@
     private final StatusHandler statusHandler;
     private final Sinks.Empty<Void> breakOff = Sinks.empty();
     private TimerHandle ticking = () -> {};
+    private volatile boolean ended;
 
     /** Creates the dispatchers of a store, at first for no partition. */
     public Dispatchers(DispatchContext context) {
@@ -42,16 +43,23 @@
     public void start() {
         ticking = context.environment().timers().every(TICK_INTERVAL, () -> {
             waitingPulls.onTick();
-            dispatchersByPartition.values().forEach(Dispatcher::onTick);
+            if (!ended) {
+                dispatchersByPartition.values().forEach(Dispatcher::onTick);
+            }
         });
     }
 
+    /** Begins no further delivery; pulls that wait here are still answered. */
+    public void end() {
+        ended = true;
+    }
+
     /** Whether no delivery that was begun here is in flight. */
     public boolean idle() {
         return dispatchersByPartition.values().stream().allMatch(Dispatcher::idle);
     }
 
-    /** Stops starting deliveries. */
+    /** Stops all work. */
     public void stop() {
         ticking.cancel();
     }
--- a/dataplane/src/main/java/org/woadvale/dataplane/ingress/PullService.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/ingress/PullService.java
@@ -133,7 +133,7 @@
                     .then(next);
         }
         String store = stores.get((round - first) % stores.size());
-        Duration storeWait = min(remaining, isLocal(store) ? LOCAL_POLL_WAIT : POLL_WAIT);
+        Duration storeWait = min(remaining, isPreferred(store) ? LOCAL_POLL_WAIT : POLL_WAIT);
         return forwarder
                 .callStore(
                         store,
@@ -153,20 +153,21 @@
         return first.compareTo(second) < 0 ? first : second;
     }
 
-    private boolean isLocal(String store) {
+    /** Whether the store is in the zone of this node and does not leave: a leaving store hands its partitions over. */
+    private boolean isPreferred(String store) {
         return Optional.ofNullable(
                         subscriptions.latest(ServiceNames.STORES).members().get(store))
-                .filter(lease -> lease.zone().equals(zone))
+                .filter(lease -> lease.zone().equals(zone) && !lease.leaving())
                 .isPresent();
     }
 
-    /** Returns the stores, those in the zone of this node first. */
+    /** Returns the stores, those in the zone of this node first, unless they leave. */
     private List<String> stores() {
         TreeSet<String> all = new TreeSet<>();
         subscriptions.latest(ServiceNames.STORES).placement().values().forEach(all::addAll);
         all.retainAll(subscriptions.latest(ServiceNames.STORES).members().keySet());
         List<String> out = new ArrayList<>(all);
-        out.sort(Comparator.comparing(s -> !isLocal(s)));
+        out.sort(Comparator.comparing(store -> !isPreferred(store)));
         return out;
     }
 
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/PlannedStopTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/PlannedStopTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.LongStream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -39,6 +40,8 @@
     private static final int SLOTS = 40;
     private static final Duration SUBMISSION_INTERVAL = Duration.ofMillis(50);
     private static final Duration SUBMISSION_TIMEOUT = Duration.ofSeconds(3);
+    private static final Duration POLL_WAIT = Duration.ofSeconds(1);
+    private static final Duration POLL_MARGIN = Duration.ofMillis(250);
     private static final Duration RESTART_PAUSE = Duration.ofSeconds(1);
     private static final Duration TIME_TO_END_ALL = Duration.ofSeconds(10);
     private static final long DEFAULT_SEEDS = 3;
@@ -46,7 +49,10 @@
     private final Map<String, Duration> successes = new HashMap<>();
     private final List<String> runAgain = new ArrayList<>();
     private final Set<String> started = new HashSet<>();
+    private final List<String> firstStarts = new ArrayList<>();
+    /** Ids of the messages that a processor works on, or their ordering keys. */
     private final Set<String> running = new HashSet<>();
+
     private final List<String> startedWhileRunning = new ArrayList<>();
     private final Map<String, String> accepted = new HashMap<>();
     private PlatformFixture fixture;
@@ -61,6 +67,8 @@
         fixture = new PlatformFixture(seed, 2);
         List<ConfigurationStub.Route> routes = new ArrayList<>(fixture.configurationStub.routes());
         routes.add(route("r-long", "/long/", ROUTE_TIMEOUT_MS));
+        routes.add(new ConfigurationStub.Route(
+                "r-inorder", PlatformFixture.HOST, "/inorder/", "book", ROUTE_TIMEOUT_MS, 4, true, 90, false));
         routes.add(route("r-outlasting", "/outlasting/", OUTLASTING_TIMEOUT_MS));
         assertEquals(
                 200,
@@ -88,19 +96,22 @@
     }
 
     private Mono<Response> process(Request request) {
-        started.add(id(request));
-        if (!running.add(id(request))) {
+        if (started.add(id(request))) {
+            firstStarts.add(id(request));
+        }
+        String exclusive = request.headers().getOrDefault("x-order-key", id(request));
+        if (!running.add(exclusive)) {
             startedWhileRunning.add(id(request));
         }
         if (successes.containsKey(id(request))) {
             runAgain.add(
                     id(request) + " at " + fixture.fleet.sim.now() + ", success read at " + successes.get(id(request)));
         }
-        Duration work = request.path().startsWith("/long/")
+        Duration work = !request.path().startsWith("/outlasting/")
                 ? fixture.fleet.sim.between(SHORTEST_WORK_MS * 1000, LONGEST_WORK_MS * 1000)
                 : fixture.fleet.sim.between(SHORTEST_OUTLASTING_WORK_MS * 1000, LONGEST_OUTLASTING_WORK_MS * 1000);
         return Mono.create(sink -> fixture.fleet.sim.after(work, () -> {
-            running.remove(id(request));
+            running.remove(exclusive);
             sink.success(PlatformFixture.success(request));
         }));
     }
@@ -115,7 +126,14 @@
     }
 
     private void submit(String intake, String path, String id) {
+        submit(intake, path, id, "");
+    }
+
+    private void submit(String intake, String path, String id, String orderKey) {
         Map<String, String> headers = new LinkedHashMap<>();
+        if (!orderKey.isEmpty()) {
+            headers.put("x-order-key", orderKey);
+        }
         headers.put("host", PlatformFixture.HOST);
         headers.put("authorization", "Token " + PlatformFixture.KEY);
         headers.put("x-attempt-id", id);
@@ -246,4 +264,75 @@
         fixture.fleet.net.setLossAndDuplication(0, 0);
         assertNothingRanAgain();
     }
+
+    /**
+     * While a stopping store waits for an answer, the pulls that wait there are answered in their time; only those that
+     * it has when its process ends must be sent again.
+     */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void pullsAreAnsweredInTimeWhileAStoreStops(long seed) throws ServiceException {
+        fleet(seed);
+        runLoad();
+        String stopped = leadingStore();
+        List<Duration> late = new ArrayList<>();
+        AtomicInteger answered = new AtomicInteger();
+        for (int i = 0; i < 40; i++) {
+            String intake = fixture.fleet.intakes.get(i % fixture.fleet.intakes.size());
+            fixture.fleet.sim.after(Duration.ofMillis(50L * i), () -> pull(intake, stopped, late, answered));
+        }
+        restart(stopped);
+        fixture.fleet.sim.run(TIME_TO_END_ALL);
+        assertEquals(List.of(), late);
+        assertEquals(40, answered.get());
+    }
+
+    private void pull(String intake, String stopped, List<Duration> late, AtomicInteger answered) {
+        Duration sentAt = fixture.fleet.sim.now();
+        Map<String, String> headers =
+                Map.of("x-instance-id", "p-1", "x-poll-wait-ms", Long.toString(POLL_WAIT.toMillis()));
+        fixture.fleet.request(
+                intake, new Request("POST", "/-/pull/desk", headers, new byte[0]), SUBMISSION_TIMEOUT, response -> {
+                    Duration took = fixture.fleet.sim.now().minus(sentAt);
+                    answered.addAndGet(response.isPresent() ? 1 : 0);
+                    if (took.compareTo(POLL_WAIT.plus(POLL_MARGIN)) > 0
+                            && fixture.fleet.host(stopped).alive()) {
+                        late.add(took);
+                    }
+                });
+    }
+
+    /** Messages of one ordering key: none begins while an earlier one may still run. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void orderedMessagesKeepTheirOrderWhileStoresStop(long seed) throws ServiceException {
+        fleet(seed);
+        for (int i = 0; i < 12; i++) {
+            String key = "k" + i % 4;
+            String id = key + "-" + i / 4;
+            fixture.fleet.sim.after(
+                    Duration.ofMillis(300L * i), () -> submit(fixture.fleet.intakes.get(0), "/inorder/x", id, key));
+        }
+        fixture.fleet.sim.run(Duration.ofSeconds(1));
+        for (String store : fixture.fleet.stores) {
+            restart(store);
+            fixture.fleet.sim.run(Duration.ofSeconds(2));
+        }
+        fixture.fleet.sim.run(TIME_TO_END_ALL);
+        assertEquals(List.of(), runAgain);
+        assertEquals(List.of(), startedWhileRunning);
+        assertTrue(accepted.size() >= 8, "accepted " + accepted.size());
+        for (int key = 0; key < 4; key++) {
+            String prefix = "k" + key + "-";
+            List<String> order =
+                    firstStarts.stream().filter(id -> id.startsWith(prefix)).toList();
+            assertEquals(order.stream().sorted().toList(), order);
+            assertEquals(
+                    accepted.keySet().stream()
+                            .filter(id -> id.startsWith(prefix))
+                            .sorted()
+                            .toList(),
+                    order);
+        }
+    }
 }
