--- a/testkit/src/main/java/org/woadvale/testkit/simulation/SimulatedFleets.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/SimulatedFleets.java
@@ -17,6 +17,9 @@
 
     private static final Duration DAY = Duration.ofSeconds(20);
     private static final long SEED = 3;
+    /** So many that every kind of answer to an operator is among them. */
+    private static final int DAYS = 4;
+
     private static final int REQUESTS_PER_SECOND = 30;
     private static final int SUBMISSIONS_WITHOUT_STORES = 12;
 
@@ -25,11 +28,13 @@
     /** Data folders of two machines of one fleet. */
     public record Folders(SimDisk control, SimDisk store) {}
 
-    /** Runs one fleet behind each of the two HTTP interfaces, then requests the paths that their clients do not use. */
+    /** Runs fleets behind each of the two HTTP interfaces, then requests the paths that their clients do not use. */
     public static void recordExchanges(BiConsumer<Request, Response> watcher) throws ServiceException {
-        SeededPlatformDays day = new SeededPlatformDays(SEED);
-        day.watchAnswers(watcher);
-        day.run(DAY);
+        for (long seed = SEED; seed < SEED + DAYS; seed++) {
+            SeededPlatformDays day = new SeededPlatformDays(seed);
+            day.watchAnswers(watcher);
+            day.run(DAY);
+        }
         FaultStorm storm = new FaultStorm(SEED);
         storm.watchAnswers(watcher);
         storm.run();
