Simulator: planned stops in one class, for both fleets and in the fault storms

The maps of nodes and their accessors stood in both fleets. Tests: FaultStormTest, StoredBytesTest, SeededPlatformDaysTest, PlannedStopTest, PairsTest, StoreReplacementTest, RepairTest, PlatformSimulationTest and FeaturesTest pass.

--- a/testkit/src/main/java/org/woadvale/testkit/simulation/MachineFaults.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/MachineFaults.java
@@ -141,9 +141,7 @@
 
     private void drain(String node) {
         if (fleet.host(node).alive()) {
-            fleet.dataPlaneNode(node).drain();
-            schedule(Duration.ofSeconds(2), () -> fleet.kill(node));
-            schedule(Duration.ofSeconds(4), () -> fleet.restart(node));
+            fleet.stopAsPlanned(node, () -> schedule(Duration.ofSeconds(1), () -> fleet.restart(node)));
         }
     }
 
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/Machines.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Machines.java
@@ -29,6 +29,8 @@
 import org.woadvale.common.wal.RingWriteAheadLog;
 import org.woadvale.common.wal.WriteAheadLog;
 import org.woadvale.controlplane.api.ControlApiMessages;
+import org.woadvale.controlplane.node.ControlNode;
+import org.woadvale.dataplane.DataPlaneNode;
 import org.woadvale.dataplane.queue.MessageCommands;
 import org.woadvale.testkit.stub.Observations;
 import reactor.core.publisher.Mono;
@@ -44,6 +46,11 @@
     public final List<String> intakes = new ArrayList<>();
     final Map<String, Host> hosts = new LinkedHashMap<>();
     final Set<String> lost = new HashSet<>();
+    /** The node that was last started on each machine. */
+    final Map<String, ControlNode> controlNodesByAddress = new HashMap<>();
+
+    final Map<String, DataPlaneNode> dataPlaneNodes = new HashMap<>();
+    private final ProcessStops stops = new ProcessStops(this);
     private final Set<String> startedSeeds = new HashSet<>();
     private final Map<String, String> zones = new HashMap<>();
     private final int zoneCount;
@@ -138,6 +145,24 @@
         return zones.get(address);
     }
 
+    public DataPlaneNode dataPlaneNode(String address) {
+        return dataPlaneNodes.get(address);
+    }
+
+    public ControlNode controlNode(String address) {
+        return controlNodesByAddress.get(address);
+    }
+
+    /** Stops the process of a machine as SIGTERM does. */
+    public void stopAsPlanned(String address) {
+        stops.stop(address, () -> {});
+    }
+
+    /** The same; the task runs when the process has ended. */
+    public void stopAsPlanned(String address, Runnable onEnd) {
+        stops.stop(address, onEnd);
+    }
+
     public void kill(String address) {
         hosts.get(address).kill();
     }
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/SimulatedFleet.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/SimulatedFleet.java
@@ -38,9 +38,7 @@
     /** The seeds in the settings of the machines that are started next. */
     private List<String> joinSeeds;
 
-    private final Map<String, ControlNode> controlNodesByAddress = new HashMap<>();
     private final Map<String, OperatorHttpHandler> operatorHandlers = new HashMap<>();
-    private final Map<String, DataPlaneNode> dataPlaneNodes = new HashMap<>();
     private final FleetOverrides overrides;
 
     public SimulatedFleet(
@@ -178,14 +176,6 @@
         }
     }
 
-    public DataPlaneNode dataPlaneNode(String address) {
-        return dataPlaneNodes.get(address);
-    }
-
-    public ControlNode controlNode(String address) {
-        return controlNodesByAddress.get(address);
-    }
-
     /** Sends a request from outside the fleet to one node; empty if no response arrives within the limit. */
     public void request(String to, Request request, Duration timeout, Consumer<Optional<Response>> receiver) {
         requestFromOutside(
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/SimulatedPlatformFleet.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/SimulatedPlatformFleet.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.woadvale.common.config.Settings;
@@ -20,13 +19,10 @@
 import org.woadvale.common.replication.ReplicationTiming;
 import org.woadvale.common.replication.Role;
 import org.woadvale.common.rpc.RpcRouter;
-import org.woadvale.common.runtime.Component;
-import org.woadvale.common.runtime.TimerHandle;
 import org.woadvale.controlplane.api.OperatorHttpHandler;
 import org.woadvale.controlplane.node.ControlNode;
 import org.woadvale.controlplane.registry.ProcessorRegistry;
 import org.woadvale.dataplane.DataPlaneNode;
-import org.woadvale.dataplane.PlannedStop;
 import org.woadvale.platform.PlatformAdapter;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
@@ -39,27 +35,12 @@
     /** How long a leased message is reserved after its last extension; the nodes get it in their boot settings. */
     public static final Duration LEASE = Duration.ofMillis(3000);
 
-    /** From the request to stop a process until the platform kills it. */
-    public static final Duration GRACE_PERIOD = Duration.ofSeconds(6);
-
     private static final int KEEP_ENDED_S = 130;
     private static final int ZONES = 3;
-    /** How long an intake serves on, and then answers the requests that it has read. */
-    private static final Duration INTAKE_LINGER = Duration.ofMillis(4600);
-
-    /** How long the program of a control node waits for its leaderships to be handed over. */
-    private static final Duration CONTROL_DRAIN_LIMIT = Duration.ofSeconds(3);
-
-    private static final Duration STOP_POLL_INTERVAL = Duration.ofMillis(50);
-    /** How long a process runs on after its components were told to stop. */
-    private static final Duration PROCESS_END_TIME = Duration.ofMillis(300);
-
     private static final Duration PROCESSOR_LIST_READ_INTERVAL = Duration.ofMillis(700);
 
     public final ProcessorNetwork processorNetwork = new ProcessorNetwork(this);
     private final List<String> seeds;
-    private final Map<String, ControlNode> controlNodesByAddress = new HashMap<>();
-    private final Map<String, DataPlaneNode> dataPlaneNodes = new HashMap<>();
     private final Map<String, Function<Request, Mono<Response>>> handlers = new HashMap<>();
     private final FleetOverrides overrides;
     private final int ringBytes;
@@ -155,7 +136,7 @@
                     KEEP_ENDED_S,
                     0,
                     overrides.faultTolerance(),
-                    GRACE_PERIOD.toMillis());
+                    ProcessStops.GRACE_PERIOD.toMillis());
             DataPlaneNode node = new DataPlaneNode(
                     environment,
                     boot,
@@ -169,54 +150,6 @@
         }
     }
 
-    /** Stops the process of a node as SIGTERM does: the shipped planned stop, then the end of the process. */
-    public void stopAsPlanned(String address) {
-        stopAsPlanned(address, () -> {});
-    }
-
-    /** The same; the task runs when the process ends. */
-    public void stopAsPlanned(String address, Runnable onEnd) {
-        if (controlNodes.contains(address)) {
-            ControlNode node = controlNodesByAddress.get(address);
-            Duration limit = hosts.get(address).monotonicTime().plus(CONTROL_DRAIN_LIMIT);
-            stopOnce(
-                    address,
-                    () -> node.drain() || hosts.get(address).monotonicTime().compareTo(limit) >= 0,
-                    node,
-                    onEnd);
-        } else {
-            DataPlaneNode node = dataPlaneNodes.get(address);
-            Duration linger = intakes.contains(address) ? INTAKE_LINGER : Duration.ZERO;
-            PlannedStop stop = new PlannedStop(hosts.get(address), node, GRACE_PERIOD, linger);
-            stopOnce(address, stop::advance, node, onEnd);
-        }
-    }
-
-    /** Stops the components of a node once the condition holds, and then ends its process. */
-    private void stopOnce(String address, BooleanSupplier mayStop, Component node, Runnable onEnd) {
-        Host host = hosts.get(address);
-        AtomicReference<TimerHandle> polling = new AtomicReference<>(() -> {});
-        polling.set(host.every(STOP_POLL_INTERVAL, () -> {
-            if (mayStop.getAsBoolean()) {
-                polling.get().cancel();
-                node.stop();
-                host.closeConnections();
-                host.after(PROCESS_END_TIME, () -> {
-                    host.kill();
-                    onEnd.run();
-                });
-            }
-        }));
-    }
-
-    public DataPlaneNode dataPlaneNode(String address) {
-        return dataPlaneNodes.get(address);
-    }
-
-    public ControlNode controlNode(String address) {
-        return controlNodesByAddress.get(address);
-    }
-
     /** Sends a request of a client, a pulling processor or the operator to one node. */
     public void request(String to, Request request, Duration limit, Consumer<Optional<Response>> receiver) {
         requestFromOutside(to, request, () -> handlers.get(to).apply(request), limit, receiver);
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/PlannedStopTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/PlannedStopTest.java
@@ -149,8 +149,7 @@
     private void restart(String store) throws ServiceException {
         fixture.fleet.stopAsPlanned(store);
         assertTrue(
-                fixture.fleet.sim.runUntil(
-                        () -> !fixture.fleet.host(store).alive(), SimulatedPlatformFleet.GRACE_PERIOD),
+                fixture.fleet.sim.runUntil(() -> !fixture.fleet.host(store).alive(), ProcessStops.GRACE_PERIOD),
                 store + " runs after the grace period");
         fixture.fleet.sim.run(RESTART_PAUSE);
         fixture.fleet.restart(store);
