--- a/dataplane/src/main/java/org/woadvale/dataplane/PlannedStop.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/PlannedStop.java
@@ -66,34 +66,34 @@
     public boolean advance() {
         // repeated in every step: a leadership may come back while the other stores are stopping too
         boolean handedOver = node.drain();
-        if (step == Step.HANDING_OVER && (handedOver || total(HANDOVER_LIMIT) || total(answersLimit))) {
+        if (step == Step.HANDING_OVER && (handedOver || hasLasted(HANDOVER_LIMIT) || hasLasted(answersLimit))) {
             node.endDeliveries();
             begin(Step.ENDING_DELIVERIES);
         }
-        if (step == Step.ENDING_DELIVERIES && (node.idle() || total(answersLimit))) {
+        if (step == Step.ENDING_DELIVERIES && (node.idle() || hasLasted(answersLimit))) {
             if (!node.idle()) {
                 LOG.warn("Deliveries without an answer are broken off, as the grace period ends.");
             }
             node.breakOffDeliveries();
             begin(Step.RECORDING_OUTCOMES);
         }
-        if (step == Step.RECORDING_OUTCOMES && (node.idle() || total(outcomesLimit))) {
+        if (step == Step.RECORDING_OUTCOMES && (node.idle() || hasLasted(outcomesLimit))) {
             if (!node.idle()) {
                 LOG.error("Outcomes of deliveries could not be recorded within the grace period.");
             }
             begin(Step.LINGERING);
         }
-        if (step == Step.LINGERING && total(linger) && inStep(MIN_LINGER)) {
+        if (step == Step.LINGERING && hasLasted(linger) && stepHasLasted(MIN_LINGER)) {
             begin(Step.DONE);
         }
         return step == Step.DONE;
     }
 
-    private boolean total(Duration limit) {
+    private boolean hasLasted(Duration limit) {
         return clock.monotonicTime().minus(began).compareTo(limit) >= 0;
     }
 
-    private boolean inStep(Duration limit) {
+    private boolean stepHasLasted(Duration limit) {
         return clock.monotonicTime().minus(stepBegan).compareTo(limit) >= 0;
     }
 
--- a/dataplane/src/main/java/org/woadvale/dataplane/StoreRole.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/StoreRole.java
@@ -89,7 +89,7 @@
 
     /** Begins no further delivery. */
     void endDeliveries() {
-        dispatchers.end();
+        dispatchers.endDeliveries();
     }
 
     /** Breaks off the deliveries that have no answer yet. */
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/Dispatchers.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/Dispatchers.java
@@ -50,7 +50,7 @@
     }
 
     /** Begins no further delivery; pulls that wait here are still answered. */
-    public void end() {
+    public void endDeliveries() {
         ended = true;
     }
 
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/PlannedStopTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/PlannedStopTest.java
@@ -42,6 +42,7 @@
     private static final Duration SUBMISSION_TIMEOUT = Duration.ofSeconds(3);
     private static final Duration POLL_WAIT = Duration.ofSeconds(1);
     private static final Duration POLL_MARGIN = Duration.ofMillis(250);
+    private static final Duration TIME_BETWEEN_STOPS = Duration.ofSeconds(4);
     private static final Duration RESTART_PAUSE = Duration.ofSeconds(1);
     private static final Duration TIME_TO_END_ALL = Duration.ofSeconds(10);
     private static final long DEFAULT_SEEDS = 3;
@@ -155,6 +156,13 @@
         fixture.fleet.restart(store);
     }
 
+    private void restartStoresInTurn() throws ServiceException {
+        for (String store : fixture.fleet.stores) {
+            restart(store);
+            fixture.fleet.sim.run(TIME_BETWEEN_STOPS);
+        }
+    }
+
     private void assertNothingRanAgain() {
         fixture.fleet.sim.run(TIME_TO_END_ALL);
         assertEquals(List.of(), runAgain);
@@ -174,10 +182,7 @@
         fleet(seed);
         submitFor(Duration.ofSeconds(30), "/long/x");
         fixture.fleet.sim.run(Duration.ofSeconds(4));
-        for (String store : fixture.fleet.stores) {
-            restart(store);
-            fixture.fleet.sim.run(Duration.ofSeconds(4));
-        }
+        restartStoresInTurn();
         assertNothingRanAgain();
     }
 
@@ -256,10 +261,7 @@
         submitFor(Duration.ofSeconds(30), "/long/x");
         fixture.fleet.sim.run(Duration.ofSeconds(4));
         fixture.fleet.net.setLossAndDuplication(0.05, 0.02);
-        for (String store : fixture.fleet.stores) {
-            restart(store);
-            fixture.fleet.sim.run(Duration.ofSeconds(4));
-        }
+        restartStoresInTurn();
         fixture.fleet.net.setLossAndDuplication(0, 0);
         assertNothingRanAgain();
     }
