Simulator: three long methods split

SimulatedPlatformFleet.start did three jobs in 59 lines, OperatorSimulation.bad held six nearly equal configurations, TestConfiguration built the same lane three times.

--- a/testkit/src/main/java/org/woadvale/testkit/simulation/OperatorSimulation.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/OperatorSimulation.java
@@ -17,6 +17,7 @@
  */
 final class OperatorSimulation {
     private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(2);
+    private static final long VALID_TIMEOUT_MS = 500;
     private static final Duration MAX_RETRY_DELAY = Duration.ofMillis(1600);
     private final SimulatedPlatformFleet network;
     private final ObservationLog observations;
@@ -133,60 +134,36 @@
         ConfigurationStub stub = withAddedRoute("bad" + nextNumber);
         ConfigurationStub.Route route = stub.routes().get(stub.routes().size() - 1);
         List<ConfigurationStub.Route> others = new ArrayList<>(current.routes());
+        String usedPrefix = others.get(0).pathPrefix();
         switch (nextNumber++ % 6) {
             case 0 -> put(stub, stub.text().substring(0, stub.text().length() / 2), current.configRevision(), false);
-            case 1 ->
-                bad(
-                        stub,
-                        others,
-                        new ConfigurationStub.Route(
-                                route.name(), route.host(), route.pathPrefix(), "nobody", 500, 3, false, 90, false));
-            case 2 ->
-                bad(
-                        stub,
-                        others,
-                        new ConfigurationStub.Route(
-                                route.name(),
-                                route.host(),
-                                others.get(0).pathPrefix(),
-                                route.service(),
-                                500,
-                                3,
-                                false,
-                                90,
-                                false));
-            case 3 ->
-                bad(
-                        stub,
-                        others,
-                        new ConfigurationStub.Route(
-                                route.name(),
-                                route.host(),
-                                route.pathPrefix(),
-                                route.service(),
-                                0,
-                                3,
-                                false,
-                                90,
-                                false));
-            case 4 ->
-                put(
-                        stub.with(current.configRevision()),
-                        stub.with(current.configRevision()).text(),
-                        current.configRevision(),
-                        false);
-            default -> {
-                List<ConfigurationStub.Tenant> tenants = new ArrayList<>(current.tenants());
-                tenants.add(new ConfigurationStub.Tenant(
-                        "thief", List.of(tenants.get(0).accessKeys().get(0)), 1, 1));
-                put(stub.tenants(tenants), stub.tenants(tenants).text(), current.configRevision(), false);
-            }
+            case 1 -> bad(stub, others, changed(route, route.pathPrefix(), "nobody", VALID_TIMEOUT_MS));
+            case 2 -> bad(stub, others, changed(route, usedPrefix, route.service(), VALID_TIMEOUT_MS));
+            case 3 -> bad(stub, others, changed(route, route.pathPrefix(), route.service(), 0));
+            case 4 -> bad(stub.with(current.configRevision()));
+            default -> bad(stub.tenants(tenantsWithSharedKey()));
         }
     }
 
+    private static ConfigurationStub.Route changed(
+            ConfigurationStub.Route route, String prefix, String service, long timeoutMs) {
+        return new ConfigurationStub.Route(route.name(), route.host(), prefix, service, timeoutMs, 3, false, 90, false);
+    }
+
+    private List<ConfigurationStub.Tenant> tenantsWithSharedKey() {
+        List<ConfigurationStub.Tenant> tenants = new ArrayList<>(current.tenants());
+        String usedKey = tenants.get(0).accessKeys().get(0);
+        tenants.add(new ConfigurationStub.Tenant("thief", List.of(usedKey), 1, 1));
+        return tenants;
+    }
+
+    private void bad(ConfigurationStub stub) {
+        put(stub, stub.text(), current.configRevision(), false);
+    }
+
     private void bad(ConfigurationStub stub, List<ConfigurationStub.Route> others, ConfigurationStub.Route invalid) {
         others.add(invalid);
-        put(stub.routes(others), stub.routes(others).text(), current.configRevision(), false);
+        bad(stub.routes(others));
     }
 
     /** Removes the last additional key of a tenant, or adds one if it has only one. */
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/SimulatedPlatformFleet.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/SimulatedPlatformFleet.java
@@ -14,11 +14,8 @@
 import org.woadvale.common.error.UnavailableException;
 import org.woadvale.common.http.Request;
 import org.woadvale.common.http.Response;
-import org.woadvale.common.membership.CoreClient;
-import org.woadvale.common.replication.NodeEnvironment;
 import org.woadvale.common.replication.ReplicationTiming;
 import org.woadvale.common.replication.Role;
-import org.woadvale.common.rpc.RpcRouter;
 import org.woadvale.controlplane.api.OperatorHttpHandler;
 import org.woadvale.controlplane.node.ControlNode;
 import org.woadvale.controlplane.registry.ProcessorRegistry;
@@ -95,61 +92,72 @@
 
     @Override
     public void start(String address) throws ServiceException {
-        Host host = hosts.get(address);
         boolean controlNode = controlNodes.contains(address);
-        boolean store = stores.contains(address);
         ReplicationTiming timing = controlNode ? ReplicationTiming.partitions() : ReplicationTiming.defaults();
         NodeStart start = boot(address, overrides, ringBytes, timing, seeds);
-        RpcRouter router = start.router();
-        NodeEnvironment environment = start.environment();
-        CoreClient core = start.core();
         if (controlNode) {
-            ControlNode node = new ControlNode(
-                    environment, core, foundingMembers(address, seeds), zone(address), overrides.faultTolerance());
-            node.route(router);
-            OperatorHttpHandler handler = new OperatorHttpHandler(node, "");
-            handler.route(router);
-            controlNodesByAddress.put(address, node);
-            handlers.put(address, PlatformAdapter.controlHandler(handler));
-            node.start();
-            new ProcessorRegistry(
-                            environment,
-                            node,
-                            PlatformAdapter.processorSource(processorListPagesFor(host)),
-                            PROCESSOR_LIST_READ_INTERVAL)
-                    .start();
+            startControlNode(address, start);
         } else {
-            Settings boot = new Settings(
-                    address,
-                    address,
-                    zone(address),
-                    seeds,
-                    Set.of(store ? "store" : "intake"),
-                    store ? "x" : "",
-                    RING_FILES,
-                    1,
-                    "",
-                    false,
-                    8,
-                    "",
-                    LEASE.toMillis(),
-                    KEEP_ENDED_S,
-                    0,
-                    overrides.faultTolerance(),
-                    ProcessStops.GRACE_PERIOD.toMillis());
-            DataPlaneNode node = new DataPlaneNode(
-                    environment,
-                    boot,
-                    core,
-                    overrides.deliveryClient().apply(address, processorNetwork.clientFor(host)),
-                    PlatformAdapter.deliveryProtocol());
-            node.route(router);
-            dataPlaneNodes.put(address, node);
-            handlers.put(address, PlatformAdapter.frontHandler(node));
-            node.start();
+            startDataPlaneNode(address, start);
         }
     }
 
+    private void startControlNode(String address, NodeStart start) throws ServiceException {
+        ControlNode node = new ControlNode(
+                start.environment(),
+                start.core(),
+                foundingMembers(address, seeds),
+                zone(address),
+                overrides.faultTolerance());
+        node.route(start.router());
+        OperatorHttpHandler handler = new OperatorHttpHandler(node, "");
+        handler.route(start.router());
+        controlNodesByAddress.put(address, node);
+        handlers.put(address, PlatformAdapter.controlHandler(handler));
+        node.start();
+        new ProcessorRegistry(
+                        start.environment(),
+                        node,
+                        PlatformAdapter.processorSource(processorListPagesFor(hosts.get(address))),
+                        PROCESSOR_LIST_READ_INTERVAL)
+                .start();
+    }
+
+    private void startDataPlaneNode(String address, NodeStart start) throws ServiceException {
+        DataPlaneNode node = new DataPlaneNode(
+                start.environment(),
+                settings(address),
+                start.core(),
+                overrides.deliveryClient().apply(address, processorNetwork.clientFor(hosts.get(address))),
+                PlatformAdapter.deliveryProtocol());
+        node.route(start.router());
+        dataPlaneNodes.put(address, node);
+        handlers.put(address, PlatformAdapter.frontHandler(node));
+        node.start();
+    }
+
+    private Settings settings(String address) {
+        boolean store = stores.contains(address);
+        return new Settings(
+                address,
+                address,
+                zone(address),
+                seeds,
+                Set.of(store ? "store" : "intake"),
+                store ? "x" : "",
+                RING_FILES,
+                1,
+                "",
+                false,
+                8,
+                "",
+                LEASE.toMillis(),
+                KEEP_ENDED_S,
+                0,
+                overrides.faultTolerance(),
+                ProcessStops.GRACE_PERIOD.toMillis());
+    }
+
     /** Sends a request of a client, a pulling processor or the operator to one node. */
     public void request(String to, Request request, Duration limit, Consumer<Optional<Response>> receiver) {
         requestFromOutside(to, request, () -> handlers.get(to).apply(request), limit, receiver);
--- a/testkit/src/main/java/org/woadvale/testkit/stub/TestConfiguration.java
+++ b/testkit/src/main/java/org/woadvale/testkit/stub/TestConfiguration.java
@@ -12,6 +12,7 @@
 /** The configuration of simulations and test fleets: tenants, two processor groups, and rate-limited endpoints. */
 public record TestConfiguration(int tenants, int endpoints, double ratePerS, int burst, double endpointRate) {
     public static final long TIME_LIMIT_MS = 60000;
+    private static final int ATTEMPT_MS = 3000;
     public static final int ATTEMPTS = 8;
     public static final String GROUP = "reserve";
     public static final String ORDERED_GROUP = "ledger";
@@ -61,41 +62,22 @@
                             Configuration.Role.PROCESSOR, "", group, Configurations.sha256(fetchKey(group))));
         }
         Map<String, Configuration.Lane> laneMap = new TreeMap<>();
-        laneMap.put(
-                "hold",
-                new Configuration.Lane(
-                        GROUP,
-                        Configuration.Ordering.NONE,
-                        TIME_LIMIT_MS,
-                        ATTEMPTS,
-                        3000,
-                        Configuration.UnknownOutcomePolicy.FAIL));
-        laneMap.put(
-                "accept",
-                new Configuration.Lane(
-                        ORDERED_GROUP,
-                        Configuration.Ordering.KEY,
-                        TIME_LIMIT_MS,
-                        ATTEMPTS,
-                        3000,
-                        Configuration.UnknownOutcomePolicy.FAIL));
+        laneMap.put("hold", lane(GROUP, Configuration.Ordering.NONE));
+        laneMap.put("accept", lane(ORDERED_GROUP, Configuration.Ordering.KEY));
         for (int i = 0; i < endpoints; i++) {
             serviceMap.put(
                     endpoint(i),
                     new Configuration.Service(Configuration.Kind.ENDPOINT, endpointAddress.apply(i), endpointRate));
-            laneMap.put(
-                    "check" + i,
-                    new Configuration.Lane(
-                            endpoint(i),
-                            Configuration.Ordering.NONE,
-                            TIME_LIMIT_MS,
-                            ATTEMPTS,
-                            3000,
-                            Configuration.UnknownOutcomePolicy.FAIL));
+            laneMap.put("check" + i, lane(endpoint(i), Configuration.Ordering.NONE));
         }
         return new Configuration(tenantMap, serviceMap, laneMap, keyMap);
     }
 
+    private static Configuration.Lane lane(String service, Configuration.Ordering ordering) {
+        return new Configuration.Lane(
+                service, ordering, TIME_LIMIT_MS, ATTEMPTS, ATTEMPT_MS, Configuration.UnknownOutcomePolicy.FAIL);
+    }
+
     public void allow(Observations observations) {
         for (int i = 0; i < tenants; i++) {
             observations.tenantLimit(tenant(i), new Observations.Limit(ratePerS, burst, Duration.ZERO, Duration.ZERO));
