Testkit: the measurements, the runs of destinations and the test of many changes split

Measure.main (84 lines), FleetRuns.destinations (53) and ManyChangesTest's method (46) each did several jobs. With the argument outage Measure no longer prints the heading of the table that it does not print.

--- a/testkit/src/main/java/org/woadvale/testkit/capacity/FleetRuns.java
+++ b/testkit/src/main/java/org/woadvale/testkit/capacity/FleetRuns.java
@@ -16,6 +16,7 @@
     private static final long HEAP_BYTES_PER_MEMBER = 900;
     private static final long HEAP_BYTES_PER_PROCESSOR = 1500;
     private static final int LEAVING_CHANGES = 10;
+    private static final int DESTINATION_NODES = 12;
     private static final int MAX_NODES = 60_000;
     /** The limit of a configuration. (docs/design.md, section 6.1) */
     private static final int MAX_TENANTS = 1000;
@@ -111,55 +112,40 @@
                 "processors in a list",
                 List.of(1000, 2000, 4000, 8000),
                 MAX_PROCESSORS,
-                n -> fleetHeapBytes(12, 8, n),
-                n -> {
-                    HollowFleet fleet =
-                            new HollowFleet(FleetSize.defaults().nodes(12).destinations(n));
-                    fleet.sim.run(WINDOW);
-                    Map<String, Double> out = new LinkedHashMap<>();
-                    out.put("heap of a node KB", fleet.heapOfNodes() / 1024.0 / 12);
-                    Map<String, ResourceUsage> nodes = fleet.nodeUsage();
-                    Map<String, ResourceUsage> controlNodes = fleet.controlNodeUsage();
-                    fleet.sim.run(WINDOW);
-                    ResourceUsage idleNodes =
-                            ResourceUsage.sum(fleet.nodeUsage().values()).minus(ResourceUsage.sum(nodes.values()));
-                    ResourceUsage idleControlNodes = ResourceUsage.sum(
-                                    fleet.controlNodeUsage().values())
-                            .minus(ResourceUsage.sum(controlNodes.values()));
-                    nodes = fleet.nodeUsage();
-                    controlNodes = fleet.controlNodeUsage();
-                    Duration elapsed = Duration.ZERO;
-                    for (int i = 0; i < LEAVING_CHANGES; i++) {
-                        elapsed = elapsed.plus(fleet.setLeaving(i % 2 == 0));
-                    }
-                    fleet.sim.run(WINDOW.minus(elapsed));
-                    int stores = 12 / FleetSize.STORE_EVERY * LEAVING_CHANGES;
-                    out.put(
-                            "bytes of a store for one mark",
-                            ResourceUsage.sum(fleet.nodeUsage().values())
-                                            .minus(ResourceUsage.sum(nodes.values()))
-                                            .minus(idleNodes)
-                                            .bytes()
-                                    / stores);
-                    out.put(
-                            "processor ms of the core for one mark",
-                            ResourceUsage.sum(fleet.controlNodeUsage().values())
-                                            .minus(ResourceUsage.sum(controlNodes.values()))
-                                            .minus(idleControlNodes)
-                                            .cpuSeconds()
-                                    * 1000
-                                    / LEAVING_CHANGES);
-                    out.put(
-                            "processor ms of a store for one mark",
-                            ResourceUsage.sum(fleet.nodeUsage().values())
-                                            .minus(ResourceUsage.sum(nodes.values()))
-                                            .minus(idleNodes)
-                                            .cpuSeconds()
-                                    * 1000
-                                    / stores);
-                    out.put("a mark at each store s", elapsed.toMillis() / 1000.0 / LEAVING_CHANGES);
-                    return out;
-                });
+                n -> fleetHeapBytes(DESTINATION_NODES, 8, n),
+                FleetRuns::destinationFigures);
+    }
+
+    private static Map<String, Double> destinationFigures(int destinations) throws ServiceException {
+        HollowFleet fleet =
+                new HollowFleet(FleetSize.defaults().nodes(DESTINATION_NODES).destinations(destinations));
+        fleet.sim.run(WINDOW);
+        Map<String, Double> out = new LinkedHashMap<>();
+        out.put("heap of a node KB", fleet.heapOfNodes() / 1024.0 / DESTINATION_NODES);
+        ResourceUsage nodesBefore = usage(fleet.nodeUsage());
+        ResourceUsage coreBefore = usage(fleet.controlNodeUsage());
+        fleet.sim.run(WINDOW);
+        ResourceUsage idleNodes = usage(fleet.nodeUsage()).minus(nodesBefore);
+        ResourceUsage idleCore = usage(fleet.controlNodeUsage()).minus(coreBefore);
+        nodesBefore = usage(fleet.nodeUsage());
+        coreBefore = usage(fleet.controlNodeUsage());
+        Duration elapsed = Duration.ZERO;
+        for (int i = 0; i < LEAVING_CHANGES; i++) {
+            elapsed = elapsed.plus(fleet.setLeaving(i % 2 == 0));
+        }
+        fleet.sim.run(WINDOW.minus(elapsed));
+        int stores = DESTINATION_NODES / FleetSize.STORE_EVERY * LEAVING_CHANGES;
+        ResourceUsage ofNodes = usage(fleet.nodeUsage()).minus(nodesBefore).minus(idleNodes);
+        ResourceUsage ofCore = usage(fleet.controlNodeUsage()).minus(coreBefore).minus(idleCore);
+        out.put("bytes of a store for one mark", ofNodes.bytes() / stores);
+        out.put("processor ms of the core for one mark", ofCore.cpuSeconds() * 1000 / LEAVING_CHANGES);
+        out.put("processor ms of a store for one mark", ofNodes.cpuSeconds() * 1000 / stores);
+        out.put("a mark at each store s", elapsed.toMillis() / 1000.0 / LEAVING_CHANGES);
+        return out;
+    }
+
+    private static ResourceUsage usage(Map<String, ResourceUsage> usageByNode) {
+        return ResourceUsage.sum(usageByNode.values());
     }
 
     /** Changes of a configuration with 64 tenants, spread evenly over the window. */
--- a/testkit/src/main/java/org/woadvale/testkit/simulation/Measure.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/Measure.java
@@ -14,6 +14,8 @@
 
 /** Measurements in simulated time, which are the same on every machine: see docs/measurements.md. */
 public final class Measure {
+    private static final Duration RUN_LENGTH = Duration.ofSeconds(30);
+
     private Measure() {}
 
     /** The results of one run. */
@@ -221,88 +223,58 @@
 
     public static void main(String[] args) throws ServiceException {
         TestConfiguration eight = new TestConfiguration(8, 12, 45, 60, 26);
-        if (args.length > 0 && args[0].equals("holder")) {
-            bucketOwnerFailure(eight);
-            return;
+        switch (args.length > 0 ? args[0] : "") {
+            case "holder" -> bucketOwnerFailure(eight);
+            case "outage" -> outages(eight);
+            default -> {
+                printHeader();
+                steadyRuns(eight);
+                runsWithFaults(eight);
+            }
+        }
+    }
+
+    private static void outages(TestConfiguration configuration) throws ServiceException {
+        List<Long> ms = new ArrayList<>();
+        for (long seed = 1; seed <= 10; seed++) {
+            ms.add(outage(seed, 8, 3, configuration).toMillis());
         }
+        System.out.println("First acceptance after the restart, ms of simulated time, ten seeds: " + ms);
+    }
+
+    private static void printHeader() {
         System.out.println(
                 "| run | accepted | failed later | throttled | other rejections | waited/msg | token requests/msg "
                         + "| frames/msg | syncs/msg | worst 5 s of burst and rate | violations |");
         System.out.println("|---|---|---|---|---|---|---|---|---|---|---|");
-        Duration length = Duration.ofSeconds(30);
-        if (args.length > 0 && args[0].equals("outage")) {
-            List<Long> ms = new ArrayList<>();
-            for (long seed = 1; seed <= 10; seed++) {
-                ms.add(outage(seed, 8, 3, eight).toMillis());
-            }
-            System.out.println("First acceptance after the restart, ms of simulated time, ten seeds: " + ms);
-            return;
-        }
+    }
+
+    private static void steadyRuns(TestConfiguration eight) throws ServiceException {
         for (long seed = 1; seed <= 3; seed++) {
-            row("lankavidya seed " + seed, steady(seed, 8, 3, eight, 270, length, simulation -> {}));
+            row("lankavidya seed " + seed, steady(seed, 8, 3, eight, 270, RUN_LENGTH, simulation -> {}));
         }
-        row("rotterdam", steady(1, 7, 4, new TestConfiguration(8, 12, 45, 60, 27), 270, length, simulation -> {}));
-        row(
-                "tiny tenants 1/s of 2/s",
-                steady(1, 8, 3, new TestConfiguration(8, 2, 2, 4, 26), 8, length, simulation -> {}));
-        row(
-                "twice the allowance",
-                steady(1, 8, 3, new TestConfiguration(8, 12, 15, 20, 26), 270, length, simulation -> {}));
-        row(
-                "holder killed",
-                steady(
-                        1,
-                        8,
-                        3,
-                        eight,
-                        270,
-                        length,
-                        simulation -> simulation.fleet.kill(simulation.fleet.intakes.get(0))));
-        row(
-                "holder drained",
-                steady(
-                        1,
-                        8,
-                        3,
-                        eight,
-                        270,
-                        length,
-                        simulation -> simulation
-                                .fleet
-                                .dataPlaneNode(simulation.fleet.intakes.get(0))
-                                .drain()));
-        row(
-                "store killed",
-                steady(
-                        1,
-                        8,
-                        3,
-                        eight,
-                        270,
-                        length,
-                        simulation -> simulation.fleet.kill(simulation.fleet.stores.get(0))));
-        row(
-                "store drained",
-                steady(
-                        1,
-                        8,
-                        3,
-                        eight,
-                        270,
-                        length,
-                        simulation -> simulation
-                                .fleet
-                                .dataPlaneNode(simulation.fleet.stores.get(0))
-                                .drain()));
-        row(
-                "control node killed",
-                steady(
-                        1,
-                        8,
-                        3,
-                        eight,
-                        270,
-                        length,
-                        simulation -> simulation.fleet.kill(simulation.fleet.controlNodes.get(0))));
+        TestConfiguration rotterdam = new TestConfiguration(8, 12, 45, 60, 27);
+        row("rotterdam", steady(1, 7, 4, rotterdam, 270, RUN_LENGTH, simulation -> {}));
+        TestConfiguration tiny = new TestConfiguration(8, 2, 2, 4, 26);
+        row("tiny tenants 1/s of 2/s", steady(1, 8, 3, tiny, 8, RUN_LENGTH, simulation -> {}));
+        TestConfiguration half = new TestConfiguration(8, 12, 15, 20, 26);
+        row("twice the allowance", steady(1, 8, 3, half, 270, RUN_LENGTH, simulation -> {}));
+    }
+
+    private static void runsWithFaults(TestConfiguration eight) throws ServiceException {
+        faultRow("holder killed", eight, fleet -> fleet.kill(fleet.intakes.get(0)));
+        faultRow("holder drained", eight, fleet -> drain(fleet, fleet.intakes.get(0)));
+        faultRow("store killed", eight, fleet -> fleet.kill(fleet.stores.get(0)));
+        faultRow("store drained", eight, fleet -> drain(fleet, fleet.stores.get(0)));
+        faultRow("control node killed", eight, fleet -> fleet.kill(fleet.controlNodes.get(0)));
+    }
+
+    private static void drain(SimulatedFleet fleet, String address) {
+        fleet.dataPlaneNode(address).drain();
+    }
+
+    private static void faultRow(String name, TestConfiguration configuration, Consumer<SimulatedFleet> fault)
+            throws ServiceException {
+        row(name, steady(1, 8, 3, configuration, 270, RUN_LENGTH, simulation -> fault.accept(simulation.fleet)));
     }
 }
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/ManyChangesTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/ManyChangesTest.java
@@ -27,6 +27,10 @@
     private static final Duration RETRY_DELAY = Duration.ofMillis(100);
     private static final Duration DECISION_TIMEOUT = Duration.ofSeconds(20);
     private static final int CHANGES = 600;
+    private static final int MEMBERS = 3;
+    private static final int CHANGES_PER_MEMBER = 60;
+    private static final int FAULT_STEP = 10;
+    private static final int RESTART_STEP = 40;
     private static final int LARGE_ROUTES = 700;
     private static final Duration MAX_LATENCY = Duration.ofMillis(100);
     private static final Duration MAX_LATENCY_LEADER_LOST = Duration.ofMillis(2500);
@@ -145,46 +149,51 @@
         String first = text(version + 1, routeCount);
         long base = version;
         for (int i = 0; i < changes; i++) {
-            int member = i / 60 % 3;
-            String node = fixture.fleet.controlNodes.get(member);
-            int fault = i / 180;
-            if (i % 60 == 10 && fault < 2) {
-                fixture.fleet.kill(node);
-                if (fault == 1) {
-                    fixture.fleet.host(node).disk.wipe();
-                }
-            } else if (i % 60 == 10) {
-                fixture.fleet.host(node).pause(Duration.ofSeconds(4));
-            } else if (i % 60 == 40 && fault < 2) {
-                fixture.fleet.restart(node);
-                fixture.run(4000);
-            }
+            int member = i / CHANGES_PER_MEMBER % MEMBERS;
+            injectFault(i, fixture.fleet.controlNodes.get(member));
             change(routeCount, member + 1);
         }
         fixture.run(6000);
-        for (int node = 0; node < 3; node++) {
+        for (int node = 0; node < MEMBERS; node++) {
             assertEquals(200, fixture.put(first, base, node).status(), "the first change, at " + node);
-            String read = fixture.fleet
-                    .requestAndWait(
-                            fixture.fleet.controlNodes.get(node),
-                            new Request("GET", "/-/configuration", Map.of(), new byte[0]),
-                            READ_TIMEOUT)
-                    .map(response -> new String(response.body(), StandardCharsets.UTF_8))
-                    .orElseThrow();
-            assertEquals(text(version, routeCount), read);
-            String name = fixture.fleet.controlNodes.get(node);
-            long applied = fixture.fleet
-                    .controlNode(name)
-                    .replica("c0")
-                    .inspect(i -> fixture.fleet
-                            .controlNode(name)
-                            .stateMachine("c0")
-                            .configurations()
-                            .version());
-            assertEquals(version, applied, name + " has applied everything");
-            assertTrue(snapshotBytes(name) < MAX_SNAPSHOT_BYTES, "snapshot of " + snapshotBytes(name));
+            assertHasAppliedEverything(fixture.fleet.controlNodes.get(node), routeCount);
         }
         System.out.println(changes + " changes of " + first.length() + " bytes: snapshot of c0 "
                 + snapshotBytes(leader()) + " bytes; bytes sent by type " + bytesByType);
     }
+
+    /** Each member in turn is killed, then killed with the loss of its disk, then paused. */
+    private void injectFault(int change, String node) throws ServiceException {
+        int fault = change / (CHANGES_PER_MEMBER * MEMBERS);
+        int step = change % CHANGES_PER_MEMBER;
+        if (step == FAULT_STEP && fault < 2) {
+            fixture.fleet.kill(node);
+            if (fault == 1) {
+                fixture.fleet.host(node).disk.wipe();
+            }
+        } else if (step == FAULT_STEP) {
+            fixture.fleet.host(node).pause(Duration.ofSeconds(4));
+        } else if (step == RESTART_STEP && fault < 2) {
+            fixture.fleet.restart(node);
+            fixture.run(4000);
+        }
+    }
+
+    private void assertHasAppliedEverything(String node, int routeCount) {
+        String read = fixture.fleet
+                .requestAndWait(node, new Request("GET", "/-/configuration", Map.of(), new byte[0]), READ_TIMEOUT)
+                .map(response -> new String(response.body(), StandardCharsets.UTF_8))
+                .orElseThrow();
+        assertEquals(text(version, routeCount), read);
+        long applied = fixture.fleet
+                .controlNode(node)
+                .replica("c0")
+                .inspect(i -> fixture.fleet
+                        .controlNode(node)
+                        .stateMachine("c0")
+                        .configurations()
+                        .version());
+        assertEquals(version, applied, node + " has applied everything");
+        assertTrue(snapshotBytes(node) < MAX_SNAPSHOT_BYTES, "snapshot of " + snapshotBytes(node));
+    }
 }
