A store that leads again right after its start asks the former leader, too

Cause: the stores to ask came from the view of the stores; a store that has just started and is handed its leaderships back has none yet, asked nobody, and took that for an answer. By its log the store that led meanwhile read the success 0.8 s before its report got through.

--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/Dispatcher.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/Dispatcher.java
@@ -84,6 +84,11 @@
         return partition.id();
     }
 
+    /** The members of the partition's group as far as the local replica knows them. */
+    Set<String> groupMembers() {
+        return partition.replica().members().keySet();
+    }
+
     boolean isLeader() {
         return partition.replica().isActiveLeader();
     }
--- a/dataplane/src/main/java/org/woadvale/dataplane/delivery/FormerLeaders.java
+++ b/dataplane/src/main/java/org/woadvale/dataplane/delivery/FormerLeaders.java
@@ -27,6 +27,7 @@
     private static final Duration REQUEST_TIMEOUT = Duration.ofMillis(500);
     private static final Duration IN_FLIGHT_INTERVAL = Duration.ofMillis(200);
     private static final Duration SILENT_INTERVAL = Duration.ofMillis(500);
+    private static final Duration VIEW_INTERVAL = Duration.ofMillis(50);
     /** Longer than a connection takes to be opened anew, and than a busy store takes to answer. */
     private static final Duration SILENCE_LIMIT = Duration.ofSeconds(2);
 
@@ -59,14 +60,23 @@
      * @param firstRepeat how long an answer that the attempt is in flight is taken for granted
      */
     Mono<Boolean> awaitEnd(Duration firstRepeat) {
-        return ask(stores(), firstRepeat);
+        return awaitView(now()).then(Mono.defer(() -> ask(stores(), firstRepeat)));
+    }
+
+    /** A store that has just started does not know yet which stores leave; without the core it does not learn it. */
+    private Mono<Void> awaitView(Duration began) {
+        boolean known = subscriptions().fresh(ServiceNames.STORES).isPresent();
+        return known || now().minus(began).compareTo(SILENCE_LIMIT) >= 0
+                ? Mono.empty()
+                : Delays.delay(dispatcher.context().environment().timers(), VIEW_INTERVAL)
+                        .then(Mono.defer(() -> awaitView(began)));
     }
 
     /** The members of the group, and the stores that leave: they may have led until a moment ago. */
     private Set<String> stores() {
-        ViewSubscriptions subscriptions = dispatcher.context().subscriptions();
-        ServiceView view = subscriptions.latest(ServiceNames.STORES);
-        Set<String> stores = new TreeSet<>(view.placement().getOrDefault(dispatcher.partitionId(), List.of()));
+        ServiceView view = subscriptions().latest(ServiceNames.STORES);
+        Set<String> stores = new TreeSet<>(dispatcher.groupMembers());
+        stores.addAll(view.placement().getOrDefault(dispatcher.partitionId(), List.of()));
         view.members().entrySet().stream()
                 .filter(member -> member.getValue().leaving())
                 .forEach(member -> stores.add(member.getKey()));
@@ -74,6 +84,10 @@
         return stores;
     }
 
+    private ViewSubscriptions subscriptions() {
+        return dispatcher.context().subscriptions();
+    }
+
     /** Asks the given stores once; those that may still learn the outcome are asked again. */
     private Mono<Boolean> ask(Set<String> stores, Duration inFlightInterval) {
         if (!dispatcher.isLeader() || !dispatcher.isRunning(message)) {
--- a/testkit/src/test/java/org/woadvale/testkit/simulation/PlannedStopTest.java
+++ b/testkit/src/test/java/org/woadvale/testkit/simulation/PlannedStopTest.java
@@ -19,6 +19,7 @@
 import org.woadvale.common.error.ServiceException;
 import org.woadvale.common.http.Request;
 import org.woadvale.common.http.Response;
+import org.woadvale.common.membership.ServiceNames;
 import org.woadvale.testkit.stub.ConfigurationStub;
 import reactor.core.publisher.Mono;
 
@@ -146,12 +147,17 @@
                         .ifPresent(answer -> accepted.put(id, answer.headers().get("X-Message-Ref"))));
     }
 
-    /** Stops a store with SIGTERM and starts it again a moment after its process has ended. */
-    private void restart(String store) throws ServiceException {
+    /** Stops a store with SIGTERM and waits until its process has ended. */
+    private void stop(String store) {
         fixture.fleet.stopAsPlanned(store);
         assertTrue(
                 fixture.fleet.sim.runUntil(() -> !fixture.fleet.host(store).alive(), ProcessStops.GRACE_PERIOD),
                 store + " runs after the grace period");
+    }
+
+    /** Stops a store and starts it again a moment after its process has ended. */
+    private void restart(String store) throws ServiceException {
+        stop(store);
         fixture.fleet.sim.run(RESTART_PAUSE);
         fixture.fleet.restart(store);
     }
@@ -253,6 +259,40 @@
         assertNothingRanAgain();
     }
 
+    /**
+     * A leadership goes back to a store that has just started and has no view of the stores yet, while the frames of the
+     * store that led meanwhile are lost: the started one must ask that store nevertheless.
+     */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void storeThatLeadsAgainAfterItsStartAwaitsTheOutcome(long seed) throws ServiceException {
+        fleet(seed);
+        String stopped = leadingStore();
+        submitFor(Duration.ofSeconds(12), "/long/x");
+        fixture.fleet.sim.run(Duration.ofSeconds(4));
+        stop(stopped);
+        String interim = leadingStore();
+        String core = leaderOf(ServiceNames.controlPartition(ServiceNames.STORES));
+        fixture.fleet.net.cutOneWay(core, stopped);
+        fixture.fleet.restart(stopped);
+        assertTrue(fixture.fleet.sim.runUntil(
+                () -> fixture.fleet.dataPlaneNode(stopped).ledPartitionCount() > 0, Duration.ofSeconds(5)));
+        fixture.fleet.net.cutOneWay(interim, stopped);
+        fixture.fleet.sim.after(Duration.ofMillis(1900), fixture.fleet.net::heal);
+        assertNothingRanAgain();
+    }
+
+    private String leaderOf(String controlPartition) {
+        return fixture.fleet.controlNodes.stream()
+                .filter(node -> fixture.fleet
+                        .controlNode(node)
+                        .replica(controlPartition)
+                        .status()
+                        .leader())
+                .findFirst()
+                .orElseThrow();
+    }
+
     /** Frames between the nodes are lost, so that reports take several attempts. */
     @ParameterizedTest
     @MethodSource("seeds")
