Simulated network: the copy of a doubled frame comes after its original

Trace: the frame of an AcceptRequest was doubled, the copy overtook the original, was accepted, and the original came after the request's deadline and was refused, which the caller was told. A connection carries one frame; no caller can see that.

--- a/testkit/src/main/java/org/woadvale/testkit/simulation/SimNet.java
+++ b/testkit/src/main/java/org/woadvale/testkit/simulation/SimNet.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 import org.woadvale.common.error.ErrorKind;
 import org.woadvale.common.error.OutcomeUnknownException;
 import org.woadvale.common.error.ServiceException;
@@ -152,11 +154,9 @@
                         byte[] bytes = codec.write(request);
                         recordSent(self.address, to, request, bytes);
                         long incarnation = self.incarnation();
-                        deliver(to, bytes, sink, incarnation);
-                        if (sim.chance(duplication)) {
-                            // a connection carries one answer to a call: that of the copy reaches nobody
-                            deliver(to, bytes, Sinks.one(), incarnation);
-                        }
+                        AtomicBoolean doubled = new AtomicBoolean();
+                        deliver(to, bytes, sink, incarnation, doubled::get);
+                        doubled.set(sim.chance(duplication));
                         return sink.asMono().doFinally(signal -> timer.cancel());
                     })
                     .flatMap(frame -> frame.kind() == Frame.Kind.ERROR
@@ -168,7 +168,12 @@
             return ServiceException.of(ErrorKind.valueOf(error.kind()), error.message(), error.details());
         }
 
-        private void deliver(String to, byte[] bytes, Sinks.One<Frame> sink, long incarnation) {
+        /**
+         * Delivers a frame, and after it the copy of a doubled one: the callee serves both, and as a connection carries
+         * one answer to a call, that to the copy reaches nobody.
+         */
+        private void deliver(
+                String to, byte[] bytes, Sinks.One<Frame> sink, long incarnation, BooleanSupplier doubled) {
             frames++;
             Optional<Host> target = Optional.ofNullable(hosts.get(to));
             if (!to.equals(self.address) && lost(self.address, to)) {
@@ -183,6 +188,9 @@
                 target.get()
                         .execute(() -> PendingCalls.serve(target.get().router(), self.address, read(bytes))
                                 .subscribe(frame -> reply(target.get(), frame, sink, incarnation)));
+                if (doubled.getAsBoolean()) {
+                    deliver(to, bytes, Sinks.one(), incarnation, () -> false);
+                }
             });
         }
 
